Plumbing, configuration, member facts and the claim protocol

Cause: nothing stands yet. The claim protocol comes first because everything else that may not be repeated rests on it.

A node that is alone in its view now refuses.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+# The developer's menu. "make demo" and "make test" need Go, make and a C
+# compiler, nothing else.
+TOOL = go tool -modfile=tools/go.mod
+GEN = internal/wire
+SOURCES = $(shell git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$$\|connect\.go$$')
+export CGO_ENABLED = 1
+
+.PHONY: all build test check demo measure generate fuzz format clean
+
+all: build
+
+build: ## the three programs, into bin/
+	go build -o bin/ ./cmd/...
+
+test: ## every test, with the race detector
+	go test -race -count=1 ./...
+
+check: ## format, vet and lint
+	@out=$$($(TOOL) gofumpt -l $(SOURCES)); test -z "$$out" || { echo "gofumpt differs:"; echo "$$out"; exit 1; }
+	go vet ./...
+	$(TOOL) staticcheck ./...
+	$(TOOL) revive -config revive.toml -set_exit_status -exclude internal/wire/... ./...
+
+format: ## rewrite the sources in the project's format
+	$(TOOL) gofumpt -w $(SOURCES)
+
+demo: build ## the whole path, as separate processes, on loopback
+	bash scripts/demo.sh
+
+measure: build ## every decision beside its baseline; speeds; slopes
+	bash scripts/measure.sh
+
+generate: ## needs protoc; the output is committed
+	mkdir -p bin
+	go build -modfile=tools/go.mod -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
+	go build -modfile=tools/go.mod -o bin/protoc-gen-connect-go connectrpc.com/connect/cmd/protoc-gen-connect-go
+	PATH=$(CURDIR)/bin:$$PATH protoc -I proto --go_out=. --go_opt=module=spurhall.example/spurhall \
+		--connect-go_out=. --connect-go_opt=module=spurhall.example/spurhall proto/spurhall/v1/spurhall.proto
+
+fuzz: ## each fuzz target for ten seconds
+	bash scripts/fuzz.sh
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/internal/claim/machine.go
@@ -0,0 +1,696 @@
+// Package claim lets a call that may not be repeated run at most once per key,
+// whichever nodes its caller retries through, and whether or not the platform
+// answers.
+//
+// This file is the protocol as a pure state machine: events in, actions out, no
+// clock and no I/O. book.go carries the actions out.
+//
+// With the platform, a claim is one compare-and-swap: the key must be absent and
+// the claimant's own member record present. A claim outlives its holder, so a
+// holder that is paused or dead can't lead to a second run.
+//
+// Without the platform, the claimant asks every member that it knows of for a
+// promise, and runs only when all have promised:
+//
+//	A                B                C
+//	mark k
+//	ask k  --------> not known: mark k
+//	ask k  -------------------------> not known: mark k
+//	       <-------- grant
+//	       <------------------------- grant
+//	run
+//
+// Two nodes that try the same key at once refuse each other, and neither runs:
+// that is the price of needing no leader. Majorities were refused, since they
+// would be a consensus group; so were leased ranges of keys, since a paused owner
+// would run its keys beside the next owner.
+//
+// Why at most one run per key holds: members and claims are followed in one
+// ordered watch. Say A and B both run k. Not both by claim, by compare-and-swap.
+// Say A by promises. If B was in A's view, B promised, so it knew k before its own
+// try or refused A because of it. If B wasn't, either B joined later and A, which
+// is listed, gave B its table before B was allowed to try; or A had seen B's
+// removal, which comes after all of B's claims in the order of the watch, so A
+// knew k. machine_test.go searches for the counterexample, and shows that it finds
+// one as soon as any single guard is taken out.
+package claim
+
+import "sort"
+
+// MessageKind is the kind of a message between nodes.
+type MessageKind int32
+
+// The messages.
+const (
+	MessageAsk     MessageKind = 1 // promise me this key
+	MessageGrant   MessageKind = 2
+	MessageDeny    MessageKind = 3
+	MessageRelease MessageKind = 4 // the attempt is dead, forget its mark
+	MessageSync    MessageKind = 5 // a joiner asks for the table
+	MessageTable   MessageKind = 6
+	MessageLeave   MessageKind = 7 // the sender has stopped for good
+)
+
+// Reason says why something was refused.
+type Reason int32
+
+// The reasons.
+const (
+	ReasonNone     Reason = iota
+	ReasonKnown           // the key was claimed, promised or is being tried
+	ReasonView            // asker and peer don't have the same members in view
+	ReasonUnsynced        // this node hasn't yet synced with every listed member
+	ReasonStopped         // this node is leaving
+	ReasonSilent          // a member didn't answer in time
+	ReasonPlatform        // the platform is out and the call doesn't allow promises
+	ReasonHalls           // nobody else, or nobody in a second hall, can promise
+)
+
+// String returns the reason in words for a caller.
+func (r Reason) String() string {
+	switch r {
+	case ReasonKnown:
+		return "the key is already claimed"
+	case ReasonView:
+		return "the nodes don't agree on who is a member"
+	case ReasonUnsynced:
+		return "this node has not yet synced with every member"
+	case ReasonStopped:
+		return "this node is leaving"
+	case ReasonSilent:
+		return "a member gave no promise in time"
+	case ReasonPlatform:
+		return "the platform is out and this call does not run without it"
+	case ReasonHalls:
+		return "no other member, or none in a second hall, can promise"
+	}
+	return "none"
+}
+
+// Entry is one key that may have run, by which attempt.
+type Entry struct {
+	Key     uint64
+	Attempt string
+}
+
+// Message goes from one node to another. It may be lost, doubled or late.
+type Message struct {
+	Kind    MessageKind
+	From    string
+	To      string
+	Key     uint64
+	Attempt string
+	View    []string
+	Table   []Entry
+	Reason  Reason
+}
+
+// ActionKind is what the machine asks its owner to do.
+type ActionKind int
+
+// The actions.
+const (
+	ActionSend   ActionKind = iota // send Message
+	ActionWrite                    // write the claim, then call Wrote
+	ActionRun                      // the attempt may run, now or later
+	ActionRefuse                   // the attempt is dead: not run
+	ActionRecord                   // write a promised key as a claim, no answer needed
+)
+
+// Action is one thing to do.
+type Action struct {
+	Kind    ActionKind
+	Message Message
+	Key     uint64
+	Attempt string
+	Reason  Reason
+}
+
+// WriteResult is how a claim's write ended.
+type WriteResult int
+
+// The results. WriteUnknown: no answer, and it couldn't be read back.
+const (
+	WriteGranted WriteResult = iota
+	WriteRefused
+	WriteUnknown
+)
+
+// Change is one change of the platform's members or claims, in watch order.
+type Change struct {
+	Member  string // set for a change of a member
+	Hall    string
+	Key     uint64 // else a claim
+	Attempt string
+	Deleted bool
+}
+
+type phase int
+
+const (
+	phaseWriting phase = iota
+	phaseAsking
+	phaseRunning
+	phaseDead
+)
+
+type attempt struct {
+	key      uint64
+	phase    phase
+	promises bool // may go on by promises
+	asked    []string
+	waiting  map[string]bool
+	promised bool // runs by promises, not yet recorded as a claim
+}
+
+type mark struct {
+	attempt string
+	claimed bool // the platform holds it
+}
+
+// guards are the conditions that the proof rests on. Tests take them out one by
+// one to show that each is needed.
+type guards struct {
+	peerKnows    bool // a peer refuses a key that it knows
+	markFirst    bool // a claimant marks its key before it writes or asks
+	sameView     bool // a peer refuses an asker that lacks a member
+	askerListed  bool // a peer refuses an asker that isn't in view
+	syncedFirst  bool // a joiner doesn't try before it has synced
+	deadStays    bool // a dead attempt ignores late grants
+	learnedKills bool // learning that a key is taken kills one's own try
+	askAll       bool // all members must promise, not just the first
+	notAlone     bool // somebody else holds every promise
+}
+
+func allGuards() guards {
+	return guards{
+		peerKnows: true, markFirst: true, sameView: true, askerListed: true,
+		syncedFirst: true, deadStays: true, learnedKills: true, askAll: true, notAlone: true,
+	}
+}
+
+// Machine is one node's part in the protocol.
+type Machine struct {
+	id       string
+	up       bool // the platform answers
+	synced   bool
+	stopped  bool
+	view     map[string]string // member to hall, this node included
+	retired  map[string]bool   // never in view again
+	halls    map[string]bool   // every hall ever seen
+	pending  map[string]bool   // members not yet synced with
+	known    map[uint64]mark
+	attempts map[string]*attempt
+	guards   guards
+}
+
+// New returns a machine that isn't a member yet.
+func New(id string) *Machine {
+	return &Machine{
+		id: id, view: make(map[string]string), retired: make(map[string]bool),
+		halls: make(map[string]bool), pending: make(map[string]bool),
+		known: make(map[uint64]mark), attempts: make(map[string]*attempt),
+		guards: allGuards(),
+	}
+}
+
+// ID returns the member id.
+func (m *Machine) ID() string { return m.id }
+
+// Synced tells whether this node may try keys.
+func (m *Machine) Synced() bool { return m.synced && !m.stopped }
+
+// Stopped tells whether this node has stopped for good.
+func (m *Machine) Stopped() bool { return m.stopped }
+
+// Pending returns the members still to sync with, in order.
+func (m *Machine) Pending() []string { return sorted(m.pending) }
+
+// View returns the members in view, this node included, in order.
+func (m *Machine) View() []string {
+	r := make([]string, 0, len(m.view))
+	for id := range m.view {
+		r = append(r, id)
+	}
+	sort.Strings(r)
+	return r
+}
+
+// Known tells whether the key may have run, and by which attempt.
+func (m *Machine) Known(key uint64) (string, bool) {
+	k, ok := m.known[key]
+	return k.attempt, ok
+}
+
+// Size returns the number of keys known.
+func (m *Machine) Size() int { return len(m.known) }
+
+func sorted(s map[string]bool) []string {
+	r := make([]string, 0, len(s))
+	for k := range s {
+		r = append(r, k)
+	}
+	sort.Strings(r)
+	return r
+}
+
+// Join begins membership, after this node's record was written: list holds the
+// members and claims of one read that came after that write. It asks every other
+// member for its table.
+func (m *Machine) Join(list []Change) []Action {
+	for _, c := range list {
+		m.apply(c)
+	}
+	for id := range m.view {
+		if id != m.id {
+			m.pending[id] = true
+		}
+	}
+	m.checkSynced()
+	return m.SyncAgain()
+}
+
+// SyncAgain repeats the requests to the members not yet synced with.
+func (m *Machine) SyncAgain() []Action {
+	var r []Action
+	for _, id := range m.Pending() {
+		r = append(r, m.send(Message{Kind: MessageSync, To: id, View: []string{m.view[m.id]}}))
+	}
+	return r
+}
+
+func (m *Machine) checkSynced() {
+	if len(m.pending) == 0 {
+		m.synced = true
+	}
+}
+
+func (m *Machine) send(g Message) Action {
+	g.From = m.id
+	return Action{Kind: ActionSend, Message: g}
+}
+
+// Watch takes the next changes of the ordered watch.
+func (m *Machine) Watch(list []Change) []Action {
+	var r []Action
+	for _, c := range list {
+		r = append(r, m.apply(c)...)
+	}
+	return r
+}
+
+func (m *Machine) apply(c Change) []Action {
+	if c.Member == "" {
+		return m.applyClaim(c)
+	}
+	if !c.Deleted {
+		m.addMember(c.Member, c.Hall)
+		return nil
+	}
+	m.drop(c.Member)
+	if c.Member == m.id {
+		return m.stop()
+	}
+	return nil
+}
+
+func (m *Machine) applyClaim(c Change) []Action {
+	if c.Deleted {
+		if m.known[c.Key].claimed {
+			delete(m.known, c.Key)
+		}
+		return nil
+	}
+	r := m.learn(Entry{Key: c.Key, Attempt: c.Attempt})
+	m.known[c.Key] = mark{attempt: c.Attempt, claimed: true}
+	if a := m.attempts[c.Attempt]; a != nil {
+		a.promised = false
+	}
+	return r
+}
+
+func (m *Machine) addMember(id, hall string) {
+	if m.retired[id] {
+		return
+	}
+	m.view[id] = hall
+	m.halls[hall] = true
+}
+
+func (m *Machine) drop(id string) {
+	m.retired[id] = true
+	delete(m.view, id)
+	if m.pending[id] {
+		delete(m.pending, id)
+		m.checkSynced()
+	}
+}
+
+// learn takes in that a key may have run. A try of this node for the same key
+// that hasn't got its permission yet is dead.
+func (m *Machine) learn(e Entry) []Action {
+	old, ok := m.known[e.Key]
+	if !ok {
+		m.known[e.Key] = mark{attempt: e.Attempt}
+		return nil
+	}
+	if old.attempt == e.Attempt {
+		return nil
+	}
+	a := m.attempts[old.attempt]
+	if a == nil || a.phase == phaseRunning || a.phase == phaseDead || !m.guards.learnedKills {
+		return nil
+	}
+	r := m.kill(old.attempt, ReasonKnown)
+	m.known[e.Key] = mark{attempt: e.Attempt}
+	return r
+}
+
+// SetPlatform says whether the platform answers. When it comes back, promised
+// keys are recorded as claims: one's own at once, and others' when their claimant
+// is no longer there to do it.
+func (m *Machine) SetPlatform(up bool) []Action {
+	came := up && !m.up
+	m.up = up
+	if !came {
+		return nil
+	}
+	return m.record(func(attempt string) bool {
+		a := m.attempts[attempt]
+		return a == nil || a.promised
+	})
+}
+
+func (m *Machine) record(keep func(attempt string) bool) []Action {
+	var r []Action
+	for _, k := range m.keys() {
+		v := m.known[k]
+		if !v.claimed && keep(v.attempt) {
+			r = append(r, Action{Kind: ActionRecord, Key: k, Attempt: v.attempt})
+		}
+	}
+	return r
+}
+
+func (m *Machine) keys() []uint64 {
+	r := make([]uint64, 0, len(m.known))
+	for k := range m.known {
+		r = append(r, k)
+	}
+	sort.Slice(r, func(i, j int) bool { return r[i] < r[j] })
+	return r
+}
+
+// Begin tries a key. promises says whether it may run while the platform is out.
+func (m *Machine) Begin(key uint64, id string, promises bool) []Action {
+	refuse := func(r Reason) []Action {
+		return []Action{{Kind: ActionRefuse, Key: key, Attempt: id, Reason: r}}
+	}
+	if m.stopped {
+		return refuse(ReasonStopped)
+	}
+	if !m.synced && m.guards.syncedFirst {
+		return refuse(ReasonUnsynced)
+	}
+	if _, ok := m.known[key]; ok {
+		return refuse(ReasonKnown)
+	}
+	a := &attempt{key: key, promises: promises}
+	m.attempts[id] = a
+	if m.guards.markFirst {
+		m.known[key] = mark{attempt: id}
+	}
+	if m.up {
+		a.phase = phaseWriting
+		return []Action{{Kind: ActionWrite, Key: key, Attempt: id}}
+	}
+	return m.ask(id)
+}
+
+// Wrote says how the write that ActionWrite asked for has ended.
+func (m *Machine) Wrote(id string, w WriteResult) []Action {
+	a := m.attempts[id]
+	if a == nil || a.phase != phaseWriting {
+		return nil
+	}
+	switch w {
+	case WriteGranted:
+		m.known[a.key] = mark{attempt: id, claimed: true}
+		return m.run(id)
+	case WriteRefused:
+		r := m.kill(id, ReasonKnown)
+		// Somebody holds the key; who, the watch will tell.
+		m.known[a.key] = mark{claimed: true}
+		return r
+	}
+	return m.ask(id)
+}
+
+func (m *Machine) run(id string) []Action {
+	a := m.attempts[id]
+	a.phase = phaseRunning
+	return []Action{{Kind: ActionRun, Key: a.key, Attempt: id}}
+}
+
+// ask goes on by promises, if the call allows it.
+func (m *Machine) ask(id string) []Action {
+	a := m.attempts[id]
+	if !a.promises {
+		return m.kill(id, ReasonPlatform)
+	}
+	// A node alone in its view never runs: if the VM list wrongly drops it, a
+	// joiner could not learn of the run from anybody.
+	if len(m.view) < 2 && m.guards.notAlone {
+		return m.kill(id, ReasonHalls)
+	}
+	if len(m.halls) > 1 && !m.twoHalls() {
+		return m.kill(id, ReasonHalls)
+	}
+	a.phase = phaseAsking
+	a.waiting = make(map[string]bool)
+	view := m.View()
+	var r []Action
+	for _, peer := range view {
+		if peer == m.id {
+			continue
+		}
+		a.waiting[peer] = true
+		a.asked = append(a.asked, peer)
+		r = append(r, m.send(Message{Kind: MessageAsk, To: peer, Key: a.key, Attempt: id, View: view}))
+	}
+	if len(a.waiting) == 0 {
+		a.promised = true
+		return m.run(id)
+	}
+	return r
+}
+
+func (m *Machine) twoHalls() bool {
+	own := m.view[m.id]
+	for _, h := range m.view {
+		if h != own {
+			return true
+		}
+	}
+	return false
+}
+
+// kill ends a try that hasn't run. It never runs afterwards.
+func (m *Machine) kill(id string, why Reason) []Action {
+	a := m.attempts[id]
+	a.phase = phaseDead
+	if v, ok := m.known[a.key]; ok && v.attempt == id && !v.claimed {
+		delete(m.known, a.key)
+	}
+	r := []Action{{Kind: ActionRefuse, Key: a.key, Attempt: id, Reason: why}}
+	for _, p := range a.asked {
+		r = append(r, m.send(Message{Kind: MessageRelease, To: p, Key: a.key, Attempt: id}))
+	}
+	return r
+}
+
+// Abandon gives up a try that has waited too long.
+func (m *Machine) Abandon(id string) []Action {
+	a := m.attempts[id]
+	if a == nil || a.phase == phaseRunning || a.phase == phaseDead {
+		return nil
+	}
+	return m.kill(id, ReasonSilent)
+}
+
+// Finish forgets an attempt whose call has ended. Its key stays known.
+func (m *Machine) Finish(id string) {
+	if a := m.attempts[id]; a != nil && !a.promised {
+		delete(m.attempts, id)
+	}
+}
+
+// Receive takes a message from a peer.
+func (m *Machine) Receive(g Message) []Action {
+	if g.To != m.id {
+		return nil // meant for an earlier process on this address
+	}
+	switch g.Kind {
+	case MessageAsk:
+		return m.promise(g)
+	case MessageGrant:
+		return m.granted(g)
+	case MessageDeny:
+		return m.denied(g)
+	case MessageRelease:
+		if v, ok := m.known[g.Key]; ok && v.attempt == g.Attempt && !v.claimed {
+			delete(m.known, g.Key)
+		}
+	case MessageSync:
+		return m.giveTable(g)
+	case MessageTable:
+		return m.takeTable(g)
+	case MessageLeave:
+		r := m.learnAll(g.Table)
+		m.drop(g.From)
+		return r
+	}
+	return nil
+}
+
+func (m *Machine) promise(g Message) []Action {
+	reply := Message{Kind: MessageGrant, To: g.From, Key: g.Key, Attempt: g.Attempt}
+	if why := m.mayPromise(g); why != ReasonNone {
+		reply.Kind, reply.Reason = MessageDeny, why
+		return []Action{m.send(reply)}
+	}
+	if _, ok := m.known[g.Key]; !ok {
+		m.known[g.Key] = mark{attempt: g.Attempt}
+	}
+	return []Action{m.send(reply)}
+}
+
+func (m *Machine) mayPromise(g Message) Reason {
+	if m.stopped {
+		return ReasonStopped
+	}
+	if !m.synced && m.guards.syncedFirst {
+		return ReasonUnsynced
+	}
+	if _, ok := m.view[g.From]; !ok && m.guards.askerListed {
+		return ReasonView
+	}
+	if m.guards.sameView && !m.knowsAll(g.View) {
+		return ReasonView
+	}
+	if v, ok := m.known[g.Key]; ok && v.attempt != g.Attempt && m.guards.peerKnows {
+		return ReasonKnown
+	}
+	return ReasonNone
+}
+
+// knowsAll tells whether an asker's view holds every member of this node's.
+func (m *Machine) knowsAll(view []string) bool {
+	has := make(map[string]bool, len(view))
+	for _, id := range view {
+		has[id] = true
+	}
+	for id := range m.view {
+		if !has[id] {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *Machine) granted(g Message) []Action {
+	a := m.attempts[g.Attempt]
+	if a == nil || a.phase == phaseRunning {
+		return nil
+	}
+	if a.phase != phaseAsking && m.guards.deadStays {
+		return nil
+	}
+	delete(a.waiting, g.From)
+	if len(a.waiting) > 0 && m.guards.askAll {
+		return nil
+	}
+	a.promised = true
+	return m.run(g.Attempt)
+}
+
+func (m *Machine) denied(g Message) []Action {
+	a := m.attempts[g.Attempt]
+	if a == nil || a.phase != phaseAsking {
+		return nil
+	}
+	return m.kill(g.Attempt, g.Reason)
+}
+
+func (m *Machine) table() []Entry {
+	r := make([]Entry, 0, len(m.known))
+	for _, k := range m.keys() {
+		r = append(r, Entry{Key: k, Attempt: m.known[k].attempt})
+	}
+	return r
+}
+
+func (m *Machine) giveTable(g Message) []Action {
+	if m.stopped || m.retired[g.From] {
+		return nil
+	}
+	hall := ""
+	if len(g.View) == 1 {
+		hall = g.View[0] // a joiner's Sync carries its hall
+	}
+	if _, ok := m.view[g.From]; !ok {
+		m.addMember(g.From, hall)
+	}
+	return []Action{m.send(Message{Kind: MessageTable, To: g.From, Table: m.table()})}
+}
+
+func (m *Machine) takeTable(g Message) []Action {
+	r := m.learnAll(g.Table)
+	if m.pending[g.From] {
+		delete(m.pending, g.From)
+		m.checkSynced()
+	}
+	return r
+}
+
+func (m *Machine) learnAll(list []Entry) []Action {
+	var r []Action
+	for _, e := range list {
+		r = append(r, m.learn(e)...)
+	}
+	return r
+}
+
+// Leave stops this node for good. Its tries that haven't run are dead, every
+// member gets its table, and promises that it holds are to be recorded before its
+// member record is deleted.
+func (m *Machine) Leave() []Action {
+	if m.stopped {
+		return nil
+	}
+	others := m.View()
+	r := m.stop()
+	for _, p := range others {
+		if p != m.id {
+			r = append(r, m.send(Message{Kind: MessageLeave, To: p, Table: m.table()}))
+		}
+	}
+	return append(r, m.record(func(string) bool { return true })...)
+}
+
+func (m *Machine) stop() []Action {
+	m.stopped = true
+	ids := make([]string, 0, len(m.attempts))
+	for id := range m.attempts {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	var r []Action
+	for _, id := range ids {
+		a := m.attempts[id]
+		if a.phase == phaseWriting || a.phase == phaseAsking {
+			r = append(r, m.kill(id, ReasonStopped)...)
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/internal/config/render.go
@@ -0,0 +1,264 @@
+package config
+
+import (
+	"fmt"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gopkg.in/yaml.v3"
+)
+
+// Rendering puts a workspace's parameters into the template's text, line by
+// line, and then reads the result strictly. Text was chosen over a walk of the
+// parsed tree because every error keeps the line the operator wrote: a value
+// can't hold a line break, so lines never move.
+
+var placeholder = regexp.MustCompile(`\$\{([a-z0-9_]+)\}`)
+
+// The values of a service that declares none.
+const (
+	defaultTimeout     = Duration(60 * time.Second)
+	defaultTarget      = Duration(time.Second)
+	defaultKeyLifetime = Duration(24 * time.Hour)
+	defaultBodyBytes   = 1 << 20
+	defaultInFlight    = 256
+	defaultQueue       = 256
+	defaultMaxTokens   = 4096
+)
+
+// Render returns the services of a workspace.
+func Render(t, w *Document) ([]Service, error) {
+	template, err := t.template()
+	if err != nil {
+		return nil, located("template/"+t.Name, 0, err)
+	}
+	workspace, err := w.workspace()
+	if err != nil {
+		return nil, located("workspace/"+w.Name, 0, err)
+	}
+	values, err := parameters(template, workspace)
+	if err != nil {
+		return nil, located("workspace/"+w.Name, 0, err)
+	}
+	body, err := substitute(t.Body, values)
+	if err != nil {
+		return nil, located("template/"+t.Name, 0, err)
+	}
+	services, err := decodeServices(body)
+	if err != nil {
+		return nil, located(fmt.Sprintf("template/%s for workspace/%s", t.Name, w.Name), 0, err)
+	}
+	return services, nil
+}
+
+func parameters(t *Template, w *Workspace) (map[string]string, error) {
+	for n := range w.Parameters {
+		if _, ok := t.Parameters[n]; !ok {
+			return nil, fmt.Errorf("line 1: parameter %s: template %s has none of that name", n, t.Name)
+		}
+	}
+	r := make(map[string]string)
+	for _, n := range sortedKeys(t.Parameters) {
+		p := t.Parameters[n]
+		v, ok := w.Parameters[n]
+		if !ok && p.Default == nil {
+			return nil, fmt.Errorf("line 1: parameter %s is missing; template %s gives it no default", n, t.Name)
+		}
+		if !ok {
+			v = *p.Default
+		}
+		if err := p.check(v); err != nil {
+			return nil, fmt.Errorf("line 1: parameter %s: %w", n, err)
+		}
+		r[n] = v
+	}
+	return r, nil
+}
+
+func (p *Parameter) check(v string) error {
+	switch p.Type {
+	case "number":
+		f, err := strconv.ParseFloat(v, 64)
+		if err != nil {
+			return fmt.Errorf("%q is not a number", v)
+		}
+		if p.Min != nil && f < *p.Min || p.Max != nil && f > *p.Max {
+			return fmt.Errorf("%s is out of bounds", v)
+		}
+	case "duration":
+		if _, err := time.ParseDuration(v); err != nil {
+			return fmt.Errorf("%q is not a duration; write a number with its unit, such as 700ms or 2s", v)
+		}
+	}
+	if strings.ContainsAny(v, "\n\r") {
+		return fmt.Errorf("a value can't hold a line break")
+	}
+	return nil
+}
+
+func substitute(body string, values map[string]string) (string, error) {
+	lines := strings.Split(body, "\n")
+	for i, l := range lines {
+		for _, m := range placeholder.FindAllStringSubmatch(l, -1) {
+			v, ok := values[m[1]]
+			if !ok {
+				return "", fmt.Errorf("line %d: ${%s}: the template declares no such parameter", i+1, m[1])
+			}
+			// Quoted, so that a value is never read as YAML syntax.
+			l = strings.ReplaceAll(l, m[0], scalar(v))
+		}
+		lines[i] = l
+	}
+	return strings.Join(lines, "\n"), nil
+}
+
+var plainScalar = regexp.MustCompile(`^[A-Za-z0-9._:/+-]+$`)
+
+func scalar(v string) string {
+	if plainScalar.MatchString(v) && !strings.HasSuffix(v, ":") && !strings.HasPrefix(v, "-") {
+		return v
+	}
+	return strconv.Quote(v)
+}
+
+func decodeServices(body string) ([]Service, error) {
+	var t struct {
+		Kind       yaml.Node `yaml:"kind"`
+		Name       yaml.Node `yaml:"name"`
+		Parameters yaml.Node `yaml:"parameters"`
+		Services   []Service `yaml:"services"`
+	}
+	if err := strict(body, &t); err != nil {
+		return nil, err
+	}
+	seen := make(map[string]bool)
+	for i := range t.Services {
+		s := &t.Services[i]
+		s.defaults()
+		if err := s.check(); err != nil {
+			return nil, fmt.Errorf("service %q: %w", s.Name, err)
+		}
+		if seen[s.Name] {
+			return nil, fmt.Errorf("service %q stands twice", s.Name)
+		}
+		seen[s.Name] = true
+	}
+	return t.Services, nil
+}
+
+func (s *Service) defaults() {
+	setDuration(&s.Timeout, defaultTimeout)
+	setDuration(&s.LatencyTarget, defaultTarget)
+	if s.Class == "" {
+		s.Class = ClassLive
+	}
+	if s.Share == 0 {
+		s.Share = 1
+	}
+	if s.Limits.BodyBytes == 0 {
+		s.Limits.BodyBytes = defaultBodyBytes
+	}
+	if s.Limits.InFlight == 0 {
+		s.Limits.InFlight = defaultInFlight
+	}
+	if s.Limits.Queue == 0 {
+		s.Limits.Queue = defaultQueue
+	}
+	if s.Limits.MaxTokens == 0 {
+		s.Limits.MaxTokens = defaultMaxTokens
+	}
+	for i := range s.Calls {
+		setDuration(&s.Calls[i].KeyLifetime, defaultKeyLifetime)
+		if s.Calls[i].Outage == "" {
+			s.Calls[i].Outage = OutageRefuse
+		}
+	}
+}
+
+func setDuration(d *Duration, v Duration) {
+	if *d == 0 {
+		*d = v
+	}
+}
+
+func (s *Service) check() error {
+	switch {
+	case !namePattern.MatchString(s.Name):
+		return fmt.Errorf("name: use 1 to 63 of a-z, 0-9 and -")
+	case s.Protocol != ProtocolChat && s.Protocol != ProtocolPlain:
+		return fmt.Errorf("protocol %q: use chat or plain", s.Protocol)
+	case s.Class != ClassLive && s.Class != ClassBatch:
+		return fmt.Errorf("class %q: use live or batch", s.Class)
+	case s.Pool == "" && s.Legacy.Percent < 100:
+		return fmt.Errorf("pool is missing: name the upstreams' service")
+	case s.Legacy.Percent < 0 || s.Legacy.Percent > 100:
+		return fmt.Errorf("legacy.percent %v: use 0 to 100", s.Legacy.Percent)
+	case s.Legacy.Percent > 0 && s.Legacy.Address == "":
+		return fmt.Errorf("legacy.address is missing")
+	case s.Weights.Cost < 0 || s.Weights.Recompute < 0 || s.Share < 0:
+		return fmt.Errorf("weights and share can't be negative")
+	case s.Limits.RequestsPerSecond < 0 || s.Limits.InFlight < 0 || s.Limits.Queue < 0 || s.Limits.BodyBytes < 0:
+		return fmt.Errorf("limits can't be negative")
+	}
+	for _, c := range s.Calls {
+		if c.Outage != OutageRefuse && c.Outage != OutagePromise {
+			return fmt.Errorf("calls: outage %q: use refuse or promise", c.Outage)
+		}
+	}
+	return nil
+}
+
+// Call returns what holds for a call: the first declared group that matches, or
+// the rule that GET and HEAD may be repeated and every other method may not.
+func (s *Service) Call(method, path string) Call {
+	for _, c := range s.Calls {
+		if (c.Method == "" || c.Method == method) && strings.HasPrefix(path, c.Path) {
+			if c.Repeatable == nil {
+				v := repeatableMethod(method)
+				c.Repeatable = &v
+			}
+			return c
+		}
+	}
+	v := repeatableMethod(method)
+	return Call{Repeatable: &v, Outage: OutageRefuse, KeyLifetime: defaultKeyLifetime}
+}
+
+func repeatableMethod(m string) bool { return m == http.MethodGet || m == http.MethodHead }
+
+// Refused tells whether the status says that the upstream did not run the call.
+func (s *Service) Refused(status int) bool {
+	for _, v := range s.Refusals {
+		if v == status {
+			return true
+		}
+	}
+	return false
+}
+
+// check of a whole set of documents: every workspace renders.
+func checkAll(docs map[string]Document) error {
+	for k, d := range docs {
+		if d.Kind != KindWorkspace {
+			continue
+		}
+		w, err := d.workspace()
+		if err != nil {
+			return located(k, 0, err)
+		}
+		t, ok := docs[key(KindTemplate, w.Template)]
+		if !ok {
+			return errorx.Decorate(ErrInvalid, "workspace/%s:1: template %q doesn't exist", w.Name, w.Template)
+		}
+		if _, err := Render(&t, &d); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func key(k Kind, name string) string { return string(k) + "/" + name }
--- /dev/null
+++ b/internal/platform/guard.go
@@ -0,0 +1,160 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"spurhall.example/spurhall/internal/timer"
+)
+
+// This file keeps one node from using more of the platform than its share, and
+// from hammering a platform that is down.
+
+// Calls counts the calls made to the platform, by kind, and those not made
+// because the budget was spent or the breaker was open.
+var Calls = expvar.NewMap("platform_calls")
+
+// Guard limits and breaks the calls of one node.
+type Guard struct {
+	clock  *timer.Service
+	reads  *rate.Limiter
+	writes *rate.Limiter
+	mu     sync.Mutex
+	fails  int
+	closed time.Time
+	up     bool
+}
+
+// GuardOptions sets a guard. Rates are calls a second for this node alone.
+type GuardOptions struct {
+	Reads  float64
+	Writes float64
+}
+
+// NewGuard returns a guard that starts with the platform taken as down: the
+// first call that succeeds says otherwise.
+func NewGuard(clock *timer.Service, o GuardOptions) *Guard {
+	return &Guard{
+		clock:  clock,
+		reads:  rate.NewLimiter(rate.Limit(o.Reads), int(o.Reads)+8),
+		writes: rate.NewLimiter(rate.Limit(o.Writes), int(o.Writes)+8),
+	}
+}
+
+// Up tells whether the last calls succeeded.
+func (g *Guard) Up() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.up
+}
+
+// SetRates changes the node's share, as nodes come and go.
+func (g *Guard) SetRates(o GuardOptions) {
+	g.reads.SetLimit(rate.Limit(o.Reads))
+	g.writes.SetLimit(rate.Limit(o.Writes))
+}
+
+// The breaker opens after this many failures in a row, for a jittered time that
+// doubles up to a limit. The first failures pass through, so that one lost
+// answer doesn't stop the writers behind it.
+const (
+	breakerAfter = 3
+	backoffStart = 100 * time.Millisecond
+	backoffLimit = 2 * time.Second
+)
+
+func (g *Guard) open() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.clock.Now().Before(g.closed)
+}
+
+func (g *Guard) note(err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err == nil || errors.Is(err, ErrLeaseGone) || errors.Is(err, ErrCompacted) {
+		g.fails, g.up = 0, true
+		return
+	}
+	if errors.Is(err, context.Canceled) {
+		return
+	}
+	g.fails++
+	g.up = g.up && g.fails < breakerAfter
+	if g.fails >= breakerAfter {
+		d := backoffStart << min(g.fails-breakerAfter, 5)
+		d = min(d, backoffLimit)
+		g.closed = g.clock.Now().Add(d/2 + rand.N(d/2+1))
+	}
+}
+
+func (g *Guard) before(kind string, l *rate.Limiter) error {
+	if g.open() {
+		Calls.Add("broken", 1)
+		return ErrUnavailable
+	}
+	if l != nil && !l.Allow() {
+		Calls.Add("over_budget", 1)
+		return ErrBudget
+	}
+	Calls.Add(kind, 1)
+	return nil
+}
+
+// Wrap returns kv behind the guard. A watch counts as one read when it begins;
+// lease keep-alives are never refused, since losing a lease costs more than the
+// call.
+func (g *Guard) Wrap(kv KV) KV {
+	return KV{
+		Range: func(ctx context.Context, key, end string) (RangeResult, error) {
+			if err := g.before("reads", g.reads); err != nil {
+				return RangeResult{}, err
+			}
+			r, err := kv.Range(ctx, key, end)
+			g.note(err)
+			return r, err
+		},
+		Txn: func(ctx context.Context, t Txn) (TxnResult, error) {
+			if err := g.before("writes", g.writes); err != nil {
+				return TxnResult{}, err
+			}
+			r, err := kv.Txn(ctx, t)
+			g.note(err)
+			return r, err
+		},
+		Grant: func(ctx context.Context, ttl time.Duration) (int64, error) {
+			if err := g.before("leases", nil); err != nil {
+				return 0, err
+			}
+			id, err := kv.Grant(ctx, ttl)
+			g.note(err)
+			return id, err
+		},
+		KeepAlive: func(ctx context.Context, lease int64) (time.Duration, error) {
+			Calls.Add("leases", 1)
+			d, err := kv.KeepAlive(ctx, lease)
+			g.note(err)
+			return d, err
+		},
+		Revoke: kv.Revoke,
+		Watch: func(ctx context.Context, key, end string, revision int64, f func(WatchBatch) error) error {
+			if err := g.before("watches", g.reads); err != nil {
+				return err
+			}
+			err := kv.Watch(ctx, key, end, revision, func(b WatchBatch) error {
+				g.note(nil)
+				return f(b)
+			})
+			if ctx.Err() == nil {
+				g.note(err)
+			}
+			return err
+		},
+	}
+}
