At most once per key, through real nodes; two faults in joining and releasing

Ruled out: lost messages (sync is repeated twice a second) and the platform (members were complete). A node now answers a joiner only after its own join, and tells its first read from later ones by that.

Cause 2: a release could overtake its own ask, and the key stayed marked at the peer (seen once as a key that never ran again). A released attempt is remembered, in a bounded ring, and its late ask denied; a release that isn't delivered is sent again.

New: a rig of nodes in one process, each of which can be cut from the platform or from a peer.

--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -213,7 +213,7 @@
 		}
 	}
 	b.do(func(m *Machine) []Action {
-		if len(m.View()) == 0 {
+		if !m.Joined() {
 			return m.Join(list)
 		}
 		for _, id := range m.View() {
@@ -336,9 +336,11 @@
 	if !ok || parent == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(parent, b.o.Timeout)
-	defer cancel()
-	reply, err := b.o.Send(ctx, m, g)
+	reply, err := b.deliver(parent, m, g)
+	for try := 0; err != nil && g.Kind == MessageRelease && try < releaseTries; try++ {
+		_ = b.o.Clock.Sleep(parent, releaseAgain)
+		reply, err = b.deliver(parent, m, g)
+	}
 	if err != nil {
 		if g.Kind == MessageAsk {
 			b.do(func(m *Machine) []Action { return m.Abandon(g.Attempt) })
@@ -350,6 +352,18 @@
 	}
 }
 
+// A release that gets lost leaves a key marked at the peer, so it is repeated.
+const (
+	releaseTries = 5
+	releaseAgain = 500 * time.Millisecond
+)
+
+func (b *Book) deliver(parent context.Context, m Member, g Message) (*Message, error) {
+	ctx, cancel := context.WithTimeout(parent, b.o.Timeout)
+	defer cancel()
+	return b.o.Send(ctx, m, g)
+}
+
 // Receive takes a peer's message and returns the reply, if there is one for it.
 func (b *Book) Receive(g Message) *Message {
 	var reply *Message
--- a/internal/claim/machine.go
+++ b/internal/claim/machine.go
@@ -199,6 +199,7 @@
 type Machine struct {
 	id      string
 	up      bool // the platform answers
+	joined  bool
 	synced  bool
 	stopped bool
 	view    map[string]string // member to hall, this node included
@@ -211,6 +212,11 @@
 	marks    map[uint64][]string
 	claims   map[uint64]held
 	attempts map[string]*attempt
+	// released remembers the newest attempts that peers gave up: their asks may
+	// still be under way, and nobody would release the mark again.
+	released map[string]bool
+	ring     []string
+	at       int
 	guards   guards
 }
 
@@ -220,8 +226,8 @@
 		id: id, view: make(map[string]string), retired: make(map[string]bool),
 		halls: make(map[string]bool), pending: make(map[string]bool),
 		marks: make(map[uint64][]string), claims: make(map[uint64]held),
-		attempts: make(map[string]*attempt),
-		guards:   allGuards(),
+		attempts: make(map[string]*attempt), released: make(map[string]bool),
+		guards: allGuards(),
 	}
 }
 
@@ -231,6 +237,9 @@
 // Synced tells whether this node may try keys.
 func (m *Machine) Synced() bool { return m.synced && !m.stopped }
 
+// Joined tells whether Join was called.
+func (m *Machine) Joined() bool { return m.joined }
+
 // Stopped tells whether this node has stopped for good.
 func (m *Machine) Stopped() bool { return m.stopped }
 
@@ -301,6 +310,7 @@
 // members and claims of one read that came after that write. It asks every other
 // member for its table.
 func (m *Machine) Join(list []Change) []Action {
+	m.joined = true
 	for _, c := range list {
 		m.apply(c)
 	}
@@ -626,6 +636,7 @@
 		return m.denied(g)
 	case MessageRelease:
 		m.unmark(g.Key, g.Attempt)
+		m.remember(g.Attempt)
 	case MessageSync:
 		return m.giveTable(g)
 	case MessageTable:
@@ -662,12 +673,33 @@
 	if m.guards.sameView && !m.knowsAll(g.View) {
 		return ReasonView
 	}
+	if m.released[g.Attempt] {
+		return ReasonSilent
+	}
 	if m.guards.peerKnows && m.knownOther(g.Key, g.Attempt) {
 		return ReasonKnown
 	}
 	return ReasonNone
 }
 
+// releasedLimit bounds the memory of released attempts. An ask that is later than so
+// many releases marks its key until the key's lifetime ends, which only refuses.
+const releasedLimit = 4096
+
+func (m *Machine) remember(id string) {
+	if m.released[id] {
+		return
+	}
+	m.released[id] = true
+	if len(m.ring) < releasedLimit {
+		m.ring = append(m.ring, id)
+		return
+	}
+	delete(m.released, m.ring[m.at])
+	m.ring[m.at] = id
+	m.at = (m.at + 1) % releasedLimit
+}
+
 // knownOther tells whether an attempt other than id may run the key.
 func (m *Machine) knownOther(key uint64, id string) bool {
 	if h, ok := m.claims[key]; ok && h.attempt != id {
@@ -746,7 +778,8 @@
 }
 
 func (m *Machine) giveTable(g Message) []Action {
-	if m.stopped || m.retired[g.From] {
+	// A node that hasn't joined itself has no table to give yet; it will be asked again.
+	if !m.joined || m.stopped || m.retired[g.From] {
 		return nil
 	}
 	hall := ""
--- a/internal/claim/machine_test.go
+++ b/internal/claim/machine_test.go
@@ -384,6 +384,39 @@
 	}
 }
 
+func TestSyncBeforeOwnJoin(t *testing.T) {
+	a, b := New("a"), New("b")
+	list := []Change{{Member: "a", Hall: "x"}, {Member: "b", Hall: "y"}}
+	sync := b.Join(list)
+	assert.Empty(t, a.Receive(sync[0].Message), "a table before the own join would be empty for the wrong reason")
+	a.Join(list)
+	assert.Equal(t, []string{"b"}, a.Pending())
+	for _, g := range a.Receive(b.SyncAgain()[0].Message) {
+		b.Receive(g.Message)
+	}
+	assert.True(t, b.Synced())
+}
+
+func TestReleaseThatOvertakesItsAsk(t *testing.T) {
+	a, b := New("a"), New("b")
+	list := []Change{{Member: "a", Hall: "x"}, {Member: "b", Hall: "y"}}
+	a.Join(list)
+	b.Join(list)
+	for _, m := range []*Machine{a, b} {
+		for _, g := range m.SyncAgain() {
+			other := map[string]*Machine{"a": a, "b": b}[g.Message.To]
+			m.Receive(other.Receive(g.Message)[0].Message)
+		}
+	}
+	ask := a.Begin(1, "x", true)
+	release := a.Abandon("x")
+	b.Receive(release[1].Message)
+	reply := b.Receive(ask[0].Message)
+	assert.Equal(t, MessageDeny, reply[0].Message.Kind)
+	_, known := b.Known(1)
+	assert.False(t, known, "the key is free")
+}
+
 func TestPromisesRunWhenAllMembersAnswer(t *testing.T) {
 	w := newWorld(func(int) int { return 0 }, allGuards(), true)
 	for _, n := range w.nodes {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -224,7 +224,7 @@
 	}
 }
 
-const readyAnyway = 3 * time.Second
+const readyAnyway = 2 * time.Second
 
 // followConfig watches the head. One node of a hall does, the rest learn from their
 // peers; a node that hears of no other in its hall watches itself.
--- /dev/null
+++ b/internal/node/rig_test.go
@@ -0,0 +1,388 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"spurhall.example/spurhall/internal/config"
+	"spurhall.example/spurhall/internal/member"
+	"spurhall.example/spurhall/internal/platform"
+	"spurhall.example/spurhall/internal/standin"
+	"spurhall.example/spurhall/internal/timer"
+)
+
+// rig is a few nodes in this process with the stand-ins they need, all on loopback.
+type rig struct {
+	t        *testing.T
+	platform *standin.Platform
+	server   *httptest.Server
+	engines  map[string]*rigEngine
+	plain    *standin.Plain
+	nodes    []*rigNode
+}
+
+type rigEngine struct {
+	*standin.Engine
+	address string
+	hall    string
+}
+
+type rigNode struct {
+	*Node
+	callers string
+	out     atomic.Bool // cut off from the platform
+	cut     sync.Map    // peer addresses that this node is cut off from
+	servers []*httptest.Server
+	stopped sync.Once
+}
+
+const rigTemplate = `kind: template
+name: t
+services:
+  - {name: chat, protocol: chat, pool: llm, latency_target: 5s, timeout: 30s}
+  - {name: batch, protocol: chat, pool: llm, class: batch, timeout: 30s}
+  - name: orders
+    protocol: plain
+    pool: orders
+    latency_target: 2s
+    timeout: 2s
+    refusals: [503]
+    calls:
+      - {method: POST, path: /promise, repeatable: false, outage: promise}
+      - {method: POST, path: /refuse, repeatable: false}
+      - {method: POST, path: /again, repeatable: true}
+---
+kind: workspace
+name: w
+template: t
+key_hashes: [%s]
+`
+
+const rigKey = "rig-key"
+
+func newRig(t *testing.T, halls ...string) *rig {
+	t.Helper()
+	clock := timer.Real()
+	r := &rig{t: t, platform: standin.NewPlatform(clock), engines: make(map[string]*rigEngine)}
+	r.server = httptest.NewServer(r.platform.Handler())
+	t.Cleanup(func() { r.platform.Fault(standin.Fault{}); r.server.CloseClientConnections(); r.server.Close() })
+	r.plain = standin.NewPlain("orders", clock, time.Millisecond)
+	r.register("o1", platform.VM{Role: platform.RoleUpstream, Service: "orders", Hall: "hall-a", Zone: "z0"}, r.plain.Handler())
+	for i, h := range halls {
+		r.addNode(fmt.Sprintf("n%d", i), h)
+	}
+	r.settle()
+	docs, err := config.Parse("rig", []byte(fmt.Sprintf(rigTemplate, config.HashKey(rigKey))))
+	require.NoError(t, err)
+	s, err := r.nodes[0].Store().Apply(context.Background(), config.Change{ID: "rig", Documents: docs})
+	require.NoError(t, err)
+	r.nodes[0].Accept(s, "rig")
+	r.settle()
+	return r
+}
+
+func (r *rig) register(id string, v platform.VM, h http.Handler) string {
+	s := httptest.NewServer(h)
+	r.t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	v.ID, v.Address, v.Incarnation = id, s.Listener.Addr().String(), 1
+	r.platform.Register(v)
+	return v.Address
+}
+
+func (r *rig) addEngine(id, hall, zone string, o standin.EngineOptions) *rigEngine {
+	o.ID = id
+	if o.Slots == 0 {
+		o.Slots = 32
+	}
+	if o.Decode == 0 {
+		o.Decode = 10 * time.Millisecond
+	}
+	o.CacheTokens = 100000
+	e := &rigEngine{Engine: standin.NewEngine(timer.Real(), o), hall: hall}
+	e.address = r.register(id, platform.VM{Role: platform.RoleUpstream, Service: "llm", Hall: hall, Zone: zone, Slots: o.Slots}, e.Handler())
+	r.engines[id] = e
+	return e
+}
+
+func (r *rig) addNode(vm, hall string) *rigNode {
+	n := &rigNode{}
+	peer, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(r.t, err)
+	g := platform.NewGateway(r.server.URL, 500*time.Millisecond, timer.Real())
+	var seeds []string
+	for _, o := range r.nodes {
+		seeds = append(seeds, o.o.PeerAddress)
+	}
+	n.Node = New(Options{
+		VM: vm, Hall: hall, Zone: hall, PeerAddress: peer.Addr().String(), Seeds: seeds, Clock: timer.Real(), Log: zap.NewNop(),
+		KV: n.cuttable(g.KV()), Cloud: n.cuttableCloud(platform.NewCloud(r.server.URL, 500*time.Millisecond)),
+		PlatformRate: 5000, Exchange: 100 * time.Millisecond, PeerScheme: "http",
+		Blocked: func(a string) bool { _, ok := n.cut.Load(a); return ok },
+	})
+	p := httptest.NewUnstartedServer(n.Peers())
+	_ = p.Listener.Close()
+	p.Listener = peer
+	p.Start()
+	c := httptest.NewServer(n.Callers())
+	n.servers, n.callers = []*httptest.Server{p, c}, c.Listener.Addr().String()
+	n.Start()
+	r.nodes = append(r.nodes, n)
+	r.t.Cleanup(n.kill)
+	return n
+}
+
+func (n *rigNode) cuttable(kv platform.KV) platform.KV {
+	down := func() error {
+		if n.out.Load() {
+			return platform.ErrUnavailable
+		}
+		return nil
+	}
+	w := kv
+	w.Range = func(ctx context.Context, k, e string) (platform.RangeResult, error) {
+		if err := down(); err != nil {
+			return platform.RangeResult{}, err
+		}
+		return kv.Range(ctx, k, e)
+	}
+	w.Txn = func(ctx context.Context, t platform.Txn) (platform.TxnResult, error) {
+		if err := down(); err != nil {
+			return platform.TxnResult{}, err
+		}
+		return kv.Txn(ctx, t)
+	}
+	w.Grant = func(ctx context.Context, d time.Duration) (int64, error) {
+		if err := down(); err != nil {
+			return 0, err
+		}
+		return kv.Grant(ctx, d)
+	}
+	w.Watch = func(ctx context.Context, k, e string, v int64, f func(platform.WatchBatch) error) error {
+		if err := down(); err != nil {
+			return err
+		}
+		return kv.Watch(ctx, k, e, v, func(b platform.WatchBatch) error {
+			if err := down(); err != nil {
+				return err
+			}
+			return f(b)
+		})
+	}
+	return w
+}
+
+func (n *rigNode) cuttableCloud(c platform.Cloud) platform.Cloud {
+	w := c
+	w.VMs = func(ctx context.Context) ([]platform.VM, error) {
+		if n.out.Load() {
+			return nil, platform.ErrUnavailable
+		}
+		return c.VMs(ctx)
+	}
+	w.Notices = func(ctx context.Context, after int64) ([]platform.Notice, error) {
+		if n.out.Load() {
+			return nil, platform.ErrUnavailable
+		}
+		return c.Notices(ctx, after)
+	}
+	return w
+}
+
+// kill ends a node as a lost VM would: no word to anybody.
+func (n *rigNode) kill() {
+	n.stopped.Do(func() {
+		for _, s := range n.servers {
+			s.CloseClientConnections()
+		}
+		n.Stop()
+		for _, s := range n.servers {
+			s.CloseClientConnections()
+			s.Close()
+		}
+	})
+}
+
+// settle waits until every node is ready, synced, knows all the others and has the
+// newest revision.
+func (r *rig) settle() {
+	r.t.Helper()
+	defer func() {
+		if !r.t.Failed() {
+			return
+		}
+		for _, n := range r.nodes {
+			r.t.Logf("%s: %s, synced %v, live %d, members %d, revision %d", n.ID(), n.State(), n.Claims().Synced(), len(n.liveNodes()), len(n.Claims().View()), n.View().Revision())
+			for _, e := range n.Timeline().Since(time.Time{}) {
+				r.t.Log(e.At.Format("05.000"), e.Node, e.Name, e.Detail)
+			}
+		}
+	}()
+	r.eventually("the nodes settle", func() bool {
+		var newest uint64
+		for _, n := range r.nodes {
+			newest = max(newest, n.View().Revision())
+		}
+		for _, n := range r.nodes {
+			if n.State() != "ready" || !n.Claims().Synced() || len(n.liveNodes()) != len(r.nodes) ||
+				len(n.Claims().View()) != len(r.nodes) || n.View().Revision() != newest || n.upstreams("orders") == 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (n *rigNode) upstreams(service string) int {
+	return len(n.table.Select(func(f *member.Fact) bool { return f.Service == service && f.Status == member.StatusLive }))
+}
+
+// waitEngines waits until every node knows so many live engines.
+func (r *rig) waitEngines(k int) {
+	r.t.Helper()
+	r.eventually("the engines are known", func() bool {
+		for _, n := range r.nodes {
+			if n.upstreams("llm") != k {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (r *rig) eventually(what string, ok func() bool) {
+	r.t.Helper()
+	require.Eventually(r.t, ok, 30*time.Second, 10*time.Millisecond, what)
+}
+
+// outage cuts every node off from the platform and waits until they know.
+func (r *rig) outage() {
+	for _, n := range r.nodes {
+		n.out.Store(true)
+	}
+	r.eventually("the outage is noticed", func() bool {
+		for _, n := range r.nodes {
+			if n.guard.Up() || n.peers.anyUp() {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (r *rig) restore() {
+	for _, n := range r.nodes {
+		n.out.Store(false)
+	}
+}
+
+type answer struct {
+	status  int
+	outcome string
+	id      string
+	header  http.Header
+	body    string
+	err     error
+}
+
+var rigClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+
+func (n *rigNode) call(method, path, body string, header ...string) answer {
+	q, err := http.NewRequest(method, "http://"+n.callers+path, strings.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	q.Header.Set("Authorization", "Bearer "+rigKey)
+	for i := 0; i+1 < len(header); i += 2 {
+		q.Header.Set(header[i], header[i+1])
+	}
+	a, err := rigClient.Do(q)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer a.Body.Close()
+	b, err := io.ReadAll(a.Body)
+	o := a.Header.Get("Spurhall-Outcome")
+	if o == "" {
+		o = a.Trailer.Get("Spurhall-Outcome")
+	}
+	return answer{status: a.StatusCode, outcome: o, id: a.Header.Get("X-Request-Id"), header: a.Header, body: string(b), err: err}
+}
+
+func (n *rigNode) keyed(path, key string) answer {
+	return n.call(http.MethodPost, "/s/orders"+path, "{}", "Idempotency-Key", key)
+}
+
+// chat is a prompt with its whole answer.
+type chat struct {
+	body, want string
+}
+
+func newChat(model, prompt string, tokens int, stream bool) chat {
+	m := []standin.ChatMessage{{Role: "user", Content: prompt}}
+	b, _ := json.Marshal(map[string]any{"model": model, "stream": stream, "max_tokens": tokens, "messages": m})
+	return chat{body: string(b), want: standin.Answer(standin.Prompt(m), tokens)}
+}
+
+// content puts a streamed answer together.
+func content(body string) string {
+	var b strings.Builder
+	standin.EachEvent(strings.NewReader(body), func(c string) { b.WriteString(c) })
+	return b.String()
+}
+
+func (r *rig) chat(n *rigNode, c chat) answer {
+	return n.call(http.MethodPost, "/v1/chat/completions", c.body)
+}
+
+// assertWhole checks that a stream is the whole answer to its own prompt.
+func assertWhole(t *testing.T, c chat, a answer) {
+	t.Helper()
+	require.NoError(t, a.err)
+	require.Equal(t, http.StatusOK, a.status, a.body)
+	require.Equal(t, c.want, content(a.body))
+	require.Equal(t, "done", a.outcome)
+}
+
+// jobResult waits for a job, asked for at a node, and returns its answer.
+func (r *rig) jobResult(n *rigNode, id string) string {
+	r.t.Helper()
+	var text string
+	r.eventually("job "+id+" is done", func() bool {
+		a := n.call(http.MethodGet, "/v1/jobs/"+id, "")
+		var s struct {
+			Status string
+			Result struct {
+				Choices []struct{ Message standin.ChatMessage }
+			}
+		}
+		_ = json.Unmarshal([]byte(a.body), &s)
+		if s.Status != "done" {
+			return false
+		}
+		text = s.Result.Choices[0].Message.Content
+		return true
+	})
+	return text
+}
+
+func (n *rigNode) saw(event string) bool {
+	for _, e := range n.Timeline().Since(time.Time{}) {
+		if e.Name == event {
+			return true
+		}
+	}
+	return false
+}
