--- a/internal/config/render.go
+++ b/internal/config/render.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return nil, located("workspace/"+w.Name, 0, err)
 	}
-	values, err := parameters(template, workspace)
+	values, err := parameters(template, workspace, parameterLines(w.Body))
 	if err != nil {
 		return nil, located("workspace/"+w.Name, 0, err)
 	}
@@ -55,10 +55,24 @@
 	return services, nil
 }
 
-func parameters(t *Template, w *Workspace) (map[string]string, error) {
+// parameterLines returns the line of each parameter of a workspace, and under the
+// empty name that of the parameters as a whole.
+func parameterLines(body string) map[string]int {
+	var w struct {
+		Parameters yaml.Node `yaml:"parameters"`
+	}
+	_ = yaml.Unmarshal([]byte(body), &w) // read strictly before
+	r := map[string]int{"": max(w.Parameters.Line, 1)}
+	for i := 0; i+1 < len(w.Parameters.Content); i += 2 {
+		r[w.Parameters.Content[i].Value] = w.Parameters.Content[i].Line
+	}
+	return r
+}
+
+func parameters(t *Template, w *Workspace, lines map[string]int) (map[string]string, error) {
 	for n := range w.Parameters {
 		if _, ok := t.Parameters[n]; !ok {
-			return nil, fmt.Errorf("line 1: parameter %s: template %s has none of that name", n, t.Name)
+			return nil, fmt.Errorf("line %d: parameter %s: template %s has none of that name", lines[n], n, t.Name)
 		}
 	}
 	r := make(map[string]string)
@@ -66,13 +80,13 @@
 		p := t.Parameters[n]
 		v, ok := w.Parameters[n]
 		if !ok && p.Default == nil {
-			return nil, fmt.Errorf("line 1: parameter %s is missing; template %s gives it no default", n, t.Name)
+			return nil, fmt.Errorf("line %d: parameter %s is missing; template %s gives it no default", lines[""], n, t.Name)
 		}
 		if !ok {
 			v = *p.Default
 		}
 		if err := p.check(v); err != nil {
-			return nil, fmt.Errorf("line 1: parameter %s: %w", n, err)
+			return nil, fmt.Errorf("line %d: parameter %s: %w", lines[n], n, err)
 		}
 		r[n] = v
 	}
@@ -135,21 +149,35 @@
 	if err := strict(body, &t); err != nil {
 		return nil, err
 	}
+	lines := serviceLines(body)
 	seen := make(map[string]bool)
 	for i := range t.Services {
 		s := &t.Services[i]
 		s.defaults()
 		if err := s.check(); err != nil {
-			return nil, fmt.Errorf("service %q: %w", s.Name, err)
+			return nil, fmt.Errorf("line %d: service %q: %w", lines[i], s.Name, err)
 		}
 		if seen[s.Name] {
-			return nil, fmt.Errorf("service %q stands twice", s.Name)
+			return nil, fmt.Errorf("line %d: service %q stands twice", lines[i], s.Name)
 		}
 		seen[s.Name] = true
 	}
 	return t.Services, nil
 }
 
+// serviceLines returns the line that each service begins at.
+func serviceLines(body string) []int {
+	var t struct {
+		Services []yaml.Node `yaml:"services"`
+	}
+	_ = yaml.Unmarshal([]byte(body), &t) // read strictly before
+	r := make([]int, len(t.Services))
+	for i := range t.Services {
+		r[i] = t.Services[i].Line
+	}
+	return r
+}
+
 func (s *Service) defaults() {
 	setDuration(&s.Timeout, defaultTimeout)
 	setDuration(&s.LatencyTarget, defaultTarget)
