--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -144,6 +144,7 @@
 		Between: betweenLimit, Traceparent: c.Traceparent,
 	}
 	_ = l.Fire("send")
+	begun := p.d.o.Clock.Now()
 	err := p.d.o.Client.Chat(x, call, func(k upstream.Chunk) error {
 		if k.Finish != "" {
 			p.usage(&k.Usage)
@@ -163,6 +164,7 @@
 	p.landed(t.fact.ID, err, ctx.Err() == nil && !errors.Is(err, upstream.ErrRefused))
 	if err == nil {
 		_ = l.Fire("finish")
+		p.measured(t.fact.ID, p.d.o.Clock.Since(begun), c.Record.Len()-offset)
 		c.Record.FinishAttempt(number, p.d.o.Clock.Now())
 		return "", nil
 	}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -88,6 +88,7 @@
 	cands     []route.Candidate
 	moving    map[string]*move // streams, by request id
 	spent     money
+	perToken  float64 // seconds, smoothed over all upstreams
 }
 
 // flight is what this node has in flight at one upstream.
@@ -95,6 +96,7 @@
 	now      int32
 	since    int32 // dispatched since the report numbered sequence
 	sequence uint64
+	perToken float64 // seconds, smoothed; 0: not measured
 }
 
 type money struct {
@@ -268,9 +270,10 @@
 		c, f := &p.cands[i], &p.list[i]
 		c.Excluded = tried[c.ID] || !p.outliers.Usable(now, c.ID)
 		c.LoadAge = at.Sub(f.At)
-		c.InFlight, c.SinceReport = 0, 0
+		c.InFlight, c.SinceReport, c.Slowness = 0, 0, 0
 		if v := p.flights[c.ID]; v != nil {
 			c.InFlight = v.now
+			c.Slowness = p.slownessLocked(v)
 			if v.sequence == f.Sequence {
 				c.SinceReport = v.since
 			}
@@ -291,6 +294,44 @@
 	return t, true
 }
 
+const (
+	perTokenGain = 0.1
+	// mostSlow bounds how much a measurement counts, so that an upstream that was slow
+	// once still gets a request now and then and can show that it no longer is.
+	mostSlow = 4.0
+)
+
+// slownessLocked relates an upstream's time per token to the pool's mean.
+func (p *pool) slownessLocked(v *flight) float64 {
+	if v.perToken == 0 || p.perToken == 0 {
+		return 0
+	}
+	return min(max(v.perToken/p.perToken, 1/mostSlow), mostSlow)
+}
+
+// measured takes in how long an attempt took for so many tokens.
+func (p *pool) measured(id string, d time.Duration, tokens int) {
+	if tokens < 2 {
+		return
+	}
+	t := d.Seconds() / float64(tokens)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.router.Learn(d)
+	smooth(&p.perToken, t)
+	if v := p.flights[id]; v != nil {
+		smooth(&v.perToken, t)
+	}
+}
+
+func smooth(v *float64, t float64) {
+	if *v == 0 {
+		*v = t
+		return
+	}
+	*v += perTokenGain * (t - *v)
+}
+
 func (p *pool) countLocked(f *member.Fact) {
 	v := p.flights[f.ID]
 	if v == nil {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -14,14 +14,17 @@
 // hashing ranks the upstreams for a prompt's prefix, and since every node ranks
 // alike, they agree without a word: 360 nodes share no prefix index, and an
 // upstream that comes or goes moves only its own prefixes. Two prefixes matter.
-// The shared one (system prompt, catalogue) picks a small set, so that a long
-// text that many callers share is held a few times and not everywhere; the
-// conversation's own (up to its first user message, so that it stays the same
-// from turn to turn) picks one upstream out of that set:
+// The shared one (system prompt, catalogue) picks a set, as large as its share of
+// the work needs, so that a long text that many callers share is held a few times
+// and not everywhere; the conversation's own (up to its first user message, so that
+// it stays the same from turn to turn) picks one upstream out of that set:
 //
-//	shared prefix  -> ranks: e4 e1 | e7 e2 e5 ...   the first Spread are the set
+//	shared prefix  -> ranks: e4 e1 | e7 e2 e5 ...   the first of them are the set
 //	conversation   -> ranks the set: e1 e4          e1 is home, e4 the next
 //
+// Nodes measure a prefix's share each for itself. Where they differ by one, only
+// the conversations that rank the marginal upstream first are looked for elsewhere.
+//
 // The cost does the bounding: a home with a long queue costs more than the
 // prefill saved, so the next in the ranks takes it (and is where the request goes
 // when home is reclaimed). What this node itself dispatched is remembered, and
@@ -33,6 +36,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -73,6 +77,7 @@
 	Distance    time.Duration // one way
 	Price       float64       // money per hour
 	ReclaimRate float64       // expected reclaims per hour
+	Slowness    float64       // time per token relative to the pool's; 0: as the pool
 	Excluded    bool          // tried already, leaving or ejected
 }
 
@@ -94,7 +99,7 @@
 	Policy       Policy
 	Prefill      time.Duration // per token not cached
 	Service      time.Duration // of one request in a slot, on average
-	Spread       int           // size of the set that holds a shared prefix
+	Spread       int           // fixed size of the set that holds a shared prefix; 0: by its share of the work
 	Memory       int           // dispatches remembered
 	CostWeight   float64       // milliseconds of delay that one unit of money is worth
 	TokenWeight  float64       // milliseconds of delay that one recomputed token is worth, beside its prefill
@@ -124,25 +129,28 @@
 
 // Router chooses for one pool. It isn't safe for concurrent use.
 type Router struct {
-	o      Options
-	turn   int
-	random uint64
-	memory map[uint64]uint64 // own prefix to upstream hash
-	order  []uint64          // ring of the keys of memory, oldest at position
-	at     int
-	ranks  []rank
+	o       Options
+	turn    int
+	random  uint64
+	memory  map[uint64]place // own prefix to where it went last
+	order   []uint64         // ring of the keys of memory, oldest at position
+	at      int
+	inSet   []bool             // by index, of the last Pick
+	weights []uint64           // scratch
+	work    map[uint64]float64 // recent work by shared prefix
+	total   float64
 }
 
-type rank struct {
-	weight uint64
-	index  int
+// place is where this node sent a conversation last, and how much of it there was.
+type place struct {
+	upstream uint64
+	tokens   int
 }
 
 // The values of options that are left out.
 const (
 	defaultPrefill = 200 * time.Microsecond
 	defaultService = 2 * time.Second
-	defaultSpread  = 3
 	defaultMemory  = 20000
 )
 
@@ -157,18 +165,23 @@
 	if o.Service == 0 {
 		o.Service = defaultService
 	}
-	if o.Spread == 0 {
-		o.Spread = defaultSpread
-	}
 	if o.Memory == 0 {
 		o.Memory = defaultMemory
 	}
-	return &Router{o: o, memory: make(map[uint64]uint64), random: 0x9e3779b97f4a7c15}
+	return &Router{o: o, memory: make(map[uint64]place), work: make(map[uint64]float64), random: 0x9e3779b97f4a7c15}
 }
 
 // Weigh sets the weights of the workspace that the next choices are for.
 func (r *Router) Weigh(cost, token float64) { r.o.CostWeight, r.o.TokenWeight = cost, token }
 
+// serviceGain weighs a new measurement of the service time.
+const serviceGain = 0.02
+
+// Learn takes in how long a request held its slot.
+func (r *Router) Learn(d time.Duration) {
+	r.o.Service += time.Duration(serviceGain * float64(d-r.o.Service))
+}
+
 // Pick chooses among the candidates.
 func (r *Router) Pick(p *Prompt, list []Candidate) Choice {
 	switch r.o.Policy {
@@ -196,13 +209,13 @@
 			r.at = (r.at + 1) % len(r.order)
 		}
 	}
-	r.memory[p.Own] = upstream
+	r.memory[p.Own] = place{upstream, p.Tokens}
 }
 
 // Evicted corrects the memory: the upstream no longer caches that prefix.
 func (r *Router) Evicted(own, upstream uint64) {
-	if r.memory[own] == upstream {
-		r.memory[own] = 0
+	if r.memory[own].upstream == upstream {
+		delete(r.memory, own)
 	}
 }
 
@@ -218,8 +231,7 @@
 
 func (r *Router) affinity(p *Prompt, list []Candidate) Choice {
 	home := r.homes(p, list)
-	last, remembered := r.memory[p.Own]
-	remembered = remembered && last != 0 && p.Own != 0 && !r.o.IgnoreMemory
+	last := r.remembered(p)
 	best := Choice{Index: -1, Next: -1, Cost: math.Inf(1)}
 	second := math.Inf(1)
 	cheapest := r.cheapest(list)
@@ -228,18 +240,10 @@
 		if c.Excluded {
 			continue
 		}
-		cached := 0.0
-		switch {
-		case remembered && last == c.Hash:
-			cached = float64(p.Reusable)
-		case !remembered && i == home:
-			cached = float64(p.Reusable)
-		case r.holdsShared(p, i):
-			cached = float64(p.SharedTokens)
-		}
+		cached := r.cached(p, c, i, home, last)
 		cost := r.cost(p, c, cached, cheapest)
 		if i == home {
-			cost -= homeBonus
+			cost -= homeBonus + homeShare*float64(p.Tokens)*ms(r.o.Prefill)
 		}
 		if cost < best.Cost {
 			best.Next, second = best.Index, best.Cost
@@ -251,7 +255,7 @@
 	switch {
 	case best.Index < 0:
 		best.Reason = ReasonNone
-	case remembered && list[best.Index].Hash == last:
+	case last.upstream == list[best.Index].Hash && best.Index != home:
 		best.Reason = ReasonMemory
 	case best.Index == home:
 		best.Reason = ReasonHome
@@ -261,62 +265,121 @@
 	return best
 }
 
-// homeBonus, in milliseconds, settles ties in favour of home, so that a
-// conversation's first turn goes where the other nodes will look for it.
-const homeBonus = 1.0
+// A request away from home is computed again when the next turn is at home, so home
+// is worth this share of the prompt's prefill, beside a bonus in milliseconds that
+// settles ties.
+const (
+	homeBonus = 1.0
+	homeShare = 0.5
+)
+
+func (r *Router) remembered(p *Prompt) place {
+	if r.o.IgnoreMemory || p.Own == 0 {
+		return place{}
+	}
+	return r.memory[p.Own]
+}
+
+// atNext is the share of what a conversation could reuse that is expected at an
+// upstream of its set that isn't home. All of it is expected at home: taking off
+// for the turns that went elsewhere was measured and lost.
+const atNext = 0.1
+
+// cached is the number of tokens that a candidate has cached, as far as can be
+// guessed.
+func (r *Router) cached(p *Prompt, c *Candidate, i, home int, last place) float64 {
+	n := 0.0
+	if p.Shared != 0 && r.inSet[i] {
+		n = float64(p.SharedTokens) + atNext*float64(p.Reusable-p.SharedTokens)
+	}
+	if i == home {
+		n = math.Max(n, float64(p.Reusable))
+	}
+	if last.upstream == c.Hash {
+		n = math.Max(n, float64(min(last.tokens, p.Reusable)))
+	}
+	return n
+}
+
+const (
+	// headroom makes a set larger than its share of the work needs on average.
+	headroom = 8
+	leastSet = 1
+	// workLimit ages the work counted: when so many tokens have been counted, all
+	// counts are halved.
+	workLimit = 2e6
+)
+
+// setSize is the number of upstreams that hold a shared prefix.
+func (r *Router) setSize(p *Prompt, n int) int {
+	if r.o.Spread > 0 {
+		return r.o.Spread
+	}
+	w := float64(p.Tokens-p.Reusable) + answerWeight*float64(p.MaxTokens)
+	r.work[p.Shared] += w
+	r.total += w
+	if r.total > workLimit {
+		r.age()
+	}
+	share := r.work[p.Shared] / r.total
+	return min(n, max(leastSet, int(math.Ceil(share*headroom*float64(n)))))
+}
+
+// answerWeight is what a token of the answer takes of an upstream, in tokens of
+// prefill.
+const answerWeight = 20
+
+func (r *Router) age() {
+	r.total = 0
+	for k, w := range r.work {
+		if w < 1 {
+			delete(r.work, k)
+			continue
+		}
+		r.work[k] = w / 2
+		r.total += w / 2
+	}
+}
 
 // homes ranks the candidates for the shared prefix, keeps the first Spread as the
-// set (left in r.ranks), and picks the conversation's home out of it.
+// set (left in r.inSet), and picks the conversation's home out of it.
 func (r *Router) homes(p *Prompt, list []Candidate) int {
 	home := -1
-	r.ranks = r.ranks[:0]
+	r.inSet = append(r.inSet[:0], make([]bool, len(list))...)
 	if p.Shared == 0 && p.Own == 0 {
 		return home
 	}
-	key := p.Shared
-	n := r.o.Spread
+	key, n := p.Shared, r.setSize(p, len(list))
 	if key == 0 {
 		key, n = p.Own, 1
 	}
+	least := r.threshold(key, n, list)
+	var top uint64
 	for i := range list {
-		if list[i].Excluded {
+		if list[i].Excluded || weight(key, list[i].Hash) < least {
 			continue
 		}
-		r.insert(rank{weight(key, list[i].Hash), i}, n)
-	}
-	var top uint64
-	for _, k := range r.ranks {
-		if w := weight(p.Own, list[k.index].Hash); home < 0 || w > top {
-			home, top = k.index, w
+		r.inSet[i] = true
+		if w := weight(p.Own, list[i].Hash); home < 0 || w > top {
+			home, top = i, w
 		}
 	}
 	return home
 }
 
-// insert keeps the n highest ranks, by insertion: n is small.
-func (r *Router) insert(k rank, n int) {
-	if len(r.ranks) < n {
-		r.ranks = append(r.ranks, k)
-	} else if k.weight > r.ranks[n-1].weight {
-		r.ranks[n-1] = k
-	} else {
-		return
-	}
-	for i := len(r.ranks) - 1; i > 0 && r.ranks[i].weight > r.ranks[i-1].weight; i-- {
-		r.ranks[i], r.ranks[i-1] = r.ranks[i-1], r.ranks[i]
-	}
-}
-
-func (r *Router) holdsShared(p *Prompt, i int) bool {
-	if p.Shared == 0 {
-		return false
-	}
-	for _, k := range r.ranks {
-		if k.index == i {
-			return true
+// threshold returns the weight that the n highest candidates reach.
+func (r *Router) threshold(key uint64, n int, list []Candidate) uint64 {
+	r.weights = r.weights[:0]
+	for i := range list {
+		if !list[i].Excluded {
+			r.weights = append(r.weights, weight(key, list[i].Hash))
 		}
 	}
-	return false
+	if n >= len(r.weights) {
+		return 0
+	}
+	slices.Sort(r.weights)
+	return r.weights[len(r.weights)-n]
 }
 
 func (r *Router) cheapest(list []Candidate) float64 {
@@ -336,14 +399,16 @@
 	msPerHour = 3600 * 1000
 	// A full pool of equal upstreams ties; the queue's length in services then
 	// decides, with a little weight on slots in use so that idle ones fill evenly.
-	busyWeight = 0.02
+	busyWeight = 0.004
 )
 
 func (r *Router) cost(p *Prompt, c *Candidate, cached, cheapest float64) float64 {
 	missing := float64(p.Tokens) - cached
 	prefill := missing * ms(r.o.Prefill)
-	service := ms(r.o.Service)
-	cost := r.wait(c) + prefill + 2*ms(c.Distance) + missing*r.o.TokenWeight
+	slow := slowness(c)
+	service := ms(r.o.Service) * slow
+	prefill *= slow
+	cost := r.wait(c)*slow + prefill + 2*ms(c.Distance) + missing*r.o.TokenWeight + service - ms(r.o.Service)
 	// A reclaim during this request loses the prompt and half the answer.
 	risk := c.ReclaimRate * service / msPerHour
 	lost := float64(p.Tokens) + float64(p.MaxTokens)/2
@@ -352,24 +417,49 @@
 	return cost + r.o.CostWeight*hours*(c.Price-cheapest)
 }
 
+func slowness(c *Candidate) float64 {
+	if c.Slowness == 0 {
+		return 1
+	}
+	return c.Slowness
+}
+
 // wait estimates the time until a slot is free. Reported load is out of date by
 // its age: what this node sent since is added, and an old report says less, so it
 // fades towards what this node sees itself.
 func (r *Router) wait(c *Candidate) float64 {
 	known := float64(c.Load) + float64(c.SinceReport)
-	fade := math.Exp(-c.LoadAge.Seconds() / loadHalf)
+	fade := loadHalf / (loadHalf + c.LoadAge.Seconds())
 	load := known*fade + math.Max(float64(c.InFlight), known/2)*(1-fade)
 	load = math.Max(load, float64(c.InFlight))
 	slots := float64(max(c.Slots, 1))
 	service := ms(r.o.Service)
-	wait := busyWeight * service * load / slots
-	if load >= slots {
-		wait += service * (load - slots + 1) / slots
+	return service/slots*shortfall(load-slots+1) + busyWeight*service*load/slots
+}
+
+// sigma is how far a load may be from the truth, in requests. Letting it grow with
+// the age of the report was measured and lost: all upstreams then look alike, and
+// conversations leave their homes for nothing.
+const sigma = 0.5
+
+// farTail is where the normal error no longer matters.
+const farTail = 5
+
+// shortfall is the expected queue when the load is over the slots by x on average,
+// with a normal error of sigma: E[max(0, x+e)].
+func shortfall(x float64) float64 {
+	z := x / sigma
+	if z < -farTail {
+		return 0
+	}
+	if z > farTail {
+		return x
 	}
-	return wait
+	density := math.Exp(-z*z/2) / math.Sqrt(2*math.Pi)
+	return sigma*density + x*0.5*math.Erfc(-z/math.Sqrt2)
 }
 
-// loadHalf is the age, in seconds, at which a load report counts about a third.
+// loadHalf is the age, in seconds, at which a load report counts half.
 const loadHalf = 10.0
 
 func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
