--- a/internal/ingress/chat.go
+++ b/internal/ingress/chat.go
@@ -97,9 +97,11 @@
 		texts[i], roles[i] = p.Body.Messages[i].Text(), p.Body.Messages[i].Role
 	}
 	n := p.MaxTokens(s)
+	prompt := dispatch.PromptOf(texts, roles, n)
+	prompt.Batch = s.Class == config.ClassBatch
 	return &dispatch.Chat{
 		Record: r.Record(), Workspace: r.Workspace(), Service: s, Body: p.Fields, MaxTokens: n,
-		Prompt: dispatch.PromptOf(texts, roles, n), Patient: r.Job(),
+		Prompt: prompt, Patient: r.Job(),
 	}
 }
 
--- a/internal/measure/replay_test.go
+++ b/internal/measure/replay_test.go
@@ -318,7 +318,7 @@
 func promptOf(t *turn) *route.Prompt {
 	return &route.Prompt{
 		Shared: uint64(t.shared)*2654435761 + 1, SharedTokens: t.sharedN, Own: uint64(t.chat)*0x9e3779b97f4a7c15 + 7,
-		Reusable: max(t.history, t.sharedN), Tokens: t.prompt(), MaxTokens: t.answer,
+		Reusable: max(t.history, t.sharedN), Tokens: t.prompt(), MaxTokens: t.answer, Batch: t.batch,
 	}
 }
 
--- a/internal/measure/routing_test.go
+++ b/internal/measure/routing_test.go
@@ -85,7 +85,7 @@
 	for _, c := range []struct {
 		name string
 		w    [2]float64
-	}{{"print-host", [2]float64{2e6, 0.05}}, {"courier", [2]float64{5e4, 0.5}}, {"neither", [2]float64{0.0001, 0}}} {
+	}{{"print-host", [2]float64{1e7, 0.05}}, {"courier", [2]float64{5e4, 0.5}}, {"neither", [2]float64{0.0001, 0}}} {
 		b.Run(c.name, func(b *testing.B) {
 			sc := today()
 			sc.prices, sc.weights = true, c.w
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -92,6 +92,7 @@
 	Reusable     int    // tokens that an upstream which had the last turn would have cached
 	Tokens       int
 	MaxTokens    int
+	Batch        bool // may wait, so money counts in full
 }
 
 // Options sets a router. Rates are the pool's, as an estimate.
@@ -395,6 +396,10 @@
 	return m
 }
 
+// liveMoney is how much of its cost weight a workspace applies to live requests:
+// in full, they would queue for the cheap upstreams beyond their latency target.
+const liveMoney = 0.1
+
 const (
 	msPerHour = 3600 * 1000
 	// A full pool of equal upstreams ties; the queue's length in services then
@@ -414,7 +419,11 @@
 	lost := float64(p.Tokens) + float64(p.MaxTokens)/2
 	cost += risk * lost * (ms(r.o.Prefill) + r.o.TokenWeight)
 	hours := (prefill + service) / msPerHour / float64(max(c.Slots, 1))
-	return cost + r.o.CostWeight*hours*(c.Price-cheapest)
+	money := r.o.CostWeight * hours * (c.Price - cheapest)
+	if !p.Batch {
+		money *= liveMoney
+	}
+	return cost + money
 }
 
 func slowness(c *Candidate) float64 {
