--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"spurhall.example/spurhall/internal/config"
 	"spurhall.example/spurhall/internal/member"
 	"spurhall.example/spurhall/internal/platform"
 	"spurhall.example/spurhall/internal/route"
@@ -145,8 +146,12 @@
 
 func (n *Node) pollLoads(ctx context.Context) {
 	n.clock.Every(ctx, loadsEvery, func(time.Time) {
+		// Only model engines have a load to report; a plain service must get no call
+		// that a caller didn't make.
+		pools := n.view.Pools()
 		list := n.table.Select(func(f *member.Fact) bool {
-			return f.Kind == member.KindUpstream && f.Status == member.StatusLive && f.Hall == n.o.Hall && f.Slots > 0
+			return f.Kind == member.KindUpstream && f.Status == member.StatusLive && f.Hall == n.o.Hall &&
+				pools[f.Service] == config.ProtocolChat
 		})
 		for _, f := range list {
 			if n.reports(f.ID) {
