--- /dev/null
+++ b/internal/node/control_test.go
@@ -0,0 +1,140 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"spurhall.example/spurhall/internal/config"
+	"spurhall.example/spurhall/internal/platform"
+)
+
+// counted counts the bytes of the calls to peers, both ways.
+type counted struct {
+	net.Conn
+	n *atomic.Int64
+}
+
+func (c counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+func (c counted) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+func countingTransport(n *atomic.Int64) http.RoundTripper {
+	var d net.Dialer
+	return &http.Transport{MaxIdleConnsPerHost: 8, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return counted{c, n}, nil
+	}}
+}
+
+func cpu() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapInuse + m.StackInuse
+}
+
+// BenchmarkControl measures what a node spends without any request: many nodes in one
+// process, with upstreams whose load changes at every report. Processor time and
+// memory include the stand-ins', so they are upper bounds.
+func BenchmarkControl(b *testing.B) {
+	for _, c := range []struct{ nodes, upstreams, changes, leaving int }{
+		{9, 15, 0, 0}, {27, 15, 0, 0}, {54, 15, 0, 0}, {108, 15, 0, 0},
+		{27, 60, 0, 0}, {27, 200, 0, 0}, {27, 600, 0, 0},
+		{27, 60, 2, 0}, {27, 60, 0, 2}, {108, 200, 0, 0},
+	} {
+		b.Run(fmt.Sprintf("nodes=%d/upstreams=%d/changes=%d/leaving=%d", c.nodes, c.upstreams, c.changes, c.leaving), func(b *testing.B) {
+			for i := 0; i < b.N; i++ {
+				control(b, c.nodes, c.upstreams, c.changes, c.leaving)
+			}
+		})
+	}
+}
+
+const controlFor = 10 * time.Second
+
+func control(b *testing.B, nodes, upstreams, changes, leaving int) {
+	var bytes atomic.Int64
+	before := heap()
+	r := emptyRig(b)
+	r.exchange, r.peers = 500*time.Millisecond, countingTransport(&bytes)
+	load := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprintf(w, `{"running":%d,"queued":0,"slots":8}`, rand.Intn(8))
+	}))
+	defer load.Close()
+	for i := 0; i < upstreams; i++ {
+		r.platform.Register(platform.VM{
+			ID: fmt.Sprintf("e%d", i), Role: platform.RoleUpstream, Service: "llm", Address: load.Listener.Addr().String(),
+			Hall: fmt.Sprintf("hall-%d", i%9), Zone: "z", Slots: 8, Incarnation: 1,
+		})
+	}
+	for i := 0; i < nodes; i++ {
+		r.addNode(fmt.Sprintf("n%d", i), fmt.Sprintf("hall-%d", i%9))
+	}
+	r.eventually("the nodes know each other", func() bool {
+		for _, n := range r.nodes {
+			if len(n.liveNodes()) < nodes || n.upstreams("llm") < upstreams {
+				return false
+			}
+		}
+		return true
+	})
+	r.configure()
+	time.Sleep(3 * time.Second)
+	reads := r.counts("reads")
+	start, used, sent := time.Now(), cpu(), bytes.Load()
+	for k := 0; time.Since(start) < controlFor; k++ {
+		if changes > 0 {
+			s := r.nodes[0].View().Snapshot()
+			docs, _ := config.Parse("rig", []byte(fmt.Sprintf(rigTemplate, config.HashKey(rigKey))))
+			if v, err := r.nodes[0].Store().Apply(context.Background(), config.Change{ID: fmt.Sprint(k), Base: s.Revision, Documents: docs}); err == nil {
+				r.nodes[0].Accept(v, "bench")
+			}
+			time.Sleep(time.Second / time.Duration(changes))
+		}
+		if leaving > 0 && k < upstreams {
+			r.platform.Notice(fmt.Sprintf("e%d", k), time.Second)
+			time.Sleep(time.Second / time.Duration(leaving))
+		}
+		if changes+leaving == 0 {
+			time.Sleep(controlFor)
+		}
+	}
+	d := time.Since(start).Seconds()
+	n := float64(nodes)
+	b.ReportMetric(100*(cpu()-used).Seconds()/d/n, "%core/node")
+	b.ReportMetric(float64(bytes.Load()-sent)/d/n/1000, "peerKB/s/node")
+	b.ReportMetric(float64(heap()-before)/n/1e6, "MB/node")
+	b.ReportMetric(float64(r.counts("reads")-reads)/d, "platformreads/s")
+	b.ReportMetric(0, "ns/op")
+	for _, v := range r.nodes {
+		v.kill()
+	}
+}
+
+func (r *rig) counts(kind string) int64 { return r.platform.Counts()[kind] }
--- a/internal/node/rig_test.go
+++ b/internal/node/rig_test.go
@@ -26,7 +26,9 @@
 
 // rig is a few nodes in this process with the stand-ins they need, all on loopback.
 type rig struct {
-	t        *testing.T
+	t        testing.TB
+	exchange time.Duration
+	peers    http.RoundTripper
 	platform *standin.Platform
 	server   *httptest.Server
 	engines  map[string]*rigEngine
@@ -76,22 +78,32 @@
 func newRig(t *testing.T, halls ...string) *rig {
 	t.Helper()
 	t.Parallel()
-	clock := timer.Real()
-	r := &rig{t: t, platform: standin.NewPlatform(clock), engines: make(map[string]*rigEngine)}
-	r.server = httptest.NewServer(r.platform.Handler())
-	t.Cleanup(func() { r.platform.Fault(standin.Fault{}); r.server.CloseClientConnections(); r.server.Close() })
-	r.plain = standin.NewPlain("orders", clock, time.Millisecond)
+	r := emptyRig(t)
+	r.exchange = 100 * time.Millisecond
+	r.plain = standin.NewPlain("orders", timer.Real(), time.Millisecond)
 	r.register("o1", platform.VM{Role: platform.RoleUpstream, Service: "orders", Hall: "hall-a", Zone: "z0"}, r.plain.Handler())
 	for i, h := range halls {
 		r.addNode(fmt.Sprintf("n%d", i), h)
 	}
 	r.settle()
+	r.configure()
+	r.settle()
+	return r
+}
+
+// configure applies the rig's documents.
+func (r *rig) configure() {
 	docs, err := config.Parse("rig", []byte(fmt.Sprintf(rigTemplate, config.HashKey(rigKey))))
-	require.NoError(t, err)
+	require.NoError(r.t, err)
 	s, err := r.nodes[0].Store().Apply(context.Background(), config.Change{ID: "rig", Documents: docs})
-	require.NoError(t, err)
+	require.NoError(r.t, err)
 	r.nodes[0].Accept(s, "rig")
-	r.settle()
+}
+
+func emptyRig(t testing.TB) *rig {
+	r := &rig{t: t, platform: standin.NewPlatform(timer.Real()), engines: make(map[string]*rigEngine)}
+	r.server = httptest.NewServer(r.platform.Handler())
+	t.Cleanup(func() { r.platform.Fault(standin.Fault{}); r.server.CloseClientConnections(); r.server.Close() })
 	return r
 }
 
@@ -124,13 +136,13 @@
 	require.NoError(r.t, err)
 	g := platform.NewGateway(r.server.URL, 500*time.Millisecond, timer.Real())
 	var seeds []string
-	for _, o := range r.nodes {
+	for _, o := range r.nodes[:min(len(r.nodes), 3)] {
 		seeds = append(seeds, o.o.PeerAddress)
 	}
 	n.Node = New(Options{
 		VM: vm, Hall: hall, Zone: hall, PeerAddress: peer.Addr().String(), Seeds: seeds, Clock: timer.Real(), Log: zap.NewNop(),
 		KV: n.cuttable(g.KV()), Cloud: n.cuttableCloud(platform.NewCloud(r.server.URL, 500*time.Millisecond)),
-		PlatformRate: 5000, Exchange: 100 * time.Millisecond, PeerScheme: "http",
+		PlatformRate: 5000, Exchange: r.exchange, PeerTransport: r.peers, PeerScheme: "http",
 		Blocked: func(a string) bool { _, ok := n.cut.Load(a); return ok },
 	})
 	p := httptest.NewUnstartedServer(n.Peers())
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -408,9 +408,7 @@
 }
 
 func (p *Platform) handleCounts(w http.ResponseWriter, _ *http.Request) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	reply(w, p.counts)
+	reply(w, p.Counts())
 }
 
 // The cloud: VM list, notices, starts.
@@ -564,3 +562,14 @@
 	p.mu.Unlock()
 	w.WriteHeader(http.StatusNoContent)
 }
+
+// Counts returns how many calls of each kind were served.
+func (p *Platform) Counts() map[string]int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := make(map[string]int64, len(p.counts))
+	for k, n := range p.counts {
+		r[k] = n
+	}
+	return r
+}
