Leases, autoscale and a ring of exchanges; two duties mended

Cause: bytes between nodes grew with the square of the fleet (108 nodes 33 KB/s a node, 27 nodes and 600 upstreams 60 KB/s), because pairs of random peers that seldom meet have the whole table to tell. Ruled out: heartbeats alone. Change: short facts without the fixed part, no echo, loads to other halls every 20 s, a ring per hall with two delegates.

--- a/cmd/spurhalld/main.go
+++ b/cmd/spurhalld/main.go
@@ -54,7 +54,8 @@
 			&cli.FloatFlag{Name: "platform-rate", Sources: env("PLATFORM_RATE"), Value: 2000, Usage: "reads a second that the platform takes from all nodes; writes are a quarter of it"},
 			&cli.StringFlag{Name: "route-policy", Sources: env("ROUTE_POLICY"), Value: string(route.PolicyAffinity), Usage: "affinity, round-robin, least-in-flight or two-choices"},
 			&cli.DurationFlag{Name: "cross-hall", Sources: env("CROSS_HALL"), Value: 1500 * time.Microsecond, Usage: "one-way time to another hall"},
-			&cli.DurationFlag{Name: "exchange", Sources: env("EXCHANGE"), Value: 500 * time.Millisecond, Usage: "time between two exchanges with peers"},
+			&cli.DurationFlag{Name: "exchange", Sources: env("EXCHANGE"), Value: time.Second, Usage: "time between two exchanges with peers"},
+			&cli.BoolFlag{Name: "autoscale", Sources: env("AUTOSCALE"), Usage: "take part in leading this hall's VM orders"},
 			&cli.DurationFlag{Name: "drain", Sources: env("DRAIN"), Value: 10 * time.Minute, Usage: "longest wait of a planned stop"},
 			&cli.StringFlag{Name: "log-level", Sources: env("LOG_LEVEL"), Value: "info", Usage: "debug, info, warn or error"},
 			&cli.StringSliceFlag{Name: "admin-token-hash", Sources: env("ADMIN_TOKEN_HASH"), Usage: "SHA-256 in hex of an operator's token; may be repeated"},
@@ -74,7 +75,7 @@
 		Platform: c.String("platform"), PlatformRate: c.Float("platform-rate"), Policy: c.String("route-policy"),
 		CrossHall: c.Duration("cross-hall"), Exchange: c.Duration("exchange"), Drain: c.Duration("drain"),
 		LogLevel: c.String("log-level"), AdminTokens: c.StringSlice("admin-token-hash"),
-		Cert: c.String("tls-cert"), Key: c.String("tls-key"), CA: c.String("tls-ca"), Insecure: c.Bool("insecure"),
+		Cert: c.String("tls-cert"), Key: c.String("tls-key"), CA: c.String("tls-ca"), Autoscale: c.Bool("autoscale"), Insecure: c.Bool("insecure"),
 	}
 }
 
@@ -127,7 +128,7 @@
 		VM: s.VM, Hall: s.Hall, Zone: s.Zone, PeerAddress: s.Peers, Seeds: s.Seeds, Clock: clock, Log: log,
 		KV: platform.NewGateway(s.Platform, platformTimeout, clock).KV(), Cloud: platform.NewCloud(s.Platform, platformTimeout),
 		PlatformRate: s.PlatformRate, Policy: route.Policy(s.Policy), CrossHall: s.CrossHall, Exchange: s.Exchange,
-		PeerTransport: sec.transport, PeerScheme: sec.scheme,
+		PeerTransport: sec.transport, PeerScheme: sec.scheme, Autoscale: s.Autoscale,
 	})
 	stop := make(chan os.Signal, 2)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
--- /dev/null
+++ b/internal/lease/lease.go
@@ -0,0 +1,153 @@
+// Package lease holds a right that one process at a time may have, such as giving a
+// hall's orders to the cloud.
+//
+// The platform lets a lease lapse when it isn't renewed, but a holder that was
+// paused doesn't notice that by itself. Two things keep it harmless. The holder
+// measures on its own monotonic clock, from before the last renewal that succeeded,
+// and stops itself well before the platform would. And since it may be paused
+// between looking at its clock and giving an order, every order carries the fencing
+// token, the create revision of the lease's key: whoever checks it refuses the late
+// order of an earlier holder, and to whoever doesn't only orders that are harmless
+// when late are given.
+package lease
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"spurhall.example/spurhall/internal/platform"
+	"spurhall.example/spurhall/internal/timer"
+)
+
+var errs = errorx.NewNamespace("lease")
+
+// ErrTaken says that another process has it.
+var ErrTaken = errs.NewType("taken").New("another process holds the lease")
+
+// safety is the part of the lease's time after which the holder stops itself.
+const safety = 0.5
+
+// Lease is one process's side of a lease. It is safe for concurrent use.
+type Lease struct {
+	kv    platform.KV
+	clock *timer.Service
+	key   string
+	owner string
+	ttl   time.Duration
+	mu    sync.Mutex
+	id    int64
+	token int64
+	until time.Time
+}
+
+// New returns a lease that isn't held. ttl is in whole seconds.
+func New(kv platform.KV, clock *timer.Service, key, owner string, ttl time.Duration) *Lease {
+	return &Lease{kv: kv, clock: clock, key: key, owner: owner, ttl: ttl}
+}
+
+// Token returns the fencing token, and whether the lease is held by the holder's own
+// clock. It is asked for right before each order.
+func (l *Lease) Token() (int64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.token, l.token != 0 && l.clock.Now().Before(l.until)
+}
+
+// Run takes the lease when it can and renews it until the context ends.
+func (l *Lease) Run(ctx context.Context) {
+	l.clock.Every(ctx, l.ttl/6, func(time.Time) { _ = l.Step(ctx) })
+	l.release()
+}
+
+// Step takes or renews the lease once.
+func (l *Lease) Step(ctx context.Context) error {
+	l.mu.Lock()
+	id := l.id
+	l.mu.Unlock()
+	if id == 0 {
+		return l.take(ctx)
+	}
+	// The time runs from before the call: the platform may have renewed at once, or
+	// only just before it answered.
+	before := l.clock.Now()
+	_, err := l.kv.KeepAlive(ctx, id)
+	switch {
+	case err == nil:
+		l.mu.Lock()
+		l.until = before.Add(time.Duration(safety * float64(l.ttl)))
+		l.mu.Unlock()
+	case errors.Is(err, platform.ErrLeaseGone):
+		l.drop()
+	}
+	return err
+}
+
+func (l *Lease) take(ctx context.Context) error {
+	before := l.clock.Now()
+	id, err := l.kv.Grant(ctx, l.ttl)
+	if err != nil {
+		return err
+	}
+	r, err := l.kv.Txn(ctx, platform.Txn{
+		If:   []platform.Compare{platform.Absent(l.key)},
+		Then: []platform.Op{{Kind: platform.OpPut, Key: l.key, Value: []byte(l.owner), Lease: id}},
+	})
+	if errors.Is(err, platform.ErrUnknown) {
+		return l.readBack(ctx, id, before)
+	}
+	if err == nil && r.Succeeded {
+		l.hold(id, r.Revision, before)
+		return nil
+	}
+	_ = l.kv.Revoke(ctx, id)
+	if err == nil {
+		err = ErrTaken
+	}
+	return err
+}
+
+// readBack settles a take that got no answer: the key tells by its lease.
+func (l *Lease) readBack(ctx context.Context, id int64, before time.Time) error {
+	r, err := l.kv.Range(ctx, l.key, "")
+	if err != nil {
+		return err // the lease lapses by itself
+	}
+	if len(r.Pairs) == 1 && r.Pairs[0].Lease == id {
+		l.hold(id, r.Pairs[0].Created, before)
+		return nil
+	}
+	_ = l.kv.Revoke(ctx, id)
+	return ErrTaken
+}
+
+func (l *Lease) hold(id, token int64, before time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.id, l.token = id, token
+	l.until = before.Add(time.Duration(safety * float64(l.ttl)))
+}
+
+func (l *Lease) drop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.id, l.token = 0, 0
+}
+
+const releaseTimeout = time.Second
+
+func (l *Lease) release() {
+	l.mu.Lock()
+	id := l.id
+	l.mu.Unlock()
+	l.drop()
+	if id == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	_ = l.kv.Revoke(ctx, id)
+}
--- a/internal/member/fact.go
+++ b/internal/member/fact.go
@@ -126,6 +126,38 @@
 	return a.Price < b.Price
 }
 
+// Short returns the fact without its fixed part, for a peer that has that.
+func (f Fact) Short() Fact {
+	return Fact{
+		ID: f.ID, Kind: f.Kind, Incarnation: f.Incarnation, Status: f.Status, Sequence: f.Sequence,
+		Running: f.Running, Queued: f.Queued, ConfigRevision: f.ConfigRevision, LeavesAt: f.LeavesAt,
+	}
+}
+
+// short tells whether the fixed part is left out. Every VM has an address.
+func (f *Fact) short() bool { return f.Address == "" }
+
+// fill puts the fixed part of what is known into a short fact. It fits only within
+// one incarnation; a short fact of another is taken as it is known, which changes
+// nothing.
+func (f Fact) fill(known *Fact) Fact {
+	if f.Incarnation != known.Incarnation {
+		return *known
+	}
+	r := *known
+	r.Status, r.Sequence, r.Running, r.Queued = f.Status, f.Sequence, f.Running, f.Queued
+	r.ConfigRevision, r.LeavesAt = f.ConfigRevision, f.LeavesAt
+	return r
+}
+
+func sameFixed(a, b *Fact) bool {
+	x, y := *a, *b
+	for _, f := range []*Fact{&x, &y} {
+		f.Status, f.Sequence, f.Running, f.Queued, f.ConfigRevision, f.LeavesAt = 0, 0, 0, 0, 0, 0
+	}
+	return x == y
+}
+
 // Wire returns the fact's form between processes.
 func (f *Fact) Wire() *wire.Fact {
 	return &wire.Fact{
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -8,19 +8,34 @@
 
 // Table is one node's view. Each change gets the next number of this table's own
 // change log, so that a peer is sent only what it hasn't been sent yet.
+//
+// Most changes are of loads and heartbeats, and those matter in the subject's own
+// hall only. So each entry stands in the log at three places: where anything of it
+// changed, where something changed that other halls need (its status, its
+// configuration, or its load as of a slow interval), and where its fixed part did.
+// A peer in another hall is sent the second kind, and a peer that has the fixed part
+// gets the short form without it.
 type Table struct {
 	mu       sync.RWMutex
 	entries  map[string]*entry
 	change   uint64
+	nodes    uint64 // see Nodes
 	onChange func(old, now Fact)
 }
 
 type entry struct {
 	fact   Fact
-	change uint64
+	change uint64    // position of the last change
+	slow   uint64    // position of the last change that other halls need
+	born   uint64    // position of the last change of the fixed part
+	told   time.Time // when slow last moved
 	seen   time.Time // when the newest report came in, by this node's clock
+	source string    // the peer that the last change came from
 }
 
+// slowEvery is how often a mere change of load or heartbeat goes to other halls.
+const slowEvery = 20 * time.Second
+
 // Seen is a fact with the time of this node at which its newest report came.
 type Seen struct {
 	Fact
@@ -33,14 +48,18 @@
 	return &Table{entries: make(map[string]*entry), onChange: onChange}
 }
 
-// Observe merges facts and returns how many told something new.
-func (t *Table) Observe(now time.Time, facts ...Fact) int {
+// Observe merges facts that this node found out itself, and returns how many told
+// something new.
+func (t *Table) Observe(now time.Time, facts ...Fact) int { return t.Receive(now, "", facts...) }
+
+// Receive merges facts that came from a peer.
+func (t *Table) Receive(now time.Time, source string, facts ...Fact) int {
 	type pair struct{ old, now Fact }
 	var changed []pair
 	n := 0
 	t.mu.Lock()
 	for _, f := range facts {
-		old, fresh := t.merge(now, f)
+		old, fresh := t.merge(now, source, f)
 		if !fresh {
 			continue
 		}
@@ -48,6 +67,9 @@
 		m := t.entries[f.ID].fact
 		if m.Status != old.Status || m.Incarnation != old.Incarnation || m.LeavesAt != old.LeavesAt {
 			changed = append(changed, pair{old, m})
+			if m.Kind == KindNode {
+				t.nodes++
+			}
 		}
 	}
 	t.mu.Unlock()
@@ -59,23 +81,38 @@
 	return n
 }
 
-func (t *Table) merge(now time.Time, f Fact) (old Fact, fresh bool) {
+func (t *Table) merge(now time.Time, source string, f Fact) (old Fact, fresh bool) {
 	e := t.entries[f.ID]
+	if e == nil && f.short() {
+		return Fact{}, false // the fixed part is still to come
+	}
 	if e == nil {
 		t.change++
-		t.entries[f.ID] = &entry{fact: f, change: t.change, seen: now}
+		t.entries[f.ID] = &entry{fact: f, change: t.change, slow: t.change, born: t.change, told: now, seen: now, source: source}
 		return Fact{}, true
 	}
 	old = e.fact
-	m := Merge(e.fact, f)
-	if m == e.fact {
+	if f.short() {
+		f = f.fill(&old)
+	}
+	m := Merge(old, f)
+	if m == old {
 		return old, false
 	}
 	if m.Sequence != old.Sequence || m.Incarnation != old.Incarnation {
 		e.seen = now
 	}
 	t.change++
-	e.fact, e.change = m, t.change
+	e.fact, e.change, e.source = m, t.change, source
+	if m != f {
+		e.source = "" // merged with what was known here: the peer lacks that part
+	}
+	if !sameFixed(&m, &old) {
+		e.born = t.change
+	}
+	if m.Status != old.Status || m.LeavesAt != old.LeavesAt || m.ConfigRevision != old.ConfigRevision || e.born == t.change || now.Sub(e.told) >= slowEvery {
+		e.slow, e.told = t.change, now
+	}
 	return old, true
 }
 
@@ -109,31 +146,52 @@
 	return t.SelectSeen(func(f *Fact, _ time.Time) bool { return keep(f) })
 }
 
-// Since returns the facts changed after a position of the change log, and the
-// position to ask from next. At most limit facts are returned, oldest change
-// first, so a long list is sent in parts.
-func (t *Table) Since(change uint64, limit int) ([]Fact, uint64) {
+// Peer is who facts are sent to.
+type Peer struct {
+	ID   string
+	Far  bool   // in another hall
+	Sent uint64 // position up to which it has everything
+}
+
+// Since returns the facts that a peer doesn't have yet, and the position to ask from
+// next. What came from that very peer is left out. At most limit facts are returned,
+// oldest change first, so a long list is sent in parts.
+func (t *Table) Since(p Peer, limit int) ([]Fact, uint64) {
 	t.mu.RLock()
+	defer t.mu.RUnlock()
 	var list []*entry
 	for _, e := range t.entries {
-		if e.change > change {
+		if e.position(&p) > p.Sent {
 			list = append(list, e)
 		}
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].change < list[j].change })
+	sort.Slice(list, func(i, j int) bool { return list[i].position(&p) < list[j].position(&p) })
+	next := t.change
 	if len(list) > limit {
 		list = list[:limit]
+		next = list[limit-1].position(&p)
 	}
-	r := make([]Fact, len(list))
-	next := change
-	for i, e := range list {
-		r[i] = e.fact
-		next = e.change
+	r := make([]Fact, 0, len(list))
+	for _, e := range list {
+		if e.source == p.ID && p.ID != "" {
+			continue
+		}
+		f := e.fact
+		if e.born <= p.Sent {
+			f = f.Short()
+		}
+		r = append(r, f)
 	}
-	t.mu.RUnlock()
 	return r, next
 }
 
+func (e *entry) position(p *Peer) uint64 {
+	if p.Far {
+		return e.slow
+	}
+	return e.change
+}
+
 // Change returns the present position of the change log.
 func (t *Table) Change() uint64 {
 	t.mu.RLock()
@@ -169,3 +227,10 @@
 	sort.Slice(r, func(i, j int) bool { return r[i].ID < r[j].ID })
 	return r
 }
+
+// Nodes returns a number that changes whenever a node comes or changes its status.
+func (t *Table) Nodes() uint64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.nodes
+}
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"sort"
 	"sync"
 	"time"
 
@@ -14,12 +15,13 @@
 	"spurhall.example/spurhall/internal/claim"
 	"spurhall.example/spurhall/internal/config"
 	"spurhall.example/spurhall/internal/member"
+	"spurhall.example/spurhall/internal/route"
 	"spurhall.example/spurhall/internal/wire"
 	"spurhall.example/spurhall/internal/wire/wireconnect"
 )
 
 // This file keeps up with the peers. Each interval a node exchanges facts with two
-// random peers; only what the other doesn't have yet is sent. A fact that some VM
+// peers; only what the other doesn't have yet is sent. A fact that some VM
 // leaves doesn't wait for the interval: it goes to several peers at once, and each
 // of them does the same, so it is everywhere within a few round trips.
 
@@ -30,9 +32,11 @@
 
 const (
 	peersPerExchange = 2
-	peersPerKick     = 8
-	factsPerMessage  = 1000
-	exchangeTimeout  = time.Second
+	// heartbeatEvery is the number of exchanges between two heartbeats.
+	heartbeatEvery  = 2
+	peersPerKick    = 8
+	factsPerMessage = 1000
+	exchangeTimeout = time.Second
 	// farEvery is the share of exchanges that go to another hall: within a hall facts
 	// must be fresh, across halls they needn't be.
 	farEvery = 4
@@ -54,6 +58,7 @@
 	byID   map[string]*peer
 	kicked chan struct{}
 	turn   int
+	rounds int
 }
 
 func newPeers(n *Node) *peers {
@@ -101,7 +106,9 @@
 		if ctx.Err() != nil {
 			return
 		}
-		p.n.observeSelf()
+		if p.rounds++; p.rounds%heartbeatEvery == 0 {
+			p.n.observeSelf()
+		}
 		p.round(ctx, k)
 	}
 }
@@ -121,9 +128,40 @@
 	}
 }
 
+// choose picks the peers of one round. Within the hall they stand in a ring by id, and
+// a node talks with those 1, 2, 4, 8 ... places on: few enough that each pair meets
+// often and has little to tell, and far enough that news is everywhere in a few
+// rounds. Only the hall's delegates talk with other halls, each time with one
+// delegate of another. Peers at random were measured: a pair that meets rarely has
+// almost the whole table to tell, and the bytes grew with the square of the fleet.
+// Now and then one random peer is taken all the same, to heal whatever a cut left.
 func (p *peers) choose(k int) []member.Seen {
 	p.turn++
-	var near, far []member.Seen
+	near, far := p.split()
+	if p.turn%strangerEvery == 0 && len(near)+len(far) > 0 {
+		all := append(append([]member.Seen(nil), near...), far...)
+		return []member.Seen{all[rand.IntN(len(all))]}
+	}
+	list := ring(near, p.n.id, p.turn, k)
+	if p.n.first("delegate", delegates) || len(near) == 0 {
+		if k > peersPerExchange {
+			list = append(list, p.delegatesOf(far)...)
+		} else if p.turn%farEvery == 0 {
+			if d := p.delegatesOf(far); len(d) > 0 {
+				list = append(list, d[rand.IntN(len(d))])
+			}
+		}
+	}
+	return list
+}
+
+const (
+	delegates     = 2
+	strangerEvery = 29
+)
+
+// split lists the other nodes of this hall and of the others.
+func (p *peers) split() (near, far []member.Seen) {
 	for _, f := range p.others() {
 		if f.Hall == p.n.o.Hall {
 			near = append(near, f)
@@ -131,14 +169,44 @@
 			far = append(far, f)
 		}
 	}
-	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
-	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
-	if k > peersPerExchange || p.turn%farEvery == 0 || len(near) == 0 {
-		// The far ones first, so that a kick crosses halls at the first step.
-		n := min(len(far), max(1, k/2))
-		near = append(append([]member.Seen(nil), far[:n]...), near...)
+	return near, far
+}
+
+// ring returns k of the peers at distances 1, 2, 4 ... behind id, in turn.
+func ring(near []member.Seen, id string, turn, k int) []member.Seen {
+	n := len(near)
+	start := sort.Search(n, func(i int) bool { return near[i].ID > id })
+	var list []member.Seen
+	for d := 1; d <= n; d *= 2 {
+		list = append(list, near[(start+d-1)%n])
+	}
+	if len(list) <= k {
+		return list
+	}
+	r := make([]member.Seen, 0, k)
+	for i := 0; i < k; i++ {
+		r = append(r, list[(turn*k+i)%len(list)])
+	}
+	return r
+}
+
+// delegatesOf returns the delegates of each other hall.
+func (p *peers) delegatesOf(far []member.Seen) []member.Seen {
+	halls := make(map[string][]string)
+	byID := make(map[string]member.Seen, len(far))
+	for _, f := range far {
+		halls[f.Hall] = append(halls[f.Hall], f.ID)
+		byID[f.ID] = f
+	}
+	var r []member.Seen
+	for _, ids := range halls {
+		for i, id := range route.Rank("delegate", ids) {
+			if i < delegates {
+				r = append(r, byID[id])
+			}
+		}
 	}
-	return near[:min(k, len(near))]
+	return r
 }
 
 // others returns the nodes that may be reached: also silent ones, for a while, since
@@ -174,7 +242,8 @@
 	p.mu.Lock()
 	sent, have := v.sent, v.have
 	p.mu.Unlock()
-	facts, position := p.n.table.Since(sent, factsPerMessage)
+	f, known := p.n.table.Get(id)
+	facts, position := p.n.table.Since(member.Peer{ID: id, Sent: sent, Far: known && f.Hall != p.n.o.Hall}, factsPerMessage)
 	x, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	r, err := v.client.Exchange(x, connect.NewRequest(&wire.ExchangeRequest{
@@ -183,7 +252,7 @@
 	if err != nil {
 		return
 	}
-	p.observe(r.Msg.Facts)
+	p.observe(id, r.Msg.Facts)
 	p.mu.Lock()
 	v.sent, v.have, v.up, v.heard = position, r.Msg.Position, r.Msg.PlatformUp, p.n.clock.Now()
 	p.mu.Unlock()
@@ -210,7 +279,7 @@
 
 // observe takes in a peer's facts. What a peer says of this very node is ignored:
 // nobody knows it better.
-func (p *peers) observe(list []*wire.Fact) {
+func (p *peers) observe(source string, list []*wire.Fact) {
 	now := p.n.clock.Now()
 	facts := make([]member.Fact, 0, len(list))
 	for _, w := range list {
@@ -218,13 +287,13 @@
 			facts = append(facts, f)
 		}
 	}
-	p.n.table.Observe(now, facts...)
+	p.n.table.Receive(now, source, facts...)
 }
 
 // answer is the other side of an exchange.
 func (p *peers) answer(q *wire.ExchangeRequest) *wire.ExchangeResponse {
-	p.observe(q.Facts)
-	facts, position := p.n.table.Since(q.Have, factsPerMessage)
+	p.observe(q.From, q.Facts)
+	facts, position := p.n.table.Since(member.Peer{ID: q.From, Sent: q.Have, Far: q.Hall != p.n.o.Hall}, factsPerMessage)
 	f, ok := p.n.table.Get(q.From)
 	if ok {
 		v := p.get(q.From, f.Address)
@@ -251,7 +320,7 @@
 	defer p.mu.Unlock()
 	var r []*peer
 	for _, v := range p.byID {
-		if v.up && now.Sub(v.heard) < silentAfter {
+		if v.up && now.Sub(v.heard) < p.n.silentAfter() {
 			r = append(r, v)
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 //	observe.go   the platform's VM list and notices; upstreams' loads
 //	serve.go     accepted requests: running, holding, handing over, finding
 //	peer.go      what peers may ask of this node
+//	scale.go     the hall's leader and its VM orders
 //	drain.go     stopping and leaving
 package node
 
@@ -54,36 +55,40 @@
 	Exchange      time.Duration // between two exchanges
 	PeerTransport http.RoundTripper
 	PeerScheme    string
+	Autoscale     bool // take part in leading this hall's VM orders
 	// Blocked cuts this node off from a peer address, for tests of a cut network.
 	Blocked func(address string) bool
 }
 
 // Node is one daemon.
 type Node struct {
-	o          Options
-	id         string
-	clock      *timer.Service
-	log        *timeline.Log
-	life       *chart.Life
-	guard      *platform.Guard
-	kv         platform.KV
-	table      *member.Table
-	view       *config.View
-	store      *config.Store
-	claims     *claim.Book
-	journal    *job.Journal
-	registry   *request.Registry
-	dispatcher *dispatch.Dispatcher
-	client     *upstream.Client
-	ingress    *ingress.Server
-	peers      *peers
-	ctx        context.Context
-	cancel     context.CancelFunc
-	duties     sync.WaitGroup
-	notices    int64
-	listed     map[string]bool
-	sequence   uint64
-	mu         sync.Mutex
+	o              Options
+	id             string
+	clock          *timer.Service
+	log            *timeline.Log
+	life           *chart.Life
+	guard          *platform.Guard
+	kv             platform.KV
+	table          *member.Table
+	view           *config.View
+	store          *config.Store
+	claims         *claim.Book
+	journal        *job.Journal
+	registry       *request.Registry
+	dispatcher     *dispatch.Dispatcher
+	client         *upstream.Client
+	ingress        *ingress.Server
+	peers          *peers
+	ctx            context.Context
+	cancel         context.CancelFunc
+	duties         sync.WaitGroup
+	notices        int64
+	listed         map[string]bool
+	sequence       uint64
+	live           []member.Seen // see liveNodes
+	liveAt         time.Time
+	liveNodesKnown uint64
+	mu             sync.Mutex
 }
 
 // New returns a node that isn't running yet.
@@ -206,6 +211,9 @@
 	n.duty(n.sweep)
 	n.duty(n.shareBudget)
 	n.duty(n.becomeReady)
+	if n.o.Autoscale {
+		n.duty(n.scale)
+	}
 }
 
 // becomeReady opens the node to callers as soon as it has a configuration, or after
@@ -278,15 +286,43 @@
 
 // silentAfter is how long a node may be silent before the others take over its
 // duties. It isn't taken for gone: only the platform can say that.
-const silentAfter = 3 * time.Second
+func (n *Node) silentAfter() time.Duration {
+	return max(leastSilence, exchangesSilent*n.o.Exchange)
+}
+
+// A heartbeat takes a few exchanges to reach all nodes of a hall.
+const (
+	leastSilence    = 3 * time.Second
+	exchangesSilent = 8
+)
 
 func (n *Node) liveNodes() []member.Seen {
 	now := n.clock.Now()
-	return n.table.SelectSeen(func(f *member.Fact, at time.Time) bool {
-		return f.Kind == member.KindNode && f.Status == member.StatusLive && (f.ID == n.id || now.Sub(at) < silentAfter)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.live != nil && now.Sub(n.liveAt) < liveFor && n.table.Nodes() == n.liveNodesKnown {
+		return n.live
+	}
+	near := n.silentAfter()
+	n.live = n.table.SelectSeen(func(f *member.Fact, at time.Time) bool {
+		limit := near
+		if f.Hall != n.o.Hall {
+			limit += farSilence
+		}
+		return f.Kind == member.KindNode && f.Status == member.StatusLive && (f.ID == n.id || now.Sub(at) < limit)
 	})
+	n.liveAt, n.liveNodesKnown = now, n.table.Nodes()
+	return n.live
 }
 
+const (
+	// liveFor is how long a list of live nodes is used again: it is asked for at every
+	// decision about who does what, and changes rarely.
+	liveFor = 200 * time.Millisecond
+	// farSilence is added for nodes of other halls, whose heartbeats come slowly.
+	farSilence = 2 * 20 * time.Second
+)
+
 // shareBudget divides the platform's rate among the live nodes.
 func (n *Node) shareBudget(ctx context.Context) {
 	n.clock.Every(ctx, time.Second, func(time.Time) {
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -178,7 +178,7 @@
 func (n *Node) likely(id string) []member.Seen {
 	var r []member.Seen
 	owner := ingress.OwnerOf(id)
-	if f, ok := n.table.Get(owner); ok && f.Status != member.StatusGone && n.clock.Since(f.At) < silentAfter {
+	if f, ok := n.table.Get(owner); ok && f.Status != member.StatusGone && n.clock.Since(f.At) < n.silenceOf(&f.Fact) {
 		r = append(r, f)
 	}
 	// A request is handed over by rank, near and far alike, so the order here must
@@ -279,35 +279,52 @@
 	jobsEvery = 2 * time.Second
 	// orphanAfter is how long the owner of a job must have been silent before another
 	// node takes the job over. Too early costs tokens, never a second answer.
-	orphanAfter = 6 * time.Second
+	orphanAfter = 3 * time.Second
 )
 
-// watchJobs takes over the jobs of owners that are gone. One node of all does it for
-// the journal; copies held for a peer are looked after by their holder.
+// watchJobs takes over the jobs of owners that are gone. One node of each hall looks
+// through the journal: the loss of a node of its own hall is seen soonest there, and
+// compare-and-swap settles who of several takes a job. Copies held for a peer are
+// looked after by their holder.
 func (n *Node) watchJobs(ctx context.Context) {
 	n.clock.Every(ctx, jobsEvery, func(time.Time) {
 		n.runOrphanCopies()
-		if n.firstOfAll("jobs") && n.life.Is("ready") {
+		if n.first("jobs", 1) && n.life.Is("ready") {
 			n.takeOverJobs(ctx)
 		}
 	})
 }
 
-func (n *Node) firstOfAll(duty string) bool {
-	var ids []string
-	for _, f := range n.liveNodes() {
-		ids = append(ids, f.ID)
-	}
-	r := route.Rank(duty, ids)
-	return len(r) == 0 || r[0] == n.id
-}
-
 func (n *Node) ownerGone(id string) bool {
 	if id == n.id {
 		return false
 	}
 	f, ok := n.table.Get(id)
-	return !ok || f.Status == member.StatusGone || n.clock.Since(f.At) > orphanAfter
+	if !ok || f.Status == member.StatusGone {
+		return true
+	}
+	return n.clock.Since(f.At) > orphanAfter+n.silentAfter() && !n.answers(&f.Fact)
+}
+
+// answers asks a node directly: one of another hall is heard of so seldom that its
+// silence alone says little.
+func (n *Node) answers(f *member.Fact) bool {
+	if n.peers.blocked(f.Address) {
+		return false
+	}
+	x, cancel := context.WithTimeout(n.ctx, callTimeout)
+	defer cancel()
+	_, err := n.peers.get(f.ID, f.Address).client.Find(x, connect.NewRequest(&wire.FindRequest{}))
+	return err == nil
+}
+
+// silenceOf is how long another node may be silent before it counts as gone for
+// serving.
+func (n *Node) silenceOf(f *member.Fact) time.Duration {
+	if f.Hall != n.o.Hall {
+		return n.silentAfter() + farSilence
+	}
+	return n.silentAfter()
 }
 
 func (n *Node) takeOverJobs(ctx context.Context) {
--- a/internal/platform/cloud.go
+++ b/internal/platform/cloud.go
@@ -68,8 +68,22 @@
 // ErrRefused says that the cloud won't start such a VM now.
 var ErrRefused = errs.NewType("refused").New("the cloud refused to start the VM")
 
-// Cloud is the VM list, the notices and the orders.
+// Offer is a kind of VM that the cloud may start, with its price and reclaim rate as
+// of now.
+type Offer struct {
+	Service     string  `json:"service"`
+	Hall        string  `json:"hall"`
+	Zone        string  `json:"zone"`
+	Class       string  `json:"class"`
+	Reclaimable bool    `json:"reclaimable"`
+	Price       float64 `json:"price"` // money per hour
+	Slots       int     `json:"slots"`
+	ReclaimRate float64 `json:"reclaim_rate"` // reclaims per hour
+}
+
+// Cloud is the VM list, the notices, the offers and the orders.
 type Cloud struct {
+	Offers  func(ctx context.Context) ([]Offer, error)
 	VMs     func(ctx context.Context) ([]VM, error)
 	Notices func(ctx context.Context, after int64) ([]Notice, error)
 	Start   func(ctx context.Context, o StartOrder) error
@@ -84,6 +98,10 @@
 			var r []VM
 			return r, h.do(ctx, http.MethodGet, "/cloud/v1/vms", nil, &r)
 		},
+		Offers: func(ctx context.Context) ([]Offer, error) {
+			var r []Offer
+			return r, h.do(ctx, http.MethodGet, "/cloud/v1/offers", nil, &r)
+		},
 		Notices: func(ctx context.Context, after int64) ([]Notice, error) {
 			var r []Notice
 			return r, h.do(ctx, http.MethodGet, fmt.Sprintf("/cloud/v1/notices?after=%d", after), nil, &r)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,6 +39,7 @@
 	Key          string
 	CA           string
 	Insecure     bool
+	Autoscale    bool
 }
 
 // Check reports everything that is wrong, one line each.
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -34,6 +34,8 @@
 	orders   map[string]bool
 	refuse   map[string]bool // zones that refuse starts
 	fences   map[string]int64
+	offers   []platform.Offer
+	ordered  []platform.StartOrder
 }
 
 type change struct {
@@ -78,6 +80,7 @@
 	m.HandleFunc("POST /cloud/v1/vms", p.handleStart)
 	m.HandleFunc("DELETE /cloud/v1/vms/{id}", p.handleStop)
 	m.HandleFunc("GET /cloud/v1/notices", p.handleNotices)
+	m.HandleFunc("GET /cloud/v1/offers", p.handleOffers)
 	m.HandleFunc("POST /standin/vms", p.handleRegister)
 	m.HandleFunc("POST /standin/notice", p.handleNotice)
 	m.HandleFunc("POST /standin/lag", p.handleLag)
@@ -505,10 +508,31 @@
 	if !p.orders[o.ID] {
 		p.orders[o.ID] = true
 		p.counts["starts"]++
+		p.ordered = append(p.ordered, o)
 	}
 	w.WriteHeader(http.StatusAccepted)
 }
 
+// SetOffers sets what the cloud may start, and the zones that refuse.
+func (p *Platform) SetOffers(refuse map[string]bool, list ...platform.Offer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.offers, p.refuse = list, refuse
+}
+
+// Ordered returns the start orders that were taken.
+func (p *Platform) Ordered() []platform.StartOrder {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]platform.StartOrder(nil), p.ordered...)
+}
+
+func (p *Platform) handleOffers(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	reply(w, append([]platform.Offer{}, p.offers...))
+}
+
 func (p *Platform) handleStop(w http.ResponseWriter, r *http.Request) {
 	id := r.PathValue("id")
 	fence, _ := strconv.ParseInt(r.URL.Query().Get("fence"), 10, 64)
