Live requests are no longer refused for the batch work of their workspace

Cause: the expected wait of a live request counted the jobs its workspace had waiting, so under a flood of five times the capacity the small workspaces had 36 % of their live requests in target, no better than the flood itself (1100 of 1240 offers refused for the expected wait). Ruled out: the fair queue (its tags were right). The queue is counted by class now.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -104,10 +104,12 @@
 	tokens   float64
 	updated  time.Duration
 	inFlight int
-	queued   int
+	queued   [2]int // by class
 	finish   [2]float64
 }
 
+func (s *space) waiting() int { return s.queued[ClassLive] + s.queued[ClassBatch] }
+
 type item struct {
 	r        Request
 	finish   float64
@@ -180,7 +182,7 @@
 	if c.slots <= 0 {
 		return refuse(CauseEmpty, time.Second)
 	}
-	if r.Limits.InFlight > 0 && s.inFlight+s.queued >= r.Limits.InFlight {
+	if r.Limits.InFlight > 0 && s.inFlight+s.waiting() >= r.Limits.InFlight {
 		return refuse(CauseInFlight, c.averageService())
 	}
 	if r.Limits.Rate <= 0 {
@@ -218,7 +220,7 @@
 }
 
 func (c *Controller) mayWait(s *space, r *Request) Verdict {
-	if r.Limits.Queue > 0 && s.queued >= r.Limits.Queue {
+	if r.Limits.Queue > 0 && s.waiting() >= r.Limits.Queue {
 		return refuse(CauseQueue, c.expected(r))
 	}
 	if w := c.expected(r); w > r.MaxWait && !c.o.FIFO {
@@ -235,21 +237,23 @@
 	if r.Class == ClassBatch || c.o.FIFO {
 		ahead += float64(c.queues[ClassBatch].Len())
 	}
-	s := c.space(r.Workspace)
-	if n := c.busySpaces(r.Class); n > 0 {
-		ahead = math.Min(ahead, float64(s.queued+1)*float64(n))
-	}
+	// Only its own class counts: a workspace with many jobs waiting must not have its
+	// live requests refused for them.
+	own := c.space(r.Workspace).queued[r.Class]
+	ahead = math.Min(ahead, float64(own+1)*float64(c.busySpaces(r.Class)))
 	return time.Duration((ahead + 1) / c.slots * c.service * float64(time.Second))
 }
 
-func (c *Controller) busySpaces(Class) int {
-	n := 0
+// busySpaces counts the workspaces with requests of a class waiting, and one more for
+// who asks.
+func (c *Controller) busySpaces(k Class) int {
+	n := 1
 	for _, s := range c.spaces {
-		if s.queued > 0 {
+		if s.queued[k] > 0 {
 			n++
 		}
 	}
-	return n + 1
+	return n
 }
 
 func (c *Controller) enqueue(s *space, it *item) {
@@ -261,7 +265,7 @@
 		it.finish = start + math.Max(it.r.Size, 0.01)/math.Max(it.r.Limits.Share, 0.01)
 		s.finish[k] = it.finish
 	}
-	s.queued++
+	s.queued[k]++
 	c.waiting[it.r.ID] = it
 	heap.Push(&c.queues[k], it)
 }
@@ -284,7 +288,7 @@
 		it := heap.Pop(&c.queues[k]).(*item)
 		delete(c.waiting, it.r.ID)
 		s := c.space(it.r.Workspace)
-		s.queued--
+		s.queued[k]--
 		c.virtual[k] = math.Max(c.virtual[k], it.finish)
 		c.admit(now, s, it)
 		r = append(r, it.r.ID)
@@ -330,7 +334,7 @@
 // tidy drops a workspace that has nothing here, so that memory follows use.
 func (c *Controller) tidy(name string) {
 	s := c.spaces[name]
-	if s.inFlight == 0 && s.queued == 0 && s.tokens < 0 {
+	if s.inFlight == 0 && s.waiting() == 0 && s.tokens < 0 {
 		delete(c.spaces, name)
 	}
 }
@@ -343,7 +347,7 @@
 	}
 	heap.Remove(&c.queues[it.r.Class], it.index)
 	delete(c.waiting, id)
-	c.space(it.r.Workspace).queued--
+	c.space(it.r.Workspace).queued[it.r.Class]--
 	return true
 }
 
