A VM list that jumps back takes nothing away; news of a revision is passed on at once

Cause 1: a list that shows an older state (a stale replica) lists none of the VMs that came since, and two such lists in a row marked every upstream as gone, for good (found by the measurement of leaving, with the list set 30 s back). Now a VM that is missing must also not answer at its address; the same holds for retiring a member.

Cause 2: a revision spread with the next exchange only.

Also: a broken watch is one event in the time line instead of three a second.

--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -122,8 +122,9 @@
 		if ctx.Err() != nil {
 			return
 		}
-		b.setPlatform(false)
-		b.o.Event("claims_watch_broken", err.Error())
+		if b.setPlatform(false) {
+			b.o.Event("claims_watch_broken", err.Error())
+		}
 		_ = b.o.Clock.Sleep(ctx, followAgain)
 	}
 }
@@ -252,11 +253,14 @@
 	return c, true
 }
 
-func (b *Book) setPlatform(up bool) {
+// setPlatform notes whether the own watch is up, and tells whether that is news.
+func (b *Book) setPlatform(up bool) bool {
 	b.mu.Lock()
+	news := b.own != up
 	b.own = up
 	b.mu.Unlock()
 	b.refreshPlatform()
+	return news
 }
 
 // refreshPlatform tells the machine whether claims can be written, by this node or
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -183,6 +183,7 @@
 	case err == nil:
 		n.log.Add("config_in_force", "", fmt.Sprintf("revision %d by %s, from %s", s.Revision, s.Author, from))
 		n.observeSelf()
+		n.peers.kick() // the others hear of it now, and pull it
 	case !config.Stale(err):
 		n.log.Add("config_refused", "", err.Error())
 	}
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -67,7 +67,9 @@
 }
 
 // noteGone marks upstreams that were listed and no longer are, and retires members
-// whose VM is gone. A VM has to be missing from two lists in a row.
+// whose VM is gone. A VM has to be missing from two lists in a row, and not to answer
+// at its address: a list that jumps back in time shows none of the VMs that came since,
+// and gone is for good.
 func (n *Node) noteGone(ctx context.Context, present map[string]bool) {
 	n.mu.Lock()
 	var gone []string
@@ -86,13 +88,25 @@
 	}
 	n.mu.Unlock()
 	for _, id := range gone {
-		n.table.Mark(n.clock.Now(), id, member.StatusGone, time.Time{})
-		for _, m := range n.claims.View() {
-			if m.VM == id && m.ID != n.id {
-				n.log.Add("member_retired", "", m.ID+": its VM is gone from the list")
-				_ = n.claims.Retire(ctx, m.ID)
-			}
+		go n.confirmGone(ctx, id)
+	}
+}
+
+func (n *Node) confirmGone(ctx context.Context, id string) {
+	f, ok := n.table.Get(id)
+	if ok && n.client.Reachable(ctx, f.Address) {
+		n.mu.Lock()
+		n.listed[id] = true // it is looked at again with the next list
+		n.mu.Unlock()
+		return
+	}
+	n.table.Mark(n.clock.Now(), id, member.StatusGone, time.Time{})
+	for _, m := range n.claims.View() {
+		if m.VM != id || m.ID == n.id || n.client.Reachable(ctx, m.Address) {
+			continue
 		}
+		n.log.Add("member_retired", "", m.ID+": its VM is gone from the list and doesn't answer")
+		_ = n.claims.Retire(ctx, m.ID)
 	}
 }
 
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -158,6 +158,16 @@
 // Close ends the idle connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
+// Reachable tells whether a connection can be made to an address. It sends nothing.
+func (c *Client) Reachable(ctx context.Context, address string) bool {
+	v, err := c.transport.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = v.Close()
+	return true
+}
+
 // once is a body that the transport can't rewind or take for absent.
 type once struct{ io.Reader }
 
--- /dev/null
+++ b/scripts/fuzz.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Runs each fuzz target for ten seconds.
+set -eu
+cd "$(dirname "$0")/.."
+for t in ./internal/upstream:FuzzChatStream ./internal/ingress:FuzzParseChat ./internal/config:FuzzParseAndRender; do
+  go test "${t%%:*}" -run XXX -fuzz "${t##*:}" -fuzztime "${FUZZ_TIME:-10s}"
+done
