--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -100,7 +100,6 @@
 // Limits bounds what one workspace may ask of a service.
 type Limits struct {
 	RequestsPerSecond float64 `yaml:"requests_per_second"`
-	TokensPerSecond   float64 `yaml:"tokens_per_second"`
 	InFlight          int     `yaml:"in_flight"`
 	Queue             int     `yaml:"queue"`
 	BodyBytes         int64   `yaml:"body_bytes"`
--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -195,7 +195,6 @@
 		if p.list[i].Address == prefer {
 			f := p.list[i].Fact
 			p.countLocked(&f)
-			p.router.Sent(&c.Prompt, p.cands[i].Hash)
 			p.mu.Unlock()
 			return target{fact: f}, true
 		}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -255,7 +255,6 @@
 // target is the upstream that an attempt goes to.
 type target struct {
 	fact   member.Fact
-	next   string // address of the successor, empty if there is none
 	choice route.Choice
 }
 
@@ -285,10 +284,6 @@
 		return target{}, false
 	}
 	t := target{fact: p.list[c.Index].Fact, choice: c}
-	if c.Next >= 0 {
-		t.next = p.list[c.Next].Address
-	}
-	p.router.Sent(prompt, p.cands[c.Index].Hash)
 	p.outliers.Sending(t.fact.ID)
 	p.countLocked(&t.fact)
 	return t, true
--- a/internal/measure/limits_test.go
+++ b/internal/measure/limits_test.go
@@ -72,110 +72,130 @@
 
 func dur(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
+// overloadRun is one replay under way.
+type overloadRun struct {
+	overload
+	r                                           *rand.Rand
+	c                                           *admit.Controller
+	q                                           arrivals
+	waiting                                     map[string]*caller
+	serial                                      int
+	out                                         served
+	live, liveGood, small, smallGood, afterGood float64
+}
+
 func (o overload) run(seed int64) served {
-	r := rand.New(rand.NewSource(seed))
-	c := admit.New(o.o)
-	c.SetSlots(0, poolSlots)
-	var q arrivals
-	n := 0
-	for at := 0.0; at < o.seconds; {
-		rate := o.factor * poolSlots
-		if at >= o.trigger[0] && at < o.trigger[1] {
-			rate *= 5
-		}
-		at += r.ExpFloat64() / rate
-		n++
-		v := &caller{id: n, batch: r.Intn(10) < 4, space: fmt.Sprintf("w%d", r.Intn(5)), size: r.ExpFloat64()}
-		if o.flood && r.Intn(10) > 0 {
-			v.space = "flood"
+	v := &overloadRun{overload: o, r: rand.New(rand.NewSource(seed)), c: admit.New(o.o), waiting: make(map[string]*caller)}
+	v.c.SetSlots(0, poolSlots)
+	v.arrive()
+	for v.q.Len() > 0 {
+		a := heap.Pop(&v.q).(arrival)
+		switch {
+		case a.kind == 1:
+			v.start(a.at, v.c.Done(dur(a.at), a.key))
+		case a.kind == 2 && !v.givesUp(&a):
+		default:
+			v.ask(&a)
 		}
-		heap.Push(&q, arrival{at: at, c: v})
 	}
-	var out served
-	var live, liveGood, small, smallGood, afterGood float64
-	waiting := make(map[string]*caller)
-	start := func(now float64, keys []string) {
-		for _, k := range keys {
-			v := waiting[k]
-			delete(waiting, k)
-			heap.Push(&q, arrival{at: now + v.size, c: v, kind: 1, key: k})
-			if wait := now - v.began; v.done || !v.batch && wait > liveTarget.Seconds() {
-				continue // the slot is taken by an answer that nobody waits for, or too late
-			}
-			v.done = true
-			if now < o.seconds {
-				if v.batch {
-					out.batch++
-				} else {
-					liveGood++
-				}
-				if v.space != "flood" && !v.batch {
-					smallGood++
-				}
-				if now > o.trigger[1]+5 {
-					afterGood++
-				}
-			}
+	v.out.live, v.out.batch = v.liveGood/o.seconds, v.out.batch/o.seconds
+	v.out.liveShare, v.out.small = v.liveGood/v.live, v.smallGood/max(v.small, 1)
+	v.out.after = v.afterGood / max(o.seconds-o.trigger[1]-5, 1)
+	return v.out
+}
+
+func (v *overloadRun) arrive() {
+	for at := 0.0; at < v.seconds; {
+		rate := v.factor * poolSlots
+		if at >= v.trigger[0] && at < v.trigger[1] {
+			rate *= 5
 		}
+		at += v.r.ExpFloat64() / rate
+		v.out.offered++
+		c := &caller{id: v.out.offered, batch: v.r.Intn(10) < 4, space: fmt.Sprintf("w%d", v.r.Intn(5)), size: v.r.ExpFloat64()}
+		if v.flood && v.r.Intn(10) > 0 {
+			c.space = "flood"
+		}
+		heap.Push(&v.q, arrival{at: at, c: c})
 	}
-	serial := 0
-	for q.Len() > 0 {
-		a := heap.Pop(&q).(arrival)
-		now := dur(a.at)
-		switch a.kind {
-		case 1:
-			start(a.at, c.Done(now, a.key))
+}
+
+// start gives slots to requests, and counts those that somebody still waits for.
+func (v *overloadRun) start(now float64, keys []string) {
+	for _, k := range keys {
+		c := v.waiting[k]
+		delete(v.waiting, k)
+		heap.Push(&v.q, arrival{at: now + c.size, c: c, kind: 1, key: k})
+		if c.done || !c.batch && now-c.began > liveTarget.Seconds() {
 			continue
-		case 2:
-			if _, still := waiting[a.key]; !still || a.c.done {
-				continue
-			}
-			if !o.o.FIFO {
-				c.Cancel(a.key)
-				delete(waiting, a.key)
-			}
-		}
-		if a.kind == 0 && a.c.tries == 0 && !a.c.batch {
-			live++
-			if a.c.space != "flood" {
-				small++
-			}
 		}
-		if a.c.tries > callerTry || a.at > o.seconds {
-			continue
+		c.done = true
+		if now < v.seconds {
+			v.count(now, c)
 		}
-		a.c.tries++
-		a.c.began = a.at
-		serial++
-		key := fmt.Sprint(serial)
-		q2 := admit.Request{ID: key, Workspace: a.c.space, Size: 1, MaxWait: liveTarget, Limits: admit.Limits{Share: 1}}
-		if a.c.batch {
-			q2.Class, q2.MaxWait = admit.ClassBatch, time.Minute
+	}
+}
+
+func (v *overloadRun) count(now float64, c *caller) {
+	if now > v.trigger[1]+5 {
+		v.afterGood++
+	}
+	if c.batch {
+		v.out.batch++
+		return
+	}
+	v.liveGood++
+	if c.space != "flood" {
+		v.smallGood++
+	}
+}
+
+// givesUp tells whether a caller that still waits leaves its place and asks again.
+func (v *overloadRun) givesUp(a *arrival) bool {
+	if _, still := v.waiting[a.key]; !still || a.c.done {
+		return false
+	}
+	if !v.o.FIFO {
+		v.c.Cancel(a.key)
+		delete(v.waiting, a.key)
+	}
+	return true
+}
+
+func (v *overloadRun) ask(a *arrival) {
+	if a.c.tries == 0 && !a.c.batch {
+		v.live++
+		if a.c.space != "flood" {
+			v.small++
 		}
-		v := c.Offer(now, q2)
-		out.largest = max(out.largest, c.Waiting())
-		waiting[key] = a.c
-		switch v.Decision {
-		case admit.DecisionRun:
-			start(a.at, []string{key})
-		case admit.DecisionRefuse:
-			delete(waiting, key)
-			heap.Push(&q, arrival{at: a.at + v.RetryAfter.Seconds()*(1+r.Float64()), c: a.c})
-		default:
-			if !a.c.batch {
-				giveUp := liveTarget // the node tells it so
-				if o.o.FIFO {
-					giveUp *= 2 // it gives up by itself
-				}
-				heap.Push(&q, arrival{at: a.at + giveUp.Seconds(), c: a.c, kind: 2, key: key})
-			}
+	}
+	if a.c.tries > callerTry || a.at > v.seconds {
+		return
+	}
+	a.c.tries++
+	a.c.began = a.at
+	v.serial++
+	key := fmt.Sprint(v.serial)
+	q := admit.Request{ID: key, Workspace: a.c.space, Size: 1, MaxWait: liveTarget, Limits: admit.Limits{Share: 1}}
+	if a.c.batch {
+		q.Class, q.MaxWait = admit.ClassBatch, time.Minute
+	}
+	d := v.c.Offer(dur(a.at), q)
+	v.out.largest = max(v.out.largest, v.c.Waiting())
+	v.waiting[key] = a.c
+	switch {
+	case d.Decision == admit.DecisionRun:
+		v.start(a.at, []string{key})
+	case d.Decision == admit.DecisionRefuse:
+		delete(v.waiting, key)
+		heap.Push(&v.q, arrival{at: a.at + d.RetryAfter.Seconds()*(1+v.r.Float64()), c: a.c})
+	case !a.c.batch:
+		giveUp := liveTarget // the node tells it so
+		if v.o.FIFO {
+			giveUp *= 2 // it gives up by itself
 		}
+		heap.Push(&v.q, arrival{at: a.at + giveUp.Seconds(), c: a.c, kind: 2, key: key})
 	}
-	out.offered = n
-	out.live, out.batch = liveGood/o.seconds, out.batch/o.seconds
-	out.liveShare, out.small = liveGood/live, smallGood/max(small, 1)
-	out.after = afterGood / max(o.seconds-o.trigger[1]-5, 1)
-	return out
 }
 
 var (
--- a/internal/measure/replay_test.go
+++ b/internal/measure/replay_test.go
@@ -330,9 +330,7 @@
 	if s.sc.weights != [2]float64{} {
 		r.Weigh(s.sc.weights[0], s.sc.weights[1])
 	}
-	c := r.Pick(p, list)
-	r.Sent(p, list[c.Index].Hash)
-	return c.Index
+	return r.Pick(p, list).Index
 }
 
 // index knows what every engine caches, and the loads as reported.
--- a/internal/measure/routing_test.go
+++ b/internal/measure/routing_test.go
@@ -55,7 +55,6 @@
 		o    route.Options
 	}{
 		{"affinity", ours, route.Options{}},
-		{"affinity-without-memory", ours, route.Options{IgnoreMemory: true}},
 		{"round-robin", ours, route.Options{Policy: route.PolicyRoundRobin}},
 		{"least-in-flight", ours, route.Options{Policy: route.PolicyLeast}},
 		{"two-choices", ours, route.Options{Policy: route.PolicyTwoChoices}},
@@ -107,7 +106,6 @@
 	b.ReportAllocs()
 	for i := 0; i < b.N; i++ {
 		p.Own = uint64(i % 1000)
-		c := r.Pick(p, list)
-		r.Sent(p, list[c.Index].Hash)
+		r.Pick(p, list)
 	}
 }
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -20,6 +20,7 @@
 	entries  map[string]*entry
 	change   uint64
 	nodes    uint64 // see Nodes
+	slow     time.Duration
 	onChange func(old, now Fact)
 }
 
@@ -33,9 +34,17 @@
 	source string    // the peer that the last change came from
 }
 
-// slowEvery is how often a mere change of load or heartbeat goes to other halls.
+// slowEvery is how often a mere change of load or heartbeat goes to other halls, unless
+// SetSlow says otherwise.
 const slowEvery = 20 * time.Second
 
+// SetSlow sets how often a mere change of load or heartbeat goes to other halls.
+func (t *Table) SetSlow(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.slow = d
+}
+
 // Seen is a fact with the time of this node at which its newest report came.
 type Seen struct {
 	Fact
@@ -45,7 +54,7 @@
 // NewTable returns an empty table. onChange is called, outside the lock, for
 // each fact whose status, incarnation or time of leaving changed; it may be nil.
 func NewTable(onChange func(old, now Fact)) *Table {
-	return &Table{entries: make(map[string]*entry), onChange: onChange}
+	return &Table{entries: make(map[string]*entry), slow: slowEvery, onChange: onChange}
 }
 
 // Observe merges facts that this node found out itself, and returns how many told
@@ -110,7 +119,7 @@
 	if !sameFixed(&m, &old) {
 		e.born = t.change
 	}
-	if m.Status != old.Status || m.LeavesAt != old.LeavesAt || m.ConfigRevision != old.ConfigRevision || e.born == t.change || now.Sub(e.told) >= slowEvery {
+	if m.Status != old.Status || m.LeavesAt != old.LeavesAt || m.ConfigRevision != old.ConfigRevision || e.born == t.change || now.Sub(e.told) >= t.slow {
 		e.slow, e.told = t.change, now
 	}
 	return old, true
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -32,11 +32,9 @@
 
 const (
 	peersPerExchange = 2
-	// heartbeatEvery is the number of exchanges between two heartbeats.
-	heartbeatEvery  = 2
-	peersPerKick    = 8
-	factsPerMessage = 1000
-	exchangeTimeout = time.Second
+	peersPerKick     = 8
+	factsPerMessage  = 1000
+	exchangeTimeout  = time.Second
 	// farEvery is the share of exchanges that go to another hall: within a hall facts
 	// must be fresh, across halls they needn't be.
 	farEvery = 4
@@ -106,7 +104,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if p.rounds++; p.rounds%heartbeatEvery == 0 {
+		if p.rounds++; p.rounds%p.n.pace().heartbeat == 0 {
 			p.n.observeSelf()
 		}
 		p.round(ctx, k)
@@ -123,7 +121,7 @@
 	for _, f := range targets {
 		go p.exchange(ctx, f.ID, f.Address)
 	}
-	if p.n.view.Revision() == 0 || len(targets) < k {
+	if p.n.view.Revision() == 0 || p.turn%strangerEvery == 0 {
 		p.greetSeeds(ctx)
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -88,6 +89,7 @@
 	live           []member.Seen // see liveNodes
 	liveAt         time.Time
 	liveNodesKnown uint64
+	paced          atomic.Pointer[pace]
 	mu             sync.Mutex
 }
 
@@ -288,7 +290,8 @@
 // silentAfter is how long a node may be silent before the others take over its
 // duties. It isn't taken for gone: only the platform can say that.
 func (n *Node) silentAfter() time.Duration {
-	return max(leastSilence, exchangesSilent*n.o.Exchange)
+	beat := time.Duration(n.pace().heartbeat) * n.o.Exchange
+	return max(leastSilence, exchangesSilent*n.o.Exchange, 3*beat)
 }
 
 // A heartbeat takes a few exchanges to reach all nodes of a hall.
@@ -308,7 +311,7 @@
 	n.live = n.table.SelectSeen(func(f *member.Fact, at time.Time) bool {
 		limit := near
 		if f.Hall != n.o.Hall {
-			limit += farSilence
+			limit += 2 * n.pace().slow
 		}
 		return f.Kind == member.KindNode && f.Status == member.StatusLive && (f.ID == n.id || now.Sub(at) < limit)
 	})
@@ -320,13 +323,67 @@
 	// liveFor is how long a list of live nodes is used again: it is asked for at every
 	// decision about who does what, and changes rarely.
 	liveFor = 200 * time.Millisecond
-	// farSilence is added for nodes of other halls, whose heartbeats come slowly.
-	farSilence = 2 * 20 * time.Second
 )
 
-// shareBudget divides the platform's rate among the live nodes.
+// pace is how often what changes all the time is told: the more there are to tell of,
+// the less often, so that a node's traffic grows slower than the fleet. Routing was
+// measured with loads 10 s old, and hardly differs.
+type pace struct {
+	heartbeat int           // exchanges between two heartbeats
+	loads     time.Duration // between two load reports of an upstream
+	slow      time.Duration // between two reports to other halls
+}
+
+const (
+	nodesPerBeat   = 8
+	loadsPerVM     = 75 * time.Millisecond
+	longestLoads   = 5 * time.Second
+	slowPerNode    = 200 * time.Millisecond
+	shortestSlow   = 20 * time.Second
+	leastHeartbeat = 2
+)
+
+func paceOf(hallNodes, hallUpstreams, nodes int) pace {
+	return pace{
+		heartbeat: max(leastHeartbeat, hallNodes/nodesPerBeat),
+		loads:     min(max(loadsEvery, time.Duration(hallUpstreams)*loadsPerVM), longestLoads),
+		slow:      max(shortestSlow, time.Duration(nodes)*slowPerNode),
+	}
+}
+
+func (n *Node) pace() pace {
+	if v := n.paced.Load(); v != nil {
+		return *v
+	}
+	return paceOf(0, 0, 0)
+}
+
+// setPace counts what there is to tell of.
+func (n *Node) setPace() {
+	hall, upstreams, all := 0, 0, 0
+	n.table.Select(func(f *member.Fact) bool {
+		near := f.Hall == n.o.Hall
+		switch {
+		case f.Status != member.StatusLive:
+		case f.Kind == member.KindUpstream && near:
+			upstreams++
+		case f.Kind == member.KindNode:
+			all++
+			if near {
+				hall++
+			}
+		}
+		return false
+	})
+	v := paceOf(hall, upstreams, all)
+	n.paced.Store(&v)
+	n.table.SetSlow(v.slow)
+}
+
+// shareBudget divides the platform's rate among the live nodes, and sets the pace.
 func (n *Node) shareBudget(ctx context.Context) {
 	n.clock.Every(ctx, time.Second, func(time.Time) {
+		n.setPace()
 		k := float64(max(len(n.liveNodes()), 1))
 		n.guard.SetRates(platform.GuardOptions{Reads: n.o.PlatformRate / k, Writes: n.o.PlatformRate / 4 / k})
 	})
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -159,20 +159,24 @@
 }
 
 func (n *Node) pollLoads(ctx context.Context) {
-	n.clock.Every(ctx, loadsEvery, func(time.Time) {
-		// Only model engines have a load to report; a plain service must get no call
-		// that a caller didn't make.
-		pools := n.view.Pools()
-		list := n.table.Select(func(f *member.Fact) bool {
-			return f.Kind == member.KindUpstream && f.Status == member.StatusLive && f.Hall == n.o.Hall &&
-				pools[f.Service] == config.ProtocolChat
-		})
-		for _, f := range list {
-			if n.reports(f.ID) {
-				go n.readLoad(ctx, f.Fact)
-			}
-		}
+	for n.clock.Sleep(ctx, n.pace().loads) == nil {
+		n.askLoads(ctx)
+	}
+}
+
+// askLoads asks the upstreams that this node reports for. Only model engines have a
+// load to report; a plain service must get no call that a caller didn't make.
+func (n *Node) askLoads(ctx context.Context) {
+	pools := n.view.Pools()
+	list := n.table.Select(func(f *member.Fact) bool {
+		return f.Kind == member.KindUpstream && f.Status == member.StatusLive && f.Hall == n.o.Hall &&
+			pools[f.Service] == config.ProtocolChat
 	})
+	for _, f := range list {
+		if n.reports(f.ID) {
+			go n.readLoad(ctx, f.Fact)
+		}
+	}
 }
 
 // reports tells whether this node is the one of its hall that asks the upstream.
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -322,7 +322,7 @@
 // serving.
 func (n *Node) silenceOf(f *member.Fact) time.Duration {
 	if f.Hall != n.o.Hall {
-		return n.silentAfter() + farSilence
+		return n.silentAfter() + 2*n.pace().slow
 	}
 	return n.silentAfter()
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -26,9 +26,9 @@
 // the conversations that rank the marginal upstream first are looked for elsewhere.
 //
 // The cost does the bounding: a home with a long queue costs more than the
-// prefill saved, so the next in the ranks takes it (and is where the request goes
-// when home is reclaimed). What this node itself dispatched is remembered, and
-// corrects the computed guess after such a spill.
+// prefill saved, so another takes it (and is where the request goes when home is
+// reclaimed). Remembering what this node itself dispatched was measured, made no
+// difference (the next turn comes through another node), and was taken out.
 //
 // Weighed and measured beside it (docs/DECISIONS.md): round robin, least in
 // flight, two random choices, and an index of what every upstream caches.
@@ -97,14 +97,12 @@
 
 // Options sets a router. Rates are the pool's, as an estimate.
 type Options struct {
-	Policy       Policy
-	Prefill      time.Duration // per token not cached
-	Service      time.Duration // of one request in a slot, on average
-	Spread       int           // fixed size of the set that holds a shared prefix; 0: by its share of the work
-	Memory       int           // dispatches remembered
-	CostWeight   float64       // milliseconds of delay that one unit of money is worth
-	TokenWeight  float64       // milliseconds of delay that one recomputed token is worth, beside its prefill
-	IgnoreMemory bool          // for measurement
+	Policy      Policy
+	Prefill     time.Duration // per token not cached
+	Service     time.Duration // of one request in a slot, on average
+	Spread      int           // fixed size of the set that holds a shared prefix; 0: by its share of the work
+	CostWeight  float64       // milliseconds of delay that one unit of money is worth
+	TokenWeight float64       // milliseconds of delay that one recomputed token is worth, beside its prefill
 }
 
 // Reason says what decided.
@@ -113,17 +111,14 @@
 // The reasons.
 const (
 	ReasonHome     Reason = "home"     // where the conversation is likely cached
-	ReasonMemory   Reason = "memory"   // where this node sent it last
 	ReasonSpill    Reason = "spill"    // home was too loaded or too dear
 	ReasonBaseline Reason = "baseline" // a policy that knows no homes
 	ReasonNone     Reason = "none"     // no candidate
 )
 
-// Choice is the outcome. Next is who should take over if Index is reclaimed; both
-// are -1 when there is nobody.
+// Choice is the outcome. Index is -1 when there is nobody.
 type Choice struct {
 	Index  int
-	Next   int
 	Reason Reason
 	Cost   float64 // milliseconds
 }
@@ -133,26 +128,16 @@
 	o       Options
 	turn    int
 	random  uint64
-	memory  map[uint64]place // own prefix to where it went last
-	order   []uint64         // ring of the keys of memory, oldest at position
-	at      int
 	inSet   []bool             // by index, of the last Pick
 	weights []uint64           // scratch
 	work    map[uint64]float64 // recent work by shared prefix
 	total   float64
 }
 
-// place is where this node sent a conversation last, and how much of it there was.
-type place struct {
-	upstream uint64
-	tokens   int
-}
-
 // The values of options that are left out.
 const (
 	defaultPrefill = 200 * time.Microsecond
 	defaultService = 2 * time.Second
-	defaultMemory  = 20000
 )
 
 // New returns a router.
@@ -166,10 +151,7 @@
 	if o.Service == 0 {
 		o.Service = defaultService
 	}
-	if o.Memory == 0 {
-		o.Memory = defaultMemory
-	}
-	return &Router{o: o, memory: make(map[uint64]place), work: make(map[uint64]float64), random: 0x9e3779b97f4a7c15}
+	return &Router{o: o, work: make(map[uint64]float64), random: 0x9e3779b97f4a7c15}
 }
 
 // Weigh sets the weights of the workspace that the next choices are for.
@@ -196,30 +178,6 @@
 	return r.affinity(p, list)
 }
 
-// Sent tells the router where a request really went.
-func (r *Router) Sent(p *Prompt, upstream uint64) {
-	if p.Own == 0 {
-		return
-	}
-	if _, ok := r.memory[p.Own]; !ok {
-		if len(r.order) < r.o.Memory {
-			r.order = append(r.order, p.Own)
-		} else {
-			delete(r.memory, r.order[r.at])
-			r.order[r.at] = p.Own
-			r.at = (r.at + 1) % len(r.order)
-		}
-	}
-	r.memory[p.Own] = place{upstream, p.Tokens}
-}
-
-// Evicted corrects the memory: the upstream no longer caches that prefix.
-func (r *Router) Evicted(own, upstream uint64) {
-	if r.memory[own].upstream == upstream {
-		delete(r.memory, own)
-	}
-}
-
 // weight is the rendezvous weight of an upstream for a key.
 func weight(key, upstream uint64) uint64 {
 	x := key ^ upstream*0x9e3779b97f4a7c15
@@ -232,32 +190,25 @@
 
 func (r *Router) affinity(p *Prompt, list []Candidate) Choice {
 	home := r.homes(p, list)
-	last := r.remembered(p)
-	best := Choice{Index: -1, Next: -1, Cost: math.Inf(1)}
-	second := math.Inf(1)
+	best := Choice{Index: -1, Cost: math.Inf(1)}
 	cheapest := r.cheapest(list)
 	for i := range list {
 		c := &list[i]
 		if c.Excluded {
 			continue
 		}
-		cached := r.cached(p, c, i, home, last)
+		cached := r.cached(p, i, home)
 		cost := r.cost(p, c, cached, cheapest)
 		if i == home {
 			cost -= homeBonus + homeShare*float64(p.Tokens)*ms(r.o.Prefill)
 		}
 		if cost < best.Cost {
-			best.Next, second = best.Index, best.Cost
 			best.Index, best.Cost = i, cost
-		} else if cost < second {
-			best.Next, second = i, cost
 		}
 	}
 	switch {
 	case best.Index < 0:
 		best.Reason = ReasonNone
-	case last.upstream == list[best.Index].Hash && best.Index != home:
-		best.Reason = ReasonMemory
 	case best.Index == home:
 		best.Reason = ReasonHome
 	default:
@@ -274,13 +225,6 @@
 	homeShare = 0.5
 )
 
-func (r *Router) remembered(p *Prompt) place {
-	if r.o.IgnoreMemory || p.Own == 0 {
-		return place{}
-	}
-	return r.memory[p.Own]
-}
-
 // atNext is the share of what a conversation could reuse that is expected at an
 // upstream of its set that isn't home. All of it is expected at home: taking off
 // for the turns that went elsewhere was measured and lost.
@@ -288,7 +232,7 @@
 
 // cached is the number of tokens that a candidate has cached, as far as can be
 // guessed.
-func (r *Router) cached(p *Prompt, c *Candidate, i, home int, last place) float64 {
+func (r *Router) cached(p *Prompt, i, home int) float64 {
 	n := 0.0
 	if p.Shared != 0 && r.inSet[i] {
 		n = float64(p.SharedTokens) + atNext*float64(p.Reusable-p.SharedTokens)
@@ -296,9 +240,6 @@
 	if i == home {
 		n = math.Max(n, float64(p.Reusable))
 	}
-	if last.upstream == c.Hash {
-		n = math.Max(n, float64(min(last.tokens, p.Reusable)))
-	}
 	return n
 }
 
@@ -478,16 +419,16 @@
 		r.turn++
 		i := r.turn % len(list)
 		if !list[i].Excluded {
-			return Choice{Index: i, Next: -1, Reason: ReasonBaseline}
+			return Choice{Index: i, Reason: ReasonBaseline}
 		}
 	}
-	return Choice{Index: -1, Next: -1, Reason: ReasonNone}
+	return Choice{Index: -1, Reason: ReasonNone}
 }
 
 func inFlight(c *Candidate) int32 { return max(c.Load+c.SinceReport, c.InFlight) }
 
 func (r *Router) least(list []Candidate) Choice {
-	best := Choice{Index: -1, Next: -1, Reason: ReasonNone}
+	best := Choice{Index: -1, Reason: ReasonNone}
 	for n := range list {
 		i := (n + r.turn) % len(list)
 		if list[i].Excluded {
@@ -511,7 +452,7 @@
 }
 
 func (r *Router) twoChoices(list []Candidate) Choice {
-	best := Choice{Index: -1, Next: -1, Reason: ReasonNone}
+	best := Choice{Index: -1, Reason: ReasonNone}
 	if len(list) == 0 {
 		return best
 	}
--- a/internal/stream/record.go
+++ b/internal/stream/record.go
@@ -105,6 +105,10 @@
 func (r *Record) Finish(o Outcome, failure string, after time.Duration, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.finishLocked(o, failure, after, now)
+}
+
+func (r *Record) finishLocked(o Outcome, failure string, after time.Duration, now time.Time) bool {
 	if r.outcome != OutcomeOpen {
 		return false
 	}
@@ -116,9 +120,8 @@
 // FinishAttempt ends the request as done if the attempt is still the current one.
 func (r *Record) FinishAttempt(attempt int, now time.Time) bool {
 	r.mu.Lock()
-	current := attempt == r.attempt
-	r.mu.Unlock()
-	return current && r.Finish(OutcomeDone, "", 0, now)
+	defer r.mu.Unlock()
+	return attempt == r.attempt && r.finishLocked(OutcomeDone, "", 0, now)
 }
 
 // View is what a reader sees.
