--- a/internal/ingress/chat.go
+++ b/internal/ingress/chat.go
@@ -348,7 +348,7 @@
 		return nil, err
 	}
 	if n := r.Record().Len(); q.from > n+1 {
-		return nil, badRequest("offset %d is beyond the answer so far, which has %d tokens", q.from, n)
+		return nil, &Failure{Status: http.StatusBadRequest, Message: fmt.Sprintf("offset %d is beyond the answer so far, which has %d tokens", q.from, n), ID: q.id}
 	}
 	return s.streamFrom(r, q.from), nil
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -97,8 +97,8 @@
 func (s *Server) Handler() http.Handler {
 	m := http.NewServeMux()
 	m.Handle("POST /v1/chat/completions", s.endpoint(s.decodeChat, s.ready(s.chat)))
-	m.Handle("GET /v1/requests/{id}", s.endpoint(s.decodeResume, s.resume))
-	m.Handle("GET /v1/jobs/{id}", s.endpoint(s.decodeResume, s.jobStatus))
+	m.Handle("GET /v1/requests/{id}", s.endpoint(aboutAnother(s.decodeResume), s.resume))
+	m.Handle("GET /v1/jobs/{id}", s.endpoint(aboutAnother(s.decodeResume), s.jobStatus))
 	m.Handle("/s/{service}/", s.endpoint(s.decodePlain, s.ready(s.plain)))
 	m.HandleFunc("GET /readyz", s.readyz)
 	m.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprintln(w, "ok") })
@@ -126,6 +126,19 @@
 	)
 }
 
+// aboutAnother takes the outcome out of the mistakes in a question about an earlier
+// request: "not-run" would be read as being about that one, which may well have run.
+func aboutAnother(next kithttp.DecodeRequestFunc) kithttp.DecodeRequestFunc {
+	return func(ctx context.Context, r *http.Request) (any, error) {
+		v, err := next(ctx, r)
+		var f *Failure
+		if errors.As(err, &f) {
+			f.Outcome = stream.OutcomeOpen
+		}
+		return v, err
+	}
+}
+
 // ready refuses new work on a node that is starting or leaving.
 func (s *Server) ready(next endpoint.Endpoint) endpoint.Endpoint {
 	return func(ctx context.Context, in any) (any, error) {
@@ -167,7 +180,7 @@
 	Error struct {
 		Message string `json:"message"`
 		Type    string `json:"type"`
-		Outcome string `json:"outcome"`
+		Outcome string `json:"outcome,omitempty"`
 	} `json:"error"`
 }
 
@@ -185,7 +198,9 @@
 func writeFailure(w http.ResponseWriter, f *Failure) {
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
-	h.Set(HeaderOutcome, string(f.Outcome))
+	if f.Outcome != stream.OutcomeOpen {
+		h.Set(HeaderOutcome, string(f.Outcome))
+	}
 	if f.ID != "" {
 		h.Set(HeaderRequest, f.ID)
 	}
