--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -44,6 +44,7 @@
 		Name:                  "spurhall",
 		Usage:                 "operate spurhall: edit templates and workspaces, and see what the nodes do",
 		EnableShellCompletion: true,
+		ExitErrHandler:        func(context.Context, *cli.Command, error) {}, // main ends the process
 		Writer:                out,
 		ErrWriter:             errOut,
 		Description: "Exit codes: 1 failed, 2 input is wrong and nothing was changed, 3 somebody else changed it first,\n" +
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -157,6 +157,18 @@
 	Name string `json:"name"`
 	Kind Kind   `json:"kind"`
 	Body string `json:"body"`
+	// Where it was written, for messages only: known to whoever applies it.
+	file string
+	line int // lines of the file before it
+}
+
+// located names the place of a mistake: in the file, if that is known, and in the
+// document otherwise.
+func (d *Document) located(err error) error {
+	if d.file != "" {
+		return located(d.file, d.line, err)
+	}
+	return located(key(d.Kind, d.Name), 0, err)
 }
 
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
@@ -196,7 +208,7 @@
 	if !namePattern.MatchString(h.Name) {
 		return nil, fault.Because(ErrInvalid, "%s:%d: name %q: use 1 to 63 of a-z, 0-9 and -", file, line+1, h.Name)
 	}
-	d := &Document{Name: h.Name, Kind: h.Kind, Body: strings.TrimPrefix(body, "\n")}
+	d := &Document{Name: h.Name, Kind: h.Kind, Body: strings.TrimPrefix(body, "\n"), file: file, line: line}
 	var err error
 	switch h.Kind {
 	case KindTemplate:
--- a/internal/config/render.go
+++ b/internal/config/render.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"gopkg.in/yaml.v3"
-	"spurhall.example/spurhall/internal/fault"
 )
 
 // Rendering puts a workspace's parameters into the template's text, line by
@@ -34,23 +33,23 @@
 func Render(t, w *Document) ([]Service, error) {
 	template, err := t.template()
 	if err != nil {
-		return nil, located("template/"+t.Name, 0, err)
+		return nil, t.located(err)
 	}
 	workspace, err := w.workspace()
 	if err != nil {
-		return nil, located("workspace/"+w.Name, 0, err)
+		return nil, w.located(err)
 	}
 	values, err := parameters(template, workspace, parameterLines(w.Body))
 	if err != nil {
-		return nil, located("workspace/"+w.Name, 0, err)
+		return nil, w.located(err)
 	}
 	body, err := substitute(t.Body, values)
 	if err != nil {
-		return nil, located("template/"+t.Name, 0, err)
+		return nil, t.located(err)
 	}
 	services, err := decodeServices(body)
 	if err != nil {
-		return nil, located(fmt.Sprintf("template/%s for workspace/%s", t.Name, w.Name), 0, err)
+		return nil, t.located(fmt.Errorf("%w (filled in for workspace %s)", err, w.Name))
 	}
 	return services, nil
 }
@@ -270,17 +269,17 @@
 
 // check of a whole set of documents: every workspace renders.
 func checkAll(docs map[string]Document) error {
-	for k, d := range docs {
+	for _, d := range docs {
 		if d.Kind != KindWorkspace {
 			continue
 		}
 		w, err := d.workspace()
 		if err != nil {
-			return located(k, 0, err)
+			return d.located(err)
 		}
 		t, ok := docs[key(KindTemplate, w.Template)]
 		if !ok {
-			return fault.Because(ErrInvalid, "workspace/%s:1: template %q doesn't exist", w.Name, w.Template)
+			return d.located(fmt.Errorf("line 1: template %q doesn't exist", w.Template))
 		}
 		if _, err := Render(&t, &d); err != nil {
 			return err
--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -148,6 +148,7 @@
 	err := p.d.o.Client.Chat(x, call, func(k upstream.Chunk) error {
 		if k.Finish != "" {
 			p.usage(&k.Usage)
+			c.Record.SetUsage(stream.Usage{Prompt: k.Usage.Prompt, Cached: k.Usage.Details.Cached})
 		}
 		if k.Text == "" {
 			return nil
--- a/internal/ingress/chat.go
+++ b/internal/ingress/chat.go
@@ -216,13 +216,17 @@
 }
 
 func completion(r *request.Request) map[string]any {
+	u, n := r.Record().Usage(), r.Record().Len()
 	return map[string]any{
 		"id": "chatcmpl-" + r.ID(), "object": "chat.completion", "created": r.Accepted().Unix(), "model": r.Service(),
 		"choices": []any{map[string]any{
 			"index": 0, "finish_reason": "stop",
 			"message": map[string]string{"role": "assistant", "content": r.Record().Text()},
 		}},
-		"usage": map[string]int{"completion_tokens": r.Record().Len()},
+		"usage": map[string]any{
+			"prompt_tokens": u.Prompt, "completion_tokens": n, "total_tokens": u.Prompt + n,
+			"prompt_tokens_details": map[string]int{"cached_tokens": u.Cached},
+		},
 	}
 }
 
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,150 @@
+package settings
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"io"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"spurhall.example/spurhall/internal/timer"
+)
+
+func good() Settings {
+	return Settings{
+		VM: "n1", Hall: "hall-a", Callers: "127.0.0.1:1", Peers: "127.0.0.1:2", Admin: "127.0.0.1:3",
+		Platform: "http://127.0.0.1:4", PlatformRate: 100, Policy: "affinity", Exchange: time.Second,
+	}
+}
+
+func TestCheck(t *testing.T) {
+	ok := good()
+	require.NoError(t, ok.Check())
+	cases := []struct {
+		name, flag string
+		spoil      func(s *Settings)
+	}{
+		{"name with a dot", "--vm", func(s *Settings) { s.VM = "a.b" }},
+		{"host name", "--peer-listen", func(s *Settings) { s.Peers = "localhost:1" }},
+		{"no scheme", "--platform", func(s *Settings) { s.Platform = "127.0.0.1:4" }},
+		{"no rate", "--platform-rate", func(s *Settings) { s.PlatformRate = 0 }},
+		{"too quick", "--exchange", func(s *Settings) { s.Exchange = time.Millisecond }},
+		{"token instead of its hash", "--admin-token-hash", func(s *Settings) { s.AdminTokens = []string{"secret"} }},
+		{"certificate without key", "--tls-cert", func(s *Settings) { s.Cert = "x" }},
+		{"open to all without TLS", "--admin-listen", func(s *Settings) { s.Admin = "0.0.0.0:3" }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := good()
+			c.spoil(&s)
+			assert.ErrorContains(t, s.Check(), c.flag)
+		})
+	}
+	open := good()
+	open.Admin, open.Insecure = "0.0.0.0:3", true
+	assert.NoError(t, open.Check(), "said to be wanted")
+}
+
+// authority makes certificates for 127.0.0.1.
+type authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	pool *x509.CertPool
+}
+
+func newAuthority(t *testing.T) *authority {
+	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	c := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test"}, NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, c, c, &k.PublicKey, k)
+	require.NoError(t, err)
+	c, err = x509.ParseCertificate(der)
+	require.NoError(t, err)
+	p := x509.NewCertPool()
+	p.AddCert(c)
+	return &authority{c, k, p}
+}
+
+func (a *authority) issue(t *testing.T, serial int64, cert, key string) {
+	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	c := &x509.Certificate{
+		SerialNumber: big.NewInt(serial), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, c, a.cert, &k.PublicKey, a.key)
+	require.NoError(t, err)
+	b, err := x509.MarshalECPrivateKey(k)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(cert, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), 0o600))
+	require.NoError(t, os.WriteFile(key, pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: b}), 0o600))
+}
+
+// serial connects and returns the serial number of the server's certificate.
+func serial(address string, c *tls.Config) (int64, error) {
+	v, err := tls.Dial("tcp", address, c)
+	if err != nil {
+		return 0, err
+	}
+	defer v.Close()
+	if _, err := io.ReadAll(v); err != nil { // the server's verdict on our certificate
+		return 0, err
+	}
+	return v.ConnectionState().PeerCertificates[0].SerialNumber.Int64(), nil
+}
+
+func TestPeersCheckEachOtherAndReload(t *testing.T) {
+	d := t.TempDir()
+	cert, key := filepath.Join(d, "c.pem"), filepath.Join(d, "k.pem")
+	a := newAuthority(t)
+	a.issue(t, 2, cert, key)
+	clock := timer.NewManual(time.Now())
+	c, err := NewCertificates(cert, key, clock.Service())
+	require.NoError(t, err)
+	l, err := Listen("127.0.0.1:0", c.Server(a.pool, true))
+	require.NoError(t, err)
+	defer l.Close()
+	go func() {
+		for {
+			v, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _ = v.(*tls.Conn).Handshake(); _ = v.Close() }()
+		}
+	}()
+	address := l.Addr().String()
+	n, err := serial(address, c.Client(a.pool))
+	require.NoError(t, err)
+	assert.EqualValues(t, 2, n)
+	_, err = serial(address, &tls.Config{RootCAs: a.pool})
+	assert.Error(t, err, "no certificate")
+	_, err = serial(address, c.Client(newAuthority(t).pool))
+	assert.Error(t, err, "another authority")
+	a.issue(t, 3, cert, key)
+	require.NoError(t, os.Chtimes(cert, time.Now().Add(time.Minute), time.Now().Add(time.Minute)))
+	clock.Advance(certificateCheck)
+	n, err = serial(address, c.Client(a.pool))
+	require.NoError(t, err)
+	assert.EqualValues(t, 3, n, "read again without a restart")
+	require.NoError(t, os.WriteFile(cert, []byte("half"), 0o600))
+	clock.Advance(certificateCheck)
+	n, err = serial(address, c.Client(a.pool))
+	require.NoError(t, err)
+	assert.EqualValues(t, 3, n, "broken files leave the old ones in use")
+}
--- a/internal/stream/record.go
+++ b/internal/stream/record.go
@@ -53,10 +53,31 @@
 	after    time.Duration
 	changed  chan struct{}
 	finished time.Time
+	usage    Usage
 	readers  int
 	left     time.Time
 }
 
+// Usage is the engine's count of tokens.
+type Usage struct {
+	Prompt int
+	Cached int
+}
+
+// SetUsage takes in the engine's count.
+func (r *Record) SetUsage(u Usage) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.usage = u
+}
+
+// Usage returns the engine's count, which is zero until the answer is whole.
+func (r *Record) Usage() Usage {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.usage
+}
+
 // NewRecord returns an empty record.
 func NewRecord(id string) *Record { return &Record{id: id, changed: make(chan struct{})} }
 
