--- a/internal/job/journal.go
+++ b/internal/job/journal.go
@@ -14,6 +14,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -168,26 +169,39 @@
 	return s, r.Pairs[0].Modified, err
 }
 
-// Listed is a job with its revision.
-type Listed struct {
-	request.Spec
-	Revision int64
+// Entry is what there is to know of a job without its text.
+type Entry struct {
+	ID    string
+	Owner string
+	Open  bool // no answer yet
 }
 
-// List returns all jobs.
-func (j *Journal) List(ctx context.Context) ([]Listed, error) {
+// Follow calls f for every job, and again for each that changes, until the watch
+// breaks or the context ends. A job that was removed is no longer open.
+func (j *Journal) Follow(ctx context.Context, f func(e Entry)) error {
 	r, err := j.kv.Range(ctx, prefix, platform.PrefixEnd(prefix))
 	if err != nil {
-		return nil, err
+		return err
 	}
-	var list []Listed
 	for _, p := range r.Pairs {
-		var s request.Spec
-		if json.Unmarshal(p.Value, &s) == nil {
-			list = append(list, Listed{Spec: s, Revision: p.Modified})
+		f(entry(p))
+	}
+	return j.kv.Watch(ctx, prefix, platform.PrefixEnd(prefix), r.Revision+1, func(b platform.WatchBatch) error {
+		for _, e := range b.Events {
+			f(entry(e.Pair))
 		}
+		return nil
+	})
+}
+
+// entry reads a pair. The value of a deleted one is empty, and so not open.
+func entry(p platform.Pair) Entry {
+	e := Entry{ID: strings.TrimPrefix(p.Key, prefix)}
+	var s request.Spec
+	if json.Unmarshal(p.Value, &s) == nil {
+		e.Owner, e.Open = s.Owner, s.Outcome == stream.OutcomeOpen
 	}
-	return list, nil
+	return e
 }
 
 // retention is how long an answer is kept.
@@ -215,10 +229,10 @@
 	return j.replace(ctx, s, revision, lease)
 }
 
-// TakeOver makes a node the owner of a job that is as it was listed.
-func (j *Journal) TakeOver(ctx context.Context, l Listed, owner string) error {
-	l.Owner = owner
-	return j.replace(ctx, l.Spec, l.Revision, 0)
+// TakeOver makes a node the owner of a job that is as it was read at a revision.
+func (j *Journal) TakeOver(ctx context.Context, s request.Spec, revision int64, owner string) error {
+	s.Owner = owner
+	return j.replace(ctx, s, revision, 0)
 }
 
 func (j *Journal) replace(ctx context.Context, s request.Spec, revision, lease int64) error {
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"spurhall.example/spurhall/internal/job"
 	"spurhall.example/spurhall/internal/member"
 	"spurhall.example/spurhall/internal/request"
 	"spurhall.example/spurhall/internal/route"
@@ -133,7 +132,7 @@
 	if err != nil || revision == 0 || s.Outcome != stream.OutcomeOpen {
 		return
 	}
-	_ = n.journal.TakeOver(x, jobListed(s, revision), owner)
+	_ = n.journal.TakeOver(x, s, revision, owner)
 }
 
 // Stop ends every duty at once.
@@ -143,7 +142,3 @@
 	n.client.Close()
 	n.peers.http.CloseIdleConnections()
 }
-
-func jobListed(s request.Spec, revision int64) job.Listed {
-	return job.Listed{Spec: s, Revision: revision}
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -85,6 +85,7 @@
 	duties         sync.WaitGroup
 	notices        int64
 	listed         map[string]bool
+	open           map[string]string // open jobs of the journal and their owners, if followed
 	sequence       uint64
 	live           []member.Seen // see liveNodes
 	liveAt         time.Time
@@ -99,7 +100,7 @@
 	n := &Node{
 		o: o, id: id, clock: o.Clock, log: timeline.New(id, o.Clock, o.Log),
 		life: chart.Load("node").Begin(), view: config.NewView(), registry: request.NewRegistry(),
-		listed: make(map[string]bool),
+		listed: make(map[string]bool), open: make(map[string]string),
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.guard = platform.NewGuard(o.Clock, platform.GuardOptions{Reads: o.PlatformRate, Writes: o.PlatformRate / 4})
@@ -246,7 +247,7 @@
 			continue
 		}
 		x, cancel := context.WithCancel(ctx)
-		n.duty(func(context.Context) { n.yieldWatch(x, cancel) })
+		n.duty(func(context.Context) { n.yield(x, "config", cancel) })
 		err := n.store.Follow(x, func(s config.Snapshot) {
 			if s.Revision > 0 {
 				n.Accept(s, "platform")
@@ -259,11 +260,10 @@
 	}
 }
 
-// yieldWatch ends this node's watch when another node of the hall is the one to
-// watch.
-func (n *Node) yieldWatch(ctx context.Context, cancel func()) {
+// yield ends this node's watch when another node of the hall is the one to watch.
+func (n *Node) yield(ctx context.Context, duty string, cancel func()) {
 	n.clock.Every(ctx, time.Second, func(time.Time) {
-		if !n.first("config", 1) {
+		if !n.first(duty, 1) {
 			cancel()
 		}
 	})
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -282,19 +282,65 @@
 	orphanAfter = 3 * time.Second
 )
 
-// watchJobs takes over the jobs of owners that are gone. One node of each hall looks
-// through the journal: the loss of a node of its own hall is seen soonest there, and
+// watchJobs takes over the jobs of owners that are gone. One node of each hall follows
+// the journal: the loss of a node of its own hall is seen soonest there, and
 // compare-and-swap settles who of several takes a job. Copies held for a peer are
 // looked after by their holder.
 func (n *Node) watchJobs(ctx context.Context) {
+	n.duty(n.followJournal)
 	n.clock.Every(ctx, jobsEvery, func(time.Time) {
 		n.runOrphanCopies()
-		if n.first("jobs", 1) && n.life.Is("ready") {
+		if n.life.Is("ready") {
 			n.takeOverJobs(ctx)
 		}
 	})
 }
 
+// followJournal keeps the owners of the open jobs, while this node is the one of its
+// hall to do so.
+func (n *Node) followJournal(ctx context.Context) {
+	for n.clock.Sleep(ctx, jobsEvery) == nil {
+		if !n.first("jobs", 1) {
+			continue
+		}
+		x, cancel := context.WithCancel(ctx)
+		n.duty(func(context.Context) { n.yield(x, "jobs", cancel) })
+		_ = n.journal.Follow(x, n.noteJob)
+		cancel()
+		n.mu.Lock()
+		n.open = make(map[string]string)
+		n.mu.Unlock()
+	}
+}
+
+func (n *Node) noteJob(e job.Entry) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !e.Open {
+		delete(n.open, e.ID)
+		return
+	}
+	n.open[e.ID] = e.Owner
+}
+
+func (n *Node) orphans() []string {
+	n.mu.Lock()
+	owners := make(map[string][]string)
+	for id, owner := range n.open {
+		if owner != n.id {
+			owners[owner] = append(owners[owner], id)
+		}
+	}
+	n.mu.Unlock()
+	var r []string
+	for owner, ids := range owners {
+		if n.ownerGone(owner) {
+			r = append(r, ids...)
+		}
+	}
+	return r
+}
+
 func (n *Node) ownerGone(id string) bool {
 	if id == n.id {
 		return false
@@ -328,22 +374,16 @@
 }
 
 func (n *Node) takeOverJobs(ctx context.Context) {
-	list, err := n.journal.List(ctx)
-	if err != nil {
-		return
-	}
-	for _, l := range list {
-		if l.Outcome != stream.OutcomeOpen || !n.ownerGone(l.Owner) {
-			continue
-		}
-		if r := n.registry.Get(l.ID); r != nil && r.Owner() == n.id {
+	for _, id := range n.orphans() {
+		s, revision, err := n.journal.Get(ctx, id)
+		if err != nil || revision == 0 || s.Outcome != stream.OutcomeOpen || s.Owner == n.id {
 			continue
 		}
-		if n.journal.TakeOver(ctx, l, n.id) != nil {
+		if n.journal.TakeOver(ctx, s, revision, n.id) != nil {
 			continue
 		}
-		n.log.Add("job_taken_over", l.ID, "from "+l.Owner)
-		n.adopt(l.Spec)
+		n.log.Add("job_taken_over", id, "from "+s.Owner)
+		n.adopt(s)
 	}
 }
 
