A later attempt takes nothing back: once an attempt is lost, giving up says unknown

Cause: the outcome told was that of the last attempt. Ruled out: the transport, which tells each attempt rightly. The request chart has a state for it now, and the outcome is the state it ends in. A step that the chart doesn't allow is told in the time line and fails the rig's tests; before, it was passed over in silence.

--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"time"
 
-	"spurhall.example/spurhall/internal/chart"
 	"spurhall.example/spurhall/internal/config"
 	"spurhall.example/spurhall/internal/retry"
 	"spurhall.example/spurhall/internal/route"
@@ -47,8 +46,12 @@
 func (d *Dispatcher) Chat(ctx context.Context, c *Chat) {
 	x, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
+	l := d.begin(c.Record.ID())
+	if c.Record.Attempt() > 0 {
+		l.fire("taken") // from another node, where it may have run
+	}
 	for {
-		err := d.chatOnce(x, c)
+		err := d.chatOnce(x, c, l)
 		if err == nil {
 			return
 		}
@@ -56,27 +59,21 @@
 			return
 		}
 		if !c.Patient || x.Err() != nil {
-			d.fail(c, err)
+			d.fail(c, l, err)
 			return
 		}
 		_ = d.o.Clock.Sleep(x, patience)
 	}
 }
 
-func (d *Dispatcher) fail(c *Chat, err error) {
-	a := refused(err)
-	if !errors.Is(err, ErrRefused) {
-		a = givenUp(retry.VerdictUnknown, err)
-	}
-	if c.Record.Len() > 0 {
-		a.Outcome = stream.OutcomeUnknown
-	}
+func (d *Dispatcher) fail(c *Chat, l *life, err error) {
+	a := givenUp(l.giveUp(), err)
 	c.Record.Finish(a.Outcome, a.Failure, a.RetryAfter, d.o.Clock.Now())
 	d.o.Event("request_failed", c.Record.ID(), string(a.Outcome)+": "+a.Failure)
 }
 
 // chatOnce admits and attempts until the answer is whole or no retry is allowed.
-func (d *Dispatcher) chatOnce(ctx context.Context, c *Chat) error {
+func (d *Dispatcher) chatOnce(ctx context.Context, c *Chat, l *life) error {
 	p := d.pool(c.Service.Pool)
 	size := float64(c.Prompt.Tokens)/1000 + float64(c.MaxTokens)/100
 	leave, err := p.enter(ctx, admission(d, c.Record.ID(), c.Workspace, c.Service, size, c.Deadline))
@@ -84,8 +81,9 @@
 		return err
 	}
 	defer leave()
-	l := requestChart.Begin()
-	_ = l.Fire("admit")
+	if !l.l.Is("routed") { // a job that was refused before is admitted again
+		l.fire("admit")
+	}
 	tried := make(map[string]bool)
 	prefer := ""
 	for n := 1; ; n++ {
@@ -118,12 +116,12 @@
 
 // attempt runs one attempt. After a move it returns the address that the stream's
 // KV cache went to.
-func (p *pool) attempt(ctx context.Context, c *Chat, l *chart.Life, tried map[string]bool, prefer string) (string, error) {
+func (p *pool) attempt(ctx context.Context, c *Chat, l *life, tried map[string]bool, prefer string) (string, error) {
 	t, ok := p.choose(c, tried, prefer)
 	if !ok {
 		return "", errNobody
 	}
-	_ = l.Fire("route")
+	l.fire("route")
 	number, offset := c.Record.Begin()
 	x, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -143,7 +141,7 @@
 		Priority: priority, Offset: offset, Text: c.Record.Text(), FirstByte: firstByteLimit,
 		Between: betweenLimit, Traceparent: c.Traceparent,
 	}
-	_ = l.Fire("send")
+	l.fire("send")
 	begun := p.d.o.Clock.Now()
 	err := p.d.o.Client.Chat(x, call, func(k upstream.Chunk) error {
 		if k.Finish != "" {
@@ -153,18 +151,20 @@
 		if k.Text == "" {
 			return nil
 		}
-		_ = l.Fire("answer")
+		if k.Offset == offset {
+			l.fire("answer")
+		}
 		return c.Record.Append(number, k.Offset, k.Text)
 	})
 	next, moved := p.untrack(c.Record.ID(), m)
 	if err != nil && moved {
 		p.landed(t.fact.ID, err, false)
-		_ = l.Fire("resume")
+		l.fire("lost")
 		return next, errMoved
 	}
 	p.landed(t.fact.ID, err, ctx.Err() == nil && !errors.Is(err, upstream.ErrRefused))
 	if err == nil {
-		_ = l.Fire("finish")
+		l.fire("finish")
 		p.measured(t.fact.ID, p.d.o.Clock.Since(begun), c.Record.Len()-offset)
 		c.Record.FinishAttempt(number, p.d.o.Clock.Now())
 		return "", nil
@@ -173,7 +173,7 @@
 	if errors.Is(err, upstream.ErrRefused) {
 		go p.d.checkLeaving(t.fact.ID, t.fact.Address)
 	}
-	_ = l.Fire("resume")
+	l.failed(err)
 	return "", err
 }
 
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"spurhall.example/spurhall/internal/admit"
-	"spurhall.example/spurhall/internal/chart"
 	"spurhall.example/spurhall/internal/config"
 	"spurhall.example/spurhall/internal/member"
 	"spurhall.example/spurhall/internal/retry"
@@ -53,17 +52,15 @@
 // on: a shorter answer that breaks off is an error and never half an answer.
 const heldBody = 1 << 20
 
-var requestChart = chart.Load("request")
-
 // Plain runs a call and returns its final answer.
 func (d *Dispatcher) Plain(ctx context.Context, c *Call) *Answer {
 	x, cancel := context.WithTimeout(ctx, c.Deadline.Sub(d.o.Clock.Now()))
 	p := d.pool(c.Service.Pool)
-	l := requestChart.Begin()
+	l := d.begin(c.ID)
 	leave, err := p.enter(x, c.admission(d))
 	if err != nil {
 		cancel()
-		return refused(err)
+		return givenUp(l.giveUp(), err)
 	}
 	a := p.call(x, c, l)
 	if a.Rest == nil {
@@ -105,37 +102,47 @@
 	return r
 }
 
-func refused(err error) *Answer {
-	a := &Answer{Outcome: stream.OutcomeNotRun, Status: http.StatusServiceUnavailable, Failure: err.Error(), RetryAfter: time.Second}
+// givenUp is the final answer to a request that won't be tried again.
+func givenUp(o stream.Outcome, err error) *Answer {
+	a := &Answer{Outcome: o, Status: http.StatusBadGateway, Failure: err.Error(), RetryAfter: time.Second}
 	var r *Refusal
-	if errors.As(err, &r) {
-		a.RetryAfter = r.after
-		if r.cause == string(admit.CauseRate) || r.cause == string(admit.CauseInFlight) {
-			a.Status = http.StatusTooManyRequests
-		}
+	switch {
+	case o == stream.OutcomeNotRun:
+		a.Status = http.StatusServiceUnavailable
+	case errors.Is(err, context.DeadlineExceeded):
+		a.Status = http.StatusGatewayTimeout
+	}
+	if !errors.As(err, &r) {
+		return a
+	}
+	a.RetryAfter = r.after
+	if r.cause == string(admit.CauseRate) || r.cause == string(admit.CauseInFlight) {
+		a.Status = http.StatusTooManyRequests
 	}
 	return a
 }
 
 // call claims, if that is needed, and sends until there is a final answer.
-func (p *pool) call(ctx context.Context, c *Call, l *chart.Life) *Answer {
-	_ = l.Fire("admit")
-	end := func(*Answer) {}
-	if c.Claim != nil {
-		_ = l.Fire("claim")
-		e, a := c.Claim(ctx)
-		if a != nil {
-			return a
-		}
-		_ = l.Fire("granted")
-		end = e
+func (p *pool) call(ctx context.Context, c *Call, l *life) *Answer {
+	l.fire("admit")
+	if c.Claim == nil {
+		return p.send(ctx, c, l)
 	}
-	a := p.send(ctx, c, l)
+	l.fire("claim")
+	end, a := c.Claim(ctx)
+	if a != nil {
+		l.fire(map[stream.Outcome]string{
+			stream.OutcomeDone: "replay", stream.OutcomeNotRun: "give-up", stream.OutcomeUnknown: "doubt",
+		}[a.Outcome])
+		return a
+	}
+	l.fire("granted")
+	a = p.send(ctx, c, l)
 	end(a)
 	return a
 }
 
-func (p *pool) send(ctx context.Context, c *Call, l *chart.Life) *Answer {
+func (p *pool) send(ctx context.Context, c *Call, l *life) *Answer {
 	tried := make(map[string]bool)
 	for n := 1; ; n++ {
 		t, ok := p.legacy(c)
@@ -143,41 +150,26 @@
 			t, ok = p.pick(c.Service, &route.Prompt{}, tried)
 		}
 		if !ok {
-			return &Answer{Outcome: stream.OutcomeNotRun, Status: http.StatusServiceUnavailable, Failure: "no upstream can take the call now", RetryAfter: time.Second}
+			return givenUp(l.giveUp(), errNobody)
 		}
-		_ = l.Fire("route")
-		_ = l.Fire("send")
+		l.fire("route")
+		l.fire("send")
 		a, err := p.sendOnce(ctx, c, &t)
 		if err == nil {
-			_ = l.Fire("finish")
+			l.fire("finish")
 			return a
 		}
+		l.failed(err)
 		tried[t.fact.ID] = true
 		v := p.decide(retry.Attempt{
 			Repeatable: *c.Rule.Repeatable, BytesWritten: !errors.Is(err, upstream.ErrNotSent),
 			Refused: errors.Is(err, upstream.ErrRefused), Number: n, Left: c.Deadline.Sub(p.d.o.Clock.Now()),
 		})
-		if v == retry.VerdictRetry && ctx.Err() == nil {
-			p.d.o.Event("retry", c.ID, fmt.Sprintf("%s: %v", t.fact.ID, err))
-			_ = l.Fire("refused")
-			continue
+		if v != retry.VerdictRetry || ctx.Err() != nil {
+			return givenUp(l.giveUp(), err)
 		}
-		return givenUp(v, err)
-	}
-}
-
-// givenUp is the final answer to a call that won't be tried again. A verdict of
-// "retry" comes here only when the caller has left meanwhile.
-func givenUp(v retry.Verdict, err error) *Answer {
-	a := &Answer{Outcome: stream.OutcomeUnknown, Status: http.StatusBadGateway, Failure: err.Error(), RetryAfter: time.Second}
-	clean := errors.Is(err, upstream.ErrNotSent) || errors.Is(err, upstream.ErrRefused)
-	if v == retry.VerdictNotRun || clean {
-		a.Outcome, a.Status = stream.OutcomeNotRun, http.StatusServiceUnavailable
-	}
-	if errors.Is(err, context.DeadlineExceeded) {
-		a.Status = http.StatusGatewayTimeout
+		p.d.o.Event("retry", c.ID, fmt.Sprintf("%s: %v", t.fact.ID, err))
 	}
-	return a
 }
 
 // legacy returns the address that a share of the callers is still served at. The
--- a/internal/node/rig_test.go
+++ b/internal/node/rig_test.go
@@ -87,6 +87,7 @@
 		p.Parallel()
 	}
 	r := emptyRig(t)
+	t.Cleanup(r.assertChartsKept)
 	r.options = edit
 	r.exchange = 100 * time.Millisecond
 	r.plain = standin.NewPlain("orders", timer.Real(), time.Millisecond)
@@ -406,6 +407,16 @@
 	return text
 }
 
+// assertChartsKept fails the test if any node took a step that a chart doesn't allow.
+func (r *rig) assertChartsKept() {
+	for _, n := range r.nodes {
+		if n.saw("transition_not_allowed") {
+			r.t.Errorf("%s took a step that its chart doesn't allow", n.ID())
+			r.dump()
+		}
+	}
+}
+
 func (n *rigNode) saw(event string) bool {
 	for _, e := range n.Timeline().Since(time.Time{}) {
 		if e.Name == event {
--- a/internal/node/told_test.go
+++ b/internal/node/told_test.go
@@ -67,6 +67,24 @@
 			r.assertToldTrue(list)
 		})
 	}
+	t.Run("a later attempt takes nothing back", func(t *testing.T) {
+		// The only service runs the call and loses the answer. The retry finds nobody.
+		r := newRig(t, "hall-a", "hall-b")
+		r.addEngine("e1", "hall-a", "z1", standin.EngineOptions{}).Fault(standin.Fault{Mode: standin.FaultLose, Path: "/v1/chat"})
+		r.waitEngines(1)
+		r.plain.Fault(standin.Fault{Mode: standin.FaultLose, Path: "/again"})
+		list := []answer{
+			r.nodes[0].call(http.MethodPost, "/s/orders/again", "{}"),
+			r.nodes[0].call(http.MethodGet, "/s/orders/again", ""),
+			r.chat(r.nodes[0], newChat("chat", "hello", 5, true)),
+			r.chat(r.nodes[1], newChat("chat", "hello", 5, false)),
+		}
+		for _, a := range list {
+			assert.Equal(t, "unknown", a.outcome, a.body)
+		}
+		r.plain.Fault(standin.Fault{})
+		r.assertToldTrue(list)
+	})
 	t.Run("full queue", func(t *testing.T) {
 		r := newRig(t, "hall-a", "hall-b")
 		r.addEngine("e1", "hall-a", "z1", standin.EngineOptions{Slots: 1, Decode: 50 * time.Millisecond})
