A refused job never runs later; a lease is looked at before it is tried for

It is withdrawn by putting a not-run answer where it would be, or else told as unknown.

Two nodes of a hall try now, and look first.

--- a/internal/ingress/chat.go
+++ b/internal/ingress/chat.go
@@ -13,6 +13,7 @@
 
 	"spurhall.example/spurhall/internal/config"
 	"spurhall.example/spurhall/internal/dispatch"
+	"spurhall.example/spurhall/internal/job"
 	"spurhall.example/spurhall/internal/request"
 	"spurhall.example/spurhall/internal/stream"
 	"spurhall.example/spurhall/internal/upstream"
@@ -165,7 +166,11 @@
 func (s *Server) acceptJob(ctx context.Context, r *request.Request) (any, error) {
 	held, err := s.o.AcceptJob(ctx, r)
 	if err != nil {
-		return nil, &Failure{Status: http.StatusServiceUnavailable, Outcome: stream.OutcomeNotRun, Message: "the job was not accepted: " + err.Error(), RetryAfter: 2 * time.Second, ID: r.ID()}
+		o := stream.OutcomeNotRun
+		if errors.Is(err, job.ErrUncertain) {
+			o = stream.OutcomeUnknown
+		}
+		return nil, &Failure{Status: http.StatusServiceUnavailable, Outcome: o, Message: "the job was not accepted: " + err.Error(), RetryAfter: 2 * time.Second, ID: r.ID()}
 	}
 	s.o.Registry.Replace(r)
 	s.o.Start(r)
--- a/internal/job/journal.go
+++ b/internal/job/journal.go
@@ -33,8 +33,10 @@
 var (
 	// ErrNotOwner says that the job has another owner or an answer by now.
 	ErrNotOwner = errs.NewType("not_owner").New("the job belongs to another node by now, or has its answer")
-	// ErrUnheld says that the job could not be written down.
-	ErrUnheld = errs.NewType("unheld").New("the job could not be written to the platform")
+	// ErrUnheld says that the job was not written down, and won't be.
+	ErrUnheld = errs.NewType("unheld").New("the job was not written to the platform")
+	// ErrUncertain says that the job may have been written down, or may yet be.
+	ErrUncertain = errs.NewType("uncertain").New("the platform gave no answer, the job may be written down")
 	// ErrFull says that too many jobs wait to be written.
 	ErrFull = errs.NewType("full").New("too many jobs wait to be written")
 )
@@ -122,6 +124,8 @@
 	}
 	if errors.Is(err, platform.ErrUnknown) {
 		err = j.readBack(ctx, list[0].spec)
+	} else if err != nil {
+		err = fault.Because(ErrUnheld, "%v", err)
 	}
 	for _, a := range list {
 		a.result <- err
@@ -129,18 +133,26 @@
 }
 
 // readBack settles a commit that got no answer: its keys were written together, so
-// one of them tells.
+// one of them tells. A key that isn't there may still come.
 func (j *Journal) readBack(ctx context.Context, s request.Spec) error {
-	got, _, err := j.Get(ctx, s.ID)
-	if err != nil {
-		return fault.Because(ErrUnheld, "%v", err)
-	}
-	if got.Owner != s.Owner {
-		return ErrUnheld
+	_, revision, err := j.Get(ctx, s.ID)
+	switch {
+	case err != nil:
+		return fault.Because(ErrUncertain, "%v", err)
+	case revision == 0:
+		return ErrUncertain
 	}
 	return nil
 }
 
+// Withdraw makes sure that a job which is refused to its caller never runs: it puts an
+// answer of not-run where the job would be, so that a write still under way finds the
+// key taken.
+func (j *Journal) Withdraw(ctx context.Context, s request.Spec) error {
+	s.Outcome, s.Failure = stream.OutcomeNotRun, "refused when it was asked for"
+	return j.Finish(ctx, s, func(owner string) bool { return owner == s.Owner })
+}
+
 // Accept writes a job down and returns when it is held.
 func (j *Journal) Accept(ctx context.Context, s request.Spec) error {
 	a := accept{spec: s, result: make(chan error, 1)}
@@ -153,7 +165,7 @@
 	case err := <-a.result:
 		return err
 	case <-ctx.Done():
-		return fault.Because(ErrUnheld, "%v", ctx.Err())
+		return fault.Because(ErrUncertain, "%v", ctx.Err())
 	}
 }
 
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -57,12 +57,23 @@
 	return l.token, l.token != 0 && l.clock.Now().Before(l.until)
 }
 
-// Run takes the lease when it can and renews it until the context ends.
-func (l *Lease) Run(ctx context.Context) {
-	l.clock.Every(ctx, l.ttl/6, func(time.Time) { _ = l.Step(ctx) })
+// Run renews the lease, and takes it when it can and wanted says so, until the context
+// ends.
+func (l *Lease) Run(ctx context.Context, wanted func() bool) {
+	l.clock.Every(ctx, l.ttl/6, func(time.Time) {
+		if l.held() || wanted() {
+			_ = l.Step(ctx)
+		}
+	})
 	l.release()
 }
 
+func (l *Lease) held() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.id != 0
+}
+
 // Step takes or renews the lease once.
 func (l *Lease) Step(ctx context.Context) error {
 	l.mu.Lock()
@@ -86,7 +97,15 @@
 	return err
 }
 
+// take looks first: a look is a read, and a try that fails is three writes.
 func (l *Lease) take(ctx context.Context) error {
+	seen, err := l.kv.Range(ctx, l.key, "")
+	if err != nil {
+		return err
+	}
+	if len(seen.Pairs) > 0 {
+		return ErrTaken
+	}
 	before := l.clock.Now()
 	id, err := l.kv.Grant(ctx, l.ttl)
 	if err != nil {
--- a/internal/node/scale.go
+++ b/internal/node/scale.go
@@ -23,6 +23,9 @@
 	leaderKey  = "/spurhall/halls/%s/leader"
 	scaleEvery = 2 * time.Second
 	demandGain = 0.2
+	// leaderTries is how many nodes of a hall try to lead it, so that the tries don't
+	// grow with the fleet.
+	leaderTries = 2
 )
 
 // scaler is the leader's state. It starts anew with each term.
@@ -42,7 +45,9 @@
 
 func (n *Node) scale(ctx context.Context) {
 	l := lease.New(n.kv, n.clock, fmt.Sprintf(leaderKey, n.o.Hall), n.id, leaderTTL)
-	n.duty(l.Run)
+	n.duty(func(ctx context.Context) {
+		l.Run(ctx, func() bool { return n.life.Is("ready") && n.first("leader", leaderTries) })
+	})
 	s := &scaler{n: n, lease: l, pools: make(map[string]*poolScale), begun: n.clock.Now()}
 	n.clock.Every(ctx, scaleEvery, func(time.Time) {
 		if _, ok := l.Token(); !ok || n.life.Is("draining") {
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -8,6 +8,7 @@
 
 	"connectrpc.com/connect"
 
+	"spurhall.example/spurhall/internal/fault"
 	"spurhall.example/spurhall/internal/ingress"
 	"spurhall.example/spurhall/internal/job"
 	"spurhall.example/spurhall/internal/member"
@@ -96,6 +97,7 @@
 		return "platform", nil
 	}
 	n.log.Add("job_not_journalled", r.ID(), err.Error())
+	uncertain := errors.Is(err, job.ErrUncertain)
 	for _, f := range n.holders(r.ID()) {
 		if n.hold(ctx, f.Fact, r.Spec(), true) == nil {
 			if f.Hall != n.o.Hall {
@@ -104,6 +106,14 @@
 			return "peer-same-hall", nil
 		}
 	}
+	if !uncertain {
+		return "", errNoHolder
+	}
+	x, cancel = context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if n.journal.Withdraw(x, r.Spec()) != nil {
+		return "", fault.Because(job.ErrUncertain, "and no peer could hold it")
+	}
 	return "", errNoHolder
 }
 
