--- a/internal/node/control_test.go
+++ b/internal/node/control_test.go
@@ -64,10 +64,15 @@
 // memory include the stand-ins', so they are upper bounds.
 func BenchmarkControl(b *testing.B) {
 	for _, c := range []load{
-		{nodes: 9, upstreams: 15, halls: 9}, {nodes: 27, upstreams: 15, halls: 9}, {nodes: 108, upstreams: 15, halls: 9},
-		{nodes: 27, upstreams: 600, halls: 9}, {nodes: 108, upstreams: 600, halls: 9},
-		{nodes: 30, upstreams: 50, halls: 3}, {nodes: 120, upstreams: 200, halls: 3},
-		{nodes: 27, upstreams: 60, halls: 9, changes: 2}, {nodes: 27, upstreams: 60, halls: 9, leaving: 2},
+		{nodes: 9, upstreams: 15, halls: 9},
+		{nodes: 27, upstreams: 15, halls: 9},
+		{nodes: 108, upstreams: 15, halls: 9},
+		{nodes: 27, upstreams: 600, halls: 9},
+		{nodes: 108, upstreams: 600, halls: 9},
+		{nodes: 30, upstreams: 50, halls: 3},
+		{nodes: 120, upstreams: 200, halls: 3},
+		{nodes: 27, upstreams: 60, halls: 9, changes: 2},
+		{nodes: 27, upstreams: 60, halls: 9, leaving: 2},
 	} {
 		b.Run(fmt.Sprintf("nodes=%d/upstreams=%d/halls=%d/changes=%d/leaving=%d", c.nodes, c.upstreams, c.halls, c.changes, c.leaving), func(b *testing.B) {
 			for i := 0; i < b.N; i++ {
