A dead attempt leaves no claim in the way of the next try

The same for a permission that came in the moment the caller stopped waiting. Such claims are erased now, through a few minutes of outage.

Marks whose release was lost are forgotten when every key's lifetime is over.

--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -75,6 +75,8 @@
 	writes  chan pendingWrite
 	leases  map[time.Duration]claimLease
 	ctx     context.Context
+	marked  map[uint64]time.Time // since when a key is marked here
+	longest time.Duration        // lifetime asked for so far
 }
 
 type pendingWrite struct {
@@ -99,6 +101,7 @@
 		o: o, machine: New(o.Member.ID), members: make(map[string]Member),
 		waiting: make(map[string]chan Action), life: make(map[string]time.Duration),
 		writes: make(chan pendingWrite, queueLimit), leases: make(map[time.Duration]claimLease),
+		marked: make(map[uint64]time.Time), longest: recordLifetime,
 	}
 }
 
@@ -117,6 +120,7 @@
 	b.mu.Unlock()
 	go b.writeLoop(ctx)
 	go b.syncLoop(ctx)
+	go b.expireLoop(ctx)
 	for ctx.Err() == nil {
 		err := b.follow(ctx)
 		if ctx.Err() != nil {
@@ -390,6 +394,32 @@
 	})
 }
 
+const expireEvery = time.Minute
+
+// expireLoop forgets marks that have outlived every key's lifetime. Most go long before,
+// by a release or by turning into claims; this is for those whose release was lost.
+func (b *Book) expireLoop(ctx context.Context) {
+	b.o.Clock.Every(ctx, expireEvery, b.expire)
+}
+
+func (b *Book) expire(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	old := b.marked
+	b.marked = make(map[uint64]time.Time)
+	for _, k := range b.machine.Marked() {
+		since, ok := old[k]
+		if !ok {
+			since = now
+		}
+		if now.Sub(since) > b.longest {
+			b.machine.Forget(k)
+			continue
+		}
+		b.marked[k] = since
+	}
+}
+
 // Grant is the answer to Claim.
 type Grant struct {
 	Granted bool
@@ -403,6 +433,7 @@
 	b.mu.Lock()
 	b.waiting[attempt] = c
 	b.life[attempt] = lifetime
+	b.longest = max(b.longest, lifetime)
 	b.mu.Unlock()
 	b.refreshPlatform()
 	b.do(func(m *Machine) []Action { return m.Begin(key, attempt, promises) })
@@ -411,15 +442,13 @@
 		return Grant{Granted: a.Kind == ActionRun, Reason: a.Reason}
 	case <-ctx.Done():
 	}
-	b.do(func(m *Machine) []Action { return m.Abandon(attempt) })
-	select {
-	case a := <-c:
-		if a.Kind != ActionRun {
-			return Grant{Reason: a.Reason}
-		}
-		b.Finish(attempt, false, nil) // granted while giving up: give it back
-	default:
-	}
+	// Both at once under the lock: a permission given after this look would otherwise
+	// be held by nobody, and its key be taken for good.
+	b.do(func(m *Machine) []Action { return m.GiveUp(attempt) })
+	b.mu.Lock()
+	delete(b.waiting, attempt)
+	delete(b.life, attempt)
+	b.mu.Unlock()
 	return Grant{Reason: ReasonSilent}
 }
 
--- a/internal/claim/machine.go
+++ b/internal/claim/machine.go
@@ -166,6 +166,7 @@
 	asked    []string
 	waiting  map[string]bool
 	promised bool // runs by promises, not yet recorded as a claim
+	written  bool // a write was asked for and may have its effect, whatever was heard
 }
 
 // held is a claim that the platform holds, as of a revision. What the watch tells
@@ -294,6 +295,9 @@
 	m.marks[key] = l
 }
 
+// Marked returns the marked keys in order.
+func (m *Machine) Marked() []uint64 { return m.keys() }
+
 // Forget drops the marks of a key whose declared lifetime is over.
 func (m *Machine) Forget(key uint64) { delete(m.marks, key) }
 
@@ -503,7 +507,7 @@
 		m.mark(key, id)
 	}
 	if m.up {
-		a.phase = phaseWriting
+		a.phase, a.written = phaseWriting, true
 		return []Action{{Kind: ActionWrite, Key: key, Attempt: id}}
 	}
 	return m.ask(id)
@@ -524,6 +528,7 @@
 		m.unmark(a.key, id)
 		return m.run(id)
 	case WriteRefused:
+		a.written = false
 		// Somebody holds the key; the watch tells who, and for how long.
 		return m.kill(id, ReasonKnown)
 	}
@@ -585,6 +590,11 @@
 	a.phase = phaseDead
 	m.unmark(a.key, id)
 	r := []Action{{Kind: ActionRefuse, Key: a.key, Attempt: id, Reason: why}}
+	if a.written {
+		// The claim may be there, or come yet: the caller is told not-run and will try
+		// again, and must not find its own dead attempt in the way.
+		r = append(r, Action{Kind: ActionErase, Key: a.key, Attempt: id})
+	}
 	for _, p := range a.asked {
 		r = append(r, m.send(Message{Kind: MessageRelease, To: p, Key: a.key, Attempt: id}))
 	}
@@ -600,6 +610,15 @@
 	return m.kill(id, ReasonSilent)
 }
 
+// GiveUp is Abandon for an owner that stops waiting: an attempt that got its permission
+// meanwhile gives it back, since nobody will use it.
+func (m *Machine) GiveUp(id string) []Action {
+	if a := m.attempts[id]; a != nil && a.phase == phaseRunning {
+		return m.Finish(id, false)
+	}
+	return m.Abandon(id)
+}
+
 // Finish ends an attempt that was allowed to run. If it ran, or may have, its key
 // stays known. If it certainly didn't and never will, the key is free again.
 func (m *Machine) Finish(id string, ran bool) []Action {
--- a/internal/claim/write.go
+++ b/internal/claim/write.go
@@ -239,16 +239,18 @@
 		return
 	}
 	for try := 0; try < eraseTries && ctx.Err() == nil; try++ {
-		if b.eraseOnce(ctx, a) {
+		if b.o.Up() && b.eraseOnce(ctx, a) {
 			return
 		}
 		_ = b.o.Clock.Sleep(ctx, eraseAgain)
 	}
 }
 
+// An erase is tried through an outage of a few minutes; after that the key is free when
+// its lifetime ends.
 const (
-	eraseTries = 20
-	eraseAgain = 500 * time.Millisecond
+	eraseTries = 300
+	eraseAgain = 2 * time.Second
 )
 
 func (b *Book) eraseOnce(ctx context.Context, a Action) bool {
