A request that no peer takes over goes on where it is

It is started again now. Handing over waits until nothing is sent any more, and a request that ended in the last moment is left alone.

--- a/internal/node/complete_test.go
+++ b/internal/node/complete_test.go
@@ -189,6 +189,22 @@
 	}
 }
 
+// A node that leaves while it is cut off from all others keeps what nobody takes, and goes
+// on with it for as long as it is there.
+func TestEntryVMWithNoticeAndNobodyToTakeOver(t *testing.T) {
+	r := newRig(t, "hall-a", "hall-b")
+	r.addEngine("e1", "hall-a", "z1", standin.EngineOptions{})
+	r.waitEngines(1)
+	r.nodes[0].cut.Store(r.nodes[1].o.PeerAddress, true)
+	k := newChat("chat", "hello", 150, true)
+	l := r.nodes[0].open(t, "/v1/chat/completions", k.body, "")
+	l.read(10)
+	go r.nodes[0].LeaveWithin(600 * time.Millisecond)
+	assert.True(t, l.read(0))
+	assert.Equal(t, k.want, l.text.String())
+	assert.True(t, r.nodes[0].saw("hand_over_failed"))
+}
+
 func TestEntryVMLostHoldingJobs(t *testing.T) {
 	r := newRig(t, "hall-a", "hall-b", "hall-b")
 	r.addEngine("e1", "hall-b", "z1", standin.EngineOptions{})
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -105,8 +105,10 @@
 		}
 	}
 	r.Stop()
-	r.Record().Begin() // chunks still under way to this node are too late
 	s := r.Spec()
+	if s.Outcome != stream.OutcomeOpen {
+		return // it ended in the last moment
+	}
 	for _, id := range route.Rank(r.ID(), ids) {
 		f := byID[id].Fact
 		if err := n.hold(n.ctx, f, s, false); err != nil {
@@ -121,7 +123,8 @@
 		go n.follow(r, f)
 		return
 	}
-	n.log.Add("hand_over_failed", r.ID(), "no peer took it")
+	n.log.Add("hand_over_failed", r.ID(), "no peer took it, it goes on here")
+	n.start(r)
 }
 
 // transferJob names the new owner in the journal, so that its answer is accepted.
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -25,14 +25,17 @@
 // start runs a request in a goroutine of its own.
 func (n *Node) start(r *request.Request) {
 	ctx, cancel := context.WithCancel(n.ctx)
-	r.SetCancel(cancel)
+	ended := r.Running(cancel)
 	go func() {
 		defer cancel()
-		n.run(ctx, r)
+		n.run(ctx, r, ended)
 	}()
 }
 
-func (n *Node) run(ctx context.Context, r *request.Request) {
+// run takes a request to its end. ended is called when nothing is sent for it any more,
+// which may be long before its answer is journalled.
+func (n *Node) run(ctx context.Context, r *request.Request, ended func()) {
+	defer ended()
 	w := n.view.Named(r.Workspace())
 	p, err := ingress.ParseChat(r.Body())
 	if w == nil || w.Service(r.Service()) == nil || err != nil {
@@ -49,7 +52,8 @@
 	}
 	c.Moved = r.Moved
 	n.dispatcher.Chat(ctx, c)
-	if r.Moved() {
+	ended()
+	if r.Moved() && r.Record().Read(0).Outcome == stream.OutcomeOpen {
 		return
 	}
 	if r.Job() {
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -24,6 +24,7 @@
 	from      string // the node that handed it over, if any
 	record    *stream.Record
 	cancel    func()
+	done      chan struct{} // closes when it no longer runs here
 	moved     bool
 }
 
@@ -93,11 +94,13 @@
 	r.owner = id
 }
 
-// SetCancel sets what stops the running request.
-func (r *Request) SetCancel(f func()) {
+// Running notes that the request runs here, with what stops it. The function it returns
+// is called when it no longer does.
+func (r *Request) Running(cancel func()) func() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.cancel = f
+	r.cancel, r.moved, r.done = cancel, false, make(chan struct{})
+	return sync.OnceFunc(func() { close(r.done) })
 }
 
 // Abandon stops the running request, which then ends without an answer.
@@ -110,15 +113,16 @@
 	}
 }
 
-// Stop stops the running request here, without ending its record: it goes on
-// elsewhere.
+// Stop stops the running request here and waits until it has stopped, without ending its
+// record: it goes on elsewhere, or is run here again.
 func (r *Request) Stop() {
 	r.mu.Lock()
-	f := r.cancel
+	f, done := r.cancel, r.done
 	r.moved = true
 	r.mu.Unlock()
 	if f != nil {
 		f()
+		<-done
 	}
 }
 
