Pools look again only when an upstream changes; nodes long silent are forgotten

A forgotten node that is back is asked for everything, since a peer that thinks it known sends the short form (TestForgottenNodeComesBack).

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -84,6 +84,7 @@
 	flights   map[string]*flight
 	waiting   map[string]chan bool
 	change    uint64
+	refreshed time.Duration
 	list      []member.Seen
 	cands     []route.Candidate
 	moving    map[string]*move // streams, by request id
@@ -139,11 +140,11 @@
 
 // refreshLocked brings the list of upstreams and the number of slots up to date.
 func (p *pool) refreshLocked() {
-	c := p.d.o.Table.Change()
-	if c == p.change && p.list != nil {
+	c, now := p.d.o.Table.Upstreams(), p.d.now()
+	if c == p.change && p.list != nil && now-p.refreshed < refreshEvery {
 		return
 	}
-	p.change = c
+	p.change, p.refreshed = c, now
 	p.list = p.d.o.Table.Select(func(f *member.Fact) bool {
 		return f.Kind == member.KindUpstream && f.Service == p.name && f.Status == member.StatusLive
 	})
@@ -174,6 +175,10 @@
 	p.wakeLocked(p.admission.SetSlots(p.d.now(), slots))
 }
 
+// refreshEvery is how soon a change in the number of nodes, which share the slots, is
+// noticed.
+const refreshEvery = time.Second
+
 // reclaimsPerHour is taken for a reclaimable VM until the platform tells better.
 const reclaimsPerHour = 0.5
 
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -86,6 +86,28 @@
 	assert.Len(t, back, 1, "what came from the peer isn't sent back to it")
 }
 
+// A node that was silent for long is forgotten. When it is back, a peer that thinks we
+// know it sends the short form, and has to be asked for everything.
+func TestForgottenNodeComesBack(t *testing.T) {
+	start := time.Unix(1000, 0)
+	n := Fact{ID: "n", Kind: KindNode, Address: "x", Incarnation: 1, Status: StatusLive}
+	ours, peer := NewTable(nil), NewTable(nil)
+	peer.Observe(start, n)
+	facts, position := peer.Since(near(0), 10)
+	ours.Receive(start, "peer", facts...)
+	assert.Equal(t, 1, ours.Forget(start.Add(time.Hour)))
+	n.Sequence = 1
+	peer.Observe(start.Add(time.Hour), n)
+	facts, _ = peer.Since(near(position), 10)
+	_, missing := ours.Receive(start.Add(time.Hour), "peer", facts...)
+	assert.True(t, missing)
+	facts, _ = peer.Since(near(0), 10)
+	_, missing = ours.Receive(start.Add(time.Hour), "peer", facts...)
+	assert.False(t, missing)
+	_, known := ours.Get("n")
+	assert.True(t, known)
+}
+
 // TestOtherHallsGetStatusAtOnceAndLoadsSlowly: what a far peer gets.
 func TestOtherHallsGetStatusAtOnceAndLoadsSlowly(t *testing.T) {
 	table := NewTable(nil)
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -16,12 +16,13 @@
 // A peer in another hall is sent the second kind, and a peer that has the fixed part
 // gets the short form without it.
 type Table struct {
-	mu       sync.RWMutex
-	entries  map[string]*entry
-	change   uint64
-	nodes    uint64 // see Nodes
-	slow     time.Duration
-	onChange func(old, now Fact)
+	mu        sync.RWMutex
+	entries   map[string]*entry
+	change    uint64
+	nodes     uint64 // see Nodes
+	upstreams uint64 // see Upstreams
+	slow      time.Duration
+	onChange  func(old, now Fact)
 }
 
 type entry struct {
@@ -59,20 +60,28 @@
 
 // Observe merges facts that this node found out itself, and returns how many told
 // something new.
-func (t *Table) Observe(now time.Time, facts ...Fact) int { return t.Receive(now, "", facts...) }
+func (t *Table) Observe(now time.Time, facts ...Fact) int {
+	n, _ := t.Receive(now, "", facts...)
+	return n
+}
 
-// Receive merges facts that came from a peer.
-func (t *Table) Receive(now time.Time, source string, facts ...Fact) int {
+// Receive merges facts that came from a peer. missing says that a short fact was of a VM
+// whose fixed part isn't known here (any more): the peer has to be asked for everything.
+func (t *Table) Receive(now time.Time, source string, facts ...Fact) (fresh int, missing bool) {
 	type pair struct{ old, now Fact }
 	var changed []pair
 	n := 0
 	t.mu.Lock()
 	for _, f := range facts {
-		old, fresh := t.merge(now, source, f)
-		if !fresh {
+		missing = missing || f.short() && t.entries[f.ID] == nil
+		old, news := t.merge(now, source, f)
+		if !news {
 			continue
 		}
 		n++
+		if f.Kind == KindUpstream {
+			t.upstreams++
+		}
 		m := t.entries[f.ID].fact
 		if m.Status != old.Status || m.Incarnation != old.Incarnation || m.LeavesAt != old.LeavesAt {
 			changed = append(changed, pair{old, m})
@@ -87,7 +96,7 @@
 			t.onChange(p.old, p.now)
 		}
 	}
-	return n
+	return n, missing
 }
 
 func (t *Table) merge(now time.Time, source string, f Fact) (old Fact, fresh bool) {
@@ -201,21 +210,22 @@
 	return e.change
 }
 
-// Change returns the present position of the change log.
-func (t *Table) Change() uint64 {
+// Upstreams returns a number that changes whenever anything of an upstream does.
+func (t *Table) Upstreams() uint64 {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	return t.change
+	return t.upstreams
 }
 
-// Forget drops gone VMs that were last reported before the given time. A VM is
-// kept long enough that no message about its old incarnation is still under way.
+// Forget drops gone VMs, and nodes of which nothing was heard, since the given time. A VM
+// is kept long enough that no message about its old incarnation is still under way; a
+// node that is back after so long tells of itself anew.
 func (t *Table) Forget(before time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := 0
 	for id, e := range t.entries {
-		if e.fact.Status == StatusGone && e.seen.Before(before) {
+		if (e.fact.Status == StatusGone || e.fact.Kind == KindNode) && e.seen.Before(before) {
 			delete(t.entries, id)
 			n++
 		}
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -218,6 +218,17 @@
 
 const forgetSilent = 2 * time.Minute
 
+// forget drops what is kept of peers that weren't heard of since a time.
+func (p *peers) forget(before time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, v := range p.byID {
+		if !v.heard.IsZero() && v.heard.Before(before) {
+			delete(p.byID, id)
+		}
+	}
+}
+
 // greetSeeds exchanges with the addresses in the settings, whoever is there.
 func (p *peers) greetSeeds(ctx context.Context) {
 	for _, a := range p.n.o.Seeds {
@@ -250,9 +261,12 @@
 	if err != nil {
 		return
 	}
-	p.observe(id, r.Msg.Facts)
+	missing := p.observe(id, r.Msg.Facts)
 	p.mu.Lock()
 	v.sent, v.have, v.up, v.heard = position, r.Msg.Position, r.Msg.PlatformUp, p.n.clock.Now()
+	if missing {
+		v.have = 0
+	}
 	p.mu.Unlock()
 	if r.Msg.ConfigRevision > p.n.view.Revision() {
 		p.pull(x, v.client, address)
@@ -275,9 +289,9 @@
 	return r
 }
 
-// observe takes in a peer's facts. What a peer says of this very node is ignored:
-// nobody knows it better.
-func (p *peers) observe(source string, list []*wire.Fact) {
+// observe takes in a peer's facts, and tells whether the peer has to be asked for all.
+// What a peer says of this very node is ignored: nobody knows it better.
+func (p *peers) observe(source string, list []*wire.Fact) bool {
 	now := p.n.clock.Now()
 	facts := make([]member.Fact, 0, len(list))
 	for _, w := range list {
@@ -285,18 +299,22 @@
 			facts = append(facts, f)
 		}
 	}
-	p.n.table.Receive(now, source, facts...)
+	_, missing := p.n.table.Receive(now, source, facts...)
+	return missing
 }
 
 // answer is the other side of an exchange.
 func (p *peers) answer(q *wire.ExchangeRequest) *wire.ExchangeResponse {
-	p.observe(q.From, q.Facts)
+	missing := p.observe(q.From, q.Facts)
 	facts, position := p.n.table.Since(member.Peer{ID: q.From, Sent: q.Have, Far: q.Hall != p.n.o.Hall}, factsPerMessage)
 	f, ok := p.n.table.Get(q.From)
 	if ok {
 		v := p.get(q.From, f.Address)
 		p.mu.Lock()
 		v.up, v.heard = q.PlatformUp, p.n.clock.Now()
+		if missing {
+			v.have = 0
+		}
 		p.mu.Unlock()
 	}
 	if ok && q.ConfigRevision > p.n.view.Revision() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -437,6 +437,7 @@
 	n.clock.Every(ctx, time.Second, func(now time.Time) {
 		n.registry.Sweep(now.Add(-keepAnswers))
 		n.table.Forget(now.Add(-keepGone))
+		n.peers.forget(now.Add(-keepGone))
 		n.stopAbandoned(now)
 		metrics.nodes.Set(int64(len(n.liveNodes())))
 		metrics.upstreams.Set(int64(len(n.table.Select(func(f *member.Fact) bool {
