The store's property has a rival between the look at the head and the write

Cause: with the comparison of the head taken out, TestStoreUnderRaces still passed, as its operators came one after the other. They interleave now.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -94,13 +94,24 @@
 		h, err := st.Head(ctx)
 		require.NoError(t, err)
 		told := make(map[string]error)
-		first, base := h.Revision, h.Revision
+		first, base, rivals := h.Revision, h.Revision, 0
 		for i := 0; i < 6; i++ {
 			lossy := kv
 			mode := rapid.IntRange(0, 3).Draw(t, "answer")
 			lossy.Txn = func(ctx context.Context, x platform.Txn) (platform.TxnResult, error) {
-				if mode == 1 {
+				switch mode {
+				case 1:
 					return platform.TxnResult{}, platform.ErrUnknown // lost on the way there
+				case 3: // somebody else is faster, between the look at the head and the write
+					rivals++
+					id := fmt.Sprintf("rival%d-%d", first, rivals)
+					h, err := st.Head(ctx)
+					require.NoError(t, err)
+					v, err := st.Apply(ctx, Change{ID: id, Base: h.Revision, Author: id, Documents: []Document{document("t")}})
+					told[id] = err
+					if err == nil {
+						base = v.Revision
+					}
 				}
 				r, err := kv.Txn(ctx, x)
 				if mode == 2 {
