An entry VM's notice reaches its node when others read it

Cause (found by reading): two nodes of a hall read the notices, and a notice for the VM of any other node was marked under the VM's id, which no node bears; that node never heard that it was leaving (TestNoticeReachesTheNodeThatDoesNotReadNotices fails with the peer's word ignored). The observers mark the node now, and a node acts on a peer's word that bears a time. An entry VM that the list shows as leaving is treated alike.

--- a/internal/node/complete_test.go
+++ b/internal/node/complete_test.go
@@ -189,6 +189,18 @@
 	}
 }
 
+// Two nodes of a hall read the notices; each of the others hears of its own from them.
+func TestNoticeReachesTheNodeThatDoesNotReadNotices(t *testing.T) {
+	r := newRig(t, "hall-a", "hall-a", "hall-a", "hall-a")
+	for _, n := range r.nodes {
+		if n.first("notices", observers) {
+			continue
+		}
+		r.platform.Notice(n.o.VM, time.Second)
+		r.eventually(n.ID()+" leaves", func() bool { return n.State() == "stopped" })
+	}
+}
+
 // A node that leaves while it is cut off from all others keeps what nobody takes, and goes
 // on with it for as long as it is there.
 func TestEntryVMWithNoticeAndNobodyToTakeOver(t *testing.T) {
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -290,12 +290,18 @@
 }
 
 // observe takes in a peer's facts, and tells whether the peer has to be asked for all.
-// What a peer says of this very node is ignored: nobody knows it better.
+// What a peer says of this very node is ignored, since nobody knows it better, but for a
+// notice that it may not have read itself.
 func (p *peers) observe(source string, list []*wire.Fact) bool {
 	now := p.n.clock.Now()
 	facts := make([]member.Fact, 0, len(list))
 	for _, w := range list {
-		if f, ok := member.FromWire(w); ok && f.ID != p.n.id {
+		f, ok := member.FromWire(w)
+		switch {
+		case !ok:
+		case f.ID == p.n.id:
+			p.n.toldToLeave(&f)
+		default:
 			facts = append(facts, f)
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -134,12 +134,19 @@
 	promiseTimeout = 500 * time.Millisecond
 )
 
+const idBytes = 4
+
 func newID(vm string) string {
-	b := make([]byte, 4)
+	b := make([]byte, idBytes)
 	_, _ = rand.Read(b)
 	return vm + "-" + hex.EncodeToString(b)
 }
 
+// vmOf returns the VM that a node's id was made for.
+func vmOf(id string) string {
+	return id[:max(0, len(id)-1-2*idBytes)]
+}
+
 // ID returns the node's id, which is new with each process.
 func (n *Node) ID() string { return n.id }
 
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -44,8 +44,13 @@
 	present := make(map[string]bool, len(list))
 	for i := range list {
 		present[list[i].ID] = true
-		if list[i].Role == platform.RoleUpstream {
+		switch {
+		case list[i].Role == platform.RoleUpstream:
 			facts = append(facts, n.vmFact(&list[i]))
+		case list[i].State == platform.VMLeaving && list[i].ID == n.o.VM:
+			go n.LeaveWithin(defaultNotice)
+		case list[i].State == platform.VMLeaving:
+			n.markLeaving(list[i].ID, defaultNotice)
 		}
 	}
 	n.table.Observe(n.clock.Now(), facts...)
@@ -145,12 +150,37 @@
 		go n.LeaveWithin(v.Within)
 		return
 	}
-	now := n.clock.Now()
-	if n.table.Mark(now, v.VM, member.StatusLeaving, now.Add(v.Within)) {
+	if n.markLeaving(v.VM, v.Within) {
 		n.log.Add("notice", "", fmt.Sprintf("%s goes within %v", v.VM, v.Within))
 	}
 }
 
+// markLeaving marks an upstream, or the node on an entry VM, which learns of it from the
+// next peer that it exchanges facts with: only two nodes of a hall read the notices.
+func (n *Node) markLeaving(vm string, within time.Duration) bool {
+	now := n.clock.Now()
+	if n.table.Mark(now, vm, member.StatusLeaving, now.Add(within)) {
+		return true
+	}
+	for _, f := range n.liveNodes() {
+		if vmOf(f.ID) == vm && f.ID != n.id {
+			return n.table.Mark(now, f.ID, member.StatusLeaving, now.Add(within))
+		}
+	}
+	return false
+}
+
+// toldToLeave acts on a peer's word that this very node is leaving. Without a time it is
+// this node's own word that comes back.
+func (n *Node) toldToLeave(f *member.Fact) {
+	if f.Status != member.StatusLeaving || f.LeavesAt == 0 {
+		return
+	}
+	within := n.noticeLeft(f)
+	n.log.Add("notice", "", fmt.Sprintf("a peer says that this VM goes within %v", within))
+	go n.LeaveWithin(within)
+}
+
 func (n *Node) noticeLeft(f *member.Fact) time.Duration {
 	if f.LeavesAt == 0 {
 		return defaultNotice
