The second stop signal is tested; batch work may wait longer for its first token

Cause (found by reading): a batch request that waited in an engine's own queue for 20 s was taken for stalled and started again elsewhere; batch may wait 2 min now.

callers_open is a metric, so that the test sees a call in progress.

--- a/cmd/spurhalld/process_test.go
+++ b/cmd/spurhalld/process_test.go
@@ -216,6 +216,27 @@
 	assert.NoError(t, c.nodes[0].cmd.Wait())
 }
 
+// TestSecondStopSignal: the second signal doesn't wait for the call in progress.
+func TestSecondStopSignal(t *testing.T) {
+	c := newCluster(t, "1ms", "hall-a", "hall-b")
+	a, err := http.Post("http://"+c.plain+"/standin/fault", "application/json", strings.NewReader(`{"mode":"freeze"}`))
+	require.NoError(t, err)
+	_ = a.Body.Close()
+	done := make(chan reply, 1)
+	go func() { done <- c.nodes[0].checkIn("k", 30*time.Second) }()
+	c.eventually("the call is in progress", func() bool {
+		var v struct {
+			Open int `json:"callers_open"`
+		}
+		return get("http://"+c.nodes[0].admin+"/debug/vars", &v) == nil && v.Open == 1
+	})
+	c.nodes[0].signal(syscall.SIGTERM)
+	c.eventually("readiness drops", func() bool { return get("http://"+c.nodes[0].address+"/readyz", nil) != nil })
+	c.nodes[0].signal(syscall.SIGTERM)
+	assert.NoError(t, c.nodes[0].cmd.Wait())
+	assert.Error(t, (<-done).err, "cut off, as was asked for")
+}
+
 func TestSettingsAreCheckedTogether(t *testing.T) {
 	err := command().Run(t.Context(), []string{"spurhalld", "--vm", "a b", "--hall", "", "--listen", "0.0.0.0:1", "--platform", "x", "--route-policy", "best"})
 	require.Error(t, err)
--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -36,6 +36,7 @@
 // slot and the prefill; between tokens an engine is never silent for long.
 const (
 	firstByteLimit = 20 * time.Second
+	batchByteLimit = 2 * time.Minute // batch work may wait in the engine's own queue
 	betweenLimit   = 3 * time.Second
 )
 
@@ -132,13 +133,13 @@
 		p.mu.Unlock()
 		p.d.o.Event("stream_resumed", c.Record.ID(), fmt.Sprintf("at offset %d on %s", offset, t.fact.ID))
 	}
-	priority := 0
+	priority, first := 0, firstByteLimit
 	if c.Service.Class == config.ClassBatch {
-		priority = 1
+		priority, first = 1, batchByteLimit
 	}
 	call := &upstream.ChatCall{
 		RequestID: c.Record.ID(), Address: t.fact.Address, Body: c.Body, MaxTokens: c.MaxTokens,
-		Priority: priority, Offset: offset, Text: c.Record.Text(), FirstByte: firstByteLimit,
+		Priority: priority, Offset: offset, Text: c.Record.Text(), FirstByte: first,
 		Between: betweenLimit, Traceparent: c.Traceparent,
 	}
 	l.fire("send")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -436,8 +436,11 @@
 
 // Published metrics of the process.
 var metrics = struct {
-	nodes, upstreams, requests, revision *expvar.Int
-}{expvar.NewInt("nodes_live"), expvar.NewInt("upstreams_live"), expvar.NewInt("requests_held"), expvar.NewInt("config_revision")}
+	nodes, upstreams, requests, revision, open *expvar.Int
+}{
+	expvar.NewInt("nodes_live"), expvar.NewInt("upstreams_live"), expvar.NewInt("requests_held"),
+	expvar.NewInt("config_revision"), expvar.NewInt("callers_open"),
+}
 
 // sweep forgets what is over, and brings the metrics up to date.
 func (n *Node) sweep(ctx context.Context) {
@@ -452,6 +455,7 @@
 		}))))
 		metrics.requests.Set(int64(len(n.registry.List(func(*request.Request) bool { return true }))))
 		metrics.revision.Set(int64(n.view.Revision()))
+		metrics.open.Set(n.ingressOpen())
 	})
 }
 
