internal/platform is internal/store; the calls between entry VMs get their own file

Cause: platform/ at the root will hold the users' platform; two packages of one name would be read as one. Nothing but names changes.

--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 	go build -modfile=tools/go.mod -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
 	go build -modfile=tools/go.mod -o bin/protoc-gen-connect-go connectrpc.com/connect/cmd/protoc-gen-connect-go
 	PATH=$(CURDIR)/bin:$$PATH protoc -I proto --go_out=. --go_opt=module=spurhall.example/spurhall \
-		--connect-go_out=. --connect-go_opt=module=spurhall.example/spurhall proto/spurhall/v1/spurhall.proto
+		--connect-go_out=. --connect-go_opt=module=spurhall.example/spurhall proto/spurhall/v1/spurhall.proto proto/spurhall/v1/edge.proto
 
 fuzz: ## each fuzz target for ten seconds
 	bash scripts/fuzz.sh
--- a/cmd/spurhall-standin/main.go
+++ b/cmd/spurhall-standin/main.go
@@ -17,8 +17,8 @@
 
 	"github.com/urfave/cli/v3"
 
-	"spurhall.example/spurhall/internal/platform"
 	"spurhall.example/spurhall/internal/standin"
+	"spurhall.example/spurhall/internal/store"
 	"spurhall.example/spurhall/internal/timer"
 )
 
@@ -116,9 +116,9 @@
 	if c.String("platform") == "" {
 		return nil
 	}
-	b, err := json.Marshal(platform.VM{
-		ID: c.String("id"), Role: platform.RoleUpstream, Service: c.String("pool"), Address: c.String("listen"),
-		Hall: c.String("hall"), Zone: c.String("zone"), Class: c.String("class"), State: platform.VMLive,
+	b, err := json.Marshal(store.VM{
+		ID: c.String("id"), Role: store.RoleUpstream, Service: c.String("pool"), Address: c.String("listen"),
+		Hall: c.String("hall"), Zone: c.String("zone"), Class: c.String("class"), State: store.VMLive,
 		Reclaimable: c.Bool("reclaimable"), Price: c.Float("price"), Slots: c.Int("slots"),
 		Incarnation: uint64(timer.Real().Now().UnixMicro()),
 	})
--- a/cmd/spurhalld/main.go
+++ b/cmd/spurhalld/main.go
@@ -18,9 +18,9 @@
 	"spurhall.example/spurhall/internal/admin"
 	"spurhall.example/spurhall/internal/logging"
 	"spurhall.example/spurhall/internal/node"
-	"spurhall.example/spurhall/internal/platform"
 	"spurhall.example/spurhall/internal/route"
 	"spurhall.example/spurhall/internal/settings"
+	"spurhall.example/spurhall/internal/store"
 	"spurhall.example/spurhall/internal/timer"
 )
 
@@ -126,7 +126,7 @@
 	}
 	n := node.New(node.Options{
 		VM: s.VM, Hall: s.Hall, Zone: s.Zone, PeerAddress: s.Peers, Seeds: s.Seeds, Clock: clock, Log: log,
-		KV: platform.NewGateway(s.Platform, platformTimeout, clock).KV(), Cloud: platform.NewCloud(s.Platform, platformTimeout),
+		KV: store.NewGateway(s.Platform, platformTimeout, clock).KV(), Cloud: store.NewCloud(s.Platform, platformTimeout),
 		PlatformRate: s.PlatformRate, Policy: route.Policy(s.Policy), CrossHall: s.CrossHall, Exchange: s.Exchange,
 		PeerTransport: sec.transport, PeerScheme: sec.scheme, Autoscale: s.Autoscale,
 	})
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -23,8 +23,8 @@
 	"spurhall.example/spurhall/internal/config"
 	"spurhall.example/spurhall/internal/member"
 	"spurhall.example/spurhall/internal/node"
-	"spurhall.example/spurhall/internal/platform"
 	"spurhall.example/spurhall/internal/request"
+	"spurhall.example/spurhall/internal/store"
 	"spurhall.example/spurhall/internal/wire"
 	"spurhall.example/spurhall/internal/wire/wireconnect"
 )
@@ -127,7 +127,7 @@
 		code = connect.CodeNotFound
 	case errors.Is(err, config.ErrUndecided):
 		code = connect.CodeUnknown
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrBudget), errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, store.ErrUnavailable), errors.Is(err, store.ErrBudget), errors.Is(err, store.ErrUnknown):
 		code = connect.CodeUnavailable
 	}
 	return connect.NewError(code, err)
--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -12,7 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/joomcode/errorx"
 
-	"spurhall.example/spurhall/internal/platform"
+	"spurhall.example/spurhall/internal/store"
 	"spurhall.example/spurhall/internal/timer"
 )
 
@@ -51,7 +51,7 @@
 // Options sets a book. The functions are its way to the outside.
 type Options struct {
 	Member   Member
-	KV       platform.KV
+	KV       store.KV
 	Up       func() bool // whether the platform answered lately
 	PeerUp   func() bool // whether a peer says so of itself
 	Clock    *timer.Service
@@ -144,13 +144,13 @@
 	if err := b.join(ctx); err != nil {
 		return err
 	}
-	r, err := b.o.KV.Range(ctx, prefix, platform.PrefixEnd(prefix))
+	r, err := b.o.KV.Range(ctx, prefix, store.PrefixEnd(prefix))
 	if err != nil {
 		return err
 	}
 	b.load(r)
 	b.setPlatform(true)
-	return b.o.KV.Watch(ctx, prefix, platform.PrefixEnd(prefix), r.Revision+1, func(w platform.WatchBatch) error {
+	return b.o.KV.Watch(ctx, prefix, store.PrefixEnd(prefix), r.Revision+1, func(w store.WatchBatch) error {
 		b.setPlatform(true)
 		var list []Change
 		for _, e := range w.Events {
@@ -173,7 +173,7 @@
 	if joined {
 		return nil
 	}
-	r, err := b.o.KV.Range(ctx, memberPrefix, platform.PrefixEnd(memberPrefix))
+	r, err := b.o.KV.Range(ctx, memberPrefix, store.PrefixEnd(memberPrefix))
 	if err != nil {
 		return err
 	}
@@ -182,15 +182,15 @@
 		return err
 	}
 	key := memberPrefix + b.o.Member.ID
-	t := platform.Txn{Then: []platform.Op{{Kind: platform.OpPut, Key: key, Value: v}}}
+	t := store.Txn{Then: []store.Op{{Kind: store.OpPut, Key: key, Value: v}}}
 	for _, p := range r.Pairs {
 		var m Member
 		if json.Unmarshal(p.Value, &m) == nil && m.Address == b.o.Member.Address && m.ID != b.o.Member.ID {
-			t.Then = append(t.Then, platform.Op{Kind: platform.OpDelete, Key: p.Key})
+			t.Then = append(t.Then, store.Op{Kind: store.OpDelete, Key: p.Key})
 		}
 	}
 	_, err = b.o.KV.Txn(ctx, t)
-	if err != nil && !errors.Is(err, platform.ErrUnknown) {
+	if err != nil && !errors.Is(err, store.ErrUnknown) {
 		return err
 	}
 	r, err = b.o.KV.Range(ctx, key, "") // settles a lost answer, too
@@ -208,7 +208,7 @@
 
 // load takes in a whole read: the first one joins the machine, a later one (after
 // the watch broke) is turned into the changes that were missed.
-func (b *Book) load(r platform.RangeResult) {
+func (b *Book) load(r store.RangeResult) {
 	var list []Change
 	seen := make(map[string]bool)
 	for _, p := range r.Pairs {
@@ -230,7 +230,7 @@
 	})
 }
 
-func (b *Book) change(p platform.Pair, deleted bool) (Change, bool) {
+func (b *Book) change(p store.Pair, deleted bool) (Change, bool) {
 	if id, ok := strings.CutPrefix(p.Key, memberPrefix); ok {
 		c := Change{Member: id, Deleted: deleted, Revision: p.Modified}
 		var m Member
@@ -508,12 +508,12 @@
 	}
 	wait.Wait()
 	if ok && created != 0 {
-		_, _ = b.o.KV.Txn(ctx, platform.Txn{Then: []platform.Op{{Kind: platform.OpDelete, Key: memberPrefix + b.o.Member.ID}}})
+		_, _ = b.o.KV.Txn(ctx, store.Txn{Then: []store.Op{{Kind: store.OpDelete, Key: memberPrefix + b.o.Member.ID}}})
 	}
 }
 
 // Retire deletes the record of a member whose VM, having been listed, is gone.
 func (b *Book) Retire(ctx context.Context, id string) error {
-	_, err := b.o.KV.Txn(ctx, platform.Txn{Then: []platform.Op{{Kind: platform.OpDelete, Key: memberPrefix + id}}})
+	_, err := b.o.KV.Txn(ctx, store.Txn{Then: []store.Op{{Kind: store.OpDelete, Key: memberPrefix + id}}})
 	return err
 }
--- a/internal/claim/write.go
+++ b/internal/claim/write.go
@@ -6,7 +6,7 @@
 	"errors"
 	"time"
 
-	"spurhall.example/spurhall/internal/platform"
+	"spurhall.example/spurhall/internal/store"
 )
 
 // This file writes claims to the platform: many in one transaction, each settled
@@ -93,15 +93,15 @@
 	return left, nil
 }
 
-func (b *Book) transaction(ctx context.Context, list []pendingWrite) (platform.Txn, error) {
+func (b *Book) transaction(ctx context.Context, list []pendingWrite) (store.Txn, error) {
 	b.mu.Lock()
 	created := b.created
 	b.mu.Unlock()
 	return b.transactionFor(ctx, list, b.o.Member.ID, created)
 }
 
-func (b *Book) transactionFor(ctx context.Context, list []pendingWrite, member string, created int64) (platform.Txn, error) {
-	t := platform.Txn{If: []platform.Compare{{Key: memberPrefix + member, Target: platform.CompareCreated, Number: created}}}
+func (b *Book) transactionFor(ctx context.Context, list []pendingWrite, member string, created int64) (store.Txn, error) {
+	t := store.Txn{If: []store.Compare{{Key: memberPrefix + member, Target: store.CompareCreated, Number: created}}}
 	for _, p := range list {
 		lease, err := b.lease(ctx, p.lifetime)
 		if err != nil {
@@ -112,15 +112,15 @@
 			return t, err
 		}
 		k := claimKey(p.key)
-		t.If = append(t.If, platform.Absent(k))
-		t.Then = append(t.Then, platform.Op{Kind: platform.OpPut, Key: k, Value: v, Lease: lease})
-		t.Else = append(t.Else, platform.Op{Kind: platform.OpRange, Key: k})
+		t.If = append(t.If, store.Absent(k))
+		t.Then = append(t.Then, store.Op{Kind: store.OpPut, Key: k, Value: v, Lease: lease})
+		t.Else = append(t.Else, store.Op{Kind: store.OpRange, Key: k})
 	}
 	return t, nil
 }
 
 // judge compares a claim that was found with the one that was wanted.
-func (b *Book) judge(p pendingWrite, found platform.Pair) (WriteResult, int64) {
+func (b *Book) judge(p pendingWrite, found store.Pair) (WriteResult, int64) {
 	var v Recorded
 	if json.Unmarshal(found.Value, &v) == nil && v.Attempt == p.attempt {
 		return WriteGranted, found.Modified
@@ -155,7 +155,7 @@
 
 // settleUnknown settles a batch whose transaction gave no answer or wasn't made.
 func (b *Book) settleUnknown(ctx context.Context, list []pendingWrite, err error) {
-	if !errors.Is(err, platform.ErrUnknown) {
+	if !errors.Is(err, store.ErrUnknown) {
 		for _, p := range list {
 			b.behalf(ctx, p)
 		}
@@ -265,9 +265,9 @@
 	if w, _ := b.judge(pendingWrite{attempt: a.Attempt}, r.Pairs[0]); w != WriteGranted {
 		return true
 	}
-	_, err = b.o.KV.Txn(ctx, platform.Txn{
-		If:   []platform.Compare{platform.Unmodified(k, r.Pairs[0].Modified)},
-		Then: []platform.Op{{Kind: platform.OpDelete, Key: k}},
+	_, err = b.o.KV.Txn(ctx, store.Txn{
+		If:   []store.Compare{store.Unmodified(k, r.Pairs[0].Modified)},
+		Then: []store.Op{{Kind: store.OpDelete, Key: k}},
 	})
 	return err == nil
 }
@@ -295,9 +295,9 @@
 	if w, _ := b.judge(pendingWrite{attempt: v.Attempt}, r.Pairs[0]); w != WriteGranted {
 		return
 	}
-	_, _ = b.o.KV.Txn(ctx, platform.Txn{
-		If:   []platform.Compare{platform.Unmodified(k, r.Pairs[0].Modified)},
-		Then: []platform.Op{{Kind: platform.OpPut, Key: k, Value: j, Lease: r.Pairs[0].Lease}},
+	_, _ = b.o.KV.Txn(ctx, store.Txn{
+		If:   []store.Compare{store.Unmodified(k, r.Pairs[0].Modified)},
+		Then: []store.Op{{Kind: store.OpPut, Key: k, Value: j, Lease: r.Pairs[0].Lease}},
 	})
 }
 
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -18,8 +18,8 @@
 	"spurhall.example/spurhall/internal/command"
 	"spurhall.example/spurhall/internal/config"
 	"spurhall.example/spurhall/internal/node"
-	"spurhall.example/spurhall/internal/platform"
 	"spurhall.example/spurhall/internal/standin"
+	"spurhall.example/spurhall/internal/store"
 	"spurhall.example/spurhall/internal/timer"
 )
 
@@ -37,7 +37,7 @@
 	t.Cleanup(p.Close)
 	n := node.New(node.Options{
 		VM: "n1", Hall: "h", Clock: timer.Real(), Log: zap.NewNop(), PlatformRate: 1000, PeerScheme: "http",
-		KV: platform.NewGateway(p.URL, time.Second, timer.Real()).KV(), Cloud: platform.NewCloud(p.URL, time.Second),
+		KV: store.NewGateway(p.URL, time.Second, timer.Real()).KV(), Cloud: store.NewCloud(p.URL, time.Second),
 	})
 	t.Cleanup(n.Stop)
 	s := httptest.NewServer(admin.Handler(admin.Options{Node: n, TokenHashes: []string{config.HashKey("operator")}, Drain: func() {}}))
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -15,8 +15,8 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"spurhall.example/spurhall/internal/platform"
 	"spurhall.example/spurhall/internal/standin"
+	"spurhall.example/spurhall/internal/store"
 	"spurhall.example/spurhall/internal/timer"
 )
 
@@ -87,7 +87,7 @@
 func TestStoreUnderRaces(t *testing.T) {
 	s := httptest.NewServer(standin.NewPlatform(timer.Real()).Handler())
 	t.Cleanup(s.Close)
-	kv := platform.NewGateway(s.URL, time.Second, timer.Real()).KV()
+	kv := store.NewGateway(s.URL, time.Second, timer.Real()).KV()
 	ctx := context.Background()
 	rapid.Check(t, func(t *rapid.T) {
 		st := NewStore(kv)
@@ -98,10 +98,10 @@
 		for i := 0; i < 6; i++ {
 			lossy := kv
 			mode := rapid.IntRange(0, 3).Draw(t, "answer")
-			lossy.Txn = func(ctx context.Context, x platform.Txn) (platform.TxnResult, error) {
+			lossy.Txn = func(ctx context.Context, x store.Txn) (store.TxnResult, error) {
 				switch mode {
 				case 1:
-					return platform.TxnResult{}, platform.ErrUnknown // lost on the way there
+					return store.TxnResult{}, store.ErrUnknown // lost on the way there
 				case 3: // somebody else is faster, between the look at the head and the write
 					rivals++
 					id := fmt.Sprintf("rival%d-%d", first, rivals)
@@ -115,7 +115,7 @@
 				}
 				r, err := kv.Txn(ctx, x)
 				if mode == 2 {
-					return platform.TxnResult{}, platform.ErrUnknown // lost on the way back
+					return store.TxnResult{}, store.ErrUnknown // lost on the way back
 				}
 				return r, err
 			}
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"spurhall.example/spurhall/internal/fault"
-	"spurhall.example/spurhall/internal/platform"
+	"spurhall.example/spurhall/internal/store"
 )
 
 // The store keeps each revision under its own key and the newest revision's
@@ -40,11 +40,11 @@
 
 // Store reads and writes revisions.
 type Store struct {
-	kv platform.KV
+	kv store.KV
 }
 
 // NewStore returns a store in the platform's key-value service.
-func NewStore(kv platform.KV) *Store { return &Store{kv: kv} }
+func NewStore(kv store.KV) *Store { return &Store{kv: kv} }
 
 // Change is one operator's intent.
 type Change struct {
@@ -96,7 +96,7 @@
 
 // History returns the newest revisions, newest first.
 func (s *Store) History(ctx context.Context, limit int) ([]Snapshot, error) {
-	r, err := s.kv.Range(ctx, revisionPrefix, platform.PrefixEnd(revisionPrefix))
+	r, err := s.kv.Range(ctx, revisionPrefix, store.PrefixEnd(revisionPrefix))
 	if err != nil {
 		return nil, err
 	}
@@ -133,7 +133,7 @@
 	}
 	r, err := s.kv.Txn(ctx, write(next.Revision, modified, b))
 	switch {
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, store.ErrUnknown):
 		return s.readBack(ctx, next)
 	case err != nil:
 		return Snapshot{}, err
@@ -143,16 +143,16 @@
 	return next, nil
 }
 
-func write(n uint64, modified int64, b []byte) platform.Txn {
-	t := platform.Txn{
-		If: []platform.Compare{platform.Unmodified(headKey, modified), platform.Absent(revisionKey(n))},
-		Then: []platform.Op{
-			{Kind: platform.OpPut, Key: revisionKey(n), Value: b},
-			{Kind: platform.OpPut, Key: headKey, Value: []byte(strconv.FormatUint(n, 10))},
+func write(n uint64, modified int64, b []byte) store.Txn {
+	t := store.Txn{
+		If: []store.Compare{store.Unmodified(headKey, modified), store.Absent(revisionKey(n))},
+		Then: []store.Op{
+			{Kind: store.OpPut, Key: revisionKey(n), Value: b},
+			{Kind: store.OpPut, Key: headKey, Value: []byte(strconv.FormatUint(n, 10))},
 		},
 	}
 	if n > keptRevisions {
-		t.Then = append(t.Then, platform.Op{Kind: platform.OpDelete, Key: revisionKey(n - keptRevisions)})
+		t.Then = append(t.Then, store.Op{Kind: store.OpDelete, Key: revisionKey(n - keptRevisions)})
 	}
 	return t
 }
@@ -232,7 +232,7 @@
 		return err
 	}
 	accept(v)
-	return s.kv.Watch(ctx, headKey, "", h.Revision+1, func(b platform.WatchBatch) error {
+	return s.kv.Watch(ctx, headKey, "", h.Revision+1, func(b store.WatchBatch) error {
 		if len(b.Events) == 0 {
 			return nil
 		}
--- a/internal/job/journal.go
+++ b/internal/job/journal.go
@@ -20,8 +20,8 @@
 	"github.com/joomcode/errorx"
 
 	"spurhall.example/spurhall/internal/fault"
-	"spurhall.example/spurhall/internal/platform"
 	"spurhall.example/spurhall/internal/request"
+	"spurhall.example/spurhall/internal/store"
 	"spurhall.example/spurhall/internal/stream"
 	"spurhall.example/spurhall/internal/timer"
 )
@@ -43,7 +43,7 @@
 
 // Journal writes and reads jobs.
 type Journal struct {
-	kv       platform.KV
+	kv       store.KV
 	clock    *timer.Service
 	interval time.Duration
 	queue    chan accept
@@ -63,7 +63,7 @@
 )
 
 // New returns a journal. Run has to be called for Accept to end.
-func New(kv platform.KV, clock *timer.Service, interval time.Duration) *Journal {
+func New(kv store.KV, clock *timer.Service, interval time.Duration) *Journal {
 	return &Journal{kv: kv, clock: clock, interval: interval, queue: make(chan accept, queueLimit)}
 }
 
@@ -108,21 +108,21 @@
 }
 
 func (j *Journal) commit(ctx context.Context, list []accept) {
-	t := platform.Txn{}
+	t := store.Txn{}
 	for _, a := range list {
 		b, err := json.Marshal(a.spec)
 		if err != nil {
 			continue
 		}
 		k := prefix + a.spec.ID
-		t.If = append(t.If, platform.Absent(k))
-		t.Then = append(t.Then, platform.Op{Kind: platform.OpPut, Key: k, Value: b})
+		t.If = append(t.If, store.Absent(k))
+		t.Then = append(t.Then, store.Op{Kind: store.OpPut, Key: k, Value: b})
 	}
 	r, err := j.kv.Txn(ctx, t)
 	if err == nil && !r.Succeeded {
 		err = ErrUnheld
 	}
-	if errors.Is(err, platform.ErrUnknown) {
+	if errors.Is(err, store.ErrUnknown) {
 		err = j.readBack(ctx, list[0].spec)
 	} else if err != nil {
 		err = fault.Because(ErrUnheld, "%v", err)
@@ -191,14 +191,14 @@
 // Follow calls f for every job, and again for each that changes, until the watch
 // breaks or the context ends. A job that was removed is no longer open.
 func (j *Journal) Follow(ctx context.Context, f func(e Entry)) error {
-	r, err := j.kv.Range(ctx, prefix, platform.PrefixEnd(prefix))
+	r, err := j.kv.Range(ctx, prefix, store.PrefixEnd(prefix))
 	if err != nil {
 		return err
 	}
 	for _, p := range r.Pairs {
 		f(entry(p))
 	}
-	return j.kv.Watch(ctx, prefix, platform.PrefixEnd(prefix), r.Revision+1, func(b platform.WatchBatch) error {
+	return j.kv.Watch(ctx, prefix, store.PrefixEnd(prefix), r.Revision+1, func(b store.WatchBatch) error {
 		for _, e := range b.Events {
 			f(entry(e.Pair))
 		}
@@ -207,7 +207,7 @@
 }
 
 // entry reads a pair. The value of a deleted one is empty, and so not open.
-func entry(p platform.Pair) Entry {
+func entry(p store.Pair) Entry {
 	e := Entry{ID: strings.TrimPrefix(p.Key, prefix)}
 	var s request.Spec
 	if json.Unmarshal(p.Value, &s) == nil {
@@ -253,9 +253,9 @@
 		return err
 	}
 	k := prefix + s.ID
-	r, err := j.kv.Txn(ctx, platform.Txn{
-		If:   []platform.Compare{platform.Unmodified(k, revision)},
-		Then: []platform.Op{{Kind: platform.OpPut, Key: k, Value: b, Lease: lease}},
+	r, err := j.kv.Txn(ctx, store.Txn{
+		If:   []store.Compare{store.Unmodified(k, revision)},
+		Then: []store.Op{{Kind: store.OpPut, Key: k, Value: b, Lease: lease}},
 	})
 	switch {
 	case err != nil:
--- a/internal/job/journal_test.go
+++ b/internal/job/journal_test.go
@@ -9,9 +9,9 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"spurhall.example/spurhall/internal/platform"
 	"spurhall.example/spurhall/internal/request"
 	"spurhall.example/spurhall/internal/standin"
+	"spurhall.example/spurhall/internal/store"
 	"spurhall.example/spurhall/internal/stream"
 	"spurhall.example/spurhall/internal/timer"
 )
@@ -19,26 +19,26 @@
 // lossy is a platform whose transactions can lose their answers after the effect, or be
 // held back and have it later.
 type lossy struct {
-	platform.KV
+	store.KV
 	mode string
-	held []platform.Txn
+	held []store.Txn
 }
 
 func newLossy(t *testing.T) *lossy {
 	s := httptest.NewServer(standin.NewPlatform(timer.Real()).Handler())
 	t.Cleanup(s.Close)
-	l := &lossy{KV: platform.NewGateway(s.URL, time.Second, timer.Real()).KV()}
+	l := &lossy{KV: store.NewGateway(s.URL, time.Second, timer.Real()).KV()}
 	real := l.KV.Txn
-	l.KV.Txn = func(ctx context.Context, x platform.Txn) (platform.TxnResult, error) {
+	l.KV.Txn = func(ctx context.Context, x store.Txn) (store.TxnResult, error) {
 		switch l.mode {
 		case "after":
 			_, _ = real(ctx, x)
-			return platform.TxnResult{}, platform.ErrUnknown
+			return store.TxnResult{}, store.ErrUnknown
 		case "late":
 			l.held = append(l.held, x)
-			return platform.TxnResult{}, platform.ErrUnknown
+			return store.TxnResult{}, store.ErrUnknown
 		case "down":
-			return platform.TxnResult{}, platform.ErrUnavailable
+			return store.TxnResult{}, store.ErrUnavailable
 		}
 		return real(ctx, x)
 	}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -19,7 +19,7 @@
 
 	"github.com/joomcode/errorx"
 
-	"spurhall.example/spurhall/internal/platform"
+	"spurhall.example/spurhall/internal/store"
 	"spurhall.example/spurhall/internal/timer"
 )
 
@@ -33,7 +33,7 @@
 
 // Lease is one process's side of a lease. It is safe for concurrent use.
 type Lease struct {
-	kv    platform.KV
+	kv    store.KV
 	clock *timer.Service
 	key   string
 	owner string
@@ -45,7 +45,7 @@
 }
 
 // New returns a lease that isn't held. ttl is in whole seconds.
-func New(kv platform.KV, clock *timer.Service, key, owner string, ttl time.Duration) *Lease {
+func New(kv store.KV, clock *timer.Service, key, owner string, ttl time.Duration) *Lease {
 	return &Lease{kv: kv, clock: clock, key: key, owner: owner, ttl: ttl}
 }
 
@@ -91,7 +91,7 @@
 		l.mu.Lock()
 		l.until = before.Add(time.Duration(safety * float64(l.ttl)))
 		l.mu.Unlock()
-	case errors.Is(err, platform.ErrLeaseGone):
+	case errors.Is(err, store.ErrLeaseGone):
 		l.drop()
 	}
 	return err
@@ -111,11 +111,11 @@
 	if err != nil {
 		return err
 	}
-	r, err := l.kv.Txn(ctx, platform.Txn{
-		If:   []platform.Compare{platform.Absent(l.key)},
-		Then: []platform.Op{{Kind: platform.OpPut, Key: l.key, Value: []byte(l.owner), Lease: id}},
+	r, err := l.kv.Txn(ctx, store.Txn{
+		If:   []store.Compare{store.Absent(l.key)},
+		Then: []store.Op{{Kind: store.OpPut, Key: l.key, Value: []byte(l.owner), Lease: id}},
 	})
-	if errors.Is(err, platform.ErrUnknown) {
+	if errors.Is(err, store.ErrUnknown) {
 		return l.readBack(ctx, id, before)
 	}
 	if err == nil && r.Succeeded {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -13,17 +13,17 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"spurhall.example/spurhall/internal/platform"
 	"spurhall.example/spurhall/internal/standin"
+	"spurhall.example/spurhall/internal/store"
 	"spurhall.example/spurhall/internal/timer"
 )
 
 const ttl = 6 * time.Second
 
-func testPlatform(t *testing.T, clock *timer.Service) platform.KV {
+func testPlatform(t *testing.T, clock *timer.Service) store.KV {
 	s := httptest.NewServer(standin.NewPlatform(clock).Handler())
 	t.Cleanup(s.Close)
-	return platform.NewGateway(s.URL, 5*time.Second, timer.Real()).KV()
+	return store.NewGateway(s.URL, 5*time.Second, timer.Real()).KV()
 }
 
 // TestTwoNeverBelieveAtOnce: clocks run, holders pause at any step, answers get lost.
@@ -38,10 +38,10 @@
 		var list []*Lease
 		lost := false
 		lossy := kv
-		lossy.Txn = func(ctx context.Context, x platform.Txn) (platform.TxnResult, error) {
+		lossy.Txn = func(ctx context.Context, x store.Txn) (store.TxnResult, error) {
 			r, err := kv.Txn(ctx, x)
 			if lost {
-				return platform.TxnResult{}, platform.ErrUnknown
+				return store.TxnResult{}, store.ErrUnknown
 			}
 			return r, err
 		}
--- a/internal/node/control_test.go
+++ b/internal/node/control_test.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"spurhall.example/spurhall/internal/config"
-	"spurhall.example/spurhall/internal/platform"
+	"spurhall.example/spurhall/internal/store"
 )
 
 // counted counts the bytes of the calls to peers, both ways.
@@ -98,8 +98,8 @@
 	}))
 	defer reports.Close()
 	for i := 0; i < upstreams; i++ {
-		r.platform.Register(platform.VM{
-			ID: fmt.Sprintf("e%d", i), Role: platform.RoleUpstream, Service: "llm", Address: reports.Listener.Addr().String(),
+		r.platform.Register(store.VM{
+			ID: fmt.Sprintf("e%d", i), Role: store.RoleUpstream, Service: "llm", Address: reports.Listener.Addr().String(),
 			Hall: fmt.Sprintf("hall-%d", i%c.halls), Zone: "z", Slots: 8, Incarnation: 1,
 		})
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,9 +31,9 @@
 	"spurhall.example/spurhall/internal/ingress"
 	"spurhall.example/spurhall/internal/job"
 	"spurhall.example/spurhall/internal/member"
-	"spurhall.example/spurhall/internal/platform"
 	"spurhall.example/spurhall/internal/request"
 	"spurhall.example/spurhall/internal/route"
+	"spurhall.example/spurhall/internal/store"
 	"spurhall.example/spurhall/internal/timeline"
 	"spurhall.example/spurhall/internal/timer"
 	"spurhall.example/spurhall/internal/upstream"
@@ -48,8 +48,8 @@
 	Seeds         []string
 	Clock         *timer.Service
 	Log           *zap.Logger
-	KV            platform.KV
-	Cloud         platform.Cloud
+	KV            store.KV
+	Cloud         store.Cloud
 	PlatformRate  float64 // calls a second that the platform takes in all
 	Policy        route.Policy
 	CrossHall     time.Duration
@@ -68,8 +68,8 @@
 	clock          *timer.Service
 	log            *timeline.Log
 	life           *chart.Life
-	guard          *platform.Guard
-	kv             platform.KV
+	guard          *store.Guard
+	kv             store.KV
 	table          *member.Table
 	view           *config.View
 	store          *config.Store
@@ -103,7 +103,7 @@
 		listed: make(map[string]bool), open: make(map[string]string),
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
-	n.guard = platform.NewGuard(o.Clock, platform.GuardOptions{Reads: o.PlatformRate, Writes: o.PlatformRate / 4})
+	n.guard = store.NewGuard(o.Clock, store.GuardOptions{Reads: o.PlatformRate, Writes: o.PlatformRate / 4})
 	n.kv = n.guard.Wrap(o.KV)
 	n.store = config.NewStore(n.kv)
 	n.journal = job.New(n.kv, o.Clock, commitInterval)
@@ -392,7 +392,7 @@
 	n.clock.Every(ctx, time.Second, func(time.Time) {
 		n.setPace()
 		k := float64(max(len(n.liveNodes()), 1))
-		n.guard.SetRates(platform.GuardOptions{Reads: n.o.PlatformRate / k, Writes: n.o.PlatformRate / 4 / k})
+		n.guard.SetRates(store.GuardOptions{Reads: n.o.PlatformRate / k, Writes: n.o.PlatformRate / 4 / k})
 	})
 }
 
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -7,8 +7,8 @@
 
 	"spurhall.example/spurhall/internal/config"
 	"spurhall.example/spurhall/internal/member"
-	"spurhall.example/spurhall/internal/platform"
 	"spurhall.example/spurhall/internal/route"
+	"spurhall.example/spurhall/internal/store"
 )
 
 // This file observes: the VM list and the notices, by two nodes of each hall, and
@@ -45,11 +45,11 @@
 	for i := range list {
 		present[list[i].ID] = true
 		switch {
-		case list[i].Role == platform.RoleUpstream:
+		case list[i].Role == store.RoleUpstream:
 			facts = append(facts, n.vmFact(&list[i]))
-		case list[i].State == platform.VMLeaving && list[i].ID == n.o.VM:
+		case list[i].State == store.VMLeaving && list[i].ID == n.o.VM:
 			go n.LeaveWithin(defaultNotice)
-		case list[i].State == platform.VMLeaving:
+		case list[i].State == store.VMLeaving:
 			n.markLeaving(list[i].ID, defaultNotice)
 		}
 	}
@@ -59,13 +59,13 @@
 
 // vmFact turns a list entry into a fact. The list says nothing of load, so what is
 // known of it stands.
-func (n *Node) vmFact(v *platform.VM) member.Fact {
+func (n *Node) vmFact(v *store.VM) member.Fact {
 	f := member.Fact{
 		ID: v.ID, Kind: member.KindUpstream, Incarnation: v.Incarnation, Status: member.StatusLive,
 		Hall: v.Hall, Zone: v.Zone, Address: v.Address, Service: v.Service, Class: v.Class,
 		Reclaimable: v.Reclaimable, Price: v.Price, Slots: int32(v.Slots),
 	}
-	if v.State == platform.VMLeaving {
+	if v.State == store.VMLeaving {
 		f.Status = member.StatusLeaving
 	}
 	return f
@@ -144,7 +144,7 @@
 // defaultNotice is taken when a VM is known to leave and nobody said when.
 const defaultNotice = 2 * time.Second
 
-func (n *Node) noticed(v platform.Notice) {
+func (n *Node) noticed(v store.Notice) {
 	if v.VM == n.o.VM {
 		n.log.Add("notice", "", fmt.Sprintf("this VM goes within %v", v.Within))
 		go n.LeaveWithin(v.Within)
--- a/internal/node/rig_test.go
+++ b/internal/node/rig_test.go
@@ -19,8 +19,8 @@
 
 	"spurhall.example/spurhall/internal/config"
 	"spurhall.example/spurhall/internal/member"
-	"spurhall.example/spurhall/internal/platform"
 	"spurhall.example/spurhall/internal/standin"
+	"spurhall.example/spurhall/internal/store"
 	"spurhall.example/spurhall/internal/timer"
 )
 
@@ -91,7 +91,7 @@
 	r.options = edit
 	r.exchange = 100 * time.Millisecond
 	r.plain = standin.NewPlain("orders", timer.Real(), time.Millisecond)
-	r.register("o1", platform.VM{Role: platform.RoleUpstream, Service: "orders", Hall: "hall-a", Zone: "z0"}, r.plain.Handler())
+	r.register("o1", store.VM{Role: store.RoleUpstream, Service: "orders", Hall: "hall-a", Zone: "z0"}, r.plain.Handler())
 	for i, h := range halls {
 		r.addNode(fmt.Sprintf("n%d", i), h)
 	}
@@ -117,7 +117,7 @@
 	return r
 }
 
-func (r *rig) register(id string, v platform.VM, h http.Handler) string {
+func (r *rig) register(id string, v store.VM, h http.Handler) string {
 	s := httptest.NewServer(h)
 	r.t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
 	v.ID, v.Address, v.Incarnation = id, s.Listener.Addr().String(), 1
@@ -135,7 +135,7 @@
 	}
 	o.CacheTokens = 100000
 	e := &rigEngine{Engine: standin.NewEngine(timer.Real(), o), hall: hall}
-	e.address = r.register(id, platform.VM{Role: platform.RoleUpstream, Service: "llm", Hall: hall, Zone: zone, Slots: o.Slots}, e.Handler())
+	e.address = r.register(id, store.VM{Role: store.RoleUpstream, Service: "llm", Hall: hall, Zone: zone, Slots: o.Slots}, e.Handler())
 	r.engines[id] = e
 	return e
 }
@@ -144,14 +144,14 @@
 	n := &rigNode{}
 	peer, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(r.t, err)
-	g := platform.NewGateway(r.server.URL, 500*time.Millisecond, timer.Real())
+	g := store.NewGateway(r.server.URL, 500*time.Millisecond, timer.Real())
 	var seeds []string
 	for _, o := range r.nodes[:min(len(r.nodes), 3)] {
 		seeds = append(seeds, o.o.PeerAddress)
 	}
 	o := Options{
 		VM: vm, Hall: hall, Zone: hall, PeerAddress: peer.Addr().String(), Seeds: seeds, Clock: timer.Real(), Log: zap.NewNop(),
-		KV: n.cuttable(g.KV()), Cloud: n.cuttableCloud(platform.NewCloud(r.server.URL, 500*time.Millisecond)),
+		KV: n.cuttable(g.KV()), Cloud: n.cuttableCloud(store.NewCloud(r.server.URL, 500*time.Millisecond)),
 		PlatformRate: 5000, Exchange: r.exchange, PeerTransport: r.peers, PeerScheme: "http",
 		Blocked: func(a string) bool { _, ok := n.cut.Load(a); return ok },
 	}
@@ -169,23 +169,23 @@
 	return n
 }
 
-func (n *rigNode) cuttable(kv platform.KV) platform.KV {
+func (n *rigNode) cuttable(kv store.KV) store.KV {
 	down := func() error {
 		if n.out.Load() {
-			return platform.ErrUnavailable
+			return store.ErrUnavailable
 		}
 		return nil
 	}
 	w := kv
-	w.Range = func(ctx context.Context, k, e string) (platform.RangeResult, error) {
+	w.Range = func(ctx context.Context, k, e string) (store.RangeResult, error) {
 		if err := down(); err != nil {
-			return platform.RangeResult{}, err
+			return store.RangeResult{}, err
 		}
 		return kv.Range(ctx, k, e)
 	}
-	w.Txn = func(ctx context.Context, t platform.Txn) (platform.TxnResult, error) {
+	w.Txn = func(ctx context.Context, t store.Txn) (store.TxnResult, error) {
 		if err := down(); err != nil {
-			return platform.TxnResult{}, err
+			return store.TxnResult{}, err
 		}
 		return kv.Txn(ctx, t)
 	}
@@ -195,11 +195,11 @@
 		}
 		return kv.Grant(ctx, d)
 	}
-	w.Watch = func(ctx context.Context, k, e string, v int64, f func(platform.WatchBatch) error) error {
+	w.Watch = func(ctx context.Context, k, e string, v int64, f func(store.WatchBatch) error) error {
 		if err := down(); err != nil {
 			return err
 		}
-		return kv.Watch(ctx, k, e, v, func(b platform.WatchBatch) error {
+		return kv.Watch(ctx, k, e, v, func(b store.WatchBatch) error {
 			if err := down(); err != nil {
 				return err
 			}
@@ -209,17 +209,17 @@
 	return w
 }
 
-func (n *rigNode) cuttableCloud(c platform.Cloud) platform.Cloud {
+func (n *rigNode) cuttableCloud(c store.Cloud) store.Cloud {
 	w := c
-	w.VMs = func(ctx context.Context) ([]platform.VM, error) {
+	w.VMs = func(ctx context.Context) ([]store.VM, error) {
 		if n.out.Load() {
-			return nil, platform.ErrUnavailable
+			return nil, store.ErrUnavailable
 		}
 		return c.VMs(ctx)
 	}
-	w.Notices = func(ctx context.Context, after int64) ([]platform.Notice, error) {
+	w.Notices = func(ctx context.Context, after int64) ([]store.Notice, error) {
 		if n.out.Load() {
-			return nil, platform.ErrUnavailable
+			return nil, store.ErrUnavailable
 		}
 		return c.Notices(ctx, after)
 	}
--- a/internal/node/scale.go
+++ b/internal/node/scale.go
@@ -10,7 +10,7 @@
 	"spurhall.example/spurhall/internal/config"
 	"spurhall.example/spurhall/internal/lease"
 	"spurhall.example/spurhall/internal/member"
-	"spurhall.example/spurhall/internal/platform"
+	"spurhall.example/spurhall/internal/store"
 )
 
 // This file leads a hall's VM orders, when this node holds the hall's lease. Without
@@ -72,7 +72,7 @@
 	}
 }
 
-func (s *scaler) pool(ctx context.Context, pool string, offers []platform.Offer) {
+func (s *scaler) pool(ctx context.Context, pool string, offers []store.Offer) {
 	v := s.pools[pool]
 	if v == nil {
 		v = &poolScale{planner: autoscale.New(autoscale.Defaults()), seen: make(map[string]bool)}
@@ -129,11 +129,11 @@
 	}
 	s.serial++
 	f := o.Start
-	err := s.n.o.Cloud.Start(ctx, platform.StartOrder{
+	err := s.n.o.Cloud.Start(ctx, store.StartOrder{
 		ID: fmt.Sprintf("%s-%d-%d", s.n.o.Hall, token, s.serial), Service: pool, Hall: s.n.o.Hall,
 		Zone: f.Zone, Class: f.Class, Reclaimable: f.Reclaimable, Fence: token,
 	})
-	if errors.Is(err, platform.ErrRefused) {
+	if errors.Is(err, store.ErrRefused) {
 		s.n.log.Add("vm_start_refused", "", fmt.Sprintf("%s in %s", f.Class, f.Zone))
 		v.planner.Refused(now, *f)
 		return
--- a/internal/node/scale_test.go
+++ b/internal/node/scale_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/stretchr/testify/assert"
 
-	"spurhall.example/spurhall/internal/platform"
 	"spurhall.example/spurhall/internal/standin"
+	"spurhall.example/spurhall/internal/store"
 )
 
 // TestHallLeaderOrdersVMs: a queue builds up, the hall's leader orders VMs, goes round
@@ -16,8 +16,8 @@
 	r := newRigWith(t, func(o *Options) { o.Autoscale = true }, "hall-a", "hall-a")
 	r.addEngine("e1", "hall-a", "z1", standin.EngineOptions{Slots: 1, Decode: 100 * time.Millisecond})
 	r.waitEngines(1)
-	offer := func(zone string, price float64) platform.Offer {
-		return platform.Offer{Service: "llm", Hall: "hall-a", Zone: zone, Class: "c", Reclaimable: true, Price: price, Slots: 1}
+	offer := func(zone string, price float64) store.Offer {
+		return store.Offer{Service: "llm", Hall: "hall-a", Zone: zone, Class: "c", Reclaimable: true, Price: price, Slots: 1}
 	}
 	r.platform.SetOffers(map[string]bool{"z2": true}, offer("z2", 1), offer("z3", 2))
 	for i := 0; i < 12; i++ {
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"spurhall.example/spurhall/internal/platform"
+	"spurhall.example/spurhall/internal/store"
 	"spurhall.example/spurhall/internal/timer"
 )
 
@@ -21,26 +21,26 @@
 	clock    *timer.Service
 	faults   *faults
 	revision int64
-	pairs    map[string]platform.Pair
+	pairs    map[string]store.Pair
 	log      []change // every event since the start, for watches
 	leases   map[int64]*lease
 	nextID   int64
 	wake     chan struct{}
 	counts   map[string]int64
-	vms      map[string]platform.VM
+	vms      map[string]store.VM
 	listed   []listing // what the VM list showed, and when
-	notices  []platform.Notice
+	notices  []store.Notice
 	lag      time.Duration
 	orders   map[string]bool
 	refuse   map[string]bool // zones that refuse starts
 	fences   map[string]int64
-	offers   []platform.Offer
-	ordered  []platform.StartOrder
+	offers   []store.Offer
+	ordered  []store.StartOrder
 }
 
 type change struct {
 	revision int64
-	event    platform.Event
+	event    store.Event
 }
 
 type lease struct {
@@ -50,16 +50,16 @@
 
 type listing struct {
 	at  time.Time
-	vms []platform.VM
+	vms []store.VM
 }
 
 // NewPlatform returns an empty platform.
 func NewPlatform(clock *timer.Service) *Platform {
 	return &Platform{
 		clock: clock, faults: newFaults(clock), revision: 1,
-		pairs: make(map[string]platform.Pair), leases: make(map[int64]*lease),
+		pairs: make(map[string]store.Pair), leases: make(map[int64]*lease),
 		wake: make(chan struct{}), counts: make(map[string]int64),
-		vms: make(map[string]platform.VM), orders: make(map[string]bool), refuse: make(map[string]bool),
+		vms: make(map[string]store.VM), orders: make(map[string]bool), refuse: make(map[string]bool),
 		fences: make(map[string]int64),
 	}
 }
@@ -114,7 +114,7 @@
 
 func number(n int64) string { return strconv.FormatInt(n, 10) }
 
-func jsonPair(v platform.Pair) kvPair {
+func jsonPair(v store.Pair) kvPair {
 	return kvPair{
 		Key: []byte(v.Key), Value: v.Value, Created: number(v.Created),
 		Modified: number(v.Modified), Version: number(v.Version), Lease: number(v.Lease),
@@ -185,7 +185,7 @@
 	Failure []txnOp      `json:"failure"`
 }
 
-func (c *txnCompare) holds(v platform.Pair) bool {
+func (c *txnCompare) holds(v store.Pair) bool {
 	switch c.Target {
 	case "CREATE":
 		return number(v.Created) == c.Created
@@ -245,12 +245,12 @@
 func (p *Platform) putLocked(revision int64, k string, value []byte, lease int64) {
 	v, ok := p.pairs[k]
 	if !ok {
-		v = platform.Pair{Key: k, Created: revision}
+		v = store.Pair{Key: k, Created: revision}
 	}
 	v.Value, v.Modified, v.Lease = value, revision, lease
 	v.Version++
 	p.pairs[k] = v
-	p.log = append(p.log, change{revision, platform.Event{Pair: v}})
+	p.log = append(p.log, change{revision, store.Event{Pair: v}})
 }
 
 func (p *Platform) deleteLocked(revision int64, r keyRange) bool {
@@ -258,7 +258,7 @@
 	for k := range p.pairs {
 		if r.holds(k) {
 			delete(p.pairs, k)
-			p.log = append(p.log, change{revision, platform.Event{Deleted: true, Pair: platform.Pair{Key: k, Modified: revision}}})
+			p.log = append(p.log, change{revision, store.Event{Deleted: true, Pair: store.Pair{Key: k, Modified: revision}}})
 			any = true
 		}
 	}
@@ -416,8 +416,8 @@
 
 // The cloud: VM list, notices, starts.
 
-func (p *Platform) listLocked() []platform.VM {
-	r := make([]platform.VM, 0, len(p.vms))
+func (p *Platform) listLocked() []store.VM {
+	r := make([]store.VM, 0, len(p.vms))
 	for _, v := range p.vms {
 		r = append(r, v)
 	}
@@ -426,11 +426,11 @@
 }
 
 // Register puts a VM in the list.
-func (p *Platform) Register(v platform.VM) {
+func (p *Platform) Register(v store.VM) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if v.State == "" {
-		v.State = platform.VMLive
+		v.State = store.VMLive
 	}
 	p.vms[v.ID] = v
 	p.recordLocked()
@@ -448,9 +448,9 @@
 func (p *Platform) Notice(id string, within time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.notices = append(p.notices, platform.Notice{Sequence: int64(len(p.notices) + 1), VM: id, Within: within})
+	p.notices = append(p.notices, store.Notice{Sequence: int64(len(p.notices) + 1), VM: id, Within: within})
 	if v, ok := p.vms[id]; ok {
-		v.State = platform.VMLeaving
+		v.State = store.VMLeaving
 		p.vms[id] = v
 	}
 	p.recordLocked()
@@ -471,7 +471,7 @@
 	p.mu.Lock()
 	p.counts["vm_lists"]++
 	at := p.clock.Now().Add(-p.lag)
-	r := []platform.VM{}
+	r := []store.VM{}
 	for _, l := range p.listed {
 		if !l.at.After(at) {
 			r = l.vms
@@ -485,7 +485,7 @@
 	after, _ := strconv.Atoi(r.URL.Query().Get("after"))
 	p.mu.Lock()
 	p.counts["notices"]++
-	list := []platform.Notice{}
+	list := []store.Notice{}
 	if after < len(p.notices) {
 		list = append(list, p.notices[after:]...)
 	}
@@ -494,7 +494,7 @@
 }
 
 func (p *Platform) handleStart(w http.ResponseWriter, r *http.Request) {
-	var o platform.StartOrder
+	var o store.StartOrder
 	if !decode(w, r, &o) {
 		return
 	}
@@ -514,23 +514,23 @@
 }
 
 // SetOffers sets what the cloud may start, and the zones that refuse.
-func (p *Platform) SetOffers(refuse map[string]bool, list ...platform.Offer) {
+func (p *Platform) SetOffers(refuse map[string]bool, list ...store.Offer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.offers, p.refuse = list, refuse
 }
 
 // Ordered returns the start orders that were taken.
-func (p *Platform) Ordered() []platform.StartOrder {
+func (p *Platform) Ordered() []store.StartOrder {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return append([]platform.StartOrder(nil), p.ordered...)
+	return append([]store.StartOrder(nil), p.ordered...)
 }
 
 func (p *Platform) handleOffers(w http.ResponseWriter, _ *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	reply(w, append([]platform.Offer{}, p.offers...))
+	reply(w, append([]store.Offer{}, p.offers...))
 }
 
 func (p *Platform) handleStop(w http.ResponseWriter, r *http.Request) {
@@ -549,7 +549,7 @@
 }
 
 func (p *Platform) handleRegister(w http.ResponseWriter, r *http.Request) {
-	var v platform.VM
+	var v store.VM
 	if !decode(w, r, &v) {
 		return
 	}
@@ -562,7 +562,7 @@
 }
 
 func (p *Platform) handleNotice(w http.ResponseWriter, r *http.Request) {
-	var n platform.Notice
+	var n store.Notice
 	if !decode(w, r, &n) {
 		return
 	}
--- a/internal/platform/gateway.go
+++ b/internal/store/gateway.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"bytes"
--- a/internal/platform/kv.go
+++ b/internal/store/kv.go
@@ -1,4 +1,4 @@
-// Package platform speaks to what the operators already run: the key-value
+// Package store speaks to what the operators already run: the key-value
 // service, the VM list with its notices, and the cloud API.
 //
 // The key-value service is reached by etcd's published v3 JSON gateway over
@@ -13,7 +13,7 @@
 // The one distinction that everything above relies on is ErrUnavailable (the
 // call had no effect) against ErrUnknown (it may have had one). A caller that
 // gets ErrUnknown reads back before it concludes anything.
-package platform
+package store
 
 import (
 	"context"
@@ -22,7 +22,7 @@
 	"github.com/joomcode/errorx"
 )
 
-var errs = errorx.NewNamespace("platform")
+var errs = errorx.NewNamespace("store")
 
 var (
 	// ErrUnavailable says that the call had no effect: try later.
