A stopping node begins nothing that might not end before it is killed

Ruled out: closing the listeners at once; the balancer sends callers until two questions have failed. Change: 2.5 s after the signal requests are refused as not run, with the connection closed and Retry-After at once.

--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -22,7 +22,7 @@
 	})
 	done := make(chan struct{})
 	go func() {
-		n.lease.Run(ctx, func() bool { return n.listed.Load() && !n.leaving.Load() })
+		n.lease.Run(ctx, func() bool { return n.listed.Load() && !n.isLeaving() })
 		close(done)
 	}()
 	n.clock.Every(ctx, dutyEvery, func(time.Time) { r.Step(ctx) })
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -66,8 +66,8 @@
 	lease *lease.Lease
 
 	catalog atomic.Pointer[held]
-	listed  atomic.Bool // the upstreams have been read once
-	leaving atomic.Bool
+	listed  atomic.Bool  // the upstreams have been read once
+	phase   atomic.Int32 // of a planned stop, a forward.Phase
 
 	mu      sync.Mutex // for what follows
 	quotas  *quota.Quotas
@@ -105,7 +105,7 @@
 	n.lease = lease.New(n.kv, o.Clock, dutyKey, s.Node, max(s.Lease, s.Store.MinLease))
 	n.front = forward.NewServer(forward.Options{
 		Clock: o.Clock, Log: o.Log, Dialect: o.Dialect, Pools: n.pools, Lines: n.lines, Catalog: n.current,
-		Charge: n.charge, Refund: n.refund, Began: n.began, First: n.first, Repeat: n.repeat, Stopping: n.leaving.Load,
+		Charge: n.charge, Refund: n.refund, Began: n.began, First: n.first, Repeat: n.repeat, Phase: n.stopPhase,
 	})
 	return n
 }
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -138,7 +138,7 @@
 	loads, placed := n.pools.Report()
 	r := &wire.NodeReport{
 		Node: n.s.Node, Lifetime: n.o.Lifetime, Address: n.s.Peers, ListRevision: n.pools.Revision(),
-		StoreUp: n.guard.Up(), Leaving: n.leaving.Load(),
+		StoreUp: n.guard.Up(), Leaving: n.isLeaving(),
 	}
 	if h := n.catalog.Load(); h != nil {
 		r.CatalogVersion = h.catalog.Version()
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"spurhall.example/spurhall/internal/forward"
 	"spurhall.example/spurhall/internal/metric"
 	"spurhall.example/spurhall/internal/wire/wireconnect"
 )
@@ -26,10 +27,13 @@
 // come for a while and nothing is in progress, or shortly before it would be killed.
 
 const (
-	maxHeader    = 64 << 10
-	readHeader   = 15 * time.Second  // callers keep to less
-	idleCallers  = 180 * time.Second // callers keep to less
-	stopMinimum  = 2500 * time.Millisecond
+	maxHeader   = 64 << 10
+	readHeader  = 15 * time.Second  // callers keep to less
+	idleCallers = 180 * time.Second // callers keep to less
+	// stopTakes is how long after the stop signal requests are still begun: the balancer
+	// needs two failed questions, a second apart, to send callers elsewhere.
+	stopTakes    = 2500 * time.Millisecond
+	stopMinimum  = 3 * time.Second
 	stopMargin   = 600 * time.Millisecond // before the kill
 	stopPoll     = 50 * time.Millisecond
 	stopQuiet    = 300 * time.Millisecond
@@ -143,10 +147,14 @@
 	}
 }
 
+func (n *Node) stopPhase() forward.Phase { return forward.Phase(n.phase.Load()) }
+
+func (n *Node) isLeaving() bool { return n.stopPhase() != forward.PhaseServing }
+
 // ready tells whether this node should get callers: it knows the configuration and the
 // upstreams, and isn't stopping.
 func (n *Node) ready() bool {
-	return n.current() != nil && n.listed.Load() && !n.leaving.Load()
+	return n.current() != nil && n.listed.Load() && !n.isLeaving()
 }
 
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
@@ -171,9 +179,10 @@
 
 // stop waits until the callers are gone, within the time there is.
 func (n *Node) stop(t *traffic) {
-	n.leaving.Store(true)
+	n.phase.Store(int32(forward.PhaseLeaving))
 	begun := n.clock.Now()
 	n.log.Info("stopping")
+	defer n.clock.AfterFunc(stopTakes, func() { n.phase.Store(int32(forward.PhaseClosed)) })()
 	for {
 		now := n.clock.Now()
 		d := now.Sub(begun)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -69,10 +69,20 @@
 	// First notes a first send to a service, Repeat asks for leave to send again.
 	First  func(service string)
 	Repeat func(service string) bool
-	// Stopping tells whether callers should take their next request elsewhere.
-	Stopping func() bool
+	// Phase tells how far a planned stop has come.
+	Phase func() Phase
 }
 
+// Phase is how far a planned stop has come.
+type Phase int
+
+// The phases.
+const (
+	PhaseServing Phase = iota
+	PhaseLeaving       // callers should take their next request elsewhere
+	PhaseClosed        // what comes now might not end in time, and isn't begun
+)
+
 // Server is the callers' side of a node.
 type Server struct {
 	o    Options
@@ -128,9 +138,6 @@
 	count("requests", 1)
 	gauge("requests_now", 1)
 	defer gauge("requests_now", -1)
-	if s.o.Stopping() {
-		w.Header().Set("Connection", "close")
-	}
 	a, cancel, err := s.serve(r.Context(), q)
 	defer cancel()
 	if err != nil {
@@ -141,6 +148,9 @@
 }
 
 func (s *Server) serve(ctx context.Context, q *request) (*answer, context.CancelFunc, error) {
+	if s.o.Phase() == PhaseClosed {
+		return nil, func() {}, &refusal{status: http.StatusServiceUnavailable, reason: "this node is stopping", retry: retryElsewhere}
+	}
 	if err := s.readBody(q); err != nil {
 		return nil, func() {}, err
 	}
@@ -186,8 +196,9 @@
 
 // The waits told to callers whose request has not run.
 const (
-	retrySoon  = 200 * time.Millisecond // another upstream is likely free by then
-	retryStart = time.Second            // this node has just started
+	retrySoon      = 200 * time.Millisecond // another upstream is likely free by then
+	retryStart     = time.Second            // this node has just started
+	retryElsewhere = 10 * time.Millisecond  // another node can take it now
 )
 
 // authorize finds the route and the workspace.
@@ -262,6 +273,9 @@
 	}
 	s.done(q, r.status, "refused", err)
 	h := w.Header()
+	if s.o.Phase() != PhaseServing {
+		h.Set("Connection", "close")
+	}
 	if r.retry > 0 {
 		s.o.Dialect.WriteRetryAfter(h, r.retry)
 	}
@@ -276,7 +290,7 @@
 	for k, v := range a.header {
 		h[k] = v
 	}
-	if s.o.Stopping() {
+	if s.o.Phase() != PhaseServing {
 		h.Set("Connection", "close")
 	}
 	if a.stream != nil {
