--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -6,9 +6,11 @@
 	"errors"
 	"time"
 
+	"connectrpc.com/connect"
 	"go.uber.org/zap"
 
 	"spurhall.example/spurhall/internal/store"
+	"spurhall.example/spurhall/internal/wire"
 )
 
 // This file makes nodes find each other: each holds a key in the store under a lease,
@@ -36,27 +38,36 @@
 // register keeps this node's key in the store until the context ends.
 func (n *Node) register(ctx context.Context) {
 	id := int64(0)
-	n.clock.Every(ctx, memberRenew, func(time.Time) {
-		if id != 0 {
-			_, err := n.kv.KeepAlive(ctx, id)
-			if !errors.Is(err, store.ErrLeaseGone) {
-				return // renewed, or the next round tries again
-			}
-			id = 0
-		}
-		v, err := n.enter(ctx)
-		if err != nil {
-			n.log.Info("registration_failed", zap.String("cause", err.Error()))
-			return
+	for ctx.Err() == nil {
+		pause := memberRenew
+		if id = n.renew(ctx, id); id == 0 {
+			pause = followPause // the others wait for it
 		}
-		id = v
-		n.log.Info("registered", zap.Int64("lease", id))
-	})
+		_ = n.clock.Sleep(ctx, pause) // the loop's condition sees the end
+	}
 	if id != 0 {
 		n.withdraw(id)
 	}
 }
 
+// renew keeps the lease of this node's key, or enters the key anew. It returns the
+// lease, or 0 if there is none.
+func (n *Node) renew(ctx context.Context, id int64) int64 {
+	if id != 0 {
+		_, err := n.kv.KeepAlive(ctx, id)
+		if !errors.Is(err, store.ErrLeaseGone) {
+			return id // renewed, or the next round tries again
+		}
+	}
+	id, err := n.enter(ctx)
+	if err != nil {
+		n.log.Info("registration_failed", zap.String("cause", err.Error()))
+		return 0
+	}
+	n.log.Info("registered", zap.Int64("lease", id))
+	return id
+}
+
 func (n *Node) enter(ctx context.Context) (int64, error) {
 	id, err := n.kv.Grant(ctx, max(memberTTL, n.s.Store.MinLease))
 	if err != nil {
@@ -137,3 +148,33 @@
 	}
 	n.peers.get(name, v.Address).listed = now
 }
+
+// greet calls the seeds until another node is known: a node that starts while the store
+// is away has no other way to find one.
+func (n *Node) greet(ctx context.Context) {
+	for len(n.s.Seeds) > 0 && ctx.Err() == nil {
+		n.mu.Lock()
+		known := len(n.peers.peers) > 0
+		n.mu.Unlock()
+		if known {
+			return
+		}
+		for _, a := range n.s.Seeds {
+			if a != n.s.Peers {
+				n.greetOne(ctx, a)
+			}
+		}
+		_ = n.clock.Sleep(ctx, reportEvery) // the loop's condition sees the end
+	}
+}
+
+func (n *Node) greetOne(ctx context.Context, address string) {
+	c, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	a, err := n.peers.client(address).Report(c, connect.NewRequest(&wire.ReportRequest{Report: n.report()}))
+	if err != nil {
+		n.log.Info("seed_silent", zap.String("address", address), zap.String("cause", err.Error()))
+		return
+	}
+	n.takeIn(ctx, a.Msg.Report)
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -183,7 +183,7 @@
 
 // takeIn takes in another node's report.
 func (n *Node) takeIn(ctx context.Context, r *wire.NodeReport) {
-	if r.Node == "" || r.Node == n.s.Node {
+	if r.GetNode() == "" || r.Node == n.s.Node {
 		return
 	}
 	if !n.admitReport(r) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -170,6 +170,7 @@
 type Use struct {
 	p       *Pools
 	m       *member
+	entry   Entry // as it was chosen
 	begun   time.Time
 	engine  bool
 	prompt  float64 // counted as queued until the first event
@@ -180,7 +181,7 @@
 }
 
 // Entry returns the upstream chosen.
-func (u *Use) Entry() Entry { return u.m.entry }
+func (u *Use) Entry() Entry { return u.entry }
 
 // Pick chooses an upstream and counts the request there. It returns nil if there is
 // none. The caller ends the use by End.
@@ -195,7 +196,7 @@
 	}
 	m, c := members[i], list[i]
 	p.outlier(n.Service).Sending(m.entry.ID)
-	u := &Use{p: p, m: m, begun: now, engine: n.Engine}
+	u := &Use{p: p, m: m, entry: m.entry, begun: now, engine: n.Engine}
 	u.prompt = max(0, n.Prompt-c.Cached)
 	u.held = n.Prompt + n.Output
 	u.expect = 10 + (c.Queued+u.prompt)/tokensPerMs
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -22,7 +22,7 @@
 type Engine struct {
 	mu      sync.Mutex
 	clock   *timer.Service
-	faults  *faults
+	faults  *Faults
 	o       EngineOptions
 	client  *http.Client
 	running int
@@ -92,14 +92,14 @@
 // NewEngine returns an idle engine.
 func NewEngine(clock *timer.Service, o EngineOptions) *Engine {
 	return &Engine{
-		clock: clock, faults: newFaults(clock), o: o, client: &http.Client{Timeout: 30 * time.Second},
+		clock: clock, faults: NewFaults(clock), o: o, client: &http.Client{Timeout: 30 * time.Second},
 		cache: newPrefixCache(o.CacheTokens), imports: make(map[string]int), streams: make(map[string]*stream),
 		stats: EngineStats{Runs: make(map[string]int)}, die: make(chan struct{}),
 	}
 }
 
 // Fault puts a fault in force.
-func (e *Engine) Fault(f Fault) { e.faults.set(f) }
+func (e *Engine) Fault(f Fault) { e.faults.Set(f) }
 
 // Stats returns the counts so far.
 func (e *Engine) Stats() EngineStats {
@@ -144,7 +144,7 @@
 	m.HandleFunc("GET /standin/stats", func(w http.ResponseWriter, _ *http.Request) { reply(w, e.Stats()) })
 	m.HandleFunc("POST /standin/leave", func(w http.ResponseWriter, _ *http.Request) { e.Leave(); w.WriteHeader(http.StatusNoContent) })
 	m.HandleFunc("POST /standin/die", func(w http.ResponseWriter, _ *http.Request) { e.Die(); w.WriteHeader(http.StatusNoContent) })
-	return e.faults.wrap(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return e.faults.Wrap(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		select {
 		case <-e.die:
 			if !strings.HasPrefix(r.URL.Path, "/standin/") {
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -9,7 +9,10 @@
 package standin
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -29,6 +32,8 @@
 	FaultFreeze FaultMode = "freeze" // answers nothing until cleared
 	FaultRefuse FaultMode = "refuse" // 503 before any effect
 	FaultCut    FaultMode = "cut"    // cuts the connection before any effect
+	FaultLate   FaultMode = "late"   // cuts the connection, and serves after the delay
+	FaultBusy   FaultMode = "busy"   // 429 before any effect
 )
 
 // Fault is one fault in force. Count 0 means until it is cleared.
@@ -39,19 +44,21 @@
 	Count int       `json:"count"`
 }
 
-// faults is the switch in front of a stand-in's handler.
-type faults struct {
+// Faults is the switch in front of a stand-in's handler.
+type Faults struct {
 	mu    sync.Mutex
 	clock *timer.Service
 	now   Fault
 	clear chan struct{}
 }
 
-func newFaults(clock *timer.Service) *faults {
-	return &faults{clock: clock, clear: make(chan struct{})}
+// NewFaults returns a switch with no fault in force.
+func NewFaults(clock *timer.Service) *Faults {
+	return &Faults{clock: clock, clear: make(chan struct{})}
 }
 
-func (f *faults) set(v Fault) {
+// Set puts a fault in force, and lets go what the one before held.
+func (f *Faults) Set(v Fault) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.now = v
@@ -59,7 +66,7 @@
 	f.clear = make(chan struct{})
 }
 
-func (f *faults) take(path string) (Fault, <-chan struct{}) {
+func (f *Faults) take(path string) (Fault, <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	v := f.now
@@ -75,7 +82,8 @@
 	return v, f.clear
 }
 
-func (f *faults) wrap(h http.Handler) http.Handler {
+// Wrap puts the switch in front of a handler.
+func (f *Faults) Wrap(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/standin/fault" {
 			f.serve(w, r)
@@ -98,8 +106,14 @@
 		case FaultRefuse:
 			http.Error(w, "stand-in refuses", http.StatusServiceUnavailable)
 			return
+		case FaultBusy:
+			http.Error(w, "stand-in is busy", http.StatusTooManyRequests)
+			return
 		case FaultCut:
 			panic(http.ErrAbortHandler)
+		case FaultLate:
+			f.late(h, r, time.Duration(v.Delay)*time.Millisecond)
+			panic(http.ErrAbortHandler)
 		case FaultLose:
 			h.ServeHTTP(&discard{header: http.Header{}}, r)
 			panic(http.ErrAbortHandler)
@@ -108,13 +122,24 @@
 	})
 }
 
-func (f *faults) serve(w http.ResponseWriter, r *http.Request) {
+// late serves a copy of the request once the delay is over; nobody sees the answer.
+func (f *Faults) late(h http.Handler, r *http.Request, d time.Duration) {
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	c := r.Clone(context.WithoutCancel(r.Context()))
+	c.Body = io.NopCloser(bytes.NewReader(b))
+	f.clock.AfterFunc(d, func() { h.ServeHTTP(&discard{header: http.Header{}}, c) })
+}
+
+func (f *Faults) serve(w http.ResponseWriter, r *http.Request) {
 	var v Fault
 	if err := json.NewDecoder(r.Body).Decode(&v); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	f.set(v)
+	f.Set(v)
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -13,7 +13,7 @@
 type Plain struct {
 	mu     sync.Mutex
 	clock  *timer.Service
-	faults *faults
+	faults *Faults
 	runs   map[string]int
 	work   time.Duration
 	name   string
@@ -21,11 +21,11 @@
 
 // NewPlain returns a plain service whose calls take that long.
 func NewPlain(name string, clock *timer.Service, work time.Duration) *Plain {
-	return &Plain{name: name, clock: clock, faults: newFaults(clock), runs: make(map[string]int), work: work}
+	return &Plain{name: name, clock: clock, faults: NewFaults(clock), runs: make(map[string]int), work: work}
 }
 
 // Fault puts a fault in force.
-func (p *Plain) Fault(f Fault) { p.faults.set(f) }
+func (p *Plain) Fault(f Fault) { p.faults.Set(f) }
 
 // Runs returns how often each key ran. A call without a key counts under its
 // request id.
@@ -44,7 +44,7 @@
 	m := http.NewServeMux()
 	m.HandleFunc("GET /standin/runs", func(w http.ResponseWriter, _ *http.Request) { reply(w, p.Runs()) })
 	m.HandleFunc("/", p.run)
-	return p.faults.wrap(m)
+	return p.faults.Wrap(m)
 }
 
 func (p *Plain) run(w http.ResponseWriter, r *http.Request) {
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -2,6 +2,7 @@
 # Runs each fuzz target for ten seconds.
 set -eu
 cd "$(dirname "$0")/.."
-for t in ./internal/upstream:FuzzChatStream ./internal/ingress:FuzzParseChat ./internal/config:FuzzParseAndRender; do
+for t in ./internal/upstream:FuzzChatStream ./internal/ingress:FuzzParseChat ./internal/config:FuzzParseAndRender \
+  ./internal/forward:FuzzEvents ./platform:FuzzDecodeCatalog ./platform:FuzzDecodeEntry ./platform:FuzzReadParts; do
   go test "${t%%:*}" -run XXX -fuzz "${t##*:}" -fuzztime "${FUZZ_TIME:-10s}"
 done
