--- /dev/null
+++ b/internal/autoscale/mix.go
@@ -0,0 +1,194 @@
+package autoscale
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+// This file decides how many upstreams of a service each hall should have where the
+// platform takes counts a hall and kind, instead of orders for single VMs.
+//
+// Reclaimable upstreams cost a fraction, and are taken a hall at a time. Waves come in
+// series: the halls not yet hit are likely next, and while a wave lasts no reclaimable
+// ones are to be had. So in calm times the load is carried by reclaimable upstreams on
+// a base of on-demand ones, and from the first notice on the base is raised until it
+// carries the load alone; it is lowered again when no notice has come for a while and
+// the reclaimable ones are back. What is raised takes a boot time to help, so it is
+// raised for what the load may become in it; what is lowered waits until the need has
+// been lower for a while.
+//
+// Weighed, measured on the bench: fixed numbers of each kind (docs/DECISIONS.md).
+
+// HallState is what a hall has.
+type HallState struct {
+	Hall        string
+	Price       float64 // of one upstream, relative to the others
+	OnDemand    int     // ready, not leaving
+	Reclaimable int
+	Leaving     int // reclaimable ones under notice
+}
+
+// MixSpec bounds the counts of a service. Both kinds together stay in Min to Max a hall.
+type MixSpec struct {
+	Min, Max         int
+	ReclaimablePrice float64 // relative to an on-demand upstream; 0 or over 1: none are bought
+	Boot             time.Duration
+}
+
+// Count is what a hall should have.
+type Count struct {
+	Hall        string
+	OnDemand    int
+	Reclaimable int
+}
+
+// MixOptions sets a planner.
+type MixOptions struct {
+	// Work is how much of its time an upstream should be busy.
+	Work float64
+	// Spare is how many reclaimable upstreams a hall has beyond its part of the need.
+	Spare int
+	// Calm is how long after the last notice the base is held up.
+	Calm time.Duration
+	// Hold is how long the need has to be lower before on-demand upstreams go.
+	Hold time.Duration
+}
+
+// MixDefaults returns the options in use; docs/DECISIONS.md has the trials.
+func MixDefaults() MixOptions {
+	return MixOptions{Work: 0.55, Spare: 1, Calm: 9 * time.Second, Hold: 5 * time.Second}
+}
+
+// Mix plans one service. It isn't safe for concurrent use.
+type Mix struct {
+	o        MixOptions
+	notice   time.Duration // of the last notice seen
+	noticed  bool
+	begun    bool          // some work has come
+	high     float64       // the need that is held
+	since    time.Duration // since when the need is lower
+	refused  map[string]time.Duration
+	refusals map[string]int
+}
+
+// NewMix returns a planner.
+func NewMix(o MixOptions) *Mix {
+	return &Mix{o: o, refused: make(map[string]time.Duration), refusals: make(map[string]int)}
+}
+
+const (
+	// idleNeed is the need below which nothing is known of the load yet.
+	idleNeed = 0.1
+	// refusalPause is the first pause after a hall has no reclaimable upstreams to give;
+	// it doubles up to refusalLimit.
+	refusalPause = time.Second
+	refusalLimit = 4 * time.Second
+)
+
+// Refused notes that a hall had no reclaimable upstreams to give.
+func (m *Mix) Refused(now time.Duration, hall string) {
+	m.refused[hall] = now + min(refusalPause<<min(m.refusals[hall], 4), refusalLimit)
+	m.refusals[hall]++
+}
+
+// Granted notes that a hall gave some.
+func (m *Mix) Granted(hall string) {
+	delete(m.refused, hall)
+	delete(m.refusals, hall)
+}
+
+// Plan returns the counts wanted. load is the work that comes, in upstreams kept busy all
+// the time.
+func (m *Mix) Plan(now time.Duration, load float64, s MixSpec, halls []HallState) []Count {
+	need := m.hold(now, load/m.o.Work, halls)
+	wave := m.wave(now, halls)
+	sort.Slice(halls, func(i, j int) bool {
+		if halls[i].Price != halls[j].Price {
+			return halls[i].Price < halls[j].Price
+		}
+		return halls[i].Hall < halls[j].Hall
+	})
+	buys := s.ReclaimablePrice > 0 && s.ReclaimablePrice < 1
+	safe := need // what on-demand upstreams have to carry
+	if buys && !wave {
+		safe = math.Max(0, need-float64(m.dependable(halls)))
+	}
+	counts := m.spread(int(math.Ceil(safe-1e-9)), s, halls)
+	if !buys {
+		return counts
+	}
+	for i, h := range halls {
+		want := int(math.Ceil(need/float64(len(halls))-1e-9)) + m.o.Spare
+		want = max(0, min(want, s.Max-counts[i].OnDemand))
+		if now < m.refused[h.Hall] {
+			want = min(want, h.Reclaimable)
+		}
+		counts[i].Reclaimable = want
+	}
+	return counts
+}
+
+// hold lets the need rise at once and fall late. What a planner finds when it begins is
+// what somebody held to be needed.
+func (m *Mix) hold(now time.Duration, need float64, halls []HallState) float64 {
+	if !m.begun {
+		found := 0
+		for _, h := range halls {
+			found += h.OnDemand
+		}
+		m.high, m.since = max(m.high, float64(found)), now
+		m.begun = need > idleNeed
+	}
+	if need >= m.high {
+		m.high, m.since = need, now
+		return need
+	}
+	if now-m.since >= m.o.Hold {
+		m.high, m.since = need, now
+	}
+	return m.high
+}
+
+func (m *Mix) wave(now time.Duration, halls []HallState) bool {
+	for _, h := range halls {
+		if h.Leaving > 0 {
+			m.noticed, m.notice = true, now
+		}
+	}
+	return m.noticed && now-m.notice < m.o.Calm
+}
+
+// dependable is how many reclaimable upstreams are left if the hall with most is taken.
+func (m *Mix) dependable(halls []HallState) int {
+	sum, most := 0, 0
+	for _, h := range halls {
+		sum += h.Reclaimable
+		most = max(most, h.Reclaimable)
+	}
+	return sum - most
+}
+
+// spread deals on-demand upstreams out: each hall its least, the rest to the cheapest
+// halls in turn.
+func (m *Mix) spread(n int, s MixSpec, halls []HallState) []Count {
+	counts := make([]Count, len(halls))
+	for i, h := range halls {
+		counts[i] = Count{Hall: h.Hall, OnDemand: max(1, s.Min)}
+		n -= counts[i].OnDemand
+	}
+	for n > 0 {
+		given := false
+		for i := range counts {
+			if n > 0 && counts[i].OnDemand < s.Max {
+				counts[i].OnDemand++
+				n--
+				given = true
+			}
+		}
+		if !given {
+			break
+		}
+	}
+	return counts
+}
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -13,7 +13,7 @@
 // duties takes the lease when it is free, and does what the platform asks of its
 // holder.
 func (n *Node) duties(ctx context.Context) {
-	if !n.s.Cloud.Usage {
+	if !n.s.Cloud.Usage && !n.s.Cloud.Scale {
 		return
 	}
 	r := duty.NewReporter(duty.Options{
@@ -25,7 +25,15 @@
 		n.lease.Run(ctx, func() bool { return n.listed.Load() && !n.isLeaving() })
 		close(done)
 	}()
-	n.clock.Every(ctx, dutyEvery, func(time.Time) { r.Step(ctx) })
+	o := newOrderer(n)
+	n.clock.Every(ctx, dutyEvery, func(time.Time) {
+		if n.s.Cloud.Usage {
+			r.Step(ctx)
+		}
+		if n.s.Cloud.Scale {
+			o.step(ctx)
+		}
+	})
 	<-done
 }
 
--- /dev/null
+++ b/internal/edge/orders.go
@@ -0,0 +1,214 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"math"
+	"time"
+
+	"go.uber.org/zap"
+
+	"spurhall.example/spurhall/internal/autoscale"
+	"spurhall.example/spurhall/internal/catalog"
+	"spurhall.example/spurhall/internal/duty"
+	"spurhall.example/spurhall/internal/pool"
+)
+
+// This file orders upstreams, at the node that holds the duties' lease. The decision is
+// autoscale.Mix; here its inputs are gathered and its counts become calls.
+//
+// An order states a whole count, so a late or repeated one does no harm beyond its
+// time. A count is ordered when it changes, and again while the hall doesn't have it.
+
+const (
+	// orderAgain is how often a count that the hall doesn't have is ordered again.
+	orderAgain = 2 * time.Second
+	// rateHalf is the time over which the measured rate of work counts half.
+	rateHalf = 2 * time.Second
+)
+
+// subject is what an order is about.
+type subject struct {
+	service     string
+	hall        string
+	reclaimable bool
+}
+
+type placed struct {
+	count int
+	at    time.Time
+}
+
+type orderer struct {
+	n      *Node
+	mixes  map[string]*autoscale.Mix
+	rates  map[string]*rate
+	orders map[subject]placed
+	token  int64
+}
+
+func newOrderer(n *Node) *orderer {
+	return &orderer{n: n, mixes: make(map[string]*autoscale.Mix), rates: make(map[string]*rate), orders: make(map[subject]placed)}
+}
+
+// rate is how fast a sum grows that is heard in reports.
+type rate struct {
+	last  map[string]float64 // by node
+	value float64            // tokens a second
+	at    time.Time
+}
+
+func (r *rate) take(now time.Time, sums map[string]float64) float64 {
+	d := now.Sub(r.at).Seconds()
+	grown := 0.0
+	for n, v := range sums {
+		if old, ok := r.last[n]; ok && v >= old {
+			grown += v - old
+		}
+	}
+	first := r.last == nil
+	r.last, r.at = sums, now
+	if first || d <= 0 {
+		return r.value
+	}
+	gain := d / (d + rateHalf.Seconds())
+	r.value += gain * (grown/d - r.value)
+	return r.value
+}
+
+// step measures, and orders what is missing.
+func (o *orderer) step(ctx context.Context) {
+	c := o.n.current()
+	if c == nil {
+		return
+	}
+	now := o.n.clock.Now()
+	token, held := o.n.lease.Token()
+	if token != o.token {
+		o.token, o.orders = token, make(map[subject]placed)
+	}
+	for _, name := range c.Services() {
+		s := c.Service(name)
+		if s.Scaling == nil {
+			continue
+		}
+		load := o.rate(name).take(now, o.n.workSums(name)) / pool.TokensPerSecond
+		if !held {
+			continue // measured all the same: a new holder knows the load at once
+		}
+		o.plan(ctx, token, s, load)
+	}
+}
+
+func (o *orderer) rate(service string) *rate {
+	r := o.rates[service]
+	if r == nil {
+		r = &rate{}
+		o.rates[service] = r
+	}
+	return r
+}
+
+// workSums is what each node has sent to a service's engines since it began.
+func (n *Node) workSums(service string) map[string]float64 {
+	sums := map[string]float64{n.s.Node: n.pools.Work()[service]}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for name, p := range n.peers.peers {
+		if p.work != nil {
+			sums[name] = p.work[service]
+		}
+	}
+	return sums
+}
+
+func (o *orderer) plan(ctx context.Context, token int64, s *catalog.ServiceSpec, load float64) {
+	m := o.mixes[s.Name]
+	if m == nil {
+		m = autoscale.NewMix(autoscale.MixDefaults())
+		o.mixes[s.Name] = m
+	}
+	halls := o.halls(s)
+	now := o.n.clock.Since(o.n.start)
+	spec := autoscale.MixSpec{Min: s.Scaling.Min, Max: s.Scaling.Max, ReclaimablePrice: s.Scaling.SpotPrice, Boot: s.Scaling.Boot}
+	have := make(map[subject]int)
+	for _, h := range halls {
+		have[subject{s.Name, h.Hall, false}] = h.OnDemand
+		have[subject{s.Name, h.Hall, true}] = h.Reclaimable
+	}
+	for _, c := range m.Plan(now, load, spec, halls) {
+		o.want(ctx, token, m, subject{s.Name, c.Hall, true}, c.Reclaimable, have, load)
+		o.want(ctx, token, m, subject{s.Name, c.Hall, false}, c.OnDemand, have, load)
+	}
+}
+
+// halls is what each hall that the service has a price for, or upstreams in, has.
+func (o *orderer) halls(s *catalog.ServiceSpec) []autoscale.HallState {
+	by := make(map[string]*autoscale.HallState)
+	get := func(hall string) *autoscale.HallState {
+		h := by[hall]
+		if h == nil {
+			price, ok := s.Scaling.ZonePrices[hall]
+			if !ok {
+				price = 1
+			}
+			h = &autoscale.HallState{Hall: hall, Price: price}
+			by[hall] = h
+		}
+		return h
+	}
+	for _, v := range o.n.pools.Items() {
+		if e := v.Entry; e.Service == s.Name {
+			h := get(e.Hall)
+			switch {
+			case e.Leaving && e.Reclaimable:
+				h.Leaving++
+			case e.Leaving:
+			case e.Reclaimable:
+				h.Reclaimable++
+			default:
+				h.OnDemand++
+			}
+		}
+	}
+	for hall := range o.n.s.Halls {
+		if _, ok := s.Scaling.ZonePrices[hall]; ok {
+			get(hall)
+		}
+	}
+	list := make([]autoscale.HallState, 0, len(by))
+	for _, h := range by {
+		list = append(list, *h)
+	}
+	return list
+}
+
+// want orders a count if it changed, or if the hall doesn't have it for a while.
+func (o *orderer) want(ctx context.Context, token int64, m *autoscale.Mix, s subject, count int, have map[subject]int, load float64) {
+	now := o.n.clock.Now()
+	old, ordered := o.orders[s]
+	if ordered && old.count == count && (have[s] == count || now.Sub(old.at) < orderAgain) {
+		return
+	}
+	if !ordered && have[s] == count {
+		o.orders[s] = placed{count, now}
+		return
+	}
+	err := o.n.o.Cloud.Order(ctx, token, duty.Order{Service: s.service, Hall: s.hall, Count: count, Reclaimable: s.reclaimable})
+	o.orders[s] = placed{count, now}
+	outcome := "taken"
+	switch {
+	case err == nil && s.reclaimable:
+		m.Granted(s.hall)
+	case errors.Is(err, duty.ErrNoneLeft):
+		m.Refused(o.n.clock.Since(o.n.start), s.hall)
+	case errors.Is(err, duty.ErrFenced):
+		o.n.lease.Resign()
+	}
+	if err != nil {
+		outcome = err.Error()
+		delete(o.orders, s)
+	}
+	o.n.log.Info("order", zap.String("service", s.service), zap.String("hall", s.hall), zap.Bool("reclaimable", s.reclaimable), zap.Int("count", count),
+		zap.Int("have", have[s]), zap.Float64("load", math.Round(load*100)/100), zap.Int64("token", token), zap.String("outcome", outcome))
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -41,6 +41,7 @@
 	client   wireconnect.EdgeClient
 	version  int64 // of its catalog
 	revision int64 // of its upstream list
+	work     map[string]float64
 }
 
 // table is the other nodes. Its fields are guarded by the node's lock.
@@ -157,6 +158,9 @@
 		r.Spent = append(r.Spent, &wire.Spent{Workspace: w, Tokens: v})
 	}
 	r.Started = startedToWire(n.usage.Own())
+	for v, tokens := range n.pools.Work() {
+		r.Work = append(r.Work, &wire.Work{Service: v, Tokens: tokens})
+	}
 	return r
 }
 
@@ -219,6 +223,10 @@
 	for _, v := range r.Spent {
 		charged[v.Workspace] = v.Tokens
 	}
+	p.work = make(map[string]float64, len(r.Work))
+	for _, v := range r.Work {
+		p.work[v.Service] = v.Tokens
+	}
 	n.quotas.TakeIn(now, r.Node, r.Lifetime, charged)
 	n.usage.TakeIn(r.Node, r.Lifetime, startedFromWire(r.Started))
 	return true
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -46,6 +47,7 @@
 	outlierShare = 0.34
 	failureGain  = 0.12 // weight of the newest result in the share of failures
 	speedGain    = 0.1  // weight of the newest time in the average
+	outputWork   = 0.5  // what a token of an answer takes of an engine, in prompt tokens read
 	placedLimit  = 1024 // placements kept for reports
 	// placedFor is how long a placement is reported: some rounds, since a report may be
 	// lost.
@@ -81,6 +83,7 @@
 	peers    map[string]peerLoad
 	memory   map[string]float64 // of an engine, by service
 	placed   []placing
+	work     map[string]float64 // tokens sent since the start, by service
 }
 
 type placing struct {
@@ -93,7 +96,7 @@
 	return &Pools{
 		clock: clock, hall: hall, start: clock.Now(), list: NewList(), members: make(map[string]*member),
 		services: make(map[string][]*member), outliers: make(map[string]*retry.Outliers),
-		peers: make(map[string]peerLoad), memory: make(map[string]float64),
+		peers: make(map[string]peerLoad), memory: make(map[string]float64), work: make(map[string]float64),
 	}
 }
 
@@ -204,6 +207,7 @@
 	m.load.Held += u.held
 	if n.Engine {
 		m.load.Queued += u.prompt
+		p.work[n.Service] += u.prompt + outputWork*n.Output
 	}
 	p.place(now, m, n.Parts)
 	return u
@@ -402,6 +406,17 @@
 	}
 }
 
+// Work returns the tokens sent to the engines of each service since the start, answers
+// weighed in.
+func (p *Pools) Work() map[string]float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.work)
+}
+
+// TokensPerSecond is what an engine takes in a second when it does nothing else.
+const TokensPerSecond = tokensPerMs * 1000
+
 // Count returns the upstreams of a service that take requests.
 func (p *Pools) Count(service string) int {
 	p.mu.Lock()
