--- a/internal/autoscale/mix.go
+++ b/internal/autoscale/mix.go
@@ -111,7 +111,10 @@
 	})
 	buys := s.ReclaimablePrice > 0 && s.ReclaimablePrice < 1
 	safe := need // what on-demand upstreams have to carry
-	if buys && !wave {
+	switch {
+	case buys && !m.begun:
+		safe = 0 // reclaimable ones take their place before the work comes
+	case buys && !wave:
 		safe = math.Max(0, need-float64(m.dependable(halls)))
 	}
 	counts := m.spread(int(math.Ceil(safe-1e-9)), s, halls)
@@ -119,7 +122,10 @@
 		return counts
 	}
 	for i, h := range halls {
-		want := int(math.Ceil(need/float64(len(halls))-1e-9)) + m.o.Spare
+		want := int(math.Ceil(need/float64(len(halls)) - 1e-9))
+		if m.begun {
+			want += m.o.Spare
+		}
 		want = max(0, min(want, s.Max-counts[i].OnDemand))
 		if now < m.refused[h.Hall] {
 			want = min(want, h.Reclaimable)
@@ -129,8 +135,8 @@
 	return counts
 }
 
-// hold lets the need rise at once and fall late. What a planner finds when it begins is
-// what somebody held to be needed.
+// hold lets the need rise at once and fall late. Until work has come, what a planner
+// found is what somebody held to be needed.
 func (m *Mix) hold(now time.Duration, need float64, halls []HallState) float64 {
 	if !m.begun {
 		found := 0
@@ -138,7 +144,10 @@
 			found += h.OnDemand
 		}
 		m.high, m.since = max(m.high, float64(found)), now
-		m.begun = need > idleNeed
+		if need <= idleNeed {
+			return m.high
+		}
+		m.begun, m.high = true, need
 	}
 	if need >= m.high {
 		m.high, m.since = need, now
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -23,6 +23,10 @@
 const (
 	// orderAgain is how often a count that the hall doesn't have is ordered again.
 	orderAgain = 2 * time.Second
+	// orderSettle is how long a process watches before it orders: upstreams write their
+	// entries within a heartbeat or two of their start, and a list that is still filling
+	// looks like a pool that is too small, or one that may be made smaller.
+	orderSettle = 2 * time.Second
 	// rateHalf is the time over which the measured rate of work counts half.
 	rateHalf = 2 * time.Second
 )
@@ -93,7 +97,7 @@
 			continue
 		}
 		load := o.rate(name).take(now, o.n.workSums(name)) / pool.TokensPerSecond
-		if !held {
+		if !held || o.n.clock.Since(o.n.start) < orderSettle {
 			continue // measured all the same: a new holder knows the load at once
 		}
 		o.plan(ctx, token, s, load)
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -60,14 +60,27 @@
 // Run renews the lease, and takes it when it can and wanted says so, until the context
 // ends.
 func (l *Lease) Run(ctx context.Context, wanted func() bool) {
-	l.clock.Every(ctx, l.ttl/6, func(time.Time) {
+	for ctx.Err() == nil {
+		pause := l.ttl / renewals
 		if l.held() || wanted() {
-			_ = l.Step(ctx)
+			_ = l.Step(ctx) // what came of it is in the lease's state
 		}
-	})
+		if !l.held() {
+			pause = l.ttl / looks
+		}
+		_ = l.clock.Sleep(ctx, pause) // the loop's condition sees the end
+	}
 	l.release()
 }
 
+const (
+	// renewals is how often in its time a holder renews: twice may fail before it stops.
+	renewals = 6
+	// looks is how often in that time the others look whether it is free. All nodes do,
+	// and each look is a call that is paid for.
+	looks = 2
+)
+
 func (l *Lease) held() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
