A test's set-up doesn't hang on one call of half a second

Cause: TestKeyedCallWhenThePlatformMisbehaves failed once beside a loaded machine, at the set-up's Apply, before its fault was in force: a node gives a platform call up after 500 ms. Ruled out: the code under test (it wasn't reached). Change: the set-up applies until its documents are the head. TestRigIsSetUpOnASlowPlatform slows single calls to 700 ms: fails at rig_test.go:109 with the old set-up, passes now.

--- a/internal/node/once_test.go
+++ b/internal/node/once_test.go
@@ -150,6 +150,16 @@
 	}
 }
 
+// TestRigIsSetUpOnASlowPlatform holds what once failed beside a loaded machine: the set-up
+// of a test, with no fault in force yet, hung on one call that took over half a second.
+func TestRigIsSetUpOnASlowPlatform(t *testing.T) {
+	r := newRig(t, "hall-a")
+	for _, path := range []string{"/v3/kv/range", "/v3/kv/txn"} {
+		r.platform.Fault(standin.Fault{Mode: standin.FaultSlow, Path: path, Delay: 700, Count: 2})
+		r.configure()
+	}
+}
+
 func TestKeyedCallNotRunMayBeTriedAgain(t *testing.T) {
 	r := newRig(t, "hall-a", "hall-b")
 	r.plain.Fault(standin.Fault{Mode: standin.FaultRefuse, Path: "/"})
--- a/internal/node/rig_test.go
+++ b/internal/node/rig_test.go
@@ -101,13 +101,24 @@
 	return r
 }
 
-// configure applies the rig's documents.
+// configure applies the rig's documents. Nodes give a call up after half a second, which
+// a loaded machine may need, so it goes on as an operator does: until the documents are
+// the head.
 func (r *rig) configure() {
 	docs, err := config.Parse("rig", []byte(fmt.Sprintf(rigTemplate, config.HashKey(rigKey))))
 	require.NoError(r.t, err)
-	s, err := r.nodes[0].Store().Apply(context.Background(), config.Change{ID: "rig", Documents: docs})
-	require.NoError(r.t, err)
-	r.nodes[0].Accept(s, "rig")
+	s := r.nodes[0].Store()
+	r.eventually("the documents are applied", func() bool {
+		v, err := s.Apply(context.Background(), config.Change{ID: "rig", Documents: docs})
+		if err != nil {
+			v, err = s.Head(context.Background())
+		}
+		if err != nil || v.Revision == 0 {
+			return false
+		}
+		r.nodes[0].Accept(v, "rig")
+		return true
+	})
 }
 
 func emptyRig(t testing.TB) *rig {
