spurhall explain; each request's line says what its upstream was chosen by

Cause: a request's last line named no upstream, and causes repeated each layer's sentence. Change: request_done and attempt_failed carry the upstream, its load and cached tokens as known, the list's revision and the age of the oldest report; fault.Reason passes a reason on without the sentinel before it; spurhall explain joins logs of several nodes by a request.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -5,6 +5,7 @@
 //	command.go  the commands, their flags and exit codes
 //	config.go   apply, get, diff, history, rollback
 //	view.go     status, jobs, timeline, drain
+//	explain.go  the story of a request, out of logs
 package command
 
 import (
@@ -57,7 +58,7 @@
 			&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Value: "text", Usage: "text or json"},
 			&cli.DurationFlag{Name: "timeout", Value: 10 * time.Second, Usage: "longest wait for a node"},
 		},
-		Commands: append(append(t.configCommands(), t.viewCommands()...), t.loadCommand()),
+		Commands: append(append(t.configCommands(), t.viewCommands()...), t.loadCommand(), t.explainCommand()),
 	}
 }
 
--- a/internal/fault/fault_test.go
+++ b/internal/fault/fault_test.go
@@ -26,3 +26,10 @@
 func TestDecorateHidesItsCause(t *testing.T) {
 	assert.False(t, errors.Is(errorx.Decorate(errFull, "12 waiting"), errFull))
 }
+
+func TestReason(t *testing.T) {
+	inner := fault.Because(errors.New("inner"), "it broke")
+	assert.Equal(t, "it broke", fault.Reason(inner))
+	assert.Equal(t, "it broke", fault.Reason(fmt.Errorf("wrapped: %w", inner)))
+	assert.Equal(t, "plain", fault.Reason(errors.New("plain")))
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -101,7 +101,7 @@
 	case q.sends >= q.route.MaxAttempts():
 		return s.giveUp(q, last, last)
 	case q.sends > 0 && !s.o.Repeat(q.service):
-		s.o.Log.Info("retry_denied", zap.String("request", q.meta.ID), zap.String("service", q.service), zap.String("cause", "budget"))
+		s.o.Log.Info("retry_denied", zap.String("request", q.meta.ID), zap.String("service", q.service), zap.String("cause", "the retry budget is spent"))
 		return s.giveUp(q, last, last)
 	}
 	count("retries", 1)
@@ -110,9 +110,9 @@
 
 // giveUp is the final answer to a request that no upstream has answered.
 func (s *Server) giveUp(q *request, cause, last error) error {
-	reason := cause.Error()
+	reason := fault.Reason(cause)
 	if last != nil && !errors.Is(cause, last) {
-		reason += "; before that: " + last.Error()
+		reason += "; before that: " + fault.Reason(last)
 	}
 	if !q.mayRun {
 		return &refusal{status: http.StatusServiceUnavailable, reason: reason, retry: retrySoon}
@@ -135,6 +135,7 @@
 // Its error is errNotRun if the upstream won't run the request, else errLost.
 func (s *Server) try(ctx context.Context, q *request, use *pool.Use, lastEvent string) (*attempt, error) {
 	a := &attempt{use: use}
+	q.use = use
 	left := q.until.Sub(s.o.Clock.Now())
 	a.ctx, a.stop = context.WithCancelCause(ctx)
 	a.timer = s.o.Clock.AfterFunc(left, func() { a.stop(errTimeout) })
@@ -145,15 +146,24 @@
 		return a, nil
 	}
 	if c := context.Cause(a.ctx); c != nil && ctx.Err() == nil {
-		err = fault.Because(err, "%v", c)
+		err = because(err, c)
 	}
 	a.end(s.verdict(ctx, a, err))
-	s.o.Log.Info("attempt_failed", zap.String("request", q.meta.ID), zap.String("upstream", use.Entry().ID),
+	s.o.Log.Info("attempt_failed", append(chosen(use), zap.String("request", q.meta.ID),
 		zap.String("address", use.Entry().Address), zap.Int("send", q.sends), zap.Duration("after", s.o.Clock.Since(q.arrived)),
-		zap.Bool("not_run", errors.Is(err, errNotRun)), zap.String("cause", err.Error()))
+		zap.Bool("not_run", errors.Is(err, errNotRun)), zap.String("cause", fault.Reason(err)))...)
 	return nil, err
 }
 
+// because says why an attempt's own context ended its connection.
+func because(err, cause error) error {
+	s := errLost
+	if errors.Is(err, errNotRun) {
+		s = errNotRun
+	}
+	return fault.Because(s, "%v", cause)
+}
+
 // verdict is what a failed attempt tells of its upstream.
 func (s *Server) verdict(ctx context.Context, a *attempt, err error) pool.Result {
 	switch {
@@ -192,12 +202,12 @@
 	line := s.o.Lines.get(e)
 	head, err := line.Do(r, len(q.body) > 0)
 	if err != nil && errors.Is(err, upstream.ErrNotSent) {
-		return fault.Because(errNotRun, "%v", err)
+		return fault.Because(errNotRun, "%s", fault.Reason(err))
 	}
 	q.sends++
 	if err != nil {
 		q.mayRun = true
-		return fault.Because(errLost, "%v", err)
+		return fault.Because(errLost, "%s", fault.Reason(err))
 	}
 	a.head = head
 	v := s.o.Dialect.ReadAnswer(head)
@@ -238,7 +248,7 @@
 		a.events = newEventReader(a.head.Body)
 		v, err := a.events.next()
 		if err != nil {
-			return fault.Because(errLost, "no first event: %v", err)
+			return fault.Because(errLost, "no first event: %s", fault.Reason(err))
 		}
 		a.first = v
 		s.began(q, a)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -34,6 +34,7 @@
 
 	"spurhall.example/spurhall/internal/call"
 	"spurhall.example/spurhall/internal/catalog"
+	"spurhall.example/spurhall/internal/fault"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/quota"
 	"spurhall.example/spurhall/internal/timer"
@@ -111,6 +112,7 @@
 	sends     int       // attempts of which a byte left
 	mayRun    bool      // an attempt may have run it
 	began     bool      // counted as begun
+	use       *pool.Use // of the last attempt
 	failure   *answer   // an upstream's own failure, to be passed on if nothing betters it
 }
 
@@ -318,8 +320,20 @@
 	if q.route != nil {
 		f = append(f, zap.String("route", q.route.Name()), zap.String("service", q.service), zap.Int64("catalog", q.catalog.Version()))
 	}
+	if q.use != nil {
+		f = append(f, chosen(q.use)...)
+	}
 	if err != nil {
-		f = append(f, zap.String("cause", err.Error()))
+		f = append(f, zap.String("cause", fault.Reason(err)))
 	}
 	s.o.Log.Info("request_done", f...)
 }
+
+// chosen is what decided the choice of an upstream, and how old it was.
+func chosen(u *pool.Use) []zap.Field {
+	c := u.Choice()
+	return []zap.Field{
+		zap.String("upstream", u.Entry().ID), zap.String("hall", u.Entry().Hall), zap.Int("candidates", c.Candidates), zap.Int("running", c.Running),
+		zap.Int("queued_tokens", int(c.Queued)), zap.Int("cached_tokens", int(c.Cached)), zap.Int64("list_revision", c.Revision), zap.Duration("oldest_report", c.Oldest),
+	}
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -67,10 +67,10 @@
 
 func (t *stream) pass(w http.ResponseWriter, c *http.ResponseController, v event) error {
 	if _, err := w.Write(v.raw); err != nil {
-		return fault.Because(errWrite, "%v", err)
+		return fault.Because(errWrite, "%s", fault.Reason(err))
 	}
 	if err := c.Flush(); err != nil {
-		return fault.Because(errWrite, "%v", err)
+		return fault.Because(errWrite, "%s", fault.Reason(err))
 	}
 	if v.id != "" {
 		t.last = v.id
@@ -90,11 +90,11 @@
 		return event{}, t.ctx.Err()
 	}
 	if c := context.Cause(t.a.ctx); c != nil {
-		err = fault.Because(err, "%v", c)
+		err = because(err, c)
 	}
 	t.a.end(pool.ResultFailed)
 	t.s.o.Log.Info("stream_broke", zap.String("request", t.q.meta.ID), zap.String("upstream", t.a.use.Entry().ID),
-		zap.String("last_event", t.last), zap.String("cause", err.Error()))
+		zap.String("last_event", t.last), zap.String("cause", fault.Reason(err)))
 	return t.resume(err)
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -174,6 +174,7 @@
 	p       *Pools
 	m       *member
 	entry   Entry // as it was chosen
+	choice  Choice
 	begun   time.Time
 	engine  bool
 	prompt  float64 // counted as queued until the first event
@@ -183,6 +184,30 @@
 	ended   bool
 }
 
+// Choice is what an upstream was chosen by.
+type Choice struct {
+	Candidates int           // upstreams looked at
+	Running    int           // requests there, of all nodes
+	Queued     float64       // prompt tokens there without a first token
+	Cached     float64       // tokens of the prompt taken to be cached there
+	Revision   int64         // of the list
+	Oldest     time.Duration // age of the oldest report of another node that counted
+}
+
+// Choice returns what the upstream was chosen by.
+func (u *Use) Choice() Choice { return u.choice }
+
+// oldest is the age of the oldest report that still counts.
+func (p *Pools) oldest(now time.Time) time.Duration {
+	d := time.Duration(0)
+	for _, v := range p.peers {
+		if age := now.Sub(v.at); age <= peerKeeps {
+			d = max(d, age)
+		}
+	}
+	return d
+}
+
 // Entry returns the upstream chosen.
 func (u *Use) Entry() Entry { return u.entry }
 
@@ -202,6 +227,7 @@
 	u := &Use{p: p, m: m, entry: m.entry, begun: now, engine: n.Engine}
 	u.prompt = max(0, n.Prompt-c.Cached)
 	u.held = n.Prompt + n.Output
+	u.choice = Choice{Candidates: len(list), Running: c.Running, Queued: c.Queued, Cached: c.Cached, Revision: p.list.Revision(), Oldest: p.oldest(now)}
 	u.expect = 10 + (c.Queued+u.prompt)/tokensPerMs
 	m.load.Running++
 	m.load.Held += u.held
