--- a/internal/autoscale/mix.go
+++ b/internal/autoscale/mix.go
@@ -51,6 +51,8 @@
 	Spare int
 	// Calm is how long after the last notice the base is held up.
 	Calm time.Duration
+	// Fresh says that the whole system starts for the first time.
+	Fresh bool
 	// Hold is how long the need has to be lower before on-demand upstreams go.
 	Hold time.Duration
 }
@@ -65,6 +67,7 @@
 	o        MixOptions
 	notice   time.Duration // of the last notice seen
 	noticed  bool
+	looked   bool
 	begun    bool          // some work has come
 	high     float64       // the need that is held
 	since    time.Duration // since when the need is lower
@@ -111,10 +114,7 @@
 	})
 	buys := s.ReclaimablePrice > 0 && s.ReclaimablePrice < 1
 	safe := need // what on-demand upstreams have to carry
-	switch {
-	case buys && !m.begun:
-		safe = 0 // reclaimable ones take their place before the work comes
-	case buys && !wave:
+	if buys && !wave {
 		safe = math.Max(0, need-float64(m.dependable(halls)))
 	}
 	counts := m.spread(int(math.Ceil(safe-1e-9)), s, halls)
@@ -136,18 +136,22 @@
 }
 
 // hold lets the need rise at once and fall late. Until work has come, what a planner
-// found is what somebody held to be needed.
+// found at first is what somebody held to be needed; so it is for a while afterwards,
+// since a process that has just started measures too little, unless the whole system
+// starts and nobody has held anything yet.
 func (m *Mix) hold(now time.Duration, need float64, halls []HallState) float64 {
 	if !m.begun {
-		found := 0
-		for _, h := range halls {
-			found += h.OnDemand
+		if !m.looked {
+			m.looked, m.high = true, found(halls)
 		}
-		m.high, m.since = max(m.high, float64(found)), now
+		m.since = now
 		if need <= idleNeed {
 			return m.high
 		}
-		m.begun, m.high = true, need
+		m.begun = true
+		if m.o.Fresh {
+			m.high = need
+		}
 	}
 	if need >= m.high {
 		m.high, m.since = need, now
@@ -159,6 +163,14 @@
 	return m.high
 }
 
+func found(halls []HallState) float64 {
+	n := 0
+	for _, h := range halls {
+		n += h.OnDemand
+	}
+	return float64(n)
+}
+
 func (m *Mix) wave(now time.Duration, halls []HallState) bool {
 	for _, h := range halls {
 		if h.Leaving > 0 {
--- a/internal/autoscale/mix_test.go
+++ b/internal/autoscale/mix_test.go
@@ -38,7 +38,9 @@
 func TestMix(t *testing.T) {
 	t.Run("until work has come, reclaimable ones take the place of what was found", func(t *testing.T) {
 		m := NewMix(MixDefaults())
-		m.Plan(0, 0, mixSpec, threeHalls(3, 0))
+		n, r := sums(m.Plan(0, 0, mixSpec, threeHalls(3, 0)))
+		assert.Equal(t, 9, n, "not before they are there")
+		assert.Equal(t, 9, r)
 		for now := time.Duration(0); now < time.Minute; now += time.Second {
 			n, r := sums(m.Plan(now, 0, mixSpec, threeHalls(1, 3)))
 			assert.Equal(t, 3, n)
@@ -51,6 +53,14 @@
 		assert.Equal(t, 3, n)
 		assert.GreaterOrEqual(t, r, 6)
 	})
+	t.Run("a planner that starts amid the work keeps what it finds for a while", func(t *testing.T) {
+		m := NewMix(MixDefaults())
+		m.Plan(0, 0, mixSpec, threeHalls(2, 0))
+		n, _ := sums(m.Plan(time.Second, 0.3, mixSpec, threeHalls(2, 0)))
+		assert.Equal(t, 6, n)
+		n, _ = sums(m.Plan(time.Minute, 0.3, mixSpec, threeHalls(2, 0)))
+		assert.Equal(t, 3, n)
+	})
 	t.Run("a notice raises the base to the whole need, and calm lowers it", func(t *testing.T) {
 		m, now := loaded(4, threeHalls(1, 4))
 		h := threeHalls(1, 4)
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -129,7 +129,9 @@
 func (o *orderer) plan(ctx context.Context, token int64, s *catalog.ServiceSpec, load float64) {
 	m := o.mixes[s.Name]
 	if m == nil {
-		m = autoscale.NewMix(autoscale.MixDefaults())
+		v := autoscale.MixDefaults()
+		v.Fresh = o.n.s.FirstStart
+		m = autoscale.NewMix(v)
 		o.mixes[s.Name] = m
 	}
 	halls := o.halls(s)
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -23,8 +23,9 @@
 // A planned stop takes the node out of the balancer first: readiness goes down, and each
 // answer tells its caller to use another connection next. The listeners stay open
 // meanwhile, since the balancer needs some failed questions to notice and callers hold
-// connections; a request that still comes is served. The process ends when nothing has
-// come for a while and nothing is in progress, or shortly before it would be killed.
+// connections; a request that still comes is served. Then idle connections are closed
+// with the listener, and what still comes on a busy one is told to go elsewhere. The
+// process ends when nothing is in progress, or shortly before it would be killed.
 
 const (
 	maxHeader   = 64 << 10
@@ -120,7 +121,7 @@
 		}()
 	}
 	<-ctx.Done()
-	n.stop(&t)
+	n.stop(&t, front)
 	cancel()
 	duties.Wait()
 	return errors.Join(front.Close(), ready.Close(), peers.Close())
@@ -178,11 +179,17 @@
 }
 
 // stop waits until the callers are gone, within the time there is.
-func (n *Node) stop(t *traffic) {
+func (n *Node) stop(t *traffic, front *http.Server) {
 	n.phase.Store(int32(forward.PhaseLeaving))
 	begun := n.clock.Now()
 	n.log.Info("stopping")
-	defer n.clock.AfterFunc(stopTakes, func() { n.phase.Store(int32(forward.PhaseClosed)) })()
+	defer n.clock.AfterFunc(stopTakes, func() {
+		n.phase.Store(int32(forward.PhaseClosed))
+		// Callers whose connections are idle open others without losing a try.
+		if err := front.Shutdown(context.Background()); err != nil {
+			n.log.Info("shutdown_failed", zap.String("cause", err.Error()))
+		}
+	})()
 	for {
 		now := n.clock.Now()
 		d := now.Sub(begun)
