--- a/cmd/spurhalld/edge.go
+++ b/cmd/spurhalld/edge.go
@@ -34,7 +34,9 @@
 			&cli.IntFlag{Name: "metrics-port", Sources: env("METRICS_PORT"), Usage: "port of the metrics listener; 0: none"},
 			&cli.StringFlag{Name: "log-level", Sources: env("LOG_LEVEL"), Value: "info", Usage: "debug, info, warn or error"},
 		},
-		Action: func(_ context.Context, c *cli.Command) error { return runEdge(c.Int("metrics-port"), c.String("log-level")) },
+		Action: func(_ context.Context, c *cli.Command) error {
+			return runEdge(c.Int("metrics-port"), c.String("log-level"))
+		},
 	}
 }
 
--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -334,92 +334,18 @@
 	}
 }
 
-// send delivers one message and feeds the reply back. A member that can't be
-// reached blocks a promise, so the try ends at once.
-func (b *Book) send(g Message) {
-	b.mu.Lock()
-	m, ok := b.members[g.To]
-	parent := b.ctx
-	b.mu.Unlock()
-	if !ok || parent == nil {
-		return
-	}
-	reply, err := b.deliver(parent, m, g)
-	for try := 0; err != nil && g.Kind == MessageRelease && try < releaseTries; try++ {
-		_ = b.o.Clock.Sleep(parent, releaseAgain)
-		reply, err = b.deliver(parent, m, g)
-	}
-	if err != nil {
-		if g.Kind == MessageAsk {
-			b.do(func(m *Machine) []Action { return m.Abandon(g.Attempt) })
-		}
-		return
-	}
-	if reply != nil {
-		b.do(func(m *Machine) []Action { return m.Receive(*reply) })
-	}
-}
-
 // A release that gets lost leaves a key marked at the peer, so it is repeated.
 const (
 	releaseTries = 5
 	releaseAgain = 500 * time.Millisecond
 )
 
-func (b *Book) deliver(parent context.Context, m Member, g Message) (*Message, error) {
-	ctx, cancel := context.WithTimeout(parent, b.o.Timeout)
-	defer cancel()
-	return b.o.Send(ctx, m, g)
-}
-
-// Receive takes a peer's message and returns the reply, if there is one for it.
-func (b *Book) Receive(g Message) *Message {
-	var reply *Message
-	b.do(func(m *Machine) []Action {
-		list := m.Receive(g)
-		for i, a := range list {
-			if a.Kind == ActionSend && a.Message.To == g.From && reply == nil {
-				reply = &list[i].Message
-				return append(list[:i:i], list[i+1:]...)
-			}
-		}
-		return list
-	})
-	return reply
-}
-
 func (b *Book) syncLoop(ctx context.Context) {
 	b.o.Clock.Every(ctx, syncAgain, func(time.Time) {
 		b.do(func(m *Machine) []Action { return m.SyncAgain() })
 	})
 }
 
-const expireEvery = time.Minute
-
-// expireLoop forgets marks that have outlived every key's lifetime. Most go long before,
-// by a release or by turning into claims; this is for those whose release was lost.
-func (b *Book) expireLoop(ctx context.Context) {
-	b.o.Clock.Every(ctx, expireEvery, b.expire)
-}
-
-func (b *Book) expire(now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	old := b.marked
-	b.marked = make(map[uint64]time.Time)
-	for _, k := range b.machine.Marked() {
-		since, ok := old[k]
-		if !ok {
-			since = now
-		}
-		if now.Sub(since) > b.longest {
-			b.machine.Forget(k)
-			continue
-		}
-		b.marked[k] = since
-	}
-}
-
 // Grant is the answer to Claim.
 type Grant struct {
 	Granted bool
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -193,7 +193,7 @@
 
 var (
 	catalogVersion = expvar.NewInt("catalog_version")
-	storeUp        = expvar.NewInt("store_up")
+	storeUp        = expvar.NewMap("store_up") // by reader: 0 in touch, -1 not
 	upstreamEvents = expvar.NewMap("upstream_events")
 	peersHeard     = expvar.NewInt("peers_heard")
 )
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -46,6 +46,7 @@
 		return
 	}
 	f.failed = f.n.clock.Now()
+	storeUp.Add(f.name, -1)
 	f.n.log.Warn("store_lost", zap.String("reader", f.name), zap.String("cause", err.Error()))
 }
 
@@ -55,6 +56,7 @@
 	}
 	f.n.log.Info("store_regained", zap.String("reader", f.name), zap.Duration("after", f.n.clock.Since(f.failed)))
 	f.failed = time.Time{}
+	storeUp.Add(f.name, 1)
 }
 
 func (f *follower) follow(ctx context.Context) error {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -267,40 +267,6 @@
 	}
 }
 
-// yield ends this node's watch when another node of the hall is the one to watch.
-func (n *Node) yield(ctx context.Context, duty string, cancel func()) {
-	n.clock.Every(ctx, time.Second, func(time.Time) {
-		if !n.first(duty, 1) {
-			cancel()
-		}
-	})
-}
-
-// first tells whether this node is among the first k of its hall for a duty. All
-// nodes rank alike, so a duty has an owner without anybody being asked; while views
-// differ it has two, or for a moment none.
-func (n *Node) first(duty string, k int) bool {
-	var ids []string
-	for _, f := range n.liveNodes() {
-		if f.Hall == n.o.Hall {
-			ids = append(ids, f.ID)
-		}
-	}
-	for i, id := range route.Rank(duty, ids) {
-		if id == n.id {
-			return i < k
-		}
-	}
-	return true
-}
-
-// silentAfter is how long a node may be silent before the others take over its
-// duties. It isn't taken for gone: only the platform can say that.
-func (n *Node) silentAfter() time.Duration {
-	beat := time.Duration(n.pace().heartbeat) * n.o.Exchange
-	return max(leastSilence, exchangesSilent*n.o.Exchange, 3*beat)
-}
-
 // A heartbeat takes a few exchanges to reach all nodes of a hall.
 const (
 	leastSilence    = 3 * time.Second
@@ -332,15 +298,6 @@
 	liveFor = 200 * time.Millisecond
 )
 
-// pace is how often what changes all the time is told: the more there are to tell of,
-// the less often, so that a node's traffic grows slower than the fleet. Routing was
-// measured with loads 10 s old, and hardly differs.
-type pace struct {
-	heartbeat int           // exchanges between two heartbeats
-	loads     time.Duration // between two load reports of an upstream
-	slow      time.Duration // between two reports to other halls
-}
-
 const (
 	nodesPerBeat   = 8
 	loadsPerVM     = 75 * time.Millisecond
@@ -350,52 +307,6 @@
 	leastHeartbeat = 2
 )
 
-func paceOf(hallNodes, hallUpstreams, nodes int) pace {
-	return pace{
-		heartbeat: max(leastHeartbeat, hallNodes/nodesPerBeat),
-		loads:     min(max(loadsEvery, time.Duration(hallUpstreams)*loadsPerVM), longestLoads),
-		slow:      max(shortestSlow, time.Duration(nodes)*slowPerNode),
-	}
-}
-
-func (n *Node) pace() pace {
-	if v := n.paced.Load(); v != nil {
-		return *v
-	}
-	return paceOf(0, 0, 0)
-}
-
-// setPace counts what there is to tell of.
-func (n *Node) setPace() {
-	hall, upstreams, all := 0, 0, 0
-	n.table.Select(func(f *member.Fact) bool {
-		near := f.Hall == n.o.Hall
-		switch {
-		case f.Status != member.StatusLive:
-		case f.Kind == member.KindUpstream && near:
-			upstreams++
-		case f.Kind == member.KindNode:
-			all++
-			if near {
-				hall++
-			}
-		}
-		return false
-	})
-	v := paceOf(hall, upstreams, all)
-	n.paced.Store(&v)
-	n.table.SetSlow(v.slow)
-}
-
-// shareBudget divides the platform's rate among the live nodes, and sets the pace.
-func (n *Node) shareBudget(ctx context.Context) {
-	n.clock.Every(ctx, time.Second, func(time.Time) {
-		n.setPace()
-		k := float64(max(len(n.liveNodes()), 1))
-		n.guard.SetRates(store.GuardOptions{Reads: n.o.PlatformRate / k, Writes: n.o.PlatformRate / 4 / k})
-	})
-}
-
 // observeSelf tells the others of this node as it is now.
 func (n *Node) observeSelf() {
 	n.mu.Lock()
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -10,9 +10,6 @@
 	"spurhall.example/spurhall/internal/timer"
 )
 
-// Result is how a request at an upstream ended, as far as it tells of the upstream.
-type Result int
-
 // The results.
 const (
 	ResultGood    Result = iota
@@ -169,34 +166,6 @@
 	return o
 }
 
-// Use is one request's use of an upstream, from the choice to its end.
-type Use struct {
-	p       *Pools
-	m       *member
-	entry   Entry // as it was chosen
-	choice  Choice
-	begun   time.Time
-	engine  bool
-	prompt  float64 // counted as queued until the first event
-	held    float64
-	expect  float64 // milliseconds to the first event, as guessed
-	started bool
-	ended   bool
-}
-
-// Choice is what an upstream was chosen by.
-type Choice struct {
-	Candidates int           // upstreams looked at
-	Running    int           // requests there, of all nodes
-	Queued     float64       // prompt tokens there without a first token
-	Cached     float64       // tokens of the prompt taken to be cached there
-	Revision   int64         // of the list
-	Oldest     time.Duration // age of the oldest report of another node that counted
-}
-
-// Choice returns what the upstream was chosen by.
-func (u *Use) Choice() Choice { return u.choice }
-
 // oldest is the age of the oldest report that still counts.
 func (p *Pools) oldest(now time.Time) time.Duration {
 	d := time.Duration(0)
@@ -208,9 +177,6 @@
 	return d
 }
 
-// Entry returns the upstream chosen.
-func (u *Use) Entry() Entry { return u.entry }
-
 // Pick chooses an upstream and counts the request there. It returns nil if there is
 // none. The caller ends the use by End.
 func (p *Pools) Pick(n Need) *Use {
@@ -300,73 +266,6 @@
 	}
 }
 
-// Started says that the first event, or the head of a plain answer, has arrived.
-func (u *Use) Started() {
-	u.p.mu.Lock()
-	defer u.p.mu.Unlock()
-	u.start()
-	ms := float64(u.p.clock.Since(u.begun)) / float64(time.Millisecond)
-	u.m.speed += speedGain * (min(4, ms/u.expect) - u.m.speed)
-	u.p.relax(u.m.entry.Service)
-}
-
-// relax keeps the average speed of a pool at 1, so that slowness is relative.
-func (p *Pools) relax(service string) {
-	sum, n := 0.0, 0
-	for _, m := range p.services[service] {
-		sum += m.speed
-		n++
-	}
-	if n == 0 || sum == 0 {
-		return
-	}
-	for _, m := range p.services[service] {
-		m.speed *= float64(n) / sum
-	}
-}
-
-func (u *Use) start() {
-	if u.started {
-		return
-	}
-	u.started = true
-	if u.engine {
-		u.m.load.Queued -= u.prompt
-	}
-}
-
-// End ends the use. Only its first call counts.
-func (u *Use) End(r Result) {
-	u.p.mu.Lock()
-	defer u.p.mu.Unlock()
-	if u.ended {
-		return
-	}
-	u.ended = true
-	u.start()
-	u.m.load.Running--
-	u.m.load.Held -= u.held
-	u.judge(r)
-}
-
-func (u *Use) judge(r Result) {
-	o := u.p.outlier(u.m.entry.Service)
-	now, id := u.p.clock.Now(), u.m.entry.ID
-	switch r {
-	case ResultGood:
-		o.Success(id)
-		u.m.failures -= failureGain * u.m.failures
-	case ResultFailed:
-		o.Failure(now.Sub(u.p.start), id, len(u.p.services[u.m.entry.Service]))
-		u.m.failures += failureGain * (1 - u.m.failures)
-	case ResultRefused:
-		o.Unclear(now.Sub(u.p.start), id)
-		u.m.refused = now
-	case ResultUnclear:
-		o.Unclear(now.Sub(u.p.start), id)
-	}
-}
-
 // Items returns the upstreams as the store told them.
 func (p *Pools) Items() []Item {
 	p.mu.Lock()
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -88,10 +88,9 @@
 	t.Helper()
 	const step = 10 * time.Millisecond
 	const round = 250 * time.Millisecond
-	now := start
 	carry := make([]float64, len(f.nodes))
 	for d := time.Duration(0); d < time.Duration(seconds)*time.Second; d += step {
-		now = start.Add(d)
+		now := start.Add(d)
 		for i := range f.nodes {
 			carry[i] += 4 * f.limit.Rate * weight(i) * step.Seconds()
 			for carry[i] >= 5000 {
