--- /dev/null
+++ b/internal/pool/choose_test.go
@@ -0,0 +1,90 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+
+	"spurhall.example/spurhall/internal/call"
+)
+
+func candidates(n int) []Candidate {
+	l := make([]Candidate, n)
+	for i := range l {
+		l[i] = Candidate{ID: fmt.Sprint("u", i), Slots: 8, SameHall: true, Memory: 100_000, Slowness: 1}
+	}
+	return l
+}
+
+var prompt = Need{ID: "r", Engine: true, Prompt: 5000, Output: 100, Parts: []call.Part{{ID: 1, Tokens: 4000}, {ID: 2, Tokens: 1000}}}
+
+// assertPicks changes the candidates so that one of them should be chosen, or left.
+func assertPicks(t *testing.T, n Need, change func(l []Candidate), want func(i int) bool) {
+	t.Helper()
+	l := candidates(4)
+	change(l)
+	assert.True(t, want(Pick(n, l)), "picked %d", Pick(n, l))
+}
+
+func is(k int) func(int) bool  { return func(i int) bool { return i == k } }
+func not(k int) func(int) bool { return func(i int) bool { return i != k && i >= 0 } }
+
+func TestPick(t *testing.T) {
+	home := Pick(prompt, candidates(4))
+	t.Run("where the prompt is cached", func(t *testing.T) {
+		assertPicks(t, prompt, func(l []Candidate) { l[(home+1)%4].Cached = 4000 }, is((home+1)%4))
+	})
+	t.Run("not behind a queue longer than what is cached", func(t *testing.T) {
+		assertPicks(t, prompt, func(l []Candidate) { l[0].Cached, l[0].Queued = 4000, 9000 }, not(0))
+	})
+	for name, change := range map[string]func(c *Candidate){
+		"full": func(c *Candidate) { c.Running = 8 }, "refused": func(c *Candidate) { c.Refused = true }, "failing": func(c *Candidate) { c.Failures = 0.5 },
+		"slow": func(c *Candidate) { c.Slowness = 3 }, "cold": func(c *Candidate) { c.Cold = true }, "out of memory": func(c *Candidate) { c.Held = 98_000 },
+	} {
+		t.Run("not one that is "+name, func(t *testing.T) {
+			assertPicks(t, prompt, func(l []Candidate) { change(&l[home]) }, not(home))
+		})
+	}
+	t.Run("one that is full, if there is no other", func(t *testing.T) {
+		l := candidates(1)
+		l[0].Running = 8
+		assert.Equal(t, 0, Pick(prompt, l))
+	})
+	t.Run("nobody, if all were tried", func(t *testing.T) {
+		n := prompt
+		n.Excluded = map[string]bool{"u0": true}
+		assert.Equal(t, -1, Pick(n, candidates(1)))
+	})
+	t.Run("a plain request goes where slots are free", func(t *testing.T) {
+		n := Need{ID: "p"}
+		h := Pick(n, candidates(4))
+		assertPicks(t, n, func(l []Candidate) { l[h].Running = 4 }, not(h))
+	})
+}
+
+// TestPickIsTheSameOnEveryNode shuffles the candidates: the order in which a node knows
+// them decides nothing.
+func TestPickIsTheSameOnEveryNode(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := candidates(6)
+		for i := range l {
+			l[i].Queued = float64(rapid.IntRange(0, 20_000).Draw(t, "queued"))
+			l[i].Cached = float64(rapid.IntRange(0, 5_000).Draw(t, "cached"))
+			l[i].Running = rapid.IntRange(0, 10).Draw(t, "running")
+		}
+		want := l[Pick(prompt, l)].ID
+		other := rapid.Permutation(l).Draw(t, "order")
+		assert.Equal(t, want, other[Pick(prompt, other)].ID)
+	})
+}
+
+func TestChain(t *testing.T) {
+	a := Chain([]call.Part{{ID: 1}, {ID: 2}, {ID: 3}})
+	b := Chain([]call.Part{{ID: 1}, {ID: 2}, {ID: 4}})
+	c := Chain([]call.Part{{ID: 2}, {ID: 1}, {ID: 3}})
+	assert.Equal(t, a[:2], b[:2])
+	assert.NotEqual(t, a[2], b[2])
+	assert.NotEqual(t, a[2], c[2], "a part counts only behind the same parts")
+}
