A hall that can't be reached is asked last for a second

Ruled out: ejecting them as outliers, which is bounded to a third of a pool. Change: two upstreams of a hall that can't be reached mark the hall until one of it answers, or for a second; marked ones are chosen last.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -171,6 +171,8 @@
 		return pool.ResultUnclear
 	case errors.Is(err, errNotRun) && a.head != nil:
 		return pool.ResultRefused
+	case errors.Is(err, errNotRun):
+		return pool.ResultUnreachable
 	}
 	return pool.ResultFailed
 }
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -35,6 +35,8 @@
 	Failures float64 // share of recent requests that failed
 	Refused  bool    // said that it is full a moment ago
 	Cold     bool    // warming up
+	// Unreachable says that it, or others of its hall, couldn't be reached a moment ago.
+	Unreachable bool
 }
 
 // Need is what is known of the request.
@@ -56,7 +58,7 @@
 	otherHallTokens = 60.0   // a round trip between halls, about 3 ms
 	memoryShare     = 0.9    // of an engine's memory that is used without a penalty
 	memoryWeight    = 4.0    // tokens a token over that share: each may cost a re-read or two
-	fullTokens      = 40_000 // a full upstream is asked last
+	fullTokens      = 40_000 // an upstream that is full or can't be reached is asked last
 	coldTokens      = 10_000
 	homeTokens      = 200.0 // settles where a new prefix goes: all nodes name the same upstream
 	failureWeight   = 8.0   // a share of failures of an eighth doubles the cost
@@ -93,7 +95,7 @@
 	if !c.SameHall {
 		x += otherHallTokens
 	}
-	if c.Refused || c.Slots > 0 && c.Running >= c.Slots {
+	if c.Unreachable || c.Refused || c.Slots > 0 && c.Running >= c.Slots {
 		x += fullTokens
 	}
 	if c.Cold {
--- a/internal/pool/choose_test.go
+++ b/internal/pool/choose_test.go
@@ -41,7 +41,7 @@
 	})
 	for name, change := range map[string]func(c *Candidate){
 		"full": func(c *Candidate) { c.Running = 8 }, "refused": func(c *Candidate) { c.Refused = true }, "failing": func(c *Candidate) { c.Failures = 0.5 },
-		"slow": func(c *Candidate) { c.Slowness = 3 }, "cold": func(c *Candidate) { c.Cold = true }, "out of memory": func(c *Candidate) { c.Held = 98_000 },
+		"slow": func(c *Candidate) { c.Slowness = 3 }, "unreachable": func(c *Candidate) { c.Unreachable = true }, "cold": func(c *Candidate) { c.Cold = true }, "out of memory": func(c *Candidate) { c.Held = 98_000 },
 	} {
 		t.Run("not one that is "+name, func(t *testing.T) {
 			assertPicks(t, prompt, func(l []Candidate) { change(&l[home]) }, not(home))
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -12,10 +12,11 @@
 
 // The results.
 const (
-	ResultGood    Result = iota
-	ResultFailed         // no whole answer, or an answer that says it failed
-	ResultRefused        // the upstream didn't run it
-	ResultUnclear        // it ended for reasons of the caller
+	ResultGood        Result = iota
+	ResultFailed             // no whole answer, or an answer that says it failed
+	ResultRefused            // the upstream didn't run it
+	ResultUnreachable        // no connection could be made
+	ResultUnclear            // it ended for reasons of the caller
 )
 
 // Load is what one node has at one upstream.
@@ -40,6 +41,12 @@
 	peerKeeps = 3 * time.Second
 	// refusedKeeps is how long "full" is believed: some requests' work.
 	refusedKeeps = 150 * time.Millisecond
+	// unreachableKeeps is how long "can't be reached" is believed: a cut lasts seconds, and
+	// each try against one costs the time-out of a connection.
+	unreachableKeeps = time.Second
+	// cutAfter is the number of upstreams of a hall that can't be reached after which the
+	// hall is taken for cut off: one may just have died.
+	cutAfter = 2
 	// outlierShare bounds the share of a pool that is ejected.
 	outlierShare = 0.34
 	failureGain  = 0.12 // weight of the newest result in the share of failures
@@ -59,6 +66,7 @@
 	failures float64
 	speed    float64 // average time over expected time
 	refused  time.Time
+	silent   time.Time // when it last couldn't be reached
 	prefixes map[uint64]time.Time
 }
 
@@ -80,7 +88,8 @@
 	peers    map[string]peerLoad
 	memory   map[string]float64 // of an engine, by service
 	placed   []placing
-	work     map[string]float64 // tokens sent since the start, by service
+	work     map[string]float64   // tokens sent since the start, by service
+	reached  map[string]time.Time // when an upstream last answered, by hall
 }
 
 type placing struct {
@@ -93,7 +102,7 @@
 	return &Pools{
 		clock: clock, hall: hall, start: clock.Now(), list: NewList(), members: make(map[string]*member),
 		services: make(map[string][]*member), outliers: make(map[string]*retry.Outliers),
-		peers: make(map[string]peerLoad), memory: make(map[string]float64), work: make(map[string]float64),
+		peers: make(map[string]peerLoad), memory: make(map[string]float64), work: make(map[string]float64), reached: make(map[string]time.Time),
 	}
 }
 
@@ -223,13 +232,31 @@
 		members = spare
 	}
 	chain := Chain(n.Parts)
+	cut := p.cutHalls(now)
 	list := make([]Candidate, len(members))
 	for i, m := range members {
 		list[i] = p.candidate(now, m, n, chain)
+		list[i].Unreachable = cut[m.entry.Hall] || now.Sub(m.silent) < unreachableKeeps
 	}
 	return members, list
 }
 
+// cutHalls returns the halls that are taken for cut off from this node.
+func (p *Pools) cutHalls(now time.Time) map[string]bool {
+	silent := make(map[string]int)
+	for _, m := range p.members {
+		h := m.entry.Hall
+		if now.Sub(m.silent) < unreachableKeeps && m.silent.After(p.reached[h]) {
+			silent[h]++
+		}
+	}
+	cut := make(map[string]bool, len(silent))
+	for h, n := range silent {
+		cut[h] = n >= cutAfter
+	}
+	return cut
+}
+
 func (p *Pools) candidate(now time.Time, m *member, n Need, chain []uint64) Candidate {
 	c := Candidate{
 		ID: m.entry.ID, Slots: m.entry.Slots, SameHall: m.entry.Hall == p.hall,
--- a/internal/pool/use.go
+++ b/internal/pool/use.go
@@ -45,6 +45,7 @@
 	u.p.mu.Lock()
 	defer u.p.mu.Unlock()
 	u.start()
+	u.p.reached[u.entry.Hall] = u.p.clock.Now()
 	ms := float64(u.p.clock.Since(u.begun)) / float64(time.Millisecond)
 	u.m.speed += speedGain * (min(4, ms/u.expect) - u.m.speed)
 	u.p.relax(u.m.entry.Service)
@@ -102,6 +103,10 @@
 	case ResultRefused:
 		o.Unclear(now.Sub(u.p.start), id)
 		u.m.refused = now
+	case ResultUnreachable:
+		o.Failure(now.Sub(u.p.start), id, len(u.p.services[u.m.entry.Service]))
+		u.m.failures += failureGain * (1 - u.m.failures)
+		u.m.silent = now
 	case ResultUnclear:
 		o.Unclear(now.Sub(u.p.start), id)
 	}
