--- a/cmd/spurhall/main.go
+++ b/cmd/spurhall/main.go
@@ -10,10 +10,12 @@
 	"github.com/urfave/cli/v3"
 
 	"spurhall.example/spurhall/internal/command"
+	"spurhall.example/spurhall/platform"
 )
 
 func main() {
-	err := command.New(os.Stdout, os.Stderr).Run(context.Background(), os.Args)
+	checks := map[string]command.Check{"settings": platform.CheckSettings, "deploy": platform.CheckDeploy}
+	err := command.New(os.Stdout, os.Stderr, checks).Run(context.Background(), os.Args)
 	if err == nil {
 		return
 	}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -6,6 +6,7 @@
 //	config.go   apply, get, diff, history, rollback
 //	view.go     status, jobs, timeline, drain
 //	explain.go  the story of a request, out of logs
+//	check.go    check, version
 package command
 
 import (
@@ -38,9 +39,12 @@
 	ExitNoAnswer  = 7 // the node or the platform doesn't answer
 )
 
-// New returns the command line.
-func New(out, errOut io.Writer) *cli.Command {
-	t := &tool{out: out, clock: timer.Real()}
+// Check reports what is wrong with the content of a file of that name.
+type Check func(name string, content []byte) error
+
+// New returns the command line. checks are those of `spurhall check`, by kind of file.
+func New(out, errOut io.Writer, checks map[string]Check) *cli.Command {
+	t := &tool{out: out, clock: timer.Real(), checks: checks}
 	return &cli.Command{
 		Name:                  "spurhall",
 		Usage:                 "operate spurhall: edit templates and workspaces, and see what the nodes do",
@@ -58,13 +62,14 @@
 			&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Value: "text", Usage: "text or json"},
 			&cli.DurationFlag{Name: "timeout", Value: 10 * time.Second, Usage: "longest wait for a node"},
 		},
-		Commands: append(append(t.configCommands(), t.viewCommands()...), t.loadCommand(), t.explainCommand()),
+		Commands: append(append(t.configCommands(), t.viewCommands()...), t.loadCommand(), t.explainCommand(), t.checkCommand(), t.versionCommand()),
 	}
 }
 
 type tool struct {
-	out   io.Writer
-	clock *timer.Service
+	out    io.Writer
+	clock  *timer.Service
+	checks map[string]Check
 }
 
 // bearer adds the token and the author to each call.
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -55,7 +55,7 @@
 // run returns the output and the exit code.
 func (b *bench) run(token string, args ...string) (string, int) {
 	var out bytes.Buffer
-	err := command.New(&out, &out).Run(b.t.Context(), append([]string{"spurhall", "--node", b.node, "--token", token}, args...))
+	err := command.New(&out, &out, nil).Run(b.t.Context(), append([]string{"spurhall", "--node", b.node, "--token", token}, args...))
 	var e cli.ExitCoder
 	switch {
 	case err == nil:
