Quotas let requests in while the level is positive, whatever their size

Ruled out: shares per class (nodes would have to agree on them). Change: a positive level lets in and may be overdrawn; plain calls a little further; a restarted process begins with a quarter of the burst, so that the bound still holds over restarts.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -12,6 +12,10 @@
 // same of this node, the sum holds on both sides of a cut without a word between them.
 // When it is heard again, what it did charge takes the place of the guess.
 //
+// A request is let in while the level is positive, and may overdraw it. Asking for the
+// whole charge first, as an earlier version did, lets small requests keep the level low
+// forever, and the large ones of a busy workspace never get in.
+//
 // Weighed: fixed shares (a workspace whose callers meet one node would get a sixth of
 // its quota), a counter in the store (a write a request), leases of tokens handed out
 // by one node (a second path to fail, and it has to be found after a cut).
@@ -28,6 +32,14 @@
 }
 
 const (
+	// smallRequest is the part of the burst up to which a request counts as small, and
+	// smallDebt how far the small ones may overdraw the bucket: a plain call is charged a
+	// thousandth of what a long prompt is, and refusing it saves nothing.
+	smallRequest = 0.005
+	smallDebt    = 0.05
+	// refillShare is the part of the burst that is to be there again when a refused caller
+	// comes back.
+	refillShare = 0.02
 	// silentAfter is the silence after which a node counts as cut off: two reports missed.
 	silentAfter = 700 * time.Millisecond
 	// useHalf is the time over which recent use counts half.
@@ -70,7 +82,7 @@
 // restartLevel is the part of the burst that a process begins with which does not start
 // with the whole system. It can't know what was charged a moment ago; starting empty
 // refused callers far below their quotas after each kill of all processes.
-const restartLevel = 0.5
+const restartLevel = 0.25
 
 // New returns quotas. A node that starts with the whole system starts with full
 // buckets.
@@ -127,11 +139,13 @@
 		return Verdict{Allowed: true}
 	}
 	q.refill(now, b)
-	// A request larger than the whole burst would never fit: it runs on a full bucket.
-	need := min(tokens, b.limit.Burst)
-	calm := b.level-need >= calmLevel*b.limit.Burst && (b.spent == 0 || b.spent+need <= calmSpend*b.limit.Burst)
-	if !calm && (b.level < need || b.spent+need > q.grant(b)) {
-		short := max(need-b.level, b.spent+need-q.grant(b))
+	floor := 0.0
+	if tokens <= smallRequest*b.limit.Burst {
+		floor = -smallDebt * b.limit.Burst
+	}
+	calm := b.level-tokens >= calmLevel*b.limit.Burst && (b.spent == 0 || b.spent+tokens <= calmSpend*b.limit.Burst)
+	if !calm && (b.level <= floor || b.spent >= q.grant(b)-floor) {
+		short := max(floor-b.level, b.spent+floor-q.grant(b)) + refillShare*b.limit.Burst
 		return Verdict{Level: b.level, Wait: time.Duration(short / b.limit.Rate * float64(time.Second))}
 	}
 	b.level -= tokens
