What nobody reads is gone; a node keeps to its share of the store's rates

Unused settings, options and functions are removed. The guard was given the whole rate of the store instead of a part by the number of nodes. Errors of the lease's steps and silent peers have log lines.

--- a/internal/autoscale/mix.go
+++ b/internal/autoscale/mix.go
@@ -14,9 +14,8 @@
 // ones are to be had. So in calm times the load is carried by reclaimable upstreams on
 // a base of on-demand ones, and from the first notice on the base is raised until it
 // carries the load alone; it is lowered again when no notice has come for a while and
-// the reclaimable ones are back. What is raised takes a boot time to help, so it is
-// raised for what the load may become in it; what is lowered waits until the need has
-// been lower for a while.
+// the reclaimable ones are back. The need rises at once, since a new upstream takes its boot
+// time to help, and falls only after it has been lower for a while.
 //
 // Weighed, measured on the bench: fixed numbers of each kind (docs/DECISIONS.md).
 
@@ -33,7 +32,6 @@
 type MixSpec struct {
 	Min, Max         int
 	ReclaimablePrice float64 // relative to an on-demand upstream; 0 or over 1: none are bought
-	Boot             time.Duration
 }
 
 // Count is what a hall should have.
--- a/internal/autoscale/mix_test.go
+++ b/internal/autoscale/mix_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 )
 
-var mixSpec = MixSpec{Min: 1, Max: 6, ReclaimablePrice: 0.22, Boot: 4 * time.Second}
+var mixSpec = MixSpec{Min: 1, Max: 6, ReclaimablePrice: 0.22}
 
 func threeHalls(onDemand, reclaimable int) []HallState {
 	return []HallState{
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"go.uber.org/zap"
+
 	"spurhall.example/spurhall/internal/duty"
+	"spurhall.example/spurhall/internal/lease"
 )
 
 // dutyEvery is how often the holder of the duties looks for something due.
@@ -20,6 +24,11 @@
 		Clock: n.clock, Log: n.log, KV: n.kv, Cloud: n.o.Cloud, Token: n.lease.Token, Resign: n.lease.Resign,
 		Window: n.usage.Window, End: n.usage.End, Counts: n.counts, Late: n.s.UsageLate,
 	})
+	n.lease.Observe(func(err error) {
+		if !errors.Is(err, lease.ErrTaken) {
+			n.log.Info("lease_step_failed", zap.String("cause", err.Error()))
+		}
+	})
 	done := make(chan struct{})
 	go func() {
 		n.lease.Run(ctx, func() bool { return n.listed.Load() && !n.isLeaving() })
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -95,13 +95,13 @@
 func New(o Options) *Node {
 	s := o.Settings
 	n := &Node{o: o, s: s, clock: o.Clock, log: o.Log, start: o.Clock.Now(), repeats: make(map[string]*retry.Window)}
-	n.guard = store.NewGuard(o.Clock, store.GuardOptions{Reads: s.Store.Reads, Writes: s.Store.Writes, Backoff: storeBackoff})
-	n.kv = n.guard.Wrap(o.KV)
 	n.pools = pool.New(o.Clock, s.Hall)
 	n.lines = forward.NewLines(o.Clock)
 	n.quotas = quota.New(n.start, s.FirstStart)
 	n.usage = usage.New(s.Node, o.Lifetime, s.UsageWindow)
 	n.peers = newTable(n)
+	n.guard = store.NewGuard(o.Clock, n.share())
+	n.kv = n.guard.Wrap(o.KV)
 	n.lease = lease.New(n.kv, o.Clock, dutyKey, s.Node, max(s.Lease, s.Store.MinLease))
 	n.front = forward.NewServer(forward.Options{
 		Clock: o.Clock, Log: o.Log, Dialect: o.Dialect, Pools: n.pools, Lines: n.lines, Catalog: n.current,
@@ -110,6 +110,12 @@
 	return n
 }
 
+// share is this node's part of the store's rates.
+func (n *Node) share() store.GuardOptions {
+	k := float64(n.peers.size())
+	return store.GuardOptions{Reads: n.s.Store.Reads / k, Writes: n.s.Store.Writes / k, Backoff: storeBackoff}
+}
+
 func (n *Node) current() *catalog.Catalog {
 	if h := n.catalog.Load(); h != nil {
 		return h.catalog
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -136,7 +136,7 @@
 	}
 	halls := o.halls(s)
 	now := o.n.clock.Since(o.n.start)
-	spec := autoscale.MixSpec{Min: s.Scaling.Min, Max: s.Scaling.Max, ReclaimablePrice: s.Scaling.SpotPrice, Boot: s.Scaling.Boot}
+	spec := autoscale.MixSpec{Min: s.Scaling.Min, Max: s.Scaling.Max, ReclaimablePrice: s.Scaling.SpotPrice}
 	have := make(map[subject]int)
 	for _, h := range halls {
 		have[subject{s.Name, h.Hall, false}] = h.OnDemand
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -38,6 +38,8 @@
 	heard    time.Time
 	listed   time.Time // last seen in the store's registry
 	busy     bool      // a call is under way
+	silent   bool      // its silence was logged
+	failure  string    // of the last call; empty: it was answered
 	client   wireconnect.EdgeClient
 	version  int64 // of its catalog
 	revision int64 // of its upstream list
@@ -99,12 +101,16 @@
 	n.mu.Lock()
 	n.quotas.SetPeers(now, n.peers.names())
 	n.quotas.Round(now)
+	n.guard.SetRates(n.share())
 	n.usage.Forget(now)
 	heard := 0
 	var call []*peer
 	for _, p := range n.peers.peers {
 		if now.Sub(p.heard) <= heardWithin {
 			heard++
+		} else if !p.silent && !p.heard.IsZero() {
+			p.silent = true
+			n.log.Warn("peer_silent", zap.String("peer", p.name), zap.Duration("for", now.Sub(p.heard)), zap.String("last_call", p.failure))
 		}
 		if !p.busy && (p.name > n.s.Node || now.Sub(p.heard) > heardWithin) {
 			p.busy = true
@@ -127,7 +133,10 @@
 	n.mu.Unlock()
 	a, err := client.Report(c, connect.NewRequest(&wire.ReportRequest{Report: r}))
 	n.mu.Lock()
-	p.busy = false
+	p.busy, p.failure = false, ""
+	if err != nil {
+		p.failure = err.Error()
+	}
 	n.mu.Unlock()
 	if err == nil && a.Msg.Report != nil {
 		n.takeIn(ctx, a.Msg.Report)
@@ -217,7 +226,7 @@
 	if p.lifetime != r.Lifetime || now.Sub(p.heard) > heardWithin {
 		n.log.Info("peer_heard", zap.String("peer", r.Node), zap.String("lifetime", r.Lifetime), zap.Int64("catalog", r.CatalogVersion))
 	}
-	p.lifetime, p.sequence, p.heard = r.Lifetime, r.Sequence, now
+	p.lifetime, p.sequence, p.heard, p.silent = r.Lifetime, r.Sequence, now, false
 	p.version, p.revision = r.CatalogVersion, r.ListRevision
 	charged := make(map[string]float64, len(r.Spent))
 	for _, v := range r.Spent {
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -29,15 +29,12 @@
 	Address string
 	Usage   bool
 	Scale   bool
-	Rate    float64 // calls a second, from all nodes together
 }
 
 // Settings is what one node runs by.
 type Settings struct {
 	Node       string
-	IP         string
 	Hall       string
-	Region     string
 	Halls      map[string]string // region by hall
 	Front      string            // callers' listener
 	Readiness  string
@@ -46,11 +43,9 @@
 	FirstStart bool     // the whole system starts for the first time
 
 	MemoryBytes int64
-	MaxFiles    int
 	Store       StoreSettings
 	Cloud       CloudSettings
 
-	Drain          time.Duration // a leaving upstream gets nothing new after it
 	Stop           time.Duration // from the stop signal to the kill
 	Lease          time.Duration // of a duty
 	RetryRatio     float64       // repeats a request, over all nodes
@@ -58,7 +53,6 @@
 	RetryAllowance float64
 	UsageWindow    time.Duration
 	UsageLate      time.Duration // a window's report is due so long after its end
-	CacheKeeps     time.Duration // a prompt part used again within it should still be cached
 }
 
 // Check reports everything that is wrong.
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -42,6 +42,7 @@
 	id    int64
 	token int64
 	until time.Time
+	watch func(err error) // may be nil
 }
 
 // New returns a lease that isn't held. ttl is in whole seconds.
@@ -49,6 +50,10 @@
 	return &Lease{kv: kv, clock: clock, key: key, owner: owner, ttl: ttl}
 }
 
+// Observe names what is called with each error that a step of Run ends with, ErrTaken
+// included. It is set before Run.
+func (l *Lease) Observe(f func(err error)) { l.watch = f }
+
 // Token returns the fencing token, and whether the lease is held by the holder's own
 // clock. It is asked for right before each order.
 func (l *Lease) Token() (int64, bool) {
@@ -63,7 +68,9 @@
 	for ctx.Err() == nil {
 		pause := l.ttl / renewals
 		if l.held() || wanted() {
-			_ = l.Step(ctx) // what came of it is in the lease's state
+			if err := l.Step(ctx); err != nil && l.watch != nil {
+				l.watch(err)
+			}
 		}
 		if !l.held() {
 			pause = l.ttl / looks
--- a/internal/logging/ring.go
+++ b/internal/logging/ring.go
@@ -3,7 +3,6 @@
 import (
 	"expvar"
 	"io"
-	"sync/atomic"
 
 	zaplogfmt "github.com/jsternberg/zap-logfmt"
 	"go.uber.org/zap"
@@ -13,10 +12,9 @@
 // Ring hands lines to a writer by a goroutine of its own. When the writer is slower
 // than the lines come, the newest are dropped and counted: whoever logs never waits.
 type Ring struct {
-	lines   chan []byte
-	done    chan struct{}
-	dropped atomic.Int64
-	w       io.Writer
+	lines chan []byte
+	done  chan struct{}
+	w     io.Writer
 }
 
 // ringLines bounds the memory that waiting lines take, at some 300 bytes each.
@@ -52,7 +50,6 @@
 	select {
 	case r.lines <- l:
 	default:
-		r.dropped.Add(1)
 		droppedLines.Add(1)
 	}
 	return len(b), nil
@@ -61,9 +58,6 @@
 // Sync does nothing: lines are written as soon as they can be.
 func (r *Ring) Sync() error { return nil }
 
-// Dropped returns the number of lines dropped.
-func (r *Ring) Dropped() int64 { return r.dropped.Load() }
-
 // Close writes what is waiting. Nothing may be written afterwards.
 func (r *Ring) Close() {
 	close(r.lines)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -369,16 +369,3 @@
 // TokensPerSecond is what an engine takes in a second when it does nothing else, as on the
 // platform's sheets.
 const TokensPerSecond = 32_400
-
-// Count returns the upstreams of a service that take requests.
-func (p *Pools) Count(service string) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	n := 0
-	for _, m := range p.services[service] {
-		if !m.entry.Leaving {
-			n++
-		}
-	}
-	return n
-}
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -136,7 +136,6 @@
 type Options struct {
 	ConnectTimeout time.Duration
 	IdlePerHost    int
-	MaxPerHost     int           // connections; 0: no limit
 	IdleTimeout    time.Duration // 0: half a minute
 	// Silence is how long a peer's kernel may leave bytes or probes unacknowledged
 	// before its connections count as broken; 0: the system's own, many minutes.
@@ -162,7 +161,6 @@
 			return &conn{Conn: c}, nil
 		},
 		MaxIdleConnsPerHost: o.IdlePerHost,
-		MaxConnsPerHost:     o.MaxPerHost,
 		IdleConnTimeout:     o.IdleTimeout,
 		DisableCompression:  true, // bodies pass through as they are
 	}
