--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -175,13 +175,13 @@
 const budgetShare = 0.7
 
 func (n *Node) window(service string) *retry.Window {
-	a := budgetShare * n.s.RetryAllowance / float64(n.peers.size())
+	a := budgetShare * n.s.RetryExtra / float64(n.peers.size())
 	w := n.repeats[service]
 	if w == nil {
 		w = retry.NewWindow(budgetShare*n.s.RetryRatio, a, n.s.RetryWindow)
 		n.repeats[service] = w
 	}
-	w.SetAllowance(a)
+	w.SetExtra(a)
 	return w
 }
 
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -46,13 +46,13 @@
 	Store       StoreSettings
 	Cloud       CloudSettings
 
-	Stop           time.Duration // from the stop signal to the kill
-	Lease          time.Duration // of a duty
-	RetryRatio     float64       // repeats a request, over all nodes
-	RetryWindow    time.Duration
-	RetryAllowance float64
-	UsageWindow    time.Duration
-	UsageLate      time.Duration // a window's report is due so long after its end
+	Stop        time.Duration // from the stop signal to the kill
+	Lease       time.Duration // of a duty
+	RetryRatio  float64       // repeats a request, over all nodes
+	RetryWindow time.Duration
+	RetryExtra  float64 // repeats in the window beyond the ratio, over all nodes
+	UsageWindow time.Duration
+	UsageLate   time.Duration // a window's report is due so long after its end
 }
 
 // Check reports everything that is wrong.
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -3,21 +3,21 @@
 import "time"
 
 // Window bounds repeats against first sends in every span of a given length, as an
-// operator states it: at most ratio x firsts + allowance. It is one node's part of a
+// operator states it: at most ratio x firsts + extra. It is one node's part of a
 // bound that holds over all nodes together, and it needs nobody else for that: each
-// node keeps to the ratio of its own firsts and to its share of the allowance, and so
+// node keeps to the ratio of its own firsts and to its share of the extra, and so
 // does the sum.
 //
 // Sliding spans are kept by slots of a tenth of the span. A slot counts as long as any
 // instant of it lies in the span for repeats, and only once it lies wholly in it for
 // firsts, so the rounding errs on the safe side both times.
 type Window struct {
-	ratio     float64
-	allowance float64
-	slot      time.Duration
-	firsts    [windowSlots]float64
-	repeats   [windowSlots]float64
-	at        int64 // number of the newest slot
+	ratio   float64
+	extra   float64
+	slot    time.Duration
+	firsts  [windowSlots]float64
+	repeats [windowSlots]float64
+	at      int64 // number of the newest slot
 }
 
 const (
@@ -25,13 +25,13 @@
 	windowSlots = spanSlots + 1
 )
 
-// NewWindow returns a window. allowance is this node's part.
-func NewWindow(ratio, allowance float64, span time.Duration) *Window {
-	return &Window{ratio: ratio, allowance: allowance, slot: max(1, span/spanSlots)}
+// NewWindow returns a window. extra is this node's part.
+func NewWindow(ratio, extra float64, span time.Duration) *Window {
+	return &Window{ratio: ratio, extra: extra, slot: max(1, span/spanSlots)}
 }
 
-// SetAllowance changes this node's part of the allowance.
-func (w *Window) SetAllowance(a float64) { w.allowance = a }
+// SetExtra changes this node's part of the extra.
+func (w *Window) SetExtra(a float64) { w.extra = a }
 
 func (w *Window) turn(now time.Duration) int {
 	n := int64(now / w.slot)
@@ -60,7 +60,7 @@
 			firsts += w.firsts[i]
 		}
 	}
-	if repeats+1 > w.ratio*firsts+w.allowance {
+	if repeats+1 > w.ratio*firsts+w.extra {
 		return false
 	}
 	w.repeats[at]++
--- a/internal/retry/window_test.go
+++ b/internal/retry/window_test.go
@@ -14,8 +14,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		const span = 10 * time.Second
 		ratio := rapid.Float64Range(0, 0.5).Draw(t, "ratio")
-		allowance := float64(rapid.IntRange(0, 5).Draw(t, "allowance"))
-		w := NewWindow(ratio, allowance, span)
+		extra := float64(rapid.IntRange(0, 5).Draw(t, "extra"))
+		w := NewWindow(ratio, extra, span)
 		var firsts, repeats []time.Duration
 		now := time.Duration(0)
 		for i := 0; i < 200; i++ {
@@ -38,7 +38,7 @@
 				}
 				return n
 			}
-			assert.LessOrEqual(t, in(repeats), ratio*in(firsts)+allowance+1e-9)
+			assert.LessOrEqual(t, in(repeats), ratio*in(firsts)+extra+1e-9)
 		}
 	})
 }
