Two tests of the product's own path no longer depend on timing

TestHallLeaderOrdersVMs: the order is at the platform before the leader's own event is written; the test looked at once, found no leader, killed nobody, and waited for a next one (its dump: live 2, members 2). It waits for the event now; as strict. TestNodeKilledAfterTheSend: no node claimed in the set-up. Ports were picked from the range that the system gives to connections, one of them seconds before its use; read, not reproduced.

--- a/cmd/spurhalld/process_test.go
+++ b/cmd/spurhalld/process_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand"
+	mrand "math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -36,11 +37,19 @@
 	admin   string
 }
 
+// port returns an address that is free and stays so until a process is started on it: it
+// lies below the ports that the system gives to connections, of which other tests make
+// many meanwhile.
 func port(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	for i := 0; i < 100; i++ {
+		a := fmt.Sprintf("127.0.0.1:%d", 20_000+mrand.IntN(10_000))
+		if l, err := net.Listen("tcp", a); err == nil {
+			require.NoError(t, l.Close())
+			return a
+		}
+	}
+	require.FailNow(t, "no port is free")
+	return ""
 }
 
 func (c *cluster) start(name string, args ...string) *exec.Cmd {
--- a/internal/node/scale_test.go
+++ b/internal/node/scale_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -28,13 +29,14 @@
 	for _, o := range list {
 		assert.Equal(t, "z3", o.Zone, "the other zone refuses")
 	}
-	for i, n := range r.nodes {
-		if n.saw("vm_start_ordered") {
-			n.kill()
-			r.nodes = append(r.nodes[:i:i], r.nodes[i+1:]...)
-			break
-		}
-	}
+	// The order is at the platform before the leader has its answer and says so.
+	leader := -1
+	r.eventually("the leader says so", func() bool {
+		leader = slices.IndexFunc(r.nodes, func(n *rigNode) bool { return n.saw("vm_start_ordered") })
+		return leader >= 0
+	})
+	r.nodes[leader].kill()
+	r.nodes = append(r.nodes[:leader:leader], r.nodes[leader+1:]...)
 	r.platform.SetOffers(nil, offer("z4", 1))
 	r.eventually("the next leader orders", func() bool {
 		l := r.platform.Ordered()
