Orders: the need is the highest of 7 s; a fresh system goes down to its base at once

Change: the need is the highest within 7 s, not the one of the moment when it was lower for 5 s. Before the first work of a fresh system, reclaimable upstreams take the place of what was found as soon as they are granted.

--- a/internal/autoscale/mix.go
+++ b/internal/autoscale/mix.go
@@ -57,7 +57,7 @@
 
 // MixDefaults returns the options in use; docs/DECISIONS.md has the trials.
 func MixDefaults() MixOptions {
-	return MixOptions{Work: 0.65, Spare: 2, Calm: 9 * time.Second, Hold: 5 * time.Second}
+	return MixOptions{Work: 0.65, Spare: 2, Calm: 9 * time.Second, Hold: 7 * time.Second}
 }
 
 // Mix plans one service. It isn't safe for concurrent use.
@@ -116,10 +116,7 @@
 		return halls[i].Hall < halls[j].Hall
 	})
 	buys := s.ReclaimablePrice > 0 && s.ReclaimablePrice < 1
-	safe := need // what on-demand upstreams have to carry
-	if buys && !wave {
-		safe = math.Max(0, need-float64(m.dependable(halls)))
-	}
+	safe := m.safe(need, buys, wave, halls)
 	counts := m.spread(int(math.Ceil(safe-1e-9)), s, halls)
 	if !buys {
 		return counts
@@ -138,6 +135,19 @@
 	return counts
 }
 
+// safe is the part of the need that on-demand upstreams have to carry. In a wave it is all
+// of it. A fresh system without work needs none while reclaimable ones are to be had: they
+// are there before the work.
+func (m *Mix) safe(need float64, buys, wave bool, halls []HallState) float64 {
+	switch {
+	case !buys || wave:
+		return need
+	case m.o.Fresh && !m.begun && len(m.refusals) == 0:
+		return 0
+	}
+	return math.Max(0, need-float64(m.dependable(halls)))
+}
+
 // needed is the need at a moment.
 type needed struct {
 	at   time.Duration
--- a/internal/autoscale/mix_test.go
+++ b/internal/autoscale/mix_test.go
@@ -61,6 +61,33 @@
 		n, _ = sums(m.Plan(time.Minute, 0.3, mixSpec, threeHalls(2, 0)))
 		assert.Equal(t, 3, n)
 	})
+	t.Run("a fresh system holds no more on demand than the base until work has come", func(t *testing.T) {
+		o := MixDefaults()
+		o.Fresh = true
+		n, r := sums(NewMix(o).Plan(0, 0, mixSpec, threeHalls(3, 0)))
+		assert.Equal(t, 3, n)
+		assert.Equal(t, 9, r)
+		m := NewMix(o)
+		m.Refused(0, "a")
+		n, _ = sums(m.Plan(0, 0, mixSpec, threeHalls(3, 0)))
+		assert.Equal(t, 9, n, "reclaimable ones aren't to be had")
+	})
+	t.Run("the need is the highest of a while", func(t *testing.T) {
+		m, now := loaded(2, threeHalls(1, 0))
+		high, _ := sums(m.Plan(now, 6, mixSpec, threeHalls(1, 0)))
+		assert.Greater(t, high, 9)
+		n, _ := sums(m.Plan(now+MixDefaults().Hold, 2, mixSpec, threeHalls(1, 0)))
+		assert.Equal(t, high, n)
+		n, _ = sums(m.Plan(now+MixDefaults().Hold+time.Second, 2, mixSpec, threeHalls(1, 0)))
+		assert.Less(t, n, high)
+	})
+	t.Run("a list that fills after the first look counts as found", func(t *testing.T) {
+		m := NewMix(MixDefaults())
+		m.Plan(0, 0, mixSpec, threeHalls(1, 0))
+		m.Plan(time.Second, 0, mixSpec, threeHalls(3, 0))
+		n, _ := sums(m.Plan(time.Minute, 0, mixSpec, threeHalls(0, 0)))
+		assert.Equal(t, 9, n)
+	})
 	t.Run("a notice raises the base to the whole need, and calm lowers it", func(t *testing.T) {
 		m, now := loaded(4, threeHalls(1, 4))
 		h := threeHalls(1, 4)
