--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -65,6 +65,8 @@
 	front *forward.Server
 	lease *lease.Lease
 
+	upstreams *follower // of the list
+
 	catalog atomic.Pointer[held]
 	listed  atomic.Bool  // the upstreams have been read once
 	phase   atomic.Int32 // of a planned stop, a forward.Phase
@@ -74,6 +76,9 @@
 	repeats map[string]*retry.Window
 	usage   *usage.Book
 	peers   *table
+
+	othersChange int64     // newest change of the list that other nodes told of
+	behind       time.Time // since when this node lacks it; zero: it doesn't
 }
 
 // held is the configuration in force, with the bytes it was read from for a peer that
@@ -100,6 +105,7 @@
 	n.quotas = quota.New(n.start, s.FirstStart)
 	n.usage = usage.New(s.Node, o.Lifetime, s.UsageWindow)
 	n.peers = newTable(n)
+	n.upstreams = n.listFollower()
 	n.guard = store.NewGuard(o.Clock, n.share())
 	n.kv = n.guard.Wrap(o.KV)
 	n.lease = lease.New(n.kv, o.Clock, dutyKey, s.Node, max(s.Lease, s.Store.MinLease))
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -147,7 +147,7 @@
 func (n *Node) report() *wire.NodeReport {
 	loads, placed := n.pools.Report()
 	r := &wire.NodeReport{
-		Node: n.s.Node, Lifetime: n.o.Lifetime, Address: n.s.Peers, ListRevision: n.pools.Revision(),
+		Node: n.s.Node, Lifetime: n.o.Lifetime, Address: n.s.Peers, ListRevision: n.pools.Revision(), ListChange: n.pools.Change(),
 		StoreUp: n.guard.Up(), Leaving: n.isLeaving(),
 	}
 	if h := n.catalog.Load(); h != nil {
@@ -211,6 +211,7 @@
 		placed = append(placed, pool.Placement{Prefix: v.Prefix, Upstream: v.Upstream})
 	}
 	n.pools.TakeIn(r.Node, loads, placed)
+	n.compare(r.Node, r.ListChange)
 	n.catchUp(ctx, r)
 }
 
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,10 +15,25 @@
 // This file follows what the store holds. Both followers read a whole range and then
 // watch from its revision on; whatever breaks the watch, a compacted history included,
 // leads back to the range. What is held meanwhile stays in force.
+//
+// A watch that waits can't tell silence from calm. It is begun anew when another call to
+// the store fails, and when other nodes have heard of a change that this one hasn't.
 
 // followPause is the pause after a failure. The guard's breaker adds its own.
 const followPause = 100 * time.Millisecond
 
+const (
+	// gather is a pause after changes of the list: a wave of reclaims or a release comes as
+	// a change for each upstream, and each answer to a watch is a call that is paid for.
+	gather = 50 * time.Millisecond
+	// behindFor is how long this node's list may lack a change that another node has: two
+	// reports, and the delay of a watch.
+	behindFor = 600 * time.Millisecond
+)
+
+// errBehind ends a watch that lacks what other nodes have heard.
+var errBehind = errs.NewType("behind").New("other nodes have heard of later changes")
+
 // follower reads a prefix again and again, and watches it in between.
 type follower struct {
 	n      *Node
@@ -26,6 +42,9 @@
 	whole  func(r store.RangeResult)
 	change func(b store.WatchBatch)
 	failed time.Time // since when the store doesn't answer; zero: it does
+
+	mu   sync.Mutex
+	stop context.CancelCauseFunc // of the watch under way
 }
 
 func (f *follower) run(ctx context.Context) {
@@ -34,7 +53,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if !errors.Is(err, store.ErrCompacted) {
+		if !errors.Is(err, store.ErrCompacted) && !errors.Is(err, errBehind) {
 			f.lost(err)
 		}
 		_ = f.n.clock.Sleep(ctx, followPause)
@@ -67,11 +86,56 @@
 	}
 	f.whole(r)
 	f.regained()
-	return f.n.kv.Watch(ctx, f.prefix, end, r.Revision+1, func(b store.WatchBatch) error {
+	c, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	f.set(stop)
+	err = f.n.kv.Watch(c, f.prefix, end, r.Revision+1, func(b store.WatchBatch) error {
 		f.regained()
 		f.change(b)
+		if len(b.Events) > 0 {
+			return f.n.clock.Sleep(c, gather)
+		}
 		return nil
 	})
+	if errors.Is(context.Cause(c), errBehind) {
+		return errBehind
+	}
+	return err
+}
+
+func (f *follower) set(stop context.CancelCauseFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stop = stop
+}
+
+// again ends the watch under way: the range is read anew.
+func (f *follower) again() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stop != nil {
+		f.stop(errBehind)
+	}
+}
+
+// compare takes in the newest change of the list that another node has heard of.
+func (n *Node) compare(peer string, change int64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.clock.Now()
+	n.othersChange = max(n.othersChange, change)
+	have := n.pools.Revision()
+	switch {
+	case have >= n.othersChange:
+		n.behind = time.Time{}
+	case n.behind.IsZero():
+		n.behind = now
+	case now.Sub(n.behind) > behindFor:
+		n.log.Warn("watch_behind", zap.String("reader", n.upstreams.name), zap.String("peer", peer),
+			zap.Int64("revision", have), zap.Int64("change", n.othersChange), zap.Duration("for", now.Sub(n.behind)))
+		n.behind = now
+		n.upstreams.again()
+	}
 }
 
 func (n *Node) catalogFollower() *follower {
@@ -122,7 +186,7 @@
 
 func (n *Node) change(now time.Time, l *pool.List, e store.Event) {
 	if e.Deleted {
-		l.Delete(now, e.Pair.Key[min(len(n.o.EntryPrefix), len(e.Pair.Key)):])
+		l.Remove(now, e.Pair.Modified, e.Pair.Key[min(len(n.o.EntryPrefix), len(e.Pair.Key)):])
 		return
 	}
 	for _, v := range n.items([]store.Pair{e.Pair}) {
--- a/internal/pool/list.go
+++ b/internal/pool/list.go
@@ -49,6 +49,7 @@
 	items    map[string]Item
 	missing  map[string]time.Time // by id: until when a missing entry is believed
 	revision int64
+	change   int64     // revision of the newest change taken in
 	trust    time.Time // entries that vanish before this are believed missing
 }
 
@@ -60,6 +61,9 @@
 // Revision returns the store's revision up to which the list holds.
 func (l *List) Revision() int64 { return l.revision }
 
+// Change returns the store's revision of the newest change that was taken in.
+func (l *List) Change() int64 { return l.change }
+
 // Len returns the number of entries, missing ones included.
 func (l *List) Len() int { return len(l.items) }
 
@@ -97,6 +101,7 @@
 
 // Put takes in one entry, unless a newer one is held.
 func (l *List) Put(v Item) {
+	l.change = max(l.change, v.Revision)
 	old, ok := l.items[v.Entry.ID]
 	if ok && old.Revision > v.Revision {
 		return
@@ -107,6 +112,12 @@
 	delete(l.missing, v.Entry.ID)
 }
 
+// Remove takes in that an entry went at a revision.
+func (l *List) Remove(now time.Time, revision int64, id string) {
+	l.change = max(l.change, revision)
+	l.Delete(now, id)
+}
+
 // Delete takes in that an entry is gone.
 func (l *List) Delete(now time.Time, id string) {
 	if _, ok := l.items[id]; !ok {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -127,6 +127,13 @@
 	return p.list.Revision()
 }
 
+// Change returns the store's revision of the list's newest change.
+func (p *Pools) Change() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.list.Change()
+}
+
 func (p *Pools) rebuild() []Change {
 	var changes []Change
 	seen := make(map[string]bool)
--- a/internal/store/guard.go
+++ b/internal/store/guard.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/time/rate"
 
+	"spurhall.example/spurhall/internal/fault"
 	"spurhall.example/spurhall/internal/timer"
 )
 
@@ -30,6 +31,7 @@
 	closed time.Time
 	up     bool
 	limit  time.Duration // of the breaker's open time
+	doubt  chan struct{} // closed, and made anew, when a call fails
 }
 
 // GuardOptions sets a guard. Rates are calls a second for this node alone.
@@ -48,6 +50,7 @@
 	}
 	return &Guard{
 		limit:  o.Backoff,
+		doubt:  make(chan struct{}),
 		clock:  clock,
 		reads:  rate.NewLimiter(rate.Limit(o.Reads), int(o.Reads)+8),
 		writes: rate.NewLimiter(rate.Limit(o.Writes), int(o.Writes)+8),
@@ -82,15 +85,32 @@
 	return g.clock.Now().Before(g.closed)
 }
 
+// note takes in how a call ended. A failure casts doubt on the watches: one that waits
+// for changes can't tell a store that is silent from one that has nothing to say.
 func (g *Guard) note(err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.count(err) {
+		close(g.doubt)
+		g.doubt = make(chan struct{})
+	}
+}
+
+// noteWatch is note for a watch itself, which says nothing of other watches.
+func (g *Guard) noteWatch(err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.count(err)
+}
+
+// count opens the breaker after some failures in a row, and tells whether this was one.
+func (g *Guard) count(err error) bool {
 	if err == nil || errors.Is(err, ErrLeaseGone) || errors.Is(err, ErrCompacted) {
 		g.fails, g.up = 0, true
-		return
+		return false
 	}
 	if errors.Is(err, context.Canceled) {
-		return
+		return false
 	}
 	g.fails++
 	g.up = g.up && g.fails < breakerAfter
@@ -99,6 +119,14 @@
 		d = min(d, g.limit)
 		g.closed = g.clock.Now().Add(d/2 + rand.N(d/2+1))
 	}
+	return true
+}
+
+// doubted is closed when the next call fails.
+func (g *Guard) doubted() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.doubt
 }
 
 func (g *Guard) before(kind string, l *rate.Limiter) error {
@@ -114,7 +142,8 @@
 	return nil
 }
 
-// Wrap returns kv behind the guard. A watch counts as one read when it begins;
+// Wrap returns kv behind the guard. A watch counts as one read when it begins, and ends
+// when any other call fails;
 // lease keep-alives are never refused, since losing a lease costs more than the
 // call.
 func (g *Guard) Wrap(kv KV) KV {
@@ -162,14 +191,38 @@
 			if err := g.before("watches", g.reads); err != nil {
 				return err
 			}
-			err := kv.Watch(ctx, key, end, revision, func(b WatchBatch) error {
-				g.note(nil)
-				return f(b)
-			})
-			if ctx.Err() == nil {
-				g.note(err)
-			}
-			return err
+			return g.watch(ctx, kv, key, end, revision, f)
 		},
 	}
 }
+
+// watch watches until a call fails.
+func (g *Guard) watch(ctx context.Context, kv KV, key, end string, revision int64, f func(WatchBatch) error) error {
+	c, cancel := context.WithCancel(ctx)
+	defer cancel()
+	doubted, ended := false, make(chan struct{})
+	doubt := g.doubted()
+	go func() {
+		defer close(ended)
+		select {
+		case <-doubt:
+			doubted = true
+			cancel()
+		case <-c.Done():
+		}
+	}()
+	err := kv.Watch(c, key, end, revision, func(b WatchBatch) error {
+		g.noteWatch(nil)
+		return f(b)
+	})
+	cancel()
+	<-ended
+	if ctx.Err() != nil {
+		return err
+	}
+	if doubted {
+		return fault.Because(ErrUnavailable, "another call failed, so the watch is no longer trusted")
+	}
+	g.noteWatch(err)
+	return err
+}
--- /dev/null
+++ b/internal/store/guard_test.go
@@ -0,0 +1,113 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"spurhall.example/spurhall/internal/timer"
+)
+
+// answering is a service whose calls end with the error given, and whose watches wait.
+func answering(err *error) KV {
+	return KV{
+		Range:     func(context.Context, string, string) (RangeResult, error) { return RangeResult{}, *err },
+		KeepAlive: func(context.Context, int64) (time.Duration, error) { return 0, *err },
+		Watch: func(ctx context.Context, _, _ string, _ int64, _ func(WatchBatch) error) error {
+			<-ctx.Done()
+			return ctx.Err()
+		},
+	}
+}
+
+func newGuard(clock *timer.Service) *Guard {
+	return NewGuard(clock, GuardOptions{Reads: 1000, Writes: 1000})
+}
+
+// watching starts a watch and returns its end.
+func watching(ctx context.Context, kv KV) <-chan error {
+	end := make(chan error, 1)
+	go func() { end <- kv.Watch(ctx, "k", "", 1, func(WatchBatch) error { return nil }) }()
+	return end
+}
+
+func TestGuardDoubtsWatches(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		err  error
+		ends bool
+	}{
+		{"a call without an answer", ErrUnknown, true},
+		{"a call that is turned away", ErrUnavailable, true},
+		{"a call over the store's rate", ErrBudget, true},
+		{"a lease that is over", ErrLeaseGone, false},
+		{"an answer", nil, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			err := c.err
+			kv := newGuard(timer.Real()).Wrap(answering(&err))
+			ctx, cancel := context.WithCancel(context.Background())
+			end := watching(ctx, kv)
+			ended := func() bool {
+				_, _ = kv.KeepAlive(ctx, 1)
+				return len(end) > 0
+			}
+			if c.ends {
+				require.Eventually(t, ended, 30*time.Second, time.Millisecond)
+				assert.ErrorIs(t, <-end, ErrUnavailable)
+			} else {
+				for i := 0; i < 20; i++ {
+					assert.False(t, ended())
+				}
+			}
+			cancel()
+			if !c.ends {
+				assert.ErrorIs(t, <-end, context.Canceled)
+			}
+		})
+	}
+}
+
+func TestGuardBreaks(t *testing.T) {
+	clock := timer.NewManual(time.Unix(1000, 0))
+	err := error(ErrUnavailable)
+	g := newGuard(clock.Service())
+	kv := g.Wrap(answering(&err))
+	read := func() error { _, e := kv.Range(context.Background(), "k", ""); return e }
+	for i := 0; i < breakerAfter; i++ {
+		assert.ErrorIs(t, read(), ErrUnavailable)
+	}
+	err = nil
+	t.Run("no calls while it is open", func(t *testing.T) { assert.ErrorIs(t, read(), ErrUnavailable) })
+	t.Run("one answer closes it", func(t *testing.T) {
+		clock.Advance(backoffLimit)
+		assert.NoError(t, read())
+		assert.True(t, g.Up())
+	})
+	t.Run("a caller that leaves is no failure", func(t *testing.T) {
+		err = errors.Join(context.Canceled)
+		for i := 0; i < 2*breakerAfter; i++ {
+			assert.ErrorIs(t, read(), context.Canceled)
+		}
+		assert.True(t, g.Up())
+	})
+}
+
+func TestGuardKeepsToItsRates(t *testing.T) {
+	clock := timer.NewManual(time.Unix(1000, 0))
+	err := error(nil)
+	kv := NewGuard(clock.Service(), GuardOptions{Reads: 1, Writes: 1}).Wrap(answering(&err))
+	made := 0
+	for i := 0; i < 100; i++ {
+		if _, e := kv.Range(context.Background(), "k", ""); e == nil {
+			made++
+		} else {
+			assert.ErrorIs(t, e, ErrBudget)
+		}
+	}
+	assert.Less(t, made, 20)
+}
