What was ordered on demand stands in the store; log lines spell their counts

Cause: (1) a process took the lease up to 1.5 s after it could: the pause of a process that doesn't want it yet was that of one that looks. (3) usage_reported wrote countsError="unsupported value type".

Change: the on-demand counts are written to the store on condition that the term lasts; a new holder orders no fewer for 7 s. A process looks whether it wants the lease each 50 ms, which makes no calls. Named counts are a field of their own in the log.

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -22,6 +22,7 @@
 	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
+	"spurhall.example/spurhall/internal/logging"
 	"spurhall.example/spurhall/internal/store"
 	"spurhall.example/spurhall/internal/timer"
 )
@@ -152,7 +153,7 @@
 	if err := r.o.Cloud.Report(ctx, token, v); err != nil {
 		return err
 	}
-	r.o.Log.Info("usage_reported", zap.Int64("window", w), zap.Int64("token", token), zap.Any("counts", v.Counts),
+	r.o.Log.Info("usage_reported", zap.Int64("window", w), zap.Int64("token", token), logging.Counts("counts", v.Counts),
 		zap.Duration("after_end", r.o.Clock.Now().Sub(r.o.End(w))))
 	return nil
 }
--- /dev/null
+++ b/internal/edge/ordered.go
@@ -0,0 +1,110 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"time"
+
+	"go.uber.org/zap"
+
+	"spurhall.example/spurhall/internal/logging"
+	"spurhall.example/spurhall/internal/store"
+)
+
+// This file remembers what was ordered on demand, for the next holder of the duties. An
+// order states a whole count, and what it ordered takes seconds to boot and to be listed:
+// a successor that has measured too little yet would order fewer and thereby call off what
+// is on its way, in the very seconds in which a lost holder, a wave of reclaims and cold
+// caches come together. So the counts stand in the store, and a new holder orders no fewer
+// for a while.
+//
+// Weighed: telling the counts in reports to the other nodes. A fault that kills the holder
+// often kills all nodes.
+
+const (
+	// orderedKey is the store's key of what was ordered.
+	orderedKey = "spurhall/ordered"
+	// orderedKeeps is how long a new holder orders no fewer: the boot of what was ordered
+	// and a heartbeat or two, and the time in which the load is measured.
+	orderedKeeps = 7 * time.Second
+)
+
+// orderedValue is the on-demand counts ordered, by service and hall.
+type orderedValue map[string]map[string]int
+
+// flat is the counts by "service/hall", for the log.
+func (v orderedValue) flat() map[string]int64 {
+	r := make(map[string]int64)
+	for s, by := range v {
+		for h, c := range by {
+			r[s+"/"+h] = int64(c)
+		}
+	}
+	return r
+}
+
+// ordered is the holder's side of what was ordered.
+type ordered struct {
+	counts  orderedValue // as far as this term has ordered or found
+	written bool
+	found   orderedValue // by the holder before
+	until   time.Time    // until when what was found counts
+}
+
+// begin reads what the holder before has ordered.
+func (v *ordered) begin(ctx context.Context, n *Node) {
+	*v = ordered{counts: orderedValue{}, written: true, found: orderedValue{}, until: n.clock.Now().Add(orderedKeeps)}
+	r, err := n.kv.Range(ctx, orderedKey, "")
+	if err == nil && len(r.Pairs) > 0 {
+		err = json.Unmarshal(r.Pairs[0].Value, &v.found)
+	}
+	if err != nil {
+		n.log.Warn("ordered_unread", zap.String("cause", err.Error()))
+		v.found = orderedValue{}
+	}
+	for s, by := range v.found {
+		v.counts[s] = maps.Clone(by)
+	}
+	n.log.Info("ordered_found", logging.Counts("counts", v.found.flat()))
+}
+
+// least is the fewest that may be ordered now.
+func (v *ordered) least(now time.Time, s subject) int {
+	if s.reclaimable || !now.Before(v.until) {
+		return 0
+	}
+	return v.found[s.service][s.hall]
+}
+
+// note takes in an order that was taken.
+func (v *ordered) note(s subject, count int) {
+	if s.reclaimable || v.counts[s.service][s.hall] == count {
+		return
+	}
+	if v.counts[s.service] == nil {
+		v.counts[s.service] = map[string]int{}
+	}
+	v.counts[s.service][s.hall] = count
+	v.written = false
+}
+
+// write puts what was ordered into the store, on condition that the term lasts. What can't
+// be written is tried again with the next step.
+func (v *ordered) write(ctx context.Context, n *Node, token int64) {
+	if v.written {
+		return
+	}
+	b, err := json.Marshal(v.counts)
+	if err == nil {
+		_, err = n.kv.Txn(ctx, store.Txn{
+			If:   []store.Compare{store.Unmodified(dutyKey, token)},
+			Then: []store.Op{{Kind: store.OpPut, Key: orderedKey, Value: b}},
+		})
+	}
+	if err != nil {
+		n.log.Info("ordered_unwritten", zap.String("cause", err.Error()))
+		return
+	}
+	v.written = true // or the term is over, and the next holder's word counts
+}
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -50,7 +50,8 @@
 	mixes  map[string]*autoscale.Mix
 	rates  map[string]*autoscale.Rate
 	orders map[subject]placed
-	token  int64
+	token  int64 // of the term that the orders belong to
+	known  ordered
 }
 
 func newOrderer(n *Node) *orderer {
@@ -65,8 +66,9 @@
 	}
 	now := o.n.clock.Now()
 	token, held := o.n.lease.Token()
-	if token != o.token {
+	if held && token != o.token {
 		o.token, o.orders = token, make(map[subject]placed)
+		o.known.begin(ctx, o.n)
 	}
 	for _, name := range c.Services() {
 		s := c.Service(name)
@@ -79,6 +81,9 @@
 		}
 		o.plan(ctx, token, s, load)
 	}
+	if held {
+		o.known.write(ctx, o.n, token)
+	}
 }
 
 // patience is how long this process watches before it orders anything.
@@ -177,6 +182,7 @@
 // want orders a count if it changed, or if the hall doesn't have it for a while.
 func (o *orderer) want(ctx context.Context, token int64, m *autoscale.Mix, s subject, count int, have map[subject]int, load float64) {
 	now := o.n.clock.Now()
+	count = max(count, o.known.least(now, s))
 	if count < have[s] && o.n.clock.Since(o.n.start) < orderSettle {
 		return
 	}
@@ -186,11 +192,13 @@
 	}
 	if !ordered && have[s] == count {
 		o.orders[s] = placed{count, now}
+		o.known.note(s, count)
 		return
 	}
 	err := o.n.o.Cloud.Order(ctx, token, duty.Order{Service: s.service, Hall: s.hall, Count: count, Reclaimable: s.reclaimable})
 	o.orders[s] = placed{count, now}
 	outcome := "taken"
+	o.known.note(s, count) // also without an answer: it may be carried out
 	switch {
 	case err == nil && s.reclaimable:
 		m.Granted(s.hall)
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -75,8 +75,9 @@
 // ends.
 func (l *Lease) Run(ctx context.Context, wanted func() bool) {
 	for ctx.Err() == nil {
-		pause := l.ttl / looks
+		pause := min(l.ttl/looks, unwantedPause)
 		if l.held() || wanted() {
+			pause = l.ttl / looks
 			err := l.Step(ctx)
 			if err != nil && l.watch != nil {
 				l.watch(err)
@@ -99,6 +100,9 @@
 	// looks is how often in that time the others look whether it is free, where the key
 	// can't be watched.
 	looks = 2
+	// unwantedPause is the pause of a process that doesn't want the lease yet, such as one
+	// that is still starting. It makes no calls.
+	unwantedPause = 50 * time.Millisecond
 	// tryWithin spreads the tries of those that see the key go, so that most of them find
 	// it taken by a read instead of a lost race: some times what taking it takes.
 	tryWithin = 100 * time.Millisecond
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -152,3 +152,22 @@
 	cancel()
 	<-done
 }
+
+// TestLeaseIsTakenOnceWanted: a process that begins to want the lease doesn't wait for its
+// next look at the key.
+func TestLeaseIsTakenOnceWanted(t *testing.T) {
+	l := New(testPlatform(t, timer.Real()), timer.Real(), "leader", "a", time.Hour)
+	var wanted atomic.Bool
+	var asked atomic.Int32
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.Run(ctx, func() bool { asked.Add(1); return wanted.Load() })
+	}()
+	require.Eventually(t, func() bool { return asked.Load() > 0 }, 30*time.Second, time.Millisecond)
+	wanted.Store(true)
+	require.Eventually(t, func() bool { _, held := l.Token(); return held }, 30*time.Second, time.Millisecond)
+	cancel()
+	<-done
+}
--- /dev/null
+++ b/internal/logging/counts.go
@@ -0,0 +1,20 @@
+package logging
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"go.uber.org/zap"
+)
+
+// Counts is a field of named counts, as name:count pairs in the names' order. The encoder
+// writes no maps.
+func Counts(key string, counts map[string]int64) zap.Field {
+	l := make([]string, 0, len(counts))
+	for n, c := range counts {
+		l = append(l, fmt.Sprintf("%s:%d", n, c))
+	}
+	slices.Sort(l)
+	return zap.String(key, strings.Join(l, ","))
+}
