Reports between nodes are paced: calls grow with the fleet, not with its square

Cause: all pairs swapped reports each 250 ms.

Ruled out: passing reports on from node to node, which bears the whole fleet's figures in each call.

Change: each pair has one caller by a hash of both names (the lower name called before, so the first node called all others), and a node makes at most 12 calls a round, the longest waiting pairs first. Up to 13 nodes all pairs swap in each round, as before; at 77 in each sixth. What counts as silent, and the quotas' span, follow that pace.

--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -123,7 +123,7 @@
 		n.listMember(now, p)
 	}
 	for name, p := range n.peers.peers {
-		if now.Sub(p.heard) > memberGone && now.Sub(p.listed) > memberGone {
+		if now.Sub(p.heard) > max(memberGone, silentAfter(n.peers.size())) && now.Sub(p.listed) > memberGone {
 			delete(n.peers.peers, name)
 			n.log.Info("peer_gone", zap.String("peer", name), zap.Duration("silent", now.Sub(p.heard)))
 		}
@@ -142,7 +142,7 @@
 		return
 	}
 	known := n.peers.peers[name]
-	if known != nil && now.Sub(known.heard) <= heardWithin {
+	if known != nil && now.Sub(known.heard) <= silentAfter(n.peers.size()) {
 		known.listed = now // what it says itself is newer than a stale read
 		return
 	}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -74,6 +74,7 @@
 	mu      sync.Mutex // for what follows
 	quotas  *quota.Quotas
 	repeats map[string]*retry.Window
+	shared  time.Time // when the quotas' present span began
 	usage   *usage.Book
 	peers   *table
 
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -15,18 +15,16 @@
 	"spurhall.example/spurhall/internal/wire/wireconnect"
 )
 
-// This file is what nodes tell each other. Once a round a node swaps reports with each
-// other node whose name comes after its own, so a pair needs one call a round; only a
-// node that is not heard is called from both sides. A report
-// is the whole state of the moment or counts since the process began: a lost one is
-// made good by the next.
+// This file is what nodes tell each other: pairs swap reports, paced by pace.go. A report
+// is the whole state of the moment or counts since the process began: a lost one is made
+// good by the next.
 
 const (
 	// reportEvery is the length of a round. Quotas overshoot by what is charged in it.
 	reportEvery   = 250 * time.Millisecond
 	reportTimeout = 600 * time.Millisecond
-	// heardWithin is the silence after which a node doesn't count as heard any more.
-	heardWithin = 1500 * time.Millisecond
+	// heardRounds is how many swaps a node may miss before it doesn't count as heard.
+	heardRounds = 6
 )
 
 // peer is another node as this one knows it.
@@ -36,6 +34,7 @@
 	lifetime string
 	sequence uint64
 	heard    time.Time
+	called   time.Time // by this node
 	listed   time.Time // last seen in the store's registry
 	busy     bool      // a call is under way
 	silent   bool      // its silence was logged
@@ -99,23 +98,21 @@
 func (n *Node) round(ctx context.Context, now time.Time) {
 	report := n.report()
 	n.mu.Lock()
-	n.quotas.SetPeers(now, n.peers.names())
-	n.quotas.Round(now)
+	n.shareQuotas(now)
 	n.guard.SetRates(n.share())
 	n.usage.Forget(now)
-	heard := 0
-	var call []*peer
+	heard, silent := 0, silentAfter(n.peers.size())
 	for _, p := range n.peers.peers {
-		if now.Sub(p.heard) <= heardWithin {
+		if now.Sub(p.heard) <= silent {
 			heard++
 		} else if !p.silent && !p.heard.IsZero() {
 			p.silent = true
 			n.log.Warn("peer_silent", zap.String("peer", p.name), zap.Duration("for", now.Sub(p.heard)), zap.String("last_call", p.failure))
 		}
-		if !p.busy && (p.name > n.s.Node || now.Sub(p.heard) > heardWithin) {
-			p.busy = true
-			call = append(call, p)
-		}
+	}
+	call := n.peers.due(now)
+	for _, p := range call {
+		p.busy, p.called = true, now
 	}
 	n.mu.Unlock()
 	peersHeard.Set(int64(heard))
@@ -124,6 +121,17 @@
 	}
 }
 
+// shareQuotas begins a new span of the quotas once every pair has had its turn.
+func (n *Node) shareQuotas(now time.Time) {
+	n.quotas.SetPeers(now, n.peers.names())
+	every := pairEvery(n.peers.size())
+	if now.Sub(n.shared) < every-reportEvery/2 {
+		return
+	}
+	n.shared = now
+	n.quotas.Round(now, every)
+}
+
 // tell swaps reports with one node.
 func (n *Node) tell(ctx context.Context, p *peer, r *wire.NodeReport) {
 	c, cancel := context.WithTimeout(ctx, reportTimeout)
@@ -224,7 +232,7 @@
 	if p.lifetime == r.Lifetime && r.Sequence <= p.sequence {
 		return false
 	}
-	if p.lifetime != r.Lifetime || now.Sub(p.heard) > heardWithin {
+	if p.lifetime != r.Lifetime || now.Sub(p.heard) > silentAfter(n.peers.size()) {
 		n.log.Info("peer_heard", zap.String("peer", r.Node), zap.String("lifetime", r.Lifetime), zap.Int64("catalog", r.CatalogVersion))
 	}
 	p.lifetime, p.sequence, p.heard, p.silent = r.Lifetime, r.Sequence, now, false
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -40,8 +40,9 @@
 	// refillShare is the part of the burst that is to be there again when a refused caller
 	// comes back.
 	refillShare = 0.02
-	// silentAfter is the silence after which a node counts as cut off: two reports missed.
-	silentAfter = 700 * time.Millisecond
+	// silentRounds is the number of spans without a report after which a node counts as cut
+	// off: two missed, and some delay.
+	silentRounds = 2.8
 	// useHalf is the time over which recent use counts half.
 	useHalf = 2 * time.Second
 	// calmLevel is the part of the burst above which shares don't bind.
@@ -190,8 +191,9 @@
 }
 
 // Round begins a new span between reports: it ages what is known, and takes off what
-// silent nodes may be charging.
-func (q *Quotas) Round(now time.Time) {
+// silent nodes may be charging. every is how long a span usually is.
+func (q *Quotas) Round(now time.Time, every time.Duration) {
+	silence := time.Duration(silentRounds * float64(every))
 	d, before := now.Sub(q.round).Seconds(), q.round
 	q.round = now
 	keep := 1 / (1 + d/useHalf.Seconds())
@@ -204,14 +206,13 @@
 		for n := range p.recent {
 			p.recent[n] *= keep
 		}
-		q.assume(now, p, p.heard.Before(before), d)
+		q.assume(now.Sub(p.heard) > silence, p, p.heard.Before(before), d)
 	}
 }
 
 // assume takes off what a node that missed a round may have charged in it, and, once it
 // is silent for longer, its part of the level that it knew when it was last heard.
-func (q *Quotas) assume(now time.Time, p *peer, missed bool, d float64) {
-	silent := now.Sub(p.heard) > silentAfter
+func (q *Quotas) assume(silent bool, p *peer, missed bool, d float64) {
 	for n, b := range q.buckets {
 		x := 0.0
 		if silent && !p.silent && b.level > 0 {
