--- a/internal/autoscale/mix.go
+++ b/internal/autoscale/mix.go
@@ -65,8 +65,8 @@
 	o        MixOptions
 	notice   time.Duration // of the last notice seen
 	noticed  bool
-	first    time.Duration // of the first plan
-	planned  bool
+	first    time.Duration // of the first moment observed
+	observed bool
 	begun    bool          // some work has come
 	began    time.Duration // when it did
 	found    float64       // upstreams that were there before that
@@ -104,25 +104,37 @@
 	delete(m.refusals, hall)
 }
 
-// Plan returns the counts wanted. load is the work that comes, in upstreams kept busy all
-// the time.
-func (m *Mix) Plan(now time.Duration, load float64, s MixSpec, halls []HallState) []Count {
-	need := m.hold(now, load/m.o.Work, halls)
-	wave := m.wave(now, halls)
+// Observe takes in a moment: load is the work that comes, in upstreams kept busy all the
+// time. It is called by every process, so that whichever gives orders next knows of the
+// need and the notices of the last seconds.
+func (m *Mix) Observe(now time.Duration, load float64, halls []HallState) {
+	m.hold(now, load/m.o.Work)
+	m.find(now, halls)
+	m.notices(now, halls)
+}
+
+// Plan returns the counts wanted after what was observed last.
+func (m *Mix) Plan(now time.Duration, s MixSpec, halls []HallState) []Count {
+	buys := s.ReclaimablePrice > 0 && s.ReclaimablePrice < 1
+	found := m.floor(now)
+	need := math.Max(m.need(), m.keep(found, buys, halls))
+	wave := m.noticed && now-m.notice < m.o.Calm
 	sort.Slice(halls, func(i, j int) bool {
 		if halls[i].Price != halls[j].Price {
 			return halls[i].Price < halls[j].Price
 		}
 		return halls[i].Hall < halls[j].Hall
 	})
-	buys := s.ReclaimablePrice > 0 && s.ReclaimablePrice < 1
-	safe := m.safe(need, buys, wave, halls)
+	safe := need // what on-demand upstreams have to carry
+	if buys && !wave {
+		safe = math.Max(0, need-float64(m.dependable(halls)))
+	}
 	counts := m.spread(int(math.Ceil(safe-1e-9)), s, halls)
 	if !buys {
 		return counts
 	}
 	for i, h := range halls {
-		want := int(math.Ceil(need/float64(len(halls)) - 1e-9))
+		want := int(math.Ceil(math.Max(need, found)/float64(len(halls)) - 1e-9))
 		if m.begun {
 			want += m.o.Spare
 		}
@@ -135,39 +147,17 @@
 	return counts
 }
 
-// safe is the part of the need that on-demand upstreams have to carry. In a wave it is all
-// of it. A fresh system without work needs none while reclaimable ones are to be had: they
-// are there before the work.
-func (m *Mix) safe(need float64, buys, wave bool, halls []HallState) float64 {
-	switch {
-	case !buys || wave:
-		return need
-	case m.o.Fresh && !m.begun && len(m.refusals) == 0:
-		return 0
-	}
-	return math.Max(0, need-float64(m.dependable(halls)))
-}
-
 // needed is the need at a moment.
 type needed struct {
 	at   time.Duration
 	need float64
 }
 
-// hold lets the need rise at once and fall when it has been lower for a while: it is the
-// highest of that while. Until work has come, what a planner found is what somebody held
-// to be needed; so it is for a while afterwards, since a process that has just started
-// measures too little, unless the whole system starts and nobody has held anything yet.
-func (m *Mix) hold(now time.Duration, need float64, halls []HallState) float64 {
-	if !m.planned {
-		m.planned, m.first = true, now
-	}
-	if now-m.first <= foundWithin {
-		m.found = math.Max(m.found, found(halls))
-	}
+// hold keeps the needs of a while. None counts until work has come.
+func (m *Mix) hold(now time.Duration, need float64) {
 	if !m.begun {
 		if need <= idleNeed {
-			return m.found
+			return
 		}
 		m.begun, m.began = true, now
 	}
@@ -177,17 +167,51 @@
 		old++
 	}
 	m.recent = m.recent[old:]
+}
+
+// need rises at once and falls when it has been lower for a while: it is the highest of
+// that while.
+func (m *Mix) need() float64 {
 	high := 0.0
 	for _, v := range m.recent {
 		high = math.Max(high, v.need)
 	}
-	if !m.o.Fresh && now-m.began < m.o.Hold {
-		high = math.Max(high, m.found)
-	}
 	return high
 }
 
-func found(halls []HallState) float64 {
+// find notes what is there on demand before this process could measure anything.
+func (m *Mix) find(now time.Duration, halls []HallState) {
+	if !m.observed {
+		m.observed, m.first = true, now
+	}
+	if !m.begun || now-m.first <= foundWithin {
+		m.found = math.Max(m.found, onDemandOf(halls))
+	}
+}
+
+// floor is what was found, until work has come and for a while afterwards: the first work
+// says little of what comes, and a process that has just started measures too little.
+func (m *Mix) floor(now time.Duration) float64 {
+	if m.begun && now-m.began >= m.o.Hold {
+		return 0
+	}
+	return m.found
+}
+
+// keep is the part of what was found that on-demand upstreams go on carrying, whatever was
+// measured: all of it if somebody has held it to be needed, what is there of it if nothing
+// takes its place.
+func (m *Mix) keep(found float64, buys bool, halls []HallState) float64 {
+	switch {
+	case !m.o.Fresh:
+		return found
+	case !buys || len(m.refusals) > 0:
+		return math.Min(found, onDemandOf(halls))
+	}
+	return 0
+}
+
+func onDemandOf(halls []HallState) float64 {
 	n := 0
 	for _, h := range halls {
 		n += h.OnDemand
@@ -195,13 +219,13 @@
 	return float64(n)
 }
 
-func (m *Mix) wave(now time.Duration, halls []HallState) bool {
+// notices notes when upstreams were last seen under notice.
+func (m *Mix) notices(now time.Duration, halls []HallState) {
 	for _, h := range halls {
 		if h.Leaving > 0 {
 			m.noticed, m.notice = true, now
 		}
 	}
-	return m.noticed && now-m.notice < m.o.Calm
 }
 
 // dependable is how many reclaimable upstreams are left if the hall with most is taken.
--- a/internal/autoscale/mix_test.go
+++ b/internal/autoscale/mix_test.go
@@ -18,6 +18,12 @@
 	}
 }
 
+// plan observes a moment and plans for it.
+func plan(m *Mix, now time.Duration, load float64, s MixSpec, halls []HallState) []Count {
+	m.Observe(now, load, halls)
+	return m.Plan(now, s, halls)
+}
+
 func sums(counts []Count) (onDemand, reclaimable int) {
 	for _, c := range counts {
 		onDemand += c.OnDemand
@@ -30,7 +36,7 @@
 func loaded(load float64, halls []HallState) (*Mix, time.Duration) {
 	m, now := NewMix(MixDefaults()), time.Duration(0)
 	for ; now < time.Minute; now += time.Second {
-		m.Plan(now, load, mixSpec, halls)
+		plan(m, now, load, mixSpec, halls)
 	}
 	return m, now
 }
@@ -38,85 +44,118 @@
 func TestMix(t *testing.T) {
 	t.Run("until work has come, reclaimable ones take the place of what was found", func(t *testing.T) {
 		m := NewMix(MixDefaults())
-		n, r := sums(m.Plan(0, 0, mixSpec, threeHalls(3, 0)))
+		n, r := sums(plan(m, 0, 0, mixSpec, threeHalls(3, 0)))
 		assert.Equal(t, 9, n, "not before they are there")
 		assert.Equal(t, 9, r)
 		for now := time.Duration(0); now < time.Minute; now += time.Second {
-			n, r := sums(m.Plan(now, 0, mixSpec, threeHalls(1, 3)))
+			n, r := sums(plan(m, now, 0, mixSpec, threeHalls(1, 3)))
 			assert.Equal(t, 3, n)
 			assert.Equal(t, 9, r)
 		}
 	})
 	t.Run("calm: reclaimable ones carry the load on the least base", func(t *testing.T) {
 		m, now := loaded(2, threeHalls(1, 3))
-		n, r := sums(m.Plan(now, 2, mixSpec, threeHalls(1, 3)))
+		n, r := sums(plan(m, now, 2, mixSpec, threeHalls(1, 3)))
 		assert.Equal(t, 3, n)
 		assert.GreaterOrEqual(t, r, 6)
 	})
 	t.Run("a planner that starts amid the work keeps what it finds for a while", func(t *testing.T) {
 		m := NewMix(MixDefaults())
-		m.Plan(0, 0, mixSpec, threeHalls(2, 0))
-		n, _ := sums(m.Plan(time.Second, 0.3, mixSpec, threeHalls(2, 0)))
+		plan(m, 0, 0, mixSpec, threeHalls(2, 0))
+		n, _ := sums(plan(m, time.Second, 0.3, mixSpec, threeHalls(2, 0)))
 		assert.Equal(t, 6, n)
-		n, _ = sums(m.Plan(time.Minute, 0.3, mixSpec, threeHalls(2, 0)))
+		n, _ = sums(plan(m, time.Minute, 0.3, mixSpec, threeHalls(2, 0)))
 		assert.Equal(t, 3, n)
 	})
 	t.Run("a fresh system holds no more on demand than the base until work has come", func(t *testing.T) {
 		o := MixDefaults()
 		o.Fresh = true
-		n, r := sums(NewMix(o).Plan(0, 0, mixSpec, threeHalls(3, 0)))
+		n, r := sums(plan(NewMix(o), 0, 0, mixSpec, threeHalls(3, 0)))
 		assert.Equal(t, 3, n)
 		assert.Equal(t, 9, r)
 		m := NewMix(o)
 		m.Refused(0, "a")
-		n, _ = sums(m.Plan(0, 0, mixSpec, threeHalls(3, 0)))
+		n, _ = sums(plan(m, 0, 0, mixSpec, threeHalls(3, 0)))
 		assert.Equal(t, 9, n, "reclaimable ones aren't to be had")
 	})
+	t.Run("a fresh system that can't buy reclaimable ones keeps what it found for a while", func(t *testing.T) {
+		o := MixDefaults()
+		o.Fresh = true
+		dear := mixSpec
+		dear.ReclaimablePrice = 0
+		m := NewMix(o)
+		plan(m, 0, 0, dear, threeHalls(3, 0))
+		n, _ := sums(plan(m, time.Second, 0.2, dear, threeHalls(3, 0)))
+		assert.Equal(t, 9, n)
+		n, _ = sums(plan(m, time.Minute, 0.2, dear, threeHalls(3, 0)))
+		assert.Equal(t, 3, n)
+	})
+	t.Run("in a wave right after its first work a fresh system orders by what it measured", func(t *testing.T) {
+		o := MixDefaults()
+		o.Fresh = true
+		m := NewMix(o)
+		plan(m, 0, 0, mixSpec, threeHalls(3, 0))
+		h := threeHalls(1, 3)
+		h[0].Leaving = 3
+		m.Refused(time.Second, "a")
+		n, r := sums(plan(m, time.Second, 2, mixSpec, h))
+		assert.Equal(t, 4, n)
+		assert.GreaterOrEqual(t, r, 9, "reclaimable ones take the place of what was found")
+	})
+	t.Run("a successor that has observed knows of the wave and the need", func(t *testing.T) {
+		m, now := loaded(6, threeHalls(3, 3))
+		h := threeHalls(3, 0)
+		h[0].Leaving = 3
+		m.Observe(now, 6, h)
+		m.Observe(now+time.Second, 1, threeHalls(3, 0))
+		n, _ := sums(m.Plan(now+time.Second, mixSpec, threeHalls(3, 0)))
+		assert.GreaterOrEqual(t, float64(n)*MixDefaults().Work, 6.0)
+	})
 	t.Run("the need is the highest of a while", func(t *testing.T) {
 		m, now := loaded(2, threeHalls(1, 0))
-		high, _ := sums(m.Plan(now, 6, mixSpec, threeHalls(1, 0)))
+		high, _ := sums(plan(m, now, 6, mixSpec, threeHalls(1, 0)))
 		assert.Greater(t, high, 9)
-		n, _ := sums(m.Plan(now+MixDefaults().Hold, 2, mixSpec, threeHalls(1, 0)))
+		n, _ := sums(plan(m, now+MixDefaults().Hold, 2, mixSpec, threeHalls(1, 0)))
 		assert.Equal(t, high, n)
-		n, _ = sums(m.Plan(now+MixDefaults().Hold+time.Second, 2, mixSpec, threeHalls(1, 0)))
+		n, _ = sums(plan(m, now+MixDefaults().Hold+time.Second, 2, mixSpec, threeHalls(1, 0)))
 		assert.Less(t, n, high)
 	})
 	t.Run("a list that fills after the first look counts as found", func(t *testing.T) {
 		m := NewMix(MixDefaults())
-		m.Plan(0, 0, mixSpec, threeHalls(1, 0))
-		m.Plan(time.Second, 0, mixSpec, threeHalls(3, 0))
-		n, _ := sums(m.Plan(time.Minute, 0, mixSpec, threeHalls(0, 0)))
+		plan(m, 0, 0, mixSpec, threeHalls(1, 0))
+		plan(m, time.Second, 0, mixSpec, threeHalls(3, 0))
+		n, _ := sums(plan(m, time.Minute, 0, mixSpec, threeHalls(0, 0)))
 		assert.Equal(t, 9, n)
 	})
 	t.Run("a notice raises the base to the whole need, and calm lowers it", func(t *testing.T) {
 		m, now := loaded(4, threeHalls(1, 4))
 		h := threeHalls(1, 4)
 		h[0].Reclaimable, h[0].Leaving = 0, 4
-		n, _ := sums(m.Plan(now, 4, mixSpec, h))
+		n, _ := sums(plan(m, now, 4, mixSpec, h))
 		assert.GreaterOrEqual(t, float64(n)*MixDefaults().Work, 4.0)
 		now += MixDefaults().Calm + time.Second
-		n, _ = sums(m.Plan(now, 4, mixSpec, threeHalls(3, 4)))
+		n, _ = sums(plan(m, now, 4, mixSpec, threeHalls(3, 4)))
 		assert.Equal(t, 3, n)
 	})
 	t.Run("the cheapest halls get the odd ones", func(t *testing.T) {
 		m, now := loaded(4*MixDefaults().Work, threeHalls(3, 0))
-		for _, c := range m.Plan(now, 4*MixDefaults().Work, mixSpec, threeHalls(3, 0)) {
+		for _, c := range plan(m, now, 4*MixDefaults().Work, mixSpec, threeHalls(3, 0)) {
 			assert.Equal(t, map[string]int{"a": 2, "b": 1, "c": 1}[c.Hall], c.OnDemand, c.Hall)
 		}
 	})
 	t.Run("a hall that refuses isn't asked again at once", func(t *testing.T) {
 		m, now := loaded(2, threeHalls(3, 0))
 		m.Refused(now, "a")
-		for _, c := range m.Plan(now, 2, mixSpec, threeHalls(3, 0)) {
+		for _, c := range plan(m, now, 2, mixSpec, threeHalls(3, 0)) {
 			assert.Equal(t, c.Hall == "a", c.Reclaimable == 0, c.Hall)
 		}
-		n := m.Plan(now+time.Minute, 2, mixSpec, threeHalls(3, 0))[0]
+		n := plan(m, now+time.Minute, 2, mixSpec, threeHalls(3, 0))[0]
 		assert.Positive(t, n.Reclaimable)
 	})
 	t.Run("dear reclaimable ones aren't bought", func(t *testing.T) {
 		s := mixSpec
 		s.ReclaimablePrice = 1.2
-		_, r := sums(NewMix(MixDefaults()).Plan(0, 4, s, threeHalls(1, 0)))
+		_, r := sums(plan(NewMix(MixDefaults()), 0, 4, s, threeHalls(1, 0)))
 		assert.Zero(t, r)
 	})
 }
@@ -133,7 +172,7 @@
 			if rapid.Bool().Draw(t, "refused") {
 				m.Refused(now, "b")
 			}
-			counts := m.Plan(now, rapid.Float64Range(0, 40).Draw(t, "load"), s, halls)
+			counts := plan(m, now, rapid.Float64Range(0, 40).Draw(t, "load"), s, halls)
 			assert.Len(t, counts, 3)
 			for _, c := range counts {
 				assert.GreaterOrEqual(t, c.OnDemand, max(1, s.Min))
--- a/internal/edge/ordered.go
+++ b/internal/edge/ordered.go
@@ -25,7 +25,7 @@
 const (
 	// orderedKey is the store's key of what was ordered.
 	orderedKey = "spurhall/ordered"
-	// orderedKeeps is how long a new holder orders no fewer: the boot of what was ordered
+	// orderedKeeps is how long a new process orders no fewer: the boot of what was ordered
 	// and a heartbeat or two, and the time in which the load is measured.
 	orderedKeeps = 7 * time.Second
 )
@@ -54,7 +54,7 @@
 
 // begin reads what the holder before has ordered.
 func (v *ordered) begin(ctx context.Context, n *Node) {
-	*v = ordered{counts: orderedValue{}, written: true, found: orderedValue{}, until: n.clock.Now().Add(orderedKeeps)}
+	*v = ordered{counts: orderedValue{}, written: true, found: orderedValue{}, until: n.start.Add(orderedKeeps)}
 	r, err := n.kv.Range(ctx, orderedKey, "")
 	if err == nil && len(r.Pairs) > 0 {
 		err = json.Unmarshal(r.Pairs[0].Value, &v.found)
--- a/internal/edge/ordered_test.go
+++ b/internal/edge/ordered_test.go
@@ -19,7 +19,7 @@
 // holder is a node as far as the orders' record needs one.
 func holder(t *testing.T, kv store.KV, clock *timer.Service, name string) *Node {
 	t.Helper()
-	n := &Node{kv: kv, clock: clock, log: zap.NewNop()}
+	n := &Node{kv: kv, clock: clock, log: zap.NewNop(), start: clock.Now()}
 	n.lease = lease.New(kv, clock, dutyKey, name, 3*time.Second)
 	return n
 }
@@ -39,7 +39,7 @@
 	s := httptest.NewServer(standin.NewPlatform(clock.Service()).Handler())
 	t.Cleanup(s.Close)
 	kv := store.NewGateway(s.URL, 5*time.Second, timer.Real()).KV()
-	a, b := holder(t, kv, clock.Service(), "a"), holder(t, kv, clock.Service(), "b")
+	a := holder(t, kv, clock.Service(), "a")
 	onDemand, reclaimable := subject{"llm", "hall-a", false}, subject{"llm", "hall-a", true}
 
 	var first, second ordered
@@ -49,6 +49,7 @@
 	first.note(reclaimable, 9)
 	first.write(ctx, a, token)
 	clock.Advance(4 * time.Second) // a's lease is over
+	b := holder(t, kv, clock.Service(), "b")
 	takeOver(t, b)
 	second.begin(ctx, b)
 
@@ -58,6 +59,13 @@
 		assert.Zero(t, second.least(clock.Service().Now(), subject{"llm", "hall-b", false}))
 		assert.Zero(t, second.least(clock.Service().Now().Add(orderedKeeps), onDemand))
 	})
+	t.Run("one that has run for longer goes by what it measured", func(t *testing.T) {
+		var v ordered
+		old := holder(t, kv, clock.Service(), "c")
+		old.start = old.start.Add(-orderedKeeps)
+		v.begin(ctx, old)
+		assert.Zero(t, v.least(clock.Service().Now(), onDemand))
+	})
 	t.Run("the holder before writes nothing any more", func(t *testing.T) {
 		first.note(onDemand, 1)
 		first.write(ctx, a, token)
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -25,12 +25,16 @@
 	orderAgain = 2 * time.Second
 	// orderSettle is how long a process watches before it orders: upstreams write their
 	// entries within a heartbeat or two of their start, and a list that is still filling
-	// looks like a pool that is too small, or one that may be made smaller.
+	// looks like a pool that is too small.
 	orderSettle = 2 * time.Second
 	// orderRestart is the same for a process that starts amid the work, and for orders of
 	// more only: what it lacks in its list it orders in vain at worst, and what has to be
 	// replaced in a wave can't wait. It is some rounds of reports.
 	orderRestart = 700 * time.Millisecond
+	// orderQuiet is how long a list hasn't grown before fewer are ordered, half a heartbeat:
+	// a large pool lists itself over many seconds, some each moment, and until it has nobody
+	// knows what is too many.
+	orderQuiet = 600 * time.Millisecond
 )
 
 // subject is what an order is about.
@@ -52,6 +56,8 @@
 	orders map[subject]placed
 	token  int64 // of the term that the orders belong to
 	known  ordered
+	listed int       // most upstreams seen in the list
+	grown  time.Time // when the list last grew
 }
 
 func newOrderer(n *Node) *orderer {
@@ -65,6 +71,9 @@
 		return
 	}
 	now := o.n.clock.Now()
+	if n := len(o.n.pools.Items()); n > o.listed {
+		o.listed, o.grown = n, now
+	}
 	token, held := o.n.lease.Token()
 	if held && token != o.token {
 		o.token, o.orders = token, make(map[subject]placed)
@@ -76,10 +85,11 @@
 			continue
 		}
 		load := o.rate(name).Take(now, o.n.workSums(name)) / pool.TokensPerSecond
-		if !held || o.n.clock.Since(o.n.start) < o.patience() {
-			continue // measured all the same: a new holder knows the load at once
+		halls := o.halls(s)
+		o.mix(name).Observe(o.n.clock.Since(o.n.start), load, halls)
+		if held && o.n.clock.Since(o.n.start) >= o.patience() {
+			o.plan(ctx, token, s, halls, load)
 		}
-		o.plan(ctx, token, s, load)
 	}
 	if held {
 		o.known.write(ctx, o.n, token)
@@ -94,6 +104,11 @@
 	return orderRestart
 }
 
+// settled tells whether the list is whole, so that fewer may be ordered.
+func (o *orderer) settled(now time.Time) bool {
+	return now.Sub(o.n.start) >= orderSettle && now.Sub(o.grown) >= orderQuiet
+}
+
 func (o *orderer) rate(service string) *autoscale.Rate {
 	r := o.rates[service]
 	if r == nil {
@@ -116,23 +131,26 @@
 	return sums
 }
 
-func (o *orderer) plan(ctx context.Context, token int64, s *catalog.ServiceSpec, load float64) {
-	m := o.mixes[s.Name]
+func (o *orderer) mix(service string) *autoscale.Mix {
+	m := o.mixes[service]
 	if m == nil {
 		v := autoscale.MixDefaults()
 		v.Fresh = o.n.s.FirstStart
 		m = autoscale.NewMix(v)
-		o.mixes[s.Name] = m
+		o.mixes[service] = m
 	}
-	halls := o.halls(s)
-	now := o.n.clock.Since(o.n.start)
+	return m
+}
+
+func (o *orderer) plan(ctx context.Context, token int64, s *catalog.ServiceSpec, halls []autoscale.HallState, load float64) {
+	m := o.mix(s.Name)
 	spec := autoscale.MixSpec{Min: s.Scaling.Min, Max: s.Scaling.Max, ReclaimablePrice: s.Scaling.SpotPrice}
 	have := make(map[subject]int)
 	for _, h := range halls {
 		have[subject{s.Name, h.Hall, false}] = h.OnDemand
 		have[subject{s.Name, h.Hall, true}] = h.Reclaimable
 	}
-	for _, c := range m.Plan(now, load, spec, halls) {
+	for _, c := range m.Plan(o.n.clock.Since(o.n.start), spec, halls) {
 		o.want(ctx, token, m, subject{s.Name, c.Hall, true}, c.Reclaimable, have, load)
 		o.want(ctx, token, m, subject{s.Name, c.Hall, false}, c.OnDemand, have, load)
 	}
@@ -183,7 +201,7 @@
 func (o *orderer) want(ctx context.Context, token int64, m *autoscale.Mix, s subject, count int, have map[subject]int, load float64) {
 	now := o.n.clock.Now()
 	count = max(count, o.known.least(now, s))
-	if count < have[s] && o.n.clock.Since(o.n.start) < orderSettle {
+	if count < have[s] && !o.settled(now) {
 		return
 	}
 	old, ordered := o.orders[s]
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -23,9 +23,12 @@
 const followPause = 100 * time.Millisecond
 
 const (
-	// gather is a pause after changes of the list: a wave of reclaims or a release comes as
-	// a change for each upstream, and each answer to a watch is a call that is paid for.
-	gather = 50 * time.Millisecond
+	// gatherNode and gatherLimit set the pause after changes of the list, so much for each
+	// node: a wave of reclaims or a release comes as a change for each upstream, each answer
+	// to a watch is a call that is paid for, and all nodes get it. The limit is well below the
+	// seconds for which a leaving upstream still serves.
+	gatherNode  = 6 * time.Millisecond
+	gatherLimit = 500 * time.Millisecond
 	// behindFor is how long this node's list may lack a change that another node has: two
 	// reports, and the delay of a watch.
 	behindFor = 600 * time.Millisecond
@@ -93,7 +96,7 @@
 		f.regained()
 		f.change(b)
 		if len(b.Events) > 0 {
-			return f.n.clock.Sleep(c, gather)
+			return f.n.clock.Sleep(c, f.n.gather())
 		}
 		return nil
 	})
@@ -103,6 +106,13 @@
 	return err
 }
 
+// gather is how long changes are gathered in a fleet of this size.
+func (n *Node) gather() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return min(gatherNode*time.Duration(n.peers.size()), gatherLimit)
+}
+
 func (f *follower) set(stop context.CancelCauseFunc) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
