Orders: fewer ordered is no wave, and what is there isn't given up for what has to boot

(2) When a cut healed, all work that the other side had done meanwhile counted as that moment's: load 2.4 to 5.4.

Ruled out: the store's word how soon an upstream leaves, to tell reclaims from orders: entries of reclaimed upstreams came without it.

--- a/internal/autoscale/mix.go
+++ b/internal/autoscale/mix.go
@@ -25,7 +25,7 @@
 	Price       float64 // of one upstream, relative to the others
 	OnDemand    int     // ready, not leaving
 	Reclaimable int
-	Leaving     int // reclaimable ones under notice
+	Leaving     int // reclaimable ones that leave
 }
 
 // MixSpec bounds the counts of a service. Both kinds together stay in Min to Max a hall.
@@ -219,10 +219,11 @@
 	return float64(n)
 }
 
-// notices notes when upstreams were last seen under notice.
+// notices notes when a hall was last seen under notice. A reclaim takes all of a hall; where
+// some are left, the others leave because fewer were ordered.
 func (m *Mix) notices(now time.Duration, halls []HallState) {
 	for _, h := range halls {
-		if h.Leaving > 0 {
+		if h.Leaving > 0 && h.Reclaimable == 0 {
 			m.noticed, m.notice = true, now
 		}
 	}
@@ -239,7 +240,8 @@
 }
 
 // spread deals on-demand upstreams out: each hall its least, the rest to the cheapest
-// halls in turn.
+// halls in turn. Both kinds together are bounded, so what is there and reclaimable stays:
+// giving it up for what has to boot first would leave nothing in between.
 func (m *Mix) spread(n int, s MixSpec, halls []HallState) []Count {
 	counts := make([]Count, len(halls))
 	for i, h := range halls {
@@ -249,7 +251,7 @@
 	for n > 0 {
 		given := false
 		for i := range counts {
-			if n > 0 && counts[i].OnDemand < s.Max {
+			if n > 0 && counts[i].OnDemand < s.Max-halls[i].Reclaimable {
 				counts[i].OnDemand++
 				n--
 				given = true
--- a/internal/autoscale/rate.go
+++ b/internal/autoscale/rate.go
@@ -2,40 +2,78 @@
 
 import "time"
 
-// This file measures how fast work comes, out of sums that only grow, one from each
-// node. A node's sum begins anew with its process; the span in which that happens says
-// nothing of the node.
+// This file measures how fast work comes, out of sums that only grow, one from each node,
+// as they are heard.
+//
+// Each node's rate is measured by itself, over the time between what was heard of it. A
+// single rate over all sums was used first: when nodes were heard again after a cut, all
+// their work of the meantime counted as that moment's, and upstreams were ordered for twice
+// the load.
 
 // rateHalf is the time over which what was measured counts half: some requests of each
 // node, and less than the boot of an upstream.
 const rateHalf = 2 * time.Second
 
+// leastWeight damps what was measured in the first second: after a restart the callers that
+// waited come all at once.
+const leastWeight = 0.4
+
+// Sum is what a node has counted since its process began.
+type Sum struct {
+	Value float64
+	At    time.Time // when it was heard
+}
+
 // Rate is the rate at which sums grow. Its zero value has measured nothing.
 type Rate struct {
-	last   map[string]float64 // by node
-	at     time.Time
+	nodes map[string]*nodeRate
+}
+
+// nodeRate is one node's rate.
+type nodeRate struct {
+	last   Sum
 	value  float64 // weighed average; what isn't measured yet counts as 0
 	weight float64 // of what was measured in value, up to 1
 }
 
-// Take takes in the sums of a moment, and returns the rate a second.
-func (r *Rate) Take(now time.Time, sums map[string]float64) float64 {
-	d := now.Sub(r.at).Seconds()
-	grown := 0.0
-	for n, v := range sums {
-		if old, ok := r.last[n]; ok && v >= old {
-			grown += v - old
+// Take takes in the sums of a moment, and returns the rate a second. A node that wasn't
+// heard within silent counts nothing: its callers have gone to others.
+func (r *Rate) Take(now time.Time, sums map[string]Sum, silent time.Duration) float64 {
+	if r.nodes == nil {
+		r.nodes = make(map[string]*nodeRate)
+	}
+	for n := range r.nodes {
+		if _, ok := sums[n]; !ok {
+			delete(r.nodes, n)
 		}
 	}
-	first := r.last == nil
-	r.last, r.at = sums, now
-	if !first && d > 0 {
-		gain := d / (d + rateHalf.Seconds())
-		r.value += gain * (grown/d - r.value)
-		r.weight += gain * (1 - r.weight)
+	all := 0.0
+	for n, s := range sums {
+		v := r.nodes[n]
+		if v == nil {
+			v = &nodeRate{last: s}
+			r.nodes[n] = v
+		}
+		v.take(s)
+		if now.Sub(s.At) <= silent {
+			all += v.value / max(v.weight, leastWeight)
+		}
+	}
+	return all
+}
+
+// take takes in what was heard. A sum that became smaller belongs to a new process.
+func (v *nodeRate) take(s Sum) {
+	d := s.At.Sub(v.last.At).Seconds()
+	grown := s.Value - v.last.Value
+	if d <= 0 {
+		return
 	}
-	if r.weight == 0 {
-		return 0
+	v.last = s
+	if grown < 0 {
+		return
 	}
-	return r.value / r.weight
+	gain := d / (d + rateHalf.Seconds())
+	v.value += gain * (grown/d - v.value)
+	v.weight += gain * (1 - v.weight)
 }
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -84,7 +84,7 @@
 		if s.Scaling == nil {
 			continue
 		}
-		load := o.rate(name).Take(now, o.n.workSums(name)) / pool.TokensPerSecond
+		load := o.rate(name).Take(now, o.n.workSums(now, name), o.n.silence()) / pool.TokensPerSecond
 		halls := o.halls(s)
 		o.mix(name).Observe(o.n.clock.Since(o.n.start), load, halls)
 		if held && o.n.clock.Since(o.n.start) >= o.patience() {
@@ -119,18 +119,25 @@
 }
 
 // workSums is what each node has sent to a service's engines since it began.
-func (n *Node) workSums(service string) map[string]float64 {
-	sums := map[string]float64{n.s.Node: n.pools.Work()[service]}
+func (n *Node) workSums(now time.Time, service string) map[string]autoscale.Sum {
+	sums := map[string]autoscale.Sum{n.s.Node: {Value: n.pools.Work()[service], At: now}}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for name, p := range n.peers.peers {
 		if p.work != nil {
-			sums[name] = p.work[service]
+			sums[name] = autoscale.Sum{Value: p.work[service], At: p.heard}
 		}
 	}
 	return sums
 }
 
+// silence is the time after which a node doesn't count as heard.
+func (n *Node) silence() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return silentAfter(n.peers.size())
+}
+
 func (o *orderer) mix(service string) *autoscale.Mix {
 	m := o.mixes[service]
 	if m == nil {
