The catalog's watch waits 2 s again, and a watch that fails speaks for the others

The store forgot its history; watches that waited got neither the change nor an end, all other calls were answered, and with a wait of 6 s the nodes noticed after 5 s. Reports between nodes don't help where all are deaf.

Ruled out: a stale read of the store's revision (it moves with every change, and may be seconds old), a wait of 2 s for all watches (a third of the calls saved would come back).

Change: how long a watch waits is its caller's word (store.Span): the catalog's 2 s, the list's and the lease's key 6 s. Any watch that fails ends the others.

--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -150,7 +150,7 @@
 	}
 	b.load(r)
 	b.setPlatform(true)
-	return b.o.KV.Watch(ctx, prefix, store.PrefixEnd(prefix), r.Revision+1, func(w store.WatchBatch) error {
+	return b.o.KV.Watch(ctx, store.Under(prefix, r.Revision+1), func(w store.WatchBatch) error {
 		b.setPlatform(true)
 		var list []Change
 		for _, e := range w.Events {
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -232,7 +232,7 @@
 		return err
 	}
 	accept(v)
-	return s.kv.Watch(ctx, headKey, "", h.Revision+1, func(b store.WatchBatch) error {
+	return s.kv.Watch(ctx, store.Span{Key: headKey, From: h.Revision + 1}, func(b store.WatchBatch) error {
 		if len(b.Events) == 0 {
 			return nil
 		}
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -17,12 +17,19 @@
 // leads back to the range. What is held meanwhile stays in force.
 //
 // A watch that waits can't tell silence from calm. It is begun anew when another call to
-// the store fails, and when other nodes have heard of a change that this one hasn't.
+// the store fails, and when other nodes have heard of a change that this one hasn't. A
+// store that forgets its history may leave all watches that wait without an answer, and
+// answer all other calls; so the catalog's watch waits for less than what a change of the
+// configuration may take, and its failure makes the others begin anew, too.
 
 // followPause is the pause after a failure. The guard's breaker adds its own.
 const followPause = 100 * time.Millisecond
 
 const (
+	// catalogWait and listWait are how long a watch may have nothing to tell; each end of a
+	// wait costs a call.
+	catalogWait = 2 * time.Second
+	listWait    = 6 * time.Second
 	// gatherNode and gatherLimit set the pause after changes of the list, so much for each
 	// node: a wave of reclaims or a release comes as a change for each upstream, each answer
 	// to a watch is a call that is paid for, and all nodes get it. The limit is well below the
@@ -42,6 +49,7 @@
 	n      *Node
 	name   string
 	prefix string
+	wait   time.Duration // how long a watch may have nothing to tell
 	whole  func(r store.RangeResult)
 	change func(b store.WatchBatch)
 	failed time.Time // since when the store doesn't answer; zero: it does
@@ -82,8 +90,7 @@
 }
 
 func (f *follower) follow(ctx context.Context) error {
-	end := store.PrefixEnd(f.prefix)
-	r, err := f.n.kv.Range(ctx, f.prefix, end)
+	r, err := f.n.kv.Range(ctx, f.prefix, store.PrefixEnd(f.prefix))
 	if err != nil {
 		return err
 	}
@@ -92,7 +99,9 @@
 	c, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
 	f.set(stop)
-	err = f.n.kv.Watch(c, f.prefix, end, r.Revision+1, func(b store.WatchBatch) error {
+	span := store.Under(f.prefix, r.Revision+1)
+	span.Wait = f.wait
+	err = f.n.kv.Watch(c, span, func(b store.WatchBatch) error {
 		f.regained()
 		f.change(b)
 		if len(b.Events) > 0 {
@@ -155,7 +164,7 @@
 		}
 	}
 	return &follower{
-		n: n, name: "catalog", prefix: n.o.CatalogKey,
+		n: n, name: "catalog", prefix: n.o.CatalogKey, wait: catalogWait,
 		whole: func(r store.RangeResult) {
 			for _, p := range r.Pairs {
 				take(p)
@@ -172,7 +181,7 @@
 }
 
 func (n *Node) listFollower() *follower {
-	f := &follower{n: n, name: "upstreams", prefix: n.o.EntryPrefix}
+	f := &follower{n: n, name: "upstreams", prefix: n.o.EntryPrefix, wait: listWait}
 	f.whole = func(r store.RangeResult) {
 		back := !f.failed.IsZero()
 		n.update("store", func(now time.Time, l *pool.List) {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -100,6 +100,9 @@
 	// looks is how often in that time the others look whether it is free, where the key
 	// can't be watched.
 	looks = 2
+	// keyWait is how long a watch of the key may wait. A watch that is silently dead delays a
+	// successor; a holder that dies is rare enough.
+	keyWait = 6 * time.Second
 	// unwantedPause is the pause of a process that doesn't want the lease yet, such as one
 	// that is still starting. It makes no calls.
 	unwantedPause = 50 * time.Millisecond
@@ -113,7 +116,9 @@
 
 // awaitFree watches the key until it goes, and returns the pause before the next try.
 func (l *Lease) awaitFree(ctx context.Context) time.Duration {
-	err := l.kv.Watch(ctx, l.key, store.PrefixEnd(l.key), l.seen+1, func(b store.WatchBatch) error {
+	span := store.Under(l.key, l.seen+1)
+	span.Wait = keyWait
+	err := l.kv.Watch(ctx, span, func(b store.WatchBatch) error {
 		for _, e := range b.Events {
 			if e.Deleted && e.Pair.Key == l.key {
 				return errFree
--- a/internal/node/rig_test.go
+++ b/internal/node/rig_test.go
@@ -206,11 +206,11 @@
 		}
 		return kv.Grant(ctx, d)
 	}
-	w.Watch = func(ctx context.Context, k, e string, v int64, f func(store.WatchBatch) error) error {
+	w.Watch = func(ctx context.Context, s store.Span, f func(store.WatchBatch) error) error {
 		if err := down(); err != nil {
 			return err
 		}
-		return kv.Watch(ctx, k, e, v, func(b store.WatchBatch) error {
+		return kv.Watch(ctx, s, func(b store.WatchBatch) error {
 			if err := down(); err != nil {
 				return err
 			}
--- a/internal/store/gateway.go
+++ b/internal/store/gateway.go
@@ -278,7 +278,8 @@
 // progress notifications, so a longer silence means a dead connection.
 const watchSilence = 5 * time.Second
 
-func (g *Gateway) watch(ctx context.Context, key, end string, revision int64, f func(WatchBatch) error) error {
+func (g *Gateway) watch(ctx context.Context, s Span, f func(WatchBatch) error) error {
+	key, end, revision := s.Key, s.End, s.From
 	c, cancel := context.WithCancel(ctx)
 	defer cancel()
 	// A watch that connects but gets no response header is as dead as a silent one.
--- a/internal/store/guard.go
+++ b/internal/store/guard.go
@@ -96,13 +96,6 @@
 	}
 }
 
-// noteWatch is note for a watch itself, which says nothing of other watches.
-func (g *Guard) noteWatch(err error) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.count(err)
-}
-
 // count opens the breaker after some failures in a row, and tells whether this was one.
 func (g *Guard) count(err error) bool {
 	if err == nil || errors.Is(err, ErrLeaseGone) || errors.Is(err, ErrCompacted) {
@@ -143,7 +136,7 @@
 }
 
 // Wrap returns kv behind the guard. A watch counts as one read when it begins, and ends
-// when any other call fails;
+// when any other call fails or another watch does;
 // lease keep-alives are never refused, since losing a lease costs more than the
 // call.
 func (g *Guard) Wrap(kv KV) KV {
@@ -187,17 +180,17 @@
 			return d, err
 		},
 		Revoke: kv.Revoke,
-		Watch: func(ctx context.Context, key, end string, revision int64, f func(WatchBatch) error) error {
+		Watch: func(ctx context.Context, s Span, f func(WatchBatch) error) error {
 			if err := g.before("watches", g.reads); err != nil {
 				return err
 			}
-			return g.watch(ctx, kv, key, end, revision, f)
+			return g.watch(ctx, kv, s, f)
 		},
 	}
 }
 
 // watch watches until a call fails.
-func (g *Guard) watch(ctx context.Context, kv KV, key, end string, revision int64, f func(WatchBatch) error) error {
+func (g *Guard) watch(ctx context.Context, kv KV, s Span, f func(WatchBatch) error) error {
 	c, cancel := context.WithCancel(ctx)
 	defer cancel()
 	doubted, ended := false, make(chan struct{})
@@ -211,8 +204,8 @@
 		case <-c.Done():
 		}
 	}()
-	err := kv.Watch(c, key, end, revision, func(b WatchBatch) error {
-		g.noteWatch(nil)
+	err := kv.Watch(c, s, func(b WatchBatch) error {
+		g.note(nil)
 		return f(b)
 	})
 	cancel()
@@ -221,8 +214,8 @@
 		return err
 	}
 	if doubted {
-		return fault.Because(ErrUnavailable, "another call failed, so the watch is no longer trusted")
+		return fault.Because(ErrUnavailable, "another call failed, so this watch is no longer trusted")
 	}
-	g.noteWatch(err)
+	g.note(err)
 	return err
 }
--- a/internal/store/guard_test.go
+++ b/internal/store/guard_test.go
@@ -17,7 +17,7 @@
 	return KV{
 		Range:     func(context.Context, string, string) (RangeResult, error) { return RangeResult{}, *err },
 		KeepAlive: func(context.Context, int64) (time.Duration, error) { return 0, *err },
-		Watch: func(ctx context.Context, _, _ string, _ int64, _ func(WatchBatch) error) error {
+		Watch: func(ctx context.Context, _ Span, _ func(WatchBatch) error) error {
 			<-ctx.Done()
 			return ctx.Err()
 		},
@@ -31,7 +31,7 @@
 // watching starts a watch and returns its end.
 func watching(ctx context.Context, kv KV) <-chan error {
 	end := make(chan error, 1)
-	go func() { end <- kv.Watch(ctx, "k", "", 1, func(WatchBatch) error { return nil }) }()
+	go func() { end <- kv.Watch(ctx, Span{Key: "k", From: 1}, func(WatchBatch) error { return nil }) }()
 	return end
 }
 
@@ -72,6 +72,27 @@
 	}
 }
 
+// TestGuardDoubtsTheOtherWatches: a store that forgets its history may leave all watches
+// that wait without an answer; the one that gives up first speaks for all.
+func TestGuardDoubtsTheOtherWatches(t *testing.T) {
+	kv := answering(new(error))
+	waits := kv.Watch
+	fail := make(chan struct{})
+	kv.Watch = func(ctx context.Context, s Span, f func(WatchBatch) error) error {
+		if s.Key != "short" {
+			return waits(ctx, s, f)
+		}
+		<-fail
+		return ErrUnavailable
+	}
+	kv = newGuard(timer.Real()).Wrap(kv)
+	end := watching(context.Background(), kv)
+	go func() { _ = kv.Watch(context.Background(), Span{Key: "short"}, func(WatchBatch) error { return nil }) }()
+	require.Never(t, func() bool { return len(end) > 0 }, 50*time.Millisecond, 5*time.Millisecond)
+	close(fail)
+	assert.ErrorIs(t, <-end, ErrUnavailable)
+}
+
 func TestGuardBreaks(t *testing.T) {
 	clock := timer.NewManual(time.Unix(1000, 0))
 	err := error(ErrUnavailable)
--- a/internal/store/kv.go
+++ b/internal/store/kv.go
@@ -125,9 +125,24 @@
 	Grant     func(ctx context.Context, ttl time.Duration) (int64, error)
 	KeepAlive func(ctx context.Context, lease int64) (time.Duration, error)
 	Revoke    func(ctx context.Context, lease int64) error
-	// Watch calls f for each batch from revision on, in order, until the context
-	// ends or f fails. Range ends are exclusive, as everywhere here.
-	Watch func(ctx context.Context, key, end string, revision int64, f func(WatchBatch) error) error
+	// Watch calls f for each batch of the span, in order, until the context ends or f
+	// fails.
+	Watch func(ctx context.Context, s Span, f func(WatchBatch) error) error
+}
+
+// Span is what a watch tells of. Its end is exclusive, as everywhere here.
+type Span struct {
+	Key, End string
+	From     int64 // the first revision that counts
+	// Wait is how long a service that is asked again and again may hold a question that
+	// has no answer; 0 leaves it to the service. It bounds how long the watch may be
+	// silently dead, and the end of each wait is a call.
+	Wait time.Duration
+}
+
+// Under is the span of all keys of a prefix.
+func Under(prefix string, from int64) Span {
+	return Span{Key: prefix, End: PrefixEnd(prefix), From: from}
 }
 
 // PrefixEnd returns the first key after all keys that begin with prefix.
