Counts of ended windows outlive all processes

A window had ended 2 s before all nodes were killed and wasn't settled, because a removed node was still on the list and might have been heard; its counts were in the processes alone.

Ruled out: settling without the silent node (a node cut off for some seconds would be missing from every report), a write a node and window (costs the fleet's size).

Change: the holder writes the counts of the newest three ended windows, by process, to the store 0.35 s after a window's end, on condition that its term lasts; a new holder takes them in before it settles anything.

--- /dev/null
+++ b/internal/edge/counted.go
@@ -0,0 +1,105 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"go.uber.org/zap"
+
+	"spurhall.example/spurhall/internal/store"
+	"spurhall.example/spurhall/internal/usage"
+)
+
+// This file keeps the counts of ended windows over the loss of all processes. Until a
+// window is settled its counts live in the processes alone, and it isn't settled at once:
+// a node that is silent may still be heard. So the holder of the duties writes what all
+// processes have counted to the store as soon as a window has ended, a write a window for
+// the whole fleet, and the next holder takes it in before it settles anything.
+//
+// What is counted in a window that hasn't ended goes with the processes, if all are lost.
+
+const (
+	// countedKey is the store's key of the counts.
+	countedKey = "spurhall/counted"
+	// countedAfter is how long after a window's end its counts are written: a round of
+	// reports, and its delay.
+	countedAfter = reportEvery + 100*time.Millisecond
+	// countedWindows is how many ended windows are written: those that may still wait for a
+	// silent node.
+	countedWindows = 3
+)
+
+// processCounts is what one process has counted.
+type processCounts struct {
+	Node     string        `json:"node"`
+	Lifetime string        `json:"lifetime"`
+	Windows  usage.Windows `json:"windows"`
+}
+
+// counted is the holder's side of the counts.
+type counted struct {
+	window int64 // the newest that was written in this term
+}
+
+// begin takes in what the holder before has written.
+func (v *counted) begin(ctx context.Context, n *Node) {
+	v.window = 0
+	var list []processCounts
+	r, err := n.kv.Range(ctx, countedKey, "")
+	if err == nil && len(r.Pairs) > 0 {
+		err = json.Unmarshal(r.Pairs[0].Value, &list)
+	}
+	if err != nil {
+		n.log.Warn("counted_unread", zap.String("cause", err.Error()))
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, p := range list {
+		n.usage.TakeIn(p.Node, p.Lifetime, p.Windows)
+	}
+}
+
+// write puts the counts into the store once a window has ended, on condition that the term
+// lasts. What can't be written is tried again with the next step.
+func (v *counted) write(ctx context.Context, n *Node, token int64) {
+	now := n.clock.Now()
+	newest := n.usage.Window(now) - 1
+	if newest <= v.window || now.Sub(n.usage.End(newest)) < countedAfter {
+		return
+	}
+	b, err := json.Marshal(n.processCounts(newest))
+	if err == nil {
+		_, err = n.kv.Txn(ctx, store.Txn{
+			If:   []store.Compare{store.Unmodified(dutyKey, token)},
+			Then: []store.Op{{Kind: store.OpPut, Key: countedKey, Value: b}},
+		})
+	}
+	if err != nil {
+		n.log.Info("counted_unwritten", zap.Int64("window", newest), zap.String("cause", err.Error()))
+		return
+	}
+	v.window = newest // or the term is over, and the next holder's word counts
+}
+
+// processCounts is the counts of all processes in the newest ended windows.
+func (n *Node) processCounts(newest int64) []processCounts {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	list := []processCounts{}
+	add := func(node, lifetime string, all usage.Windows) {
+		w := make(usage.Windows)
+		for k, c := range all {
+			if k > newest-countedWindows && k <= newest {
+				w[k] = c
+			}
+		}
+		if len(w) > 0 {
+			list = append(list, processCounts{node, lifetime, w})
+		}
+	}
+	add(n.s.Node, n.o.Lifetime, n.usage.Own())
+	n.usage.Others(add)
+	return list
+}
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -35,8 +35,16 @@
 		close(done)
 	}()
 	o := newOrderer(n)
+	var c counted
+	term := int64(0)
 	n.clock.Every(ctx, dutyEvery, func(time.Time) {
-		if n.s.Cloud.Usage {
+		token, held := n.lease.Token()
+		if n.s.Cloud.Usage && held {
+			if token != term {
+				term = token
+				c.begin(ctx, n)
+			}
+			c.write(ctx, n, token)
 			r.Step(ctx)
 		}
 		if n.s.Cloud.Scale {
