A request's line tells its first event and its longest pause

Cause: an answer that is late can't be told from one that isn't by its line: it had the whole time only, and a stream is late by its first event or by a pause.

Change: request_done has first and longest_pause, with a histogram each.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -276,7 +276,8 @@
 		return
 	}
 	q.began = true
-	observe("first_ms", s.o.Clock.Since(q.arrived))
+	q.first = s.o.Clock.Since(q.arrived)
+	observe("first_ms", q.first)
 	if q.workspace != nil {
 		s.o.Began(q.workspace.Name())
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -108,12 +108,14 @@
 	service   string
 	tokens    float64
 	arrived   time.Time
-	until     time.Time // when an answer is due
-	sends     int       // attempts of which a byte left
-	mayRun    bool      // an attempt may have run it
-	began     bool      // counted as begun
-	use       *pool.Use // of the last attempt
-	failure   *answer   // an upstream's own failure, to be passed on if nothing betters it
+	until     time.Time     // when an answer is due
+	sends     int           // attempts of which a byte left
+	mayRun    bool          // an attempt may have run it
+	began     bool          // counted as begun
+	first     time.Duration // from the arrival to the first event or the head; 0: none came
+	pause     time.Duration // longest between two events passed on
+	use       *pool.Use     // of the last attempt
+	failure   *answer       // an upstream's own failure, to be passed on if nothing betters it
 }
 
 func (q *request) workspaceName() string {
@@ -320,6 +322,9 @@
 	if q.route != nil {
 		f = append(f, zap.String("route", q.route.Name()), zap.String("service", q.service), zap.Int64("catalog", q.catalog.Version()))
 	}
+	if q.first > 0 {
+		f = append(f, zap.Duration("first", q.first), zap.Duration("longest_pause", q.pause))
+	}
 	if q.use != nil {
 		f = append(f, chosen(q.use)...)
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -21,7 +21,8 @@
 	q    *request
 	ctx  context.Context
 	a    *attempt
-	last string // id of the last event passed on
+	last string    // id of the last event passed on
+	at   time.Time // when it was
 }
 
 // close ends the attempt under way. The caller of a finished stream calls it, too.
@@ -52,6 +53,7 @@
 			err = t.pass(w, c, v)
 		}
 	}
+	observe("longest_pause_ms", q.pause)
 	if errors.Is(err, io.EOF) {
 		t.a.end(pool.ResultGood)
 		s.done(q, a.status, "streamed", nil)
@@ -75,6 +77,11 @@
 	if v.id != "" {
 		t.last = v.id
 	}
+	now := t.s.o.Clock.Now()
+	if !t.at.IsZero() {
+		t.q.pause = max(t.q.pause, now.Sub(t.at))
+	}
+	t.at = now
 	return nil
 }
 
