--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -39,8 +39,16 @@
 
 // Report is the usage of one window.
 type Report struct {
-	Window int64
-	Counts map[string]int64
+	Window    int64
+	Counts    map[string]int64
+	Processes int // that the counts are of
+}
+
+// Tally is what a node knows of a window's counts.
+type Tally struct {
+	Counts    map[string]int64
+	Processes int  // that the counts are of
+	Whole     bool // every node has been heard since the window ended
 }
 
 // Order states how many upstreams of a service a hall should have.
@@ -71,9 +79,8 @@
 	// Window names the window of a time, End says when a window ends.
 	Window func(t time.Time) int64
 	End    func(window int64) time.Time
-	// Counts returns a window's counts, and whether every node has been heard since
-	// the window ended.
-	Counts func(window int64) (counts map[string]int64, whole bool)
+	// Counts returns what is known of a window.
+	Counts func(window int64) Tally
 	// Late is how long after its end a window's report is due.
 	Late time.Duration
 }
@@ -129,7 +136,7 @@
 	if age < wholeAfter {
 		return false
 	}
-	if _, whole := r.o.Counts(w); whole {
+	if r.o.Counts(w).Whole {
 		return true
 	}
 	return age >= time.Duration(settledShare*float64(r.o.Late))
@@ -153,7 +160,7 @@
 	if err := r.o.Cloud.Report(ctx, token, v); err != nil {
 		return err
 	}
-	r.o.Log.Info("usage_reported", zap.Int64("window", w), zap.Int64("token", token), logging.Counts("counts", v.Counts),
+	r.o.Log.Info("usage_reported", zap.Int64("window", w), zap.Int64("token", token), logging.Counts("counts", v.Counts), zap.Int("processes", v.Processes),
 		zap.Duration("after_end", r.o.Clock.Now().Sub(r.o.End(w))))
 	return nil
 }
@@ -169,8 +176,8 @@
 	if len(seen.Pairs) > 0 {
 		return decode(seen.Pairs[0])
 	}
-	counts, _ := r.o.Counts(w)
-	v := Report{Window: w, Counts: counts}
+	c := r.o.Counts(w)
+	v := Report{Window: w, Counts: c.Counts, Processes: c.Processes}
 	b, err := json.Marshal(v)
 	if err != nil {
 		return Report{}, err
--- /dev/null
+++ b/internal/duty/duty_test.go
@@ -0,0 +1,121 @@
+package duty
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"go.uber.org/zap"
+
+	"spurhall.example/spurhall/internal/standin"
+	"spurhall.example/spurhall/internal/store"
+	"spurhall.example/spurhall/internal/timer"
+)
+
+// desk is a platform that takes reports, and what the nodes know.
+type desk struct {
+	t     *testing.T
+	clock *timer.Manual
+	kv    store.KV
+	taken map[int64][]map[string]int64
+	token int64
+	held  bool
+	err   error // of the next report of the newest window
+	tally Tally
+}
+
+// newest is the window that has ended when a desk opens.
+const newest = 199
+
+func newDesk(t *testing.T) *desk {
+	t.Helper()
+	d := &desk{t: t, clock: timer.NewManual(time.Unix(1000, 0)), taken: map[int64][]map[string]int64{}, token: 1, held: true}
+	s := httptest.NewServer(standin.NewPlatform(d.clock.Service()).Handler())
+	t.Cleanup(s.Close)
+	d.kv = store.NewGateway(s.URL, 5*time.Second, timer.Real()).KV()
+	return d
+}
+
+func (d *desk) reporter() *Reporter {
+	c := d.clock.Service()
+	return NewReporter(Options{
+		Clock: c, Log: zap.NewNop(), KV: d.kv, Late: 10 * time.Second,
+		Cloud: Cloud{Report: func(_ context.Context, _ int64, r Report) error {
+			d.taken[r.Window] = append(d.taken[r.Window], r.Counts)
+			if r.Window != newest {
+				return nil
+			}
+			err := d.err
+			d.err = nil
+			return err
+		}},
+		Token: func() (int64, bool) { return d.token, d.held }, Resign: func() { d.held = false },
+		Window: func(t time.Time) int64 { return t.Unix() / 5 },
+		End:    func(w int64) time.Time { return time.Unix(5*(w+1), 0) },
+		Counts: func(int64) Tally { return d.tally },
+	})
+}
+
+// assertReported checks the reports of the newest window.
+func (d *desk) assertReported(counts ...map[string]int64) {
+	d.t.Helper()
+	assert.Equal(d.t, counts, d.taken[newest])
+}
+
+func TestReporter(t *testing.T) {
+	ctx := context.Background()
+	one := map[string]int64{"w": 1}
+	t.Run("waits until all nodes have been heard", func(t *testing.T) {
+		d := newDesk(t)
+		r := d.reporter()
+		d.tally = Tally{Counts: one}
+		d.clock.Advance(wholeAfter)
+		r.Step(ctx)
+		assert.Empty(t, d.taken[newest])
+		d.tally.Whole = true
+		r.Step(ctx)
+		r.Step(ctx)
+		d.assertReported(one)
+	})
+	t.Run("but not for longer than the report may", func(t *testing.T) {
+		d := newDesk(t)
+		r := d.reporter()
+		d.tally = Tally{Counts: one}
+		d.clock.Advance(6 * time.Second)
+		r.Step(ctx)
+		d.assertReported(one)
+	})
+	t.Run("a report without an answer is repeated to the letter", func(t *testing.T) {
+		d := newDesk(t)
+		r := d.reporter()
+		d.tally, d.err = Tally{Counts: one, Whole: true}, store.ErrUnknown
+		d.clock.Advance(wholeAfter)
+		r.Step(ctx)
+		d.tally.Counts = map[string]int64{"w": 2}
+		d.clock.Advance(time.Millisecond)
+		r.Step(ctx)
+		assert.Equal(t, one, d.taken[newest][len(d.taken[newest])-1])
+	})
+	t.Run("so it is by a successor that counted otherwise", func(t *testing.T) {
+		d := newDesk(t)
+		d.tally = Tally{Counts: one, Whole: true}
+		d.clock.Advance(wholeAfter)
+		d.reporter().Step(ctx)
+		d.tally.Counts, d.token = map[string]int64{"w": 9}, 2
+		d.reporter().Step(ctx)
+		d.assertReported(one, one)
+	})
+	t.Run("a refused token ends the term", func(t *testing.T) {
+		d := newDesk(t)
+		d.tally, d.err = Tally{Counts: one, Whole: true}, ErrFenced
+		d.clock.Advance(wholeAfter)
+		r := d.reporter()
+		r.Step(ctx)
+		assert.False(t, d.held)
+		before := len(d.taken)
+		r.Step(ctx)
+		assert.Len(t, d.taken, before, "who doesn't hold the lease reports nothing")
+	})
+}
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -26,7 +26,8 @@
 	})
 	n.lease.Observe(func(err error) {
 		if !errors.Is(err, lease.ErrTaken) {
-			n.log.Info("lease_step_failed", zap.String("cause", err.Error()))
+			_, held := n.lease.Token()
+			n.log.Info("lease_step_failed", zap.String("lease", dutyKey), zap.Bool("held", held), zap.String("cause", err.Error()))
 		}
 	})
 	done := make(chan struct{})
@@ -54,9 +55,9 @@
 	<-done
 }
 
-// counts returns a window's counts, and whether every node that shares the traffic has
-// reported since the window ended.
-func (n *Node) counts(window int64) (map[string]int64, bool) {
+// counts returns a window's counts. They are whole if every node that shares the traffic
+// has reported since the window ended.
+func (n *Node) counts(window int64) duty.Tally {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	end := n.usage.End(window)
@@ -67,5 +68,5 @@
 			whole = false
 		}
 	}
-	return n.usage.Sum(window), whole
+	return duty.Tally{Counts: n.usage.Sum(window), Processes: n.usage.Processes(window), Whole: whole}
 }
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -77,12 +77,26 @@
 	if err != nil {
 		return 0, err
 	}
-	// The key may still be held by the lease of the process before.
+	// The key may still be held by the lease of the process before, if that was killed.
 	k := memberPrefix + n.s.Node
+	n.logPrevious(ctx, k)
 	_, err = n.kv.Txn(ctx, store.Txn{Then: []store.Op{{Kind: store.OpPut, Key: k, Value: b, Lease: id}}})
 	return id, err
 }
 
+// logPrevious tells of the process before: a planned stop takes the key away.
+func (n *Node) logPrevious(ctx context.Context, key string) {
+	r, err := n.kv.Range(ctx, key, "")
+	if err != nil || len(r.Pairs) == 0 {
+		return // nothing is known of it
+	}
+	var v memberValue
+	if err := json.Unmarshal(r.Pairs[0].Value, &v); err != nil || v.Lifetime == n.o.Lifetime {
+		return
+	}
+	n.log.Warn("previous_killed", zap.String("lifetime", v.Lifetime), zap.Int64("registered_at", r.Pairs[0].Modified))
+}
+
 const withdrawTimeout = 300 * time.Millisecond
 
 func (n *Node) withdraw(id int64) {
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -101,6 +101,17 @@
 	return sum
 }
 
+// Processes returns how many processes have counted anything in a window.
+func (b *Book) Processes(window int64) int {
+	n := 0
+	for _, w := range b.heard {
+		if len(w[window]) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // Forget drops the windows that are no longer needed at t.
 func (b *Book) Forget(t time.Time) {
 	oldest := b.Window(t) - keep
