A watch that its caller ends is no failure of the store

The watch of the duties' key ends by its own caller's word when the key goes. The guard noted that as a failed call, on all nodes at once, and since the watches are doubted when a call fails, every list was read anew as after an outage: an entry that went in the next 2.2 s was taken for one that had lapsed in it.

Ruled out: a watch that lost the change (all nodes had read revision 89 and kept the entry as lapsed), reports that were late.

Change: an error that comes from the watcher itself says nothing of the store.

Test: TestWatcherThatHasSeenEnough; the other test of doubted watches waits for its watch to begin.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -2,8 +2,8 @@
 //
 // Each node runs the whole token bucket by itself and takes in what the others report
 // to have charged. Between two reports nodes don't see each other, so a node doesn't
-// spend the whole level but a share of it, as large as its recent share of the
-// workspace's use. While the bucket is more than half full a node may spend more: such a
+// spend the whole level but a share of it, as large as its share of the workspace's use
+// up to the last report. While the bucket is more than half full a node may spend more: such a
 // workspace is far below its quota, and refusing a large request because this node is
 // entitled to a sixth of the level would be wrong.
 //
@@ -12,6 +12,12 @@
 // same of this node, the sum holds on both sides of a cut without a word between them.
 // When it is heard again, what it did charge takes the place of the guess.
 //
+// A process that starts knows neither what was charged a moment ago nor how many share the
+// bucket. It begins with a part of the burst, assumes many nodes until it has been told them,
+// and entitles itself only to the part of the nodes that it has heard. What a peer charged
+// before it was first heard counts, unless the peer is older than this process: then the
+// part of the burst stands for it.
+//
 // A request is let in while the level is positive, and may overdraw it. Asking for the
 // whole charge first, as an earlier version did, lets small requests keep the level low
 // forever, and the large ones of a busy workspace never get in.
--- a/internal/store/guard.go
+++ b/internal/store/guard.go
@@ -204,13 +204,15 @@
 		case <-c.Done():
 		}
 	}()
+	var own error // of f, which says nothing of the store
 	err := kv.Watch(c, s, func(b WatchBatch) error {
 		g.note(nil)
-		return f(b)
+		own = f(b)
+		return own
 	})
 	cancel()
 	<-ended
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || own != nil && errors.Is(err, own) {
 		return err
 	}
 	if doubted {
--- a/internal/store/guard_test.go
+++ b/internal/store/guard_test.go
@@ -76,10 +76,11 @@
 // that wait without an answer; the one that gives up first speaks for all.
 func TestGuardDoubtsTheOtherWatches(t *testing.T) {
 	kv := answering(new(error))
-	waits := kv.Watch
+	waits, begun := kv.Watch, make(chan struct{})
 	fail := make(chan struct{})
 	kv.Watch = func(ctx context.Context, s Span, f func(WatchBatch) error) error {
 		if s.Key != "short" {
+			close(begun)
 			return waits(ctx, s, f)
 		}
 		<-fail
@@ -87,12 +88,39 @@
 	}
 	kv = newGuard(timer.Real()).Wrap(kv)
 	end := watching(context.Background(), kv)
+	<-begun
 	go func() { _ = kv.Watch(context.Background(), Span{Key: "short"}, func(WatchBatch) error { return nil }) }()
 	require.Never(t, func() bool { return len(end) > 0 }, 50*time.Millisecond, 5*time.Millisecond)
 	close(fail)
 	assert.ErrorIs(t, <-end, ErrUnavailable)
 }
 
+// TestWatcherThatHasSeenEnough: a watch that its caller ends is no failure of the store.
+func TestWatcherThatHasSeenEnough(t *testing.T) {
+	kv := answering(new(error))
+	waits, begun := kv.Watch, make(chan struct{})
+	kv.Watch = func(ctx context.Context, s Span, f func(WatchBatch) error) error {
+		if s.Key != "short" {
+			close(begun)
+			return waits(ctx, s, f)
+		}
+		return f(WatchBatch{})
+	}
+	g := newGuard(timer.Real())
+	kv = g.Wrap(kv)
+	ctx, cancel := context.WithCancel(context.Background())
+	end := watching(ctx, kv)
+	<-begun
+	enough := errors.New("enough")
+	for range 2 * breakerAfter {
+		assert.ErrorIs(t, kv.Watch(ctx, Span{Key: "short"}, func(WatchBatch) error { return enough }), enough)
+	}
+	assert.True(t, g.Up())
+	require.Never(t, func() bool { return len(end) > 0 }, 50*time.Millisecond, 5*time.Millisecond)
+	cancel()
+	assert.ErrorIs(t, <-end, context.Canceled)
+}
+
 func TestGuardBreaks(t *testing.T) {
 	clock := timer.NewManual(time.Unix(1000, 0))
 	err := error(ErrUnavailable)
