A call over the store's rate casts no doubt on watches

Cause: read, not seen: beginning all watches anew is three calls a node, so a store that is over its rate would get more, and each new list counts as one after an outage, in which entries that go are believed for 2.2 s.

Change: the guard passes over such answers; a node that is turned away by them for good finds out by its catalog's watch within 2 s and by its peers. TestGuardDoubtsWatches says so now.

--- a/internal/store/guard.go
+++ b/internal/store/guard.go
@@ -86,11 +86,13 @@
 }
 
 // note takes in how a call ended. A failure casts doubt on the watches: one that waits
-// for changes can't tell a store that is silent from one that has nothing to say.
+// for changes can't tell a store that is silent from one that has nothing to say. A store
+// that turns a call away for its rate is there, and beginning all watches anew would be more
+// calls.
 func (g *Guard) note(err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.count(err) {
+	if g.count(err) && !errors.Is(err, ErrBudget) {
 		close(g.doubt)
 		g.doubt = make(chan struct{})
 	}
