--- a/internal/store/guard_test.go
+++ b/internal/store/guard_test.go
@@ -48,10 +48,17 @@
 		{"an answer", nil, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			err := c.err
-			kv := newGuard(timer.Real()).Wrap(answering(&err))
+			err, begun := c.err, make(chan struct{})
+			plain := answering(&err)
+			waits := plain.Watch
+			plain.Watch = func(ctx context.Context, s Span, f func(WatchBatch) error) error {
+				close(begun)
+				return waits(ctx, s, f)
+			}
+			kv := newGuard(timer.Real()).Wrap(plain)
 			ctx, cancel := context.WithCancel(context.Background())
 			end := watching(ctx, kv)
+			<-begun
 			ended := func() bool {
 				_, _ = kv.KeepAlive(ctx, 1)
 				return len(end) > 0
