--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -65,7 +65,7 @@
 	front *forward.Server
 	lease *lease.Lease
 
-	upstreams *follower // of the list
+	listReader *follower
 
 	catalog atomic.Pointer[held]
 	listed  atomic.Bool  // the upstreams have been read once
@@ -107,7 +107,7 @@
 	n.quotas = quota.New(n.start, s.FirstStart)
 	n.usage = usage.New(s.Node, o.Lifetime, s.UsageWindow)
 	n.peers = newTable(n)
-	n.upstreams = n.listFollower()
+	n.listReader = n.listFollower()
 	n.guard = store.NewGuard(o.Clock, n.share())
 	n.kv = n.guard.Wrap(o.KV)
 	n.lease = lease.New(n.kv, o.Clock, dutyKey, s.Node, max(s.Lease, s.Store.MinLease))
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -224,7 +224,7 @@
 		placed = append(placed, pool.Placement{Prefix: v.Prefix, Upstream: v.Upstream})
 	}
 	n.pools.TakeIn(r.Node, loads, placed)
-	n.compare(r.Node, r.ListChange)
+	n.noteChange(r.Node, r.ListChange)
 	n.catchUp(ctx, r)
 }
 
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -137,8 +137,8 @@
 	}
 }
 
-// compare takes in the newest change of the list that another node has heard of.
-func (n *Node) compare(peer string, change int64) {
+// noteChange takes in the newest change of the list that another node has heard of.
+func (n *Node) noteChange(peer string, change int64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.clock.Now()
@@ -150,10 +150,10 @@
 	case n.behind.IsZero():
 		n.behind = now
 	case now.Sub(n.behind) > behindFor:
-		n.log.Warn("watch_behind", zap.String("reader", n.upstreams.name), zap.String("peer", peer),
+		n.log.Warn("watch_behind", zap.String("reader", n.listReader.name), zap.String("peer", peer),
 			zap.Int64("revision", have), zap.Int64("change", n.othersChange), zap.Duration("for", now.Sub(n.behind)))
 		n.behind = now
-		n.upstreams.again()
+		n.listReader.again()
 	}
 }
 
