A doubted watch is no outage

Ruled out: believing by the time since the store last answered (a calm node asks it seldom).

Change: such a watch ends with store.ErrDoubted, which is told (watch_begun_anew) and no outage; the read that follows says whether there is one.

Test: TestDoubtIsNoOutage.

--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -64,13 +64,22 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if !errors.Is(err, store.ErrCompacted) && !errors.Is(err, errBehind) {
+		if begunAnew(err) {
+			f.n.log.Info("watch_begun_anew", zap.String("reader", f.name), zap.String("cause", err.Error()))
+		} else {
 			f.lost(err)
 		}
 		_ = f.n.clock.Sleep(ctx, followPause)
 	}
 }
 
+// begunAnew tells whether a watch ended though the store answers, as far as is known.
+// What goes from the list right after an outage may have lapsed in it and is believed for
+// a while, so no outage is made up.
+func begunAnew(err error) bool {
+	return errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrDoubted) || errors.Is(err, errBehind)
+}
+
 func (f *follower) lost(err error) {
 	if !f.failed.IsZero() {
 		return
--- a/internal/store/guard.go
+++ b/internal/store/guard.go
@@ -10,7 +10,6 @@
 
 	"golang.org/x/time/rate"
 
-	"spurhall.example/spurhall/internal/fault"
 	"spurhall.example/spurhall/internal/timer"
 )
 
@@ -218,7 +217,7 @@
 		return err
 	}
 	if doubted {
-		return fault.Because(ErrUnavailable, "another call failed, so this watch is no longer trusted")
+		return ErrDoubted
 	}
 	g.note(err)
 	return err
--- a/internal/store/kv.go
+++ b/internal/store/kv.go
@@ -33,6 +33,9 @@
 	ErrCompacted = errs.NewType("compacted").New("the watched revision is gone, read the range again")
 	// ErrBudget says that this node has used up its share of the platform's calls.
 	ErrBudget = errs.NewType("budget").New("this node's share of the platform's call rate is used up, the call was not made")
+	// ErrDoubted says that a watch was ended because another call failed: it may have
+	// missed changes. It is no outage: that is for the next read to tell.
+	ErrDoubted = errs.NewType("doubted").New("another call failed, this watch is no longer trusted")
 	// ErrLeaseGone says that a lease has expired or was revoked.
 	ErrLeaseGone = errs.NewType("lease_gone").New("the lease has expired")
 )
