Counts are encoded from a copy

Cause: TestUpstreamsComeAndGo once with -race: the counts of ended windows were encoded for the store without the node's lock while a report was taken in. Go ends a process for that.

Change: what is handed out is a copy.

--- a/internal/edge/counted.go
+++ b/internal/edge/counted.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -92,7 +93,7 @@
 		w := make(usage.Windows)
 		for k, c := range all {
 			if k > newest-countedWindows && k <= newest {
-				w[k] = c
+				w[k] = maps.Clone(c) // it is encoded without the lock
 			}
 		}
 		if len(w) > 0 {
--- a/internal/edge/counted_test.go
+++ b/internal/edge/counted_test.go
@@ -60,6 +60,15 @@
 		again.usage.TakeIn("b", "1", usage.Windows{window: {"w": 7}})
 		assert.Equal(t, usage.Counts{"w": 8}, again.usage.Sum(window))
 	})
+	t.Run("what is to be written doesn't change under the writer", func(t *testing.T) {
+		list := again.processCounts(window)
+		again.usage.TakeIn("b", "1", usage.Windows{window: {"w": 100, "v": 1}})
+		for _, p := range list {
+			assert.NotContains(t, p.Windows[window], "v")
+		}
+		again.usage = usage.New("a", "2", 5*time.Second)
+		d.begin(ctx, again)
+	})
 	t.Run("it is passed on", func(t *testing.T) {
 		d.write(ctx, again, token)
 		third := counter(t, kv, clock.Service(), "a", "3")
