--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -136,7 +136,7 @@
 	var looks atomic.Int32
 	read := kv.Range
 	kv.Range = func(ctx context.Context, key, end string) (store.RangeResult, error) {
-		looks.Add(1)
+		defer looks.Add(1) // when it has seen the key
 		return read(ctx, key, end)
 	}
 	const long = time.Hour // nobody looks again by itself
