Engines' capacities are learned instead of assumed

Cause: pool.TokensPerSecond and tokensPerMs were the reading speed of one customer's engines. Engines that read five times as fast were taken for five times as loaded.

Ruled out: another constant (what is best depends on engine, slots and load); feedback on late answers (late for many reasons that more engines don't mend).

Change: package capacity fits first events against the tokens read before them and the time of a token that may go out, by medians over pairs; nodes join what they learned; a request's work is reckoned as reading time, slot time and memory. The choice weighs milliseconds.

--- a/internal/autoscale/mix.go
+++ b/internal/autoscale/mix.go
@@ -4,6 +4,8 @@
 	"math"
 	"sort"
 	"time"
+
+	"spurhall.example/spurhall/internal/capacity"
 )
 
 // This file decides how many upstreams of a service each hall should have where the
@@ -43,8 +45,8 @@
 
 // MixOptions sets a planner.
 type MixOptions struct {
-	// Work is how much of its time an upstream should be busy.
-	Work float64
+	// Busy is how much of its reading time, slots and memory an upstream should have in use.
+	Busy capacity.Work
 	// Spare is how many reclaimable upstreams a hall has beyond its part of the need.
 	Spare int
 	// Calm is how long after the last notice the base is held up.
@@ -57,7 +59,7 @@
 
 // MixDefaults returns the options in use; docs/DECISIONS.md has the trials.
 func MixDefaults() MixOptions {
-	return MixOptions{Work: 0.65, Spare: 2, Calm: 9 * time.Second, Hold: 7 * time.Second}
+	return MixOptions{Busy: capacity.Work{Reading: 0.65, Slots: 0.8, Memory: 0.9}, Spare: 2, Calm: 9 * time.Second, Hold: 7 * time.Second}
 }
 
 // Mix plans one service. It isn't safe for concurrent use.
@@ -71,6 +73,7 @@
 	began    time.Duration // when it did
 	found    float64       // upstreams that were there before that
 	recent   []needed      // within Hold, the newest last
+	binds    capacity.Resource
 	refused  map[string]time.Duration
 	refusals map[string]int
 }
@@ -104,11 +107,12 @@
 	delete(m.refusals, hall)
 }
 
-// Observe takes in a moment: load is the work that comes, in upstreams kept busy all the
-// time. It is called by every process, so that whichever gives orders next knows of the
+// Observe takes in a moment: load is the work that comes each second. It is called by every process, so that whichever gives orders next knows of the
 // need and the notices of the last seconds.
-func (m *Mix) Observe(now time.Duration, load float64, halls []HallState) {
-	m.hold(now, load/m.o.Work)
+func (m *Mix) Observe(now time.Duration, load capacity.Work, halls []HallState) {
+	need, binds := load.Engines(m.o.Busy)
+	m.binds = binds
+	m.hold(now, need)
 	m.find(now, halls)
 	m.notices(now, halls)
 }
@@ -147,6 +151,9 @@
 	return counts
 }
 
+// Binds is what upstreams would run out of first under the load observed last.
+func (m *Mix) Binds() capacity.Resource { return m.binds }
+
 // needed is the need at a moment.
 type needed struct {
 	at   time.Duration
--- a/internal/autoscale/mix_test.go
+++ b/internal/autoscale/mix_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"pgregory.net/rapid"
+
+	"spurhall.example/spurhall/internal/capacity"
 )
 
 var mixSpec = MixSpec{Min: 1, Max: 6, ReclaimablePrice: 0.22}
@@ -18,9 +20,12 @@
 	}
 }
 
+// reading is work that only has to be read.
+func reading(x float64) capacity.Work { return capacity.Work{Reading: x} }
+
 // plan observes a moment and plans for it.
 func plan(m *Mix, now time.Duration, load float64, s MixSpec, halls []HallState) []Count {
-	m.Observe(now, load, halls)
+	m.Observe(now, reading(load), halls)
 	return m.Plan(now, s, halls)
 }
 
@@ -106,10 +111,10 @@
 		m, now := loaded(6, threeHalls(3, 3))
 		h := threeHalls(3, 0)
 		h[0].Leaving = 3
-		m.Observe(now, 6, h)
-		m.Observe(now+time.Second, 1, threeHalls(3, 0))
+		m.Observe(now, reading(6), h)
+		m.Observe(now+time.Second, reading(1), threeHalls(3, 0))
 		n, _ := sums(m.Plan(now+time.Second, mixSpec, threeHalls(3, 0)))
-		assert.GreaterOrEqual(t, float64(n)*MixDefaults().Work, 6.0)
+		assert.GreaterOrEqual(t, float64(n)*MixDefaults().Busy.Reading, 6.0)
 	})
 	t.Run("the need is the highest of a while", func(t *testing.T) {
 		m, now := loaded(2, threeHalls(1, 0))
@@ -132,14 +137,14 @@
 		h := threeHalls(1, 4)
 		h[0].Reclaimable, h[0].Leaving = 0, 4
 		n, _ := sums(plan(m, now, 4, mixSpec, h))
-		assert.GreaterOrEqual(t, float64(n)*MixDefaults().Work, 4.0)
+		assert.GreaterOrEqual(t, float64(n)*MixDefaults().Busy.Reading, 4.0)
 		now += MixDefaults().Calm + time.Second
 		n, _ = sums(plan(m, now, 4, mixSpec, threeHalls(3, 4)))
 		assert.Equal(t, 3, n)
 	})
 	t.Run("the cheapest halls get the odd ones", func(t *testing.T) {
-		m, now := loaded(4*MixDefaults().Work, threeHalls(3, 0))
-		for _, c := range plan(m, now, 4*MixDefaults().Work, mixSpec, threeHalls(3, 0)) {
+		m, now := loaded(4*MixDefaults().Busy.Reading, threeHalls(3, 0))
+		for _, c := range plan(m, now, 4*MixDefaults().Busy.Reading, mixSpec, threeHalls(3, 0)) {
 			assert.Equal(t, map[string]int{"a": 2, "b": 1, "c": 1}[c.Hall], c.OnDemand, c.Hall)
 		}
 	})
--- a/internal/autoscale/rate.go
+++ b/internal/autoscale/rate.go
@@ -1,6 +1,10 @@
 package autoscale
 
-import "time"
+import (
+	"time"
+
+	"spurhall.example/spurhall/internal/capacity"
+)
 
 // This file measures how fast work comes, out of sums that only grow, one from each node,
 // as they are heard.
@@ -20,7 +24,7 @@
 
 // Sum is what a node has counted since its process began.
 type Sum struct {
-	Value float64
+	Value capacity.Work
 	At    time.Time // when it was heard
 }
 
@@ -32,13 +36,13 @@
 // nodeRate is one node's rate.
 type nodeRate struct {
 	last   Sum
-	value  float64 // weighed average; what isn't measured yet counts as 0
-	weight float64 // of what was measured in value, up to 1
+	value  capacity.Work // weighed average; what isn't measured yet counts as 0
+	weight float64       // of what was measured in value, up to 1
 }
 
 // Take takes in the sums of a moment, and returns the rate a second. A node that wasn't
 // heard within silent counts nothing: its callers have gone to others.
-func (r *Rate) Take(now time.Time, sums map[string]Sum, silent time.Duration) float64 {
+func (r *Rate) Take(now time.Time, sums map[string]Sum, silent time.Duration) capacity.Work {
 	if r.nodes == nil {
 		r.nodes = make(map[string]*nodeRate)
 	}
@@ -47,7 +51,7 @@
 			delete(r.nodes, n)
 		}
 	}
-	all := 0.0
+	var all capacity.Work
 	for n, s := range sums {
 		v := r.nodes[n]
 		if v == nil {
@@ -56,7 +60,7 @@
 		}
 		v.take(s)
 		if now.Sub(s.At) <= silent {
-			all += v.value / max(v.weight, leastWeight)
+			all = all.Plus(v.value.Times(1 / max(v.weight, leastWeight)))
 		}
 	}
 	return all
@@ -65,15 +69,15 @@
 // take takes in what was heard. A sum that became smaller belongs to a new process.
 func (v *nodeRate) take(s Sum) {
 	d := s.At.Sub(v.last.At).Seconds()
-	grown := s.Value - v.last.Value
+	grown := s.Value.Plus(v.last.Value.Times(-1))
 	if d <= 0 {
 		return
 	}
 	v.last = s
-	if grown < 0 {
+	if grown.Reading < 0 || grown.Slots < 0 || grown.Memory < 0 {
 		return
 	}
 	gain := d / (d + rateHalf.Seconds())
-	v.value += gain * (grown/d - v.value)
+	v.value = v.value.Times(1 - gain).Plus(grown.Times(gain / d))
 	v.weight += gain * (1 - v.weight)
 }
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -21,6 +21,7 @@
 	"go.uber.org/zap"
 
 	"spurhall.example/spurhall/internal/call"
+	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/catalog"
 	"spurhall.example/spurhall/internal/duty"
 	"spurhall.example/spurhall/internal/forward"
@@ -152,7 +153,7 @@
 	n.quotas.SetLimits(n.clock.Now(), limits)
 	for _, name := range c.Services() {
 		if e := c.Service(name).Engine; e != nil {
-			n.pools.SetMemory(name, float64(e.CacheTokens))
+			n.pools.SetSize(name, capacity.Size{Slots: e.Slots, Memory: float64(e.CacheTokens)})
 		}
 	}
 	catalogVersion.Set(c.Version())
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -9,9 +9,9 @@
 	"go.uber.org/zap"
 
 	"spurhall.example/spurhall/internal/autoscale"
+	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/catalog"
 	"spurhall.example/spurhall/internal/duty"
-	"spurhall.example/spurhall/internal/pool"
 )
 
 // This file orders upstreams, at the node that holds the duties' lease. The decision is
@@ -84,7 +84,7 @@
 		if s.Scaling == nil {
 			continue
 		}
-		load := o.rate(name).Take(now, o.n.workSums(now, name), o.n.silence()) / pool.TokensPerSecond
+		load := o.rate(name).Take(now, o.n.workSums(now, name), o.n.silence())
 		halls := o.halls(s)
 		o.mix(name).Observe(o.n.clock.Since(o.n.start), load, halls)
 		if held && o.n.clock.Since(o.n.start) >= o.patience() {
@@ -149,7 +149,7 @@
 	return m
 }
 
-func (o *orderer) plan(ctx context.Context, token int64, s *catalog.ServiceSpec, halls []autoscale.HallState, load float64) {
+func (o *orderer) plan(ctx context.Context, token int64, s *catalog.ServiceSpec, halls []autoscale.HallState, load capacity.Work) {
 	m := o.mix(s.Name)
 	spec := autoscale.MixSpec{Min: s.Scaling.Min, Max: s.Scaling.Max, ReclaimablePrice: s.Scaling.SpotPrice}
 	have := make(map[subject]int)
@@ -205,7 +205,7 @@
 }
 
 // want orders a count if it changed, or if the hall doesn't have it for a while.
-func (o *orderer) want(ctx context.Context, token int64, m *autoscale.Mix, s subject, count int, have map[subject]int, load float64) {
+func (o *orderer) want(ctx context.Context, token int64, m *autoscale.Mix, s subject, count int, have map[subject]int, load capacity.Work) {
 	now := o.n.clock.Now()
 	count = max(count, o.known.least(now, s))
 	if count < have[s] && !o.settled(now) {
@@ -236,6 +236,11 @@
 		outcome = err.Error()
 		delete(o.orders, s)
 	}
+	e := o.n.pools.Engine(s.service)
 	o.n.log.Info("order", zap.String("service", s.service), zap.String("hall", s.hall), zap.Bool("reclaimable", s.reclaimable), zap.Int("count", count),
-		zap.Int("have", have[s]), zap.Float64("load", math.Round(load*100)/100), zap.Int64("token", token), zap.String("outcome", outcome))
+		zap.Int("have", have[s]), zap.Float64("load", hundredths(load.Reading)), zap.Float64("slots", hundredths(load.Slots)), zap.Float64("memory", hundredths(load.Memory)),
+		zap.Stringer("binds", m.Binds()), zap.Float64("reading", hundredths(e.Reading)), zap.Float64("first_ms", hundredths(e.First)), zap.Float64("token_ms", hundredths(e.Token)), zap.Int("samples", e.Samples), zap.Int64("token", token), zap.String("outcome", outcome))
 }
+
+// hundredths rounds for a log line.
+func hundredths(x float64) float64 { return math.Round(x*100) / 100 }
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 	"go.uber.org/zap"
 
+	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/usage"
 	"spurhall.example/spurhall/internal/wire"
@@ -45,7 +46,7 @@
 	client   wireconnect.EdgeClient
 	version  int64 // of its catalog
 	revision int64 // of its upstream list
-	work     map[string]float64
+	work     map[string]capacity.Work
 }
 
 // table is the other nodes. Its fields are guarded by the node's lock.
@@ -180,8 +181,11 @@
 		r.Spent = append(r.Spent, &wire.Spent{Workspace: w, Tokens: v})
 	}
 	r.Started = startedToWire(n.usage.Own())
-	for v, tokens := range n.pools.Work() {
-		r.Work = append(r.Work, &wire.Work{Service: v, Tokens: tokens})
+	for v, w := range n.pools.Work() {
+		r.Work = append(r.Work, &wire.Work{Service: v, Reading: w.Reading, Slots: w.Slots, Memory: w.Memory})
+	}
+	for v, e := range n.pools.Learned() {
+		r.Engines = append(r.Engines, &wire.Engine{Service: v, Reading: e.Reading, First: e.First, Token: e.Token, Samples: int32(e.Samples)})
 	}
 	return r
 }
@@ -223,7 +227,11 @@
 	for _, v := range r.Placed {
 		placed = append(placed, pool.Placement{Prefix: v.Prefix, Upstream: v.Upstream})
 	}
-	n.pools.TakeIn(r.Node, loads, placed)
+	engines := make(map[string]capacity.Engine, len(r.Engines))
+	for _, v := range r.Engines {
+		engines[v.Service] = capacity.Engine{Reading: v.Reading, First: v.First, Token: v.Token, Samples: int(v.Samples)}
+	}
+	n.pools.TakeIn(r.Node, loads, placed, engines)
 	n.noteChange(r.Node, r.ListChange)
 	n.catchUp(ctx, r)
 }
@@ -246,9 +254,9 @@
 	for _, v := range r.Spent {
 		charged[v.Workspace] = v.Tokens
 	}
-	p.work = make(map[string]float64, len(r.Work))
+	p.work = make(map[string]capacity.Work, len(r.Work))
 	for _, v := range r.Work {
-		p.work[v.Service] = v.Tokens
+		p.work[v.Service] = capacity.Work{Reading: v.Reading, Slots: v.Slots, Memory: v.Memory}
 	}
 	n.quotas.TakeIn(now, r.Node, r.Lifetime, time.Duration(r.UptimeMs)*time.Millisecond, charged)
 	n.usage.TakeIn(r.Node, r.Lifetime, startedFromWire(r.Started))
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -7,15 +7,16 @@
 	"github.com/cespare/xxhash/v2"
 
 	"spurhall.example/spurhall/internal/call"
+	"spurhall.example/spurhall/internal/capacity"
 )
 
 // This file is the choice itself. It is pure: everything it weighs comes in.
 //
-// Candidates of a service with engines are compared by the prompt tokens that would be
-// read before this request's first token: those queued there already, and those of its
-// own prompt that the upstream doesn't have cached. Requests that run, memory that is
-// nearly full and distance are turned into tokens, too. Prefix parts thereby pull
-// requests together, and a queue pushes them apart, without a rule for either.
+// Candidates are compared by the time until this request's first event. With engines, it
+// is that of reading what is queued there already and what of its own prompt isn't cached,
+// at the speed that was learned. Slots that are taken, memory that is nearly full and
+// distance are turned into time, too. Prefix parts thereby pull requests together, and a
+// queue pushes them apart, without a rule for either.
 //
 // Weighed: the rendezvous homes of package route. They need no shared index, but hold
 // every shared part at the size of its set whatever the load of the moment; with a few
@@ -39,7 +40,7 @@
 	Unreachable bool
 }
 
-// Need is what is known of the request.
+// Need is what is known of the request and of the service that it goes to.
 type Need struct {
 	ID       string
 	Service  string
@@ -50,23 +51,33 @@
 	Excluded map[string]bool
 }
 
-// The weights of a choice, in prompt tokens read. An engine of the platform's sheets
-// reads about 20 to 30 of them in a millisecond.
+// Service is what was learned of a service, as a choice needs it.
+type Service struct {
+	Engine capacity.Engine // of one with engines
+	Answer float64         // milliseconds to an answer's head, of one without
+}
+
+// The weights of a choice, in milliseconds.
 const (
-	tokensPerMs     = 20.0   // low end of the sheets
-	runningTokens   = 40.0   // what one running request takes of the others' step, about 2 ms
-	otherHallTokens = 60.0   // a round trip between halls, about 3 ms
-	memoryShare     = 0.9    // of an engine's memory that is used without a penalty
-	memoryWeight    = 4.0    // tokens a token over that share: each may cost a re-read or two
-	fullTokens      = 40_000 // an upstream that is full or can't be reached is asked last
-	coldTokens      = 10_000
-	homeTokens      = 200.0 // settles where a new prefix goes: all nodes name the same upstream
-	failureWeight   = 8.0   // a share of failures of an eighth doubles the cost
-	baseTokens      = 1000.0
+	// otherHallMs is a round trip between halls of a region.
+	otherHallMs = 2.0
+	// occupiedMs is what an engine costs whose slots are all taken: requests that run make
+	// each step longer, and those that were sent and not yet reported take the last slots.
+	occupiedMs = 170.0
+	// plainFull is what a plain upstream costs whose slots are all taken, in answers' times:
+	// its queue of the requests that other nodes have sent since they reported.
+	plainFull     = 4.0
+	memoryShare   = 0.9    // of an engine's memory that is used without a penalty
+	memoryWeight  = 4.0    // tokens read a token over that share: each may cost a re-read or two
+	fullMs        = 1300.0 // an upstream that is full or can't be reached is asked last
+	coldMs        = 330.0
+	homeMs        = 6.0 // settles where a new prefix goes: all nodes name the same upstream
+	failureWeight = 8.0 // a share of failures of an eighth doubles the cost
+	baseMs        = 30.0
 )
 
 // Pick returns the index of the cheapest candidate, or -1 if there is none.
-func Pick(n Need, list []Candidate) int {
+func Pick(n Need, s Service, list []Candidate) int {
 	best, least := -1, math.Inf(1)
 	home := homeOf(n, list)
 	for i := range list {
@@ -74,9 +85,9 @@
 		if n.Excluded[c.ID] {
 			continue
 		}
-		x := cost(n, c)
+		x := cost(n, s, c)
 		if i == home {
-			x -= homeTokens
+			x -= homeMs
 		}
 		if x < least {
 			best, least = i, x
@@ -85,38 +96,37 @@
 	return best
 }
 
-func cost(n Need, c *Candidate) float64 {
-	x := baseTokens
+func cost(n Need, s Service, c *Candidate) float64 {
+	x := baseMs
 	if n.Engine {
-		x += engineCost(n, c)
+		x += engineCost(n, s.Engine, c)
 	} else {
-		x += plainCost(c)
+		x += plainFull * s.Answer * c.occupied()
 	}
 	if !c.SameHall {
-		x += otherHallTokens
+		x += otherHallMs
 	}
 	if c.Unreachable || c.Refused || c.Slots > 0 && c.Running >= c.Slots {
-		x += fullTokens
+		x += fullMs
 	}
 	if c.Cold {
-		x += coldTokens
+		x += coldMs
 	}
 	return x * c.Slowness * (1 + failureWeight*c.Failures)
 }
 
-func engineCost(n Need, c *Candidate) float64 {
-	x := c.Queued + math.Max(0, n.Prompt-c.Cached) + runningTokens*float64(c.Running)
+func engineCost(n Need, e capacity.Engine, c *Candidate) float64 {
+	tokens := c.Queued + math.Max(0, n.Prompt-c.Cached)
 	if c.Memory > 0 {
 		over := c.Held + n.Prompt + n.Output - memoryShare*c.Memory
-		x += memoryWeight * math.Max(0, over)
+		tokens += memoryWeight * math.Max(0, over)
 	}
-	return x
+	return e.Read(tokens) + occupiedMs*c.occupied()
 }
 
-// plainCost counts a request in a slot as the time it takes there, about 15 ms on the
-// platform's sheets.
-func plainCost(c *Candidate) float64 {
-	return float64(c.Running) / float64(max(c.Slots, 1)) * 15 * tokensPerMs * 4
+// occupied is the share of slots that are taken.
+func (c *Candidate) occupied() float64 {
+	return float64(c.Running) / float64(max(c.Slots, 1))
 }
 
 // homeOf names the upstream for a prompt whose shared parts are cached nowhere, or for
@@ -159,7 +169,11 @@
 	return b
 }
 
-// drained is what is left of a queue that was reported a while ago.
-func drained(tokens float64, age time.Duration) float64 {
-	return math.Max(0, tokens-tokensPerMs*float64(age)/float64(time.Millisecond))
+// drained is what is left of a queue of tokens that was reported a while ago.
+func drained(e capacity.Engine, tokens float64, age time.Duration) float64 {
+	waits := e.Read(tokens)
+	if waits <= 0 {
+		return 0
+	}
+	return tokens * math.Max(0, 1-float64(age)/float64(time.Millisecond)/waits)
 }
--- a/internal/pool/choose_test.go
+++ b/internal/pool/choose_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"spurhall.example/spurhall/internal/call"
+	"spurhall.example/spurhall/internal/capacity"
 )
 
 func candidates(n int) []Candidate {
@@ -20,19 +21,22 @@
 
 var prompt = Need{ID: "r", Engine: true, Prompt: 5000, Output: 100, Parts: []call.Part{{ID: 1, Tokens: 4000}, {ID: 2, Tokens: 1000}}}
 
+// learned is a service whose engines read 30 tokens a millisecond.
+var learned = Service{Engine: capacity.Engine{Reading: 30, First: 60, Token: 10, Samples: 100}, Answer: 15}
+
 // assertPicks changes the candidates so that one of them should be chosen, or left.
 func assertPicks(t *testing.T, n Need, change func(l []Candidate), want func(i int) bool) {
 	t.Helper()
 	l := candidates(4)
 	change(l)
-	assert.True(t, want(Pick(n, l)), "picked %d", Pick(n, l))
+	assert.True(t, want(Pick(n, learned, l)), "picked %d", Pick(n, learned, l))
 }
 
 func is(k int) func(int) bool  { return func(i int) bool { return i == k } }
 func not(k int) func(int) bool { return func(i int) bool { return i != k && i >= 0 } }
 
 func TestPick(t *testing.T) {
-	home := Pick(prompt, candidates(4))
+	home := Pick(prompt, learned, candidates(4))
 	t.Run("where the prompt is cached", func(t *testing.T) {
 		assertPicks(t, prompt, func(l []Candidate) { l[(home+1)%4].Cached = 4000 }, is((home+1)%4))
 	})
@@ -50,16 +54,16 @@
 	t.Run("one that is full, if there is no other", func(t *testing.T) {
 		l := candidates(1)
 		l[0].Running = 8
-		assert.Equal(t, 0, Pick(prompt, l))
+		assert.Equal(t, 0, Pick(prompt, learned, l))
 	})
 	t.Run("nobody, if all were tried", func(t *testing.T) {
 		n := prompt
 		n.Excluded = map[string]bool{"u0": true}
-		assert.Equal(t, -1, Pick(n, candidates(1)))
+		assert.Equal(t, -1, Pick(n, learned, candidates(1)))
 	})
 	t.Run("a plain request goes where slots are free", func(t *testing.T) {
 		n := Need{ID: "p"}
-		h := Pick(n, candidates(4))
+		h := Pick(n, learned, candidates(4))
 		assertPicks(t, n, func(l []Candidate) { l[h].Running = 4 }, not(h))
 	})
 }
@@ -74,9 +78,9 @@
 			l[i].Cached = float64(rapid.IntRange(0, 5_000).Draw(t, "cached"))
 			l[i].Running = rapid.IntRange(0, 10).Draw(t, "running")
 		}
-		want := l[Pick(prompt, l)].ID
+		want := l[Pick(prompt, learned, l)].ID
 		other := rapid.Permutation(l).Draw(t, "order")
-		assert.Equal(t, want, other[Pick(prompt, other)].ID)
+		assert.Equal(t, want, other[Pick(prompt, learned, other)].ID)
 	})
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -1,11 +1,11 @@
 package pool
 
 import (
-	"maps"
 	"sync"
 	"time"
 
 	"spurhall.example/spurhall/internal/call"
+	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/retry"
 	"spurhall.example/spurhall/internal/timer"
 )
@@ -51,8 +51,11 @@
 	outlierShare = 0.34
 	failureGain  = 0.12 // weight of the newest result in the share of failures
 	speedGain    = 0.1  // weight of the newest time in the average
-	outputWork   = 0.5  // what a token of an answer takes of an engine, in prompt tokens read
-	placedLimit  = 1024 // placements kept for reports
+	answerGain   = 0.05 // weight of the newest answer in the time of a plain service's
+	answerPrior  = 30.0 // milliseconds, until a plain service has answered
+	// mergeEvery is how often what the nodes have learned is joined: reports come so often.
+	mergeEvery  = 250 * time.Millisecond
+	placedLimit = 1024 // placements kept for reports
 	// placedFor is how long a placement is reported: some rounds, since a report may be
 	// lost.
 	placedFor = time.Second
@@ -71,8 +74,9 @@
 }
 
 type peerLoad struct {
-	at    time.Time
-	loads map[string]Load
+	at      time.Time
+	loads   map[string]Load
+	engines map[string]capacity.Engine
 }
 
 // Pools is the upstreams of all services. It is safe for concurrent use.
@@ -86,12 +90,21 @@
 	services map[string][]*member
 	outliers map[string]*retry.Outliers
 	peers    map[string]peerLoad
-	memory   map[string]float64 // of an engine, by service
+	known    map[string]*service
 	placed   []placing
-	work     map[string]float64   // tokens sent since the start, by service
 	reached  map[string]time.Time // when an upstream last answered, by hall
 }
 
+// service is what is known of one service.
+type service struct {
+	size    capacity.Size
+	work    capacity.Work // sent since the start
+	learner capacity.Learner
+	engine  capacity.Engine // as all nodes have learned it
+	merged  time.Time
+	answer  float64 // milliseconds to an answer's head
+}
+
 type placing struct {
 	at time.Time
 	Placement
@@ -102,7 +115,7 @@
 	return &Pools{
 		clock: clock, hall: hall, start: clock.Now(), list: NewList(), members: make(map[string]*member),
 		services: make(map[string][]*member), outliers: make(map[string]*retry.Outliers),
-		peers: make(map[string]peerLoad), memory: make(map[string]float64), work: make(map[string]float64), reached: make(map[string]time.Time),
+		peers: make(map[string]peerLoad), known: make(map[string]*service), reached: make(map[string]time.Time),
 	}
 }
 
@@ -166,11 +179,20 @@
 	return changes
 }
 
-// SetMemory says how many tokens an engine of a service holds.
-func (p *Pools) SetMemory(service string, tokens float64) {
+// SetSize says what an engine of a service has.
+func (p *Pools) SetSize(service string, s capacity.Size) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.memory[service] = tokens
+	p.service(service).size = s
+}
+
+func (p *Pools) service(name string) *service {
+	s := p.known[name]
+	if s == nil {
+		s = &service{answer: answerPrior}
+		p.known[name] = s
+	}
+	return s
 }
 
 func (p *Pools) outlier(service string) *retry.Outliers {
@@ -200,7 +222,9 @@
 	defer p.mu.Unlock()
 	now := p.clock.Now()
 	members, list := p.candidates(now, n)
-	i := Pick(n, list)
+	s := p.service(n.Service)
+	e := p.engine(now, n.Service)
+	i := Pick(n, Service{Engine: e, Answer: s.answer}, list)
 	if i < 0 {
 		return nil
 	}
@@ -210,12 +234,13 @@
 	u.prompt = max(0, n.Prompt-c.Cached)
 	u.held = n.Prompt + n.Output
 	u.choice = Choice{Candidates: len(list), Running: c.Running, Queued: c.Queued, Cached: c.Cached, Revision: p.list.Revision(), Oldest: p.oldest(now)}
-	u.expect = 10 + (c.Queued+u.prompt)/tokensPerMs
+	u.expect = e.FirstEvent(c.Queued + u.prompt)
+	u.output, u.reads = n.Output, c.Queued+u.prompt
 	m.load.Running++
 	m.load.Held += u.held
 	if n.Engine {
 		m.load.Queued += u.prompt
-		p.work[n.Service] += u.prompt + outputWork*n.Output
+		s.work = s.work.Plus(e.Work(u.prompt, n.Output, s.size))
 	}
 	p.place(now, m, n.Parts)
 	return u
@@ -239,10 +264,11 @@
 		members = spare
 	}
 	chain := Chain(n.Parts)
+	e := p.engine(now, n.Service)
 	cut := p.cutHalls(now)
 	list := make([]Candidate, len(members))
 	for i, m := range members {
-		list[i] = p.candidate(now, m, n, chain)
+		list[i] = p.candidate(now, m, n, e, chain)
 		list[i].Unreachable = cut[m.entry.Hall] || now.Sub(m.silent) < unreachableKeeps
 	}
 	return members, list
@@ -264,10 +290,10 @@
 	return cut
 }
 
-func (p *Pools) candidate(now time.Time, m *member, n Need, chain []uint64) Candidate {
+func (p *Pools) candidate(now time.Time, m *member, n Need, e capacity.Engine, chain []uint64) Candidate {
 	c := Candidate{
 		ID: m.entry.ID, Slots: m.entry.Slots, SameHall: m.entry.Hall == p.hall,
-		Running: m.load.Running, Queued: m.load.Queued, Held: m.load.Held, Memory: p.memory[n.Service],
+		Running: m.load.Running, Queued: m.load.Queued, Held: m.load.Held, Memory: p.service(n.Service).size.Memory,
 		Slowness: max(0.5, m.speed), Failures: m.failures,
 		Refused: now.Sub(m.refused) < refusedKeeps, Cold: now.Before(m.coldTill),
 	}
@@ -279,7 +305,7 @@
 		}
 		c.Running += l.Running
 		c.Held += l.Held
-		c.Queued += drained(l.Queued, age)
+		c.Queued += drained(e, l.Queued, age)
 	}
 	for i, h := range chain {
 		if t, ok := m.prefixes[h]; !ok || now.Sub(t) > prefixKeeps {
@@ -349,7 +375,7 @@
 }
 
 // TakeIn takes in another node's report.
-func (p *Pools) TakeIn(node string, loads []Load, placed []Placement) {
+func (p *Pools) TakeIn(node string, loads []Load, placed []Placement, engines map[string]capacity.Engine) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
@@ -357,22 +383,10 @@
 	for _, l := range loads {
 		m[l.Upstream] = l
 	}
-	p.peers[node] = peerLoad{at: now, loads: m}
+	p.peers[node] = peerLoad{at: now, loads: m, engines: engines}
 	for _, v := range placed {
 		if u := p.members[v.Upstream]; u != nil {
 			u.prefixes[v.Prefix] = now
 		}
 	}
 }
-
-// Work returns the tokens sent to the engines of each service since the start, answers
-// weighed in.
-func (p *Pools) Work() map[string]float64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return maps.Clone(p.work)
-}
-
-// TokensPerSecond is what an engine takes in a second when it does nothing else, as on the
-// platform's sheets.
-const TokensPerSecond = 32_400
--- a/internal/pool/reach_test.go
+++ b/internal/pool/reach_test.go
@@ -54,7 +54,7 @@
 	t.Run("two do", func(t *testing.T) {
 		p := cutPools(c)
 		fail(p, "a1", "a2")
-		p.TakeIn("n", nil, nil)
+		p.TakeIn("n", nil, nil, nil)
 		assertHall(t, p, "a", false)
 	})
 	t.Run("until one answers, or for a moment", func(t *testing.T) {
--- a/internal/pool/use.go
+++ b/internal/pool/use.go
@@ -20,6 +20,9 @@
 	prompt  float64 // counted as queued until the first event
 	held    float64
 	expect  float64 // milliseconds to the first event, as guessed
+	reads   float64 // prompt tokens read before the first event, as guessed
+	output  float64 // tokens that go out at most
+	first   time.Time
 	started bool
 	ended   bool
 }
@@ -45,8 +48,16 @@
 	u.p.mu.Lock()
 	defer u.p.mu.Unlock()
 	u.start()
-	u.p.reached[u.entry.Hall] = u.p.clock.Now()
-	ms := float64(u.p.clock.Since(u.begun)) / float64(time.Millisecond)
+	u.first = u.p.clock.Now()
+	u.p.reached[u.entry.Hall] = u.first
+	after := u.first.Sub(u.begun)
+	ms := float64(after) / float64(time.Millisecond)
+	s := u.p.service(u.entry.Service)
+	if u.engine {
+		s.learner.First(u.first, u.reads, after)
+	} else {
+		s.answer += answerGain * (ms - s.answer)
+	}
 	u.m.speed += speedGain * (min(4, ms/u.expect) - u.m.speed)
 	u.p.relax(u.m.entry.Service)
 }
@@ -85,6 +96,9 @@
 	}
 	u.ended = true
 	u.start()
+	if r == ResultGood && u.engine && !u.first.IsZero() {
+		u.p.service(u.entry.Service).learner.Last(u.output, u.p.clock.Since(u.first))
+	}
 	u.m.load.Running--
 	u.m.load.Held -= u.held
 	u.judge(r)
