After a loss of all processes, the next ones know the engines and keep what is there

Change: until work has been measured for a hold, no fewer reclaimable ones are ordered than are there. What was learned stands in the store, written when a figure moves by a quarter.

Test: TestMix/reclaimable ones stay..., failing before. TestLearnedIsKnownToTheNextHolder.

--- a/internal/autoscale/mix.go
+++ b/internal/autoscale/mix.go
@@ -142,6 +142,9 @@
 		if m.begun {
 			want += m.o.Spare
 		}
+		if !m.settled(now) {
+			want = max(want, h.Reclaimable)
+		}
 		want = max(0, min(want, s.Max-counts[i].OnDemand))
 		if now < m.refused[h.Hall] {
 			want = min(want, h.Reclaimable)
@@ -199,12 +202,17 @@
 // floor is what was found, until work has come and for a while afterwards: the first work
 // says little of what comes, and a process that has just started measures too little.
 func (m *Mix) floor(now time.Duration) float64 {
-	if m.begun && now-m.began >= m.o.Hold {
+	if m.settled(now) {
 		return 0
 	}
 	return m.found
 }
 
+// settled tells whether work has been measured for long enough that fewer may be ordered.
+func (m *Mix) settled(now time.Duration) bool {
+	return m.begun && now-m.began >= m.o.Hold
+}
+
 // keep is the part of what was found that on-demand upstreams go on carrying, whatever was
 // measured: all of it if somebody has held it to be needed, what is there of it if nothing
 // takes its place.
--- a/internal/autoscale/mix_test.go
+++ b/internal/autoscale/mix_test.go
@@ -107,6 +107,15 @@
 		assert.Equal(t, 4, n)
 		assert.GreaterOrEqual(t, r, 9, "reclaimable ones take the place of what was found")
 	})
+	t.Run("reclaimable ones stay until work has been measured for a while", func(t *testing.T) {
+		m := NewMix(MixDefaults())
+		_, r := sums(plan(m, 0, 0, mixSpec, threeHalls(1, 5)))
+		assert.Equal(t, 15, r, "nothing is known of the load")
+		_, r = sums(plan(m, time.Second, 0.5, mixSpec, threeHalls(1, 5)))
+		assert.Equal(t, 15, r, "the first work says little")
+		_, r = sums(plan(m, time.Second+MixDefaults().Hold, 0.5, mixSpec, threeHalls(1, 5)))
+		assert.Less(t, r, 15)
+	})
 	t.Run("a successor that has observed knows of the wave and the need", func(t *testing.T) {
 		m, now := loaded(6, threeHalls(3, 3))
 		h := threeHalls(3, 0)
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -143,6 +143,8 @@
 	// leastSpread is how far two prompts have to lie apart, as a share of the longest, for
 	// the line through them to tell of the reading.
 	leastSpread = 0.2
+	// fitEvery is how often a line is drawn: it costs some 0.3 ms of a core.
+	fitEvery = time.Second
 	// fitHalf is the time in which the weight of what was learned before halves.
 	fitHalf = 5 * time.Second
 	// tokenGain is the weight of the newest answer in the time of a token.
@@ -160,7 +162,8 @@
 type Learner struct {
 	ring   []sample // the newest, in no order
 	next   int
-	fitted time.Time
+	looked time.Time // when a fit was last tried
+	fitted time.Time // zero: no fit was made
 	engine Engine
 	spent  float64 // milliseconds after first events, fading
 	output float64 // tokens that could have gone out in them, fading
@@ -188,9 +191,21 @@
 	l.engine.Token = l.spent / l.output
 }
 
+// Recall takes in what was known before this process began, unless it has learned by itself.
+// The first fit takes its place.
+func (l *Learner) Recall(e Engine) {
+	if l.engine.Reading == 0 {
+		l.engine.Reading, l.engine.First = e.Reading, e.First
+	}
+	if l.engine.Token == 0 {
+		l.engine.Token = e.Token
+	}
+}
+
 // Engine returns what was learned up to now.
 func (l *Learner) Engine(now time.Time) Engine {
-	if now.Sub(l.fitted) >= time.Second {
+	if now.Sub(l.looked) >= fitEvery {
+		l.looked = now
 		l.fit(now)
 	}
 	return l.engine
@@ -199,8 +214,6 @@
 // fit draws the line anew and moves what was known towards it.
 func (l *Learner) fit(now time.Time) {
 	fresh := slices.DeleteFunc(slices.Clone(l.ring), func(v sample) bool { return now.Sub(v.at) > samplesAge })
-	age := now.Sub(l.fitted)
-	l.fitted = now
 	l.engine.Samples = len(fresh)
 	if len(fresh) < samplesLeast {
 		return
@@ -209,7 +222,10 @@
 	if !ok {
 		return
 	}
-	if l.engine.Reading == 0 {
+	age := now.Sub(l.fitted)
+	known := !l.fitted.IsZero()
+	l.fitted = now
+	if !known {
 		l.engine.Reading, l.engine.First = 1/slope, base
 		return
 	}
@@ -271,7 +287,7 @@
 	var e Engine
 	var reading, first, token []weighted
 	for _, v := range l {
-		w := float64(v.Samples)
+		w := float64(v.Samples + 1) // what was recalled rests on none
 		if v.Reading > 0 {
 			reading, first = append(reading, weighted{v.Reading, w}), append(first, weighted{v.First, w})
 		}
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -93,6 +93,14 @@
 		now := e.teach(&l, 500, 0)
 		assertLearned(t, e, l.Engine(now.Add(time.Second)))
 	})
+	t.Run("what it recalls, until it has learned itself", func(t *testing.T) {
+		e := newEngine()
+		var l Learner
+		l.Recall(Engine{Reading: 30, First: 60, Token: 8})
+		assert.Equal(t, 30.0, l.Engine(start).Reading)
+		now := e.teach(&l, 400, 0)
+		assertLearned(t, e, l.Engine(now))
+	})
 	t.Run("what it knew, while nothing comes", func(t *testing.T) {
 		e := newEngine()
 		var l Learner
--- a/internal/edge/counted.go
+++ b/internal/edge/counted.go
@@ -2,13 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"maps"
 	"time"
 
-	"go.uber.org/zap"
-
-	"spurhall.example/spurhall/internal/store"
 	"spurhall.example/spurhall/internal/usage"
 )
 
@@ -21,8 +17,6 @@
 // What is counted in a window that hasn't ended goes with the processes, if all are lost.
 
 const (
-	// countedKey is the store's key of the counts.
-	countedKey = "spurhall/counted"
 	// countedAfter is how long after a window's end its counts are written: a round of
 	// reports, and its delay.
 	countedAfter = reportEvery + 100*time.Millisecond
@@ -31,6 +25,9 @@
 	countedWindows = 3
 )
 
+// countedRecord is the counts.
+var countedRecord = record{name: "counted", key: "spurhall/counted"}
+
 // processCounts is what one process has counted.
 type processCounts struct {
 	Node     string        `json:"node"`
@@ -47,12 +44,7 @@
 func (v *counted) begin(ctx context.Context, n *Node) {
 	v.window = 0
 	var list []processCounts
-	r, err := n.kv.Range(ctx, countedKey, "")
-	if err == nil && len(r.Pairs) > 0 {
-		err = json.Unmarshal(r.Pairs[0].Value, &list)
-	}
-	if err != nil {
-		n.log.Warn("counted_unread", zap.String("cause", err.Error()))
+	if !countedRecord.read(ctx, n, &list) {
 		return
 	}
 	n.mu.Lock()
@@ -70,18 +62,9 @@
 	if newest <= v.window || now.Sub(n.usage.End(newest)) < countedAfter {
 		return
 	}
-	b, err := json.Marshal(n.processCounts(newest))
-	if err == nil {
-		_, err = n.kv.Txn(ctx, store.Txn{
-			If:   []store.Compare{store.Unmodified(dutyKey, token)},
-			Then: []store.Op{{Kind: store.OpPut, Key: countedKey, Value: b}},
-		})
-	}
-	if err != nil {
-		n.log.Info("counted_unwritten", zap.Int64("window", newest), zap.String("cause", err.Error()))
-		return
+	if countedRecord.write(ctx, n, token, n.processCounts(newest)) {
+		v.window = newest
 	}
-	v.window = newest // or the term is over, and the next holder's word counts
 }
 
 // processCounts is the counts of all processes in the newest ended windows.
--- /dev/null
+++ b/internal/edge/learned_test.go
@@ -0,0 +1,58 @@
+package edge
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"spurhall.example/spurhall/internal/capacity"
+	"spurhall.example/spurhall/internal/pool"
+	"spurhall.example/spurhall/internal/standin"
+	"spurhall.example/spurhall/internal/store"
+	"spurhall.example/spurhall/internal/timer"
+)
+
+func TestLearnedIsKnownToTheNextHolder(t *testing.T) {
+	ctx := context.Background()
+	clock := timer.NewManual(time.Unix(1000, 0))
+	s := httptest.NewServer(standin.NewPlatform(clock.Service()).Handler())
+	t.Cleanup(s.Close)
+	kv := store.NewGateway(s.URL, 5*time.Second, timer.Real()).KV()
+	calls := 0
+	counting := kv
+	counting.Txn = func(c context.Context, x store.Txn) (store.TxnResult, error) {
+		calls++
+		return kv.Txn(c, x)
+	}
+	start := func(name string) (*Node, int64) {
+		n := holder(t, counting, clock.Service(), name)
+		n.pools = pool.New(clock.Service(), "hall-a")
+		return n, takeOver(t, n)
+	}
+	a, token := start("a")
+	var first learned
+	first.begin(ctx, a)
+	engine := capacity.Engine{Reading: 90, First: 30, Token: 5, Samples: 400}
+	first.write(ctx, a, token, map[string]capacity.Engine{"llm": engine})
+
+	t.Run("a small change is no call", func(t *testing.T) {
+		calls = 0
+		near := engine
+		near.Reading *= 1.2
+		first.write(ctx, a, token, map[string]capacity.Engine{"llm": near})
+		assert.Zero(t, calls)
+	})
+	t.Run("after the loss of all processes", func(t *testing.T) {
+		clock.Advance(4 * time.Second) // a's lease is over
+		b, _ := start("b")
+		assert.False(t, b.pools.Engine("llm").Known())
+		var second learned
+		second.begin(ctx, b)
+		assert.Equal(t, engine.Reading, b.pools.Engine("llm").Reading)
+		assert.True(t, b.pools.Engine("llm").Known())
+		assert.Contains(t, b.pools.Learned(), "llm", "and it tells the others")
+	})
+}
--- a/internal/edge/ordered.go
+++ b/internal/edge/ordered.go
@@ -2,14 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"maps"
 	"time"
 
-	"go.uber.org/zap"
-
 	"spurhall.example/spurhall/internal/logging"
-	"spurhall.example/spurhall/internal/store"
 )
 
 // This file remembers what was ordered on demand, for the next holder of the duties. An
@@ -22,13 +18,12 @@
 // Weighed: telling the counts in reports to the other nodes. A fault that kills the holder
 // often kills all nodes.
 
-const (
-	// orderedKey is the store's key of what was ordered.
-	orderedKey = "spurhall/ordered"
-	// orderedKeeps is how long a new process orders no fewer: the boot of what was ordered
-	// and a heartbeat or two, and the time in which the load is measured.
-	orderedKeeps = 7 * time.Second
-)
+// orderedKeeps is how long a new process orders no fewer: the boot of what was ordered and
+// a heartbeat or two, and the time in which the load is measured.
+const orderedKeeps = 7 * time.Second
+
+// orderedRecord is what was ordered.
+var orderedRecord = record{name: "ordered", key: "spurhall/ordered"}
 
 // orderedValue is the on-demand counts ordered, by service and hall.
 type orderedValue map[string]map[string]int
@@ -55,12 +50,7 @@
 // begin reads what the holder before has ordered.
 func (v *ordered) begin(ctx context.Context, n *Node) {
 	*v = ordered{counts: orderedValue{}, written: true, found: orderedValue{}, until: n.start.Add(orderedKeeps)}
-	r, err := n.kv.Range(ctx, orderedKey, "")
-	if err == nil && len(r.Pairs) > 0 {
-		err = json.Unmarshal(r.Pairs[0].Value, &v.found)
-	}
-	if err != nil {
-		n.log.Warn("ordered_unread", zap.String("cause", err.Error()))
+	if !orderedRecord.read(ctx, n, &v.found) {
 		v.found = orderedValue{}
 	}
 	for s, by := range v.found {
@@ -95,16 +85,5 @@
 	if v.written {
 		return
 	}
-	b, err := json.Marshal(v.counts)
-	if err == nil {
-		_, err = n.kv.Txn(ctx, store.Txn{
-			If:   []store.Compare{store.Unmodified(dutyKey, token)},
-			Then: []store.Op{{Kind: store.OpPut, Key: orderedKey, Value: b}},
-		})
-	}
-	if err != nil {
-		n.log.Info("ordered_unwritten", zap.String("cause", err.Error()))
-		return
-	}
-	v.written = true // or the term is over, and the next holder's word counts
+	v.written = orderedRecord.write(ctx, n, token, v.counts)
 }
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -50,14 +50,15 @@
 }
 
 type orderer struct {
-	n      *Node
-	mixes  map[string]*autoscale.Mix
-	rates  map[string]*autoscale.Rate
-	orders map[subject]placed
-	token  int64 // of the term that the orders belong to
-	known  ordered
-	listed int       // most upstreams seen in the list
-	grown  time.Time // when the list last grew
+	n       *Node
+	mixes   map[string]*autoscale.Mix
+	rates   map[string]*autoscale.Rate
+	orders  map[subject]placed
+	token   int64 // of the term that the orders belong to
+	known   ordered
+	learned learned
+	listed  int       // most upstreams seen in the list
+	grown   time.Time // when the list last grew
 }
 
 func newOrderer(n *Node) *orderer {
@@ -78,12 +79,17 @@
 	if held && token != o.token {
 		o.token, o.orders = token, make(map[subject]placed)
 		o.known.begin(ctx, o.n)
+		o.learned.begin(ctx, o.n)
 	}
+	engines := make(map[string]capacity.Engine)
 	for _, name := range c.Services() {
 		s := c.Service(name)
 		if s.Scaling == nil {
 			continue
 		}
+		if e := o.n.pools.Engine(name); e.Known() {
+			engines[name] = e
+		}
 		load := o.rate(name).Take(now, o.n.workSums(now, name), o.n.silence())
 		halls := o.halls(s)
 		o.mix(name).Observe(o.n.clock.Since(o.n.start), load, halls)
@@ -93,6 +99,7 @@
 	}
 	if held {
 		o.known.write(ctx, o.n, token)
+		o.learned.write(ctx, o.n, token, engines)
 	}
 }
 
--- a/internal/pool/learn.go
+++ b/internal/pool/learn.go
@@ -22,7 +22,7 @@
 			all = append(all, e)
 		}
 	}
-	if e := capacity.Merge(all); e.Samples > 0 {
+	if e := capacity.Merge(all); e.Reading > 0 || e.Token > 0 {
 		s.engine = e
 	}
 	return s.engine
@@ -35,6 +35,16 @@
 	return p.engine(p.clock.Now(), service)
 }
 
+// Recall takes in what processes that are gone have learned of a service's engines. It
+// counts until this node, or one that it hears, has learned anew.
+func (p *Pools) Recall(service string, e capacity.Engine) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.service(service)
+	s.learner.Recall(e)
+	s.merged = time.Time{}
+}
+
 // Learned returns what this node itself has learned, by service.
 func (p *Pools) Learned() map[string]capacity.Engine {
 	p.mu.Lock()
@@ -42,7 +52,7 @@
 	now := p.clock.Now()
 	r := make(map[string]capacity.Engine)
 	for name, s := range p.known {
-		if e := s.learner.Engine(now); e.Samples > 0 {
+		if e := s.learner.Engine(now); e.Reading > 0 || e.Token > 0 {
 			r[name] = e
 		}
 	}
