After a loss of all processes, quotas go on from where they were; two nodes of a hall watch

Ruled out: the nodes' shares of the level (they bind only while levels are low); reading the list along with the reports, which pairs swap every 1.6 s there.

Change: the holder of the duties writes the levels when one changed by a tenth of its burst; a process that starts goes on from them if they are younger than 6 s. A request waits up to 250 ms for the first configuration. Two nodes of a hall watch the store, the others ask one of them in a call that is held until there is news, and watch by themselves when both fail them or lack a change that is heard of. Only nodes that watch take the duties' lease.

--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -32,11 +32,12 @@
 	})
 	done := make(chan struct{})
 	go func() {
-		n.lease.Run(ctx, func() bool { return n.listed.Load() && !n.isLeaving() })
+		n.lease.Run(ctx, func() bool { return n.listed.Load() && !n.isLeaving() && n.isWatcher() })
 		close(done)
 	}()
 	o := newOrderer(n)
 	var c counted
+	var v levels
 	term := int64(0)
 	n.clock.Every(ctx, dutyEvery, func(time.Time) {
 		token, held := n.lease.Token()
@@ -44,8 +45,10 @@
 			if token != term {
 				term = token
 				c.begin(ctx, n)
+				v = levels{}
 			}
 			c.write(ctx, n, token)
+			v.write(ctx, n, token)
 			r.Step(ctx)
 		}
 		if n.s.Cloud.Scale {
--- /dev/null
+++ b/internal/edge/follow.go
@@ -0,0 +1,260 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"spurhall.example/spurhall/internal/pool"
+	"spurhall.example/spurhall/internal/wire"
+)
+
+// This file decides who watches the store. Each change of the list of upstreams answers a
+// watch, each answer is a call that is paid for, and with a watch a node the calls grow
+// with the nodes times the changes. So two nodes of a hall watch, and the others ask one of
+// them, in a call that is held until there is news.
+//
+// A node that gets no news from those that watch, or that hears of a change which they
+// lack, watches by itself for a while. A node that starts does so, too: it needs what the
+// store has at once.
+//
+// Weighed: news along with the reports between nodes. Pairs swap reports every second or
+// two in a fleet of some 80 nodes, which is what an upstream that leaves allows in all.
+// One watcher for the whole fleet: a hall that is cut off has to know of its own upstreams.
+
+const (
+	// watchersAHall is how many nodes of a hall watch: the loss of one costs the others a
+	// time-out.
+	watchersAHall = 2
+	// followWait is how long a question without news is held, and followTimeout how long an
+	// answer may take: a watcher that froze is given up well within the time in which an
+	// upstream that leaves has to be known.
+	followWait    = 400 * time.Millisecond
+	followTimeout = followWait + 250*time.Millisecond
+	// aloneFor is how long a node watches by itself after those that watch failed it.
+	aloneFor = 5 * time.Second
+	// rolesEvery is how often a node looks whether it has to watch.
+	rolesEvery = 250 * time.Millisecond
+	// youngFor is the age up to which a node watches by itself: by then it has heard from
+	// those of its hall.
+	youngFor = 3 * time.Second
+)
+
+// errNoNews says that a node doesn't watch the store, or is behind.
+var errNoNews = errs.NewType("no_news").New("the node has no news of the store")
+
+// news tells those that wait when there is some.
+type news struct {
+	mu       sync.Mutex
+	changed  chan struct{} // closed by the next news
+	sequence int64         // of the list
+}
+
+func newNews() *news { return &news{changed: make(chan struct{})} }
+
+func (v *news) announce() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+func (v *news) announceList() {
+	v.mu.Lock()
+	v.sequence++
+	v.mu.Unlock()
+	v.announce()
+}
+
+// next returns the list's sequence and what is closed by the next news.
+func (v *news) next() (int64, <-chan struct{}) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.sequence, v.changed
+}
+
+// watchers names the nodes of this hall that watch the store: those that come first by a
+// hash of their names, of the ones that are heard. Nodes whose views differ for a moment
+// ask one that doesn't watch, and are told so.
+func (n *Node) watchers() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now, silent := n.clock.Now(), silentAfter(n.peers.size())
+	names := []string{n.s.Node}
+	for _, p := range n.peers.peers {
+		if p.hall == n.s.Hall && !p.leaving && now.Sub(p.heard) <= silent {
+			names = append(names, p.name)
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		if x, y := xxhash.Sum64String(a), xxhash.Sum64String(b); x != y {
+			if x < y {
+				return -1
+			}
+			return 1
+		}
+		return 0
+	})
+	return names[:min(len(names), watchersAHall)]
+}
+
+// isWatcher tells whether this node is one of those that watch for their hall.
+func (n *Node) isWatcher() bool { return slices.Contains(n.watchers(), n.s.Node) }
+
+// watchAlone makes this node watch by itself for a while. The node's lock is held.
+func (n *Node) watchAlone(now time.Time) { n.alone = now.Add(aloneFor) }
+
+// watches tells whether this node has to watch the store now.
+func (n *Node) watches() bool {
+	now := n.clock.Now()
+	n.mu.Lock()
+	alone := now.Before(n.alone)
+	n.mu.Unlock()
+	return alone || now.Sub(n.start) < youngFor || !n.listed.Load() || n.current() == nil || n.isWatcher()
+}
+
+// watch watches the store, or asks those that do, until the context ends.
+func (n *Node) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		if n.watches() {
+			n.log.Info("watching", zap.Strings("watchers", n.watchers()))
+			n.while(ctx, n.watches, n.catalogReader.run, n.listReader.run)
+		} else {
+			n.while(ctx, func() bool { return !n.watches() }, n.followOthers)
+		}
+	}
+}
+
+// while runs the duties for as long as the condition holds, and returns when they ended.
+func (n *Node) while(ctx context.Context, holds func() bool, duties ...func(context.Context)) {
+	c, cancel := context.WithCancel(ctx)
+	var w sync.WaitGroup
+	for _, f := range duties {
+		w.Add(1)
+		go func() {
+			defer w.Done()
+			f(c)
+		}()
+	}
+	for holds() && n.clock.Sleep(c, rolesEvery) == nil {
+	}
+	cancel()
+	w.Wait()
+}
+
+// followOthers asks the nodes that watch, one after the other, and makes this node watch by
+// itself when all of them have failed it in a row.
+func (n *Node) followOthers(ctx context.Context) {
+	failed := 0
+	var from source
+	n.log.Info("following", zap.Strings("watchers", n.watchers()))
+	for ctx.Err() == nil {
+		names := n.watchers()
+		name := names[failed%len(names)]
+		err := n.follow(ctx, name, &from)
+		if err == nil {
+			failed = 0
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		failed++
+		n.log.Info("follow_failed", zap.String("peer", name), zap.String("cause", err.Error()))
+		if failed >= watchersAHall {
+			n.mu.Lock()
+			n.watchAlone(n.clock.Now())
+			n.mu.Unlock()
+			return
+		}
+	}
+}
+
+// source is where this node's list is from.
+type source struct {
+	lifetime string
+	sequence int64
+}
+
+// follow asks one node that watches for news, and takes them in.
+func (n *Node) follow(ctx context.Context, name string, from *source) error {
+	n.mu.Lock()
+	p := n.peers.peers[name]
+	n.mu.Unlock()
+	if p == nil || p.client == nil {
+		return errNoNews
+	}
+	version := int64(-1)
+	if c := n.current(); c != nil {
+		version = c.Version()
+	}
+	c, cancel := context.WithTimeout(ctx, followTimeout)
+	defer cancel()
+	a, err := p.client.Follow(c, connect.NewRequest(&wire.FollowRequest{CatalogVersion: version, Lifetime: from.lifetime, ListSequence: from.sequence}))
+	if err != nil {
+		return err
+	}
+	m := a.Msg
+	if !m.Watching || m.HasList && m.ListRevision < n.pools.Change() {
+		return errNoNews
+	}
+	if len(m.Catalog) > 0 {
+		n.accept(m.Catalog, name)
+	}
+	if m.HasList {
+		items := make([]pool.Item, 0, len(m.List))
+		for _, v := range m.List {
+			items = append(items, itemFromWire(v))
+		}
+		n.update(name, func(now time.Time, l *pool.List) { l.Replace(now, m.ListRevision, items) })
+		*from = source{m.Lifetime, m.ListSequence}
+	}
+	return nil
+}
+
+// Follow answers as soon as there is something that the asker lacks.
+func (s *edgeService) Follow(ctx context.Context, r *connect.Request[wire.FollowRequest]) (*connect.Response[wire.FollowResponse], error) {
+	n := s.n
+	late, stop := n.clock.After(followWait)
+	defer stop()
+	for {
+		sequence, changed := n.news.next()
+		a := n.newsFor(r.Msg, sequence)
+		if !a.Watching || a.HasList || len(a.Catalog) > 0 {
+			return connect.NewResponse(a), nil
+		}
+		select {
+		case <-changed:
+		case <-late:
+			return connect.NewResponse(a), nil
+		case <-ctx.Done():
+			return nil, errors.Join(errNoNews, ctx.Err())
+		}
+	}
+}
+
+// newsFor is what an asker lacks of this node's list, which has that sequence at least, and
+// of its configuration.
+func (n *Node) newsFor(r *wire.FollowRequest, sequence int64) *wire.FollowResponse {
+	a := &wire.FollowResponse{Watching: n.catalogReader.inTouch.Load() && n.listReader.inTouch.Load(), Lifetime: n.o.Lifetime, ListSequence: sequence}
+	if !a.Watching {
+		return a
+	}
+	if h := n.catalog.Load(); h != nil && h.catalog.Version() > r.CatalogVersion {
+		a.Catalog = h.raw
+	}
+	if r.Lifetime == n.o.Lifetime && r.ListSequence == sequence {
+		return a
+	}
+	a.HasList, a.ListRevision = true, n.pools.Revision()
+	for _, i := range n.pools.Items() {
+		a.List = append(a.List, itemToWire(i))
+	}
+	return a
+}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -66,11 +66,15 @@
 	front *forward.Server
 	lease *lease.Lease
 
-	listReader *follower
+	catalogReader *follower
+	listReader    *follower
+	news          *news
 
 	catalog atomic.Pointer[held]
-	listed  atomic.Bool  // the upstreams have been read once
-	phase   atomic.Int32 // of a planned stop, a forward.Phase
+	listed  atomic.Bool // the upstreams have been read once
+	knows   sync.Once
+	known   chan struct{} // closed when there are a configuration and upstreams
+	phase   atomic.Int32  // of a planned stop, a forward.Phase
 
 	mu      sync.Mutex // for what follows
 	quotas  *quota.Quotas
@@ -82,6 +86,7 @@
 
 	othersChange int64     // newest change of the list that other nodes told of
 	behind       time.Time // since when this node lacks it; zero: it doesn't
+	alone        time.Time // until when this node watches the store by itself
 }
 
 // held is the configuration in force, with the bytes it was read from for a peer that
@@ -102,18 +107,20 @@
 // New returns a node that isn't started.
 func New(o Options) *Node {
 	s := o.Settings
-	n := &Node{o: o, s: s, clock: o.Clock, log: o.Log, start: o.Clock.Now(), repeats: make(map[string]*retry.Window)}
+	n := &Node{o: o, s: s, clock: o.Clock, log: o.Log, start: o.Clock.Now(), known: make(chan struct{}), repeats: make(map[string]*retry.Window)}
 	n.pools = pool.New(o.Clock, s.Hall)
 	n.lines = forward.NewLines(o.Clock)
 	n.quotas = quota.New(n.start, s.FirstStart)
 	n.usage = usage.New(s.Node, o.Lifetime, s.UsageWindow)
 	n.peers = newTable(n)
+	n.catalogReader = n.catalogFollower()
 	n.listReader = n.listFollower()
+	n.news = newNews()
 	n.guard = store.NewGuard(o.Clock, n.share())
 	n.kv = n.guard.Wrap(o.KV)
 	n.lease = lease.New(n.kv, o.Clock, dutyKey, s.Node, max(s.Lease, s.Store.MinLease))
 	n.front = forward.NewServer(forward.Options{
-		Clock: o.Clock, Log: o.Log, Dialect: o.Dialect, Pools: n.pools, Lines: n.lines, Catalog: n.current,
+		Clock: o.Clock, Log: o.Log, Dialect: o.Dialect, Pools: n.pools, Lines: n.lines, Known: n.known, Catalog: n.current,
 		Charge: n.charge, Refund: n.refund, Began: n.began, First: n.first, Repeat: n.repeat, Phase: n.stopPhase,
 	})
 	return n
@@ -132,6 +139,13 @@
 	return nil
 }
 
+// knowsMore lets requests go that wait for a configuration and upstreams, if both are there.
+func (n *Node) knowsMore() {
+	if n.current() != nil && n.listed.Load() {
+		n.knows.Do(func() { close(n.known) })
+	}
+}
+
 // accept puts a configuration in force unless it is older than the one that is.
 func (n *Node) accept(raw []byte, source string) {
 	c, err := n.o.DecodeCatalog(raw)
@@ -146,6 +160,8 @@
 		return
 	}
 	n.catalog.Store(&held{catalog: c, raw: raw})
+	n.knowsMore()
+	n.news.announce()
 	limits := make(map[string]quota.Limit)
 	for _, w := range c.Workspaces() {
 		limits[w.Name()] = quota.Limit{Rate: w.Rate(), Burst: w.Burst()}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -35,6 +35,8 @@
 type peer struct {
 	name     string
 	address  string
+	hall     string // empty: not heard yet
+	leaving  bool
 	lifetime string
 	sequence uint64
 	heard    time.Time
@@ -162,7 +164,7 @@
 	loads, placed := n.pools.Report()
 	r := &wire.NodeReport{
 		Node: n.s.Node, Lifetime: n.o.Lifetime, Address: n.s.Peers, ListRevision: n.pools.Revision(), ListChange: n.pools.Change(),
-		UptimeMs: n.clock.Since(n.start).Milliseconds(), StoreUp: n.guard.Up(), Leaving: n.isLeaving(),
+		UptimeMs: n.clock.Since(n.start).Milliseconds(), StoreUp: n.guard.Up(), Leaving: n.isLeaving(), Hall: n.s.Hall,
 	}
 	if h := n.catalog.Load(); h != nil {
 		r.CatalogVersion = h.catalog.Version()
@@ -249,7 +251,7 @@
 		n.log.Info("peer_heard", zap.String("peer", r.Node), zap.String("lifetime", r.Lifetime), zap.Int64("catalog", r.CatalogVersion))
 	}
 	p.lifetime, p.sequence, p.heard, p.silent = r.Lifetime, r.Sequence, now, false
-	p.version, p.revision = r.CatalogVersion, r.ListRevision
+	p.version, p.revision, p.hall, p.leaving = r.CatalogVersion, r.ListRevision, r.Hall, r.Leaving
 	charged := make(map[string]float64, len(r.Spent))
 	for _, v := range r.Spent {
 		charged[v.Workspace] = v.Tokens
@@ -314,6 +316,7 @@
 	}
 	n.update(name, func(now time.Time, l *pool.List) { l.Replace(now, m.ListRevision, items) })
 	n.listed.Store(true)
+	n.knowsMore()
 }
 
 func itemToWire(v pool.Item) *wire.ListItem {
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -31,7 +32,7 @@
 	catalogWait = 2 * time.Second
 	listWait    = 6 * time.Second
 	// gatherNode and gatherLimit set the pause after changes of the list, so much for each
-	// node: a wave of reclaims or a release comes as a change for each upstream, each answer
+	// node that watches: a wave of reclaims or a release comes as a change for each upstream, each answer
 	// to a watch is a call that is paid for, and all nodes get it. The limit is well below the
 	// seconds for which a leaving upstream still serves.
 	gatherNode  = 6 * time.Millisecond
@@ -46,13 +47,14 @@
 
 // follower reads a prefix again and again, and watches it in between.
 type follower struct {
-	n      *Node
-	name   string
-	prefix string
-	wait   time.Duration // how long a watch may have nothing to tell
-	whole  func(r store.RangeResult)
-	change func(b store.WatchBatch)
-	failed time.Time // since when the store doesn't answer; zero: it does
+	n       *Node
+	name    string
+	prefix  string
+	wait    time.Duration // how long a watch may have nothing to tell
+	whole   func(r store.RangeResult)
+	change  func(b store.WatchBatch)
+	failed  time.Time // since when the store doesn't answer; zero: it does
+	inTouch atomic.Bool
 
 	mu   sync.Mutex
 	stop context.CancelCauseFunc // of the watch under way
@@ -62,7 +64,7 @@
 	for ctx.Err() == nil {
 		err := f.follow(ctx)
 		if ctx.Err() != nil {
-			return
+			break
 		}
 		if begunAnew(err) {
 			f.n.log.Info("watch_begun_anew", zap.String("reader", f.name), zap.String("cause", err.Error()))
@@ -71,6 +73,7 @@
 		}
 		_ = f.n.clock.Sleep(ctx, followPause)
 	}
+	f.inTouch.Store(false)
 }
 
 // begunAnew tells whether a watch ended though the store answers, as far as is known.
@@ -85,11 +88,13 @@
 		return
 	}
 	f.failed = f.n.clock.Now()
+	f.inTouch.Store(false)
 	storeUp.Add(f.name, -1)
 	f.n.log.Warn("store_lost", zap.String("reader", f.name), zap.String("cause", err.Error()))
 }
 
 func (f *follower) regained() {
+	f.inTouch.Store(true)
 	if f.failed.IsZero() {
 		return
 	}
@@ -128,7 +133,8 @@
 func (n *Node) gather() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return min(gatherNode*time.Duration(n.peers.size()), gatherLimit)
+	watching := min(n.peers.size(), watchersAHall*max(1, len(n.s.Halls)))
+	return min(gatherNode*time.Duration(watching), gatherLimit)
 }
 
 func (f *follower) set(stop context.CancelCauseFunc) {
@@ -163,6 +169,7 @@
 			zap.Int64("revision", have), zap.Int64("change", n.othersChange), zap.Duration("for", now.Sub(n.behind)))
 		n.behind = now
 		n.listReader.again()
+		n.watchAlone(now)
 	}
 }
 
@@ -200,6 +207,7 @@
 			l.Replace(now, r.Revision, n.items(r.Pairs))
 		})
 		n.listed.Store(true)
+		n.knowsMore()
 	}
 	f.change = func(b store.WatchBatch) {
 		n.update("store", func(now time.Time, l *pool.List) {
@@ -237,7 +245,11 @@
 
 // update changes the list, and tells what became of it.
 func (n *Node) update(source string, f func(now time.Time, l *pool.List)) {
+	before := n.pools.Change()
 	changes := n.pools.Update(func(l *pool.List) { f(n.clock.Now(), l) })
+	if len(changes) > 0 || n.pools.Change() != before {
+		n.news.announceList()
+	}
 	for _, c := range changes {
 		upstreamEvents.Add(c.Event, 1)
 		n.log.Info("upstream_"+c.Event, zap.String("upstream", c.Entry.ID), zap.String("service", c.Entry.Service), zap.String("hall", c.Entry.Hall),
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -60,6 +60,8 @@
 	Dialect call.Dialect
 	Pools   *pool.Pools
 	Lines   *Lines
+	// Known is closed once there are a configuration and a list of upstreams.
+	Known <-chan struct{}
 	// Catalog returns the configuration in force, or nil before there is one.
 	Catalog func() *catalog.Catalog
 	// Charge takes tokens from a workspace's quota, Refund gives them back.
@@ -93,7 +95,7 @@
 // NewServer returns a server.
 func NewServer(o Options) *Server {
 	s := &Server{o: o}
-	s.next = endpoint.Chain(s.authorize, s.charge)(s.send)
+	s.next = endpoint.Chain(s.await, s.authorize, s.charge)(s.send)
 	return s
 }
 
@@ -205,6 +207,32 @@
 	retryElsewhere = 10 * time.Millisecond  // another node can take it now
 )
 
+// knownWait is how long a request waits at a process that has just started and knows no
+// configuration or no upstreams yet. It reads both within some 30 ms where the store
+// answers; where it doesn't, the caller is better off elsewhere.
+const knownWait = 250 * time.Millisecond
+
+// await holds a request until there is something to decide it by. Refusing it at once would
+// spend the caller's retry on a few milliseconds.
+func (s *Server) await(next endpoint.Endpoint) endpoint.Endpoint {
+	return func(ctx context.Context, v any) (any, error) {
+		select {
+		case <-s.o.Known:
+			return next(ctx, v)
+		default:
+		}
+		late, stop := s.o.Clock.After(knownWait)
+		defer stop()
+		select {
+		case <-s.o.Known:
+		case <-late:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		return next(ctx, v)
+	}
+}
+
 // authorize finds the route and the workspace.
 func (s *Server) authorize(next endpoint.Endpoint) endpoint.Endpoint {
 	return func(ctx context.Context, v any) (any, error) {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -13,7 +13,7 @@
 // When it is heard again, what it did charge takes the place of the guess.
 //
 // A process that starts knows neither what was charged a moment ago nor how many share the
-// bucket. It begins with a part of the burst, assumes many nodes until it has been told them,
+// bucket. It begins with the level that was written down last, or with a part of the burst, assumes many nodes until it has been told them,
 // and entitles itself only to the part of the nodes that it has heard. What a peer charged
 // before it was first heard counts, unless the peer is older than this process: then the
 // part of the burst stands for it.
@@ -81,6 +81,8 @@
 	spent   float64 // by this node since the last round
 	charged float64 // by this node in all
 	recent  float64
+	began   time.Time // when this process first knew it
+	first   float64   // its level then
 }
 
 // Quotas is the buckets of all workspaces at one node. It isn't safe for concurrent use.
@@ -91,6 +93,8 @@
 	began   time.Time
 	named   bool // the other nodes are known
 	round   time.Time
+
+	recalled map[string]recalled // by workspace
 }
 
 // restartLevel is the part of the burst that a process begins with which does not start
@@ -109,11 +113,8 @@
 	for n, l := range limits {
 		b := q.buckets[n]
 		if b == nil {
-			b = &bucket{updated: now}
-			b.level = restartLevel * l.Burst
-			if q.full {
-				b.level = l.Burst
-			}
+			b = &bucket{updated: now, began: now, first: q.first(now, n, l)}
+			b.level = b.first
 			q.buckets[n] = b
 		}
 		q.refill(now, b)
@@ -156,6 +157,9 @@
 	return n / q.nodes()
 }
 
+// whole tells whether the use of all nodes is known, or that there was none.
+func (q *Quotas) whole() bool { return q.full || q.heard() == 1 }
+
 // Verdict is the answer to a charge.
 type Verdict struct {
 	Allowed bool
@@ -174,7 +178,7 @@
 	if tokens <= smallRequest*b.limit.Burst {
 		floor = -smallDebt * b.limit.Burst
 	}
-	calm := b.level-tokens >= calmLevel*b.limit.Burst && (b.spent == 0 || b.spent+tokens <= calmSpend*b.limit.Burst)
+	calm := q.whole() && b.level-tokens >= calmLevel*b.limit.Burst && (b.spent == 0 || b.spent+tokens <= calmSpend*b.limit.Burst)
 	limit := q.grant(b) - floor/q.nodes() // each node its part of what the small ones may overdraw
 	if !calm && (b.level <= floor || b.spent >= limit) {
 		short := max(floor-b.level, b.spent-limit) + refillShare*b.limit.Burst
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -184,38 +184,99 @@
 	f.alone[i] = true
 }
 
+// recall lets a node that has just started go on from what another wrote down before.
+func (f *fleet) recall(now time.Time, i int, written map[string]Level, age time.Duration) {
+	f.nodes[i].Recall(now, age, 500*time.Millisecond, written)
+}
+
 // TestSumHoldsWhenAllStartAgain kills all processes twice, half a second each, under a rush
 // of several times the rate that has begun a second before: no process knows the others at
 // first, and each begins with a part of the bucket.
 func TestSumHoldsWhenAllStartAgain(t *testing.T) {
 	for _, x := range []float64{2, 8, 40} {
-		t.Run(fmt.Sprint(x, " times the rate"), func(t *testing.T) {
-			f := newFleet(8, Limit{Rate: 140_000, Burst: 140_000})
-			sizes, k := []float64{200, 1600, 900, 9200, 200, 2500}, 0
-			const step, round = 5 * time.Millisecond, 250 * time.Millisecond
-			owed := 0.0
-			for d := time.Duration(0); d < 10*time.Second; d += step {
-				now := start.Add(d)
-				if d == 1500*time.Millisecond || d == 5500*time.Millisecond {
-					for i := range f.nodes {
-						f.restart(now, i)
-					}
-				}
-				if down := d >= time.Second && d < 1500*time.Millisecond || d >= 5*time.Second && d < 5500*time.Millisecond; down {
-					continue
-				}
-				for owed += x * f.limit.Rate * step.Seconds(); owed > 0; k++ {
-					f.charge(now, k%len(f.nodes), sizes[k%len(sizes)])
-					owed -= sizes[k%len(sizes)]
-				}
-				if d%round == 0 {
-					f.exchange(now, together)
+		t.Run(fmt.Sprint(x, " times the rate"), func(t *testing.T) { assertHoldsWhenAllStartAgain(t, x, false, 0) })
+		t.Run(fmt.Sprint(x, " times the rate, levels written down"), func(t *testing.T) { assertHoldsWhenAllStartAgain(t, x, true, 0) })
+		t.Run(fmt.Sprint(x, " times the rate, begun after the levels were written down"), func(t *testing.T) {
+			assertHoldsWhenAllStartAgain(t, x, true, 900*time.Millisecond)
+		})
+	}
+}
+
+func assertHoldsWhenAllStartAgain(t *testing.T, x float64, writes bool, calm time.Duration) {
+	t.Helper()
+	f := newFleet(8, Limit{Rate: 140_000, Burst: 140_000})
+	sizes, k := []float64{200, 1600, 900, 9200, 200, 2500}, 0
+	const step, round = 5 * time.Millisecond, 250 * time.Millisecond
+	owed := 0.0
+	var written map[string]Level
+	var at time.Time
+	for d := time.Duration(0); d < 10*time.Second; d += step {
+		now := start.Add(d)
+		if d == 1500*time.Millisecond || d == 5500*time.Millisecond {
+			for i := range f.nodes {
+				f.restart(now, i)
+				if writes {
+					f.recall(now, i, written, now.Sub(at))
 				}
 			}
-			t.Logf("%.0f of %.0f", f.most(8*time.Second), (f.limit.Rate*8+f.limit.Burst)*1.1+72000)
-			assert.LessOrEqual(t, f.most(8*time.Second), (f.limit.Rate*8+f.limit.Burst)*1.1+72000)
-		})
+		}
+		if down := d >= time.Second && d < 1500*time.Millisecond || d >= 5*time.Second && d < 5500*time.Millisecond; down {
+			continue
+		}
+		if d >= calm {
+			owed += x * f.limit.Rate * step.Seconds()
+		}
+		for ; owed > 0; k++ {
+			f.charge(now, k%len(f.nodes), sizes[k%len(sizes)])
+			owed -= sizes[k%len(sizes)]
+		}
+		if d%round == 0 {
+			f.exchange(now, together)
+		}
+		if d%(2*round) == 0 {
+			written, at = f.nodes[0].Levels(now), now
+		}
+	}
+	t.Logf("%.0f of %.0f", f.most(8*time.Second), (f.limit.Rate*8+f.limit.Burst)*1.1+72000)
+	assert.LessOrEqual(t, f.most(8*time.Second), (f.limit.Rate*8+f.limit.Burst)*1.1+72000)
+}
+
+// TestReturnBelowTheQuota: all processes are gone for a second and a half, and the callers of
+// that time come back at once. At half the rate, none is refused.
+func TestReturnBelowTheQuota(t *testing.T) {
+	f := newFleet(7, Limit{Rate: 400_000, Burst: 400_000})
+	sizes, k := []float64{200, 2500, 1100, 13_000, 2500}, 0
+	const step, round = 5 * time.Millisecond, 250 * time.Millisecond
+	const down, up = 3 * time.Second, 4500 * time.Millisecond
+	owed, refused := 0.0, 0
+	var written map[string]Level
+	var at time.Time
+	for d := time.Duration(0); d < 6*time.Second; d += step {
+		now := start.Add(d)
+		owed += 0.5 * f.limit.Rate * step.Seconds()
+		if d >= down && d < up {
+			continue
+		}
+		if d == up {
+			for i := range f.nodes {
+				f.restart(now, i)
+				f.recall(now, i, written, now.Sub(at))
+			}
+		}
+		if d%round == 0 {
+			f.exchange(now, together)
+		}
+		for ; owed > 0; k++ {
+			if !f.charge(now, k%len(f.nodes), sizes[k%len(sizes)]) {
+				refused++
+			}
+			owed -= sizes[k%len(sizes)]
+		}
+		if d%(2*round) == 0 {
+			written, at = f.nodes[0].Levels(now), now
+		}
 	}
+	assert.Zero(t, refused, "of %d", k)
 }
 
 // TestRestartOfOneTakesNothing: a process that starts beside others takes what they charged
--- a/internal/wire/wireconnect/edge.connect.go
+++ b/internal/wire/wireconnect/edge.connect.go
@@ -41,12 +41,15 @@
 	EdgeReportProcedure = "/spurhall.v1.Edge/Report"
 	// EdgeCatchUpProcedure is the fully-qualified name of the Edge's CatchUp RPC.
 	EdgeCatchUpProcedure = "/spurhall.v1.Edge/CatchUp"
+	// EdgeFollowProcedure is the fully-qualified name of the Edge's Follow RPC.
+	EdgeFollowProcedure = "/spurhall.v1.Edge/Follow"
 )
 
 // EdgeClient is a client for the spurhall.v1.Edge service.
 type EdgeClient interface {
 	Report(context.Context, *connect.Request[wire.ReportRequest]) (*connect.Response[wire.ReportResponse], error)
 	CatchUp(context.Context, *connect.Request[wire.CatchUpRequest]) (*connect.Response[wire.CatchUpResponse], error)
+	Follow(context.Context, *connect.Request[wire.FollowRequest]) (*connect.Response[wire.FollowResponse], error)
 }
 
 // NewEdgeClient constructs a client for the spurhall.v1.Edge service. By default, it uses the
@@ -72,6 +75,12 @@
 			connect.WithSchema(edgeMethods.ByName("CatchUp")),
 			connect.WithClientOptions(opts...),
 		),
+		follow: connect.NewClient[wire.FollowRequest, wire.FollowResponse](
+			httpClient,
+			baseURL+EdgeFollowProcedure,
+			connect.WithSchema(edgeMethods.ByName("Follow")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -79,6 +88,7 @@
 type edgeClient struct {
 	report  *connect.Client[wire.ReportRequest, wire.ReportResponse]
 	catchUp *connect.Client[wire.CatchUpRequest, wire.CatchUpResponse]
+	follow  *connect.Client[wire.FollowRequest, wire.FollowResponse]
 }
 
 // Report calls spurhall.v1.Edge.Report.
@@ -91,10 +101,16 @@
 	return c.catchUp.CallUnary(ctx, req)
 }
 
+// Follow calls spurhall.v1.Edge.Follow.
+func (c *edgeClient) Follow(ctx context.Context, req *connect.Request[wire.FollowRequest]) (*connect.Response[wire.FollowResponse], error) {
+	return c.follow.CallUnary(ctx, req)
+}
+
 // EdgeHandler is an implementation of the spurhall.v1.Edge service.
 type EdgeHandler interface {
 	Report(context.Context, *connect.Request[wire.ReportRequest]) (*connect.Response[wire.ReportResponse], error)
 	CatchUp(context.Context, *connect.Request[wire.CatchUpRequest]) (*connect.Response[wire.CatchUpResponse], error)
+	Follow(context.Context, *connect.Request[wire.FollowRequest]) (*connect.Response[wire.FollowResponse], error)
 }
 
 // NewEdgeHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -116,12 +132,20 @@
 		connect.WithSchema(edgeMethods.ByName("CatchUp")),
 		connect.WithHandlerOptions(opts...),
 	)
+	edgeFollowHandler := connect.NewUnaryHandler(
+		EdgeFollowProcedure,
+		svc.Follow,
+		connect.WithSchema(edgeMethods.ByName("Follow")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/spurhall.v1.Edge/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case EdgeReportProcedure:
 			edgeReportHandler.ServeHTTP(w, r)
 		case EdgeCatchUpProcedure:
 			edgeCatchUpHandler.ServeHTTP(w, r)
+		case EdgeFollowProcedure:
+			edgeFollowHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -138,3 +162,7 @@
 func (UnimplementedEdgeHandler) CatchUp(context.Context, *connect.Request[wire.CatchUpRequest]) (*connect.Response[wire.CatchUpResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("spurhall.v1.Edge.CatchUp is not implemented"))
 }
+
+func (UnimplementedEdgeHandler) Follow(context.Context, *connect.Request[wire.FollowRequest]) (*connect.Response[wire.FollowResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("spurhall.v1.Edge.Follow is not implemented"))
+}
