--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -39,6 +39,7 @@
 	Workspace string        // empty: none
 	LastEvent string        // go on after this event
 	Priority  int           // 0 is the most urgent, -1 leaves it unsaid
+	Fetch     string        // address of an upstream that has more of the prompt cached; empty: none
 }
 
 // Answer is what an upstream's head says.
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -68,6 +68,9 @@
 	Slots       int
 	CacheTokens int // held by running requests and cached prompt parts together
 	EventTokens int // of one stream event
+	// FetchTokens is how many cached tokens go from one engine to another in a
+	// millisecond; 0: none do.
+	FetchTokens float64
 }
 
 // ScalingSpec says within what bounds upstreams are ordered.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -367,6 +367,6 @@
 	c := u.Choice()
 	return []zap.Field{
 		zap.String("upstream", u.Entry().ID), zap.String("hall", u.Entry().Hall), zap.Int("candidates", c.Candidates), zap.Int("running", c.Running),
-		zap.Int("queued_tokens", int(c.Queued)), zap.Int("cached_tokens", int(c.Cached)), zap.Int64("list_revision", c.Revision), zap.Duration("oldest_report", c.Oldest),
+		zap.Int("queued_tokens", int(c.Queued)), zap.Int("cached_tokens", int(c.Cached)), zap.Int("fetched_tokens", int(c.Fetched)), zap.Int64("list_revision", c.Revision), zap.Duration("oldest_report", c.Oldest),
 	}
 }
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -32,6 +32,9 @@
 	Held     float64 // tokens of memory that running requests take
 	Memory   float64 // tokens; 0: unknown
 	Cached   float64 // tokens of this prompt that are likely cached
+	Fetch    float64 // tokens beyond these that it could take from another upstream
+	FetchMs  float64 // milliseconds that this takes
+	Source   string  // the other upstream's address
 	Slowness float64 // of its answers relative to the pool's, 1 is usual
 	Failures float64 // share of recent requests that failed
 	Refused  bool    // said that it is full a moment ago
@@ -117,11 +120,16 @@
 
 func engineCost(n Need, e capacity.Engine, c *Candidate) float64 {
 	tokens := c.Queued + math.Max(0, n.Prompt-c.Cached)
+	wait := 0.0
+	if c.fetches(e) {
+		tokens -= c.Fetch
+		wait = c.FetchMs
+	}
 	if c.Memory > 0 {
 		over := c.Held + n.Prompt + n.Output - memoryShare*c.Memory
 		tokens += memoryWeight * math.Max(0, over)
 	}
-	return e.Read(tokens) + occupiedMs*c.occupied()
+	return wait + e.Read(tokens) + occupiedMs*c.occupied()
 }
 
 // occupied is the share of slots that are taken.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -232,8 +232,13 @@
 	p.outlier(n.Service).Sending(m.entry.ID)
 	u := &Use{p: p, m: m, entry: m.entry, begun: now, engine: n.Engine}
 	u.prompt = max(0, n.Prompt-c.Cached)
+	fetched := 0.0
+	if c.fetches(e) {
+		fetched, u.fetch = c.Fetch, c.Source
+		u.prompt = max(0, u.prompt-fetched)
+	}
 	u.held = n.Prompt + n.Output
-	u.choice = Choice{Candidates: len(list), Running: c.Running, Queued: c.Queued, Cached: c.Cached, Revision: p.list.Revision(), Oldest: p.oldest(now)}
+	u.choice = Choice{Candidates: len(list), Running: c.Running, Queued: c.Queued, Cached: c.Cached, Revision: p.list.Revision(), Oldest: p.oldest(now), Fetched: fetched}
 	u.expect = e.FirstEvent(c.Queued + u.prompt)
 	u.output, u.reads = n.Output, c.Queued+u.prompt
 	m.load.Running++
@@ -271,6 +276,9 @@
 		list[i] = p.candidate(now, m, n, e, chain)
 		list[i].Unreachable = cut[m.entry.Hall] || now.Sub(m.silent) < unreachableKeeps
 	}
+	if rate := p.service(n.Service).size.Fetch; rate > 0 {
+		sources(rate, members, list)
+	}
 	return members, list
 }
 
--- a/internal/pool/use.go
+++ b/internal/pool/use.go
@@ -22,6 +22,7 @@
 	expect  float64 // milliseconds to the first event, as guessed
 	reads   float64 // prompt tokens read before the first event, as guessed
 	output  float64 // tokens that go out at most
+	fetch   string  // address of the upstream that it takes cached parts from
 	first   time.Time
 	started bool
 	ended   bool
@@ -33,6 +34,7 @@
 	Running    int           // requests there, of all nodes
 	Queued     float64       // prompt tokens there without a first token
 	Cached     float64       // tokens of the prompt taken to be cached there
+	Fetched    float64       // tokens of the prompt to be taken from another upstream
 	Revision   int64         // of the list
 	Oldest     time.Duration // age of the oldest report of another node that counted
 }
@@ -40,6 +42,10 @@
 // Choice returns what the upstream was chosen by.
 func (u *Use) Choice() Choice { return u.choice }
 
+// Fetch returns the address of the upstream that has more of the prompt cached, if the one
+// chosen should take it from there.
+func (u *Use) Fetch() string { return u.fetch }
+
 // Entry returns the upstream chosen.
 func (u *Use) Entry() Entry { return u.entry }
 
@@ -53,9 +59,9 @@
 	after := u.first.Sub(u.begun)
 	ms := float64(after) / float64(time.Millisecond)
 	s := u.p.service(u.entry.Service)
-	if u.engine {
+	if u.engine && u.fetch == "" {
 		s.learner.First(u.first, u.reads, after)
-	} else {
+	} else if !u.engine {
 		s.answer += answerGain * (ms - s.answer)
 	}
 	u.m.speed += speedGain * (min(4, ms/u.expect) - u.m.speed)
