On-demand upstreams stay in the halls where they serve

Cause: the least of each hall depended on whether reclaimable ones were to be had at the moment, which changes every second or two in a wave.

Change: each hall its least by what is there, then halls keep what they have, then those with fewest get more. Test: TestMix/what serves in one hall..., failing before.

--- a/internal/autoscale/mix.go
+++ b/internal/autoscale/mix.go
@@ -158,13 +158,11 @@
 			// Until others have taken their place, which need room, too.
 			counts[i].Reclaimable = min(h.Reclaimable, int(math.Ceil(need-onDemandOf(halls))))
 		}
-		counts[i].OnDemand = min(s.Max, max(0, s.Min-counts[i].Reclaimable))
 	}
-	if spread(max(leastOnDemand, int(math.Ceil(safe-1e-9))), s, halls, counts) < leastOnDemand {
-		counts[0].OnDemand = min(s.Max, leastOnDemand) // in the place of reclaimable ones
-	}
-	for i := range counts {
-		counts[i].Reclaimable = max(0, min(counts[i].Reclaimable, s.Max-counts[i].OnDemand))
+	spread(max(leastOnDemand, int(math.Ceil(safe-1e-9))), s, halls, counts)
+	for i, h := range halls {
+		least := min(h.Reclaimable, s.Min-counts[i].OnDemand) // of what is there
+		counts[i].Reclaimable = max(0, min(max(counts[i].Reclaimable, least), s.Max-counts[i].OnDemand))
 	}
 	return counts
 }
@@ -323,23 +321,48 @@
 	return sum - most
 }
 
-// spread deals on-demand upstreams out in turn, the cheapest halls first, until there are n.
+// spread deals n on-demand upstreams out: each hall the least that it has to have, then the
+// halls that have some already as many as they have, then the halls with fewest, the
+// cheapest first among equals. What serves or boots is thereby not given up in one hall for
+// what has to boot in another. Dealing them out anew each time, by what was to be had at the
+// moment, moved two of five to and fro for 15 s of a wave.
+//
 // Both kinds together are bounded, so what is there and reclaimable stays: giving it up for
-// what has to boot first would leave nothing in between. It returns how many there are.
-func spread(n int, s MixSpec, halls []HallState, counts []Count) int {
-	have := 0
-	for _, c := range counts {
-		have += c.OnDemand
+// what has to boot first would leave nothing in between.
+func spread(n int, s MixSpec, halls []HallState, counts []Count) {
+	room := func(i int) bool { return counts[i].OnDemand < s.Max-halls[i].Reclaimable }
+	for i, h := range halls {
+		counts[i].OnDemand = max(0, min(s.Min, s.Max)-h.Reclaimable)
+		n -= counts[i].OnDemand
+	}
+	for i, h := range halls {
+		for n > 0 && counts[i].OnDemand < h.OnDemand && room(i) {
+			counts[i].OnDemand++
+			n--
+		}
 	}
-	for given := true; have < n && given; {
-		given = false
+	for n > 0 {
+		k := -1
 		for i := range counts {
-			if have < n && counts[i].OnDemand < s.Max-halls[i].Reclaimable {
-				counts[i].OnDemand++
-				have++
-				given = true
+			if room(i) && (k < 0 || counts[i].OnDemand < counts[k].OnDemand) {
+				k = i
 			}
 		}
+		if k < 0 {
+			break
+		}
+		counts[k].OnDemand++
+		n--
+	}
+	if n > 0 && onDemandIn(counts) < leastOnDemand {
+		counts[0].OnDemand = min(s.Max, leastOnDemand) // in the place of reclaimable ones
 	}
-	return have
+}
+
+func onDemandIn(counts []Count) int {
+	n := 0
+	for _, c := range counts {
+		n += c.OnDemand
+	}
+	return n
 }
--- a/internal/autoscale/mix_test.go
+++ b/internal/autoscale/mix_test.go
@@ -72,14 +72,18 @@
 		n, _ := sums(plan(m, time.Second, 0.3, mixSpec, threeHalls(2, 0)))
 		assert.Equal(t, 6, n)
 		n, _ = sums(plan(m, time.Minute, 0.3, mixSpec, threeHalls(2, 0)))
+		assert.Equal(t, 3, n, "one in each hall that has no other")
+		n, _ = sums(plan(m, time.Minute, 0.3, mixSpec, threeHalls(2, 3)))
 		assert.Equal(t, leastOnDemand, n)
 	})
 	t.Run("a fresh system holds no more on demand than the base until work has come", func(t *testing.T) {
 		o := MixDefaults(boot)
 		o.Fresh = true
 		n, r := sums(plan(NewMix(o), 0, 0, mixSpec, threeHalls(3, 0)))
-		assert.Equal(t, leastOnDemand, n)
+		assert.Equal(t, 3, n, "one in each hall that has no other")
 		assert.Equal(t, 9, r)
+		n, _ = sums(plan(NewMix(o), 0, 0, mixSpec, threeHalls(3, 3)))
+		assert.Equal(t, leastOnDemand, n)
 		m := NewMix(o)
 		m.Refused(0, "a")
 		n, _ = sums(plan(m, 0, 0, mixSpec, threeHalls(3, 0)))
@@ -153,6 +157,33 @@
 		n, _ = sums(plan(m, now, 4, mixSpec, threeHalls(3, 4)))
 		assert.Equal(t, leastOnDemand, n)
 	})
+	t.Run("what serves in one hall isn't given up for another", func(t *testing.T) {
+		m, now := loaded(4, threeHalls(1, 4))
+		counts := func(h []HallState) map[string]int {
+			r := make(map[string]int)
+			for _, c := range plan(m, now, 4, mixSpec, h) {
+				r[c.Hall] = c.OnDemand
+			}
+			return r
+		}
+		wave := func() []HallState {
+			h := threeHalls(0, 0)
+			h[0].Leaving = 4
+			return h
+		}
+		first := counts(wave())
+		for k := 0; k < 60; k++ { // while they boot, halls refuse and have some again by turns
+			now += 250 * time.Millisecond
+			h := wave()
+			if k%3 == 0 {
+				m.Refused(now, []string{"a", "b", "c"}[k%9/3])
+			}
+			if k > 16 { // one after the other is ready
+				h[k%3].OnDemand = first[h[k%3].Hall]
+			}
+			assert.Equal(t, first, counts(h), "at step %d", k)
+		}
+	})
 	t.Run("the cheapest halls get the odd ones", func(t *testing.T) {
 		m, now := loaded(4*MixDefaults(boot).Busy.Reading, threeHalls(3, 0))
 		for _, c := range plan(m, now, 4*MixDefaults(boot).Busy.Reading, mixSpec, threeHalls(3, 0)) {
