What reports tell of single upstreams fades with their age

Cause: in a fleet of 77 nodes a pair swaps reports each 1.6 s, longer than a request lasts.

Change: a report counts for the upstreams that it names by exp(-age / time a request lasts), and in sum for all of the service alike. The time is measured.

--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -27,7 +27,7 @@
 	ID       string
 	Slots    int
 	SameHall bool
-	Running  int     // requests there now, of all nodes
+	Running  float64 // requests there now, of all nodes
 	Queued   float64 // prompt tokens there without a first token
 	Held     float64 // tokens of memory that running requests take
 	Memory   float64 // tokens; 0: unknown
@@ -109,7 +109,7 @@
 	if !c.SameHall {
 		x += otherHallMs
 	}
-	if c.Unreachable || c.Refused || c.Slots > 0 && c.Running >= c.Slots {
+	if c.Unreachable || c.Refused || c.Slots > 0 && c.Running >= float64(c.Slots) {
 		x += fullMs
 	}
 	if c.Cold {
@@ -134,7 +134,7 @@
 
 // occupied is the share of slots that are taken.
 func (c *Candidate) occupied() float64 {
-	return float64(c.Running) / float64(max(c.Slots, 1))
+	return c.Running / float64(max(c.Slots, 1))
 }
 
 // homeOf names the upstream for a prompt whose shared parts are cached nowhere, or for
--- a/internal/pool/choose_test.go
+++ b/internal/pool/choose_test.go
@@ -76,7 +76,7 @@
 		for i := range l {
 			l[i].Queued = float64(rapid.IntRange(0, 20_000).Draw(t, "queued"))
 			l[i].Cached = float64(rapid.IntRange(0, 5_000).Draw(t, "cached"))
-			l[i].Running = rapid.IntRange(0, 10).Draw(t, "running")
+			l[i].Running = float64(rapid.IntRange(0, 10).Draw(t, "running"))
 		}
 		want := l[Pick(prompt, learned, l)].ID
 		other := rapid.Permutation(l).Draw(t, "order")
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -53,6 +53,7 @@
 	speedGain    = 0.1  // weight of the newest time in the average
 	answerGain   = 0.05 // weight of the newest answer in the time of a plain service's
 	answerPrior  = 30.0 // milliseconds, until a plain service has answered
+	lastsPrior   = 1000 // milliseconds, until a request has ended
 	// mergeEvery is how often what the nodes have learned is joined: reports come so often.
 	mergeEvery  = 250 * time.Millisecond
 	placedLimit = 1024 // placements kept for reports
@@ -66,6 +67,7 @@
 	entry    Entry
 	coldTill time.Time
 	load     Load
+	others   othersLoad // as of the last choice
 	failures float64
 	speed    float64 // average time over expected time
 	refused  time.Time
@@ -103,6 +105,7 @@
 	engine  capacity.Engine // as all nodes have learned it
 	merged  time.Time
 	answer  float64 // milliseconds to an answer's head
+	lasts   float64 // milliseconds that a request takes, to its end
 }
 
 type placing struct {
@@ -189,7 +192,7 @@
 func (p *Pools) service(name string) *service {
 	s := p.known[name]
 	if s == nil {
-		s = &service{answer: answerPrior}
+		s = &service{answer: answerPrior, lasts: lastsPrior}
 		p.known[name] = s
 	}
 	return s
@@ -238,7 +241,7 @@
 		u.prompt = max(0, u.prompt-fetched)
 	}
 	u.held = n.Prompt + n.Output
-	u.choice = Choice{Candidates: len(list), Running: c.Running, Queued: c.Queued, Cached: c.Cached, Revision: p.list.Revision(), Oldest: p.oldest(now), Fetched: fetched}
+	u.choice = Choice{Candidates: len(list), Running: int(c.Running), Queued: c.Queued, Cached: c.Cached, Revision: p.list.Revision(), Oldest: p.oldest(now), Fetched: fetched}
 	u.expect = e.FirstEvent(c.Queued + u.prompt)
 	u.output, u.reads = n.Output, c.Queued+u.prompt
 	m.load.Running++
@@ -269,11 +272,11 @@
 		members = spare
 	}
 	chain := Chain(n.Parts)
-	e := p.engine(now, n.Service)
+	p.gatherOthers(now, n.Service, p.engine(now, n.Service))
 	cut := p.cutHalls(now)
 	list := make([]Candidate, len(members))
 	for i, m := range members {
-		list[i] = p.candidate(now, m, n, e, chain)
+		list[i] = p.candidate(now, m, n, chain)
 		list[i].Unreachable = cut[m.entry.Hall] || now.Sub(m.silent) < unreachableKeeps
 	}
 	if rate := p.service(n.Service).size.Fetch; rate > 0 {
@@ -298,23 +301,13 @@
 	return cut
 }
 
-func (p *Pools) candidate(now time.Time, m *member, n Need, e capacity.Engine, chain []uint64) Candidate {
+func (p *Pools) candidate(now time.Time, m *member, n Need, chain []uint64) Candidate {
 	c := Candidate{
 		ID: m.entry.ID, Slots: m.entry.Slots, SameHall: m.entry.Hall == p.hall,
-		Running: m.load.Running, Queued: m.load.Queued, Held: m.load.Held, Memory: p.service(n.Service).size.Memory,
+		Running: float64(m.load.Running) + m.others.running, Queued: m.load.Queued + m.others.queued, Held: m.load.Held + m.others.held, Memory: p.service(n.Service).size.Memory,
 		Slowness: max(0.5, m.speed), Failures: m.failures,
 		Refused: now.Sub(m.refused) < refusedKeeps, Cold: now.Before(m.coldTill),
 	}
-	for _, v := range p.peers {
-		age := now.Sub(v.at)
-		l, ok := v.loads[m.entry.ID]
-		if !ok || age > peerKeeps {
-			continue
-		}
-		c.Running += l.Running
-		c.Held += l.Held
-		c.Queued += drained(e, l.Queued, age)
-	}
 	for i, h := range chain {
 		if t, ok := m.prefixes[h]; !ok || now.Sub(t) > prefixKeeps {
 			break
--- a/internal/pool/use.go
+++ b/internal/pool/use.go
@@ -102,14 +102,23 @@
 	}
 	u.ended = true
 	u.start()
-	if r == ResultGood && u.engine && !u.first.IsZero() {
-		u.p.service(u.entry.Service).learner.Last(u.output, u.p.clock.Since(u.first))
+	if r == ResultGood {
+		u.learn()
 	}
 	u.m.load.Running--
 	u.m.load.Held -= u.held
 	u.judge(r)
 }
 
+// learn takes in how long a request took that ended well.
+func (u *Use) learn() {
+	s, now := u.p.service(u.entry.Service), u.p.clock.Now()
+	s.lasts += answerGain * (float64(now.Sub(u.begun))/float64(time.Millisecond) - s.lasts)
+	if u.engine && !u.first.IsZero() {
+		s.learner.Last(u.output, now.Sub(u.first))
+	}
+}
+
 func (u *Use) judge(r Result) {
 	o := u.p.outlier(u.m.entry.Service)
 	now, id := u.p.clock.Now(), u.m.entry.ID
