Orders: engines busier, the kind decided on measured work; changes of the list gathered

Cause: reading 0.65 and slots 0.8 of an engine left more idle than the spares of two a hall need. Each of 77 nodes watched the store for its first 3 s, while 60 upstreams list themselves.

Change: reading 0.75, slots 0.9; the kind is decided once work was measured for a hold, and changed for a gain of three tenths; a node follows others as soon as it hears them; changes are gathered for 25 ms a watcher.

--- a/internal/autoscale/mix.go
+++ b/internal/autoscale/mix.go
@@ -71,7 +71,7 @@
 // docs/DECISIONS.md has the trials.
 func MixDefaults(boot time.Duration) MixOptions {
 	return MixOptions{
-		Busy: capacity.Work{Reading: 0.65, Slots: 0.8, Memory: 0.9}, Spare: 2,
+		Busy: capacity.Work{Reading: 0.75, Slots: 0.9, Memory: 0.9}, Spare: 2,
 		Calm: boot + calmBeyond, Hold: boot + holdBeyond,
 	}
 }
@@ -135,7 +135,7 @@
 // Plan returns the counts wanted after what was observed last.
 func (m *Mix) Plan(now time.Duration, s MixSpec, halls []HallState) []Count {
 	found := m.floor(now)
-	buys := m.decide(s, len(halls))
+	buys := m.decide(now, s, len(halls))
 	need := math.Max(m.need(), m.keep(found, buys, halls))
 	wave := m.noticed && now-m.notice < m.o.Calm
 	sort.Slice(halls, func(i, j int) bool {
@@ -168,16 +168,20 @@
 }
 
 // switchGain is the part by which the other kind has to be cheaper for a change of kind: each
-// change boots everything anew, and the need swings.
-const switchGain = 0.15
+// change boots everything anew, and the need swings by as much.
+const switchGain = 0.3
 
 // decide tells whether reclaimable upstreams are bought: where they, and what is held to
 // bear their loss, cost less than on-demand ones for the same need.
-func (m *Mix) decide(s MixSpec, halls int) bool {
+// Until work was measured for a while they are, if they are cheaper at all: the first work
+// says little of what comes.
+func (m *Mix) decide(now time.Duration, s MixSpec, halls int) bool {
 	if s.ReclaimablePrice <= 0 || s.ReclaimablePrice >= 1 {
-		m.dear = true
 		return false
 	}
+	if !m.settled(now) {
+		return true
+	}
 	n := m.need()
 	with := (n+float64(m.o.Spare*halls))*s.ReclaimablePrice + leastOnDemand
 	without := math.Max(math.Ceil(n), float64(s.Min*halls)) + leastOnDemand
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -21,8 +21,8 @@
 // them, in a call that is held until there is news.
 //
 // A node that gets no news from those that watch, or that hears of a change which they
-// lack, watches by itself for a while. A node that starts does so, too: it needs what the
-// store has at once.
+// lack, watches by itself for a while. A node that starts does so until it has heard from
+// others of its hall: it needs what the store has at once.
 //
 // Weighed: news along with the reports between nodes. Pairs swap reports every second or
 // two in a fleet of some 80 nodes, which is what an upstream that leaves allows in all.
@@ -41,9 +41,6 @@
 	aloneFor = 5 * time.Second
 	// rolesEvery is how often a node looks whether it has to watch.
 	rolesEvery = 250 * time.Millisecond
-	// youngFor is the age up to which a node watches by itself: by then it has heard from
-	// those of its hall.
-	youngFor = 3 * time.Second
 )
 
 // errNoNews says that a node doesn't watch the store, or is behind.
@@ -116,7 +113,7 @@
 	n.mu.Lock()
 	alone := now.Before(n.alone)
 	n.mu.Unlock()
-	return alone || now.Sub(n.start) < youngFor || !n.listed.Load() || n.current() == nil || n.isWatcher()
+	return alone || !n.listed.Load() || n.current() == nil || n.isWatcher()
 }
 
 // watch watches the store, or asks those that do, until the context ends.
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -32,10 +32,10 @@
 	catalogWait = 2 * time.Second
 	listWait    = 6 * time.Second
 	// gatherNode and gatherLimit set the pause after changes of the list, so much for each
-	// node that watches: a wave of reclaims or a release comes as a change for each upstream, each answer
-	// to a watch is a call that is paid for, and all nodes get it. The limit is well below the
-	// seconds for which a leaving upstream still serves.
-	gatherNode  = 6 * time.Millisecond
+	// node that watches: a wave of reclaims or a release comes as a change for each upstream,
+	// each answer to a watch is a call that is paid for, and all that watch get it. The limit
+	// is well below the seconds for which a leaving upstream still serves.
+	gatherNode  = 25 * time.Millisecond
 	gatherLimit = 500 * time.Millisecond
 	// behindFor is how long this node's list may lack a change that another node has: two
 	// reports, and the delay of a watch.
