--- a/internal/autoscale/mix.go
+++ b/internal/autoscale/mix.go
@@ -14,7 +14,7 @@
 // Reclaimable upstreams cost a fraction, and are taken a hall at a time. Waves come in
 // series: the halls not yet hit are likely next, and while a wave lasts no reclaimable
 // ones are to be had. So in calm times the load is carried by reclaimable upstreams on
-// a base of on-demand ones, and from the first notice on the base is raised until it
+// a small base of on-demand ones, and from the first notice on the base is raised until it
 // carries the load alone; it is lowered again when no notice has come for a while and
 // the reclaimable ones are back. The need rises at once, since a new upstream takes its boot
 // time to help, and falls only after it has been lower for a while.
@@ -45,7 +45,9 @@
 
 // MixOptions sets a planner.
 type MixOptions struct {
-	// Busy is how much of its reading time, slots and memory an upstream should have in use.
+	// Busy is how much of its reading time, slots and memory an upstream should have in use:
+	// what is left bears bursts of a second or two, and that no choice spreads evenly. The
+	// spares bear the rest.
 	Busy capacity.Work
 	// Spare is how many reclaimable upstreams a hall has beyond its part of the need.
 	Spare int
@@ -122,8 +124,9 @@
 	delete(m.refusals, hall)
 }
 
-// Observe takes in a moment: load is the work that comes each second. It is called by every process, so that whichever gives orders next knows of the
-// need and the notices of the last seconds.
+// Observe takes in a moment: load is the work that comes each second. It is called by every
+// process, so that whichever gives orders next knows of the need and the notices of the last
+// seconds.
 func (m *Mix) Observe(now time.Duration, load capacity.Work, halls []HallState) {
 	need, binds := load.Unhurried(ready(halls)).Engines(m.o.Busy)
 	m.binds = binds
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -205,10 +205,7 @@
 		n.accept(m.Catalog, name)
 	}
 	if m.HasList {
-		items := make([]pool.Item, 0, len(m.List))
-		for _, v := range m.List {
-			items = append(items, itemFromWire(v))
-		}
+		items := itemsFromWire(m.List)
 		n.update(name, func(now time.Time, l *pool.List) { l.Replace(now, m.ListRevision, items) })
 		*from = source{m.Lifetime, m.ListSequence}
 	}
@@ -250,8 +247,6 @@
 		return a
 	}
 	a.HasList, a.ListRevision = true, n.pools.Revision()
-	for _, i := range n.pools.Items() {
-		a.List = append(a.List, itemToWire(i))
-	}
+	a.List = n.itemsToWire()
 	return a
 }
--- a/internal/edge/ordered.go
+++ b/internal/edge/ordered.go
@@ -18,9 +18,22 @@
 // Weighed: telling the counts in reports to the other nodes. A fault that kills the holder
 // often kills all nodes.
 
-// orderedKeeps is how long a new process orders no fewer: the boot of what was ordered and
-// a heartbeat or two, and the time in which the load is measured.
-const orderedKeeps = 7 * time.Second
+// orderedBeyond is how long beyond a boot a new process orders no fewer: a heartbeat or two
+// until what was ordered is listed, in which the load is measured.
+const orderedBeyond = 3 * time.Second
+
+// orderedKeeps is how long a new process orders no fewer.
+func (n *Node) orderedKeeps() time.Duration {
+	boot := time.Duration(0)
+	if c := n.current(); c != nil {
+		for _, name := range c.Services() {
+			if s := c.Service(name).Scaling; s != nil {
+				boot = max(boot, s.Boot)
+			}
+		}
+	}
+	return boot + orderedBeyond
+}
 
 // orderedRecord is what was ordered.
 var orderedRecord = record{name: "ordered", key: "spurhall/ordered"}
@@ -49,7 +62,7 @@
 
 // begin reads what the holder before has ordered.
 func (v *ordered) begin(ctx context.Context, n *Node) {
-	*v = ordered{counts: orderedValue{}, written: true, found: orderedValue{}, until: n.start.Add(orderedKeeps)}
+	*v = ordered{counts: orderedValue{}, written: true, found: orderedValue{}, until: n.start.Add(n.orderedKeeps())}
 	if !orderedRecord.read(ctx, n, &v.found) {
 		v.found = orderedValue{}
 	}
--- a/internal/edge/ordered_test.go
+++ b/internal/edge/ordered_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"spurhall.example/spurhall/internal/catalog"
 	"spurhall.example/spurhall/internal/lease"
 	"spurhall.example/spurhall/internal/standin"
 	"spurhall.example/spurhall/internal/store"
@@ -21,6 +22,9 @@
 	t.Helper()
 	n := &Node{kv: kv, clock: clock, log: zap.NewNop(), start: clock.Now()}
 	n.lease = lease.New(kv, clock, dutyKey, name, 3*time.Second)
+	c, err := catalog.New(catalog.Spec{Version: 1, Services: []catalog.ServiceSpec{{Name: "llm", Scaling: &catalog.ScalingSpec{Boot: 4 * time.Second}}}})
+	require.NoError(t, err)
+	n.catalog.Store(&held{catalog: c})
 	return n
 }
 
@@ -57,12 +61,12 @@
 		assert.Equal(t, 4, second.least(clock.Service().Now(), onDemand))
 		assert.Zero(t, second.least(clock.Service().Now(), reclaimable))
 		assert.Zero(t, second.least(clock.Service().Now(), subject{"llm", "hall-b", false}))
-		assert.Zero(t, second.least(clock.Service().Now().Add(orderedKeeps), onDemand))
+		assert.Zero(t, second.least(clock.Service().Now().Add(b.orderedKeeps()), onDemand))
 	})
 	t.Run("one that has run for longer goes by what it measured", func(t *testing.T) {
 		var v ordered
 		old := holder(t, kv, clock.Service(), "c")
-		old.start = old.start.Add(-orderedKeeps)
+		old.start = old.start.Add(-old.orderedKeeps())
 		v.begin(ctx, old)
 		assert.Zero(t, v.least(clock.Service().Now(), onDemand))
 	})
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -310,10 +310,7 @@
 	if m.ListRevision <= n.pools.Revision() || n.guard.Up() {
 		return
 	}
-	items := make([]pool.Item, 0, len(m.List))
-	for _, v := range m.List {
-		items = append(items, itemFromWire(v))
-	}
+	items := itemsFromWire(m.List)
 	n.update(name, func(now time.Time, l *pool.List) { l.Replace(now, m.ListRevision, items) })
 	n.listed.Store(true)
 	n.knowsMore()
@@ -327,6 +324,22 @@
 	}
 }
 
+func itemsFromWire(list []*wire.ListItem) []pool.Item {
+	items := make([]pool.Item, 0, len(list))
+	for _, v := range list {
+		items = append(items, itemFromWire(v))
+	}
+	return items
+}
+
+func (n *Node) itemsToWire() []*wire.ListItem {
+	var list []*wire.ListItem
+	for _, i := range n.pools.Items() {
+		list = append(list, itemToWire(i))
+	}
+	return list
+}
+
 func itemFromWire(v *wire.ListItem) pool.Item {
 	return pool.Item{Revision: v.Revision, Entry: pool.Entry{
 		ID: v.Id, Service: v.Service, Address: v.Address, Hall: v.Hall, Slots: int(v.Slots), Leaving: v.Leaving,
@@ -352,10 +365,7 @@
 		a.Catalog, a.CatalogVersion = h.raw, h.catalog.Version()
 	}
 	if v := s.n.pools.Revision(); v > r.Msg.ListRevision {
-		a.ListRevision = v
-		for _, i := range s.n.pools.Items() {
-			a.List = append(a.List, itemToWire(i))
-		}
+		a.ListRevision, a.List = v, s.n.itemsToWire()
 	}
 	s.n.mu.Lock()
 	defer s.n.mu.Unlock()
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -60,7 +60,8 @@
 	Answer float64         // milliseconds to an answer's head, of one without
 }
 
-// The weights of a choice, in milliseconds.
+// The weights of a choice, in milliseconds. What depends on the engines is learned; these
+// only put the rest in order, and a service that is twice as fast or slow keeps that order.
 const (
 	// otherHallMs is a round trip between halls of a region.
 	otherHallMs = 2.0
@@ -73,10 +74,10 @@
 	memoryShare   = 0.9    // of an engine's memory that is used without a penalty
 	memoryWeight  = 4.0    // tokens read a token over that share: each may cost a re-read or two
 	fullMs        = 1300.0 // an upstream that is full or can't be reached is asked last
-	coldMs        = 330.0
-	homeMs        = 6.0 // settles where a new prefix goes: all nodes name the same upstream
-	failureWeight = 8.0 // a share of failures of an eighth doubles the cost
-	baseMs        = 30.0
+	coldMs        = 330.0  // one that warms up, before one that is full
+	homeMs        = 6.0    // settles where a new prefix goes: all nodes name the same upstream
+	failureWeight = 8.0    // a share of failures of an eighth doubles the cost
+	baseMs        = 30.0   // what slowness and failures are a part of where nothing is to be read
 )
 
 // Pick returns the index of the cheapest candidate, or -1 if there is none.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -34,8 +34,8 @@
 }
 
 const (
-	// prefixKeeps is how long a prefix is taken to stay cached after its last use. An
-	// engine of the sheets takes in its whole memory anew in about so long.
+	// prefixKeeps is how long a prefix is taken to stay cached after its last use. Under
+	// load, an engine takes in its whole memory anew in about so long.
 	prefixKeeps = 30 * time.Second
 	// peerKeeps is the age at which another node's load says nothing any more.
 	peerKeeps = 3 * time.Second
