Counts that come late are written to the store again

A hall is cut off for six seconds, is heard again, and 1.6 s later all processes are lost. The holder had written the window's counts to the store once, before the cut healed, and the hall's counts went with the processes. Change: what was written is written again, each half second at most, when more is known. Before: the new part of TestCountsOutliveAllProcesses finds 8 of 38.

--- a/internal/edge/counted.go
+++ b/internal/edge/counted.go
@@ -23,6 +23,10 @@
 	// countedWindows is how many ended windows are written: those that may still wait for a
 	// silent node.
 	countedWindows = 3
+	// countedAgain is how often they are written again at most, where counts came late: a
+	// hall that was cut off tells of its windows when it is heard again. On a played day all
+	// processes were lost 1.6 s after such a cut, and 103 of 1,337 requests with them.
+	countedAgain = 500 * time.Millisecond
 )
 
 // countedRecord is the counts.
@@ -37,12 +41,14 @@
 
 // counted is the holder's side of the counts.
 type counted struct {
-	window int64 // the newest that was written in this term
+	window int64     // the newest that was written in this term
+	total  int64     // requests in what was written
+	at     time.Time // when it was
 }
 
 // begin takes in what the holder before has written.
 func (v *counted) begin(ctx context.Context, n *Node) {
-	v.window = 0
+	*v = counted{}
 	var list []processCounts
 	if !countedRecord.read(ctx, n, &list) {
 		return
@@ -54,17 +60,35 @@
 	}
 }
 
-// write puts the counts into the store once a window has ended, on condition that the term
-// lasts. What can't be written is tried again with the next step.
+// write puts the counts into the store once a window has ended, and again when more was
+// heard of it, on condition that the term lasts. What can't be written is tried again with
+// the next step.
 func (v *counted) write(ctx context.Context, n *Node, token int64) {
 	now := n.clock.Now()
 	newest := n.usage.Window(now) - 1
-	if newest <= v.window || now.Sub(n.usage.End(newest)) < countedAfter {
+	if now.Sub(n.usage.End(newest)) < countedAfter || newest <= v.window && now.Sub(v.at) < countedAgain {
 		return
 	}
-	if countedRecord.write(ctx, n, token, n.processCounts(newest)) {
-		v.window = newest
+	list := n.processCounts(newest)
+	total := totalOf(list)
+	if newest <= v.window && total == v.total {
+		return
+	}
+	if countedRecord.write(ctx, n, token, list) {
+		*v = counted{newest, total, now}
+	}
+}
+
+func totalOf(list []processCounts) int64 {
+	sum := int64(0)
+	for _, p := range list {
+		for _, c := range p.Windows {
+			for _, x := range c {
+				sum += x
+			}
+		}
 	}
+	return sum
 }
 
 // processCounts is the counts of all processes in the newest ended windows.
--- a/internal/edge/counted_test.go
+++ b/internal/edge/counted_test.go
@@ -51,7 +51,7 @@
 	assert.Equal(t, window, c.window)
 
 	again := counter(t, kv, clock.Service(), "a", "2")
-	token = takeOver(t, again)
+	takeOver(t, again)
 	var d counted
 	d.begin(ctx, again)
 	assert.Equal(t, usage.Counts{"w": 8}, again.usage.Sum(window))
@@ -69,8 +69,25 @@
 		again.usage = usage.New("a", "2", 5*time.Second)
 		d.begin(ctx, again)
 	})
+	t.Run("counts that come late are written again", func(t *testing.T) {
+		a.lease.Resign()
+		again.lease.Resign()
+		token := takeOver(t, a)
+		a.usage.TakeIn("c", "1", usage.Windows{window: {"w": 30}}) // it was cut off
+		clock.Advance(countedAgain)
+		c.write(ctx, a, token)
+		a.lease.Resign()
+		late := counter(t, kv, clock.Service(), "a", "4")
+		takeOver(t, late)
+		var e counted
+		e.begin(ctx, late)
+		assert.Equal(t, usage.Counts{"w": 38}, late.usage.Sum(window))
+		late.lease.Resign()
+		takeOver(t, again)
+	})
 	t.Run("it is passed on", func(t *testing.T) {
-		d.write(ctx, again, token)
+		again.lease.Resign()
+		d.write(ctx, again, takeOver(t, again))
 		third := counter(t, kv, clock.Service(), "a", "3")
 		takeOver(t, third)
 		var e counted
