Calls to the store are counted by verb and key

Change: spurhall_store_calls{verb:key} on the metrics address; keys that end in a name of their own count as one.

--- a/internal/store/guard.go
+++ b/internal/store/guard.go
@@ -5,6 +5,7 @@
 	"errors"
 	"expvar"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -20,6 +21,19 @@
 // because the budget was spent or the breaker was open.
 var Calls = expvar.NewMap("platform_calls")
 
+// callsByKey counts the calls made to the store by verb and by what they are about: each
+// call is paid for, and this tells for what.
+var callsByKey = expvar.NewMap("store_calls")
+
+// countKey counts a call about a key. Keys that end in a name of their own, such as a
+// node's, count as one.
+func countKey(verb, key string) {
+	if i := strings.LastIndexByte(key, '/'); i == len(key)-1 || strings.Count(key, "/") > 1 {
+		key = key[:max(i, 0)]
+	}
+	callsByKey.Add(verb+":"+key, 1)
+}
+
 // Guard limits and breaks the calls of one node.
 type Guard struct {
 	clock  *timer.Service
@@ -146,6 +160,7 @@
 			if err := g.before("reads", g.reads); err != nil {
 				return RangeResult{}, err
 			}
+			countKey("range", key)
 			r, err := kv.Range(ctx, key, end)
 			g.note(err)
 			return r, err
@@ -154,6 +169,7 @@
 			if err := g.before("glances", nil); err != nil {
 				return RangeResult{}, err
 			}
+			countKey("glance", prefix)
 			r, err := kv.Glance(ctx, prefix)
 			g.note(err)
 			return r, err
@@ -162,6 +178,9 @@
 			if err := g.before("writes", g.writes); err != nil {
 				return TxnResult{}, err
 			}
+			if len(t.Then) > 0 {
+				countKey("txn", t.Then[0].Key)
+			}
 			r, err := kv.Txn(ctx, t)
 			g.note(err)
 			return r, err
@@ -170,17 +189,22 @@
 			if err := g.before("leases", nil); err != nil {
 				return 0, err
 			}
+			countKey("grant", "")
 			id, err := kv.Grant(ctx, ttl)
 			g.note(err)
 			return id, err
 		},
 		KeepAlive: func(ctx context.Context, lease int64) (time.Duration, error) {
 			Calls.Add("leases", 1)
+			countKey("keep_alive", "")
 			d, err := kv.KeepAlive(ctx, lease)
 			g.note(err)
 			return d, err
 		},
-		Revoke: kv.Revoke,
+		Revoke: func(ctx context.Context, lease int64) error {
+			countKey("revoke", "")
+			return kv.Revoke(ctx, lease)
+		},
 		Watch: func(ctx context.Context, s Span, f func(WatchBatch) error) error {
 			if err := g.before("watches", g.reads); err != nil {
 				return err
@@ -206,7 +230,9 @@
 		}
 	}()
 	var own error // of f, which says nothing of the store
+	countKey("watch", s.Key)
 	err := kv.Watch(c, s, func(b WatchBatch) error {
+		countKey("watch", s.Key) // each answer is followed by another call
 		g.note(nil)
 		own = f(b)
 		return own
