--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -8,10 +8,10 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"spurhall.example/spurhall/internal/pool"
+	"spurhall.example/spurhall/internal/relay"
 	"spurhall.example/spurhall/internal/wire"
 )
 
@@ -76,29 +76,43 @@
 	return v.sequence, v.changed
 }
 
-// watchers names the nodes of this hall that watch the store: those that come first by a
-// hash of their names, of the ones that are heard. Nodes whose views differ for a moment
-// ask one that doesn't watch, and are told so.
+// watchers names the nodes of this hall that watch the store: those that come first in the
+// hall's order, of the ones that are heard and that the store answers, or of all that are
+// heard if it answers none. Nodes whose views differ for a moment ask one that doesn't
+// watch, and are told so.
 func (n *Node) watchers() []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now, silent := n.clock.Now(), silentAfter(n.peers.size())
-	names := []string{n.s.Node}
+	return n.watchersAt(n.clock.Now())
+}
+
+// watchersAt is watchers. The node's lock is held.
+func (n *Node) watchersAt(now time.Time) []string {
+	silent := silentAfter(n.peers.size())
+	heard, served := []string{n.s.Node}, []string{}
+	if n.guard.Up() {
+		served = append(served, n.s.Node)
+	}
 	for _, p := range n.peers.peers {
-		if p.hall == n.s.Hall && !p.leaving && now.Sub(p.heard) <= silent {
-			names = append(names, p.name)
+		if p.hall != n.s.Hall || p.leaving || now.Sub(p.heard) > silent {
+			continue
 		}
-	}
-	slices.SortFunc(names, func(a, b string) int {
-		if x, y := xxhash.Sum64String(a), xxhash.Sum64String(b); x != y {
-			if x < y {
-				return -1
-			}
-			return 1
+		heard = append(heard, p.name)
+		if p.storeUp {
+			served = append(served, p.name)
 		}
-		return 0
-	})
-	return names[:min(len(names), watchersAHall)]
+	}
+	if len(served) == 0 {
+		served = heard
+	}
+	relay.Order(served)
+	return served[:min(len(served), watchersAHall)]
+}
+
+// watchesFor tells whether this node is one of those that watch for their hall. The node's
+// lock is held.
+func (n *Node) watchesFor(now time.Time) bool {
+	return slices.Contains(n.watchersAt(now), n.s.Node)
 }
 
 // isWatcher tells whether this node is one of those that watch for their hall.
--- /dev/null
+++ b/internal/edge/members_test.go
@@ -0,0 +1,117 @@
+package edge
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"spurhall.example/spurhall/internal/relay"
+	"spurhall.example/spurhall/internal/store"
+	"spurhall.example/spurhall/internal/timer"
+)
+
+// TestRenewals: what a fleet renews in a second doesn't grow with it, until a node renews as
+// seldom as it may; and a lease outlives a restart, and some renewals that fail.
+func TestRenewals(t *testing.T) {
+	for _, nodes := range []int{1, 6, 23, 77, 95, 419} {
+		t.Run(fmt.Sprint(nodes, " nodes"), func(t *testing.T) {
+			every := renewEvery(nodes)
+			assert.GreaterOrEqual(t, every, memberRenew)
+			assert.LessOrEqual(t, every, memberRenewMost)
+			assert.GreaterOrEqual(t, memberTTL*every, 6*time.Second)
+			if every < memberRenewMost {
+				assert.LessOrEqual(t, float64(nodes)/every.Seconds(), float64(renewalsASecond))
+			}
+		})
+	}
+}
+
+// hall returns a node with so many others in its hall, all heard just now and served by the
+// store, the fleet being as large.
+func hall(t *testing.T, others int) (*Node, *timer.Manual, *observer.ObservedLogs) {
+	t.Helper()
+	c := timer.NewManual(time.Unix(1000, 0))
+	core, logs := observer.New(zap.InfoLevel)
+	n := &Node{s: &Settings{Node: "edge-0", Hall: "a"}, clock: c.Service(), log: zap.New(core), guard: store.NewGuard(c.Service(), store.GuardOptions{Reads: 1, Writes: 1})}
+	n.peers = &table{n: n, peers: make(map[string]*peer)}
+	for i := 1; i <= others; i++ {
+		name := fmt.Sprint("edge-", i)
+		n.peers.peers[name] = &peer{name: name, hall: "a", heard: n.clock.Now(), storeUp: true}
+	}
+	return n, c, logs
+}
+
+// TestWatchersAreServed: a node that the store turns away doesn't watch for its hall, unless
+// it turns all of them away.
+func TestWatchersAreServed(t *testing.T) {
+	n, _, _ := hall(t, 9)
+	before := n.watchers()
+	require.Len(t, before, watchersAHall)
+	n.peers.peers[before[0]].storeUp = false
+	after := n.watchers()
+	assert.NotContains(t, after, before[0])
+	assert.Contains(t, after, before[1], "nobody else changes")
+	for _, p := range n.peers.peers {
+		p.storeUp = false
+	}
+	assert.Len(t, n.watchers(), watchersAHall, "somebody has to try")
+}
+
+// TestRelaysThatFailedAreNotAsked, until they are heard again or some time has passed.
+func TestRelaysThatFailedAreNotAsked(t *testing.T) {
+	n, c, _ := hall(t, 20)
+	first := relay.Relays(n.hallNodes(n.clock.Now(), "a"))[0]
+	if first == n.s.Node {
+		first = relay.Relays(n.hallNodes(n.clock.Now(), "a"))[1]
+	}
+	p := n.peers.peers[first]
+	assertAsked := func(t *testing.T, want bool) {
+		t.Helper()
+		for _, o := range n.peers.peers {
+			if o != p {
+				o.heard = n.clock.Now()
+			}
+		}
+		assert.Equal(t, want, len(names(n.hallNodes(n.clock.Now(), "a"), first)) == 1)
+	}
+	assertAsked(t, true)
+	c.Advance(time.Second)
+	p.relaying.failed = n.clock.Now()
+	assertAsked(t, false)
+	c.Advance(reportEvery)
+	p.heard = n.clock.Now()
+	assertAsked(t, true)
+}
+
+// names returns those of a list that are a name.
+func names(list []string, name string) []string {
+	var r []string
+	for _, v := range list {
+		if v == name {
+			r = append(r, v)
+		}
+	}
+	return r
+}
+
+// TestLogOfOthersFollowsTheFleet: in a large fleet, a node that doesn't watch the store for
+// its hall logs a line a round about the others, whatever became of how many.
+func TestLogOfOthersFollowsTheFleet(t *testing.T) {
+	n, _, logs := hall(t, 94)
+	for _, p := range n.peers.peers {
+		n.notePeer("peer_heard", zap.String("peer", p.name))
+	}
+	n.tellPeers()
+	assert.Equal(t, 1, logs.Len())
+	assert.Equal(t, int64(94), logs.FilterMessage("peers_changed").All()[0].ContextMap()["heard"])
+	n.tellPeers()
+	assert.Equal(t, 1, logs.Len(), "nothing more has happened")
+	n.notes.teller = true
+	n.notePeer("peer_heard", zap.String("peer", "edge-1"))
+	assert.Equal(t, 1, logs.FilterMessage("peer_heard").Len(), "one that watches tells of each")
+}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -3,6 +3,7 @@
 //
 //	watch.go    follows the configuration and the upstreams in the store
 //	peers.go    reports to the other nodes, and takes in theirs
+//	relay.go    the same through relays, in a large fleet
 //	members.go  registers this node, and knows the others
 //	duties.go   usage reports, by the node that holds the lease
 //	serve.go    listeners, readiness, the planned stop
@@ -13,6 +14,7 @@
 package edge
 
 import (
+	"context"
 	"expvar"
 	"sync"
 	"sync/atomic"
@@ -28,6 +30,7 @@
 	"spurhall.example/spurhall/internal/lease"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/quota"
+	"spurhall.example/spurhall/internal/relay"
 	"spurhall.example/spurhall/internal/retry"
 	"spurhall.example/spurhall/internal/store"
 	"spurhall.example/spurhall/internal/timer"
@@ -50,6 +53,8 @@
 	EntryPrefix   string
 	DecodeCatalog func(b []byte) (*catalog.Catalog, error)
 	DecodeEntry   func(key string, value []byte) (pool.Entry, error)
+	// Cached asks the engine at an address which prompt parts it has cached; nil: none can.
+	Cached func(ctx context.Context, address string) ([]call.Part, error)
 }
 
 // Node is one entry VM's process.
@@ -83,6 +88,13 @@
 	looked  bool      // the registry of the nodes has been read
 	usage   *usage.Book
 	peers   *table
+	notes   notes
+	book    *relay.Book     // what this node knows as a relay
+	view    relay.View      // what it knows by its relay
+	home    string          // the relay that it reports to
+	relayed time.Time       // when the last digest came
+	covered map[string]bool // the nodes that it told of
+	placing time.Time       // from when on a relay is asked to place requests
 
 	othersChange int64     // newest change of the list that other nodes told of
 	behind       time.Time // since when this node lacks it; zero: it doesn't
@@ -113,6 +125,7 @@
 	n.quotas = quota.New(n.start, s.FirstStart)
 	n.usage = usage.New(s.Node, o.Lifetime, s.UsageWindow)
 	n.peers = newTable(n)
+	n.book = relay.NewBook(s.Node, o.Lifetime)
 	n.catalogReader = n.catalogFollower()
 	n.listReader = n.listFollower()
 	n.news = newNews()
@@ -121,7 +134,7 @@
 	n.lease = lease.New(n.kv, o.Clock, dutyKey, s.Node, max(s.Lease, s.Store.MinLease))
 	n.front = forward.NewServer(forward.Options{
 		Clock: o.Clock, Log: o.Log, Dialect: o.Dialect, Pools: n.pools, Lines: n.lines, Known: n.known, Catalog: n.current,
-		Charge: n.charge, Refund: n.refund, Began: n.began, First: n.first, Repeat: n.repeat, Phase: n.stopPhase,
+		Place: n.place, Charge: n.charge, Refund: n.refund, Began: n.began, First: n.first, Repeat: n.repeat, Phase: n.stopPhase,
 	})
 	return n
 }
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -11,6 +11,7 @@
 
 	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/pool"
+	"spurhall.example/spurhall/internal/quota"
 	"spurhall.example/spurhall/internal/usage"
 	"spurhall.example/spurhall/internal/wire"
 	"spurhall.example/spurhall/internal/wire/wireconnect"
@@ -37,7 +38,9 @@
 	address  string
 	hall     string // empty: not heard yet
 	leaving  bool
+	storeUp  bool // the store answers it
 	lifetime string
+	began    time.Time // the process, as near as its reports tell
 	sequence uint64
 	heard    time.Time
 	called   time.Time // by this node
@@ -49,6 +52,7 @@
 	version  int64 // of its catalog
 	revision int64 // of its upstream list
 	work     map[string]capacity.Work
+	relaying relaying
 }
 
 // table is the other nodes. Its fields are guarded by the node's lock.
@@ -74,7 +78,7 @@
 	if p == nil {
 		p = &peer{name: name}
 		t.peers[name] = p
-		t.n.log.Info("peer_found", zap.String("peer", name), zap.String("address", address))
+		t.n.notePeer("peer_found", zap.String("peer", name), zap.String("address", address))
 	}
 	if p.address != address {
 		p.address = address
@@ -102,7 +106,7 @@
 }
 
 func (n *Node) round(ctx context.Context, now time.Time) {
-	report := n.report()
+	report := n.report(allWindows)
 	n.mu.Lock()
 	n.shareQuotas(now)
 	n.guard.SetRates(n.share())
@@ -113,13 +117,14 @@
 			heard++
 		} else if !p.silent && !p.heard.IsZero() {
 			p.silent = true
-			n.log.Warn("peer_silent", zap.String("peer", p.name), zap.Duration("for", now.Sub(p.heard)), zap.String("last_call", p.failure))
+			n.notePeer("peer_silent", zap.String("peer", p.name), zap.Duration("for", now.Sub(p.heard)), zap.String("last_call", p.failure))
 		}
 	}
 	call := n.peers.due(now)
 	for _, p := range call {
 		p.busy, p.called = true, now
 	}
+	n.tellPeers()
 	n.mu.Unlock()
 	peersHeard.Set(int64(heard))
 	for _, p := range call {
@@ -132,12 +137,15 @@
 	if n.looked || now.Sub(n.start) > lookedBy {
 		n.quotas.SetPeers(now, n.peers.names())
 	}
-	every := pairEvery(n.peers.size())
+	every, lag := pairEvery(n.peers.size()), time.Duration(0)
+	if now.Sub(n.relayed) <= relayedFor {
+		every, lag = min(every, relaySpan), relayLag
+	}
 	if now.Sub(n.shared) < every-reportEvery/2 {
 		return
 	}
 	n.shared = now
-	n.quotas.Round(now, every)
+	n.quotas.Round(now, every, lag)
 }
 
 // tell swaps reports with one node.
@@ -159,8 +167,11 @@
 	}
 }
 
-// report is this node's state.
-func (n *Node) report() *wire.NodeReport {
+// allWindows asks for the counts of all usage windows in a report.
+const allWindows = 0
+
+// report is this node's state, with the counts of so many of the newest usage windows.
+func (n *Node) report(windows int64) *wire.NodeReport {
 	loads, placed := n.pools.Report()
 	r := &wire.NodeReport{
 		Node: n.s.Node, Lifetime: n.o.Lifetime, Address: n.s.Peers, ListRevision: n.pools.Revision(), ListChange: n.pools.Change(),
@@ -169,20 +180,13 @@
 	if h := n.catalog.Load(); h != nil {
 		r.CatalogVersion = h.catalog.Version()
 	}
-	for _, l := range loads {
-		r.Loads = append(r.Loads, &wire.Load{Upstream: l.Upstream, Running: int32(l.Running), QueuedTokens: int64(l.Queued), HeldTokens: int64(l.Held)})
-	}
-	for _, v := range placed {
-		r.Placed = append(r.Placed, &wire.Placed{Prefix: v.Prefix, Upstream: v.Upstream})
-	}
+	r.Loads, r.Placed = loadsToWire(loads), placedToWire(placed)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.peers.sequence++
 	r.Sequence = n.peers.sequence
-	for w, v := range n.quotas.Charged() {
-		r.Spent = append(r.Spent, &wire.Spent{Workspace: w, Tokens: v})
-	}
-	r.Started = startedToWire(n.usage.Own())
+	r.Spent = spentToWire(n.quotas.Charged())
+	r.Started = startedToWire(n.newest(n.usage.Own(), windows))
 	for v, w := range n.pools.Work() {
 		r.Work = append(r.Work, &wire.Work{Service: v, Reading: w.Reading, Slots: w.Slots, Memory: w.Memory})
 	}
@@ -192,27 +196,20 @@
 	return r
 }
 
-func startedToWire(w usage.Windows) []*wire.Started {
-	var r []*wire.Started
-	for k, c := range w {
-		for name, v := range c {
-			r = append(r, &wire.Started{Window: k, Workspace: name, Count: v})
+// newest is the newest of some windows.
+func (n *Node) newest(w usage.Windows, windows int64) usage.Windows {
+	if windows == allWindows {
+		return w
+	}
+	r := make(usage.Windows, windows)
+	for k := n.usage.Window(n.clock.Now()); windows > 0; k, windows = k-1, windows-1 {
+		if c := w[k]; c != nil {
+			r[k] = c
 		}
 	}
 	return r
 }
 
-func startedFromWire(l []*wire.Started) usage.Windows {
-	w := make(usage.Windows)
-	for _, v := range l {
-		if w[v.Window] == nil {
-			w[v.Window] = make(usage.Counts)
-		}
-		w[v.Window][v.Workspace] = v.Count
-	}
-	return w
-}
-
 // takeIn takes in another node's report.
 func (n *Node) takeIn(ctx context.Context, r *wire.NodeReport) {
 	if r.GetNode() == "" || r.Node == n.s.Node {
@@ -221,19 +218,11 @@
 	if !n.admitReport(r) {
 		return
 	}
-	loads := make([]pool.Load, 0, len(r.Loads))
-	for _, l := range r.Loads {
-		loads = append(loads, pool.Load{Upstream: l.Upstream, Running: int(l.Running), Queued: float64(l.QueuedTokens), Held: float64(l.HeldTokens)})
-	}
-	placed := make([]pool.Placement, 0, len(r.Placed))
-	for _, v := range r.Placed {
-		placed = append(placed, pool.Placement{Prefix: v.Prefix, Upstream: v.Upstream})
-	}
 	engines := make(map[string]capacity.Engine, len(r.Engines))
 	for _, v := range r.Engines {
 		engines[v.Service] = capacity.Engine{Reading: v.Reading, First: v.First, Token: v.Token, Samples: int(v.Samples)}
 	}
-	n.pools.TakeIn(r.Node, loads, placed, engines)
+	n.pools.TakeIn(r.Node, loadsFromWire(r.Loads), placedFromWire(r.Placed), engines)
 	n.noteChange(r.Node, r.ListChange)
 	n.catchUp(ctx, r)
 }
@@ -248,19 +237,16 @@
 		return false
 	}
 	if p.lifetime != r.Lifetime || now.Sub(p.heard) > silentAfter(n.peers.size()) {
-		n.log.Info("peer_heard", zap.String("peer", r.Node), zap.String("lifetime", r.Lifetime), zap.Int64("catalog", r.CatalogVersion))
+		n.notePeer("peer_heard", zap.String("peer", r.Node), zap.String("lifetime", r.Lifetime), zap.Int64("catalog", r.CatalogVersion))
 	}
 	p.lifetime, p.sequence, p.heard, p.silent = r.Lifetime, r.Sequence, now, false
-	p.version, p.revision, p.hall, p.leaving = r.CatalogVersion, r.ListRevision, r.Hall, r.Leaving
-	charged := make(map[string]float64, len(r.Spent))
-	for _, v := range r.Spent {
-		charged[v.Workspace] = v.Tokens
-	}
+	p.began = now.Add(-millis(r.UptimeMs))
+	p.version, p.revision, p.hall, p.leaving, p.storeUp = r.CatalogVersion, r.ListRevision, r.Hall, r.Leaving, r.StoreUp
 	p.work = make(map[string]capacity.Work, len(r.Work))
 	for _, v := range r.Work {
 		p.work[v.Service] = capacity.Work{Reading: v.Reading, Slots: v.Slots, Memory: v.Memory}
 	}
-	n.quotas.TakeIn(now, r.Node, r.Lifetime, time.Duration(r.UptimeMs)*time.Millisecond, charged)
+	n.quotas.TakeIn(now, quota.Word{Node: r.Node, Lifetime: r.Lifetime, Uptime: millis(r.UptimeMs), Charged: spentFromWire(r.Spent)})
 	n.usage.TakeIn(r.Node, r.Lifetime, startedFromWire(r.Started))
 	return true
 }
@@ -316,37 +302,6 @@
 	n.knowsMore()
 }
 
-func itemToWire(v pool.Item) *wire.ListItem {
-	e := v.Entry
-	return &wire.ListItem{
-		Id: e.ID, Service: e.Service, Address: e.Address, Hall: e.Hall, Slots: int32(e.Slots), Leaving: e.Leaving,
-		WarmUpMs: e.WarmUp.Milliseconds(), Reclaimable: e.Reclaimable, LeavesInMs: e.LeavesIn.Milliseconds(), Revision: v.Revision,
-	}
-}
-
-func itemsFromWire(list []*wire.ListItem) []pool.Item {
-	items := make([]pool.Item, 0, len(list))
-	for _, v := range list {
-		items = append(items, itemFromWire(v))
-	}
-	return items
-}
-
-func (n *Node) itemsToWire() []*wire.ListItem {
-	var list []*wire.ListItem
-	for _, i := range n.pools.Items() {
-		list = append(list, itemToWire(i))
-	}
-	return list
-}
-
-func itemFromWire(v *wire.ListItem) pool.Item {
-	return pool.Item{Revision: v.Revision, Entry: pool.Entry{
-		ID: v.Id, Service: v.Service, Address: v.Address, Hall: v.Hall, Slots: int(v.Slots), Leaving: v.Leaving,
-		WarmUp: time.Duration(v.WarmUpMs) * time.Millisecond, Reclaimable: v.Reclaimable, LeavesIn: time.Duration(v.LeavesInMs) * time.Millisecond,
-	}}
-}
-
 // edgeService is what other nodes may ask of this one.
 type edgeService struct{ n *Node }
 
@@ -355,7 +310,7 @@
 	if r.Msg.Report != nil {
 		s.n.takeIn(context.WithoutCancel(ctx), r.Msg.Report)
 	}
-	return connect.NewResponse(&wire.ReportResponse{Report: s.n.report()}), nil
+	return connect.NewResponse(&wire.ReportResponse{Report: s.n.report(allWindows)}), nil
 }
 
 // CatchUp gives what the asker lacks.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -68,7 +68,7 @@
 		if err := s.mayTry(ctx, q, try, last); err != nil {
 			return nil, err
 		}
-		use := s.o.Pools.Pick(s.need(q, tried))
+		use := s.pick(ctx, q, tried)
 		if use == nil {
 			return nil, s.giveUp(q, fault.Because(errNotRun, "no upstream of service %s takes it", q.service), last)
 		}
@@ -85,6 +85,17 @@
 	return nil, s.giveUp(q, last, last)
 }
 
+// pick chooses an upstream: for the first attempt at an engine as Place says.
+func (s *Server) pick(ctx context.Context, q *request, tried map[string]bool) *pool.Use {
+	n := s.need(q, tried)
+	if n.Engine && len(tried) == 0 {
+		if id := s.o.Place(ctx, n); id != "" {
+			return s.o.Pools.PickAt(n, id)
+		}
+	}
+	return s.o.Pools.Pick(n)
+}
+
 // mayTry tells whether another attempt is allowed. The first always is.
 func (s *Server) mayTry(ctx context.Context, q *request, try int, last error) error {
 	if try == 0 {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -64,6 +64,9 @@
 	Known <-chan struct{}
 	// Catalog returns the configuration in force, or nil before there is one.
 	Catalog func() *catalog.Catalog
+	// Place returns the upstream that is to take a request, or nothing if this node is to
+	// choose one.
+	Place func(ctx context.Context, n pool.Need) string
 	// Charge takes tokens from a workspace's quota, Refund gives them back.
 	Charge func(workspace string, tokens float64) quota.Verdict
 	Refund func(workspace string, tokens float64)
@@ -366,7 +369,7 @@
 func chosen(u *pool.Use) []zap.Field {
 	c := u.Choice()
 	return []zap.Field{
-		zap.String("upstream", u.Entry().ID), zap.String("hall", u.Entry().Hall), zap.Int("candidates", c.Candidates), zap.Int("running", c.Running),
+		zap.String("upstream", u.Entry().ID), zap.String("hall", u.Entry().Hall), zap.Int("candidates", c.Candidates), zap.Bool("by_relay", c.ByRelay), zap.Int("running", c.Running),
 		zap.Int("queued_tokens", int(c.Queued)), zap.Int("cached_tokens", int(c.Cached)), zap.Int("fetched_tokens", int(c.Fetched)), zap.Int64("list_revision", c.Revision), zap.Duration("oldest_report", c.Oldest),
 	}
 }
--- /dev/null
+++ b/internal/model/model.go
@@ -0,0 +1,209 @@
+// Package model plays the daemon's own decisions against a load, on a virtual clock: nodes
+// that choose upstreams by what they know of each other, engines that batch and cache, and
+// callers that come whatever becomes of them. It holds no copy of a decision: a node is a
+// pool.Pools, and what nodes know of each other comes through the relay package's books or
+// by reports in pairs.
+//
+// A seed gives the same play each time. What is left out: the network, failures, plain
+// upstreams, quotas and orders.
+package model
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"spurhall.example/spurhall/internal/call"
+	"spurhall.example/spurhall/internal/capacity"
+	"spurhall.example/spurhall/internal/pool"
+	"spurhall.example/spurhall/internal/relay"
+	"spurhall.example/spurhall/internal/timer"
+)
+
+// Spread is how nodes learn of each other.
+type Spread int
+
+// The ways.
+const (
+	SpreadPairs  Spread = iota // each pair swaps reports, twelve pairs a node in a round
+	SpreadRelays               // through relays
+	SpreadPlaced               // through relays, which also place the requests of their nodes
+)
+
+// Class is one kind of request.
+type Class struct {
+	Name   string
+	Rate   float64       // a second, over all nodes
+	Target time.Duration // to the first event
+	Shared []Shared      // parts of the prompt that others have, too
+	Own    float64       // median tokens of its own part
+	Sigma  float64       // spread of the own part, of the log
+	Output float64       // median tokens that go out
+}
+
+// Shared is a part of which each request draws one of some.
+type Shared struct {
+	Count  int
+	Tokens float64
+}
+
+// Load is what is played.
+type Load struct {
+	Halls, Nodes, Engines int
+	Engine                EngineSpec
+	Classes               []Class
+	Spread                Spread
+	Seed                  uint64
+	Warm, Length          time.Duration // Warm isn't measured
+}
+
+// Result is what callers got of one class.
+type Result struct {
+	Class   string
+	Asked   int
+	InTime  float64 // share
+	P50     time.Duration
+	P99     time.Duration
+	Waiting int // without a first event at the end
+}
+
+// Outcome is what a play gave.
+type Outcome struct {
+	Classes []Result
+	Read    float64 // prompt tokens read, of all that were asked
+}
+
+type part struct {
+	id     uint64
+	tokens float64
+}
+
+type request struct {
+	class  int
+	prompt float64
+	output float64
+	parts  []part
+	at     time.Duration
+}
+
+type node struct {
+	name, hall string
+	pools      *pool.Pools
+	book       *relay.Book
+	view       relay.View
+	sequence   uint64
+}
+
+type play struct {
+	World
+	l       Load
+	random  *rand.Rand
+	clock   *timer.Manual
+	nodes   []*node
+	engines map[string]*engine
+	firsts  [][]time.Duration
+	asked   []int
+	prompts float64
+}
+
+const (
+	service = "llm"
+	round   = 250 * time.Millisecond
+	// hop is what a message between nodes takes.
+	hop = 2 * time.Millisecond
+	// pairsARound is how many pairs of a node swap reports in a round.
+	pairsARound = 12
+)
+
+// Play plays a load.
+func Play(l Load) Outcome {
+	p := &play{
+		l: l, random: rand.New(rand.NewPCG(l.Seed, 1)), clock: timer.NewManual(time.Unix(1_700_000_000, 0)), engines: make(map[string]*engine),
+		firsts: make([][]time.Duration, len(l.Classes)), asked: make([]int, len(l.Classes)),
+	}
+	p.build()
+	for i := range l.Classes {
+		p.arrive(i)
+	}
+	p.run(l.Warm+l.Length, p.clock.Advance)
+	return p.outcome()
+}
+
+func (p *play) build() {
+	hall := func(i int) string { return fmt.Sprint("hall-", i%p.l.Halls) }
+	var items []pool.Item
+	for i := 0; i < p.l.Engines; i++ {
+		id := fmt.Sprint("engine-", i)
+		p.engines[id] = newEngine(&p.World, &p.l.Engine, id)
+		items = append(items, pool.Item{Revision: 1, Entry: pool.Entry{ID: id, Service: service, Address: id, Hall: hall(i), Slots: p.l.Engine.Slots}})
+	}
+	for i := 0; i < p.l.Nodes; i++ {
+		n := &node{name: fmt.Sprint("node-", i), hall: hall(i), pools: pool.New(p.clock.Service(), hall(i))}
+		n.book = relay.NewBook(n.name, "1")
+		n.pools.Update(func(l *pool.List) { l.Replace(p.clock.Service().Now(), 1, items) })
+		n.pools.SetSize(service, capacity.Size{Slots: p.l.Engine.Slots, Memory: p.l.Engine.Memory, Fetch: p.l.Engine.Fetch})
+		p.nodes = append(p.nodes, n)
+		p.after(time.Duration(p.random.Int64N(int64(round))), func() { p.tell(n) })
+	}
+}
+
+// arrive lets a request of a class come, and sets when the next one does.
+func (p *play) arrive(class int) {
+	c := &p.l.Classes[class]
+	p.after(time.Duration(p.random.ExpFloat64()/c.Rate*float64(time.Second)), func() {
+		p.arrive(class)
+		p.ask(class, c)
+	})
+}
+
+func (p *play) ask(class int, c *Class) {
+	q := &request{class: class, at: p.now}
+	var parts []call.Part
+	add := func(id uint64, tokens float64) {
+		q.parts = append(q.parts, part{id, tokens})
+		q.prompt += tokens
+		parts = append(parts, call.Part{ID: id, Tokens: int(tokens)})
+	}
+	for i, s := range c.Shared {
+		add(uint64(class)<<48|uint64(i)<<40|uint64(p.random.IntN(s.Count)), s.Tokens)
+	}
+	add(1<<63|p.random.Uint64()>>1, math.Ceil(c.Own*math.Exp(c.Sigma*p.random.NormFloat64())))
+	q.output = math.Max(1, math.Ceil(c.Output*math.Exp(0.5*p.random.NormFloat64())))
+	n := p.nodes[p.random.IntN(len(p.nodes))]
+	u := p.pick(n, pool.Need{ID: fmt.Sprint(p.number), Service: service, Prompt: q.prompt, Output: q.output, Parts: parts, Engine: true})
+	measured := p.now >= p.l.Warm
+	if measured {
+		p.asked[class]++
+		p.prompts += q.prompt
+	}
+	p.engines[u.Entry().ID].take(&job{
+		q: q, out: int(q.output), counts: measured, from: p.engines[u.Fetch()],
+		started: func(now time.Duration) {
+			u.Started()
+			if measured {
+				p.firsts[class] = append(p.firsts[class], now-q.at)
+			}
+		},
+		done: func(time.Duration) { u.End(pool.ResultGood) },
+	})
+}
+
+func (p *play) outcome() Outcome {
+	var o Outcome
+	for i, c := range p.l.Classes {
+		f := p.firsts[i]
+		slices.Sort(f)
+		r := Result{Class: c.Name, Asked: p.asked[i], Waiting: p.asked[i] - len(f)}
+		if len(f) > 0 {
+			late, _ := slices.BinarySearchFunc(f, c.Target+1, cmp.Compare[time.Duration])
+			r.InTime = float64(late) / float64(p.asked[i])
+			r.P50, r.P99 = f[len(f)/2], f[len(f)*99/100]
+		}
+		o.Classes = append(o.Classes, r)
+	}
+	o.Read = p.read / math.Max(1, p.prompts)
+	return o
+}
--- /dev/null
+++ b/internal/model/spread.go
@@ -0,0 +1,139 @@
+package model
+
+import (
+	"slices"
+	"time"
+
+	"spurhall.example/spurhall/internal/pool"
+	"spurhall.example/spurhall/internal/relay"
+)
+
+// This file lets nodes learn of each other.
+
+// tell is one round of a node.
+func (p *play) tell(n *node) {
+	p.after(round, func() { p.tell(n) })
+	if p.l.Spread == SpreadPairs {
+		p.tellPairs(n)
+		return
+	}
+	p.tellRelay(n)
+}
+
+// tellPairs swaps with the nodes whose turn it is: after so many rounds, each once.
+func (p *play) tellPairs(n *node) {
+	i := slices.Index(p.nodes, n)
+	turn := int(p.now / round)
+	every := max(1, (len(p.nodes)-1+pairsARound-1)/pairsARound)
+	for j := i + 1; j < len(p.nodes); j++ {
+		if (i+j+turn)%every == 0 {
+			p.swap(n, p.nodes[j])
+		}
+	}
+}
+
+func (p *play) swap(a, b *node) {
+	la, pa := a.pools.Report()
+	lb, pb := b.pools.Report()
+	p.after(hop, func() {
+		a.pools.TakeIn(b.name, lb, pb, nil)
+		b.pools.TakeIn(a.name, la, pa, nil)
+	})
+}
+
+func (p *play) hallOf(hall string) []string {
+	var names []string
+	for _, n := range p.nodes {
+		if n.hall == hall {
+			names = append(names, n.name)
+		}
+	}
+	relay.Order(names)
+	return names
+}
+
+func (p *play) named(name string) *node {
+	return p.nodes[slices.IndexFunc(p.nodes, func(n *node) bool { return n.name == name })]
+}
+
+func (p *play) tellRelay(n *node) {
+	loads, placed := n.pools.Report()
+	n.sequence++
+	r := relay.Report{Node: n.name, Lifetime: "1", Sequence: n.sequence, Uptime: p.now, Loads: loads, Placed: placed}
+	ordered := p.hallOf(n.hall)
+	now := p.clock.Service().Now()
+	if slices.Contains(relay.Relays(ordered), n.name) {
+		n.book.Gather(now, r)
+		n.book.Expire(now)
+		p.digest(n)
+		p.swapRelays(n)
+		return
+	}
+	h := p.named(relay.Homes(n.name, ordered)[0])
+	p.after(hop, func() {
+		now := p.clock.Service().Now()
+		h.book.Gather(now, r)
+		lifetime, version := n.view.Known(h.name)
+		d := h.book.Digest(now, n.name, h.book.Version(lifetime, version))
+		p.after(hop, func() { p.take(n, h, d) })
+	})
+}
+
+// pick chooses an engine for a request of a node.
+func (p *play) pick(n *node, need pool.Need) *pool.Use {
+	if p.l.Spread == SpreadPlaced {
+		if h := p.named(relay.Homes(n.name, p.hallOf(n.hall))[0]); h != n {
+			return n.pools.PickAt(need, h.pools.PlaceFor(n.name, need))
+		}
+	}
+	return n.pools.Pick(need)
+}
+
+func (p *play) take(n, from *node, d relay.Digest) {
+	covered := make(map[string]bool)
+	for _, w := range n.view.Take(p.clock.Service().Now(), from.name, d) {
+		covered[w.Node] = true
+	}
+	n.pools.TakeShares(d.Shares, covered, d.Placed)
+}
+
+// swapRelays swaps with the relays behind this one in name.
+func (p *play) swapRelays(n *node) {
+	for h := 0; h < p.l.Halls; h++ {
+		for _, name := range relay.Relays(p.hallOf(p.nodes[h].hall)) {
+			if name <= n.name {
+				continue
+			}
+			o := p.named(name)
+			p.after(hop, func() {
+				p.group(n, o)
+				p.group(o, n)
+			})
+		}
+	}
+}
+
+func (p *play) group(from, to *node) {
+	now := p.clock.Service().Now()
+	lifetime, version := to.book.Known(from.name)
+	g := from.book.Group(now, from.book.Version(lifetime, version))
+	if p.l.Spread == SpreadPlaced {
+		g.Share.Loads = append(g.Share.Loads, from.pools.Pending()...)
+	}
+	to.book.TakeIn(now, g)
+	if p.l.Spread == SpreadPlaced {
+		p.digest(to)
+	}
+}
+
+// digest takes in what a relay knows by itself.
+func (p *play) digest(n *node) {
+	now := p.clock.Service().Now()
+	_, version := n.view.Known(n.name)
+	d := n.book.Digest(now, n.name, version)
+	if p.l.Spread == SpreadPlaced {
+		d.Shares[0].Whole = true
+		n.pools.Settle(func(node string, at time.Time) bool { return n.book.Heard(node).After(at.Add(hop)) })
+	}
+	p.take(n, n, d)
+}
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -58,6 +58,7 @@
 type Service struct {
 	Engine capacity.Engine // of one with engines
 	Answer float64         // milliseconds to an answer's head, of one without
+	Unseen float64         // milliseconds of work that others have sent to an upstream since their last word
 }
 
 // The weights of a choice, in milliseconds. What depends on the engines is learned; these
@@ -89,7 +90,7 @@
 		if n.Excluded[c.ID] {
 			continue
 		}
-		x := cost(n, s, c)
+		x := cost(n, s, c) + unseenMost*s.Unseen*luck(n.ID, c.ID)
 		if i == home {
 			x -= homeMs
 		}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -92,6 +94,10 @@
 	services map[string][]*member
 	outliers map[string]*retry.Outliers
 	peers    map[string]peerLoad
+	shares   []shareLoad
+	covered  map[string]bool // the nodes that the shares tell of
+	shared   time.Time       // when they came
+	pending  []pending
 	known    map[string]*service
 	placed   []placing
 	reached  map[string]time.Time // when an upstream last answered, by hall
@@ -104,6 +110,7 @@
 	learner capacity.Learner
 	engine  capacity.Engine // as all nodes have learned it
 	merged  time.Time
+	reads   float64 // prompt tokens of a request that aren't cached
 	answer  float64 // milliseconds to an answer's head
 	lasts   float64 // milliseconds that a request takes, to its end
 }
@@ -178,6 +185,9 @@
 			}
 		}
 	}
+	for _, l := range services { // an order that all plays of a seed have
+		slices.SortFunc(l, func(a, b *member) int { return cmp.Compare(a.entry.ID, b.entry.ID) })
+	}
 	p.services = services
 	return changes
 }
@@ -210,53 +220,104 @@
 // oldest is the age of the oldest report that still counts.
 func (p *Pools) oldest(now time.Time) time.Duration {
 	d := time.Duration(0)
-	for _, v := range p.peers {
-		if age := now.Sub(v.at); age <= peerKeeps {
+	for name, v := range p.peers {
+		if age := now.Sub(v.at); age <= peerKeeps && !p.covers(now, name) {
 			d = max(d, age)
 		}
 	}
+	for _, v := range p.currentShares(now) {
+		d = max(d, now.Sub(v.at))
+	}
 	return d
 }
 
+// chosen is an upstream chosen for a request.
+type chosen struct {
+	member *member
+	engine capacity.Engine
+	choice Choice
+	reads  float64 // prompt tokens that it has to read
+	fetch  string  // address of the upstream that it takes cached parts from
+}
+
+// choose chooses an upstream, if there is one.
+func (p *Pools) choose(now time.Time, n Need) (chosen, bool) {
+	members, list, unseen := p.candidates(now, n)
+	s, e := p.service(n.Service), p.engine(now, n.Service)
+	i := Pick(n, Service{Engine: e, Answer: s.answer, Unseen: unseen}, list)
+	if i < 0 {
+		return chosen{}, false
+	}
+	return p.weigh(now, n, members[i], &list[i], len(list)), true
+}
+
+// weigh is what a request takes of a candidate.
+func (p *Pools) weigh(now time.Time, n Need, m *member, c *Candidate, candidates int) chosen {
+	v := chosen{member: m, engine: p.engine(now, n.Service), reads: max(0, n.Prompt-c.Cached)}
+	v.choice = Choice{Candidates: candidates, Running: int(c.Running), Queued: c.Queued, Cached: c.Cached, Revision: p.list.Revision(), Oldest: p.oldest(now)}
+	if c.fetches(v.engine) {
+		v.choice.Fetched, v.fetch = c.Fetch, c.Source
+		v.reads = max(0, v.reads-c.Fetch)
+	}
+	return v
+}
+
 // Pick chooses an upstream and counts the request there. It returns nil if there is
 // none. The caller ends the use by End.
 func (p *Pools) Pick(n Need) *Use {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
-	members, list := p.candidates(now, n)
-	s := p.service(n.Service)
-	e := p.engine(now, n.Service)
-	i := Pick(n, Service{Engine: e, Answer: s.answer}, list)
-	if i < 0 {
+	v, ok := p.choose(now, n)
+	if !ok {
 		return nil
 	}
-	m, c := members[i], list[i]
-	p.outlier(n.Service).Sending(m.entry.ID)
-	u := &Use{p: p, m: m, entry: m.entry, begun: now, engine: n.Engine}
-	u.prompt = max(0, n.Prompt-c.Cached)
-	fetched := 0.0
-	if c.fetches(e) {
-		fetched, u.fetch = c.Fetch, c.Source
-		u.prompt = max(0, u.prompt-fetched)
+	return p.use(now, n, v)
+}
+
+// PickAt counts a request at an upstream that a relay has placed it at, or chooses another
+// one if that can't take it.
+func (p *Pools) PickAt(n Need, id string) *Use {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	members, list, _ := p.candidates(now, n)
+	for i, m := range members {
+		if m.entry.ID == id && !list[i].Unreachable && !list[i].Refused {
+			v := p.weigh(now, n, m, &list[i], len(list))
+			v.choice.ByRelay = true
+			return p.use(now, n, v)
+		}
+	}
+	v, ok := p.choose(now, n)
+	if !ok {
+		return nil
 	}
+	return p.use(now, n, v)
+}
+
+// use counts a request at the upstream chosen.
+func (p *Pools) use(now time.Time, n Need, v chosen) *Use {
+	m, s := v.member, p.service(n.Service)
+	p.outlier(n.Service).Sending(m.entry.ID)
+	u := &Use{p: p, m: m, entry: m.entry, choice: v.choice, begun: now, engine: n.Engine, prompt: v.reads, fetch: v.fetch}
 	u.held = n.Prompt + n.Output
-	u.choice = Choice{Candidates: len(list), Running: int(c.Running), Queued: c.Queued, Cached: c.Cached, Revision: p.list.Revision(), Oldest: p.oldest(now), Fetched: fetched}
-	u.expect = e.FirstEvent(c.Queued + u.prompt)
-	u.output, u.reads = n.Output, c.Queued+u.prompt
+	u.output, u.reads = n.Output, v.choice.Queued+u.prompt
+	u.expect = v.engine.FirstEvent(u.reads)
 	m.load.Running++
 	m.load.Held += u.held
 	if n.Engine {
 		m.load.Queued += u.prompt
-		s.work = s.work.Plus(e.Work(u.prompt, n.Output, s.size))
+		s.reads += answerGain * (u.prompt - s.reads)
+		s.work = s.work.Plus(v.engine.Work(u.prompt, n.Output, s.size))
 	}
 	p.place(now, m, n.Parts)
 	return u
 }
 
-// candidates returns the upstreams that may take a request. Those that are ejected are
-// left out unless nobody else is left.
-func (p *Pools) candidates(now time.Time, n Need) ([]*member, []Candidate) {
+// candidates returns the upstreams that may take a request, and what others have sent to
+// one unseen. Those that are ejected are left out unless nobody else is left.
+func (p *Pools) candidates(now time.Time, n Need) ([]*member, []Candidate, float64) {
 	o := p.outlier(n.Service)
 	var members, spare []*member
 	for _, m := range p.services[n.Service] {
@@ -272,7 +333,7 @@
 		members = spare
 	}
 	chain := Chain(n.Parts)
-	p.gatherOthers(now, n.Service, p.engine(now, n.Service))
+	unseen := p.gatherOthers(now, n.Service, p.engine(now, n.Service))
 	cut := p.cutHalls(now)
 	list := make([]Candidate, len(members))
 	for i, m := range members {
@@ -282,7 +343,7 @@
 	if rate := p.service(n.Service).size.Fetch; rate > 0 {
 		sources(rate, members, list)
 	}
-	return members, list
+	return members, list, unseen
 }
 
 // cutHalls returns the halls that are taken for cut off from this node.
@@ -309,7 +370,7 @@
 		Refused: now.Sub(m.refused) < refusedKeeps, Cold: now.Before(m.coldTill),
 	}
 	for i, h := range chain {
-		if t, ok := m.prefixes[h]; !ok || now.Sub(t) > prefixKeeps {
+		if !m.keeps(now, h) && !m.keeps(now, heldKey(n.Parts[i].ID)) {
 			break
 		}
 		c.Cached += float64(n.Parts[i].Tokens)
@@ -317,6 +378,12 @@
 	return c
 }
 
+// keeps tells whether a prefix is taken to be cached still.
+func (m *member) keeps(now time.Time, prefix uint64) bool {
+	t, ok := m.prefixes[prefix]
+	return ok && now.Sub(t) <= prefixKeeps
+}
+
 func (p *Pools) place(now time.Time, m *member, parts []call.Part) {
 	chain := Chain(parts)
 	for i, h := range chain {
@@ -385,6 +452,10 @@
 		m[l.Upstream] = l
 	}
 	p.peers[node] = peerLoad{at: now, loads: m, engines: engines}
+	p.learnPlaced(now, placed)
+}
+
+func (p *Pools) learnPlaced(now time.Time, placed []Placement) {
 	for _, v := range placed {
 		if u := p.members[v.Upstream]; u != nil {
 			u.prefixes[v.Prefix] = now
--- a/internal/pool/use.go
+++ b/internal/pool/use.go
@@ -36,6 +36,7 @@
 	Cached     float64       // tokens of the prompt taken to be cached there
 	Fetched    float64       // tokens of the prompt to be taken from another upstream
 	Revision   int64         // of the list
+	ByRelay    bool          // a relay chose it
 	Oldest     time.Duration // age of the oldest report of another node that counted
 }
 
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -67,6 +67,7 @@
 
 type peer struct {
 	lifetime string
+	began    time.Time // the process, as near as its reports tell
 	heard    time.Time
 	silent   bool
 	charged  map[string]float64 // as last reported by that lifetime
@@ -258,9 +259,10 @@
 }
 
 // Round begins a new span between reports: it ages what is known, and takes off what
-// silent nodes may be charging. every is how long a span usually is.
-func (q *Quotas) Round(now time.Time, every time.Duration) {
-	silence := time.Duration(silentRounds * float64(every))
+// silent nodes may be charging. every is how long a span usually is, and lag how old the
+// word of a node is that isn't silent: that of the way on which it is handed on.
+func (q *Quotas) Round(now time.Time, every, lag time.Duration) {
+	silence := time.Duration(silentRounds*float64(every)) + lag
 	d, before := now.Sub(q.round).Seconds(), q.round
 	q.round = now
 	keep := 1 / (1 + d/useHalf.Seconds())
@@ -273,7 +275,7 @@
 		for n := range p.recent {
 			p.recent[n] *= keep
 		}
-		q.assume(now.Sub(p.heard) > silence, p, p.heard.Before(before), d)
+		q.assume(now.Sub(p.heard) > silence, p, p.heard.Before(before.Add(-lag)), d)
 	}
 }
 
@@ -338,30 +340,47 @@
 	return &peer{heard: now, charged: map[string]float64{}, assumed: map[string]float64{}, recent: map[string]float64{}, lost: map[string]float64{}}
 }
 
-// TakeIn takes in what a process of another node has charged since it began, uptime ago.
-func (q *Quotas) TakeIn(now time.Time, node, lifetime string, uptime time.Duration, charged map[string]float64) {
-	p := q.peer(now, node)
-	if p.lifetime != lifetime {
+// Word is what a process of another node has charged since it began.
+type Word struct {
+	Node     string
+	Lifetime string
+	Uptime   time.Duration // now
+	Age      time.Duration // since the node was heard: by this one, or by one that hands its word on
+	Charged  map[string]float64
+}
+
+// TakeIn takes in another node's word. One of a process that another has taken the place of
+// says nothing: it came by a longer way.
+func (q *Quotas) TakeIn(now time.Time, w Word) {
+	p := q.peer(now, w.Node)
+	began := now.Add(-w.Uptime)
+	if p.lifetime != w.Lifetime {
+		if p.lifetime != "" && began.Before(p.began) {
+			return
+		}
 		// What an unknown life has charged before was charged while this node couldn't
 		// hear of it. Only of one that is older than this process, what it charged before is
 		// what the bucket's first level stands for.
-		older := p.lifetime == "" && uptime > now.Sub(q.began)+sameAge
-		p.lifetime = lifetime
+		older := p.lifetime == "" && w.Uptime > now.Sub(q.began)+sameAge
+		p.lifetime, p.began = w.Lifetime, began
 		p.charged = map[string]float64{}
 		if older {
-			p.charged = charged
+			p.charged = w.Charged
 		}
 	}
 	late := now.Sub(p.heard) > lateHeard
-	p.heard, p.silent = now, false
+	if at := now.Add(-w.Age); at.After(p.heard) {
+		p.heard = at
+	}
+	p.silent = false
 	for n, b := range q.buckets {
-		d := charged[n] - p.charged[n]
+		d := w.Charged[n] - p.charged[n]
 		q.refill(now, b)
 		b.drain(d-p.assumed[n], late, p.lost[n])
 		p.lost[n] = b.lost
 		p.recent[n] += max(0, d)
 	}
-	p.charged, p.assumed = charged, map[string]float64{}
+	p.charged, p.assumed = w.Charged, map[string]float64{}
 }
 
 // Charged returns what this process has charged in all, by workspace.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -70,10 +70,10 @@
 		}
 		for j, o := range f.nodes {
 			if i != j && side(i) == side(j) {
-				q.TakeIn(now, f.names[j], fmt.Sprint(f.lives[j]), now.Sub(f.began[j]), o.Charged())
+				q.TakeIn(now, Word{Node: f.names[j], Lifetime: fmt.Sprint(f.lives[j]), Uptime: now.Sub(f.began[j]), Charged: o.Charged()})
 			}
 		}
-		q.Round(now, 250*time.Millisecond)
+		q.Round(now, 250*time.Millisecond, 0)
 	}
 }
 
--- a/internal/quota/restart_test.go
+++ b/internal/quota/restart_test.go
@@ -163,8 +163,8 @@
 	a.SetPeers(start, []string{"b"})
 	charged := 0.0
 	hear := func(now time.Time) {
-		a.TakeIn(now, "b", "life", now.Sub(start), map[string]float64{"w": charged})
-		a.Round(now, 250*time.Millisecond)
+		a.TakeIn(now, Word{Node: "b", Lifetime: "life", Uptime: now.Sub(start), Charged: map[string]float64{"w": charged}})
+		a.Round(now, 250*time.Millisecond, 0)
 	}
 	now := start
 	for ; now.Before(start.Add(time.Minute)); now = now.Add(250 * time.Millisecond) {
@@ -175,7 +175,7 @@
 	for k := 0; k < 20; k++ {
 		now = now.Add(250 * time.Millisecond)
 		charged += 100
-		a.Round(now, 250*time.Millisecond)
+		a.Round(now, 250*time.Millisecond, 0)
 	}
 	hear(now)
 	assert.Greater(t, a.Levels(now)["w"].Level, -1100.0, "of %.0f charged in all, 2000 in the cut", charged)
--- /dev/null
+++ b/internal/relay/choose.go
@@ -0,0 +1,51 @@
+package relay
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// This file says which nodes of a hall are its relays, and which of them a node reports to.
+// Every node finds the same from the same names; where views differ for a moment, a node
+// reports to one that doesn't take itself for a relay, which is one thereby.
+
+const (
+	// nodesARelay is how many nodes report to one relay, at most: four calls a second each,
+	// which take a fifth of the smallest VMs that were played (0.192 cores, 0.5 ms a call).
+	nodesARelay = 24
+	// leastRelays is how many relays a hall has at least, so that one is there which knows
+	// everything when another is lost.
+	leastRelays = 2
+)
+
+// Order sorts the nodes of a hall by a hash of their names: the first ones do what a hall
+// has some nodes for.
+func Order(names []string) {
+	slices.SortFunc(names, func(a, b string) int {
+		if c := cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a, b)
+	})
+}
+
+// Relays returns the relays of a hall, out of its nodes in order.
+func Relays(ordered []string) []string {
+	return ordered[:min(len(ordered), max(leastRelays, busy(len(ordered))))]
+}
+
+// busy is how many relays of a hall nodes report to. The others only swap.
+func busy(nodes int) int { return (nodes + nodesARelay - 1) / nodesARelay }
+
+// Homes returns the relays of a node's hall in the order in which it tries to report to
+// them, out of the hall's nodes in order.
+func Homes(self string, ordered []string) []string {
+	homes := slices.Clone(Relays(ordered))
+	first := homes[:min(busy(len(ordered)), len(homes))]
+	slices.SortFunc(first, func(a, b string) int {
+		return cmp.Compare(xxhash.Sum64String(self+a), xxhash.Sum64String(self+b))
+	})
+	return homes
+}
--- a/internal/wire/wireconnect/edge.connect.go
+++ b/internal/wire/wireconnect/edge.connect.go
@@ -37,6 +37,12 @@
 // reflection-formatted method names, remove the leading slash and convert the remaining slash to a
 // period.
 const (
+	// EdgeGatherProcedure is the fully-qualified name of the Edge's Gather RPC.
+	EdgeGatherProcedure = "/spurhall.v1.Edge/Gather"
+	// EdgePlaceProcedure is the fully-qualified name of the Edge's Place RPC.
+	EdgePlaceProcedure = "/spurhall.v1.Edge/Place"
+	// EdgeSwapProcedure is the fully-qualified name of the Edge's Swap RPC.
+	EdgeSwapProcedure = "/spurhall.v1.Edge/Swap"
 	// EdgeReportProcedure is the fully-qualified name of the Edge's Report RPC.
 	EdgeReportProcedure = "/spurhall.v1.Edge/Report"
 	// EdgeCatchUpProcedure is the fully-qualified name of the Edge's CatchUp RPC.
@@ -47,6 +53,9 @@
 
 // EdgeClient is a client for the spurhall.v1.Edge service.
 type EdgeClient interface {
+	Gather(context.Context, *connect.Request[wire.GatherRequest]) (*connect.Response[wire.GatherResponse], error)
+	Place(context.Context, *connect.Request[wire.PlaceRequest]) (*connect.Response[wire.PlaceResponse], error)
+	Swap(context.Context, *connect.Request[wire.SwapRequest]) (*connect.Response[wire.SwapResponse], error)
 	Report(context.Context, *connect.Request[wire.ReportRequest]) (*connect.Response[wire.ReportResponse], error)
 	CatchUp(context.Context, *connect.Request[wire.CatchUpRequest]) (*connect.Response[wire.CatchUpResponse], error)
 	Follow(context.Context, *connect.Request[wire.FollowRequest]) (*connect.Response[wire.FollowResponse], error)
@@ -63,6 +72,24 @@
 	baseURL = strings.TrimRight(baseURL, "/")
 	edgeMethods := wire.File_spurhall_v1_edge_proto.Services().ByName("Edge").Methods()
 	return &edgeClient{
+		gather: connect.NewClient[wire.GatherRequest, wire.GatherResponse](
+			httpClient,
+			baseURL+EdgeGatherProcedure,
+			connect.WithSchema(edgeMethods.ByName("Gather")),
+			connect.WithClientOptions(opts...),
+		),
+		place: connect.NewClient[wire.PlaceRequest, wire.PlaceResponse](
+			httpClient,
+			baseURL+EdgePlaceProcedure,
+			connect.WithSchema(edgeMethods.ByName("Place")),
+			connect.WithClientOptions(opts...),
+		),
+		swap: connect.NewClient[wire.SwapRequest, wire.SwapResponse](
+			httpClient,
+			baseURL+EdgeSwapProcedure,
+			connect.WithSchema(edgeMethods.ByName("Swap")),
+			connect.WithClientOptions(opts...),
+		),
 		report: connect.NewClient[wire.ReportRequest, wire.ReportResponse](
 			httpClient,
 			baseURL+EdgeReportProcedure,
@@ -86,11 +113,29 @@
 
 // edgeClient implements EdgeClient.
 type edgeClient struct {
+	gather  *connect.Client[wire.GatherRequest, wire.GatherResponse]
+	place   *connect.Client[wire.PlaceRequest, wire.PlaceResponse]
+	swap    *connect.Client[wire.SwapRequest, wire.SwapResponse]
 	report  *connect.Client[wire.ReportRequest, wire.ReportResponse]
 	catchUp *connect.Client[wire.CatchUpRequest, wire.CatchUpResponse]
 	follow  *connect.Client[wire.FollowRequest, wire.FollowResponse]
 }
 
+// Gather calls spurhall.v1.Edge.Gather.
+func (c *edgeClient) Gather(ctx context.Context, req *connect.Request[wire.GatherRequest]) (*connect.Response[wire.GatherResponse], error) {
+	return c.gather.CallUnary(ctx, req)
+}
+
+// Place calls spurhall.v1.Edge.Place.
+func (c *edgeClient) Place(ctx context.Context, req *connect.Request[wire.PlaceRequest]) (*connect.Response[wire.PlaceResponse], error) {
+	return c.place.CallUnary(ctx, req)
+}
+
+// Swap calls spurhall.v1.Edge.Swap.
+func (c *edgeClient) Swap(ctx context.Context, req *connect.Request[wire.SwapRequest]) (*connect.Response[wire.SwapResponse], error) {
+	return c.swap.CallUnary(ctx, req)
+}
+
 // Report calls spurhall.v1.Edge.Report.
 func (c *edgeClient) Report(ctx context.Context, req *connect.Request[wire.ReportRequest]) (*connect.Response[wire.ReportResponse], error) {
 	return c.report.CallUnary(ctx, req)
@@ -108,6 +153,9 @@
 
 // EdgeHandler is an implementation of the spurhall.v1.Edge service.
 type EdgeHandler interface {
+	Gather(context.Context, *connect.Request[wire.GatherRequest]) (*connect.Response[wire.GatherResponse], error)
+	Place(context.Context, *connect.Request[wire.PlaceRequest]) (*connect.Response[wire.PlaceResponse], error)
+	Swap(context.Context, *connect.Request[wire.SwapRequest]) (*connect.Response[wire.SwapResponse], error)
 	Report(context.Context, *connect.Request[wire.ReportRequest]) (*connect.Response[wire.ReportResponse], error)
 	CatchUp(context.Context, *connect.Request[wire.CatchUpRequest]) (*connect.Response[wire.CatchUpResponse], error)
 	Follow(context.Context, *connect.Request[wire.FollowRequest]) (*connect.Response[wire.FollowResponse], error)
@@ -120,6 +168,24 @@
 // and JSON codecs. They also support gzip compression.
 func NewEdgeHandler(svc EdgeHandler, opts ...connect.HandlerOption) (string, http.Handler) {
 	edgeMethods := wire.File_spurhall_v1_edge_proto.Services().ByName("Edge").Methods()
+	edgeGatherHandler := connect.NewUnaryHandler(
+		EdgeGatherProcedure,
+		svc.Gather,
+		connect.WithSchema(edgeMethods.ByName("Gather")),
+		connect.WithHandlerOptions(opts...),
+	)
+	edgePlaceHandler := connect.NewUnaryHandler(
+		EdgePlaceProcedure,
+		svc.Place,
+		connect.WithSchema(edgeMethods.ByName("Place")),
+		connect.WithHandlerOptions(opts...),
+	)
+	edgeSwapHandler := connect.NewUnaryHandler(
+		EdgeSwapProcedure,
+		svc.Swap,
+		connect.WithSchema(edgeMethods.ByName("Swap")),
+		connect.WithHandlerOptions(opts...),
+	)
 	edgeReportHandler := connect.NewUnaryHandler(
 		EdgeReportProcedure,
 		svc.Report,
@@ -140,6 +206,12 @@
 	)
 	return "/spurhall.v1.Edge/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
+		case EdgeGatherProcedure:
+			edgeGatherHandler.ServeHTTP(w, r)
+		case EdgePlaceProcedure:
+			edgePlaceHandler.ServeHTTP(w, r)
+		case EdgeSwapProcedure:
+			edgeSwapHandler.ServeHTTP(w, r)
 		case EdgeReportProcedure:
 			edgeReportHandler.ServeHTTP(w, r)
 		case EdgeCatchUpProcedure:
@@ -155,6 +227,18 @@
 // UnimplementedEdgeHandler returns CodeUnimplemented from all methods.
 type UnimplementedEdgeHandler struct{}
 
+func (UnimplementedEdgeHandler) Gather(context.Context, *connect.Request[wire.GatherRequest]) (*connect.Response[wire.GatherResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("spurhall.v1.Edge.Gather is not implemented"))
+}
+
+func (UnimplementedEdgeHandler) Place(context.Context, *connect.Request[wire.PlaceRequest]) (*connect.Response[wire.PlaceResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("spurhall.v1.Edge.Place is not implemented"))
+}
+
+func (UnimplementedEdgeHandler) Swap(context.Context, *connect.Request[wire.SwapRequest]) (*connect.Response[wire.SwapResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("spurhall.v1.Edge.Swap is not implemented"))
+}
+
 func (UnimplementedEdgeHandler) Report(context.Context, *connect.Request[wire.ReportRequest]) (*connect.Response[wire.ReportResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("spurhall.v1.Edge.Report is not implemented"))
 }
