The return of all nodes: late callers wait behind, relays on the VMs with most cores

A part of the callers is past its target already and runs before those that aren't. Change: what is past its target, by what is left of its caller's wait, waits behind the rest at an engine; engines and relays are asked as soon as the others are found; relays and watchers are the nodes with most cores; a process that has just started goes by the registry for who watches; changes of the list are gathered for 50 ms a watcher instead of 25. Reverted: leases renewed less often (a renewal costs a tenth of a call, entering the lease anew two whole ones: 7,588 calls instead of 7,926).

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -89,24 +89,28 @@
 // watchersAt is watchers. The node's lock is held.
 func (n *Node) watchersAt(now time.Time) []string {
 	silent := silentAfter(n.peers.size())
-	heard, served := []string{n.s.Node}, []string{}
+	young := now.Sub(n.start) < lookedBy
+	heard, served := map[string]float64{n.s.Node: n.s.Cores}, map[string]float64{}
 	if n.guard.Up() {
-		served = append(served, n.s.Node)
+		served[n.s.Node] = n.s.Cores
 	}
 	for _, p := range n.peers.peers {
-		if p.hall != n.s.Hall || p.leaving || now.Sub(p.heard) > silent {
+		// A process that has just started goes by the registry until it has heard the others:
+		// else each of them watches for its hall after a loss of all.
+		listed := young && p.heard.IsZero() && !p.listed.IsZero()
+		if p.hall != n.s.Hall || p.leaving || now.Sub(p.heard) > silent && !listed {
 			continue
 		}
-		heard = append(heard, p.name)
-		if p.storeUp {
-			served = append(served, p.name)
+		heard[p.name] = p.cores
+		if p.storeUp || listed {
+			served[p.name] = p.cores
 		}
 	}
 	if len(served) == 0 {
 		served = heard
 	}
-	relay.Order(served)
-	return served[:min(len(served), watchersAHall)]
+	names := relay.Order(served)
+	return names[:min(len(names), watchersAHall)]
 }
 
 // watchesFor tells whether this node is one of those that watch for their hall. The node's
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -20,17 +20,13 @@
 
 const (
 	memberPrefix = "spurhall/nodes/"
-	// memberTTL is how long a node that died counts as sharing quotas, in renewals: longer
-	// than a restart takes, so that the others' shares don't swing.
-	memberTTL = 4
-	// memberRenew is how often a node of a small fleet renews its lease. In a larger one a
-	// node that died is a smaller part of the sum, and each renewal is a call that is paid
-	// for: three in five of all calls of 95 nodes were renewals each 1.5 s. So beyond some
-	// size the fleet renews renewalsASecond leases a second, and a node at least each
-	// memberRenewMost.
-	memberRenew     = 1500 * time.Millisecond
-	memberRenewMost = 4 * time.Second
-	renewalsASecond = 20
+	// memberTTL is how long a node that died counts as sharing quotas: longer than a
+	// restart takes, so that the others' shares don't swing.
+	memberTTL = 6 * time.Second
+	// memberRenew is how often the lease is renewed. A renewal costs a tenth of a call:
+	// renewing each 4 s in a fleet of 95, by leases entered anew once its size was known,
+	// saved nothing (7,417 to 7,588 calls a day instead of 7,662 to 7,926).
+	memberRenew = 1500 * time.Millisecond
 	// memberLook is how often the registry is read, at the stale read's price.
 	memberLook = 2 * time.Second
 	// memberGone is how long a node is kept that is neither heard nor registered.
@@ -38,75 +34,57 @@
 )
 
 type memberValue struct {
-	Address  string `json:"address"`
-	Lifetime string `json:"lifetime"`
-	Hall     string `json:"hall"`
-}
-
-// renewEvery is how often a node renews its lease in a fleet of so many.
-func renewEvery(nodes int) time.Duration {
-	return min(max(memberRenew, time.Duration(nodes)*time.Second/renewalsASecond), memberRenewMost)
-}
-
-// registration is this node's key in the store, under a lease.
-type registration struct {
-	lease int64 // 0: none
-	every time.Duration
+	Address  string  `json:"address"`
+	Lifetime string  `json:"lifetime"`
+	Hall     string  `json:"hall"`
+	Cores    float64 `json:"cores"`
 }
 
 // register keeps this node's key in the store until the context ends.
 func (n *Node) register(ctx context.Context) {
-	var v registration
+	id := int64(0)
 	for ctx.Err() == nil {
-		v = n.renew(ctx, v)
-		pause := v.every
-		if v.lease == 0 {
+		pause := memberRenew
+		if id = n.renew(ctx, id); id == 0 {
 			pause = followPause // the others wait for it
 		}
 		_ = n.clock.Sleep(ctx, pause) // the loop's condition sees the end
 	}
-	if v.lease != 0 {
-		n.withdraw(v.lease)
+	if id != 0 {
+		n.withdraw(id)
 	}
 }
 
-// renew keeps the lease of this node's key, or enters the key anew: where the lease has
-// lapsed, or where it is for a fleet of another size.
-func (n *Node) renew(ctx context.Context, v registration) registration {
-	n.mu.Lock()
-	every := renewEvery(n.peers.size())
-	n.mu.Unlock()
-	if v.lease != 0 && every <= 2*v.every && v.every <= 2*every {
-		_, err := n.kv.KeepAlive(ctx, v.lease)
+// renew keeps the lease of this node's key, or enters the key anew. It returns the
+// lease, or 0 if there is none.
+func (n *Node) renew(ctx context.Context, id int64) int64 {
+	if id != 0 {
+		_, err := n.kv.KeepAlive(ctx, id)
 		if !errors.Is(err, store.ErrLeaseGone) {
-			return v // renewed, or the next round tries again
+			return id // renewed, or the next round tries again
 		}
-		v = registration{}
 	}
-	lease, err := n.enter(ctx, max(memberTTL*every, n.s.Store.MinLease), v.lease == 0)
+	id, err := n.enter(ctx)
 	if err != nil {
 		n.log.Info("registration_failed", zap.String("cause", err.Error()))
-		return v
+		return 0
 	}
-	n.log.Info("registered", zap.Int64("lease", lease), zap.Duration("renewed_every", every))
-	return registration{lease, every}
+	n.log.Info("registered", zap.Int64("lease", id))
+	return id
 }
 
-// enter writes this node's key under a new lease.
-func (n *Node) enter(ctx context.Context, ttl time.Duration, first bool) (int64, error) {
-	id, err := n.kv.Grant(ctx, ttl)
+func (n *Node) enter(ctx context.Context) (int64, error) {
+	id, err := n.kv.Grant(ctx, max(memberTTL, n.s.Store.MinLease))
 	if err != nil {
 		return 0, err
 	}
-	b, err := json.Marshal(memberValue{Address: n.s.Peers, Lifetime: n.o.Lifetime, Hall: n.s.Hall})
+	b, err := json.Marshal(memberValue{Address: n.s.Peers, Lifetime: n.o.Lifetime, Hall: n.s.Hall, Cores: n.s.Cores})
 	if err != nil {
 		return 0, err
 	}
 	// The key may still be held by the lease of the process before, if that was killed.
 	k := memberPrefix + n.s.Node
-	if first {
-		n.logPrevious(ctx, k)
-	}
+	n.logPrevious(ctx, k)
 	_, err = n.kv.Txn(ctx, store.Txn{Then: []store.Op{{Kind: store.OpPut, Key: k, Value: b, Lease: id}}})
 	return id, err
 }
@@ -190,7 +168,7 @@
 		return
 	}
 	found := n.peers.get(name, v.Address)
-	found.listed, found.hall = now, v.Hall
+	found.listed, found.hall, found.cores = now, v.Hall, v.Cores
 }
 
 // greet calls the seeds until another node is known: a node that starts while the store
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -39,8 +39,8 @@
 	hall     string // empty: not heard yet
 	leaving  bool
 	storeUp  bool // the store answers it
+	cores    float64
 	lifetime string
-	began    time.Time // the process, as near as its reports tell
 	sequence uint64
 	heard    time.Time
 	called   time.Time // by this node
@@ -175,7 +175,7 @@
 	loads, placed := n.pools.Report()
 	r := &wire.NodeReport{
 		Node: n.s.Node, Lifetime: n.o.Lifetime, Address: n.s.Peers, ListRevision: n.pools.Revision(), ListChange: n.pools.Change(),
-		UptimeMs: n.clock.Since(n.start).Milliseconds(), StoreUp: n.guard.Up(), Leaving: n.isLeaving(), Hall: n.s.Hall,
+		UptimeMs: n.clock.Since(n.start).Milliseconds(), StoreUp: n.guard.Up(), Leaving: n.isLeaving(), Hall: n.s.Hall, Cores: n.s.Cores,
 	}
 	if h := n.catalog.Load(); h != nil {
 		r.CatalogVersion = h.catalog.Version()
@@ -240,8 +240,7 @@
 		n.notePeer("peer_heard", zap.String("peer", r.Node), zap.String("lifetime", r.Lifetime), zap.Int64("catalog", r.CatalogVersion))
 	}
 	p.lifetime, p.sequence, p.heard, p.silent = r.Lifetime, r.Sequence, now, false
-	p.began = now.Add(-millis(r.UptimeMs))
-	p.version, p.revision, p.hall, p.leaving, p.storeUp = r.CatalogVersion, r.ListRevision, r.Hall, r.Leaving, r.StoreUp
+	p.version, p.revision, p.hall, p.leaving, p.storeUp, p.cores = r.CatalogVersion, r.ListRevision, r.Hall, r.Leaving, r.StoreUp, r.Cores
 	p.work = make(map[string]capacity.Work, len(r.Work))
 	for _, v := range r.Work {
 		p.work[v.Service] = capacity.Work{Reading: v.Reading, Slots: v.Slots, Memory: v.Memory}
--- a/internal/edge/recall.go
+++ b/internal/edge/recall.go
@@ -11,18 +11,17 @@
 	"spurhall.example/spurhall/internal/relay"
 )
 
-// This file asks the engines what they have cached after a loss of all nodes. A node that
-// starts while others run is told by them; only where all that are heard began with it is
-// the knowledge lost. The list holds up the engine's work, so each engine is asked once, by
-// one of the relays of its hall, and the answer goes on to the others as placements do.
+// This file asks the engines what they have cached when a process starts amid the work, as
+// all do after a loss of all nodes. The list holds up the engine's work, so each engine is
+// asked once, by one of the relays of its hall, and the answer goes on to the others as
+// placements do. Asking only once it is clear that no node is left that knows took a second
+// more, in which most of the callers came back.
 
 const (
-	// recallAfter is how long after it knows the upstreams a node asks: by then it has heard
-	// from others, if there are any.
-	recallAfter = 300 * time.Millisecond
-	// togetherWithin is how much earlier a node may have begun that began with this one: a
-	// loss of all nodes spares none for longer than their restarts take.
-	togetherWithin = 3 * time.Second
+	// recallWithin is how long after its start a process waits until it has found the
+	// others: without them it can't tell which engines fall to it.
+	recallWithin = 500 * time.Millisecond
+	recallPoll   = 20 * time.Millisecond
 )
 
 // recallCached asks this node's part of the engines.
@@ -35,8 +34,10 @@
 	case <-ctx.Done():
 		return
 	}
-	if n.clock.Sleep(ctx, recallAfter) != nil || !n.beganTogether() {
-		return
+	for n.clock.Since(n.start) < recallWithin && !n.foundOthers() {
+		if n.clock.Sleep(ctx, recallPoll) != nil {
+			return
+		}
 	}
 	for _, e := range n.enginesToAsk() {
 		parts, err := n.o.Cached(ctx, e.Address)
@@ -49,16 +50,11 @@
 	}
 }
 
-// beganTogether tells whether no node is heard that began well before this one.
-func (n *Node) beganTogether() bool {
+// foundOthers tells whether the registry of the nodes has been read.
+func (n *Node) foundOthers() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, p := range n.peers.peers {
-		if !p.began.IsZero() && n.start.Sub(p.began) > togetherWithin && p.heard.After(n.start) {
-			return false
-		}
-	}
-	return true
+	return n.looked
 }
 
 // enginesToAsk returns the engines of this hall that fall to this node.
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -21,6 +21,8 @@
 
 const (
 	relayTimeout = 400 * time.Millisecond // a round, and what a busy relay takes
+	// relayPoll is how often a process that starts looks whether it has found the others.
+	relayPoll = 20 * time.Millisecond
 	// relayedFor is how long after the last digest a node goes by what relays tell, and
 	// relayLag how old the word of a node is that comes over two relays: two rounds on the
 	// way, and one until the next digest.
@@ -48,16 +50,26 @@
 	version  uint64
 }
 
-// relay reports to a relay, or is one, until the context ends.
+// relay reports to a relay, or is one, until the context ends. A process that starts does
+// so as soon as it has found the others.
 func (n *Node) relay(ctx context.Context) {
-	n.clock.Every(ctx, reportEvery, func(now time.Time) {
-		n.mu.Lock()
-		small := pairEvery(n.peers.size()) == reportEvery
-		n.mu.Unlock()
-		if !small {
-			n.relayRound(ctx, now)
+	for !n.relayStep(ctx) {
+		if n.clock.Since(n.start) > lookedBy || n.clock.Sleep(ctx, relayPoll) != nil {
+			break
 		}
-	})
+	}
+	n.clock.Every(ctx, reportEvery, func(time.Time) { n.relayStep(ctx) })
+}
+
+// relayStep does a round, if the fleet is large, and tells whether it did.
+func (n *Node) relayStep(ctx context.Context) bool {
+	n.mu.Lock()
+	large := pairEvery(n.peers.size()) > reportEvery
+	n.mu.Unlock()
+	if large {
+		n.relayRound(ctx, n.clock.Now())
+	}
+	return large
 }
 
 func (n *Node) relayRound(ctx context.Context, now time.Time) {
@@ -84,20 +96,19 @@
 // hallNodes returns the nodes of a hall that may be its relays, in order. The node's lock is
 // held.
 func (n *Node) hallNodes(now time.Time, hall string) []string {
-	var names []string
+	nodes := make(map[string]float64)
 	if hall == n.s.Hall && !n.isLeaving() {
-		names = append(names, n.s.Node)
+		nodes[n.s.Node] = n.s.Cores
 	}
 	silent := silentAfter(n.peers.size())
 	for _, p := range n.peers.peers {
 		known := now.Sub(p.heard) <= silent || now.Sub(p.listed) <= 2*memberLook
 		failed := !p.relaying.failed.IsZero() && p.heard.Before(p.relaying.failed) && now.Sub(p.relaying.failed) < relayFailed
 		if p.hall == hall && !p.leaving && known && !failed {
-			names = append(names, p.name)
+			nodes[p.name] = p.cores
 		}
 	}
-	relay.Order(names)
-	return names
+	return relay.Order(nodes)
 }
 
 // reportTo tells a relay what this node has, and takes in what it knows of the others.
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -43,6 +43,7 @@
 	FirstStart bool     // the whole system starts for the first time
 
 	MemoryBytes int64
+	Cores       float64 // of the VM that this node may use; 0: not known
 	Store       StoreSettings
 	Cloud       CloudSettings
 
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -35,7 +35,7 @@
 	// node that watches: a wave of reclaims or a release comes as a change for each upstream,
 	// each answer to a watch is a call that is paid for, and all that watch get it. The limit
 	// is well below the seconds for which a leaving upstream still serves.
-	gatherNode  = 25 * time.Millisecond
+	gatherNode  = 50 * time.Millisecond
 	gatherLimit = 500 * time.Millisecond
 	// behindFor is how long this node's list may lack a change that another node has: two
 	// reports, and the delay of a watch.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -309,7 +309,7 @@
 		lastEvent = q.meta.LastEvent
 	}
 	s.o.Dialect.WriteOrder(r.Header, call.Order{
-		Wait: q.until.Sub(s.o.Clock.Now()), Upstream: e.ID, Workspace: q.workspaceName(), LastEvent: lastEvent, Priority: -1, Fetch: a.use.Fetch(),
+		Wait: q.until.Sub(s.o.Clock.Now()), Upstream: e.ID, Workspace: q.workspaceName(), LastEvent: lastEvent, Priority: s.urgency(q), Fetch: a.use.Fetch(),
 	})
 	if r.Header.Get("User-Agent") == "" {
 		r.Header["User-Agent"] = nil // keep net/http from adding its own
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -91,8 +91,9 @@
 
 // Server is the callers' side of a node.
 type Server struct {
-	o    Options
-	next endpoint.Endpoint
+	o     Options
+	next  endpoint.Endpoint
+	waits waits
 }
 
 // NewServer returns a server.
@@ -114,6 +115,7 @@
 	tokens    float64
 	arrived   time.Time
 	until     time.Time     // when an answer is due
+	before    time.Duration // between the caller's first try and this one
 	sends     int           // attempts of which a byte left
 	mayRun    bool          // an attempt may have run it
 	began     bool          // counted as begun
@@ -254,6 +256,7 @@
 		}
 		q.service = q.route.Service(q.meta.ID)
 		q.until = q.arrived.Add(s.wait(q))
+		q.before = s.waits.elapsed(q.route.Name(), q.meta.Wait, q.route.Timeout())
 		return next(ctx, q)
 	}
 }
--- a/internal/model/spread.go
+++ b/internal/model/spread.go
@@ -42,14 +42,13 @@
 }
 
 func (p *play) hallOf(hall string) []string {
-	var names []string
+	nodes := make(map[string]float64)
 	for _, n := range p.nodes {
 		if n.hall == hall {
-			names = append(names, n.name)
+			nodes[n.name] = 1
 		}
 	}
-	relay.Order(names)
-	return names
+	return relay.Order(nodes)
 }
 
 func (p *play) named(name string) *node {
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,15 +21,16 @@
 	leastRelays = 2
 )
 
-// Order sorts the nodes of a hall by a hash of their names: the first ones do what a hall
-// has some nodes for.
-func Order(names []string) {
+// Order returns the names of a hall's nodes, by the cores that each has: the first ones do
+// what a hall has some nodes for. Those with most come first, the others by a hash of their
+// names. On a VM of 0.19 cores a relay answered one question in four later than 30 ms in the
+// second after a return of all nodes, with 19 nodes in its hall.
+func Order(nodes map[string]float64) []string {
+	names := slices.Collect(maps.Keys(nodes))
 	slices.SortFunc(names, func(a, b string) int {
-		if c := cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)); c != 0 {
-			return c
-		}
-		return cmp.Compare(a, b)
+		return cmp.Or(cmp.Compare(nodes[b], nodes[a]), cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
 	})
+	return names
 }
 
 // Relays returns the relays of a hall, out of its nodes in order.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -167,6 +167,16 @@
 	assert.Equal(t, map[string]float64{"w": 1}, d.Changes[0].Spent)
 }
 
+// TestOrder: VMs with more cores come first, and others keep their places among themselves.
+func TestOrder(t *testing.T) {
+	nodes := map[string]float64{"a": 0.2, "b": 0.2, "c": 0.8, "d": 0.2}
+	before := Order(nodes)
+	assert.Equal(t, "c", before[0])
+	nodes["c"] = 0.2
+	after := slices.DeleteFunc(Order(nodes), func(n string) bool { return n == "c" })
+	assert.Equal(t, before[1:], after)
+}
+
 // TestPlacements: each is told once to each node, and anew after a while.
 func TestPlacements(t *testing.T) {
 	b := NewBook("r", "r1")
