--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -89,20 +89,16 @@
 // watchersAt is watchers. The node's lock is held.
 func (n *Node) watchersAt(now time.Time) []string {
 	silent := silentAfter(n.peers.size())
-	young := now.Sub(n.start) < lookedBy
 	heard, served := map[string]float64{n.s.Node: n.s.Cores}, map[string]float64{}
 	if n.guard.Up() {
 		served[n.s.Node] = n.s.Cores
 	}
 	for _, p := range n.peers.peers {
-		// A process that has just started goes by the registry until it has heard the others:
-		// else each of them watches for its hall after a loss of all.
-		listed := young && p.heard.IsZero() && !p.listed.IsZero()
-		if p.hall != n.s.Hall || p.leaving || now.Sub(p.heard) > silent && !listed {
+		if p.hall != n.s.Hall || p.leaving || now.Sub(p.heard) > silent {
 			continue
 		}
 		heard[p.name] = p.cores
-		if p.storeUp || listed {
+		if p.storeUp {
 			served[p.name] = p.cores
 		}
 	}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -158,6 +158,8 @@
 	}
 	if c := context.Cause(a.ctx); c != nil && ctx.Err() == nil {
 		err = because(err, c)
+	} else if c == nil && errors.Is(err, errLost) {
+		s.count(q)
 	}
 	a.end(s.verdict(ctx, a, err))
 	s.o.Log.Info("attempt_failed", append(chosen(use), zap.String("request", q.meta.ID),
@@ -289,9 +291,19 @@
 	q.began = true
 	q.first = s.o.Clock.Since(q.arrived)
 	observe("first_ms", q.first)
-	if q.workspace != nil {
-		s.o.Began(q.workspace.Name())
+	s.count(q)
+}
+
+// count counts a request that runs, once. One whose upstream took it and broke the connection
+// counts, too: an upstream that loses answers has run them, and one that crashes takes few
+// with it that it hadn't begun. Without these, 101 to 123 of some 1,330 requests of a window
+// were missing on seven plays of a day on which 27 upstreams lost answers for four seconds.
+func (s *Server) count(q *request) {
+	if q.counted || q.workspace == nil {
+		return
 	}
+	q.counted = true
+	s.o.Began(q.workspace.Name())
 }
 
 // outgoing builds the request for an upstream. Its body can't be rewound, so that
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -118,7 +118,8 @@
 	before    time.Duration // between the caller's first try and this one
 	sends     int           // attempts of which a byte left
 	mayRun    bool          // an attempt may have run it
-	began     bool          // counted as begun
+	began     bool          // its first event or head has come
+	counted   bool          // in the usage of its workspace
 	first     time.Duration // from the arrival to the first event or the head; 0: none came
 	pause     time.Duration // longest between two events passed on
 	use       *pool.Use     // of the last attempt
--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -31,33 +31,31 @@
 	assert.Equal(t, Play(l), Play(l))
 }
 
-// TestFreshFiguresDontHerd: nodes that all know the same at the same time don't all go where
-// it was best a moment ago. Without what others send unseen in the choice, relays give 0.71
-// to 0.80 of the long prompts and 0.63 of the chats in time, less than reports in pairs.
-func TestFreshFiguresDontHerd(t *testing.T) {
+// assertInTime plays the shop's load, and checks the share of first events in time by class
+// and the 99th percentile.
+func assertInTime(t *testing.T, spread Spread, p99 time.Duration, least ...float64) {
+	t.Helper()
 	for _, seed := range []uint64{1, 2} {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			o := Play(shop(SpreadRelays, seed))
-			for i, least := range []float64{0.88, 0.88, 0.83} {
-				assert.GreaterOrEqual(t, o.Classes[i].InTime, least, "%+v", o.Classes[i])
-				assert.Less(t, o.Classes[i].P99, 2*time.Second)
+			o := Play(shop(spread, seed))
+			for i, x := range least {
+				assert.GreaterOrEqual(t, o.Classes[i].InTime, x, "%+v", o.Classes[i])
+				assert.Less(t, o.Classes[i].P99, p99, "%+v", o.Classes[i])
 			}
 		})
 	}
 }
 
+// TestFreshFiguresDontHerd: nodes that all know the same at the same time don't all go where
+// it was best a moment ago. Without what others send unseen in the choice, relays give 0.77
+// and 0.80 of the long prompts, 0.63 and 0.64 of the chats in time, p99 2.2 to 2.7 s.
+func TestFreshFiguresDontHerd(t *testing.T) {
+	assertInTime(t, SpreadRelays, 2*time.Second, 0.88, 0.88, 0.83)
+}
+
 // TestRelaysPlace: a relay that places its nodes' requests one after the other does better
 // than nodes that choose by themselves.
 func TestRelaysPlace(t *testing.T) {
-	for _, seed := range []uint64{1, 2} {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			t.Parallel()
-			o := Play(shop(SpreadPlaced, seed))
-			for i, least := range []float64{0.94, 0.94, 0.94} {
-				assert.GreaterOrEqual(t, o.Classes[i].InTime, least, "%+v", o.Classes[i])
-				assert.Less(t, o.Classes[i].P99, 1300*time.Millisecond)
-			}
-		})
-	}
+	assertInTime(t, SpreadPlaced, 1300*time.Millisecond, 0.94, 0.94, 0.94)
 }
--- /dev/null
+++ b/internal/pool/pick.go
@@ -0,0 +1,174 @@
+package pool
+
+import (
+	"time"
+
+	"spurhall.example/spurhall/internal/call"
+	"spurhall.example/spurhall/internal/capacity"
+)
+
+// This file gathers what a choice needs, and counts the request where it goes. The choice
+// itself is choose.go.
+
+// chosen is an upstream chosen for a request.
+type chosen struct {
+	member *member
+	engine capacity.Engine
+	choice Choice
+	reads  float64 // prompt tokens that it has to read
+	fetch  string  // address of the upstream that it takes cached parts from
+}
+
+// choose chooses an upstream, if there is one.
+func (p *Pools) choose(now time.Time, n Need) (chosen, bool) {
+	members, list, unseen := p.candidates(now, n)
+	s, e := p.service(n.Service), p.engine(now, n.Service)
+	i := Pick(n, Service{Engine: e, Answer: s.answer, Unseen: unseen}, list)
+	if i < 0 {
+		return chosen{}, false
+	}
+	return p.weigh(now, n, members[i], &list[i], len(list)), true
+}
+
+// weigh is what a request takes of a candidate.
+func (p *Pools) weigh(now time.Time, n Need, m *member, c *Candidate, candidates int) chosen {
+	v := chosen{member: m, engine: p.engine(now, n.Service), reads: max(0, n.Prompt-c.Cached)}
+	v.choice = Choice{Candidates: candidates, Running: int(c.Running), Queued: c.Queued, Cached: c.Cached, Revision: p.list.Revision(), Oldest: p.oldest(now)}
+	if c.fetches(v.engine) {
+		v.choice.Fetched, v.fetch = c.Fetch, c.Source
+		v.reads = max(0, v.reads-c.Fetch)
+	}
+	return v
+}
+
+// Pick chooses an upstream and counts the request there. It returns nil if there is
+// none. The caller ends the use by End.
+func (p *Pools) Pick(n Need) *Use {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	v, ok := p.choose(now, n)
+	if !ok {
+		return nil
+	}
+	return p.use(now, n, v)
+}
+
+// PickAt counts a request at an upstream that a relay has placed it at, or chooses another
+// one if that can't take it.
+func (p *Pools) PickAt(n Need, id string) *Use {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	members, list, _ := p.candidates(now, n)
+	for i, m := range members {
+		if m.entry.ID == id && !list[i].Unreachable && !list[i].Refused {
+			v := p.weigh(now, n, m, &list[i], len(list))
+			v.choice.ByRelay = true
+			return p.use(now, n, v)
+		}
+	}
+	v, ok := p.choose(now, n)
+	if !ok {
+		return nil
+	}
+	return p.use(now, n, v)
+}
+
+// use counts a request at the upstream chosen.
+func (p *Pools) use(now time.Time, n Need, v chosen) *Use {
+	m, s := v.member, p.service(n.Service)
+	p.outlier(n.Service).Sending(m.entry.ID)
+	u := &Use{p: p, m: m, entry: m.entry, choice: v.choice, begun: now, engine: n.Engine, prompt: v.reads, fetch: v.fetch}
+	u.held = n.Prompt + n.Output
+	u.output, u.reads = n.Output, v.choice.Queued+u.prompt
+	u.expect = v.engine.FirstEvent(u.reads)
+	m.load.Running++
+	m.load.Held += u.held
+	if n.Engine {
+		m.load.Queued += u.prompt
+		s.reads += answerGain * (u.prompt - s.reads)
+		s.work = s.work.Plus(v.engine.Work(u.prompt, n.Output, s.size))
+	}
+	p.place(now, m, n.Parts)
+	return u
+}
+
+// candidates returns the upstreams that may take a request, and what others have sent to
+// one unseen. Those that are ejected are left out unless nobody else is left.
+func (p *Pools) candidates(now time.Time, n Need) ([]*member, []Candidate, float64) {
+	o := p.outlier(n.Service)
+	var members, spare []*member
+	for _, m := range p.services[n.Service] {
+		switch {
+		case m.entry.Leaving || n.Excluded[m.entry.ID]:
+		case o.Usable(now.Sub(p.start), m.entry.ID):
+			members = append(members, m)
+		default:
+			spare = append(spare, m)
+		}
+	}
+	if len(members) == 0 {
+		members = spare
+	}
+	chain := Chain(n.Parts)
+	unseen := p.gatherOthers(now, n.Service, p.engine(now, n.Service))
+	cut := p.cutHalls(now)
+	list := make([]Candidate, len(members))
+	for i, m := range members {
+		list[i] = p.candidate(now, m, n, chain)
+		list[i].Unreachable = cut[m.entry.Hall] || now.Sub(m.silent) < unreachableKeeps
+	}
+	if rate := p.service(n.Service).size.Fetch; rate > 0 {
+		sources(rate, members, list)
+	}
+	return members, list, unseen
+}
+
+// cutHalls returns the halls that are taken for cut off from this node.
+func (p *Pools) cutHalls(now time.Time) map[string]bool {
+	silent := make(map[string]int)
+	for _, m := range p.members {
+		h := m.entry.Hall
+		if now.Sub(m.silent) < unreachableKeeps && m.silent.After(p.reached[h]) {
+			silent[h]++
+		}
+	}
+	cut := make(map[string]bool, len(silent))
+	for h, n := range silent {
+		cut[h] = n >= cutAfter
+	}
+	return cut
+}
+
+func (p *Pools) candidate(now time.Time, m *member, n Need, chain []uint64) Candidate {
+	c := Candidate{
+		ID: m.entry.ID, Slots: m.entry.Slots, SameHall: m.entry.Hall == p.hall,
+		Running: float64(m.load.Running) + m.others.running, Queued: m.load.Queued + m.others.queued, Held: m.load.Held + m.others.held, Memory: p.service(n.Service).size.Memory,
+		Slowness: max(0.5, m.speed), Failures: m.failures,
+		Refused: now.Sub(m.refused) < refusedKeeps, Cold: now.Before(m.coldTill),
+	}
+	for i, h := range chain {
+		if !m.keeps(now, h) && !m.keeps(now, heldKey(n.Parts[i].ID)) {
+			break
+		}
+		c.Cached += float64(n.Parts[i].Tokens)
+	}
+	return c
+}
+
+// keeps tells whether a prefix is taken to be cached still.
+func (m *member) keeps(now time.Time, prefix uint64) bool {
+	t, ok := m.prefixes[prefix]
+	return ok && now.Sub(t) <= prefixKeeps
+}
+
+func (p *Pools) place(now time.Time, m *member, parts []call.Part) {
+	chain := Chain(parts)
+	for i, h := range chain {
+		m.prefixes[h] = now
+		if i < len(chain)-1 && len(p.placed) < placedLimit {
+			p.placed = append(p.placed, placing{now, Placement{Prefix: h, Upstream: m.entry.ID}})
+		}
+	}
+}
--- a/internal/pool/unseen.go
+++ b/internal/pool/unseen.go
@@ -13,13 +13,13 @@
 // good, and further the older the word is.
 //
 // The load that this answers: 95 nodes before engines that read for seven tenths of their
-// time, with 222 requests a second. Their first events came in time for 0.71 to 0.80 of the
-// long prompts, 0.64 of the chats without it, and for 0.91 to 0.93, 0.87 with it (package
-// model, two seeds; TestFreshFiguresDontHerd plays it).
+// time, with 222 requests a second. Their first events came in time for 0.77 and 0.80 of the
+// long prompts, 0.63 and 0.64 of the chats without it, and for 0.91 and 0.93, 0.87 and 0.86
+// with it (package model, two seeds; TestFreshFiguresDontHerd plays it).
 //
 // Weighed, in the same play: levelling the queues by what has come unseen before choosing.
-// All nodes fill the same valleys (0.65 of the long prompts). Choosing the best of a few
-// drawn at random: it forgets where the prompt's parts are cached.
+// All nodes fill the same valleys: 0.65 of the long prompts where leaving it gave 0.68. Choosing
+// the best of a few drawn at random, on paper only: it forgets where a prompt's parts are cached.
 
 // unseenMost is the most that an upstream is taken to have got, in averages. From 2 to 16
 // it makes no difference in the play above, 1 is less.
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -35,18 +35,18 @@
 
 // Relays returns the relays of a hall, out of its nodes in order.
 func Relays(ordered []string) []string {
-	return ordered[:min(len(ordered), max(leastRelays, busy(len(ordered))))]
+	return ordered[:min(len(ordered), max(leastRelays, active(len(ordered))))]
 }
 
-// busy is how many relays of a hall nodes report to. The others only swap.
-func busy(nodes int) int { return (nodes + nodesARelay - 1) / nodesARelay }
+// active is how many relays of a hall nodes report to. The others only swap.
+func active(nodes int) int { return (nodes + nodesARelay - 1) / nodesARelay }
 
 // Homes returns the relays of a node's hall in the order in which it tries to report to
 // them, out of the hall's nodes in order.
 func Homes(self string, ordered []string) []string {
 	homes := slices.Clone(Relays(ordered))
-	first := homes[:min(busy(len(ordered)), len(homes))]
-	slices.SortFunc(first, func(a, b string) int {
+	actives := homes[:min(active(len(ordered)), len(homes))]
+	slices.SortFunc(actives, func(a, b string) int {
 		return cmp.Compare(xxhash.Sum64String(self+a), xxhash.Sum64String(self+b))
 	})
 	return homes
