A node that followed others while the store turned it away believes the list at once

The store had turned the node away for 8 s; since relays, such a node follows one that the store answers. When it watched again itself, 1.4 s after the store took it back, its reader still held the failure from the beginning, took the store for just returned, and believed for 2.2 s more what went from the list. Before, it would have watched all the time and been through with that while it counted as out of touch. Ruled out: the longer gathering of changes (0.3 s of the 2.5). Change: what is told by a node that watches ends the failure.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -215,6 +215,7 @@
 	if !m.Watching || m.HasList && m.ListRevision < n.pools.Change() {
 		return errNoNews
 	}
+	n.followed()
 	if len(m.Catalog) > 0 {
 		n.accept(m.Catalog, name)
 	}
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -103,6 +103,19 @@
 	storeUp.Add(f.name, 1)
 }
 
+// followed notes that a node that watches has told this one what the store holds: it wasn't
+// away, though it may turn this node away. Without that, the node took what went from the
+// list for lapsed when it watched again itself: one request on a hunted day reached an
+// upstream 2.5 s after it had left, where 2 s are allowed.
+func (n *Node) followed() {
+	for _, f := range []*follower{n.listReader, n.catalogReader} {
+		if !f.failed.IsZero() {
+			f.failed = time.Time{}
+			storeUp.Add(f.name, 1)
+		}
+	}
+}
+
 func (f *follower) follow(ctx context.Context) error {
 	r, err := f.n.kv.Range(ctx, f.prefix, store.PrefixEnd(f.prefix))
 	if err != nil {
