--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -94,7 +94,7 @@
 		if i == home {
 			x -= homeMs
 		}
-		if x < least {
+		if x < least || x == least && c.ID < list[best].ID { // the same one on every node
 			best, least = i, x
 		}
 	}
