Lines of what broke name the request by its print, and how far it had come

Cause: when upstreams ended one after the other, no line said whether the same request was at each end: every try has an id of its own.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -39,6 +39,7 @@
 	gone   bool      // another upstream has its address
 	passed int       // events passed on
 	began  time.Time // when the first of them was
+	sent   time.Time // when its first byte may have left
 }
 
 // end closes the attempt's connection if it is still busy.
@@ -174,6 +175,7 @@
 		s.noteBegun(q, a)
 		return a, nil
 	}
+	broken := a.broken(ctx, err)
 	if c := context.Cause(a.ctx); c != nil && ctx.Err() == nil {
 		err = because(err, c)
 	} else if c == nil && errors.Is(err, errLost) {
@@ -183,9 +185,13 @@
 	if ctx.Err() == nil && errors.Is(err, errLost) {
 		s.o.Trials.Note(q.service, q.route.Name(), use.Rank(), rollout.Answer{Failed: true})
 	}
-	s.o.Log.Info("attempt_failed", append(chosen(use), zap.String("request", q.meta.ID),
+	f := append(chosen(use), zap.String("request", q.meta.ID),
 		zap.String("address", use.Entry().Address), zap.Int("send", q.sends), zap.Duration("after", s.o.Clock.Since(q.arrived)),
-		zap.Bool("not_run", errors.Is(err, errNotRun)), zap.String("cause", fault.Reason(err)))...)
+		zap.Bool("not_run", errors.Is(err, errNotRun)), zap.String("cause", fault.Reason(err)))
+	if broken {
+		f = append(f, s.brokenFields(q, a)...)
+	}
+	s.o.Log.Info("attempt_failed", f...)
 	return nil, err
 }
 
@@ -242,6 +248,7 @@
 	r := s.outgoing(a, q, lastEvent)
 	e := a.use.Entry()
 	line := s.o.Lines.get(e)
+	a.sent = s.o.Clock.Now()
 	head, err := line.Do(r, len(q.body) > 0)
 	if err != nil && errors.Is(err, upstream.ErrNotSent) {
 		return fault.Because(errNotRun, "%s", fault.Reason(err))
@@ -250,7 +257,7 @@
 	q.arrivals++
 	if err != nil {
 		q.mayRun = true
-		return fault.Because(errLost, "%s", fault.Reason(err))
+		return fault.Because(lost(err), "%s", fault.Reason(err))
 	}
 	a.head = head
 	v := s.o.Dialect.ReadAnswer(head)
@@ -298,7 +305,7 @@
 		a.events = newEventReader(a.head.Body)
 		v, err := a.events.next()
 		if err != nil {
-			return fault.Because(errLost, "no first event: %s", fault.Reason(err))
+			return fault.Because(lost(err), "no first event: %s", fault.Reason(err))
 		}
 		a.first = v
 		s.began(q, a)
@@ -307,7 +314,7 @@
 	s.began(q, a)
 	b, err := io.ReadAll(io.LimitReader(a.head.Body, maxBody))
 	if err != nil {
-		return fault.Because(errLost, "the body broke off: %v", err)
+		return fault.Because(lost(err), "the body broke off: %v", err)
 	}
 	a.body = b
 	if a.head.StatusCode >= 500 && q.route.Repeatable() && q.sends < q.route.MaxAttempts() {
--- a/internal/forward/event.go
+++ b/internal/forward/event.go
@@ -25,7 +25,7 @@
 func newEventReader(r io.Reader) *eventReader { return &eventReader{r: bufio.NewReader(r)} }
 
 // next returns the next whole event. The error is io.EOF at a clean end, and errLost if
-// the stream ends within an event.
+// the stream ends within an event, errSevered where the upstream ended it.
 func (e *eventReader) next() (event, error) {
 	var v event
 	for {
@@ -40,7 +40,7 @@
 		case errors.Is(err, io.EOF) && len(v.raw) == 0:
 			return event{}, io.EOF
 		case err != nil:
-			return event{}, fault.Because(errLost, "the stream broke off: %v", err)
+			return event{}, fault.Because(lost(err), "the stream broke off: %v", err)
 		}
 		start := bytes.LastIndexByte(v.raw[:len(v.raw)-1], '\n') + 1
 		text := bytes.TrimRight(v.raw[start:], "\r\n")
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -36,6 +36,7 @@
 	"spurhall.example/spurhall/internal/catalog"
 	"spurhall.example/spurhall/internal/fault"
 	"spurhall.example/spurhall/internal/pool"
+	"spurhall.example/spurhall/internal/quarantine"
 	"spurhall.example/spurhall/internal/quota"
 	"spurhall.example/spurhall/internal/rollout"
 	"spurhall.example/spurhall/internal/timer"
@@ -46,6 +47,8 @@
 var (
 	// errLost says that an upstream gave no whole answer: the request may have run.
 	errLost = errs.NewType("lost").New("the upstream gave no whole answer, the request may have run")
+	// errSevered is errLost where the upstream closed or reset the connection.
+	errSevered = fault.Because(errLost, "the upstream closed or reset the connection")
 	// errNotRun says that the attempt did not run the request and never will.
 	errNotRun = errs.NewType("not_run").New("the request has not run")
 	// errTimeout says that the time for an answer is over.
@@ -141,6 +144,7 @@
 	pause     time.Duration // longest between two events passed on
 	use       *pool.Use     // of the last attempt
 	failure   *answer       // an upstream's own failure, to be passed on if nothing betters it
+	print     *quarantine.Print
 }
 
 func (q *request) workspaceName() string {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -103,13 +103,19 @@
 	if t.ctx.Err() != nil {
 		return event{}, t.ctx.Err()
 	}
+	broken := t.a.broken(t.ctx, err)
 	if c := context.Cause(t.a.ctx); c != nil {
 		err = because(err, c)
 	}
 	t.a.end(pool.ResultFailed)
 	t.note(rollout.Answer{Failed: true, Later: true})
-	t.s.o.Log.Info("stream_broke", zap.String("request", t.q.meta.ID), zap.String("upstream", t.a.use.Entry().ID),
-		zap.String("last_event", t.last), zap.String("cause", fault.Reason(err)))
+	f := []zap.Field{
+		zap.String("request", t.q.meta.ID), zap.String("upstream", t.a.use.Entry().ID), zap.String("last_event", t.last), zap.String("cause", fault.Reason(err)),
+	}
+	if broken {
+		f = append(f, t.s.brokenFields(t.q, t.a)...)
+	}
+	t.s.o.Log.Info("stream_broke", f...)
 	return t.resume(err)
 }
 
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -43,6 +43,10 @@
 	ErrRefused = errs.NewType("refused").New("the upstream refused the request before running it")
 	// ErrLost says that the upstream may have run the request.
 	ErrLost = errs.NewType("lost").New("the upstream gave no whole answer, the request may have run")
+	// ErrSevered is ErrLost where the upstream's end of the connection was closed or reset, as
+	// it is when its process ends. Silence, of a way that was cut or of an upstream that
+	// hangs, isn't that.
+	ErrSevered = fault.Because(ErrLost, "the upstream closed or reset the connection")
 	// ErrForeign says that the upstream answered with another request's id.
 	ErrForeign = errs.NewType("foreign").New("the upstream's answer belongs to another request")
 	// ErrOffset says that a stream began or went on at a wrong offset.
@@ -216,8 +220,22 @@
 	if err == nil {
 		return a, nil
 	}
-	if u.wrote() {
+	switch {
+	case u.wrote() && Severed(err):
+		return nil, fault.Because(ErrSevered, "%v", err)
+	case u.wrote():
 		return nil, fault.Because(ErrLost, "%v", err)
 	}
 	return nil, fault.Because(ErrNotSent, "%v", err)
 }
+
+// Severed tells whether an error of a connection means that its other end was closed or
+// reset.
+func Severed(err error) bool {
+	for _, e := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/upstream/transport_test.go
+++ b/internal/upstream/transport_test.go
@@ -138,3 +138,37 @@
 		_, _ = a.Close(), b.Close()
 	}
 }
+
+// TestSeveredIsTheUpstreamsDoing: a connection that the upstream closes or resets is told from
+// one that falls silent. Both are lost, and only the first says something of the upstream.
+func TestSeveredIsTheUpstreamsDoing(t *testing.T) {
+	var runs atomic.Int64
+	c := newTestClient()
+	defer c.Close()
+	send := func(ctx context.Context, address string) error {
+		q, err := http.NewRequestWithContext(ctx, "POST", "http://"+address+"/run", strings.NewReader("x"))
+		require.NoError(t, err)
+		a, err := c.Do(q, false)
+		if err == nil {
+			_ = a.Body.Close()
+		}
+		return err
+	}
+	t.Run("closed", func(t *testing.T) {
+		address := forgetful(t, &runs)
+		require.NoError(t, send(context.Background(), address))
+		err := send(context.Background(), address)
+		assert.ErrorIs(t, err, ErrSevered)
+		assert.ErrorIs(t, err, ErrLost)
+	})
+	t.Run("silent", func(t *testing.T) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer func() { _ = l.Close() }()
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		err = send(ctx, l.Addr().String())
+		assert.ErrorIs(t, err, ErrLost)
+		assert.NotErrorIs(t, err, ErrSevered)
+	})
+}
