--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -128,11 +128,16 @@
 		n.mu.Lock()
 		n.book.Away(name)
 		n.mu.Unlock()
-		n.takeDigest(name, digestFromWire(a.Msg))
-		n.hearSuspicions(a.Msg.Suspicions, name)
+		n.takeGathered(name, a.Msg)
 	}
 }
 
+// takeGathered takes in what a relay answered.
+func (n *Node) takeGathered(name string, a *wire.GatherResponse) {
+	n.takeDigest(name, digestFromWire(a))
+	n.hearSuspicions(a.Suspicions, name)
+}
+
 // noteRelay takes in whether a relay answered.
 func (n *Node) noteRelay(p *peer, err error) {
 	n.mu.Lock()
--- /dev/null
+++ b/internal/edge/suspicions_test.go
@@ -0,0 +1,82 @@
+package edge
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"spurhall.example/spurhall/internal/quarantine"
+	"spurhall.example/spurhall/internal/timer"
+	"spurhall.example/spurhall/internal/wire"
+)
+
+var deadlyPrint = quarantine.PrintOf(quarantine.Request{Target: "/chat/", Body: []byte("deadly")})
+
+// suspiciousNode is a node that runs no duty, and what it knows.
+func suspiciousNode(name string, clock *timer.Manual) *Node {
+	return New(Options{Settings: &Settings{Node: name, Hall: "a", Peers: "127.0.0.1:1", UsageWindow: time.Second}, Lifetime: name, Clock: clock.Service(), Log: zap.NewNop()})
+}
+
+func (n *Node) sawEnds(count int) {
+	for i := range count {
+		now := n.clock.Now()
+		n.front.Held(n.suspects.Broke(now, quarantine.End{Print: deadlyPrint, Upstream: fmt.Sprint("u", i), At: now}), "")
+	}
+}
+
+func (n *Node) holdsBack() bool { return n.suspects.Wait(n.clock.Now(), deadlyPrint) > 0 }
+
+// TestSuspicionsGoWithEveryMessage: what holds a request back is told by each kind of message
+// between nodes, both ways.
+func TestSuspicionsGoWithEveryMessage(t *testing.T) {
+	clock := timer.NewManual(time.Unix(1000, 0))
+	pair := func() (*Node, *Node) { return suspiciousNode("x", clock), suspiciousNode("y", clock) }
+	ways := map[string]func(t *testing.T, asker, answerer *Node){
+		"report": func(t *testing.T, x, y *Node) {
+			a, err := (&edgeService{y}).Report(t.Context(), connect.NewRequest(&wire.ReportRequest{Report: x.report(pairWindows)}))
+			require.NoError(t, err)
+			x.takeIn(t.Context(), a.Msg.Report)
+		},
+		"gather": func(t *testing.T, x, y *Node) {
+			a, err := (&edgeService{y}).Gather(t.Context(), connect.NewRequest(&wire.GatherRequest{Report: x.report(relayWindows)}))
+			require.NoError(t, err)
+			x.takeGathered("y", a.Msg)
+		},
+		"swap": func(t *testing.T, x, y *Node) {
+			a, err := (&edgeService{y}).Swap(t.Context(), connect.NewRequest(&wire.SwapRequest{Group: x.groupFor("y", "", 0)}))
+			require.NoError(t, err)
+			x.takeGroup(a.Msg.Group)
+		},
+	}
+	for name, swap := range ways {
+		t.Run(name, func(t *testing.T) {
+			x, y := pair()
+			x.sawEnds(quarantine.Proof)
+			swap(t, x, y)
+			assert.True(t, y.holdsBack(), "asked")
+			x, y = pair()
+			y.sawEnds(quarantine.Proof)
+			swap(t, x, y)
+			assert.True(t, x.holdsBack(), "answered")
+		})
+	}
+	t.Run("news is told on", func(t *testing.T) {
+		x, y := pair()
+		z := suspiciousNode("z", clock)
+		x.sawEnds(1)
+		ways["swap"](t, x, y)
+		ways["gather"](t, z, y)
+		assert.Equal(t, 1, z.suspects.Ends(deadlyPrint))
+	})
+}
+
+// TestSuspicionsOfAnotherVersion: a node of another version may tell prints of another length.
+func TestSuspicionsOfAnotherVersion(t *testing.T) {
+	m := &wire.Suspicions{Ends: []*wire.End{{Print: []byte("short"), Upstream: "u"}}, Answers: []*wire.Answered{{Print: nil}}}
+	assert.True(t, suspicionsFromWire(time.Unix(1000, 0), m).Empty())
+}
