The own interface holds back requests that end upstreams, too

Cause: the same as on the users' platform: what an attempt showed was forgotten with the request. Worst for jobs, which are tried until their deadline, by one node after the other: each repeat ended another engine.

Ruled out: a copy of the decision for this composition: both ask quarantine.Book; what differs is who carries it (exchanges of facts here, reports and relays there).

Change: dispatch asks the book before a request enters and after each attempt, tells it of ends and answers; exchanges carry its words, and an end is told at once. Words become messages in one place. What has lapsed is forgotten when words are asked for.

Conclusion: at most five upstreams end under one request, of 10 to 12.

--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -75,6 +75,9 @@
 
 // chatOnce admits and attempts until the answer is whole or no retry is allowed.
 func (d *Dispatcher) chatOnce(ctx context.Context, c *Chat, l *life) error {
+	if r := d.withheld(c.identity); r != nil {
+		return r
+	}
 	p := d.pool(c.Service.Pool)
 	size := float64(c.Prompt.Tokens)/1000 + float64(c.MaxTokens)/100
 	leave, err := p.enter(ctx, admission(d, c.Record.ID(), c.Workspace, c.Service, size, c.Deadline))
@@ -96,6 +99,9 @@
 			return nil
 		}
 		prefer = ""
+		if r := d.held(c.identity); r != nil {
+			return r
+		}
 		if errors.Is(err, errMoved) {
 			// The upstream leaves: not a failure, and not paid from the retry budget.
 			prefer = next
@@ -167,6 +173,7 @@
 	if err == nil {
 		l.fire("finish")
 		p.measured(t.fact.ID, p.d.o.Clock.Since(begun), c.Record.Len()-offset)
+		p.d.answered(c.identity)
 		c.Record.FinishAttempt(number, p.d.o.Clock.Now())
 		return "", nil
 	}
@@ -175,6 +182,7 @@
 		go p.d.checkLeaving(t.fact.ID, t.fact.Address)
 	}
 	l.failed(err)
+	p.d.broke(ctx, err, c.identity, &t.fact)
 	return "", err
 }
 
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -57,6 +57,10 @@
 	x, cancel := context.WithTimeout(ctx, c.Deadline.Sub(d.o.Clock.Now()))
 	p := d.pool(c.Service.Pool)
 	l := d.begin(c.ID)
+	if r := d.withheld(c.identity); r != nil {
+		cancel()
+		return givenUp(l.giveUp(), r)
+	}
 	leave, err := p.enter(x, c.admission(d))
 	if err != nil {
 		cancel()
@@ -157,9 +161,14 @@
 		a, err := p.sendOnce(ctx, c, &t)
 		if err == nil {
 			l.fire("finish")
+			p.d.answered(c.identity)
 			return a
 		}
 		l.failed(err)
+		p.d.broke(ctx, err, c.identity, &t.fact)
+		if r := p.d.held(c.identity); r != nil {
+			return givenUp(l.giveUp(), r)
+		}
 		tried[t.fact.ID] = true
 		v := p.decide(retry.Attempt{
 			Repeatable: *c.Rule.Repeatable, MayHaveRun: !errors.Is(err, upstream.ErrNotSent) && !errors.Is(err, upstream.ErrRefused),
@@ -225,7 +234,7 @@
 	b, err := io.ReadAll(io.LimitReader(s.Body, heldBody))
 	if err != nil {
 		_ = s.Body.Close()
-		return nil, fmt.Errorf("%w: the answer broke off: %w", upstream.ErrLost, err)
+		return nil, fmt.Errorf("%w: the answer broke off: %w", lost(err), err)
 	}
 	a := &Answer{Outcome: stream.OutcomeDone, Status: s.StatusCode, Header: s.Header, Body: b}
 	if len(b) == heldBody {
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -19,6 +19,7 @@
 	"spurhall.example/spurhall/internal/admit"
 	"spurhall.example/spurhall/internal/config"
 	"spurhall.example/spurhall/internal/member"
+	"spurhall.example/spurhall/internal/quarantine"
 	"spurhall.example/spurhall/internal/retry"
 	"spurhall.example/spurhall/internal/route"
 	"spurhall.example/spurhall/internal/timer"
@@ -47,12 +48,14 @@
 
 // Options sets a dispatcher.
 type Options struct {
+	Node     string
 	Hall     string
 	Clock    *timer.Service
 	Client   *upstream.Client
 	Table    *member.Table
 	Nodes    func() int // live nodes, this one included
 	Event    func(name, request, detail string)
+	Urgent   func() // there is something that other nodes should know at once
 	Policy   route.Policy
 	Distance time.Duration // one way, to an upstream in another hall
 }
@@ -63,11 +66,13 @@
 	start time.Time
 	mu    sync.Mutex
 	pools map[string]*pool
+
+	suspects *quarantine.Book
 }
 
 // New returns a dispatcher without pools; they come with use.
 func New(o Options) *Dispatcher {
-	return &Dispatcher{o: o, start: o.Clock.Now(), pools: make(map[string]*pool)}
+	return &Dispatcher{o: o, start: o.Clock.Now(), pools: make(map[string]*pool), suspects: quarantine.NewBook(o.Node)}
 }
 
 func (d *Dispatcher) now() time.Duration { return d.o.Clock.Since(d.start) }
--- /dev/null
+++ b/internal/dispatch/suspects.go
@@ -0,0 +1,116 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+
+	"spurhall.example/spurhall/internal/member"
+	"spurhall.example/spurhall/internal/quarantine"
+	"spurhall.example/spurhall/internal/upstream"
+	"spurhall.example/spurhall/internal/wire"
+)
+
+// This file keeps requests that end upstreams from reaching more of them (package quarantine).
+// A job is the worst of these: it is tried until its deadline, by one node after the other.
+
+func (c *Chat) identity() quarantine.Request {
+	b, _ := json.Marshal(c.Body) // came as JSON
+	return quarantine.Request{Method: "chat", Target: c.Service.Name, Workspace: c.Workspace, Body: b}
+}
+
+func (c *Call) identity() quarantine.Request {
+	return quarantine.Request{Method: c.Method, Host: c.Service.Name, Target: c.Path, Workspace: c.Workspace, Body: c.Body}
+}
+
+// print returns the print of a request, if upstreams have ended under some like it.
+func (d *Dispatcher) print(of func() quarantine.Request) (quarantine.Print, bool) {
+	if !d.suspects.Knows(func() quarantine.Shape { return quarantine.ShapeOf(of()) }) {
+		return quarantine.Print{}, false
+	}
+	return quarantine.PrintOf(of()), true
+}
+
+const heldCause = "requests like this end the upstreams that run them"
+
+// withheld refuses a request that is held back when it comes; nil: it isn't.
+func (d *Dispatcher) withheld(of func() quarantine.Request) *Refusal {
+	p, ok := d.print(of)
+	if !ok {
+		return nil
+	}
+	v := d.suspects.Check(d.o.Clock.Now(), p)
+	if !v.Held {
+		return nil
+	}
+	return &Refusal{cause: heldCause, after: v.Wait}
+}
+
+// held is withheld for a request that has been sent.
+func (d *Dispatcher) held(of func() quarantine.Request) *Refusal {
+	p, ok := d.print(of)
+	if !ok {
+		return nil
+	}
+	if w := d.suspects.Wait(d.o.Clock.Now(), p); w > 0 {
+		return &Refusal{cause: heldCause, after: w}
+	}
+	return nil
+}
+
+// broke takes in that an attempt failed, if its upstream ended under it: it broke the
+// connection, hadn't announced that it leaves, and doesn't listen any more.
+func (d *Dispatcher) broke(ctx context.Context, err error, of func() quarantine.Request, f *member.Fact) {
+	if ctx.Err() != nil || !errors.Is(err, upstream.ErrSevered) {
+		return
+	}
+	if v, ok := d.o.Table.Get(f.ID); !ok || v.Status != member.StatusLive {
+		return
+	}
+	if !d.o.Client.Refuses(ctx, f.Address) {
+		return
+	}
+	now := d.o.Clock.Now()
+	p := quarantine.PrintOf(of())
+	d.o.Event("upstream_ended", "", f.ID+" under "+p.String())
+	d.changed(d.suspects.Broke(now, quarantine.End{Print: p, Upstream: f.ID, At: now}))
+	d.o.Urgent()
+}
+
+// answered takes in that a request was answered whole.
+func (d *Dispatcher) answered(of func() quarantine.Request) {
+	if p, ok := d.print(of); ok {
+		d.changed(d.suspects.Answered(d.o.Clock.Now(), p))
+	}
+}
+
+func (d *Dispatcher) changed(list []quarantine.Change) {
+	for _, c := range list {
+		if c.Held {
+			d.o.Event("request_held", "", c.Print.String()+" ended "+strings.Join(c.Upstreams, " "))
+		} else {
+			d.o.Event("request_released", "", c.Print.String())
+		}
+	}
+}
+
+// Suspicions is what this node tells others of requests that end upstreams; nil: nothing.
+func (d *Dispatcher) Suspicions() *wire.Suspicions {
+	now := d.o.Clock.Now()
+	return d.suspects.Words(now).ToWire(now)
+}
+
+// Hear takes in what another node told of them.
+func (d *Dispatcher) Hear(m *wire.Suspicions) {
+	now := d.o.Clock.Now()
+	d.changed(d.suspects.Hear(now, quarantine.WordsFromWire(now, m)))
+}
+
+// lost is what a failure to read an answer's body means.
+func lost(err error) error {
+	if upstream.Severed(err) {
+		return upstream.ErrSevered
+	}
+	return upstream.ErrLost
+}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -113,7 +113,7 @@
 		go n.serve(n.server(http.HandlerFunc(n.serveMetrics)), l.Metrics)
 	}
 	var duties sync.WaitGroup
-	for _, f := range []func(context.Context){n.watch, n.expire, n.rounds, n.relay, n.register, n.look, n.greet, n.recallLevels, n.recallCached, n.recallRollouts, n.recallHeld, n.forgetSuspicions, n.duties} {
+	for _, f := range []func(context.Context){n.watch, n.expire, n.rounds, n.relay, n.register, n.look, n.greet, n.recallLevels, n.recallCached, n.recallRollouts, n.recallHeld, n.duties} {
 		duties.Add(1)
 		go func() {
 			defer duties.Done()
--- a/internal/edge/suspicions.go
+++ b/internal/edge/suspicions.go
@@ -17,30 +17,21 @@
 // What holds requests back also stands in the store, where the holder of the duties writes it,
 // so that a loss of all processes doesn't cost another three upstreams for each request.
 
-const (
-	// suspicionsEvery is how often a node forgets what has lapsed.
-	suspicionsEvery = 10 * time.Second
-	// suspicionsAgain is how often a process that starts asks a store that doesn't answer.
-	suspicionsAgain = time.Second
-)
+// suspicionsAgain is how often a process that starts asks a store that doesn't answer.
+const suspicionsAgain = time.Second
 
 // hearSuspicions takes in what another node knows.
 func (n *Node) hearSuspicions(m *wire.Suspicions, source string) {
 	if m != nil {
 		now := n.clock.Now()
-		n.front.Held(n.suspects.Hear(now, suspicionsFromWire(now, m)), source)
+		n.front.Held(n.suspects.Hear(now, quarantine.WordsFromWire(now, m)), source)
 	}
 }
 
 // suspicions is what this node tells the others now; nil: nothing.
 func (n *Node) suspicions() *wire.Suspicions {
 	now := n.clock.Now()
-	return suspicionsToWire(now, n.suspects.Words(now))
-}
-
-// forgetSuspicions drops what has lapsed, until the context ends.
-func (n *Node) forgetSuspicions(ctx context.Context) {
-	n.clock.Every(ctx, suspicionsEvery, n.suspects.Expire)
+	return n.suspects.Words(now).ToWire(now)
 }
 
 // heldRecord is what holds requests back.
@@ -101,34 +92,3 @@
 	n.log.Info("held_found", zap.Int("ends", len(w.Ends)))
 	n.front.Held(n.suspects.Hear(now, w), heldRecord.key)
 }
-
-func suspicionsToWire(now time.Time, w quarantine.Words) *wire.Suspicions {
-	if w.Empty() {
-		return nil
-	}
-	m := &wire.Suspicions{}
-	for _, e := range w.Ends {
-		m.Ends = append(m.Ends, &wire.End{Print: e.Print[:], Upstream: e.Upstream, AgeMs: now.Sub(e.At).Milliseconds(), Began: e.Began})
-	}
-	for _, a := range w.Answers {
-		m.Answers = append(m.Answers, &wire.Answered{Print: a.Print[:], AgeMs: now.Sub(a.At).Milliseconds()})
-	}
-	return m
-}
-
-// suspicionsFromWire passes over prints of another length, which a node of another version may
-// tell.
-func suspicionsFromWire(now time.Time, m *wire.Suspicions) quarantine.Words {
-	var w quarantine.Words
-	for _, e := range m.Ends {
-		if len(e.Print) == len(quarantine.Print{}) {
-			w.Ends = append(w.Ends, quarantine.End{Print: quarantine.Print(e.Print), Upstream: e.Upstream, At: now.Add(-millis(e.AgeMs)), Began: e.Began})
-		}
-	}
-	for _, a := range m.Answers {
-		if len(a.Print) == len(quarantine.Print{}) {
-			w.Answers = append(w.Answers, quarantine.Answer{Print: quarantine.Print(a.Print), At: now.Add(-millis(a.AgeMs))})
-		}
-	}
-	return w
-}
--- a/internal/edge/suspicions_test.go
+++ b/internal/edge/suspicions_test.go
@@ -78,5 +78,5 @@
 // TestSuspicionsOfAnotherVersion: a node of another version may tell prints of another length.
 func TestSuspicionsOfAnotherVersion(t *testing.T) {
 	m := &wire.Suspicions{Ends: []*wire.End{{Print: []byte("short"), Upstream: "u"}}, Answers: []*wire.Answered{{Print: nil}}}
-	assert.True(t, suspicionsFromWire(time.Unix(1000, 0), m).Empty())
+	assert.True(t, quarantine.WordsFromWire(time.Unix(1000, 0), m).Empty())
 }
--- /dev/null
+++ b/internal/node/deadly_test.go
@@ -0,0 +1,132 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"spurhall.example/spurhall/internal/quarantine"
+	"spurhall.example/spurhall/internal/standin"
+	"spurhall.example/spurhall/internal/store"
+	"spurhall.example/spurhall/internal/timer"
+)
+
+// fragile is engines, or plain services, of which each ends as a process does when it begins to
+// run a request that bears the word deadly.
+type fragile struct {
+	mu    sync.Mutex
+	ended int
+}
+
+func (f *fragile) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ended
+}
+
+func (f *fragile) add(r *rig, id, service string, h http.Handler) {
+	s := httptest.NewUnstartedServer(nil)
+	end := sync.OnceFunc(func() {
+		f.mu.Lock()
+		f.ended++
+		f.mu.Unlock()
+		_ = s.Listener.Close()
+		go s.CloseClientConnections() // waits for the handlers, of which one calls this
+	})
+	s.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		b, _ := io.ReadAll(q.Body) // the rig has sent it whole
+		q.Body = io.NopCloser(strings.NewReader(string(b)))
+		if strings.Contains(string(b), "deadly") {
+			end()
+			panic(http.ErrAbortHandler)
+		}
+		h.ServeHTTP(w, q)
+	})
+	s.Start()
+	r.t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	r.platform.Register(store.VM{
+		ID: id, Address: s.Listener.Addr().String(), Incarnation: 1, Role: store.RoleUpstream, Service: service, Hall: "hall-a", Zone: "z0", Slots: 32,
+	})
+}
+
+func (r *rig) fragileEngines(count int) *fragile {
+	f := &fragile{}
+	for i := range count {
+		id := fmt.Sprint("e", i)
+		f.add(r, id, "llm", standin.NewEngine(timer.Real(), standin.EngineOptions{ID: id, Slots: 32, CacheTokens: 100000}).Handler())
+	}
+	r.waitEngines(count)
+	return f
+}
+
+// again is after how long a caller repeats a request: some of the rig's rounds.
+const again = 300 * time.Millisecond
+
+// endedMost is how many upstreams one request may end: those that prove it, and those that it
+// had reached before all nodes knew.
+const endedMost = quarantine.Proof + 2
+
+// TestChatThatEndsEnginesIsHeldBack: a caller repeats a chat under which each engine ends, at
+// one node after the other. The nodes tell each other, and after three ends none sends it.
+func TestChatThatEndsEnginesIsHeldBack(t *testing.T) {
+	r := newRig(t, "hall-a", "hall-a", "hall-a")
+	f := r.fragileEngines(12)
+	deadly := newChat("chat", "deadly", 4, true)
+	refused := func(n *rigNode) bool {
+		a := r.chat(n, deadly)
+		return a.status == http.StatusServiceUnavailable && strings.Contains(a.body, "end the upstreams")
+	}
+	for i := 0; i < 12 && !refused(r.nodes[i%len(r.nodes)]); i++ {
+		time.Sleep(again)
+	}
+	for _, n := range r.nodes {
+		r.eventually("it is held back", func() bool { return n.saw("request_held") })
+		assert.True(t, refused(n))
+	}
+	assert.LessOrEqual(t, f.count(), endedMost)
+	for i, n := range r.nodes {
+		c := newChat("chat", fmt.Sprint("harmless ", i), 4, true)
+		assertWhole(t, c, r.chat(n, c))
+	}
+}
+
+// TestJobThatEndsEnginesIsHeldBack: an accepted job is tried until its deadline. One under which
+// each engine ends went through all of them.
+func TestJobThatEndsEnginesIsHeldBack(t *testing.T) {
+	r := newRig(t, "hall-a", "hall-a")
+	f := r.fragileEngines(10)
+	n := r.nodes[0]
+	a := n.call(http.MethodPost, "/v1/chat/completions", newChat("batch", "deadly", 4, false).body, "Prefer", "respond-async")
+	assert.Equal(t, http.StatusAccepted, a.status, a.body)
+	r.eventually("it is held back", func() bool { return n.saw("request_held") })
+	c := newChat("chat", "harmless", 4, true)
+	assertWhole(t, c, r.chat(n, c))
+	assert.LessOrEqual(t, f.count(), endedMost)
+}
+
+// TestCallThatEndsServicesIsHeldBack is the same for a plain call that may be repeated.
+func TestCallThatEndsServicesIsHeldBack(t *testing.T) {
+	r := newRig(t, "hall-a", "hall-a")
+	f := &fragile{}
+	for i := range 10 {
+		f.add(r, fmt.Sprint("p", i), "orders", standin.NewPlain("orders", timer.Real(), 0).Handler())
+	}
+	for _, n := range r.nodes {
+		r.eventually("they are known", func() bool { return n.upstreams("orders") == 11 })
+	}
+	r.eventually("it is held back", func() bool {
+		for _, n := range r.nodes {
+			n.call(http.MethodPost, "/s/orders/again", "deadly")
+			time.Sleep(again)
+		}
+		return r.nodes[0].saw("request_held") && r.nodes[1].saw("request_held")
+	})
+	assert.LessOrEqual(t, f.count(), endedMost)
+}
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -256,12 +256,13 @@
 	x, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	r, err := v.client.Exchange(x, connect.NewRequest(&wire.ExchangeRequest{
-		From: p.n.id, Hall: p.n.o.Hall, ConfigRevision: p.n.view.Revision(), Facts: encode(facts), Have: have, PlatformUp: p.n.guard.Up(),
+		From: p.n.id, Hall: p.n.o.Hall, ConfigRevision: p.n.view.Revision(), Facts: encode(facts), Have: have, PlatformUp: p.n.guard.Up(), Suspicions: p.n.dispatcher.Suspicions(),
 	}))
 	if err != nil {
 		return
 	}
 	missing := p.observe(id, r.Msg.Facts)
+	p.n.dispatcher.Hear(r.Msg.Suspicions)
 	p.mu.Lock()
 	v.sent, v.have, v.up, v.heard = position, r.Msg.Position, r.Msg.PlatformUp, p.n.clock.Now()
 	if missing {
@@ -312,6 +313,7 @@
 // answer is the other side of an exchange.
 func (p *peers) answer(q *wire.ExchangeRequest) *wire.ExchangeResponse {
 	missing := p.observe(q.From, q.Facts)
+	p.n.dispatcher.Hear(q.Suspicions)
 	facts, position := p.n.table.Since(member.Peer{ID: q.From, Sent: q.Have, Far: q.Hall != p.n.o.Hall}, factsPerMessage)
 	f, ok := p.n.table.Get(q.From)
 	if ok {
@@ -330,7 +332,7 @@
 			p.pull(x, p.get(q.From, f.Address).client, f.Address)
 		}()
 	}
-	return &wire.ExchangeResponse{ConfigRevision: p.n.view.Revision(), Facts: encode(facts), Position: position, PlatformUp: p.n.guard.Up()}
+	return &wire.ExchangeResponse{ConfigRevision: p.n.view.Revision(), Facts: encode(facts), Position: position, PlatformUp: p.n.guard.Up(), Suspicions: p.n.dispatcher.Suspicions()}
 }
 
 // anyUp tells whether a peer said lately that the platform answers it.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -111,9 +111,9 @@
 	n.table = member.NewTable(n.onFact)
 	n.peers = newPeers(n)
 	n.dispatcher = dispatch.New(dispatch.Options{
-		Hall: o.Hall, Clock: o.Clock, Client: n.client, Table: n.table, Policy: o.Policy, Distance: o.CrossHall,
+		Node: id, Hall: o.Hall, Clock: o.Clock, Client: n.client, Table: n.table, Policy: o.Policy, Distance: o.CrossHall,
 		Nodes: func() int { return len(n.liveNodes()) },
-		Event: n.log.Add,
+		Event: n.log.Add, Urgent: n.peers.kick,
 	})
 	n.claims = claim.NewBook(claim.Options{
 		Member: claim.Member{ID: id, Hall: o.Hall, Address: o.PeerAddress, VM: o.VM}, KV: n.kv, Up: n.guard.Up,
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -203,17 +203,6 @@
 	b.size.Store(int64(len(b.suspects)))
 }
 
-// Expire forgets what has lapsed.
-func (b *Book) Expire(now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for p, s := range b.suspects {
-		if s.lapsed(now) {
-			b.drop(p)
-		}
-	}
-}
-
 // Answered takes in that a request was answered whole: whatever ended before, it wasn't its
 // doing.
 func (b *Book) Answered(now time.Time, p Print) []Change {
--- a/internal/quarantine/book_test.go
+++ b/internal/quarantine/book_test.go
@@ -163,9 +163,12 @@
 		assert.LessOrEqual(t, w.check("x").Wait, holdLongest+spread)
 	})
 	t.Run("nodes at moments of their own", func(t *testing.T) {
-		p, turns := printOf("x"), map[time.Duration]bool{}
+		w, turns := held(), map[time.Duration]bool{}
+		said := w.b.Words(at(0))
 		for i := range 8 {
-			turns[NewBook(fmt.Sprint("n", i)).turn(p)] = true
+			b := NewBook(fmt.Sprint("n", i))
+			b.Hear(at(0), said)
+			turns[b.Check(at(0), printOf("x")).Wait] = true
 		}
 		assert.Len(t, turns, 8)
 	})
@@ -241,9 +244,9 @@
 		assert.Equal(t, printOf("x"), v.Ends[0].Print)
 	})
 	t.Run("what proves nothing lapses", func(t *testing.T) {
-		w.b.Expire(at(w.now + suspectKeeps + time.Second))
+		w.b.Words(at(w.now + suspectKeeps + time.Second))
 		assert.Len(t, w.b.suspects, 1)
-		w.b.Expire(at(w.now + holdFirst + heldKeeps + time.Minute))
+		w.b.Words(at(w.now + holdFirst + heldKeeps + time.Minute))
 		assert.Empty(t, w.b.suspects)
 		assert.Empty(t, w.b.shapes)
 	})
--- a/internal/quarantine/words.go
+++ b/internal/quarantine/words.go
@@ -33,7 +33,7 @@
 // Empty tells whether there is nothing to tell.
 func (w Words) Empty() bool { return len(w.Ends)+len(w.Answers) == 0 }
 
-// Words returns what is to be told now.
+// Words returns what is to be told now. What has lapsed is forgotten.
 func (b *Book) Words(now time.Time) Words {
 	if b.size.Load() == 0 {
 		return Words{}
@@ -43,6 +43,10 @@
 	var w Words
 	var list []*suspect
 	for p, s := range b.suspects {
+		if s.lapsed(now) {
+			b.drop(p)
+			continue
+		}
 		news := now.Sub(s.changed) <= tellsFor
 		if news || !s.until.IsZero() {
 			list = append(list, s)
--- a/internal/upstream/chat.go
+++ b/internal/upstream/chat.go
@@ -205,7 +205,7 @@
 		}
 	}
 	if err := s.Err(); err != nil {
-		return fault.Because(ErrLost, "%v", err)
+		return lost(err)
 	}
 	return fault.Because(ErrLost, "the stream was cut at offset %d", next)
 }
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -230,15 +230,20 @@
 	if err == nil {
 		return a, nil
 	}
-	switch {
-	case u.wrote() && Severed(err):
-		return nil, fault.Because(ErrSevered, "%v", err)
-	case u.wrote():
-		return nil, fault.Because(ErrLost, "%v", err)
+	if u.wrote() {
+		return nil, lost(err)
 	}
 	return nil, fault.Because(ErrNotSent, "%v", err)
 }
 
+// lost is what a connection's error means for a request that was sent.
+func lost(err error) error {
+	if Severed(err) {
+		return fault.Because(ErrSevered, "%v", err)
+	}
+	return fault.Because(ErrLost, "%v", err)
+}
+
 // Severed tells whether an error of a connection means that its other end was closed or
 // reset.
 func Severed(err error) bool {
