An upstream that comes back under its id is a new one

Cause: a worker may start again under the id that it had; born tells the lives apart. An upstream that was leaving and came back was never used again, and loads, failures, cached parts and what others couldn't reach went over to the next life.

Ruled out: ordering lives by their birth (the time of day steps back: a new life would be kept out); by revision alone (a write of the life before, done late, would bring it back).

Change: an entry bears born; the store's revision orders lives, a life that was followed by another is over but for more than two late writes (then it lives, and was taken for the one before). A new life begins as a new member of the pool; what is told of an unreached upstream bears the life that it is of. An entry without born is of the life held, as before.

--- a/internal/edge/convert.go
+++ b/internal/edge/convert.go
@@ -94,7 +94,7 @@
 func reachToWire(r pool.Reach) *wire.Reach {
 	m := &wire.Reach{}
 	for _, v := range r.Unreached {
-		m.Unreached = append(m.Unreached, &wire.Unreached{Upstream: v.Upstream, Nodes: int32(v.Nodes), AgeMs: v.Age.Milliseconds(), Gone: v.Gone})
+		m.Unreached = append(m.Unreached, &wire.Unreached{Upstream: v.Upstream, Born: v.Born, Nodes: int32(v.Nodes), AgeMs: v.Age.Milliseconds(), Gone: v.Gone})
 	}
 	for h, age := range r.Answered {
 		m.Answered = append(m.Answered, &wire.HallAnswered{Hall: h, AgeMs: age.Milliseconds()})
@@ -105,7 +105,7 @@
 func reachFromWire(m *wire.Reach) pool.Reach {
 	r := pool.Reach{Answered: make(map[string]time.Duration)}
 	for _, v := range m.GetUnreached() {
-		r.Unreached = append(r.Unreached, pool.Unreached{Upstream: v.Upstream, Nodes: int(v.Nodes), Age: millis(v.AgeMs), Gone: v.Gone})
+		r.Unreached = append(r.Unreached, pool.Unreached{Upstream: v.Upstream, Born: v.Born, Nodes: int(v.Nodes), Age: millis(v.AgeMs), Gone: v.Gone})
 	}
 	for _, v := range m.GetAnswered() {
 		r.Answered[v.Hall] = millis(v.AgeMs)
@@ -219,7 +219,7 @@
 	e := v.Entry
 	return &wire.ListItem{
 		Id: e.ID, Service: e.Service, Address: e.Address, Hall: e.Hall, Slots: int32(e.Slots), Leaving: e.Leaving,
-		WarmUpMs: e.WarmUp.Milliseconds(), Reclaimable: e.Reclaimable, LeavesInMs: e.LeavesIn.Milliseconds(), Revision: v.Revision, Version: e.Version,
+		WarmUpMs: e.WarmUp.Milliseconds(), Reclaimable: e.Reclaimable, LeavesInMs: e.LeavesIn.Milliseconds(), Revision: v.Revision, Version: e.Version, Born: e.Born,
 	}
 }
 
@@ -241,7 +241,7 @@
 
 func itemFromWire(v *wire.ListItem) pool.Item {
 	return pool.Item{Revision: v.Revision, Entry: pool.Entry{
-		ID: v.Id, Service: v.Service, Address: v.Address, Hall: v.Hall, Version: v.Version, Slots: int(v.Slots), Leaving: v.Leaving,
+		ID: v.Id, Born: v.Born, Service: v.Service, Address: v.Address, Hall: v.Hall, Version: v.Version, Slots: int(v.Slots), Leaving: v.Leaving,
 		WarmUp: time.Duration(v.WarmUpMs) * time.Millisecond, Reclaimable: v.Reclaimable, LeavesIn: time.Duration(v.LeavesInMs) * time.Millisecond,
 	}}
 }
--- a/internal/pool/list.go
+++ b/internal/pool/list.go
@@ -10,6 +10,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -22,7 +23,8 @@
 
 // Entry is what an upstream's own entry says.
 type Entry struct {
-	ID          string // of this life of the upstream
+	ID          string // an upstream that comes back may have the one that it had
+	Born        int64  // Unix milliseconds of its start, which tell one life from another; 0: unsaid
 	Service     string
 	Address     string
 	Hall        string
@@ -48,7 +50,8 @@
 // List is the upstreams as the store tells them. It isn't safe for concurrent use.
 type List struct {
 	items    map[string]Item
-	missing  map[string]time.Time // by id: until when a missing entry is believed
+	missing  map[string]time.Time  // by id: until when a missing entry is believed
+	past     map[string][]pastLife // by id: lives that others have followed, the newest last
 	revision int64
 	change   int64     // revision of the newest change taken in
 	trust    time.Time // entries that vanish before this are believed missing
@@ -56,7 +59,7 @@
 
 // NewList returns an empty list.
 func NewList() *List {
-	return &List{items: make(map[string]Item), missing: make(map[string]time.Time)}
+	return &List{items: make(map[string]Item), missing: make(map[string]time.Time), past: make(map[string][]pastLife)}
 }
 
 // Revision returns the store's revision up to which the list holds.
@@ -100,17 +103,78 @@
 // Advance says that all changes up to a revision have been taken in.
 func (l *List) Advance(revision int64) { l.revision = max(l.revision, revision) }
 
-// Put takes in one entry, unless a newer one is held.
+const (
+	// livesKept is how many lives of an id are remembered, idsKept of how many ids: a write of a
+	// life before comes some seconds late at most.
+	livesKept = 4
+	idsKept   = 1024
+	// lateWrites is how many writes of a life before may be done after the next one's: those
+	// that it had under way when it ended. Who goes on writing lives, and was taken for the
+	// one before by a list that saw the two in another order.
+	lateWrites = 2
+)
+
+// pastLife is a life that another one has followed.
+type pastLife struct {
+	born   int64
+	newest int64 // revision of its newest write
+	late   int   // writes after it was followed
+}
+
+// Put takes in one entry, unless a newer one is held. Of two lives the one that was written
+// later is the newer one: births are by the time of day, which may step back. A life that was
+// followed by another is over, though a write of its own may be done late.
 func (l *List) Put(v Item) {
 	l.change = max(l.change, v.Revision)
-	old, ok := l.items[v.Entry.ID]
-	if ok && old.Revision > v.Revision {
+	e := &v.Entry
+	old, ok := l.items[e.ID]
+	if ok && old.Revision > v.Revision || l.late(v) {
 		return
 	}
-	// Leaving is for good in one life, whatever an entry from before may say.
-	v.Entry.Leaving = v.Entry.Leaving || ok && old.Entry.Leaving
-	l.items[v.Entry.ID] = v
-	delete(l.missing, v.Entry.ID)
+	switch {
+	case ok && old.Entry.another(*e):
+		l.follow(old)
+	case ok:
+		// Leaving is for good in one life, whatever an entry from before may say.
+		e.Leaving = e.Leaving || old.Entry.Leaving
+		if e.Born == 0 {
+			e.Born = old.Entry.Born
+		}
+	}
+	l.items[e.ID] = v
+	delete(l.missing, e.ID)
+}
+
+// another tells whether two entries of an id are known to be of different lives.
+func (e Entry) another(o Entry) bool { return e.Born != 0 && o.Born != 0 && e.Born != o.Born }
+
+// late tells whether a write is one of a life that is over, done late.
+func (l *List) late(v Item) bool {
+	list := l.past[v.Entry.ID]
+	i := slices.IndexFunc(list, func(p pastLife) bool { return p.born == v.Entry.Born })
+	if v.Entry.Born == 0 || i < 0 {
+		return false
+	}
+	p := &list[i]
+	if v.Revision > p.newest {
+		p.newest = v.Revision
+		p.late++
+	}
+	if p.late <= lateWrites {
+		return true
+	}
+	l.past[v.Entry.ID] = slices.Delete(list, i, i+1)
+	return false
+}
+
+// follow notes that a life is over.
+func (l *List) follow(old Item) {
+	id := old.Entry.ID
+	if l.past[id] == nil && len(l.past) >= idsKept {
+		clear(l.past)
+	}
+	p := l.past[id]
+	l.past[id] = append(p[max(0, len(p)-livesKept+1):], pastLife{born: old.Entry.Born, newest: old.Revision})
 }
 
 // Remove takes in that an entry went at a revision.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -184,6 +184,11 @@
 		e := v.Entry
 		seen[e.ID] = true
 		m := p.members[e.ID]
+		if m != nil && m.entry.another(e) {
+			changes = append(changes, Change{m.entry, "gone"})
+			p.forgetMember(m)
+			m = nil
+		}
 		switch {
 		case m == nil:
 			p.noteVersion(p.clock.Now(), e)
@@ -199,10 +204,7 @@
 	for id, m := range p.members {
 		if !seen[id] {
 			changes = append(changes, Change{m.entry, "gone"})
-			delete(p.members, id)
-			if o := p.outliers[m.entry.Service]; o != nil {
-				o.Forget(id)
-			}
+			p.forgetMember(m)
 		}
 	}
 	for _, l := range services { // an order that all plays of a seed have
@@ -215,6 +217,18 @@
 	return changes
 }
 
+// forgetMember drops what is known of one life of an upstream. What still runs there ends on
+// its own.
+func (p *Pools) forgetMember(m *member) {
+	delete(p.members, m.entry.ID)
+	if o := p.outliers[m.entry.Service]; o != nil {
+		o.Forget(m.entry.ID)
+	}
+	for _, v := range p.peers {
+		delete(v.loads, m.entry.ID)
+	}
+}
+
 // SetSize says what an engine of a service has.
 func (p *Pools) SetSize(service string, s capacity.Size) {
 	p.mu.Lock()
--- a/internal/pool/reach.go
+++ b/internal/pool/reach.go
@@ -41,6 +41,7 @@
 // Unreached is an upstream that couldn't be reached.
 type Unreached struct {
 	Upstream string
+	Born     int64         // of its life, as its entry says
 	Nodes    int           // that found so
 	Age      time.Duration // since the newest try
 	Gone     bool          // another upstream has its address: that is proof
@@ -60,7 +61,7 @@
 	}
 	for _, v := range o.Unreached {
 		v.Age += older
-		i := slices.IndexFunc(s.Unreached, func(x Unreached) bool { return x.Upstream == v.Upstream })
+		i := slices.IndexFunc(s.Unreached, func(x Unreached) bool { return x.Upstream == v.Upstream && x.Born == v.Born })
 		if i < 0 {
 			s.Unreached = append(s.Unreached, v)
 			continue
@@ -84,7 +85,7 @@
 	r := Reach{Answered: make(map[string]time.Duration)}
 	for id, m := range p.members {
 		if age := now.Sub(m.failed); m.gone || age < unreachableKeeps {
-			r.Unreached = append(r.Unreached, Unreached{Upstream: id, Nodes: 1, Age: age, Gone: m.gone})
+			r.Unreached = append(r.Unreached, Unreached{Upstream: id, Born: m.entry.Born, Nodes: 1, Age: age, Gone: m.gone})
 		}
 	}
 	slices.SortFunc(r.Unreached, func(a, b Unreached) int { return cmp.Compare(a.Upstream, b.Upstream) })
@@ -105,7 +106,7 @@
 	tries := make(map[string]int)
 	for _, v := range r.Unreached {
 		m := p.members[v.Upstream]
-		if m == nil {
+		if m == nil || v.Born != m.entry.Born {
 			continue
 		}
 		m.gone = m.gone || v.Gone
