What can't be read where upstreams record themselves names none

Cause: an entry may come from another writer.

Ruled out: dropping what was known of an id with its unreadable entry (a leaving life would be taken for a new one when its next word comes).

A key that can't be read is void in the list from that revision on, until a sound entry stands there. One line for a key and reason, 256 keys at most; upstream_events_unreadable.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -85,6 +85,7 @@
 
 	catalogReader *follower
 	listReader    *follower
+	unreadable    unreadable
 	news          *news
 
 	catalog atomic.Pointer[held]
@@ -144,6 +145,7 @@
 	n.rollouts = newRollouts()
 	n.catalogReader = n.catalogFollower()
 	n.listReader = n.listFollower()
+	n.unreadable = make(unreadable)
 	n.news = newNews()
 	n.guard = store.NewGuard(o.Clock, n.share())
 	n.kv = n.guard.Wrap(o.KV)
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -223,11 +223,13 @@
 	f := &follower{n: n, name: "upstreams", prefix: n.o.EntryPrefix, wait: listWait}
 	f.whole = func(r store.RangeResult) {
 		back := !f.failed.IsZero()
+		items, bad := n.items(r.Pairs)
 		n.update("store", func(now time.Time, l *pool.List) {
 			if back {
 				l.StoreReturned(now)
 			}
-			l.Replace(now, r.Revision, n.items(r.Pairs))
+			l.Replace(now, r.Revision, items)
+			n.void(l, bad)
 		})
 		n.listed.Store(true)
 		n.knowsMore()
@@ -245,27 +247,61 @@
 
 func (n *Node) change(now time.Time, l *pool.List, e store.Event) {
 	if e.Deleted {
-		l.Remove(now, e.Pair.Modified, e.Pair.Key[min(len(n.o.EntryPrefix), len(e.Pair.Key)):])
+		l.Remove(now, e.Pair.Modified, n.entryID(e.Pair.Key))
 		return
 	}
-	for _, v := range n.items([]store.Pair{e.Pair}) {
+	items, bad := n.items([]store.Pair{e.Pair})
+	for _, v := range items {
 		l.Put(v)
 	}
+	n.void(l, bad)
 }
 
-func (n *Node) items(pairs []store.Pair) []pool.Item {
-	r := make([]pool.Item, 0, len(pairs))
+func (n *Node) entryID(key string) string { return key[min(len(n.o.EntryPrefix), len(key)):] }
+
+// void takes in keys whose values can't be read.
+func (n *Node) void(l *pool.List, bad []store.Pair) {
+	for _, p := range bad {
+		l.Void(p.Modified, n.entryID(p.Key))
+	}
+}
+
+// items reads entries, and returns the pairs that can't be read.
+func (n *Node) items(pairs []store.Pair) (sound []pool.Item, bad []store.Pair) {
+	sound = make([]pool.Item, 0, len(pairs))
 	for _, p := range pairs {
 		e, err := n.o.DecodeEntry(p.Key, p.Value)
 		if err != nil {
-			n.log.Warn("entry_unreadable", zap.String("key", p.Key), zap.Int64("revision", p.Modified), zap.String("cause", err.Error()))
+			n.unreadable.note(n.log, p, err)
+			bad = append(bad, p)
 			continue
 		}
-		r = append(r, pool.Item{Entry: e, Revision: p.Modified})
+		n.unreadable.sound(p.Key)
+		sound = append(sound, pool.Item{Entry: e, Revision: p.Modified})
 	}
-	return r
+	return sound, bad
 }
 
+// unreadable is the keys whose entries can't be read, with the reasons that were logged. It is
+// the list's reader's own.
+type unreadable map[string]string
+
+// unreadableLimit bounds the keys whose reasons are remembered, and so the lines on them.
+const unreadableLimit = 256
+
+// note logs a key and its reason, once.
+func (u unreadable) note(log *zap.Logger, p store.Pair, err error) {
+	reason := err.Error()
+	if u[p.Key] == reason || len(u) >= unreadableLimit {
+		return
+	}
+	u[p.Key] = reason
+	upstreamEvents.Add("unreadable", 1)
+	log.Warn("entry_unreadable", zap.String("key", p.Key), zap.Int64("revision", p.Modified), zap.String("cause", reason))
+}
+
+func (u unreadable) sound(key string) { delete(u, key) }
+
 // update changes the list, and tells what became of it.
 func (n *Node) update(source string, f func(now time.Time, l *pool.List)) {
 	before := n.pools.Change()
--- a/internal/pool/list.go
+++ b/internal/pool/list.go
@@ -51,6 +51,7 @@
 type List struct {
 	items    map[string]Item
 	missing  map[string]time.Time  // by id: until when a missing entry is believed
+	voids    map[string]int64      // by id: revision at which its entry couldn't be read any more
 	past     map[string][]pastLife // by id: lives that others have followed, the newest last
 	revision int64
 	change   int64     // revision of the newest change taken in
@@ -59,7 +60,7 @@
 
 // NewList returns an empty list.
 func NewList() *List {
-	return &List{items: make(map[string]Item), missing: make(map[string]time.Time), past: make(map[string][]pastLife)}
+	return &List{items: make(map[string]Item), missing: make(map[string]time.Time), past: make(map[string][]pastLife), voids: make(map[string]int64)}
 }
 
 // Revision returns the store's revision up to which the list holds.
@@ -73,8 +74,10 @@
 
 // Items calls f for each entry.
 func (l *List) Items(f func(Item)) {
-	for _, v := range l.items {
-		f(v)
+	for id, v := range l.items {
+		if _, void := l.voids[id]; !void {
+			f(v)
+		}
 	}
 }
 
@@ -128,9 +131,10 @@
 	l.change = max(l.change, v.Revision)
 	e := &v.Entry
 	old, ok := l.items[e.ID]
-	if ok && old.Revision > v.Revision || l.late(v) {
+	if ok && old.Revision > v.Revision || l.voids[e.ID] > v.Revision || l.late(v) {
 		return
 	}
+	delete(l.voids, e.ID)
 	switch {
 	case ok && old.Entry.another(*e):
 		l.follow(old)
@@ -183,6 +187,15 @@
 	l.Delete(now, id)
 }
 
+// Void takes in that an entry can't be read from a revision on: whoever wrote it, its key names
+// no upstream until a sound one stands there. What was known of it isn't forgotten.
+func (l *List) Void(revision int64, id string) {
+	l.change = max(l.change, revision)
+	if old, ok := l.items[id]; ok && old.Revision <= revision {
+		l.voids[id] = revision
+	}
+}
+
 // Delete takes in that an entry is gone.
 func (l *List) Delete(now time.Time, id string) {
 	if _, ok := l.items[id]; !ok {
@@ -194,8 +207,13 @@
 		}
 		return
 	}
+	l.drop(id)
+}
+
+func (l *List) drop(id string) {
 	delete(l.items, id)
 	delete(l.missing, id)
+	delete(l.voids, id)
 }
 
 // Expire drops the entries that stayed missing, and returns their ids.
@@ -205,8 +223,7 @@
 		if now.Before(until) {
 			continue
 		}
-		delete(l.items, id)
-		delete(l.missing, id)
+		l.drop(id)
 		gone = append(gone, id)
 	}
 	return gone
