--- a/internal/forward/withhold.go
+++ b/internal/forward/withhold.go
@@ -64,14 +64,15 @@
 // this one saw), and ends the attempts that wait at an upstream with such a request.
 func (s *Server) Held(changes []quarantine.Change, source string) {
 	for _, c := range changes {
-		name := "request_released"
-		if c.Held {
-			name = "request_held"
-		}
-		s.o.Log.Info(name, zap.Stringer("print", c.Print), zap.Strings("upstreams", c.Upstreams), zap.Duration("for", c.Until.Sub(s.o.Clock.Now())), zap.String("source", source))
-		if c.Held {
-			s.flight.withdraw(c.Print)
+		if !c.Held {
+			count("released", 1)
+			s.o.Log.Info("request_released", zap.Stringer("print", c.Print), zap.String("source", source))
+			continue
 		}
+		count("held", 1)
+		s.o.Log.Info("request_held", zap.Stringer("print", c.Print), zap.Strings("upstreams", c.Upstreams),
+			zap.Duration("for", c.Until.Sub(s.o.Clock.Now())), zap.String("source", source))
+		s.flight.withdraw(c.Print)
 	}
 }
 
