No end is explained away: one request that ends upstreams freed another

Cause: an end under a request held already wasn't counted against the others that were there, to spare these. Where several requests end upstreams at once, one is always at some ends of another: six at once, 12 nodes and upstreams, waves beside them, and one was sent 7 times more after the bound.

Ruled out: a request held once stays so (books would differ by the order of words); more ends for those that have an explanation (the same, later).

Change: ends count by themselves; the order by weight, the sign that a request had just begun, and what carried them are gone.

--- a/internal/edge/suspicions.go
+++ b/internal/edge/suspicions.go
@@ -77,7 +77,6 @@
 	Print    quarantine.Print `json:"print"`
 	Upstream string           `json:"upstream"`
 	At       int64            `json:"at"` // Unix milliseconds
-	Began    bool             `json:"began"`
 }
 
 // heldRequests is the side of the duties' holder.
@@ -92,7 +91,7 @@
 	}
 	list := make([]heldEnd, len(ends))
 	for i, e := range ends {
-		list[i] = heldEnd{e.Print, e.Upstream, e.At.UnixMilli(), e.Began}
+		list[i] = heldEnd{e.Print, e.Upstream, e.At.UnixMilli()}
 	}
 	if heldRecord.write(ctx, n, token, list) {
 		v.written = version
@@ -122,7 +121,7 @@
 	var w quarantine.Words
 	for _, v := range list {
 		at := now.Add(-max(0, now.Sub(time.UnixMilli(v.At)))) // no end is to come
-		w.Ends = append(w.Ends, quarantine.End{Print: v.Print, Upstream: v.Upstream, At: at, Began: v.Began})
+		w.Ends = append(w.Ends, quarantine.End{Print: v.Print, Upstream: v.Upstream, At: at})
 	}
 	n.log.Info("held_found", zap.Int("ends", len(w.Ends)))
 	n.front.Held(n.suspects.Hear(now, w), heldRecord.key)
--- a/internal/forward/broken.go
+++ b/internal/forward/broken.go
@@ -74,7 +74,7 @@
 	count("broken_"+v.String(), 1)
 	observe("broken_after_ms", now.Sub(a.sent))
 	if p := q.printOf(); !a.use.Leaving() { // one that has announced that it leaves ends as planned
-		e := quarantine.End{Print: p, Upstream: a.use.Entry().ID, At: now, Began: v == shownHead}
+		e := quarantine.End{Print: p, Upstream: a.use.Entry().ID, At: now}
 		if s.o.Suspects.Ends(p) == 0 {
 			go s.noteEnd(context.WithoutCancel(ctx), e, a.use.Entry())
 		} else {
@@ -94,7 +94,7 @@
 	if !s.o.Lines.get(u).Refuses(ctx, u.Address) || !s.o.Reaches(ctx, u.Hall) {
 		return
 	}
-	s.o.Log.Info("upstream_ended", zap.String("upstream", e.Upstream), zap.Stringer("print", e.Print), zap.Bool("began", e.Began))
+	s.o.Log.Info("upstream_ended", zap.String("upstream", e.Upstream), zap.Stringer("print", e.Print))
 	s.Held(s.o.Suspects.Broke(s.o.Clock.Now(), e), "")
 }
 
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -45,7 +45,6 @@
 	Print    Print
 	Upstream string
 	At       time.Time // when the request's connection broke
-	Began    bool      // it had begun to run there, and nothing of its answer had come
 }
 
 // same tells whether both are one end of one upstream. An upstream may come back under its
@@ -60,7 +59,6 @@
 	changed time.Time // when the newest of this was learned
 	cleared time.Time // when it was last answered; ends from before don't count
 	until   time.Time // it is held back until then; zero: it isn't
-	counted int       // ends that hold it back
 	trial   time.Time // until when a repeat that was let through here may run
 }
 
@@ -128,15 +126,8 @@
 	if e.At.Before(s.cleared.Add(sameWithin)) {
 		return false // it may be an end from before the answer, told late
 	}
-	for i := range s.ends {
-		if old := &s.ends[i]; old.same(e) {
-			if old.Began || !e.Began {
-				return false
-			}
-			old.Began = true
-			b.touch(now, s)
-			return true
-		}
+	if slices.ContainsFunc(s.ends, e.same) {
+		return false
 	}
 	s.ends = append(s.ends, e)
 	slices.SortFunc(s.ends, func(a, b End) int { return a.At.Compare(b.At) })
--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -16,7 +16,7 @@
 	}
 	m := &wire.Suspicions{}
 	for _, e := range w.Ends {
-		m.Ends = append(m.Ends, &wire.End{Print: e.Print[:], Upstream: e.Upstream, AgeMs: now.Sub(e.At).Milliseconds(), Began: e.Began})
+		m.Ends = append(m.Ends, &wire.End{Print: e.Print[:], Upstream: e.Upstream, AgeMs: now.Sub(e.At).Milliseconds()})
 	}
 	for _, a := range w.Answers {
 		m.Answers = append(m.Answers, &wire.Answered{Print: a.Print[:], AgeMs: now.Sub(a.At).Milliseconds()})
@@ -30,7 +30,7 @@
 	var w Words
 	for _, e := range m.GetEnds() {
 		if len(e.Print) == len(Print{}) {
-			w.Ends = append(w.Ends, End{Print: Print(e.Print), Upstream: e.Upstream, At: now.Add(-time.Duration(e.AgeMs) * time.Millisecond), Began: e.Began})
+			w.Ends = append(w.Ends, End{Print: Print(e.Print), Upstream: e.Upstream, At: now.Add(-time.Duration(e.AgeMs) * time.Millisecond)})
 		}
 	}
 	for _, a := range m.GetAnswers() {
