Leases and ages count the time in which the VM was suspended

Cause: a VM may be suspended for seconds. Go's monotonic reading is the steady clock, which stands still meanwhile: a holder whose lease had lapsed believed in it when it went on, and entries, reports and deadlines were younger than they are.

Ruled out: the time of day (it steps); noticing by late timers alone (they look the same as on a busy machine, and leases are asked in between).

Change: timer.Service.Now adds what CLOCK_BOOTTIME has run ahead of CLOCK_MONOTONIC since the start; both are read each time, boot time first, so that a pause in between never counts. What others read goes by Wall, WallOf and At: usage windows, what stands in the store, deadlines of connections. vm_suspended tells of it.

Timers still fire late after a suspension: a caller's request that is over ends that much later (open).

--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -45,7 +45,7 @@
 
 // Chat runs a chat completion until its record has ended.
 func (d *Dispatcher) Chat(ctx context.Context, c *Chat) {
-	x, cancel := context.WithDeadline(ctx, c.Deadline)
+	x, cancel := context.WithTimeout(ctx, c.Deadline.Sub(d.o.Clock.Now()))
 	defer cancel()
 	l := d.begin(c.Record.ID())
 	if c.Record.Attempt() > 0 {
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -117,7 +117,7 @@
 		r.token, r.done = token, make(map[int64]bool)
 		r.o.Log.Info("duty_begun", zap.Int64("token", token))
 	}
-	now := r.o.Clock.Now()
+	now := r.o.Clock.Wall()
 	newest := r.o.Window(now) - 1
 	for w := newest - lookBack + 1; w <= newest; w++ {
 		if r.done[w] || !r.due(now, w) {
@@ -161,7 +161,7 @@
 		return err
 	}
 	r.o.Log.Info("usage_reported", zap.Int64("window", w), zap.Int64("token", token), logging.Counts("counts", v.Counts), zap.Int("processes", v.Processes),
-		zap.Duration("after_end", r.o.Clock.Now().Sub(r.o.End(w))))
+		zap.Duration("after_end", r.o.Clock.Wall().Sub(r.o.End(w))))
 	return nil
 }
 
--- a/internal/edge/counted.go
+++ b/internal/edge/counted.go
@@ -64,7 +64,7 @@
 // heard of it, on condition that the term lasts. What can't be written is tried again with
 // the next step.
 func (v *counted) write(ctx context.Context, n *Node, token int64) {
-	now := n.clock.Now()
+	now := n.clock.Wall()
 	newest := n.usage.Window(now) - 1
 	if now.Sub(n.usage.End(newest)) < countedAfter || newest <= v.window && now.Sub(v.at) < countedAgain {
 		return
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -72,10 +72,10 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	end := n.usage.End(window)
-	now := n.clock.Now()
+	now, since := n.clock.Now(), n.clock.Wall().Sub(end)
 	whole := true
 	for _, p := range n.peers.peers {
-		if now.Sub(p.heard) > now.Sub(end) {
+		if now.Sub(p.heard) > since {
 			whole = false
 		}
 	}
--- a/internal/edge/levels.go
+++ b/internal/edge/levels.go
@@ -53,7 +53,7 @@
 	if len(l) == 0 || now.Sub(v.written) < levelsAgain && !v.changed(n, l) {
 		return
 	}
-	if levelsRecord.write(ctx, n, token, levelsValue{At: now.UnixMilli(), Levels: l}) {
+	if levelsRecord.write(ctx, n, token, levelsValue{At: n.clock.WallOf(now).UnixMilli(), Levels: l}) {
 		v.written, v.last = now, l
 	}
 }
@@ -82,7 +82,7 @@
 		return
 	}
 	now := n.clock.Now()
-	age := now.Sub(time.UnixMilli(v.At))
+	age := now.Sub(n.clock.At(time.UnixMilli(v.At)))
 	n.mu.Lock()
 	taken := n.quotas.Recall(now, max(0, age), levelsEvery, v.Levels)
 	n.mu.Unlock()
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -110,9 +110,10 @@
 	covered map[string]bool // the nodes that it told of
 	placing time.Time       // from when on a relay is asked to place requests
 
-	othersChange int64     // newest change of the list that other nodes told of
-	behind       time.Time // since when this node lacks it; zero: it doesn't
-	alone        time.Time // until when this node watches the store by itself
+	othersChange int64         // newest change of the list that other nodes told of
+	behind       time.Time     // since when this node lacks it; zero: it doesn't
+	suspended    time.Duration // as it was told last
+	alone        time.Time     // until when this node watches the store by itself
 	rollouts     rollouts
 }
 
@@ -224,7 +225,7 @@
 func (n *Node) began(workspace string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.usage.Add(n.clock.Now(), workspace)
+	n.usage.Add(n.clock.Wall(), workspace)
 }
 
 // budgetShare is the part of the operators' retry budget that is used: a node that was
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -131,9 +131,10 @@
 func (n *Node) round(ctx context.Context, now time.Time) {
 	report := n.report(pairWindows)
 	n.mu.Lock()
+	n.noteSuspension()
 	n.shareQuotas(now)
 	n.guard.SetRates(n.share())
-	n.usage.Forget(now)
+	n.usage.Forget(n.clock.Wall())
 	heard, silent := 0, silentAfter(n.peers.size())
 	for _, p := range n.peers.peers {
 		if now.Sub(p.heard) <= silent {
@@ -160,6 +161,15 @@
 	}
 }
 
+// noteSuspension tells that the VM was suspended: what was believed before is older than the
+// steady clock says, and timers come late. The node's lock is held.
+func (n *Node) noteSuspension() {
+	if d := n.clock.Suspended(); d > n.suspended {
+		n.log.Warn("vm_suspended", zap.Duration("for", d-n.suspended), zap.Duration("in_all", d))
+		n.suspended = d
+	}
+}
+
 // hallReach is what the other nodes of this hall have told of whom they couldn't reach. The
 // node's lock is held.
 func (n *Node) hallReach(now time.Time) pool.Reach {
@@ -243,7 +253,7 @@
 // newest is the newest of some windows.
 func (n *Node) newest(w usage.Windows, windows int64) usage.Windows {
 	r := make(usage.Windows, windows)
-	for k := n.usage.Window(n.clock.Now()); windows > 0; k, windows = k-1, windows-1 {
+	for k := n.usage.Window(n.clock.Wall()); windows > 0; k, windows = k-1, windows-1 {
 		if c := w[k]; c != nil {
 			r[k] = c
 		}
--- a/internal/edge/suspicions.go
+++ b/internal/edge/suspicions.go
@@ -91,7 +91,7 @@
 	}
 	list := make([]heldEnd, len(ends))
 	for i, e := range ends {
-		list[i] = heldEnd{e.Print, e.Upstream, e.At.UnixMilli()}
+		list[i] = heldEnd{e.Print, e.Upstream, n.clock.WallOf(e.At).UnixMilli()}
 	}
 	if heldRecord.write(ctx, n, token, list) {
 		v.written = version
@@ -120,7 +120,7 @@
 	now := n.clock.Now()
 	var w quarantine.Words
 	for _, v := range list {
-		at := now.Add(-max(0, now.Sub(time.UnixMilli(v.At)))) // no end is to come
+		at := now.Add(-max(0, now.Sub(n.clock.At(time.UnixMilli(v.At))))) // no end is to come
 		w.Ends = append(w.Ends, quarantine.End{Print: v.Print, Upstream: v.Upstream, At: at})
 	}
 	n.log.Info("held_found", zap.Int("ends", len(w.Ends)))
--- a/internal/edge/suspicions_test.go
+++ b/internal/edge/suspicions_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"spurhall.example/spurhall/internal/quarantine"
 	"spurhall.example/spurhall/internal/timer"
@@ -101,3 +102,17 @@
 	know("listening", true)
 	assert.True(t, n.reaches(t.Context(), "b"))
 }
+
+// TestSuspensionIsTold: one line for each suspension of the VM.
+func TestSuspensionIsTold(t *testing.T) {
+	clock := timer.NewManual(time.Unix(1000, 0))
+	n := suspiciousNode("x", clock)
+	core, logs := observer.New(zap.DebugLevel)
+	n.log = zap.New(core)
+	clock.Suspend(4 * time.Second)
+	n.noteSuspension()
+	n.noteSuspension()
+	l := logs.FilterMessage("vm_suspended").All()
+	require.Len(t, l, 1)
+	assert.Equal(t, 4*time.Second, l[0].ContextMap()["for"])
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -46,7 +46,7 @@
 func (s *Server) pump(w http.ResponseWriter, q *request, a *answer) {
 	t := a.stream
 	c := http.NewResponseController(w)
-	_ = c.SetWriteDeadline(q.until.Add(writeSlack)) // unsupported only by recorders in tests
+	_ = c.SetWriteDeadline(s.o.Clock.WallOf(q.until.Add(writeSlack))) // unsupported only by recorders in tests
 	w.WriteHeader(a.status)
 	err := t.pass(w, c, t.a.first)
 	for err == nil {
--- a/internal/ingress/chat.go
+++ b/internal/ingress/chat.go
@@ -257,7 +257,7 @@
 		h.Set(HeaderRequest, r.ID())
 		h.Set("Trailer", HeaderOutcome)
 		w.WriteHeader(http.StatusOK)
-		out := &events{w: w, c: http.NewResponseController(w), now: s.o.Clock.Now, id: r.ID(), next: from}
+		out := &events{w: w, c: http.NewResponseController(w), now: s.o.Clock.Wall, id: r.ID(), next: from}
 		for {
 			if err := out.write(v.Pieces); err != nil {
 				return nil // a caller that is gone or too slow; it may come back by id
@@ -279,7 +279,7 @@
 type events struct {
 	w    http.ResponseWriter
 	c    *http.ResponseController
-	now  func() time.Time
+	now  func() time.Time // of the day: connections know no other
 	id   string
 	next int
 }
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -171,3 +171,16 @@
 	cancel()
 	<-done
 }
+
+// TestSuspendedHolder: the holder's VM is suspended for longer than the lease. On the steady
+// clock no time has passed, so it believed that it holds the lease when it went on.
+func TestSuspendedHolder(t *testing.T) {
+	clock := timer.NewManual(time.Unix(1000, 0))
+	l := New(testPlatform(t, clock.Service()), clock.Service(), "suspended", "a", ttl)
+	require.NoError(t, l.Step(t.Context()))
+	_, held := l.Token()
+	require.True(t, held)
+	clock.Suspend(ttl)
+	_, held = l.Token()
+	assert.False(t, held)
+}
--- a/internal/timer/timer.go
+++ b/internal/timer/timer.go
@@ -17,13 +17,16 @@
 // Service tells the time and wakes its subscribers.
 type Service struct {
 	now       func() time.Time
+	wall      func() time.Time
+	suspended func() time.Duration
 	after     func(d time.Duration) (<-chan time.Time, func())
 	afterFunc func(d time.Duration, f func()) (stop func())
 }
 
 // Real returns the service that follows the machine's clock.
 func Real() *Service {
-	return &Service{now: time.Now, after: realAfter, afterFunc: realAfterFunc}
+	u := newSuspensions(readClock)
+	return &Service{now: func() time.Time { return time.Now().Add(u.total()) }, wall: time.Now, suspended: u.total, after: realAfter, afterFunc: realAfterFunc}
 }
 
 func realAfterFunc(d time.Duration, f func()) func() {
@@ -36,10 +39,24 @@
 	return t.C, func() { t.Stop() }
 }
 
-// Now returns the present time. It carries a monotonic reading, so differences
-// are safe to use for leases.
+// Now returns the present time for differences. It carries a monotonic reading that counts
+// the time in which the VM was suspended, too, so differences are safe to use for leases: a
+// lease that lapsed meanwhile is over when the process goes on. What of it lies ahead of the
+// time of day is the suspensions since the start; use Wall, WallOf and At where others read it.
 func (s *Service) Now() time.Time { return s.now() }
 
+// Suspended returns for how long the VM has been suspended since the service began.
+func (s *Service) Suspended() time.Duration { return s.suspended() }
+
+// Wall returns the time of day, which may step.
+func (s *Service) Wall() time.Time { return s.wall() }
+
+// WallOf returns the time of day at a time that Now told.
+func (s *Service) WallOf(t time.Time) time.Time { return s.wall().Add(t.Sub(s.now())) }
+
+// At is the inverse of WallOf.
+func (s *Service) At(wall time.Time) time.Time { return s.now().Add(wall.Sub(s.wall())) }
+
 // Since returns the time passed since t.
 func (s *Service) Since(t time.Time) time.Duration { return s.now().Sub(t) }
 
@@ -115,6 +132,7 @@
 type Manual struct {
 	mu      sync.Mutex
 	now     time.Time
+	paused  time.Duration
 	waiting []*waiter
 }
 
@@ -128,7 +146,7 @@
 
 // Service returns the service that follows this clock.
 func (m *Manual) Service() *Service {
-	return &Service{now: m.read, after: m.after, afterFunc: m.afterFunc}
+	return &Service{now: m.read, wall: m.read, suspended: m.suspensions, after: m.after, afterFunc: m.afterFunc}
 }
 
 func (m *Manual) afterFunc(d time.Duration, f func()) func() {
@@ -153,6 +171,23 @@
 	return m.now
 }
 
+func (m *Manual) suspensions() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.paused
+}
+
+// Suspend moves time on as a suspension of the VM does: it has passed for whoever looks, and
+// what waits goes on waiting as long as before.
+func (m *Manual) Suspend(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.now, m.paused = m.now.Add(d), m.paused+d
+	for _, w := range m.waiting {
+		w.at = w.at.Add(d)
+	}
+}
+
 func (m *Manual) after(d time.Duration) (<-chan time.Time, func()) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
