--- a/internal/timer/suspension_test.go
+++ b/internal/timer/suspension_test.go
@@ -47,7 +47,7 @@
 	s := Real()
 	inner := s.now
 	s.now = func() time.Time { return inner().Add(time.Hour) } // suspended for so long
-	assert.InDelta(t, 0, s.WallOf(s.Now()).Sub(time.Now()).Seconds(), 0.5)
+	assert.InDelta(t, 0, time.Until(s.WallOf(s.Now())).Seconds(), 0.5)
 	assert.InDelta(t, 0, s.At(time.Now()).Sub(s.Now()).Seconds(), 0.5)
 }
 
