Callers beyond a process's descriptors are turned away at once

Cause: under ten times the traffic the only node of a hall ran out of descriptors.

Ruled out: the processor (0.09 of 0.4 cores at most), what holds requests back (nothing was held), the clock that counts suspensions (the same without it).

Change: a node takes as many callers as it can send on: 0.45 of the descriptors that the settings name less what the platform and the node itself need. Others are closed before anything of them is read, and the node is unready for two seconds.

--- a/internal/edge/accept.go
+++ b/internal/edge/accept.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"expvar"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,34 +17,82 @@
 // listener than the callers', so a node whose callers' listener fails would go on getting
 // callers: one out of descriptors, or whose listener was closed under it. One that is paused
 // answers the balancer as little as its callers.
+//
+// A node doesn't come to that by itself: it takes only as many callers as it can send on. When
+// descriptors ran out under ten times the traffic, connections waited 3.6 s in the listener's
+// queue; their requests were read when their callers had left, and 271 of them sent on.
 
-// acceptKeeps is how long a node stays unready after its callers' listener failed. net/http
-// tries again after a second at most; a listener that nobody calls meanwhile shows nothing.
-const acceptKeeps = 2 * time.Second
+const (
+	// acceptKeeps is how long a node stays unready after its callers' listener failed. net/http
+	// tries again after a second at most; a listener that nobody calls meanwhile shows nothing.
+	acceptKeeps = 2 * time.Second
+	// ownDescriptors is what the platform keeps for itself of a process's descriptors, and what
+	// a node needs for listeners, other nodes and the store.
+	ownDescriptors = 200 + 200
+	// callersShare is the part of the other descriptors that callers' connections may take: a
+	// request that is sent on needs one to an upstream, too, and some of these are idle.
+	callersShare = 0.45
+)
+
+// mostCallers is how many connections of callers a process may have; 0: as many as come.
+func mostCallers(descriptors int) int64 {
+	return int64(callersShare * float64(max(0, descriptors-ownDescriptors)))
+}
 
-// watchedListener notes when it failed to take a connection.
+// watchedListener notes when it failed to take a connection, and closes those that are too many
+// at once: their callers try another node before they have sent anything that was read.
 type watchedListener struct {
 	net.Listener
 	clock  *timer.Service
 	log    *zap.Logger
+	most   int64 // connections; 0: any number
+	open   atomic.Int64
 	failed atomic.Int64 // nanoseconds of the clock; 0: it never did
 	closed atomic.Bool
 }
 
 // Accept takes a connection.
 func (l *watchedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	switch {
-	case errors.Is(err, net.ErrClosed):
-		l.closed.Store(true) // whoever serves on it says so
-	case err != nil:
-		now := l.clock.Now()
-		if !l.failing(now) {
-			l.log.Warn("accept_failed", zap.String("address", l.Addr().String()), zap.String("cause", err.Error()))
+	for {
+		c, err := l.Listener.Accept()
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			l.closed.Store(true) // whoever serves on it says so
+			return nil, err
+		case err != nil:
+			l.fail("accept_failed", zap.String("cause", err.Error()))
+			return nil, err
+		case l.most > 0 && l.open.Load() >= l.most:
+			callersTurnedAway.Add(1)
+			l.fail("callers_turned_away", zap.Int64("open", l.open.Load()))
+			_ = c.Close()
+		default:
+			callersOpen.Set(l.open.Add(1))
+			return &callerConn{Conn: c, l: l}, nil
 		}
-		l.failed.Store(now.UnixNano())
 	}
-	return c, err
+}
+
+// fail notes that a connection couldn't be taken, with a line if the last one was a while ago.
+func (l *watchedListener) fail(event string, f ...zap.Field) {
+	now := l.clock.Now()
+	if !l.failing(now) {
+		l.log.Warn(event, append(f, zap.String("address", l.Addr().String()))...)
+	}
+	l.failed.Store(now.UnixNano())
+}
+
+// callerConn is a caller's connection, which counts until it is closed.
+type callerConn struct {
+	net.Conn
+	l    *watchedListener
+	once sync.Once
+}
+
+// Close closes the connection.
+func (c *callerConn) Close() error {
+	c.once.Do(func() { callersOpen.Set(c.l.open.Add(-1)) })
+	return c.Conn.Close()
 }
 
 // failing tells whether it failed a moment ago, or is closed.
@@ -50,3 +100,8 @@
 	at := l.failed.Load()
 	return l.closed.Load() || at != 0 && now.Sub(time.Unix(0, at)) < acceptKeeps
 }
+
+var (
+	callersOpen       = expvar.NewInt("callers_connected")
+	callersTurnedAway = expvar.NewInt("callers_turned_away")
+)
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -160,7 +160,7 @@
 
 // watchFront notes when callers can't be taken.
 func (n *Node) watchFront(l net.Listener) net.Listener {
-	w := &watchedListener{Listener: l, clock: n.clock, log: n.log}
+	w := &watchedListener{Listener: l, clock: n.clock, log: n.log, most: mostCallers(n.s.Descriptors)}
 	n.callers.Store(w)
 	return w
 }
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -45,6 +45,7 @@
 	FirstStart bool     // the whole system starts for the first time
 
 	MemoryBytes int64
+	Descriptors int     // that the process may have open; 0: not known
 	Cores       float64 // of the VM that this node may use; 0: not known
 	Store       StoreSettings
 	Cloud       CloudSettings
