What can't be read of held requests is asked for once

Cause: read in the change: a process that starts asked again each second, for good, where the value in the store can't be decoded.

--- a/internal/edge/record.go
+++ b/internal/edge/record.go
@@ -26,17 +26,17 @@
 	if err != nil {
 		n.log.Warn(r.name+"_unread", zap.String("cause", err.Error()))
 	}
-	return found
+	return found && err == nil
 }
 
-// load is read for those who ask again where the store doesn't answer.
+// load is read for those who ask again where the store doesn't answer: found says that there is
+// something, also where it can't be read and asking again is no use.
 func (r record) load(ctx context.Context, n *Node, into any) (found bool, err error) {
 	a, err := n.kv.Range(ctx, r.key, "")
 	if err != nil || len(a.Pairs) == 0 {
 		return false, err
 	}
-	err = json.Unmarshal(a.Pairs[0].Value, into)
-	return err == nil, err
+	return true, json.Unmarshal(a.Pairs[0].Value, into)
 }
 
 // write puts the value into the store on condition that the term lasts. It tells whether
--- a/internal/edge/suspicions.go
+++ b/internal/edge/suspicions.go
@@ -105,12 +105,12 @@
 	}
 	var list []heldEnd
 	for {
-		_, err := heldRecord.load(ctx, n, &list)
+		found, err := heldRecord.load(ctx, n, &list)
 		if err == nil {
 			break
 		}
 		n.log.Info("held_unread", zap.String("cause", err.Error()))
-		if n.clock.Sleep(ctx, suspicionsAgain) != nil {
+		if found || n.clock.Sleep(ctx, suspicionsAgain) != nil {
 			return
 		}
 	}
--- a/internal/forward/broken.go
+++ b/internal/forward/broken.go
@@ -76,7 +76,7 @@
 	if p := q.printOf(); !a.use.Leaving() { // one that has announced that it leaves ends as planned
 		e := quarantine.End{Print: p, Upstream: a.use.Entry().ID, At: now}
 		if s.o.Suspects.Ends(p) == 0 {
-			go s.noteEnd(context.WithoutCancel(ctx), e, a.use.Entry())
+			go s.noteEnd(context.WithoutCancel(ctx), e, a.use.Entry()) // ends within the two looks' time-outs
 		} else {
 			s.noteEnd(ctx, e, a.use.Entry())
 		}
