Nodes tell each other when they let a held request through

Cause: after its time several nodes let a request through before they knew of each other: each at its own moment, but its end is known some 1.5 s later.

Ruled out: fewer nodes that may (a harmless request would wait at nodes that may not); a longer span alone (a minute is what a harmless one should wait at most).

Change: what was let through goes with the other words, and all wait for it as the node itself did; the span is 15 s instead of 10 s, a minute with the first hold.

--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -19,10 +19,10 @@
 	holdFirst   = 45 * time.Second
 	holdLongest = time.Hour
 	// spread is the span over which the nodes let a request through again, each at its own
-	// moment, so that the first one's end is known to the others.
-	spread = 10 * time.Second
-	// trialTakes is how long a node waits for the end of one such request before it lets
-	// through another: longer than a request waits at an upstream before it runs.
+	// moment, so that the others know of the first one before it is their turn.
+	spread = 15 * time.Second
+	// trialTakes is how long all wait for the end of one such request before another one is
+	// let through: longer than a request waits at an upstream before it runs.
 	trialTakes = 5 * time.Second
 	// sameWithin is how far apart words of one end may be: they bear an age, and grow younger
 	// by what a message takes. An upstream needs some seconds to come back.
@@ -59,7 +59,7 @@
 	changed time.Time // when the newest of this was learned
 	cleared time.Time // when it was last answered; ends from before don't count
 	until   time.Time // it is held back until then; zero: it isn't
-	trial   time.Time // until when a repeat that was let through here may run
+	tried   time.Time // when a repeat was last let through, here or at another node
 }
 
 // Book is what one process knows of such requests.
--- a/internal/quarantine/book_test.go
+++ b/internal/quarantine/book_test.go
@@ -118,6 +118,19 @@
 		assert.True(t, w.check("x").Trial)
 		w.assertHeld(t, true, "x")
 	})
+	t.Run("nor while another node's is under way", func(t *testing.T) {
+		w := held()
+		other := NewBook("other")
+		other.Hear(at(0), w.b.Words(at(0)))
+		w.check("x")
+		other.Hear(at(w.now), w.b.Words(at(w.now)))
+		v := other.Check(at(w.now), printOf("x"))
+		assert.True(t, v.Held)
+		assert.LessOrEqual(t, v.Wait, trialTakes)
+		assert.Empty(t, w.b.Hear(at(w.now), other.Words(at(w.now))), "it isn't news to who told it")
+		w.now += trialTakes
+		assert.True(t, other.Check(at(w.now), printOf("x")).Trial)
+	})
 	t.Run("answered", func(t *testing.T) {
 		w := held()
 		w.check("x")
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -191,10 +191,13 @@
 // in waves.
 func TestFleets(t *testing.T) {
 	for _, v := range []struct {
-		nodes, upstreams, deadly int
-		waves                    bool
-	}{{12, 12, 1, false}, {12, 12, 6, true}, {70, 60, 1, false}, {70, 60, 6, true}, {419, 300, 6, true}} {
+		nodes, upstreams, deadly, seconds int
+		waves                             bool
+	}{{12, 12, 1, 100, false}, {12, 12, 6, 40, true}, {70, 60, 1, 100, false}, {70, 60, 6, 40, true}, {419, 300, 6, 40, true}} {
 		seeds := 4
+		if v.deadly == 1 {
+			seeds = 40 // of which one let through four after the bound, until nodes told each other
+		}
 		if v.nodes > 12 && raceEnabled {
 			continue
 		}
@@ -205,7 +208,7 @@
 			most, late, held, ran, message := 0, 0, 0, 0, 0
 			for seed := range seeds {
 				p := newPlay(int64(seed), v.nodes, v.upstreams)
-				message = max(message, p.run(40, v.deadly, 400*time.Millisecond, v.waves))
+				message = max(message, p.run(v.seconds, v.deadly, 400*time.Millisecond, v.waves))
 				for _, n := range p.ended {
 					most = max(most, n)
 				}
--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -21,6 +21,9 @@
 	for _, a := range w.Answers {
 		m.Answers = append(m.Answers, &wire.Answered{Print: a.Print[:], AgeMs: now.Sub(a.At).Milliseconds()})
 	}
+	for _, t := range w.Trials {
+		m.Trials = append(m.Trials, &wire.Answered{Print: t.Print[:], AgeMs: now.Sub(t.At).Milliseconds()})
+	}
 	return m
 }
 
@@ -38,5 +41,10 @@
 			w.Answers = append(w.Answers, Answer{Print: Print(a.Print), At: now.Add(-time.Duration(a.AgeMs) * time.Millisecond)})
 		}
 	}
+	for _, t := range m.GetTrials() {
+		if len(t.Print) == len(Print{}) {
+			w.Trials = append(w.Trials, Trial{Print: Print(t.Print), At: now.Add(-time.Duration(t.AgeMs) * time.Millisecond)})
+		}
+	}
 	return w
 }
--- a/internal/quarantine/settle.go
+++ b/internal/quarantine/settle.go
@@ -73,10 +73,10 @@
 	if now.Before(free) {
 		return Verdict{Held: true, Wait: free.Sub(now), Upstreams: len(s.ends)}
 	}
-	if now.Before(s.trial) {
-		return Verdict{Held: true, Wait: s.trial.Sub(now), Upstreams: len(s.ends)}
+	if t := s.tried.Add(trialTakes); now.Before(t) {
+		return Verdict{Held: true, Wait: t.Sub(now), Upstreams: len(s.ends)}
 	}
-	s.trial = now.Add(trialTakes)
+	s.tried = now
 	return Verdict{Trial: true, Upstreams: len(s.ends)}
 }
 
--- a/internal/quarantine/words.go
+++ b/internal/quarantine/words.go
@@ -24,14 +24,23 @@
 	At    time.Time
 }
 
+// Trial is that a request that was held back was let through. Others wait for how it ends:
+// without that word they let through another one in the second and a half until they hear of
+// its end.
+type Trial struct {
+	Print Print
+	At    time.Time
+}
+
 // Words is what a book tells.
 type Words struct {
 	Ends    []End
 	Answers []Answer
+	Trials  []Trial
 }
 
 // Empty tells whether there is nothing to tell.
-func (w Words) Empty() bool { return len(w.Ends)+len(w.Answers) == 0 }
+func (w Words) Empty() bool { return len(w.Ends)+len(w.Answers)+len(w.Trials) == 0 }
 
 // Words returns what is to be told now. What has lapsed is forgotten.
 func (b *Book) Words(now time.Time) Words {
@@ -54,6 +63,9 @@
 		if news && !s.cleared.IsZero() {
 			w.Answers = append(w.Answers, Answer{p, s.cleared})
 		}
+		if now.Sub(s.tried) <= tellsFor {
+			w.Trials = append(w.Trials, Trial{p, s.tried})
+		}
 	}
 	slices.SortFunc(list, func(x, y *suspect) int {
 		return cmp.Or(cmp.Compare(len(y.ends), len(x.ends)), y.changed.Compare(x.changed))
@@ -95,6 +107,11 @@
 	for _, e := range w.Ends {
 		news = b.add(now, e) || news
 	}
+	for _, t := range w.Trials {
+		if s := b.suspects[t.Print]; s != nil && t.At.Sub(s.tried) >= sameWithin {
+			s.tried = t.At
+		}
+	}
 	if !news {
 		return nil
 	}
