Lines tell what an upstream says of itself in its answer

Cause: an answer may say that its upstream leaves, or wants rest for so long; neither was decoded, so no line could tell whether a node was told and forgot, or never read it. Ruled out: nothing yet; no decision reads the new fields. Conclusion: sight only.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -49,6 +49,8 @@
 	NotRun    bool          // the upstream did not and won't run the request
 	Misplaced bool          // another life has the address
 	IdleLimit time.Duration // the upstream closes a connection idle for so long; 0: unsaid
+	Leaving   bool          // the upstream leaves, and is to get nothing new
+	Rest      time.Duration // the upstream wants nothing from this node for so long; 0: unsaid
 }
 
 // Dialect translates between headers and these types.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -167,7 +167,7 @@
 // Its error is errNotRun if the upstream won't run the request, else errLost.
 func (s *Server) try(ctx context.Context, q *request, use *pool.Use, lastEvent string) (*attempt, error) {
 	a := &attempt{use: use}
-	q.use = use
+	q.use, q.said = use, call.Answer{}
 	left := q.until.Sub(s.o.Clock.Now())
 	a.ctx, a.stop = context.WithCancelCause(ctx)
 	a.timer = s.o.Clock.AfterFunc(left, func() { a.stop(errTimeout) })
@@ -192,7 +192,7 @@
 	}
 	f := append(chosen(use), zap.String("request", q.meta.ID),
 		zap.String("address", use.Entry().Address), zap.Int("send", q.sends), zap.Duration("after", s.o.Clock.Since(q.arrived)),
-		zap.Bool("not_run", errors.Is(err, errNotRun)), zap.String("cause", fault.Reason(err)))
+		zap.Bool("not_run", errors.Is(err, errNotRun)), zap.Bool("says_leaving", q.said.Leaving), zap.Duration("asks_rest", q.said.Rest), zap.String("cause", fault.Reason(err)))
 	if broken {
 		f = append(f, s.noteBroken(ctx, q, a)...)
 	}
@@ -266,6 +266,7 @@
 	}
 	a.head = head
 	v := s.o.Dialect.ReadAnswer(head)
+	q.said = v
 	s.o.Lines.learn(e, v.IdleLimit)
 	if v.ID != "" && v.ID != q.meta.ID {
 		q.mayRun = true
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -148,6 +148,7 @@
 	first     time.Duration // from the arrival to the first event or the head; 0: none came
 	pause     time.Duration // longest between two events passed on
 	use       *pool.Use     // of the last attempt
+	said      call.Answer   // by that upstream
 	failure   *answer       // an upstream's own failure, to be passed on if nothing betters it
 	print     *quarantine.Print
 }
@@ -388,6 +389,7 @@
 	}
 	if q.use != nil {
 		f = append(f, chosen(q.use)...)
+		f = append(f, zap.Bool("says_leaving", q.said.Leaving))
 	}
 	if err != nil {
 		f = append(f, zap.String("cause", fault.Reason(err)))
