Rest that upstreams ask for is kept on the own interface, too

Ruled out: leaving, which is asked for after a refusal already. Change: one reader of Retry-After (package upstream) for both compositions, carried by the refusal's error; a pool doesn't choose what rests, and callers are told the time to the first one's end.

--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -117,7 +117,7 @@
 }
 
 var (
-	errNobody = &Refusal{cause: "no upstream can take the request now", after: time.Second}
+	errNobody = errs.NewType("nobody").New("no upstream can take the request now")
 	errMoved  = errs.NewType("moved").New("the stream was taken off a leaving upstream")
 )
 
@@ -126,7 +126,7 @@
 func (p *pool) attempt(ctx context.Context, c *Chat, l *life, tried map[string]bool, prefer string) (string, error) {
 	t, ok := p.choose(c, tried, prefer)
 	if !ok {
-		return "", errNobody
+		return "", p.nobody()
 	}
 	l.fire("route")
 	number, offset := c.Record.Begin()
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -154,7 +154,7 @@
 			t, ok = p.pick(c.Service, &route.Prompt{}, tried)
 		}
 		if !ok {
-			return givenUp(l.giveUp(), errNobody)
+			return givenUp(l.giveUp(), p.nobody())
 		}
 		l.fire("route")
 		l.fire("send")
@@ -216,8 +216,9 @@
 	}
 	if c.Service.Refused(s.StatusCode) {
 		_ = s.Body.Close()
-		p.landed(t.fact.ID, upstream.ErrRefused, false)
-		return nil, upstream.ErrRefused
+		err := upstream.Refused(s, "")
+		p.landed(t.fact.ID, err, false)
+		return nil, err
 	}
 	if id := s.Header.Get("X-Request-Id"); id != "" && id != c.ID {
 		_ = s.Body.Close()
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -33,15 +33,18 @@
 
 // Refusal is ErrRefused with the time to come back at.
 type Refusal struct {
-	cause string
-	after time.Duration
+	cause  string
+	after  time.Duration
+	nobody bool // it is errNobody, too
 }
 
 // Error returns the cause.
 func (r *Refusal) Error() string { return r.cause }
 
 // Is makes errors.Is(err, ErrRefused) hold.
-func (r *Refusal) Is(target error) bool { return target == ErrRefused } //nolint:errorlint // sentinel
+func (r *Refusal) Is(target error) bool {
+	return target == ErrRefused || r.nobody && target == errNobody //nolint:errorlint // sentinels
+}
 
 // RetryAfter returns when to come back.
 func (r *Refusal) RetryAfter() time.Duration { return r.after }
@@ -93,7 +96,8 @@
 	refreshed time.Duration
 	list      []member.Seen
 	cands     []route.Candidate
-	moving    map[string]*move // streams, by request id
+	moving    map[string]*move         // streams, by request id
+	rests     map[string]time.Duration // by upstream: until when it wants nothing
 	spent     money
 	perToken  float64 // seconds, smoothed over all upstreams
 }
@@ -142,6 +146,7 @@
 			flights:   make(map[string]*flight),
 			waiting:   make(map[string]chan bool),
 			moving:    make(map[string]*move),
+			rests:     make(map[string]time.Duration),
 		}
 		d.pools[name] = p
 	}
@@ -282,7 +287,7 @@
 	at := p.d.o.Clock.Now()
 	for i := range p.cands {
 		c, f := &p.cands[i], &p.list[i]
-		c.Excluded = tried[c.ID] || !p.outliers.Usable(now, c.ID)
+		c.Excluded = tried[c.ID] || !p.outliers.Usable(now, c.ID) || p.restingLocked(now, c.ID)
 		c.LoadAge = at.Sub(f.At)
 		c.InFlight, c.SinceReport, c.Slowness = 0, 0, 0
 		if v := p.flights[c.ID]; v != nil {
@@ -373,6 +378,10 @@
 		p.budget.Success()
 		return
 	}
+	if d := upstream.RestAsked(err); d > 0 {
+		p.restLocked(id, d)
+		p.d.o.Event("upstream_rests", "", fmt.Sprintf("%s: asks for %v", id, d))
+	}
 	if !blame {
 		p.outliers.Unclear(p.d.now(), id)
 		return
--- a/internal/upstream/chat.go
+++ b/internal/upstream/chat.go
@@ -142,7 +142,7 @@
 func statusError(a *http.Response) error {
 	b, _ := io.ReadAll(io.LimitReader(a.Body, 512))
 	if a.StatusCode == http.StatusServiceUnavailable || a.StatusCode == http.StatusTooManyRequests {
-		return fault.Because(ErrRefused, "status %d: %s", a.StatusCode, bytes.TrimSpace(b))
+		return Refused(a, string(bytes.TrimSpace(b)))
 	}
 	return fault.Because(ErrLost, "status %d: %s", a.StatusCode, bytes.TrimSpace(b))
 }
--- /dev/null
+++ b/internal/upstream/rest.go
@@ -0,0 +1,68 @@
+package upstream
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// This file reads what a refusal says of when its upstream can be asked again.
+
+// restMost bounds the rest that an upstream may ask for: what is longer is no rest of one that
+// lives on a reclaimable VM, and a number that can't be meant mustn't put it out of use for good.
+const restMost = time.Hour
+
+// Rest returns how long the upstream that gave an answer wants nothing more, as its refusal says; 0:
+// it doesn't. It says so in seconds, with a fraction or without, or by a date (RFC 9110, section
+// 10.2.3), which counts from the answer's own date, since clocks of two VMs differ. What can't be
+// read counts as not said.
+func Rest(a *http.Response) time.Duration {
+	if a.StatusCode != http.StatusServiceUnavailable && a.StatusCode != http.StatusTooManyRequests {
+		return 0
+	}
+	v := strings.TrimSpace(a.Header.Get("Retry-After"))
+	if s, err := strconv.ParseFloat(v, 64); err == nil {
+		if !(s > 0) { // so that what is no number is none
+			return 0
+		}
+		return time.Duration(min(s, restMost.Seconds()) * float64(time.Second))
+	}
+	until, err := http.ParseTime(v)
+	if err != nil {
+		return 0
+	}
+	at, err := http.ParseTime(a.Header.Get("Date"))
+	if err != nil {
+		return 0
+	}
+	return min(max(0, until.Sub(at)), restMost)
+}
+
+// refusal is ErrRefused with the rest that its upstream asks for.
+type refusal struct {
+	cause string
+	rest  time.Duration
+}
+
+// Error returns the cause.
+func (r *refusal) Error() string { return r.cause }
+
+// Is makes errors.Is(err, ErrRefused) hold.
+func (r *refusal) Is(target error) bool { return target == ErrRefused } //nolint:errorlint // sentinel
+
+// Refused returns ErrRefused for an answer by which an upstream says that it didn't run the request.
+func Refused(a *http.Response, detail string) error {
+	return &refusal{cause: fmt.Sprintf("%v: status %d %s", ErrRefused, a.StatusCode, detail), rest: Rest(a)}
+}
+
+// RestAsked returns the rest that an upstream asked for with an error; 0: none.
+func RestAsked(err error) time.Duration {
+	var r *refusal
+	if errors.As(err, &r) {
+		return r.rest
+	}
+	return 0
+}
