Words in late answers and of upstreams that aren't listed count, too; one line for each rest

Cause: two holes found while reading: an answer that belongs to another request was dropped before its upstream's word was read, and a word that came while the entry was away was taken for known. Change: both are taken in; upstream_rests is logged once a rest; a refusal says that all want rest.

--- a/internal/edge/heard.go
+++ b/internal/edge/heard.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"spurhall.example/spurhall/internal/call"
 	"spurhall.example/spurhall/internal/pool"
 )
@@ -20,8 +22,8 @@
 	if v.Leaving && !n.pools.Leaving(e) {
 		n.update("answer", func(_ time.Time, l *pool.List) { l.Leave(e) })
 	}
-	if v.Rest > 0 {
-		n.pools.Rest(e, v.Rest)
+	if v.Rest > 0 && n.pools.Rest(e, v.Rest) {
 		upstreamEvents.Add("rests", 1)
+		n.log.Info("upstream_rests", zap.String("upstream", e.ID), zap.String("service", e.Service), zap.Int64("born", e.Born), zap.Duration("for", v.Rest))
 	}
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -147,7 +147,11 @@
 		reason += "; before that: " + fault.Reason(last)
 	}
 	if !q.mayRun {
-		return &refusal{status: http.StatusServiceUnavailable, reason: reason, retry: max(retrySoon, s.o.Pools.Rested(q.service))}
+		rest := s.o.Pools.Rested(q.service)
+		if rest > 0 {
+			reason += "; all upstreams want rest"
+		}
+		return &refusal{status: http.StatusServiceUnavailable, reason: reason, retry: max(retrySoon, rest)}
 	}
 	if errors.Is(cause, errTimeout) {
 		return &refusal{status: http.StatusGatewayTimeout, reason: reason}
@@ -268,6 +272,7 @@
 	v := s.o.Dialect.ReadAnswer(head)
 	q.said = v
 	s.o.Lines.learn(e, v.IdleLimit)
+	s.o.Heard(e, v) // also in an answer that came too late for its own request: the upstream is the same
 	if v.ID != "" && v.ID != q.meta.ID {
 		q.mayRun = true
 		return fault.Because(errLost, "the answer belongs to request %s", v.ID)
@@ -279,7 +284,6 @@
 		q.sends--
 		a.gone = true
 	}
-	s.o.Heard(e, v)
 	if v.NotRun {
 		return fault.Because(errNotRun, "the upstream answered %d and won't run it", head.StatusCode)
 	}
--- a/internal/pool/says.go
+++ b/internal/pool/says.go
@@ -54,9 +54,9 @@
 	return ok && !Entry{Born: born}.another(e)
 }
 
-// Rest says that the upstream wants nothing from this node for so long. Of two such words the one
-// that reaches further holds: answers may overtake each other.
-func (p *Pools) Rest(e Entry, d time.Duration) {
+// Rest says that the upstream wants nothing from this node for so long, and returns whether that is
+// new. Of two such words the one that reaches further holds: answers may overtake each other.
+func (p *Pools) Rest(e Entry, d time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
@@ -66,9 +66,11 @@
 		}
 	}
 	k := e.lifetime()
-	if until := now.Add(d); until.After(p.rests[k]) {
+	old, rested := p.rests[k]
+	if until := now.Add(d); until.After(old) {
 		p.rests[k] = until
 	}
+	return !rested
 }
 
 // Leaving tells whether the list has it that the life which an entry names leaves, or that it is
@@ -76,8 +78,11 @@
 func (p *Pools) Leaving(e Entry) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	m := p.members[e.ID]
-	return m == nil || m.entry.Leaving || m.entry.another(e)
+	v, ok := p.list.items[e.ID]
+	if !ok {
+		return p.list.hasLeft(e)
+	}
+	return v.Entry.Leaving || v.Entry.another(e)
 }
 
 // resting tells whether a member is to get nothing from this node now.
--- a/internal/pool/says_test.go
+++ b/internal/pool/says_test.go
@@ -50,6 +50,14 @@
 		l.Put(lifeAt(5, 1, false))
 		assert.True(t, leavingOf(l, "a"))
 	})
+	t.Run("which is taken for known then", func(t *testing.T) {
+		p := New(timer.NewManual(start).Service(), "a")
+		e := Entry{ID: "a", Born: 5}
+		assert.False(t, p.Leaving(e))
+		p.Update(func(l *List) { l.Leave(e) })
+		assert.True(t, p.Leaving(e))
+		assert.False(t, p.Leaving(Entry{ID: "a", Born: 6}))
+	})
 	t.Run("the next life is used", func(t *testing.T) {
 		l := said()
 		l.Put(lifeAt(6, 2, false))
