--- a/internal/standin/keys.go
+++ b/internal/standin/keys.go
@@ -205,12 +205,13 @@
 }
 
 // Events returns the events after a revision, the service's revision, and a channel
-// that is closed at the next change. The error is store.ErrCompacted if some are gone.
+// that is closed at the next change. The error is store.ErrCompacted if some are gone, or if the
+// service hasn't come to that revision.
 func (k *Keys) Events(key, end string, after int64) (store.WatchBatch, <-chan struct{}, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.expire()
-	if after < k.compacted {
+	if after < k.compacted || after > k.revision {
 		return store.WatchBatch{}, nil, store.ErrCompacted
 	}
 	b := store.WatchBatch{Revision: k.revision}
