Revisions bear the store's era: tokens, watches, lists and leases hold over an older copy

Cause: revisions order all that is known of the store, and go back when it comes back from a copy. Tokens fell (4 calls refused, duties stood still), a watch went on at a number that had been given to another write (a configuration was never heard), a node renewed another's lease for its own (it was never registered again), the list stood still until the numbers had caught up. Ruled out: an own number for the token, which a process that remembers nothing must first be refused to learn; resetting each reader by hand, which leaves what nodes tell each other out of order. Change: package era; store.Dated puts the era before every revision and keeps conditions, watches and leases of another era from the store. TestTokensOverEras (rapid: copies of any age, in series and in the middle of calls, two to four holders), TestListOverAnOlderCopy, TestReporter.

--- a/cmd/spurhalld/edge.go
+++ b/cmd/spurhalld/edge.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"spurhall.example/spurhall/internal/edge"
+	"spurhall.example/spurhall/internal/era"
 	"spurhall.example/spurhall/internal/logging"
 	"spurhall.example/spurhall/internal/timer"
 	"spurhall.example/spurhall/platform"
@@ -68,9 +69,10 @@
 		return err
 	}
 	lifetime := strconv.FormatUint(rand.Uint64(), 36)
+	eras := era.NewClock()
 	n := edge.New(edge.Options{
 		Settings: s, Lifetime: lifetime, Clock: clock, Log: log,
-		KV: platform.NewStore(s.Store.Address), Cloud: platform.NewCloud(s.Cloud.Address, s.Node), Dialect: platform.Dialect(),
+		KV: platform.NewStore(s.Store.Address, eras.Hear), Era: eras, Cloud: platform.NewCloud(s.Cloud.Address, s.Node), Dialect: platform.Dialect(),
 		CatalogKey: platform.ConfigKey, EntryPrefix: platform.EntryPrefix,
 		OperatorPrefix: platform.OperatorPrefix, OrderPrefix: platform.OrderPrefix, DecodeOrder: platform.DecodeOrder, EncodeStatus: platform.EncodeStatus,
 		DecodeCatalog: platform.DecodeCatalog, DecodeEntry: platform.DecodeEntry, Cached: platform.Cached,
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -4,7 +4,9 @@
 // The node that holds the store's lease does it, and each call bears the lease's fencing
 // token. A report is written to the store under a condition before it is sent, so the
 // counts of a window are settled once: a successor finds them there and repeats them to
-// the letter, however much its own counts differ. A call that got no answer is
+// the letter, however much its own counts differ. A store that comes back from an older copy may have
+// lost that: who settled a window writes it again as it was, and who didn't reports none that may have
+// been. A window that is missing costs less than one that was told twice. A call that got no answer is
 // repeated; a call refused for its token ends the term at once.
 //
 // Weighed: a duty by rendezvous hashing, which needs no lease, but two nodes that see
@@ -15,6 +17,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"strconv"
 	"strings"
 	"time"
@@ -34,7 +37,9 @@
 	ErrFenced = errs.NewType("fenced").New("a holder with a higher fencing token has acted")
 	// ErrNoneLeft says that no such upstreams are to be had now.
 	ErrNoneLeft = errs.NewType("none_left").New("no such upstreams are to be had")
-	errTaken    = errs.NewType("taken").New("the counts were settled by another")
+	// errDoubted says that a window may have been reported with counts that nobody here knows.
+	errDoubted = errs.NewType("doubted").New("the window may have been reported before the store came back from a copy")
+	errTaken   = errs.NewType("taken").New("the counts were settled by another")
 )
 
 // Report is the usage of one window.
@@ -81,6 +86,8 @@
 	End    func(window int64) time.Time
 	// Counts returns what is known of a window.
 	Counts func(window int64) Tally
+	// Doubted tells whether the store may have lost how a window was settled; nil: it never does.
+	Doubted func(window int64) bool
 	// Late is how long after its end a window's report is due.
 	Late time.Duration
 }
@@ -98,13 +105,14 @@
 // Reporter reports usage. It isn't safe for concurrent use.
 type Reporter struct {
 	o     Options
-	token int64          // of the term that done belongs to
-	done  map[int64]bool // windows reported in this term
+	token int64            // of the term that done belongs to
+	done  map[int64]bool   // windows reported in this term
+	sent  map[int64]Report // as this process has settled them, in any term
 }
 
 // NewReporter returns a reporter.
 func NewReporter(o Options) *Reporter {
-	return &Reporter{o: o}
+	return &Reporter{o: o, sent: make(map[int64]Report)}
 }
 
 // Step reports what is due.
@@ -123,7 +131,12 @@
 		if r.done[w] || !r.due(now, w) {
 			continue
 		}
-		if err := r.report(ctx, token, w); err != nil {
+		err := r.report(ctx, token, w)
+		if errors.Is(err, errDoubted) {
+			r.o.Log.Warn("usage_doubted", zap.Int64("window", w), zap.Int64("token", token))
+			err = nil
+		}
+		if err != nil {
 			r.failed(w, err)
 			return
 		}
@@ -173,11 +186,23 @@
 	if err != nil {
 		return Report{}, err
 	}
-	if len(seen.Pairs) > 0 {
-		return decode(seen.Pairs[0])
+	v, ok := r.sent[w]
+	switch {
+	case ok && len(seen.Pairs) > 0:
+		return v, nil
+	case len(seen.Pairs) > 0:
+		v, err := decode(seen.Pairs[0])
+		if err == nil {
+			r.note(v)
+		}
+		return v, err
+	case !ok:
+		if r.o.Doubted != nil && r.o.Doubted(w) {
+			return Report{}, errDoubted
+		}
+		c := r.o.Counts(w)
+		v = Report{Window: w, Counts: maps.Clone(c.Counts), Processes: c.Processes}
 	}
-	c := r.o.Counts(w)
-	v := Report{Window: w, Counts: c.Counts, Processes: c.Processes}
 	b, err := json.Marshal(v)
 	if err != nil {
 		return Report{}, err
@@ -191,9 +216,20 @@
 	if !a.Succeeded {
 		return Report{}, errTaken
 	}
+	r.note(v)
 	return v, nil
 }
 
+// note remembers how a window was settled, for as long as it may be looked at.
+func (r *Reporter) note(v Report) {
+	r.sent[v.Window] = v
+	for w := range r.sent {
+		if w < v.Window-2*lookBack {
+			delete(r.sent, w)
+		}
+	}
+}
+
 func decode(p store.Pair) (Report, error) {
 	var v Report
 	if err := json.Unmarshal(p.Value, &v); err != nil {
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -24,6 +24,15 @@
 	held  bool
 	err   error // of the next report of the newest window
 	tally Tally
+
+	doubted bool
+}
+
+// lose takes away how a window was settled.
+func (d *desk) lose(w int64) {
+	d.t.Helper()
+	_, err := d.kv.Txn(context.Background(), store.Txn{Then: []store.Op{{Kind: store.OpDelete, Key: key(w)}}})
+	assert.NoError(d.t, err)
 }
 
 // newest is the window that has ended when a desk opens.
@@ -54,7 +63,7 @@
 		Token: func() (int64, bool) { return d.token, d.held }, Resign: func() { d.held = false },
 		Window: func(t time.Time) int64 { return t.Unix() / 5 },
 		End:    func(w int64) time.Time { return time.Unix(5*(w+1), 0) },
-		Counts: func(int64) Tally { return d.tally },
+		Counts: func(int64) Tally { return d.tally }, Doubted: func(int64) bool { return d.doubted },
 	})
 }
 
@@ -107,6 +116,40 @@
 		d.reporter().Step(ctx)
 		d.assertReported(one, one)
 	})
+	t.Run("who settled a window writes it again as it was when the store has lost it", func(t *testing.T) {
+		d := newDesk(t)
+		r := d.reporter()
+		d.tally = Tally{Counts: one, Whole: true}
+		d.clock.Advance(wholeAfter)
+		r.Step(ctx)
+		d.lose(newest)
+		d.tally.Counts, d.token, d.doubted = map[string]int64{"w": 9}, 2, true
+		r.Step(ctx)
+		d.assertReported(one, one)
+	})
+	t.Run("who has read it, too", func(t *testing.T) {
+		d := newDesk(t)
+		d.tally = Tally{Counts: one, Whole: true}
+		d.clock.Advance(wholeAfter)
+		d.reporter().Step(ctx)
+		r := d.reporter()
+		d.tally.Counts = map[string]int64{"w": 9}
+		r.Step(ctx)
+		d.lose(newest)
+		d.token, d.doubted = 2, true
+		r.Step(ctx)
+		d.assertReported(one, one, one)
+	})
+	t.Run("another reports none that may have been", func(t *testing.T) {
+		d := newDesk(t)
+		d.tally = Tally{Counts: one, Whole: true}
+		d.clock.Advance(wholeAfter)
+		d.reporter().Step(ctx)
+		d.lose(newest)
+		d.tally.Counts, d.token, d.doubted = map[string]int64{"w": 9}, 2, true
+		d.reporter().Step(ctx)
+		d.assertReported(one)
+	})
 	t.Run("a refused token ends the term", func(t *testing.T) {
 		d := newDesk(t)
 		d.tally, d.err = Tally{Counts: one, Whole: true}, ErrFenced
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -20,9 +20,11 @@
 	if !n.s.Cloud.Usage && !n.s.Cloud.Scale && !n.s.Cloud.Rollouts {
 		return
 	}
+	var e eraTerm
 	r := duty.NewReporter(duty.Options{
 		Clock: n.clock, Log: n.log, KV: n.kv, Cloud: n.o.Cloud, Token: n.lease.Token, Resign: n.lease.Resign,
 		Window: n.usage.Window, End: n.usage.End, Counts: n.counts, Late: n.s.UsageLate,
+		Doubted: func(w int64) bool { return e.doubts(n.usage.End(w)) },
 	})
 	n.lease.Observe(func(err error) {
 		if !errors.Is(err, lease.ErrTaken) {
@@ -47,7 +49,10 @@
 			if token != term {
 				term = token
 				c.begin(ctx, n)
-				v = levels{}
+				v, e = levels{}, eraTerm{}
+			}
+			if !e.known {
+				e.begin(ctx, n, token)
 			}
 			c.write(ctx, n, token)
 			v.write(ctx, n, token)
--- /dev/null
+++ b/internal/edge/era.go
@@ -0,0 +1,107 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"time"
+
+	"go.uber.org/zap"
+
+	"spurhall.example/spurhall/internal/era"
+)
+
+// This file is what a node does when the store has come back from an older copy of itself. Revisions
+// bear their era (package era), so lists, watches and tokens need nothing here. What is left is what
+// this node knows better than the copy:
+//
+//   - the lease of the duties may be gone: it is dropped, and taken anew with a higher token;
+//   - this node's key in the registry may be gone, and its lease's id another's: it is entered anew;
+//   - what a holder of the duties has written may be gone: it is written again in the next term, which
+//     begins with the new token;
+//   - watches wait for revisions that the store doesn't have: they begin anew.
+
+// storeEra is the newest era of the store that was heard.
+var storeEra = expvar.NewInt("store_era")
+
+// storeReturns counts how often the store came back from a copy.
+var storeReturns = expvar.NewInt("store_returns")
+
+// eraRose takes in that the store has come back from a copy. It is called from within the call that
+// heard so.
+func (n *Node) eraRose(r era.Rise) {
+	storeEra.Set(r.To)
+	storeReturns.Add(1)
+	n.log.Warn("store_era_rose", zap.Int64("from", r.From), zap.Int64("to", r.To), zap.Int64("revision_before", r.Before))
+	n.returned.Store(true)
+	n.lease.Forget()
+	n.mu.Lock()
+	n.lostEntry = true
+	n.mu.Unlock()
+	n.catalogReader.again()
+	n.listReader.again()
+}
+
+// hearEra takes in the era of a revision that another node has told of: this one may not reach the
+// store.
+func (n *Node) hearEra(peer string, revision int64) {
+	err := n.era.Hear(era.Of(revision))
+	if err != nil && !errors.Is(err, era.ErrPast) {
+		n.log.Warn("era_unreadable", zap.String("peer", peer), zap.Int64("revision", revision), zap.String("cause", err.Error()))
+	}
+}
+
+// reenter tells, once, whether this node's key has to be entered anew.
+func (n *Node) reenter() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	lost := n.lostEntry
+	n.lostEntry = false
+	return lost
+}
+
+// eraRecord is when the duties' first holder in an era began.
+var eraRecord = record{name: "era", key: "spurhall/era"}
+
+// eraBegan is its value.
+type eraBegan struct {
+	Era int64 `json:"era"`
+	At  int64 `json:"at"` // Unix milliseconds
+}
+
+// eraTerm is the holder's side: what may have been settled in an era before. A process that starts
+// after the store's return can't know when that was, so the first holder in an era writes down that it
+// is in one, and takes all that lies before that moment for doubtful.
+type eraTerm struct {
+	known bool
+	began time.Time // what ended before may have been settled in an era before; zero: nothing may
+}
+
+// begin finds out when the era began that this term is of. It is tried again with the next step where
+// the store doesn't answer; until then all is doubtful.
+func (v *eraTerm) begin(ctx context.Context, n *Node, token int64) {
+	v.began = n.clock.Wall()
+	if era.Of(token) == 0 { // this store has none
+		v.known, v.began = true, time.Time{}
+		return
+	}
+	var w eraBegan
+	found, err := eraRecord.load(ctx, n, &w)
+	if err != nil {
+		n.log.Info("era_unread", zap.String("cause", err.Error()))
+		v.known = found // what can't be decoded can't be read the next time
+		return
+	}
+	v.known = true
+	switch {
+	case found && w.Era == era.Of(token):
+		v.began = time.UnixMilli(w.At)
+		return
+	case n.s.FirstStart && !n.returned.Load():
+		v.began = time.UnixMilli(0) // nobody was there before
+	}
+	v.known = eraRecord.write(ctx, n, token, eraBegan{Era: era.Of(token), At: v.began.UnixMilli()})
+}
+
+// doubts tells whether a window that ended then may have been settled in an era before.
+func (v *eraTerm) doubts(end time.Time) bool { return !v.known || end.Before(v.began) }
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -28,6 +28,7 @@
 	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/catalog"
 	"spurhall.example/spurhall/internal/duty"
+	"spurhall.example/spurhall/internal/era"
 	"spurhall.example/spurhall/internal/forward"
 	"spurhall.example/spurhall/internal/lease"
 	"spurhall.example/spurhall/internal/pool"
@@ -49,6 +50,7 @@
 	Clock    *timer.Service
 	Log      *zap.Logger
 	KV       store.KV
+	Era      *era.Clock // hears of each answer of KV before it is returned
 	Cloud    duty.Cloud
 	Dialect  call.Dialect
 	// CatalogKey and EntryPrefix are where the store keeps the configuration and the
@@ -77,6 +79,7 @@
 	start    time.Time
 	guard    *store.Guard
 	kv       store.KV
+	era      *era.Clock
 	pools    *pool.Pools
 	lines    *forward.Lines
 	front    *forward.Server
@@ -88,12 +91,13 @@
 	unreadable    unreadable
 	news          *news
 
-	catalog atomic.Pointer[held]
-	listed  atomic.Bool // the upstreams have been read once
-	knows   sync.Once
-	known   chan struct{} // closed when there are a configuration and upstreams
-	phase   atomic.Int32  // of a planned stop, a forward.Phase
-	callers atomic.Pointer[watchedListener]
+	catalog  atomic.Pointer[held]
+	listed   atomic.Bool // the upstreams have been read once
+	returned atomic.Bool // the store has come back from a copy while this process ran
+	knows    sync.Once
+	known    chan struct{} // closed when there are a configuration and upstreams
+	phase    atomic.Int32  // of a planned stop, a forward.Phase
+	callers  atomic.Pointer[watchedListener]
 
 	mu      sync.Mutex // for what follows
 	quotas  *quota.Quotas
@@ -115,6 +119,7 @@
 	suspended    time.Duration // as it was told last
 	alone        time.Time     // until when this node watches the store by itself
 	rollouts     rollouts
+	lostEntry    bool // the store has come back from a copy since this node entered its key
 }
 
 // held is the configuration in force, with the bytes it was read from for a peer that
@@ -149,7 +154,9 @@
 	n.unreadable = make(unreadable)
 	n.news = newNews()
 	n.guard = store.NewGuard(o.Clock, n.share())
-	n.kv = n.guard.Wrap(o.KV)
+	n.era = o.Era
+	n.era.OnRise(n.eraRose)
+	n.kv = n.guard.Wrap(store.Dated(o.KV, o.Era))
 	n.lease = lease.New(n.kv, o.Clock, dutyKey, s.Node, max(s.Lease, s.Store.MinLease))
 	n.front = forward.NewServer(forward.Options{
 		Clock: o.Clock, Log: o.Log, Dialect: o.Dialect, Pools: n.pools, Lines: n.lines, Known: n.known, Catalog: n.current,
--- a/internal/edge/ordered.go
+++ b/internal/edge/ordered.go
@@ -5,6 +5,7 @@
 	"maps"
 	"time"
 
+	"spurhall.example/spurhall/internal/era"
 	"spurhall.example/spurhall/internal/logging"
 )
 
@@ -58,17 +59,22 @@
 	written bool
 	found   orderedValue // by the holder before
 	until   time.Time    // until when what was found counts
+	era     int64        // of the term
 }
 
-// begin reads what the holder before has ordered.
-func (v *ordered) begin(ctx context.Context, n *Node) {
-	*v = ordered{counts: orderedValue{}, written: true, found: orderedValue{}, until: n.start.Add(n.orderedKeeps())}
+// begin reads what the holder before this term has ordered.
+func (v *ordered) begin(ctx context.Context, n *Node, token int64) {
+	own, before := v.counts, v.era
+	*v = ordered{counts: orderedValue{}, written: true, found: orderedValue{}, until: n.start.Add(n.orderedKeeps()), era: era.Of(token)}
 	if !orderedRecord.read(ctx, n, &v.found) {
 		v.found = orderedValue{}
 	}
 	for s, by := range v.found {
 		v.counts[s] = maps.Clone(by)
 	}
+	if v.era > before && len(own) > 0 { // the store may have lost what this holder ordered last
+		v.counts, v.written = own, false
+	}
 	n.log.Info("ordered_found", logging.Counts("counts", v.found.flat()))
 }
 
--- a/internal/edge/ordered_test.go
+++ b/internal/edge/ordered_test.go
@@ -48,14 +48,14 @@
 
 	var first, second ordered
 	token := takeOver(t, a)
-	first.begin(ctx, a)
+	first.begin(ctx, a, 1)
 	first.note(onDemand, 4)
 	first.note(reclaimable, 9)
 	first.write(ctx, a, token)
 	clock.Advance(4 * time.Second) // a's lease is over
 	b := holder(t, kv, clock.Service(), "b")
 	takeOver(t, b)
-	second.begin(ctx, b)
+	second.begin(ctx, b, 1)
 
 	t.Run("it orders no fewer on demand for a while", func(t *testing.T) {
 		assert.Equal(t, 4, second.least(clock.Service().Now(), onDemand))
@@ -67,14 +67,14 @@
 		var v ordered
 		old := holder(t, kv, clock.Service(), "c")
 		old.start = old.start.Add(-old.orderedKeeps())
-		v.begin(ctx, old)
+		v.begin(ctx, old, 1)
 		assert.Zero(t, v.least(clock.Service().Now(), onDemand))
 	})
 	t.Run("the holder before writes nothing any more", func(t *testing.T) {
 		first.note(onDemand, 1)
 		first.write(ctx, a, token)
 		var third ordered
-		third.begin(ctx, b)
+		third.begin(ctx, b, 1)
 		assert.Equal(t, 4, third.least(clock.Service().Now(), onDemand))
 	})
 	t.Run("what can't be written is tried again", func(t *testing.T) {
@@ -87,7 +87,7 @@
 		b.kv = kv
 		second.write(ctx, b, token)
 		var third ordered
-		third.begin(ctx, b)
+		third.begin(ctx, b, 1)
 		assert.Equal(t, 6, third.least(clock.Service().Now(), onDemand))
 	})
 	t.Run("a store that doesn't answer is no obstacle", func(t *testing.T) {
@@ -97,7 +97,7 @@
 		}
 		c := holder(t, away, clock.Service(), "c")
 		var v ordered
-		v.begin(ctx, c)
+		v.begin(ctx, c, 1)
 		assert.Zero(t, v.least(clock.Service().Now(), onDemand))
 	})
 }
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -79,7 +79,7 @@
 	token, held := o.n.lease.Token()
 	if held && token != o.token {
 		o.token, o.orders = token, make(map[subject]placed)
-		o.known.begin(ctx, o.n)
+		o.known.begin(ctx, o.n, token)
 		o.learned.begin(ctx, o.n)
 	}
 	engines := make(map[string]capacity.Engine)
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -269,6 +269,7 @@
 	if !n.admitReport(r) {
 		return
 	}
+	n.hearEra(r.Node, r.ListChange)
 	n.hearSuspicions(r.Suspicions, r.Node)
 	engines := make(map[string]capacity.Engine, len(r.Engines))
 	for _, v := range r.Engines {
--- a/internal/edge/suspicions.go
+++ b/internal/edge/suspicions.go
@@ -80,21 +80,24 @@
 }
 
 // heldRequests is the side of the duties' holder.
-type heldRequests struct{ written int64 }
+type heldRequests struct {
+	token   int64 // of the term in which it was written
+	written int64
+}
 
 // write puts what holds requests back into the store when it has changed. What can't be
 // written is tried again with the next step.
 func (v *heldRequests) write(ctx context.Context, n *Node, token int64) {
 	ends, version := n.suspects.Held()
-	if version == v.written {
-		return
+	if version == 0 || version == v.written && token == v.token {
+		return // nothing was ever held, or it stands there; what a term before wrote may be lost
 	}
 	list := make([]heldEnd, len(ends))
 	for i, e := range ends {
 		list[i] = heldEnd{e.Print, e.Upstream, n.clock.WallOf(e.At).UnixMilli()}
 	}
 	if heldRecord.write(ctx, n, token, list) {
-		v.written = version
+		v.written, v.token = version, token
 	}
 }
 
--- /dev/null
+++ b/internal/lease/era_test.go
@@ -0,0 +1,169 @@
+package lease
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+
+	"spurhall.example/spurhall/internal/era"
+	"spurhall.example/spurhall/internal/standin"
+	"spurhall.example/spurhall/internal/store"
+	"spurhall.example/spurhall/internal/timer"
+)
+
+// world is a store that may come back from older copies, a cloud that refuses tokens that fall, and
+// holders of which each has its own way to the store.
+type world struct {
+	t      *rapid.T
+	clock  *timer.Manual
+	keys   *standin.Keys
+	era    int64
+	copies []*standin.Copy
+	late   bool // answers come after the next return
+	list   []*holder
+	fence  int64            // highest that the cloud has seen
+	by     map[int64]string // who sent a token
+	taken  []string         // holders of the calls that were taken, by order
+}
+
+type holder struct {
+	name  string
+	lease *Lease
+	clock *era.Clock
+}
+
+// kv is a holder's way to the store: each answer says the era of the moment in which it was made.
+func (w *world) kv(c *era.Clock) store.KV {
+	answer := func(e int64, err error) error {
+		if h := c.Hear(e); h != nil {
+			return store.ErrUnknown
+		}
+		return err
+	}
+	return store.Dated(store.KV{
+		Range: func(_ context.Context, key, end string) (store.RangeResult, error) {
+			r, e := w.keys.Range(key, end), w.era
+			w.between()
+			return r, answer(e, nil)
+		},
+		Txn: func(_ context.Context, x store.Txn) (store.TxnResult, error) {
+			r, err := w.keys.Txn(x)
+			e := w.era
+			w.between()
+			return r, answer(e, err)
+		},
+		Grant: func(_ context.Context, d time.Duration) (int64, error) {
+			id, e := w.keys.Grant(d), w.era
+			w.between()
+			return id, answer(e, nil)
+		},
+		KeepAlive: func(_ context.Context, id int64) (time.Duration, error) {
+			d, e := w.keys.KeepAlive(id), w.era
+			if d == 0 {
+				return 0, answer(e, store.ErrLeaseGone)
+			}
+			return d, answer(e, nil)
+		},
+		Revoke: func(_ context.Context, id int64) error { w.keys.Revoke(id); return answer(w.era, nil) },
+	}, c)
+}
+
+// between lets the store come back between a call's effect and its answer.
+func (w *world) between() {
+	if w.late {
+		w.late = false
+		w.giveBack()
+	}
+}
+
+func (w *world) giveBack() {
+	if len(w.copies) > 0 {
+		w.keys.Return(w.copies[rapid.IntRange(0, len(w.copies)-1).Draw(w.t, "copy")])
+		w.era++
+	}
+}
+
+// act sends an order if the holder believes that it may, and checks what the cloud sees.
+func (w *world) act(h *holder) {
+	token, held := h.lease.Token()
+	if !held {
+		return
+	}
+	if other, ok := w.by[token]; ok {
+		assert.Equal(w.t, h.name, other, "token %d", token)
+	}
+	w.by[token] = h.name
+	if token < w.fence {
+		return // refused
+	}
+	w.fence = token
+	if n := len(w.taken); n == 0 || w.taken[n-1] != h.name+fmt.Sprint(token) {
+		w.taken = append(w.taken, h.name+fmt.Sprint(token))
+	}
+}
+
+// TestTokensOverEras: the store comes back from copies of any age, in series, in the middle of calls
+// and between them, while holders take, renew, pause, die and begin again. No token is sent by two
+// holders, none that is taken falls, so holders never act A, B, A; and when the store stays, somebody
+// holds the lease within its time and two seconds.
+func TestTokensOverEras(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{t: t, clock: timer.NewManual(time.Unix(1000, 0)), era: 1, by: make(map[int64]string)}
+		w.keys = standin.NewKeys(w.clock.Service())
+		begin := func(name string) *holder {
+			c := era.NewClock()
+			h := &holder{name: name, clock: c}
+			h.lease = New(w.kv(c), w.clock.Service(), "duty", name, ttl)
+			c.OnRise(func(era.Rise) { h.lease.Forget() })
+			return h
+		}
+		for i := range rapid.IntRange(2, 4).Draw(t, "holders") {
+			w.list = append(w.list, begin(fmt.Sprint("h", i)))
+		}
+		ctx := context.Background()
+		for range 60 {
+			i := rapid.IntRange(0, len(w.list)-1).Draw(t, "who")
+			h := w.list[i]
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0, 1, 2:
+				_ = h.lease.Step(ctx)
+			case 3, 4:
+				w.act(h)
+			case 5:
+				w.clock.Advance(time.Duration(rapid.IntRange(0, 4000).Draw(t, "ms")) * time.Millisecond)
+			case 6:
+				w.copies = append(w.copies, w.keys.Copy())
+			case 7:
+				w.giveBack()
+			case 8:
+				w.late = true
+			case 9:
+				w.list[i] = begin(h.name) // it died without a word
+			}
+		}
+		w.late = false
+		deadline := w.clock.Service().Now().Add(ttl + 2*time.Second)
+		for held := false; !held && w.clock.Service().Now().Before(deadline); {
+			for _, h := range w.list {
+				_ = h.lease.Step(ctx)
+				_, ok := h.lease.Token()
+				held = held || ok
+				w.act(h)
+			}
+			if !held {
+				w.clock.Advance(ttl / renewals)
+			}
+		}
+		held := 0
+		for _, h := range w.list {
+			if _, ok := h.lease.Token(); ok {
+				held++
+			}
+		}
+		assert.Equal(t, 1, held, "the duties go on, at one holder")
+	})
+}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -208,7 +208,7 @@
 	if err != nil {
 		return err // the lease lapses by itself
 	}
-	if len(r.Pairs) == 1 && r.Pairs[0].Lease == id {
+	if len(r.Pairs) == 1 && r.Pairs[0].Lease == id && string(r.Pairs[0].Value) == l.owner {
 		l.hold(id, r.Pairs[0].Modified, before)
 		return nil
 	}
@@ -229,6 +229,10 @@
 	l.id, l.token = 0, 0
 }
 
+// Forget drops the lease without a word to the store, which has lost it: who takes it next may do so
+// at once.
+func (l *Lease) Forget() { l.drop() }
+
 // Resign gives the lease up at once; it may be taken again later.
 func (l *Lease) Resign() { l.release() }
 
--- a/internal/pool/list.go
+++ b/internal/pool/list.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"spurhall.example/spurhall/internal/era"
 )
 
 var errs = errorx.NewNamespace("pool")
@@ -53,7 +55,7 @@
 	missing  map[string]time.Time  // by id: until when a missing entry is believed
 	voids    map[string]int64      // by id: revision at which its entry couldn't be read any more
 	past     map[string][]pastLife // by id: lives that others have followed, the newest last
-	left     map[string]int64      // by id: birth of a life that was leaving when its entry was last held
+	dropped  map[string]Item       // by id: as it was when its entry was last held
 	revision int64
 	change   int64     // revision of the newest change taken in
 	trust    time.Time // entries that vanish before this are believed missing
@@ -61,7 +63,7 @@
 
 // NewList returns an empty list.
 func NewList() *List {
-	return &List{items: make(map[string]Item), missing: make(map[string]time.Time), past: make(map[string][]pastLife), voids: make(map[string]int64), left: make(map[string]int64)}
+	return &List{items: make(map[string]Item), missing: make(map[string]time.Time), past: make(map[string][]pastLife), voids: make(map[string]int64), dropped: make(map[string]Item)}
 }
 
 // Revision returns the store's revision up to which the list holds.
@@ -91,6 +93,9 @@
 	if revision < l.revision {
 		return
 	}
+	if l.revision > 0 && era.Of(revision) > era.Of(l.revision) {
+		l.StoreReturned(now) // what the copy lacks is written again by whoever lives
+	}
 	seen := make(map[string]bool, len(all))
 	for _, v := range all {
 		seen[v.Entry.ID] = true
@@ -132,7 +137,7 @@
 	l.change = max(l.change, v.Revision)
 	e := &v.Entry
 	old, ok := l.items[e.ID]
-	if ok && old.Revision > v.Revision || l.voids[e.ID] > v.Revision || l.late(v) {
+	if ok && old.Revision > v.Revision || l.voids[e.ID] > v.Revision || l.late(v) || !ok && l.isOfACopy(v) {
 		return
 	}
 	delete(l.voids, e.ID)
@@ -149,7 +154,7 @@
 		e.Leaving = e.Leaving || l.hasLeft(*e)
 	}
 	l.items[e.ID] = v
-	delete(l.left, e.ID)
+	delete(l.dropped, e.ID)
 	delete(l.missing, e.ID)
 }
 
@@ -215,8 +220,8 @@
 }
 
 func (l *List) drop(id string) {
-	if v, ok := l.items[id]; ok && v.Entry.Leaving {
-		l.noteLeft(v.Entry)
+	if v, ok := l.items[id]; ok {
+		l.noteDropped(v)
 	}
 	delete(l.items, id)
 	delete(l.missing, id)
--- a/internal/pool/says.go
+++ b/internal/pool/says.go
@@ -1,6 +1,10 @@
 package pool
 
-import "time"
+import (
+	"time"
+
+	"spurhall.example/spurhall/internal/era"
+)
 
 // This file is what upstreams say of themselves in their answers, beside what the store says of
 // them: that they leave, and that they want rest.
@@ -33,25 +37,33 @@
 		return
 	}
 	if !ok {
-		l.noteLeft(e)
+		e.Leaving = true
+		l.noteDropped(Item{Entry: e, Revision: l.dropped[e.ID].Revision})
 		return
 	}
 	v.Entry.Leaving = true
 	l.items[e.ID] = v
 }
 
-// noteLeft remembers that a life leaves whose entry isn't held.
-func (l *List) noteLeft(e Entry) {
-	if len(l.left) >= idsKept {
-		clear(l.left)
+// noteDropped remembers an entry that isn't held any more.
+func (l *List) noteDropped(v Item) {
+	if len(l.dropped) >= idsKept {
+		clear(l.dropped)
 	}
-	l.left[e.ID] = e.Born
+	l.dropped[v.Entry.ID] = v
 }
 
 // hasLeft tells whether an entry that isn't held was leaving when it was.
 func (l *List) hasLeft(e Entry) bool {
-	born, ok := l.left[e.ID]
-	return ok && !Entry{Born: born}.another(e)
+	v, ok := l.dropped[e.ID]
+	return ok && v.Entry.Leaving && !v.Entry.another(e)
+}
+
+// isOfACopy tells whether an entry that isn't held is one that went, as an older copy of the store has
+// it: the same write, by a later era. Whoever lives writes again.
+func (l *List) isOfACopy(v Item) bool {
+	old, ok := l.dropped[v.Entry.ID]
+	return ok && old.Revision != 0 && era.Of(v.Revision) > era.Of(old.Revision) && era.Number(v.Revision) == era.Number(old.Revision)
 }
 
 // Rest says that the upstream wants nothing from this node for so long, and returns whether that is
--- a/internal/pool/says_test.go
+++ b/internal/pool/says_test.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
+	"spurhall.example/spurhall/internal/era"
 	"spurhall.example/spurhall/internal/timer"
 )
 
@@ -80,7 +82,7 @@
 		for i := range 3 * idsKept {
 			l.Leave(Entry{ID: string(rune(i)), Born: 1})
 		}
-		assert.LessOrEqual(t, len(l.left), idsKept)
+		assert.LessOrEqual(t, len(l.dropped), idsKept)
 	})
 }
 
@@ -177,3 +179,61 @@
 		assert.Len(t, p.rests, 1)
 	})
 }
+
+// dated is a revision of an era.
+func dated(t *testing.T, e, number int64) int64 {
+	r, err := era.Revision(e, number)
+	require.NoError(t, err)
+	return r
+}
+
+// TestListOverAnOlderCopy: the store comes back from a copy, with older entries and lower numbers.
+func TestListOverAnOlderCopy(t *testing.T) {
+	entry := func(id string, revision int64) Item { return item(id, revision) }
+	held := func(t *testing.T) *List {
+		l := NewList()
+		l.Replace(start, dated(t, 1, 50), []Item{entry("a", dated(t, 1, 10)), entry("b", dated(t, 1, 11)), entry("c", dated(t, 1, 40))})
+		return l
+	}
+	t.Run("what the copy lacks is believed for the grace time, and gone after", func(t *testing.T) {
+		l := held(t)
+		l.Replace(start, dated(t, 2, 20), []Item{entry("a", dated(t, 2, 10)), entry("b", dated(t, 2, 11))})
+		assertListed(t, l, "a", "b", "c")
+		assert.Equal(t, []string{"c"}, l.Expire(start.Add(lapseGrace)))
+	})
+	t.Run("unless it is written again", func(t *testing.T) {
+		l := held(t)
+		l.Replace(start, dated(t, 2, 20), []Item{entry("a", dated(t, 2, 10)), entry("b", dated(t, 2, 11))})
+		l.Put(entry("c", dated(t, 2, 21)))
+		assert.Empty(t, l.Expire(start.Add(lapseGrace)))
+	})
+	t.Run("what has left since the copy stays away", func(t *testing.T) {
+		l := held(t)
+		l.Remove(start, dated(t, 1, 51), "b")
+		l.Replace(start, dated(t, 2, 20), []Item{entry("a", dated(t, 2, 10)), entry("b", dated(t, 2, 11))})
+		assert.False(t, listed(l, "b"))
+		l.Put(entry("b", dated(t, 2, 30)))
+		assert.True(t, listed(l, "b"), "whoever writes again lives")
+	})
+	t.Run("what was leaving stays so", func(t *testing.T) {
+		l := held(t)
+		v := entry("b", dated(t, 1, 51))
+		v.Entry.Leaving = true
+		l.Put(v)
+		l.Replace(start, dated(t, 2, 20), []Item{entry("a", dated(t, 2, 10)), entry("b", dated(t, 2, 11))})
+		assert.True(t, leavingOf(l, "b"))
+	})
+	t.Run("a list of an earlier era that comes late changes nothing", func(t *testing.T) {
+		l := held(t)
+		l.Replace(start, dated(t, 2, 20), []Item{entry("a", dated(t, 2, 10))})
+		l.Replace(start, dated(t, 1, 60), []Item{entry("d", dated(t, 1, 60))})
+		assert.False(t, listed(l, "d"))
+	})
+}
+
+// listed tells whether an entry is held.
+func listed(l *List, id string) bool {
+	found := false
+	l.Items(func(v Item) { found = found || v.Entry.ID == id })
+	return found
+}
