A roll-out goes on over an older copy of the store; what reaches a store of another era

Cause: an order was known by its key's revision, which a copy gives anew: a roll-out that had ended began again. Ruled out: a hash of the order, which an order that is written again on purpose shares. Change: an order of a later era with the same target is the one that is known; the holder takes the stage from what its node knows where the store has lost it, and writes the status again. Before: TestEndedRolloutOverAnOlderCopy fails in both cases (status never written, the target on trial again); after: none. TestDated: conditions, watches, leases and calls over a rise, one by one.

--- a/internal/edge/rolling.go
+++ b/internal/edge/rolling.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"spurhall.example/spurhall/internal/era"
 	"spurhall.example/spurhall/internal/rollout"
 	"spurhall.example/spurhall/internal/store"
 )
@@ -103,7 +104,25 @@
 	if len(status.Pairs) > 0 {
 		v.status = status.Pairs[0].Modified
 	}
-	return v, r.readStage(ctx, v)
+	if err := r.readStage(ctx, v); err != nil {
+		return nil, err
+	}
+	r.goOn(v)
+	return v, nil
+}
+
+// goOn takes in how far this node knows the roll-out to have come, where the store has lost that: an
+// exposure doesn't begin again, and a version that was taken back isn't tried again.
+func (r *roller) goOn(v *rolling) {
+	n := r.n
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	t := n.rollouts.trials[v.state.Order.Service]
+	if t == nil || t.Order().Revision != v.state.Order.Revision || t.Stage() <= v.state.Stage {
+		return
+	}
+	v.state.Stage, v.state.Since, v.written = t.Stage(), t.Since(), false
+	n.log.Info("rollout_restored", zap.String("service", v.state.Order.Service), zap.Int64("order", v.state.Order.Revision), zap.Stringer("stage", v.state.Stage))
 }
 
 func (r *roller) readOrder(ctx context.Context, v *rolling) error {
@@ -133,7 +152,8 @@
 	if err := json.Unmarshal(a.Pairs[0].Value, &b); err != nil {
 		return err
 	}
-	if b.Order != v.state.Order.Revision {
+	o := v.state.Order
+	if b.Order != o.Revision && (era.Of(b.Order) >= era.Of(o.Revision) || b.Target != o.Target) {
 		return nil
 	}
 	v.written = true
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -101,6 +101,12 @@
 	if old != nil && o.Revision <= old.Order().Revision {
 		return
 	}
+	if old != nil && old.Continues(o) {
+		n.log.Info("rollout_goes_on", zap.String("service", o.Service), zap.String("target", o.Target), zap.Int64("order", o.Revision),
+			zap.Stringer("stage", old.Stage()), zap.String("source", source))
+		old.Renumber(o.Revision)
+		return
+	}
 	bars := r.barred[o.Service]
 	if bars == nil {
 		bars = make(map[string]bool)
