One keeper of rests for both compositions; callers' connections are a package of their own

Cause: rests were kept twice, by pool and by dispatch; edge held a listener that needs nothing of it.

--- a/internal/edge/accept.go
+++ b/internal/accept/accept.go
@@ -1,4 +1,12 @@
-package edge
+// Package accept takes callers' connections, no more of them than a process can serve, and tells
+// when it can't take any: the balancer asks another listener than the callers', so a node whose
+// callers' listener fails would go on getting callers. That is one out of descriptors, or whose
+// listener was closed under it. One that is paused answers the balancer as little as its callers.
+//
+// A node doesn't come to that by itself: it takes only as many callers as it can send on. When
+// descriptors ran out under ten times the traffic, connections waited 3.6 s in the listener's
+// queue; their requests were read when their callers had left, and 271 of them sent on.
+package accept
 
 import (
 	"errors"
@@ -13,19 +21,10 @@
 	"spurhall.example/spurhall/internal/timer"
 )
 
-// This file makes a node unready that can't take connections. The balancer asks another
-// listener than the callers', so a node whose callers' listener fails would go on getting
-// callers: one out of descriptors, or whose listener was closed under it. One that is paused
-// answers the balancer as little as its callers.
-//
-// A node doesn't come to that by itself: it takes only as many callers as it can send on. When
-// descriptors ran out under ten times the traffic, connections waited 3.6 s in the listener's
-// queue; their requests were read when their callers had left, and 271 of them sent on.
-
 const (
-	// acceptKeeps is how long a node stays unready after its callers' listener failed. net/http
+	// Keeps is how long a node stays unready after its callers' listener failed. net/http
 	// tries again after a second at most; a listener that nobody calls meanwhile shows nothing.
-	acceptKeeps = 2 * time.Second
+	Keeps = 2 * time.Second
 	// ownDescriptors is what the platform keeps for itself of a process's descriptors, and what
 	// a node needs for listeners, other nodes and the store.
 	ownDescriptors = 200 + 200
@@ -39,9 +38,9 @@
 	return int64(callersShare * float64(max(0, descriptors-ownDescriptors)))
 }
 
-// watchedListener notes when it failed to take a connection, and closes those that are too many
+// Listener notes when it failed to take a connection, and closes those that are too many
 // at once: their callers try another node before they have sent anything that was read.
-type watchedListener struct {
+type Listener struct {
 	net.Listener
 	clock  *timer.Service
 	log    *zap.Logger
@@ -51,8 +50,13 @@
 	closed atomic.Bool
 }
 
+// New returns a listener of a process that has so many descriptors; 0: any number.
+func New(l net.Listener, clock *timer.Service, log *zap.Logger, descriptors int) *Listener {
+	return &Listener{Listener: l, clock: clock, log: log, most: mostCallers(descriptors)}
+}
+
 // Accept takes a connection.
-func (l *watchedListener) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
 		switch {
@@ -74,9 +78,9 @@
 }
 
 // fail notes that a connection couldn't be taken, with a line if the last one was a while ago.
-func (l *watchedListener) fail(event string, f ...zap.Field) {
+func (l *Listener) fail(event string, f ...zap.Field) {
 	now := l.clock.Now()
-	if !l.failing(now) {
+	if !l.Failing(now) {
 		l.log.Warn(event, append(f, zap.String("address", l.Addr().String()))...)
 	}
 	l.failed.Store(now.UnixNano())
@@ -85,7 +89,7 @@
 // callerConn is a caller's connection, which counts until it is closed.
 type callerConn struct {
 	net.Conn
-	l    *watchedListener
+	l    *Listener
 	once sync.Once
 }
 
@@ -95,10 +99,10 @@
 	return c.Conn.Close()
 }
 
-// failing tells whether it failed a moment ago, or is closed.
-func (l *watchedListener) failing(now time.Time) bool {
+// Failing tells whether it failed a moment ago, or is closed.
+func (l *Listener) Failing(now time.Time) bool {
 	at := l.failed.Load()
-	return l.closed.Load() || at != 0 && now.Sub(time.Unix(0, at)) < acceptKeeps
+	return l.closed.Load() || at != 0 && now.Sub(time.Unix(0, at)) < Keeps
 }
 
 var (
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -96,8 +96,8 @@
 	refreshed time.Duration
 	list      []member.Seen
 	cands     []route.Candidate
-	moving    map[string]*move         // streams, by request id
-	rests     map[string]time.Duration // by upstream: until when it wants nothing
+	moving    map[string]*move // streams, by request id
+	rests     *retry.Rests     // that upstreams have asked of this node
 	spent     money
 	perToken  float64 // seconds, smoothed over all upstreams
 }
@@ -146,7 +146,7 @@
 			flights:   make(map[string]*flight),
 			waiting:   make(map[string]chan bool),
 			moving:    make(map[string]*move),
-			rests:     make(map[string]time.Duration),
+			rests:     retry.NewRests(),
 		}
 		d.pools[name] = p
 	}
@@ -287,7 +287,7 @@
 	at := p.d.o.Clock.Now()
 	for i := range p.cands {
 		c, f := &p.cands[i], &p.list[i]
-		c.Excluded = tried[c.ID] || !p.outliers.Usable(now, c.ID) || p.restingLocked(now, c.ID)
+		c.Excluded = tried[c.ID] || !p.outliers.Usable(now, c.ID) || p.rests.Left(at, retry.Lifetime{ID: c.ID}) > 0
 		c.LoadAge = at.Sub(f.At)
 		c.InFlight, c.SinceReport, c.Slowness = 0, 0, 0
 		if v := p.flights[c.ID]; v != nil {
@@ -378,8 +378,7 @@
 		p.budget.Success()
 		return
 	}
-	if d := upstream.RestAsked(err); d > 0 {
-		p.restLocked(id, d)
+	if d := upstream.RestAsked(err); d > 0 && p.rests.Ask(p.d.o.Clock.Now(), retry.Lifetime{ID: id}, d) {
 		p.d.o.Event("upstream_rests", "", fmt.Sprintf("%s: asks for %v", id, d))
 	}
 	if !blame {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -24,6 +24,7 @@
 
 	"go.uber.org/zap"
 
+	"spurhall.example/spurhall/internal/accept"
 	"spurhall.example/spurhall/internal/call"
 	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/catalog"
@@ -97,7 +98,7 @@
 	knows    sync.Once
 	known    chan struct{} // closed when there are a configuration and upstreams
 	phase    atomic.Int32  // of a planned stop, a forward.Phase
-	callers  atomic.Pointer[watchedListener]
+	callers  atomic.Pointer[accept.Listener]
 
 	mu      sync.Mutex // for what follows
 	quotas  *quota.Quotas
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"spurhall.example/spurhall/internal/accept"
 	"spurhall.example/spurhall/internal/forward"
 	"spurhall.example/spurhall/internal/metric"
 	"spurhall.example/spurhall/internal/wire/wireconnect"
@@ -160,14 +161,14 @@
 
 // watchFront notes when callers can't be taken.
 func (n *Node) watchFront(l net.Listener) net.Listener {
-	w := &watchedListener{Listener: l, clock: n.clock, log: n.log, most: mostCallers(n.s.Descriptors)}
+	w := accept.New(l, n.clock, n.log, n.s.Descriptors)
 	n.callers.Store(w)
 	return w
 }
 
 func (n *Node) takesNobody() bool {
 	w := n.callers.Load()
-	return w != nil && w.failing(n.clock.Now())
+	return w != nil && w.Failing(n.clock.Now())
 }
 
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -105,7 +105,7 @@
 	for _, m := range p.services[n.Service] {
 		takes, last := p.serves(now, m, n)
 		switch {
-		case m.entry.Leaving || m.gone || n.Excluded[m.entry.ID] || p.resting(now, m):
+		case m.entry.Leaving || m.gone || n.Excluded[m.entry.ID] || p.rests.Left(now, m.entry.lifetime()) > 0:
 		case last:
 			lasts = append(lasts, m)
 		case !takes:
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -117,7 +117,7 @@
 	splits   map[string]Split                // by service
 	versions map[string]map[string]time.Time // when each was first seen, by service
 	filled   bool                            // the list has been read
-	rests    map[lifetime]time.Time          // until when an upstream wants nothing from this node
+	rests    *retry.Rests                    // that upstreams have asked of this node
 }
 
 // service is what is known of one service.
@@ -145,7 +145,7 @@
 		clock: clock, hall: hall, start: clock.Now(), list: NewList(), members: make(map[string]*member),
 		services: make(map[string][]*member), outliers: make(map[string]*retry.Outliers),
 		peers: make(map[string]peerLoad), known: make(map[string]*service), reached: make(map[string]time.Time),
-		told: make(map[string]time.Time), splits: make(map[string]Split), versions: make(map[string]map[string]time.Time), rests: make(map[lifetime]time.Time),
+		told: make(map[string]time.Time), splits: make(map[string]Split), versions: make(map[string]map[string]time.Time), rests: retry.NewRests(),
 	}
 }
 
--- a/internal/pool/says.go
+++ b/internal/pool/says.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"spurhall.example/spurhall/internal/era"
+	"spurhall.example/spurhall/internal/retry"
 )
 
 // This file is what upstreams say of themselves in their answers, beside what the store says of
@@ -15,19 +16,9 @@
 //
 // That an upstream leaves is a fact of its own, so it stands in the list as the store's word does, and
 // goes where the list goes: to the nodes of the hall that ask this one, and to what is ordered. Rest
-// is asked of one node, by its sends, and stays with it.
-//
-// Weighed: to leave an upstream that rests in the choice at a high cost, as one that is full is. One
-// that asks for rest turned away all that reached it (233 of 549 sends to a service of which three of
-// ten upstreams rested), and the operators' bound is two sends.
-
-// lifetime names one life of an upstream.
-type lifetime struct {
-	id   string
-	born int64
-}
+// is asked of one node, by its sends, and stays with it (retry.Rests).
 
-func (e Entry) lifetime() lifetime { return lifetime{e.ID, e.Born} }
+func (e Entry) lifetime() retry.Lifetime { return retry.Lifetime{ID: e.ID, Born: e.Born} }
 
 // Leave takes in that an upstream has said itself that it leaves. It is the word of the life that
 // the entry names.
@@ -66,23 +57,12 @@
 	return ok && old.Revision != 0 && era.Of(v.Revision) > era.Of(old.Revision) && era.Number(v.Revision) == era.Number(old.Revision)
 }
 
-// Rest says that the upstream wants nothing from this node for so long, and returns whether that is
-// new. Of two such words the one that reaches further holds: answers may overtake each other.
+// Rest says that an upstream wants nothing from this node for so long, and returns whether that is
+// new.
 func (p *Pools) Rest(e Entry, d time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.clock.Now()
-	for k, until := range p.rests {
-		if !now.Before(until) {
-			delete(p.rests, k)
-		}
-	}
-	k := e.lifetime()
-	old, rested := p.rests[k]
-	if until := now.Add(d); until.After(old) {
-		p.rests[k] = until
-	}
-	return !rested
+	return p.rests.Ask(p.clock.Now(), e.lifetime(), d)
 }
 
 // Leaving tells whether the list has it that the life which an entry names leaves, or that it is
@@ -97,28 +77,16 @@
 	return v.Entry.Leaving || v.Entry.another(e)
 }
 
-// resting tells whether a member is to get nothing from this node now.
-func (p *Pools) resting(now time.Time, m *member) bool {
-	return now.Before(p.rests[m.entry.lifetime()])
-}
-
 // Rested returns how long it takes until an upstream of a service can be asked again, where all
 // that could be rest now; else 0.
 func (p *Pools) Rested(service string) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now, least := p.clock.Now(), time.Duration(0)
+	var list []retry.Lifetime
 	for _, m := range p.services[service] {
-		if m.entry.Leaving || m.gone {
-			continue
-		}
-		d := p.rests[m.entry.lifetime()].Sub(now)
-		if d <= 0 {
-			return 0
-		}
-		if least == 0 || d < least {
-			least = d
+		if !m.entry.Leaving && !m.gone {
+			list = append(list, m.entry.lifetime())
 		}
 	}
-	return least
+	return p.rests.Soonest(p.clock.Now(), list)
 }
--- a/internal/pool/says_test.go
+++ b/internal/pool/says_test.go
@@ -171,13 +171,6 @@
 		c.Advance(500 * time.Millisecond)
 		assert.Zero(t, p.Rested("s"))
 	})
-	t.Run("words of rests that are over aren't kept", func(t *testing.T) {
-		c, p := newPools()
-		rest(p, "a1", time.Second)
-		c.Advance(time.Second)
-		rest(p, "a2", time.Second)
-		assert.Len(t, p.rests, 1)
-	})
 }
 
 // dated is a revision of an era.
