--- a/internal/edge/era.go
+++ b/internal/edge/era.go
@@ -12,14 +12,13 @@
 )
 
 // This file is what a node does when the store has come back from an older copy of itself. Revisions
-// bear their era (package era), so lists, watches and tokens need nothing here. What is left is what
-// this node knows better than the copy:
+// bear their era (package era), and leases, conditions and watches of another era don't reach the
+// store, so lists, tokens and this node's key in the registry need nothing here. What is left:
 //
-//   - the lease of the duties may be gone: it is dropped, and taken anew with a higher token;
-//   - this node's key in the registry may be gone, and its lease's id another's: it is entered anew;
-//   - what a holder of the duties has written may be gone: it is written again in the next term, which
-//     begins with the new token;
-//   - watches wait for revisions that the store doesn't have: they begin anew.
+//   - the lease of the duties is dropped at once and not with its next renewal; the next term begins
+//     with a higher token, and what a holder writes is written again in it;
+//   - watches begin anew at once, and not with the end of what they wait for;
+//   - a window's usage that may have been settled before isn't settled a second time.
 
 // storeEra is the newest era of the store that was heard.
 var storeEra = expvar.NewInt("store_era")
@@ -35,9 +34,6 @@
 	n.log.Warn("store_era_rose", zap.Int64("from", r.From), zap.Int64("to", r.To), zap.Int64("revision_before", r.Before))
 	n.returned.Store(true)
 	n.lease.Forget()
-	n.mu.Lock()
-	n.lostEntry = true
-	n.mu.Unlock()
 	n.catalogReader.again()
 	n.listReader.again()
 }
@@ -51,15 +47,6 @@
 	}
 }
 
-// reenter tells, once, whether this node's key has to be entered anew.
-func (n *Node) reenter() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	lost := n.lostEntry
-	n.lostEntry = false
-	return lost
-}
-
 // eraRecord is when the duties' first holder in an era began.
 var eraRecord = record{name: "era", key: "spurhall/era"}
 
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -45,9 +45,6 @@
 	id := int64(0)
 	for ctx.Err() == nil {
 		pause := memberRenew
-		if n.reenter() {
-			id = 0
-		}
 		if id = n.renew(ctx, id); id == 0 {
 			pause = followPause // the others wait for it
 		}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -120,7 +120,6 @@
 	suspended    time.Duration // as it was told last
 	alone        time.Time     // until when this node watches the store by itself
 	rollouts     rollouts
-	lostEntry    bool // the store has come back from a copy since this node entered its key
 }
 
 // held is the configuration in force, with the bytes it was read from for a peer that
--- a/internal/lease/era_test.go
+++ b/internal/lease/era_test.go
@@ -167,3 +167,19 @@
 		assert.Equal(t, 1, held, "the duties go on, at one holder")
 	})
 }
+
+// TestForget: who hears that the store has lost the lease stops at once, and may take it again.
+func TestForget(t *testing.T) {
+	c := timer.NewManual(time.Unix(1000, 0))
+	l := New(testPlatform(t, c.Service()), c.Service(), "forgotten", "h", ttl)
+	assert.NoError(t, l.Step(t.Context()))
+	first, held := l.Token()
+	assert.True(t, held)
+	l.Forget()
+	_, held = l.Token()
+	assert.False(t, held)
+	assert.NoError(t, l.Step(t.Context()))
+	second, held := l.Token()
+	assert.True(t, held)
+	assert.Greater(t, second, first)
+}
