Tests of what a holder writes again over an older copy; another holder in the middle of a take

Cause: three guards that were taken out made nothing fail: held requests written again, orders written again, whose key is read back. Change: tests only.

--- /dev/null
+++ b/internal/edge/era_test.go
@@ -0,0 +1,144 @@
+package edge
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"spurhall.example/spurhall/internal/era"
+	"spurhall.example/spurhall/internal/quarantine"
+	"spurhall.example/spurhall/internal/standin"
+	"spurhall.example/spurhall/internal/store"
+	"spurhall.example/spurhall/internal/timer"
+)
+
+// erasKV is a stand-in's keys as a store that may come back from a copy.
+func erasKV(k *standin.Keys, c *era.Clock) store.KV {
+	return store.Dated(store.KV{
+		Range: func(_ context.Context, key, end string) (store.RangeResult, error) { return k.Range(key, end), nil },
+		Txn:   func(_ context.Context, t store.Txn) (store.TxnResult, error) { return k.Txn(t) },
+		Grant: func(_ context.Context, d time.Duration) (int64, error) { return k.Grant(d), nil },
+		KeepAlive: func(_ context.Context, id int64) (time.Duration, error) {
+			return k.KeepAlive(id), nil
+		},
+		Revoke: func(_ context.Context, id int64) error { k.Revoke(id); return nil },
+	}, c)
+}
+
+// eraNode is a node that holds the duties at such a store, in its first era.
+type eraNode struct {
+	*Node
+	keys  *standin.Keys
+	clock *timer.Manual
+}
+
+func newEraNode(t *testing.T) *eraNode {
+	clock := timer.NewManual(time.Unix(1000, 0))
+	v := &eraNode{keys: standin.NewKeys(clock.Service()), clock: clock}
+	c := era.NewClock()
+	require.NoError(t, c.Hear(1))
+	v.Node = holder(t, erasKV(v.keys, c), clock.Service(), "a")
+	v.Node.era, v.Node.s = c, &Settings{Node: "a"}
+	v.Node.suspects = quarantine.NewBook("a")
+	c.OnRise(func(era.Rise) { v.Node.lease.Forget() })
+	return v
+}
+
+// giveBack lets the store come back from a copy, and the node take the duties anew.
+func (v *eraNode) giveBack(t *testing.T, c *standin.Copy) int64 {
+	t.Helper()
+	v.keys.Return(c)
+	require.NoError(t, v.Node.era.Hear(v.Node.era.Now()+1))
+	return takeOver(t, v.Node)
+}
+
+// TestOrderedOverAnOlderCopy: what was ordered since the copy stands in the store again.
+func TestOrderedOverAnOlderCopy(t *testing.T) {
+	ctx, n := t.Context(), newEraNode(t)
+	onDemand := subject{"llm", "hall-a", false}
+	token := takeOver(t, n.Node)
+	copied := n.keys.Copy()
+	var v, next ordered
+	v.begin(ctx, n.Node, token)
+	v.note(onDemand, 4)
+	v.write(ctx, n.Node, token)
+	token = n.giveBack(t, copied)
+	v.begin(ctx, n.Node, token)
+	v.write(ctx, n.Node, token)
+	next.begin(ctx, n.Node, token)
+	assert.Equal(t, 4, next.least(n.clock.Service().Now(), onDemand))
+}
+
+// TestHeldOverAnOlderCopy: what holds requests back stands in the store again.
+func TestHeldOverAnOlderCopy(t *testing.T) {
+	ctx, n := t.Context(), newEraNode(t)
+	token := takeOver(t, n.Node)
+	copied := n.keys.Copy()
+	now := n.clock.Service().Now()
+	for i := range quarantine.Proof {
+		n.suspects.Broke(now, quarantine.End{Print: deadlyPrint, Upstream: string(rune('a' + i)), At: now})
+	}
+	var q heldRequests
+	q.write(ctx, n.Node, token)
+	assert.Len(t, n.keys.Range(heldRecord.key, "").Pairs, 1)
+	token = n.giveBack(t, copied)
+	assert.Empty(t, n.keys.Range(heldRecord.key, "").Pairs)
+	q.write(ctx, n.Node, token)
+	assert.Len(t, n.keys.Range(heldRecord.key, "").Pairs, 1)
+}
+
+// TestDoubtfulWindows: the first holder in an era doubts what ended before its term, also one that
+// began after the store's return; the next one in that era goes by the first one's word.
+func TestDoubtfulWindows(t *testing.T) {
+	ctx := t.Context()
+	began := func(n *eraNode, token int64) eraTerm {
+		var v eraTerm
+		v.begin(ctx, n.Node, token)
+		return v
+	}
+	t.Run("in the first term of the whole system nothing is doubtful", func(t *testing.T) {
+		n := newEraNode(t)
+		n.Node.s.FirstStart = true
+		v := began(n, takeOver(t, n.Node))
+		assert.False(t, v.doubts(time.Unix(1, 0)))
+	})
+	t.Run("after a return all before is, and stays so for the next holder", func(t *testing.T) {
+		n := newEraNode(t)
+		n.Node.s.FirstStart = true
+		v := began(n, takeOver(t, n.Node))
+		copied := n.keys.Copy()
+		n.Node.returned.Store(true)
+		token := n.giveBack(t, copied)
+		at := n.clock.Service().Wall()
+		v = began(n, token)
+		assert.True(t, v.doubts(at.Add(-time.Second)))
+		assert.False(t, v.doubts(at.Add(time.Second)))
+		n.clock.Advance(time.Minute)
+		v = began(n, token)
+		assert.False(t, v.doubts(at.Add(time.Second)), "the era began when the first one said")
+	})
+	t.Run("a process that began after it knows no better", func(t *testing.T) {
+		n := newEraNode(t)
+		v := began(n, takeOver(t, n.Node))
+		assert.True(t, v.doubts(n.clock.Service().Wall().Add(-time.Second)))
+	})
+	t.Run("while the store doesn't tell, all is", func(t *testing.T) {
+		n := newEraNode(t)
+		token := takeOver(t, n.Node)
+		n.Node.kv.Range = func(context.Context, string, string) (store.RangeResult, error) {
+			return store.RangeResult{}, store.ErrUnavailable
+		}
+		n.Node.log = zap.NewNop()
+		v := began(n, token)
+		assert.True(t, v.doubts(time.Unix(1<<40, 0)))
+	})
+	t.Run("a store without eras loses nothing", func(t *testing.T) {
+		n := newEraNode(t)
+		v := began(n, 7)
+		assert.False(t, v.doubts(time.Unix(1, 0)))
+	})
+}
--- a/internal/lease/era_test.go
+++ b/internal/lease/era_test.go
@@ -72,11 +72,16 @@
 	}, c)
 }
 
-// between lets the store come back between a call's effect and its answer.
+// between lets the store come back between a call's effect and its answer, and another holder take the
+// lease meanwhile.
 func (w *world) between() {
-	if w.late {
-		w.late = false
-		w.giveBack()
+	if !w.late {
+		return
+	}
+	w.late = false
+	w.giveBack()
+	if rapid.Bool().Draw(w.t, "another") {
+		_ = w.list[rapid.IntRange(0, len(w.list)-1).Draw(w.t, "which")].lease.Step(context.Background())
 	}
 }
 
