Processes that begin after a store's return find the stage of a roll-out; tests

Cause: a stage that was written in an era before was the holder's to find alone; another node that began then waited for its word. Where the same order stood twice, it stands once (Order.Continues).

--- a/internal/edge/rolling.go
+++ b/internal/edge/rolling.go
@@ -8,7 +8,6 @@
 
 	"go.uber.org/zap"
 
-	"spurhall.example/spurhall/internal/era"
 	"spurhall.example/spurhall/internal/rollout"
 	"spurhall.example/spurhall/internal/store"
 )
@@ -152,8 +151,7 @@
 	if err := json.Unmarshal(a.Pairs[0].Value, &b); err != nil {
 		return err
 	}
-	o := v.state.Order
-	if b.Order != o.Revision && (era.Of(b.Order) >= era.Of(o.Revision) || b.Target != o.Target) {
+	if o := v.state.Order; b.Order != o.Revision && !o.Continues(b.Order, b.Target) {
 		return nil
 	}
 	v.written = true
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -85,7 +85,7 @@
 			continue
 		}
 		service := p.Key[len(rollingPrefix):]
-		if t := n.rollouts.trials[service]; t != nil && t.Order().Revision == v.Order {
+		if t := n.rollouts.trials[service]; t != nil && (t.Order().Revision == v.Order || t.Order().Continues(v.Order, v.Target)) {
 			t.Raise(now, v.Stage)
 			n.applySplit(now, service)
 			n.log.Info("rollout_found", zap.String("service", service), zap.Int64("order", v.Order), zap.Stringer("stage", v.Stage))
@@ -101,7 +101,7 @@
 	if old != nil && o.Revision <= old.Order().Revision {
 		return
 	}
-	if old != nil && old.Continues(o) {
+	if old != nil && o.Continues(old.Order().Revision, old.Order().Target) {
 		n.log.Info("rollout_goes_on", zap.String("service", o.Service), zap.String("target", o.Target), zap.Int64("order", o.Revision),
 			zap.Stringer("stage", old.Stage()), zap.String("source", source))
 		old.Renumber(o.Revision)
--- a/internal/lease/era_test.go
+++ b/internal/lease/era_test.go
@@ -24,6 +24,7 @@
 	era    int64
 	copies []*standin.Copy
 	late   bool // answers come after the next return
+	lost   bool // the next transaction's answer is lost
 	list   []*holder
 	fence  int64            // highest that the cloud has seen
 	by     map[int64]string // who sent a token
@@ -52,8 +53,12 @@
 		},
 		Txn: func(_ context.Context, x store.Txn) (store.TxnResult, error) {
 			r, err := w.keys.Txn(x)
-			e := w.era
+			e, lost := w.era, w.lost
+			w.lost = false
 			w.between()
+			if lost {
+				return store.TxnResult{}, store.ErrUnknown
+			}
 			return r, answer(e, err)
 		},
 		Grant: func(_ context.Context, d time.Duration) (int64, error) {
@@ -133,7 +138,7 @@
 		for range 60 {
 			i := rapid.IntRange(0, len(w.list)-1).Draw(t, "who")
 			h := w.list[i]
-			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			switch rapid.IntRange(0, 10).Draw(t, "step") {
 			case 0, 1, 2:
 				_ = h.lease.Step(ctx)
 			case 3, 4:
@@ -147,10 +152,12 @@
 			case 8:
 				w.late = true
 			case 9:
+				w.lost = true
+			case 10:
 				w.list[i] = begin(h.name) // it died without a word
 			}
 		}
-		w.late = false
+		w.late, w.lost = false, false
 		deadline := w.clock.Service().Now().Add(ttl + 2*time.Second)
 		for held := false; !held && w.clock.Service().Now().Before(deadline); {
 			for _, h := range w.list {
@@ -188,3 +195,30 @@
 	assert.True(t, held)
 	assert.Greater(t, second, first)
 }
+
+// TestReadBackOfAnothersKey: the answer to a take is lost, and so is the take; the lease's id is given to
+// another holder, who takes the key under it.
+func TestReadBackOfAnothersKey(t *testing.T) {
+	c := timer.NewManual(time.Unix(1000, 0))
+	w := &world{clock: c, keys: standin.NewKeys(c.Service()), era: 1}
+	copied := w.keys.Copy()
+	other := New(w.kv(era.NewClock()), c.Service(), "duty", "other", ttl)
+	known := era.NewClock()
+	kv := w.kv(known)
+	take := kv.Txn
+	kv.Txn = func(ctx context.Context, x store.Txn) (store.TxnResult, error) {
+		_, err := take(ctx, x)
+		assert.NoError(t, err)
+		w.keys.Return(copied)
+		w.era++
+		assert.NoError(t, other.Step(ctx))
+		assert.NoError(t, known.Hear(w.era)) // from another node
+		return store.TxnResult{}, store.ErrUnknown
+	}
+	l := New(kv, c.Service(), "duty", "h", ttl)
+	assert.ErrorIs(t, l.Step(t.Context()), ErrTaken)
+	_, held := l.Token()
+	assert.False(t, held)
+	_, held = other.Token()
+	assert.True(t, held)
+}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -29,6 +29,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"spurhall.example/spurhall/internal/era"
 	"spurhall.example/spurhall/internal/fault"
 )
 
@@ -45,6 +46,13 @@
 	Revision int64         // of the store, at which it was given
 }
 
+// Continues tells whether an order is one that was known by another revision before: as a store that came
+// back from an older copy has it, or as it was written there again. The two differ in their era; within
+// one era, an order of the same target that is written again is a new one.
+func (o Order) Continues(revision int64, target string) bool {
+	return era.Of(o.Revision) > era.Of(revision) && o.Target == target
+}
+
 // Check says with ErrOrder what is wrong with an order.
 func (o Order) Check() error {
 	switch {
--- a/internal/rollout/trial.go
+++ b/internal/rollout/trial.go
@@ -1,10 +1,6 @@
 package rollout
 
-import (
-	"time"
-
-	"spurhall.example/spurhall/internal/era"
-)
+import "time"
 
 // This file is one node's side of a roll-out: which of its requests go to the target, what it
 // has seen, and when it stops by itself.
@@ -69,13 +65,6 @@
 // Order returns what was ordered.
 func (t *Trial) Order() Order { return t.order }
 
-// Continues tells whether a later order is this one, as a store that came back from an older copy has it
-// or as it was written there again. The two differ in their era; within one era, an order of the same
-// target that is written again is a new one.
-func (t *Trial) Continues(o Order) bool {
-	return era.Of(o.Revision) > era.Of(t.order.Revision) && o.Target == t.order.Target
-}
-
 // Renumber goes on under the revision that the order has now.
 func (t *Trial) Renumber(revision int64) { t.order.Revision = revision }
 
