--- a/internal/edge/era.go
+++ b/internal/edge/era.go
@@ -20,7 +20,7 @@
 //   - watches begin anew at once, and not with the end of what they wait for;
 //   - a window's usage that may have been settled before isn't settled a second time.
 
-// storeEra is the newest era of the store that was heard.
+// storeEra is the era to which the store rose last; 0: it hasn't while this process ran.
 var storeEra = expvar.NewInt("store_era")
 
 // storeReturns counts how often the store came back from a copy.
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -97,8 +97,9 @@
 }
 
 // candidates returns the upstreams that may take a request, and what others have sent to
-// one unseen. Those that leave or rest aren't among them, whoever else is left. Those that are ejected are left out unless nobody else is left, and those of a
-// version that isn't to take it yet, or any more, unless these are gone, too.
+// one unseen. Those that leave or rest aren't among them, whoever else is left. Those that are
+// ejected are left out unless nobody else is left, and those of a version that isn't to take it
+// yet, or any more, unless these are gone, too.
 func (p *Pools) candidates(now time.Time, n Need) ([]*member, []Candidate, float64) {
 	o := p.outlier(n.Service)
 	var members, spare, lasts []*member
