Who ended a connection is remembered by the connection

Cause: the error of a failed round trip may be that of a write on the connection which the transport has closed on its own, having read the other end's close; it tells nothing of who was first. Ruled out: taking any "use of closed network connection" for an end: callers that leave close it as well. Change: the connection notes that its reads ended by the other side, and Do asks it for that error.

--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -24,6 +24,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -57,12 +58,33 @@
 
 var errSealed = errors.New("connection sealed")
 
-// conn notes each write before it begins, and can be sealed against further ones.
+// conn notes each write before it begins, and can be sealed against further ones. It remembers that
+// its other end has ended it.
 type conn struct {
 	net.Conn
-	mu     sync.Mutex
-	writes int
-	sealed bool
+	mu      sync.Mutex
+	writes  int
+	sealed  bool
+	severed bool
+}
+
+// Read notes that the other end has closed or reset the connection. The transport closes its own end
+// then, and may be about to write: what it returns is that write's error, which tells nothing of who
+// ended the connection.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err != nil && Severed(err) {
+		c.mu.Lock()
+		c.severed = true
+		c.mu.Unlock()
+	}
+	return n, err
+}
+
+func (c *conn) wasSevered() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.severed
 }
 
 func (c *conn) Write(b []byte) (int, error) {
@@ -138,6 +160,13 @@
 	return any
 }
 
+// severed tells whether the other end of a connection in use has ended it.
+func (u *use) severed() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.ContainsFunc(u.conns, (*conn).wasSevered)
+}
+
 // Client sends to upstreams.
 type Client struct {
 	transport *http.Transport
@@ -241,10 +270,13 @@
 	if err == nil {
 		return a, nil
 	}
-	if u.wrote() {
-		return nil, lost(err)
+	switch {
+	case !u.wrote():
+		return nil, fault.Because(ErrNotSent, "%v", err)
+	case errors.Is(err, net.ErrClosed) && u.severed():
+		return nil, fault.Because(ErrSevered, "%v", err)
 	}
-	return nil, fault.Because(ErrNotSent, "%v", err)
+	return nil, lost(err)
 }
 
 // lost is what a connection's error means for a request that was sent.
