A life that has ended between two looks at the list is forgotten

Cause: what is known of an upstream was dropped when its entry as known and as listed name two births. An entry without a birth names none, so that a birth and the next life's in one batch passed unnoticed. Ruled out: a count of lives in each item: items are compared by what the store said, and that count is a list's own (TestAnyOrderOfLives failed on it). Change: the list says which ids' lives have ended since it was last asked; the pools forget these. Figures: TestBirthThatComesWithTheNextLife failed before, passes after.

--- a/internal/pool/list.go
+++ b/internal/pool/list.go
@@ -56,6 +56,7 @@
 	voids    map[string]int64      // by id: revision at which its entry couldn't be read any more
 	past     map[string][]pastLife // by id: lives that others have followed, the newest last
 	dropped  map[string]Item       // by id: as it was when its entry was last held
+	ended    map[string]bool       // ids of which a life has ended since endedLives was last called
 	revision int64
 	change   int64     // revision of the newest change taken in
 	trust    time.Time // entries that vanish before this are believed missing
@@ -63,7 +64,7 @@
 
 // NewList returns an empty list.
 func NewList() *List {
-	return &List{items: make(map[string]Item), missing: make(map[string]time.Time), past: make(map[string][]pastLife), voids: make(map[string]int64), dropped: make(map[string]Item)}
+	return &List{items: make(map[string]Item), missing: make(map[string]time.Time), past: make(map[string][]pastLife), voids: make(map[string]int64), dropped: make(map[string]Item), ended: make(map[string]bool)}
 }
 
 // Revision returns the store's revision up to which the list holds.
@@ -183,6 +184,7 @@
 // follow notes that a life is over.
 func (l *List) follow(old Item) {
 	id := old.Entry.ID
+	l.ended[id] = true
 	if l.past[id] == nil && len(l.past) >= idsKept {
 		clear(l.past)
 	}
@@ -190,6 +192,15 @@
 	l.past[id] = append(p[max(0, len(p)-livesKept+1):], pastLife{born: old.Entry.Born, newest: old.Revision})
 }
 
+// endedLives returns the ids of which a life has ended since the last call. Who keeps something of a
+// life can't tell by the entry that it knows: that one may have had no birth, and a birth and the next
+// life's may have come between two looks.
+func (l *List) endedLives() map[string]bool {
+	m := l.ended
+	l.ended = make(map[string]bool)
+	return m
+}
+
 // Remove takes in that an entry went at a revision.
 func (l *List) Remove(now time.Time, revision int64, id string) {
 	l.change = max(l.change, revision)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -179,13 +179,13 @@
 
 func (p *Pools) rebuild() []Change {
 	var changes []Change
-	seen := make(map[string]bool)
+	ended, seen := p.list.endedLives(), make(map[string]bool)
 	services := make(map[string][]*member)
 	p.list.Items(func(v Item) {
 		e := v.Entry
 		seen[e.ID] = true
 		m := p.members[e.ID]
-		if m != nil && m.entry.another(e) {
+		if m != nil && (ended[e.ID] || m.entry.another(e)) {
 			changes = append(changes, Change{m.entry, "gone"})
 			p.forgetMember(m)
 			m = nil
