Peers erase claims for a node that is cut off from the platform

Cause: peers claim keys for a node that is cut off, but only that node erased the claim of an attempt which was told not run; where the peer's answer was lost, the key stayed taken for as long as the cut. Ruled out: an answer of the peer that is slow (its write has no effect then). Change: a call between nodes that erases the claim of an attempt that never runs; any node with the platform takes it. Lines claim_refused and claim_erased name key, attempt and reason: the failure that was seen once could not be told from others of its kind by what was logged.

--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -50,16 +50,18 @@
 
 // Options sets a book. The functions are its way to the outside.
 type Options struct {
-	Member   Member
-	KV       store.KV
-	Up       func() bool // whether the platform answered lately
-	PeerUp   func() bool // whether a peer says so of itself
-	Clock    *timer.Service
-	Send     func(ctx context.Context, m Member, g Message) (*Message, error)
-	Behalf   func(ctx context.Context, key uint64, attempt string, lifetime time.Duration) (WriteResult, int64)
-	Event    func(name, detail string)
-	Interval time.Duration // of the group commit
-	Timeout  time.Duration // for a promise
+	Member Member
+	KV     store.KV
+	Up     func() bool // whether the platform answered lately
+	PeerUp func() bool // whether a peer says so of itself
+	Clock  *timer.Service
+	Send   func(ctx context.Context, m Member, g Message) (*Message, error)
+	Behalf func(ctx context.Context, key uint64, attempt string, lifetime time.Duration) (WriteResult, int64)
+	// EraseBehalf asks peers to erase a claim, and tells whether it is gone.
+	EraseBehalf func(ctx context.Context, key uint64, attempt string) bool
+	Event       func(name, detail string)
+	Interval    time.Duration // of the group commit
+	Timeout     time.Duration // for a promise
 }
 
 // Book is one node's claims. It is safe for concurrent use.
@@ -303,6 +305,9 @@
 	case ActionErase:
 		go b.erase(a)
 	case ActionRun, ActionRefuse:
+		if a.Kind == ActionRefuse {
+			b.o.Event("claim_refused", fmt.Sprintf("key %016x, attempt %s: %s", a.Key, a.Attempt, a.Reason))
+		}
 		b.mu.Lock()
 		c := b.waiting[a.Attempt]
 		delete(b.waiting, a.Attempt)
--- a/internal/claim/write.go
+++ b/internal/claim/write.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"time"
 
 	"spurhall.example/spurhall/internal/store"
@@ -230,7 +231,9 @@
 	return b.writeFor(ctx, member, r.Pairs[0].Created, key, attempt, lifetime)
 }
 
-// erase deletes the claim of an attempt that did not run.
+// erase deletes the claim of an attempt that did not run, by itself or through a peer: a node that is cut
+// off from the platform may hold a claim that a peer has written for it, and its caller, who was told
+// that the call has not run, would find the key taken for as long as the cut lasts.
 func (b *Book) erase(a Action) {
 	b.mu.Lock()
 	ctx := b.ctx
@@ -239,13 +242,26 @@
 		return
 	}
 	for try := 0; try < eraseTries && ctx.Err() == nil; try++ {
-		if b.o.Up() && b.eraseOnce(ctx, a) {
+		if b.eraseAnywhere(ctx, a) {
+			b.o.Event("claim_erased", fmt.Sprintf("key %016x, attempt %s, tries %d", a.Key, a.Attempt, try+1))
 			return
 		}
 		_ = b.o.Clock.Sleep(ctx, eraseAgain)
 	}
 }
 
+func (b *Book) eraseAnywhere(ctx context.Context, a Action) bool {
+	if b.o.Up() {
+		return b.eraseOnce(ctx, a.Key, a.Attempt)
+	}
+	return b.o.EraseBehalf != nil && b.o.EraseBehalf(ctx, a.Key, a.Attempt)
+}
+
+// EraseFor erases the claim of another member's attempt that did not run.
+func (b *Book) EraseFor(ctx context.Context, key uint64, attempt string) bool {
+	return b.o.Up() && b.eraseOnce(ctx, key, attempt)
+}
+
 // An erase is tried through an outage of a few minutes; after that the key is free when
 // its lifetime ends.
 const (
@@ -253,8 +269,8 @@
 	eraseAgain = 2 * time.Second
 )
 
-func (b *Book) eraseOnce(ctx context.Context, a Action) bool {
-	k := claimKey(a.Key)
+func (b *Book) eraseOnce(ctx context.Context, key uint64, attempt string) bool {
+	k := claimKey(key)
 	r, err := b.o.KV.Range(ctx, k, "")
 	if err != nil {
 		return false
@@ -262,7 +278,7 @@
 	if len(r.Pairs) == 0 {
 		return true
 	}
-	if w, _ := b.judge(pendingWrite{attempt: a.Attempt}, r.Pairs[0]); w != WriteGranted {
+	if w, _ := b.judge(pendingWrite{attempt: attempt}, r.Pairs[0]); w != WriteGranted {
 		return true
 	}
 	_, err = b.o.KV.Txn(ctx, store.Txn{
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -117,7 +117,7 @@
 	})
 	n.claims = claim.NewBook(claim.Options{
 		Member: claim.Member{ID: id, Hall: o.Hall, Address: o.PeerAddress, VM: o.VM}, KV: n.kv, Up: n.guard.Up,
-		PeerUp: n.peers.anyUp, Clock: o.Clock, Send: n.peers.sendClaim, Behalf: n.peers.claimBehalf,
+		PeerUp: n.peers.anyUp, Clock: o.Clock, Send: n.peers.sendClaim, Behalf: n.peers.claimBehalf, EraseBehalf: n.peers.eraseBehalf,
 		Event:    func(name, detail string) { n.log.Add(name, "", detail) },
 		Interval: claimInterval, Timeout: promiseTimeout,
 	})
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -54,6 +54,12 @@
 	return connect.NewResponse(&wire.ClaimForResponse{Result: int32(w), Revision: revision}), nil
 }
 
+// EraseFor erases a claim for a peer that doesn't reach the platform.
+func (s *peerService) EraseFor(ctx context.Context, r *connect.Request[wire.EraseForRequest]) (*connect.Response[wire.EraseForResponse], error) {
+	done := s.n.claims.EraseFor(ctx, r.Msg.Key, r.Msg.Attempt)
+	return connect.NewResponse(&wire.EraseForResponse{Done: done}), nil
+}
+
 // Hold takes a request from a peer: to keep a copy, or to go on with it.
 func (s *peerService) Hold(_ context.Context, r *connect.Request[wire.HoldRequest]) (*connect.Response[wire.HoldResponse], error) {
 	if r.Msg.Request == nil || r.Msg.Request.Id == "" {
--- a/internal/wire/wireconnect/spurhall.connect.go
+++ b/internal/wire/wireconnect/spurhall.connect.go
@@ -46,6 +46,8 @@
 	PeerClaimProcedure = "/spurhall.v1.Peer/Claim"
 	// PeerClaimForProcedure is the fully-qualified name of the Peer's ClaimFor RPC.
 	PeerClaimForProcedure = "/spurhall.v1.Peer/ClaimFor"
+	// PeerEraseForProcedure is the fully-qualified name of the Peer's EraseFor RPC.
+	PeerEraseForProcedure = "/spurhall.v1.Peer/EraseFor"
 	// PeerHoldProcedure is the fully-qualified name of the Peer's Hold RPC.
 	PeerHoldProcedure = "/spurhall.v1.Peer/Hold"
 	// PeerDropProcedure is the fully-qualified name of the Peer's Drop RPC.
@@ -78,6 +80,7 @@
 	PullConfig(context.Context, *connect.Request[wire.PullConfigRequest]) (*connect.Response[wire.PullConfigResponse], error)
 	Claim(context.Context, *connect.Request[wire.ClaimMessage]) (*connect.Response[wire.ClaimResponse], error)
 	ClaimFor(context.Context, *connect.Request[wire.ClaimForRequest]) (*connect.Response[wire.ClaimForResponse], error)
+	EraseFor(context.Context, *connect.Request[wire.EraseForRequest]) (*connect.Response[wire.EraseForResponse], error)
 	Hold(context.Context, *connect.Request[wire.HoldRequest]) (*connect.Response[wire.HoldResponse], error)
 	Drop(context.Context, *connect.Request[wire.DropRequest]) (*connect.Response[wire.DropResponse], error)
 	Read(context.Context, *connect.Request[wire.ReadRequest]) (*connect.ServerStreamForClient[wire.ReadChunk], error)
@@ -119,6 +122,12 @@
 			connect.WithSchema(peerMethods.ByName("ClaimFor")),
 			connect.WithClientOptions(opts...),
 		),
+		eraseFor: connect.NewClient[wire.EraseForRequest, wire.EraseForResponse](
+			httpClient,
+			baseURL+PeerEraseForProcedure,
+			connect.WithSchema(peerMethods.ByName("EraseFor")),
+			connect.WithClientOptions(opts...),
+		),
 		hold: connect.NewClient[wire.HoldRequest, wire.HoldResponse](
 			httpClient,
 			baseURL+PeerHoldProcedure,
@@ -152,6 +161,7 @@
 	pullConfig *connect.Client[wire.PullConfigRequest, wire.PullConfigResponse]
 	claim      *connect.Client[wire.ClaimMessage, wire.ClaimResponse]
 	claimFor   *connect.Client[wire.ClaimForRequest, wire.ClaimForResponse]
+	eraseFor   *connect.Client[wire.EraseForRequest, wire.EraseForResponse]
 	hold       *connect.Client[wire.HoldRequest, wire.HoldResponse]
 	drop       *connect.Client[wire.DropRequest, wire.DropResponse]
 	read       *connect.Client[wire.ReadRequest, wire.ReadChunk]
@@ -178,6 +188,11 @@
 	return c.claimFor.CallUnary(ctx, req)
 }
 
+// EraseFor calls spurhall.v1.Peer.EraseFor.
+func (c *peerClient) EraseFor(ctx context.Context, req *connect.Request[wire.EraseForRequest]) (*connect.Response[wire.EraseForResponse], error) {
+	return c.eraseFor.CallUnary(ctx, req)
+}
+
 // Hold calls spurhall.v1.Peer.Hold.
 func (c *peerClient) Hold(ctx context.Context, req *connect.Request[wire.HoldRequest]) (*connect.Response[wire.HoldResponse], error) {
 	return c.hold.CallUnary(ctx, req)
@@ -204,6 +219,7 @@
 	PullConfig(context.Context, *connect.Request[wire.PullConfigRequest]) (*connect.Response[wire.PullConfigResponse], error)
 	Claim(context.Context, *connect.Request[wire.ClaimMessage]) (*connect.Response[wire.ClaimResponse], error)
 	ClaimFor(context.Context, *connect.Request[wire.ClaimForRequest]) (*connect.Response[wire.ClaimForResponse], error)
+	EraseFor(context.Context, *connect.Request[wire.EraseForRequest]) (*connect.Response[wire.EraseForResponse], error)
 	Hold(context.Context, *connect.Request[wire.HoldRequest]) (*connect.Response[wire.HoldResponse], error)
 	Drop(context.Context, *connect.Request[wire.DropRequest]) (*connect.Response[wire.DropResponse], error)
 	Read(context.Context, *connect.Request[wire.ReadRequest], *connect.ServerStream[wire.ReadChunk]) error
@@ -241,6 +257,12 @@
 		connect.WithSchema(peerMethods.ByName("ClaimFor")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerEraseForHandler := connect.NewUnaryHandler(
+		PeerEraseForProcedure,
+		svc.EraseFor,
+		connect.WithSchema(peerMethods.ByName("EraseFor")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerHoldHandler := connect.NewUnaryHandler(
 		PeerHoldProcedure,
 		svc.Hold,
@@ -275,6 +297,8 @@
 			peerClaimHandler.ServeHTTP(w, r)
 		case PeerClaimForProcedure:
 			peerClaimForHandler.ServeHTTP(w, r)
+		case PeerEraseForProcedure:
+			peerEraseForHandler.ServeHTTP(w, r)
 		case PeerHoldProcedure:
 			peerHoldHandler.ServeHTTP(w, r)
 		case PeerDropProcedure:
@@ -308,6 +332,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("spurhall.v1.Peer.ClaimFor is not implemented"))
 }
 
+func (UnimplementedPeerHandler) EraseFor(context.Context, *connect.Request[wire.EraseForRequest]) (*connect.Response[wire.EraseForResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("spurhall.v1.Peer.EraseFor is not implemented"))
+}
+
 func (UnimplementedPeerHandler) Hold(context.Context, *connect.Request[wire.HoldRequest]) (*connect.Response[wire.HoldResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("spurhall.v1.Peer.Hold is not implemented"))
 }
