--- a/internal/edge/era_test.go
+++ b/internal/edge/era_test.go
@@ -9,7 +9,9 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/era"
+	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/quarantine"
 	"spurhall.example/spurhall/internal/standin"
 	"spurhall.example/spurhall/internal/store"
@@ -91,6 +93,52 @@
 	assert.Len(t, n.keys.Range(heldRecord.key, "").Pairs, 1)
 }
 
+// TestLearnedOverAnOlderCopy: what the copy has of the engines is older than what this process goes by, or
+// nothing. It doesn't take its place, and what is known now stands in the store again.
+func TestLearnedOverAnOlderCopy(t *testing.T) {
+	old, now := capacity.Engine{Reading: 30, First: 90, Token: 20}, capacity.Engine{Reading: 90, First: 30, Token: 5}
+	for name, copied := range map[string]map[string]capacity.Engine{
+		"an older figure": {"llm": old}, "none of this service": {"other": now}, "none": nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctx, n := t.Context(), newEraNode(t)
+			n.pools = pool.New(n.clock.Service(), "hall-a")
+			token := takeOver(t, n.Node)
+			var v learned
+			v.begin(ctx, n.Node)
+			v.write(ctx, n.Node, token, copied)
+			c := n.keys.Copy()
+			n.pools.Recall("llm", now)
+			v.write(ctx, n.Node, token, n.pools.Learned())
+			token = n.giveBack(t, c)
+			v.begin(ctx, n.Node)
+			assert.Equal(t, now.Reading, n.pools.Engine("llm").Reading)
+			v.write(ctx, n.Node, token, n.pools.Learned())
+			n.pools = pool.New(n.clock.Service(), "hall-a")
+			var next learned
+			next.begin(ctx, n.Node)
+			assert.Equal(t, now.Reading, n.pools.Engine("llm").Reading, "who begins later finds it")
+		})
+	}
+}
+
+// TestWatchesBeginAnewAtARise: whoever the rise is heard from, the watches under way are ended with it. A
+// node that hears it from another one has no call at the store that fails by it, and would read anew only
+// once the watch's time is over, 6 s later at most.
+func TestWatchesBeginAnewAtARise(t *testing.T) {
+	n := newEraNode(t).Node
+	n.listReader, n.catalogReader = &follower{n: n}, &follower{n: n}
+	under := func(f *follower) context.Context {
+		c, stop := context.WithCancelCause(t.Context())
+		f.set(stop)
+		return c
+	}
+	list, catalog := under(n.listReader), under(n.catalogReader)
+	n.eraRose(era.Rise{From: 1, To: 2})
+	assert.ErrorIs(t, context.Cause(list), errBehind)
+	assert.ErrorIs(t, context.Cause(catalog), errBehind)
+}
+
 // TestDoubtfulWindows: the first holder in an era doubts what ended before its term, also one that
 // began after the store's return; the next one in that era goes by the first one's word.
 func TestDoubtfulWindows(t *testing.T) {
--- a/internal/edge/rolling_test.go
+++ b/internal/edge/rolling_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"spurhall.example/spurhall/internal/era"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/rollout"
 	"spurhall.example/spurhall/internal/standin"
@@ -192,6 +193,53 @@
 }
 
 // TestWhatStandsInTheStore is what operators and successors read.
+// TestStageOfAnEraBefore: what stands in the store of an order was written before the store came back from a
+// copy; the order has come again since, by a revision of the next era. Each reader takes the stage for the
+// order's: a process that begins, and a holder that takes over. A stage of another order, or of another target,
+// isn't.
+func TestStageOfAnEraBefore(t *testing.T) {
+	revision := func(e, n int64) int64 {
+		v, err := era.Revision(e, n)
+		require.NoError(t, err)
+		return v
+	}
+	for _, v := range []struct {
+		name   string
+		stands rollingValue
+		taken  bool
+	}{
+		{"of the era before", rollingValue{Order: revision(1, 9), Target: "v2"}, true},
+		{"of this order", rollingValue{Order: revision(2, 5), Target: "v2"}, true},
+		{"of another order in this era", rollingValue{Order: revision(2, 4), Target: "v2"}, false},
+		{"of another target", rollingValue{Order: revision(1, 9), Target: "v3"}, false},
+	} {
+		v.stands.Stage = rollout.StageCompleted
+		newNode := func(t *testing.T) *Node {
+			r := newRollingTest(t)
+			r.order.Revision = revision(2, 5)
+			b, err := json.Marshal(v.stands)
+			require.NoError(t, err)
+			_, err = r.kv.Txn(t.Context(), store.Put(rollingPrefix+"s", b))
+			require.NoError(t, err)
+			return r.node("a")
+		}
+		t.Run(v.name+", a process that begins", func(t *testing.T) {
+			n := newNode(t)
+			n.known = make(chan struct{})
+			close(n.known)
+			n.recallRollouts(t.Context())
+			assert.Equal(t, v.taken, n.rollouts.trials["s"].Stage() == rollout.StageCompleted)
+		})
+		t.Run(v.name+", a holder", func(t *testing.T) {
+			n := newNode(t)
+			state, err := newRoller(n).read(t.Context(), n.rollouts.trials["s"].Order())
+			require.NoError(t, err)
+			assert.Equal(t, v.taken, state.state.Stage == rollout.StageCompleted)
+			assert.Equal(t, v.taken, n.rollouts.trials["s"].Stage() == rollout.StageCompleted, "and lets others know")
+		})
+	}
+}
+
 func TestWhatStandsInTheStore(t *testing.T) {
 	r := newRollingTest(t)
 	a := r.node("a")
