spurhall store: the era, and what is missing since the store came back

Cause: operators had lines and metrics of a store's return, and no place that shows where it stands now. Ruled out: the operators' interface of the own composition: nodes on the users' platform have no listener for it; they are asked at the address for other nodes, as for roll-outs. Change: a call of each node, and a verb that asks several; entries that are believed though the store has lost them are listed with the time that is left.

--- a/internal/command/rollouts.go
+++ b/internal/command/rollouts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -27,18 +28,32 @@
 }
 
 func (t *tool) rollouts(ctx context.Context, c *cli.Command) error {
-	a := c.StringSlice("node")[0]
-	if !strings.Contains(a, "://") {
-		a = "http://" + a
-	}
-	client := wireconnect.NewEdgeClient(&http.Client{Timeout: c.Duration("timeout")}, a)
-	r, err := client.Rollouts(ctx, connect.NewRequest(&wire.RolloutsRequest{}))
+	r, err := edgeClient(c, c.StringSlice("node")[0]).Rollouts(ctx, connect.NewRequest(&wire.RolloutsRequest{}))
 	if err != nil {
 		return err
 	}
 	return t.print(c, r.Msg.Rollouts, func(w io.Writer) { printRollouts(w, r.Msg.Rollouts) })
 }
 
+// edgeClient calls a node at its address for other nodes.
+func edgeClient(c *cli.Command, address string) wireconnect.EdgeClient {
+	if !strings.Contains(address, "://") {
+		address = "http://" + address
+	}
+	return wireconnect.NewEdgeClient(&http.Client{Timeout: c.Duration("timeout")}, address)
+}
+
+// eachEdge calls f for each node that was named, and returns what failed.
+func eachEdge(c *cli.Command, f func(wireconnect.EdgeClient) error) error {
+	var list []error
+	for _, a := range c.StringSlice("node") {
+		if err := f(edgeClient(c, a)); err != nil {
+			list = append(list, fmt.Errorf("%s: %w", a, err))
+		}
+	}
+	return exit(errors.Join(list...))
+}
+
 func printRollouts(w io.Writer, list []*wire.Rollout) {
 	_, _ = fmt.Fprintln(w, "SERVICE\tTARGET\tORDER\tSTAGE\tFOR\tHOLDER\tUPSTREAMS\tOTHERS\tRUNNING THERE\tANSWERS\tFAILED\tSUSPICION")
 	for _, v := range list {
--- a/internal/command/rollouts_test.go
+++ b/internal/command/rollouts_test.go
@@ -28,13 +28,18 @@
 	}}}), nil
 }
 
-func TestRollouts(t *testing.T) {
+// edgeNode starts one that answers other nodes and operators, and returns its address.
+func edgeNode(t *testing.T, h wireconnect.EdgeHandler) string {
 	m := http.NewServeMux()
-	m.Handle(wireconnect.NewEdgeHandler(rolling{}))
+	m.Handle(wireconnect.NewEdgeHandler(h))
 	s := httptest.NewServer(m)
-	defer s.Close()
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+func TestRollouts(t *testing.T) {
 	var out bytes.Buffer
-	err := command.New(&out, &out, nil).Run(t.Context(), []string{"spurhall", "--node", s.Listener.Addr().String(), "rollouts"})
+	err := command.New(&out, &out, nil).Run(t.Context(), []string{"spurhall", "--node", edgeNode(t, rolling{}), "rollouts"})
 	assert.NoError(t, err)
 	for _, v := range []string{"llm", "v2", "412", "trial, stopped", "1.5s", "heard", "57", "1.20 fails on chat"} {
 		assert.Contains(t, out.String(), v)
--- a/internal/edge/era.go
+++ b/internal/edge/era.go
@@ -6,9 +6,11 @@
 	"expvar"
 	"time"
 
+	"connectrpc.com/connect"
 	"go.uber.org/zap"
 
 	"spurhall.example/spurhall/internal/era"
+	"spurhall.example/spurhall/internal/wire"
 )
 
 // This file is what a node does when the store has come back from an older copy of itself. Revisions
@@ -32,7 +34,8 @@
 	storeEra.Set(r.To)
 	storeReturns.Add(1)
 	n.log.Warn("store_era_rose", zap.Int64("from", r.From), zap.Int64("to", r.To), zap.Int64("revision_before", r.Before))
-	n.returned.Store(true)
+	now := n.clock.Now()
+	n.returned.Store(&now)
 	n.lease.Forget()
 	n.catalogReader.again()
 	n.listReader.again()
@@ -47,6 +50,24 @@
 	}
 }
 
+// Store tells operators what this node knows of the store.
+func (s *edgeService) Store(context.Context, *connect.Request[wire.StoreRequest]) (*connect.Response[wire.StoreResponse], error) {
+	n, now := s.n, s.n.clock.Now()
+	missing, upstreams := n.pools.Missing()
+	_, holder := n.lease.Token()
+	r := &wire.StoreResponse{
+		Node: n.s.Node, Era: n.era.Now(), Revision: era.Number(n.pools.Revision()), Watching: n.listReader.inTouch.Load(),
+		Holder: holder, Upstreams: int64(upstreams),
+	}
+	if t := n.returned.Load(); t != nil {
+		r.Returned, r.ReturnedAgeMs = true, now.Sub(*t).Milliseconds()
+	}
+	for _, v := range missing {
+		r.Missing = append(r.Missing, &wire.Missing{Upstream: v.Upstream, ForMs: v.Until.Sub(now).Milliseconds()})
+	}
+	return connect.NewResponse(r), nil
+}
+
 // eraRecord is when the duties' first holder in an era began.
 var eraRecord = record{name: "era", key: "spurhall/era"}
 
@@ -84,7 +105,7 @@
 	case found && w.Era == era.Of(token):
 		v.began = time.UnixMilli(w.At)
 		return
-	case n.s.FirstStart && !n.returned.Load():
+	case n.s.FirstStart && n.returned.Load() == nil:
 		v.began = time.UnixMilli(0) // nobody was there before
 	}
 	v.known = eraRecord.write(ctx, n, token, eraBegan{Era: era.Of(token), At: v.began.UnixMilli()})
--- a/internal/edge/era_test.go
+++ b/internal/edge/era_test.go
@@ -159,7 +159,7 @@
 		n.Node.s.FirstStart = true
 		v := began(n, takeOver(t, n.Node))
 		copied := n.keys.Copy()
-		n.Node.returned.Store(true)
+		n.Node.returned.Store(new(time.Time))
 		token := n.giveBack(t, copied)
 		at := n.clock.Service().Wall()
 		v = began(n, token)
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -93,8 +93,8 @@
 	news          *news
 
 	catalog  atomic.Pointer[held]
-	listed   atomic.Bool // the upstreams have been read once
-	returned atomic.Bool // the store has come back from a copy while this process ran
+	listed   atomic.Bool               // the upstreams have been read once
+	returned atomic.Pointer[time.Time] // when the store last came back from a copy; nil: not while this process ran
 	knows    sync.Once
 	known    chan struct{} // closed when there are a configuration and upstreams
 	phase    atomic.Int32  // of a planned stop, a forward.Phase
--- a/internal/pool/list.go
+++ b/internal/pool/list.go
@@ -10,6 +10,7 @@
 package pool
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -239,6 +240,22 @@
 	delete(l.voids, id)
 }
 
+// Missing is an entry that went missing and is still believed, and until when.
+type Missing struct {
+	Upstream string
+	Until    time.Time
+}
+
+// Missing returns the entries that are believed though the store doesn't have them, by id.
+func (l *List) Missing() []Missing {
+	r := make([]Missing, 0, len(l.missing))
+	for id, until := range l.missing {
+		r = append(r, Missing{id, until})
+	}
+	slices.SortFunc(r, func(a, b Missing) int { return cmp.Compare(a.Upstream, b.Upstream) })
+	return r
+}
+
 // Expire drops the entries that stayed missing, and returns their ids.
 func (l *List) Expire(now time.Time) []string {
 	var gone []string
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -177,6 +177,14 @@
 	return p.list.Change()
 }
 
+// Missing returns the upstreams that are believed though the store doesn't have them, and how many
+// there are in all.
+func (p *Pools) Missing() ([]Missing, int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.list.Missing(), p.list.Len()
+}
+
 func (p *Pools) rebuild() []Change {
 	var changes []Change
 	ended, seen := p.list.endedLives(), make(map[string]bool)
--- a/internal/wire/wireconnect/edge.connect.go
+++ b/internal/wire/wireconnect/edge.connect.go
@@ -49,6 +49,8 @@
 	EdgeCatchUpProcedure = "/spurhall.v1.Edge/CatchUp"
 	// EdgeRolloutsProcedure is the fully-qualified name of the Edge's Rollouts RPC.
 	EdgeRolloutsProcedure = "/spurhall.v1.Edge/Rollouts"
+	// EdgeStoreProcedure is the fully-qualified name of the Edge's Store RPC.
+	EdgeStoreProcedure = "/spurhall.v1.Edge/Store"
 	// EdgeFollowProcedure is the fully-qualified name of the Edge's Follow RPC.
 	EdgeFollowProcedure = "/spurhall.v1.Edge/Follow"
 )
@@ -61,6 +63,7 @@
 	Report(context.Context, *connect.Request[wire.ReportRequest]) (*connect.Response[wire.ReportResponse], error)
 	CatchUp(context.Context, *connect.Request[wire.CatchUpRequest]) (*connect.Response[wire.CatchUpResponse], error)
 	Rollouts(context.Context, *connect.Request[wire.RolloutsRequest]) (*connect.Response[wire.RolloutsResponse], error)
+	Store(context.Context, *connect.Request[wire.StoreRequest]) (*connect.Response[wire.StoreResponse], error)
 	Follow(context.Context, *connect.Request[wire.FollowRequest]) (*connect.Response[wire.FollowResponse], error)
 }
 
@@ -111,6 +114,12 @@
 			connect.WithSchema(edgeMethods.ByName("Rollouts")),
 			connect.WithClientOptions(opts...),
 		),
+		store: connect.NewClient[wire.StoreRequest, wire.StoreResponse](
+			httpClient,
+			baseURL+EdgeStoreProcedure,
+			connect.WithSchema(edgeMethods.ByName("Store")),
+			connect.WithClientOptions(opts...),
+		),
 		follow: connect.NewClient[wire.FollowRequest, wire.FollowResponse](
 			httpClient,
 			baseURL+EdgeFollowProcedure,
@@ -128,6 +137,7 @@
 	report   *connect.Client[wire.ReportRequest, wire.ReportResponse]
 	catchUp  *connect.Client[wire.CatchUpRequest, wire.CatchUpResponse]
 	rollouts *connect.Client[wire.RolloutsRequest, wire.RolloutsResponse]
+	store    *connect.Client[wire.StoreRequest, wire.StoreResponse]
 	follow   *connect.Client[wire.FollowRequest, wire.FollowResponse]
 }
 
@@ -161,6 +171,11 @@
 	return c.rollouts.CallUnary(ctx, req)
 }
 
+// Store calls spurhall.v1.Edge.Store.
+func (c *edgeClient) Store(ctx context.Context, req *connect.Request[wire.StoreRequest]) (*connect.Response[wire.StoreResponse], error) {
+	return c.store.CallUnary(ctx, req)
+}
+
 // Follow calls spurhall.v1.Edge.Follow.
 func (c *edgeClient) Follow(ctx context.Context, req *connect.Request[wire.FollowRequest]) (*connect.Response[wire.FollowResponse], error) {
 	return c.follow.CallUnary(ctx, req)
@@ -174,6 +189,7 @@
 	Report(context.Context, *connect.Request[wire.ReportRequest]) (*connect.Response[wire.ReportResponse], error)
 	CatchUp(context.Context, *connect.Request[wire.CatchUpRequest]) (*connect.Response[wire.CatchUpResponse], error)
 	Rollouts(context.Context, *connect.Request[wire.RolloutsRequest]) (*connect.Response[wire.RolloutsResponse], error)
+	Store(context.Context, *connect.Request[wire.StoreRequest]) (*connect.Response[wire.StoreResponse], error)
 	Follow(context.Context, *connect.Request[wire.FollowRequest]) (*connect.Response[wire.FollowResponse], error)
 }
 
@@ -220,6 +236,12 @@
 		connect.WithSchema(edgeMethods.ByName("Rollouts")),
 		connect.WithHandlerOptions(opts...),
 	)
+	edgeStoreHandler := connect.NewUnaryHandler(
+		EdgeStoreProcedure,
+		svc.Store,
+		connect.WithSchema(edgeMethods.ByName("Store")),
+		connect.WithHandlerOptions(opts...),
+	)
 	edgeFollowHandler := connect.NewUnaryHandler(
 		EdgeFollowProcedure,
 		svc.Follow,
@@ -240,6 +262,8 @@
 			edgeCatchUpHandler.ServeHTTP(w, r)
 		case EdgeRolloutsProcedure:
 			edgeRolloutsHandler.ServeHTTP(w, r)
+		case EdgeStoreProcedure:
+			edgeStoreHandler.ServeHTTP(w, r)
 		case EdgeFollowProcedure:
 			edgeFollowHandler.ServeHTTP(w, r)
 		default:
@@ -275,6 +299,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("spurhall.v1.Edge.Rollouts is not implemented"))
 }
 
+func (UnimplementedEdgeHandler) Store(context.Context, *connect.Request[wire.StoreRequest]) (*connect.Response[wire.StoreResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("spurhall.v1.Edge.Store is not implemented"))
+}
+
 func (UnimplementedEdgeHandler) Follow(context.Context, *connect.Request[wire.FollowRequest]) (*connect.Response[wire.FollowResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("spurhall.v1.Edge.Follow is not implemented"))
 }
