--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -29,6 +29,7 @@
 	sent, ends     time.Duration // when it is answered, or its upstream ends
 	sends          int           // of this attempt of its caller
 	tries          int           // of its caller
+	of             *caller       // who waits for its end, if somebody does
 }
 
 type play struct {
