Requests that are alike are held back, and no second try after another copy's end

Cause: what remembers requests that end upstreams goes by the whole body; a counter or a time makes each one new, and each got a second try. Ruled out: no second try alone (100 in series end 101); workspace and path without the length (a harmless request in between clears them: 28 of 14 as before); each end counted by itself (20 of 8,000 harmless requests of one shape refused in waves, and 100 not sent again); no second try for what is alike (5.5 instead of 6.0 upstreams on average, more harmless ones lose theirs). Change: package quarantine keeps the ends of a shape since one of its requests was answered. Four apart, of three requests, hold the shape back for 2 s, doubling; one is let through at a time, answers free all. A request that has reached an upstream isn't sent again where a copy has ended another one. Where harmless requests have the same shape, nothing is gained.

--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -88,7 +88,7 @@
 	if !l.l.Is("routed") { // a job that was refused before is admitted again
 		l.fire("admit")
 	}
-	tried := make(map[string]bool)
+	tried := make(tries)
 	prefer := ""
 	for n := 1; ; n++ {
 		next, err := p.attempt(ctx, c, l, tried, prefer)
@@ -108,6 +108,9 @@
 			n--
 			continue
 		}
+		if d.endedElsewhere(c.identity, tried) {
+			return err
+		}
 		a := retry.Attempt{Repeatable: true, MayHaveRun: !errors.Is(err, upstream.ErrRefused), Sent: n, Left: c.Deadline.Sub(d.o.Clock.Now())}
 		if ctx.Err() != nil || errors.Is(err, errNobody) || p.decide(a) != retry.VerdictRetry {
 			return err
@@ -123,7 +126,7 @@
 
 // attempt runs one attempt. After a move it returns the address that the stream's
 // KV cache went to.
-func (p *pool) attempt(ctx context.Context, c *Chat, l *life, tried map[string]bool, prefer string) (string, error) {
+func (p *pool) attempt(ctx context.Context, c *Chat, l *life, tried tries, prefer string) (string, error) {
 	t, ok := p.choose(c, tried, prefer)
 	if !ok {
 		return "", p.nobody()
@@ -177,7 +180,7 @@
 		c.Record.FinishAttempt(number, p.d.o.Clock.Now())
 		return "", nil
 	}
-	tried[t.fact.ID] = true
+	tried.note(t.fact.ID, err)
 	if errors.Is(err, upstream.ErrRefused) {
 		go p.d.checkLeaving(t.fact.ID, t.fact.Address)
 	}
@@ -195,7 +198,7 @@
 
 // choose takes the upstream that the KV cache went to, if there is one and it is
 // still usable, and asks the router otherwise.
-func (p *pool) choose(c *Chat, tried map[string]bool, prefer string) (target, bool) {
+func (p *pool) choose(c *Chat, tried tries, prefer string) (target, bool) {
 	if prefer == "" {
 		return p.pick(c.Service, &c.Prompt, tried)
 	}
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -147,7 +147,7 @@
 }
 
 func (p *pool) send(ctx context.Context, c *Call, l *life) *Answer {
-	tried := make(map[string]bool)
+	tried := make(tries)
 	for n := 1; ; n++ {
 		t, ok := p.legacy(c)
 		if !ok {
@@ -169,7 +169,10 @@
 		if r := p.d.held(c.identity); r != nil {
 			return givenUp(l.giveUp(), r)
 		}
-		tried[t.fact.ID] = true
+		tried.note(t.fact.ID, err)
+		if p.d.endedElsewhere(c.identity, tried) {
+			return givenUp(l.giveUp(), err)
+		}
 		v := p.decide(retry.Attempt{
 			Repeatable: *c.Rule.Repeatable, MayHaveRun: !errors.Is(err, upstream.ErrNotSent) && !errors.Is(err, upstream.ErrRefused),
 			Sent: n, Left: c.Deadline.Sub(p.d.o.Clock.Now()),
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math"
 	"sync"
@@ -278,8 +279,30 @@
 	choice route.Choice
 }
 
+// tries is the upstreams that a request was tried at, and whether it reached them.
+type tries map[string]bool
+
+func (t tries) note(id string, err error) { t[id] = !errors.Is(err, upstream.ErrNotSent) }
+
+func (t tries) has(id string) bool {
+	_, ok := t[id]
+	return ok
+}
+
+func (t tries) reached(id string) bool { return t[id] }
+
+// reachedAny tells whether the request has reached an upstream.
+func (t tries) reachedAny() bool {
+	for _, v := range t {
+		if v {
+			return true
+		}
+	}
+	return false
+}
+
 // pick chooses an upstream that isn't in tried, and counts the dispatch.
-func (p *pool) pick(s *config.Service, prompt *route.Prompt, tried map[string]bool) (target, bool) {
+func (p *pool) pick(s *config.Service, prompt *route.Prompt, tried tries) (target, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.refreshLocked()
@@ -287,7 +310,7 @@
 	at := p.d.o.Clock.Now()
 	for i := range p.cands {
 		c, f := &p.cands[i], &p.list[i]
-		c.Excluded = tried[c.ID] || !p.outliers.Usable(now, c.ID) || p.rests.Left(at, retry.Lifetime{ID: c.ID}) > 0
+		c.Excluded = tried.has(c.ID) || !p.outliers.Usable(now, c.ID) || p.rests.Left(at, retry.Lifetime{ID: c.ID}) > 0
 		c.LoadAge = at.Sub(f.At)
 		c.InFlight, c.SinceReport, c.Slowness = 0, 0, 0
 		if v := p.flights[c.ID]; v != nil {
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"strings"
 
 	"spurhall.example/spurhall/internal/member"
@@ -59,6 +60,16 @@
 	return nil
 }
 
+// endedElsewhere tells whether copies of a request that has reached an upstream have ended others: it isn't
+// sent once more then.
+func (d *Dispatcher) endedElsewhere(of func() quarantine.Request, tried tries) bool {
+	if !tried.reachedAny() {
+		return false
+	}
+	p, ok := d.print(of)
+	return ok && !d.suspects.Repeats(p, tried.reached)
+}
+
 // broke takes in that an attempt failed, if its upstream ended under it: it broke the
 // connection, hadn't announced that it leaves, and doesn't listen any more, though the way to
 // its hall is open.
@@ -88,6 +99,10 @@
 
 func (d *Dispatcher) changed(list []quarantine.Change) {
 	for _, c := range list {
+		if c.Alike {
+			d.o.Event(map[bool]string{true: "shape_held", false: "shape_released"}[c.Held], "", fmt.Sprintf("shape %d, %s", c.Print.Shape(), strings.Join(c.Upstreams, " ")))
+			continue
+		}
 		if c.Held {
 			d.o.Event("request_held", "", c.Print.String()+" ended "+strings.Join(c.Upstreams, " "))
 		} else {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -120,6 +120,9 @@
 	if err := s.ends(q); err != nil {
 		return err
 	}
+	if !s.repeats(q) {
+		return s.giveUp(q, errEnds, last)
+	}
 	v, why := s.decide(q)
 	switch {
 	case v == retry.VerdictRetry:
--- a/internal/forward/broken.go
+++ b/internal/forward/broken.go
@@ -71,6 +71,7 @@
 // from one that was there by chance.
 func (s *Server) noteBroken(ctx context.Context, q *request, a *attempt) []zap.Field {
 	now, v := s.o.Clock.Now(), a.shown()
+	q.brokenAt = append(q.brokenAt, a.use.Entry().ID)
 	count("broken_"+v.String(), 1)
 	observe("broken_after_ms", now.Sub(a.sent))
 	if p := q.printOf(); !a.use.Leaving() { // one that has announced that it leaves ends as planned
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -145,6 +145,7 @@
 	sends     int           // attempts of which a byte left, but for those that another upstream's life answered
 	arrivals  int           // attempts of which a byte left
 	mayRun    bool          // an attempt may have run it
+	brokenAt  []string      // upstreams that broke the connection under it
 	began     bool          // its first event or head has come
 	counted   bool          // in the usage of its workspace
 	first     time.Duration // from the arrival to the first event or the head; 0: none came
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -144,7 +144,7 @@
 		if err := t.s.ends(t.q); err != nil {
 			return event{}, err
 		}
-		if v, _ := t.s.decide(t.q); v != retry.VerdictRetry {
+		if v, _ := t.s.decide(t.q); v != retry.VerdictRetry || !t.s.repeats(t.q) {
 			return event{}, cause
 		}
 		use := t.s.o.Pools.Pick(t.s.need(t.q, tried))
--- a/internal/forward/withhold.go
+++ b/internal/forward/withhold.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 
 	"github.com/go-kit/kit/endpoint"
@@ -38,6 +39,12 @@
 	return &refusal{status: http.StatusServiceUnavailable, reason: errEnds.Error(), retry: wait}
 }
 
+// repeats tells whether a request that has reached an upstream may be sent once more for all that is known
+// of copies of it that were sent by others: once one has ended an upstream, second tries end as many more.
+func (s *Server) repeats(q *request) bool {
+	return q.arrivals == 0 || !s.suspected(q) || s.o.Suspects.Repeats(q.printOf(), func(u string) bool { return slices.Contains(q.brokenAt, u) })
+}
+
 // withhold refuses a request that is held back, before it is charged. It has not run, and says
 // when it may come again; each repeat that was sent on instead ended an upstream, and broke off
 // the 4 to 23 requests that ran beside it.
@@ -51,10 +58,10 @@
 		switch {
 		case r.Held:
 			count("withheld", 1)
-			s.o.Log.Info("request_withheld", zap.String("request", q.meta.ID), zap.Stringer("print", q.printOf()), zap.Int("upstreams", r.Upstreams), zap.Duration("wait", r.Wait))
+			s.o.Log.Info("request_withheld", zap.String("request", q.meta.ID), zap.Stringer("print", q.printOf()), zap.Int("upstreams", r.Upstreams), zap.Bool("alike", r.Alike), zap.Duration("wait", r.Wait))
 			return nil, &refusal{status: http.StatusServiceUnavailable, reason: errEnds.Error(), retry: r.Wait}
 		case r.Trial:
-			s.o.Log.Info("request_let_through", zap.String("request", q.meta.ID), zap.Stringer("print", q.printOf()), zap.Int("upstreams", r.Upstreams))
+			s.o.Log.Info("request_let_through", zap.String("request", q.meta.ID), zap.Stringer("print", q.printOf()), zap.Int("upstreams", r.Upstreams), zap.Bool("alike", r.Alike))
 		}
 		return next(ctx, q)
 	}
@@ -64,6 +71,10 @@
 // this one saw), and ends the attempts that wait at an upstream with such a request.
 func (s *Server) Held(changes []quarantine.Change, source string) {
 	for _, c := range changes {
+		if c.Alike {
+			s.heldAlike(c, source)
+			continue
+		}
 		if !c.Held {
 			count("released", 1)
 			s.o.Log.Info("request_released", zap.Stringer("print", c.Print), zap.String("source", source))
@@ -76,6 +87,19 @@
 	}
 }
 
+// heldAlike takes in that all requests of a shape are held back, or aren't any more. Those under way go
+// on: most requests of a shape are harmless, and an answer to one of them frees the others.
+func (s *Server) heldAlike(c quarantine.Change, source string) {
+	f := []zap.Field{zap.Uint64("shape", uint64(c.Print.Shape())), zap.Stringer("print", c.Print), zap.String("source", source)}
+	if !c.Held {
+		count("shapes_released", 1)
+		s.o.Log.Info("shape_released", f...)
+		return
+	}
+	count("shapes_held", 1)
+	s.o.Log.Info("shape_held", append(f, zap.Strings("upstreams", c.Upstreams), zap.Duration("for", c.Until.Sub(s.o.Clock.Now())))...)
+}
+
 // flight is the attempts of which nothing has come yet.
 type flight struct {
 	mu       sync.Mutex
--- a/internal/quarantine/alike_test.go
+++ b/internal/quarantine/alike_test.go
@@ -35,6 +35,29 @@
 	p.send(flight{node: p.r.Intn(len(p.nodes)), body: c.flying, tries: 1, of: c})
 }
 
+// rollingWave ends six tenths of the upstreams, each six seconds, one after the other within 0.4 s.
+func (p *play) rollingWave() {
+	const over = 400 * time.Millisecond
+	if left := over - (p.now+3*time.Second)%(6*time.Second); left > 0 {
+		for u := range p.down {
+			if p.r.Int63n(int64(over/playTick)*10) < 6 && p.down[u] <= p.now {
+				p.end(u)
+			}
+		}
+	}
+}
+
+// harmlessDenied is how many harmless requests lost their second try.
+func (p *play) harmlessDenied() int {
+	n := 0
+	for body := range p.denied {
+		if !isDeadly(body) {
+			n++
+		}
+	}
+	return n
+}
+
 // sum is how many upstreams deadly requests ended in all.
 func (p *play) sum() int {
 	n := 0
@@ -54,9 +77,8 @@
 }
 
 // playAlike plays callers beside harmless requests, whose bodies rest gives, until all have sent theirs.
-func playAlike(seed int64, nodes, upstreams int, callers []*caller, rest func(i int) string) *play {
-	p := newPlay(seed, nodes, upstreams)
-	sent := 0
+func playAlike(p *play, callers []*caller, rest func(i int) string, waves bool) {
+	sent, nodes := 0, len(p.nodes)
 	for p.now < 20*time.Second || slices.ContainsFunc(callers, func(c *caller) bool { return len(c.bodies) > 0 }) {
 		for range max(1, nodes/4) {
 			body := rest(sent)
@@ -67,6 +89,9 @@
 		for _, c := range callers {
 			c.step(p)
 		}
+		if waves {
+			p.rollingWave()
+		}
 		p.land()
 		if p.now%playRound == 0 {
 			p.tell()
@@ -74,7 +99,6 @@
 		}
 		p.now += playTick
 	}
-	return p
 }
 
 // TestAlike: what requests that end upstreams, and are alike, cost in upstreams, and what it costs the
@@ -85,6 +109,7 @@
 	series := func(count int, gap time.Duration) func() []*caller {
 		return func() []*caller { return []*caller{{bodies: alike("deadl", 0, count), gap: gap}} }
 	}
+	nobody := func() []*caller { return nil }
 	atOnce := func() []*caller {
 		var list []*caller
 		for range 12 {
@@ -92,28 +117,46 @@
 		}
 		return list
 	}
+	shapes := func(n int) func(int) string { // of so many shapes, each seldom
+		return func(i int) string { return fmt.Sprintf("harmless %0*d", 9+i%n, i) }
+	}
 	for _, v := range []struct {
 		name    string
+		nodes   int
 		callers func() []*caller
 		rest    func(int) string
+		waves   bool
 		most    int // upstreams ended
 	}{
-		{"14 in series", series(14, 0), other, 14},
-		{"100 in series", series(100, 0), other, 20},
-		{"100 in series, more slowly", series(100, 2*time.Second), other, 20},
-		{"one body, 12 at once, five times each", atOnce, other, 12},
-		{"14 in series, harmless ones alike", series(14, 0), same, 28},
+		{"14 in series", 3, series(14, 0), other, false, 14},
+		{"100 in series", 3, series(100, 0), other, false, 20},
+		{"100 in series, more slowly", 3, series(100, 2*time.Second), other, false, 20},
+		{"100 in series, more slowly, at 70 nodes", 70, series(100, 2*time.Second), other, false, 20},
+		{"one body, 12 at once, five times each", 3, atOnce, other, false, 12},
+		{"14 in series, harmless ones alike", 3, series(14, 0), same, false, 28},
+		{"14 in series, amid waves", 12, series(14, 0), shapes(40), true, 14},
+		{"waves alone, one shape", 3, nobody, shapes(1), true, 0},
+		{"waves alone, 40 shapes", 12, nobody, shapes(40), true, 0},
+		{"waves alone, 400 shapes", 12, nobody, shapes(400), true, 0},
 	} {
+		if v.nodes > 12 && raceEnabled {
+			continue
+		}
 		t.Run(v.name, func(t *testing.T) {
-			worst, sum, refused, ran := 0, 0, 0, 0
-			for seed := range int64(20) {
-				p := playAlike(seed, 3, 24, v.callers(), v.rest)
+			seeds := int64(20)
+			if v.nodes > 12 {
+				seeds = 4
+			}
+			worst, sum, refused, denied, ran := 0, 0, 0, 0, 0
+			for seed := range seeds {
+				p := newPlay(seed, v.nodes, 24)
+				playAlike(p, v.callers(), v.rest, v.waves)
 				worst, sum = max(worst, p.sum()), sum+p.sum()
-				refused, ran = refused+len(p.refused), ran+len(p.innocent)
+				refused, denied, ran = refused+len(p.refused), denied+p.harmlessDenied(), ran+len(p.innocent)
 			}
-			t.Logf("upstreams ended: %d at most, %.1f on average; harmless requests refused: %d of %d", worst, float64(sum)/20, refused, ran)
+			t.Logf("upstreams ended: %d at most, %.1f on average; harmless requests refused: %d, not sent again: %d, of %d", worst, float64(sum)/float64(seeds), refused, denied, ran)
 			assert.LessOrEqual(t, worst, v.most)
-			assert.LessOrEqual(t, refused*100, ran)
+			assert.LessOrEqual(t, (refused+denied)*100, ran)
 		})
 	}
 }
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -69,14 +69,15 @@
 
 	mu       sync.Mutex
 	suspects map[Print]*suspect
-	shapes   map[Shape]int
-	held     int64 // changes of what is held back
-	stale    bool  // ends changed that may hold a request back, since it was last derived
+	families map[Shape]*family
+	alike    []Change // of what is held back by its shape, not returned yet
+	held     int64    // changes of what is held back
+	stale    bool     // ends changed that may hold a request back, since it was last derived
 }
 
 // NewBook returns an empty book of a node.
 func NewBook(node string) *Book {
-	return &Book{node: node, suspects: make(map[Print]*suspect), shapes: make(map[Shape]int)}
+	return &Book{node: node, suspects: make(map[Print]*suspect), families: make(map[Shape]*family)}
 }
 
 // Change is that a request is held back from now on, or isn't any more.
@@ -85,6 +86,7 @@
 	Held      bool
 	Until     time.Time
 	Upstreams []string // that ended under it
+	Alike     bool     // all requests of its shape, and not just it
 }
 
 // Knows tells whether ends were seen under a request of that shape. Most processes know of
@@ -96,7 +98,7 @@
 	s := r()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.shapes[s] > 0
+	return b.families[s] != nil
 }
 
 // Ends returns how many ends were seen under a request.
@@ -135,9 +137,23 @@
 		s.ends = slices.Delete(s.ends, 0, 1)
 	}
 	b.touch(now, s)
+	b.addAlike(e)
 	return true
 }
 
+// addAlike counts an end against all requests of its shape.
+func (b *Book) addAlike(e End) {
+	f := b.families[e.Print.Shape()]
+	if !f.add(e) {
+		return
+	}
+	c := Change{Print: e.Print, Held: true, Until: f.until(), Alike: true}
+	for _, v := range f.ends {
+		c.Upstreams = append(c.Upstreams, v.Upstream)
+	}
+	b.alike = append(b.alike, c)
+}
+
 // touch notes that something was learned of a request.
 func (b *Book) touch(now time.Time, s *suspect) {
 	s.changed = now
@@ -151,7 +167,12 @@
 	}
 	s := &suspect{}
 	b.suspects[p] = s
-	b.shapes[p.Shape()]++
+	f := b.families[p.Shape()]
+	if f == nil {
+		f = &family{}
+		b.families[p.Shape()] = f
+	}
+	f.suspects++
 	b.size.Store(int64(len(b.suspects)))
 	return s
 }
@@ -188,8 +209,9 @@
 
 func (b *Book) drop(p Print) {
 	delete(b.suspects, p)
-	if b.shapes[p.Shape()]--; b.shapes[p.Shape()] == 0 {
-		delete(b.shapes, p.Shape())
+	f := b.families[p.Shape()]
+	if f.suspects--; f.suspects == 0 {
+		delete(b.families, p.Shape())
 	}
 	b.size.Store(int64(len(b.suspects)))
 }
@@ -200,9 +222,18 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.clear(now, p, now)
+	b.clearAlike(Answer{p, now})
 	return b.settle()
 }
 
+// clearAlike takes in that a request was answered: others of its shape aren't held back for what ended
+// before.
+func (b *Book) clearAlike(a Answer) {
+	if f := b.families[a.Print.Shape()]; f != nil && f.answer(a) {
+		b.alike = append(b.alike, Change{Print: a.Print, Alike: true})
+	}
+}
+
 func (b *Book) clear(now time.Time, p Print, at time.Time) bool {
 	s := b.suspects[p]
 	if s == nil || at.Sub(s.cleared) < sameWithin {
--- a/internal/quarantine/book_test.go
+++ b/internal/quarantine/book_test.go
@@ -242,7 +242,7 @@
 		assert.Len(t, w.b.suspects, 1)
 		w.b.Words(at(w.now + holdFirst + heldKeeps + time.Minute))
 		assert.Empty(t, w.b.suspects)
-		assert.Empty(t, w.b.shapes)
+		assert.Empty(t, w.b.families)
 	})
 }
 
--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -17,6 +17,9 @@
 // come again. After a while one node after the other lets one repeat through; an answer clears
 // the request, another end holds it back for twice as long.
 //
+// Requests that are alike, as bodies that differ in a counter, are new each: family.go is about these.
+// And whoever has reached one upstream isn't sent a second time where a copy of it has ended another.
+//
 // The state of a request is derived from the set of its ends. Sets merge in any order, so
 // nodes need to agree on nothing, and a word that comes twice or late does no harm.
 //
--- /dev/null
+++ b/internal/quarantine/family.go
@@ -0,0 +1,128 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// This file is about requests that end upstreams and aren't quite the same: a counter or a time in the
+// body makes each one new to the book. What they have in common is their shape: method, host, path,
+// workspace, and the length of the body.
+//
+// Most requests of a shape are harmless, so its evidence is weaker than a print's, and two things are
+// asked of it that a print's isn't. An answer to any of them clears the shape: where harmless requests are
+// among them, these go on as if nothing had been seen. And ends that come together count as one: when many
+// upstreams end at once, all that ran there see an end, and none has had the time to be answered.
+//
+// Weighed: the workspace and path alone (a harmless request of another length is answered in between and
+// clears them: 14 in series end 28, as before); parts of the body that are equal (a hash of each for each
+// request, where the shape is there already); no second try for what is alike (14 in series end 5.5 on
+// average instead of 6.0, and half as many harmless requests more lose theirs in waves).
+
+const (
+	// familyProof is how many ends without an answer in between hold a shape back, of familyPrints
+	// different requests at least: the ends of one request are counted by its print.
+	familyProof  = 4
+	familyPrints = 3
+	// endsTogether is the span in which ends count as one. Where each counts, 20 of 8,000 harmless requests
+	// of one shape are held back in waves that end six tenths of the upstreams within 0.4 s, else none
+	// (TestAlike).
+	endsTogether = 500 * time.Millisecond
+	// familyHold is how long a shape is held back at first; each end after that doubles it, up to
+	// familyLongest.
+	familyHold    = 2 * time.Second
+	familyLongest = time.Minute
+	// familySpread is the span over which the nodes let one request through, each at its own moment.
+	familySpread = 2 * time.Second
+	// familyEnds bounds the ends remembered of a shape, the oldest are dropped.
+	familyEnds = 32
+)
+
+// family is the requests of one shape under which upstreams ended.
+type family struct {
+	suspects int   // of them: in the book
+	ends     []End // since one of them was answered, by time
+	answered Answer
+	cleared  Answer // the newest that cleared ends: others are told of it
+	tried    Trial  // the newest one that was let through, here or at another node
+}
+
+// add takes in an end, and tells whether the family is held back by it for the first time or for longer.
+func (f *family) add(e End) bool {
+	if !e.At.After(f.answered.At) || slices.ContainsFunc(f.ends, func(o End) bool { return o.Print == e.Print && o.same(e) }) {
+		return false
+	}
+	before := f.until()
+	f.ends = append(f.ends, e)
+	slices.SortFunc(f.ends, func(a, b End) int { return a.At.Compare(b.At) })
+	if len(f.ends) > familyEnds {
+		f.ends = slices.Delete(f.ends, 0, 1)
+	}
+	return f.until().After(before)
+}
+
+// answer takes in that one of them was answered, and tells whether the family was held back.
+func (f *family) answer(a Answer) bool {
+	if !a.At.After(f.answered.At) {
+		return false
+	}
+	held := !f.until().IsZero()
+	f.answered = a
+	ends := len(f.ends)
+	f.ends = slices.DeleteFunc(f.ends, func(e End) bool { return !e.At.After(a.At) })
+	if len(f.ends) < ends {
+		f.cleared = a
+	}
+	return held && f.until().IsZero()
+}
+
+// apart counts ends, by time, that didn't come together.
+func apart(ends []End) int {
+	n := 0
+	var last time.Time
+	for _, e := range ends {
+		if n == 0 || e.At.Sub(last) >= endsTogether {
+			n, last = n+1, e.At
+		}
+	}
+	return n
+}
+
+// until is until when the family is held back; zero: it isn't.
+func (f *family) until() time.Time {
+	n := apart(f.ends)
+	if n < familyProof {
+		return time.Time{}
+	}
+	prints := make(map[Print]bool, len(f.ends))
+	for _, e := range f.ends {
+		prints[e.Print] = true
+	}
+	if len(prints) < familyPrints {
+		return time.Time{}
+	}
+	hold := min(familyHold<<min(n-familyProof, 8), familyLongest)
+	return f.ends[len(f.ends)-1].At.Add(hold)
+}
+
+// check tells whether one of them may be sent now. One at a time may, once the time is over.
+func (f *family) check(now time.Time, node string, p Print) Verdict {
+	until := f.until()
+	if until.IsZero() {
+		return Verdict{}
+	}
+	v := Verdict{Alike: true, Upstreams: len(f.ends)}
+	free := until.Add(time.Duration(xxhash.Sum64String(node) % uint64(familySpread)))
+	if t := f.tried.At.Add(trialTakes); t.After(free) && f.tried.At.After(f.ends[len(f.ends)-1].At) {
+		free = t
+	}
+	if now.Before(free) {
+		v.Held, v.Wait = true, free.Sub(now)
+		return v
+	}
+	f.tried = Trial{Print: p, At: now}
+	v.Trial = true
+	return v
+}
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -43,13 +43,14 @@
 	late     map[string]int           // sends later than four seconds after that
 	innocent map[string]bool          // sent, and harmless
 	refused  map[string]bool          // of these: held back
+	denied   map[string]bool          // second tries that weren't sent
 	counter  int
 }
 
 func newPlay(seed int64, nodes, upstreams int) *play {
 	p := &play{
 		r: rand.New(rand.NewSource(seed)), down: make([]time.Duration, upstreams), ended: make(map[string]int),
-		proved: make(map[string]time.Duration), late: make(map[string]int), innocent: make(map[string]bool), refused: make(map[string]bool),
+		proved: make(map[string]time.Duration), late: make(map[string]int), innocent: make(map[string]bool), refused: make(map[string]bool), denied: make(map[string]bool),
 	}
 	for i := range nodes {
 		p.nodes = append(p.nodes, NewBook(fmt.Sprint("n", i)))
@@ -94,14 +95,19 @@
 		}
 		return f.upstream == u
 	})
+	e := End{Upstream: fmt.Sprint("u", u), At: at(p.now)}
 	for _, f := range broken {
-		e := End{Print: printOf(f.body), Upstream: fmt.Sprint("u", u), At: at(p.now)}
+		e.Print = printOf(f.body)
 		p.nodes[f.node].Broke(at(p.now), e)
 	}
 	for _, f := range broken {
 		switch {
 		case p.nodes[f.node].Wait(at(p.now), printOf(f.body)) > 0:
 		case f.sends < 2: // the node's own retry
+			if !p.nodes[f.node].Repeats(printOf(f.body), func(u string) bool { return u == e.Upstream }) {
+				p.denied[f.body] = true
+				continue
+			}
 			p.send(*f)
 		case f.tries < 1: // the caller's, at another node
 			p.send(flight{node: p.r.Intn(len(p.nodes)), body: f.body, tries: f.tries + 1})
@@ -156,6 +162,18 @@
 	})
 }
 
+// wave ends six tenths of the upstreams, each six seconds.
+func (p *play) wave() {
+	if p.now%(6*time.Second) != 3*time.Second {
+		return
+	}
+	for u := range p.down {
+		if p.r.Intn(10) < 6 && p.down[u] <= p.now {
+			p.end(u)
+		}
+	}
+}
+
 // run plays so many seconds. Each deadly body comes every so often, at any node.
 func (p *play) run(seconds int, deadly int, every time.Duration, waves bool) (message int) {
 	for ; p.now < time.Duration(seconds)*time.Second; p.now += playTick {
@@ -170,12 +188,8 @@
 				p.send(flight{node: p.r.Intn(len(p.nodes)), body: fmt.Sprint("deadly ", d)})
 			}
 		}
-		if waves && p.now%(6*time.Second) == 3*time.Second {
-			for u := range p.down {
-				if p.r.Intn(10) < 6 && p.down[u] <= p.now {
-					p.end(u)
-				}
-			}
+		if waves {
+			p.wave()
 		}
 		p.land()
 		if p.now%playRound == 0 {
--- a/internal/quarantine/settle.go
+++ b/internal/quarantine/settle.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -10,11 +11,12 @@
 
 // settle derives anew which requests are held back, and returns what became different.
 func (b *Book) settle() []Change {
+	changes := b.alike
+	b.alike = nil
 	if !b.stale {
-		return nil
+		return changes
 	}
 	b.stale = false
-	var changes []Change
 	for p, s := range b.suspects {
 		until := heldUntil(s.ends)
 		longer, released := until.After(s.until), until.IsZero() && !s.until.IsZero()
@@ -59,6 +61,7 @@
 	Wait      time.Duration // until it may come again
 	Upstreams int           // that ended under it
 	Trial     bool          // it was held back, and is let through to see whether it still is to be
+	Alike     bool          // for others of its shape
 }
 
 // Check tells whether a request may be sent now.
@@ -67,6 +70,9 @@
 	defer b.mu.Unlock()
 	s := b.suspects[p]
 	if s == nil || s.until.IsZero() {
+		if f := b.families[p.Shape()]; f != nil {
+			return f.check(now, b.node, p)
+		}
 		return Verdict{}
 	}
 	free := s.until.Add(b.turn(p))
@@ -92,6 +98,16 @@
 	return max(0, s.until.Sub(now))
 }
 
+// Repeats tells whether a request that has been sent may be sent once more: not where another copy of it
+// has ended an upstream. own names the upstreams that it was at itself: what ran beside a deadly request
+// there keeps its second try.
+func (b *Book) Repeats(p Print, own func(upstream string) bool) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.suspects[p]
+	return s == nil || !slices.ContainsFunc(s.ends, func(e End) bool { return !own(e.Upstream) })
+}
+
 // turn is when after its time this node lets a request through: each node at a moment of its
 // own that nobody needs to be told.
 func (b *Book) turn(p Print) time.Duration {
--- a/internal/quarantine/words.go
+++ b/internal/quarantine/words.go
@@ -51,13 +51,14 @@
 	defer b.mu.Unlock()
 	var w Words
 	var list []*suspect
+	alike := b.heldShapes()
 	for p, s := range b.suspects {
 		if s.lapsed(now) {
 			b.drop(p)
 			continue
 		}
 		news := now.Sub(s.changed) <= tellsFor
-		if news || !s.until.IsZero() {
+		if news || !s.until.IsZero() || alike[p.Shape()] {
 			list = append(list, s)
 		}
 		if news && !s.cleared.IsZero() {
@@ -67,6 +68,14 @@
 			w.Trials = append(w.Trials, Trial{p, s.tried})
 		}
 	}
+	for _, f := range b.families {
+		if now.Sub(f.cleared.At) <= tellsFor {
+			w.Answers = append(w.Answers, f.cleared)
+		}
+		if now.Sub(f.tried.At) <= tellsFor {
+			w.Trials = append(w.Trials, f.tried)
+		}
+	}
 	slices.SortFunc(list, func(x, y *suspect) int {
 		return cmp.Or(cmp.Compare(len(y.ends), len(x.ends)), y.changed.Compare(x.changed))
 	})
@@ -79,6 +88,17 @@
 	return w
 }
 
+// heldShapes returns the shapes that are held back.
+func (b *Book) heldShapes() map[Shape]bool {
+	m := make(map[Shape]bool)
+	for s, f := range b.families {
+		if len(f.ends) >= familyProof && !f.until().IsZero() {
+			m[s] = true
+		}
+	}
+	return m
+}
+
 // Held returns the ends that hold requests back, and a number that rises with each change of
 // which do.
 func (b *Book) Held() ([]End, int64) {
@@ -103,6 +123,7 @@
 	news := false
 	for _, a := range w.Answers {
 		news = b.clear(now, a.Print, a.At) || news
+		b.clearAlike(a)
 	}
 	for _, e := range w.Ends {
 		news = b.add(now, e) || news
@@ -111,8 +132,11 @@
 		if s := b.suspects[t.Print]; s != nil && t.At.Sub(s.tried) >= sameWithin {
 			s.tried = t.At
 		}
+		if f := b.families[t.Print.Shape()]; f != nil && t.At.After(f.tried.At) {
+			f.tried = t
+		}
 	}
-	if !news {
+	if !news && len(b.alike) == 0 {
 		return nil
 	}
 	return b.settle()
