Failing tests: what HTTP lets upstreams say, and who reads it

Cause: a proxy is asked to heed what HTTP says, also where the platform's pages don't repeat it. What is read was never gone through as a whole.

--- a/internal/upstream/rest_test.go
+++ b/internal/upstream/rest_test.go
@@ -27,6 +27,16 @@
 	assert.Zero(t, read(503, "Retry-After", "Wed, 21 Oct 2015 07:28:05 GMT"), "a date without the answer's own says nothing")
 	assert.Equal(t, time.Second, read(429, "Retry-After", "1"))
 	assert.Zero(t, read(200, "Retry-After", "1"), "no refusal")
+	t.Run("several lines or a list: none of them is passed over", func(t *testing.T) {
+		lines := func(v ...string) time.Duration {
+			return Rest(&http.Response{StatusCode: 503, Header: http.Header{"Retry-After": v, "Date": {"Wed, 21 Oct 2015 07:28:00 GMT"}}})
+		}
+		assert.Equal(t, 3*time.Second, lines("1", "3"))
+		assert.Equal(t, 3*time.Second, lines("3", "1"))
+		assert.Equal(t, 3*time.Second, lines("1, 3"))
+		assert.Equal(t, 2*time.Second, lines("soon", "2"))
+		assert.Equal(t, 5*time.Second, lines("1", "Wed, 21 Oct 2015 07:28:05 GMT"))
+	})
 	t.Run("an error carries it", func(t *testing.T) {
 		a := &http.Response{StatusCode: 503, Header: http.Header{"Retry-After": {"2"}}}
 		err := fmt.Errorf("a chat: %w", Refused(a, "busy"))
