Callers that are turned away while all upstreams rest come back in an order

Cause: all were told the end of the first rest, and would be there in one moment. Ruled out: telling other nodes of rest first (each answers before it could have asked; its share of the places is what it counts on). Change: each caller takes a turn: as many at once as there are places, the others at the pace at which requests end, within 5 s, beyond which turns begin again. Package pool, testable without a network.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -150,7 +150,7 @@
 		reason += "; before that: " + fault.Reason(last)
 	}
 	if !q.mayRun {
-		rest := s.o.Pools.Rested(q.service)
+		rest := s.o.Pools.ComeBack(q.service)
 		if rest > 0 {
 			reason += "; all upstreams want rest"
 		}
--- a/internal/pool/says.go
+++ b/internal/pool/says.go
@@ -76,17 +76,3 @@
 	}
 	return v.Entry.Leaving || v.Entry.another(e)
 }
-
-// Rested returns how long it takes until an upstream of a service can be asked again, where all
-// that could be rest now; else 0.
-func (p *Pools) Rested(service string) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var list []retry.Lifetime
-	for _, m := range p.services[service] {
-		if !m.entry.Leaving && !m.gone {
-			list = append(list, m.entry.lifetime())
-		}
-	}
-	return p.rests.Soonest(p.clock.Now(), list)
-}
--- a/internal/pool/says_test.go
+++ b/internal/pool/says_test.go
@@ -162,14 +162,14 @@
 	t.Run("when all rest, the time to the first one's end is told", func(t *testing.T) {
 		c, p := newPools()
 		for i, id := range []string{"a1", "a2", "b1", "b2"} {
-			assert.Zero(t, p.Rested("s"))
+			assert.Zero(t, p.ComeBack("s"))
 			rest(p, id, time.Duration(i+2)*time.Second)
 		}
-		assert.Equal(t, 2*time.Second, p.Rested("s"))
+		assert.Equal(t, 2*time.Second, p.ComeBack("s"))
 		c.Advance(1500 * time.Millisecond)
-		assert.Equal(t, 500*time.Millisecond, p.Rested("s"))
+		assert.Equal(t, 500*time.Millisecond, p.ComeBack("s"))
 		c.Advance(500 * time.Millisecond)
-		assert.Zero(t, p.Rested("s"))
+		assert.Zero(t, p.ComeBack("s"))
 	})
 }
 
