--- /dev/null
+++ b/internal/message/fuzz_test.go
@@ -0,0 +1,94 @@
+package message
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"google.golang.org/protobuf/proto"
+
+	"spurhall.example/spurhall/internal/pool"
+	"spurhall.example/spurhall/internal/relay"
+	"spurhall.example/spurhall/internal/rollout"
+	"spurhall.example/spurhall/internal/timer"
+	"spurhall.example/spurhall/internal/wire"
+)
+
+// assertTrials checks what is heard of roll-outs.
+func assertTrials(t *testing.T, list []rollout.Word) {
+	t.Helper()
+	for _, w := range list {
+		assert.True(t, w.Stage >= rollout.StageWaiting && w.Stage <= rollout.StageRolledBack, "stage %d", w.Stage)
+	}
+}
+
+// assertLoads checks what is heard of upstreams.
+func assertLoads(t *testing.T, list []pool.Load) {
+	t.Helper()
+	for _, l := range list {
+		assert.True(t, l.Running >= 0 && l.Queued >= 0 && l.Held >= 0, "%+v", l)
+	}
+}
+
+// FuzzMessages: whatever bytes another node sends, of another version or broken, what is read of them is taken in
+// without a panic, and holds nothing that can't be.
+func FuzzMessages(f *testing.F) {
+	seed := func(m proto.Message) {
+		b, err := proto.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	load := []*wire.Load{{Upstream: "u", Running: -3, QueuedTokens: -1, HeldTokens: 1 << 62}}
+	trial := []*wire.Trial{{Service: "s", Stage: 99, Cells: []*wire.TrialCell{{Group: -1, First: []int64{-1}, Pace: make([]int64, 99)}}}}
+	seed(&wire.Group{Relay: "r", Version: 1 << 63, Share: &wire.Share{AgeMs: -1, Loads: load}, Changes: []*wire.Change{{Node: "n", UptimeMs: 1 << 62, AgeMs: -5}}, Trials: trial})
+	seed(&wire.GatherResponse{Version: 7, Shares: []*wire.Share{{AgeMs: 1 << 62, Loads: load}}, Reach: &wire.Reach{Unreached: []*wire.Unreached{{Upstream: "u", Nodes: -1, AgeMs: -1}}}})
+	seed(&wire.NodeReport{Node: "n", Lifetime: "l", Loads: load, Trials: trial, Started: []*wire.Started{{Window: -1, Workspace: "w", Count: -9}}})
+	seed(&wire.ListItem{Id: "u", Service: "s", Slots: -8, WarmUpMs: -1, Born: -1})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		clock := timer.NewManual(time.Unix(1000, 0))
+		now := clock.Service().Now()
+		p, book := pool.New(clock.Service(), "h"), relay.NewBook("a", "l")
+		p.Update(func(l *pool.List) {
+			l.Put(pool.Item{Entry: pool.Entry{ID: "u", Service: "s", Address: "10.0.0.1:1", Slots: 8}, Revision: 1})
+		})
+		var g wire.Group
+		if proto.Unmarshal(b, &g) == nil {
+			v := GroupFromWire(&g)
+			assertTrials(t, v.Trials)
+			assertLoads(t, v.Share.Loads)
+			book.TakeIn(now, v)
+		}
+		var d wire.GatherResponse
+		if proto.Unmarshal(b, &d) == nil {
+			v := DigestFromWire(&d)
+			assertTrials(t, v.Trials)
+			var view relay.View
+			view.Take(now, "r", v)
+			p.TakeShares(v.Shares, map[string]bool{"n": true}, v.Placed)
+			p.TakeReach(v.Reach)
+		}
+		var r wire.NodeReport
+		if proto.Unmarshal(b, &r) == nil {
+			v := RelayReport(&r)
+			assertTrials(t, v.Trials)
+			assertLoads(t, v.Loads)
+			book.Gather(now, v)
+			p.TakeIn("n", v.Loads, v.Placed, nil)
+			p.TakeReach(v.Reach)
+		}
+		var i wire.ListItem
+		if proto.Unmarshal(b, &i) == nil {
+			v := ItemFromWire(&i)
+			assert.GreaterOrEqual(t, v.Entry.Slots, 0)
+			p.Update(func(l *pool.List) { l.Put(v) })
+		}
+		book.Expire(now)
+		book.Digest(now, "n", 0)
+		if u := p.Pick(pool.Need{ID: "x", Service: "s"}); u != nil {
+			u.End(pool.ResultGood)
+		}
+		p.ComeBack("s")
+	})
+}
--- a/internal/quarantine/print_test.go
+++ b/internal/quarantine/print_test.go
@@ -3,9 +3,13 @@
 import (
 	"bytes"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
+
+	"spurhall.example/spurhall/internal/wire"
 )
 
 func drawRequest(t *rapid.T) Request {
@@ -41,3 +45,32 @@
 		}
 	})
 }
+
+// FuzzWords: whatever another node tells, of another version or broken, is heard without a panic, and the words told
+// on are within their bounds.
+func FuzzWords(f *testing.F) {
+	p := PrintOf(Request{Body: []byte("x")})
+	for _, m := range []*wire.Suspicions{
+		{Ends: []*wire.End{{Print: p[:], Upstream: "u", AgeMs: -1 << 62}, {Print: []byte{1}, Upstream: "v"}}},
+		{Answers: []*wire.Answered{{Print: p[:], AgeMs: 1 << 62}}, Trials: []*wire.Answered{{Print: p[:], AgeMs: -5}}},
+	} {
+		b, err := proto.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var m wire.Suspicions
+		if proto.Unmarshal(b, &m) != nil {
+			return
+		}
+		v := NewBook("a")
+		now := at(time.Hour)
+		v.Broke(now, End{Print: p, Upstream: "w", At: now})
+		v.Hear(now, WordsFromWire(now, &m))
+		assert.LessOrEqual(t, v.Check(now, p).Wait, holdLongest+spread+trialTakes)
+		assert.LessOrEqual(t, len(v.Words(now).Ends), endsTold)
+		assert.False(t, v.Check(now.Add(2*holdLongest), p).Held, "nothing that is heard holds back for good")
+	})
+}
