What can't be in records and messages isn't believed

Cause: decoders of records and of nodes' messages took numbers as they came. Ruled out: refusing a whole message for one number: a node of another version would not be heard at all.

--- a/internal/edge/ordered.go
+++ b/internal/edge/ordered.go
@@ -70,6 +70,7 @@
 		v.found = orderedValue{}
 	}
 	for s, by := range v.found {
+		maps.DeleteFunc(by, func(_ string, count int) bool { return count < 0 })
 		v.counts[s] = maps.Clone(by)
 	}
 	if v.era > before && len(own) > 0 { // the store may have lost what this holder ordered last
--- a/internal/edge/rolling.go
+++ b/internal/edge/rolling.go
@@ -154,6 +154,9 @@
 	if o := v.state.Order; b.Order != o.Revision && !o.Continues(b.Order, b.Target) {
 		return nil
 	}
+	if !b.Stage.Known() {
+		return errStage
+	}
 	v.written = true
 	v.state.Stage, v.state.Answers, v.state.Seen, v.said = b.Stage, b.Answers, b.Seen, r.n.clock.Now()
 	v.state.Found = v.said
@@ -239,6 +242,9 @@
 }
 
 // errUnsettled says that somebody else has written, or the term is over.
+// errStage says that the stage in the store is none that this version knows: the holder leaves it to one that does.
+var errStage = errs.NewType("stage").New("the stage in the store isn't known here")
+
 var errUnsettled = errs.NewType("unsettled").New("the term is over, or another has written")
 
 func (r *roller) write(ctx context.Context, v *rolling, s rollout.State, seen, failed int64) error {
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -84,6 +84,10 @@
 			n.log.Warn("rollout_unread", zap.String("key", p.Key), zap.String("cause", err.Error()))
 			continue
 		}
+		if !v.Stage.Known() {
+			n.log.Warn("rollout_unread", zap.String("key", p.Key), zap.String("cause", errStage.Error()))
+			continue
+		}
 		service := p.Key[len(rollingPrefix):]
 		if t := n.rollouts.trials[service]; t != nil && (t.Order().Revision == v.Order || t.Order().Continues(v.Order, v.Target)) {
 			t.Raise(now, v.Stage)
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -1,6 +1,7 @@
 // Package message turns what nodes on the users' platform tell each other into the messages of package wire,
 // and back. Durations and ages go as whole milliseconds: clocks differ between VMs, so no message bears a time
-// of day. What a message doesn't have, as one of a node of an earlier version, is the zero value.
+// of day. What a message doesn't have, as one of a node of an earlier version, is the zero value; what can't
+// be, as of a broken one, is the nearest that can, or isn't heard.
 //
 // Kept apart from the types themselves: most of these are of packages that decide and know no wire.
 package message
@@ -15,8 +16,13 @@
 	"spurhall.example/spurhall/internal/wire"
 )
 
-// Millis returns a number of milliseconds as a duration.
-func Millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+// longest bounds durations and ages, so that none overflows: no process lives for a hundred years.
+const longest = 100 * 365 * 24 * time.Hour
+
+// Millis returns a number of milliseconds as a duration. One that can't be is the nearest that can.
+func Millis(n int64) time.Duration {
+	return time.Duration(min(max(0, n), longest.Milliseconds())) * time.Millisecond
+}
 
 // LoadsToWire returns the message of what a node has at upstreams.
 func LoadsToWire(l []pool.Load) []*wire.Load {
@@ -31,7 +37,9 @@
 func LoadsFromWire(l []*wire.Load) []pool.Load {
 	r := make([]pool.Load, len(l))
 	for i, v := range l {
-		r[i] = pool.Load{Upstream: v.Upstream, Running: int(v.Running), Queued: float64(v.QueuedTokens), Held: float64(v.HeldTokens)}
+		r[i] = pool.Load{
+			Upstream: v.Upstream, Running: int(max(0, v.Running)), Queued: float64(max(0, v.QueuedTokens)), Held: float64(max(0, v.HeldTokens)),
+		}
 	}
 	return r
 }
@@ -149,6 +157,9 @@
 func TrialsFromWire(l []*wire.Trial) []rollout.Word {
 	var r []rollout.Word
 	for _, t := range l {
+		if !rollout.Stage(t.Stage).Known() {
+			continue // of a node of another version; what isn't known here can't be followed
+		}
 		w := rollout.Word{
 			Service: t.Service, Target: t.Target, Order: t.Order, Stage: rollout.Stage(t.Stage), Sign: rollout.Sign{Term: t.Term, Beat: t.Beat},
 			Stopped: t.Stopped, Tally: make(rollout.Tally),
@@ -262,7 +273,7 @@
 // ItemFromWire is the inverse of ItemToWire.
 func ItemFromWire(v *wire.ListItem) pool.Item {
 	return pool.Item{Revision: v.Revision, Entry: pool.Entry{
-		ID: v.Id, Born: v.Born, Service: v.Service, Address: v.Address, Hall: v.Hall, Version: v.Version, Slots: int(v.Slots), Leaving: v.Leaving,
+		ID: v.Id, Born: v.Born, Service: v.Service, Address: v.Address, Hall: v.Hall, Version: v.Version, Slots: int(max(0, v.Slots)), Leaving: v.Leaving,
 		WarmUp: Millis(v.WarmUpMs), Reclaimable: v.Reclaimable, LeavesIn: Millis(v.LeavesInMs),
 	}}
 }
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -82,12 +82,15 @@
 
 // String returns the stage's name for logs.
 func (s Stage) String() string {
-	if s < StageWaiting || s > StageRolledBack {
+	if !s.Known() {
 		return "unknown"
 	}
 	return [...]string{"waiting", "trial", "fifth", "two_fifths", "full", "completed", "rolled_back"}[s]
 }
 
+// Known tells whether this is a stage: a node of another version may tell of one that isn't known here.
+func (s Stage) Known() bool { return s >= StageWaiting && s <= StageRolledBack }
+
 // Ended tells whether the stage is the last one.
 func (s Stage) Ended() bool { return s >= StageCompleted }
 
