--- a/internal/quarantine/family.go
+++ b/internal/quarantine/family.go
@@ -107,7 +107,8 @@
 	return f.ends[len(f.ends)-1].At.Add(hold)
 }
 
-// check tells whether one of them may be sent now. One at a time may, once the time is over.
+// check tells whether one of them may be sent now. One at a time may, once the time is over: while it runs,
+// trialTakes at most, the others wait for its answer, or for the end that makes the time longer.
 func (f *family) check(now time.Time, node string, p Print) Verdict {
 	until := f.until()
 	if until.IsZero() {
