--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math"
 	"sync"
@@ -279,28 +278,6 @@
 	choice route.Choice
 }
 
-// tries is the upstreams that a request was tried at, and whether it reached them.
-type tries map[string]bool
-
-func (t tries) note(id string, err error) { t[id] = !errors.Is(err, upstream.ErrNotSent) }
-
-func (t tries) has(id string) bool {
-	_, ok := t[id]
-	return ok
-}
-
-func (t tries) reached(id string) bool { return t[id] }
-
-// reachedAny tells whether the request has reached an upstream.
-func (t tries) reachedAny() bool {
-	for _, v := range t {
-		if v {
-			return true
-		}
-	}
-	return false
-}
-
 // pick chooses an upstream that isn't in tried, and counts the dispatch.
 func (p *pool) pick(s *config.Service, prompt *route.Prompt, tried tries) (target, bool) {
 	p.mu.Lock()
