The races' test waits for its platform

The test's calls had 1 s, and the errors of a late answer are the test's own to bring about. Ruled out: the store's code: 24 copies at once on a load of 57 fail in 11, of which two told why: "context deadline exceeded" of that read, at the stand-in. Change: 30 s a call; what is asserted stays.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -81,13 +81,16 @@
 	return Document{Name: name, Kind: KindTemplate, Body: "kind: template\nname: " + name + "\nservices:\n  - {name: a, protocol: chat, pool: p}\n"}
 }
 
+// patient is how long a call may take on a loaded machine: losses are the test's to bring about.
+const patient = 30 * time.Second
+
 // TestStoreUnderRaces: operators race, answers are lost after or before the effect,
 // and each concludes from its own answer. Every change told as accepted is in the
 // history exactly once, none told as a conflict is, and revisions have no gaps.
 func TestStoreUnderRaces(t *testing.T) {
 	s := httptest.NewServer(standin.NewPlatform(timer.Real()).Handler())
 	t.Cleanup(s.Close)
-	kv := store.NewGateway(s.URL, time.Second, timer.Real()).KV()
+	kv := store.NewGateway(s.URL, patient, timer.Real()).KV()
 	ctx := context.Background()
 	rapid.Check(t, func(t *rapid.T) {
 		st := NewStore(kv)
