Sight: the limit that an upstream names stands in the lines of requests

Cause: no line told what an answer says of a rate, so that nobody could tell whether nodes don't read it or don't share it. Nothing is decided by it yet.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -51,8 +51,25 @@
 	IdleLimit time.Duration // the upstream closes a connection idle for so long; 0: unsaid
 	Leaving   bool          // the upstream leaves, and is to get nothing new
 	Rest      time.Duration // the upstream wants nothing from this node for so long; 0: unsaid
+	Limit     Limit         // what the upstream takes from all nodes together
 }
 
+// Limit is what an answer says of a rate that its upstream takes.
+type Limit struct {
+	Word LimitWord
+	Rate float64 // requests a second from all nodes together, if one is named
+}
+
+// LimitWord is whether an answer names a limit.
+type LimitWord int
+
+// The words.
+const (
+	LimitNone    LimitWord = iota // the upstream takes whatever it has room for
+	LimitNamed                    // it names one
+	LimitUnclear                  // it can't be told whether there is one: what was known holds
+)
+
 // Dialect translates between headers and these types.
 type Dialect struct {
 	// ReadMeta reads what a caller said. What can't be read counts as not said.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -200,6 +200,7 @@
 	f := append(chosen(use), zap.String("request", q.meta.ID),
 		zap.String("address", use.Entry().Address), zap.Int("send", q.sends), zap.Duration("after", s.o.Clock.Since(q.arrived)),
 		zap.Bool("not_run", errors.Is(err, errNotRun)), zap.Bool("says_leaving", q.said.Leaving), zap.Duration("asks_rest", q.said.Rest), zap.String("cause", fault.Reason(err)))
+	f = append(f, namedLimit(q.said.Limit)...)
 	if broken {
 		f = append(f, s.noteBroken(ctx, q, a)...)
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -393,6 +393,7 @@
 	if q.use != nil {
 		f = append(f, chosen(q.use)...)
 		f = append(f, zap.Bool("says_leaving", q.said.Leaving))
+		f = append(f, namedLimit(q.said.Limit)...)
 	}
 	if err != nil {
 		f = append(f, zap.String("cause", fault.Reason(err)))
@@ -400,6 +401,18 @@
 	s.o.Log.Info("request_done", f...)
 }
 
+// namedLimit is the limit that an answer named, if it did.
+func namedLimit(l call.Limit) []zap.Field {
+	switch l.Word {
+	case call.LimitNamed:
+		return []zap.Field{zap.Float64("names_limit", l.Rate)}
+	case call.LimitUnclear:
+		return []zap.Field{zap.String("names_limit", "unclear")}
+	case call.LimitNone:
+	}
+	return nil
+}
+
 // chosen is what decided the choice of an upstream, and how old it was.
 func chosen(u *pool.Use) []zap.Field {
 	c := u.Choice()
