--- a/internal/pool/says.go
+++ b/internal/pool/says.go
@@ -21,6 +21,7 @@
 // is asked of one node, by its sends, and stays with it (retry.Rests). A limit is named for all nodes
 // together, and they share it (package limit).
 
+// Lifetime names the life that the entry is of.
 func (e Entry) Lifetime() retry.Lifetime { return retry.Lifetime{ID: e.ID, Born: e.Born} }
 
 // Leave takes in that an upstream has said itself that it leaves. It is the word of the life that
