--- /dev/null
+++ b/cmd/spurhall-soak/main.go
@@ -0,0 +1,192 @@
+// Command spurhall-soak plays days of faults against daemons and stand-ins as separate processes on loopback, and
+// checks what callers and upstreams see (docs/SOAK.md).
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"spurhall.example/spurhall/internal/soak"
+	"spurhall.example/spurhall/internal/timer"
+	"spurhall.example/spurhall/platform/platformtest"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "spurhall-soak:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "spurhall-soak",
+		Usage: "play days of faults against real processes on loopback",
+		Description: "Each seed draws a day. A day that breaks a promise leaves its folder, with all logs, what was drawn and what failed.\n\n" +
+			"Example:\n  spurhall-soak --daemon bin/spurhalld --seed 1 --seeds 50",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "first seed; 0: a fresh one"},
+			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "number of seeds, one after the other from the first"},
+			&cli.IntFlag{Name: "at-once", Value: 1, Usage: "days played at the same time"},
+			&cli.IntFlag{Name: "daemons", Usage: "daemons of each day; 0: drawn"},
+			&cli.DurationFlag{Name: "traffic", Usage: "length of each day; 0: the usual"},
+			&cli.StringFlag{Name: "daemon", Value: "bin/spurhalld", Usage: "path of spurhalld"},
+			&cli.StringFlag{Name: "dir", Value: "target/soak", Usage: "folder for failed days"},
+			&cli.BoolFlag{Name: "shrink", Usage: "leave out faults of a failed day while it still fails"},
+			&cli.BoolFlag{Name: "draw", Usage: "print the day, and don't play it"},
+			&cli.BoolFlag{Name: "keep", Usage: "keep the folders of days that pass, too"},
+		},
+		Action:   run,
+		Commands: []*cli.Command{platformCommand(), upstreamCommand()},
+	}
+}
+
+// errFailed says that some days broke promises; which ones was printed.
+var errFailed = errors.New("promises were broken")
+
+// player plays days.
+type player struct {
+	clock    *timer.Service
+	programs soak.Programs
+	dir      string
+	keep     bool
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	clock := timer.Real()
+	o, first := soak.Options{Daemons: c.Int("daemons"), Traffic: c.Duration("traffic")}, c.Uint64("seed")
+	if first == 0 {
+		first = uint64(clock.Wall().UnixNano())
+	}
+	if c.Bool("draw") {
+		return json.NewEncoder(os.Stdout).Encode(soak.Draw(first, o))
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	p := &player{clock: clock, programs: soak.Programs{Daemon: c.String("daemon"), Self: self}, dir: c.String("dir"), keep: c.Bool("keep")}
+	if _, err := os.Stat(p.programs.Daemon); err != nil {
+		return fmt.Errorf("--daemon: %w", err)
+	}
+	return p.playAll(ctx, first, c.Int("seeds"), max(1, c.Int("at-once")), o, c.Bool("shrink"))
+}
+
+func (p *player) playAll(ctx context.Context, first uint64, count, atOnce int, o soak.Options, shrink bool) error {
+	var w sync.WaitGroup
+	var mu sync.Mutex
+	failed, played := 0, 0
+	turns := make(chan struct{}, atOnce)
+	for i := range count {
+		turns <- struct{}{}
+		if ctx.Err() != nil {
+			break
+		}
+		w.Go(func() {
+			defer func() { <-turns }()
+			ok := p.report(ctx, soak.Draw(first+uint64(i), o), shrink)
+			mu.Lock()
+			defer mu.Unlock()
+			played++
+			if !ok {
+				failed++
+			}
+		})
+	}
+	w.Wait()
+	fmt.Printf("%d passed, %d failed\n", played-failed, failed)
+	if failed > 0 {
+		return errFailed
+	}
+	return ctx.Err()
+}
+
+// report plays a day and says what came of it.
+func (p *player) report(ctx context.Context, d soak.Day, shrink bool) bool {
+	began := p.clock.Now()
+	list, dir, err := p.play(ctx, d)
+	name := fmt.Sprintf("seed %d: %d daemons, %d faults, %v", d.Seed, d.Daemons, len(d.Faults), p.clock.Since(began).Round(time.Second))
+	switch {
+	case err != nil:
+		fmt.Printf("FAILED %s: not played: %v (%s)\n", name, err, dir)
+		return false
+	case len(list) == 0:
+		fmt.Println("passed", name)
+		return true
+	}
+	fmt.Printf("FAILED %s: %d broken, such as %v (%s)\n", name, len(list), list[0], dir)
+	if shrink {
+		less := soak.Shrink(d, func(d soak.Day) bool {
+			l, _, err := p.play(ctx, d)
+			return err == nil && len(l) > 0
+		})
+		b, _ := json.Marshal(less.Faults) // plain values
+		fmt.Printf("  seed %d still fails with %s\n", d.Seed, b)
+	}
+	return false
+}
+
+// play plays a day in a folder of its own, which is left where it failed.
+func (p *player) play(ctx context.Context, d soak.Day) (list []soak.Failure, dir string, err error) {
+	if err := os.MkdirAll(p.dir, 0o755); err != nil {
+		return nil, "", err
+	}
+	dir, err = os.MkdirTemp(p.dir, fmt.Sprintf("seed-%d-", d.Seed))
+	if err != nil {
+		return nil, "", err
+	}
+	r, err := soak.Play(ctx, p.clock, platformtest.World(), p.programs, d, dir, func(r soak.Record) bool { return len(soak.Check(r)) > 0 })
+	if err != nil {
+		return nil, dir, err
+	}
+	list = soak.Check(r)
+	if len(list) == 0 {
+		if !p.keep {
+			err = os.RemoveAll(dir)
+		}
+		return nil, dir, err
+	}
+	b, err := json.MarshalIndent(list, "", " ")
+	if err != nil {
+		return nil, dir, err
+	}
+	return list, dir, os.WriteFile(filepath.Join(dir, "failures.json"), b, 0o644)
+}
+
+func platformCommand() *cli.Command {
+	return &cli.Command{
+		Name: "platform", Usage: "the platform's store and cloud, as a process of a day",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "host"}, &cli.IntFlag{Name: "first"}, &cli.IntFlag{Name: "faces"}, &cli.StringFlag{Name: "control"}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return platformtest.ServeFaces(ctx, timer.Real(), c.String("host"), c.Int("first"), c.Int("faces"), c.String("control"))
+		},
+	}
+}
+
+func upstreamCommand() *cli.Command {
+	return &cli.Command{
+		Name: "upstream", Usage: "an upstream, as a process of a day",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "id"}, &cli.StringFlag{Name: "service"}, &cli.StringFlag{Name: "hall"}, &cli.StringFlag{Name: "listen"}, &cli.StringFlag{Name: "advertise"},
+			&cli.StringFlag{Name: "control"}, &cli.StringFlag{Name: "journal"}, &cli.DurationFlag{Name: "beat"}, &cli.DurationFlag{Name: "leaves"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return platformtest.RunWorker(ctx, timer.Real(), platformtest.WorkerOptions{
+				ID: c.String("id"), Service: c.String("service"), Hall: c.String("hall"), Listen: c.String("listen"), Advertise: c.String("advertise"),
+				Control: c.String("control"), Journal: c.String("journal"), Beat: c.Duration("beat"), Leaves: c.Duration("leaves"),
+			})
+		},
+	}
+}
--- a/cmd/spurhalld/edge.go
+++ b/cmd/spurhalld/edge.go
@@ -32,11 +32,12 @@
 		Description: "The environment variable " + platform.SettingsVariable + " holds the path of the platform's settings file (TOML).\n" +
 			"SIGTERM stops the node without cutting a request off; SIGHUP reads the file again.",
 		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "peers-listen", Sources: env("PEERS_LISTEN"), Usage: "address to listen on for other nodes, where they reach this one at another (a mapped port); default: the settings file's"},
 			&cli.IntFlag{Name: "metrics-port", Sources: env("METRICS_PORT"), Usage: "port of the metrics listener; 0: none"},
 			&cli.StringFlag{Name: "log-level", Sources: env("LOG_LEVEL"), Value: "info", Usage: "debug, info, warn or error"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
-			return runEdge(c.Int("metrics-port"), c.String("log-level"))
+			return runEdge(c.Int("metrics-port"), c.String("log-level"), c.String("peers-listen"))
 		},
 	}
 }
@@ -45,7 +46,7 @@
 // within; the rest is for stacks, sockets and what the collector is late for.
 const memoryShare = 0.6
 
-func runEdge(metricsPort int, level string) error {
+func runEdge(metricsPort int, level, peersListen string) error {
 	path, err := platform.SettingsPath()
 	if err != nil {
 		return err
@@ -64,7 +65,7 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	}
 	clock := timer.Real()
-	l, err := edge.Listen(s, metricsPort)
+	l, err := edge.Listen(s, peersListen, metricsPort)
 	if err != nil {
 		return err
 	}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log"
@@ -47,15 +48,17 @@
 	Front, Readiness, Peers, Metrics net.Listener // Metrics may be nil
 }
 
-// Listen opens the listeners. metricsPort 0 means no metrics.
-func Listen(s *Settings, metricsPort int) (*Listeners, error) {
+// Listen opens the listeners. Other nodes are listened for at the address that they are told, unless another one is
+// given. metricsPort 0 means no metrics.
+func Listen(s *Settings, peers string, metricsPort int) (*Listeners, error) {
+	peers = cmp.Or(peers, s.Peers)
 	var l Listeners
 	open := func(to *net.Listener, address string) error {
 		v, err := net.Listen("tcp", address)
 		*to = v
 		return err
 	}
-	err := errors.Join(open(&l.Front, s.Front), open(&l.Readiness, s.Readiness), open(&l.Peers, s.Peers))
+	err := errors.Join(open(&l.Front, s.Front), open(&l.Readiness, s.Readiness), open(&l.Peers, peers))
 	if err == nil && metricsPort != 0 {
 		a, e := netip.ParseAddrPort(s.Front)
 		if e != nil {
--- /dev/null
+++ b/internal/soak/caller.go
@@ -0,0 +1,101 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync"
+	"time"
+
+	"spurhall.example/spurhall/internal/timer"
+)
+
+// This file is the callers: each request goes out when the day says, whatever became of those before, over
+// connections that are kept until the process at the other end is gone.
+
+const (
+	// callWait is how long a caller waits for an answer, as it says in its request, and callGiveUp when it closes
+	// the connection whatever comes.
+	callWait   = 4 * time.Second
+	callGiveUp = callWait + 3*time.Second
+	keptCalls  = 32 // connections to each daemon
+)
+
+// callers send a day's requests.
+type callers struct {
+	clock   *timer.Service
+	world   World
+	clients []*http.Client
+	to      []string // by daemon
+
+	mu      sync.Mutex
+	replies []Reply
+}
+
+func newCallers(clock *timer.Service, w World, to []string) *callers {
+	c := &callers{clock: clock, world: w, to: to}
+	for range to {
+		d := &net.Dialer{Timeout: dialTimeout}
+		c.clients = append(c.clients, &http.Client{Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: keptCalls, DisableCompression: true}})
+	}
+	return c
+}
+
+// play sends all calls, or those until the context ends, and returns when each has ended.
+func (c *callers) play(ctx context.Context, began time.Time, calls []Call, prefix string) {
+	var w sync.WaitGroup
+	for i, v := range calls {
+		if c.clock.Sleep(ctx, began.Add(v.At).Sub(c.clock.Now())) != nil {
+			break
+		}
+		w.Go(func() { c.note(c.call(v, fmt.Sprintf("%s-%d", prefix, i))) })
+	}
+	w.Wait()
+}
+
+func (c *callers) note(r Reply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.replies = append(c.replies, r)
+}
+
+// known returns what has come so far.
+func (c *callers) known() []Reply {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]Reply(nil), c.replies...)
+}
+
+func (c *callers) call(v Call, id string) Reply {
+	r := Reply{Call: v, ID: id, Sent: c.clock.Wall()}
+	ctx, cancel := context.WithTimeout(context.Background(), callGiveUp)
+	defer cancel()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) { r.Wrote = i.Err == nil }})
+	h, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.to[v.Daemon]+"/"+string(v.Route)+"/x", io.NopCloser(strings.NewReader("ask "+id)))
+	if err == nil {
+		h.ContentLength = int64(len("ask " + id))
+		c.world.WriteCall(h, v, id, callWait)
+		err = c.exchange(h, v, &r)
+	}
+	if err != nil {
+		r.Error = err.Error()
+	}
+	r.Done = c.clock.Wall()
+	return r
+}
+
+func (c *callers) exchange(h *http.Request, v Call, r *Reply) error {
+	a, err := c.clients[v.Daemon].Do(h)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = a.Body.Close() }()
+	r.Status, r.Signed, r.Retry = a.StatusCode, c.world.Signed(a.Header), a.Header.Get("Retry-After")
+	b, err := io.ReadAll(a.Body)
+	r.Body, r.Whole = string(b), err == nil
+	return err
+}
--- /dev/null
+++ b/internal/soak/day.go
@@ -0,0 +1,249 @@
+// Package soak plays days of faults against the real programs, as separate processes on loopback, and checks
+// what callers and upstreams see.
+//
+//	day.go      draws a day from a seed: sizes, traffic, faults and their overlap
+//	proxy.go    stands on every connection: delays, resets, silences
+//	process.go  starts, signals and ends processes, by their ids
+//	caller.go   sends requests at the drawn times over connections that are kept
+//	event.go    what callers and upstreams saw
+//	check.go    the promises, from these events alone
+//	play.go     plays a day
+//	shrink.go   leaves faults out while the day still fails
+//
+// The names of the platform's wire come in by World, since only package platform knows them.
+//
+// Weighed: faults inside the programs, by build tags. They miss what the programs don't know of themselves: signals,
+// sockets, the order in which a kernel delivers. Weighed, too: a virtual clock. Nothing real would run on it; so a
+// seed repeats the day and its faults, and not the interleaving.
+package soak
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Kind is a kind of fault.
+type Kind string
+
+// The faults. Those of links hold for a time; signals and changes come at a moment.
+const (
+	FaultDelay     Kind = "delay"      // what passes the links of some processes is late
+	FaultReset     Kind = "reset"      // the open connections of some links are reset
+	FaultSilent    Kind = "silent"     // nothing passes, either way
+	FaultOldSilent Kind = "old-silent" // nothing passes on the connections that are open
+	FaultOneWay    Kind = "one-way"    // answers don't pass
+	FaultHall      Kind = "hall-cut"   // nothing passes between one hall and the others
+	FaultTerm      Kind = "term"       // SIGTERM, and a start once it has ended
+	FaultKill      Kind = "kill"       // SIGKILL, and a start
+	FaultKillAll   Kind = "kill-all"   // all daemons at once
+	FaultFreeze    Kind = "freeze"     // SIGSTOP, and SIGCONT
+	FaultReclaim   Kind = "reclaim"    // a hall's engines leave with short notice, and others come
+	FaultCrash     Kind = "crash"      // SIGKILL of upstreams, which start again under their ids
+	FaultDrain     Kind = "drain"      // SIGTERM of upstreams: they say that they leave, serve on for a while and end
+	FaultStore     Kind = "store"      // the store misbehaves, as How says
+	FaultLapse     Kind = "lapse"      // the store is away, and the upstreams' entries lapse
+	FaultForget    Kind = "forget"     // the store forgets its history
+	FaultCopy      Kind = "copy"       // the store comes back from an older copy
+	FaultConfig    Kind = "config"     // the operators move a route
+	FaultKeys      Kind = "keys"       // the operators withdraw a key
+	FaultQuota     Kind = "quota"      // the operators lower a quota
+	FaultLimit     Kind = "limit"      // an upstream names a rate for all daemons
+	FaultErrors    Kind = "errors"     // an upstream fails a part of its requests
+	FaultLost      Kind = "lost"       // an upstream runs requests and loses their answers
+)
+
+// How the store misbehaves.
+const (
+	StoreSlow   = "slow"
+	StoreDown   = "refuse"
+	StoreLoses  = "lose"
+	StoreFrozen = "freeze"
+	StoreBusy   = "busy"
+)
+
+// Target is what a fault strikes.
+type Target string
+
+// The targets.
+const (
+	OnDaemons   Target = "daemons"
+	OnUpstreams Target = "upstreams"
+	OnStore     Target = "store" // the daemons' ways to it
+	OnPeers     Target = "peers"
+	OnCallers   Target = "callers"
+)
+
+// Fault is one fault of a day.
+type Fault struct {
+	Kind Kind          `json:"kind"`
+	At   time.Duration `json:"at"`
+	For  time.Duration `json:"for,omitempty"`
+	On   Target        `json:"on,omitempty"`
+	Who  []int         `json:"who,omitempty"` // indexes of daemons or upstreams
+	Hall int           `json:"hall,omitempty"`
+	How  string        `json:"how,omitempty"`
+	X    float64       `json:"x,omitempty"` // strength, as the kind has it
+}
+
+// End is when a fault is over.
+func (f Fault) End() time.Duration { return f.At + f.For }
+
+// Call is one request of a day.
+type Call struct {
+	At     time.Duration
+	Daemon int
+	Route  Route
+	Key    KeyName
+	Size   int // tokens
+}
+
+// Route is which route a call takes.
+type Route string
+
+// The routes.
+const (
+	RoutePlain  Route = "plain"  // at most once
+	RouteAgain  Route = "again"  // may be repeated
+	RouteStream Route = "stream" // a stream that ends with its upstream
+	RouteResume Route = "resume" // a stream that goes on elsewhere
+	RouteMoving Route = "moving" // may be repeated; the operators move it
+)
+
+// KeyName is whose key a call bears.
+type KeyName string
+
+// The keys.
+const (
+	KeyWide      KeyName = "wide"      // of a workspace with room
+	KeyNarrow    KeyName = "narrow"    // of one that asks for more than its quota
+	KeyWithdrawn KeyName = "withdrawn" // which the operators may take away
+)
+
+// Day is what is played.
+type Day struct {
+	Seed      uint64        `json:"seed"`
+	Daemons   int           `json:"daemons"`
+	Halls     int           `json:"halls"`
+	Engines   int           `json:"engines"`
+	Plain     int           `json:"plain"` // upstreams of each of the two plain services
+	PerSecond float64       `json:"per_second"`
+	Traffic   time.Duration `json:"traffic"`
+	Faults    []Fault       `json:"faults"`
+}
+
+// Options bounds the days that are drawn.
+type Options struct {
+	Daemons int           // 0: drawn
+	Traffic time.Duration // 0: the usual
+}
+
+const (
+	usualTraffic = 16 * time.Second
+	// quietBefore and quietAfter are the parts of a day without faults: what the checks compare with, and in
+	// which everything has to have recovered.
+	quietBefore = 2 * time.Second
+	quietAfter  = 7 * time.Second
+	mostFaults  = 7
+)
+
+// Draw returns the day of a seed. The same seed and options draw the same day.
+func Draw(seed uint64, o Options) Day {
+	r := rand.New(rand.NewPCG(seed, 0x50a4))
+	d := Day{Seed: seed, Daemons: 3 + r.IntN(4), Halls: 2 + r.IntN(2), Engines: 4 + r.IntN(4), Plain: 3 + r.IntN(2), PerSecond: 40 + 60*r.Float64(), Traffic: usualTraffic}
+	if o.Daemons > 0 {
+		d.Daemons = o.Daemons
+		d.Halls = min(d.Halls, o.Daemons)
+	}
+	if o.Traffic > 0 {
+		d.Traffic = o.Traffic
+	}
+	last := d.Traffic - quietAfter
+	for range 2 + r.IntN(mostFaults-1) {
+		d.Faults = append(d.Faults, d.draw(r, quietBefore, last))
+	}
+	slices.SortStableFunc(d.Faults, func(a, b Fault) int { return int(a.At - b.At) })
+	return d
+}
+
+// kinds are drawn evenly.
+var kinds = []Kind{
+	FaultDelay, FaultReset, FaultSilent, FaultOldSilent, FaultOneWay, FaultHall, FaultTerm, FaultKill, FaultKillAll, FaultFreeze,
+	FaultReclaim, FaultCrash, FaultDrain, FaultStore, FaultLapse, FaultForget, FaultCopy, FaultConfig, FaultKeys, FaultQuota, FaultLimit, FaultErrors, FaultLost,
+}
+
+func (d *Day) draw(r *rand.Rand, first, last time.Duration) Fault {
+	f := Fault{Kind: kinds[r.IntN(len(kinds))]}
+	f.At = first + time.Duration(r.Int64N(int64(last-first)))
+	f.For = time.Duration(float64(last-f.At) * (0.2 + 0.8*r.Float64()))
+	f.Hall = r.IntN(d.Halls)
+	switch f.Kind {
+	case FaultDelay, FaultReset, FaultSilent, FaultOldSilent, FaultOneWay:
+		f.On = []Target{OnStore, OnPeers, OnUpstreams, OnCallers}[r.IntN(4)]
+		f.Who, f.X = d.some(r, f.On), 0.02+0.5*r.Float64()
+	case FaultTerm, FaultKill, FaultFreeze:
+		f.On = OnDaemons
+		f.Who = d.some(r, f.On)
+		if f.Kind == FaultFreeze && r.IntN(2) == 0 {
+			f.On = []Target{OnUpstreams, OnStore}[r.IntN(2)]
+			f.Who = d.some(r, f.On)
+		}
+		if f.Kind != FaultFreeze {
+			f.For = 0
+		}
+	case FaultCrash, FaultDrain, FaultErrors, FaultLost:
+		f.On = OnUpstreams
+		f.Who, f.X = d.some(r, f.On), 0.1+0.5*r.Float64()
+	case FaultLimit:
+		f.On = OnUpstreams
+		f.Who, f.X = d.some(r, f.On)[:1], 0.5+3*r.Float64()
+	case FaultStore:
+		f.How, f.X = []string{StoreSlow, StoreDown, StoreLoses, StoreFrozen, StoreBusy}[r.IntN(5)], 0.05+0.6*r.Float64()
+		f.Who = d.some(r, OnStore)
+	default:
+	}
+	return f
+}
+
+// some returns up to half of what a target has, at least one.
+func (d *Day) some(r *rand.Rand, on Target) []int {
+	n := d.Daemons
+	if on == OnUpstreams {
+		n = d.Upstreams()
+	}
+	list := r.Perm(n)[:1+r.IntN(max(1, n/2))]
+	slices.Sort(list)
+	return list
+}
+
+// Upstreams is how many there are of all services.
+func (d *Day) Upstreams() int { return d.Engines + 2*d.Plain }
+
+// HallOf is the hall of a daemon or an upstream.
+func (d *Day) HallOf(i int) int { return i % d.Halls }
+
+// Disturbed tells whether any fault is in force or was so lately.
+func (d *Day) Disturbed(from, to, lately time.Duration) bool {
+	return slices.ContainsFunc(d.Faults, func(f Fault) bool { return f.At <= to && f.End()+lately >= from })
+}
+
+// Calls draws the day's requests: at any time, whatever became of those before.
+func (d *Day) Calls() []Call {
+	r := rand.New(rand.NewPCG(d.Seed, 0xca11))
+	var list []Call
+	for at := time.Duration(0); ; {
+		at += time.Duration(r.ExpFloat64() / d.PerSecond * float64(time.Second))
+		if at >= d.Traffic {
+			return list
+		}
+		c := Call{At: at, Daemon: r.IntN(d.Daemons), Key: KeyWide, Size: 10 + r.IntN(40)}
+		c.Route = []Route{RoutePlain, RoutePlain, RouteAgain, RouteAgain, RouteStream, RouteResume, RouteResume, RouteMoving}[r.IntN(8)]
+		switch x := r.IntN(20); {
+		case x < 6:
+			c.Key = KeyNarrow
+		case x < 8:
+			c.Key = KeyWithdrawn
+		}
+		list = append(list, c)
+	}
+}
--- /dev/null
+++ b/internal/soak/play.go
@@ -0,0 +1,414 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"spurhall.example/spurhall/internal/timer"
+)
+
+// Programs is what is played.
+type Programs struct {
+	Daemon string // path of spurhalld
+	Self   string // path of spurhall-soak, which is the stand-ins, too
+}
+
+// Stage is what one day runs on.
+type Stage struct {
+	clock *timer.Service
+	world World
+	day   Day
+	dir   string
+	base  string // first three numbers of the day's addresses
+
+	platform  *Process
+	daemons   []*Process
+	upstreams []*Process
+	store     []*Link // by daemon
+	cloud     []*Link
+	callers   []*Link
+	peers     []*Link
+	serving   []*Link // by upstream
+
+	mu     sync.Mutex
+	config Configuration
+	record Record
+	busy   map[*Process]bool // a fault is at it
+}
+
+// Record is what a day left.
+type Record struct {
+	Day      Day              `json:"day"`
+	Began    time.Time        `json:"began"`
+	Replies  []Reply          `json:"-"`
+	Events   []Event          `json:"-"`
+	Configs  []Change         `json:"configs"`
+	Drains   []Drain          `json:"drains"`
+	Stops    []Stop           `json:"stops"`
+	Before   map[string]Level `json:"before"`
+	After    map[string]Level `json:"after"`
+	Lost     []string         `json:"lost"` // processes that ended by themselves
+	Usage    map[int64][]map[string]int64
+	Complete bool `json:"complete"` // the day was played to its end
+}
+
+// Change is a configuration, when the store took it.
+type Change struct {
+	Configuration
+	At time.Time `json:"at"`
+}
+
+// Drain is an upstream's planned end.
+type Drain struct {
+	Upstream string    `json:"upstream"`
+	At       time.Time `json:"at"`
+	Ended    time.Time `json:"ended"`
+}
+
+// Stop is a daemon's planned stop.
+type Stop struct {
+	Daemon int       `json:"daemon"`
+	At     time.Time `json:"at"`
+	Ended  time.Time `json:"ended"`
+}
+
+const (
+	stopGrace   = 6 * time.Second // from SIGTERM to SIGKILL
+	usageWindow = time.Second
+	usageLate   = 3 * time.Second
+	leaseTime   = 3 * time.Second
+	retryRatio  = 0.2
+	retryExtra  = 50.0
+	retryWindow = 10 * time.Second
+	storeWrites = 400.0
+	storeReads  = 2000.0
+	startWait   = 20 * time.Second
+	settles     = 1500 * time.Millisecond // from the start of all processes to that of traffic
+	drainServes = 2500 * time.Millisecond // an upstream serves on after it has said that it leaves
+	beatEvery   = 400 * time.Millisecond  // of upstreams
+	restartWait = 300 * time.Millisecond
+	checkEvery  = 2 * time.Second
+	facePort    = 7000
+	servePort   = 8080
+	readyPort   = 8081
+	peerPort    = 8082
+)
+
+var plays atomic.Int64
+
+// Play plays a day in a folder, and returns what it left. It ends early once found tells that something is broken.
+func Play(ctx context.Context, clock *timer.Service, w World, p Programs, day Day, dir string, found func(Record) bool) (Record, error) {
+	n := uint16(os.Getpid()*31) + uint16(plays.Add(1))
+	s := &Stage{
+		clock: clock, world: w, day: day, dir: dir, base: fmt.Sprintf("127.%d.%d.", 1+n>>8&0x7f, n&0xff),
+		config: Configuration{Version: 1}, busy: make(map[*Process]bool), record: Record{Day: day},
+	}
+	defer s.close()
+	if err := s.start(ctx, p); err != nil {
+		return Record{}, err
+	}
+	s.play(ctx, found)
+	return s.finish(ctx)
+}
+
+func (s *Stage) address(host, port int) string { return fmt.Sprintf("%s%d:%d", s.base, host, port) }
+
+func (s *Stage) daemonHost(i int) int   { return 10 + i }
+func (s *Stage) upstreamHost(i int) int { return 130 + i }
+func (s *Stage) face(i int) string      { return s.address(2, facePort+i) }
+func (s *Stage) control() string        { return s.address(2, facePort-1) }
+
+// hallName and the others are how processes are called.
+func hallName(i int) string     { return "hall-" + string(rune('a'+i)) }
+func daemonName(i int) string   { return fmt.Sprint("daemon-", i) }
+func upstreamName(i int) string { return fmt.Sprint("upstream-", i) }
+
+// serviceOf is the service of an upstream.
+func (d *Day) serviceOf(i int) string {
+	switch {
+	case i < d.Engines:
+		return ServiceEngine
+	case i < d.Engines+d.Plain:
+		return ServicePlain
+	}
+	return ServiceOther
+}
+
+func (s *Stage) start(ctx context.Context, p Programs) error {
+	var err error
+	s.platform, err = NewProcess(s.clock, s.dir, "platform", p.Self, nil, "platform", "--host", s.base+"2", "--first", strconv.Itoa(facePort),
+		"--faces", strconv.Itoa(s.day.Daemons), "--control", s.control())
+	if err == nil {
+		err = s.platform.Start()
+	}
+	if err == nil {
+		err = s.eventually(ctx, "the platform", func(ctx context.Context) error { return s.configure(ctx, func(*Configuration) {}) })
+	}
+	for i := 0; i < s.day.Upstreams() && err == nil; i++ {
+		err = s.addUpstream(p, i)
+	}
+	for i := 0; i < s.day.Daemons && err == nil; i++ {
+		err = s.addDaemon(p, i)
+	}
+	for i := 0; i < s.day.Daemons && err == nil; i++ {
+		err = s.eventually(ctx, daemonName(i), func(ctx context.Context) error { return s.ready(ctx, i) })
+	}
+	_ = s.clock.Sleep(ctx, settles) // what comes next sees the end
+	s.record.Before = s.levels()
+	return err
+}
+
+func (s *Stage) ready(ctx context.Context, i int) error {
+	return ask(ctx, http.MethodGet, "http://"+s.address(s.daemonHost(i), readyPort)+s.world.ReadyPath, nil, nil)
+}
+
+// eventually tries until something succeeds.
+func (s *Stage) eventually(ctx context.Context, what string, f func(ctx context.Context) error) error {
+	c, cancel := context.WithTimeout(ctx, startWait)
+	defer cancel()
+	for {
+		err := f(c)
+		if err == nil {
+			return nil
+		}
+		if s.clock.Sleep(c, 20*time.Millisecond) != nil {
+			return fmt.Errorf("%s: %w", what, err)
+		}
+	}
+}
+
+// source tells which daemon dials; it is looked up only on days that need it.
+func (s *Stage) source() func(net.Conn) string {
+	for _, f := range s.day.Faults {
+		if f.Kind == FaultHall {
+			return func(c net.Conn) string { return sourceOf(c, s.daemons) }
+		}
+	}
+	return nil
+}
+
+func (s *Stage) link(to string, source func(net.Conn) string) (*Link, error) {
+	return NewLink(s.clock, s.base+"1", to, source)
+}
+
+func (s *Stage) addUpstream(p Programs, i int) error {
+	listen := s.address(s.upstreamHost(i), servePort)
+	l, err := s.link(listen, s.source())
+	if err != nil {
+		return err
+	}
+	s.serving = append(s.serving, l)
+	v, err := NewProcess(s.clock, s.dir, upstreamName(i), p.Self, nil, "upstream", "--id", upstreamName(i), "--service", s.day.serviceOf(i), "--hall", hallName(s.day.HallOf(i)),
+		"--listen", listen, "--advertise", l.Address(), "--control", s.control(), "--journal", s.journal(i), "--beat", beatEvery.String(), "--leaves", drainServes.String())
+	if err != nil {
+		return err
+	}
+	s.upstreams = append(s.upstreams, v)
+	return v.Start()
+}
+
+func (s *Stage) journal(i int) string { return filepath.Join(s.dir, upstreamName(i)+".events") }
+
+func (s *Stage) addDaemon(p Programs, i int) error {
+	host := s.daemonHost(i)
+	for _, v := range []struct {
+		to     string
+		source func(net.Conn) string
+		list   *[]*Link
+	}{{s.face(i), nil, &s.store}, {s.face(i), nil, &s.cloud}, {s.address(host, servePort), nil, &s.callers}, {s.address(host, peerPort), s.source(), &s.peers}} {
+		l, err := s.link(v.to, v.source)
+		if err != nil {
+			return err
+		}
+		*v.list = append(*v.list, l)
+	}
+	if err := s.writeSettings(i, true); err != nil {
+		return err
+	}
+	v, err := NewProcess(s.clock, s.dir, daemonName(i), p.Daemon, []string{s.world.SettingsVariable + "=" + s.settingsPath(i)}, "edge", "--peers-listen", s.address(host, peerPort))
+	if err != nil {
+		return err
+	}
+	s.daemons = append(s.daemons, v)
+	return v.Start()
+}
+
+func (s *Stage) settingsPath(i int) string { return filepath.Join(s.dir, daemonName(i)+".toml") }
+
+func (s *Stage) writeSettings(i int, first bool) error {
+	host := s.daemonHost(i)
+	d := DaemonSettings{
+		Name: daemonName(i), Hall: hallName(s.day.HallOf(i)), Front: s.address(host, servePort), Ready: s.address(host, readyPort), Peers: s.peers[i].Address(),
+		Store: s.store[i].Address(), Cloud: s.cloud[i].Address(), First: first, Stop: stopGrace, Lease: leaseTime, UsageWindow: usageWindow, UsageLate: usageLate,
+		RetryRatio: retryRatio, RetryExtra: retryExtra, RetryWindow: retryWindow, StoreWrites: storeWrites, StoreReads: storeReads,
+	}
+	for h := range s.day.Halls {
+		d.Halls = append(d.Halls, hallName(h))
+	}
+	if i > 0 {
+		d.Seeds = []string{s.peers[0].Address()}
+	}
+	return os.WriteFile(s.settingsPath(i), []byte(s.world.Settings(d)), 0o644)
+}
+
+// configure changes what the operators have in force.
+func (s *Stage) configure(ctx context.Context, f func(c *Configuration)) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.config
+	f(&c)
+	c.Version++
+	key, value := s.world.Configuration(c)
+	if err := WriteKey(ctx, s.control(), http.MethodPut, key, value); err != nil {
+		return err
+	}
+	s.config = c
+	s.record.Configs = append(s.record.Configs, Change{c, s.clock.Wall()})
+	return nil
+}
+
+// play runs traffic and faults.
+func (s *Stage) play(ctx context.Context, found func(Record) bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	to := make([]string, len(s.callers))
+	for i, l := range s.callers {
+		to[i] = l.Address()
+	}
+	c := newCallers(s.clock, s.world, to)
+	s.record.Began = s.clock.Wall()
+	began := s.clock.Now()
+	var w sync.WaitGroup
+	for _, f := range s.day.Faults {
+		w.Go(func() {
+			if s.clock.Sleep(ctx, began.Add(f.At).Sub(s.clock.Now())) == nil {
+				s.strike(ctx, f)
+			}
+		})
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.play(ctx, began, s.day.Calls(), strconv.FormatUint(s.day.Seed, 36))
+	}()
+	s.watch(ctx, done, c, found)
+	cancel()
+	<-done
+	w.Wait()
+	s.record.Replies = c.known()
+}
+
+// watch checks while the day runs.
+func (s *Stage) watch(ctx context.Context, done <-chan struct{}, c *callers, found func(Record) bool) {
+	for {
+		late, stop := s.clock.After(checkEvery)
+		select {
+		case <-done:
+			stop()
+			s.mu.Lock()
+			s.record.Complete = ctx.Err() == nil
+			s.mu.Unlock()
+			return
+		case <-ctx.Done():
+			stop()
+			return
+		case <-late:
+		}
+		r := s.sofar(c)
+		if found(r) {
+			return
+		}
+	}
+}
+
+// sofar is what the day has left until now.
+func (s *Stage) sofar(c *callers) Record {
+	s.mu.Lock()
+	r := s.record
+	r.Configs, r.Drains, r.Stops = append([]Change(nil), r.Configs...), append([]Drain(nil), r.Drains...), append([]Stop(nil), r.Stops...)
+	s.mu.Unlock()
+	r.Replies = c.known()
+	r.Events, _ = s.events() // what can't be read now is read at the end
+	return r
+}
+
+func (s *Stage) events() ([]Event, error) {
+	var list []Event
+	for i := range s.upstreams {
+		l, err := ReadJournal(s.journal(i))
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, l...)
+	}
+	return list, nil
+}
+
+// finish gathers what is there once the day is over.
+func (s *Stage) finish(ctx context.Context) (Record, error) {
+	r := &s.record
+	if r.Complete {
+		_ = s.clock.Sleep(ctx, usageLate+usageWindow) // the last windows are reported
+		r.After = s.levels()
+		if err := ask(ctx, http.MethodGet, "http://"+s.control()+"/standin/usage", nil, &r.Usage); err != nil {
+			return Record{}, err
+		}
+	}
+	for _, p := range append([]*Process{s.platform}, append(s.daemons, s.upstreams...)...) {
+		for _, why := range p.Lost() {
+			r.Lost = append(r.Lost, p.name+": "+why)
+		}
+	}
+	var err error
+	r.Events, err = s.events()
+	if err != nil {
+		return Record{}, err
+	}
+	return *r, s.keep()
+}
+
+// keep writes the record beside the logs.
+func (s *Stage) keep() error {
+	for name, v := range map[string]any{"day.json": s.day, "record.json": s.record, "replies.json": s.record.Replies} {
+		b, err := json.MarshalIndent(v, "", " ")
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(filepath.Join(s.dir, name), b, 0o644); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Stage) levels() map[string]Level {
+	m := make(map[string]Level)
+	for _, p := range s.daemons {
+		if l, err := p.Level(); err == nil { // of one that has ended there is none
+			m[p.name] = l
+		}
+	}
+	return m
+}
+
+func (s *Stage) close() {
+	for _, p := range append(s.daemons, append(s.upstreams, s.platform)...) {
+		if p != nil {
+			p.Close()
+		}
+	}
+	for _, list := range [][]*Link{s.store, s.cloud, s.callers, s.peers, s.serving} {
+		for _, l := range list {
+			l.Close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/strike.go
@@ -0,0 +1,263 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"spurhall.example/spurhall/internal/standin"
+)
+
+// This file brings the faults about, each from outside the programs.
+
+// strike brings one fault about, and ends it.
+func (s *Stage) strike(ctx context.Context, f Fault) {
+	switch f.Kind {
+	case FaultDelay:
+		s.hold(ctx, f, Mode{Delay: seconds(f.X)})
+	case FaultSilent:
+		s.hold(ctx, f, Mode{Silent: true})
+	case FaultOldSilent:
+		s.hold(ctx, f, Mode{Old: s.clock.Now()})
+	case FaultOneWay:
+		s.hold(ctx, f, Mode{OneWay: true})
+	case FaultReset:
+		for _, l := range s.links(f) {
+			l.Reset()
+		}
+	case FaultHall:
+		s.cutHall(ctx, f)
+	case FaultTerm, FaultKill, FaultKillAll:
+		s.stopDaemons(ctx, f)
+	case FaultFreeze:
+		s.freeze(ctx, f)
+	case FaultReclaim, FaultCrash, FaultDrain:
+		s.endUpstreams(ctx, f)
+	case FaultStore, FaultLapse, FaultForget, FaultCopy:
+		s.strikeStore(ctx, f)
+	case FaultConfig:
+		s.log(s.configure(ctx, func(c *Configuration) { c.Moved = true }))
+	case FaultKeys:
+		s.log(s.configure(ctx, func(c *Configuration) { c.Withdrawn = true }))
+	case FaultQuota:
+		s.log(s.configure(ctx, func(c *Configuration) { c.Lowered = true }))
+	case FaultLimit:
+		s.behave(ctx, f, Behaviour{Limit: f.X})
+	case FaultErrors:
+		s.behave(ctx, f, Behaviour{Share: f.X, Fails: true})
+	case FaultLost:
+		s.behave(ctx, f, Behaviour{Share: f.X, Loses: true})
+	}
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// log tells of a call to a stand-in that failed: the fault may not have come about.
+func (s *Stage) log(err error) {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "spurhall-soak: a fault wasn't brought about:", err)
+	}
+}
+
+// lasts waits until a fault is over, or the day is.
+func (s *Stage) lasts(ctx context.Context, f Fault) { _ = s.clock.Sleep(ctx, f.For) }
+
+// links are those that a fault strikes.
+func (s *Stage) links(f Fault) []*Link {
+	list := map[Target][][]*Link{OnStore: {s.store, s.cloud}, OnPeers: {s.peers}, OnCallers: {s.callers}, OnUpstreams: {s.serving}}[f.On]
+	var r []*Link
+	for _, l := range list {
+		for _, i := range f.Who {
+			r = append(r, l[i])
+		}
+	}
+	return r
+}
+
+func (s *Stage) hold(ctx context.Context, f Fault, m Mode) {
+	for _, l := range s.links(f) {
+		defer l.Add(m)()
+	}
+	s.lasts(ctx, f)
+}
+
+// cutHall silences what passes between a hall and the others.
+func (s *Stage) cutHall(ctx context.Context, f Fault) {
+	inside, outside := make(map[string]bool), make(map[string]bool)
+	for i := range s.daemons {
+		if s.day.HallOf(i) == f.Hall {
+			inside[daemonName(i)] = true
+		} else {
+			outside[daemonName(i)] = true
+		}
+	}
+	for _, list := range [][]*Link{s.peers, s.serving} {
+		for i, l := range list {
+			from := inside
+			if s.day.HallOf(i) == f.Hall {
+				from = outside
+			}
+			defer l.Add(Mode{Sources: from})()
+		}
+	}
+	s.lasts(ctx, f)
+}
+
+// take reserves a process for one fault: two signals to one process at a time are drawn, two restarts aren't.
+func (s *Stage) take(p *Process) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.busy[p] {
+		return false
+	}
+	s.busy[p] = true
+	return true
+}
+
+func (s *Stage) release(p *Process) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.busy, p)
+}
+
+// each does something with the processes that a fault strikes, at the same time.
+func (s *Stage) each(list []*Process, who []int, f func(i int, p *Process)) {
+	var w sync.WaitGroup
+	for _, i := range who {
+		if p := list[i]; s.take(p) {
+			w.Go(func() {
+				defer s.release(p)
+				f(i, p)
+			})
+		}
+	}
+	w.Wait()
+}
+
+func (s *Stage) stopDaemons(ctx context.Context, f Fault) {
+	who := f.Who
+	if f.Kind == FaultKillAll {
+		who = nil
+		for i := range s.daemons {
+			who = append(who, i)
+		}
+	}
+	s.each(s.daemons, who, func(i int, p *Process) {
+		at := s.clock.Wall()
+		if f.Kind == FaultTerm {
+			s.noteStop(Stop{Daemon: i, At: at})
+			p.Signal(syscall.SIGTERM)
+			if !p.Wait(stopGrace) {
+				p.Kill()
+			}
+		} else {
+			p.Kill()
+		}
+		s.noteStop(Stop{Daemon: i, At: at, Ended: s.clock.Wall()})
+		_ = s.clock.Sleep(ctx, restartWait)
+		s.log(s.writeSettings(i, false))
+		s.log(p.Start())
+	})
+}
+
+// noteStop notes a planned stop, or its end.
+func (s *Stage) noteStop(v Stop) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.record.Stops {
+		if o := &s.record.Stops[i]; o.Daemon == v.Daemon && o.At.Equal(v.At) {
+			o.Ended = v.Ended
+			return
+		}
+	}
+	if v.Ended.IsZero() {
+		s.record.Stops = append(s.record.Stops, v)
+	}
+}
+
+func (s *Stage) freeze(ctx context.Context, f Fault) {
+	list := map[Target][]*Process{OnDaemons: s.daemons, OnUpstreams: s.upstreams, OnStore: {s.platform}}[f.On]
+	who := f.Who
+	if f.On == OnStore {
+		who = []int{0}
+	}
+	s.each(list, who, func(_ int, p *Process) {
+		p.Signal(syscall.SIGSTOP)
+		s.lasts(ctx, f)
+		p.Signal(syscall.SIGCONT)
+	})
+}
+
+func (s *Stage) endUpstreams(ctx context.Context, f Fault) {
+	who := f.Who
+	if f.Kind == FaultReclaim {
+		for i := range s.day.Engines {
+			if s.day.HallOf(i) == f.Hall {
+				who = append(who, i)
+			}
+		}
+	}
+	s.each(s.upstreams, who, func(_ int, p *Process) {
+		if f.Kind == FaultCrash {
+			p.Kill()
+		} else {
+			d := Drain{Upstream: p.name, At: s.clock.Wall()}
+			p.Signal(syscall.SIGTERM)
+			p.Wait(drainServes + dialTimeout)
+			p.Kill()
+			d.Ended = s.clock.Wall()
+			s.mu.Lock()
+			s.record.Drains = append(s.record.Drains, d)
+			s.mu.Unlock()
+		}
+		_ = s.clock.Sleep(ctx, max(restartWait, f.For/2))
+		s.log(p.Start())
+	})
+}
+
+func (s *Stage) strikeStore(ctx context.Context, f Fault) {
+	modes := map[string]standin.FaultMode{StoreSlow: standin.FaultSlow, StoreDown: standin.FaultRefuse, StoreLoses: standin.FaultLose, StoreFrozen: standin.FaultFreeze, StoreBusy: standin.FaultBusy}
+	set := func(who []int, v standin.Fault) {
+		for _, i := range who {
+			s.log(setFault(context.WithoutCancel(ctx), s.face(i), v))
+		}
+	}
+	var all []int
+	for i := range s.daemons {
+		all = append(all, i)
+	}
+	command := func(path string) { s.log(tell(context.WithoutCancel(ctx), s.control(), path, nil)) }
+	switch f.Kind {
+	case FaultStore:
+		set(f.Who, standin.Fault{Mode: modes[f.How], Delay: seconds(f.X).Milliseconds()})
+		s.lasts(ctx, f)
+		set(f.Who, standin.Fault{})
+	case FaultLapse:
+		set(all, standin.Fault{Mode: standin.FaultRefuse})
+		command("/standin/lapse")
+		s.lasts(ctx, f)
+		set(all, standin.Fault{})
+	case FaultForget:
+		command("/standin/forget")
+	case FaultCopy:
+		command("/standin/copy")
+		s.lasts(ctx, f)
+		command("/standin/return")
+	default:
+	}
+}
+
+func (s *Stage) behave(ctx context.Context, f Fault, b Behaviour) {
+	set := func(b Behaviour) {
+		for _, i := range f.Who {
+			// One that is down has no behaviour to change.
+			_ = tell(context.WithoutCancel(ctx), s.address(s.upstreamHost(i), servePort), BehavePath, b)
+		}
+	}
+	set(b)
+	s.lasts(ctx, f)
+	set(Behaviour{})
+}
