--- a/cmd/spurhall-soak/main.go
+++ b/cmd/spurhall-soak/main.go
@@ -45,6 +45,7 @@
 			&cli.StringFlag{Name: "daemon", Value: "bin/spurhalld", Usage: "path of spurhalld"},
 			&cli.StringFlag{Name: "dir", Value: "target/soak", Usage: "folder for failed days"},
 			&cli.BoolFlag{Name: "shrink", Usage: "leave out faults of a failed day while it still fails"},
+			&cli.BoolFlag{Name: "stop", Usage: "begin no day after one that failed"},
 			&cli.BoolFlag{Name: "draw", Usage: "print the day, and don't play it"},
 			&cli.BoolFlag{Name: "keep", Usage: "keep the folders of days that pass, too"},
 		},
@@ -62,6 +63,7 @@
 	programs soak.Programs
 	dir      string
 	keep     bool
+	stop     bool
 }
 
 func run(ctx context.Context, c *cli.Command) error {
@@ -77,7 +79,7 @@
 	if err != nil {
 		return err
 	}
-	p := &player{clock: clock, programs: soak.Programs{Daemon: c.String("daemon"), Self: self}, dir: c.String("dir"), keep: c.Bool("keep")}
+	p := &player{clock: clock, programs: soak.Programs{Daemon: c.String("daemon"), Self: self}, dir: c.String("dir"), keep: c.Bool("keep"), stop: c.Bool("stop")}
 	if _, err := os.Stat(p.programs.Daemon); err != nil {
 		return fmt.Errorf("--daemon: %w", err)
 	}
@@ -91,7 +93,10 @@
 	turns := make(chan struct{}, atOnce)
 	for i := range count {
 		turns <- struct{}{}
-		if ctx.Err() != nil {
+		mu.Lock()
+		enough := ctx.Err() != nil || p.stop && failed > 0
+		mu.Unlock()
+		if enough {
 			break
 		}
 		w.Go(func() {
@@ -116,8 +121,8 @@
 // report plays a day and says what came of it.
 func (p *player) report(ctx context.Context, d soak.Day, shrink bool) bool {
 	began := p.clock.Now()
-	list, dir, err := p.play(ctx, d)
-	name := fmt.Sprintf("seed %d: %d daemons, %d faults, %v", d.Seed, d.Daemons, len(d.Faults), p.clock.Since(began).Round(time.Second))
+	list, stalls, dir, err := p.play(ctx, d)
+	name := fmt.Sprintf("seed %d: %d daemons, %d faults, %v, %d stalls of the VM", d.Seed, d.Daemons, len(d.Faults), p.clock.Since(began).Round(time.Second), stalls)
 	switch {
 	case err != nil:
 		fmt.Printf("FAILED %s: not played: %v (%s)\n", name, err, dir)
@@ -129,7 +134,7 @@
 	fmt.Printf("FAILED %s: %d broken, such as %v (%s)\n", name, len(list), list[0], dir)
 	if shrink {
 		less := soak.Shrink(d, func(d soak.Day) bool {
-			l, _, err := p.play(ctx, d)
+			l, _, _, err := p.play(ctx, d)
 			return err == nil && len(l) > 0
 		})
 		b, _ := json.Marshal(less.Faults) // plain values
@@ -139,30 +144,30 @@
 }
 
 // play plays a day in a folder of its own, which is left where it failed.
-func (p *player) play(ctx context.Context, d soak.Day) (list []soak.Failure, dir string, err error) {
+func (p *player) play(ctx context.Context, d soak.Day) (list []soak.Failure, stalls int, dir string, err error) {
 	if err := os.MkdirAll(p.dir, 0o755); err != nil {
-		return nil, "", err
+		return nil, 0, "", err
 	}
 	dir, err = os.MkdirTemp(p.dir, fmt.Sprintf("seed-%d-", d.Seed))
 	if err != nil {
-		return nil, "", err
+		return nil, 0, "", err
 	}
 	r, err := soak.Play(ctx, p.clock, platformtest.World(), p.programs, d, dir, func(r soak.Record) bool { return len(soak.Check(r)) > 0 })
 	if err != nil {
-		return nil, dir, err
+		return nil, 0, dir, err
 	}
 	list = soak.Check(r)
 	if len(list) == 0 {
 		if !p.keep {
 			err = os.RemoveAll(dir)
 		}
-		return nil, dir, err
+		return nil, len(r.Stalls), dir, err
 	}
 	b, err := json.MarshalIndent(list, "", " ")
 	if err != nil {
-		return nil, dir, err
+		return nil, 0, dir, err
 	}
-	return list, dir, os.WriteFile(filepath.Join(dir, "failures.json"), b, 0o644)
+	return list, len(r.Stalls), dir, os.WriteFile(filepath.Join(dir, "failures.json"), b, 0o644)
 }
 
 func platformCommand() *cli.Command {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -25,6 +25,7 @@
 // The bounds. Those of time are the platform's pages'.
 const (
 	lately      = 3 * time.Second // how long after a fault a daemon isn't in touch
+	stallEcho   = time.Second     // until what a stall has held up is made good
 	drainBound  = 2 * time.Second // requests reach an upstream that leaves no later
 	applyBound  = 2 * time.Second // a configuration is in force
 	backBound   = time.Second     // from a daemon's first use of a configuration, after which it uses none before it
@@ -71,9 +72,14 @@
 // at is a time of the day.
 func (v *view) at(t time.Time) time.Duration { return t.Sub(v.Began) }
 
-// calm tells whether no fault that fits was in force in a span, or lately before it.
+// stalled tells whether the VM was too busy in a span, or just before it.
+func (v *view) stalled(from, to time.Time) bool {
+	return slices.ContainsFunc(v.Stalls, func(s Stall) bool { return !s.From.After(to) && !s.To.Before(from.Add(-stallEcho)) })
+}
+
+// calm tells whether no fault that fits was in force in a span, or lately before it, and the VM ran what was due.
 func (v *view) calm(from, to time.Time, fits func(f Fault) bool) bool {
-	return !slices.ContainsFunc(v.Day.Faults, func(f Fault) bool {
+	return !v.stalled(from, to) && !slices.ContainsFunc(v.Day.Faults, func(f Fault) bool {
 		end := f.End()
 		if f.Kind == FaultTerm || f.Kind == FaultReclaim || f.Kind == FaultDrain || f.Kind == FaultCrash || f.Kind == FaultKill || f.Kind == FaultKillAll {
 			end += stopGrace + 2*time.Second // until the process has started again
@@ -269,7 +275,9 @@
 
 // oneLife tells whether a daemon's process was neither stopped nor killed in a span.
 func (v *view) oneLife(daemon int, from, to time.Time) bool {
-	return !slices.ContainsFunc(v.Stops, func(s Stop) bool { return s.Daemon == daemon && !s.At.After(to) && (s.Ended.IsZero() || s.Ended.After(from)) })
+	return !slices.ContainsFunc(v.Stops, func(s Stop) bool {
+		return s.Daemon == daemon && !s.At.After(to) && (s.Ended.IsZero() || s.Ended.After(from))
+	})
 }
 
 // checkKeys: a key that was withdrawn opens nothing, and one that is in force is never turned away.
@@ -428,7 +436,9 @@
 // drained tells whether an upstream that ran a request had its planned end under it.
 func (v *view) drained(r *Reply) bool {
 	return slices.ContainsFunc(v.runs[r.ID], func(e Event) bool {
-		return slices.ContainsFunc(v.Drains, func(d Drain) bool { return d.Upstream == e.Upstream && !d.Ended.After(r.Done.Add(time.Second)) && d.Ended.After(r.Sent) })
+		return slices.ContainsFunc(v.Drains, func(d Drain) bool {
+			return d.Upstream == e.Upstream && !d.Ended.After(r.Done.Add(time.Second)) && d.Ended.After(r.Sent)
+		})
 	})
 }
 
@@ -457,35 +467,49 @@
 			byStatus[r.Status]++
 		}
 	}
-	if float64(served) < servedShare*float64(asked) {
+	last := v.Began.Add(v.Day.Traffic)
+	if float64(served) < servedShare*float64(asked) && !v.stalled(last.Add(-2*lastSeconds), last) {
 		return []Failure{{"served", "", fmt.Sprintf("%d of %d in the last %v; others by status: %v", served, asked, lastSeconds, byStatus)}}
 	}
 	return nil
 }
 
-// checkUsage: a window has one count, and the right one where nothing was wrong around it.
+// checkUsage: a window has one count, and the right one where nothing was wrong around it. A window that was settled
+// while the store came back from a copy may be missing.
 func checkUsage(v *view) []Failure {
 	var list []Failure
-	for w, counts := range v.Usage {
-		if len(counts) > 1 {
-			list = append(list, Failure{"usage", "", fmt.Sprintf("window %d was reported with %d different counts", w, len(counts))})
-			continue
-		}
+	first := v.Began.UnixMilli()/usageWindow.Milliseconds() + 1
+	for w := first; w < first+int64(v.Day.Traffic/usageWindow)-1; w++ {
 		from := time.UnixMilli(w * usageWindow.Milliseconds())
-		to := from.Add(usageWindow)
-		if from.Before(v.Began) || v.at(to) > v.Day.Traffic || !v.calm(from.Add(-2*usageWindow), to.Add(usageLate), anything) {
-			continue
+		calm := v.calm(from.Add(-2*usageWindow), from.Add(usageWindow+usageLate), anything)
+		switch counts := v.Usage[w]; {
+		case len(counts) > 1:
+			list = append(list, Failure{"usage", "", fmt.Sprintf("window %d was reported with %d different counts", w, len(counts))})
+		case calm && len(counts) == 0:
+			list = append(list, Failure{"usage", "", fmt.Sprintf("window %d wasn't reported", w)})
+		case calm:
+			list = append(list, v.compareUsage(w, v.begunIn(from), counts[0])...)
 		}
-		want := make(map[string]int64)
-		for id, runs := range v.runs {
-			if r := v.replies[id]; r != nil && !runs[0].At.Before(from) && runs[0].At.Before(to) {
-				want[runs[0].Tenant]++
-			}
+	}
+	return list
+}
+
+// begunIn counts the requests that began to run in a window, by workspace.
+func (v *view) begunIn(from time.Time) map[string]int64 {
+	n := make(map[string]int64)
+	for id, runs := range v.runs {
+		if v.replies[id] != nil && !runs[0].At.Before(from) && runs[0].At.Before(from.Add(usageWindow)) {
+			n[runs[0].Tenant]++
 		}
-		for t, n := range want {
-			if got := counts[0][t]; float64(max(got-n, n-got)) > usageShare*float64(n)+usageLeast {
-				list = append(list, Failure{"usage", "", fmt.Sprintf("window %d: %d of %s began, %d were reported", w, n, t, got)})
-			}
+	}
+	return n
+}
+
+func (v *view) compareUsage(w int64, want, got map[string]int64) []Failure {
+	var list []Failure
+	for t, n := range want {
+		if float64(max(got[t]-n, n-got[t])) > usageShare*float64(n)+usageLeast {
+			list = append(list, Failure{"usage", "", fmt.Sprintf("window %d: %d of %s began, %d were reported", w, n, t, got[t])})
 		}
 	}
 	slices.SortFunc(list, func(a, b Failure) int { return cmp.Compare(a.What, b.What) })
--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -58,7 +58,14 @@
 	After    map[string]Level `json:"after"`
 	Lost     []string         `json:"lost"` // processes that ended by themselves
 	Usage    map[int64][]map[string]int64
-	Complete bool `json:"complete"` // the day was played to its end
+	Stalls   []Stall `json:"stalls"`
+	Complete bool    `json:"complete"` // the day was played to its end
+}
+
+// Stall is a time in which the VM itself was too busy to run what was due: bounds of time say nothing there.
+type Stall struct {
+	From time.Time `json:"from"`
+	To   time.Time `json:"to"`
 }
 
 // Change is a configuration, when the store took it.
@@ -288,6 +295,7 @@
 	s.record.Began = s.clock.Wall()
 	began := s.clock.Now()
 	var w sync.WaitGroup
+	w.Go(func() { s.watchVM(ctx) })
 	for _, f := range s.day.Faults {
 		w.Go(func() {
 			if s.clock.Sleep(ctx, began.Add(f.At).Sub(s.clock.Now())) == nil {
@@ -307,6 +315,22 @@
 	s.record.Replies = c.known()
 }
 
+const (
+	stallTick  = 50 * time.Millisecond
+	stallLeast = 200 * time.Millisecond // that a tick comes late
+)
+
+// watchVM notes when this process, which does little, isn't run in time: others aren't, either.
+func (s *Stage) watchVM(ctx context.Context) {
+	for last := s.clock.Wall(); s.clock.Sleep(ctx, stallTick) == nil; last = s.clock.Wall() {
+		if now := s.clock.Wall(); now.Sub(last) > stallTick+stallLeast {
+			s.mu.Lock()
+			s.record.Stalls = append(s.record.Stalls, Stall{last, now})
+			s.mu.Unlock()
+		}
+	}
+}
+
 // watch checks while the day runs.
 func (s *Stage) watch(ctx context.Context, done <-chan struct{}, c *callers, found func(Record) bool) {
 	for {
@@ -335,6 +359,7 @@
 	s.mu.Lock()
 	r := s.record
 	r.Configs, r.Drains, r.Stops = append([]Change(nil), r.Configs...), append([]Drain(nil), r.Drains...), append([]Stop(nil), r.Stops...)
+	r.Stalls = append([]Stall(nil), r.Stalls...)
 	s.mu.Unlock()
 	r.Replies = c.known()
 	r.Events, _ = s.events() // what can't be read now is read at the end
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -1,9 +1,7 @@
 package soak
 
 import (
-	"errors"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -139,58 +137,3 @@
 	pages, err := strconv.ParseInt(f[1], 10, 64)
 	return Level{Bytes: pages * int64(os.Getpagesize()), Descriptors: len(fds)}, err
 }
-
-// sourceOf returns which of some processes holds the other end of a connection; empty: none of them.
-func sourceOf(c net.Conn, list []*Process) string {
-	a, ok := c.RemoteAddr().(*net.TCPAddr)
-	if !ok {
-		return ""
-	}
-	inode, err := inodeOf(a)
-	if err != nil {
-		return ""
-	}
-	want := "socket:[" + inode + "]"
-	for _, p := range list {
-		if p.holds(want) {
-			return p.name
-		}
-	}
-	return ""
-}
-
-func (p *Process) holds(socket string) bool {
-	dir := filepath.Join("/proc", strconv.Itoa(p.pid()), "fd")
-	fds, err := os.ReadDir(dir)
-	if err != nil {
-		return false // it has ended
-	}
-	for _, f := range fds {
-		if to, err := os.Readlink(filepath.Join(dir, f.Name())); err == nil && to == socket {
-			return true
-		}
-	}
-	return false
-}
-
-var errNoSocket = errors.New("no such socket")
-
-// inodeOf finds a local socket by its address in the kernel's table.
-func inodeOf(a *net.TCPAddr) (string, error) {
-	ip := a.IP.To4()
-	if ip == nil {
-		return "", errNoSocket
-	}
-	b, err := os.ReadFile("/proc/net/tcp")
-	if err != nil {
-		return "", err
-	}
-	local := fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], a.Port)
-	for _, line := range strings.Split(string(b), "\n") {
-		f := strings.Fields(line)
-		if len(f) > 9 && f[1] == local {
-			return f[9], nil
-		}
-	}
-	return "", errNoSocket
-}
