--- a/cmd/spurhall-soak/main.go
+++ b/cmd/spurhall-soak/main.go
@@ -10,6 +10,8 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -39,6 +41,7 @@
 		Flags: []cli.Flag{
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "first seed; 0: a fresh one"},
 			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "number of seeds, one after the other from the first"},
+			&cli.StringFlag{Name: "regressions", Usage: "play the seeds of this file instead; each line has a seed and why it failed once"},
 			&cli.IntFlag{Name: "at-once", Value: 1, Usage: "days played at the same time"},
 			&cli.IntFlag{Name: "daemons", Usage: "daemons of each day; 0: drawn"},
 			&cli.DurationFlag{Name: "traffic", Usage: "length of each day; 0: the usual"},
@@ -83,15 +86,45 @@
 	if _, err := os.Stat(p.programs.Daemon); err != nil {
 		return fmt.Errorf("--daemon: %w", err)
 	}
-	return p.playAll(ctx, first, c.Int("seeds"), max(1, c.Int("at-once")), o, c.Bool("shrink"))
+	seeds := make([]uint64, c.Int("seeds"))
+	for i := range seeds {
+		seeds[i] = first + uint64(i)
+	}
+	if f := c.String("regressions"); f != "" {
+		if seeds, err = readSeeds(f); err != nil {
+			return fmt.Errorf("--regressions: %w", err)
+		}
+	}
+	return p.playAll(ctx, seeds, max(1, c.Int("at-once")), o, c.Bool("shrink"))
+}
+
+// readSeeds reads the first word of each line that isn't a comment.
+func readSeeds(path string) ([]uint64, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var seeds []uint64
+	for i, line := range strings.Split(string(b), "\n") {
+		word, _, _ := strings.Cut(strings.TrimSpace(line), " ")
+		if word == "" || strings.HasPrefix(word, "#") {
+			continue
+		}
+		n, err := strconv.ParseUint(word, 10, 64)
+		if err != nil {
+			return nil, fmt.Errorf("%s:%d: %q is no seed", path, i+1, word)
+		}
+		seeds = append(seeds, n)
+	}
+	return seeds, nil
 }
 
-func (p *player) playAll(ctx context.Context, first uint64, count, atOnce int, o soak.Options, shrink bool) error {
+func (p *player) playAll(ctx context.Context, seeds []uint64, atOnce int, o soak.Options, shrink bool) error {
 	var w sync.WaitGroup
 	var mu sync.Mutex
 	failed, played := 0, 0
 	turns := make(chan struct{}, atOnce)
-	for i := range count {
+	for _, seed := range seeds {
 		turns <- struct{}{}
 		mu.Lock()
 		enough := ctx.Err() != nil || p.stop && failed > 0
@@ -101,7 +134,7 @@
 		}
 		w.Go(func() {
 			defer func() { <-turns }()
-			ok := p.report(ctx, soak.Draw(first+uint64(i), o), shrink)
+			ok := p.report(ctx, soak.Draw(seed, o), shrink)
 			mu.Lock()
 			defer mu.Unlock()
 			played++
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -115,11 +115,14 @@
 	return now.Sub(p.heard) <= silentAfter(n.peers.size()) || now.Sub(p.listed) <= 2*memberLook
 }
 
-// relays returns the relays of all halls, as this node sees them. The node's lock is held.
-func (n *Node) relays(now time.Time) []string {
-	var list []string
+// relays returns some of the relays of all halls, as this node sees them: of a hall's nodes in order, those that a
+// function of package relay picks. The node's lock is held.
+func (n *Node) relays(now time.Time, some func(ordered []string) []string) []string {
+	list := some(n.hallNodes(now, n.s.Hall))
 	for hall := range n.s.Halls {
-		list = append(list, relay.Relays(n.hallNodes(now, hall))...)
+		if hall != n.s.Hall {
+			list = append(list, some(n.hallNodes(now, hall))...)
+		}
 	}
 	slices.Sort(list)
 	return list
@@ -212,7 +215,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var others []*peer
-	for _, name := range n.relays(now) {
+	for _, name := range n.relays(now, relay.Relays) {
 		if p := n.peers.peers[name]; p != nil {
 			others = append(others, p)
 		}
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -38,6 +38,9 @@
 	return ordered[:min(len(ordered), max(leastRelays, active(len(ordered))))]
 }
 
+// Active returns the relays of a hall that its nodes report to, which place their requests.
+func Active(ordered []string) []string { return ordered[:min(len(ordered), active(len(ordered)))] }
+
 // active is how many relays of a hall nodes report to. The others only swap.
 func active(nodes int) int { return (nodes + nodesARelay - 1) / nodesARelay }
 
@@ -45,7 +48,7 @@
 // them, out of the hall's nodes in order.
 func Homes(self string, ordered []string) []string {
 	homes := slices.Clone(Relays(ordered))
-	actives := homes[:min(active(len(ordered)), len(homes))]
+	actives := homes[:len(Active(ordered))]
 	slices.SortFunc(actives, func(a, b string) int {
 		return cmp.Compare(xxhash.Sum64String(self+a), xxhash.Sum64String(self+b))
 	})
