Callers that are turned away while all rest: one order of return, for both compositions

The own interface told all callers the end of the rest, the users' platform each its turn. The order is retry.Turns now and both use it; what there is room for comes from pool, and from the admission's slots and service time. Of 400 callers of a resting engine with 32 slots all were told one second before (TestCallersOfRestingEnginesReturnInOrder failed: 20 where 22 or more are asked).

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -205,6 +205,14 @@
 	return time.Duration(c.service * float64(time.Second))
 }
 
+// Room returns the slots that requests share here, and how many of these end a second where all slots are taken.
+func (c *Controller) Room() (slots, perSecond float64) {
+	return c.slots, c.slots / max(c.service, leastService)
+}
+
+// leastService keeps what a request is taken to last from being nothing, before one has been measured.
+const leastService = 0.001 // seconds
+
 // fits tells whether a slot is free for the class.
 func (c *Controller) fits(k Class) bool {
 	free := c.slots - float64(c.Running())
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -98,6 +98,7 @@
 	cands     []route.Candidate
 	moving    map[string]*move // streams, by request id
 	rests     *retry.Rests     // that upstreams have asked of this node
+	turns     retry.Turns      // of callers that are turned away while all rest
 	spent     money
 	perToken  float64 // seconds, smoothed over all upstreams
 }
--- a/internal/dispatch/rest.go
+++ b/internal/dispatch/rest.go
@@ -14,8 +14,8 @@
 // has said when it will.
 const returnsAfter = time.Second
 
-// nobody is the refusal where no upstream can take a request, with the time to the end of the first
-// one's rest where all of them rest.
+// nobody is the refusal where no upstream can take a request, with the time until its caller's turn where all of
+// them rest.
 func (p *pool) nobody() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -23,9 +23,10 @@
 	for i := range p.list {
 		list[i] = retry.Lifetime{ID: p.list[i].ID}
 	}
-	after := p.rests.Soonest(p.d.o.Clock.Now(), list)
-	if after == 0 {
-		after = returnsAfter
+	now, after := p.d.o.Clock.Now(), returnsAfter
+	if rest := p.rests.Soonest(now, list); rest > 0 {
+		slots, perSecond := p.admission.Room()
+		after = p.turns.Take(now, rest, slots, perSecond)
 	}
 	return &Refusal{cause: errNobody.Error(), after: after, nobody: true}
 }
--- a/internal/node/rest_test.go
+++ b/internal/node/rest_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -10,6 +12,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"spurhall.example/spurhall/internal/retry"
 	"spurhall.example/spurhall/internal/standin"
 	"spurhall.example/spurhall/internal/store"
 )
@@ -82,3 +85,26 @@
 	assert.Equal(t, was, list[0].arrived.Load()+list[1].arrived.Load())
 	assert.Contains(t, []string{"20", "19", "18", "17"}, a.header.Get("Retry-After"))
 }
+
+// TestCallersOfRestingEnginesReturnInOrder: callers beyond those that there is room for at once are told later times;
+// told the same second, all 400 came back in it.
+func TestCallersOfRestingEnginesReturnInOrder(t *testing.T) {
+	r := newRig(t, "hall-a")
+	v := r.addResting("e0", "llm", "20")
+	r.waitEngines(1)
+	n := r.nodes[0]
+	r.eventually("it is asked", func() bool {
+		_ = r.chat(n, newChat("chat", fmt.Sprint("p", time.Now().UnixNano()), 2, true))
+		return v.arrived.Load() > 0
+	})
+	least, most := math.MaxInt, 0
+	for i := range 400 {
+		a := r.chat(n, newChat("chat", fmt.Sprint("q", i), 2, true))
+		assert.Equal(t, http.StatusServiceUnavailable, a.status)
+		s, err := strconv.Atoi(a.header.Get("Retry-After"))
+		assert.NoError(t, err)
+		least, most = min(least, s), max(most, s)
+	}
+	assert.GreaterOrEqual(t, most, least+2)
+	assert.LessOrEqual(t, most, 20+int(retry.SpreadMost/time.Second))
+}
--- a/internal/pool/comeback.go
+++ b/internal/pool/comeback.go
@@ -4,17 +4,7 @@
 
 // This file is when callers may come back that are turned away while all upstreams of a service rest, or have
 // had what they take.
-//
-// The load that it answers: for 0.2 to 5 s all that comes is turned away, at each node. Told the end of
-// the rest, all would be there in one moment: of 400 callers turned away within a second of rest 320 find no
-// place and wait behind each other, and with them whoever comes anew (TestCallersComeBackInOrder). So each is
-// told the moment at which its turn is: as many as there are places come at once, the others at the pace at
-// which requests end. A node goes by its share of both, since it can't ask the others before it answers.
-
-// comeBackSpread bounds how much later than the end of the rest a caller is told to come: few callers have longer
-// to wait for, and how long requests last is a guess. More turns than it holds begin again at its start, so that
-// those beyond it come evenly, too, and not all at its end.
-const comeBackSpread = 5 * time.Second
+// Their order is retry.Turns; here is what there is room for.
 
 // ComeBack returns how long a caller that is turned away now is to stay away, where all upstreams that could
 // take it rest or have had what they take; else 0. Each call takes a turn.
@@ -53,23 +43,7 @@
 		return 0
 	}
 	nodes := float64(p.nodes(now))
-	return s.turn(now, soonest, places/nodes, pace/nodes)
-}
-
-// turn returns when the next caller may come, given the places that this node counts on then, and the requests a
-// second that there is room for from then on.
-func (s *service) turn(now time.Time, rest time.Duration, places, perSecond float64) time.Duration {
-	if perSecond <= 0 {
-		return rest
-	}
-	end := now.Add(rest)
-	pace := time.Duration(float64(time.Second) / perSecond)
-	if s.turns.Before(end) {
-		s.turns = end
-	}
-	at := s.turns.Add(-time.Duration(max(0, places-1)) * pace) // as many as there are places come at once
-	s.turns = s.turns.Add(pace)
-	return rest + max(0, at.Sub(end))%comeBackSpread
+	return s.turns.Take(now, soonest, places/nodes, pace/nodes)
 }
 
 // nodes is how many nodes share the upstreams, this one included: those that were heard of lately.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -130,11 +130,11 @@
 	learner capacity.Learner
 	engine  capacity.Engine // as all nodes have learned it
 	merged  time.Time
-	reads   float64   // prompt tokens of a request that aren't cached
-	answer  float64   // milliseconds to an answer's head
-	lasts   float64   // milliseconds that a request takes, to its end
-	lag     float64   // milliseconds by which first events lately come later than expected
-	turns   time.Time // of the next caller that is turned away while all upstreams rest
+	reads   float64     // prompt tokens of a request that aren't cached
+	answer  float64     // milliseconds to an answer's head
+	lasts   float64     // milliseconds that a request takes, to its end
+	lag     float64     // milliseconds by which first events lately come later than expected
+	turns   retry.Turns // of callers that are turned away while no upstream takes anything
 }
 
 type placing struct {
