Requests that find no upstream teach the admission no service time

Cause: a request that is admitted and finds all upstreams resting ends at once, and its end counted as a measurement of how long requests last. After some tens of them waits looked short and turns followed each other within milliseconds (400 callers within one second, where 32 slots serve 32 a second). Ruled out: the order itself (retry.Turns' own tests).

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -118,6 +118,7 @@
 	index    int
 	deadline time.Duration
 	started  time.Duration
+	unserved bool // it found no upstream
 }
 
 // New returns a controller with no slots.
@@ -321,6 +322,14 @@
 	return -1
 }
 
+// Unserved says that an admitted request found no upstream, so that its end tells nothing of the service time: callers
+// that are turned away at once would make waits look short that aren't.
+func (c *Controller) Unserved(id string) {
+	if it := c.active[id]; it != nil {
+		it.unserved = true
+	}
+}
+
 // Done says that an admitted request has ended, and returns those that may start.
 func (c *Controller) Done(now time.Duration, id string) []string {
 	it := c.active[id]
@@ -330,8 +339,9 @@
 	delete(c.active, id)
 	c.running[it.r.Class]--
 	c.space(it.r.Workspace).inFlight--
-	took := (now - it.started).Seconds()
-	c.service += serviceGain * (took - c.service)
+	if !it.unserved {
+		c.service += serviceGain * ((now - it.started).Seconds() - c.service)
+	}
 	c.tidy(it.r.Workspace)
 	return c.start(now)
 }
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -70,3 +70,18 @@
 		assert.Zero(t, c.Running())
 	})
 }
+
+// TestRequestsThatFindNoUpstream: they end at once, which makes nobody's wait shorter.
+func TestRequestsThatFindNoUpstream(t *testing.T) {
+	c := New(Options{Service: time.Second})
+	c.SetSlots(0, 2)
+	_, before := c.Room()
+	for i := range 100 {
+		id := fmt.Sprint(i)
+		c.Offer(0, Request{ID: id, Workspace: "w"})
+		c.Unserved(id)
+		c.Done(0, id)
+	}
+	_, after := c.Room()
+	assert.Equal(t, before, after)
+}
--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -129,7 +129,7 @@
 func (p *pool) attempt(ctx context.Context, c *Chat, l *life, tried tries, prefer string) (string, error) {
 	t, ok := p.choose(c, tried, prefer)
 	if !ok {
-		return "", p.nobody()
+		return "", p.nobody(c.Record.ID())
 	}
 	l.fire("route")
 	number, offset := c.Record.Begin()
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -154,7 +154,7 @@
 			t, ok = p.pick(c.Service, &route.Prompt{}, tried)
 		}
 		if !ok {
-			return givenUp(l.giveUp(), p.nobody())
+			return givenUp(l.giveUp(), p.nobody(c.ID))
 		}
 		l.fire("route")
 		l.fire("send")
--- a/internal/dispatch/rest.go
+++ b/internal/dispatch/rest.go
@@ -15,10 +15,11 @@
 const returnsAfter = time.Second
 
 // nobody is the refusal where no upstream can take a request, with the time until its caller's turn where all of
-// them rest.
-func (p *pool) nobody() error {
+// them rest. How soon it comes says nothing of how long requests last.
+func (p *pool) nobody(id string) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.admission.Unserved(id)
 	list := make([]retry.Lifetime, len(p.list))
 	for i := range p.list {
 		list[i] = retry.Lifetime{ID: p.list[i].ID}
--- a/internal/soak/day.go
+++ b/internal/soak/day.go
@@ -196,7 +196,7 @@
 		f.Who, f.X = d.some(r, f.On), 0.1+0.5*r.Float64()
 	case FaultLimit:
 		f.On = OnUpstreams
-		f.Who, f.X = d.some(r, f.On)[:1], 0.5+3*r.Float64()
+		f.Who, f.X = d.some(r, f.On)[:1], 0.5+6*r.Float64()
 	case FaultStore:
 		f.How, f.X = []string{StoreSlow, StoreDown, StoreLoses, StoreFrozen, StoreBusy}[r.IntN(5)], 0.05+0.6*r.Float64()
 		f.Who = d.some(r, OnStore)
