--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -128,6 +128,16 @@
 		b.Return(one)
 		assert.Zero(t, b.Wait(now, one, false), "what wasn't sent costs nothing")
 	})
+	t.Run("nothing saved up outlasts the limit", func(t *testing.T) {
+		b := NewBook("a")
+		b.Named(at, at, one, 1)
+		b.Wait(at, one, false)
+		now := after(10 * time.Second)
+		assert.Zero(t, b.Wait(now, one, false))
+		b.Unnamed(now, now, one)
+		b.Named(now, now, one, 1)
+		assert.Equal(t, time.Second, b.Wait(now, one, false))
+	})
 	t.Run("a share that moves isn't used twice", func(t *testing.T) {
 		b := NewBook("a")
 		b.Named(at, at, one, 1)
