--- a/internal/soak/control.go
+++ b/internal/soak/control.go
@@ -19,7 +19,9 @@
 	Limit float64 `json:"limit,omitempty"` // requests a second that it names; 0: none
 	Share float64 `json:"share,omitempty"` // of its requests that it
 	Fails bool    `json:"fails,omitempty"` // answers with a failure, or
-	Loses bool    `json:"loses,omitempty"` // runs without an answer
+	Loses bool    `json:"loses,omitempty"` // runs without an answer, or
+	// Spoils says that it answers without its signature, or as if to another request.
+	Spoils bool `json:"spoils,omitempty"`
 }
 
 // BehavePath is where an upstream takes its behaviour.
--- a/internal/soak/day.go
+++ b/internal/soak/day.go
@@ -51,6 +51,7 @@
 	FaultLimit     Kind = "limit"      // an upstream names a rate for all daemons
 	FaultErrors    Kind = "errors"     // an upstream fails a part of its requests
 	FaultLost      Kind = "lost"       // an upstream runs requests and loses their answers
+	FaultSpoil     Kind = "spoil"      // an upstream's answers lack its signature, or name another request
 )
 
 // How the store misbehaves.
@@ -169,7 +170,7 @@
 // kinds are drawn evenly.
 var kinds = []Kind{
 	FaultDelay, FaultReset, FaultSilent, FaultOldSilent, FaultOneWay, FaultHall, FaultTerm, FaultKill, FaultKillAll, FaultFreeze,
-	FaultReclaim, FaultCrash, FaultDrain, FaultStore, FaultLapse, FaultForget, FaultCopy, FaultConfig, FaultKeys, FaultQuota, FaultLimit, FaultErrors, FaultLost,
+	FaultReclaim, FaultCrash, FaultDrain, FaultStore, FaultLapse, FaultForget, FaultCopy, FaultConfig, FaultKeys, FaultQuota, FaultLimit, FaultErrors, FaultLost, FaultSpoil,
 }
 
 func (d *Day) draw(r *rand.Rand, first, last time.Duration) Fault {
@@ -191,7 +192,7 @@
 		if f.Kind != FaultFreeze {
 			f.For = 0
 		}
-	case FaultCrash, FaultDrain, FaultErrors, FaultLost:
+	case FaultCrash, FaultDrain, FaultErrors, FaultLost, FaultSpoil:
 		f.On = OnUpstreams
 		f.Who, f.X = d.some(r, f.On), 0.1+0.5*r.Float64()
 	case FaultLimit:
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -50,6 +50,8 @@
 		s.behave(ctx, f, Behaviour{Share: f.X, Fails: true})
 	case FaultLost:
 		s.behave(ctx, f, Behaviour{Share: f.X, Loses: true})
+	case FaultSpoil:
+		s.behave(ctx, f, Behaviour{Share: f.X, Spoils: true})
 	}
 }
 
