--- a/internal/limit/fleet_test.go
+++ b/internal/limit/fleet_test.go
@@ -240,3 +240,81 @@
 		}
 	}
 }
+
+// changing is a rate that changes over a play; 0: none is named.
+type changing func(at time.Duration) float64
+
+func (c changing) named(at time.Duration) (float64, bool) { r := c(at); return r, r > 0 }
+
+// over returns by how many the requests of some span exceed what the rates in it allow; spans in which none was
+// named for a moment, or that begin before the first naming was known, don't count.
+func (f *fleet) over(c changing) float64 {
+	worst, first := 0.0, 0
+	for i, at := range f.bound {
+		for at.Sub(f.bound[first]) >= playSpan {
+			first++
+		}
+		from := max(playKnown, at.Sub(f.began)-playSpan)
+		sum, counts := 0.0, true
+		for t := from; t < at.Sub(f.began); t += playTick {
+			r, named := c.named(t - playAnswer - playRound) // as the nodes know it by then
+			sum += r * playTick.Seconds()
+			counts = counts && named
+		}
+		if counts && f.bound[first].Sub(f.began) >= from {
+			worst = max(worst, float64(i-first+1)-1.5*sum-5)
+		}
+	}
+	return worst
+}
+
+// TestFleetsWhereRatesChange: a rate that falls, rises, or comes and goes is kept to as it is.
+func TestFleetsWhereRatesChange(t *testing.T) {
+	for name, c := range map[string]changing{
+		"falls": func(at time.Duration) float64 {
+			if at < 12*time.Second {
+				return 20
+			}
+			return 0.5
+		},
+		"rises": func(at time.Duration) float64 {
+			if at < 12*time.Second {
+				return 0.5
+			}
+			return 20
+		},
+		"falls and rises each second": func(at time.Duration) float64 {
+			if at.Seconds() == 0 || int(at.Seconds())%2 == 0 {
+				return 8
+			}
+			return 1
+		},
+		"comes and goes each three seconds": func(at time.Duration) float64 {
+			if int(at.Seconds()/3)%2 == 0 {
+				return 2
+			}
+			return 0
+		},
+	} {
+		for _, nodes := range []int{3, 12, 70} {
+			t.Run(fmt.Sprint(name, " at ", nodes, " nodes"), func(t *testing.T) {
+				t.Parallel()
+				for seed := range seeds(t, 1) {
+					o := fleetOptions{nodes: nodes, demand: playDemand, rate: c.named, kills: 0.1, seed: uint64(seed)}
+					f := newFleet(o)
+					f.play(o)
+					assert.LessOrEqual(t, f.over(c), 0.0, "seed %d", seed)
+					if last := c(playLasts); last > 0 {
+						n := 0
+						for _, at := range f.arrivals {
+							if f.now.Sub(at) < 5*time.Second {
+								n++
+							}
+						}
+						assert.Greater(t, float64(n), 0.0, "it is used at the end")
+					}
+				}
+			})
+		}
+	}
+}
