--- a/internal/limit/share.go
+++ b/internal/limit/share.go
@@ -46,14 +46,13 @@
 }
 
 // SetNodes says which nodes there are, this one included, and which of them place requests at engines for all
-// others; none: each node chooses. It returns whether they differ from those before.
-func (b *Book) SetNodes(nodes, placers []string) bool {
+// others; none: each node chooses.
+func (b *Book) SetNodes(nodes, placers []string) {
 	if slices.Equal(nodes, b.nodes) && slices.Equal(placers, b.placers) {
-		return false
+		return
 	}
 	b.nodes, b.placers = nodes, placers
 	b.version++
-	return true
 }
 
 // senders returns the nodes of which some share a rate.
