What upstreams say of themselves and nothing reads is told once

Change: a header in the platform's own manner that no reader knows is told once for each name and service (word_unread), 64 at most, and counted.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -52,6 +52,7 @@
 	Leaving   bool          // the upstream leaves, and is to get nothing new
 	Rest      time.Duration // the upstream wants nothing from this node for so long; 0: unsaid
 	Limit     Limit         // what the upstream takes from all nodes together
+	Unread    []string      // names of what else the upstream says of itself, which nothing here reads
 }
 
 // Limit is what an answer says of a rate that its upstream takes.
--- a/internal/edge/heard.go
+++ b/internal/edge/heard.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -27,7 +28,42 @@
 		upstreamEvents.Add("rests", 1)
 		n.log.Info("upstream_rests", zap.String("upstream", e.ID), zap.String("service", e.Service), zap.Int64("born", e.Born), zap.Duration("for", v.Rest))
 	}
+	n.noteUnread(e, v.Unread)
 	if n.pools.HearLimit(e, v.Limit, sent) {
 		n.noteLimit("answer", limit.Word{Of: e.Lifetime(), Rate: v.Limit.Rate, Lifted: v.Limit.Word == call.LimitNone})
 	}
 }
+
+// wordsNoted bounds the words that are told of: each is told once for each service.
+const wordsNoted = 64
+
+// unreadWords is what upstreams say that nothing reads, by service and name.
+type unreadWords struct {
+	mu   sync.Mutex
+	told map[[2]string]bool
+}
+
+// first tells whether a word hasn't been told of yet.
+func (u *unreadWords) first(service, name string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	k := [2]string{service, name}
+	if u.told[k] || len(u.told) >= wordsNoted {
+		return false
+	}
+	if u.told == nil {
+		u.told = make(map[[2]string]bool)
+	}
+	u.told[k] = true
+	return true
+}
+
+// noteUnread tells of words that nothing reads: upstreams ask for something, and nobody does it.
+func (n *Node) noteUnread(e pool.Entry, names []string) {
+	for _, name := range names {
+		upstreamEvents.Add("words_unread", 1)
+		if n.unreadWords.first(e.Service, name) {
+			n.log.Warn("word_unread", zap.String("name", name), zap.String("service", e.Service), zap.String("upstream", e.ID))
+		}
+	}
+}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -91,6 +91,7 @@
 	catalogReader *follower
 	listReader    *follower
 	unreadable    unreadable
+	unreadWords   unreadWords
 	news          *news
 
 	catalog  atomic.Pointer[held]
