--- a/internal/autoscale/mix.go
+++ b/internal/autoscale/mix.go
@@ -176,8 +176,7 @@
 }
 
 // standAlone is the part of its share of the need that a hall has by itself: the other halls'
-// upstreams are no help to one that is cut off. A hall to which no reclaimable ones came for
-// 20 s, with one upstream of its own, refused 133 of 650 requests in 8 s of a cut.
+// upstreams are no help to one that is cut off, and reclaimable ones may not come to it for long before.
 const standAlone = 0.5
 
 // alone is how many on-demand upstreams a hall needs to stand alone, if reclaimable ones are
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -100,9 +100,8 @@
 //
 // An engine that reads for a part of its time makes the tokens of what runs in the rest of
 // it, so requests stay in their slots for longer by that part: the engines that read and
-// those whose slots are taken add up. Taking the larger of both, as was done first, left
-// 5 engines where 7 were needed in a wave of reclaims, with 0.3 to 0.7 of the worth in its
-// last seconds.
+// those whose slots are taken add up. The larger of both alone is too few engines where both
+// bind, as in a wave of reclaims.
 func (w Work) Engines(shares Work) (float64, Resource) {
 	n, binds := w.Reading/shares.Reading, ResourceReading
 	if v := w.Reading + w.Slots/shares.Slots; v > n {
--- a/internal/dispatch/rest.go
+++ b/internal/dispatch/rest.go
@@ -7,8 +7,7 @@
 )
 
 // This file is what a pool tells callers when no upstream can take their request, since upstreams
-// that refuse may ask for rest. Without it 12 of 20 chats were sent to an engine that had asked for
-// 20 s, and their callers told to come back after one.
+// that refuse may ask for rest: sooner, callers come back in vain.
 
 // returnsAfter is when a caller is told to come back where nobody takes its request and no upstream
 // has said when it will.
--- a/internal/edge/counted.go
+++ b/internal/edge/counted.go
@@ -24,8 +24,8 @@
 	// silent node.
 	countedWindows = 3
 	// countedAgain is how often they are written again at most, where counts came late: a
-	// hall that was cut off tells of its windows when it is heard again. Where all
-	// processes were lost 1.6 s after such a cut, 103 of a window's 1,337 requests were, too.
+	// hall that was cut off tells of its windows when it is heard again, and all processes
+	// may be lost soon after that.
 	countedAgain = 500 * time.Millisecond
 )
 
--- a/internal/edge/heard.go
+++ b/internal/edge/heard.go
@@ -15,8 +15,7 @@
 // asked them.
 
 // heard takes in one answer, to what was sent at a time. Who has the address of another upstream doesn't speak for that one.
-// While the store is away, an answer is the only word of an upstream that leaves: without it,
-// requests reached one 2.9 s later, and 2 s are allowed.
+// While the store is away, an answer is the only word of an upstream that leaves.
 func (n *Node) heard(e pool.Entry, v call.Answer, sent time.Time) {
 	if v.Misplaced {
 		return
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -23,9 +23,8 @@
 	// memberTTL is how long a node that died counts as sharing quotas: longer than a
 	// restart takes, so that the others' shares don't swing.
 	memberTTL = 6 * time.Second
-	// memberRenew is how often the lease is renewed. A renewal costs a tenth of a call:
-	// renewing each 4 s in a fleet of 95, by leases entered anew once its size was known,
-	// saved nothing (7,417 to 7,588 calls a day instead of 7,662 to 7,926).
+	// memberRenew is how often the lease is renewed. A renewal costs a tenth of a call, so
+	// that renewing more seldom in a large fleet, by leases entered anew, saves nothing.
 	memberRenew = 1500 * time.Millisecond
 	// memberLook is how often the registry is read, at the stale read's price.
 	memberLook = 2 * time.Second
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -284,7 +284,7 @@
 	if v.Misplaced {
 		// The address is another upstream's by now. It isn't one of the upstreams that the
 		// request may be sent to, and the one that was meant is gone for good. Counted as
-		// sends, such answers refused 97 callers in 4 s in which crashed upstreams came back.
+		// sends, such answers refuse callers while crashed upstreams come back.
 		q.sends--
 		a.gone = true
 	}
@@ -355,8 +355,7 @@
 
 // count counts a request that runs, once. One whose upstream took it and broke the connection
 // counts, too: an upstream that loses answers has run them, and one that crashes takes few
-// with it that it hadn't begun. Without these, 101 to 123 of some 1,330 requests of a window
-// were missing on seven plays of a day on which 27 upstreams lost answers for four seconds.
+// with it that it hadn't begun.
 func (s *Server) count(q *request) {
 	if q.counted || q.workspace == nil {
 		return
--- a/internal/forward/broken.go
+++ b/internal/forward/broken.go
@@ -86,10 +86,9 @@
 }
 
 // noteEnd takes in that an upstream ended under a request, unless it still listens: then it has
-// lost the answer, and lives. Three repeats within 90 ms, each reset by an upstream that lived,
-// held a request back for 45 s when first ends were believed without a look. Nor has it ended
-// where the way to its hall is cut: a cut that resets connections held four requests back that
-// had some idle ones to the hall. The looks take a round trip each, and a time-out where the
+// lost the answer, and lives: repeats that are reset by upstreams that live would hold a harmless
+// request back. Nor has it ended where the way to its hall is cut: a cut that resets connections
+// ends idle ones to several upstreams in a row. The looks take a round trip each, and a time-out where the
 // way is cut: only a request that has an end behind it is worth that before its next attempt.
 func (s *Server) noteEnd(ctx context.Context, e quarantine.End, u pool.Entry) {
 	if !s.o.Lines.get(u).Refuses(ctx, u.Address) || !s.o.Reaches(ctx, u.Hall) {
--- a/internal/forward/urgency.go
+++ b/internal/forward/urgency.go
@@ -10,12 +10,9 @@
 // A caller whose first try failed comes back with what is left of its wait. After a loss of
 // all nodes nearly all come at once, and a part of them is past its latency target already,
 // while those that just come could still be answered in time. So what is past its target
-// waits behind the others at an engine. It isn't given up: it has seconds left. When
-// 95 nodes returned at once the worst seconds earned 0.48 of their worth with it and 0.45
-// without (one run each).
+// waits behind the others at an engine. It isn't given up: it has seconds left.
 //
-// Weighed: the urgency of the routes. Engines that get it serve no class better (0.575
-// against 0.573 and 0.625 against 0.627 of the worth on two deployments, two seeds a day).
+// Weighed: the urgency of the routes. Engines that get it serve no class better.
 
 const (
 	// urgencyUnsaid leaves an engine's own order.
--- a/internal/forward/withhold.go
+++ b/internal/forward/withhold.go
@@ -46,8 +46,8 @@
 }
 
 // withhold refuses a request that is held back, before it is charged. It has not run, and says
-// when it may come again; each repeat that was sent on instead ended an upstream, and broke off
-// the 4 to 23 requests that ran beside it.
+// when it may come again; each repeat that is sent on instead ends an upstream, and breaks off
+// all that runs beside it.
 func (s *Server) withhold(next endpoint.Endpoint) endpoint.Endpoint {
 	return func(ctx context.Context, v any) (any, error) {
 		q := v.(*request)
--- a/internal/node/pace.go
+++ b/internal/node/pace.go
@@ -47,8 +47,8 @@
 }
 
 // pace is how often what changes all the time is told: the more there are to tell of,
-// the less often, so that a node's traffic grows slower than the fleet. Routing was
-// measured with loads 10 s old, and hardly differs.
+// the less often, so that a node's traffic grows slower than the fleet. Routing hardly
+// differs with loads some seconds older.
 type pace struct {
 	heartbeat int           // exchanges between two heartbeats
 	loads     time.Duration // between two load reports of an upstream
--- a/internal/pool/fetch.go
+++ b/internal/pool/fetch.go
@@ -7,10 +7,8 @@
 )
 
 // This file lets an engine take parts of a prompt from the memory of another one that has
-// read them. Links between engines carry a part in a fifth of the time in which it is read
-// or less, and the engine that is taken from goes on working; so a request needn't queue
-// where its prefix is, and what is read again falls by half (0.022 to 0.012 and 0.014 to
-// 0.008 of a day's worth, two seeds a day on three deployments).
+// read them. Links between engines carry a part in far less time than it is read in, and the engine that is taken from goes on working; so a request needn't queue
+// where its prefix is, and less is read again.
 //
 // Weighed: fetching only within a hall. It needs no second figure, but a hall that has just
 // lost its engines has nobody to take from.
--- a/internal/pool/placed.go
+++ b/internal/pool/placed.go
@@ -7,9 +7,7 @@
 // knows of each at once. Nodes that choose by themselves know of each other's choices some
 // tenths of a second late.
 //
-// The load that this answers is that of unseen.go: with it 0.97 and 0.95 of the long prompts
-// have their first events in time and 0.95 and 0.96 of the chats, without it 0.91 and 0.93,
-// 0.87 and 0.86 (package model, two seeds; TestRelaysPlace plays it).
+// The load that this answers is that of unseen.go (TestRelaysPlace plays it).
 //
 // Weighed: one node that places for the whole fleet. A hall that is cut off has to go on.
 
--- a/internal/pool/reach.go
+++ b/internal/pool/reach.go
@@ -9,8 +9,8 @@
 
 // This file is what the nodes of a hall find out together about who can be reached.
 //
-// A node of a large fleet sends some requests a second. When another hall is cut off, each of
-// 23 nodes had to find out by itself, by two tries in vain a second: 3,000 tries in 8 s. So
+// A node of a large fleet sends some requests a second. When another hall is cut off, each node
+// of this one would have to find out by itself, by tries in vain as long as the cut lasts. So
 // nodes tell their relay which upstreams they couldn't reach, and when one of each hall last
 // answered them, and the relay tells all nodes of the hall.
 //
--- a/internal/pool/unseen.go
+++ b/internal/pool/unseen.go
@@ -12,17 +12,14 @@
 // average, drawn by the request and the upstream: requests spread over all that are about as
 // good, and further the older the word is.
 //
-// The load that this answers: 95 nodes before engines that read for seven tenths of their
-// time, with 222 requests a second. Their first events came in time for 0.77 and 0.80 of the
-// long prompts, 0.63 and 0.64 of the chats without it, and for 0.91 and 0.93, 0.87 and 0.86
-// with it (package model, two seeds; TestFreshFiguresDontHerd plays it).
+// The load that this answers: some hundred nodes before engines that read for most of their
+// time (TestFreshFiguresDontHerd plays it).
 //
-// Weighed, in the same play: levelling the queues by what has come unseen before choosing.
-// All nodes fill the same valleys: 0.65 of the long prompts where leaving it gave 0.68. Choosing
+// Weighed: levelling the queues by what has come unseen before choosing. All nodes fill the
+// same valleys. Choosing
 // the best of a few drawn at random, on paper only: it forgets where a prompt's parts are cached.
 
-// unseenMost is the most that an upstream is taken to have got, in averages. From 2 to 16
-// it makes no difference in the play above, 1 is less.
+// unseenMost is the most that an upstream is taken to have got, in averages.
 const unseenMost = 4
 
 // unseen is what other nodes have sent to an upstream of a service since their last word on
--- a/internal/quarantine/family.go
+++ b/internal/quarantine/family.go
@@ -26,9 +26,8 @@
 	// different requests at least: the ends of one request are counted by its print.
 	familyProof  = 4
 	familyPrints = 3
-	// endsTogether is the span in which ends count as one. Where each counts, 20 of 8,000 harmless requests
-	// of one shape are held back in waves that end six tenths of the upstreams within 0.4 s, else none
-	// (TestAlike).
+	// endsTogether is the span in which ends count as one: a wave that ends many upstreams at once
+	// is no evidence against the harmless requests that ran there (TestAlike).
 	endsTogether = 500 * time.Millisecond
 	// familyHold is how long a shape is held back at first; each end after that doubles it, up to
 	// familyLongest.
--- a/internal/quarantine/words.go
+++ b/internal/quarantine/words.go
@@ -13,8 +13,8 @@
 const (
 	// tellsFor is how long news is told: some rounds, since a report may be lost.
 	tellsFor = 2 * time.Second
-	// endsTold bounds the ends in one message, some 70 bytes each. A wave in which 36 of 60
-	// upstreams end under 15 requests each makes 540, told by many nodes.
+	// endsTold bounds the ends in one message, some 70 bytes each: what a wave of reclaims makes of
+	// most upstreams of a hall, told by many nodes.
 	endsTold = 400
 )
 
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -153,8 +153,8 @@
 
 // drain takes off what a node has charged in the time since it was last heard. If that was
 // long ago, the refill of that time that found the bucket full would have found room, had the
-// use been known: it makes good for it. Without that, nodes refused some callers after a cut
-// of six seconds at nine tenths of the rate (33 of 540 in three seconds, none with it).
+// use been known: it makes good for it. Without that, nodes refuse callers below their quota after a
+// cut.
 func (b *bucket) drain(tokens float64, late bool, lostBefore float64) {
 	if late && tokens > 0 {
 		credit := max(0, min(tokens, b.lost-lostBefore))
--- a/internal/quota/recall.go
+++ b/internal/quota/recall.go
@@ -5,8 +5,8 @@
 // This file carries levels over a loss of all processes. A process that starts knows
 // nothing of what was charged a moment ago, and a part of the burst has to stand for it.
 // Where callers were well below their quotas, and all come back at once after a second or
-// two without service, that part refuses what the whole bucket would have let in: 457
-// requests in two seconds, of 250 that come in one. So the levels are written down
+// two without service, that part refuses what the whole bucket would have let in.
+// So the levels are written down
 // every so often, and a process that starts goes on from there.
 
 // Level is a bucket as it was written down.
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -23,8 +23,7 @@
 
 // Order returns the names of a hall's nodes, by the cores that each has: the first ones do
 // what a hall has some nodes for. Those with most come first, the others by a hash of their
-// names. A relay of 0.19 cores placed 42 prompts and answered 31 later than 30 ms, of 148 that
-// came to its 19 nodes in the second and a half after a return of all nodes (one run).
+// names: a relay with little of a core answers late when all nodes return at once.
 func Order(nodes map[string]float64) []string {
 	names := slices.Collect(maps.Keys(nodes))
 	slices.SortFunc(names, func(a, b string) int {
--- a/internal/retry/rests.go
+++ b/internal/retry/rests.go
@@ -6,8 +6,7 @@
 // nothing from this node. It is asked of one node, by its sends, and stays with it.
 //
 // Weighed: to leave an upstream that rests in the choice at a high cost, as one that is full is. One
-// that asks for rest turned away all that reached it (233 of 549 sends to a service of which three of
-// ten upstreams rested), and the operators' bound is two sends.
+// that asks for rest turns away all that reaches it, and the operators' bound is two sends.
 type Rests struct {
 	until map[Lifetime]time.Time
 }
--- a/internal/retry/turns.go
+++ b/internal/retry/turns.go
@@ -10,9 +10,9 @@
 // Turns is when callers may come back that are turned away while no upstream of a service takes anything: all rest,
 // or have had what they take.
 //
-// The load that it answers: for 0.2 to 5 s all that comes is turned away, at each node. Told the end of
-// the rest, all would be there in one moment: of 400 callers turned away within a second of rest 320 find no
-// place and wait behind each other, and with them whoever comes anew. So each is told the moment at which its
+// The load that it answers: for some seconds all that comes is turned away, at each node. Told the end of
+// the rest, all would be there in one moment; most find no place and wait behind each other, and with them
+// whoever comes anew. So each is told the moment at which its
 // turn is: as many as there are places come at once, the others at the pace at which requests end. A node goes by
 // its share of both, since it can't ask the others before it answers.
 type Turns struct {
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -41,8 +41,8 @@
 	// by then.
 	leastAnswers = 20
 	// leastAfterLoss is the same where those that had seen the target are gone: what they had
-	// seen was judged and isn't known any more. With leastAnswers, 4 of 29 versions that were
-	// slow on one route went beyond the exposure where all nodes were lost on the way.
+	// seen was judged and isn't known any more. With leastAnswers, versions that are slow on one
+	// route go beyond the exposure where all nodes are lost on the way.
 	leastAfterLoss = 80
 	// leastUpstreams is the part of the version in service's upstreams that the target needs
 	// before it is given all.
