--- a/cmd/spurhall-soak/main.go
+++ b/cmd/spurhall-soak/main.go
@@ -94,6 +94,10 @@
 		if seeds, err = readSeeds(f); err != nil {
 			return fmt.Errorf("--regressions: %w", err)
 		}
+		if len(seeds) == 0 {
+			fmt.Println("no seeds in", f)
+			return nil
+		}
 	}
 	return p.playAll(ctx, seeds, max(1, c.Int("at-once")), o, c.Bool("shrink"))
 }
