A cell of a roll-out's counts that has nothing makes no row

Cause: Tally.Set made a route's row also of a cell that has nothing, and such cells aren't told between nodes. Ruled out: a fault of the encoding. Every cell that has anything comes over. Change: an empty cell sets nothing where its route has no row.

--- a/internal/rollout/tally.go
+++ b/internal/rollout/tally.go
@@ -123,11 +123,13 @@
 	}
 }
 
-// Set sets a cell; a group that there isn't is passed over.
+// Set sets a cell; a group that there isn't is passed over. A cell that has nothing makes no row: such
+// a tally would be told without it, and what is heard would differ from what was meant.
 func (t Tally) Set(route string, group int, c Cell) {
-	if group >= 0 && group < groups {
-		t.row(route)[group] = c
+	if group < 0 || group >= groups || t[route] == nil && c == (Cell{}) {
+		return
 	}
+	t.row(route)[group] = c
 }
 
 // Plus returns the sum of both, which shares nothing with them.
