How slow an upstream is, is compared with what is usual, and forgotten

What callers saw: a new life of a restarted upstream wasn't used for seconds; on a quiet service one of two upstreams got everything, and one that had been slow once nothing. Cause: slowness was kept as a part of the pool's mean, which was held at 1 over all members with each answer. An answer that is faster than expected (for plain services what is expected is a constant) made all others slower of whom nothing was heard; and what was believed never aged. Ruled out: load alone (the unit test has none), the list (the new life stood in it after 0.2 s). The line of a choice says the slowness it went by.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -25,6 +25,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"time"
 
@@ -418,6 +419,6 @@
 	c := u.Choice()
 	return []zap.Field{
 		zap.String("upstream", u.Entry().ID), zap.String("hall", u.Entry().Hall), zap.Int("candidates", c.Candidates), zap.Int("limited", c.Limited), zap.Bool("by_relay", c.ByRelay), zap.Int("running", c.Running),
-		zap.Int("queued_tokens", int(c.Queued)), zap.Int("cached_tokens", int(c.Cached)), zap.Int("fetched_tokens", int(c.Fetched)), zap.Int64("list_revision", c.Revision), zap.Duration("oldest_report", c.Oldest),
+		zap.Int("queued_tokens", int(c.Queued)), zap.Int("cached_tokens", int(c.Cached)), zap.Int("fetched_tokens", int(c.Fetched)), zap.Float64("slowness", math.Round(10*c.Slowness)/10), zap.Int64("list_revision", c.Revision), zap.Duration("oldest_report", c.Oldest),
 	}
 }
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -34,7 +34,7 @@
 func (p *Pools) weigh(now time.Time, n Need, f field, i int) chosen {
 	c := &f.list[i]
 	v := chosen{member: f.members[i], engine: p.engine(now, n.Service), reads: max(0, n.Prompt-c.Cached)}
-	v.choice = Choice{Candidates: len(f.list), Limited: f.limited, Running: int(c.Running), Queued: c.Queued, Cached: c.Cached, Revision: p.list.Revision(), Oldest: p.oldest(now)}
+	v.choice = Choice{Candidates: len(f.list), Limited: f.limited, Running: int(c.Running), Queued: c.Queued, Cached: c.Cached, Slowness: c.Slowness, Revision: p.list.Revision(), Oldest: p.oldest(now)}
 	if c.fetches(v.engine) {
 		v.choice.Fetched, v.fetch = c.Fetch, c.Source
 		v.reads = max(0, v.reads-c.Fetch)
@@ -157,7 +157,7 @@
 	c := Candidate{
 		ID: m.entry.ID, Slots: m.entry.Slots, SameHall: m.entry.Hall == p.hall,
 		Running: float64(m.load.Running) + m.others.running, Queued: m.load.Queued + m.others.queued, Held: m.load.Held + m.others.held, Memory: p.service(n.Service).size.Memory,
-		Slowness: max(0.5, m.speed), Failures: m.failures,
+		Slowness: m.pace.slowness(now), Failures: m.failures,
 		Refused: now.Sub(m.refused) < refusedKeeps, Cold: now.Before(m.coldTill),
 	}
 	for i, h := range chain {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -53,7 +53,6 @@
 	// outlierShare bounds the share of a pool that is ejected.
 	outlierShare = 0.34
 	failureGain  = 0.12 // weight of the newest result in the share of failures
-	speedGain    = 0.1  // weight of the newest time in the average
 	lagGain      = 0.2  // weight of the newest first event's lag
 	answerGain   = 0.05 // weight of the newest answer in the time of a plain service's
 	answerPrior  = 30.0 // milliseconds, until a plain service has answered
@@ -77,7 +76,7 @@
 	load      Load
 	others    othersLoad // as of the last choice
 	failures  float64
-	speed     float64 // average time over expected time
+	pace      pace
 	refused   time.Time
 	silent    time.Time // when it last couldn't be reached, by this node or several others
 	failed    time.Time // the same, by this node
@@ -133,6 +132,7 @@
 	reads   float64     // prompt tokens of a request that aren't cached
 	answer  float64     // milliseconds to an answer's head
 	lasts   float64     // milliseconds that a request takes, to its end
+	usual   float64     // time to a first event over the one expected, as answers lately had it; 0: none yet
 	lag     float64     // milliseconds by which first events lately come later than expected
 	turns   retry.Turns // of callers that are turned away while no upstream takes anything
 }
@@ -204,7 +204,7 @@
 		switch {
 		case m == nil:
 			p.noteVersion(p.clock.Now(), e)
-			m = &member{entry: e, speed: 1, rank: notRanked, prefixes: make(map[uint64]time.Time), coldTill: p.clock.Now().Add(e.WarmUp)}
+			m = &member{entry: e, rank: notRanked, prefixes: make(map[uint64]time.Time), coldTill: p.clock.Now().Add(e.WarmUp)}
 			p.members[e.ID] = m
 			changes = append(changes, Change{e, "listed"})
 		case e.Leaving && !m.entry.Leaving:
--- a/internal/pool/slow_test.go
+++ b/internal/pool/slow_test.go
@@ -28,7 +28,7 @@
 	p := New(c.Service(), "self", "h")
 	for id := range takes {
 		p.Update(func(l *List) {
-			l.Put(Item{Entry: Entry{ID: id, Service: "s", Address: "10.0.0.1:1", Hall: "h", Slots: 8}, Revision: 1})
+			l.Put(Item{Entry: Entry{ID: id, Service: "s", Address: "10.0.0.1:1", Hall: "h", Slots: 8, Born: 1}, Revision: 1})
 		})
 	}
 	c.Advance(versionGrace)
--- a/internal/pool/use.go
+++ b/internal/pool/use.go
@@ -42,6 +42,7 @@
 	Queued     float64       // prompt tokens there without a first token
 	Cached     float64       // tokens of the prompt taken to be cached there
 	Fetched    float64       // tokens of the prompt to be taken from another upstream
+	Slowness   float64       // times as long as usual that its answers are taken to last
 	Revision   int64         // of the list
 	ByRelay    bool          // a relay chose it
 	Oldest     time.Duration // age of the oldest report of another node that counted
@@ -97,8 +98,7 @@
 		s.answer += answerGain * (ms - s.answer)
 	}
 	s.lags(ms - u.expect)
-	u.m.speed += speedGain * (min(4, ms/u.expect) - u.m.speed)
-	u.p.relax(u.m.entry.Service)
+	u.m.pace.take(u.first, s.relative(ms/u.expect))
 }
 
 // lags takes in by how many milliseconds a first event comes later than expected.
@@ -125,21 +125,6 @@
 	u.p.service(u.entry.Service).lags(float64(after)/float64(time.Millisecond) - u.expect)
 }
 
-// relax keeps the average speed of a pool at 1, so that slowness is relative.
-func (p *Pools) relax(service string) {
-	sum, n := 0.0, 0
-	for _, m := range p.services[service] {
-		sum += m.speed
-		n++
-	}
-	if n == 0 || sum == 0 {
-		return
-	}
-	for _, m := range p.services[service] {
-		m.speed *= float64(n) / sum
-	}
-}
-
 func (u *Use) start() {
 	if u.started {
 		return
