A life that names no birth ends by other evidence

What callers saw: an upstream whose entries name no birth said that it leaves, ended and came back under its id; it was listed and never used again. A pool of processes that are restarted in place emptied so. Cause: what a life says for good held for the next one, since only two births told lives apart. Ruled out: the list (the line upstream_listed came), quarantine and outliers (no request was tried). A birth where none was named, another address, an entry that says ready after it said itself that it leaves, and an entry that was gone for longer than a living upstream's may be while the store answered, begin another life. Who reads the store concludes it and tells it on as a revision. Rest and limits of such a life go with it. The lines of upstreams say birth and leaving.

--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -313,6 +313,7 @@
 		upstreamEvents.Add(c.Event, 1)
 		n.log.Info("upstream_"+c.Event, zap.String("upstream", c.Entry.ID), zap.String("service", c.Entry.Service), zap.String("hall", c.Entry.Hall),
 			zap.String("address", c.Entry.Address), zap.String("version", c.Entry.Version), zap.Bool("reclaimable", c.Entry.Reclaimable), zap.Duration("leaves_in", c.Entry.LeavesIn),
+			zap.Int64("born", c.Entry.Born), zap.Bool("leaving", c.Entry.Leaving),
 			zap.String("source", source), zap.Int64("revision", n.pools.Revision()))
 		if c.Event == "gone" {
 			n.lines.Forget(c.Entry.ID)
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -127,6 +127,9 @@
 	return news
 }
 
+// Forget drops the word of one life that is over, where its name may be the next one's, too.
+func (b *Book) Forget(of retry.Lifetime) { delete(b.known, of) }
+
 // forget drops what no answer has renewed, and the oldest word if there are too many.
 func (b *Book) forget(now time.Time) {
 	var oldest *known
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -259,7 +259,7 @@
 	e := v.Entry
 	return &wire.ListItem{
 		Id: e.ID, Service: e.Service, Address: e.Address, Hall: e.Hall, Slots: int32(e.Slots), Leaving: e.Leaving,
-		WarmUpMs: e.WarmUp.Milliseconds(), Reclaimable: e.Reclaimable, LeavesInMs: e.LeavesIn.Milliseconds(), Revision: v.Revision, Version: e.Version, Born: e.Born,
+		WarmUpMs: e.WarmUp.Milliseconds(), Reclaimable: e.Reclaimable, LeavesInMs: e.LeavesIn.Milliseconds(), Revision: v.Revision, Version: e.Version, Born: e.Born, Declared: e.Declared, Begun: e.Begun,
 	}
 }
 
@@ -276,7 +276,7 @@
 func ItemFromWire(v *wire.ListItem) pool.Item {
 	return pool.Item{Revision: v.Revision, Entry: pool.Entry{
 		ID: v.Id, Born: v.Born, Service: v.Service, Address: v.Address, Hall: v.Hall, Version: v.Version, Slots: int(max(0, v.Slots)), Leaving: v.Leaving,
-		WarmUp: Millis(v.WarmUpMs), Reclaimable: v.Reclaimable, LeavesIn: Millis(v.LeavesInMs),
+		WarmUp: Millis(v.WarmUpMs), Reclaimable: v.Reclaimable, LeavesIn: Millis(v.LeavesInMs), Declared: v.Declared, Begun: v.Begun,
 	}}
 }
 
--- a/internal/message/message_test.go
+++ b/internal/message/message_test.go
@@ -110,6 +110,7 @@
 				ID: names.Draw(t, "id"), Born: rapid.Int64().Draw(t, "born"), Service: names.Draw(t, "service"), Address: names.Draw(t, "address"),
 				Hall: names.Draw(t, "hall"), Version: names.Draw(t, "version"), Slots: rapid.IntRange(0, 1000).Draw(t, "slots"), Leaving: rapid.Bool().Draw(t, "leaving"),
 				WarmUp: ages.Draw(t, "warm"), Reclaimable: rapid.Bool().Draw(t, "reclaimable"), LeavesIn: ages.Draw(t, "leaves"),
+				Declared: rapid.Bool().Draw(t, "declared"), Begun: rapid.Int64().Draw(t, "begun"),
 			}}
 			var m wire.ListItem
 			send(t, ItemToWire(v), &m)
--- a/internal/pool/life_test.go
+++ b/internal/pool/life_test.go
@@ -13,7 +13,7 @@
 
 func lifeAt(born, revision int64, leaving bool) Item {
 	v := item("a", revision)
-	v.Entry.Born, v.Entry.Leaving = born, leaving
+	v.Entry.Born, v.Entry.Leaving, v.Entry.Declared = born, leaving, leaving
 	return v
 }
 
--- a/internal/pool/list.go
+++ b/internal/pool/list.go
@@ -34,6 +34,8 @@
 	Version     string        // of its software
 	Slots       int           // requests that it works on at once
 	Leaving     bool          // takes nothing new
+	Declared    bool          // its entry says so itself
+	Begun       int64         // of one whose Born is unsaid: the store's revision from which it is known to be another life; 0: the first known
 	WarmUp      time.Duration // it is slow for so long
 	Reclaimable bool
 	LeavesIn    time.Duration // 0: unsaid
@@ -56,16 +58,17 @@
 	missing  map[string]time.Time  // by id: until when a missing entry is believed
 	voids    map[string]int64      // by id: revision at which its entry couldn't be read any more
 	past     map[string][]pastLife // by id: lives that others have followed, the newest last
-	dropped  map[string]Item       // by id: as it was when its entry was last held
+	dropped  map[string]dropped    // by id: as it was when its entry was last held
 	ended    map[string]bool       // ids of which a life has ended since endedLives was last called
 	revision int64
 	change   int64     // revision of the newest change taken in
+	now      time.Time // when the list was last looked at
 	trust    time.Time // entries that vanish before this are believed missing
 }
 
 // NewList returns an empty list.
 func NewList() *List {
-	return &List{items: make(map[string]Item), missing: make(map[string]time.Time), past: make(map[string][]pastLife), voids: make(map[string]int64), dropped: make(map[string]Item), ended: make(map[string]bool)}
+	return &List{items: make(map[string]Item), missing: make(map[string]time.Time), past: make(map[string][]pastLife), voids: make(map[string]int64), dropped: make(map[string]dropped), ended: make(map[string]bool)}
 }
 
 // Revision returns the store's revision up to which the list holds.
@@ -87,11 +90,12 @@
 }
 
 // StoreReturned says that the store answers again after an outage.
-func (l *List) StoreReturned(now time.Time) { l.trust = now.Add(lapseGrace) }
+func (l *List) StoreReturned(now time.Time) { l.now, l.trust = now, now.Add(lapseGrace) }
 
 // Replace takes in a whole list read at a revision. It does nothing if the list held
 // is newer.
 func (l *List) Replace(now time.Time, revision int64, all []Item) {
+	l.now = now
 	if revision < l.revision {
 		return
 	}
@@ -144,25 +148,20 @@
 	}
 	delete(l.voids, e.ID)
 	switch {
-	case ok && old.Entry.another(*e):
+	case ok && v.begins(old):
 		l.follow(old)
+		v.begin(old)
 	case ok:
 		// Leaving is for good in one life, whatever an entry from before may say.
-		e.Leaving = e.Leaving || old.Entry.Leaving
-		if e.Born == 0 {
-			e.Born = old.Entry.Born
-		}
+		v.goOn(old)
 	default:
-		e.Leaving = e.Leaving || l.hasLeft(*e)
+		l.comeBack(&v)
 	}
 	l.items[e.ID] = v
 	delete(l.dropped, e.ID)
 	delete(l.missing, e.ID)
 }
 
-// another tells whether two entries of an id are known to be of different lives.
-func (e Entry) another(o Entry) bool { return e.Born != 0 && o.Born != 0 && e.Born != o.Born }
-
 // late tells whether a write is one of a life that is over, done late.
 func (l *List) late(v Item) bool {
 	list := l.past[v.Entry.ID]
@@ -219,6 +218,7 @@
 
 // Delete takes in that an entry is gone.
 func (l *List) Delete(now time.Time, id string) {
+	l.now = now
 	if _, ok := l.items[id]; !ok {
 		return
 	}
@@ -258,6 +258,7 @@
 
 // Expire drops the entries that stayed missing, and returns their ids.
 func (l *List) Expire(now time.Time) []string {
+	l.now = now
 	var gone []string
 	for id, until := range l.missing {
 		if now.Before(until) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -213,6 +213,9 @@
 		m.entry = e
 		services[e.Service] = append(services[e.Service], m)
 	})
+	for id := range ended {
+		p.forgetWords(id)
+	}
 	for id, m := range p.members {
 		if !seen[id] {
 			changes = append(changes, Change{m.entry, "gone"})
@@ -241,6 +244,12 @@
 	}
 }
 
+// forgetWords drops what a life has asked for that named no birth and is over: the next one may have its name.
+func (p *Pools) forgetWords(id string) {
+	p.rests.Forget(retry.Lifetime{ID: id})
+	p.limits.Forget(retry.Lifetime{ID: id})
+}
+
 // SetSize says what an engine of a service has.
 func (p *Pools) SetSize(service string, s capacity.Size) {
 	p.mu.Lock()
--- a/internal/pool/says.go
+++ b/internal/pool/says.go
@@ -45,13 +45,7 @@
 	if len(l.dropped) >= idsKept {
 		clear(l.dropped)
 	}
-	l.dropped[v.Entry.ID] = v
-}
-
-// hasLeft tells whether an entry that isn't held was leaving when it was.
-func (l *List) hasLeft(e Entry) bool {
-	v, ok := l.dropped[e.ID]
-	return ok && v.Entry.Leaving && !v.Entry.another(e)
+	l.dropped[v.Entry.ID] = dropped{v, l.now}
 }
 
 // isOfACopy tells whether an entry that isn't held is one that went, as an older copy of the store has
@@ -125,7 +119,8 @@
 	defer p.mu.Unlock()
 	v, ok := p.list.items[e.ID]
 	if !ok {
-		return p.list.hasLeft(e)
+		v := p.list.dropped[e.ID]
+		return v.Entry.Leaving && !v.Entry.another(e)
 	}
 	return v.Entry.Leaving || v.Entry.another(e)
 }
--- a/internal/retry/rests.go
+++ b/internal/retry/rests.go
@@ -35,6 +35,9 @@
 	return !rested
 }
 
+// Forget drops what one life has asked for that is over, where its name may be the next one's, too.
+func (r *Rests) Forget(l Lifetime) { delete(r.until, l) }
+
 // Left returns how long an upstream is to get nothing; 0: it may be asked.
 func (r *Rests) Left(now time.Time, l Lifetime) time.Duration { return max(0, r.until[l].Sub(now)) }
 
