An older copy's entry that is read again begins no other life; guards of lives and slowness have their tests

Cause: an entry of an older copy of the store, which says ready, was compared a second time (the same write, read again) with one that had declared that it leaves, and counted as a later one. Change: only a later write counts. Tests for guards that none missed: a life that is told again, one that was away, answers that stall, the bound on how fast one is believed to be.

--- a/internal/pool/lives.go
+++ b/internal/pool/lives.go
@@ -55,7 +55,7 @@
 	case e.Address != o.Address:
 		return true
 	}
-	return o.Declared && !e.Declared && era.Of(v.Revision) == era.Of(old.Revision)
+	return o.Declared && !e.Declared && v.Revision > old.Revision && era.Of(v.Revision) == era.Of(old.Revision)
 }
 
 // begin makes the entry the first one of a later life than that of old.
--- a/internal/pool/slow_test.go
+++ b/internal/pool/slow_test.go
@@ -53,6 +53,18 @@
 	return l.gets
 }
 
+// stall lets one answer of an upstream take that long.
+func (l *calm) stall(id string, d time.Duration) {
+	n := Need{ID: "stall", Service: "s", Engine: l.engine, Excluded: make(map[string]bool)}
+	for v := range l.takes {
+		n.Excluded[v] = v != id
+	}
+	u := l.p.Pick(n)
+	l.clock.Advance(d)
+	u.Started()
+	u.End(ResultGood)
+}
+
 // restart is the next life of an upstream.
 func (l *calm) restart(id string, born int64) {
 	l.p.Update(func(v *List) {
@@ -95,6 +107,16 @@
 				l.restart("a", 2)
 				assertShare(t, l.play(time.Second), "a", 0.2, 0.8)
 			})
+			t.Run("one answer that stalls says little, of its upstream and of the others", func(t *testing.T) {
+				l := newCalm(engine, map[string]time.Duration{"a": 5 * time.Millisecond, "b": 5 * time.Millisecond, "c": 5 * time.Millisecond})
+				l.play(5 * time.Second)
+				l.stall("a", 10*time.Second)
+				gets := l.play(2 * time.Second)
+				assertShare(t, gets, "b", 0.2, 0.6)
+				assertShare(t, gets, "c", 0.2, 0.6)
+				l.play(6 * time.Second)
+				assertShare(t, l.play(2*time.Second), "a", 0.2, 0.5)
+			})
 			t.Run("a slow one gets little", func(t *testing.T) {
 				l := newCalm(engine, map[string]time.Duration{"a": 200 * time.Millisecond, "b": 50 * time.Millisecond, "c": 50 * time.Millisecond})
 				l.play(5 * time.Second)
@@ -110,3 +132,13 @@
 		})
 	}
 }
+
+// TestPaceBounds: an upstream that answers far faster than the others, as one does whose prompts are cached, is believed
+// to be twice as fast at most. More would send it everything that the others could take sooner.
+func TestPaceBounds(t *testing.T) {
+	var p pace
+	for range 100 {
+		p.take(start, 0.01)
+	}
+	assert.Equal(t, fastest, p.slowness(start))
+}
--- a/internal/pool/unborn_test.go
+++ b/internal/pool/unborn_test.go
@@ -74,13 +74,20 @@
 		l.Delete(start, "a")
 		l.Expire(start.Add(lapseGrace))
 		l.Put(lifeAt(0, 5, false))
-		l.Items(func(v Item) { told.Put(v) })
+		var word Item
+		l.Items(func(v Item) { word = v })
+		told.Put(word)
 		assert.False(t, leavingOf(told, "a"))
 		t.Run("and goes on doing so when the store tells of it", func(t *testing.T) {
 			l.Items(func(v Item) { told.Leave(v.Entry) })
 			told.Put(lifeAt(0, 6, false))
 			assert.True(t, leavingOf(told, "a"))
 		})
+		t.Run("nor is that life told again another one", func(t *testing.T) {
+			word.Revision = 7
+			told.Put(word)
+			assert.True(t, leavingOf(told, "a"))
+		})
 	})
 	t.Run("no evidence", func(t *testing.T) {
 		t.Run("an entry that says ready, of one that said otherwise in an answer", func(t *testing.T) {
@@ -106,8 +113,14 @@
 		t.Run("an entry from before, of an older copy of the store", func(t *testing.T) {
 			l := NewList()
 			l.Replace(start, dated(t, 1, 50), []Item{lifeAt(0, dated(t, 1, 40), true)})
-			l.Replace(start, dated(t, 2, 20), []Item{lifeAt(0, dated(t, 2, 10), false)})
-			assert.True(t, leavingOf(l, "a"))
+			for range 2 { // the copy is read again
+				l.Replace(start, dated(t, 2, 20), []Item{lifeAt(0, dated(t, 2, 10), false)})
+				assert.True(t, leavingOf(l, "a"))
+			}
+			t.Run("but one that is written after it", func(t *testing.T) {
+				l.Put(lifeAt(0, dated(t, 2, 21), false))
+				assert.False(t, leavingOf(l, "a"))
+			})
 		})
 	})
 }
@@ -128,4 +141,11 @@
 	if assert.NotNil(t, v, "its address is its own again, and it asked for no rest") {
 		assert.Equal(t, 0, v.Choice().Running)
 	}
+	t.Run("also after it was away", func(t *testing.T) {
+		p.Rest(v.Entry(), time.Hour)
+		p.Update(func(l *List) { l.Delete(start, "a") })
+		p.Update(func(l *List) { l.Expire(start.Add(lapseGrace)) })
+		p.Update(func(l *List) { l.Put(lifeAt(0, 4, false)) })
+		assert.NotNil(t, p.Pick(Need{ID: "x", Service: "s"}))
+	})
 }
