Relays don't place what nobody waits for any more

Cause: a relay that came to a request after its node had given up waiting (30 ms) chose an upstream all the same. It took the turn of one that names a limit, and counted as load there, for nobody. Change: the request's end is looked at first; a line place_late.

--- a/internal/edge/place.go
+++ b/internal/edge/place.go
@@ -56,9 +56,14 @@
 	return a.Msg.Upstream
 }
 
-// Place chooses an upstream for a request of another node.
-func (s *edgeService) Place(_ context.Context, r *connect.Request[wire.PlaceRequest]) (*connect.Response[wire.PlaceResponse], error) {
+// Place chooses an upstream for a request of another node. One that has waited for longer than its node does isn't
+// placed any more: it would take an upstream's turn, and count as load, for nobody.
+func (s *edgeService) Place(ctx context.Context, r *connect.Request[wire.PlaceRequest]) (*connect.Response[wire.PlaceResponse], error) {
 	m := r.Msg
+	if ctx.Err() != nil {
+		s.n.log.Info("place_late", zap.String("request", m.Request), zap.String("node", m.Node))
+		return nil, connect.NewError(connect.CodeDeadlineExceeded, ctx.Err())
+	}
 	v := pool.Need{ID: m.Request, Service: m.Service, Prompt: m.Prompt, Output: m.Output, Engine: true}
 	for _, x := range m.Parts {
 		v.Parts = append(v.Parts, call.Part{ID: x.Id, Tokens: int(x.Tokens)})
