Dead upstreams don't end the search for one that lives

What callers saw: where many upstreams of a service had ended together and were listed still, 503 within 10 ms while others would have taken the request. Seen as the known failure of TestAlikeRequestsThatEndUpstreams (14 of 24 dead). Cause: a request looked at five upstreams, those included that refused the connection; four on the own interface, where each such try also cost retry budget. Ruled out: quarantine (no line of it), limits and rests (none asked for). Change: retry.Tries, one decision for both compositions. Upstreams that turn a request away are bounded by number as before; such as couldn't be reached by 100 ms lost on them, and beyond five tries a node goes only where it hasn't found one dead. Figures: TestRequestAmongDeadUpstreams and TestRequestsAmongDeadUpstreams fail before (503; 1 of 8 served), pass after; beside eight busy processes 8 of 8 runs of these and of the known failure's test pass, and of TestRestartsUnderTraffic.

--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -88,9 +88,9 @@
 	if !l.l.Is("routed") { // a job that was refused before is admitted again
 		l.fire("admit")
 	}
-	tried := make(tries)
+	tried := newTries()
 	prefer := ""
-	for n := 1; ; n++ {
+	for {
 		next, err := p.attempt(ctx, c, l, tried, prefer)
 		if err == nil {
 			p.mu.Lock()
@@ -105,14 +105,13 @@
 		if errors.Is(err, errMoved) {
 			// The upstream leaves: not a failure, and not paid from the retry budget.
 			prefer = next
-			n--
 			continue
 		}
 		if d.endedElsewhere(c.identity, tried) {
 			return err
 		}
-		a := retry.Attempt{Repeatable: true, MayHaveRun: !errors.Is(err, upstream.ErrRefused), Sent: n, Left: c.Deadline.Sub(d.o.Clock.Now())}
-		if ctx.Err() != nil || errors.Is(err, errNobody) || p.decide(a) != retry.VerdictRetry {
+		a := retry.Attempt{Repeatable: true, MayHaveRun: !errors.Is(err, upstream.ErrRefused), Left: c.Deadline.Sub(d.o.Clock.Now())}
+		if ctx.Err() != nil || errors.Is(err, errNobody) || !p.again(tried, a) {
 			return err
 		}
 		d.o.Event("retry", c.Record.ID(), err.Error())
@@ -126,7 +125,7 @@
 
 // attempt runs one attempt. After a move it returns the address that the stream's
 // KV cache went to.
-func (p *pool) attempt(ctx context.Context, c *Chat, l *life, tried tries, prefer string) (string, error) {
+func (p *pool) attempt(ctx context.Context, c *Chat, l *life, tried *tries, prefer string) (string, error) {
 	t, ok := p.choose(c, tried, prefer)
 	if !ok {
 		return "", p.nobody(c.Record.ID())
@@ -180,7 +179,7 @@
 		c.Record.FinishAttempt(number, p.d.o.Clock.Now())
 		return "", nil
 	}
-	tried.note(t.fact.ID, err)
+	tried.note(t.fact.ID, err, p.d.o.Clock.Since(begun))
 	if errors.Is(err, upstream.ErrRefused) {
 		go p.d.checkLeaving(t.fact.ID, t.fact.Address)
 	}
@@ -198,7 +197,7 @@
 
 // choose takes the upstream that the KV cache went to, if there is one and it is
 // still usable, and asks the router otherwise.
-func (p *pool) choose(c *Chat, tried tries, prefer string) (target, bool) {
+func (p *pool) choose(c *Chat, tried *tries, prefer string) (target, bool) {
 	if prefer == "" {
 		return p.pick(c.Service, &c.Prompt, tried)
 	}
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -147,8 +147,8 @@
 }
 
 func (p *pool) send(ctx context.Context, c *Call, l *life) *Answer {
-	tried := make(tries)
-	for n := 1; ; n++ {
+	tried := newTries()
+	for {
 		t, ok := p.legacy(c)
 		if !ok {
 			t, ok = p.pick(c.Service, &route.Prompt{}, tried)
@@ -158,6 +158,7 @@
 		}
 		l.fire("route")
 		l.fire("send")
+		sent := p.d.o.Clock.Now()
 		a, err := p.sendOnce(ctx, c, &t)
 		if err == nil {
 			l.fire("finish")
@@ -169,15 +170,15 @@
 		if r := p.d.held(c.identity); r != nil {
 			return givenUp(l.giveUp(), r)
 		}
-		tried.note(t.fact.ID, err)
+		tried.note(t.fact.ID, err, p.d.o.Clock.Since(sent))
 		if p.d.endedElsewhere(c.identity, tried) {
 			return givenUp(l.giveUp(), err)
 		}
-		v := p.decide(retry.Attempt{
+		again := p.again(tried, retry.Attempt{
 			Repeatable: *c.Rule.Repeatable, MayHaveRun: !errors.Is(err, upstream.ErrNotSent) && !errors.Is(err, upstream.ErrRefused),
-			Sent: n, Left: c.Deadline.Sub(p.d.o.Clock.Now()),
+			Left: c.Deadline.Sub(p.d.o.Clock.Now()),
 		})
-		if v != retry.VerdictRetry || ctx.Err() != nil {
+		if !again || ctx.Err() != nil {
 			return givenUp(l.giveUp(), err)
 		}
 		p.d.o.Event("retry", c.ID, fmt.Sprintf("%s: %v", t.fact.ID, err))
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -121,8 +121,8 @@
 const (
 	liveReserve  = 0.25
 	ejectedShare = 0.34
-	// maxAttempts bounds the attempts of one request, budget or not, and worthwhile is the time
-	// left that makes another one worth its cost.
+	// maxAttempts bounds the upstreams that one request reaches, budget or not, and worthwhile is the
+	// time left that makes another try worth its cost.
 	maxAttempts   = 4
 	worthwhile    = 20 * time.Millisecond
 	retryShare    = 0.1
@@ -280,15 +280,16 @@
 }
 
 // pick chooses an upstream that isn't in tried, and counts the dispatch.
-func (p *pool) pick(s *config.Service, prompt *route.Prompt, tried tries) (target, bool) {
+func (p *pool) pick(s *config.Service, prompt *route.Prompt, tried *tries) (target, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.refreshLocked()
 	now := p.d.now()
 	at := p.d.o.Clock.Now()
+	fresh := tried.bound.Next() == retry.SearchFresh
 	for i := range p.cands {
 		c, f := &p.cands[i], &p.list[i]
-		c.Excluded = tried.has(c.ID) || !p.outliers.Usable(now, c.ID) || p.rests.Left(at, retry.Lifetime{ID: c.ID}) > 0
+		c.Excluded = tried.has(c.ID) || fresh && p.outliers.Failing(c.ID) || !p.outliers.Usable(now, c.ID) || p.rests.Left(at, retry.Lifetime{ID: c.ID}) > 0
 		c.LoadAge = at.Sub(f.At)
 		c.InFlight, c.SinceReport, c.Slowness = 0, 0, 0
 		if v := p.flights[c.ID]; v != nil {
@@ -391,14 +392,6 @@
 	}
 }
 
-func (p *pool) decide(a retry.Attempt) retry.Verdict {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	a.Most, a.Least = maxAttempts, worthwhile
-	v, _ := retry.Decide(a, func() bool { return p.budget.Take(p.d.now()) })
-	return v
-}
-
 // Stats is what a node tells of a pool.
 type Stats struct {
 	Running  int   `json:"running"`
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -62,7 +62,7 @@
 
 // endedElsewhere tells whether copies of a request that has reached an upstream have ended others: it isn't
 // sent once more then.
-func (d *Dispatcher) endedElsewhere(of func() quarantine.Request, tried tries) bool {
+func (d *Dispatcher) endedElsewhere(of func() quarantine.Request, tried *tries) bool {
 	if !tried.reachedAny() {
 		return false
 	}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -52,10 +52,6 @@
 	}
 }
 
-// maxTries bounds the upstreams looked at for one request, those included that could
-// not be reached.
-const maxTries = 5
-
 // send tries upstreams until one answers or there is no use in going on. An upstream's
 // own failure that another try didn't better is passed on as it came.
 func (s *Server) send(ctx context.Context, v any) (any, error) {
@@ -70,7 +66,8 @@
 func (s *Server) tryAll(ctx context.Context, q *request) (*answer, error) {
 	tried := make(map[string]bool)
 	var last error
-	for try := 0; try < maxTries; try++ {
+	q.tries = retry.Tries{}
+	for try := 0; q.tries.Next() != retry.SearchOver; try++ {
 		if err := s.mayTry(ctx, q, try, last); err != nil {
 			return nil, err
 		}
@@ -95,6 +92,7 @@
 // Place says.
 func (s *Server) pick(ctx context.Context, q *request, tried map[string]bool) *pool.Use {
 	n := s.need(q, tried)
+	n.Fresh = q.tries.Next() == retry.SearchFresh
 	if len(tried) == 0 {
 		if u := s.pickTrial(q, n); u != nil {
 			return u
@@ -187,6 +185,11 @@
 		s.noteBegun(q, a)
 		return a, nil
 	}
+	if errors.Is(err, errNotRun) && a.head == nil {
+		q.tries.Missed(s.o.Clock.Since(a.sent))
+	} else {
+		q.tries.Turned()
+	}
 	broken := a.broken(ctx, err)
 	if c := context.Cause(a.ctx); c != nil && ctx.Err() == nil {
 		err = because(err, c)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -39,6 +39,7 @@
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/quarantine"
 	"spurhall.example/spurhall/internal/quota"
+	"spurhall.example/spurhall/internal/retry"
 	"spurhall.example/spurhall/internal/rollout"
 	"spurhall.example/spurhall/internal/timer"
 )
@@ -143,6 +144,7 @@
 	arrived   time.Time
 	until     time.Time     // when an answer is due
 	before    time.Duration // between the caller's first try and this one
+	tries     retry.Tries   // of the search for an upstream that goes on
 	sends     int           // attempts of which a byte left, but for those that another upstream's life answered
 	arrivals  int           // attempts of which a byte left
 	mayRun    bool          // an attempt may have run it
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -137,7 +137,8 @@
 // resume goes on at another upstream after the last event passed on.
 func (t *stream) resume(cause error) (event, error) {
 	tried := map[string]bool{t.a.use.Entry().ID: true}
-	for try := 0; try < maxTries; try++ {
+	t.q.tries = retry.Tries{}
+	for t.q.tries.Next() != retry.SearchOver {
 		if !t.resumable() {
 			return event{}, cause
 		}
@@ -147,7 +148,9 @@
 		if v, _ := t.s.decide(t.q); v != retry.VerdictRetry || !t.s.repeats(t.q) {
 			return event{}, cause
 		}
-		use := t.s.o.Pools.Pick(t.s.need(t.q, tried))
+		n := t.s.need(t.q, tried)
+		n.Fresh = t.q.tries.Next() == retry.SearchFresh
+		use := t.s.o.Pools.Pick(n)
 		if use == nil {
 			return event{}, cause
 		}
@@ -165,6 +168,7 @@
 		}
 		if a.events == nil {
 			a.end(pool.ResultFailed)
+			t.q.tries.Turned()
 			cause = fault.Because(errLost, "the resumed stream was answered %d", a.head.StatusCode)
 			continue
 		}
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -53,6 +53,7 @@
 	Engine   bool // the service has engines
 	Trial    bool // it goes to an upstream of a roll-out's target that is on trial
 	Excluded map[string]bool
+	Fresh    bool   // only upstreams that this node hasn't failed to reach lately
 	placed   string // the upstream that a relay has chosen, which has counted it against that one's limit
 }
 
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -122,6 +122,7 @@
 		takes, last := p.serves(now, m, n)
 		switch {
 		case m.entry.Leaving || m.gone || n.Excluded[m.entry.ID] || p.rests.Left(now, m.entry.Lifetime()) > 0:
+		case n.Fresh && now.Sub(m.failed) < unreachableKeeps:
 		case n.placed != m.entry.ID && p.limits.Wait(now, m.entry.Lifetime(), n.Engine) > 0:
 			limited++
 		case last:
--- a/internal/retry/outlier.go
+++ b/internal/retry/outlier.go
@@ -57,6 +57,12 @@
 	return false
 }
 
+// Failing tells whether the upstream's newest answer that tells something was a failure.
+func (o *Outliers) Failing(id string) bool {
+	h := o.health[id]
+	return h != nil && h.fails > 0
+}
+
 // Sending notes that a request goes to the upstream: to an ejected one, it is the
 // probe.
 func (o *Outliers) Sending(id string) {
