No answer lifts no limit

Cause: the zero value of what an answer says of a limit meant that it names none. A node that asked an engine what it has cached and couldn't reach it took that for an answer, lifted the limit, and told all others. Ruled out: forwarding, which takes in only heads that came.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -66,7 +66,8 @@
 
 // The words.
 const (
-	LimitNone    LimitWord = iota // the upstream takes whatever it has room for
+	LimitUnheard LimitWord = iota // there was no answer, which says nothing
+	LimitNone                     // the upstream takes whatever it has room for
 	LimitNamed                    // it names one
 	LimitUnclear                  // it can't be told whether there is one: what was known holds
 )
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -411,7 +411,7 @@
 		return []zap.Field{zap.Float64("names_limit", l.Rate)}
 	case call.LimitUnclear:
 		return []zap.Field{zap.String("names_limit", "unclear")}
-	case call.LimitNone:
+	case call.LimitNone, call.LimitUnheard:
 	}
 	return nil
 }
--- a/internal/pool/limit_test.go
+++ b/internal/pool/limit_test.go
@@ -74,7 +74,7 @@
 		clock.Advance(time.Millisecond)
 		assert.False(t, p.HearLimit(e["a"], call.Limit{Word: call.LimitUnclear}, clock.Service().Now()))
 		assert.Nil(t, p.Pick(only()))
-		assert.True(t, p.HearLimit(e["a"], call.Limit{}, clock.Service().Now()))
+		assert.True(t, p.HearLimit(e["a"], call.Limit{Word: call.LimitNone}, clock.Service().Now()))
 		assert.NotNil(t, p.Pick(only()))
 	})
 	t.Run("callers are told when to come, one after the other", func(t *testing.T) {
--- a/internal/pool/says.go
+++ b/internal/pool/says.go
@@ -73,7 +73,7 @@
 		return p.limits.Named(p.clock.Now(), sent, e.Lifetime(), l.Rate)
 	case call.LimitNone:
 		return p.limits.Unnamed(p.clock.Now(), sent, e.Lifetime())
-	case call.LimitUnclear:
+	case call.LimitUnclear, call.LimitUnheard:
 	}
 	return false
 }
