spurhall upstreams: what nodes believe of upstreams, and what they do about it

On-call had to put together from lines whether an upstream is left alone since it leaves, rests, names a limit that others share, has lost its address, or couldn't be reached. The verb asks nodes and prints it for each upstream, with ages.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -63,7 +63,7 @@
 			&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Value: "text", Usage: "text or json"},
 			&cli.DurationFlag{Name: "timeout", Value: 10 * time.Second, Usage: "longest wait for a node"},
 		},
-		Commands: append(append(t.configCommands(), t.viewCommands()...), t.rolloutsCommand(), t.storeCommand(), t.loadCommand(), t.explainCommand(), t.checkCommand(), t.versionCommand()),
+		Commands: append(append(t.configCommands(), t.viewCommands()...), t.rolloutsCommand(), t.storeCommand(), t.upstreamsCommand(), t.loadCommand(), t.explainCommand(), t.checkCommand(), t.versionCommand()),
 	}
 }
 
--- /dev/null
+++ b/internal/edge/states.go
@@ -0,0 +1,31 @@
+package edge
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+
+	"spurhall.example/spurhall/internal/pool"
+	"spurhall.example/spurhall/internal/wire"
+)
+
+// Upstreams returns what this node believes of upstreams, and does about it.
+func (s *edgeService) Upstreams(_ context.Context, r *connect.Request[wire.UpstreamsRequest]) (*connect.Response[wire.UpstreamsResponse], error) {
+	a := &wire.UpstreamsResponse{Node: s.n.s.Node}
+	for _, v := range s.n.pools.States(r.Msg.Service) {
+		a.Upstreams = append(a.Upstreams, stateToWire(v))
+	}
+	return connect.NewResponse(a), nil
+}
+
+func stateToWire(v pool.State) *wire.UpstreamState {
+	e := v.Entry
+	m := &wire.UpstreamState{
+		Id: e.ID, Service: e.Service, Hall: e.Hall, Born: e.Born, Leaving: e.Leaving, Declared: e.Declared, Misplaced: v.Misplaced, RestMs: v.Rest.Milliseconds(),
+		Limited: v.Limited, Rate: v.Rate, LimitAgeMs: v.LimitAge.Milliseconds(), Share: v.Share, Slowness: v.Slowness, UnreachedMs: -1, Running: int64(v.Running),
+	}
+	if v.Unreached >= 0 {
+		m.UnreachedMs = v.Unreached.Milliseconds()
+	}
+	return m
+}
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -155,6 +155,15 @@
 	return list
 }
 
+// Look returns the word that holds for an upstream, and what of its rate falls to this node, for who looks on.
+func (b *Book) Look(now time.Time, of retry.Lifetime) (w Word, share float64, named bool) {
+	if _, named = b.Rate(now, of); !named {
+		return Word{}, 0, false
+	}
+	k := b.known[of]
+	return k.Word, k.share.rate, true
+}
+
 // Rate returns the rate that an upstream names, if it does.
 func (b *Book) Rate(now time.Time, of retry.Lifetime) (float64, bool) {
 	k := b.known[of]
--- a/internal/wire/wireconnect/edge.connect.go
+++ b/internal/wire/wireconnect/edge.connect.go
@@ -51,6 +51,8 @@
 	EdgeRolloutsProcedure = "/spurhall.v1.Edge/Rollouts"
 	// EdgeStoreProcedure is the fully-qualified name of the Edge's Store RPC.
 	EdgeStoreProcedure = "/spurhall.v1.Edge/Store"
+	// EdgeUpstreamsProcedure is the fully-qualified name of the Edge's Upstreams RPC.
+	EdgeUpstreamsProcedure = "/spurhall.v1.Edge/Upstreams"
 	// EdgeFollowProcedure is the fully-qualified name of the Edge's Follow RPC.
 	EdgeFollowProcedure = "/spurhall.v1.Edge/Follow"
 )
@@ -64,6 +66,7 @@
 	CatchUp(context.Context, *connect.Request[wire.CatchUpRequest]) (*connect.Response[wire.CatchUpResponse], error)
 	Rollouts(context.Context, *connect.Request[wire.RolloutsRequest]) (*connect.Response[wire.RolloutsResponse], error)
 	Store(context.Context, *connect.Request[wire.StoreRequest]) (*connect.Response[wire.StoreResponse], error)
+	Upstreams(context.Context, *connect.Request[wire.UpstreamsRequest]) (*connect.Response[wire.UpstreamsResponse], error)
 	Follow(context.Context, *connect.Request[wire.FollowRequest]) (*connect.Response[wire.FollowResponse], error)
 }
 
@@ -120,6 +123,12 @@
 			connect.WithSchema(edgeMethods.ByName("Store")),
 			connect.WithClientOptions(opts...),
 		),
+		upstreams: connect.NewClient[wire.UpstreamsRequest, wire.UpstreamsResponse](
+			httpClient,
+			baseURL+EdgeUpstreamsProcedure,
+			connect.WithSchema(edgeMethods.ByName("Upstreams")),
+			connect.WithClientOptions(opts...),
+		),
 		follow: connect.NewClient[wire.FollowRequest, wire.FollowResponse](
 			httpClient,
 			baseURL+EdgeFollowProcedure,
@@ -131,14 +140,15 @@
 
 // edgeClient implements EdgeClient.
 type edgeClient struct {
-	gather   *connect.Client[wire.GatherRequest, wire.GatherResponse]
-	place    *connect.Client[wire.PlaceRequest, wire.PlaceResponse]
-	swap     *connect.Client[wire.SwapRequest, wire.SwapResponse]
-	report   *connect.Client[wire.ReportRequest, wire.ReportResponse]
-	catchUp  *connect.Client[wire.CatchUpRequest, wire.CatchUpResponse]
-	rollouts *connect.Client[wire.RolloutsRequest, wire.RolloutsResponse]
-	store    *connect.Client[wire.StoreRequest, wire.StoreResponse]
-	follow   *connect.Client[wire.FollowRequest, wire.FollowResponse]
+	gather    *connect.Client[wire.GatherRequest, wire.GatherResponse]
+	place     *connect.Client[wire.PlaceRequest, wire.PlaceResponse]
+	swap      *connect.Client[wire.SwapRequest, wire.SwapResponse]
+	report    *connect.Client[wire.ReportRequest, wire.ReportResponse]
+	catchUp   *connect.Client[wire.CatchUpRequest, wire.CatchUpResponse]
+	rollouts  *connect.Client[wire.RolloutsRequest, wire.RolloutsResponse]
+	store     *connect.Client[wire.StoreRequest, wire.StoreResponse]
+	upstreams *connect.Client[wire.UpstreamsRequest, wire.UpstreamsResponse]
+	follow    *connect.Client[wire.FollowRequest, wire.FollowResponse]
 }
 
 // Gather calls spurhall.v1.Edge.Gather.
@@ -176,6 +186,11 @@
 	return c.store.CallUnary(ctx, req)
 }
 
+// Upstreams calls spurhall.v1.Edge.Upstreams.
+func (c *edgeClient) Upstreams(ctx context.Context, req *connect.Request[wire.UpstreamsRequest]) (*connect.Response[wire.UpstreamsResponse], error) {
+	return c.upstreams.CallUnary(ctx, req)
+}
+
 // Follow calls spurhall.v1.Edge.Follow.
 func (c *edgeClient) Follow(ctx context.Context, req *connect.Request[wire.FollowRequest]) (*connect.Response[wire.FollowResponse], error) {
 	return c.follow.CallUnary(ctx, req)
@@ -190,6 +205,7 @@
 	CatchUp(context.Context, *connect.Request[wire.CatchUpRequest]) (*connect.Response[wire.CatchUpResponse], error)
 	Rollouts(context.Context, *connect.Request[wire.RolloutsRequest]) (*connect.Response[wire.RolloutsResponse], error)
 	Store(context.Context, *connect.Request[wire.StoreRequest]) (*connect.Response[wire.StoreResponse], error)
+	Upstreams(context.Context, *connect.Request[wire.UpstreamsRequest]) (*connect.Response[wire.UpstreamsResponse], error)
 	Follow(context.Context, *connect.Request[wire.FollowRequest]) (*connect.Response[wire.FollowResponse], error)
 }
 
@@ -242,6 +258,12 @@
 		connect.WithSchema(edgeMethods.ByName("Store")),
 		connect.WithHandlerOptions(opts...),
 	)
+	edgeUpstreamsHandler := connect.NewUnaryHandler(
+		EdgeUpstreamsProcedure,
+		svc.Upstreams,
+		connect.WithSchema(edgeMethods.ByName("Upstreams")),
+		connect.WithHandlerOptions(opts...),
+	)
 	edgeFollowHandler := connect.NewUnaryHandler(
 		EdgeFollowProcedure,
 		svc.Follow,
@@ -264,6 +286,8 @@
 			edgeRolloutsHandler.ServeHTTP(w, r)
 		case EdgeStoreProcedure:
 			edgeStoreHandler.ServeHTTP(w, r)
+		case EdgeUpstreamsProcedure:
+			edgeUpstreamsHandler.ServeHTTP(w, r)
 		case EdgeFollowProcedure:
 			edgeFollowHandler.ServeHTTP(w, r)
 		default:
@@ -303,6 +327,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("spurhall.v1.Edge.Store is not implemented"))
 }
 
+func (UnimplementedEdgeHandler) Upstreams(context.Context, *connect.Request[wire.UpstreamsRequest]) (*connect.Response[wire.UpstreamsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("spurhall.v1.Edge.Upstreams is not implemented"))
+}
+
 func (UnimplementedEdgeHandler) Follow(context.Context, *connect.Request[wire.FollowRequest]) (*connect.Response[wire.FollowResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("spurhall.v1.Edge.Follow is not implemented"))
 }
