--- a/internal/node/dead_test.go
+++ b/internal/node/dead_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 
@@ -80,4 +81,27 @@
 			return r.chat(n, newChat("chat", fmt.Sprint("c", i), 2, true)).status == http.StatusOK
 		}))
 	})
+	t.Run("where none lives, each is asked once, and a few again", func(t *testing.T) {
+		r := newRig(t, "hall-a")
+		n := r.nodes[0]
+		v := &ending{}
+		const dead, calls = 40, 20
+		for i := range dead {
+			id := fmt.Sprint("d", i)
+			v.add(r, id, "llm", standin.NewEngine(timer.Real(), standin.EngineOptions{ID: id, Slots: 32, CacheTokens: 100000}).Handler())
+		}
+		r.waitEngines(dead)
+		v.end()
+		for i := range calls {
+			assert.NotEqual(t, http.StatusOK, r.chat(n, newChat("chat", fmt.Sprint("c", i), 2, true)).status)
+		}
+		again := 0
+		for _, e := range n.Timeline().Since(time.Time{}) {
+			if e.Name == "retry" {
+				again++
+			}
+		}
+		t.Logf("%d tries after the first", again)
+		assert.LessOrEqual(t, again, dead+5*calls)
+	})
 }
--- a/internal/quarantine/form.go
+++ b/internal/quarantine/form.go
@@ -7,7 +7,7 @@
 // another: ids are drawn from letters and digits, dates and times have their digits between dashes and colons.
 //
 // Weighed: the length of the body (a counter that gains a digit has another one, as have ids and dates of
-// several forms: 14 requests with an id end 26 upstreams); a sketch of the body's parts (harmless requests share
+// several forms); a sketch of the body's parts (harmless requests share
 // most of their parts with the deadly ones, and an answer to one of these would speak for all).
 
 const (
