--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -3,9 +3,9 @@
 // callers' listener fails would go on getting callers. That is one out of descriptors, or whose
 // listener was closed under it. One that is paused answers the balancer as little as its callers.
 //
-// A node doesn't come to that by itself: it takes only as many callers as it can send on. When
-// descriptors ran out under ten times the traffic, connections waited 3.6 s in the listener's
-// queue; their requests were read when their callers had left, and 271 of them sent on.
+// A node doesn't come to that by itself: it takes only as many callers as it can send on. Out of
+// descriptors, it would leave connections for seconds in the listener's queue; their requests would be read
+// when their callers have left, and sent on.
 package accept
 
 import (
--- a/internal/autoscale/mix.go
+++ b/internal/autoscale/mix.go
@@ -224,8 +224,8 @@
 
 // leastOnDemand is how many on-demand upstreams are held over all halls: what is left if all
 // reclaimable ones go at once. One in each hall was held before. Where engines are few, that
-// is as good; where the load needs twice as many halls' worth, it was 0.03 of the worth a day
-// more in upstreams than it saved in the worst moments.
+// is as good; where the load needs twice as many halls' worth, it costs more in upstreams than it
+// saves in the worst moments.
 const leastOnDemand = 1
 
 // reclaimable is how many reclaimable upstreams a hall should have if its part of the need
@@ -358,7 +358,7 @@
 // halls that have some already as many as they have, then the halls with fewest, the
 // cheapest first among equals. What serves or boots is thereby not given up in one hall for
 // what has to boot in another. Dealing them out anew each time, by what was to be had at the
-// moment, moved two of five to and fro for 15 s of a wave.
+// moment, moves some to and fro through a wave.
 //
 // Both kinds together are bounded, so what is there and reclaimable stays: giving it up for
 // what has to boot first would leave nothing in between.
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -107,8 +107,7 @@
 
 // followed notes that a node that watches has told this one what the store holds: it wasn't
 // away, though it may turn this node away. Without that, the node took what went from the
-// list for lapsed when it watched again itself: where the store turned a third of the nodes
-// away, one request reached an upstream 2.5 s after it had left, and 2 s are allowed.
+// list for lapsed when it watched again itself, and sent requests to upstreams that had left.
 func (n *Node) followed() {
 	for _, f := range []*follower{n.listReader, n.catalogReader} {
 		if !f.failed.IsZero() {
--- a/internal/pool/held.go
+++ b/internal/pool/held.go
@@ -12,8 +12,7 @@
 // This file takes in what engines say themselves that they have cached. Nodes know where a
 // prompt's prefix was read from the requests they sent, and a loss of all nodes takes that
 // with it while the engines keep their caches: with callers back all at once, nearly every
-// prompt is read anew, and queues of 9,400 tokens build up at each engine within a second
-// (mean of the choices of 25 nodes of 95).
+// prompt is read anew, and queues build up at each engine within a second.
 //
 // An engine names parts, not prefixes: it keeps a part whatever came before it, and uses it
 // if it keeps all those before it, too.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -61,8 +61,8 @@
 	mergeEvery  = 250 * time.Millisecond
 	placedLimit = 1024 // placements kept for reports
 	// forgetEvery is how often prefixes are dropped that are no longer believed to be cached:
-	// a choice looks at their age itself, and a node of 95 that looked through its 10,000 with
-	// each report spent some 6 ms of each second on it (BenchmarkReport).
+	// a choice looks at their age itself, and to look through all with each report takes a part
+	// of a small VM's core (BenchmarkReport).
 	forgetEvery = 5 * time.Second
 	// placedFor is how long a placement is reported: some rounds, since a report may be
 	// lost.
--- a/internal/pool/use.go
+++ b/internal/pool/use.go
@@ -110,8 +110,7 @@
 
 // Patience is the silence after which the upstream is out of line with the service's others.
 // While all of them lag, a request that is begun anew waits elsewhere as long, and its prompt
-// is read twice when there is least to spare: in 8 s in which a hall's engines were gone, 877
-// tries were given up after 1.2 s each.
+// is read twice when there is least to spare.
 func (u *Use) Patience() time.Duration {
 	u.p.mu.Lock()
 	defer u.p.mu.Unlock()
--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -8,9 +8,8 @@
 //
 // Evidence is an End: an upstream closed or reset the connection under a request, hadn't
 // announced that it leaves, and refuses connections from then on, while others of its hall
-// don't. Who notes it has looked: upstreams that live and reset some connections made three
-// requests of 28,000 look like this in one play of 70 nodes, and a cut that resets connections
-// four of 3,700 in one of six. Most requests that see an end were there by chance: so ends count
+// don't. Who notes it has looked: upstreams that live and reset some connections, and cuts that reset
+// connections, make harmless requests look like this. Most requests that see an end were there by chance: so ends count
 // against a request until it is answered whole once (Answered).
 //
 // A request under which Proof upstreams ended is held back: it isn't sent, and is told when to
@@ -27,9 +26,8 @@
 // see one); a share of failures as evidence (a request that comes again each minute never
 // reaches it, and one among many at an upstream that is ill does); probing a suspect at an
 // upstream set apart (one more to pay for, and it has to end, too); passing over ends under a
-// request that is held already, as explained by it (of six requests that end upstreams at once,
-// one explained away another's ends: it was sent 7 times more, and nothing was gained, no harmless
-// request of 64,000 was held back either way: TestFleets); taking an upstream for
+// request that is held already, as explained by it (of several requests that end upstreams at once,
+// one explains away another's ends, and nothing is gained: TestFleets); taking an upstream for
 // alive as soon as it answers another request (in a large fleet a node hears of it again some
 // seconds later, and by then it may be another process under the same id). What an upstream
 // does under a request other than to end, as to hang, isn't evidence here: that is what
--- a/internal/quarantine/family.go
+++ b/internal/quarantine/family.go
@@ -17,9 +17,9 @@
 // upstreams end at once, all that ran there see an end, and none has had the time to be answered.
 //
 // Weighed: the workspace and path alone (a harmless request of another length is answered in between and
-// clears them: 14 in series end 28, as before); parts of the body that are equal (a hash of each for each
-// request, where the shape is there already); no second try for what is alike (14 in series end 5.5 on
-// average instead of 6.0, and half as many harmless requests more lose theirs in waves).
+// clears them); parts of the body that are equal (a hash of each for each request, where the shape is there
+// already); no second try for what is alike (hardly fewer upstreams end, and more harmless requests lose theirs in
+// waves).
 
 const (
 	// familyProof is how many ends without an answer in between hold a shape back, of familyPrints
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -99,8 +99,8 @@
 }
 
 // Close resets the connection. One that is closed goes on delivering what the kernel holds of a request
-// that was given up: over a way that had been cut, one reached its upstream 5.3 s after its caller had
-// been answered. An answer that was read whole shows that its request had arrived, so nothing is lost.
+// that was given up: over a way that was cut, it reaches its upstream when the cut heals, seconds after its
+// caller was answered. An answer that was read whole shows that its request had arrived, so nothing is lost.
 func (c *conn) Close() error {
 	var e error
 	if t, ok := c.Conn.(*net.TCPConn); ok {
