Which of two nodes calls the other, and when, is a package of its own

Pacing stood twice in internal/edge: for reports of nodes, and again, without its tests, for swaps of relays. internal/pair is both, pure, with the tests; edge keeps what it knows of the others. No change of behaviour meant: relays with the same last call are taken in another order, if more than twelve are due.

--- a/internal/edge/counted.go
+++ b/internal/edge/counted.go
@@ -5,6 +5,7 @@
 	"maps"
 	"time"
 
+	"spurhall.example/spurhall/internal/pair"
 	"spurhall.example/spurhall/internal/usage"
 )
 
@@ -19,7 +20,7 @@
 const (
 	// countedAfter is how long after a window's end its counts are written: a round of
 	// reports, and its delay.
-	countedAfter = reportEvery + 100*time.Millisecond
+	countedAfter = pair.Round + 100*time.Millisecond
 	// countedWindows is how many ended windows are written: those that may still wait for a
 	// silent node.
 	countedWindows = 3
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"spurhall.example/spurhall/internal/message"
+	"spurhall.example/spurhall/internal/pair"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/relay"
 	"spurhall.example/spurhall/internal/wire"
@@ -89,7 +90,7 @@
 
 // watchersAt is watchers. The node's lock is held.
 func (n *Node) watchersAt(now time.Time) []string {
-	silent := silentAfter(n.peers.size())
+	silent := pair.Silent(n.peers.size())
 	heard, served := map[string]float64{n.s.Node: n.s.Cores}, map[string]float64{}
 	if n.guard.Up() {
 		served[n.s.Node] = n.s.Cores
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -8,6 +8,7 @@
 
 	"spurhall.example/spurhall/internal/limit"
 	"spurhall.example/spurhall/internal/message"
+	"spurhall.example/spurhall/internal/pair"
 	"spurhall.example/spurhall/internal/relay"
 	"spurhall.example/spurhall/internal/wire"
 )
@@ -53,7 +54,7 @@
 		}
 	}
 	slices.Sort(nodes)
-	if pairEvery(n.peers.size()) > reportEvery {
+	if pair.Every(n.peers.size()) > pair.Round {
 		placers = n.relays(now, relay.Active)
 	}
 	n.pools.SetSenders(nodes, placers)
--- a/internal/edge/limits_test.go
+++ b/internal/edge/limits_test.go
@@ -9,6 +9,7 @@
 
 	"spurhall.example/spurhall/internal/call"
 	"spurhall.example/spurhall/internal/era"
+	"spurhall.example/spurhall/internal/pair"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/timer"
 )
@@ -32,19 +33,19 @@
 			if n.pools.Ask(e) {
 				return true
 			}
-			c.Advance(reportEvery)
+			c.Advance(pair.Round)
 		}
 		return false
 	}
 	t.Run("that nobody has told of others", func(t *testing.T) {
 		n, c := begin()
-		assert.False(t, sends(n, c, int(lookedBy/reportEvery)))
+		assert.False(t, sends(n, c, int(lookedBy/pair.Round)))
 		assert.True(t, sends(n, c, 5), "who is alone for longer is taken to be")
 	})
 	t.Run("before the first round, either", func(t *testing.T) {
 		n, c := begin()
 		assert.False(t, n.pools.Ask(e))
-		c.Advance(reportEvery - time.Millisecond)
+		c.Advance(pair.Round - time.Millisecond)
 		assert.False(t, n.pools.Ask(e))
 	})
 	t.Run("but one that has read the registry", func(t *testing.T) {
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 	"go.uber.org/zap"
 
+	"spurhall.example/spurhall/internal/pair"
 	"spurhall.example/spurhall/internal/store"
 	"spurhall.example/spurhall/internal/wire"
 )
@@ -141,7 +142,7 @@
 		n.listMember(now, p)
 	}
 	for name, p := range n.peers.peers {
-		if now.Sub(p.heard) > max(memberGone, silentAfter(n.peers.size())) && now.Sub(p.listed) > memberGone {
+		if now.Sub(p.heard) > max(memberGone, pair.Silent(n.peers.size())) && now.Sub(p.listed) > memberGone {
 			delete(n.peers.peers, name)
 			n.notePeer("peer_gone", zap.String("peer", name), zap.Duration("silent", now.Sub(p.heard)))
 		}
@@ -162,7 +163,7 @@
 		return
 	}
 	known := n.peers.peers[name]
-	if known != nil && now.Sub(known.heard) <= silentAfter(n.peers.size()) {
+	if known != nil && now.Sub(known.heard) <= pair.Silent(n.peers.size()) {
 		known.listed = now // what it says itself is newer than a stale read
 		return
 	}
@@ -185,7 +186,7 @@
 				n.greetOne(ctx, a)
 			}
 		}
-		_ = n.clock.Sleep(ctx, reportEvery) // the loop's condition sees the end
+		_ = n.clock.Sleep(ctx, pair.Round) // the loop's condition sees the end
 	}
 }
 
--- a/internal/edge/members_test.go
+++ b/internal/edge/members_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"spurhall.example/spurhall/internal/pair"
 	"spurhall.example/spurhall/internal/relay"
 	"spurhall.example/spurhall/internal/store"
 	"spurhall.example/spurhall/internal/timer"
@@ -67,7 +68,7 @@
 	c.Advance(time.Second)
 	p.relaying.failed = n.clock.Now()
 	assertAsked(t, false)
-	c.Advance(reportEvery)
+	c.Advance(pair.Round)
 	p.heard = n.clock.Now()
 	assertAsked(t, true)
 }
--- a/internal/edge/notes.go
+++ b/internal/edge/notes.go
@@ -1,6 +1,10 @@
 package edge
 
-import "go.uber.org/zap"
+import (
+	"go.uber.org/zap"
+
+	"spurhall.example/spurhall/internal/pair"
+)
 
 // This file keeps the log lines about other nodes to the fleet's size. A line for each pair
 // grows with its square: when all nodes of 95 return at once these lines were seven in ten
@@ -16,7 +20,7 @@
 
 // notePeer logs an event of another node, or counts it. The node's lock is held.
 func (n *Node) notePeer(event string, fields ...zap.Field) {
-	if n.notes.teller || pairEvery(n.peers.size()) == reportEvery {
+	if n.notes.teller || pair.Every(n.peers.size()) == pair.Round {
 		n.log.Info(event, fields...)
 		return
 	}
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -13,6 +13,7 @@
 	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/catalog"
 	"spurhall.example/spurhall/internal/duty"
+	"spurhall.example/spurhall/internal/pair"
 )
 
 // This file orders upstreams, at the node that holds the duties' lease. The decision is
@@ -144,7 +145,7 @@
 func (n *Node) silence() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return silentAfter(n.peers.size())
+	return pair.Silent(n.peers.size())
 }
 
 func (o *orderer) mix(s *catalog.ServiceSpec) *autoscale.Mix {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -11,6 +11,7 @@
 
 	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/message"
+	"spurhall.example/spurhall/internal/pair"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/quota"
 	"spurhall.example/spurhall/internal/rollout"
@@ -19,19 +20,15 @@
 	"spurhall.example/spurhall/internal/wire/wireconnect"
 )
 
-// This file is what nodes tell each other: pairs swap reports, paced by pace.go. A report
+// This file is what nodes tell each other: pairs swap reports, paced by package pair. A report
 // is the whole state of the moment or counts since the process began: a lost one is made
 // good by the next.
 
 const (
-	// reportEvery is the length of a round. Quotas overshoot by what is charged in it.
-	reportEvery   = 250 * time.Millisecond
 	reportTimeout = 600 * time.Millisecond
 	// lookedBy is how old a process is when the nodes that it has heard from count as all
 	// there are, if the registry can't be read: some rounds.
 	lookedBy = time.Second
-	// heardRounds is how many swaps a node may miss before it doesn't count as heard.
-	heardRounds = 6
 )
 
 // peer is another node as this one knows it.
@@ -109,12 +106,25 @@
 
 // pair returns what a pair's reports go through.
 func (t *table) pair(p *peer) wireconnect.EdgeClient {
-	if pairEvery(t.size()) > keepPairs {
+	if pair.Every(t.size()) > keepPairs {
 		return p.seldom
 	}
 	return p.client
 }
 
+// due returns the nodes to call in this round.
+func (t *table) due(now time.Time) []*peer {
+	others := make([]pair.Other, 0, len(t.peers))
+	for _, p := range t.peers {
+		others = append(others, pair.Other{Name: p.name, Heard: p.heard, Called: p.called, Busy: p.busy})
+	}
+	var list []*peer
+	for _, name := range pair.Due(now, t.n.s.Node, others) {
+		list = append(list, t.peers[name])
+	}
+	return list
+}
+
 // names returns the other nodes' names.
 func (t *table) names() []string {
 	r := make([]string, 0, len(t.peers))
@@ -126,7 +136,7 @@
 
 // rounds reports to the others until the context ends.
 func (n *Node) rounds(ctx context.Context) {
-	n.clock.Every(ctx, reportEvery, func(now time.Time) { n.round(ctx, now) })
+	n.clock.Every(ctx, pair.Round, func(now time.Time) { n.round(ctx, now) })
 }
 
 func (n *Node) round(ctx context.Context, now time.Time) {
@@ -136,7 +146,7 @@
 	n.shareQuotas(now)
 	n.guard.SetRates(n.share())
 	n.usage.Forget(n.clock.Wall())
-	heard, silent := 0, silentAfter(n.peers.size())
+	heard, silent := 0, pair.Silent(n.peers.size())
 	for _, p := range n.peers.peers {
 		if now.Sub(p.heard) <= silent {
 			heard++
@@ -193,11 +203,11 @@
 	if n.knowsOthers(now) {
 		n.quotas.SetPeers(now, n.peers.names())
 	}
-	every, lag := pairEvery(n.peers.size()), time.Duration(0)
+	every, lag := pair.Every(n.peers.size()), time.Duration(0)
 	if now.Sub(n.relayed) <= relayedFor {
 		every, lag = min(every, relaySpan), relayLag
 	}
-	if now.Sub(n.shared) < every-reportEvery/2 {
+	if now.Sub(n.shared) < every-pair.Round/2 {
 		return
 	}
 	n.shared = now
@@ -297,7 +307,7 @@
 	if p.lifetime == r.Lifetime && r.Sequence <= p.sequence {
 		return false
 	}
-	if p.lifetime != r.Lifetime || now.Sub(p.heard) > silentAfter(n.peers.size()) {
+	if p.lifetime != r.Lifetime || now.Sub(p.heard) > pair.Silent(n.peers.size()) {
 		n.notePeer("peer_heard", zap.String("peer", r.Node), zap.String("lifetime", r.Lifetime), zap.Int64("catalog", r.CatalogVersion))
 	}
 	p.lifetime, p.sequence, p.heard, p.silent = r.Lifetime, r.Sequence, now, false
--- a/internal/edge/place.go
+++ b/internal/edge/place.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"spurhall.example/spurhall/internal/call"
+	"spurhall.example/spurhall/internal/pair"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/wire"
 )
@@ -22,7 +23,7 @@
 	placeTimeout = 30 * time.Millisecond
 	// placePause is how long a relay that didn't answer in time isn't asked: until the next
 	// report to it, whose failure makes this node turn to another.
-	placePause = reportEvery
+	placePause = pair.Round
 )
 
 // place returns the upstream that this node's relay chooses for a request, or nothing if
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"spurhall.example/spurhall/internal/message"
+	"spurhall.example/spurhall/internal/pair"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/quota"
 	"spurhall.example/spurhall/internal/relay"
@@ -27,10 +28,10 @@
 	// relayedFor is how long after the last digest a node goes by what relays tell, and
 	// relayLag how old the word of a node is that comes over two relays: two rounds on the
 	// way, and one until the next digest.
-	relayedFor = 4 * reportEvery
-	relayLag   = 3 * reportEvery
+	relayedFor = 4 * pair.Round
+	relayLag   = 3 * pair.Round
 	// relaySpan is a span of the quotas where digests come in each round.
-	relaySpan = 2 * reportEvery
+	relaySpan = 2 * pair.Round
 	// relayWindows is how many usage windows a node tells its relay of: the one under way,
 	// and the one before, which may have ended since the last report.
 	relayWindows = 2
@@ -59,13 +60,13 @@
 			break
 		}
 	}
-	n.clock.Every(ctx, reportEvery, func(time.Time) { n.relayStep(ctx) })
+	n.clock.Every(ctx, pair.Round, func(time.Time) { n.relayStep(ctx) })
 }
 
 // relayStep does a round, if the fleet is large, and tells whether it did.
 func (n *Node) relayStep(ctx context.Context) bool {
 	n.mu.Lock()
-	large := pairEvery(n.peers.size()) > reportEvery
+	large := pair.Every(n.peers.size()) > pair.Round
 	n.mu.Unlock()
 	if large {
 		n.relayRound(ctx, n.clock.Now())
@@ -112,7 +113,7 @@
 
 // isThere tells whether another node is heard or stands in the registry. The node's lock is held.
 func (n *Node) isThere(now time.Time, p *peer) bool {
-	return now.Sub(p.heard) <= silentAfter(n.peers.size()) || now.Sub(p.listed) <= 2*memberLook
+	return now.Sub(p.heard) <= pair.Silent(n.peers.size()) || now.Sub(p.listed) <= 2*memberLook
 }
 
 // relays returns some of the relays of all halls, as this node sees them: of a hall's nodes in order, those that a
@@ -214,23 +215,15 @@
 func (n *Node) swapAll(ctx context.Context, now time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	var others []*peer
+	var others []pair.Other
 	for _, name := range n.relays(now, relay.Relays) {
 		if p := n.peers.peers[name]; p != nil {
-			others = append(others, p)
+			others = append(others, pair.Other{Name: name, Heard: p.relaying.swapped, Called: p.relaying.called, Busy: p.relaying.busy})
 		}
 	}
-	every := pairEvery(len(others) + 1)
-	slices.SortFunc(others, func(a, b *peer) int { return a.relaying.called.Compare(b.relaying.called) })
-	calling := 0
-	for _, p := range others {
-		v := &p.relaying
-		mine := calls(n.s.Node, p.name) || now.Sub(v.swapped) > heardRounds*every
-		if !mine || v.busy || now.Sub(v.called) < every-reportEvery/2 || calling == swapsARound {
-			continue
-		}
-		calling++
-		v.busy, v.called = true, now
+	for _, name := range pair.Due(now, n.s.Node, others) {
+		p := n.peers.peers[name]
+		p.relaying.busy, p.relaying.called = true, now
 		go n.swap(ctx, p)
 	}
 }
--- /dev/null
+++ b/internal/pair/pair_test.go
@@ -0,0 +1,120 @@
+package pair
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// node is one node, and what it knows of the others.
+type node struct {
+	name   string
+	others []Other
+}
+
+func (n *node) other(name string) *Other {
+	return &n.others[slices.IndexFunc(n.others, func(o Other) bool { return o.Name == name })]
+}
+
+func fleet(size int) []*node {
+	nodes := make([]*node, size)
+	for i := range nodes {
+		nodes[i] = &node{name: fmt.Sprint("edge-", i)}
+		for j := range size {
+			if j != i {
+				nodes[i].others = append(nodes[i].others, Other{Name: fmt.Sprint("edge-", j)})
+			}
+		}
+	}
+	return nodes
+}
+
+// play lets the nodes swap for some rounds, and returns the most calls that a node made in a round and
+// the longest time for which a pair swapped none.
+func play(nodes []*node, rounds int) (calls int, longest time.Duration) {
+	by := make(map[string]*node)
+	for _, n := range nodes {
+		by[n.name] = n
+	}
+	start := time.Unix(1000, 0)
+	for i := 0; i < rounds; i++ {
+		now := start.Add(time.Duration(i) * Round)
+		for _, n := range nodes {
+			due := Due(now, n.name, n.others)
+			calls = max(calls, len(due))
+			for _, name := range due {
+				o := n.other(name)
+				if !o.Heard.IsZero() {
+					longest = max(longest, now.Sub(o.Heard))
+				}
+				o.Called, o.Heard = now, now
+				by[name].other(n.name).Heard = now
+			}
+		}
+	}
+	return calls, longest
+}
+
+func TestEachPairHasOneCaller(t *testing.T) {
+	for i := 0; i < 60; i++ {
+		own := 0
+		for j := 0; j < 60; j++ {
+			a, b := fmt.Sprint("edge-", i), fmt.Sprint("edge-", j)
+			if i == j {
+				continue
+			}
+			assert.NotEqual(t, calls(a, b), calls(b, a))
+			if calls(a, b) {
+				own++
+			}
+		}
+		assert.Greater(t, own, 10, "node %d calls too few", i)
+		assert.Less(t, own, 50, "node %d calls too many", i)
+	}
+}
+
+func TestPace(t *testing.T) {
+	t.Run("few nodes swap in each round", func(t *testing.T) {
+		_, longest := play(fleet(8), 100)
+		assert.Equal(t, Round, longest)
+	})
+	for _, size := range []int{77, 200} {
+		t.Run(fmt.Sprint(size, " nodes"), func(t *testing.T) {
+			most, longest := play(fleet(size), 4*int(Every(size)/Round))
+			assert.LessOrEqual(t, most, aRound, "a node's calls don't grow with the fleet")
+			assert.Less(t, longest, 2*Every(size))
+			assert.Less(t, longest, Silent(size))
+		})
+	}
+}
+
+// TestUnheardNodeIsCalledFromBothSides: one side of a pair may not get through.
+func TestUnheardNodeIsCalledFromBothSides(t *testing.T) {
+	nodes := fleet(2)
+	now := time.Unix(1000, 0)
+	for _, n := range nodes {
+		assert.Len(t, Due(now, n.name, n.others), 1, "nobody is heard yet")
+	}
+	for _, n := range nodes {
+		n.others[0].Heard, n.others[0].Called = now, now
+	}
+	due := func() int {
+		return len(Due(now, nodes[0].name, nodes[0].others)) + len(Due(now, nodes[1].name, nodes[1].others))
+	}
+	now = now.Add(Round)
+	assert.Equal(t, 1, due())
+	now = now.Add(Silent(2))
+	assert.Equal(t, 2, due())
+}
+
+// TestBusyNodesArentCalled: a call that is under way isn't doubled, however long it takes.
+func TestBusyNodesArentCalled(t *testing.T) {
+	n := fleet(3)[0]
+	for i := range n.others {
+		n.others[i].Busy = true
+	}
+	assert.Empty(t, Due(time.Unix(1000, 0), n.name, n.others))
+}
