Pools: apply changes of the list, not the list

Cause: whatever a node does at an interval went through all upstreams. The check for lapsed entries rebuilt the state of every service five times a second, each step of the orders copied the list twice four times a second, each report visited all upstreams for those with requests.

Change: the list remembers which ids changed, and an update applies these alone. The pool keeps the upstreams with requests, those recently unreachable, those with cached prefixes, and the number by service, hall, version and state, which is all that orders need.

--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -72,7 +72,7 @@
 		return
 	}
 	now := o.n.clock.Now()
-	if n := len(o.n.pools.Items()); n > o.maxListed {
+	if n := o.n.pools.Len(); n > o.maxListed {
 		o.maxListed, o.listGrewAt = n, now
 	}
 	token, held := o.n.lease.Token()
@@ -186,22 +186,19 @@
 		}
 		return h
 	}
-	lost := o.n.pools.Lost(o.n.reachableHalls())
-	for _, v := range o.n.pools.Items() {
-		if e := v.Entry; e.Service == s.Name && o.n.countsAsCapacity(e) {
-			h := get(e.Hall)
-			switch {
-			case lost[e.ID] && e.Reclaimable:
-				h.Leaving++ // for example, reclaimed without notice while the store was unavailable
-			case lost[e.ID]:
-			case e.Leaving && e.Reclaimable:
-				h.Leaving++
-			case e.Leaving:
-			case e.Reclaimable:
-				h.Reclaimable++
-			default:
-				h.OnDemand++
-			}
+	for _, g := range o.n.pools.Counts(o.n.reachableHalls()) {
+		if g.Service != s.Name || !o.n.countsAsCapacity(g.Service, g.Version) {
+			continue
+		}
+		h := get(g.Hall)
+		switch {
+		case g.Reclaimable && g.Leaving:
+			h.Leaving += g.Count
+		case g.Reclaimable:
+			h.Leaving += g.Lost // for example, reclaimed without notice while the store was unavailable
+			h.Reclaimable += g.Count - g.Lost
+		case !g.Leaving:
+			h.OnDemand += g.Count - g.Lost
 		}
 	}
 	for hall := range o.n.settings.Halls {
--- a/internal/edge/rollout_runner_test.go
+++ b/internal/edge/rollout_runner_test.go
@@ -185,8 +185,8 @@
 	a.startTrial(r.order, "an old update")
 	a.mu.Unlock()
 	assert.Equal(t, "v3", a.rollouts.trials["s"].Order().Target)
-	assert.False(t, a.countsAsCapacity(pool.Entry{Service: "s", Version: "v2"}))
-	assert.True(t, a.countsAsCapacity(pool.Entry{Service: "s", Version: "v1"}))
+	assert.False(t, a.countsAsCapacity("s", "v2"))
+	assert.True(t, a.countsAsCapacity("s", "v1"))
 	for i := 0; i < 20; i++ {
 		assert.Equal(t, "v1", a.pools.Pick(pool.Request{ID: string(rune('a' + i)), Service: "s"}).Entry().Version)
 	}
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -245,21 +245,21 @@
 // elsewhere are moved: half of the shorter ones have ended by then.
 const moveDelay = 700 * time.Millisecond
 
-// countsAsCapacity reports whether an upstream counts as capacity of its service: an upstream of an untried
-// version doesn't, nor does one of a version that is about to be stopped.
-func (n *Node) countsAsCapacity(e pool.Entry) bool {
+// countsAsCapacity reports whether upstreams of a version count as capacity of their service: those of an
+// untried version don't, nor do those of one that is about to be stopped.
+func (n *Node) countsAsCapacity(service, version string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	t := n.rollouts.trials[e.Service]
+	t := n.rollouts.trials[service]
 	switch {
-	case n.rollouts.barred[e.Service][e.Version]:
+	case n.rollouts.barred[service][version]:
 		return false
 	case t == nil:
 		return true
 	case t.Stage() == rollout.StageCompleted:
-		return e.Version == t.Order().Target
+		return version == t.Order().Target
 	}
-	return e.Version != t.Order().Target
+	return version != t.Order().Target
 }
 
 // isRollingOut reports whether a service's upstreams are being replaced: until the end, no upstream of the
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -303,11 +303,11 @@
 // updateList changes the list and logs the resulting events.
 func (n *Node) updateList(source string, f func(now time.Time, l *pool.List)) {
 	before := n.pools.LastChange()
-	changes := n.pools.Update(func(l *pool.List) { f(n.clock.Now(), l) })
-	if len(changes) > 0 || n.pools.LastChange() != before {
+	u := n.pools.Update(func(l *pool.List) { f(n.clock.Now(), l) })
+	if len(u.Touched) > 0 || n.pools.LastChange() != before {
 		n.changes.announceList()
 	}
-	for _, c := range changes {
+	for _, c := range u.Changes {
 		upstreamEvents.Add(c.Event, 1)
 		n.log.Info("upstream_"+c.Event, zap.String("upstream", c.Entry.ID), zap.String("service", c.Entry.Service), zap.String("hall", c.Entry.Hall),
 			zap.String("address", c.Entry.Address), zap.String("version", c.Entry.Version), zap.Bool("reclaimable", c.Entry.Reclaimable), zap.Duration("leaves_in", c.Entry.LeavesIn),
--- a/internal/pool/incarnation_test.go
+++ b/internal/pool/incarnation_test.go
@@ -115,7 +115,7 @@
 	}
 	p.ApplyReachability(Reachability{Unreachable: []UnreachableUpstream{{Upstream: "a", Born: 1, Nodes: 3, Misplaced: true}}})
 	assert.Nil(t, p.Pick(Request{Service: "s"}), "another upstream uses its address")
-	changes := p.Update(func(l *List) { l.Put(incarnationAt(2, 2, false)) })
+	changes := p.Update(func(l *List) { l.Put(incarnationAt(2, 2, false)) }).Changes
 	events := []string{}
 	for _, c := range changes {
 		events = append(events, c.Event)
--- a/internal/pool/list.go
+++ b/internal/pool/list.go
@@ -58,6 +58,7 @@
 	past       map[string][]pastIncarnation // by id: incarnations that were followed by others, the newest last
 	dropped    map[string]dropped           // by id: dropped entries as last listed
 	ended      map[string]bool              // ids of which an incarnation has ended since the last takeEnded
+	touched    map[string]bool              // ids whose entry may have changed since the last takeTouched
 	revision   int64
 	lastChange int64     // revision of the newest change applied
 	now        time.Time // time of the latest update or expiry
@@ -66,7 +67,7 @@
 
 // NewList returns an empty list.
 func NewList() *List {
-	return &List{items: make(map[string]Item), missing: make(map[string]time.Time), past: make(map[string][]pastIncarnation), unreadable: make(map[string]int64), dropped: make(map[string]dropped), ended: make(map[string]bool)}
+	return &List{items: make(map[string]Item), missing: make(map[string]time.Time), past: make(map[string][]pastIncarnation), unreadable: make(map[string]int64), dropped: make(map[string]dropped), ended: make(map[string]bool), touched: make(map[string]bool)}
 }
 
 // Revision returns the store's revision up to which the list is complete.
@@ -103,6 +104,10 @@
 	seen := make(map[string]bool, len(all))
 	for _, v := range all {
 		seen[v.Entry.ID] = true
+		if old, ok := l.items[v.Entry.ID]; ok && old == v && !l.isMissingOrUnreadable(v.Entry.ID) {
+			l.lastChange = max(l.lastChange, v.Revision)
+			continue
+		}
 		l.Put(v)
 	}
 	for id := range l.items {
@@ -113,6 +118,23 @@
 	l.revision = max(l.revision, revision)
 }
 
+// isMissingOrUnreadable reports whether a listed entry is kept though the store doesn't have it, or can't be
+// read.
+func (l *List) isMissingOrUnreadable(id string) bool {
+	_, missing := l.missing[id]
+	_, unreadable := l.unreadable[id]
+	return missing || unreadable
+}
+
+// Listed returns the entry of an id, if it lists an upstream.
+func (l *List) Listed(id string) (Item, bool) {
+	v, ok := l.items[id]
+	if _, void := l.unreadable[id]; void {
+		return Item{}, false
+	}
+	return v, ok
+}
+
 // Advance records that all changes up to a revision have been applied.
 func (l *List) Advance(revision int64) { l.revision = max(l.revision, revision) }
 
@@ -145,6 +167,7 @@
 		return
 	}
 	delete(l.unreadable, e.ID)
+	l.touched[e.ID] = true
 	switch {
 	case ok && v.startsIncarnation(old):
 		l.recordPast(old)
@@ -199,6 +222,16 @@
 	return m
 }
 
+// takeTouched returns the ids whose entry may have changed since the last call.
+func (l *List) takeTouched() map[string]bool {
+	if len(l.touched) == 0 {
+		return nil
+	}
+	m := l.touched
+	l.touched = make(map[string]bool)
+	return m
+}
+
 // Remove applies the deletion of an entry at a revision.
 func (l *List) Remove(now time.Time, revision int64, id string) {
 	l.lastChange = max(l.lastChange, revision)
@@ -211,6 +244,7 @@
 	l.lastChange = max(l.lastChange, revision)
 	if old, ok := l.items[id]; ok && old.Revision <= revision {
 		l.unreadable[id] = revision
+		l.touched[id] = true
 	}
 }
 
@@ -233,6 +267,7 @@
 	if v, ok := l.items[id]; ok {
 		l.recordDropped(v)
 	}
+	l.touched[id] = true
 	delete(l.items, id)
 	delete(l.missing, id)
 	delete(l.unreadable, id)
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -93,6 +93,7 @@
 		p.limits.Take(now, m.entry.Incarnation(), n.Engine)
 	}
 	m.load.Running++
+	p.busy[m] = struct{}{}
 	m.load.Reserved += u.reserved
 	if n.Engine {
 		m.load.Queued += u.prompt
@@ -181,9 +182,18 @@
 func (p *Pools) recordPlacement(now time.Time, m *member, parts []call.Part) {
 	chain := PrefixHashes(parts)
 	for i, h := range chain {
-		m.prefixes[h] = now
+		p.addPrefix(now, m, h)
 		if i < len(chain)-1 && len(p.placements) < maxPlacements {
 			p.placements = append(p.placements, timedPlacement{now, Placement{Prefix: h, Upstream: m.entry.ID}})
 		}
 	}
 }
+
+// addPrefix records that an upstream has cached a prefix.
+func (p *Pools) addPrefix(now time.Time, m *member, prefix uint64) {
+	if m.prefixes == nil {
+		m.prefixes = make(map[uint64]time.Time)
+		p.caching[m] = struct{}{}
+	}
+	m.prefixes[prefix] = now
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -1,8 +1,6 @@
 package pool
 
 import (
-	"cmp"
-	"slices"
 	"sync"
 	"time"
 
@@ -80,14 +78,14 @@
 	failures      float64
 	pace          pace
 	fullAt        time.Time
-	unreachableAt time.Time // when it was last unreachable, for this node or several others
-	failedAt      time.Time // when it was last unreachable for this node
-	lostAt        time.Time // when it was last unreachable for several nodes
-	lostSince     time.Time // since when it has been unreachable for several nodes
-	respondedAt   time.Time // when it last responded to this node
-	misplaced     bool      // another upstream uses its address: this incarnation has ended
-	prefixes      map[uint64]time.Time
-	rank          int // among the upstreams of a roll-out's target; notRanked: not one of them
+	unreachableAt time.Time            // when it was last unreachable, for this node or several others
+	failedAt      time.Time            // when it was last unreachable for this node
+	lostAt        time.Time            // when it was last unreachable for several nodes
+	lostSince     time.Time            // since when it has been unreachable for several nodes
+	respondedAt   time.Time            // when it last responded to this node
+	misplaced     bool                 // another upstream uses its address: this incarnation has ended
+	prefixes      map[uint64]time.Time // nil: none
+	rank          int                  // among the upstreams of a roll-out's target; notRanked: not one of them
 }
 
 type peerReport struct {
@@ -104,7 +102,11 @@
 	start         time.Time
 	list          *List
 	members       map[string]*member
-	services      map[string][]*member
+	services      map[string][]*member // sorted by id
+	counts        map[Group]int        // upstreams by group
+	busy          map[*member]struct{} // upstreams with requests of this node in progress, listed or not
+	suspects      map[*member]struct{} // upstreams that were recently unreachable for any node, and misplaced ones
+	caching       map[*member]struct{} // upstreams with prefixes
 	outliers      map[string]*retry.Outliers
 	reports       map[string]peerReport
 	peerLoads     []receivedLoad
@@ -148,26 +150,12 @@
 func New(clock *timer.Service, node, hall string) *Pools {
 	return &Pools{
 		clock: clock, hall: hall, start: clock.Now(), list: NewList(), members: make(map[string]*member),
-		services: make(map[string][]*member), outliers: make(map[string]*retry.Outliers),
+		services: make(map[string][]*member), counts: make(map[Group]int), busy: make(map[*member]struct{}), suspects: make(map[*member]struct{}), caching: make(map[*member]struct{}), outliers: make(map[string]*retry.Outliers),
 		reports: make(map[string]peerReport), serviceStats: make(map[string]*service), lastResponse: make(map[string]time.Time),
 		partitionedAt: make(map[string]time.Time), splits: make(map[string]Split), versions: make(map[string]map[string]time.Time), cooldowns: retry.NewCooldowns(), limits: limit.NewTracker(node),
 	}
 }
 
-// Change is the effect of an update on one upstream.
-type Change struct {
-	Entry Entry
-	Event string // listed, leaving or gone
-}
-
-// Update lets f change the list, and returns the resulting changes.
-func (p *Pools) Update(f func(l *List)) []Change {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	f(p.list)
-	return p.rebuild()
-}
-
 // Revision returns the store's revision up to which the list is complete.
 func (p *Pools) Revision() int64 {
 	p.mu.Lock()
@@ -190,62 +178,6 @@
 	return p.list.Missing(), p.list.Len()
 }
 
-func (p *Pools) rebuild() []Change {
-	var changes []Change
-	ended, seen := p.list.takeEnded(), make(map[string]bool)
-	services := make(map[string][]*member)
-	p.list.Items(func(v Item) {
-		e := v.Entry
-		seen[e.ID] = true
-		m := p.members[e.ID]
-		if m != nil && (ended[e.ID] || m.entry.isOtherIncarnation(e)) {
-			changes = append(changes, Change{m.entry, "gone"})
-			p.dropMember(m)
-			m = nil
-		}
-		switch {
-		case m == nil:
-			p.recordVersion(p.clock.Now(), e)
-			m = &member{entry: e, rank: notRanked, prefixes: make(map[uint64]time.Time), coldUntil: p.clock.Now().Add(e.WarmUp)}
-			p.members[e.ID] = m
-			changes = append(changes, Change{e, "listed"})
-		case e.Leaving && !m.entry.Leaving:
-			changes = append(changes, Change{e, "leaving"})
-		}
-		m.entry = e
-		services[e.Service] = append(services[e.Service], m)
-	})
-	for id := range ended {
-		p.forgetIncarnation(id)
-	}
-	for id, m := range p.members {
-		if !seen[id] {
-			changes = append(changes, Change{m.entry, "gone"})
-			p.dropMember(m)
-		}
-	}
-	for _, l := range services { // a fixed order, so that simulations are reproducible from their seed
-		slices.SortFunc(l, func(a, b *member) int { return cmp.Compare(a.entry.ID, b.entry.ID) })
-	}
-	p.services, p.listRead = services, len(seen) > 0
-	for name := range p.splits {
-		p.rank(name)
-	}
-	return changes
-}
-
-// dropMember drops what is known of one incarnation of an upstream. Requests in progress there end on
-// their own.
-func (p *Pools) dropMember(m *member) {
-	delete(p.members, m.entry.ID)
-	if o := p.outliers[m.entry.Service]; o != nil {
-		o.Forget(m.entry.ID)
-	}
-	for _, v := range p.reports {
-		delete(v.loads, m.entry.ID)
-	}
-}
-
 // forgetIncarnation drops the cooldown and the limit of an incarnation without a start time that has
 // ended: the next one may have the same identity.
 func (p *Pools) forgetIncarnation(id string) {
@@ -306,12 +238,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var loads []Load
-	for id, m := range p.members {
-		if m.load.Running == 0 {
-			continue
+	for m := range p.busy {
+		if p.members[m.entry.ID] != m {
+			continue // it is no longer listed
 		}
 		l := m.load
-		l.Upstream = id
+		l.Upstream = m.entry.ID
 		loads = append(loads, l)
 	}
 	p.prune()
@@ -335,12 +267,16 @@
 		return
 	}
 	p.prunedAt = now
-	for _, m := range p.members {
+	for m := range p.caching {
 		for h, t := range m.prefixes {
 			if now.Sub(t) > prefixTTL {
 				delete(m.prefixes, h)
 			}
 		}
+		if len(m.prefixes) == 0 {
+			m.prefixes = nil
+			delete(p.caching, m)
+		}
 	}
 }
 
@@ -359,8 +295,8 @@
 
 func (p *Pools) applyPlacements(now time.Time, placed []Placement) {
 	for _, v := range placed {
-		if u := p.members[v.Upstream]; u != nil {
-			u.prefixes[v.Prefix] = now
+		if m := p.members[v.Upstream]; m != nil {
+			p.addPrefix(now, m, v.Prefix)
 		}
 	}
 }
--- a/internal/pool/reachability.go
+++ b/internal/pool/reachability.go
@@ -85,9 +85,9 @@
 	defer p.mu.Unlock()
 	now := p.clock.Now()
 	r := Reachability{LastResponse: make(map[string]time.Duration)}
-	for id, m := range p.members {
+	for m := range p.currentSuspects(now) {
 		if age := now.Sub(m.failedAt); m.misplaced || age < unreachableTTL {
-			r.Unreachable = append(r.Unreachable, UnreachableUpstream{Upstream: id, Born: m.entry.Born, Nodes: 1, Age: age, Misplaced: m.misplaced})
+			r.Unreachable = append(r.Unreachable, UnreachableUpstream{Upstream: m.entry.ID, Born: m.entry.Born, Nodes: 1, Age: age, Misplaced: m.misplaced})
 		}
 	}
 	slices.SortFunc(r.Unreachable, func(a, b UnreachableUpstream) int { return cmp.Compare(a.Upstream, b.Upstream) })
@@ -112,6 +112,7 @@
 			continue
 		}
 		m.misplaced = m.misplaced || v.Misplaced
+		p.suspect(m)
 		at := now.Add(-v.Age)
 		if !m.respondedAt.Before(at) {
 			continue // this node has reached it since
@@ -144,7 +145,7 @@
 // attempts or by those of several other nodes.
 func (p *Pools) partitionedHalls(now time.Time) map[string]bool {
 	failed := make(map[string]int)
-	for _, m := range p.members {
+	for m := range p.currentSuspects(now) {
 		h := m.entry.Hall
 		if now.Sub(m.failedAt) < unreachableTTL && m.failedAt.After(p.lastResponse[h]) {
 			failed[h]++
@@ -162,6 +163,21 @@
 	return partitioned
 }
 
+// suspect records that an upstream may be unreachable.
+func (p *Pools) suspect(m *member) { p.suspects[m] = struct{}{} }
+
+// currentSuspects drops the upstreams that have been reachable for long, or are no longer listed, from the
+// suspects, and returns the others.
+func (p *Pools) currentSuspects(now time.Time) map[*member]struct{} {
+	for m := range p.suspects {
+		recent := now.Sub(m.failedAt) < lostTTL || now.Sub(m.unreachableAt) < lostTTL || now.Sub(m.lostAt) < lostTTL
+		if p.members[m.entry.ID] != m || !m.misplaced && !recent {
+			delete(p.suspects, m)
+		}
+	}
+	return p.suspects
+}
+
 // Lost returns the upstreams that do not count as capacity though the store lists them: several nodes
 // could not reach them, or another upstream uses their address. Upstreams of a hall that several nodes
 // found partitioned off, and whose nodes are silent, are not included: they continue to serve their own
@@ -169,12 +185,16 @@
 func (p *Pools) Lost(reporting map[string]bool) map[string]bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.clock.Now()
+	return p.lost(p.clock.Now(), reporting)
+}
+
+func (p *Pools) lost(now time.Time, reporting map[string]bool) map[string]bool {
 	lost := make(map[string]bool)
-	for id, m := range p.members {
-		partitioned := now.Sub(p.partitionedAt[m.entry.Hall]) < lostTTL && !reporting[m.entry.Hall] && m.entry.Hall != p.hall
+	for m := range p.currentSuspects(now) {
+		h := m.entry.Hall
+		partitioned := now.Sub(p.partitionedAt[h]) < lostTTL && !reporting[h] && h != p.hall
 		if m.misplaced || !partitioned && now.Sub(m.lostAt) < lostTTL && now.Sub(m.lostSince) >= lostAfter && m.respondedAt.Before(m.lostAt) {
-			lost[id] = true
+			lost[m.entry.ID] = true
 		}
 	}
 	return lost
--- a/internal/pool/statement.go
+++ b/internal/pool/statement.go
@@ -38,6 +38,7 @@
 	}
 	v.Entry.Leaving = true
 	l.items[e.ID] = v
+	l.touched[e.ID] = true
 }
 
 // recordDropped remembers an entry that is no longer listed.
--- /dev/null
+++ b/internal/pool/update.go
@@ -0,0 +1,222 @@
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// This file applies changes of the list to the state that is kept of each upstream. The work is in proportion
+// to the number of entries that changed, not to the length of the list: a node of a large fleet lists thousands
+// of upstreams and applies several changes a second.
+
+// Change is the effect of an update on one upstream.
+type Change struct {
+	Entry Entry
+	Event string // listed, leaving or gone
+}
+
+// Updated is the effect of an update of the list.
+type Updated struct {
+	Changes []Change
+	Touched []string // ids of all entries that may have changed, sorted
+}
+
+// Group is a set of upstreams that count alike as a service's capacity.
+type Group struct {
+	Service     string
+	Hall        string
+	Version     string
+	Leaving     bool
+	Reclaimable bool
+}
+
+func (e *Entry) group() Group {
+	return Group{Service: e.Service, Hall: e.Hall, Version: e.Version, Leaving: e.Leaving, Reclaimable: e.Reclaimable}
+}
+
+// GroupCount is the number of upstreams of a group.
+type GroupCount struct {
+	Group
+	Count int
+	Lost  int // of these, upstreams that don't count as capacity (Pools.Lost)
+}
+
+// Update lets f change the list, and applies the changes.
+func (p *Pools) Update(f func(l *List)) Updated {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f(p.list)
+	ended, touched := p.list.takeEnded(), p.list.takeTouched()
+	u := update{p: p, now: p.clock.Now(), ended: ended, added: make(map[string][]*member), removed: make(map[string][]*member)}
+	ids := make([]string, 0, len(touched))
+	for id := range touched {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids) // a fixed order, so that simulations are reproducible from their seed
+	for _, id := range ids {
+		u.apply(id)
+	}
+	for id := range ended {
+		p.forgetIncarnation(id)
+	}
+	u.updateServices()
+	p.listRead = len(p.members) > 0
+	return Updated{Changes: u.changes, Touched: ids}
+}
+
+// update is an update of the list that is being applied.
+type update struct {
+	p       *Pools
+	now     time.Time
+	ended   map[string]bool
+	changes []Change
+	added   map[string][]*member // by service
+	removed map[string][]*member
+	rerank  bool // an upstream's part in a roll-out may have changed
+}
+
+// apply applies the current entry of an id.
+func (u *update) apply(id string) {
+	p := u.p
+	v, listed := p.list.Listed(id)
+	m, e := p.members[id], v.Entry
+	if m != nil && (!listed || u.ended[id] || m.entry.isOtherIncarnation(e)) {
+		u.drop(m)
+		m = nil
+	}
+	if !listed {
+		return
+	}
+	if m == nil {
+		u.add(e)
+		return
+	}
+	if e.Leaving && !m.entry.Leaving {
+		u.changes = append(u.changes, Change{e, "leaving"})
+	}
+	if m.entry.group() != e.group() {
+		p.count(m.entry, -1)
+		p.count(e, 1)
+		u.rerank = true
+	}
+	if m.entry.Service != e.Service {
+		u.removed[m.entry.Service] = append(u.removed[m.entry.Service], m)
+		u.added[e.Service] = append(u.added[e.Service], m)
+	}
+	m.entry = e
+}
+
+func (u *update) add(e Entry) {
+	p := u.p
+	p.recordVersion(u.now, e)
+	m := &member{entry: e, rank: notRanked, coldUntil: u.now.Add(e.WarmUp)}
+	p.members[e.ID] = m
+	p.count(e, 1)
+	u.added[e.Service] = append(u.added[e.Service], m)
+	u.changes = append(u.changes, Change{e, "listed"})
+}
+
+// drop drops what is known of one incarnation of an upstream. Requests in progress there end on their own.
+func (u *update) drop(m *member) {
+	p, id := u.p, m.entry.ID
+	u.changes = append(u.changes, Change{m.entry, "gone"})
+	u.removed[m.entry.Service] = append(u.removed[m.entry.Service], m)
+	p.count(m.entry, -1)
+	delete(p.members, id)
+	delete(p.suspects, m)
+	delete(p.caching, m)
+	if o := p.outliers[m.entry.Service]; o != nil {
+		o.Forget(id)
+	}
+	for _, v := range p.reports {
+		delete(v.loads, id)
+	}
+}
+
+// count adds to the number of upstreams of an entry's group.
+func (p *Pools) count(e Entry, n int) {
+	g := e.group()
+	if p.counts[g] += n; p.counts[g] == 0 {
+		delete(p.counts, g)
+	}
+}
+
+// updateServices updates the upstreams of each service, and their ranks in roll-outs.
+func (u *update) updateServices() {
+	p := u.p
+	for name, removed := range u.removed {
+		if l := removeSorted(p.services[name], removed); len(l) > 0 {
+			p.services[name] = l
+		} else {
+			delete(p.services, name)
+		}
+	}
+	for name, added := range u.added {
+		p.services[name] = mergeSorted(p.services[name], added)
+	}
+	if u.rerank || len(u.removed) > 0 || len(u.added) > 0 {
+		for name := range p.splits {
+			p.rank(name)
+		}
+	}
+}
+
+func byID(a, b *member) int { return cmp.Compare(a.entry.ID, b.entry.ID) }
+
+// maxSearched is the number of members up to which each is searched for by itself. For more, one pass over
+// the whole list is faster.
+const maxSearched = 16
+
+// removeSorted removes members from a list that is sorted by id.
+func removeSorted(list, removed []*member) []*member {
+	if len(removed) > maxSearched {
+		gone := make(map[*member]bool, len(removed))
+		for _, m := range removed {
+			gone[m] = true
+		}
+		return slices.DeleteFunc(list, func(m *member) bool { return gone[m] })
+	}
+	for _, m := range removed {
+		if i, found := slices.BinarySearchFunc(list, m, byID); found {
+			list = slices.Delete(list, i, i+1)
+		}
+	}
+	return list
+}
+
+// mergeSorted adds members to a list that is sorted by id.
+func mergeSorted(list, added []*member) []*member {
+	if len(added) > maxSearched {
+		list = append(list, added...)
+		slices.SortFunc(list, byID)
+		return list
+	}
+	for _, m := range added {
+		i, _ := slices.BinarySearchFunc(list, m, byID)
+		list = slices.Insert(list, i, m)
+	}
+	return list
+}
+
+// Counts returns the number of upstreams by group. reporting is the set of halls whose nodes send reports.
+func (p *Pools) Counts(reporting map[string]bool) []GroupCount {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	lost := make(map[Group]int)
+	for id := range p.lost(p.clock.Now(), reporting) {
+		lost[p.members[id].entry.group()]++
+	}
+	list := make([]GroupCount, 0, len(p.counts))
+	for g, n := range p.counts {
+		list = append(list, GroupCount{Group: g, Count: n, Lost: lost[g]})
+	}
+	return list
+}
+
+// Len returns the number of upstreams.
+func (p *Pools) Len() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.members)
+}
--- a/internal/pool/use.go
+++ b/internal/pool/use.go
@@ -147,6 +147,9 @@
 		u.observeDuration()
 	}
 	u.m.load.Running--
+	if u.m.load.Running == 0 {
+		delete(u.p.busy, u.m)
+	}
 	u.m.load.Reserved -= u.reserved
 	u.recordResult(r)
 }
@@ -197,9 +200,11 @@
 		o.Failure(now.Sub(u.p.start), id, len(u.p.services[u.m.entry.Service]))
 		u.m.failures += failureGain * (1 - u.m.failures)
 		u.m.unreachableAt, u.m.failedAt = now, now
+		u.p.suspect(u.m)
 	case ResultMisplaced:
 		o.Inconclusive(now.Sub(u.p.start), id)
 		u.m.misplaced = true
+		u.p.suspect(u.m)
 	case ResultInconclusive:
 		o.Inconclusive(now.Sub(u.p.start), id)
 	}
