Followers of the store are sent changes, not lists

Cause: a node that follows its hall's watcher was sent the whole upstream list for each change. At 10,000 upstreams that is about a megabyte, 7 ms to convert and 18 ms to apply, for each of some 200 nodes of a hall and each change; on a link of 20 Mbit/s it takes longer than the 0.65 s after which a watcher counts as failed, and then the node watches the store by itself.

Change: package changelog keeps which entries changed, by the watcher's sequence and by the store's revision, as many as the list is long. A follower is sent these; when it turns to the other watcher, it is sent what it lacks by revision. A whole list comes in parts of 1,000 entries, and is used once it is complete. A hash of all ids shows a list that differs in spite of all changes; it is read anew. Followers and watchers of the build before are served as they were (takes_changes).

Ruled out: comparing the revisions of all entries (no log, but a pass over the list for each answer).

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -30,6 +30,7 @@
 	"spurhall.example/spurhall/internal/call"
 	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/catalog"
+	"spurhall.example/spurhall/internal/changelog"
 	"spurhall.example/spurhall/internal/duty"
 	"spurhall.example/spurhall/internal/era"
 	"spurhall.example/spurhall/internal/forward"
@@ -94,7 +95,7 @@
 	listFollower      *follower
 	unreadableEntries unreadableEntries
 	unknownNames      unknownNames
-	changes           *changeFeed
+	changes           *changelog.Log
 
 	catalog         atomic.Pointer[activeCatalog]
 	listed          atomic.Bool               // the upstream list has been read at least once
@@ -155,7 +156,7 @@
 	n.catalogFollower = n.newCatalogFollower()
 	n.listFollower = n.newListFollower()
 	n.unreadableEntries = make(unreadableEntries)
-	n.changes = newChangeFeed()
+	n.changes = changelog.New()
 	n.guard = store.NewGuard(o.Clock, n.storeShare())
 	n.era = o.Era
 	n.era.OnRise(n.onEraRise)
@@ -205,7 +206,7 @@
 	}
 	n.catalog.Store(&activeCatalog{catalog: c, raw: raw})
 	n.signalInitialized()
-	n.changes.announce()
+	n.changes.Announce()
 	limits := make(map[string]quota.Limit)
 	for _, w := range c.Workspaces() {
 		limits[w.Name()] = quota.Limit{Rate: w.Rate(), Burst: w.Burst()}
--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -22,7 +22,7 @@
 		return
 	}
 	if v.Leaving && !n.pools.Leaving(e) {
-		n.updateList("answer", func(_ time.Time, l *pool.List) { l.MarkLeaving(e) })
+		n.updateList(sourceAnswer, func(_ time.Time, l *pool.List) { l.MarkLeaving(e) })
 	}
 	if v.Cooldown > 0 && n.pools.StartCooldown(e, v.Cooldown) {
 		upstreamEvents.Add("rests", 1)
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"spurhall.example/spurhall/internal/changelog"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/store"
 )
@@ -300,12 +301,18 @@
 
 func (u unreadableEntries) clear(key string) { delete(u, key) }
 
+// The sources of changes that a node makes by itself, as the log names them.
+const (
+	sourceAnswer = "answer" // an upstream's response stated it
+	sourceLapsed = "lapsed" // an entry that went missing in an outage wasn't written again
+)
+
 // updateList changes the list and logs the resulting events.
 func (n *Node) updateList(source string, f func(now time.Time, l *pool.List)) {
 	before := n.pools.LastChange()
 	u := n.pools.Update(func(l *pool.List) { f(n.clock.Now(), l) })
 	if len(u.Touched) > 0 || n.pools.LastChange() != before {
-		n.changes.announceList()
+		n.changes.Append(changelog.Update{Revision: n.pools.Revision(), Local: source == sourceAnswer || source == sourceLapsed, Length: n.pools.Len(), IDs: u.Touched})
 	}
 	for _, c := range u.Changes {
 		upstreamEvents.Add(c.Event, 1)
@@ -324,6 +331,6 @@
 
 func (n *Node) expireMissing(ctx context.Context) {
 	n.clock.Every(ctx, expireInterval, func(time.Time) {
-		n.updateList("lapsed", func(now time.Time, l *pool.List) { l.Expire(now) })
+		n.updateList(sourceLapsed, func(now time.Time, l *pool.List) { l.Expire(now) })
 	})
 }
--- a/internal/edge/watchers.go
+++ b/internal/edge/watchers.go
@@ -2,19 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"sync"
 	"time"
 
-	"connectrpc.com/connect"
 	"go.uber.org/zap"
 
-	"spurhall.example/spurhall/internal/message"
 	"spurhall.example/spurhall/internal/pair"
-	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/relay"
-	"spurhall.example/spurhall/internal/wire"
 )
 
 // This file decides which nodes watch the store. Each change of the upstream list completes a watch, each
@@ -33,50 +28,12 @@
 	// watchersPerHall is how many nodes of a hall watch: with two, the loss of one costs the others a
 	// time-out.
 	watchersPerHall = 2
-	// followWaitLimit is how long a poll without changes is held, and followTimeout how long a response may
-	// take: a frozen watcher has to be abandoned well within the time in which a leaving upstream has to be
-	// known.
-	followWaitLimit = 400 * time.Millisecond
-	followTimeout   = followWaitLimit + 250*time.Millisecond
 	// selfWatchDuration is how long a node watches by itself after the watchers failed it.
 	selfWatchDuration = 5 * time.Second
 	// roleCheckInterval is how often a node checks whether it has to watch.
 	roleCheckInterval = 250 * time.Millisecond
 )
 
-// errNoUpdates reports that a node doesn't watch the store, or that its list is behind.
-var errNoUpdates = errs.NewType("no_news").New("the node has no news of the store")
-
-// changeFeed notifies waiting calls of changes to the configuration and the list.
-type changeFeed struct {
-	mu       sync.Mutex
-	notify   chan struct{} // closed by the next change
-	sequence int64         // of the list
-}
-
-func newChangeFeed() *changeFeed { return &changeFeed{notify: make(chan struct{})} }
-
-func (v *changeFeed) announce() {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	close(v.notify)
-	v.notify = make(chan struct{})
-}
-
-func (v *changeFeed) announceList() {
-	v.mu.Lock()
-	v.sequence++
-	v.mu.Unlock()
-	v.announce()
-}
-
-// subscribe returns the list's sequence and a channel that the next change closes.
-func (v *changeFeed) subscribe() (int64, <-chan struct{}) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.sequence, v.notify
-}
-
 // watchers returns the nodes of this hall that watch the store: the first in the hall's order among the
 // responsive nodes that reach the store, or among all responsive nodes if none reaches it. While views
 // differ, a node may poll one that doesn't watch; the response says so.
@@ -185,90 +142,3 @@
 		}
 	}
 }
-
-// listSource identifies the process and sequence that this node's list came from.
-type listSource struct {
-	incarnation string
-	sequence    int64
-}
-
-// pollWatcher requests changes from one watcher and applies them.
-func (n *Node) pollWatcher(ctx context.Context, name string, from *listSource) error {
-	n.mu.Lock()
-	p := n.peers.peers[name]
-	n.mu.Unlock()
-	if p == nil || p.client == nil {
-		return errNoUpdates
-	}
-	version := int64(-1)
-	if c := n.currentCatalog(); c != nil {
-		version = c.Version()
-	}
-	c, cancel := context.WithTimeout(ctx, followTimeout)
-	defer cancel()
-	a, err := p.client.Follow(c, connect.NewRequest(&wire.FollowRequest{CatalogVersion: version, Lifetime: from.incarnation, ListSequence: from.sequence}))
-	if err != nil {
-		return err
-	}
-	m := a.Msg
-	if !m.Watching || m.HasList && m.ListRevision < n.pools.LastChange() {
-		return errNoUpdates
-	}
-	n.markStoreAvailable()
-	if len(m.Catalog) > 0 {
-		n.applyCatalog(m.Catalog, name)
-	}
-	if m.HasList {
-		items := message.ItemsFromWire(m.List)
-		n.updateList(name, func(now time.Time, l *pool.List) { l.Replace(now, m.ListRevision, items) })
-		*from = listSource{m.Lifetime, m.ListSequence}
-	}
-	return nil
-}
-
-// Follow responds as soon as there is a change that the caller lacks.
-func (s *edgeService) Follow(ctx context.Context, r *connect.Request[wire.FollowRequest]) (*connect.Response[wire.FollowResponse], error) {
-	n := s.n
-	timeout, stop := n.clock.After(followWaitLimit)
-	defer stop()
-	for {
-		sequence, changed := n.changes.subscribe()
-		a := n.updatesFor(r.Msg, sequence)
-		if !a.Watching || a.HasList || len(a.Catalog) > 0 {
-			return connect.NewResponse(a), nil
-		}
-		select {
-		case <-changed:
-		case <-timeout:
-			return connect.NewResponse(a), nil
-		case <-ctx.Done():
-			return nil, errors.Join(errNoUpdates, ctx.Err())
-		}
-	}
-}
-
-// updatesFor returns what a caller lacks of the configuration and of this node's list, whose sequence is at
-// least the one given.
-func (n *Node) updatesFor(r *wire.FollowRequest, sequence int64) *wire.FollowResponse {
-	a := &wire.FollowResponse{Watching: n.catalogFollower.connected.Load() && n.listFollower.connected.Load(), Lifetime: n.options.Incarnation, ListSequence: sequence}
-	if !a.Watching {
-		return a
-	}
-	if h := n.catalog.Load(); h != nil && h.catalog.Version() > r.CatalogVersion {
-		a.Catalog = h.raw
-	}
-	if r.Lifetime == n.options.Incarnation && r.ListSequence == sequence {
-		return a
-	}
-	a.HasList, a.ListRevision = true, n.pools.Revision()
-	a.List = n.listToWire()
-	return a
-}
-
-func (n *Node) listToWire() []*wire.ListItem {
-	var list []*wire.ListItem
-	for _, i := range n.pools.Items() {
-		list = append(list, message.ItemToWire(i))
-	}
-	return list
-}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -264,6 +264,15 @@
 	}
 }
 
+// ItemsToWire converts a list of items with ItemToWire.
+func ItemsToWire(items []pool.Item) []*wire.ListItem {
+	list := make([]*wire.ListItem, len(items))
+	for i, v := range items {
+		list[i] = ItemToWire(v)
+	}
+	return list
+}
+
 // ItemsFromWire converts a list of items with ItemFromWire.
 func ItemsFromWire(list []*wire.ListItem) []pool.Item {
 	items := make([]pool.Item, 0, len(list))
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -104,6 +104,7 @@
 	members       map[string]*member
 	services      map[string][]*member // sorted by id
 	counts        map[Group]int        // upstreams by group
+	listHash      uint64               // of the ids of all upstreams
 	busy          map[*member]struct{} // upstreams with requests of this node in progress, listed or not
 	suspects      map[*member]struct{} // upstreams that were recently unreachable for any node, and misplaced ones
 	caching       map[*member]struct{} // upstreams with prefixes
--- a/internal/pool/update.go
+++ b/internal/pool/update.go
@@ -2,8 +2,11 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // This file applies changes of the list to the state that is kept of each upstream. The work is in proportion
@@ -112,6 +115,7 @@
 	p.recordVersion(u.now, e)
 	m := &member{entry: e, rank: notRanked, coldUntil: u.now.Add(e.WarmUp)}
 	p.members[e.ID] = m
+	p.listHash ^= xxhash.Sum64String(e.ID)
 	p.count(e, 1)
 	u.added[e.Service] = append(u.added[e.Service], m)
 	u.changes = append(u.changes, Change{e, "listed"})
@@ -124,6 +128,7 @@
 	u.removed[m.entry.Service] = append(u.removed[m.entry.Service], m)
 	p.count(m.entry, -1)
 	delete(p.members, id)
+	p.listHash ^= xxhash.Sum64String(id)
 	delete(p.suspects, m)
 	delete(p.caching, m)
 	if o := p.outliers[m.entry.Service]; o != nil {
@@ -220,3 +225,51 @@
 	defer p.mu.Unlock()
 	return len(p.members)
 }
+
+// ListHash returns a hash of the ids of all upstreams. Two lists with the same ids have the same hash.
+func (p *Pools) ListHash() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listHash
+}
+
+// ItemsOf returns the listed entries of the given ids, and the ids that aren't listed.
+func (p *Pools) ItemsOf(ids []string) (items []Item, gone []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, id := range ids {
+		if v, listed := p.list.Listed(id); listed {
+			items = append(items, v)
+		} else {
+			gone = append(gone, id)
+		}
+	}
+	return items, gone
+}
+
+// ItemsAfter returns up to n entries in order of service and id, from the one after the given service and id
+// on, and whether there are more.
+func (p *Pools) ItemsAfter(service, id string, n int) (items []Item, more bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(p.services)) {
+		if name < service {
+			continue
+		}
+		list := p.services[name]
+		if name == service {
+			i, found := slices.BinarySearchFunc(list, id, func(m *member, id string) int { return cmp.Compare(m.entry.ID, id) })
+			if found {
+				i++
+			}
+			list = list[i:]
+		}
+		for _, m := range list {
+			if len(items) == n {
+				return items, true
+			}
+			items = append(items, p.list.items[m.entry.ID])
+		}
+	}
+	return items, false
+}
