--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -80,7 +80,7 @@
 	now, since := n.clock.Now(), n.clock.Wall().Sub(end)
 	complete := true
 	for _, p := range n.peers.peers {
-		if now.Sub(p.lastSeen) > since {
+		if now.Sub(p.LastSeen) > since {
 			complete = false
 		}
 	}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -41,6 +41,7 @@
 type listSource struct {
 	incarnation string // of the watcher's process
 	sequence    int64
+	members     int64       // sequence of the registry
 	parts       []pool.Item // received so far
 	revision    int64       // of the first part
 	differs     int         // number of responses in a row after which this node's list differed from the watcher's
@@ -50,7 +51,7 @@
 
 // request returns the request for what this node lacks.
 func (v *listSource) request(version, revision int64) *wire.FollowRequest {
-	r := &wire.FollowRequest{CatalogVersion: version, Lifetime: v.incarnation, ListSequence: v.sequence, TakesChanges: true, ListRevision: revision}
+	r := &wire.FollowRequest{CatalogVersion: version, Lifetime: v.incarnation, ListSequence: v.sequence, TakesChanges: true, ListRevision: revision, TakesMembers: true, MembersSequence: v.members}
 	if n := len(v.parts); n > 0 {
 		r.AfterService, r.AfterId = v.parts[n-1].Entry.Service, v.parts[n-1].Entry.ID
 	}
@@ -97,8 +98,30 @@
 	return nil
 }
 
+// applyMembers applies what a watcher sent of the registry.
+func (n *Node) applyMembers(m *wire.FollowResponse, from *listSource) {
+	if !m.MembersRead {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.clock.Now()
+	n.registrySentAt = now
+	switch list := message.MembersFromWire(m.Members); {
+	case m.HasMembers:
+		n.registry.Replace(now, list)
+	case m.HasMemberChanges:
+		n.registry.Apply(now, list, m.GoneMembers)
+	case now.Sub(n.registryAppliedAt) < registryReadInterval/2:
+		return
+	}
+	from.members, n.registryAppliedAt = m.MembersSequence, now
+	n.applyRegistry(now)
+}
+
 // applyFollowed applies what a watcher sent of its list.
 func (n *Node) applyFollowed(name string, m *wire.FollowResponse, from *listSource) {
+	n.applyMembers(m, from)
 	switch {
 	case m.HasPart:
 		n.applyPart(name, m, from)
@@ -167,12 +190,14 @@
 	defer stop()
 	for {
 		sequence, changed := n.changes.Subscribe()
+		_, membersChanged := n.registry.Subscribe()
 		a := n.updatesFor(r.Msg, sequence)
-		if !a.Watching || a.HasList || a.HasChanges || a.HasPart || len(a.Catalog) > 0 {
+		if !a.Watching || a.HasList || a.HasChanges || a.HasPart || a.HasMembers || a.HasMemberChanges || len(a.Catalog) > 0 {
 			return connect.NewResponse(a), nil
 		}
 		select {
 		case <-changed:
+		case <-membersChanged:
 		case <-timeout:
 			return connect.NewResponse(a), nil
 		case <-ctx.Done():
@@ -192,6 +217,9 @@
 		a.Catalog = h.raw
 	}
 	known := r.Lifetime == n.options.Incarnation
+	if r.TakesMembers {
+		n.addMembers(a, r, known)
+	}
 	if known && r.ListSequence == sequence && r.AfterId == "" {
 		return a
 	}
@@ -205,6 +233,23 @@
 	return a
 }
 
+// addMembers adds what the caller lacks of the registry.
+func (n *Node) addMembers(a *wire.FollowResponse, r *wire.FollowRequest, known bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	a.MembersSequence, _ = n.registry.Subscribe()
+	a.MembersRead = n.registry.Age(n.clock.Now()) < 2*registryReadInterval && a.MembersSequence > 0
+	if !a.MembersRead || known && r.MembersSequence == a.MembersSequence {
+		return
+	}
+	changed, gone, ok := n.registry.Since(r.MembersSequence)
+	if ok && known {
+		a.HasMemberChanges, a.Members, a.GoneMembers = true, message.MembersToWire(changed), gone
+		return
+	}
+	a.HasMembers, a.Members = true, message.MembersToWire(n.registry.Members())
+}
+
 // addChanges adds the entries that changed since the caller's list, and reports whether they are known.
 func (n *Node) addChanges(a *wire.FollowResponse, r *wire.FollowRequest, known bool) bool {
 	ids, ok := n.changes.Since(r.ListSequence)
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -50,7 +50,7 @@
 		nodes = append(nodes, n.settings.Node)
 	}
 	for _, p := range n.peers.peers {
-		if !p.leaving && n.isPresent(now, p) {
+		if !p.leaving && p.IsPresent(now, n.peers.size()) {
 			nodes = append(nodes, p.name)
 		}
 	}
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"spurhall.example/spurhall/internal/pair"
+	"spurhall.example/spurhall/internal/roster"
 	"spurhall.example/spurhall/internal/store"
 	"spurhall.example/spurhall/internal/wire"
 )
@@ -111,18 +113,27 @@
 	}
 }
 
-// pollRegistry reads the registry until the context ends. The first read is exact, not stale: a starting node
-// needs the other nodes at once.
+// pollRegistry reads the registry until the context ends, unless a watcher sends it (follow.go). The first read
+// is exact, not stale: a starting node needs the other nodes at once.
 func (n *Node) pollRegistry(ctx context.Context) {
 	exact := func(ctx context.Context, p string) (store.RangeResult, error) {
 		return n.kv.Range(ctx, p, store.PrefixEnd(p))
 	}
+	if n.settings.FirstStart && n.clock.Sleep(ctx, firstStartDelay) != nil {
+		return
+	}
 	for n.readRegistry(ctx, exact) != nil {
 		if n.clock.Sleep(ctx, storeRetryPause) != nil {
 			return
 		}
 	}
-	n.clock.Every(ctx, registryReadInterval, func(time.Time) {
+	n.clock.Every(ctx, registryReadInterval, func(now time.Time) {
+		n.mu.Lock()
+		sent := now.Sub(n.registrySentAt) < registryReadInterval
+		n.mu.Unlock()
+		if sent {
+			return
+		}
 		if err := n.readRegistry(ctx, n.kv.StaleRange); err != nil {
 			n.log.Debug("registry_unread", zap.String("cause", err.Error()))
 		}
@@ -131,48 +142,65 @@
 
 func (n *Node) readRegistry(ctx context.Context, read func(ctx context.Context, prefix string) (store.RangeResult, error)) error {
 	r, err := read(ctx, memberPrefix)
+	n.registryTried.Store(true)
 	if err != nil {
 		return err
 	}
+	list := make([]roster.Member, 0, len(r.Pairs))
+	for _, p := range r.Pairs {
+		var v memberValue
+		if err := json.Unmarshal(p.Value, &v); err != nil {
+			n.log.Warn("member_unreadable", zap.String("key", p.Key), zap.String("cause", err.Error()))
+			continue
+		}
+		list = append(list, roster.Member{Name: p.Key[len(memberPrefix):], Address: v.Address, Hall: v.Hall, Cores: v.Cores})
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.clock.Now()
-	for _, p := range r.Pairs {
-		n.applyMember(now, p)
+	n.registry.Replace(now, list)
+	n.applyRegistry(now)
+	return nil
+}
+
+// applyRegistry applies the registered nodes to the peers. The node's lock is held.
+func (n *Node) applyRegistry(now time.Time) {
+	for _, m := range n.registry.Members() {
+		if m.Name != n.settings.Node {
+			n.applyMember(now, m)
+		}
 	}
 	for name, p := range n.peers.peers {
-		if now.Sub(p.lastSeen) > max(memberRetention, pair.UnresponsiveAfter(n.peers.size())) && now.Sub(p.lastListed) > memberRetention {
+		if !p.IsResponsive(now, n.peers.size()) && now.Sub(p.LastSeen) > memberRetention && now.Sub(p.LastListed) > memberRetention {
 			delete(n.peers.peers, name)
-			n.logPeer("peer_gone", zap.String("peer", name), zap.Duration("silent", now.Sub(p.lastSeen)))
+			n.logPeer("peer_gone", zap.String("peer", name), zap.Duration("silent", now.Sub(p.LastSeen)))
 		}
 	}
 	n.peersRead = true
 	n.quotas.SetPeers(now, n.peers.names())
-	return nil
 }
 
-func (n *Node) applyMember(now time.Time, p store.Pair) {
-	name := p.Key[len(memberPrefix):]
-	if name == n.settings.Node {
+func (n *Node) applyMember(now time.Time, m roster.Member) {
+	known := n.peers.peers[m.Name]
+	if known != nil && now.Sub(known.LastSeen) <= roster.Silence(n.peers.size()) {
+		known.LastListed = now // its own reports are newer than a stale read
 		return
 	}
-	var v memberValue
-	if err := json.Unmarshal(p.Value, &v); err != nil {
-		n.log.Warn("member_unreadable", zap.String("key", p.Key), zap.String("cause", err.Error()))
-		return
-	}
-	known := n.peers.peers[name]
-	if known != nil && now.Sub(known.lastSeen) <= pair.UnresponsiveAfter(n.peers.size()) {
-		known.lastListed = now // its own reports are newer than a stale read
-		return
-	}
-	found := n.peers.getOrAdd(name, v.Address)
-	found.lastListed, found.hall, found.cores = now, v.Hall, v.Cores
+	found := n.peers.getOrAdd(m.Name, m.Address)
+	found.LastListed, found.hall, found.cores = now, m.Hall, m.Cores
 }
 
+// seedSpread is the time over which the nodes of a fleet begin to call the seeds, when all start at once and the
+// store doesn't show them each other.
+const seedSpread = pair.Round
+
 // contactSeeds calls the seeds until another node is known: a node that starts while the store is
 // unavailable can't discover one otherwise.
 func (n *Node) contactSeeds(ctx context.Context) {
+	n.awaitRegistry(ctx)
+	if !n.hasReadRegistry() {
+		_ = n.clock.Sleep(ctx, time.Duration(xxhash.Sum64String(n.settings.Node)%uint64(seedSpread))) // the loop condition checks the context
+	}
 	for len(n.settings.Seeds) > 0 && ctx.Err() == nil {
 		n.mu.Lock()
 		known := len(n.peers.peers) > 0
--- a/internal/edge/members_test.go
+++ b/internal/edge/members_test.go
@@ -12,6 +12,7 @@
 
 	"spurhall.example/spurhall/internal/pair"
 	"spurhall.example/spurhall/internal/relay"
+	"spurhall.example/spurhall/internal/roster"
 	"spurhall.example/spurhall/internal/store"
 	"spurhall.example/spurhall/internal/timer"
 )
@@ -26,7 +27,7 @@
 	n.peers = &peerTable{n: n, peers: make(map[string]*peer)}
 	for i := 1; i <= others; i++ {
 		name := fmt.Sprint("edge-", i)
-		n.peers.peers[name] = &peer{name: name, hall: "a", lastSeen: n.clock.Now(), storeUp: true}
+		n.peers.peers[name] = &peer{name: name, hall: "a", Signs: roster.Signs{LastSeen: n.clock.Now()}, storeUp: true}
 	}
 	return n, c, logs
 }
@@ -36,7 +37,7 @@
 func TestWatchersReachTheStore(t *testing.T) {
 	n, _, _ := newHallNode(t, 9)
 	before := n.watchers()
-	require.Len(t, before, watchersPerHall)
+	require.Len(t, before, roster.WatchersPerHall)
 	n.peers.peers[before[0]].storeUp = false
 	after := n.watchers()
 	assert.NotContains(t, after, before[0])
@@ -44,7 +45,7 @@
 	for _, p := range n.peers.peers {
 		p.storeUp = false
 	}
-	assert.Len(t, n.watchers(), watchersPerHall, "if the store rejects all nodes, the watchers still retry")
+	assert.Len(t, n.watchers(), roster.WatchersPerHall, "if the store rejects all nodes, the watchers still retry")
 }
 
 // TestFailedRelaysAreNotCalled checks that a failed relay isn't called until it reports again or some time has
@@ -60,7 +61,7 @@
 		t.Helper()
 		for _, o := range n.peers.peers {
 			if o != p {
-				o.lastSeen = n.clock.Now()
+				o.LastSeen = n.clock.Now()
 			}
 		}
 		assert.Equal(t, want, len(matching(n.hallNodes(n.clock.Now(), "a"), first)) == 1)
@@ -70,7 +71,7 @@
 	p.relay.failedAt = n.clock.Now()
 	assertAsked(t, false)
 	c.Advance(pair.Round)
-	p.lastSeen = n.clock.Now()
+	p.LastSeen = n.clock.Now()
 	assertAsked(t, true)
 }
 
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -41,6 +41,7 @@
 	"spurhall.example/spurhall/internal/relay"
 	"spurhall.example/spurhall/internal/retry"
 	"spurhall.example/spurhall/internal/rollout"
+	"spurhall.example/spurhall/internal/roster"
 	"spurhall.example/spurhall/internal/store"
 	"spurhall.example/spurhall/internal/timer"
 	"spurhall.example/spurhall/internal/usage"
@@ -100,6 +101,7 @@
 	catalog         atomic.Pointer[activeCatalog]
 	listed          atomic.Bool               // the upstream list has been read at least once
 	storeRestoredAt atomic.Pointer[time.Time] // when the store was last restored from a copy; nil: not during this process
+	registryTried   atomic.Bool               // the registry has been read, or couldn't be
 	initOnce        sync.Once
 	initialized     chan struct{} // closed once the configuration and the upstream list are present
 	phase           atomic.Int32  // of a planned stop, as a forward.Phase
@@ -110,15 +112,20 @@
 	retryWindows  map[string]*retry.Window
 	spanStartedAt time.Time // start of the current quota span
 	peersRead     bool      // the registry of nodes has been read
-	usage         *usage.Tracker
-	peers         *peerTable
-	peerLog       peerLog
-	aggregator    *relay.Aggregator // state of this node as a relay
-	relayView     relay.View        // state received from this node's relay
-	homeRelay     string            // name of the relay that this node reports to
-	digestAt      time.Time         // arrival of the last digest
-	digestNodes   map[string]bool   // nodes that the last digest covers
-	placeRetryAt  time.Time         // no relay is asked to place a request before this time
+	registry      *roster.Registry
+	// registrySentAt is when a watcher last sent or confirmed the registry, and registryAppliedAt when that was
+	// last applied.
+	registrySentAt    time.Time
+	registryAppliedAt time.Time
+	usage             *usage.Tracker
+	peers             *peerTable
+	peerLog           peerLog
+	aggregator        *relay.Aggregator // state of this node as a relay
+	relayView         relay.View        // state received from this node's relay
+	homeRelay         string            // name of the relay that this node reports to
+	digestAt          time.Time         // arrival of the last digest
+	digestNodes       map[string]bool   // nodes that the last digest covers
+	placeRetryAt      time.Time         // no relay is asked to place a request before this time
 
 	peerListChange   int64         // newest change of the upstream list that a peer has reported
 	behindSince      time.Time     // since when this node lacks that change; zero: it doesn't
@@ -150,6 +157,7 @@
 	n.quotas = quota.New(n.start, s.FirstStart)
 	n.usage = usage.New(s.Node, o.Incarnation, s.UsageWindow)
 	n.peers = newPeerTable(n)
+	n.registry = roster.NewRegistry()
 	n.aggregator = relay.NewAggregator(s.Node, o.Incarnation)
 	n.quarantine = quarantine.NewTracker(s.Node)
 	n.rollouts = newRollouts()
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -13,7 +13,7 @@
 	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/catalog"
 	"spurhall.example/spurhall/internal/duty"
-	"spurhall.example/spurhall/internal/pair"
+	"spurhall.example/spurhall/internal/roster"
 )
 
 // This file orders upstreams at the node that holds the duties' lease. autoscale.MixPlanner decides; this file
@@ -132,8 +132,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for name, p := range n.peers.peers {
-		if p.work != nil {
-			sums[name] = autoscale.Counter{Value: p.work[service], ReceivedAt: p.lastSeen}
+		if !p.workAt.IsZero() {
+			sums[name] = autoscale.Counter{Value: p.work[service], ReceivedAt: p.workAt}
 		}
 	}
 	return sums
@@ -143,7 +143,7 @@
 func (n *Node) silenceLimit() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return pair.UnresponsiveAfter(n.peers.size())
+	return roster.Silence(n.peers.size())
 }
 
 func (o *orderer) mix(s *catalog.ServiceSpec) *autoscale.MixPlanner {
@@ -220,7 +220,7 @@
 	now, halls := n.clock.Now(), make(map[string]bool)
 	relayed := now.Sub(n.digestAt) <= digestLifetime
 	for name, p := range n.peers.peers {
-		if relayed && n.digestNodes[name] || now.Sub(p.lastSeen) <= digestLifetime {
+		if relayed && n.digestNodes[name] || now.Sub(p.LastSeen) <= digestLifetime {
 			halls[p.hall] = true
 		}
 	}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -16,6 +16,7 @@
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/quota"
 	"spurhall.example/spurhall/internal/rollout"
+	"spurhall.example/spurhall/internal/roster"
 	"spurhall.example/spurhall/internal/usage"
 	"spurhall.example/spurhall/internal/wire"
 	"spurhall.example/spurhall/internal/wire/wireconnect"
@@ -34,6 +35,7 @@
 
 // peer is another node as this node knows it.
 type peer struct {
+	roster.Signs
 	name           string
 	address        string
 	hall           string // empty: no report received yet
@@ -42,17 +44,16 @@
 	cores          float64
 	incarnation    string
 	sequence       uint64
-	lastSeen       time.Time
 	lastCalled     time.Time // by this node
-	lastListed     time.Time // last seen in the store's registry
 	busy           bool      // a call is in progress
 	silenceLogged  bool      // its silence has been logged
 	lastFailure    string    // of the last call; empty: it succeeded
 	clientMu       sync.Mutex
-	client         wireconnect.EdgeClient // nil: not called yet (peerTable.clientOf)
-	catalogVersion int64                  // of its configuration
-	listRevision   int64                  // of its upstream list
-	work           map[string]capacity.Work
+	client         wireconnect.EdgeClient   // nil: not called yet (peerTable.clientOf)
+	catalogVersion int64                    // of its configuration
+	listRevision   int64                    // of its upstream list
+	work           map[string]capacity.Work // sent to engines since its process started; nil: none
+	workAt         time.Time                // when it had sent that
 	trials         []rollout.Update
 	reach          pool.Reachability
 	relay          relayState
@@ -63,15 +64,13 @@
 	n         *Node
 	peers     map[string]*peer
 	keepAlive *http.Client
-	oneShot   *http.Client // closes its connections: for pairs that swap seldom
-	sequence  uint64
+	// oneShot closes its connections, for pairs that swap seldom. A connection takes 40 kB, half of it at each end
+	// (BenchmarkPeerConnections), so a node of 300 held 6 MB for peers that it calls every six seconds. Reopening
+	// them takes some 25 connections a second.
+	oneShot  *http.Client
+	sequence uint64
 }
 
-// maxKeptInterval is the longest swap interval for which a pair keeps its connection. A connection takes
-// 40 kB, half of it at each end (BenchmarkPeerConnections), so a node of 300 held 6 MB for peers that it
-// calls every six seconds. Reopening them takes some 25 connections a second.
-const maxKeptInterval = 2 * time.Second
-
 func newPeerTable(n *Node) *peerTable {
 	d := &net.Dialer{Timeout: reportTimeout}
 	return &peerTable{
@@ -118,7 +117,7 @@
 
 // pairClient returns the client for the reports of a pair.
 func (t *peerTable) pairClient(p *peer) wireconnect.EdgeClient {
-	if pair.Interval(t.size()) > maxKeptInterval {
+	if !pair.Suffice(t.size()) {
 		return wireconnect.NewEdgeClient(t.oneShot, "http://"+p.address)
 	}
 	return t.clientOf(p)
@@ -128,10 +127,12 @@
 func (t *peerTable) due(now time.Time) []*peer {
 	peers := make([]pair.Peer, 0, len(t.peers))
 	for _, p := range t.peers {
-		peers = append(peers, pair.Peer{Name: p.name, LastSeen: p.lastSeen, LastCalled: p.lastCalled, Busy: p.busy})
+		if p.NeedsReport(now, t.size(), digestLifetime) {
+			peers = append(peers, pair.Peer{Name: p.name, LastSeen: p.LastSeen, LastCalled: p.lastCalled, Busy: p.busy})
+		}
 	}
 	var list []*peer
-	for _, name := range pair.Due(now, t.n.settings.Node, peers) {
+	for _, name := range pair.Due(now, t.n.settings.Node, t.size(), peers) {
 		list = append(list, t.peers[name])
 	}
 	return list
@@ -158,13 +159,14 @@
 	n.startQuotaSpan(now)
 	n.guard.SetRates(n.storeShare())
 	n.usage.Forget(n.clock.Wall())
-	responsive, limit := 0, pair.UnresponsiveAfter(n.peers.size())
+	responsive, size := 0, n.peers.size()
 	for _, p := range n.peers.peers {
-		if now.Sub(p.lastSeen) <= limit {
+		if p.IsResponsive(now, size) {
 			responsive++
-		} else if !p.silenceLogged && !p.lastSeen.IsZero() {
+			p.silenceLogged = false
+		} else if !p.silenceLogged && !p.LastSign(size).IsZero() {
 			p.silenceLogged = true
-			n.logPeer("peer_silent", zap.String("peer", p.name), zap.Duration("for", now.Sub(p.lastSeen)), zap.String("last_call", p.lastFailure))
+			n.logPeer("peer_silent", zap.String("peer", p.name), zap.Duration("for", now.Sub(p.LastSign(size))), zap.String("last_call", p.lastFailure))
 		}
 	}
 	due := n.peers.due(now)
@@ -200,7 +202,7 @@
 	var sum pool.Reachability
 	for _, p := range n.peers.peers {
 		if p.hall == n.settings.Hall {
-			sum = sum.Merge(p.reach, now.Sub(p.lastSeen))
+			sum = sum.Merge(p.reach, now.Sub(p.LastSeen))
 		}
 	}
 	return sum
@@ -270,12 +272,7 @@
 	r.Spent = message.SpentToWire(n.quotas.Charged())
 	r.Trials = message.TrialsToWire(n.trialUpdates())
 	r.Started = message.StartedToWire(n.newestWindows(n.usage.Own(), windows))
-	for v, w := range n.pools.Work() {
-		r.Work = append(r.Work, &wire.Work{Service: v, Reading: w.Prefill, Slots: w.Slots, Memory: w.Memory})
-	}
-	for v, e := range n.pools.Learned() {
-		r.Engines = append(r.Engines, &wire.Engine{Service: v, Reading: e.Reading, First: e.First, Token: e.Token, Samples: int32(e.Samples)})
-	}
+	r.Work, r.Engines = message.WorkToWire(n.pools.Work()), message.EnginesToWire(n.pools.Learned())
 	return r
 }
 
@@ -301,11 +298,7 @@
 	n.mergeEra(r.Node, r.ListChange)
 	n.mergeSuspicions(r.Suspicions, r.Node)
 	n.mergeLimits(r.Limits, r.Node)
-	engines := make(map[string]capacity.Engine, len(r.Engines))
-	for _, v := range r.Engines {
-		engines[v.Service] = capacity.Engine{Reading: v.Reading, First: v.First, Token: v.Token, Samples: int(v.Samples)}
-	}
-	n.pools.ApplyReport(r.Node, message.LoadsFromWire(r.Loads), message.PlacementsFromWire(r.Placed), engines)
+	n.pools.ApplyReport(r.Node, message.LoadsFromWire(r.Loads), message.PlacementsFromWire(r.Placed), message.EnginesFromWire(r.Engines))
 	n.recordListChange(r.Node, r.ListChange)
 	n.catchUp(ctx, r)
 }
@@ -319,17 +312,14 @@
 	if p.incarnation == r.Lifetime && r.Sequence <= p.sequence {
 		return false
 	}
-	if p.incarnation != r.Lifetime || now.Sub(p.lastSeen) > pair.UnresponsiveAfter(n.peers.size()) {
+	if p.incarnation != r.Lifetime || !p.IsResponsive(now, n.peers.size()) {
 		n.logPeer("peer_heard", zap.String("peer", r.Node), zap.String("lifetime", r.Lifetime), zap.Int64("catalog", r.CatalogVersion))
 	}
-	p.incarnation, p.sequence, p.lastSeen, p.silenceLogged = r.Lifetime, r.Sequence, now, false
+	p.incarnation, p.sequence, p.LastSeen, p.silenceLogged = r.Lifetime, r.Sequence, now, false
 	p.catalogVersion, p.listRevision, p.hall, p.leaving, p.storeUp, p.cores = r.CatalogVersion, r.ListRevision, r.Hall, r.Leaving, r.StoreUp, r.Cores
 	p.trials, p.reach = message.TrialsFromWire(r.Trials), message.ReachFromWire(r.Reach)
 	n.mergeTrials(now, p.trials, r.Node)
-	p.work = make(map[string]capacity.Work, len(r.Work))
-	for _, v := range r.Work {
-		p.work[v.Service] = capacity.Work{Prefill: v.Reading, Slots: v.Slots, Memory: v.Memory}
-	}
+	p.work, p.workAt = message.WorkFromWire(r.Work), now
 	n.quotas.ApplyUpdate(now, quota.Update{Node: r.Node, Incarnation: r.Lifetime, Sequence: r.Sequence, Uptime: message.FromMillis(r.UptimeMs), Charged: message.SpentFromWire(r.Spent)})
 	n.usage.Merge(r.Node, r.Lifetime, message.StartedFromWire(r.Started))
 	return true
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -53,7 +53,7 @@
 			list = append(list, p)
 		}
 	}
-	slices.SortFunc(list, func(x, y *peer) int { return y.lastSeen.Compare(x.lastSeen) })
+	slices.SortFunc(list, func(x, y *peer) int { return y.LastSeen.Compare(x.LastSeen) })
 	addresses := make([]string, 0, maxHallProbes)
 	for _, p := range list[:min(len(list), maxHallProbes)] {
 		addresses = append(addresses, p.address)
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -101,19 +101,14 @@
 		nodes[n.settings.Node] = n.settings.Cores
 	}
 	for _, p := range n.peers.peers {
-		failed := !p.relay.failedAt.IsZero() && p.lastSeen.Before(p.relay.failedAt) && now.Sub(p.relay.failedAt) < relayRetryPause
-		if p.hall == hall && !p.leaving && !failed && n.isPresent(now, p) {
+		failed := !p.relay.failedAt.IsZero() && p.LastSeen.Before(p.relay.failedAt) && now.Sub(p.relay.failedAt) < relayRetryPause
+		if p.hall == hall && !p.leaving && !failed && p.IsPresent(now, n.peers.size()) {
 			nodes[p.name] = p.cores
 		}
 	}
 	return relay.RankNodes(nodes)
 }
 
-// isPresent reports whether a peer is responsive or listed in the registry. The node's lock is held.
-func (n *Node) isPresent(now time.Time, p *peer) bool {
-	return now.Sub(p.lastSeen) <= pair.UnresponsiveAfter(n.peers.size()) || now.Sub(p.lastListed) <= 2*registryReadInterval
-}
-
 // relaysOfAllHalls returns some of the relays of all halls as this node sees them: those that a function of
 // package relay picks from a hall's ordered nodes. The node's lock is held.
 func (n *Node) relaysOfAllHalls(now time.Time, some func(ordered []string) []string) []string {
@@ -153,6 +148,7 @@
 	n.applyDigest(name, message.DigestFromWire(a))
 	n.mergeSuspicions(a.Suspicions, name)
 	n.mergeLimits(a.Limits, name)
+	n.pools.ApplyReport(name, nil, nil, message.EnginesFromWire(a.Engines))
 }
 
 // recordRelayCall records whether a relay responded.
@@ -181,7 +177,13 @@
 	covered := make(map[string]bool, len(updates))
 	for _, w := range updates {
 		covered[w.Node] = true
-		if p := n.peers.peers[w.Node]; p != nil && !(p.incarnation == w.Incarnation && p.sequence > w.Sequence) {
+		p := n.peers.peers[w.Node]
+		if p == nil {
+			continue
+		}
+		p.LastRelayed = now.Add(-w.Age)
+		if p.incarnation != w.Incarnation || p.sequence <= w.Sequence {
+			p.leaving, p.storeUp = w.Status.Leaving, !w.Status.StoreDown
 			n.quotas.ApplyUpdate(now, quota.Update{Node: w.Node, Incarnation: w.Incarnation, Sequence: w.Sequence, Uptime: w.Uptime, Age: w.Age, Charged: w.Spent})
 		}
 	}
@@ -219,7 +221,7 @@
 			peers = append(peers, pair.Peer{Name: name, LastSeen: p.relay.lastSwapped, LastCalled: p.relay.lastCalled, Busy: p.relay.busy})
 		}
 	}
-	for _, name := range pair.Due(now, n.settings.Node, peers) {
+	for _, name := range pair.Due(now, n.settings.Node, len(peers)+1, peers) {
 		p := n.peers.peers[name]
 		p.relay.busy, p.relay.lastCalled = true, now
 		go n.swapWithRelay(ctx, p)
@@ -240,7 +242,7 @@
 	n.mu.Lock()
 	p.relay.busy = false
 	if err != nil {
-		if now := n.clock.Now(); p.relay.failedAt.Before(p.lastSeen) || now.Sub(p.relay.failedAt) > relayRetryPause {
+		if now := n.clock.Now(); p.relay.failedAt.Before(p.LastSeen) || now.Sub(p.relay.failedAt) > relayRetryPause {
 			n.log.Info("swap_failed", zap.String("relay", p.name), zap.String("cause", err.Error()))
 			p.relay.failedAt = now
 		}
@@ -277,6 +279,9 @@
 	n.aggregator.MergeGroup(now, g)
 	for _, c := range g.Changes {
 		n.usage.Merge(c.Node, c.Incarnation, c.Started)
+		if p := n.peers.peers[c.Node]; p != nil && !c.Unresponsive && now.Add(-c.Age).After(p.workAt) {
+			p.work, p.workAt = c.Work, now.Add(-c.Age)
+		}
 	}
 	if n.homeRelay == n.settings.Node {
 		shares := n.aggregator.Shares(now, n.settings.Node)
@@ -301,6 +306,7 @@
 	n.aggregator.ApplyReport(now, message.ReportFromWire(v))
 	d := n.aggregator.Digest(now, v.Node, n.aggregator.BaseVersion(r.Msg.Lifetime, r.Msg.Version))
 	a := message.DigestToWire(d)
+	a.Engines = message.EnginesToWire(n.pools.Engines())
 	a.Suspicions = n.suspicions()
 	a.Limits = message.LimitsToWire(now, n.pools.Limits())
 	return connect.NewResponse(a), nil
--- /dev/null
+++ b/internal/edge/start_test.go
@@ -0,0 +1,131 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"spurhall.example/spurhall/internal/pair"
+	"spurhall.example/spurhall/internal/pool"
+	"spurhall.example/spurhall/internal/relay"
+	"spurhall.example/spurhall/internal/roster"
+	"spurhall.example/spurhall/internal/store"
+	"spurhall.example/spurhall/internal/timer"
+)
+
+// newStartingNode returns a node that has read the registry, and nothing else.
+func newStartingNode(t *testing.T, nodes int) (*Node, *timer.Manual) {
+	n, c := newScaleNode(t, nodes, 0)
+	n.listed.Store(false)
+	for _, p := range n.peers.peers {
+		p.Signs, p.storeUp = roster.Signs{LastListed: n.clock.Now()}, false
+	}
+	return n, c
+}
+
+// TestStartOfALargeFleet: all nodes of a fleet of 985 read 10,000 entries from the store when they started, 3 GB
+// together. The few nodes that watch for their hall have to read them for all.
+func TestStartOfALargeFleet(t *testing.T) {
+	n, c := newStartingNode(t, 985)
+	assert.NotContains(t, n.watchers(), n.settings.Node, "by the registry, other nodes watch")
+	assert.False(t, n.mustWatch())
+	t.Run("a watcher reads at once", func(t *testing.T) {
+		n, _ := newStartingNode(t, 985)
+		n.settings.Cores = 0.8
+		reach := n.guard.Wrap(store.KV{Range: func(context.Context, string, string) (store.RangeResult, error) { return store.RangeResult{}, nil }})
+		_, err := reach.Range(t.Context(), memberPrefix, "") // it has read the registry
+		require.NoError(t, err)
+		assert.True(t, n.mustWatch())
+	})
+	t.Run("a node whose watchers have nothing reads by itself in the end", func(t *testing.T) {
+		c.Advance(startPatience + 985*startReadGap)
+		assert.True(t, n.mustWatch())
+	})
+	t.Run("each node of a small fleet reads at once", func(t *testing.T) {
+		n, _ := newStartingNode(t, maxStartReaders)
+		assert.True(t, n.mustWatch())
+	})
+}
+
+// TestRegistryComesFromWatchers: every node read the registry every two seconds. At 985 nodes that is 200 kB for
+// each read, some 100 MB a second in all.
+func TestRegistryComesFromWatchers(t *testing.T) {
+	w, n := newWatchingNode(t, "w", 10), newFollowingNode(t)
+	list := make([]roster.Member, 985)
+	for i := range list {
+		list[i] = roster.Member{Name: fmt.Sprintf("edge-a-%d", i+1), Address: fmt.Sprintf("10.9.%d.%d:9", i/256, i%256), Hall: "a", Cores: 0.2}
+	}
+	read := func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.registry.Replace(w.clock.Now(), list)
+	}
+	read()
+	var from listSource
+	pollAll(t, n, &from, w)
+	assert.Equal(t, 988, n.peers.size(), "with itself and two that it knew")
+	assert.Equal(t, n.clock.Now(), n.registrySentAt)
+	t.Run("then only changes", func(t *testing.T) {
+		list[3].Address = "10.10.0.1:9"
+		read()
+		a := poll(n, &from, w)
+		assert.True(t, a.HasMemberChanges)
+		assert.Less(t, proto.Size(a), 200)
+		assert.Equal(t, "10.10.0.1:9", n.peers.peers["edge-a-4"].address)
+	})
+	t.Run("a watcher that can't read it says so", func(t *testing.T) {
+		w.registry.Replace(w.clock.Now().Add(-time.Minute), list)
+		assert.False(t, poll(n, &from, w).MembersRead)
+	})
+}
+
+// TestPairsOfALargeFleet: each node called 12 others in each round, whichever relays named them. At 985 nodes
+// that is 24 new connections a second at each node, to hear from each other node every 20 s.
+func TestPairsOfALargeFleet(t *testing.T) {
+	n, c := newScaleNode(t, 985, 0)
+	c.Advance(time.Minute)
+	now := n.clock.Now()
+	assert.NotEmpty(t, n.peers.due(now), "no digest names any node")
+	silent := 0
+	for _, p := range n.peers.peers {
+		if silent < 3 {
+			silent++
+			continue
+		}
+		p.LastRelayed = now
+	}
+	assert.LessOrEqual(t, len(n.peers.due(now)), 3, "only those that no relay hears")
+	t.Run("which aren't called in each round either", func(t *testing.T) {
+		for _, p := range n.peers.due(now) {
+			p.lastCalled = now
+		}
+		assert.Empty(t, n.peers.due(now.Add(pair.Round)))
+	})
+}
+
+// TestDigestsShowWhoIsThere checks that a digest refreshes the nodes that it names, and passes on whether they
+// are leaving and reach the store, on which the choice of watchers and relays depends.
+func TestDigestsShowWhoIsThere(t *testing.T) {
+	n, c := newScaleNode(t, 985, 0)
+	c.Advance(time.Minute)
+	p := n.peers.peers["edge-a-5"]
+	size := n.peers.size()
+	assert.False(t, p.IsResponsive(n.clock.Now(), size))
+	n.applyDigest("edge-a-10", relay.Digest{
+		Incarnation: "r", Version: 1, Relays: map[string]time.Duration{"edge-a-10": 0}, Shares: []pool.PeerLoad{{}, {}},
+		Changes: []relay.Change{{Node: p.name, Incarnation: p.incarnation, Sequence: 9, Relay: "edge-a-10", Status: relay.Status{StoreDown: true}}},
+	})
+	assert.True(t, p.IsResponsive(n.clock.Now(), size))
+	assert.False(t, p.storeUp)
+	for _, name := range []string{"edge-a-10", "edge-a-15"} {
+		n.peers.peers[name].LastSeen = n.clock.Now()
+	}
+	assert.NotContains(t, n.watchers(), p.name)
+	c.Advance(4 * time.Second)
+	assert.False(t, p.IsResponsive(n.clock.Now(), size), "after some seconds, whatever the size of the fleet")
+}
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -13,6 +13,7 @@
 
 	"spurhall.example/spurhall/internal/changelog"
 	"spurhall.example/spurhall/internal/pool"
+	"spurhall.example/spurhall/internal/roster"
 	"spurhall.example/spurhall/internal/store"
 )
 
@@ -147,7 +148,7 @@
 func (n *Node) batchDelay() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	watching := min(n.peers.size(), watchersPerHall*max(1, len(n.settings.Halls)))
+	watching := min(n.peers.size(), roster.WatchersPerHall*max(1, len(n.settings.Halls)))
 	return min(batchDelayPerNode*time.Duration(watching), maxBatchDelay)
 }
 
--- a/internal/edge/watchers.go
+++ b/internal/edge/watchers.go
@@ -6,10 +6,10 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
-	"spurhall.example/spurhall/internal/pair"
-	"spurhall.example/spurhall/internal/relay"
+	"spurhall.example/spurhall/internal/roster"
 )
 
 // This file decides which nodes watch the store. Each change of the upstream list completes a watch, each
@@ -17,26 +17,35 @@
 // of a hall watch, and the others poll one of them with a call that is held open until there is a change.
 //
 // A node that gets no updates from the watchers, or that learns of a change which they lack, watches by
-// itself for a while. A starting node does so until it has received reports from its hall: it needs the
-// store's state at once.
+// itself for a while. In a small fleet a starting node does so until it has received reports from its hall: it
+// needs the store's state at once. In a large one, all nodes together would read more than the store can send
+// (10,000 entries are some 3 MB), so a starting node follows the watchers that the registry names, and reads by
+// itself only if they have nothing for some seconds.
 //
 // Alternatives considered: sending changes along with the reports between nodes. Pairs swap reports every
 // second or two in a fleet of some 80 nodes, which is all the time that a leaving upstream allows.
 // One watcher for the whole fleet: a partitioned hall has to learn of changes to its own upstreams.
 
 const (
-	// watchersPerHall is how many nodes of a hall watch: with two, the loss of one costs the others a
-	// time-out.
-	watchersPerHall = 2
 	// selfWatchDuration is how long a node watches by itself after the watchers failed it.
 	selfWatchDuration = 5 * time.Second
+	// maxStartReaders is the size of a fleet up to which each starting node reads the store by itself: that many
+	// lists of a fleet of that size are some 2 MB.
+	maxStartReaders = 64
+	// registryWait is how long a starting node waits for the registry, and firstStartDelay how long it waits
+	// before it reads the registry when the whole system starts: until then the others have registered.
+	registryWait    = 500 * time.Millisecond
+	firstStartDelay = 700 * time.Millisecond
+	// startPatience is how long a starting node waits for watchers that have nothing yet, and startReadGap the
+	// time between two nodes that then read by themselves.
+	startPatience = 3 * time.Second
+	startReadGap  = 20 * time.Millisecond
+	startPollGap  = 100 * time.Millisecond
 	// roleCheckInterval is how often a node checks whether it has to watch.
 	roleCheckInterval = 250 * time.Millisecond
 )
 
-// watchers returns the nodes of this hall that watch the store: the first in the hall's order among the
-// responsive nodes that reach the store, or among all responsive nodes if none reaches it. While views
-// differ, a node may poll one that doesn't watch; the response says so.
+// watchers returns the nodes of this hall that watch the store.
 func (n *Node) watchers() []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -45,25 +54,20 @@
 
 // watchersLocked is watchers with the node's lock held.
 func (n *Node) watchersLocked(now time.Time) []string {
-	limit := pair.UnresponsiveAfter(n.peers.size())
-	responsive, connected := map[string]float64{n.settings.Node: n.settings.Cores}, map[string]float64{}
-	if n.guard.Up() {
-		connected[n.settings.Node] = n.settings.Cores
-	}
+	size := n.peers.size()
+	nodes := []roster.Node{{Name: n.settings.Node, Cores: n.settings.Cores, StoreUp: n.guard.Up()}}
 	for _, p := range n.peers.peers {
-		if p.hall != n.settings.Hall || p.leaving || now.Sub(p.lastSeen) > limit {
+		if p.hall != n.settings.Hall || p.leaving {
 			continue
 		}
-		responsive[p.name] = p.cores
-		if p.storeUp {
-			connected[p.name] = p.cores
+		// A node that has just started has heard of the others only by the registry, which shows that they reach the
+		// store.
+		unheard := size > maxStartReaders && p.LastSign(size).IsZero() && p.IsPresent(now, size)
+		if unheard || p.IsResponsive(now, size) {
+			nodes = append(nodes, roster.Node{Name: p.name, Cores: p.cores, StoreUp: unheard || p.storeUp})
 		}
 	}
-	if len(connected) == 0 {
-		connected = responsive
-	}
-	names := relay.RankNodes(connected)
-	return names[:min(len(names), watchersPerHall)]
+	return roster.Watchers(nodes)
 }
 
 // isWatcherLocked is isWatcher with the node's lock held.
@@ -83,11 +87,43 @@
 	n.mu.Lock()
 	selfWatch := now.Before(n.selfWatchUntil)
 	n.mu.Unlock()
-	return selfWatch || !n.listed.Load() || n.currentCatalog() == nil || n.isWatcher()
+	if n.isStarting() {
+		return selfWatch || !n.startsAsFollower(now)
+	}
+	return selfWatch || n.isWatcher()
+}
+
+// isStarting reports whether this node lacks the configuration or the upstream list.
+func (n *Node) isStarting() bool { return !n.listed.Load() || n.currentCatalog() == nil }
+
+// startsAsFollower reports whether this node, which is starting, waits for its hall's watchers.
+func (n *Node) startsAsFollower(now time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	size := n.peers.size()
+	if !n.peersRead || size <= maxStartReaders || n.isWatcherLocked(now) {
+		return false
+	}
+	turn := xxhash.Sum64String(n.settings.Node) % uint64(size)
+	return now.Sub(n.start) < startPatience+time.Duration(turn)*startReadGap
+}
+
+// awaitRegistry waits until this node has tried to read the registry, for a limited time.
+func (n *Node) awaitRegistry(ctx context.Context) {
+	limit := registryWait
+	if n.settings.FirstStart {
+		limit += firstStartDelay
+	}
+	for !n.registryTried.Load() && n.clock.Since(n.start) < limit {
+		if n.clock.Sleep(ctx, relayPoll) != nil {
+			return
+		}
+	}
 }
 
 // followStore watches the store or polls the watchers until the context ends.
 func (n *Node) followStore(ctx context.Context) {
+	n.awaitRegistry(ctx)
 	for ctx.Err() == nil {
 		if n.mustWatch() {
 			n.log.Info("watching", zap.Strings("watchers", n.watchers()))
@@ -134,7 +170,11 @@
 		}
 		failed++
 		n.log.Info("follow_failed", zap.String("peer", name), zap.String("cause", err.Error()))
-		if failed >= watchersPerHall {
+		if n.isStarting() && n.startsAsFollower(n.clock.Now()) {
+			_ = n.clock.Sleep(ctx, startPollGap) // the loop condition checks the context
+			continue
+		}
+		if failed >= roster.WatchersPerHall {
 			n.mu.Lock()
 			n.startSelfWatch(n.clock.Now())
 			n.mu.Unlock()
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -10,11 +10,13 @@
 import (
 	"time"
 
+	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/limit"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/relay"
 	"spurhall.example/spurhall/internal/retry"
 	"spurhall.example/spurhall/internal/rollout"
+	"spurhall.example/spurhall/internal/roster"
 	"spurhall.example/spurhall/internal/usage"
 	"spurhall.example/spurhall/internal/wire"
 )
@@ -112,9 +114,49 @@
 		Node: r.Node, Incarnation: r.Lifetime, Sequence: r.Sequence, Uptime: FromMillis(r.UptimeMs), Loads: LoadsFromWire(r.Loads),
 		Placed: PlacementsFromWire(r.Placed), Spent: SpentFromWire(r.Spent), Started: StartedFromWire(r.Started),
 		Trials: TrialsFromWire(r.Trials), Reachability: ReachFromWire(r.Reach),
+		Status: relay.Status{Leaving: r.Leaving, StoreDown: !r.StoreUp}, Work: WorkFromWire(r.Work),
 	}
 }
 
+// WorkToWire converts the work that was sent to the engines of each service.
+func WorkToWire(m map[string]capacity.Work) []*wire.Work {
+	r := make([]*wire.Work, 0, len(m))
+	for s, w := range m {
+		r = append(r, &wire.Work{Service: s, Reading: w.Prefill, Slots: w.Slots, Memory: w.Memory})
+	}
+	return r
+}
+
+// WorkFromWire is the inverse of WorkToWire. No work is a nil map.
+func WorkFromWire(l []*wire.Work) map[string]capacity.Work {
+	if len(l) == 0 {
+		return nil
+	}
+	r := make(map[string]capacity.Work, len(l))
+	for _, v := range l {
+		r[v.Service] = capacity.Work{Prefill: v.Reading, Slots: v.Slots, Memory: v.Memory}
+	}
+	return r
+}
+
+// EnginesToWire converts what was learned of the services' engines.
+func EnginesToWire(m map[string]capacity.Engine) []*wire.Engine {
+	r := make([]*wire.Engine, 0, len(m))
+	for s, e := range m {
+		r = append(r, &wire.Engine{Service: s, Reading: e.Reading, First: e.First, Token: e.Token, Samples: int32(e.Samples)})
+	}
+	return r
+}
+
+// EnginesFromWire is the inverse of EnginesToWire.
+func EnginesFromWire(l []*wire.Engine) map[string]capacity.Engine {
+	r := make(map[string]capacity.Engine, len(l))
+	for _, v := range l {
+		r[v.Service] = capacity.Engine{Reading: v.Reading, First: v.First, Token: v.Token, Samples: int(v.Samples)}
+	}
+	return r
+}
+
 // ReachToWire converts the unreachable upstreams and the ages of the halls' last responses.
 func ReachToWire(r pool.Reachability) *wire.Reach {
 	m := &wire.Reach{}
@@ -195,6 +237,7 @@
 		r[i] = &wire.Change{
 			Node: c.Node, Lifetime: c.Incarnation, Sequence: c.Sequence, UptimeMs: c.Uptime.Milliseconds(), AgeMs: c.Age.Milliseconds(),
 			Relay: c.Relay, Silent: c.Unresponsive, Spent: SpentToWire(c.Spent), Started: StartedToWire(c.Started),
+			Leaving: c.Status.Leaving, StoreDown: c.Status.StoreDown, Work: WorkToWire(c.Work),
 		}
 	}
 	return r
@@ -207,6 +250,7 @@
 		r[i] = relay.Change{
 			Node: c.Node, Incarnation: c.Lifetime, Sequence: c.Sequence, Uptime: FromMillis(c.UptimeMs), Age: FromMillis(c.AgeMs),
 			Relay: c.Relay, Unresponsive: c.Silent, Spent: SpentFromWire(c.Spent), Started: StartedFromWire(c.Started),
+			Status: relay.Status{Leaving: c.Leaving, StoreDown: c.StoreDown}, Work: WorkFromWire(c.Work),
 		}
 	}
 	return r
@@ -290,6 +334,24 @@
 	}}
 }
 
+// MembersToWire converts registered nodes.
+func MembersToWire(list []roster.Member) []*wire.Member {
+	r := make([]*wire.Member, len(list))
+	for i, m := range list {
+		r[i] = &wire.Member{Node: m.Name, Address: m.Address, Hall: m.Hall, Cores: m.Cores}
+	}
+	return r
+}
+
+// MembersFromWire is the inverse of MembersToWire.
+func MembersFromWire(list []*wire.Member) []roster.Member {
+	r := make([]roster.Member, len(list))
+	for i, m := range list {
+		r[i] = roster.Member{Name: m.Node, Address: m.Address, Hall: m.Hall, Cores: m.Cores}
+	}
+	return r
+}
+
 // LimitsToWire converts the rates that upstreams accept from all nodes together. Times become ages at now.
 func LimitsToWire(now time.Time, observations []limit.Observation) []*wire.Limited {
 	list := make([]*wire.Limited, len(observations))
--- a/internal/message/message_test.go
+++ b/internal/message/message_test.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/relay"
 	"spurhall.example/spurhall/internal/rollout"
@@ -45,8 +46,10 @@
 			Node: names.Draw(t, "node"), Incarnation: names.Draw(t, "lifetime"), Sequence: rapid.Uint64().Draw(t, "sequence"), Uptime: durations.Draw(t, "uptime"),
 			Age: durations.Draw(t, "age"), Relay: names.Draw(t, "relay"), Unresponsive: rapid.Bool().Draw(t, "silent"),
 			Spent: rapid.MapOfN(names, rapid.Float64Range(0, 1e9), 0, 3).Draw(t, "spent"), Started: make(usage.Windows),
+			Status: relay.Status{Leaving: rapid.Bool().Draw(t, "leaving"), StoreDown: rapid.Bool().Draw(t, "store down")},
 		}
 		for range rapid.IntRange(0, 2).Draw(t, "windows") {
+			c.Work = map[string]capacity.Work{names.Draw(t, "worked"): {Prefill: rapid.Float64Range(0, 1e9).Draw(t, "work"), Slots: 2, Memory: 3}}
 			c.Started[rapid.Int64().Draw(t, "window")] = rapid.MapOfN(names, rapid.Int64(), 1, 3).Draw(t, "counts")
 		}
 		return c
--- a/internal/pair/pair.go
+++ b/internal/pair/pair.go
@@ -34,9 +34,23 @@
 // Interval is how often a pair exchanges in a fleet of so many nodes.
 func Interval(nodes int) time.Duration { return max(Round, Round*time.Duration(nodes-1)/pairsPerRound) }
 
-// UnresponsiveAfter is the time without an exchange after which a node counts as unresponsive: several
-// missed exchanges.
-func UnresponsiveAfter(nodes int) time.Duration { return missedExchanges * Interval(nodes) }
+// unresponsiveAfter is the time without an exchange after which a pair's other node counts as unresponsive:
+// several missed exchanges.
+func unresponsiveAfter(nodes int) time.Duration { return missedExchanges * Interval(nodes) }
+
+// maxTellingInterval is the longest interval of exchanges whose absence shows within some seconds that a node is
+// silent.
+const maxTellingInterval = 2 * time.Second
+
+// Suffice reports whether the pairs of a fleet exchange often enough to show which nodes are silent. Beyond
+// some hundred nodes they don't.
+func Suffice(nodes int) bool { return Interval(nodes) <= maxTellingInterval }
+
+// Silence returns the time without an exchange after which a node counts as silent, in a fleet whose pairs
+// suffice to show it.
+func Silence(nodes int) time.Duration {
+	return missedExchanges * min(Interval(nodes), maxTellingInterval)
+}
 
 // calls reports whether self, of two nodes, is the one that calls the other.
 func calls(self, other string) bool {
@@ -53,10 +67,12 @@
 	Busy       bool      // a call is in progress
 }
 
-// Due returns the names of the peers to call in this round, those with the longest wait first. others
-// lists all other nodes. An unresponsive node is called from both sides.
-func Due(now time.Time, self string, others []Peer) []string {
-	interval, timeout := Interval(len(others)+1), UnresponsiveAfter(len(others)+1)
+// Due returns the names of the peers to call in this round in a fleet of so many nodes, those with the longest
+// wait first. others lists the nodes that this one exchanges with, which may be a part of the fleet: the interval
+// of a pair depends on the fleet, so that the few nodes that all others call aren't called the more often. An
+// unresponsive node is called from both sides.
+func Due(now time.Time, self string, nodes int, others []Peer) []string {
+	interval, timeout := Interval(nodes), unresponsiveAfter(nodes)
 	list := slices.DeleteFunc(slices.Clone(others), func(o Peer) bool {
 		mine := calls(self, o.Name) || now.Sub(o.LastSeen) > timeout
 		return !mine || o.Busy || now.Sub(o.LastCalled) < interval-Round/2 // rounds start a little late: half a round early counts as on time
--- a/internal/pair/pair_test.go
+++ b/internal/pair/pair_test.go
@@ -43,7 +43,7 @@
 	for i := 0; i < rounds; i++ {
 		now := start.Add(time.Duration(i) * Round)
 		for _, n := range nodes {
-			due := Due(now, n.name, n.others)
+			due := Due(now, n.name, len(n.others)+1, n.others)
 			calls = max(calls, len(due))
 			for _, name := range due {
 				o := n.other(name)
@@ -86,7 +86,7 @@
 			most, longest := simulate(fleet(size), 4*int(Interval(size)/Round))
 			assert.LessOrEqual(t, most, pairsPerRound, "a node's calls don't grow with the fleet")
 			assert.Less(t, longest, 2*Interval(size))
-			assert.Less(t, longest, UnresponsiveAfter(size))
+			assert.Less(t, longest, unresponsiveAfter(size))
 		})
 	}
 }
@@ -97,17 +97,17 @@
 	nodes := fleet(2)
 	now := time.Unix(1000, 0)
 	for _, n := range nodes {
-		assert.Len(t, Due(now, n.name, n.others), 1, "no node has exchanged yet")
+		assert.Len(t, Due(now, n.name, len(n.others)+1, n.others), 1, "no node has exchanged yet")
 	}
 	for _, n := range nodes {
 		n.others[0].LastSeen, n.others[0].LastCalled = now, now
 	}
 	due := func() int {
-		return len(Due(now, nodes[0].name, nodes[0].others)) + len(Due(now, nodes[1].name, nodes[1].others))
+		return len(Due(now, nodes[0].name, 2, nodes[0].others)) + len(Due(now, nodes[1].name, 2, nodes[1].others))
 	}
 	now = now.Add(Round)
 	assert.Equal(t, 1, due())
-	now = now.Add(UnresponsiveAfter(2))
+	now = now.Add(unresponsiveAfter(2))
 	assert.Equal(t, 2, due())
 }
 
@@ -117,5 +117,17 @@
 	for i := range n.others {
 		n.others[i].Busy = true
 	}
-	assert.Empty(t, Due(time.Unix(1000, 0), n.name, n.others))
+	assert.Empty(t, Due(time.Unix(1000, 0), n.name, 3, n.others))
+}
+
+// TestSilenceIsBounded: the time after which a node counts as silent must not grow with the fleet. It was 123 s
+// at 985 nodes, so a lost watcher or relay stayed in use for two minutes.
+func TestSilenceIsBounded(t *testing.T) {
+	assert.Equal(t, unresponsiveAfter(13), Silence(13))
+	assert.True(t, Suffice(97))
+	assert.Equal(t, unresponsiveAfter(97), Silence(97))
+	for _, nodes := range []int{98, 985, 2000} {
+		assert.False(t, Suffice(nodes))
+		assert.Equal(t, Silence(97), Silence(nodes))
+	}
 }
--- a/internal/pool/learn.go
+++ b/internal/pool/learn.go
@@ -35,6 +35,20 @@
 	return p.engine(p.clock.Now(), service)
 }
 
+// Engines returns what all nodes have learned, by service.
+func (p *Pools) Engines() map[string]capacity.Engine {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	r := make(map[string]capacity.Engine)
+	for name := range p.serviceStats {
+		if e := p.engine(now, name); e.Reading > 0 || e.Token > 0 {
+			r[name] = e
+		}
+	}
+	return r
+}
+
 // RestoreEngine sets what earlier processes learned of a service's engines. It is used until this node, or
 // a node that reports to it, has learned new values.
 func (p *Pools) RestoreEngine(service string, e capacity.Engine) {
--- a/internal/relay/aggregator.go
+++ b/internal/relay/aggregator.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/rollout"
 	"spurhall.example/spurhall/internal/usage"
@@ -30,6 +31,8 @@
 	started       usage.Windows
 	loads         []pool.Load // of nodes that report to this relay only
 	reachability  pool.Reachability
+	status        Status
+	work          map[string]capacity.Work // of nodes that report to this relay only
 	trials        []rollout.Update
 	pastTrials    []rollout.Update // of the node's former processes
 }
@@ -83,6 +86,11 @@
 	}
 	v.loads, v.trials, v.reachability = r.Loads, r.Trials, r.Reachability
 	a.setRelay(now, v, a.self)
+	a.setStatus(v, r.Status)
+	if !maps.Equal(v.work, r.Work) {
+		a.version++
+		v.work, v.countsVersion = r.Work, a.version
+	}
 	a.mergeSpent(v, r.Spent)
 	a.mergeStarted(v, r.Started)
 	a.logPlacements(now, a.self, r.Placed)
@@ -136,6 +144,13 @@
 	}
 }
 
+func (a *Aggregator) setStatus(v *record, s Status) {
+	if v.status != s {
+		v.status = s
+		a.nextVersion(v)
+	}
+}
+
 func (a *Aggregator) mergeSpent(v *record, spent map[string]float64) {
 	for w, x := range spent {
 		if c, ok := v.spent[w]; !ok || c.value != x {
@@ -260,6 +275,7 @@
 	at := now.Add(-c.Age)
 	v := a.recordForUpdate(c.Node, c.Incarnation, c.Sequence, at.Add(-c.Uptime))
 	if v != nil {
+		a.setStatus(v, c.Status)
 		a.mergeSpent(v, c.Spent)
 		a.mergeStarted(v, c.Started)
 	} else if v = a.records[c.Node]; v.incarnation != c.Incarnation || v.relay != relay {
--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/usage"
 )
@@ -40,6 +41,8 @@
 	started     usage.Windows
 	load        int // requests at the only upstream
 	placed      []pool.Placement
+	status      Status
+	sent        map[string]capacity.Work // to engines
 
 	aggregator *Aggregator
 	view       View
@@ -106,7 +109,7 @@
 	}
 	r := Report{
 		Node: n.name, Incarnation: n.incarnation, Sequence: n.sequence, Spent: maps.Clone(n.spent), Started: started, Placed: n.placed,
-		Loads: []pool.Load{{Upstream: "u", Running: n.load}},
+		Loads: []pool.Load{{Upstream: "u", Running: n.load}}, Status: n.status, Work: maps.Clone(n.sent),
 	}
 	return r
 }
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -24,7 +24,7 @@
 	for i := range g.Changes {
 		c := &g.Changes[i]
 		if v := a.records[c.Node]; v.relay == a.self {
-			c.Started = v.started
+			c.Started, c.Work = v.started, v.work
 		} else {
 			*c = Change{Node: c.Node, Incarnation: c.Incarnation, Unresponsive: true}
 		}
@@ -170,7 +170,7 @@
 
 func (v *record) changeSince(now time.Time, node string, after uint64) Change {
 	c := Change{
-		Node: node, Incarnation: v.incarnation, Sequence: v.sequence, Uptime: v.lastSeen.Sub(v.startedAt), Age: now.Sub(v.lastSeen), Relay: v.relay, Unresponsive: v.unresponsive,
+		Node: node, Incarnation: v.incarnation, Sequence: v.sequence, Uptime: v.lastSeen.Sub(v.startedAt), Age: now.Sub(v.lastSeen), Relay: v.relay, Unresponsive: v.unresponsive, Status: v.status,
 		Spent: make(map[string]float64),
 	}
 	for w, x := range v.spent {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -30,6 +30,7 @@
 import (
 	"time"
 
+	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/rollout"
 	"spurhall.example/spurhall/internal/usage"
@@ -63,6 +64,14 @@
 	Started      usage.Windows      // requests started, in the newest windows
 	Trials       []rollout.Update
 	Reachability pool.Reachability
+	Status       Status
+	Work         map[string]capacity.Work // sent to engines since the process started, by service
+}
+
+// Status is what a node states of itself beside its counts.
+type Status struct {
+	Leaving   bool // it is stopping
+	StoreDown bool // the store isn't available to it
 }
 
 // Change is the changed state of one process.
@@ -76,6 +85,8 @@
 	Unresponsive bool               // the relay no longer receives its reports
 	Spent        map[string]float64 // changed workspaces only
 	Started      usage.Windows      // between relays only
+	Status       Status
+	Work         map[string]capacity.Work // between relays only
 }
 
 // Digest is what a relay sends to a node: its state of the other nodes.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"pgregory.net/rapid"
 
+	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/usage"
 )
@@ -254,3 +255,40 @@
 		})
 	}
 }
+
+// TestStatusAndWorkReachTheRelays checks that what a node states of itself reaches all relays and nodes, and its
+// work all relays: in a large fleet nothing else shows them.
+func TestStatusAndWorkReachTheRelays(t *testing.T) {
+	f := newFleet(2, 30)
+	node := f.nodes[7]
+	node.status, node.sent = Status{StoreDown: true}, map[string]capacity.Work{"llm": {Prefill: 5}}
+	for range 12 {
+		f.round()
+	}
+	told := 0
+	for _, o := range f.nodes {
+		if u, ok := o.updates[node.name]; ok && u.Status == node.status {
+			told++
+		}
+	}
+	assert.Equal(t, len(f.nodes)-1, told)
+	node.status = Status{Leaving: true}
+	for range 12 {
+		f.round()
+	}
+	for _, o := range f.nodes {
+		if u, ok := o.updates[node.name]; ok {
+			assert.Equal(t, node.status, u.Status)
+		}
+	}
+	groups := 0
+	for _, o := range f.nodes {
+		for _, c := range o.aggregator.Group(f.now, 0).Changes {
+			if c.Node == node.name && c.Work != nil {
+				groups++
+				assert.Equal(t, node.sent, c.Work)
+			}
+		}
+	}
+	assert.Positive(t, groups)
+}
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -15,6 +15,7 @@
 	Uptime      time.Duration // at the time of the digest
 	Age         time.Duration // since the relay received the node's report
 	Spent       map[string]float64
+	Status      Status
 }
 
 // View is the state that a node has received from its relay. It is not safe for concurrent use.
@@ -66,7 +67,7 @@
 // applyChange keeps unresponsive nodes too: if one reports again, only its changes are sent.
 func (v *View) applyChange(now time.Time, c Change) {
 	old := v.nodes[c.Node]
-	t := &nodeView{Update: Update{Node: c.Node, Incarnation: c.Incarnation, Sequence: c.Sequence}, relay: c.Relay, unresponsive: c.Unresponsive, startedAt: now.Add(-c.Uptime - c.Age)}
+	t := &nodeView{Update: Update{Node: c.Node, Incarnation: c.Incarnation, Sequence: c.Sequence, Status: c.Status}, relay: c.Relay, unresponsive: c.Unresponsive, startedAt: now.Add(-c.Uptime - c.Age)}
 	t.Spent = c.Spent
 	if old != nil && old.Incarnation == c.Incarnation {
 		t.Spent = maps.Clone(old.Spent) // the old map has been returned to callers
