Idle nodes: fewer passes over all nodes, and bounded lines for a list

Cause: each node sorted the names of all others four times a second for limits that nobody had set, and hashed them in each comparison when it ranked a hall. A whole list was a line for each upstream at each node: 10,000 at a start.

Change: the nodes that share limits are determined every 2 s while there is none; a rank's hashes are computed once; 256 changes of an update get a line each, the rest one. Names that stand in all entries are shared.

--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -36,6 +36,10 @@
 	n.log.Info("limit_named", append(f, zap.Float64("rate", w.Rate))...)
 }
 
+// sendersInterval is how often the nodes that share limits are determined while no limit is known. Sorting them
+// in each round took most of an idle node's processor time at a thousand nodes.
+const sendersInterval = 2 * time.Second
+
 // updateLimitSenders sets the nodes that share limits: those that are responsive or registered, and not
 // leaving. Where relays place the requests at engines, only the relays share an engine's limit. A process that
 // doesn't know the other nodes yet has no share: after a loss of all processes, each would use the whole rate.
@@ -46,6 +50,10 @@
 		n.pools.SetSenders(nil, nil)
 		return
 	}
+	if now.Sub(n.sendersSetAt) < sendersInterval && !n.pools.HasLimits() {
+		return
+	}
+	n.sendersSetAt = now
 	if !n.isLeaving() {
 		nodes = append(nodes, n.settings.Node)
 	}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -126,6 +126,7 @@
 	digestAt          time.Time         // arrival of the last digest
 	digestNodes       map[string]bool   // nodes that the last digest covers
 	placeRetryAt      time.Time         // no relay is asked to place a request before this time
+	sendersSetAt      time.Time         // when the nodes that share limits were last determined
 
 	peerListChange   int64         // newest change of the upstream list that a peer has reported
 	behindSince      time.Time     // since when this node lacks that change; zero: it doesn't
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -308,6 +308,10 @@
 	sourceLapsed = "lapsed" // an entry that went missing in an outage wasn't written again
 )
 
+// maxListedChanges is how many changes of one update get a line each: a whole list of a large fleet would be
+// thousands of lines at each node.
+const maxListedChanges = 256
+
 // updateList changes the list and logs the resulting events.
 func (n *Node) updateList(source string, f func(now time.Time, l *pool.List)) {
 	before := n.pools.LastChange()
@@ -315,15 +319,21 @@
 	if len(u.Touched) > 0 || n.pools.LastChange() != before {
 		n.changes.Append(changelog.Update{Revision: n.pools.Revision(), Local: source == sourceAnswer || source == sourceLapsed, Length: n.pools.Len(), IDs: u.Touched})
 	}
-	for _, c := range u.Changes {
+	for i, c := range u.Changes {
 		upstreamEvents.Add(c.Event, 1)
+		if c.Event == "gone" {
+			n.lines.Forget(c.Entry.ID)
+		}
+		if i >= maxListedChanges {
+			continue
+		}
 		n.log.Info("upstream_"+c.Event, zap.String("upstream", c.Entry.ID), zap.String("service", c.Entry.Service), zap.String("hall", c.Entry.Hall),
 			zap.String("address", c.Entry.Address), zap.String("version", c.Entry.Version), zap.Bool("reclaimable", c.Entry.Reclaimable), zap.Duration("leaves_in", c.Entry.LeavesIn),
 			zap.Int64("born", c.Entry.Born), zap.Bool("leaving", c.Entry.Leaving),
 			zap.String("source", source), zap.Int64("revision", n.pools.Revision()))
-		if c.Event == "gone" {
-			n.lines.Forget(c.Entry.ID)
-		}
+	}
+	if more := len(u.Changes) - maxListedChanges; more > 0 {
+		n.log.Info("upstreams_changed", zap.Int("not_listed", more), zap.Int("upstreams", n.pools.Len()), zap.String("source", source), zap.Int64("revision", n.pools.Revision()))
 	}
 }
 
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -155,6 +155,9 @@
 	}
 }
 
+// IsEmpty reports whether there are no observations.
+func (t *Tracker) IsEmpty() bool { return len(t.upstreams) == 0 }
+
 // Observations returns all observations, for other nodes.
 func (t *Tracker) Observations(now time.Time) []Observation {
 	t.prune(now)
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -9,6 +9,7 @@
 
 import (
 	"time"
+	"unique"
 
 	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/limit"
@@ -326,10 +327,13 @@
 	return items
 }
 
+// intern returns a string that equal ones share. A few names stand in thousands of entries.
+func intern(s string) string { return unique.Make(s).Value() }
+
 // ItemFromWire is the inverse of ItemToWire.
 func ItemFromWire(v *wire.ListItem) pool.Item {
 	return pool.Item{Revision: v.Revision, Entry: pool.Entry{
-		ID: v.Id, Born: v.Born, Service: v.Service, Address: v.Address, Hall: v.Hall, Version: v.Version, Slots: int(max(0, v.Slots)), Leaving: v.Leaving,
+		ID: v.Id, Born: v.Born, Service: intern(v.Service), Address: v.Address, Hall: intern(v.Hall), Version: intern(v.Version), Slots: int(max(0, v.Slots)), Leaving: v.Leaving,
 		WarmUp: FromMillis(v.WarmUpMs), Reclaimable: v.Reclaimable, LeavesIn: FromMillis(v.LeavesInMs), Declared: v.Declared, StartRevision: v.Begun,
 	}}
 }
--- a/internal/pool/statement.go
+++ b/internal/pool/statement.go
@@ -93,6 +93,13 @@
 	return p.limits.Observations(p.clock.Now())
 }
 
+// HasLimits reports whether any limit is known.
+func (p *Pools) HasLimits() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.limits.IsEmpty()
+}
+
 // SetSenders sets which nodes share limits, and which of them place requests at engines for all others.
 func (p *Pools) SetSenders(nodes, placers []string) {
 	p.mu.Lock()
--- a/internal/relay/selection.go
+++ b/internal/relay/selection.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,14 +20,28 @@
 	minRelays = 2
 )
 
+// ranked is a node with what its rank depends on.
+type ranked struct {
+	name  string
+	cores float64
+	hash  uint64
+}
+
 // RankNodes returns the names of a hall's nodes in the order in which they take on special duties. Nodes with
 // more cores come first, as a relay with a small share of a core responds late when all nodes return at once;
 // equal ones are ordered by a hash of their names.
 func RankNodes(nodes map[string]float64) []string {
-	names := slices.Collect(maps.Keys(nodes))
-	slices.SortFunc(names, func(a, b string) int {
-		return cmp.Or(cmp.Compare(nodes[b], nodes[a]), cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+	list := make([]ranked, 0, len(nodes))
+	for name, cores := range nodes {
+		list = append(list, ranked{name, cores, xxhash.Sum64String(name)})
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.cores, a.cores), cmp.Compare(a.hash, b.hash), cmp.Compare(a.name, b.name))
 	})
+	names := make([]string, len(list))
+	for i, v := range list {
+		names[i] = v.name
+	}
 	return names
 }
 
