Choices in a large service compare a part of its upstreams

Change: from 385 upstreams on, a choice compares those that may have cached a prefix (remembered by prefix, at most 32), the prompt's home in the own hall and the next ones on a ring, and 96 drawn by the request's id; all of them if none of these may take the request, and during a roll-out. The load of others is kept where there is some.

Ruled out: an index by load, which each digest and the time since would have to update.

What still grows is the sum over the upstreams that others report load at. TestLargeServicesChooseAsWell: at 600 to 10,000 engines, a tenth to nine tenths of them busy, the expected cost is within 5 of 100 and a home's bonus of the best of all, and 99 of 100 tokens cached at the best are found.

--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -41,6 +41,7 @@
 	Cold     bool    // it is warming up
 	// Unreachable is set if a connection to it, or to several upstreams of its hall, failed recently.
 	Unreachable bool
+	NotHome     bool // it can't be the request's home: other nodes of the hall may not compare it
 }
 
 // Request describes a request and the service that it is for.
@@ -88,13 +89,13 @@
 // Pick returns the index of the candidate with the lowest cost, or -1 if there is none.
 func Pick(n Request, s Service, list []Candidate) int {
 	best, least := -1, math.Inf(1)
-	home := homeOf(n, list)
+	home, request := homeOf(n, list), n.ID+"\x00"
 	for i := range list {
 		c := &list[i]
 		if n.Excluded[c.ID] {
 			continue
 		}
-		x := cost(n, s, c) + maxUnreportedFactor*s.UnreportedMs*randomFraction(n.ID, c.ID)
+		x := cost(n, s, c) + maxUnreportedFactor*s.UnreportedMs*randomFraction(request, c.ID)
 		if i == home {
 			x -= homeBonusMs
 		}
@@ -147,22 +148,36 @@
 // are not cached anywhere, and for a plain request. It is the same on every node and differs between
 // prompts.
 func homeOf(n Request, list []Candidate) int {
-	key := n.ID
-	if c := PrefixHashes(n.Parts); len(c) > 1 {
-		key = string(appendHash(nil, c[len(c)-2]))
-	}
+	key, _ := homeKey(n, PrefixHashes(n.Parts))
 	best, top := -1, uint64(0)
 	for i := range list {
-		if n.Excluded[list[i].ID] {
+		if n.Excluded[list[i].ID] || list[i].NotHome {
 			continue
 		}
-		if w := xxhash.Sum64String(key + list[i].ID); best < 0 || w > top {
+		if w := hashStrings(key, list[i].ID); best < 0 || w > top {
 			best, top = i, w
 		}
 	}
 	return best
 }
 
+// homeKey returns what the home of a request depends on, and whether other requests have the same one.
+func homeKey(n Request, chain []uint64) (key string, shared bool) {
+	if len(chain) > 1 {
+		return string(appendHash(nil, chain[len(chain)-2])), true
+	}
+	return n.ID, false
+}
+
+// maxHashed is the length up to which strings are hashed without an allocation.
+const maxHashed = 128
+
+// hashStrings returns a hash of two strings, one after the other.
+func hashStrings(a, b string) uint64 {
+	var buffer [maxHashed]byte
+	return xxhash.Sum64(append(append(buffer[:0], a...), b...))
+}
+
 // PrefixHashes returns a hash for each prefix of the parts: a part is cached only together with all parts
 // before it.
 func PrefixHashes(p []call.Part) []uint64 {
--- a/internal/pool/peerload.go
+++ b/internal/pool/peerload.go
@@ -76,13 +76,14 @@
 	v.reserved += w * reserved
 }
 
-// sumPeerLoad sets the load of other nodes at each upstream of a service. It returns the work that they
-// have sent to one upstream on average since their reports, in milliseconds.
+// sumPeerLoad sets the load of other nodes at each upstream of a service (peerLoad). It returns the work that
+// they have sent to one upstream on average since their reports, in milliseconds.
 func (p *Pools) sumPeerLoad(now time.Time, name string, e capacity.Engine) float64 {
-	members := p.services[name]
-	for _, m := range members {
+	for _, m := range p.peerLoaded {
 		m.peers = loadSum{}
 	}
+	p.peerLoaded = p.peerLoaded[:0]
+	members := p.services[name]
 	durationMs := p.service(name).durationMs
 	var anywhere loadSum
 	total, totalAge := 0.0, 0.0
@@ -97,6 +98,7 @@
 		}
 		weight := math.Exp(-float64(age) / float64(time.Millisecond) / durationMs)
 		m.peers.add(weight, float64(l.Running), remainingQueue(e, l.Queued, age), l.Reserved)
+		p.peerLoaded = append(p.peerLoaded, m)
 		anywhere.add(1-weight, float64(l.Running), l.Queued, l.Reserved)
 	}
 	for node, v := range p.reports {
@@ -114,11 +116,19 @@
 	for _, v := range p.pending {
 		add(now.Sub(v.at), true, v.load)
 	}
-	for _, m := range members {
-		m.peers.add(1/float64(len(members)), anywhere.running, anywhere.queued, anywhere.reserved)
+	p.anywhere = loadSum{}
+	if len(members) > 0 {
+		p.anywhere.add(1/float64(len(members)), anywhere.running, anywhere.queued, anywhere.reserved)
 	}
 	if total == 0 {
 		return 0
 	}
 	return p.unreported(name, total, totalAge/total)
 }
+
+// peerLoad returns the load of other nodes at an upstream, of the service that was last passed to sumPeerLoad.
+func (p *Pools) peerLoad(m *member) loadSum {
+	v := m.peers
+	v.add(1, p.anywhere.running, p.anywhere.queued, p.anywhere.reserved)
+	return v
+}
--- a/internal/pool/peerload_test.go
+++ b/internal/pool/peerload_test.go
@@ -20,7 +20,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sumPeerLoad(c.Service().Now(), "s", capacity.Engine{Reading: 100})
-	return p.members["a1"].peers, p.members["b1"].peers
+	return p.peerLoad(p.members["a1"]), p.peerLoad(p.members["b1"])
 }
 
 func TestPeerLoadByAge(t *testing.T) {
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -118,10 +118,32 @@
 // left, and upstreams of a version that may not take the request yet, or no longer, only if there are no
 // ejected ones either.
 func (p *Pools) candidates(now time.Time, n Request) candidateSet {
+	chain := newPromptKeys(n.Parts)
+	unreported := p.sumPeerLoad(now, n.Service, p.engine(now, n.Service))
+	set, homes := p.considered(n, chain)
+	members, limited := p.usable(now, n, set)
+	if len(members) == 0 && len(set) < len(p.services[n.Service]) {
+		members, limited = p.usable(now, n, p.services[n.Service])
+	}
+	partitioned := p.partitionedHalls(now)
+	list := make([]Candidate, len(members))
+	for i, m := range members {
+		list[i] = p.candidate(now, m, n, chain)
+		list[i].Unreachable = partitioned[m.entry.Hall] || now.Sub(m.unreachableAt) < unreachableTTL
+		list[i].NotHome = homes != nil && !homes[m]
+	}
+	if rate := p.service(n.Service).size.Fetch; rate > 0 {
+		setFetchSources(rate, members, list)
+	}
+	return candidateSet{members: members, list: list, unreportedMs: unreported, limited: limited}
+}
+
+// usable returns the members of a set that may take a request, and the number of those that may not because
+// their limit is used up.
+func (p *Pools) usable(now time.Time, n Request, set []*member) (members []*member, limited int) {
 	o := p.outlier(n.Service)
-	var members, spare, fallbacks []*member
-	limited := 0
-	for _, m := range p.services[n.Service] {
+	var spare, fallbacks []*member
+	for _, m := range set {
 		takes, fallback := p.serves(now, m, n)
 		switch {
 		case m.entry.Leaving || m.misplaced || n.Excluded[m.entry.ID] || p.cooldowns.Wait(now, m.entry.Incarnation()) > 0:
@@ -143,29 +165,22 @@
 	if len(members) == 0 {
 		members = fallbacks
 	}
-	chain := PrefixHashes(n.Parts)
-	unreported := p.sumPeerLoad(now, n.Service, p.engine(now, n.Service))
-	partitioned := p.partitionedHalls(now)
-	list := make([]Candidate, len(members))
-	for i, m := range members {
-		list[i] = p.candidate(now, m, n, chain)
-		list[i].Unreachable = partitioned[m.entry.Hall] || now.Sub(m.unreachableAt) < unreachableTTL
-	}
-	if rate := p.service(n.Service).size.Fetch; rate > 0 {
-		setFetchSources(rate, members, list)
-	}
-	return candidateSet{members: members, list: list, unreportedMs: unreported, limited: limited}
+	return members, limited
 }
 
-func (p *Pools) candidate(now time.Time, m *member, n Request, chain []uint64) Candidate {
+func (p *Pools) candidate(now time.Time, m *member, n Request, chain promptKeys) Candidate {
+	peers := p.peerLoad(m)
 	c := Candidate{
 		ID: m.entry.ID, Slots: m.entry.Slots, SameHall: m.entry.Hall == p.hall,
-		Running: float64(m.load.Running) + m.peers.running, Queued: m.load.Queued + m.peers.queued, Reserved: m.load.Reserved + m.peers.reserved, Memory: p.service(n.Service).size.Memory,
+		Running: float64(m.load.Running) + peers.running, Queued: m.load.Queued + peers.queued, Reserved: m.load.Reserved + peers.reserved, Memory: p.service(n.Service).size.Memory,
 		Slowness: m.pace.slowness(now), Failures: m.failures,
 		Full: now.Sub(m.fullAt) < fullTTL, Cold: now.Before(m.coldUntil),
 	}
-	for i, h := range chain {
-		if !m.caches(now, h) && !m.caches(now, partKey(n.Parts[i].ID)) {
+	if m.prefixes == nil {
+		return c
+	}
+	for i, h := range chain.prefixes {
+		if !m.caches(now, h) && !m.caches(now, chain.parts[i]) {
 			break
 		}
 		c.Cached += float64(n.Parts[i].Tokens)
@@ -173,6 +188,20 @@
 	return c
 }
 
+// promptKeys are the keys under which a prompt's prefixes, and its parts by themselves, are recorded as cached.
+type promptKeys struct {
+	prefixes []uint64
+	parts    []uint64
+}
+
+func newPromptKeys(parts []call.Part) promptKeys {
+	k := promptKeys{prefixes: PrefixHashes(parts), parts: make([]uint64, len(parts))}
+	for i, x := range parts {
+		k.parts[i] = partKey(x.ID)
+	}
+	return k
+}
+
 // caches reports whether a prefix is believed to be cached still.
 func (m *member) caches(now time.Time, prefix uint64) bool {
 	t, ok := m.prefixes[prefix]
@@ -188,12 +217,3 @@
 		}
 	}
 }
-
-// addPrefix records that an upstream has cached a prefix.
-func (p *Pools) addPrefix(now time.Time, m *member, prefix uint64) {
-	if m.prefixes == nil {
-		m.prefixes = make(map[uint64]time.Time)
-		p.caching[m] = struct{}{}
-	}
-	m.prefixes[prefix] = now
-}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -74,7 +74,8 @@
 	entry         Entry
 	coldUntil     time.Time
 	load          Load
-	peers         loadSum // load of other nodes as of the last choice
+	hash          uint64  // of the id
+	peers         loadSum // load that other nodes reported at it, as of the last choice (Pools.peerLoad)
 	failures      float64
 	pace          pace
 	fullAt        time.Time
@@ -102,15 +103,19 @@
 	start         time.Time
 	list          *List
 	members       map[string]*member
-	services      map[string][]*member // sorted by id
-	counts        map[Group]int        // upstreams by group
-	listHash      uint64               // of the ids of all upstreams
-	busy          map[*member]struct{} // upstreams with requests of this node in progress, listed or not
-	suspects      map[*member]struct{} // upstreams that were recently unreachable for any node, and misplaced ones
-	caching       map[*member]struct{} // upstreams with prefixes
+	services      map[string][]*member      // sorted by id
+	halls         map[hallService][]*member // those of one hall, sorted by the hash of the id
+	holders       map[uint64][]*member      // upstreams that may have cached a prefix, the latest ones
+	counts        map[Group]int             // upstreams by group
+	listHash      uint64                    // of the ids of all upstreams
+	busy          map[*member]struct{}      // upstreams with requests of this node in progress, listed or not
+	suspects      map[*member]struct{}      // upstreams that were recently unreachable for any node, and misplaced ones
+	caching       map[*member]struct{}      // upstreams with prefixes
 	outliers      map[string]*retry.Outliers
 	reports       map[string]peerReport
 	peerLoads     []receivedLoad
+	peerLoaded    []*member       // upstreams with reported load, as of the last choice
+	anywhere      loadSum         // load of other nodes that counts at each upstream, as of the last choice
 	covered       map[string]bool // the nodes included in peerLoads
 	peerLoadsAt   time.Time       // when peerLoads were received
 	pending       []pending
@@ -151,7 +156,7 @@
 func New(clock *timer.Service, node, hall string) *Pools {
 	return &Pools{
 		clock: clock, hall: hall, start: clock.Now(), list: NewList(), members: make(map[string]*member),
-		services: make(map[string][]*member), counts: make(map[Group]int), busy: make(map[*member]struct{}), suspects: make(map[*member]struct{}), caching: make(map[*member]struct{}), outliers: make(map[string]*retry.Outliers),
+		services: make(map[string][]*member), halls: make(map[hallService][]*member), holders: make(map[uint64][]*member), counts: make(map[Group]int), busy: make(map[*member]struct{}), suspects: make(map[*member]struct{}), caching: make(map[*member]struct{}), outliers: make(map[string]*retry.Outliers),
 		reports: make(map[string]peerReport), serviceStats: make(map[string]*service), lastResponse: make(map[string]time.Time),
 		partitionedAt: make(map[string]time.Time), splits: make(map[string]Split), versions: make(map[string]map[string]time.Time), cooldowns: retry.NewCooldowns(), limits: limit.NewTracker(node),
 	}
@@ -271,7 +276,7 @@
 	for m := range p.caching {
 		for h, t := range m.prefixes {
 			if now.Sub(t) > prefixTTL {
-				delete(m.prefixes, h)
+				p.removePrefix(m, h)
 			}
 		}
 		if len(m.prefixes) == 0 {
--- a/internal/pool/split.go
+++ b/internal/pool/split.go
@@ -117,7 +117,7 @@
 			others++
 			fallthrough
 		default:
-			running += m.load.Running + int(m.peers.running+0.5)
+			running += m.load.Running + int(p.peerLoad(m).running+0.5)
 		}
 	}
 	return of, others, running
--- a/internal/pool/unreported.go
+++ b/internal/pool/unreported.go
@@ -1,7 +1,5 @@
 package pool
 
-import "github.com/cespare/xxhash/v2"
-
 // This file prevents all nodes from choosing the upstream that was best a moment ago.
 //
 // The load of other nodes at an upstream is known some tenths of a second late, and if it comes through
@@ -37,7 +35,8 @@
 	return requests * plainFullFactor * s.responseMs / float64(max(members[0].entry.Slots, 1))
 }
 
-// randomFraction returns a pseudo-random number from 0 to 1 for a request at an upstream.
+// randomFraction returns a pseudo-random number from 0 to 1 for a request at an upstream. The request is given
+// with a zero byte at its end.
 func randomFraction(request, upstream string) float64 {
-	return float64(xxhash.Sum64String(request+"\x00"+upstream)>>11) / (1 << 53)
+	return float64(hashStrings(request, upstream)>>11) / (1 << 53)
 }
--- a/internal/pool/update.go
+++ b/internal/pool/update.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -51,7 +50,7 @@
 	defer p.mu.Unlock()
 	f(p.list)
 	ended, touched := p.list.takeEnded(), p.list.takeTouched()
-	u := update{p: p, now: p.clock.Now(), ended: ended, added: make(map[string][]*member), removed: make(map[string][]*member)}
+	u := update{p: p, now: p.clock.Now(), ended: ended, added: make(map[hallService][]*member), removed: make(map[hallService][]*member)}
 	ids := make([]string, 0, len(touched))
 	for id := range touched {
 		ids = append(ids, id)
@@ -74,8 +73,8 @@
 	now     time.Time
 	ended   map[string]bool
 	changes []Change
-	added   map[string][]*member // by service
-	removed map[string][]*member
+	added   map[hallService][]*member
+	removed map[hallService][]*member
 	rerank  bool // an upstream's part in a roll-out may have changed
 }
 
@@ -103,21 +102,22 @@
 		p.count(e, 1)
 		u.rerank = true
 	}
-	if m.entry.Service != e.Service {
-		u.removed[m.entry.Service] = append(u.removed[m.entry.Service], m)
-		u.added[e.Service] = append(u.added[e.Service], m)
-	}
+	old := m.hallService()
 	m.entry = e
+	if k := m.hallService(); k != old {
+		u.removed[old] = append(u.removed[old], m)
+		u.added[k] = append(u.added[k], m)
+	}
 }
 
 func (u *update) add(e Entry) {
 	p := u.p
 	p.recordVersion(u.now, e)
-	m := &member{entry: e, rank: notRanked, coldUntil: u.now.Add(e.WarmUp)}
+	m := &member{entry: e, hash: xxhash.Sum64String(e.ID), rank: notRanked, coldUntil: u.now.Add(e.WarmUp)}
 	p.members[e.ID] = m
-	p.listHash ^= xxhash.Sum64String(e.ID)
+	p.listHash ^= m.hash
 	p.count(e, 1)
-	u.added[e.Service] = append(u.added[e.Service], m)
+	u.added[m.hallService()] = append(u.added[m.hallService()], m)
 	u.changes = append(u.changes, Change{e, "listed"})
 }
 
@@ -125,11 +125,14 @@
 func (u *update) drop(m *member) {
 	p, id := u.p, m.entry.ID
 	u.changes = append(u.changes, Change{m.entry, "gone"})
-	u.removed[m.entry.Service] = append(u.removed[m.entry.Service], m)
+	u.removed[m.hallService()] = append(u.removed[m.hallService()], m)
 	p.count(m.entry, -1)
 	delete(p.members, id)
-	p.listHash ^= xxhash.Sum64String(id)
+	p.listHash ^= m.hash
 	delete(p.suspects, m)
+	for h := range m.prefixes {
+		p.removePrefix(m, h)
+	}
 	delete(p.caching, m)
 	if o := p.outliers[m.entry.Service]; o != nil {
 		o.Forget(id)
@@ -147,18 +150,24 @@
 	}
 }
 
-// updateServices updates the upstreams of each service, and their ranks in roll-outs.
+// updateServices updates the upstreams of each service and hall, and their ranks in roll-outs.
 func (u *update) updateServices() {
 	p := u.p
-	for name, removed := range u.removed {
-		if l := removeSorted(p.services[name], removed); len(l) > 0 {
-			p.services[name] = l
-		} else {
-			delete(p.services, name)
-		}
+	for k, removed := range u.removed {
+		p.services[k.service] = removeSorted(p.services[k.service], removed, byID)
+		p.halls[k] = removeSorted(p.halls[k], removed, byHash)
 	}
-	for name, added := range u.added {
-		p.services[name] = mergeSorted(p.services[name], added)
+	for k, added := range u.added {
+		p.services[k.service] = addSorted(p.services[k.service], added, byID)
+		p.halls[k] = addSorted(p.halls[k], added, byHash)
+	}
+	for k := range u.removed {
+		if len(p.services[k.service]) == 0 {
+			delete(p.services, k.service)
+		}
+		if len(p.halls[k]) == 0 {
+			delete(p.halls, k)
+		}
 	}
 	if u.rerank || len(u.removed) > 0 || len(u.added) > 0 {
 		for name := range p.splits {
@@ -167,14 +176,12 @@
 	}
 }
 
-func byID(a, b *member) int { return cmp.Compare(a.entry.ID, b.entry.ID) }
-
 // maxSearched is the number of members up to which each is searched for by itself. For more, one pass over
 // the whole list is faster.
 const maxSearched = 16
 
-// removeSorted removes members from a list that is sorted by id.
-func removeSorted(list, removed []*member) []*member {
+// removeSorted removes members from a sorted list.
+func removeSorted(list, removed []*member, order func(a, b *member) int) []*member {
 	if len(removed) > maxSearched {
 		gone := make(map[*member]bool, len(removed))
 		for _, m := range removed {
@@ -183,22 +190,22 @@
 		return slices.DeleteFunc(list, func(m *member) bool { return gone[m] })
 	}
 	for _, m := range removed {
-		if i, found := slices.BinarySearchFunc(list, m, byID); found {
+		if i, found := slices.BinarySearchFunc(list, m, order); found {
 			list = slices.Delete(list, i, i+1)
 		}
 	}
 	return list
 }
 
-// mergeSorted adds members to a list that is sorted by id.
-func mergeSorted(list, added []*member) []*member {
+// addSorted adds members to a sorted list.
+func addSorted(list, added []*member, order func(a, b *member) int) []*member {
 	if len(added) > maxSearched {
 		list = append(list, added...)
-		slices.SortFunc(list, byID)
+		slices.SortFunc(list, order)
 		return list
 	}
 	for _, m := range added {
-		i, _ := slices.BinarySearchFunc(list, m, byID)
+		i, _ := slices.BinarySearchFunc(list, m, order)
 		list = slices.Insert(list, i, m)
 	}
 	return list
@@ -258,7 +265,7 @@
 		}
 		list := p.services[name]
 		if name == service {
-			i, found := slices.BinarySearchFunc(list, id, func(m *member, id string) int { return cmp.Compare(m.entry.ID, id) })
+			i, found := slices.BinarySearchFunc(list, &member{entry: Entry{ID: id}}, byID)
 			if found {
 				i++
 			}
