First start: the first nodes of a hall read the store for the others

Cause: when the whole system starts, each node read the registry, and since 985 reads of 200 kB take the store's link 2 s and a call ends after 1 s, most failed and were begun anew, with the seeds called besides.

Change: package seat: two keys a hall, taken by the first nodes, those with more cores first. Their holders read; the others ask them, know the fleet by the registry that comes with the answer, and turn to the watchers that it names. A node that starts later waits up to 3 s for its read of the registry, as long as it is under way.

Ruled out: asking the seeds, three at most for the fleet.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -107,6 +107,7 @@
 	defer n.mu.Unlock()
 	now := n.clock.Now()
 	n.registrySentAt = now
+	n.registryTried.Store(true)
 	switch list := message.MembersFromWire(m.Members); {
 	case m.HasMembers:
 		n.registry.Replace(now, list)
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -119,10 +119,10 @@
 	exact := func(ctx context.Context, p string) (store.RangeResult, error) {
 		return n.kv.Range(ctx, p, store.PrefixEnd(p))
 	}
-	if n.settings.FirstStart && n.clock.Sleep(ctx, firstStartDelay) != nil {
-		return
+	if n.settings.FirstStart {
+		n.awaitMembers(ctx)
 	}
-	for n.readRegistry(ctx, exact) != nil {
+	for !n.hasReadRegistry() && n.readRegistry(ctx, exact) != nil {
 		if n.clock.Sleep(ctx, storeRetryPause) != nil {
 			return
 		}
@@ -140,6 +140,18 @@
 	})
 }
 
+// awaitMembers waits, when the whole system starts, until it is this node's turn to read the registry: at once if
+// it reads for its hall, and otherwise only if nobody has sent it.
+func (n *Node) awaitMembers(ctx context.Context) {
+	turn := startPatience + time.Duration(xxhash.Sum64String(n.settings.Node)%uint64(startPatience))
+	for !n.hasReadRegistry() {
+		age := n.clock.Since(n.start)
+		if age >= turn || n.holdsSeat.Load() && age >= firstStartDelay || n.clock.Sleep(ctx, relayPoll) != nil {
+			return
+		}
+	}
+}
+
 func (n *Node) readRegistry(ctx context.Context, read func(ctx context.Context, prefix string) (store.RangeResult, error)) error {
 	r, err := read(ctx, memberPrefix)
 	n.registryTried.Store(true)
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -102,6 +102,7 @@
 	listed          atomic.Bool               // the upstream list has been read at least once
 	storeRestoredAt atomic.Pointer[time.Time] // when the store was last restored from a copy; nil: not during this process
 	registryTried   atomic.Bool               // the registry has been read, or couldn't be
+	holdsSeat       atomic.Bool               // this node reads the store for its hall while the whole system starts
 	initOnce        sync.Once
 	initialized     chan struct{} // closed once the configuration and the upstream list are present
 	phase           atomic.Int32  // of a planned stop, as a forward.Phase
@@ -127,6 +128,7 @@
 	digestNodes       map[string]bool   // nodes that the last digest covers
 	placeRetryAt      time.Time         // no relay is asked to place a request before this time
 	sendersSetAt      time.Time         // when the nodes that share limits were last determined
+	startWatchers     []string          // nodes that read the store for this hall while the whole system starts
 
 	peerListChange   int64         // newest change of the upstream list that a peer has reported
 	behindSince      time.Time     // since when this node lacks that change; zero: it doesn't
--- a/internal/edge/start_test.go
+++ b/internal/edge/start_test.go
@@ -3,17 +3,21 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"spurhall.example/spurhall/internal/era"
 	"spurhall.example/spurhall/internal/pair"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/relay"
 	"spurhall.example/spurhall/internal/roster"
+	"spurhall.example/spurhall/internal/standin"
 	"spurhall.example/spurhall/internal/store"
 	"spurhall.example/spurhall/internal/timer"
 )
@@ -129,3 +133,39 @@
 	c.Advance(4 * time.Second)
 	assert.False(t, p.IsResponsive(n.clock.Now(), size), "after some seconds, whatever the size of the fleet")
 }
+
+// TestFirstStartOfASystem: when a whole fleet started, all of its nodes read the registry again and again, since no
+// read came to its end. The first nodes of a hall read for the others, which ask them.
+func TestFirstStartOfASystem(t *testing.T) {
+	keys := standin.NewKeys(timer.Real())
+	kv := store.KV{
+		Range: func(_ context.Context, key, end string) (store.RangeResult, error) { return keys.Range(key, end), nil },
+		Txn:   func(_ context.Context, x store.Txn) (store.TxnResult, error) { return keys.Txn(x) },
+	}
+	start := func(i int, cores float64) *Node {
+		s := &Settings{Node: fmt.Sprintf("edge-a-%d", i), Hall: "a", Peers: fmt.Sprintf("127.0.0.1:%d", i), Cores: cores, FirstStart: true, UsageWindow: 5 * time.Second}
+		n := New(Options{Settings: s, Incarnation: s.Node, Clock: timer.Real(), Log: zap.NewNop(), Era: era.NewTracker()})
+		n.kv = kv
+		return n
+	}
+	nodes := []*Node{start(1, 0.2), start(2, 0.2), start(3, 0.8), start(4, 0.2), start(5, 0.8)}
+	var w sync.WaitGroup
+	for _, n := range nodes {
+		w.Add(1)
+		go func() {
+			defer w.Done()
+			n.holdsSeat.Store(n.takeSeat(t.Context()))
+		}()
+	}
+	w.Wait()
+	for _, n := range nodes {
+		large := n.settings.Cores > 0.5
+		assert.Equal(t, large, n.holdsSeat.Load(), n.settings.Node)
+		assert.Equal(t, large, n.mustWatch(), "the others follow them")
+		if !large {
+			assert.ElementsMatch(t, []string{"edge-a-3", "edge-a-5"}, n.watchers())
+		}
+	}
+	nodes[0].peersRead = true
+	assert.True(t, nodes[0].mustWatch(), "in a small fleet it then reads by itself")
+}
--- a/internal/edge/watchers.go
+++ b/internal/edge/watchers.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"spurhall.example/spurhall/internal/roster"
+	"spurhall.example/spurhall/internal/seat"
 )
 
 // This file decides which nodes watch the store. Each change of the upstream list completes a watch, each
@@ -32,10 +33,11 @@
 	// maxStartReaders is the size of a fleet up to which each starting node reads the store by itself: that many
 	// lists of a fleet of that size are some 2 MB.
 	maxStartReaders = 64
-	// registryWait is how long a starting node waits for the registry, and firstStartDelay how long it waits
-	// before it reads the registry when the whole system starts: until then the others have registered.
-	registryWait    = 500 * time.Millisecond
-	firstStartDelay = 700 * time.Millisecond
+	// registryWait is how long a starting node waits for the registry, which takes 2 s if a thousand nodes read it
+	// at once. firstStartDelay is how long after its start a node reads it when the whole system starts: until
+	// then the others have registered.
+	registryWait    = 3 * time.Second
+	firstStartDelay = 800 * time.Millisecond
 	// startPatience is how long a starting node waits for watchers that have nothing yet, and startReadGap the
 	// time between two nodes that then read by themselves.
 	startPatience = 3 * time.Second
@@ -54,6 +56,9 @@
 
 // watchersLocked is watchers with the node's lock held.
 func (n *Node) watchersLocked(now time.Time) []string {
+	if len(n.startWatchers) > 0 && !n.peersRead {
+		return n.startWatchers
+	}
 	size := n.peers.size()
 	nodes := []roster.Node{{Name: n.settings.Node, Cores: n.settings.Cores, StoreUp: n.guard.Up()}}
 	for _, p := range n.peers.peers {
@@ -101,6 +106,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	size := n.peers.size()
+	if len(n.startWatchers) > 0 && !n.peersRead {
+		return now.Sub(n.start) < startPatience
+	}
 	if !n.peersRead || size <= maxStartReaders || n.isWatcherLocked(now) {
 		return false
 	}
@@ -108,22 +116,65 @@
 	return now.Sub(n.start) < startPatience+time.Duration(turn)*startReadGap
 }
 
-// awaitRegistry waits until this node has tried to read the registry, for a limited time.
+// awaitRegistry waits until this node has tried to read the registry, or was sent it, for a limited time.
 func (n *Node) awaitRegistry(ctx context.Context) {
-	limit := registryWait
-	if n.settings.FirstStart {
-		limit += firstStartDelay
-	}
-	for !n.registryTried.Load() && n.clock.Since(n.start) < limit {
+	for !n.registryTried.Load() && n.clock.Since(n.start) < registryWait {
 		if n.clock.Sleep(ctx, relayPoll) != nil {
 			return
 		}
 	}
 }
 
+// takeSeat determines, when the whole system starts for the first time, which nodes of the hall read the store
+// for the others (package seat). It takes a seat if there is a free one, and reports whether this node holds one.
+func (n *Node) takeSeat(ctx context.Context) bool {
+	seats, self := seat.New(n.kv, n.settings.Hall, roster.WatchersPerHall), seat.Holder{Node: n.settings.Node, Address: n.settings.Peers}
+	for n.clock.Since(n.start) < startPatience {
+		holders, err := seats.Holders(ctx)
+		if err == nil && len(holders) >= roster.WatchersPerHall {
+			return n.followSeats(holders)
+		}
+		if err == nil && n.clock.Since(n.start) >= seat.Delay(n.settings.Cores) {
+			var taken bool
+			if taken, err = seats.Take(ctx, self); taken {
+				n.log.Info("seat_taken", zap.String("hall", n.settings.Hall))
+				return true
+			}
+		}
+		if err != nil {
+			n.log.Info("seats_unread", zap.String("cause", err.Error()))
+		}
+		if n.clock.Sleep(ctx, startPollGap) != nil {
+			break
+		}
+	}
+	return false
+}
+
+// followSeats makes this node follow the holders of its hall's seats until it knows the other nodes. It reports
+// whether it is one of the holders itself, as after a call whose response was lost.
+func (n *Node) followSeats(holders []seat.Holder) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, h := range holders {
+		if h.Node == n.settings.Node {
+			return true
+		}
+		n.peers.getOrAdd(h.Node, h.Address).hall = n.settings.Hall
+		n.startWatchers = append(n.startWatchers, h.Node)
+	}
+	return false
+}
+
 // followStore watches the store or polls the watchers until the context ends.
 func (n *Node) followStore(ctx context.Context) {
-	n.awaitRegistry(ctx)
+	if n.settings.FirstStart {
+		if n.takeSeat(ctx) {
+			n.holdsSeat.Store(true)
+		}
+	} else {
+		n.awaitRegistry(ctx)
+	}
 	for ctx.Err() == nil {
 		if n.mustWatch() {
 			n.log.Info("watching", zap.Strings("watchers", n.watchers()))
