A large fleet waits for slow watchers in place of reading the store at once

Cause: two failed polls in a row, or a list 0.6 s behind a peer's, made a node watch the store by itself for 5 s.

Change: holders of seats read for 8 s, and are polled that long. Beyond 64 nodes a node polls on for 1.5 s without news, and one node each 20 ms gives up then. TestSlowWatchersArentAStorm.

--- a/internal/edge/start_test.go
+++ b/internal/edge/start_test.go
@@ -47,7 +47,7 @@
 		assert.True(t, n.mustWatch())
 	})
 	t.Run("a node whose watchers have nothing reads by itself in the end", func(t *testing.T) {
-		c.Advance(startPatience + 985*startReadGap)
+		c.Advance(startPatience + 985*readGap)
 		assert.True(t, n.mustWatch())
 	})
 	t.Run("each node of a small fleet reads at once", func(t *testing.T) {
@@ -163,9 +163,31 @@
 		assert.Equal(t, large, n.holdsSeat.Load(), n.settings.Node)
 		assert.Equal(t, large, n.mustWatch(), "the others follow them")
 		if !large {
-			assert.ElementsMatch(t, []string{"edge-a-3", "edge-a-5"}, n.watchers())
+			assert.ElementsMatch(t, []string{"edge-a-3", "edge-a-5"}, n.watchersToPoll())
 		}
 	}
 	nodes[0].peersRead = true
 	assert.True(t, nodes[0].mustWatch(), "in a small fleet it then reads by itself")
 }
+
+// TestSlowWatchersArentAStorm: when the watchers of a hall didn't answer twice in a row, all nodes of the hall read the
+// store by themselves, which made the store and the watchers slower still.
+func TestSlowWatchersArentAStorm(t *testing.T) {
+	reading := func(nodes int, after time.Duration) int {
+		count := 0
+		for i := range 200 {
+			n, c := newScaleNode(t, nodes, 10)
+			n.settings.Node = fmt.Sprint("edge-a-x", i)
+			lastNews := n.clock.Now()
+			c.Advance(after)
+			if !n.waitsForNews(lastNews) {
+				count++
+			}
+		}
+		return count
+	}
+	assert.Equal(t, 200, reading(20, 0), "in a small fleet each node reads at once")
+	assert.Zero(t, reading(985, newsPatience-time.Millisecond))
+	assert.Less(t, reading(985, newsPatience+2*time.Second), 40)
+	assert.Equal(t, 200, reading(985, newsPatience+985*readGap), "in the end each does")
+}
--- a/internal/edge/watchers.go
+++ b/internal/edge/watchers.go
@@ -38,11 +38,18 @@
 	// then the others have registered.
 	registryWait    = 3 * time.Second
 	firstStartDelay = 800 * time.Millisecond
-	// startPatience is how long a starting node waits for watchers that have nothing yet, and startReadGap the
-	// time between two nodes that then read by themselves.
+	// startPatience is how long a starting node waits for watchers that have nothing yet. newsPatience is how long a
+	// node of a large fleet goes without news of the watchers, a part of the time for which a leaving upstream
+	// still serves. readGap is the time between two nodes that then read by themselves.
 	startPatience = 3 * time.Second
-	startReadGap  = 20 * time.Millisecond
-	startPollGap  = 100 * time.Millisecond
+	newsPatience  = 1500 * time.Millisecond
+	readGap       = 20 * time.Millisecond
+	pollGap       = 100 * time.Millisecond // between two polls without news
+	// repeatedFailures is the number of failed polls in a row of which one is logged.
+	repeatedFailures = 20
+	// seatPeriod is how long the holders of seats read for their hall. By then, the nodes know each other, and the
+	// watchers have read the store.
+	seatPeriod = 8 * time.Second
 	// roleCheckInterval is how often a node checks whether it has to watch.
 	roleCheckInterval = 250 * time.Millisecond
 )
@@ -56,9 +63,6 @@
 
 // watchersLocked is watchers with the node's lock held.
 func (n *Node) watchersLocked(now time.Time) []string {
-	if len(n.startWatchers) > 0 && !n.peersRead {
-		return n.startWatchers
-	}
 	size := n.peers.size()
 	nodes := []roster.Node{{Name: n.settings.Node, Cores: n.settings.Cores, StoreUp: n.guard.Up()}}
 	for _, p := range n.peers.peers {
@@ -92,10 +96,13 @@
 	n.mu.Lock()
 	selfWatch := now.Before(n.selfWatchUntil)
 	n.mu.Unlock()
-	if n.isStarting() {
-		return selfWatch || !n.startsAsFollower(now)
+	switch {
+	case selfWatch || n.holdsSeat.Load() && now.Sub(n.start) < seatPeriod:
+		return true
+	case n.isStarting():
+		return !n.startsAsFollower(now)
 	}
-	return selfWatch || n.isWatcher()
+	return n.isWatcher()
 }
 
 // isStarting reports whether this node lacks the configuration or the upstream list.
@@ -105,15 +112,40 @@
 func (n *Node) startsAsFollower(now time.Time) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	size := n.peers.size()
 	if len(n.startWatchers) > 0 && !n.peersRead {
 		return now.Sub(n.start) < startPatience
 	}
-	if !n.peersRead || size <= maxStartReaders || n.isWatcherLocked(now) {
+	if !n.peersRead || n.peers.size() <= maxStartReaders || n.isWatcherLocked(now) {
 		return false
 	}
-	turn := xxhash.Sum64String(n.settings.Node) % uint64(size)
-	return now.Sub(n.start) < startPatience+time.Duration(turn)*startReadGap
+	return now.Sub(n.start) < startPatience+n.readTurn()
+}
+
+// readTurn returns how long this node leaves the store to others when many nodes have to read it. The node's
+// lock is held.
+func (n *Node) readTurn() time.Duration {
+	return time.Duration(xxhash.Sum64String(n.settings.Node)%uint64(n.peers.size())) * readGap
+}
+
+// watchersToPoll returns the nodes that this one polls: while the whole system starts, the holders of seats, and
+// then the watchers.
+func (n *Node) watchersToPoll() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.clock.Now()
+	if len(n.startWatchers) > 0 && now.Sub(n.start) < seatPeriod {
+		return n.startWatchers
+	}
+	return n.watchersLocked(now)
+}
+
+// waitsForNews reports whether this node polls on although the watchers have failed it, since it last had news at
+// the given time. In a large fleet the nodes of a hall would all read the store at once, and the watchers may just be
+// slow.
+func (n *Node) waitsForNews(lastNews time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.peers.size() > maxStartReaders && n.clock.Since(lastNews) < newsPatience+n.readTurn()
 }
 
 // awaitRegistry waits until this node has tried to read the registry, or was sent it, for a limited time.
@@ -144,7 +176,7 @@
 		if err != nil {
 			n.log.Info("seats_unread", zap.String("cause", err.Error()))
 		}
-		if n.clock.Sleep(ctx, startPollGap) != nil {
+		if n.clock.Sleep(ctx, pollGap) != nil {
 			break
 		}
 	}
@@ -205,24 +237,26 @@
 // followWatchers polls the watchers one after the other, and makes this node watch by itself when all of
 // them have failed in a row.
 func (n *Node) followWatchers(ctx context.Context) {
-	failed := 0
+	failed, lastNews := 0, n.clock.Now()
 	var from listSource
-	n.log.Info("following", zap.Strings("watchers", n.watchers()))
+	n.log.Info("following", zap.Strings("watchers", n.watchersToPoll()))
 	for ctx.Err() == nil {
-		names := n.watchers()
+		names := n.watchersToPoll()
 		name := names[failed%len(names)]
 		err := n.pollWatcher(ctx, name, &from)
 		if err == nil {
-			failed = 0
+			failed, lastNews = 0, n.clock.Now()
 			continue
 		}
 		if ctx.Err() != nil {
 			return
 		}
 		failed++
-		n.log.Info("follow_failed", zap.String("peer", name), zap.String("cause", err.Error()))
-		if n.isStarting() && n.startsAsFollower(n.clock.Now()) {
-			_ = n.clock.Sleep(ctx, startPollGap) // the loop condition checks the context
+		if failed <= roster.WatchersPerHall || failed%repeatedFailures == 0 {
+			n.log.Info("follow_failed", zap.String("peer", name), zap.Int("in_a_row", failed), zap.String("cause", err.Error()))
+		}
+		if n.waitsForNews(lastNews) || n.isStarting() && n.startsAsFollower(n.clock.Now()) {
+			_ = n.clock.Sleep(ctx, pollGap) // the loop condition checks the context
 			continue
 		}
 		if failed >= roster.WatchersPerHall {
