Nodes that don't watch are sent their own hall's upstreams and a part of the others'

Cause: every node kept the upstreams of all halls, 8 MB of heap at 10,000, and was sent each change of them.

Change: a watcher sends its followers all upstreams of the hall, and of each other hall at most 256 of a service, drawn by a hash, alike for all nodes of the hall. A part is drawn anew when it has become too large or too small. Watchers read the whole list; a node with a part of it neither orders upstreams nor takes the duties' lease. Up to 256 upstreams of a service in a hall nothing is left out. Followers of the build before are sent all.

--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -34,7 +34,7 @@
 	})
 	done := make(chan struct{})
 	go func() {
-		n.lease.Run(ctx, func() bool { return n.listed.Load() && !n.isLeaving() && n.isWatcher() })
+		n.lease.Run(ctx, func() bool { return n.listed.Load() && !n.partial.Load() && !n.isLeaving() && n.isWatcher() })
 		close(done)
 	}()
 	o := newOrderer(n)
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -51,7 +51,7 @@
 
 // request returns the request for what this node lacks.
 func (v *listSource) request(version, revision int64) *wire.FollowRequest {
-	r := &wire.FollowRequest{CatalogVersion: version, Lifetime: v.incarnation, ListSequence: v.sequence, TakesChanges: true, ListRevision: revision, TakesMembers: true, MembersSequence: v.members}
+	r := &wire.FollowRequest{CatalogVersion: version, Lifetime: v.incarnation, ListSequence: v.sequence, TakesChanges: true, ListRevision: revision, TakesPart: true, TakesMembers: true, MembersSequence: v.members}
 	if n := len(v.parts); n > 0 {
 		r.AfterService, r.AfterId = v.parts[n-1].Entry.Service, v.parts[n-1].Entry.ID
 	}
@@ -143,6 +143,7 @@
 	default:
 		return
 	}
+	n.partial.Store(m.Partial)
 	from.incarnation, from.sequence, from.parts, from.forgotten = m.Lifetime, m.ListSequence, nil, false
 	if m.HasChanges && m.ListHash != 0 {
 		n.compareList(name, m.ListHash, from)
@@ -159,6 +160,7 @@
 	if m.More {
 		return
 	}
+	n.partial.Store(m.Partial)
 	n.replaceList(name, from.revision, from.parts)
 	from.parts, from.forgotten = nil, false
 }
@@ -173,7 +175,7 @@
 // changes. The watcher's hash may be a change ahead of what it sent, so one difference proves nothing.
 func (n *Node) compareList(name string, hash uint64, from *listSource) {
 	now := n.clock.Now()
-	if from.differs++; hash == n.pools.ListHash() {
+	if from.differs++; hash == n.pools.ListHash(pool.ScopeAll) {
 		from.differs = 0
 	}
 	if from.differs < minDifferences || now.Sub(from.readAnewAt) < readAnewPause {
@@ -225,6 +227,7 @@
 		return a
 	}
 	a.ListRevision = n.pools.Revision()
+	a.Partial = r.TakesPart && n.pools.IsPartial()
 	switch {
 	case !r.TakesChanges:
 		a.HasList, a.List = true, n.listToWire()
@@ -260,14 +263,23 @@
 	if !ok || !known && r.ListRevision == 0 || len(ids) > maxListPart {
 		return false
 	}
-	items, gone := n.pools.ItemsOf(ids)
-	a.HasChanges, a.List, a.Gone, a.ListHash = true, message.ItemsToWire(items), gone, n.pools.ListHash()
+	scope := scopeFor(r)
+	items, gone := n.pools.ItemsOf(scope, ids)
+	a.HasChanges, a.List, a.Gone, a.ListHash = true, message.ItemsToWire(items), gone, n.pools.ListHash(scope)
 	return true
 }
 
+// scopeFor returns the scope of the list that a caller takes.
+func scopeFor(r *wire.FollowRequest) pool.Scope {
+	if r.TakesPart {
+		return pool.ScopeKept
+	}
+	return pool.ScopeAll
+}
+
 // addPart adds the part of the list that follows the one that the caller has.
 func (n *Node) addPart(a *wire.FollowResponse, r *wire.FollowRequest) {
-	items, more := n.pools.ItemsAfter(r.AfterService, r.AfterId, maxListPart)
+	items, more := n.pools.ItemsAfter(scopeFor(r), r.AfterService, r.AfterId, maxListPart)
 	a.HasPart, a.More, a.List = true, more, message.ItemsToWire(items)
 }
 
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -102,6 +102,7 @@
 	listed          atomic.Bool               // the upstream list has been read at least once
 	storeRestoredAt atomic.Pointer[time.Time] // when the store was last restored from a copy; nil: not during this process
 	registryTried   atomic.Bool               // the registry has been read, or couldn't be
+	partial         atomic.Bool               // the upstream list leaves out upstreams of other halls (pool.ScopeKept)
 	holdsSeat       atomic.Bool               // this node reads the store for its hall while the whole system starts
 	initOnce        sync.Once
 	initialized     chan struct{} // closed once the configuration and the upstream list are present
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -59,10 +59,11 @@
 	engines    enginesWriter
 	maxListed  int       // highest number of listed upstreams
 	listGrewAt time.Time // when the list last grew
+	startedAt  time.Time // when it began to observe the whole list; zero: it doesn't
 }
 
 func newOrderer(n *Node) *orderer {
-	return &orderer{n: n, mixes: make(map[string]*autoscale.MixPlanner), rates: make(map[string]*autoscale.RateEstimator), orders: make(map[orderKey]placedOrder)}
+	return &orderer{n: n, startedAt: n.start, mixes: make(map[string]*autoscale.MixPlanner), rates: make(map[string]*autoscale.RateEstimator), orders: make(map[orderKey]placedOrder)}
 }
 
 // step measures the load, and orders missing upstreams.
@@ -72,6 +73,14 @@
 		return
 	}
 	now := o.n.clock.Now()
+	if o.n.partial.Load() {
+		*o = *newOrderer(o.n) // what it has seen of the halls isn't what they have
+		o.startedAt = time.Time{}
+		return
+	}
+	if o.startedAt.IsZero() {
+		o.startedAt = now
+	}
 	if n := o.n.pools.Len(); n > o.maxListed {
 		o.maxListed, o.listGrewAt = n, now
 	}
@@ -94,7 +103,7 @@
 		publishFigures(name, engines[name], load)
 		halls := o.hallStates(s)
 		o.mix(s).Observe(o.n.clock.Since(o.n.start), load, halls)
-		if held && o.n.clock.Since(o.n.start) >= o.observationPeriod() {
+		if held && now.Sub(o.startedAt) >= o.observationPeriod() {
 			o.plan(ctx, token, s, halls, load)
 		}
 	}
@@ -104,7 +113,7 @@
 	}
 }
 
-// observationPeriod returns how long this process observes before it orders anything.
+// observationPeriod returns how long this process observes the whole list before it orders anything.
 func (o *orderer) observationPeriod() time.Duration {
 	if o.n.settings.FirstStart {
 		return settlePeriod
@@ -114,7 +123,7 @@
 
 // isListComplete reports whether the list is complete, so that fewer may be ordered.
 func (o *orderer) isListComplete(now time.Time) bool {
-	return now.Sub(o.n.start) >= settlePeriod && now.Sub(o.listGrewAt) >= listQuietPeriod
+	return now.Sub(o.startedAt) >= settlePeriod && now.Sub(o.listGrewAt) >= listQuietPeriod
 }
 
 func (o *orderer) rate(service string) *autoscale.RateEstimator {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -379,10 +379,8 @@
 	if m.ListRevision <= n.pools.Revision() || n.guard.Up() {
 		return
 	}
-	items := message.ItemsFromWire(m.List)
-	n.updateList(name, func(now time.Time, l *pool.List) { l.Replace(now, m.ListRevision, items) })
-	n.listed.Store(true)
-	n.signalInitialized()
+	n.partial.Store(m.Partial)
+	n.replaceList(name, m.ListRevision, message.ItemsFromWire(m.List))
 }
 
 // edgeService serves the calls of other nodes.
@@ -403,7 +401,7 @@
 		a.Catalog, a.CatalogVersion = h.raw, h.catalog.Version()
 	}
 	if v := s.n.pools.Revision(); v > r.Msg.ListRevision {
-		a.ListRevision, a.List = v, s.n.listToWire()
+		a.ListRevision, a.List, a.Partial = v, s.n.listToWire(), s.n.partial.Load()
 	}
 	s.n.mu.Lock()
 	defer s.n.mu.Unlock()
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -233,6 +233,7 @@
 	f.applySnapshot = func(r store.RangeResult) {
 		returned := !f.failedSince.IsZero()
 		items, undecodable := n.decodeEntries(r.Pairs)
+		n.partial.Store(false)
 		n.updateList("store", func(now time.Time, l *pool.List) {
 			if returned {
 				l.StoreReturned(now)
--- a/internal/edge/watchers.go
+++ b/internal/edge/watchers.go
@@ -238,7 +238,8 @@
 // them have failed in a row.
 func (n *Node) followWatchers(ctx context.Context) {
 	failed, lastNews := 0, n.clock.Now()
-	var from listSource
+	// A node that has watched the store has the whole list, and its watcher sends a part.
+	from := listSource{forgotten: n.pools.IsPartial() && !n.partial.Load()}
 	n.log.Info("following", zap.Strings("watchers", n.watchersToPoll()))
 	for ctx.Err() == nil {
 		names := n.watchersToPoll()
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -74,7 +74,9 @@
 	entry         Entry
 	coldUntil     time.Time
 	load          Load
-	hash          uint64  // of the id
+	hash          uint64 // of the id
+	keepHash      uint64
+	kept          bool    // it is sent to nodes of this hall that don't watch the store
 	peers         loadSum // load that other nodes reported at it, as of the last choice (Pools.peerLoad)
 	failures      float64
 	pace          pace
@@ -108,9 +110,11 @@
 	holders       map[uint64][]*member      // upstreams that may have cached a prefix, the latest ones
 	counts        map[Group]int             // upstreams by group
 	listHash      uint64                    // of the ids of all upstreams
-	busy          map[*member]struct{}      // upstreams with requests of this node in progress, listed or not
-	suspects      map[*member]struct{}      // upstreams that were recently unreachable for any node, and misplaced ones
-	caching       map[*member]struct{}      // upstreams with prefixes
+	keptHash      uint64                    // of the ids of the upstreams that are kept (keep.go)
+	parts         map[hallService]*part
+	busy          map[*member]struct{} // upstreams with requests of this node in progress, listed or not
+	suspects      map[*member]struct{} // upstreams that were recently unreachable for any node, and misplaced ones
+	caching       map[*member]struct{} // upstreams with prefixes
 	outliers      map[string]*retry.Outliers
 	reports       map[string]peerReport
 	peerLoads     []receivedLoad
@@ -156,7 +160,7 @@
 func New(clock *timer.Service, node, hall string) *Pools {
 	return &Pools{
 		clock: clock, hall: hall, start: clock.Now(), list: NewList(), members: make(map[string]*member),
-		services: make(map[string][]*member), halls: make(map[hallService][]*member), holders: make(map[uint64][]*member), counts: make(map[Group]int), busy: make(map[*member]struct{}), suspects: make(map[*member]struct{}), caching: make(map[*member]struct{}), outliers: make(map[string]*retry.Outliers),
+		services: make(map[string][]*member), halls: make(map[hallService][]*member), parts: make(map[hallService]*part), holders: make(map[uint64][]*member), counts: make(map[Group]int), busy: make(map[*member]struct{}), suspects: make(map[*member]struct{}), caching: make(map[*member]struct{}), outliers: make(map[string]*retry.Outliers),
 		reports: make(map[string]peerReport), serviceStats: make(map[string]*service), lastResponse: make(map[string]time.Time),
 		partitionedAt: make(map[string]time.Time), splits: make(map[string]Split), versions: make(map[string]map[string]time.Time), cooldowns: retry.NewCooldowns(), limits: limit.NewTracker(node),
 	}
--- a/internal/pool/update.go
+++ b/internal/pool/update.go
@@ -21,7 +21,7 @@
 // Updated is the effect of an update of the list.
 type Updated struct {
 	Changes []Change
-	Touched []string // ids of all entries that may have changed, sorted
+	Touched []string // ids of all entries that may have changed, or are kept now or no longer, sorted
 }
 
 // Group is a set of upstreams that count alike as a service's capacity.
@@ -50,7 +50,7 @@
 	defer p.mu.Unlock()
 	f(p.list)
 	ended, touched := p.list.takeEnded(), p.list.takeTouched()
-	u := update{p: p, now: p.clock.Now(), ended: ended, added: make(map[hallService][]*member), removed: make(map[hallService][]*member)}
+	u := update{p: p, now: p.clock.Now(), ended: ended, added: make(map[hallService][]*member), removed: make(map[hallService][]*member), resized: make(map[hallService]bool)}
 	ids := make([]string, 0, len(touched))
 	for id := range touched {
 		ids = append(ids, id)
@@ -63,6 +63,11 @@
 		p.forgetIncarnation(id)
 	}
 	u.updateServices()
+	if drawn := u.resizeParts(); len(drawn) > 0 {
+		ids = append(ids, drawn...)
+		slices.Sort(ids)
+		ids = slices.Compact(ids)
+	}
 	p.listRead = len(p.members) > 0
 	return Updated{Changes: u.changes, Touched: ids}
 }
@@ -75,7 +80,8 @@
 	changes []Change
 	added   map[hallService][]*member
 	removed map[hallService][]*member
-	rerank  bool // an upstream's part in a roll-out may have changed
+	resized map[hallService]bool // parts that may have become too large or too small
+	rerank  bool                 // an upstream's part in a roll-out may have changed
 }
 
 // apply applies the current entry of an id.
@@ -103,7 +109,9 @@
 		u.rerank = true
 	}
 	old := m.hallService()
+	u.countPart(m, -1)
 	m.entry = e
+	u.countPart(m, 1)
 	if k := m.hallService(); k != old {
 		u.removed[old] = append(u.removed[old], m)
 		u.added[k] = append(u.added[k], m)
@@ -113,9 +121,10 @@
 func (u *update) add(e Entry) {
 	p := u.p
 	p.recordVersion(u.now, e)
-	m := &member{entry: e, hash: xxhash.Sum64String(e.ID), rank: notRanked, coldUntil: u.now.Add(e.WarmUp)}
+	m := &member{entry: e, hash: xxhash.Sum64String(e.ID), keepHash: keepHash(p.hall, e.ID), rank: notRanked, coldUntil: u.now.Add(e.WarmUp)}
 	p.members[e.ID] = m
 	p.listHash ^= m.hash
+	u.countPart(m, 1)
 	p.count(e, 1)
 	u.added[m.hallService()] = append(u.added[m.hallService()], m)
 	u.changes = append(u.changes, Change{e, "listed"})
@@ -129,6 +138,7 @@
 	p.count(m.entry, -1)
 	delete(p.members, id)
 	p.listHash ^= m.hash
+	u.countPart(m, -1)
 	delete(p.suspects, m)
 	for h := range m.prefixes {
 		p.removePrefix(m, h)
@@ -233,19 +243,33 @@
 	return len(p.members)
 }
 
-// ListHash returns a hash of the ids of all upstreams. Two lists with the same ids have the same hash.
-func (p *Pools) ListHash() uint64 {
+// Scope is which upstreams of the list are meant.
+type Scope int
+
+// The scopes.
+const (
+	ScopeAll  Scope = iota
+	ScopeKept       // those that nodes of this hall are sent that don't watch the store (keep.go)
+)
+
+func (s Scope) has(m *member) bool { return s == ScopeAll || m != nil && m.kept }
+
+// ListHash returns a hash of the ids of all upstreams of a scope. Two lists with the same ids have the same hash.
+func (p *Pools) ListHash(s Scope) uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if s == ScopeKept {
+		return p.keptHash
+	}
 	return p.listHash
 }
 
-// ItemsOf returns the listed entries of the given ids, and the ids that aren't listed.
-func (p *Pools) ItemsOf(ids []string) (items []Item, gone []string) {
+// ItemsOf returns the listed entries of the given ids, as far as they are in a scope, and the other ids.
+func (p *Pools) ItemsOf(s Scope, ids []string) (items []Item, gone []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, id := range ids {
-		if v, listed := p.list.Listed(id); listed {
+		if v, listed := p.list.Listed(id); listed && s.has(p.members[id]) {
 			items = append(items, v)
 		} else {
 			gone = append(gone, id)
@@ -254,9 +278,9 @@
 	return items, gone
 }
 
-// ItemsAfter returns up to n entries in order of service and id, from the one after the given service and id
-// on, and whether there are more.
-func (p *Pools) ItemsAfter(service, id string, n int) (items []Item, more bool) {
+// ItemsAfter returns up to n entries of a scope in order of service and id, from the one after the given service
+// and id on, and whether there are more.
+func (p *Pools) ItemsAfter(s Scope, service, id string, n int) (items []Item, more bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, name := range slices.Sorted(maps.Keys(p.services)) {
@@ -272,6 +296,9 @@
 			list = list[i:]
 		}
 		for _, m := range list {
+			if !s.has(m) {
+				continue
+			}
 			if len(items) == n {
 				return items, true
 			}
--- a/internal/pool/update_test.go
+++ b/internal/pool/update_test.go
@@ -39,6 +39,67 @@
 		total += len(l)
 	}
 	assert.Len(t, p.members, total)
+	assertParts(t, p)
+}
+
+// assertParts checks what is recorded of the parts that other nodes are sent.
+func assertParts(t *rapid.T, p *Pools) {
+	kept, all := uint64(0), uint64(0)
+	parts := make(map[hallService]part)
+	for _, m := range p.members {
+		all ^= m.hash
+		v := parts[m.hallService()]
+		v.count++
+		if m.kept {
+			kept ^= m.hash
+			v.kept++
+		}
+		parts[m.hallService()] = v
+		if m.entry.Hall == p.hall && !m.kept {
+			t.Fatalf("%s of the own hall isn't kept", m.entry.ID)
+		}
+	}
+	assert.Equal(t, all, p.listHash)
+	assert.Equal(t, kept, p.keptHash)
+	assert.Equal(t, len(parts), len(p.parts))
+	for k, v := range parts {
+		assert.Equal(t, v.count, p.parts[k].count)
+		assert.Equal(t, v.kept, p.parts[k].kept)
+		if k.hall != p.hall {
+			assert.LessOrEqual(t, v.kept, maxKept)
+		}
+	}
+}
+
+// TestPartsOfLargeHalls draws sizes of a hall and checks that a part of bounded size is kept of it, and all of a
+// small one.
+func TestPartsOfLargeHalls(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := New(timer.NewManual(start).Service(), "self", "a")
+		size := 0
+		for range rapid.IntRange(1, 8).Draw(t, "changes") {
+			next := rapid.IntRange(0, 3000).Draw(t, "size")
+			p.Update(func(l *List) {
+				for i := range max(size, next) {
+					v := item(fmt.Sprint("u", i), 1)
+					v.Entry.Hall = "b"
+					switch {
+					case i >= next:
+						l.Delete(start, v.Entry.ID)
+					case i >= size:
+						l.Put(v)
+					}
+				}
+			})
+			size = next
+			assertParts(t, p)
+			if v := p.parts[hallService{"s", "b"}]; size > 4*maxKept {
+				assert.Greater(t, v.kept, minKept/2)
+			} else if size > 0 && size < minKept {
+				assert.Equal(t, size, v.kept)
+			}
+		}
+	})
 }
 
 // TestUpdatesFollowTheList draws changes of the list, many of them in one update, and checks after each update
