Timer: calls at the same interval come at the same times

Change: ticks of an interval are counted from the service's begin; the check for lapsed entries takes a round, too.

--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -9,10 +9,11 @@
 
 	"spurhall.example/spurhall/internal/duty"
 	"spurhall.example/spurhall/internal/lease"
+	"spurhall.example/spurhall/internal/pair"
 )
 
 // dutyInterval is how often the holder of the duties checks for due work.
-const dutyInterval = 250 * time.Millisecond
+const dutyInterval = pair.Round
 
 // runDuties acquires the lease when it is free, and performs the duties that the platform assigns to its
 // holder.
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"spurhall.example/spurhall/internal/changelog"
+	"spurhall.example/spurhall/internal/pair"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/roster"
 	"spurhall.example/spurhall/internal/store"
@@ -348,7 +349,7 @@
 }
 
 // expireInterval is how often entries that went missing in an outage are checked.
-const expireInterval = 200 * time.Millisecond
+const expireInterval = pair.Round
 
 func (n *Node) expireMissing(ctx context.Context) {
 	n.clock.Every(ctx, expireInterval, func(time.Time) {
--- a/internal/edge/watchers.go
+++ b/internal/edge/watchers.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"spurhall.example/spurhall/internal/pair"
 	"spurhall.example/spurhall/internal/roster"
 	"spurhall.example/spurhall/internal/seat"
 )
@@ -51,7 +52,7 @@
 	// watchers have read the store.
 	seatPeriod = 8 * time.Second
 	// roleCheckInterval is how often a node checks whether it has to watch.
-	roleCheckInterval = 250 * time.Millisecond
+	roleCheckInterval = pair.Round
 )
 
 // watchers returns the nodes of this hall that watch the store.
@@ -228,7 +229,7 @@
 			f(c)
 		}()
 	}
-	for holds() && n.clock.Sleep(c, roleCheckInterval) == nil {
+	for holds() && n.clock.AwaitTick(c, roleCheckInterval) == nil {
 	}
 	cancel()
 	w.Wait()
