Large fleets: idle nodes report every second round, and polls of watchers are held longer

Cause: of the seven calls that an idle node makes each second, four are reports without news and two and a half polls without changes; at 985 nodes the relays and watchers spend most of their calls on them.

Change, from 98 nodes on: a node without requests that isn't a relay reports every second round; a poll is held for 0.8 s (0.4). A failed report is repeated in the next round, as before. TestIdleNodesReportLessOften.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"spurhall.example/spurhall/internal/message"
+	"spurhall.example/spurhall/internal/pair"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/wire"
 )
@@ -25,6 +26,9 @@
 	// known.
 	followWaitLimit = 400 * time.Millisecond
 	followTimeout   = followWaitLimit + 250*time.Millisecond
+	// longFollowWait is how long a poll is held in a large fleet. Polls without changes are most of what its watchers
+	// do, and a frozen one costs a node 0.4 s more, of the seconds for which a leaving upstream serves.
+	longFollowWait = 800 * time.Millisecond
 	// maxListPart is how many entries one response holds, some 100 kB: 40 ms on a link of 20 Mbit/s.
 	maxListPart = 1000
 	// minDifferences is how many responses in a row have to show that the follower's list differs from the
@@ -64,7 +68,7 @@
 // pollWatcher requests changes from one watcher and applies them.
 func (n *Node) pollWatcher(ctx context.Context, name string, from *listSource) error {
 	n.mu.Lock()
-	p := n.peers.peers[name]
+	p, large := n.peers.peers[name], !pair.Suffice(n.peers.size())
 	n.mu.Unlock()
 	if p == nil || p.address == "" {
 		return errNoUpdates
@@ -77,9 +81,14 @@
 	if n.listed.Load() {
 		revision = n.pools.Revision()
 	}
-	c, cancel := context.WithTimeout(ctx, followTimeout)
+	r, timeout := from.request(version, revision), followTimeout
+	if large {
+		r.TakesLongWait = true
+		timeout += longFollowWait - followWaitLimit
+	}
+	c, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	a, err := n.peers.clientOf(p).Follow(c, connect.NewRequest(from.request(version, revision)))
+	a, err := n.peers.clientOf(p).Follow(c, connect.NewRequest(r))
 	if err != nil {
 		from.parts = nil
 		return err
@@ -189,7 +198,11 @@
 // Follow responds as soon as there is a change that the caller lacks.
 func (s *edgeService) Follow(ctx context.Context, r *connect.Request[wire.FollowRequest]) (*connect.Response[wire.FollowResponse], error) {
 	n := s.n
-	timeout, stop := n.clock.After(followWaitLimit)
+	limit := followWaitLimit
+	if r.Msg.TakesLongWait {
+		limit = longFollowWait
+	}
+	timeout, stop := n.clock.After(limit)
 	defer stop()
 	for {
 		sequence, changed := n.changes.Subscribe()
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -128,6 +128,7 @@
 	digestAt          time.Time         // arrival of the last digest
 	digestNodes       map[string]bool   // nodes that the last digest covers
 	placeRetryAt      time.Time         // no relay is asked to place a request before this time
+	requestAt         time.Time         // when a request of this node last started at an upstream
 	sendersSetAt      time.Time         // when the nodes that share limits were last determined
 	startWatchers     []string          // nodes that read the store for this hall while the whole system starts
 
@@ -250,6 +251,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.usage.Add(n.clock.Wall(), workspace)
+	n.requestAt = n.clock.Now()
 }
 
 // retryBudgetShare is the part of the operators' retry budget that is used: a node that was killed loses the
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -37,6 +37,9 @@
 	// maxReportDelay bounds the time from building a report to its arrival without faults. A report may lack
 	// placements made for its node within that time.
 	maxReportDelay = 20 * time.Millisecond
+	// idleRounds is the number of rounds in which a node of a large fleet without requests reports once: it has
+	// nothing to tell but that it is there, and needs no digest for a choice.
+	idleRounds = 2
 	// relayRetryPause is how long a failed relay isn't called unless it reports again.
 	relayRetryPause = 5 * time.Second
 )
@@ -64,15 +67,24 @@
 
 // relayStep runs a round if the fleet is large, and reports whether it did.
 func (n *Node) relayStep(ctx context.Context) bool {
+	now := n.clock.Now()
 	n.mu.Lock()
-	large := pair.Interval(n.peers.size()) > pair.Round
+	large, skip := pair.Interval(n.peers.size()) > pair.Round, n.isIdle(now)
 	n.mu.Unlock()
-	if large {
-		n.relayRound(ctx, n.clock.Now())
+	if large && !skip {
+		n.relayRound(ctx, now)
 	}
 	return large
 }
 
+// isIdle reports whether this node of a large fleet has had no requests of late, and has reported in the last rounds. A
+// relay isn't idle. The node's lock is held.
+func (n *Node) isIdle(now time.Time) bool {
+	const span = idleRounds*pair.Round - pair.Round/2
+	return !pair.Suffice(n.peers.size()) && n.homeRelay != n.settings.Node && n.homeRelay != "" &&
+		now.Sub(n.digestAt) < span && now.Sub(n.requestAt) > span && !n.pools.HasRequests()
+}
+
 func (n *Node) relayRound(ctx context.Context, now time.Time) {
 	r := n.buildReport(relayWindows)
 	n.mu.Lock()
--- a/internal/edge/start_test.go
+++ b/internal/edge/start_test.go
@@ -193,3 +193,27 @@
 	assert.Less(t, reading(985, newsPatience+2*time.Second), 40)
 	assert.Equal(t, 200, reading(985, newsPatience+985*readGap), "in the end each does")
 }
+
+// TestIdleNodesReportLessOften: in a large fleet most nodes have no request in most rounds, and four reports a second
+// from each of them were most of what its relays did.
+func TestIdleNodesReportLessOften(t *testing.T) {
+	idle := func(nodes int, change func(n *Node, c *timer.Manual)) bool {
+		n, c := newScaleNode(t, nodes, 10)
+		c.Advance(time.Minute)
+		n.homeRelay, n.digestAt = "edge-a-5", n.clock.Now()
+		c.Advance(pair.Round)
+		change(n, c)
+		return n.isIdle(n.clock.Now())
+	}
+	assert.True(t, idle(985, func(*Node, *timer.Manual) {}))
+	for name, change := range map[string]func(n *Node, c *timer.Manual){
+		"its turn has come":         func(_ *Node, c *timer.Manual) { c.Advance(pair.Round) },
+		"it has a request":          func(n *Node, _ *timer.Manual) { n.pools.Pick(pool.Request{ID: "r", Service: "llm"}) },
+		"it had one a moment ago":   func(n *Node, _ *timer.Manual) { n.countStarted("w") },
+		"it is a relay":             func(n *Node, _ *timer.Manual) { n.homeRelay = n.settings.Node },
+		"its relay has just failed": func(n *Node, _ *timer.Manual) { n.homeRelay = "" },
+	} {
+		t.Run(name, func(t *testing.T) { assert.False(t, idle(985, change)) })
+	}
+	t.Run("in a smaller fleet", func(t *testing.T) { assert.False(t, idle(95, func(*Node, *timer.Manual) {})) })
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -264,6 +264,13 @@
 	return loads, placed
 }
 
+// HasRequests reports whether requests of this node are in progress at upstreams, or were placed of late.
+func (p *Pools) HasRequests() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.busy) > 0 || len(p.placements) > 0
+}
+
 // prune drops placements that were reported long enough, and prefixes that are no longer believed to be
 // cached.
 func (p *Pools) prune() {
