Packages follow and roster take over what edge decided of who is told what

follow carries the configuration, the registry and the list to followers (source and follower); roster decides how long a node waits before it reads the store; seat waits for its own keys.

--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -143,7 +143,7 @@
 // awaitMembers waits, when the whole system starts, until it is this node's turn to read the registry: at once if
 // it reads for its hall, and otherwise only if nobody has sent it.
 func (n *Node) awaitMembers(ctx context.Context) {
-	turn := startPatience + time.Duration(xxhash.Sum64String(n.settings.Node)%uint64(startPatience))
+	turn := roster.StartPatience + time.Duration(xxhash.Sum64String(n.settings.Node)%uint64(roster.StartPatience))
 	for !n.hasReadRegistry() {
 		age := n.clock.Since(n.start)
 		if age >= turn || n.holdsSeat.Load() && age >= firstStartDelay || n.clock.Sleep(ctx, relayPoll) != nil {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -33,6 +33,7 @@
 	"spurhall.example/spurhall/internal/changelog"
 	"spurhall.example/spurhall/internal/duty"
 	"spurhall.example/spurhall/internal/era"
+	"spurhall.example/spurhall/internal/follow"
 	"spurhall.example/spurhall/internal/forward"
 	"spurhall.example/spurhall/internal/lease"
 	"spurhall.example/spurhall/internal/pool"
@@ -97,6 +98,8 @@
 	unreadableEntries unreadableEntries
 	unknownNames      unknownNames
 	changes           *changelog.Log
+	source            *follow.Source // what this node has for its followers
+	follower          *follow.Follower
 
 	catalog         atomic.Pointer[activeCatalog]
 	listed          atomic.Bool               // the upstream list has been read at least once
@@ -170,6 +173,7 @@
 	n.listFollower = n.newListFollower()
 	n.unreadableEntries = make(unreadableEntries)
 	n.changes = changelog.New()
+	n.source, n.follower = n.newSource(), n.newFollower()
 	n.guard = store.NewGuard(o.Clock, n.storeShare())
 	n.era = o.Era
 	n.era.OnRise(n.onEraRise)
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -401,7 +401,7 @@
 		a.Catalog, a.CatalogVersion = h.raw, h.catalog.Version()
 	}
 	if v := s.n.pools.Revision(); v > r.Msg.ListRevision {
-		a.ListRevision, a.List, a.Partial = v, s.n.listToWire(), s.n.partial.Load()
+		a.ListRevision, a.List, a.Partial = v, message.ItemsToWire(s.n.pools.Items()), s.n.partial.Load()
 	}
 	s.n.mu.Lock()
 	defer s.n.mu.Unlock()
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -168,15 +168,6 @@
 	}
 }
 
-// maxLag returns how long this node's list may lack a change that a peer has. In a large fleet, all nodes of a hall
-// lag when its watchers do, and must not read the store at once. The node's lock is held.
-func (n *Node) maxLag() time.Duration {
-	if n.peers.size() <= maxStartReaders {
-		return maxListLag
-	}
-	return newsPatience + n.readTurn()
-}
-
 // recordListChange applies the newest change of the list that a peer has reported.
 func (n *Node) recordListChange(peer string, change int64) {
 	n.mu.Lock()
@@ -189,7 +180,7 @@
 		n.behindSince = time.Time{}
 	case n.behindSince.IsZero():
 		n.behindSince = now
-	case now.Sub(n.behindSince) > n.maxLag():
+	case now.Sub(n.behindSince) > roster.MaxLag(maxListLag, n.settings.Node, n.peers.size()):
 		n.log.Warn("watch_behind", zap.String("reader", n.listFollower.name), zap.String("peer", peer),
 			zap.Int64("revision", have), zap.Int64("change", n.peerListChange), zap.Duration("for", now.Sub(n.behindSince)))
 		n.behindSince = now
--- a/internal/edge/watchers.go
+++ b/internal/edge/watchers.go
@@ -6,9 +6,9 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"spurhall.example/spurhall/internal/follow"
 	"spurhall.example/spurhall/internal/pair"
 	"spurhall.example/spurhall/internal/roster"
 	"spurhall.example/spurhall/internal/seat"
@@ -31,26 +31,14 @@
 const (
 	// selfWatchDuration is how long a node watches by itself after the watchers failed it.
 	selfWatchDuration = 5 * time.Second
-	// maxStartReaders is the size of a fleet up to which each starting node reads the store by itself: that many
-	// lists of a fleet of that size are some 2 MB.
-	maxStartReaders = 64
 	// registryWait is how long a starting node waits for the registry, which takes 2 s if a thousand nodes read it
 	// at once. firstStartDelay is how long after its start a node reads it when the whole system starts: until
 	// then the others have registered.
 	registryWait    = 3 * time.Second
 	firstStartDelay = 800 * time.Millisecond
-	// startPatience is how long a starting node waits for watchers that have nothing yet. newsPatience is how long a
-	// node of a large fleet goes without news of the watchers, a part of the time for which a leaving upstream
-	// still serves. readGap is the time between two nodes that then read by themselves.
-	startPatience = 3 * time.Second
-	newsPatience  = 1500 * time.Millisecond
-	readGap       = 20 * time.Millisecond
-	pollGap       = 100 * time.Millisecond // between two polls without news
+	pollGap         = 100 * time.Millisecond // between two polls without news
 	// repeatedFailures is the number of failed polls in a row of which one is logged.
 	repeatedFailures = 20
-	// seatPeriod is how long the holders of seats read for their hall. By then, the nodes know each other, and the
-	// watchers have read the store.
-	seatPeriod = 8 * time.Second
 	// roleCheckInterval is how often a node checks whether it has to watch.
 	roleCheckInterval = pair.Round
 )
@@ -72,7 +60,7 @@
 		}
 		// A node that has just started has heard of the others only by the registry, which shows that they reach the
 		// store.
-		unheard := size > maxStartReaders && p.LastSign(size).IsZero() && p.IsPresent(now, size)
+		unheard := roster.IsLarge(size) && p.LastSign(size).IsZero() && p.IsPresent(now, size)
 		if unheard || p.IsResponsive(now, size) {
 			nodes = append(nodes, roster.Node{Name: p.name, Cores: p.cores, StoreUp: unheard || p.storeUp})
 		}
@@ -98,7 +86,7 @@
 	selfWatch := now.Before(n.selfWatchUntil)
 	n.mu.Unlock()
 	switch {
-	case selfWatch || n.holdsSeat.Load() && now.Sub(n.start) < seatPeriod:
+	case selfWatch || n.holdsSeat.Load() && now.Sub(n.start) < seat.Period:
 		return true
 	case n.isStarting():
 		return !n.startsAsFollower(now)
@@ -114,18 +102,12 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if len(n.startWatchers) > 0 && !n.peersRead {
-		return now.Sub(n.start) < startPatience
+		return now.Sub(n.start) < roster.StartPatience
 	}
-	if !n.peersRead || n.peers.size() <= maxStartReaders || n.isWatcherLocked(now) {
+	if !n.peersRead || n.isWatcherLocked(now) {
 		return false
 	}
-	return now.Sub(n.start) < startPatience+n.readTurn()
-}
-
-// readTurn returns how long this node leaves the store to others when many nodes have to read it. The node's
-// lock is held.
-func (n *Node) readTurn() time.Duration {
-	return time.Duration(xxhash.Sum64String(n.settings.Node)%uint64(n.peers.size())) * readGap
+	return roster.WaitsToStart(now.Sub(n.start), n.settings.Node, n.peers.size())
 }
 
 // watchersToPoll returns the nodes that this one polls: while the whole system starts, the holders of seats, and
@@ -134,19 +116,18 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.clock.Now()
-	if len(n.startWatchers) > 0 && now.Sub(n.start) < seatPeriod {
+	if len(n.startWatchers) > 0 && now.Sub(n.start) < seat.Period {
 		return n.startWatchers
 	}
 	return n.watchersLocked(now)
 }
 
 // waitsForNews reports whether this node polls on although the watchers have failed it, since it last had news at
-// the given time. In a large fleet the nodes of a hall would all read the store at once, and the watchers may just be
-// slow.
+// the given time.
 func (n *Node) waitsForNews(lastNews time.Time) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.peers.size() > maxStartReaders && n.clock.Since(lastNews) < newsPatience+n.readTurn()
+	return roster.WaitsForNews(n.clock.Since(lastNews), n.settings.Node, n.peers.size())
 }
 
 // awaitRegistry waits until this node has tried to read the registry, or was sent it, for a limited time.
@@ -159,29 +140,14 @@
 }
 
 // takeSeat determines, when the whole system starts for the first time, which nodes of the hall read the store
-// for the others (package seat). It takes a seat if there is a free one, and reports whether this node holds one.
+// for the others (package seat), and reports whether this node is one of them.
 func (n *Node) takeSeat(ctx context.Context) bool {
 	seats, self := seat.New(n.kv, n.settings.Hall, roster.WatchersPerHall), seat.Holder{Node: n.settings.Node, Address: n.settings.Peers}
-	for n.clock.Since(n.start) < startPatience {
-		holders, err := seats.Holders(ctx)
-		if err == nil && len(holders) >= roster.WatchersPerHall {
-			return n.followSeats(holders)
-		}
-		if err == nil && n.clock.Since(n.start) >= seat.Delay(n.settings.Cores) {
-			var taken bool
-			if taken, err = seats.Take(ctx, self); taken {
-				n.log.Info("seat_taken", zap.String("hall", n.settings.Hall))
-				return true
-			}
-		}
-		if err != nil {
-			n.log.Info("seats_unread", zap.String("cause", err.Error()))
-		}
-		if n.clock.Sleep(ctx, pollGap) != nil {
-			break
-		}
+	holders, taken := seats.Await(ctx, n.clock, n.log, self, n.settings.Cores)
+	if taken {
+		return true
 	}
-	return false
+	return n.followSeats(holders)
 }
 
 // followSeats makes this node follow the holders of its hall's seats until it knows the other nodes. It reports
@@ -240,12 +206,12 @@
 func (n *Node) followWatchers(ctx context.Context) {
 	failed, lastNews := 0, n.clock.Now()
 	// A node that has watched the store has the whole list, and its watcher sends a part.
-	from := listSource{forgotten: n.pools.IsPartial() && !n.partial.Load()}
+	at := follow.NewPosition(n.pools.IsPartial() && !n.partial.Load())
 	n.log.Info("following", zap.Strings("watchers", n.watchersToPoll()))
 	for ctx.Err() == nil {
 		names := n.watchersToPoll()
 		name := names[failed%len(names)]
-		err := n.pollWatcher(ctx, name, &from)
+		err := n.pollWatcher(ctx, name, at)
 		if err == nil {
 			failed, lastNews = 0, n.clock.Now()
 			continue
--- a/internal/roster/registry.go
+++ b/internal/roster/registry.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"spurhall.example/spurhall/internal/changelog"
@@ -21,8 +22,9 @@
 	Cores   float64
 }
 
-// Registry is the registered nodes. It isn't safe for concurrent use, but for its log.
+// Registry is the registered nodes. It is safe for concurrent use.
 type Registry struct {
+	mu      sync.Mutex
 	members map[string]Member
 	log     *changelog.Log
 	readAt  time.Time // when it was last read or confirmed
@@ -39,17 +41,25 @@
 	for _, m := range list {
 		listed[m.Name] = true
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	var gone []string
 	for name := range r.members {
 		if !listed[name] {
 			gone = append(gone, name)
 		}
 	}
-	r.Apply(now, list, gone)
+	r.apply(now, list, gone)
 }
 
 // Apply applies changes that another node has sent.
 func (r *Registry) Apply(now time.Time, changed []Member, gone []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.apply(now, changed, gone)
+}
+
+func (r *Registry) apply(now time.Time, changed []Member, gone []string) {
 	r.readAt = now
 	var names []string
 	for _, m := range changed {
@@ -71,13 +81,19 @@
 
 // Members returns the registered nodes, by name.
 func (r *Registry) Members() []Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	list := slices.Collect(maps.Values(r.members))
 	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
 	return list
 }
 
 // Age returns the time since the registry was last read or confirmed.
-func (r *Registry) Age(now time.Time) time.Duration { return now.Sub(r.readAt) }
+func (r *Registry) Age(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Sub(r.readAt)
+}
 
 // Subscribe returns the sequence of the registry and a channel that its next change closes.
 func (r *Registry) Subscribe() (sequence int64, changed <-chan struct{}) { return r.log.Subscribe() }
@@ -85,6 +101,8 @@
 // Since returns the nodes that changed after a sequence, and those that are gone. It returns false if that isn't
 // known any more.
 func (r *Registry) Since(sequence int64) (changed []Member, gone []string, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	names, ok := r.log.Since(sequence)
 	for _, name := range names {
 		if m, listed := r.members[name]; listed {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -104,3 +104,29 @@
 	assert.Equal(t, first, second)
 	assert.Zero(t, r.Age(now.Add(time.Second)))
 }
+
+// TestSlowWatchersArentAStorm: when the watchers of a hall didn't answer twice in a row, all nodes of the hall read the
+// store by themselves, which made the store and the watchers slower still.
+func TestSlowWatchersArentAStorm(t *testing.T) {
+	reading := func(nodes int, silent time.Duration) int {
+		count := 0
+		for i := range 200 {
+			if !WaitsForNews(silent, fmt.Sprint("edge-", i), nodes) {
+				count++
+			}
+		}
+		return count
+	}
+	assert.Equal(t, 200, reading(20, 0), "in a small fleet each node reads at once")
+	assert.Zero(t, reading(985, newsPatience-time.Millisecond))
+	assert.Less(t, reading(985, newsPatience+2*time.Second), 40)
+	assert.Equal(t, 200, reading(985, newsPatience+985*readGap), "in the end each does")
+}
+
+func TestStartPatience(t *testing.T) {
+	assert.False(t, WaitsToStart(0, "n", maxSmall))
+	assert.True(t, WaitsToStart(0, "n", maxSmall+1))
+	assert.False(t, WaitsToStart(StartPatience+985*readGap, "n", 985))
+	assert.Equal(t, time.Second, MaxLag(time.Second, "n", maxSmall))
+	assert.GreaterOrEqual(t, MaxLag(time.Second, "n", 985), newsPatience)
+}
--- a/internal/seat/seat.go
+++ b/internal/seat/seat.go
@@ -19,7 +19,10 @@
 	"fmt"
 	"time"
 
+	"go.uber.org/zap"
+
 	"spurhall.example/spurhall/internal/store"
+	"spurhall.example/spurhall/internal/timer"
 )
 
 // prefix is the prefix of the seats' keys.
@@ -30,8 +33,15 @@
 	// cores tries before one with 0.2 has read the seats for the last time.
 	delayPerCore = 100 * time.Millisecond
 	maxDelay     = 600 * time.Millisecond
+	// patience is how long a node tries to learn who holds the seats, and pause the time between two tries.
+	patience = 3 * time.Second
+	pause    = 100 * time.Millisecond
 )
 
+// Period is how long the holders of seats read for their hall. By then, the nodes know each other, and the watchers have
+// read the store.
+const Period = 8 * time.Second
+
 // Delay returns how long after its start a node waits before it takes a seat. 0 cores means that they aren't
 // known.
 func Delay(cores float64) time.Duration {
@@ -94,3 +104,28 @@
 	}
 	return false, nil
 }
+
+// Await waits until all seats of the hall are held, or this node has taken one of them, for a limited time. It returns
+// the holders, if this node isn't known to be one of them.
+func (s *Seats) Await(ctx context.Context, clock *timer.Service, log *zap.Logger, self Holder, cores float64) (holders []Holder, taken bool) {
+	begun := clock.Now()
+	for clock.Since(begun) < patience {
+		list, err := s.Holders(ctx)
+		if err == nil && len(list) >= s.count {
+			return list, false
+		}
+		if err == nil && clock.Since(begun) >= Delay(cores) {
+			if taken, err = s.Take(ctx, self); taken {
+				log.Info("seat_taken", zap.String("key", s.prefix))
+				return nil, true
+			}
+		}
+		if err != nil {
+			log.Info("seats_unread", zap.String("cause", err.Error()))
+		}
+		if clock.Sleep(ctx, pause) != nil {
+			break
+		}
+	}
+	return nil, false
+}
