Pairs of a large fleet: one call each 2 s as a fallback

Cause: in a played start of 985 nodes, 12.6 s before its traffic, each node still called a peer in each round, since busy relays didn't name all nodes: as many calls as the reports to relays, each over a new connection, and the relays and watchers (0.8 cores) were at their limit. Change: one call each 2 s.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -69,6 +69,8 @@
 	// them takes some 25 connections a second.
 	oneShot  *http.Client
 	sequence uint64
+	// fallbackAt is when a peer of a large fleet that no relay names was last due.
+	fallbackAt time.Time
 }
 
 func newPeerTable(n *Node) *peerTable {
@@ -124,10 +126,10 @@
 	return t.clientOf(p)
 }
 
-// fallbackPairs is how many peers a node calls in a round in a large fleet, where it exchanges with those that no
-// relay names. While all nodes start, or relays are lost, these are most of the fleet, and each call opens a
-// connection.
-const fallbackPairs = 1
+// fallbackInterval is how often a node of a large fleet calls a peer, one of those that no relay names. While all nodes
+// start, or relays are slow, these are most of the fleet, and each call opens a connection: one in each round was as much
+// as the reports to the relays, and made these slower still.
+const fallbackInterval = 2 * time.Second
 
 // due returns the peers to call in this round.
 func (t *peerTable) due(now time.Time) []*peer {
@@ -141,10 +143,14 @@
 	for _, name := range pair.Due(now, t.n.settings.Node, t.size(), peers) {
 		list = append(list, t.peers[name])
 	}
-	if !pair.Suffice(t.size()) {
-		list = list[:min(len(list), fallbackPairs)]
+	if len(list) == 0 || pair.Suffice(t.size()) {
+		return list
+	}
+	if now.Sub(t.fallbackAt) < fallbackInterval {
+		return nil
 	}
-	return list
+	t.fallbackAt = now
+	return list[:1]
 }
 
 // names returns the names of the other nodes.
