Partial lists: followers know when they have one, and none is taken from another hall

Found by reading the change: a follower that was sent changes kept its mark of a whole list when its hall's others grew beyond what is sent, so it could have ordered upstreams; and a node cut off from the store would have taken the part of another hall, which lacks most of its own. Both have a test now, written with the mend: TestOtherHallsArePartsOnly ("when a hall grows"), TestPartialListsOfOtherHalls.

--- a/internal/edge/follow_test.go
+++ b/internal/edge/follow_test.go
@@ -179,6 +179,17 @@
 			assert.Greater(t, count, 60)
 		})
 	}
+	t.Run("when a hall grows, followers know that they have a part", func(t *testing.T) {
+		w, n := newWatchingNode(t, "w", 900), newFollowingNode(t)
+		at := follow.NewPosition(false)
+		pollAll(t, n, at, w)
+		assert.False(t, n.partial.Load())
+		for i := range 500 {
+			putItem(w, scaleItem(20_001+5*i))
+		}
+		pollAll(t, n, at, w)
+		assert.True(t, n.partial.Load())
+	})
 	t.Run("a small fleet is sent all", func(t *testing.T) {
 		w, n := newWatchingNode(t, "w", 600), newFollowingNode(t)
 		at := follow.NewPosition(false)
@@ -193,6 +204,17 @@
 	return len(items) > 0
 }
 
+// TestPartialListsOfOtherHalls: while the store is unavailable, a node takes the list of a peer that has a newer one. If
+// that is a part, it is of the peer's hall and has few upstreams of the node's own.
+func TestPartialListsOfOtherHalls(t *testing.T) {
+	n, _ := newScaleNode(t, 10, 100)
+	m := &wire.CatchUpResponse{ListRevision: 1000, Partial: true, List: message.ItemsToWire(scaleItems(3))}
+	n.applyList("edge-b-1", m)
+	assert.Equal(t, 100, n.pools.Len())
+	n.applyList("edge-a-5", m)
+	assert.Equal(t, 3, n.pools.Len(), "one of the own hall's is taken")
+}
+
 // TestPartialListsGiveNoOrders: a node whose list leaves out upstreams of other halls would order as many again.
 func TestPartialListsGiveNoOrders(t *testing.T) {
 	n, c := newScaleNode(t, 3, 600)
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -382,13 +382,20 @@
 
 // applyList applies a peer's upstream list while the store is unavailable to this node.
 func (n *Node) applyList(name string, m *wire.CatchUpResponse) {
-	if m.ListRevision <= n.pools.Revision() || n.guard.Up() {
-		return
+	if m.ListRevision <= n.pools.Revision() || n.guard.Up() || m.Partial && !n.isOfOwnHall(name) {
+		return // a partial list of another hall has few upstreams of this one
 	}
 	n.partial.Store(m.Partial)
 	n.replaceList(name, m.ListRevision, message.ItemsFromWire(m.List))
 }
 
+func (n *Node) isOfOwnHall(name string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p := n.peers.peers[name]
+	return p != nil && p.hall == n.settings.Hall
+}
+
 // edgeService serves the calls of other nodes.
 type edgeService struct{ n *Node }
 
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -75,7 +75,7 @@
 	Registry *roster.Registry
 	// UpdateList changes the upstream list, and names the node that sent the changes.
 	UpdateList func(source string, f func(now time.Time, l *pool.List))
-	// Listed is called when the whole list has been applied. partial says that it leaves out upstreams of other halls.
+	// Listed is called when this node's list is complete. partial says that it leaves out upstreams of other halls.
 	Listed func(partial bool)
 	// MembersHeard is called when the registry was received or confirmed; changed says that it differs.
 	MembersHeard func(now time.Time, changed bool)
@@ -139,6 +139,7 @@
 		}
 		l.Advance(m.ListRevision)
 	})
+	f.Listed(m.Partial)
 }
 
 // applyPart adds a part of a list, and applies the list once it is complete. Entries that change meanwhile are
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -413,25 +413,28 @@
 // Only the workspaces that it has used are visited, unless something was assumed: a fleet has hundreds of
 // workspaces, and a node uses few of them.
 func (q *Quotas) applyCharged(now time.Time, p *peer, charged map[string]float64, late bool) {
-	for n, b := range q.buckets {
-		if p.assumed == nil {
-			break
+	if p.assumed != nil {
+		for n, b := range q.buckets {
+			q.applyDifference(now, p, n, b, charged[n]-p.charged[n], late)
 		}
-		q.applyDifference(now, p, n, b, charged[n]-p.charged[n], late)
+	} else {
+		q.applyUsed(now, p, charged, late)
 	}
-	if p.assumed == nil {
-		for n, x := range charged {
-			if b := q.buckets[n]; b != nil && x != p.charged[n] {
-				q.applyDifference(now, p, n, b, x-p.charged[n], late)
-			}
+	p.charged, p.assumed, p.overflow = charged, nil, q.overflows(now)
+}
+
+// applyUsed is applyCharged for a peer of which nothing was assumed.
+func (q *Quotas) applyUsed(now time.Time, p *peer, charged map[string]float64, late bool) {
+	for n, x := range charged {
+		if b := q.buckets[n]; b != nil && x != p.charged[n] {
+			q.applyDifference(now, p, n, b, x-p.charged[n], late)
 		}
-		for n, x := range p.charged {
-			if _, still := charged[n]; !still && q.buckets[n] != nil {
-				q.applyDifference(now, p, n, q.buckets[n], -x, late) // a refund of all
-			}
+	}
+	for n, x := range p.charged {
+		if _, still := charged[n]; !still && q.buckets[n] != nil {
+			q.applyDifference(now, p, n, q.buckets[n], -x, late) // all of it was refunded
 		}
 	}
-	p.charged, p.assumed, p.overflow = charged, nil, q.overflows(now)
 }
 
 // applyDifference applies what a peer has charged to one bucket since its last report.
