--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -23,6 +23,7 @@
 	return &follow.Source{
 		Incarnation: n.options.Incarnation, Clock: n.clock, Pools: n.pools, Changes: n.changes, Registry: n.registry,
 		Watching: func() bool { return n.catalogFollower.connected.Load() && n.listFollower.connected.Load() },
+		Starting: func() bool { return n.isStarting() && n.mustWatch() },
 		Catalog: func() ([]byte, int64) {
 			h := n.catalog.Load()
 			if h == nil {
--- a/internal/edge/follow_test.go
+++ b/internal/edge/follow_test.go
@@ -272,3 +272,34 @@
 		assert.Equal(t, int64(4), r.ListSequence)
 	})
 }
+
+// TestFollowersWaitForAStartingWatcher: a node that has just taken a seat hasn't read the store yet. A follower that asks
+// it is answered once it has, and not told again and again that there is no news.
+func TestFollowersWaitForAStartingWatcher(t *testing.T) {
+	w := newWatchingNode(t, "w", 10)
+	w.listFollower.connected.Store(false)
+	w.listed.Store(false)
+	w.holdsSeat.Store(true)
+	answers := make(chan *wire.FollowResponse, 1)
+	go func() {
+		a, err := w.source.Await(t.Context(), follow.NewPosition(false).Request(1, 0))
+		assert.NoError(t, err)
+		answers <- a
+	}()
+	select {
+	case <-answers:
+		assert.Fail(t, "answered before the store was read")
+	case <-time.After(50 * time.Millisecond):
+	}
+	w.listed.Store(true)
+	w.listFollower.markRegained()
+	a := <-answers
+	assert.True(t, a.Watching)
+	assert.Len(t, a.List, 10)
+	t.Run("one that watches no longer says so at once", func(t *testing.T) {
+		w.listFollower.connected.Store(false)
+		a, err := w.source.Await(t.Context(), follow.NewPosition(false).Request(1, 0))
+		assert.NoError(t, err)
+		assert.False(t, a.Watching)
+	})
+}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -156,9 +156,16 @@
 func (n *Node) isLeaving() bool { return n.stopPhase() != forward.PhaseServing }
 
 // isReady reports whether this node should receive callers: it has the configuration and the upstream list,
-// isn't stopping, and accepts connections.
+// isn't stopping, and accepts connections. When the whole system starts, it also has to know the other nodes: until
+// then it would grant a workspace only a small part of its quota.
 func (n *Node) isReady() bool {
-	return n.currentCatalog() != nil && n.listed.Load() && !n.isLeaving() && !n.cannotAccept()
+	return n.currentCatalog() != nil && n.listed.Load() && !n.isLeaving() && !n.cannotAccept() && (!n.settings.FirstStart || n.hasMetOthers())
+}
+
+func (n *Node) hasMetOthers() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.knowsPeers(n.clock.Now())
 }
 
 // monitorFront wraps the callers' listener to detect failing accepts.
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -98,7 +98,9 @@
 }
 
 func (f *follower) markRegained() {
-	f.connected.Store(true)
+	if !f.connected.Swap(true) {
+		f.n.changes.Announce() // followers may wait for it
+	}
 	if f.failedSince.IsZero() {
 		return
 	}
--- a/internal/edge/watchers.go
+++ b/internal/edge/watchers.go
@@ -86,7 +86,7 @@
 	selfWatch := now.Before(n.selfWatchUntil)
 	n.mu.Unlock()
 	switch {
-	case selfWatch || n.holdsSeat.Load() && now.Sub(n.start) < seat.Period:
+	case selfWatch || n.holdsSeat.Load() && now.Sub(n.start) < seat.HolderPeriod:
 		return true
 	case n.isStarting():
 		return !n.startsAsFollower(now)
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -35,6 +35,8 @@
 	Registry    *roster.Registry
 	// Watching reports whether the node watches the store and is connected to it.
 	Watching func() bool
+	// Starting reports whether the node will watch the store, but hasn't read it yet.
+	Starting func() bool
 	// Catalog returns the configuration in force as the operator wrote it, and its version; nil: none.
 	Catalog func() (raw []byte, version int64)
 }
@@ -51,7 +53,7 @@
 		_, changed := s.Changes.Subscribe()
 		_, membersChanged := s.Registry.Subscribe()
 		a := s.Answer(r)
-		if !a.Watching || a.HasList || a.HasChanges || a.HasPart || a.HasMembers || a.HasMemberChanges || len(a.Catalog) > 0 {
+		if !a.Watching && !s.Starting() || a.HasList || a.HasChanges || a.HasPart || a.HasMembers || a.HasMemberChanges || len(a.Catalog) > 0 {
 			return a, nil
 		}
 		select {
