--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -9,11 +9,10 @@
 
 	"spurhall.example/spurhall/internal/duty"
 	"spurhall.example/spurhall/internal/lease"
-	"spurhall.example/spurhall/internal/pair"
 )
 
 // dutyInterval is how often the holder of the duties checks for due work.
-const dutyInterval = pair.Round
+const dutyInterval = 250 * time.Millisecond
 
 // runDuties acquires the lease when it is free, and performs the duties that the platform assigns to its
 // holder.
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -160,7 +160,16 @@
 	n.applyDigest(name, message.DigestFromWire(a))
 	n.mergeSuspicions(a.Suspicions, name)
 	n.mergeLimits(a.Limits, name)
-	n.pools.ApplyReport(name, nil, nil, message.EnginesFromWire(a.Engines))
+	if n.needsRelays() {
+		n.pools.ApplyReport(name, nil, nil, message.EnginesFromWire(a.Engines))
+	}
+}
+
+// needsRelays reports whether the fleet is so large that pairs don't show what other nodes have learned and sent.
+func (n *Node) needsRelays() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !pair.Suffice(n.peers.size())
 }
 
 // recordRelayCall records whether a relay responded.
@@ -291,7 +300,7 @@
 	n.aggregator.MergeGroup(now, g)
 	for _, c := range g.Changes {
 		n.usage.Merge(c.Node, c.Incarnation, c.Started)
-		if p := n.peers.peers[c.Node]; p != nil && !c.Unresponsive && now.Add(-c.Age).After(p.workAt) {
+		if p := n.peers.peers[c.Node]; !pair.Suffice(n.peers.size()) && p != nil && !c.Unresponsive && now.Add(-c.Age).After(p.workAt) {
 			p.work, p.workAt = c.Work, now.Add(-c.Age)
 		}
 	}
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -12,7 +12,6 @@
 	"go.uber.org/zap"
 
 	"spurhall.example/spurhall/internal/changelog"
-	"spurhall.example/spurhall/internal/pair"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/roster"
 	"spurhall.example/spurhall/internal/store"
@@ -342,7 +341,7 @@
 }
 
 // expireInterval is how often entries that went missing in an outage are checked.
-const expireInterval = pair.Round
+const expireInterval = 200 * time.Millisecond
 
 func (n *Node) expireMissing(ctx context.Context) {
 	n.clock.Every(ctx, expireInterval, func(time.Time) {
--- a/internal/edge/watchers.go
+++ b/internal/edge/watchers.go
@@ -9,7 +9,6 @@
 	"go.uber.org/zap"
 
 	"spurhall.example/spurhall/internal/follow"
-	"spurhall.example/spurhall/internal/pair"
 	"spurhall.example/spurhall/internal/roster"
 	"spurhall.example/spurhall/internal/seat"
 )
@@ -40,7 +39,7 @@
 	// repeatedFailures is the number of failed polls in a row of which one is logged.
 	repeatedFailures = 20
 	// roleCheckInterval is how often a node checks whether it has to watch.
-	roleCheckInterval = pair.Round
+	roleCheckInterval = 250 * time.Millisecond
 )
 
 // watchers returns the nodes of this hall that watch the store.
@@ -195,7 +194,7 @@
 			f(c)
 		}()
 	}
-	for holds() && n.clock.AwaitTick(c, roleCheckInterval) == nil {
+	for holds() && n.clock.Sleep(c, roleCheckInterval) == nil {
 	}
 	cancel()
 	w.Wait()
--- a/internal/timer/timer.go
+++ b/internal/timer/timer.go
@@ -16,7 +16,6 @@
 
 // Service tells the time and wakes its subscribers.
 type Service struct {
-	began     time.Time // origin of the ticks of Every; zero: each loop has its own
 	now       func() time.Time
 	wall      func() time.Time
 	suspended func() time.Duration
@@ -27,8 +26,7 @@
 // Real returns the service that follows the machine's clock.
 func Real() *Service {
 	u := newSuspensions(readClock)
-	now := func() time.Time { return time.Now().Add(u.total()) }
-	return &Service{began: now(), now: now, wall: time.Now, suspended: u.total, after: realAfter, afterFunc: realAfterFunc}
+	return &Service{now: func() time.Time { return time.Now().Add(u.total()) }, wall: time.Now, suspended: u.total, after: realAfter, afterFunc: realAfterFunc}
 }
 
 func realAfterFunc(d time.Duration, f func()) func() {
@@ -81,32 +79,13 @@
 }
 
 // Every calls f each d until the context ends. A call that takes longer than d
-// delays the next one; calls are never stacked. Calls with the same interval come
-// at the same times, so that an idle process wakes up once for all of them.
+// delays the next one; calls are never stacked.
 func (s *Service) Every(ctx context.Context, d time.Duration, f func(now time.Time)) {
-	for s.AwaitTick(ctx, d) == nil {
+	for s.Sleep(ctx, d) == nil {
 		f(s.now())
 	}
 }
 
-// AwaitTick waits until the next tick of an interval, or until the context ends, whose error it then returns.
-func (s *Service) AwaitTick(ctx context.Context, d time.Duration) error {
-	if s.began.IsZero() {
-		return s.Sleep(ctx, d)
-	}
-	return s.Sleep(ctx, untilTick(s.Since(s.began), d))
-}
-
-// untilTick returns the time until the next tick of an interval, at an age of the service. A tick that is less than a
-// quarter of the interval away is left out, so that a call which began late isn't followed by another at once.
-func untilTick(age, d time.Duration) time.Duration {
-	wait := d - age%d
-	if wait < d/4 {
-		wait += d
-	}
-	return wait
-}
-
 // Watchdog calls a function unless it is fed in time.
 type Watchdog struct {
 	feed chan struct{}
