--- a/cmd/spurhalld/main.go
+++ b/cmd/spurhalld/main.go
@@ -153,15 +153,20 @@
 		{s.CallerListen, sec.callers, n.CallerHandler()},
 		{s.AdminListen, sec.callers, admin.Handler(admin.Options{Node: n, TokenHashes: s.AdminTokenHashes, Drain: drain})},
 	}
-	var open []*http.Server
-	for _, v := range servers {
+	// All listeners are open before one is served: a node that answers callers answers operators, too.
+	listeners := make([]net.Listener, len(servers))
+	for i, v := range servers {
 		l, err := settings.Listen(v.address, v.tls)
 		if err != nil {
 			return err
 		}
+		listeners[i] = l
+	}
+	var open []*http.Server
+	for i, v := range servers {
 		h := server(v.handler)
 		open = append(open, h)
-		go func(l net.Listener) { _ = h.Serve(l) }(l)
+		go func() { _ = h.Serve(listeners[i]) }()
 	}
 	n.Start()
 	<-stop
