Claims: a response whose write to the store got no answer is written again

Cause: the response of a keyed call was written to its claim once.

Change: the write is tried again for a minute, each second, for 256 responses at once at most (16 kB each); a response that is given up is logged as claim_record_lost. A write that took effect without an answer is recognised.

--- a/internal/claim/manager.go
+++ b/internal/claim/manager.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,6 +31,11 @@
 // ErrNotMember says that the store holds no member record of this node yet.
 var ErrNotMember = errs.NewType("not_member").New("this node is not yet a member")
 
+var (
+	errManyRecords   = errs.NewType("many_records").New("too many responses wait for the store")
+	errClaimModified = errs.NewType("claim_modified").New("the claim was modified meanwhile")
+)
+
 // Member is the stored record of a member.
 type Member struct {
 	ID      string `json:"id"`
@@ -79,6 +85,8 @@
 	ctx         context.Context
 	markedSince map[uint64]time.Time // when a key was first seen marked on this node
 	maxLifetime time.Duration        // longest lifetime requested so far
+
+	recordsWaiting atomic.Int32 // responses that are being written to their claims
 }
 
 type pendingWrite struct {
--- a/internal/claim/write.go
+++ b/internal/claim/write.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -291,7 +292,16 @@
 // maxRecordBody bounds the bytes of a response body that is kept for later callers of a key.
 const maxRecordBody = 16 << 10
 
-// storeRecord stores the response with the claim.
+// A response whose write got no answer is written again, through an outage of a minute. recordsAtOnce bounds
+// the responses that wait for that, at maxRecordBody each.
+const (
+	recordAttempts   = 60
+	recordRetryDelay = time.Second
+	recordsAtOnce    = 256
+)
+
+// storeRecord stores the response with the claim. Without it, later callers of the key are told that the call
+// may have run, instead of what it returned.
 func (b *Manager) storeRecord(key uint64, v Record) {
 	b.mu.Lock()
 	ctx := b.ctx
@@ -301,20 +311,48 @@
 	}
 	j, err := json.Marshal(v)
 	if err != nil {
+		b.recordLost(key, v.Attempt, err)
 		return
 	}
-	k := claimKey(key)
-	r, err := b.o.KV.Range(ctx, k, "")
-	if err != nil || len(r.Pairs) == 0 {
+	if b.recordsWaiting.Add(1) > recordsAtOnce {
+		b.recordsWaiting.Add(-1)
+		b.recordLost(key, v.Attempt, errManyRecords)
 		return
 	}
-	if w, _ := b.matchClaim(pendingWrite{attempt: v.Attempt}, r.Pairs[0]); w != WriteGranted {
-		return
+	defer b.recordsWaiting.Add(-1)
+	for n := 0; n < recordAttempts; n++ {
+		if err = b.tryRecord(ctx, claimKey(key), v.Attempt, j); err == nil {
+			return
+		}
+		if b.o.Clock.Sleep(ctx, recordRetryDelay) != nil {
+			break
+		}
+	}
+	b.recordLost(key, v.Attempt, err)
+}
+
+func (b *Manager) recordLost(key uint64, attempt string, err error) {
+	b.o.Event("claim_record_lost", fmt.Sprintf("key %016x, attempt %s: %v", key, attempt, err))
+}
+
+// tryRecord writes a response to the attempt's claim. There is nothing to write if the claim isn't this
+// attempt's, or if a write without an answer has stored the response already.
+func (b *Manager) tryRecord(ctx context.Context, k, attempt string, value []byte) error {
+	r, err := b.o.KV.Range(ctx, k, "")
+	if err != nil || len(r.Pairs) == 0 || bytes.Equal(r.Pairs[0].Value, value) {
+		return err
 	}
-	_, _ = b.o.KV.Txn(ctx, store.Txn{
+	if w, _ := b.matchClaim(pendingWrite{attempt: attempt}, r.Pairs[0]); w != WriteGranted {
+		return nil
+	}
+	t, err := b.o.KV.Txn(ctx, store.Txn{
 		If:   []store.Compare{store.Unmodified(k, r.Pairs[0].Modified)},
-		Then: []store.Op{{Kind: store.OpPut, Key: k, Value: j, Lease: r.Pairs[0].Lease}},
+		Then: []store.Op{{Kind: store.OpPut, Key: k, Value: value, Lease: r.Pairs[0].Lease}},
 	})
+	if err == nil && !t.Succeeded {
+		return errClaimModified
+	}
+	return err
 }
 
 // LoadRecord returns the stored record of a key.
--- a/internal/node/keyed_test.go
+++ b/internal/node/keyed_test.go
@@ -1,14 +1,19 @@
 package node
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 
+	"spurhall.example/spurhall/internal/claim"
 	"spurhall.example/spurhall/internal/standin"
+	"spurhall.example/spurhall/internal/store"
 )
 
 // callAllNodes sends a call with the same key through every node concurrently and returns the responses.
@@ -64,6 +69,45 @@
 	assert.Equal(t, 1, r.plain.Runs()["k"])
 }
 
+// TestKeyedCallWhoseRecordIsLost: the first write of a response to its claim gets no answer. Later callers of
+// the key must still be given the response.
+func TestKeyedCallWhoseRecordIsLost(t *testing.T) {
+	for _, f := range []struct {
+		name    string
+		applied bool // the write whose answer is lost took effect
+	}{{"not applied", false}, {"applied", true}} {
+		t.Run(f.name, func(t *testing.T) {
+			var lost atomic.Bool
+			r := newRigWith(t, func(o *Options) {
+				txn := o.KV.Txn
+				o.KV.Txn = func(ctx context.Context, x store.Txn) (store.TxnResult, error) {
+					if !isRecord(x) || lost.Swap(true) {
+						return txn(ctx, x)
+					}
+					if f.applied {
+						_, _ = txn(ctx, x)
+					}
+					return store.TxnResult{}, store.ErrUnknown
+				}
+			}, "hall-a", "hall-b")
+			a := r.nodes[0].keyed("/refuse", "k")
+			assert.Equal(t, "done", a.outcome)
+			r.eventually("the response is recorded", func() bool {
+				b := r.nodes[1].keyed("/refuse", "k")
+				return b.header.Get("Idempotent-Replayed") == "true" && b.body == a.body
+			})
+			assert.True(t, lost.Load())
+			assert.Equal(t, 1, r.plain.Runs()["k"])
+		})
+	}
+}
+
+// isRecord returns whether a transaction writes a response to a claim.
+func isRecord(x store.Txn) bool {
+	var v claim.Record
+	return len(x.Then) == 1 && json.Unmarshal(x.Then[0].Value, &v) == nil && v.Attempt != "" && v.Outcome != ""
+}
+
 func TestKeyedCallInAnOutage(t *testing.T) {
 	r := newRig(t, "hall-a", "hall-a", "hall-b")
 	r.outage()
