handover: what the holder of the duties leaves to its successor is a package of its own

Change: handover.Store reads and writes a record on condition of the term; Floor, Levels, Usage and Engines know neither node nor lock. edge/records.go connects them with quotas and usage. Rounded figures of log lines are logging.Hundredths. Tests moved along; that orders of reclaimable upstreams are no lower bound is checked at the orderer, where it is decided now.

--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"spurhall.example/spurhall/internal/duty"
+	"spurhall.example/spurhall/internal/handover"
 	"spurhall.example/spurhall/internal/lease"
 )
 
@@ -39,8 +40,8 @@
 	}()
 	o := newOrderer(n)
 	rolls := newRunner(n)
-	var c usageCountsWriter
-	var v levelsWriter
+	var c handover.Usage
+	v := handover.NewLevels(n.clock, dutyInterval)
 	var q quarantineWriter
 	term := int64(0)
 	n.clock.Every(ctx, dutyInterval, func(time.Time) {
@@ -48,14 +49,14 @@
 		if n.settings.Cloud.Usage && held {
 			if token != term {
 				term = token
-				c.restore(ctx, n)
-				v, e = levelsWriter{}, eraTerm{}
+				n.restoreUsage(ctx)
+				c, v, e = handover.Usage{}, handover.NewLevels(n.clock, dutyInterval), eraTerm{}
 			}
 			if !e.loaded {
 				e.restore(ctx, n, token)
 			}
-			c.write(ctx, n, token)
-			v.write(ctx, n, token)
+			n.writeUsage(ctx, &c, token)
+			n.writeLevels(ctx, v, token)
 			r.Step(ctx)
 		}
 		if held {
--- a/internal/edge/era.go
+++ b/internal/edge/era.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"spurhall.example/spurhall/internal/era"
+	"spurhall.example/spurhall/internal/handover"
 	"spurhall.example/spurhall/internal/wire"
 )
 
@@ -67,7 +68,7 @@
 }
 
 // eraRecord holds the start of the first duty term in an era.
-var eraRecord = record{name: "era", key: "spurhall/era"}
+var eraRecord = handover.Record{Name: "era", Key: "spurhall/era"}
 
 // eraStart is the value of eraRecord.
 type eraStart struct {
@@ -92,7 +93,7 @@
 		return
 	}
 	var w eraStart
-	found, err := eraRecord.load(ctx, n, &w)
+	found, err := n.records().Load(ctx, eraRecord, &w)
 	if err != nil {
 		n.log.Info("era_unread", zap.String("cause", err.Error()))
 		v.loaded = found // a value that can't be decoded stays unreadable
@@ -106,7 +107,7 @@
 	case n.settings.FirstStart && n.storeRestoredAt.Load() == nil:
 		v.startedAt = time.UnixMilli(0) // first start of the whole system: there was no earlier holder
 	}
-	v.loaded = eraRecord.write(ctx, n, token, eraStart{Era: era.Of(token), At: v.startedAt.UnixMilli()})
+	v.loaded = n.records().Write(ctx, eraRecord, token, eraStart{Era: era.Of(token), At: v.startedAt.UnixMilli()})
 }
 
 // isDoubtful reports whether a window with that end may have been settled in a previous era.
--- a/internal/edge/era_test.go
+++ b/internal/edge/era_test.go
@@ -11,6 +11,7 @@
 
 	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/era"
+	"spurhall.example/spurhall/internal/handover"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/quarantine"
 	"spurhall.example/spurhall/internal/standin"
@@ -62,18 +63,17 @@
 // again.
 func TestOrderFloorRewrittenAfterStoreRestore(t *testing.T) {
 	ctx, n := t.Context(), newEraNode(t)
-	onDemand := orderKey{"llm", "hall-a", false}
 	token := acquireLease(t, n.Node)
 	copied := n.keys.Copy()
-	var v, next orderFloor
-	v.restore(ctx, n.Node, token)
-	v.record(onDemand, 4)
-	v.write(ctx, n.Node, token)
+	var v, next handover.Floor
+	v.Restore(ctx, n.records(), token, n.orderFloorEnd())
+	v.SetCount("llm", "hall-a", 4)
+	v.Write(ctx, n.records(), token)
 	token = n.restoreStore(t, copied)
-	v.restore(ctx, n.Node, token)
-	v.write(ctx, n.Node, token)
-	next.restore(ctx, n.Node, token)
-	assert.Equal(t, 4, next.minCount(n.clock.Service().Now(), onDemand))
+	v.Restore(ctx, n.records(), token, n.orderFloorEnd())
+	v.Write(ctx, n.records(), token)
+	next.Restore(ctx, n.records(), token, n.orderFloorEnd())
+	assert.Equal(t, 4, next.MinCount(n.clock.Service().Now(), "llm", "hall-a"))
 }
 
 // TestQuarantineRewrittenAfterStoreRestore checks that crashes recorded since the copy are written to the
@@ -88,11 +88,11 @@
 	}
 	var q quarantineWriter
 	q.write(ctx, n.Node, token)
-	assert.Len(t, n.keys.Range(quarantineRecord.key, "").Pairs, 1)
+	assert.Len(t, n.keys.Range(quarantineRecord.Key, "").Pairs, 1)
 	token = n.restoreStore(t, copied)
-	assert.Empty(t, n.keys.Range(quarantineRecord.key, "").Pairs)
+	assert.Empty(t, n.keys.Range(quarantineRecord.Key, "").Pairs)
 	q.write(ctx, n.Node, token)
-	assert.Len(t, n.keys.Range(quarantineRecord.key, "").Pairs, 1)
+	assert.Len(t, n.keys.Range(quarantineRecord.Key, "").Pairs, 1)
 }
 
 // TestEnginesRewrittenAfterStoreRestore restores the store to a copy whose engine figures are missing or older
@@ -106,19 +106,19 @@
 			ctx, n := t.Context(), newEraNode(t)
 			n.pools = pool.New(n.clock.Service(), "a", "hall-a")
 			token := acquireLease(t, n.Node)
-			var v enginesWriter
-			v.restore(ctx, n.Node)
-			v.write(ctx, n.Node, token, copied)
+			var v handover.Engines
+			v.Restore(ctx, n.records(), n.pools.RestoreEngine)
+			v.Write(ctx, n.records(), token, copied)
 			c := n.keys.Copy()
 			n.pools.RestoreEngine("llm", now)
-			v.write(ctx, n.Node, token, n.pools.Learned())
+			v.Write(ctx, n.records(), token, n.pools.Learned())
 			token = n.restoreStore(t, c)
-			v.restore(ctx, n.Node)
+			v.Restore(ctx, n.records(), n.pools.RestoreEngine)
 			assert.Equal(t, now.Reading, n.pools.Engine("llm").Reading)
-			v.write(ctx, n.Node, token, n.pools.Learned())
+			v.Write(ctx, n.records(), token, n.pools.Learned())
 			n.pools = pool.New(n.clock.Service(), "a", "hall-a")
-			var next enginesWriter
-			next.restore(ctx, n.Node)
+			var next handover.Engines
+			next.Restore(ctx, n.records(), n.pools.RestoreEngine)
 			assert.Equal(t, now.Reading, n.pools.Engine("llm").Reading, "a later process restores it")
 		})
 	}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -10,6 +10,7 @@
 //	limits.go     shares the rate limits that upstreams set for all nodes together
 //	rollouts.go   moves traffic to upstreams of another version
 //	duties.go     runs the duties of the lease holder, such as usage reports
+//	records.go    connects the records for the next holder (package handover) with quotas and usage
 //	serve.go      listeners, readiness, planned stop
 //
 // A request holds no lock for longer than a map look-up and never waits for the store: agreed state
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"expvar"
-	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,6 +12,8 @@
 	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/catalog"
 	"spurhall.example/spurhall/internal/duty"
+	"spurhall.example/spurhall/internal/handover"
+	"spurhall.example/spurhall/internal/logging"
 	"spurhall.example/spurhall/internal/roster"
 )
 
@@ -55,8 +56,8 @@
 	rates      map[string]*autoscale.RateEstimator
 	orders     map[orderKey]placedOrder
 	token      int64 // of the term that the orders belong to
-	floor      orderFloor
-	engines    enginesWriter
+	floor      handover.Floor
+	engines    handover.Engines
 	maxListed  int       // highest number of listed upstreams
 	listGrewAt time.Time // when the list last grew
 	startedAt  time.Time // when it began to observe the whole list; zero: it doesn't
@@ -87,8 +88,8 @@
 	token, held := o.n.lease.Token()
 	if held && token != o.token {
 		o.token, o.orders = token, make(map[orderKey]placedOrder)
-		o.floor.restore(ctx, o.n, token)
-		o.engines.restore(ctx, o.n)
+		o.floor.Restore(ctx, o.n.records(), token, o.n.orderFloorEnd())
+		o.engines.Restore(ctx, o.n.records(), o.n.pools.RestoreEngine)
 	}
 	engines := make(map[string]capacity.Engine)
 	for _, name := range c.Services() {
@@ -108,8 +109,8 @@
 		}
 	}
 	if held {
-		o.floor.write(ctx, o.n, token)
-		o.engines.write(ctx, o.n, token, engines)
+		o.floor.Write(ctx, o.n.records(), token)
+		o.engines.Write(ctx, o.n.records(), token, engines)
 	}
 }
 
@@ -239,7 +240,7 @@
 // order orders a count if it changed, or if the hall hasn't had it for a while.
 func (o *orderer) order(ctx context.Context, token int64, m *autoscale.MixPlanner, s orderKey, count int, have map[orderKey]int, load capacity.Work) {
 	now := o.n.clock.Now()
-	count = max(count, o.floor.minCount(now, s))
+	count = max(count, o.minCount(now, s))
 	if o.n.isRollingOut(s.service) {
 		count = max(count, have[s])
 	}
@@ -252,13 +253,13 @@
 	}
 	if !ordered && have[s] == count {
 		o.orders[s] = placedOrder{count, now}
-		o.floor.record(s, count)
+		o.setFloor(s, count)
 		return
 	}
 	err := o.n.options.Cloud.Order(ctx, token, duty.Order{Service: s.service, Hall: s.hall, Count: count, Reclaimable: s.reclaimable})
 	o.orders[s] = placedOrder{count, now}
 	outcome := "taken"
-	o.floor.record(s, count) // also without a response: the order may have been carried out
+	o.setFloor(s, count) // also without a response: the order may have been carried out
 	switch {
 	case err == nil && s.reclaimable:
 		m.Granted(s.hall)
@@ -273,8 +274,36 @@
 	}
 	e := o.n.pools.Engine(s.service)
 	o.n.log.Info("order", zap.String("service", s.service), zap.String("hall", s.hall), zap.Bool("reclaimable", s.reclaimable), zap.Int("count", count),
-		zap.Int("have", have[s]), zap.Float64("load", roundHundredths(load.Prefill)), zap.Float64("slots", roundHundredths(load.Slots)), zap.Float64("memory", roundHundredths(load.Memory)),
-		zap.Stringer("binds", m.BindingResource()), zap.Float64("reading", roundHundredths(e.Reading)), zap.Float64("first_ms", roundHundredths(e.First)), zap.Float64("token_ms", roundHundredths(e.Token)), zap.Int("samples", e.Samples), zap.Int64("token", token), zap.String("outcome", outcome))
+		zap.Int("have", have[s]), logging.Hundredths("load", load.Prefill), logging.Hundredths("slots", load.Slots), logging.Hundredths("memory", load.Memory),
+		zap.Stringer("binds", m.BindingResource()), logging.Hundredths("reading", e.Reading), logging.Hundredths("first_ms", e.First), logging.Hundredths("token_ms", e.Token), zap.Int("samples", e.Samples), zap.Int64("token", token), zap.String("outcome", outcome))
+}
+
+// setFloor keeps a count that was ordered on demand for the next holder.
+func (o *orderer) setFloor(s orderKey, count int) {
+	if !s.reclaimable {
+		o.floor.SetCount(s.service, s.hall, count)
+	}
+}
+
+// minCount returns the lowest count that may be ordered now.
+func (o *orderer) minCount(now time.Time, s orderKey) int {
+	if s.reclaimable {
+		return 0
+	}
+	return o.floor.MinCount(now, s.service, s.hall)
+}
+
+// orderFloorEnd returns until when this process orders no fewer than the previous holder.
+func (n *Node) orderFloorEnd() time.Time {
+	boot := time.Duration(0)
+	if c := n.currentCatalog(); c != nil {
+		for _, name := range c.Services() {
+			if s := c.Service(name).Scaling; s != nil {
+				boot = max(boot, s.BootTime)
+			}
+		}
+	}
+	return n.start.Add(handover.FloorPeriod(boot))
 }
 
 // engineFigures holds the engine figures and the load, by service.
@@ -299,6 +328,3 @@
 		f.Set(x)
 	}
 }
-
-// roundHundredths rounds a figure for a log line.
-func roundHundredths(x float64) float64 { return math.Round(x*100) / 100 }
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"spurhall.example/spurhall/internal/handover"
 	"spurhall.example/spurhall/internal/quarantine"
 	"spurhall.example/spurhall/internal/wire"
 )
@@ -70,7 +71,7 @@
 }
 
 // quarantineRecord holds the crashes that quarantine requests.
-var quarantineRecord = record{name: "held", key: "spurhall/held"}
+var quarantineRecord = handover.Record{Name: "held", Key: "spurhall/held"}
 
 // storedCrash is a crash of an upstream with its wall-clock time, as processes on other VMs read it.
 type storedCrash struct {
@@ -96,7 +97,7 @@
 	for i, e := range ends {
 		list[i] = storedCrash{e.Fingerprint, e.Upstream, n.clock.WallOf(e.At).UnixMilli()}
 	}
-	if quarantineRecord.write(ctx, n, token, list) {
+	if n.records().Write(ctx, quarantineRecord, token, list) {
 		v.written, v.token = version, token
 	}
 }
@@ -108,7 +109,7 @@
 	}
 	var list []storedCrash
 	for {
-		found, err := quarantineRecord.load(ctx, n, &list)
+		found, err := n.records().Load(ctx, quarantineRecord, &list)
 		if err == nil {
 			break
 		}
@@ -127,5 +128,5 @@
 		w.Crashes = append(w.Crashes, quarantine.Crash{Fingerprint: v.Fingerprint, Upstream: v.Upstream, At: at})
 	}
 	n.log.Info("held_found", zap.Int("ends", len(w.Crashes)))
-	n.front.ApplyQuarantine(n.quarantine.Merge(now, w), quarantineRecord.key)
+	n.front.ApplyQuarantine(n.quarantine.Merge(now, w), quarantineRecord.Key)
 }
--- a/internal/edge/levels_test.go
+++ b/internal/edge/records_levels_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"spurhall.example/spurhall/internal/catalog"
+	"spurhall.example/spurhall/internal/handover"
 	"spurhall.example/spurhall/internal/quota"
 	"spurhall.example/spurhall/internal/standin"
 	"spurhall.example/spurhall/internal/store"
@@ -35,19 +36,19 @@
 	}
 	level := func(n *Node) float64 { return n.quotas.Levels(clock.Service().Now())["w"].Level }
 	a := start("a", true)
-	var v levelsWriter
-	v.write(ctx, a, acquireLease(t, a))
-	written := v.writtenAt
+	v := handover.NewLevels(clock.Service(), dutyInterval)
+	a.writeLevels(ctx, v, acquireLease(t, a))
+	written := v.WrittenAt()
 
 	t.Run("unchanged levels aren't written again", func(t *testing.T) {
-		clock.Advance(levelsCheckInterval)
+		clock.Advance(handover.LevelsCheckInterval)
 		token, _ := a.lease.Token()
-		v.write(ctx, a, token)
-		assert.Equal(t, written, v.writtenAt)
+		a.writeLevels(ctx, v, token)
+		assert.Equal(t, written, v.WrittenAt())
 		assert.True(t, a.quotas.Charge(clock.Service().Now(), "w", 900).Allowed)
-		clock.Advance(levelsCheckInterval)
-		v.write(ctx, a, token)
-		assert.NotEqual(t, written, v.writtenAt)
+		clock.Advance(handover.LevelsCheckInterval)
+		a.writeLevels(ctx, v, token)
+		assert.NotEqual(t, written, v.WrittenAt())
 	})
 	t.Run("a starting process restores them", func(t *testing.T) {
 		clock.Advance(100 * time.Millisecond)
--- a/internal/edge/records_test.go
+++ b/internal/edge/records_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"spurhall.example/spurhall/internal/forward"
+	"spurhall.example/spurhall/internal/handover"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/quota"
 	"spurhall.example/spurhall/internal/rollout"
@@ -47,7 +48,7 @@
 		n.peers = &peerTable{}
 		token := acquireLease(t, n.Node)
 		var keys []store.Op
-		for _, k := range []string{orderedRecord.key, enginesRecord.key, levelsRecord.key, usageCountsRecord.key, quarantineRecord.key, eraRecord.key, rolloutStagePrefix + "s"} {
+		for _, k := range []string{handover.OrderedRecord.Key, handover.EnginesRecord.Key, handover.LevelsRecord.Key, handover.UsageRecord.Key, quarantineRecord.Key, eraRecord.Key, rolloutStagePrefix + "s"} {
 			keys = append(keys, store.Op{Kind: store.OpPut, Key: k, Value: b})
 		}
 		_, err := n.kv.Txn(ctx, store.Txn{Then: keys})
@@ -56,21 +57,21 @@
 		n.startTrial(rollout.Order{Service: "s", Target: "v2", Duration: time.Second, Revision: 5}, "test")
 		n.mu.Unlock()
 
-		var o orderFloor
-		o.restore(ctx, n.Node, token)
-		o.record(orderKey{"llm", "hall-a", false}, 3)
-		o.write(ctx, n.Node, token)
-		if o.minCount(service.Now(), orderKey{"llm", "hall-a", false}) < 0 {
+		var o handover.Floor
+		o.Restore(ctx, n.records(), token, n.orderFloorEnd())
+		o.SetCount("llm", "hall-a", 3)
+		o.Write(ctx, n.records(), token)
+		if o.MinCount(service.Now(), "llm", "hall-a") < 0 {
 			t.Error("the lowest ordered count is negative")
 		}
-		var l enginesWriter
-		l.restore(ctx, n.Node)
+		var l handover.Engines
+		l.Restore(ctx, n.records(), n.pools.RestoreEngine)
 		if e := n.pools.Engine("llm"); e.Reading < 0 || e.Token < 0 || math.IsInf(e.Reading, 0) {
 			t.Errorf("invalid engine figures: %+v", e)
 		}
-		var c usageCountsWriter
-		c.restore(ctx, n.Node)
-		c.write(ctx, n.Node, token)
+		var c handover.Usage
+		n.restoreUsage(ctx)
+		n.writeUsage(ctx, &c, token)
 		var e eraTerm
 		e.restore(ctx, n.Node, token)
 		n.restoreLevels(ctx)
--- a/internal/edge/usage_counts_test.go
+++ b/internal/edge/records_usage_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"spurhall.example/spurhall/internal/handover"
 	"spurhall.example/spurhall/internal/standin"
 	"spurhall.example/spurhall/internal/store"
 	"spurhall.example/spurhall/internal/timer"
@@ -36,24 +37,24 @@
 	a := newCounter(t, kv, clock.Service(), "a", "1")
 	acquireLease(t, a)
 	window := a.usage.Window(clock.Service().Now())
-	var c usageCountsWriter
-	c.restore(ctx, a)
+	var c handover.Usage
+	a.restoreUsage(ctx)
 	a.usage.Add(clock.Service().Now(), "w")
 	a.usage.Merge("b", "1", usage.Windows{window: {"w": 7}})
 	clock.Advance(5 * time.Second)
 	a.usage.Add(clock.Service().Now(), "w") // in the next window
 	a.lease.Resign()                        // not renewed while the clock was advanced
 	token := acquireLease(t, a)
-	c.write(ctx, a, token)
-	assert.Zero(t, c.writtenWindow, "reports of the end of the window are still outstanding")
-	clock.Advance(usageWriteDelay)
-	c.write(ctx, a, token)
-	assert.Equal(t, window, c.writtenWindow)
+	a.writeUsage(ctx, &c, token)
+	assert.Zero(t, c.Window(), "reports of the end of the window are still outstanding")
+	clock.Advance(handover.UsageWriteDelay)
+	a.writeUsage(ctx, &c, token)
+	assert.Equal(t, window, c.Window())
 
 	restarted := newCounter(t, kv, clock.Service(), "a", "2")
 	acquireLease(t, restarted)
-	var d usageCountsWriter
-	d.restore(ctx, restarted)
+	var d handover.Usage
+	restarted.restoreUsage(ctx)
 	assert.Equal(t, usage.Counts{"w": 8}, restarted.usage.Sum(window))
 	assert.Empty(t, restarted.usage.Sum(window+1), "windows that haven't ended aren't written")
 	t.Run("repeated reports of a process are counted once", func(t *testing.T) {
@@ -61,37 +62,35 @@
 		assert.Equal(t, usage.Counts{"w": 8}, restarted.usage.Sum(window))
 	})
 	t.Run("counts to be written are a copy", func(t *testing.T) {
-		list := restarted.processCounts(window)
+		list := handover.CountsOf(restarted.usage, "a", "2", window)
 		restarted.usage.Merge("b", "1", usage.Windows{window: {"w": 100, "v": 1}})
 		for _, p := range list {
 			assert.NotContains(t, p.Windows[window], "v")
 		}
 		restarted.usage = usage.New("a", "2", 5*time.Second)
-		d.restore(ctx, restarted)
+		restarted.restoreUsage(ctx)
 	})
 	t.Run("late counts cause another write", func(t *testing.T) {
 		a.lease.Resign()
 		restarted.lease.Resign()
 		token := acquireLease(t, a)
 		a.usage.Merge("c", "1", usage.Windows{window: {"w": 30}}) // its hall was partitioned
-		clock.Advance(usageRewriteInterval)
-		c.write(ctx, a, token)
+		clock.Advance(handover.UsageRewriteInterval)
+		a.writeUsage(ctx, &c, token)
 		a.lease.Resign()
 		late := newCounter(t, kv, clock.Service(), "a", "4")
 		acquireLease(t, late)
-		var e usageCountsWriter
-		e.restore(ctx, late)
+		late.restoreUsage(ctx)
 		assert.Equal(t, usage.Counts{"w": 38}, late.usage.Sum(window))
 		late.lease.Resign()
 		acquireLease(t, restarted)
 	})
 	t.Run("a holder writes restored counts again", func(t *testing.T) {
 		restarted.lease.Resign()
-		d.write(ctx, restarted, acquireLease(t, restarted))
+		restarted.writeUsage(ctx, &d, acquireLease(t, restarted))
 		third := newCounter(t, kv, clock.Service(), "a", "3")
 		acquireLease(t, third)
-		var e usageCountsWriter
-		e.restore(ctx, third)
+		third.restoreUsage(ctx)
 		assert.Equal(t, usage.Counts{"w": 8}, third.usage.Sum(window))
 	})
 }
--- a/internal/edge/rollout_runner.go
+++ b/internal/edge/rollout_runner.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"spurhall.example/spurhall/internal/logging"
 	"spurhall.example/spurhall/internal/rollout"
 	"spurhall.example/spurhall/internal/store"
 )
@@ -286,7 +287,7 @@
 	}
 	v.loggedWait = cause
 	r.n.log.Info("rollout_waits", zap.String("service", v.state.Order.Service), zap.Stringer("stage", v.state.Stage), zap.Stringer("cause", cause),
-		zap.Int64("answers", f.Responses), zap.Float64("suspicion", roundHundredths(f.Suspicion)), zap.Int("upstreams", f.Target), zap.Int("others", f.OtherVersions))
+		zap.Int64("answers", f.Responses), logging.Hundredths("suspicion", f.Suspicion), zap.Int("upstreams", f.Target), zap.Int("others", f.OtherVersions))
 }
 
 // rolloutStages holds the stage number of each service's last roll-out.
@@ -299,6 +300,6 @@
 	rolloutStages.Set(o.Service, stage)
 	r.n.log.Info("rollout_stage", zap.String("service", o.Service), zap.String("target", o.Target), zap.Int64("order", o.Revision),
 		zap.Stringer("stage", v.state.Stage), zap.Stringer("cause", cause), zap.Duration("after", r.n.clock.Since(v.state.OrderedAt)), zap.Duration("duration", o.Duration),
-		zap.Int64("answers", f.Responses), zap.Int64("failed", failed), zap.Float64("suspicion", roundHundredths(f.Suspicion)), zap.Bool("stopped", f.Stopped),
+		zap.Int64("answers", f.Responses), zap.Int64("failed", failed), logging.Hundredths("suspicion", f.Suspicion), zap.Bool("stopped", f.Stopped),
 		zap.Int("upstreams", f.Target), zap.Int("others", f.OtherVersions), zap.Int("running", f.Running), zap.Int64("token", r.token))
 }
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 	"go.uber.org/zap"
 
+	"spurhall.example/spurhall/internal/logging"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/rollout"
 	"spurhall.example/spurhall/internal/store"
@@ -194,8 +195,8 @@
 func (n *Node) logStop(t *rollout.Trial, source string) {
 	v := t.Verdict()
 	n.log.Warn("rollout_stopped", zap.String("service", t.Order().Service), zap.Int64("order", t.Order().Revision), zap.Stringer("stage", t.Stage()),
-		zap.Stringer("reason", v.Reason), zap.String("route", v.Route), zap.Float64("sum", roundHundredths(v.Sum)),
-		zap.Float64("target_rate", roundHundredths(v.TargetRate)), zap.Float64("others_rate", roundHundredths(v.InServiceRate)), zap.String("source", source))
+		zap.Stringer("reason", v.Reason), zap.String("route", v.Route), logging.Hundredths("sum", v.Sum),
+		logging.Hundredths("target_rate", v.TargetRate), logging.Hundredths("others_rate", v.InServiceRate), zap.String("source", source))
 }
 
 // offerTrial reports whether a request goes to a version on trial.
--- a/internal/edge/engines_test.go
+++ b/internal/handover/engines_test.go
@@ -1,4 +1,4 @@
-package edge
+package handover
 
 import (
 	"context"
@@ -27,32 +27,31 @@
 		calls++
 		return kv.Txn(c, x)
 	}
-	start := func(name string) (*Node, int64) {
-		n := newHolder(t, counting, clock.Service(), name)
-		n.pools = pool.New(clock.Service(), "a", "hall-a")
-		return n, acquireLease(t, n)
-	}
-	a, token := start("a")
-	var first enginesWriter
-	first.restore(ctx, a)
+	a := newHolder(counting, clock.Service(), "a")
+	token := a.acquire(t)
+	p := pool.New(clock.Service(), "a", "hall-a")
+	var first Engines
+	first.Restore(ctx, a.Store, p.RestoreEngine)
 	engine := capacity.Engine{Reading: 90, First: 30, Token: 5, Samples: 400}
-	first.write(ctx, a, token, map[string]capacity.Engine{"llm": engine})
+	first.Write(ctx, a.Store, token, map[string]capacity.Engine{"llm": engine})
 
 	t.Run("a small change causes no call", func(t *testing.T) {
 		calls = 0
 		near := engine
 		near.Reading *= 1.2
-		first.write(ctx, a, token, map[string]capacity.Engine{"llm": near})
+		first.Write(ctx, a.Store, token, map[string]capacity.Engine{"llm": near})
 		assert.Zero(t, calls)
 	})
 	t.Run("after the loss of all processes", func(t *testing.T) {
 		clock.Advance(4 * time.Second) // a's lease has expired
-		b, _ := start("b")
-		assert.False(t, b.pools.Engine("llm").Known())
-		var second enginesWriter
-		second.restore(ctx, b)
-		assert.Equal(t, engine.Reading, b.pools.Engine("llm").Reading)
-		assert.True(t, b.pools.Engine("llm").Known())
-		assert.Contains(t, b.pools.Learned(), "llm", "its reports contain it")
+		b := newHolder(counting, clock.Service(), "b")
+		b.acquire(t)
+		p := pool.New(clock.Service(), "b", "hall-a")
+		assert.False(t, p.Engine("llm").Known())
+		var second Engines
+		second.Restore(ctx, b.Store, p.RestoreEngine)
+		assert.Equal(t, engine.Reading, p.Engine("llm").Reading)
+		assert.True(t, p.Engine("llm").Known())
+		assert.Contains(t, p.Learned(), "llm", "its reports contain it")
 	})
 }
--- /dev/null
+++ b/internal/handover/record.go
@@ -0,0 +1,65 @@
+// Package handover stores what the holder of the duties leaves to its successor: the ordered counts, the levels
+// of the quotas, the counts of ended usage windows, and the measured engine figures. Each is one value in the
+// store, read at the start of a term and written while the term lasts, so that it survives the loss of all
+// processes.
+//
+// Alternatives considered: sending these values in the reports between nodes. A fault that ends the holder
+// often ends all nodes.
+package handover
+
+import (
+	"context"
+	"encoding/json"
+
+	"go.uber.org/zap"
+
+	"spurhall.example/spurhall/internal/store"
+)
+
+// Record is one value in the store.
+type Record struct {
+	Name string // in the log
+	Key  string // in the store
+}
+
+// Store reads and writes records.
+type Store struct {
+	KV    store.KV
+	Lease string // key of the duties' lease
+	Log   *zap.Logger
+}
+
+// Read decodes what the previous holder has written, and reports whether there was a readable value.
+func (s *Store) Read(ctx context.Context, r Record, into any) bool {
+	found, err := s.Load(ctx, r, into)
+	if err != nil {
+		s.Log.Warn(r.Name+"_unread", zap.String("cause", err.Error()))
+	}
+	return found && err == nil
+}
+
+// Load is Read for callers that retry while the store is unavailable: found reports that a value exists, also
+// if it can't be decoded, in which case a retry is useless.
+func (s *Store) Load(ctx context.Context, r Record, into any) (found bool, err error) {
+	a, err := s.KV.Range(ctx, r.Key, "")
+	if err != nil || len(a.Pairs) == 0 {
+		return false, err
+	}
+	return true, json.Unmarshal(a.Pairs[0].Value, into)
+}
+
+// Write stores the value on condition that the term of the token lasts. It reports whether no retry is needed:
+// the value is stored, or the term is over and the next holder's value counts.
+func (s *Store) Write(ctx context.Context, r Record, token int64, value any) bool {
+	b, err := json.Marshal(value)
+	if err == nil {
+		_, err = s.KV.Txn(ctx, store.Txn{
+			If:   []store.Compare{store.Unmodified(s.Lease, token)},
+			Then: []store.Op{{Kind: store.OpPut, Key: r.Key, Value: b}},
+		})
+	}
+	if err != nil {
+		s.Log.Info(r.Name+"_unwritten", zap.String("cause", err.Error()))
+	}
+	return err == nil
+}
--- a/internal/logging/counts.go
+++ b/internal/logging/counts.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 
@@ -18,3 +19,6 @@
 	slices.Sort(l)
 	return zap.String(key, strings.Join(l, ","))
 }
+
+// Hundredths returns a field with a figure that is rounded to hundredths.
+func Hundredths(key string, x float64) zap.Field { return zap.Float64(key, math.Round(x*100)/100) }
