Jobs: a takeover that the store hasn't answered is read again

Where that write took effect and its answer was lost, the node went on as if it weren't the owner, and no other node takes a job from an owner that responds: the job stayed open for as long as the process lived. Seen in a test of internal/node beside 24 busy processes: of eight jobs of a lost node, one was never taken over.

Each that fails has a line, job_not_taken_over.

--- a/internal/node/failover_test.go
+++ b/internal/node/failover_test.go
@@ -2,17 +2,23 @@
 
 import (
 	"bufio"
+	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"spurhall.example/spurhall/internal/request"
 	"spurhall.example/spurhall/internal/standin"
+	"spurhall.example/spurhall/internal/store"
+	"spurhall.example/spurhall/internal/stream"
 )
 
 // liveStream is a stream that a test reads while it is produced.
@@ -236,6 +242,46 @@
 	}
 }
 
+// TestJobWhoseTakeoverGetsNoAnswer: the journal names the node that takes a job over, and the store's answer is
+// lost. No other node takes the job from an owner that responds, so this one has to find out that it is the owner.
+func TestJobWhoseTakeoverGetsNoAnswer(t *testing.T) {
+	for _, f := range []struct {
+		name    string
+		applied bool // the write whose answer is lost took effect
+	}{{"applied", true}, {"not applied", false}} {
+		t.Run(f.name, func(t *testing.T) {
+			var lost atomic.Bool
+			r := newRigWith(t, func(o *Options) {
+				txn := o.KV.Txn
+				o.KV.Txn = func(ctx context.Context, x store.Txn) (store.TxnResult, error) {
+					if !isTakeover(x) || lost.Swap(true) {
+						return txn(ctx, x)
+					}
+					if f.applied {
+						_, _ = txn(ctx, x)
+					}
+					return store.TxnResult{}, store.ErrUnknown
+				}
+			}, "hall-a", "hall-b", "hall-b")
+			r.addEngine("e1", "hall-b", "z1", standin.EngineOptions{})
+			r.waitEngines(1)
+			k := newChat("batch", "catalogue", 100, false)
+			a := r.nodes[0].call(http.MethodPost, "/v1/chat/completions", k.body, "Prefer", "respond-async")
+			require.Equal(t, http.StatusAccepted, a.status, a.body)
+			r.nodes[0].kill()
+			assert.Equal(t, k.want, r.jobResult(r.nodes[1], a.id))
+			assert.True(t, lost.Load())
+		})
+	}
+}
+
+// isTakeover returns whether a transaction replaces an open job by itself.
+func isTakeover(x store.Txn) bool {
+	var s request.Spec
+	return len(x.Then) == 1 && len(x.If) == 1 && x.If[0].Target == store.CompareModified &&
+		json.Unmarshal(x.Then[0].Value, &s) == nil && s.Job && s.Outcome == stream.OutcomeOpen
+}
+
 func TestJobsAcceptedInAnOutage(t *testing.T) {
 	r := newRig(t, "hall-a", "hall-b")
 	r.addEngine("e1", "hall-b", "z1", standin.EngineOptions{})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -88,6 +88,7 @@
 	lastNotice        int64
 	missingFromList   map[string]bool
 	openJobs          map[string]string // owners of the journal's open jobs by id, while this node follows the journal
+	unansweredJobs    map[string]bool   // jobs whose takeover the store has not answered: they may be this node's
 	sequence          uint64
 	cachedLive        []member.Record // result of liveNodes
 	cachedLiveAt      time.Time
@@ -102,7 +103,7 @@
 	n := &Node{
 		o: o, id: id, clock: o.Clock, log: timeline.New(id, o.Clock, o.Log),
 		lifecycle: chart.Load("node").Begin(), view: config.NewView(), registry: request.NewRegistry(),
-		missingFromList: make(map[string]bool), openJobs: make(map[string]string),
+		missingFromList: make(map[string]bool), openJobs: make(map[string]string), unansweredJobs: make(map[string]bool),
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.guard = store.NewGuard(o.Clock, store.GuardOptions{Reads: o.PlatformRate, Writes: o.PlatformRate / 4})
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -349,6 +349,9 @@
 	}
 	n.mu.Unlock()
 	var r []string
+	for id := range n.unansweredJobs {
+		r = append(r, id)
+	}
 	for owner, ids := range owners {
 		if n.ownerGone(owner) {
 			r = append(r, ids...)
@@ -390,16 +393,34 @@
 
 func (n *Node) takeOverJobs(ctx context.Context) {
 	for _, id := range n.orphanedJobs() {
-		s, revision, err := n.journal.Get(ctx, id)
-		if err != nil || revision == 0 || s.Outcome != stream.OutcomeOpen || s.Owner == n.id {
-			continue
-		}
-		if n.journal.TakeOver(ctx, s, revision, n.id) != nil {
-			continue
+		n.takeOverJob(ctx, id)
+	}
+}
+
+// takeOverJob makes this node the owner of a job whose owner is gone, and runs it. A takeover that the store has
+// not answered may have made this node the owner: nobody else takes the job then, so it is read again.
+func (n *Node) takeOverJob(ctx context.Context, id string) {
+	s, revision, err := n.journal.Get(ctx, id)
+	if err != nil {
+		return
+	}
+	unanswered := n.unansweredJobs[id]
+	delete(n.unansweredJobs, id)
+	if revision == 0 || s.Outcome != stream.OutcomeOpen || s.Owner == n.id && !unanswered || s.Owner != n.id && !n.ownerGone(s.Owner) {
+		return
+	}
+	if s.Owner != n.id {
+		err = n.journal.TakeOver(ctx, s, revision, n.id)
+	}
+	if err != nil {
+		n.log.Add("job_not_taken_over", id, err.Error())
+		if unanswered || !errors.Is(err, job.ErrNotOwner) { // an earlier takeover may have been stored since the read
+			n.unansweredJobs[id] = true
 		}
-		n.log.Add("job_taken_over", id, "from "+s.Owner)
-		n.adopt(s)
+		return
 	}
+	n.log.Add("job_taken_over", id, "from "+s.Owner)
+	n.adopt(s)
 }
 
 // adopt continues a request of another node from its last known piece.
