Large fleets: changes come together while there are many

Cause: a follower of a large fleet that had been sent a change asked again at once, and a change wakes all followers of a watcher: while 1,000 upstreams a second are listed at a start, some 98 followers of a watcher are each sent answers of one or a few changes as fast as they can ask.

Change: in a large fleet a follower that was sent changes asks again 100 ms after its previous request. The first change after a calm is sent at once; parts of a list follow each other without a pause; small fleets are as before.

Figures: with a change each ms and answers in 2 ms, 500 answers a second to one follower before, 10 after (TestChangesComeTogetherInLargeFleets); a change is known at most 0.1 s later, of the 1 s that a leaving upstream has.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -75,6 +75,7 @@
 	}
 	r := at.Request(version, revision)
 	r.TakesLongWait = large
+	asked := n.clock.Now()
 	c, cancel := context.WithTimeout(ctx, follow.Timeout(r))
 	defer cancel()
 	a, err := n.peers.clientOf(p).Follow(c, connect.NewRequest(r))
@@ -90,6 +91,9 @@
 		n.applyCatalog(a.Msg.Catalog, name)
 	}
 	n.follower.Apply(name, a.Msg, at)
+	if p := follow.Pause(r, a.Msg, n.clock.Since(asked)); p > 0 {
+		_ = n.clock.Sleep(ctx, p) // the caller checks the context
+	}
 	return nil
 }
 
--- a/internal/edge/follow_test.go
+++ b/internal/edge/follow_test.go
@@ -273,6 +273,46 @@
 	})
 }
 
+// TestChangesComeTogetherInLargeFleets: while thousands of upstreams are listed, each follower was sent each change by
+// itself as soon as it had asked again. In calm a change is sent at once.
+func TestChangesComeTogetherInLargeFleets(t *testing.T) {
+	const answerTime = 2 * time.Millisecond
+	play := func(large bool) (answers int, worst time.Duration) {
+		w, n := newWatchingNode(t, "w", 100), newFollowingNode(t)
+		at := follow.NewPosition(false)
+		pollAll(t, n, at, w)
+		next, revision := time.Duration(0), int64(1000)
+		for now := time.Duration(0); now < time.Second; now += time.Millisecond {
+			revision++
+			putItem(w, leavingItem(int(revision%90), revision))
+			if now < next {
+				continue
+			}
+			r := at.Request(1, n.pools.Revision())
+			r.TakesLongWait = large
+			a := w.source.Answer(r)
+			n.follower.Apply("w", a, at)
+			next = now + answerTime + follow.Pause(r, a, answerTime)
+			worst = max(worst, next-now)
+			answers++
+		}
+		return answers, worst
+	}
+	answers, worst := play(true)
+	assert.LessOrEqual(t, answers, 10)
+	assert.LessOrEqual(t, worst, 100*time.Millisecond)
+	t.Run("not in small ones", func(t *testing.T) {
+		answers, _ := play(false)
+		assert.Equal(t, 500, answers)
+	})
+	t.Run("not in calm, and not between the parts of a list", func(t *testing.T) {
+		r := &wire.FollowRequest{TakesLongWait: true}
+		assert.Zero(t, follow.Pause(r, &wire.FollowResponse{MembersRead: true}, 0))
+		assert.Zero(t, follow.Pause(r, &wire.FollowResponse{HasPart: true, More: true}, 0))
+		assert.Zero(t, follow.Pause(r, &wire.FollowResponse{HasChanges: true}, 300*time.Millisecond))
+	})
+}
+
 // TestFollowersWaitForAStartingWatcher: a node that has just taken a seat hasn't read the store yet. A follower that asks
 // it is answered once it has, and not told again and again that there is no news.
 func TestFollowersWaitForAStartingWatcher(t *testing.T) {
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -22,6 +22,10 @@
 	// requests: lists differ for some seconds after an outage of the store.
 	minDifferences = 2
 	readAnewPause  = 5 * time.Second
+	// changesInterval is the shortest time between two requests of a node of a large fleet while there are changes.
+	// Each change would otherwise be a response to each follower, while 1,000 upstreams a second are listed. It is a
+	// tenth of the time in which a leaving upstream has to be known.
+	changesInterval = 100 * time.Millisecond
 )
 
 // Timeout returns how long a response to a request may take: a frozen node has to be abandoned well within the time
@@ -33,6 +37,15 @@
 	return waitLimit + responseMargin
 }
 
+// Pause returns how long a node waits after a response, to a request sent some time ago, until its next request. The
+// first change after a calm is never delayed.
+func Pause(r *wire.FollowRequest, a *wire.FollowResponse, ago time.Duration) time.Duration {
+	if !r.TakesLongWait || a.More || !a.HasChanges && !a.HasMemberChanges && !a.HasPart && !a.HasMembers {
+		return 0
+	}
+	return max(0, changesInterval-ago)
+}
+
 // Position is how far a node has come in following others, and what it has of a list that comes in parts.
 type Position struct {
 	incarnation string // of the process that is followed
