Sizes: figures of a node, a relay and a watcher over the size of the fleet, with their plot

Cause: the figures of docs/CAPACITY.md at several sizes came from commands that had to be started one by one, and nothing showed at a glance whether one grows with the fleet.

Change: make sizes plays the benchmarks from 95 to 2,000 nodes and draws a panel for each figure, with growth in proportion beside it (package plot, spurhall-standin plot). The rig of relays goes up to 2,000 nodes. The jobs of lost owners and the following of claims are files of their own; lost answers in tests are drawn by one function.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 ALONE = ./internal/node ./cmd/spurhalld
 export CGO_ENABLED = 1
 
-.PHONY: all build test check demo measure generate fuzz soak soak-short format clean
+.PHONY: all build test check demo measure sizes generate fuzz soak soak-short format clean
 
 all: build
 
@@ -40,6 +40,9 @@
 measure: build ## every decision beside its baseline; speeds; slopes
 	bash scripts/measure.sh
 
+sizes: build ## what nodes do in fleets of 95 to 2,000, with a plot, into docs/
+	bash scripts/sizes.sh
+
 generate: ## needs protoc; the output is committed
 	mkdir -p bin
 	go build -modfile=tools/go.mod -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
--- a/cmd/spurhall-standin/main.go
+++ b/cmd/spurhall-standin/main.go
@@ -17,6 +17,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"spurhall.example/spurhall/internal/plot"
 	"spurhall.example/spurhall/internal/standin"
 	"spurhall.example/spurhall/internal/store"
 	"spurhall.example/spurhall/internal/timer"
@@ -28,7 +29,7 @@
 	c := &cli.Command{
 		Name:     "spurhall-standin",
 		Usage:    "stand-ins for the platform, a model engine and a plain service (never for production)",
-		Commands: []*cli.Command{platformCommand(), engineCommand(), plainCommand(), demoCommand()},
+		Commands: []*cli.Command{platformCommand(), engineCommand(), plainCommand(), demoCommand(), plotCommand()},
 	}
 	if err := c.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "spurhall-standin:", err)
@@ -36,6 +37,19 @@
 	}
 }
 
+func plotCommand() *cli.Command {
+	return &cli.Command{
+		Name: "plot", Usage: "read the output of benchmarks at several sizes, and write an SVG image of how their figures grow",
+		Action: func(context.Context, *cli.Command) error {
+			list, err := plot.Read(os.Stdin)
+			if err != nil {
+				return err
+			}
+			return plot.Write(os.Stdout, list)
+		},
+	}
+}
+
 func listenFlag() cli.Flag {
 	return &cli.StringFlag{Name: "listen", Value: "127.0.0.1:2379", Usage: "address to listen on"}
 }
--- a/internal/node/failover_test.go
+++ b/internal/node/failover_test.go
@@ -2,13 +2,11 @@
 
 import (
 	"bufio"
-	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -250,19 +248,8 @@
 		applied bool // the write whose answer is lost took effect
 	}{{"applied", true}, {"not applied", false}} {
 		t.Run(f.name, func(t *testing.T) {
-			var lost atomic.Bool
-			r := newRigWith(t, func(o *Options) {
-				txn := o.KV.Txn
-				o.KV.Txn = func(ctx context.Context, x store.Txn) (store.TxnResult, error) {
-					if !isTakeover(x) || lost.Swap(true) {
-						return txn(ctx, x)
-					}
-					if f.applied {
-						_, _ = txn(ctx, x)
-					}
-					return store.TxnResult{}, store.ErrUnknown
-				}
-			}, "hall-a", "hall-b", "hall-b")
+			lost, lose := loseAnswer(isTakeover, f.applied)
+			r := newRigWith(t, lose, "hall-a", "hall-b", "hall-b")
 			r.addEngine("e1", "hall-b", "z1", standin.EngineOptions{})
 			r.waitEngines(1)
 			k := newChat("batch", "catalogue", 100, false)
--- a/internal/node/keyed_test.go
+++ b/internal/node/keyed_test.go
@@ -1,12 +1,10 @@
 package node
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -77,19 +75,8 @@
 		applied bool // the write whose answer is lost took effect
 	}{{"not applied", false}, {"applied", true}} {
 		t.Run(f.name, func(t *testing.T) {
-			var lost atomic.Bool
-			r := newRigWith(t, func(o *Options) {
-				txn := o.KV.Txn
-				o.KV.Txn = func(ctx context.Context, x store.Txn) (store.TxnResult, error) {
-					if !isRecord(x) || lost.Swap(true) {
-						return txn(ctx, x)
-					}
-					if f.applied {
-						_, _ = txn(ctx, x)
-					}
-					return store.TxnResult{}, store.ErrUnknown
-				}
-			}, "hall-a", "hall-b")
+			lost, lose := loseAnswer(isRecord, f.applied)
+			r := newRigWith(t, lose, "hall-a", "hall-b")
 			a := r.nodes[0].keyed("/refuse", "k")
 			assert.Equal(t, "done", a.outcome)
 			r.eventually("the response is recorded", func() bool {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 //	exchange.go  peers: facts and configuration revisions
 //	observe.go   the platform's VM list and notices; upstreams' loads
 //	serve.go     accepted requests: running, holding, handing over, finding
+//	jobs.go      takes over the jobs of owners that are gone
 //	peer.go      the RPCs that peers call
 //	proxy.go     claims written by a peer, while this node cannot reach the platform
 //	pace.go      report intervals, duties and platform rates in proportion to the fleet
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -233,7 +233,7 @@
 // reports the calls per second made and received by a node that is not a relay and by the busiest relay, the age of
 // the oldest report that any node uses, and, for comparison, how often two nodes would exchange reports in pairs.
 func BenchmarkRelay(b *testing.B) {
-	for _, v := range []struct{ halls, nodes int }{{3, 30}, {5, 100}, {7, 300}, {9, 419}} {
+	for _, v := range []struct{ halls, nodes int }{{3, 30}, {5, 100}, {7, 300}, {9, 419}, {5, 985}, {5, 2000}} {
 		b.Run(benchmarkName(v.nodes), func(b *testing.B) {
 			for i := 0; i < b.N; i++ {
 				f := newFleet(v.halls, v.nodes)
