Watches: no pause after a response that the store may have cut off

Cause: each response of a watch with changes was followed by a pause, 0.5 s with ten watching nodes, to batch changes into few paid calls. The store cuts responses off at some 500 entries, so a watcher took in 1,000 changes a second at most.

Change: a response of 100 changes and more isn't followed by a pause. Fewer are, as before.

TestWatchKeepsUpWithTheStore: 40 full responses took 20 s before, none of it now.

--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -40,6 +40,10 @@
 	// leaving upstream still serves.
 	batchDelayPerNode = 50 * time.Millisecond
 	maxBatchDelay     = 500 * time.Millisecond
+	// largeBatch is the number of changes in a response from which no pause follows: the store cuts responses off
+	// at some 500 entries or 1 MB, so more may be waiting, and with pauses this node would fall behind a store
+	// that changes faster than one such response in each of them.
+	largeBatch = 100
 	// maxListLag is how long this node's list may lack a change that a peer has: two report rounds and the
 	// delay of a watch.
 	maxListLag = 600 * time.Millisecond
@@ -135,10 +139,10 @@
 	err = f.n.kv.Watch(c, span, func(b store.WatchBatch) error {
 		f.markRegained()
 		f.applyBatch(b)
-		if len(b.Events) > 0 {
-			return f.n.clock.Sleep(c, f.n.batchDelay())
+		if len(b.Events) == 0 || len(b.Events) >= largeBatch {
+			return nil
 		}
-		return nil
+		return f.n.clock.Sleep(c, f.n.batchDelay())
 	})
 	if errors.Is(context.Cause(c), errBehind) {
 		return errBehind
