Followers: a configuration holds though the list of its sender is behind

Cause: a node that had read a later upstream list than its watchers refused all that they sent, the configuration too.

Change: the configuration of a watcher is applied before its list is looked at. An older one isn't put in force, as before.

Figures: TestConfigurationOfAWatcherThatIsBehind fails on the order before, passes now.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -79,24 +79,33 @@
 	c, cancel := context.WithTimeout(ctx, follow.Timeout(r))
 	defer cancel()
 	a, err := n.peers.clientOf(p).Follow(c, connect.NewRequest(r))
-	if err == nil && (!a.Msg.Watching || n.follower.IsBehind(a.Msg, at)) {
-		err = errNoUpdates
+	if err == nil {
+		err = n.applyFollowed(name, a.Msg, at)
 	}
 	if err != nil {
 		at.Abandon()
 		return err
 	}
-	n.markStoreAvailable()
-	if len(a.Msg.Catalog) > 0 {
-		n.applyCatalog(a.Msg.Catalog, name)
-	}
-	n.follower.Apply(name, a.Msg, at)
 	if p := follow.Pause(r, a.Msg, n.clock.Since(asked)); p > 0 {
 		_ = n.clock.Sleep(ctx, p) // the caller checks the context
 	}
 	return nil
 }
 
+// applyFollowed applies the response of a watcher. The configuration holds also where the list is behind this node's: a
+// node that has read more of the store than its watchers must not wait for them to catch up.
+func (n *Node) applyFollowed(name string, m *wire.FollowResponse, at *follow.Position) error {
+	if m.Watching && len(m.Catalog) > 0 {
+		n.applyCatalog(m.Catalog, name)
+	}
+	if !m.Watching || n.follower.IsBehind(m, at) {
+		return errNoUpdates
+	}
+	n.markStoreAvailable()
+	n.follower.Apply(name, m, at)
+	return nil
+}
+
 // Follow responds as soon as there is a change that the caller lacks.
 func (s *edgeService) Follow(ctx context.Context, r *connect.Request[wire.FollowRequest]) (*connect.Response[wire.FollowResponse], error) {
 	a, err := s.n.source.Await(ctx, r.Msg)
--- a/internal/edge/follow_test.go
+++ b/internal/edge/follow_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"math"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"google.golang.org/protobuf/proto"
 
+	"spurhall.example/spurhall/internal/catalog"
 	"spurhall.example/spurhall/internal/follow"
 	"spurhall.example/spurhall/internal/message"
 	"spurhall.example/spurhall/internal/pool"
@@ -313,6 +315,36 @@
 	})
 }
 
+// TestConfigurationOfAWatcherThatIsBehind: a node that has read a later upstream list than its watchers refused all that
+// they sent, and answered by an old configuration until they had caught up.
+func TestConfigurationOfAWatcherThatIsBehind(t *testing.T) {
+	n := newFollowingNode(t)
+	n.updateList("store", func(now time.Time, l *pool.List) { l.Replace(now, 500, scaleItems(50)) })
+	n.listed.Store(true)
+	putItem(n, leavingItem(3, 500))
+	n.options.DecodeCatalog = func(raw []byte) (*catalog.Catalog, error) {
+		version, err := strconv.ParseInt(string(raw), 10, 64)
+		if err != nil {
+			return nil, err
+		}
+		return catalog.New(catalog.Spec{Version: version})
+	}
+	behind := &wire.FollowResponse{Watching: true, Lifetime: "w", Catalog: []byte("11"), ListRevision: 400, HasChanges: true}
+	assert.ErrorIs(t, n.applyFollowed("w", behind, follow.NewPosition(false)), errNoUpdates)
+	assert.Equal(t, int64(11), n.currentCatalog().Version())
+	assert.Equal(t, int64(500), n.pools.Revision())
+	t.Run("not of a node that doesn't watch", func(t *testing.T) {
+		behind.Watching, behind.Catalog = false, []byte("12")
+		assert.ErrorIs(t, n.applyFollowed("w", behind, follow.NewPosition(false)), errNoUpdates)
+		assert.Equal(t, int64(11), n.currentCatalog().Version())
+	})
+	t.Run("an older one isn't put in force", func(t *testing.T) {
+		behind.Watching, behind.Catalog = true, []byte("10")
+		assert.ErrorIs(t, n.applyFollowed("w", behind, follow.NewPosition(false)), errNoUpdates)
+		assert.Equal(t, int64(11), n.currentCatalog().Version())
+	})
+}
+
 // TestFollowersWaitForAStartingWatcher: a node that has just taken a seat hasn't read the store yet. A follower that asks
 // it is answered once it has, and not told again and again that there is no news.
 func TestFollowersWaitForAStartingWatcher(t *testing.T) {
