First start: nobody asks the store for a previous process

Cause: each node that registers reads its own key before, to log that its previous process was killed: 985 calls when the whole system starts for the first time, where there was none.

Change: not read then.

--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -85,7 +85,9 @@
 	}
 	// If the previous process was killed, the key may still be bound to its lease.
 	k := memberPrefix + n.settings.Node
-	n.logPrevious(ctx, k)
+	if !n.settings.FirstStart { // then there was none, and all nodes start at once
+		n.logPrevious(ctx, k)
+	}
 	_, err = n.kv.Txn(ctx, store.Txn{Then: []store.Op{{Kind: store.OpPut, Key: k, Value: b, Lease: id}}})
 	return id, err
 }
--- a/internal/edge/start_test.go
+++ b/internal/edge/start_test.go
@@ -179,6 +179,30 @@
 	assert.True(t, nodes[0].mustWatch(), "in a small fleet it then reads by itself")
 }
 
+// TestRegistrationAtAFirstStart: each of a thousand nodes that started for the first time asked the store for a
+// previous process.
+func TestRegistrationAtAFirstStart(t *testing.T) {
+	for _, first := range []bool{true, false} {
+		n, _ := newScaleNode(t, 985, 0)
+		n.settings.FirstStart = first
+		reads, writes := 0, 0
+		n.kv.Range = func(context.Context, string, string) (store.RangeResult, error) {
+			reads++
+			return store.RangeResult{}, nil
+		}
+		n.kv.Grant = func(context.Context, time.Duration) (int64, error) { return 7, nil }
+		n.kv.Txn = func(context.Context, store.Txn) (store.TxnResult, error) {
+			writes++
+			return store.TxnResult{Succeeded: true}, nil
+		}
+		id, err := n.putMember(t.Context())
+		assert.NoError(t, err)
+		assert.Equal(t, int64(7), id)
+		assert.Equal(t, 1, writes)
+		assert.Equal(t, first, reads == 0)
+	}
+}
+
 // TestIdleNodesReportLessOften: in a large fleet most nodes have no request in most rounds, and four reports a second
 // from each of them were most of what its relays did.
 func TestIdleNodesReportLessOften(t *testing.T) {
