--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -197,8 +197,7 @@
 }
 
 // minCompressed is the size in bytes from which a response to another node is compressed. Compressing and expanding a
-// smaller one takes as much processor time as all the rest of the call, and half a megabyte of memory at either end, to
-// save a few milliseconds of a link of 20 Mbit/s.
+// small one takes as much processor time as all the rest of the call, to save a few milliseconds of a link of 20 Mbit/s.
 const minCompressed = 16 << 10
 
 func (n *Node) peerHandler() http.Handler {
