Reclaimable upstreams: the longer memory counts for what a loss takes only

Change: a hall's part of the need is today's, and only the need that the other halls have to carry is remembered for four boot times.

--- a/internal/autoscale/mix.go
+++ b/internal/autoscale/mix.go
@@ -158,8 +158,7 @@
 		}
 		return halls[i].Hall < halls[j].Hall
 	})
-	want := math.Max(m.wanted.highest(now, spareHoldBoots*m.o.Boot), math.Max(need, found))
-	counts := m.countReclaimable(now, need, want, buys, halls)
+	counts := m.countReclaimable(now, need, math.Max(need, found), buys, halls)
 	safe := need // need that on-demand upstreams have to carry
 	m.takeOver(now, halls)
 	if buys {
@@ -178,11 +177,12 @@
 	return counts
 }
 
-// countReclaimable returns the counts with the reclaimable upstreams of each hall, of which those that are bought
-// carry what is wanted.
-func (m *MixPlanner) countReclaimable(now time.Duration, need, want float64, buys bool, halls []HallState) []Count {
+// countReclaimable returns the counts with the reclaimable upstreams of each hall. Those that are bought carry what
+// has to be replaced, too.
+func (m *MixPlanner) countReclaimable(now time.Duration, need, replaced float64, buys bool, halls []HallState) []Count {
 	counts := make([]Count, len(halls))
-	wants, lacks := keptCounts(m.reclaimableCounts(want, halls), m.inWave(now), halls)
+	want := math.Max(replaced, m.wanted.highest(now, spareHoldBoots*m.o.Boot))
+	wants, lacks := keptCounts(m.reclaimableCounts(replaced, want, halls), m.inWave(now), halls)
 	m.planned.lacks = buys && lacks
 	for i, h := range halls {
 		counts[i].Hall = h.Hall
@@ -231,7 +231,7 @@
 		return true
 	}
 	n := m.need(now)
-	with := math.Max(n+float64(m.o.SparePerHall*halls), hallCapacity(n, halls, 0)*float64(halls))*s.ReclaimablePrice + minOnDemand
+	with := math.Max(n+float64(m.o.SparePerHall*halls), hallCapacity(n, n, halls, 0)*float64(halls))*s.ReclaimablePrice + minOnDemand
 	without := math.Max(math.Ceil(n), float64(s.Min*halls)) + minOnDemand
 	switch {
 	case m.reclaimableTooDear && with < (1-minSwitchGain)*without:
--- a/internal/autoscale/planned.go
+++ b/internal/autoscale/planned.go
@@ -52,7 +52,7 @@
 	p.Spares = max(0, p.Reclaimable-int(math.Ceil(need)))
 	if buys {
 		calm := minOnDemand
-		for _, n := range m.reclaimableCounts(need, halls) {
+		for _, n := range m.reclaimableCounts(need, need, halls) {
 			calm += n
 		}
 		p.Kept = max(0, p.OnDemand+p.Reclaimable-calm)
--- a/internal/autoscale/room_test.go
+++ b/internal/autoscale/room_test.go
@@ -47,15 +47,15 @@
 }
 
 func TestSpareCapacity(t *testing.T) {
-	assert.Equal(t, 5.0, hallCapacity(3, 1, 2), "one hall can't stand for another")
-	assert.Equal(t, 20.0, hallCapacity(20, 2, 2))
-	assert.Equal(t, 10.0, hallCapacity(20, 3, 2))
-	assert.Equal(t, 4.0, hallCapacity(16, 8, 2), "the least number")
+	assert.Equal(t, 5.0, hallCapacity(3, 3, 1, 2), "one hall can't stand for another")
+	assert.Equal(t, 20.0, hallCapacity(20, 20, 2, 2))
+	assert.Equal(t, 10.0, hallCapacity(20, 20, 3, 2))
+	assert.Equal(t, 4.0, hallCapacity(16, 16, 8, 2), "the least number")
 	t.Run("slow upstreams carry less", func(t *testing.T) {
 		m, h := NewMixPlanner(DefaultMixOptions(boot)), threeHalls(0, 10)
 		m.hasWork = true
 		h[0].Speed = 0.5
-		assert.Equal(t, []int{20, 10, 10}, m.reclaimableCounts(20, h))
+		assert.Equal(t, []int{20, 10, 10}, m.reclaimableCounts(20, 20, h))
 		assert.Equal(t, 15.0, survivingReclaimable(h))
 	})
 	t.Run("a surplus stands for what others lack", func(t *testing.T) {
--- a/internal/autoscale/spares.go
+++ b/internal/autoscale/spares.go
@@ -64,23 +64,23 @@
 	return sum - most
 }
 
-// hallCapacity returns what each of so many halls should carry with reclaimable upstreams, of which spare ones
-// are added to its part of the need at least.
-func hallCapacity(need float64, halls, spare int) float64 {
+// hallCapacity returns what each of so many halls should carry with reclaimable upstreams: its part of the need and
+// some spare ones, and as much as is wanted of all halls without one.
+func hallCapacity(need, want float64, halls, spare int) float64 {
 	part := math.Ceil(need/float64(halls)-1e-9) + float64(spare)
 	if halls == 1 {
 		return part
 	}
-	return math.Max(part, math.Ceil(need/float64(halls-1)-1e-9))
+	return math.Max(part, math.Ceil(want/float64(halls-1)-1e-9))
 }
 
 // reclaimableCounts returns how many reclaimable upstreams each hall should have.
-func (m *MixPlanner) reclaimableCounts(need float64, halls []HallState) []int {
+func (m *MixPlanner) reclaimableCounts(need, want float64, halls []HallState) []int {
 	wants := make([]int, len(halls))
 	for i, h := range halls {
 		c := math.Ceil(need/float64(len(halls)) - 1e-9)
 		if m.hasWork {
-			c = hallCapacity(need, len(halls), m.o.SparePerHall)
+			c = hallCapacity(need, want, len(halls), m.o.SparePerHall)
 		}
 		wants[i] = int(math.Ceil(c/h.speed() - 1e-9))
 	}
