--- a/internal/autoscale/play_test.go
+++ b/internal/autoscale/play_test.go
@@ -198,6 +198,7 @@
 }
 
 func (p *play) reclaim() {
+	p.upstreams = slices.DeleteFunc(p.upstreams, func(u *playUpstream) bool { return u.isLeaving && p.now > u.noticed+3*time.Second })
 	h, ok := p.day.losses[p.now-playFrom]
 	if !ok {
 		return
@@ -424,6 +425,7 @@
 func TestPlay(t *testing.T) {
 	for _, day := range playDays() {
 		t.Run(day.name, func(t *testing.T) {
+			t.Parallel()
 			for _, need := range playNeeds {
 				r := playAll(day, need, func(first bool) *MixPlanner {
 					o := DefaultMixOptions(boot)
