Room: an old peak of the base is forgotten

Cause: where less was required than was left of the base, its value stayed at the time of the last requirement, so a hold began from an old peak: after a wave at a need of 45 and three minutes at 5, one refusal ordered 45 on demand, one notice too. Change: the value is that of the last plan; where no reclaimable upstreams are bought it is what is planned on demand. Figures: TestOldPeakIsForgotten failed with 45 for at most 7 before; it passes now.

--- a/internal/autoscale/mix.go
+++ b/internal/autoscale/mix.go
@@ -163,6 +163,8 @@
 	m.takeOver(now, halls)
 	if buys {
 		safe = m.onDemandNeed(now, need, ahead, halls)
+	} else {
+		m.base.value, m.base.at = safe, now
 	}
 	floors := make([]int, len(halls))
 	for i, h := range halls {
--- a/internal/autoscale/room_test.go
+++ b/internal/autoscale/room_test.go
@@ -172,3 +172,51 @@
 		assert.Equal(t, maxHoldBoots*boot, next.hold())
 	})
 }
+
+// serveFor plans until a time for a need, where what was planned serves at the next second, except for reclaimable
+// upstreams of halls that are out.
+func serveFor(m *MixPlanner, now, end time.Duration, need float64, s MixSpec, halls []HallState, out int) (counts []Count, at time.Duration) {
+	for ; now < end; now += time.Second {
+		counts = plan(m, now, need*m.o.TargetUse.Prefill, s, halls)
+		for i, c := range counts { // both are in the order of prices
+			halls[i].OnDemand = c.OnDemand
+			if i >= out {
+				halls[i].Reclaimable = c.Reclaimable
+			}
+		}
+	}
+	return counts, now
+}
+
+// TestOldPeakIsForgotten: long after a wave under high load, one refusal or one notice takes what the load of now
+// needs.
+func TestOldPeakIsForgotten(t *testing.T) {
+	const high, low = 45, 5
+	afterPeak := func(t *testing.T) (*MixPlanner, time.Duration, []HallState) {
+		m, halls := NewMixPlanner(DefaultMixOptions(boot)), threeHalls(0, 0)
+		_, now := serveFor(m, 0, time.Minute, high, roomSpec, halls, 0)
+		halls[0].Leaving, halls[0].Reclaimable = halls[0].Reclaimable, 0
+		counts, now := serveFor(m, now, now+2*time.Second, high, roomSpec, halls, 1)
+		n, _ := sums(counts)
+		assert.GreaterOrEqual(t, n, high)
+		halls[0].Leaving = 0
+		counts, now = serveFor(m, now, now+3*time.Minute, low, roomSpec, halls, 0)
+		n, _ = sums(counts)
+		assert.Equal(t, minOnDemand, n)
+		return m, now, halls
+	}
+	most := int(math.Ceil(maxTrend * low))
+	t.Run("one refusal", func(t *testing.T) {
+		m, now, halls := afterPeak(t)
+		m.Refused(now, "a")
+		n, _ := sums(plan(m, now, low*m.o.TargetUse.Prefill, roomSpec, halls))
+		assert.LessOrEqual(t, n, most)
+	})
+	t.Run("one notice", func(t *testing.T) {
+		m, now, halls := afterPeak(t)
+		halls[0].Leaving, halls[0].Reclaimable = halls[0].Reclaimable, 0
+		n, _ := sums(plan(m, now, low*m.o.TargetUse.Prefill, roomSpec, halls))
+		assert.GreaterOrEqual(t, n, low)
+		assert.LessOrEqual(t, n, most)
+	})
+}
--- a/internal/autoscale/waves.go
+++ b/internal/autoscale/waves.go
@@ -85,7 +85,7 @@
 
 // base is the capacity that on-demand upstreams have to have.
 type base struct {
-	value  float64 // when it was last required
+	value  float64 // when it was last planned
 	at     time.Duration
 	served window // negative: what reclaimable ones would have carried
 }
@@ -94,9 +94,7 @@
 func (b *base) lower(now time.Duration, required float64, half time.Duration) float64 {
 	if half > 0 {
 		left := b.value * math.Exp2(-float64(now-b.at)/float64(half))
-		if required < left {
-			return left
-		}
+		required = math.Max(required, left)
 	}
 	b.value, b.at = required, now
 	return required
