Room: a notice of a clock that is ahead counts as none

Cause: a stored notice in the future got age 0 at each new term, and as only later ones were written, no real notice was. Change: more than 3 s ahead is none; a notice that differs by 3 s is written. TestNoticeFromAClockAhead failed before (age 0, the real one not written); passes.

--- a/internal/handover/room.go
+++ b/internal/handover/room.go
@@ -21,8 +21,10 @@
 const (
 	// minNeedChange is the fraction by which a need has to change to be written again.
 	minNeedChange = 0.25
-	// minNoticeAge is by how much a last notice has to be later to be written again: a wave is many notices.
+	// minNoticeAge is by how much a last notice has to differ to be written again: a wave is many notices.
 	minNoticeAge = 3 * time.Second
+	// maxNoticeAhead is how far the writer's clock may be ahead: a notice beyond that counts as none.
+	maxNoticeAhead = 3 * time.Second
 	// minRoomInterval is the shortest time between two writes, however many services change.
 	minRoomInterval = time.Second
 )
@@ -52,15 +54,24 @@
 		return
 	}
 	for name, r := range v.written {
-		k := autoscale.Known{Need: r.Need, Notice: -1, Hold: time.Duration(r.Hold) * time.Millisecond}
-		if r.Notice > 0 {
-			k.Notice = max(0, v.clock.Since(v.clock.At(time.UnixMilli(r.Notice))))
-		}
+		k := autoscale.Known{Need: r.Need, Notice: v.noticeAge(r.Notice), Hold: time.Duration(r.Hold) * time.Millisecond}
 		restore(name, k)
 		s.Log.Info("room_found", zap.String("service", name), logging.Hundredths("need", k.Need), zap.Duration("notice_age", k.Notice), zap.Duration("hold", k.Hold))
 	}
 }
 
+// noticeAge returns the age of a stored notice, negative if it is none.
+func (v *Room) noticeAge(at int64) time.Duration {
+	if at <= 0 {
+		return -1
+	}
+	age := v.clock.Since(v.clock.At(time.UnixMilli(at)))
+	if age < -maxNoticeAhead {
+		return -1
+	}
+	return max(0, age)
+}
+
 // Write stores what is known now if it has changed.
 func (v *Room) Write(ctx context.Context, s *Store, token int64, known map[string]autoscale.Known) {
 	if v.clock.Since(v.writtenAt) < minRoomInterval {
@@ -83,5 +94,5 @@
 
 func roomChanged(a, b roomValue) bool {
 	return math.Abs(a.Need-b.Need) > minNeedChange*math.Max(a.Need, b.Need) ||
-		b.Notice-a.Notice >= minNoticeAge.Milliseconds() || a.Hold != b.Hold
+		math.Abs(float64(b.Notice)-float64(a.Notice)) >= float64(minNoticeAge.Milliseconds()) || a.Hold != b.Hold
 }
--- a/internal/handover/room_test.go
+++ b/internal/handover/room_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -65,3 +66,47 @@
 		})
 	})
 }
+
+// newRoomHolder returns a holder whose calls can be counted and fail, its writer's clock, and its token.
+func newRoomHolder(t *testing.T, f *roomFaults) (*holder, *timer.Manual, int64) {
+	clock := timer.NewManual(time.Unix(1000, 0))
+	s := httptest.NewServer(standin.NewPlatform(clock.Service()).Handler())
+	t.Cleanup(s.Close)
+	kv := store.NewGateway(s.URL, 5*time.Second, timer.Real()).KV()
+	faulty := kv
+	faulty.Txn = func(c context.Context, x store.Txn) (store.TxnResult, error) {
+		f.writes++
+		if f.isAway {
+			return store.TxnResult{}, errors.New("away")
+		}
+		return kv.Txn(c, x)
+	}
+	h := newHolder(faulty, clock.Service(), "a")
+	return h, clock, h.acquire(t)
+}
+
+type roomFaults struct {
+	writes int
+	isAway bool
+}
+
+// TestNoticeFromAClockAhead: a writer's clock was an hour ahead.
+func TestNoticeFromAClockAhead(t *testing.T) {
+	ctx, f := t.Context(), &roomFaults{}
+	h, clock, token := newRoomHolder(t, f)
+	at := clock.Service().WallOf(clock.Service().Now()).Add(time.Hour)
+	h.Write(ctx, RoomRecord, token, map[string]roomValue{"llm": {Need: 40, Notice: at.UnixMilli()}})
+	v := NewRoom(clock.Service())
+	restored := func() (got autoscale.Known) {
+		v.Restore(ctx, h.Store, func(_ string, k autoscale.Known) { got = k })
+		return got
+	}
+	assert.Equal(t, autoscale.Known{Need: 40, Notice: -1}, restored(), "no notice")
+	v.Write(ctx, h.Store, token, map[string]autoscale.Known{"llm": {Need: 40, Notice: time.Second}})
+	assert.Equal(t, autoscale.Known{Need: 40, Notice: time.Second}, restored(), "the real one is written")
+	t.Run("a little ahead is now", func(t *testing.T) {
+		at := clock.Service().WallOf(clock.Service().Now()).Add(time.Second)
+		h.Write(ctx, RoomRecord, token, map[string]roomValue{"llm": {Need: 40, Notice: at.UnixMilli()}})
+		assert.Equal(t, autoscale.Known{Need: 40}, restored())
+	})
+}
