Room: one attempt a second to write, no write for part of an upstream

Cause: the time of the last write moved only with success, so with the store away each step made a blocking call in the loop that gives orders; a need below 4 was written at each change of a fraction. Change: the time is that of the attempt; a need has to change by one upstream, too. TestRoomWritesSeldom failed before (20 calls in 5 s for 5, 4 for 0); passes.

--- a/internal/handover/room.go
+++ b/internal/handover/room.go
@@ -21,11 +21,14 @@
 const (
 	// minNeedChange is the fraction by which a need has to change to be written again.
 	minNeedChange = 0.25
+	// minUpstreamChange is by how many upstreams it has to change besides: a quarter of a small need is none.
+	minUpstreamChange = 1
 	// minNoticeAge is by how much a last notice has to differ to be written again: a wave is many notices.
 	minNoticeAge = 3 * time.Second
 	// maxNoticeAhead is how far the writer's clock may be ahead: a notice beyond that counts as none.
 	maxNoticeAhead = 3 * time.Second
-	// minRoomInterval is the shortest time between two writes, however many services change.
+	// minRoomInterval is the shortest time between two attempts to write, however many services change: each
+	// blocks the loop that gives orders.
 	minRoomInterval = time.Second
 )
 
@@ -38,9 +41,9 @@
 
 // Room stores what is known of the room that services need for the holder of the duties.
 type Room struct {
-	clock     *timer.Service
-	written   map[string]roomValue
-	writtenAt time.Time
+	clock   *timer.Service
+	written map[string]roomValue
+	triedAt time.Time
 }
 
 // NewRoom returns a writer.
@@ -74,7 +77,7 @@
 
 // Write stores what is known now if it has changed.
 func (v *Room) Write(ctx context.Context, s *Store, token int64, known map[string]autoscale.Known) {
-	if v.clock.Since(v.writtenAt) < minRoomInterval {
+	if v.clock.Since(v.triedAt) < minRoomInterval {
 		return
 	}
 	now := make(map[string]roomValue, len(known))
@@ -87,12 +90,16 @@
 		now[name] = r
 		changed = changed || roomChanged(v.written[name], r)
 	}
-	if changed && s.Write(ctx, RoomRecord, token, now) {
-		v.written, v.writtenAt = now, v.clock.Now()
+	if !changed {
+		return
+	}
+	v.triedAt = v.clock.Now()
+	if s.Write(ctx, RoomRecord, token, now) {
+		v.written = now
 	}
 }
 
 func roomChanged(a, b roomValue) bool {
-	return math.Abs(a.Need-b.Need) > minNeedChange*math.Max(a.Need, b.Need) ||
+	return math.Abs(a.Need-b.Need) > math.Max(minUpstreamChange, minNeedChange*math.Max(a.Need, b.Need)) ||
 		math.Abs(float64(b.Notice)-float64(a.Notice)) >= float64(minNoticeAge.Milliseconds()) || a.Hold != b.Hold
 }
--- a/internal/handover/room_test.go
+++ b/internal/handover/room_test.go
@@ -110,3 +110,27 @@
 		assert.Equal(t, autoscale.Known{Need: 40}, restored())
 	})
 }
+
+func TestRoomWritesSeldom(t *testing.T) {
+	const tick = 250 * time.Millisecond
+	ctx, f := t.Context(), &roomFaults{}
+	h, clock, token := newRoomHolder(t, f)
+	v := NewRoom(clock.Service())
+	v.Restore(ctx, h.Store, func(string, autoscale.Known) {})
+	writes := func(need func(i int) float64) int {
+		f.writes = 0
+		for i := range 20 {
+			v.Write(ctx, h.Store, token, map[string]autoscale.Known{"llm": {Need: need(i), Notice: -1}})
+			clock.Advance(tick)
+		}
+		return f.writes
+	}
+	assert.Equal(t, 1, writes(func(int) float64 { return 10 }))
+	assert.Zero(t, writes(func(i int) float64 { return 10 + float64(i%2) }), "less than a quarter")
+	assert.Equal(t, 1, writes(func(int) float64 { return 1.5 }))
+	assert.Zero(t, writes(func(i int) float64 { return 1 + 0.9*float64(i%2) }), "less than one upstream")
+	f.isAway = true
+	assert.Equal(t, 5, writes(func(int) float64 { return 10 }), "one attempt a second while the store is away")
+	f.isAway = false
+	assert.Equal(t, 1, writes(func(int) float64 { return 10 }))
+}
