Room: needs beyond all bounds

Cause: an infinite need, none at all or 1e308 of the store overflowed the counts. Change: only finite needs count; need and base are at most what the halls carry when they are full. Upstreams faster than usual carry more than their number, so the bound has their speed. FuzzRecords also plans for what it restores. TestNeedsBeyondAllBounds failed before (need +Inf planned); passes.

--- a/internal/autoscale/known.go
+++ b/internal/autoscale/known.go
@@ -1,9 +1,6 @@
 package autoscale
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // This file lets a planner continue from what another process knew: the loss of all processes and a wave often
 // have the same cause, and a new process would measure for a whole boot before it knew either.
@@ -36,7 +33,7 @@
 // Restore continues from what the previous holder of the duties knew, where this process knows less. Invalid
 // values are ignored.
 func (m *MixPlanner) Restore(now time.Duration, k Known) {
-	if k.Need > 0 && !math.IsInf(k.Need, 0) {
+	if k.Need > 0 && isFinite(k.Need) {
 		m.restored = restoredNeed{need: k.Need, until: now + restoredBoots*m.o.Boot}
 	}
 	if k.Hold > 0 {
--- a/internal/autoscale/mix.go
+++ b/internal/autoscale/mix.go
@@ -150,15 +150,17 @@
 func (m *MixPlanner) Plan(now time.Duration, s MixSpec, halls []HallState) []Count {
 	found := m.foundFloor(now)
 	buys := m.buysReclaimable(now, s, len(halls))
-	need := math.Max(m.need(now), m.keepFound(found, buys, halls))
-	ahead := math.Max(need, m.ahead(now))
+	most := mostCarried(s, halls)
+	need := math.Min(most, math.Max(m.need(now), m.keepFound(found, buys, halls)))
+	ahead := math.Min(most, math.Max(need, m.ahead(now)))
+	m.base.value = math.Min(most, m.base.value)
 	sort.Slice(halls, func(i, j int) bool {
 		if halls[i].Price != halls[j].Price {
 			return halls[i].Price < halls[j].Price
 		}
 		return halls[i].Hall < halls[j].Hall
 	})
-	counts := m.countReclaimable(now, need, math.Max(need, found), buys, halls)
+	counts := m.countReclaimable(now, need, math.Min(most, math.Max(need, found)), buys, s, halls)
 	safe := need // need that on-demand upstreams have to carry
 	m.takeOver(now, halls)
 	if buys {
@@ -181,9 +183,9 @@
 
 // countReclaimable returns the counts with the reclaimable upstreams of each hall. Those that are bought carry what
 // has to be replaced, too.
-func (m *MixPlanner) countReclaimable(now time.Duration, need, replaced float64, buys bool, halls []HallState) []Count {
+func (m *MixPlanner) countReclaimable(now time.Duration, need, replaced float64, buys bool, s MixSpec, halls []HallState) []Count {
 	counts := make([]Count, len(halls))
-	want := math.Max(replaced, m.wanted.highest(now, spareHoldBoots*m.o.Boot))
+	want := math.Max(replaced, math.Min(mostCarried(s, halls), m.wanted.highest(now, spareHoldBoots*m.o.Boot)))
 	wants, lacks := keptCounts(m.reclaimableCounts(replaced, want, halls), m.inWave(now), halls)
 	m.planned.lacks = buys && lacks
 	for i, h := range halls {
--- a/internal/autoscale/need.go
+++ b/internal/autoscale/need.go
@@ -24,8 +24,12 @@
 	minTrendSamples = 8
 )
 
-// recordNeed keeps the needs of the last ShrinkDelay. Needs before the first work do not count.
+// recordNeed keeps the needs of the last ShrinkDelay. Needs before the first work do not count, nor what is no
+// finite number.
 func (m *MixPlanner) recordNeed(now time.Duration, need float64) {
+	if !isFinite(need) {
+		return
+	}
 	if !m.hasWork {
 		if need <= idleNeed {
 			return
@@ -61,9 +65,23 @@
 	}
 	value, slope := m.trend(now)
 	ahead := value + slope*(m.o.Boot+listMargin).Seconds()
+	if !isFinite(ahead) {
+		return need
+	}
 	return math.Max(need, math.Min(ahead, m.o.MaxTrend*need))
 }
 
+func isFinite(x float64) bool { return !math.IsNaN(x) && !math.IsInf(x, 0) }
+
+// mostCarried returns what as many upstreams carry as all halls may have: a need beyond it is no count.
+func mostCarried(s MixSpec, halls []HallState) float64 {
+	sum := 0.0
+	for _, h := range halls {
+		sum += float64(s.Max) * math.Max(1, h.speed())
+	}
+	return sum
+}
+
 // trend returns the value now and the slope, by second, of the line through the recent needs.
 func (m *MixPlanner) trend(now time.Duration) (value, slope float64) {
 	var n, st, sv, stt, stv float64
--- a/internal/autoscale/room_test.go
+++ b/internal/autoscale/room_test.go
@@ -220,3 +220,51 @@
 		assert.LessOrEqual(t, n, most)
 	})
 }
+
+// TestNeedsBeyondAllBounds: needs that no count can be made of leave the counts within their bounds.
+func TestNeedsBeyondAllBounds(t *testing.T) {
+	assertBounded := func(t *testing.T, counts []Count) {
+		t.Helper()
+		for _, c := range counts {
+			assert.GreaterOrEqual(t, c.OnDemand, 0)
+			assert.GreaterOrEqual(t, c.Reclaimable, 0)
+			assert.LessOrEqual(t, c.OnDemand+c.Reclaimable, mixSpec.Max)
+		}
+		n, _ := sums(counts)
+		assert.GreaterOrEqual(t, n, minOnDemand)
+	}
+	for _, load := range []float64{math.Inf(1), math.NaN(), math.Inf(-1), 1e308} {
+		m := NewMixPlanner(DefaultMixOptions(boot))
+		for now := time.Duration(0); now < 20*time.Second; now += time.Second {
+			h := threeHalls(3, 0)
+			h[0].Leaving = 1
+			assertBounded(t, plan(m, now, load, mixSpec, h))
+			assert.LessOrEqual(t, m.Planned().Need, 18.0)
+		}
+	}
+	t.Run("measured ones still count", func(t *testing.T) {
+		m, now := loaded(loadForSeven, threeHalls(1, 0))
+		n, _ := sums(plan(m, now, math.Inf(1), mixSpec, threeHalls(1, 0)))
+		assert.Equal(t, 7, n)
+		assert.False(t, math.IsInf(m.Known(now).Need, 0))
+	})
+	t.Run("restored", func(t *testing.T) {
+		m := NewMixPlanner(DefaultMixOptions(boot))
+		m.Restore(0, Known{Need: 1e308, Notice: -1})
+		counts := plan(m, 0, 1, mixSpec, threeHalls(1, 3))
+		assertBounded(t, counts)
+		n, r := sums(counts)
+		assert.Equal(t, 18, n+r, "as many as there is room for")
+		m.Restore(0, Known{Need: math.NaN(), Notice: -1})
+		assertBounded(t, plan(m, time.Second, 1, mixSpec, threeHalls(1, 3)))
+	})
+	t.Run("faster upstreams carry more", func(t *testing.T) {
+		m, h := NewMixPlanner(DefaultMixOptions(boot)), threeHalls(1, 2)
+		for i := range h {
+			h[i].Speed = 2
+		}
+		_, now := serveFor(m, 0, time.Minute, 30, mixSpec, h, 0)
+		n, r := sums(plan(m, now, 30*m.o.TargetUse.Prefill, mixSpec, h))
+		assert.Equal(t, 18, n+r, "they carry 36")
+	})
+}
--- a/internal/edge/records_test.go
+++ b/internal/edge/records_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"spurhall.example/spurhall/internal/autoscale"
+	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/forward"
 	"spurhall.example/spurhall/internal/handover"
 	"spurhall.example/spurhall/internal/pool"
@@ -28,6 +29,7 @@
 		`[{"print":"","upstream":"u","at":1}]`, `[{"print":[1,2],"upstream":"u","at":9223372036854775807}]`, `{"era":9,"at":1}`,
 		`{"order":5,"target":"v2","stage":99,"beganMs":1}`, `{"order":5,"target":"v2","stage":-7}`,
 		`{"llm":{"need":-1e308,"notice":9223372036854775807,"hold":-9223372036854775808}}`, `{"llm":{"need":1e308,"notice":-1,"hold":9223372036854775807}}`,
+		`{"llm":{"need":1e308,"notice":1,"hold":1}}`,
 	} {
 		f.Add([]byte(s))
 	}
@@ -77,6 +79,13 @@
 			if k := m.Known(time.Second); k.Need < 0 || k.Hold < 0 || k.Hold > time.Minute {
 				t.Errorf("invalid need or hold: %+v", k)
 			}
+			halls, most := []autoscale.HallState{{Hall: "hall-a", OnDemand: 2, Reclaimable: 1}, {Hall: "hall-b"}}, 6
+			m.Observe(time.Second, capacity.Work{Prefill: 0.5}, halls)
+			for _, c := range m.Plan(time.Second, autoscale.MixSpec{Min: 1, Max: most, ReclaimablePrice: 0.2}, halls) {
+				if c.OnDemand < 0 || c.Reclaimable < 0 || c.OnDemand+c.Reclaimable > most {
+					t.Errorf("counts out of bounds: %+v", c)
+				}
+			}
 		})
 		var c handover.Usage
 		n.restoreUsage(ctx)
