--- a/internal/autoscale/mix.go
+++ b/internal/autoscale/mix.go
@@ -90,6 +90,8 @@
 	base               base
 	wanted             window // needs of a boot ahead, of which reclaimable upstreams carry the highest
 	inTerm             bool   // it has planned since the term began
+	termSince          time.Duration
+	termFound          float64 // most on-demand upstreams listed since then; negative: none counted
 	restored           restoredNeed
 	planned            Planned
 	firstObserved      time.Duration // time of the first observation
--- a/internal/autoscale/room_test.go
+++ b/internal/autoscale/room_test.go
@@ -268,3 +268,20 @@
 		assert.Equal(t, 18, n+r, "they carry 36")
 	})
 }
+
+// TestTermBeginsWithPartOfTheList: the list of the upstreams that a predecessor ordered still grows.
+func TestTermBeginsWithPartOfTheList(t *testing.T) {
+	m, now := loaded(6, threeHalls(1, 4))
+	m.BeginTerm()
+	n, _ := sums(plan(m, now, 6, roomSpec, threeHalls(2, 4)))
+	assert.Equal(t, 6, n)
+	n, _ = sums(plan(m, now+time.Second, 6, roomSpec, threeHalls(6, 4)))
+	assert.Equal(t, 18, n)
+	now += time.Second
+	n, _ = sums(plan(m, now+boot/2, 6, roomSpec, threeHalls(6, 4)))
+	assert.Equal(t, 13, n, "the first of them don't stay for longer")
+	m.BeginTerm()
+	plan(m, now, 6, roomSpec, threeHalls(1, 4))
+	n, _ = sums(plan(m, now+findPeriod+time.Second, 6, roomSpec, threeHalls(6, 4)))
+	assert.Less(t, n, 9, "those listed later are its own")
+}
--- a/internal/autoscale/waves.go
+++ b/internal/autoscale/waves.go
@@ -104,15 +104,20 @@
 func (m *MixPlanner) BeginTerm() { m.inTerm = false }
 
 // takeOver starts a term from the existing on-demand upstreams: whoever ordered them may have had reasons that this
-// process hasn't seen.
+// process hasn't seen. They are the most that are listed within findPeriod.
 func (m *MixPlanner) takeOver(now time.Duration, halls []HallState) {
-	if m.inTerm {
+	if !m.inTerm {
+		m.inTerm, m.termSince, m.termFound = true, now, -1
+	}
+	found := onDemandOf(halls)
+	if now-m.termSince > findPeriod || found <= m.termFound || !m.settled(now) && m.o.FirstStart {
 		return
 	}
-	m.inTerm = true
-	if m.settled(now) || !m.o.FirstStart {
-		m.base = base{value: onDemandOf(halls), at: now}
+	m.base.value, m.base.at = found, now
+	if m.termFound < 0 {
+		m.base.served = window{}
 	}
+	m.termFound = found
 }
 
 // onDemandNeed returns the part of the need that on-demand upstreams have to carry, beside reclaimable ones. Those
