Room: the predecessor's value is read before anything is written

Cause: a read that failed at the start of a term wasn't repeated, and the next write replaced the predecessor's value with what a new process knows, nothing. Change: Write repeats the read, once a second, and writes only when the value was read, can't be decoded or is absent. TestRoomIsReadBeforeItIsWritten failed before (a write, 1 read for 3); passes.

--- a/internal/handover/room.go
+++ b/internal/handover/room.go
@@ -27,7 +27,7 @@
 	minNoticeAge = 3 * time.Second
 	// maxNoticeAhead is how far the writer's clock may be ahead: a notice beyond that counts as none.
 	maxNoticeAhead = 3 * time.Second
-	// minRoomInterval is the shortest time between two attempts to write, however many services change: each
+	// minRoomInterval is the shortest time between two attempts to read or write, however many services change: each
 	// blocks the loop that gives orders.
 	minRoomInterval = time.Second
 )
@@ -43,22 +43,32 @@
 type Room struct {
 	clock   *timer.Service
 	written map[string]roomValue
-	triedAt time.Time
+	triedAt time.Time // to write, or to read in vain
+	restore func(service string, k autoscale.Known)
+	isRead  bool // what the previous holder has written, or that it has written nothing, is known
 }
 
 // NewRoom returns a writer.
 func NewRoom(clock *timer.Service) *Room { return &Room{clock: clock} }
 
-// Restore passes on what the previous holder has written.
+// Restore passes on what the previous holder has written. While the store is unavailable Write repeats it.
 func (v *Room) Restore(ctx context.Context, s *Store, restore func(service string, k autoscale.Known)) {
+	v.restore, v.isRead = restore, false
+	v.read(ctx, s)
+}
+
+// read reads what the previous holder has written, and passes it on.
+func (v *Room) read(ctx context.Context, s *Store) {
 	v.written = make(map[string]roomValue)
-	if !s.Read(ctx, RoomRecord, &v.written) {
-		v.written = make(map[string]roomValue)
-		return
+	found, err := s.Load(ctx, RoomRecord, &v.written)
+	v.isRead = found || err == nil // a value that can't be decoded stays unreadable
+	if err != nil {
+		s.Log.Warn(RoomRecord.Name+"_unread", zap.String("cause", err.Error()))
+		v.triedAt, v.written = v.clock.Now(), make(map[string]roomValue)
 	}
 	for name, r := range v.written {
 		k := autoscale.Known{Need: r.Need, Notice: v.noticeAge(r.Notice), Hold: time.Duration(r.Hold) * time.Millisecond}
-		restore(name, k)
+		v.restore(name, k)
 		s.Log.Info("room_found", zap.String("service", name), logging.Hundredths("need", k.Need), zap.Duration("notice_age", k.Notice), zap.Duration("hold", k.Hold))
 	}
 }
@@ -75,11 +85,16 @@
 	return max(0, age)
 }
 
-// Write stores what is known now if it has changed.
+// Write stores what is known now if it has changed. Nothing is written before the previous holder's value was read:
+// a new process knows less.
 func (v *Room) Write(ctx context.Context, s *Store, token int64, known map[string]autoscale.Known) {
 	if v.clock.Since(v.triedAt) < minRoomInterval {
 		return
 	}
+	if !v.isRead {
+		v.read(ctx, s)
+		return
+	}
 	now := make(map[string]roomValue, len(known))
 	changed := false
 	for name, k := range known {
--- a/internal/handover/room_test.go
+++ b/internal/handover/room_test.go
@@ -134,3 +134,44 @@
 	f.isAway = false
 	assert.Equal(t, 1, writes(func(int) float64 { return 10 }))
 }
+
+// TestRoomIsReadBeforeItIsWritten: the store can't be read at the start of a term.
+func TestRoomIsReadBeforeItIsWritten(t *testing.T) {
+	ctx, f := t.Context(), &roomFaults{}
+	h, clock, token := newRoomHolder(t, f)
+	h.Write(ctx, RoomRecord, token, map[string]roomValue{"llm": {Need: 40}})
+	kv, reads, isAway := h.KV, 0, true
+	h.KV.Range = func(c context.Context, key, end string) (store.RangeResult, error) {
+		reads++
+		if isAway {
+			return store.RangeResult{}, errors.New("away")
+		}
+		return kv.Range(c, key, end)
+	}
+	f.writes = 0
+	v, found := NewRoom(clock.Service()), autoscale.Known{}
+	v.Restore(ctx, h.Store, func(_ string, k autoscale.Known) { found = k })
+	write := func() {
+		for range 8 {
+			clock.Advance(250 * time.Millisecond)
+			v.Write(ctx, h.Store, token, map[string]autoscale.Known{"llm": {Need: 3, Notice: -1}})
+		}
+	}
+	write()
+	assert.Zero(t, f.writes, "the predecessor's value stays")
+	assert.Equal(t, 3, reads, "one attempt a second")
+	isAway = false
+	write()
+	assert.Equal(t, autoscale.Known{Need: 40, Notice: -1}, found)
+	assert.Equal(t, 1, f.writes)
+	t.Run("a value that can't be decoded is replaced", func(t *testing.T) {
+		h, clock, token := newRoomHolder(t, f)
+		h.Write(ctx, RoomRecord, token, "x")
+		f.writes = 0
+		v := NewRoom(clock.Service())
+		v.Restore(ctx, h.Store, func(string, autoscale.Known) { t.Error("nothing is known") })
+		clock.Advance(minRoomInterval)
+		v.Write(ctx, h.Store, token, map[string]autoscale.Known{"llm": {Need: 3, Notice: -1}})
+		assert.Equal(t, 1, f.writes)
+	})
+}
