Room: a hall that gives its reclaimable upstreams up by an order had no notice

Cause: where none were ordered (too dear, no room) all of a hall's reclaimable ones leave, which looked like a reclaim and raised the base. Change: a hall without any, of which some are leaving, lost them by an order if the planner gave them up within the last 2 s; a reclaim stays one until none are leaving. TestOwnOrderToNoneIsNoNotice failed before; passes.

--- a/internal/autoscale/mix.go
+++ b/internal/autoscale/mix.go
@@ -105,17 +105,23 @@
 	refusedUntil       map[string]time.Duration
 	refusals           map[string]int
 	shortSince         map[string]time.Duration // since when a hall has fewer reclaimable upstreams than wanted
+	givenUp            map[string]time.Duration // when a hall that had reclaimable upstreams was last planned to have none
+	ownOrders          map[string]bool          // whether a hall without any, of which some are leaving, lost them by such a plan
 }
 
 // NewMixPlanner returns a planner.
 func NewMixPlanner(o MixOptions) *MixPlanner {
-	return &MixPlanner{o: o, refusedUntil: make(map[string]time.Duration), refusals: make(map[string]int), shortSince: make(map[string]time.Duration)}
+	return &MixPlanner{
+		o: o, refusedUntil: make(map[string]time.Duration), refusals: make(map[string]int), shortSince: make(map[string]time.Duration),
+		givenUp: make(map[string]time.Duration), ownOrders: make(map[string]bool),
+	}
 }
 
 const (
 	// idleNeed is the need up to which no load counts as measured.
 	idleNeed = 0.1
-	// findPeriod is how long after its start a planner counts listed upstreams as existing before: a list
+	// findPeriod is how long after its start a planner counts listed upstreams as existing before, and after its
+	// last order to give some up those that leave as given up: a list
 	// that is read while nodes still register grows for some heartbeats.
 	findPeriod = 2 * time.Second
 	// refusalPause is the first pause after a hall had no reclaimable upstreams available; it doubles up to
@@ -179,6 +185,7 @@
 		least := min(h.Reclaimable, s.Min-counts[i].OnDemand) // only existing ones
 		counts[i].Reclaimable = max(0, min(max(counts[i].Reclaimable, least), s.Max-counts[i].OnDemand))
 	}
+	m.recordGivenUp(now, halls, counts)
 	m.explain(now, need, ahead, buys, halls, counts)
 	return counts
 }
@@ -278,15 +285,37 @@
 }
 
 // recordNotices records when a hall was last seen under notice. A reclaim takes all reclaimable upstreams of a
-// hall; where some are left, the others leave because fewer were ordered.
+// hall; where some are left, the others leave because fewer were ordered, and where none were ordered, all of them.
 func (m *MixPlanner) recordNotices(now time.Duration, halls []HallState) {
 	for _, h := range halls {
-		if h.Leaving > 0 && h.Reclaimable == 0 {
+		if h.Leaving == 0 || h.Reclaimable > 0 {
+			delete(m.ownOrders, h.Hall)
+			continue
+		}
+		own, known := m.ownOrders[h.Hall]
+		if !known {
+			at, given := m.givenUp[h.Hall]
+			own = given && now-at <= findPeriod
+			m.ownOrders[h.Hall] = own
+		}
+		if !own {
 			m.waves.add(now, m.o.WaveHold, maxHoldBoots*m.o.Boot)
 		}
 	}
 }
 
+// recordGivenUp records the halls that are planned to give all their reclaimable upstreams up.
+func (m *MixPlanner) recordGivenUp(now time.Duration, halls []HallState, counts []Count) {
+	for i, h := range halls {
+		switch {
+		case counts[i].Reclaimable > 0:
+			delete(m.givenUp, h.Hall)
+		case h.Reclaimable > 0:
+			m.givenUp[h.Hall] = now
+		}
+	}
+}
+
 // spread distributes n on-demand upstreams. Each hall first gets the number that it has to have, including its
 // standalone floor, then halls with on-demand upstreams keep what they have, those with the fewest first, then the
 // halls with the fewest get more, the cheapest first among equals. So a hall that has many doesn't keep them all
--- a/internal/autoscale/room_test.go
+++ b/internal/autoscale/room_test.go
@@ -285,3 +285,54 @@
 	n, _ = sums(plan(m, now+findPeriod+time.Second, 6, roomSpec, threeHalls(6, 4)))
 	assert.Less(t, n, 9, "those listed later are its own")
 }
+
+// TestOwnOrderToNoneIsNoNotice: a hall gives all its reclaimable upstreams up because none were ordered.
+func TestOwnOrderToNoneIsNoNotice(t *testing.T) {
+	dear := mixSpec
+	dear.ReclaimablePrice = 0.9
+	given := func() (*MixPlanner, time.Duration, []HallState) {
+		m, now := loaded(loadForSeven, threeHalls(1, 4))
+		for end := now + 20*time.Second; now < end; now += time.Second {
+			plan(m, now, loadForSeven, dear, threeHalls(3, 1))
+		}
+		_, r := sums(plan(m, now, loadForSeven, dear, threeHalls(3, 1)))
+		assert.Zero(t, r)
+		h := threeHalls(3, 0)
+		for i := range h {
+			h[i].Leaving = 1
+		}
+		return m, now, h
+	}
+	t.Run("too dear", func(t *testing.T) {
+		m, now, h := given()
+		for end := now + 4*time.Second; now < end; now += 250 * time.Millisecond {
+			m.Observe(now, reading(loadForSeven), h)
+			assert.False(t, m.waves.seen)
+		}
+	})
+	t.Run("no room", func(t *testing.T) {
+		m, now := loaded(2, threeHalls(1, 3))
+		full := MixSpec{Max: 0, ReclaimablePrice: 0.22}
+		_, r := sums(plan(m, now, 2, full, threeHalls(1, 3)))
+		assert.Zero(t, r)
+		h := threeHalls(1, 0)
+		h[0].Leaving = 3
+		plan(m, now+time.Second, 2, full, h)
+		assert.False(t, m.waves.seen)
+	})
+	t.Run("an order of long ago", func(t *testing.T) {
+		m, now, h := given()
+		m.Observe(now+time.Minute, reading(loadForSeven), h)
+		assert.True(t, m.waves.seen, "another process may have given the orders since")
+	})
+	t.Run("a reclaim stays one while its hall gets none", func(t *testing.T) {
+		m, now := loaded(4, threeHalls(1, 4))
+		h := threeHalls(6, 4)
+		h[0].Reclaimable, h[0].Leaving = 0, 4
+		m.Refused(now, "a")
+		for end := now + 2*time.Second; now < end; now += 250 * time.Millisecond {
+			plan(m, now, 4, mixSpec, h)
+			assert.Equal(t, now, m.waves.last)
+		}
+	})
+}
