Room: a want above the maximum is no lack for ever

Cause: what a loss takes may exceed a hall's maximum, or leave no room beside the on-demand upstreams that carry the rest; the difference was a lack for ever. Change: a hall wants no more than it has room for, beside the one on demand; when the base isn't held, a hall lacks only what it has room for beside its on-demand ones, which carry the rest. Whether halls lack any is returned instead of kept in the plan.

--- a/internal/autoscale/mix.go
+++ b/internal/autoscale/mix.go
@@ -168,7 +168,7 @@
 		}
 		return halls[i].Hall < halls[j].Hall
 	})
-	counts := m.countReclaimable(now, need, math.Min(most, math.Max(need, found)), buys, s, halls)
+	counts, lacks := m.countReclaimable(now, need, math.Min(most, math.Max(need, found)), buys, s, halls)
 	safe := need // need that on-demand upstreams have to carry
 	m.takeOver(now, halls)
 	if buys {
@@ -186,17 +186,18 @@
 		counts[i].Reclaimable = max(0, min(max(counts[i].Reclaimable, least), s.Max-counts[i].OnDemand))
 	}
 	m.recordGivenUp(now, halls, counts)
-	m.explain(now, need, ahead, buys, halls, counts)
+	m.explain(now, Planned{Need: need, Ahead: ahead}, buys, lacks, s, halls, counts)
 	return counts
 }
 
 // countReclaimable returns the counts with the reclaimable upstreams of each hall. Those that are bought carry what
-// has to be replaced, too.
-func (m *MixPlanner) countReclaimable(now time.Duration, need, replaced float64, buys bool, s MixSpec, halls []HallState) []Count {
-	counts := make([]Count, len(halls))
+// has to be replaced, too. It reports whether halls lack any.
+func (m *MixPlanner) countReclaimable(now time.Duration, need, replaced float64, buys bool, s MixSpec, halls []HallState) (counts []Count, lacks bool) {
+	counts = make([]Count, len(halls))
 	want := math.Max(replaced, math.Min(mostCarried(s, halls), m.wanted.highest(now, spareHoldBoots*m.o.Boot)))
-	wants, lacks := keptCounts(m.reclaimableCounts(replaced, want, halls), m.inWave(now), halls)
-	m.planned.lacks = buys && lacks
+	wants := m.reclaimableCounts(replaced, want, s.Max, halls)
+	lack := lackOf(wants, s.Max, m.inWave(now) || m.keepsBase(now), halls)
+	wants = keptCounts(wants, lack, m.inWave(now), halls)
 	for i, h := range halls {
 		counts[i].Hall = h.Hall
 		switch {
@@ -207,7 +208,7 @@
 			counts[i].Reclaimable = min(h.Reclaimable, int(math.Ceil((need-onDemandOf(halls))/h.speed())))
 		}
 	}
-	return counts
+	return counts, buys && lack > 0
 }
 
 // standaloneShare is the part of its share of the need that a hall carries by itself: the upstreams of other
--- a/internal/autoscale/planned.go
+++ b/internal/autoscale/planned.go
@@ -17,7 +17,6 @@
 	Wave        bool
 	Hold        time.Duration // from the last notice on, in which the base isn't lowered
 	Reason      Reason
-	lacks       bool
 }
 
 // Reason says why a plan has more than calm times need.
@@ -41,27 +40,27 @@
 	return p.OnDemand != o.OnDemand || p.Reclaimable != o.Reclaimable || p.Reason != o.Reason
 }
 
-// explain records why these counts were planned.
-func (m *MixPlanner) explain(now time.Duration, need, ahead float64, buys bool, halls []HallState, counts []Count) {
-	p := Planned{Need: need, Ahead: ahead, Wave: m.inWave(now), Hold: m.hold(), lacks: m.planned.lacks}
+// explain records why these counts were planned: p has the need, lacks is whether halls lack reclaimable upstreams.
+func (m *MixPlanner) explain(now time.Duration, p Planned, buys, lacks bool, s MixSpec, halls []HallState, counts []Count) {
+	p.Wave, p.Hold = m.inWave(now), m.hold()
 	p.Survives = survivingReclaimable(halls)
 	for _, c := range counts {
 		p.OnDemand += c.OnDemand
 		p.Reclaimable += c.Reclaimable
 	}
-	p.Spares = max(0, p.Reclaimable-int(math.Ceil(need)))
+	p.Spares = max(0, p.Reclaimable-int(math.Ceil(p.Need)))
 	if buys {
 		calm := minOnDemand
-		for _, n := range m.reclaimableCounts(need, need, halls) {
+		for _, n := range m.reclaimableCounts(p.Need, p.Need, s.Max, halls) {
 			calm += n
 		}
 		p.Kept = max(0, p.OnDemand+p.Reclaimable-calm)
 	}
-	p.Reason = m.reason(now, need, p)
+	p.Reason = m.reason(now, lacks, p)
 	m.planned = p
 }
 
-func (m *MixPlanner) reason(now time.Duration, need float64, p Planned) Reason {
+func (m *MixPlanner) reason(now time.Duration, lacks bool, p Planned) Reason {
 	switch {
 	case !m.settled(now):
 		return ReasonUnmeasured
@@ -69,9 +68,9 @@
 		return ReasonWave
 	case m.keepsBase(now):
 		return ReasonHold
-	case p.lacks:
+	case lacks:
 		return ReasonLack
-	case p.OnDemand > max(minOnDemand, int(math.Ceil(need-p.Survives))):
+	case p.OnDemand > max(minOnDemand, int(math.Ceil(p.Need-p.Survives))):
 		return ReasonReplaced
 	}
 	return ReasonCalm
--- a/internal/autoscale/room_test.go
+++ b/internal/autoscale/room_test.go
@@ -55,20 +55,25 @@
 		m, h := NewMixPlanner(DefaultMixOptions(boot)), threeHalls(0, 10)
 		m.hasWork = true
 		h[0].Speed = 0.5
-		assert.Equal(t, []int{20, 10, 10}, m.reclaimableCounts(20, 20, h))
+		assert.Equal(t, []int{20, 10, 10}, m.reclaimableCounts(20, 20, roomSpec.Max, h))
 		assert.Equal(t, 15.0, survivingReclaimable(h))
 	})
 	t.Run("a surplus stands for what others lack", func(t *testing.T) {
 		h := threeHalls(0, 20)
 		h[0].Reclaimable = 0
-		kept, lacks := keptCounts([]int{15, 15, 15}, false, h)
-		assert.True(t, lacks)
-		assert.Equal(t, []int{15, 20, 20}, kept)
+		wants := []int{15, 15, 15}
+		lack := lackOf(wants, 40, false, h)
+		assert.Equal(t, 15.0, lack)
+		assert.Equal(t, []int{15, 20, 20}, keptCounts(wants, lack, false, h))
 		h[0].Reclaimable = 13
-		kept, _ = keptCounts([]int{15, 15, 15}, false, h)
-		assert.Equal(t, []int{15, 17, 17}, kept, "up to that")
-		kept, _ = keptCounts([]int{15, 15, 15}, true, h)
-		assert.Equal(t, []int{15, 20, 20}, kept, "all of it in a wave")
+		lack = lackOf(wants, 40, false, h)
+		assert.Equal(t, []int{15, 17, 17}, keptCounts(wants, lack, false, h), "up to that")
+		assert.Equal(t, []int{15, 20, 20}, keptCounts(wants, lack, true, h), "all of it in a wave")
+	})
+	t.Run("on-demand ones stand for what a hall has no room for", func(t *testing.T) {
+		h := threeHalls(10, 6)
+		assert.Zero(t, lackOf([]int{12, 12, 12}, 16, false, h))
+		assert.Equal(t, 18.0, lackOf([]int{12, 12, 12}, 16, true, h), "they go when the hold ends")
 	})
 }
 
@@ -336,3 +341,28 @@
 		}
 	})
 }
+
+// TestTightMaximum: halls have no room for what a loss takes.
+func TestTightMaximum(t *testing.T) {
+	s := MixSpec{Max: 16, ReclaimablePrice: 0.22}
+	const need = 24
+	t.Run("two halls want more than the maximum", func(t *testing.T) {
+		m, halls := NewMixPlanner(DefaultMixOptions(boot)), threeHalls(0, 0)[:2]
+		counts, now := serveFor(m, 0, 2*time.Minute, need, s, halls, 0)
+		n, r := sums(counts)
+		assert.GreaterOrEqual(t, n, minOnDemand)
+		assert.GreaterOrEqual(t, n+r, need)
+		assert.NotEqual(t, ReasonLack, m.Planned().Reason, "at %s: %+v", now, counts)
+	})
+	t.Run("three halls, after a wave", func(t *testing.T) {
+		m, halls := NewMixPlanner(DefaultMixOptions(boot)), threeHalls(0, 0)
+		_, now := serveFor(m, 0, time.Minute, need, s, halls, 0)
+		halls[0].Leaving, halls[0].Reclaimable = halls[0].Reclaimable, 0
+		_, now = serveFor(m, now, now+2*time.Second, need, s, halls, 1)
+		halls[0].Leaving = 0
+		counts, _ := serveFor(m, now, now+2*time.Minute, need, s, halls, 0)
+		n, _ := sums(counts)
+		assert.Equal(t, minOnDemand, n)
+		assert.Equal(t, ReasonCalm, m.Planned().Reason)
+	})
+}
--- a/internal/autoscale/spares.go
+++ b/internal/autoscale/spares.go
@@ -74,27 +74,39 @@
 	return math.Max(part, math.Ceil(want/float64(halls-1)-1e-9))
 }
 
-// reclaimableCounts returns how many reclaimable upstreams each hall should have.
-func (m *MixPlanner) reclaimableCounts(need, want float64, halls []HallState) []int {
+// reclaimableCounts returns how many reclaimable upstreams each hall should have, of those it has room for.
+func (m *MixPlanner) reclaimableCounts(need, want float64, most int, halls []HallState) []int {
 	wants := make([]int, len(halls))
 	for i, h := range halls {
 		c := math.Ceil(need/float64(len(halls)) - 1e-9)
 		if m.hasWork {
 			c = hallCapacity(need, want, len(halls), m.o.SparePerHall)
 		}
-		wants[i] = int(math.Ceil(c/h.speed() - 1e-9))
+		room := max(0, most-min(h.OnDemand, minOnDemand))
+		wants[i] = int(math.Min(math.Ceil(c/h.speed()-1e-9), float64(room)))
 	}
 	return wants
 }
 
-// keptCounts returns the counts with the surplus of halls that isn't given up: all of it while a wave lasts, and
-// otherwise as much as other halls lack. It reports whether a hall lacks any.
-func keptCounts(wants []int, wave bool, halls []HallState) (kept []int, lacks bool) {
+// lackOf returns what halls lack of the reclaimable upstreams they should have, in upstreams of the usual speed.
+// While the base is held all of it counts; otherwise what a hall has no room for beside its on-demand upstreams
+// doesn't: these carry the need that reclaimable ones have no room for.
+func lackOf(wants []int, most int, held bool, halls []HallState) float64 {
 	lack := 0.0
 	for i, h := range halls {
-		lack += math.Max(0, float64(wants[i]-h.Reclaimable)) * h.speed()
+		want := wants[i]
+		if !held {
+			want = min(want, most-h.OnDemand)
+		}
+		lack += float64(max(0, want-h.Reclaimable)) * h.speed()
 	}
-	kept = make([]int, len(wants))
+	return lack
+}
+
+// keptCounts returns the counts with the surplus of halls that isn't given up: all of it while a wave lasts, and
+// otherwise as much as other halls lack.
+func keptCounts(wants []int, lack float64, wave bool, halls []HallState) []int {
+	kept := make([]int, len(wants))
 	for i, h := range halls {
 		surplus := max(0, h.Reclaimable-wants[i])
 		if !wave {
@@ -102,5 +114,5 @@
 		}
 		kept[i] = wants[i] + surplus
 	}
-	return kept, lack > 0
+	return kept
 }
