Room: comments say what follows the trend, and where the base stays

Cause: need.go said that calm times don't follow the trend, though the reclaimable upstreams do; waves.go had the base at the need where it stays at the need less what survives the loss of a hall.

--- a/internal/autoscale/need.go
+++ b/internal/autoscale/need.go
@@ -12,8 +12,10 @@
 // only after a boot, so the trend of these seconds is followed to then, within a bound: a clump of a second moves
 // the line through seven by little, and a surge that has doubled the work isn't taken for one that doubles it again.
 //
+// The base follows the trend in a wave only; reclaimable upstreams, which cost little, follow it in calm times, too.
+//
 // Alternatives considered: the need of now, which is raised in small steps through a rise, each of them late by a
-// boot; the trend in calm times, too, which the spares cover.
+// boot; the trend for the base in calm times, too, which the spares cover.
 
 const (
 	// maxTrend is what DefaultMixOptions has as MaxTrend.
--- a/internal/autoscale/waves.go
+++ b/internal/autoscale/waves.go
@@ -12,7 +12,7 @@
 // in which the next wave is expected, learned from the intervals between waves, and the time for which the
 // reclaimable ones that replace it have served. From then on half of it at the most goes in each boot time, so that
 // an error can be mended before it costs more. Where halls go on lacking reclaimable ones, the base stays at the
-// need.
+// need less what survives the loss of a hall.
 //
 // Alternatives considered, in docs/design/room.md: lowering it to the need right after a wave; keeping it for the
 // loss of several halls beyond the hold.
