Order at engines where room is short: by rank and lot

Where prompts come faster than engines read them, all wait until shortly before their callers leave, since engines keep the order of arrival. The rank as configured doesn't mend it: a rank beyond its room is late as a whole, and the others get nothing.

internal/order gives each request of a service with several ranks a level by rank and a lot, once the expected wait reaches the tightest latency target; one in eight of each rank goes first, resumed streams go before all, overdue work last. Equal ranks and calm times are served as before. Requests out of turn don't enter the learned reading speed.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -13,6 +13,7 @@
 package catalog
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -208,10 +209,17 @@
 	services   map[string]*ServiceSpec
 	keys       map[string]*Workspace
 	workspaces []*Workspace
+	urgency    map[string]*Urgency // by service
 	requireKey bool
 	limits     Limits
 }
 
+// Urgency is how urgent the requests to one service may be.
+type Urgency struct {
+	Ranks  []int         // the priorities that they may have, in order; 0 is the most urgent
+	Target time.Duration // the tightest latency target; 0: none
+}
+
 // New builds a catalog. It returns ErrInvalid with the reason if the specification is invalid.
 func New(s Spec) (*Catalog, error) {
 	c := &Catalog{
@@ -233,9 +241,51 @@
 			c.keys[k] = v
 		}
 	}
+	c.addUrgency(s)
 	return c, nil
 }
 
+// addUrgency collects the priorities and latency targets of each service's requests.
+func (c *Catalog) addUrgency(s Spec) {
+	c.urgency = make(map[string]*Urgency)
+	ofRoutes := !s.RequireKey // some callers have no workspace with a priority of its own
+	var ofWorkspaces []int
+	for _, w := range s.Workspaces {
+		if w.HasPriority {
+			ofWorkspaces = append(ofWorkspaces, w.Priority)
+		} else {
+			ofRoutes = true
+		}
+	}
+	for _, r := range s.Routes {
+		for _, v := range r.Services {
+			u := c.urgency[v.Service]
+			if u == nil {
+				u = &Urgency{Ranks: slices.Clone(ofWorkspaces)}
+				c.urgency[v.Service] = u
+			}
+			if ofRoutes || r.Public {
+				u.Ranks = append(u.Ranks, r.Priority)
+			}
+			if t := r.LatencyTarget; t > 0 && (u.Target == 0 || t < u.Target) {
+				u.Target = t
+			}
+		}
+	}
+	for _, u := range c.urgency {
+		slices.Sort(u.Ranks)
+		u.Ranks = slices.Compact(u.Ranks)
+	}
+}
+
+// Urgency returns how urgent the requests to a service may be.
+func (c *Catalog) Urgency(service string) Urgency {
+	if u := c.urgency[service]; u != nil {
+		return *u
+	}
+	return Urgency{}
+}
+
 func (c *Catalog) addRoute(s RouteSpec) error {
 	if !strings.HasPrefix(s.Prefix, "/") || !strings.HasSuffix(s.Prefix, "/") {
 		return fault.Because(ErrInvalid, "route %q: prefix %q must start and end with a slash", s.Name, s.Prefix)
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -83,3 +84,32 @@
 	assert.Equal(t, 3, c.Workspace("k3").Priority(r))
 	assert.Equal(t, 3, c.Workspace("k4").Priority(r), "no workspace")
 }
+
+func TestUrgency(t *testing.T) {
+	assertUrgency := func(t *testing.T, s Spec, target time.Duration, ranks ...int) {
+		t.Helper()
+		c, err := New(s)
+		require.NoError(t, err)
+		assert.Equal(t, Urgency{Ranks: ranks, Target: target}, c.Urgency("s"))
+		assert.Empty(t, c.Urgency("unknown"))
+	}
+	to := []WeightedService{{"s", 1}}
+	routes := []RouteSpec{
+		{Name: "a", Host: "a", Prefix: "/", Priority: 2, LatencyTarget: time.Second, Services: to},
+		{Name: "b", Host: "b", Prefix: "/", Priority: 0, Services: to},
+		{Name: "c", Host: "c", Prefix: "/", Priority: 2, LatencyTarget: 2 * time.Second, Services: to},
+		{Name: "d", Host: "d", Prefix: "/", Priority: 7, LatencyTarget: time.Millisecond, Services: []WeightedService{{"other", 1}}},
+	}
+	ranked := []WorkspaceSpec{{Name: "w", HasPriority: true, Priority: 1}}
+	t.Run("of the routes", func(t *testing.T) { assertUrgency(t, Spec{Routes: routes}, time.Second, 0, 2) })
+	t.Run("workspaces before routes", func(t *testing.T) {
+		assertUrgency(t, Spec{Routes: routes, Workspaces: ranked, RequireKey: true}, time.Second, 1)
+	})
+	t.Run("routes where a workspace has no priority", func(t *testing.T) {
+		assertUrgency(t, Spec{Routes: routes, Workspaces: append(ranked, WorkspaceSpec{Name: "v"}), RequireKey: true}, time.Second, 0, 1, 2)
+	})
+	t.Run("public routes", func(t *testing.T) {
+		public := []RouteSpec{routes[0], {Name: "p", Host: "p", Prefix: "/", Priority: 4, Public: true, Services: to}}
+		assertUrgency(t, Spec{Routes: public, Workspaces: ranked, RequireKey: true}, time.Second, 1, 4)
+	})
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -162,9 +162,7 @@
 
 func (s *Server) need(q *request, tried map[string]bool) pool.Request {
 	n := pool.Request{ID: q.meta.ID, Service: q.service, Excluded: tried, Parts: q.meta.Parts, Prompt: float64(q.meta.PromptTokens), Output: float64(q.meta.MaxOutput)}
-	if v := q.catalog.Service(q.service); v != nil {
-		n.Engine = v.Engine != nil
-	}
+	n.Engine = q.engine()
 	return n
 }
 
@@ -382,7 +380,7 @@
 		lastEvent = q.meta.LastEvent
 	}
 	s.o.Dialect.WriteOrder(r.Header, call.Order{
-		TimeLeft: q.deadline.Sub(s.o.Clock.Now()), Incarnation: e.ID, Workspace: q.workspaceName(), LastEvent: lastEvent, Priority: s.priority(q), FetchFrom: a.use.Fetch(),
+		TimeLeft: q.deadline.Sub(s.o.Clock.Now()), Incarnation: e.ID, Workspace: q.workspaceName(), LastEvent: lastEvent, Priority: s.priority(q, a.use, lastEvent != ""), FetchFrom: a.use.Fetch(),
 	})
 	if r.Header.Get("User-Agent") == "" {
 		r.Header["User-Agent"] = nil // keeps net/http from adding its own
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -37,6 +37,7 @@
 	"spurhall.example/spurhall/internal/call"
 	"spurhall.example/spurhall/internal/catalog"
 	"spurhall.example/spurhall/internal/fault"
+	"spurhall.example/spurhall/internal/order"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/quarantine"
 	"spurhall.example/spurhall/internal/quota"
@@ -121,6 +122,7 @@
 	o       Options
 	next    endpoint.Endpoint
 	waits   waitTracker
+	orders  order.Tracker
 	pending attemptSet
 }
 
@@ -154,6 +156,8 @@
 	firstResponse   time.Duration     // from arrival to the first event or the head; 0 if none came
 	longestPause    time.Duration     // longest pause between two forwarded events
 	use             *pool.Use         // last attempt's upstream
+	order           order.Decision    // its place in the order at that upstream
+	expectedWait    time.Duration     // there, when it was sent
 	observed        call.Response     // last response of that upstream
 	upstreamFailure *response         // an upstream's own error response, passed on if no later attempt succeeds
 	fingerprint     *quarantine.Fingerprint
@@ -166,6 +170,12 @@
 	return q.workspace.Name()
 }
 
+// engine reports whether the request's service runs on engines.
+func (q *request) engine() bool {
+	v := q.catalog.Service(q.service)
+	return v != nil && v.Engine != nil
+}
+
 // response is the final response to the caller.
 type response struct {
 	status int
@@ -396,6 +406,7 @@
 		f = append(f, choiceFields(q.use)...)
 		f = append(f, zap.Bool("says_leaving", q.observed.Leaving))
 		f = append(f, limitFields(q.observed.Limit)...)
+		f = append(f, orderFields(q)...)
 	}
 	if err != nil {
 		f = append(f, zap.String("cause", fault.Reason(err)))
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -11,6 +11,7 @@
 var (
 	counters  = expvar.NewMap("forward")
 	outcomes  = expvar.NewMap("forward_outcomes")
+	orders    = expvar.NewMap("forward_order") // by reason
 	latencies = metric.NewHistograms("forward_latency")
 )
 
--- a/internal/forward/priority.go
+++ b/internal/forward/priority.go
@@ -3,26 +3,22 @@
 import (
 	"sync"
 	"time"
+
+	"go.uber.org/zap"
+
+	"spurhall.example/spurhall/internal/order"
+	"spurhall.example/spurhall/internal/pool"
 )
 
-// This file derives a request's priority in an engine's queue.
+// This file collects what package order decides a request's priority at an engine by.
 //
 // A caller whose first attempt failed retries with the rest of its wait limit. After the loss of all nodes
 // nearly all callers retry at once, some of them already past their latency target, while new requests could
-// still be served in time. So requests past their target queue behind the others at an engine. They are not
-// dropped: their callers still wait for seconds.
-//
-// Alternatives considered: the urgency of the routes. With it, engines serve no class better.
+// still be served in time. So the time since the first attempt is estimated from what is left of the wait limit.
 
-const (
-	// priorityUnset keeps the engine's own order.
-	priorityUnset = -1
-	// priorityOverdue is behind unset priorities, which engines treat as 5 of 9.
-	priorityOverdue = 7
-	// minWaitSamples is how many requests of a route are needed to estimate how long its callers wait. Until
-	// then callers are assumed to wait for the route's time-out.
-	minWaitSamples = 8
-)
+// minWaitSamples is how many requests of a route are needed to estimate how long its callers wait. Until
+// then callers are assumed to wait for the route's time-out.
+const minWaitSamples = 8
 
 // waitTracker tracks how long the callers of each route wait in total, from their first attempt on. It is
 // safe for concurrent use.
@@ -61,10 +57,33 @@
 	return longest - wait
 }
 
-// priority returns a request's priority in an engine's queue.
-func (s *Server) priority(q *request) int {
-	if t := q.route.LatencyTarget(); t > 0 && q.waitedBefore+s.o.Clock.Since(q.arrived) > t {
-		return priorityOverdue
+// priority returns a request's priority at the upstream that was chosen for it.
+func (s *Server) priority(q *request, u *pool.Use, resumed bool) int {
+	now := s.o.Clock.Now()
+	v, x := q.catalog.Urgency(q.service), u.Expected()
+	if !q.engine() {
+		v.Ranks = nil
+	}
+	d := s.orders.Decide(now, q.service, order.Request{
+		ID: q.meta.ID, Rank: q.workspace.Priority(q.route), Ranks: v.Ranks, Target: q.route.LatencyTarget(), Tightest: v.Target,
+		Elapsed: q.waitedBefore + now.Sub(q.arrived), Wait: x.Wait, Reading: x.Reading, Resumed: resumed,
+	})
+	q.order, q.expectedWait = d, x.Wait
+	orders.Add(string(d.Reason), 1)
+	if d.Differs() {
+		u.SetOutOfTurn()
+	}
+	return d.Priority
+}
+
+// orderFields returns the log fields for a request's place in the order at its last upstream, if that differs
+// from the one in calm times.
+func orderFields(q *request) []zap.Field {
+	if !q.order.Differs() {
+		return nil
+	}
+	return []zap.Field{
+		zap.String("order", string(q.order.Reason)), zap.Int("priority", q.order.Priority), zap.Int("rank", q.workspace.Priority(q.route)),
+		zap.Duration("slack", q.order.Slack), zap.Duration("expected_wait", q.expectedWait),
 	}
-	return priorityUnset
 }
--- a/internal/model/engine.go
+++ b/internal/model/engine.go
@@ -1,6 +1,7 @@
 package model
 
 import (
+	"cmp"
 	"container/list"
 	"math"
 	"slices"
@@ -17,10 +18,13 @@
 	First    time.Duration // between the step that ends the reading and the first event
 	Memory   float64       // tokens of cached parts
 	Fetch    float64       // cached tokens that come from another engine in a millisecond; 0: none do
+	Room     float64       // tokens that requests in slots hold together, at most; 0: no bound
 }
 
 // engine is one model engine. It works in steps: each reads a piece of the prompts that
-// wait, in their order, and makes a token for each request that runs.
+// wait, in the order of their priorities, and makes a token for each request that runs.
+// Where slots or room are short, a more urgent request preempts the newest of the least
+// urgent ones, which is read anew.
 type engine struct {
 	w       *World
 	spec    *EngineSpec
@@ -28,21 +32,28 @@
 	reading []*job // in order; the first one is read
 	running int
 	runs    []*job
-	waiting []*job // without a slot
+	waiting []*job // without a slot, in order
+	number  int    // of the newest request
 	busy    bool   // a step is under way
 	parts   *cache
 }
 
 // job is a request at an engine.
 type job struct {
-	q       *request
-	left    float64 // prompt tokens still to be read
-	out     int     // tokens still to be made
-	first   bool    // its first token was made
-	counts  bool    // it is measured
-	from    *engine // that cached parts are taken from; nil: none
-	done    func(now time.Duration)
-	started func(now time.Duration)
+	q        *request
+	priority int
+	number   int     // of its arrival at the engine
+	left     float64 // prompt tokens still to be read
+	reads    float64 // prompt tokens to be read when it got its slot
+	out      int     // tokens still to be made
+	made     int     // tokens made
+	first    bool    // its first token was made, since it last got a slot
+	begun    bool    // its first token was made
+	slot     int     // how many times it got a slot
+	counts   bool    // it is measured
+	from     *engine // that cached parts are taken from; nil: none
+	done     func(now time.Duration)
+	started  func(now time.Duration)
 }
 
 func newEngine(w *World, spec *EngineSpec, id string) *engine {
@@ -51,11 +62,94 @@
 
 // take begins a request, or lets it wait for a slot.
 func (e *engine) take(j *job) {
-	if len(e.runs) >= e.spec.Slots {
-		e.waiting = append(e.waiting, j)
-		return
+	e.number++
+	j.number = e.number
+	e.waiting = insert(e.waiting, j)
+	e.fill()
+}
+
+// insert keeps the order of priorities, and of arrival within one.
+func insert(l []*job, j *job) []*job {
+	i, _ := slices.BinarySearchFunc(l, j, compare)
+	return slices.Insert(l, i, j)
+}
+
+func compare(a, b *job) int {
+	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.number, b.number))
+}
+
+// fill gives slots to those that wait, as far as there is room.
+func (e *engine) fill() {
+	for len(e.waiting) > 0 {
+		j := e.waiting[0]
+		if !e.makeRoom(j) {
+			return
+		}
+		e.waiting = e.waiting[1:]
+		e.admit(j)
 	}
-	e.admit(j)
+}
+
+// makeRoom preempts less urgent requests until there is room for one.
+func (e *engine) makeRoom(j *job) bool {
+	for !e.fits(j) {
+		v := e.victim()
+		if v == nil || v.priority <= j.priority {
+			return false
+		}
+		e.preempt(v)
+	}
+	return true
+}
+
+func (e *engine) fits(j *job) bool {
+	if len(e.runs) == 0 {
+		return true
+	}
+	return len(e.runs) < e.spec.Slots && (e.spec.Room == 0 || e.held()+j.holds() <= e.spec.Room)
+}
+
+func (j *job) holds() float64 { return j.q.prompt + float64(j.made) }
+
+func (e *engine) held() float64 {
+	sum := 0.0
+	for _, j := range e.runs {
+		sum += j.holds()
+	}
+	return sum
+}
+
+// victim is the newest of the least urgent requests in slots.
+func (e *engine) victim() *job {
+	if len(e.runs) == 0 {
+		return nil
+	}
+	return slices.MaxFunc(e.runs, compare)
+}
+
+func (e *engine) preempt(j *job) {
+	e.w.preempted += j.reads - j.left
+	e.drop(j)
+	e.waiting = insert(e.waiting, j)
+}
+
+// drop takes a request out of its slot.
+func (e *engine) drop(j *job) {
+	same := func(v *job) bool { return v == j }
+	e.runs = slices.DeleteFunc(e.runs, same)
+	e.reading = slices.DeleteFunc(e.reading, same)
+	j.slot++
+	if j.first {
+		e.running--
+		j.first = false
+	}
+}
+
+// leave ends a request whose caller has left.
+func (e *engine) leave(j *job) {
+	e.waiting = slices.DeleteFunc(e.waiting, func(v *job) bool { return v == j })
+	e.drop(j)
+	e.fill()
 }
 
 func (e *engine) admit(j *job) {
@@ -63,10 +157,11 @@
 	if j.from != nil {
 		cached = math.Max(cached, j.from.parts.cached(j.q.parts))
 	}
-	j.left = j.q.prompt - cached
+	j.left = j.q.prompt - cached + float64(j.made)
+	j.reads = j.left
 	e.parts.add(j.q.parts)
 	e.runs = append(e.runs, j)
-	e.reading = append(e.reading, j)
+	e.reading = insert(e.reading, j)
 	if j.counts {
 		e.w.read += j.left
 	}
@@ -104,30 +199,41 @@
 	for _, j := range slices.Clone(e.runs) {
 		if j.first && j.out > 0 {
 			j.out--
+			j.made++
 			if j.out == 0 {
 				e.finish(j)
 			}
 		}
 	}
+	for e.spec.Room > 0 && len(e.runs) > 1 && e.held() > e.spec.Room {
+		e.preempt(e.victim())
+	}
 	for _, j := range read {
+		slot := j.slot
 		e.w.after(e.spec.First, func() {
-			j.first = true
-			e.running++
-			j.started(e.w.now)
+			if j.slot == slot {
+				e.start(j)
+			}
 		})
 	}
 	e.step()
 }
 
+// start makes the first token of a request, or the next one of a request that was preempted.
+func (e *engine) start(j *job) {
+	j.first = true
+	e.running++
+	if !j.begun {
+		j.begun = true
+		j.started(e.w.now)
+	}
+}
+
 func (e *engine) finish(j *job) {
 	e.runs = slices.DeleteFunc(e.runs, func(v *job) bool { return v == j })
 	e.running--
 	j.done(e.w.now)
-	if len(e.waiting) > 0 && len(e.runs) < e.spec.Slots {
-		next := e.waiting[0]
-		e.waiting = e.waiting[1:]
-		e.admit(next)
-	}
+	e.fill()
 }
 
 // cache is the prompt parts that an engine keeps: the one unused the longest gives way.
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -18,6 +18,7 @@
 
 	"spurhall.example/spurhall/internal/call"
 	"spurhall.example/spurhall/internal/capacity"
+	"spurhall.example/spurhall/internal/order"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/relay"
 	"spurhall.example/spurhall/internal/timer"
@@ -42,6 +43,9 @@
 	Own    float64       // median tokens of its own part
 	Sigma  float64       // spread of the own part, of the log
 	Output float64       // median tokens that go out
+	Rank   int           // as configured; 0 is the most urgent
+	Wait   time.Duration // callers leave without a first event after it; 0: they don't
+	Again  time.Duration // after it, callers that left come again, once; 0: they don't
 }
 
 // Shared is a part of which each request draws one of some.
@@ -57,7 +61,8 @@
 	Classes               []Class
 	Spread                Spread
 	Seed                  uint64
-	Warm, Length          time.Duration // Warm isn't measured
+	Warm, Length          time.Duration                                    // Warm isn't measured
+	Order                 func(q order.Request, short bool) order.Decision // nil: all priorities are unset
 }
 
 // Result is what callers got of one class.
@@ -67,13 +72,17 @@
 	InTime  float64 // share
 	P50     time.Duration
 	P99     time.Duration
-	Waiting int // without a first event at the end
+	Waiting int // without a first event at the end, or whose callers left
+	// Dry is the longest time between two first events in time.
+	Dry time.Duration
 }
 
 // Outcome is what a play gave.
 type Outcome struct {
 	Classes []Result
 	Read    float64 // prompt tokens read, of all that were asked
+	// Preempted is the prompt tokens that were read for requests which lost their slot, of all that were asked.
+	Preempted float64
 }
 
 type part struct {
@@ -95,18 +104,22 @@
 	book       *relay.Aggregator
 	view       relay.View
 	sequence   uint64
+	orders     order.Tracker
 }
 
 type play struct {
 	World
-	l       Load
-	random  *rand.Rand
-	clock   *timer.Manual
-	nodes   []*node
-	engines map[string]*engine
-	firsts  [][]time.Duration
-	asked   []int
-	prompts float64
+	l               Load
+	random          *rand.Rand
+	clock           *timer.Manual
+	nodes           []*node
+	engines         map[string]*engine
+	firsts          [][]time.Duration
+	asked           []int
+	prompts         float64
+	ranks           []int           // of the classes, in order
+	tightest        time.Duration   // of the classes' targets
+	lastInTime, dry []time.Duration // by class
 }
 
 const (
@@ -123,7 +136,16 @@
 	p := &play{
 		l: l, random: rand.New(rand.NewPCG(l.Seed, 1)), clock: timer.NewManual(time.Unix(1_700_000_000, 0)), engines: make(map[string]*engine),
 		firsts: make([][]time.Duration, len(l.Classes)), asked: make([]int, len(l.Classes)),
+		lastInTime: make([]time.Duration, len(l.Classes)), dry: make([]time.Duration, len(l.Classes)),
 	}
+	for i, c := range l.Classes {
+		p.ranks = append(p.ranks, c.Rank)
+		if i == 0 || c.Target < p.tightest {
+			p.tightest = c.Target
+		}
+	}
+	slices.Sort(p.ranks)
+	p.ranks = slices.Compact(p.ranks)
 	p.build()
 	for i := range l.Classes {
 		p.arrive(i)
@@ -172,31 +194,83 @@
 	}
 	add(1<<63|p.random.Uint64()>>1, math.Ceil(c.Own*math.Exp(c.Sigma*p.random.NormFloat64())))
 	q.output = math.Max(1, math.Ceil(c.Output*math.Exp(0.5*p.random.NormFloat64())))
-	n := p.nodes[p.random.IntN(len(p.nodes))]
-	u := p.pick(n, pool.Request{ID: fmt.Sprint(p.number), Service: service, Prompt: q.prompt, Output: q.output, Parts: parts, Engine: true})
-	measured := p.now >= p.l.Warm
-	if measured {
+	if p.now >= p.l.Warm {
 		p.asked[class]++
 		p.prompts += q.prompt
 	}
-	p.engines[u.Entry().ID].take(&job{
-		q: q, out: int(q.output), counts: measured, from: p.engines[u.Fetch()],
+	p.send(c, q, parts)
+}
+
+// send sends a request of a caller that first asked at q.at.
+func (p *play) send(c *Class, q *request, parts []call.Part) {
+	n := p.nodes[p.random.IntN(len(p.nodes))]
+	u := p.pick(n, pool.Request{ID: fmt.Sprint(p.number), Service: service, Prompt: q.prompt, Output: q.output, Parts: parts, Engine: true})
+	e := p.engines[u.Entry().ID]
+	measured := q.at >= p.l.Warm
+	j := &job{
+		q: q, priority: p.priority(n, c, u, p.now-q.at), out: int(q.output), counts: measured, from: p.engines[u.Fetch()],
 		started: func(now time.Duration) {
 			u.Started()
 			if measured {
-				p.firsts[class] = append(p.firsts[class], now-q.at)
+				p.record(q.class, now, now-q.at)
 			}
 		},
 		done: func(time.Duration) { u.End(pool.ResultGood) },
+	}
+	e.take(j)
+	if c.Wait == 0 {
+		return
+	}
+	p.after(c.Wait, func() {
+		if j.begun {
+			return
+		}
+		e.leave(j)
+		u.End(pool.ResultInconclusive)
+		if c.Again > 0 && p.now-q.at < 2*c.Wait {
+			p.after(c.Again, func() { p.send(c, q, parts) })
+		}
 	})
 }
 
+// record records a first event.
+func (p *play) record(class int, now, after time.Duration) {
+	p.firsts[class] = append(p.firsts[class], after)
+	if after <= p.l.Classes[class].Target {
+		p.dry[class] = max(p.dry[class], now-max(p.lastInTime[class], p.l.Warm))
+		p.lastInTime[class] = now
+	}
+}
+
+// engineDefault is the priority that engines give to a request without one.
+const engineDefault = 5
+
+// priority is what a request is sent with.
+func (p *play) priority(n *node, c *Class, u *pool.Use, elapsed time.Duration) int {
+	if p.l.Order == nil {
+		return engineDefault
+	}
+	x := u.Expected()
+	q := order.Request{
+		ID: fmt.Sprint(p.number), Rank: c.Rank, Ranks: p.ranks, Target: c.Target, Tightest: p.tightest, Elapsed: elapsed, Wait: x.Wait, Reading: x.Reading,
+	}
+	d := p.l.Order(q, n.orders.Short(p.clock.Service().Now(), service, q))
+	if d.Differs() {
+		u.SetOutOfTurn()
+	}
+	if d.Priority != order.Unset {
+		return d.Priority
+	}
+	return engineDefault
+}
+
 func (p *play) outcome() Outcome {
 	var o Outcome
 	for i, c := range p.l.Classes {
 		f := p.firsts[i]
 		slices.Sort(f)
 		r := Result{Class: c.Name, Asked: p.asked[i], Waiting: p.asked[i] - len(f)}
+		r.Dry = max(p.dry[i], p.l.Warm+p.l.Length-max(p.lastInTime[i], p.l.Warm))
 		if len(f) > 0 {
 			late, _ := slices.BinarySearchFunc(f, c.Target+1, cmp.Compare[time.Duration])
 			r.InTime = float64(late) / float64(p.asked[i])
@@ -205,5 +279,6 @@
 		o.Classes = append(o.Classes, r)
 	}
 	o.Read = p.read / math.Max(1, p.prompts)
+	o.Preempted = p.preempted / math.Max(1, p.prompts)
 	return o
 }
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -11,6 +11,8 @@
 	due    events
 	number int     // of the newest event: those of one moment keep their order
 	read   float64 // prompt tokens that engines were given to read
+	// preempted is the prompt tokens that were read for requests which lost their slot.
+	preempted float64
 }
 
 type event struct {
--- /dev/null
+++ b/internal/order/order_test.go
@@ -0,0 +1,103 @@
+package order
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// ranked is a request of one of three ranks, with so long a wait at its engine.
+func ranked(id, rank int, wait time.Duration) Request {
+	return Request{
+		ID: fmt.Sprint("r-", id), Rank: rank, Ranks: []int{0, 1, 2}, Target: time.Second, Tightest: 600 * time.Millisecond,
+		Wait: wait, Reading: 100 * time.Millisecond,
+	}
+}
+
+func assertDecision(t *testing.T, q Request, short bool, priority int, reason Reason) {
+	t.Helper()
+	d := Decide(q, short)
+	assert.Equal(t, priority, d.Priority)
+	assert.Equal(t, reason, d.Reason)
+}
+
+func TestDecide(t *testing.T) {
+	overdue := ranked(1, 0, 0)
+	overdue.Elapsed = 2 * time.Second
+	resumed := overdue
+	resumed.Resumed = true
+	t.Run("nothing is sent while there is room", func(t *testing.T) { assertDecision(t, ranked(1, 0, 0), false, Unset, ReasonCalm) })
+	t.Run("overdue work goes behind the others", func(t *testing.T) { assertDecision(t, overdue, false, priorityOverdue, ReasonOverdue) })
+	t.Run("resumed streams go first", func(t *testing.T) { assertDecision(t, resumed, false, priorityResumed, ReasonResumed) })
+	t.Run("overdue work goes last where room is short", func(t *testing.T) { assertDecision(t, overdue, true, priorityLast, ReasonOverdue) })
+	t.Run("equal ranks are never told apart", func(t *testing.T) {
+		q := ranked(1, 1, 5*time.Second)
+		q.Ranks = []int{1}
+		assertDecision(t, q, true, Unset, ReasonCalm)
+		q.Resumed = true
+		assertDecision(t, q, true, Unset, ReasonCalm)
+		q.Elapsed = 2 * time.Second
+		assertDecision(t, q, true, priorityOverdue, ReasonOverdue)
+	})
+	t.Run("no latency target", func(t *testing.T) {
+		q := overdue
+		q.Target, q.Tightest = 0, 0
+		assertDecision(t, q, false, Unset, ReasonCalm)
+		assert.False(t, q.Endangers())
+	})
+	t.Run("slack is what the expected first event leaves", func(t *testing.T) {
+		assert.Equal(t, 400*time.Millisecond, Decide(ranked(1, 0, 500*time.Millisecond), false).Slack)
+	})
+}
+
+func TestLevelsWhereRoomIsShort(t *testing.T) {
+	const n = 8000
+	var sum, turns [3]float64
+	for rank := range sum {
+		for i := 0; i < n; i++ {
+			d := Decide(ranked(i, rank, time.Second), true)
+			assert.True(t, d.Priority >= priorityFirst && d.Priority < priorityLast, "%d", d.Priority)
+			sum[rank] += float64(d.Priority)
+			if d.Reason == ReasonTurn {
+				turns[rank]++
+			}
+		}
+		assert.InDelta(t, 1/turnShare, turns[rank]/n, 0.02, "each rank has its turns")
+	}
+	assert.Less(t, sum[0], sum[1])
+	assert.Less(t, sum[1], sum[2])
+}
+
+func TestAnyNumberOfRanks(t *testing.T) {
+	for n := 2; n < 400; n *= 3 {
+		q := ranked(1, 0, time.Second)
+		q.Ranks = nil
+		for i := 0; i < n; i++ {
+			q.Ranks = append(q.Ranks, i)
+		}
+		before := 0
+		for i := -1; i <= n; i++ { // those outside the list count as the nearest one
+			q.Rank = i
+			p := Decide(q, true).Priority
+			assert.GreaterOrEqual(t, p, before)
+			assert.Less(t, p, priorityLast)
+			before = p
+		}
+	}
+}
+
+func TestTracker(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	assertShort := func(t *testing.T, k *Tracker, after, wait time.Duration, service string, want bool) {
+		t.Helper()
+		assert.Equal(t, want, k.Decide(start.Add(after), service, ranked(1, 0, wait)).Short)
+	}
+	var k Tracker
+	assertShort(t, &k, 0, 500*time.Millisecond, "a", false)
+	assertShort(t, &k, 0, 600*time.Millisecond, "a", true)
+	assertShort(t, &k, time.Second, 0, "a", true)
+	assertShort(t, &k, time.Second, 0, "b", false)
+	assertShort(t, &k, shortageHold, 0, "a", false)
+}
--- /dev/null
+++ b/internal/pool/expect.go
@@ -0,0 +1,38 @@
+package pool
+
+import "time"
+
+// This file states what is expected of an upstream before a request is sent there.
+
+// Expected is what a request is expected to meet at its upstream. Its zero value stands for an upstream
+// about which nothing is expected.
+type Expected struct {
+	Wait    time.Duration // to read the prompts that wait there already
+	Reading time.Duration // to read the request's own prompt, and to make its first event
+}
+
+// Expected returns what the request was expected to meet at its engine when it was chosen. It is zero for
+// a plain upstream.
+func (u *Use) Expected() Expected {
+	if !u.engine {
+		return Expected{}
+	}
+	u.p.mu.Lock()
+	defer u.p.mu.Unlock()
+	e := u.p.engine(u.p.clock.Now(), u.entry.Service)
+	slow := max(1, u.choice.Slowness)
+	return Expected{
+		Wait:    millis(slow * e.PrefillTime(u.choice.Queued)),
+		Reading: millis(slow * e.FirstEventDelay(u.prompt)),
+	}
+}
+
+// SetOutOfTurn records that the engine doesn't take the request in the order of arrival, so that the time
+// until its first event isn't that of reading what was queued. It is called before the request is sent.
+func (u *Use) SetOutOfTurn() {
+	u.p.mu.Lock()
+	defer u.p.mu.Unlock()
+	u.outOfTurn = true
+}
+
+func millis(x float64) time.Duration { return time.Duration(x * float64(time.Millisecond)) }
--- a/internal/pool/use.go
+++ b/internal/pool/use.go
@@ -32,6 +32,7 @@
 	started      bool
 	ended        bool
 	countedLimit bool // this node counted the request against the upstream's limit
+	outOfTurn    bool // others overtake it or it overtakes them: its wait says little of the queue ahead of it
 }
 
 // Choice describes what the choice of an upstream was based on.
@@ -91,7 +92,7 @@
 	ms := float64(after) / float64(time.Millisecond)
 	s := u.p.service(u.entry.Service)
 	switch {
-	case u.onTrial:
+	case u.onTrial, u.outOfTurn:
 	case u.engine && u.fetchFrom == "":
 		s.learner.ObserveFirst(u.firstEventAt, u.reads, after)
 	case !u.engine:
