--- a/internal/measure/pure_test.go
+++ b/internal/measure/pure_test.go
@@ -16,7 +16,7 @@
 // clock. time may be imported for its Duration only.
 func TestDecisionsArePure(t *testing.T) {
 	forbidden := []string{"net", "net/http", "os", "os/exec", "spurhall.example/spurhall/internal/timer"}
-	for _, p := range []string{"route", "retry", "admit", "reclaim", "autoscale", "relay", "quota", "capacity"} {
+	for _, p := range []string{"route", "retry", "admit", "reclaim", "autoscale", "relay", "quota", "capacity", "order"} {
 		files, err := filepath.Glob("../" + p + "/*.go")
 		require.NoError(t, err)
 		require.NotEmpty(t, files, p)
