--- a/internal/forward/priority.go
+++ b/internal/forward/priority.go
@@ -71,7 +71,7 @@
 	q.order, q.expectedWait = d, x.Wait
 	orders.Add(string(d.Reason), 1)
 	if d.Differs() {
-		u.SetOutOfTurn()
+		u.SetOutOfTurn(d.Overtakes())
 	}
 	return d.Priority
 }
--- a/internal/model/engine.go
+++ b/internal/model/engine.go
@@ -32,9 +32,10 @@
 	reading []*job // in order; the first one is read
 	running int
 	runs    []*job
-	waiting []*job // without a slot, in order
-	number  int    // of the newest request
-	busy    bool   // a step is under way
+	waiting []*job  // without a slot, in order
+	number  int     // of the newest request
+	busy    bool    // a step is under way
+	slow    float64 // how many times as long its steps take
 	parts   *cache
 }
 
@@ -53,11 +54,12 @@
 	counts   bool    // it is measured
 	from     *engine // that cached parts are taken from; nil: none
 	done     func(now time.Duration)
+	lost     func() // its engine has ended
 	started  func(now time.Duration)
 }
 
 func newEngine(w *World, spec *EngineSpec, id string) *engine {
-	return &engine{w: w, spec: spec, id: id, parts: newCache(spec.Memory)}
+	return &engine{w: w, spec: spec, id: id, slow: 1, parts: newCache(spec.Memory)}
 }
 
 // take begins a request, or lets it wait for a slot.
@@ -130,6 +132,7 @@
 func (e *engine) preempt(j *job) {
 	e.w.preempted += j.reads - j.left
 	e.drop(j)
+	j.reads, j.left = 0, 0
 	e.waiting = insert(e.waiting, j)
 }
 
@@ -147,6 +150,9 @@
 
 // leave ends a request whose caller has left.
 func (e *engine) leave(j *job) {
+	if j.counts {
+		e.w.wasted += j.reads - j.left
+	}
 	e.waiting = slices.DeleteFunc(e.waiting, func(v *job) bool { return v == j })
 	e.drop(j)
 	e.fill()
@@ -192,7 +198,7 @@
 	}
 	tokens := e.spec.Chunk - budget
 	d := e.spec.Step + time.Duration(e.running)*e.spec.SlotStep + time.Duration(tokens/e.spec.Reading*float64(time.Millisecond))
-	e.w.after(d, func() { e.end(read) })
+	e.w.after(time.Duration(e.slow*float64(d)), func() { e.end(read) })
 }
 
 func (e *engine) end(read []*job) {
@@ -229,6 +235,16 @@
 	}
 }
 
+// stop ends the engine with all that it has.
+func (e *engine) stop() {
+	all := append(slices.Clone(e.runs), e.waiting...)
+	e.runs, e.reading, e.waiting, e.running = nil, nil, nil, 0
+	for _, j := range all {
+		j.slot++
+		j.lost()
+	}
+}
+
 func (e *engine) finish(j *job) {
 	e.runs = slices.DeleteFunc(e.runs, func(v *job) bool { return v == j })
 	e.running--
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -61,10 +61,19 @@
 	Classes               []Class
 	Spread                Spread
 	Seed                  uint64
-	Warm, Length          time.Duration                                    // Warm isn't measured
+	Warm, Length          time.Duration // Warm isn't measured
+	Changes               []Change
 	Order                 func(q order.Request, short bool) order.Decision // nil: all priorities are unset
 }
 
+// Change is a trouble that begins at a time and lasts for one.
+type Change struct {
+	At, For time.Duration
+	Times   float64 // of the usual requests; 0: as usual
+	Slow    float64 // how many times as long the engines' steps take; 0: as usual
+	Lost    float64 // share of the engines that end, and are replaced by new ones at the end of the trouble
+}
+
 // Result is what callers got of one class.
 type Result struct {
 	Class   string
@@ -83,6 +92,8 @@
 	Read    float64 // prompt tokens read, of all that were asked
 	// Preempted is the prompt tokens that were read for requests which lost their slot, of all that were asked.
 	Preempted float64
+	// Wasted is the prompt tokens that were read for requests whose callers left without a first event, of all asked.
+	Wasted float64
 }
 
 type part struct {
@@ -117,8 +128,10 @@
 	firsts          [][]time.Duration
 	asked           []int
 	prompts         float64
-	ranks           []int           // of the classes, in order
-	tightest        time.Duration   // of the classes' targets
+	ranks           []int         // of the classes, in order
+	tightest        time.Duration // of the classes' targets
+	times           float64       // of the usual requests, now
+	items           []pool.Item
 	lastInTime, dry []time.Duration // by class
 }
 
@@ -133,9 +146,16 @@
 
 // Play plays a load.
 func Play(l Load) Outcome {
+	p := newPlay(l)
+	p.run(l.Warm+l.Length, p.clock.Advance)
+	return p.outcome()
+}
+
+func newPlay(l Load) *play {
 	p := &play{
 		l: l, random: rand.New(rand.NewPCG(l.Seed, 1)), clock: timer.NewManual(time.Unix(1_700_000_000, 0)), engines: make(map[string]*engine),
 		firsts: make([][]time.Duration, len(l.Classes)), asked: make([]int, len(l.Classes)),
+		times:      1,
 		lastInTime: make([]time.Duration, len(l.Classes)), dry: make([]time.Duration, len(l.Classes)),
 	}
 	for i, c := range l.Classes {
@@ -147,25 +167,26 @@
 	slices.Sort(p.ranks)
 	p.ranks = slices.Compact(p.ranks)
 	p.build()
+	for _, c := range l.Changes {
+		p.change(c)
+	}
 	for i := range l.Classes {
 		p.arrive(i)
 	}
-	p.run(l.Warm+l.Length, p.clock.Advance)
-	return p.outcome()
+	return p
 }
 
 func (p *play) build() {
 	hall := func(i int) string { return fmt.Sprint("hall-", i%p.l.Halls) }
-	var items []pool.Item
 	for i := 0; i < p.l.Engines; i++ {
 		id := fmt.Sprint("engine-", i)
 		p.engines[id] = newEngine(&p.World, &p.l.Engine, id)
-		items = append(items, pool.Item{Revision: 1, Entry: pool.Entry{ID: id, Service: service, Address: id, Hall: hall(i), Slots: p.l.Engine.Slots}})
+		p.items = append(p.items, pool.Item{Revision: 1, Entry: pool.Entry{ID: id, Service: service, Address: id, Hall: hall(i), Slots: p.l.Engine.Slots}})
 	}
 	for i := 0; i < p.l.Nodes; i++ {
 		n := &node{name: fmt.Sprint("node-", i), hall: hall(i), pools: pool.New(p.clock.Service(), fmt.Sprint("node-", i), hall(i))}
 		n.book = relay.NewAggregator(n.name, "1")
-		n.pools.Update(func(l *pool.List) { l.Replace(p.clock.Service().Now(), 1, items) })
+		n.pools.Update(func(l *pool.List) { l.Replace(p.clock.Service().Now(), 1, p.items) })
 		n.pools.SetSize(service, capacity.Size{Slots: p.l.Engine.Slots, Memory: p.l.Engine.Memory, Fetch: p.l.Engine.Fetch})
 		p.nodes = append(p.nodes, n)
 		p.after(time.Duration(p.random.Int64N(int64(round))), func() { p.tell(n) })
@@ -175,7 +196,7 @@
 // arrive lets a request of a class come, and sets when the next one does.
 func (p *play) arrive(class int) {
 	c := &p.l.Classes[class]
-	p.after(time.Duration(p.random.ExpFloat64()/c.Rate*float64(time.Second)), func() {
+	p.after(time.Duration(p.random.ExpFloat64()/(c.Rate*p.times)*float64(time.Second)), func() {
 		p.arrive(class)
 		p.ask(class, c)
 	})
@@ -201,69 +222,6 @@
 	p.send(c, q, parts)
 }
 
-// send sends a request of a caller that first asked at q.at.
-func (p *play) send(c *Class, q *request, parts []call.Part) {
-	n := p.nodes[p.random.IntN(len(p.nodes))]
-	u := p.pick(n, pool.Request{ID: fmt.Sprint(p.number), Service: service, Prompt: q.prompt, Output: q.output, Parts: parts, Engine: true})
-	e := p.engines[u.Entry().ID]
-	measured := q.at >= p.l.Warm
-	j := &job{
-		q: q, priority: p.priority(n, c, u, p.now-q.at), out: int(q.output), counts: measured, from: p.engines[u.Fetch()],
-		started: func(now time.Duration) {
-			u.Started()
-			if measured {
-				p.record(q.class, now, now-q.at)
-			}
-		},
-		done: func(time.Duration) { u.End(pool.ResultGood) },
-	}
-	e.take(j)
-	if c.Wait == 0 {
-		return
-	}
-	p.after(c.Wait, func() {
-		if j.begun {
-			return
-		}
-		e.leave(j)
-		u.End(pool.ResultInconclusive)
-		if c.Again > 0 && p.now-q.at < 2*c.Wait {
-			p.after(c.Again, func() { p.send(c, q, parts) })
-		}
-	})
-}
-
-// record records a first event.
-func (p *play) record(class int, now, after time.Duration) {
-	p.firsts[class] = append(p.firsts[class], after)
-	if after <= p.l.Classes[class].Target {
-		p.dry[class] = max(p.dry[class], now-max(p.lastInTime[class], p.l.Warm))
-		p.lastInTime[class] = now
-	}
-}
-
-// engineDefault is the priority that engines give to a request without one.
-const engineDefault = 5
-
-// priority is what a request is sent with.
-func (p *play) priority(n *node, c *Class, u *pool.Use, elapsed time.Duration) int {
-	if p.l.Order == nil {
-		return engineDefault
-	}
-	x := u.Expected()
-	q := order.Request{
-		ID: fmt.Sprint(p.number), Rank: c.Rank, Ranks: p.ranks, Target: c.Target, Tightest: p.tightest, Elapsed: elapsed, Wait: x.Wait, Reading: x.Reading,
-	}
-	d := p.l.Order(q, n.orders.Short(p.clock.Service().Now(), service, q))
-	if d.Differs() {
-		u.SetOutOfTurn()
-	}
-	if d.Priority != order.Unset {
-		return d.Priority
-	}
-	return engineDefault
-}
-
 func (p *play) outcome() Outcome {
 	var o Outcome
 	for i, c := range p.l.Classes {
@@ -279,6 +237,7 @@
 		o.Classes = append(o.Classes, r)
 	}
 	o.Read = p.read / math.Max(1, p.prompts)
+	o.Wasted = p.wasted / math.Max(1, p.prompts)
 	o.Preempted = p.preempted / math.Max(1, p.prompts)
 	return o
 }
--- a/internal/model/order_test.go
+++ b/internal/model/order_test.go
@@ -82,11 +82,12 @@
 	inTime, left [3]float64
 	dry          time.Duration // the longest of any class
 	preempted    float64
+	wasted       float64
 }
 
 // String is a row for a table.
 func (o *outcome) String() string {
-	return fmt.Sprintf("in time %.2f, left %.2f, longest time without any in time %.1f s, preempted %.3f", o.inTime, o.left, o.dry.Seconds(), o.preempted)
+	return fmt.Sprintf("in time %.2f, left %.2f, longest time without any in time %.1f s, preempted %.3f, wasted %.3f", o.inTime, o.left, o.dry.Seconds(), o.preempted, o.wasted)
 }
 
 // worst is the share in time of the class that gets the least.
@@ -103,6 +104,7 @@
 			o.dry = max(o.dry, r.Dry)
 		}
 		o.preempted += v.Preempted / n
+		o.wasted += v.Wasted / n
 	}
 	return o
 }
@@ -198,3 +200,43 @@
 	l.Order = order.Decide
 	assert.Equal(t, before, Play(l))
 }
+
+// TestReadingIsLearnedWhereRoomIsShort: the need is planned by the reading speed, and a speed that is too high keeps a
+// shortage going.
+func TestReadingIsLearnedWhereRoomIsShort(t *testing.T) {
+	l := short(4, 2, longUrgent)
+	l.Seed, l.Order = 1, order.Decide
+	p := newPlay(l)
+	p.run(l.Warm+l.Length, p.clock.Advance)
+	for _, n := range p.nodes {
+		assert.InEpsilon(t, l.Engine.Reading, n.pools.Engine(service).Reading, 0.4)
+	}
+}
+
+// TestOrderThroughTroubles: whatever makes room short, the most urgent class gets more in time than without an order,
+// and no class less than half of it.
+func TestOrderThroughTroubles(t *testing.T) {
+	troubles := []struct {
+		name string
+		Change
+	}{
+		{"two and a half times the requests", Change{At: 6 * time.Second, For: 8 * time.Second, Times: 2.5}},
+		{"engines at half their speed", Change{At: 6 * time.Second, For: 8 * time.Second, Slow: 2}},
+		{"two thirds of the engines lost", Change{At: 6 * time.Second, For: 6 * time.Second, Lost: 0.67}},
+	}
+	forEachMix(t, func(t *testing.T, m mix, byRank []int) {
+		for _, v := range troubles {
+			unset := short(6, 0.75, m)
+			unset.Changes, unset.Length = []Change{v.Change}, 16*time.Second
+			kept := unset
+			kept.Order = order.Decide
+			a, b := playShort(unset, playedSeeds()), playShort(kept, playedSeeds())
+			t.Logf("%s, unset: %v", v.name, &a)
+			t.Logf("%s, %s: %v", v.name, nameKept, &b)
+			assert.Greater(t, b.inTime[byRank[0]], a.inTime[byRank[0]], v.name)
+			for i := range a.inTime {
+				assert.Greater(t, b.inTime[i], a.inTime[i]/2, "%s: class %d", v.name, i)
+			}
+		}
+	})
+}
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -13,6 +13,8 @@
 	read   float64 // prompt tokens that engines were given to read
 	// preempted is the prompt tokens that were read for requests which lost their slot.
 	preempted float64
+	// wasted is the prompt tokens that were read for requests whose callers left without a first event.
+	wasted float64
 }
 
 type event struct {
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -99,6 +99,9 @@
 // then isn't that of reading what was queued.
 func (d Decision) Differs() bool { return d.Short || d.Reason == ReasonResumed }
 
+// Overtakes reports whether the request goes before nearly all that wait at the engine.
+func (d Decision) Overtakes() bool { return d.Differs() && d.Priority <= priorityFirst }
+
 // Endangers reports whether the queue at the engine is longer than the tightest target allows.
 func (q *Request) Endangers() bool { return q.Tightest > 0 && q.Wait >= q.Tightest }
 
