The play: no first event for a request that lost its slot as its reading ended

Cause: whether a request still has the slot it was read in was recorded at the end of the step, after preemptions and leaves of that step. A request that was preempted there had a false first event, and one whose caller had left counted as running for good. Change: the slot is recorded when the step reads.

--- a/internal/model/engine.go
+++ b/internal/model/engine.go
@@ -58,6 +58,12 @@
 	started  func(now time.Duration)
 }
 
+// turn is a job while it has one of its slots.
+type turn struct {
+	job  *job
+	slot int // as job.slot then
+}
+
 func newEngine(w *World, spec *EngineSpec, id string) *engine {
 	return &engine{w: w, spec: spec, id: id, slow: 1, parts: newCache(spec.Memory)}
 }
@@ -184,7 +190,7 @@
 	}
 	e.busy = true
 	budget := e.spec.Chunk
-	var read []*job
+	var read []*turn
 	for len(e.reading) > 0 && budget > 0 {
 		j := e.reading[0]
 		n := math.Min(budget, j.left)
@@ -193,7 +199,7 @@
 		if j.left > 0 {
 			break
 		}
-		read = append(read, j)
+		read = append(read, &turn{job: j, slot: j.slot})
 		e.reading = e.reading[1:]
 	}
 	tokens := e.spec.Chunk - budget
@@ -201,7 +207,7 @@
 	e.w.after(time.Duration(e.slow*float64(d)), func() { e.end(read) })
 }
 
-func (e *engine) end(read []*job) {
+func (e *engine) end(read []*turn) {
 	for _, j := range slices.Clone(e.runs) {
 		if j.first && j.out > 0 {
 			j.out--
@@ -214,11 +220,10 @@
 	for e.spec.Room > 0 && len(e.runs) > 1 && e.held() > e.spec.Room {
 		e.preempt(e.victim())
 	}
-	for _, j := range read {
-		slot := j.slot
+	for _, v := range read {
 		e.w.after(e.spec.First, func() {
-			if j.slot == slot {
-				e.start(j)
+			if v.job.slot == v.slot {
+				e.start(v.job)
 			}
 		})
 	}
