Order: 0 is for streams that this node resumes, where room is short

Change: calm times are as before; resumed is what the node resumes after an event that it forwarded.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -376,11 +376,12 @@
 	if len(q.body) > 0 {
 		r.Body = io.NopCloser(bytes.NewReader(q.body))
 	}
-	if lastEvent == "" {
+	resumed := lastEvent != ""
+	if !resumed {
 		lastEvent = q.meta.LastEvent
 	}
 	s.o.Dialect.WriteOrder(r.Header, call.Order{
-		TimeLeft: q.deadline.Sub(s.o.Clock.Now()), Incarnation: e.ID, Workspace: q.workspaceName(), LastEvent: lastEvent, Priority: s.priority(q, a.use, lastEvent != ""), FetchFrom: a.use.Fetch(),
+		TimeLeft: q.deadline.Sub(s.o.Clock.Now()), Incarnation: e.ID, Workspace: q.workspaceName(), LastEvent: lastEvent, Priority: s.priority(q, a.use, resumed), FetchFrom: a.use.Fetch(),
 	})
 	if r.Header.Get("User-Agent") == "" {
 		r.Header["User-Agent"] = nil // keeps net/http from adding its own
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -11,7 +11,7 @@
 // sent, and a request past its target goes behind the others. Beyond that, until shortageHold after the last
 // such wait, each request gets a level from its rank and from a lot that it draws by its id:
 //
-//	0     streams that resume: their callers have events already
+//	0     streams that this node resumes: their callers have events already
 //	1..8  by rank; within a rank, and where ranks border on each other, by lot
 //	1     one in turnShare of each rank, so that none is starved
 //	9     requests past their latency target
@@ -72,7 +72,7 @@
 	Elapsed  time.Duration // since the caller's first attempt
 	Wait     time.Duration // expected at the engine, to read what is queued there already
 	Reading  time.Duration // expected from then on until the first event
-	Resumed  bool          // the caller has events already
+	Resumed  bool          // this node sent the caller events already
 }
 
 // Reason is what a decision rests on.
@@ -97,7 +97,7 @@
 
 // Differs reports whether the engine is told another order than in calm times. The time until the first event
 // then isn't that of reading what was queued.
-func (d Decision) Differs() bool { return d.Short || d.Reason == ReasonResumed }
+func (d Decision) Differs() bool { return d.Short }
 
 // Overtakes reports whether the request goes before nearly all that wait at the engine.
 func (d Decision) Overtakes() bool { return d.Differs() && d.Priority <= priorityFirst }
@@ -116,21 +116,14 @@
 // Decide returns a request's priority. short states whether the service's room is short.
 func Decide(q Request, short bool) Decision {
 	d := Decision{Priority: Unset, Reason: ReasonCalm, Slack: q.Target - q.Elapsed - q.Wait - q.Reading}
-	if len(q.Ranks) > 1 {
-		d.Short = short
-		if q.Resumed {
-			d.Priority, d.Reason = priorityResumed, ReasonResumed
-			return d
-		}
-	}
-	if !d.Short {
-		if q.overdue() {
-			d.Priority, d.Reason = priorityOverdue, ReasonOverdue
-		}
-		return d
-	}
+	d.Short = short && len(q.Ranks) > 1
 	lot := q.lot() * turnShare
 	switch {
+	case !d.Short && q.overdue():
+		d.Priority, d.Reason = priorityOverdue, ReasonOverdue
+	case !d.Short:
+	case q.Resumed:
+		d.Priority, d.Reason = priorityResumed, ReasonResumed
 	case lot < 1:
 		d.Priority, d.Reason = priorityFirst, ReasonTurn
 	case q.overdue():
