Order: what is past its target goes last before turns are drawn

Cause: one in eight late requests went at 1, also when all callers come again after the loss of all nodes; the note said 9. Change: overdue is decided first.

--- a/internal/forward/order_test.go
+++ b/internal/forward/order_test.go
@@ -130,6 +130,11 @@
 		v := newLLMRig(t, 0, 1)
 		_, p := v.send(t, asked{host: "h0", prompt: wholePrompt, earlier: 2 * time.Second})
 		assert.Equal(t, 7, p)
+		for range 20 {
+			q, p := v.send(t, asked{host: "h0", earlier: 2 * time.Second})
+			assert.Equal(t, 9, p)
+			assert.Equal(t, order.ReasonOverdue, q.order.Reason)
+		}
 	})
 	t.Run("a plain service gets none", func(t *testing.T) {
 		v := newOrderRig(t, nil, "", 0, 1)
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -14,7 +14,7 @@
 //	0     streams that this node resumes: their callers have events already
 //	1..8  by rank; within a rank, and where ranks border on each other, by lot
 //	1     one in turnShare of each rank, so that none is starved
-//	9     requests past their latency target
+//	9     all requests past their latency target
 //
 // The lot is what keeps a rank from being late as a whole when it alone exceeds the room: those with a good one
 // are in time, those with a bad one make room without having been read. A caller that comes again draws anew.
@@ -124,10 +124,10 @@
 	case !d.Short:
 	case q.Resumed:
 		d.Priority, d.Reason = priorityResumed, ReasonResumed
-	case lot < 1:
-		d.Priority, d.Reason = priorityFirst, ReasonTurn
 	case q.overdue():
 		d.Priority, d.Reason = priorityLast, ReasonOverdue
+	case lot < 1:
+		d.Priority, d.Reason = priorityFirst, ReasonTurn
 	default:
 		d.Priority, d.Reason = q.level((lot-1)/(turnShare-1)), ReasonRank
 	}
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -38,7 +38,13 @@
 		assertDecision(t, early, false, Unset, ReasonCalm)
 		assert.False(t, Decide(early, false).Differs())
 	})
-	t.Run("overdue work goes last where room is short", func(t *testing.T) { assertDecision(t, overdue, true, priorityLast, ReasonOverdue) })
+	t.Run("overdue work goes last where room is short, whatever its lot", func(t *testing.T) {
+		for i := range 100 {
+			q := overdue
+			q.ID = fmt.Sprint(i)
+			assertDecision(t, q, true, priorityLast, ReasonOverdue)
+		}
+	})
 	t.Run("equal ranks are never told apart", func(t *testing.T) {
 		q := ranked(1, 1, 5*time.Second)
 		q.Ranks = []int{1}
