--- a/internal/forward/order_test.go
+++ b/internal/forward/order_test.go
@@ -12,8 +12,8 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
-	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/call"
+	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/catalog"
 	"spurhall.example/spurhall/internal/order"
 	"spurhall.example/spurhall/internal/pool"
