Pool: requests that are overtaken say nothing of their engine's speed

Cause: a request that more urgent ones overtake still fed the lag and the pace with the time of a queue that it didn't stand in, and one that overtakes was expected to take the time of the whole queue: engines that are home to less urgent prompts looked slow, the others fast, and the wait limit fell.

--- a/internal/pool/use.go
+++ b/internal/pool/use.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math"
 	"time"
 
 	"spurhall.example/spurhall/internal/capacity"
@@ -32,7 +33,7 @@
 	started      bool
 	ended        bool
 	countedLimit bool // this node counted the request against the upstream's limit
-	outOfTurn    bool // others overtake it or it overtakes them: its wait says little of the queue ahead of it
+	overtaken    bool // more urgent requests go before it, also later ones: its wait says little of the upstream
 }
 
 // Choice describes what the choice of an upstream was based on.
@@ -56,11 +57,11 @@
 func (u *Use) Rank() int { return u.rank }
 
 // Lag returns the time to the first event, or to the header of a plain response, as a multiple of the
-// expected time; 0 if it hasn't arrived.
+// expected time; 0 if it hasn't arrived, or if other requests overtook it.
 func (u *Use) Lag() float64 {
 	u.p.mu.Lock()
 	defer u.p.mu.Unlock()
-	if u.firstEventAt.IsZero() {
+	if u.firstEventAt.IsZero() || u.overtaken {
 		return 0
 	}
 	return float64(u.firstEventAt.Sub(u.sentAt)) / float64(time.Millisecond) / u.expectedMs
@@ -88,11 +89,17 @@
 	u.markStarted()
 	u.firstEventAt = u.p.clock.Now()
 	u.p.lastResponse[u.entry.Hall], u.m.respondedAt = u.firstEventAt, u.firstEventAt
-	after := u.firstEventAt.Sub(u.sentAt)
+	if !u.overtaken {
+		u.observeStart(u.firstEventAt.Sub(u.sentAt))
+	}
+}
+
+// observeStart records how long the first event took.
+func (u *Use) observeStart(after time.Duration) {
 	ms := float64(after) / float64(time.Millisecond)
 	s := u.p.service(u.entry.Service)
 	switch {
-	case u.onTrial, u.outOfTurn:
+	case u.onTrial:
 	case u.engine && u.fetchFrom == "":
 		s.learner.ObserveFirst(u.firstEventAt, u.reads, after)
 	case !u.engine:
@@ -111,10 +118,14 @@
 
 // WaitLimit returns the silence after which the upstream counts as slower than the service's others. It
 // grows while all of them lag: a request that is started again would then wait as long elsewhere, and its
-// prompt would be read twice when there is the least capacity to spare.
+// prompt would be read twice when there is the least capacity to spare. There is none for a request that
+// others overtake: it would be overtaken elsewhere as well.
 func (u *Use) WaitLimit() time.Duration {
 	u.p.mu.Lock()
 	defer u.p.mu.Unlock()
+	if u.overtaken {
+		return math.MaxInt64
+	}
 	return time.Duration((u.expectedMs + lagTolerance*u.p.service(u.entry.Service).lagMs) * float64(time.Millisecond))
 }
 
@@ -122,6 +133,9 @@
 func (u *Use) TimedOut(after time.Duration) {
 	u.p.mu.Lock()
 	defer u.p.mu.Unlock()
+	if u.overtaken {
+		return
+	}
 	u.p.service(u.entry.Service).observeLag(float64(after)/float64(time.Millisecond) - u.expectedMs)
 }
 
