Forward: a request's place in the order is a step of its own, before its wait limit is set

Cause: a function named priority changed the request, its use and expvar inside a struct literal, and after the attempt's wait limit had been set from a queue that the request doesn't stand in. Change: placeInOrder, called before the wait limit is set; the literal reads its result.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -174,6 +174,7 @@
 	left := q.deadline.Sub(s.o.Clock.Now())
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	a.stopTimer = s.o.Clock.AfterFunc(left, func() { a.cancel(errTimeout) })
+	s.placeInOrder(q, use, lastEvent)
 	stopWait := s.startWaitLimit(a, q, left)
 	s.pending.add(a, q)
 	err := s.exchange(a, q, lastEvent)
@@ -376,12 +377,11 @@
 	if len(q.body) > 0 {
 		r.Body = io.NopCloser(bytes.NewReader(q.body))
 	}
-	resumed := lastEvent != ""
-	if !resumed {
+	if lastEvent == "" {
 		lastEvent = q.meta.LastEvent
 	}
 	s.o.Dialect.WriteOrder(r.Header, call.Order{
-		TimeLeft: q.deadline.Sub(s.o.Clock.Now()), Incarnation: e.ID, Workspace: q.workspaceName(), LastEvent: lastEvent, Priority: s.priority(q, a.use, resumed), FetchFrom: a.use.Fetch(),
+		TimeLeft: q.deadline.Sub(s.o.Clock.Now()), Incarnation: e.ID, Workspace: q.workspaceName(), LastEvent: lastEvent, Priority: q.order.Priority, FetchFrom: a.use.Fetch(),
 	})
 	if r.Header.Get("User-Agent") == "" {
 		r.Header["User-Agent"] = nil // keeps net/http from adding its own
--- a/internal/forward/order_test.go
+++ b/internal/forward/order_test.go
@@ -85,6 +85,7 @@
 	}
 	u := v.server.o.Pools.Pick(v.server.need(q, nil))
 	require.NotNil(t, u)
+	v.server.placeInOrder(q, u, r.resumeAfter)
 	v.server.newUpstreamRequest(&attempt{use: u, ctx: context.Background()}, q, r.resumeAfter)
 	return q, v.sent.Priority
 }
--- a/internal/forward/priority.go
+++ b/internal/forward/priority.go
@@ -57,8 +57,9 @@
 	return longest - wait
 }
 
-// priority returns a request's priority at the upstream that was chosen for it.
-func (s *Server) priority(q *request, u *pool.Use, resumed bool) int {
+// placeInOrder decides a request's place in the order at the upstream that was chosen for it, before it is sent. lastEvent
+// is the event after which this node resumes it, if it does; what callers name themselves doesn't count.
+func (s *Server) placeInOrder(q *request, u *pool.Use, lastEvent string) {
 	now := s.o.Clock.Now()
 	v, x := q.catalog.Urgency(q.service), u.Expected()
 	if !q.engine() {
@@ -66,14 +67,13 @@
 	}
 	d := s.orders.Decide(now, q.service, order.Request{
 		ID: q.meta.ID, Rank: q.workspace.Priority(q.route), Ranks: v.Ranks, Target: q.route.LatencyTarget(), Tightest: v.Target,
-		Elapsed: q.waitedBefore + now.Sub(q.arrived), Wait: x.Wait, Reading: x.Reading, Resumed: resumed,
+		Elapsed: q.waitedBefore + now.Sub(q.arrived), Wait: x.Wait, Reading: x.Reading, Resumed: lastEvent != "",
 	})
 	q.order, q.expectedWait = d, x.Wait
 	orders.Add(string(d.Reason), 1)
 	if d.Differs() {
 		u.SetOutOfTurn(d.Overtakes())
 	}
-	return d.Priority
 }
 
 // orderFields returns the log fields for a request's place in the order at its last upstream, if that differs
