--- a/internal/pool/expect.go
+++ b/internal/pool/expect.go
@@ -7,7 +7,7 @@
 // Expected is what a request is expected to meet at its upstream. Its zero value stands for an upstream
 // about which nothing is expected.
 type Expected struct {
-	Wait    time.Duration // to read the prompts that wait there already
+	Wait    time.Duration // to read the prompts that wait there already; 0 while nothing is known of the service's engines
 	Reading time.Duration // to read the request's own prompt, and to make its first event
 }
 
@@ -21,10 +21,11 @@
 	defer u.p.mu.Unlock()
 	e := u.p.engine(u.p.clock.Now(), u.entry.Service)
 	slow := max(1, u.choice.Slowness)
-	return Expected{
-		Wait:    millis(slow * e.PrefillTime(u.choice.Queued)),
-		Reading: millis(slow * e.FirstEventDelay(u.prompt)),
+	x := Expected{Reading: millis(slow * e.FirstEventDelay(u.prompt))}
+	if e.Reading > 0 {
+		x.Wait = millis(slow * e.PrefillTime(u.choice.Queued))
 	}
+	return x
 }
 
 // SetOutOfTurn records that the engine doesn't take the request in the order of arrival, so that the time
--- a/internal/pool/expect_test.go
+++ b/internal/pool/expect_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/timer"
 )
 
@@ -102,3 +103,20 @@
 		assert.Less(t, e.slowness(t, "a2"), 1.1)
 	})
 }
+
+func TestExpectedWait(t *testing.T) {
+	p := twoHalls(timer.NewManual(start))
+	busy(p, "a1", 20)
+	expected := func() Expected {
+		n := shared("x", 7)
+		n.Excluded = map[string]bool{"a2": true, "b1": true, "b2": true}
+		u := p.Pick(n)
+		defer u.End(ResultInconclusive)
+		return u.Expected()
+	}
+	t.Run("none while nothing is known of the engines", func(t *testing.T) { assert.Zero(t, expected().Wait) })
+	t.Run("that of what is queued once something is", func(t *testing.T) {
+		p.RestoreEngine("s", capacity.Engine{Reading: 30, First: 30, Token: 10})
+		assert.Greater(t, expected().Wait, 300*time.Millisecond)
+	})
+}
