Order: one hot engine is short of room alone; a line when a service becomes short and when that ends

Cause: one long wait at one engine made the whole service short at a node for two seconds; and nothing said when a service was. Change: a long wait holds at its engine; a second engine's within the hold (or that of the only one) makes the service short. room_short and room_again name the inputs, at most two lines a hold of a service. attempt_failed has the order's fields, and slack is left out where a route has no target.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -203,6 +203,7 @@
 		zap.String("address", use.Entry().Address), zap.Int("send", q.sends), zap.Duration("after", s.o.Clock.Since(q.arrived)),
 		zap.Bool("not_run", errors.Is(err, errNotRun)), zap.Bool("says_leaving", q.observed.Leaving), zap.Duration("asks_rest", q.observed.Cooldown), zap.String("cause", fault.Reason(err)))
 	f = append(f, limitFields(q.observed.Limit)...)
+	f = append(f, orderFields(q)...)
 	if severed {
 		f = append(f, s.recordSevered(ctx, q, a)...)
 	}
--- a/internal/forward/priority.go
+++ b/internal/forward/priority.go
@@ -65,25 +65,47 @@
 	if !q.engine() {
 		v.Ranks = nil
 	}
-	d := s.orders.Decide(now, q.service, order.Request{
+	d, news := s.orders.Decide(now, q.service, order.Request{
 		ID: q.meta.ID, Rank: q.workspace.Priority(q.route), Ranks: v.Ranks, Target: q.route.LatencyTarget(), Tightest: v.Target,
 		Elapsed: q.waitedBefore + now.Sub(q.arrived), Wait: x.Wait, Reading: x.Reading, Resumed: lastEvent != "",
+		Engine: u.Entry().ID, Candidates: u.Choice().Candidates,
 	})
 	q.order, q.expectedWait = d, x.Wait
+	if news.Began || news.Ended {
+		s.logRoom(q, u, news, v.Target)
+	}
 	orders.Add(string(d.Reason), 1)
 	if d.Differs() {
 		u.SetOutOfTurn(d.Overtakes())
 	}
 }
 
+// logRoom logs that a service became short of room, or isn't any more, which its next request shows. There are at most two lines of a service for each time that the order holds after a long wait.
+func (s *Server) logRoom(q *request, u *pool.Use, n order.News, tightest time.Duration) {
+	f := []zap.Field{
+		zap.String("service", q.service), zap.String("request", q.meta.ID), zap.String("upstream", u.Entry().ID),
+		zap.Duration("expected_wait", q.expectedWait), zap.Duration("tightest_target", tightest),
+	}
+	if n.Ended {
+		s.o.Log.Info("room_again", append(f, zap.Duration("lasted", n.Lasted))...)
+	}
+	if n.Began {
+		s.o.Log.Info("room_short", append(f, zap.Int("queued_tokens", int(u.Choice().Queued)), zap.Int("candidates", u.Choice().Candidates))...)
+	}
+}
+
 // orderFields returns the log fields for a request's place in the order at its last upstream, if that differs
 // from the one in calm times.
 func orderFields(q *request) []zap.Field {
 	if !q.order.Differs() {
 		return nil
 	}
-	return []zap.Field{
+	f := []zap.Field{
 		zap.String("order", string(q.order.Reason)), zap.Int("priority", q.order.Priority), zap.Int("rank", q.workspace.Priority(q.route)),
-		zap.Duration("slack", q.order.Slack), zap.Duration("expected_wait", q.expectedWait),
+		zap.Duration("expected_wait", q.expectedWait),
+	}
+	if q.route.LatencyTarget() > 0 {
+		f = append(f, zap.Duration("slack", q.order.Slack))
 	}
+	return f
 }
--- a/internal/model/callers.go
+++ b/internal/model/callers.go
@@ -36,7 +36,7 @@
 	e := p.engines[u.Entry().ID]
 	measured := a.q.at >= p.l.Warm
 	x := u.Expected()
-	d := p.decide(a, x)
+	d := p.decide(a, u, x)
 	if d.Differs() {
 		u.SetOutOfTurn(d.Overtakes())
 	}
@@ -78,11 +78,12 @@
 }
 
 // decide is the order of an attempt at its engine.
-func (p *play) decide(a *attempt, x pool.Expected) order.Decision {
+func (p *play) decide(a *attempt, u *pool.Use, x pool.Expected) order.Decision {
 	v := order.Request{
 		ID: a.need.ID, Rank: a.c.Rank, Ranks: p.ranks, Target: a.c.Target, Tightest: p.tightest, Elapsed: p.now - a.q.at, Wait: x.Wait, Reading: x.Reading,
+		Engine: u.Entry().ID, Candidates: u.Choice().Candidates,
 	}
-	short := a.n.orders.Short(p.clock.Service().Now(), service, v)
+	short, _ := a.n.orders.Short(p.clock.Service().Now(), service, v)
 	if p.l.Order == nil {
 		return order.Decision{Priority: order.Unset}
 	}
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -9,7 +9,8 @@
 //
 // While the expected wait at the chosen engine is below the tightest latency target of the service, nothing is
 // sent, and a request past its target goes behind the others. Beyond that, until shortageHold after the last
-// such wait, each request gets a level from its rank and from a lot that it draws by its id:
+// such wait, each request to that engine gets a level from its rank and from a lot that it draws by its id, and each
+// request to the service if two engines have such waits:
 //
 //	0     streams that this node resumes: their callers have events already
 //	1..8  by rank; within a rank, and where ranks border on each other, by lot
@@ -22,13 +23,16 @@
 // Alternatives considered: the rank as it is (the most urgent rank is late as a whole once it exceeds the room, and
 // the others get nothing), the time left until the target (differs between requests that were sent at different
 // moments, while an engine compares what each was sent with), short prompts first within a rank, an urgency
-// that rises with each return, and, against preemption, no urgency at engines without free slots.
+// that rises with each return, an order only at the engines with long waits, or only once two have them (in both the
+// most urgent rank is served less often than others where room is just short), and, against preemption, no urgency at
+// engines without free slots.
 // docs/design/order.md has the figures.
 //
-// Decide is pure; Tracker keeps its state, one time for each service.
+// Decide is pure; Tracker keeps its state, two times for each service and one for each engine with a long wait.
 package order
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -73,6 +77,9 @@
 	Wait     time.Duration // expected at the engine, to read what is queued there already
 	Reading  time.Duration // expected from then on until the first event
 	Resumed  bool          // this node sent the caller events already
+
+	Engine     string // that was chosen
+	Candidates int    // engines that the choice considered
 }
 
 // Reason is what a decision rests on.
@@ -142,28 +149,100 @@
 	return priorityFirst + int(levels*(rankWeight*rank+lot)/(rankWeight+1))
 }
 
-// Tracker remembers which services are short of room, as one node knows it. Its zero value knows of none. It is
-// safe for concurrent use.
+// Tracker remembers where room is short, as one node knows it. Its zero value knows of none. It is safe
+// for concurrent use.
 type Tracker struct {
-	mu    sync.Mutex
-	short map[string]time.Time // until when
+	mu       sync.Mutex
+	services map[string]*state
+}
+
+// state is what a node knows of one service. One engine with a long queue says little of the others: room is short at
+// it alone, until a second one within the hold shows that it is short at all.
+type state struct {
+	engines      map[string]time.Time // until when room is short at each
+	prunedAt     time.Time
+	since, until time.Time // of the shortage at all engines; zero: none
+}
+
+// News is what changed in what a node believes of a service.
+type News struct {
+	Began  bool // room is short at all engines
+	Ended  bool
+	Lasted time.Duration // if ended: until the hold was over
 }
 
-// Decide returns the priority of a request to a service, and records whether it finds the service short of room.
-func (t *Tracker) Decide(now time.Time, service string, q Request) Decision {
-	return Decide(q, t.Short(now, service, q))
+// Decide returns the priority of a request to a service, and records whether it finds room short.
+func (t *Tracker) Decide(now time.Time, service string, q Request) (Decision, News) {
+	short, news := t.Short(now, service, q)
+	return Decide(q, short), news
 }
 
-// Short reports whether a service is short of room, given what a request to it is expected to wait.
-func (t *Tracker) Short(now time.Time, service string, q Request) bool {
+// Short reports whether room is short for a request to a service, given what it is expected to wait. It never is if all
+// ranks are equal.
+func (t *Tracker) Short(now time.Time, service string, q Request) (bool, News) {
+	if len(q.Ranks) < 2 {
+		return false, News{}
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !q.Endangers() {
-		return now.Before(t.short[service])
+	v := t.services[service]
+	if v == nil {
+		if !q.Endangers() {
+			return false, News{}
+		}
+		v = &state{engines: make(map[string]time.Time), prunedAt: now}
+		if t.services == nil {
+			t.services = make(map[string]*state)
+		}
+		t.services[service] = v
+	}
+	n := v.expire(now)
+	if q.Endangers() {
+		n.Began = v.observe(now, q)
+	}
+	return !v.until.IsZero() || now.Before(v.engines[q.Engine]), n
+}
+
+// expire ends a shortage once its hold is over.
+func (v *state) expire(now time.Time) News {
+	if v.until.IsZero() || now.Before(v.until) {
+		return News{}
 	}
-	if t.short == nil {
-		t.short = make(map[string]time.Time)
+	n := News{Ended: true, Lasted: v.until.Sub(v.since)}
+	v.since, v.until = time.Time{}, time.Time{}
+	return n
+}
+
+// observe records a wait beyond the tightest target, and reports whether a shortage at all engines begins with it.
+func (v *state) observe(now time.Time, q Request) bool {
+	v.prune(now)
+	v.engines[q.Engine] = now.Add(shortageHold)
+	began := v.until.IsZero()
+	if began && q.Candidates > 1 && !v.elsewhere(now, q.Engine) {
+		return false
+	}
+	if began {
+		v.since = now
+	}
+	v.until = now.Add(shortageHold)
+	return began
+}
+
+// elsewhere reports whether room is short at another engine.
+func (v *state) elsewhere(now time.Time, engine string) bool {
+	for e, until := range v.engines {
+		if e != engine && now.Before(until) {
+			return true
+		}
+	}
+	return false
+}
+
+// prune forgets the engines at which room isn't short any more; they may have ended.
+func (v *state) prune(now time.Time) {
+	if now.Sub(v.prunedAt) < shortageHold {
+		return
 	}
-	t.short[service] = now.Add(shortageHold)
-	return true
+	v.prunedAt = now
+	maps.DeleteFunc(v.engines, func(_ string, until time.Time) bool { return !now.Before(until) })
 }
