--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -60,9 +60,10 @@
 	// shortageHold is how long after the last wait beyond the tightest target a node goes on sending levels.
 	// Levels and unset priorities mixed in one queue overtake each other.
 	shortageHold = 2 * time.Second
-	// turnShare is how many requests there are of each rank for one that goes first.
+	// turnShare is the number of requests of which one goes first, whatever its rank.
 	turnShare = 8.0
-	// rankWeight is by how many times the spread of the lots the least urgent rank is behind the most urgent one.
+	// rankWeight is how much more the rank counts than the lot: with 2, the difference between the most and the least
+	// urgent rank moves a request twice as far as that between the best lot and the worst.
 	rankWeight = 2.0
 )
 
