--- a/internal/forward/order_test.go
+++ b/internal/forward/order_test.go
@@ -210,3 +210,20 @@
 		assert.Contains(t, l[0].ContextMap(), "expected_wait")
 	}
 }
+
+func TestFailedAttemptsNameTheirOrder(t *testing.T) {
+	v := newLLMRig(t, 0, 1)
+	v.server.o.Connections = NewConnections(v.clock.Service())
+	v.fill(t)
+	q, _ := v.send(t, asked{host: "h1"})
+	q.deadline = v.clock.Service().Now().Add(time.Minute)
+	u := v.pools.Pick(v.server.need(q, nil))
+	require.NotNil(t, u)
+	_, err := v.server.runAttempt(context.Background(), q, u, "")
+	require.Error(t, err)
+	l := v.log.FilterMessage("attempt_failed").All()
+	require.Len(t, l, 1)
+	for _, k := range []string{"order", "priority", "rank", "slack", "expected_wait"} {
+		assert.Contains(t, l[0].ContextMap(), k)
+	}
+}
