Bounds of the order's play: at least as strict as before, beside those from an aim

Cause: three of the new bounds were looser than those they replaced (the worst class, what is preempted, the worst node's figure). Change: the worst class gains 0.08 over the same seeds without an order, what is read in vain stays below 0.15 too, and no node's reading speed is off by more than 0.4.

--- a/internal/model/order_test.go
+++ b/internal/model/order_test.go
@@ -184,6 +184,7 @@
 		starved    = 6 * time.Second
 		gain       = 0.15 // share of all, by class on average, that is in time more than without an order
 		gainOfEach = 0.05 // of each class
+		gainOfLast = 0.08 // of the class that gets the least
 	)
 	forEachMix(t, func(t *testing.T, m mix, byRank []int) {
 		for _, x := range playedLoads() {
@@ -202,9 +203,10 @@
 			for i := range b.inTime {
 				assert.GreaterOrEqual(t, b.inTime[i], a.inTime[i]+gainOfEach, "%.1f times the room: class %d of %v", x, i, &b)
 			}
+			assert.GreaterOrEqual(t, b.worst(), a.worst()+gainOfLast, "%.1f times the room: %v", x, &b)
 			assert.GreaterOrEqual(t, b.mean(), a.mean()+gain, "%.1f times the room: %v", x, &b)
 			assert.Less(t, b.dry, starved, "%.1f times the room", x)
-			assert.Less(t, b.preempted+b.wasted, (b.mean()-a.mean())/2, "%.1f times the room: %v", x, &b)
+			assert.Less(t, b.preempted+b.wasted, min(gain, (b.mean()-a.mean())/2), "%.1f times the room: %v", x, &b)
 		}
 	})
 }
@@ -221,9 +223,9 @@
 }
 
 // TestReadingIsLearnedWhereRoomIsShort: the need is planned by the reading speed, and a speed that is too high keeps a
-// shortage going. With the order, nodes are wrong by half as much at most as without it, and less than as much again.
+// shortage going. With the order, nodes are wrong by half as much at most as without it, and none by more than 0.4.
 func TestReadingIsLearnedWhereRoomIsShort(t *testing.T) {
-	// wrong is by how many doublings the nodes' figures are off, on average and at most.
+	// wrong is by what share the nodes' figures are off, on average and at most.
 	wrong := func(f func(q order.Request, short bool) order.Decision) (mean, most float64) {
 		l := short(4, 2, longUrgent)
 		l.Seed, l.Order = 1, f
@@ -232,7 +234,7 @@
 		for _, n := range p.nodes {
 			v := n.pools.Engine(service).Reading
 			t.Logf("%s: %.1f tokens a millisecond", n.name, v)
-			x := math.Abs(math.Log2(v / l.Engine.Reading))
+			x := math.Abs(v/l.Engine.Reading - 1)
 			mean, most = mean+x/float64(len(p.nodes)), max(most, x)
 		}
 		return mean, most
@@ -240,7 +242,7 @@
 	unset, _ := wrong(nil)
 	kept, most := wrong(order.Decide)
 	assert.LessOrEqual(t, kept, unset/2)
-	assert.Less(t, most, 1.0)
+	assert.LessOrEqual(t, most, 0.4)
 }
 
 // TestOrderThroughTroubles: whatever makes room short, the most urgent class gets more in time than without an order,
