Merge order at engines where room is short

Cause: while prompts arrive faster than engines read them, all wait in the order of arrival and hardly any is in time. A rank and a lot, sent only while room is short, serve part of each class in time instead. Admission was weighed and isn't kept (docs/design/admission.md).

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -162,9 +162,7 @@
 
 func (s *Server) need(q *request, tried map[string]bool) pool.Request {
 	n := pool.Request{ID: q.meta.ID, Service: q.service, Excluded: tried, Parts: q.meta.Parts, Prompt: float64(q.meta.PromptTokens), Output: float64(q.meta.MaxOutput)}
-	if v := q.catalog.Service(q.service); v != nil {
-		n.Engine = v.Engine != nil
-	}
+	n.Engine = q.engine()
 	return n
 }
 
@@ -176,6 +174,7 @@
 	left := q.deadline.Sub(s.o.Clock.Now())
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	a.stopTimer = s.o.Clock.AfterFunc(left, func() { a.cancel(errTimeout) })
+	s.placeInOrder(q, use, lastEvent)
 	stopWait := s.startWaitLimit(a, q, left)
 	s.pending.add(a, q)
 	err := s.exchange(a, q, lastEvent)
@@ -204,6 +203,7 @@
 		zap.String("address", use.Entry().Address), zap.Int("send", q.sends), zap.Duration("after", s.o.Clock.Since(q.arrived)),
 		zap.Bool("not_run", errors.Is(err, errNotRun)), zap.Bool("says_leaving", q.observed.Leaving), zap.Duration("asks_rest", q.observed.Cooldown), zap.String("cause", fault.Reason(err)))
 	f = append(f, limitFields(q.observed.Limit)...)
+	f = append(f, orderFields(q)...)
 	if severed {
 		f = append(f, s.recordSevered(ctx, q, a)...)
 	}
@@ -382,7 +382,7 @@
 		lastEvent = q.meta.LastEvent
 	}
 	s.o.Dialect.WriteOrder(r.Header, call.Order{
-		TimeLeft: q.deadline.Sub(s.o.Clock.Now()), Incarnation: e.ID, Workspace: q.workspaceName(), LastEvent: lastEvent, Priority: s.priority(q), FetchFrom: a.use.Fetch(),
+		TimeLeft: q.deadline.Sub(s.o.Clock.Now()), Incarnation: e.ID, Workspace: q.workspaceName(), LastEvent: lastEvent, Priority: q.order.Priority, FetchFrom: a.use.Fetch(),
 	})
 	if r.Header.Get("User-Agent") == "" {
 		r.Header["User-Agent"] = nil // keeps net/http from adding its own
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -18,6 +18,7 @@
 
 	"spurhall.example/spurhall/internal/call"
 	"spurhall.example/spurhall/internal/capacity"
+	"spurhall.example/spurhall/internal/order"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/relay"
 	"spurhall.example/spurhall/internal/timer"
@@ -42,6 +43,10 @@
 	Own    float64       // median tokens of its own part
 	Sigma  float64       // spread of the own part, of the log
 	Output float64       // median tokens that go out
+	Rank   int           // as configured; 0 is the most urgent
+	Wait   time.Duration // callers leave without a first event after it; 0: they don't
+	Again  time.Duration // after it, callers that left come again, once; 0: they don't
+	Gap    time.Duration // longest pause between two events that isn't counted; 0: any
 }
 
 // Shared is a part of which each request draws one of some.
@@ -58,22 +63,39 @@
 	Spread                Spread
 	Seed                  uint64
 	Warm, Length          time.Duration // Warm isn't measured
+	Changes               []Change
+	Order                 func(q order.Request, short bool) order.Decision // nil: all priorities are unset
+}
+
+// Change is a trouble that begins at a time and lasts for one.
+type Change struct {
+	At, For time.Duration
+	Times   float64 // of the usual requests; 0: as usual
+	Slow    float64 // how many times as long the engines' steps take; 0: as usual
+	Lost    float64 // share of the engines that end, and are replaced by new ones at the end of the trouble
 }
 
 // Result is what callers got of one class.
 type Result struct {
 	Class   string
 	Asked   int
-	InTime  float64 // share
+	InTime  float64 // share whose first event was in time
+	Paused  float64 // share of which that is so, but a later pause was beyond the class's gap
 	P50     time.Duration
 	P99     time.Duration
-	Waiting int // without a first event at the end
+	Waiting int // without a first event at the end, or whose callers left
+	// Dry is the longest time between two first events in time.
+	Dry time.Duration
 }
 
 // Outcome is what a play gave.
 type Outcome struct {
 	Classes []Result
 	Read    float64 // prompt tokens read, of all that were asked
+	// Preempted is the prompt tokens that were read for requests which lost their slot, of all that were asked.
+	Preempted float64
+	// Wasted is the prompt tokens that were read for requests whose callers left without a first event, of all asked.
+	Wasted float64
 }
 
 type part struct {
@@ -95,18 +117,25 @@
 	book       *relay.Aggregator
 	view       relay.View
 	sequence   uint64
+	orders     order.Tracker
 }
 
 type play struct {
 	World
-	l       Load
-	random  *rand.Rand
-	clock   *timer.Manual
-	nodes   []*node
-	engines map[string]*engine
-	firsts  [][]time.Duration
-	asked   []int
-	prompts float64
+	l               Load
+	random          *rand.Rand
+	clock           *timer.Manual
+	nodes           []*node
+	engines         map[string]*engine
+	firsts          [][]time.Duration
+	asked           []int
+	paused          []int // of those in time, by class
+	prompts         float64
+	ranks           []int         // of the classes, in order
+	tightest        time.Duration // of the classes' targets
+	times           float64       // of the usual requests, now
+	items           []pool.Item
+	lastInTime, dry []time.Duration // by class
 }
 
 const (
@@ -120,30 +149,47 @@
 
 // Play plays a load.
 func Play(l Load) Outcome {
+	p := newPlay(l)
+	p.run(l.Warm+l.Length, p.clock.Advance)
+	return p.outcome()
+}
+
+func newPlay(l Load) *play {
 	p := &play{
 		l: l, random: rand.New(rand.NewPCG(l.Seed, 1)), clock: timer.NewManual(time.Unix(1_700_000_000, 0)), engines: make(map[string]*engine),
-		firsts: make([][]time.Duration, len(l.Classes)), asked: make([]int, len(l.Classes)),
+		firsts: make([][]time.Duration, len(l.Classes)), asked: make([]int, len(l.Classes)), paused: make([]int, len(l.Classes)),
+		times:      1,
+		lastInTime: make([]time.Duration, len(l.Classes)), dry: make([]time.Duration, len(l.Classes)),
 	}
+	for i, c := range l.Classes {
+		p.ranks = append(p.ranks, c.Rank)
+		if i == 0 || c.Target < p.tightest {
+			p.tightest = c.Target
+		}
+	}
+	slices.Sort(p.ranks)
+	p.ranks = slices.Compact(p.ranks)
 	p.build()
+	for _, c := range l.Changes {
+		p.change(c)
+	}
 	for i := range l.Classes {
 		p.arrive(i)
 	}
-	p.run(l.Warm+l.Length, p.clock.Advance)
-	return p.outcome()
+	return p
 }
 
 func (p *play) build() {
 	hall := func(i int) string { return fmt.Sprint("hall-", i%p.l.Halls) }
-	var items []pool.Item
 	for i := 0; i < p.l.Engines; i++ {
 		id := fmt.Sprint("engine-", i)
 		p.engines[id] = newEngine(&p.World, &p.l.Engine, id)
-		items = append(items, pool.Item{Revision: 1, Entry: pool.Entry{ID: id, Service: service, Address: id, Hall: hall(i), Slots: p.l.Engine.Slots}})
+		p.items = append(p.items, pool.Item{Revision: 1, Entry: pool.Entry{ID: id, Service: service, Address: id, Hall: hall(i), Slots: p.l.Engine.Slots}})
 	}
 	for i := 0; i < p.l.Nodes; i++ {
 		n := &node{name: fmt.Sprint("node-", i), hall: hall(i), pools: pool.New(p.clock.Service(), fmt.Sprint("node-", i), hall(i))}
 		n.book = relay.NewAggregator(n.name, "1")
-		n.pools.Update(func(l *pool.List) { l.Replace(p.clock.Service().Now(), 1, items) })
+		n.pools.Update(func(l *pool.List) { l.Replace(p.clock.Service().Now(), 1, p.items) })
 		n.pools.SetSize(service, capacity.Size{Slots: p.l.Engine.Slots, Memory: p.l.Engine.Memory, Fetch: p.l.Engine.Fetch})
 		p.nodes = append(p.nodes, n)
 		p.after(time.Duration(p.random.Int64N(int64(round))), func() { p.tell(n) })
@@ -153,7 +199,7 @@
 // arrive lets a request of a class come, and sets when the next one does.
 func (p *play) arrive(class int) {
 	c := &p.l.Classes[class]
-	p.after(time.Duration(p.random.ExpFloat64()/c.Rate*float64(time.Second)), func() {
+	p.after(time.Duration(p.random.ExpFloat64()/(c.Rate*p.times)*float64(time.Second)), func() {
 		p.arrive(class)
 		p.ask(class, c)
 	})
@@ -172,23 +218,11 @@
 	}
 	add(1<<63|p.random.Uint64()>>1, math.Ceil(c.Own*math.Exp(c.Sigma*p.random.NormFloat64())))
 	q.output = math.Max(1, math.Ceil(c.Output*math.Exp(0.5*p.random.NormFloat64())))
-	n := p.nodes[p.random.IntN(len(p.nodes))]
-	u := p.pick(n, pool.Request{ID: fmt.Sprint(p.number), Service: service, Prompt: q.prompt, Output: q.output, Parts: parts, Engine: true})
-	measured := p.now >= p.l.Warm
-	if measured {
+	if p.now >= p.l.Warm {
 		p.asked[class]++
 		p.prompts += q.prompt
 	}
-	p.engines[u.Entry().ID].take(&job{
-		q: q, out: int(q.output), counts: measured, from: p.engines[u.Fetch()],
-		started: func(now time.Duration) {
-			u.Started()
-			if measured {
-				p.firsts[class] = append(p.firsts[class], now-q.at)
-			}
-		},
-		done: func(time.Duration) { u.End(pool.ResultGood) },
-	})
+	p.send(c, q, parts)
 }
 
 func (p *play) outcome() Outcome {
@@ -197,13 +231,17 @@
 		f := p.firsts[i]
 		slices.Sort(f)
 		r := Result{Class: c.Name, Asked: p.asked[i], Waiting: p.asked[i] - len(f)}
+		r.Dry = max(p.dry[i], p.l.Warm+p.l.Length-max(p.lastInTime[i], p.l.Warm))
 		if len(f) > 0 {
 			late, _ := slices.BinarySearchFunc(f, c.Target+1, cmp.Compare[time.Duration])
 			r.InTime = float64(late) / float64(p.asked[i])
+			r.Paused = float64(p.paused[i]) / float64(p.asked[i])
 			r.P50, r.P99 = f[len(f)/2], f[len(f)*99/100]
 		}
 		o.Classes = append(o.Classes, r)
 	}
 	o.Read = p.read / math.Max(1, p.prompts)
+	o.Wasted = p.wasted / math.Max(1, p.prompts)
+	o.Preempted = p.preempted / math.Max(1, p.prompts)
 	return o
 }
