The lasting speed of each upstream, seen by all nodes together

Cause: upstreams of a service differ lastingly, and a single node of a large fleet sees each of them a few times in ten seconds; pace.go forgets within two seconds, and relays that place requests see no responses. Change: package speed learns a figure per incarnation from the low quantile of response times over expected ones, relative to each node's own usual; reports, groups and digests carry it (new fields); the choice, queues, expected first events, wait limits and what engines' figures are taught use it.

--- a/internal/command/upstreams.go
+++ b/internal/command/upstreams.go
@@ -47,7 +47,7 @@
 }
 
 func printUpstreams(w io.Writer, list []*wire.UpstreamsResponse) {
-	_, _ = fmt.Fprintln(w, "NODE\tSERVICE\tUPSTREAM\tHALL\tBORN\tGETS\tLIMIT\tSAID\tOWN SHARE\tSLOWNESS\tRUNNING")
+	_, _ = fmt.Fprintln(w, "NODE\tSERVICE\tUPSTREAM\tHALL\tBORN\tGETS\tLIMIT\tSAID\tOWN SHARE\tSPEED\tEVIDENCE\tSLOWNESS\tRUNNING")
 	for _, n := range list {
 		for _, v := range n.Upstreams {
 			born, limit, said, share := "-", "-", "-", "-"
@@ -57,11 +57,19 @@
 			if v.Limited {
 				limit, said, share = fmt.Sprintf("%g/s", v.Rate), (time.Duration(v.LimitAgeMs)*time.Millisecond).String()+" ago", fmt.Sprintf("%.3g/s", v.Share)
 			}
-			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%.1f\t%d\n", n.Node, v.Service, v.Id, v.Hall, born, gets(v), limit, said, share, v.Slowness, v.Running)
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%.0f\t%.1f\t%d\n", n.Node, v.Service, v.Id, v.Hall, born, gets(v), limit, said, share, lasting(v), v.SpeedEvidence, v.Slowness, v.Running)
 		}
 	}
 }
 
+// lasting is how fast an upstream is lastingly, relative to its service's others.
+func lasting(v *wire.UpstreamState) string {
+	if v.Speed == 0 {
+		return "usual"
+	}
+	return fmt.Sprintf("%.2f", v.Speed)
+}
+
 // gets is whether an upstream gets requests of a node, and why not.
 func gets(v *wire.UpstreamState) string {
 	switch {
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -184,6 +184,7 @@
 // hallStates returns the state of each hall that the service has a price for, or upstreams in.
 func (o *orderer) hallStates(s *catalog.ServiceSpec) []autoscale.HallState {
 	by := make(map[string]*autoscale.HallState)
+	speeds := make(hallSpeeds)
 	get := func(hall string) *autoscale.HallState {
 		h := by[hall]
 		if h == nil {
@@ -201,6 +202,7 @@
 			continue
 		}
 		h := get(g.Hall)
+		speeds.add(g)
 		switch {
 		case g.Reclaimable && g.Leaving:
 			h.Leaving += g.Count
@@ -218,6 +220,9 @@
 	}
 	list := make([]autoscale.HallState, 0, len(by))
 	for _, h := range by {
+		mean := speeds.mean(h.Hall)
+		publishHallSpeed(s.Name, h.Hall, mean)
+		// Mean speed of the hall's ready upstreams, for the planner: h.Speed = mean
 		list = append(list, *h)
 	}
 	return list
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -168,6 +168,7 @@
 }
 
 func (n *Node) reportRound(ctx context.Context, now time.Time) {
+	n.updateSpeeds()
 	report := n.buildReport(pairWindows)
 	n.mu.Lock()
 	n.logSuspension()
@@ -279,6 +280,7 @@
 	r.Reach = message.ReachToWire(n.pools.Reachability())
 	r.Suspicions = n.suspicions()
 	r.Limits = message.LimitsToWire(n.clock.Now(), n.pools.Limits())
+	r.Speeds = message.SeenSpeedsToWire(n.pools.SeenSpeeds())
 	r.Loads, r.Placed = message.LoadsToWire(loads), message.PlacementsToWire(placed)
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -302,13 +304,16 @@
 	return r
 }
 
-// applyReport applies a peer's report.
-func (n *Node) applyReport(ctx context.Context, r *wire.NodeReport) {
+// applyReport applies a peer's report, and reports whether it is newer than the last one.
+func (n *Node) applyReport(ctx context.Context, r *wire.NodeReport) bool {
 	if r.GetNode() == "" || r.Node == n.settings.Node {
-		return
+		return false
 	}
 	if !n.mergeReport(r) {
-		return
+		return false
+	}
+	if n.swapsAllPairs() {
+		n.mergeSeenSpeeds(r)
 	}
 	n.mergeEra(r.Node, r.ListChange)
 	n.mergeSuspicions(r.Suspicions, r.Node)
@@ -316,6 +321,7 @@
 	n.pools.ApplyReport(r.Node, message.LoadsFromWire(r.Loads), message.PlacementsFromWire(r.Placed), message.EnginesFromWire(r.Engines))
 	n.recordListChange(r.Node, r.ListChange)
 	n.catchUp(ctx, r)
+	return true
 }
 
 // mergeReport merges the cumulative parts of a report, and reports whether it is newer than the last one.
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -160,6 +160,7 @@
 	n.applyDigest(name, message.DigestFromWire(a))
 	n.mergeSuspicions(a.Suspicions, name)
 	n.mergeLimits(a.Limits, name)
+	n.pools.ApplySpeedFigures(message.SpeedsFromWire(a.Speeds))
 	if n.needsRelays() {
 		n.pools.ApplyReport(name, nil, nil, message.EnginesFromWire(a.Engines))
 	}
@@ -280,11 +281,13 @@
 // buildGroup returns this relay's state for another relay that knows it up to a version. The node's lock is
 // held.
 func (n *Node) buildGroup(name, incarnation string, version uint64) *wire.Group {
-	v := n.aggregator.Group(n.clock.Now(), n.aggregator.BaseVersion(incarnation, version))
+	after := n.aggregator.BaseVersion(incarnation, version)
+	v := n.aggregator.Group(n.clock.Now(), after)
 	v.Share.Loads = append(v.Share.Loads, n.pools.Pending()...)
 	g := message.GroupToWire(v)
 	g.KnownLifetime, g.KnownVersion = n.aggregator.KnownVersion(name)
 	g.Suspicions = n.suspicions()
+	g.Speeds = message.SpeedPartsToWire(n.pools.SpeedParts(name, after == 0))
 	g.Limits = message.LimitsToWire(n.clock.Now(), n.pools.Limits())
 	return g
 }
@@ -293,6 +296,7 @@
 func (n *Node) applyGroup(w *wire.Group) {
 	n.mergeSuspicions(w.Suspicions, w.Relay)
 	n.mergeLimits(w.Limits, w.Relay)
+	n.pools.ApplySpeedParts(w.Relay, message.SpeedPartsFromWire(w.Speeds))
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.clock.Now()
@@ -320,13 +324,16 @@
 		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("the report is missing"))
 	}
 	n, v := s.n, r.Msg.Report
-	n.applyReport(context.WithoutCancel(ctx), v)
+	if n.applyReport(context.WithoutCancel(ctx), v) && !n.swapsAllPairs() {
+		n.mergeSeenSpeeds(v)
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.clock.Now()
 	n.aggregator.ApplyReport(now, message.ReportFromWire(v))
-	d := n.aggregator.Digest(now, v.Node, n.aggregator.BaseVersion(r.Msg.Lifetime, r.Msg.Version))
-	a := message.DigestToWire(d)
+	version := n.aggregator.BaseVersion(r.Msg.Lifetime, r.Msg.Version)
+	a := message.DigestToWire(n.aggregator.Digest(now, v.Node, version))
+	a.Speeds = message.SpeedsToWire(n.pools.SpeedFigures(v.Node, version == 0))
 	a.Engines = message.EnginesToWire(n.pools.Engines())
 	a.Suspicions = n.suspicions()
 	a.Limits = message.LimitsToWire(now, n.pools.Limits())
--- a/internal/edge/states.go
+++ b/internal/edge/states.go
@@ -22,7 +22,7 @@
 	e := v.Entry
 	m := &wire.UpstreamState{
 		Id: e.ID, Service: e.Service, Hall: e.Hall, Born: e.Born, Leaving: e.Leaving, Declared: e.Declared, Misplaced: v.Misplaced, RestMs: v.Cooldown.Milliseconds(),
-		Limited: v.Limited, Rate: v.Rate, LimitAgeMs: v.LimitAge.Milliseconds(), Share: v.Share, Slowness: v.Slowness, UnreachedMs: -1, Running: int64(v.Running),
+		Limited: v.Limited, Rate: v.Rate, LimitAgeMs: v.LimitAge.Milliseconds(), Share: v.Share, Slowness: v.Slowness, Speed: v.Speed, SpeedEvidence: v.SpeedEvidence, UnreachedMs: -1, Running: int64(v.Running),
 	}
 	if v.UnreachableAge >= 0 {
 		m.UnreachedMs = v.UnreachableAge.Milliseconds()
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -35,7 +35,8 @@
 	Fetch    float64 // further tokens that it could fetch from another upstream
 	FetchMs  float64 // duration of the fetch in milliseconds
 	Source   string  // address of that other upstream
-	Slowness float64 // response times relative to the pool's; 1 is usual
+	Slowness float64 // response times relative to the pool's at the moment; 1 is usual
+	Speed    float64 // lasting speed relative to the pool's; 0: not known to differ
 	Failures float64 // share of recent requests that failed
 	Full     bool    // it recently rejected a request because it was full
 	Cold     bool    // it is warming up
@@ -113,6 +114,9 @@
 	} else {
 		x += plainFullFactor * s.ResponseMs * c.occupied()
 	}
+	if c.Speed > 0 {
+		x = atSpeed(n, s, x, c.Speed)
+	}
 	if !c.SameHall {
 		x += otherHallMs
 	}
@@ -125,12 +129,23 @@
 	return x * c.Slowness * (1 + failureWeight*c.Failures)
 }
 
+// atSpeed returns the cost of a candidate with another speed than the usual, given the cost of a usual one. What all
+// candidates take alike, and costs don't contain, differs as well: the time to a first event without anything to
+// read, or to a plain response.
+func atSpeed(n Request, s Service, x, speed float64) float64 {
+	alike := s.ResponseMs
+	if n.Engine {
+		alike = s.Engine.First
+	}
+	return x/speed + alike*(1/speed-1)
+}
+
 func engineCost(n Request, e capacity.Engine, c *Candidate) float64 {
 	tokens := c.Queued + math.Max(0, n.Prompt-c.Cached)
 	wait := 0.0
 	if c.fetchIsFaster(e) {
 		tokens -= c.Fetch
-		wait = c.FetchMs
+		wait = c.FetchMs * c.speed()
 	}
 	if c.Memory > 0 {
 		over := c.Reserved + n.Prompt + n.Output - memoryShare*c.Memory
@@ -139,6 +154,14 @@
 	return wait + e.PrefillTime(tokens) + occupiedMs*c.occupied()
 }
 
+// speed returns the lasting speed relative to the pool's.
+func (c *Candidate) speed() float64 {
+	if c.Speed > 0 {
+		return c.Speed
+	}
+	return 1
+}
+
 // occupied returns the share of occupied slots.
 func (c *Candidate) occupied() float64 {
 	return c.Running / float64(max(c.Slots, 1))
@@ -199,9 +222,10 @@
 	return b
 }
 
-// remainingQueue returns what is left of a queue of tokens that was reported the given time ago.
-func remainingQueue(e capacity.Engine, tokens float64, age time.Duration) float64 {
-	waits := e.PrefillTime(tokens)
+// remainingQueue returns what is left of a queue of tokens that was reported the given time ago, at an engine with
+// the given relative speed.
+func remainingQueue(e capacity.Engine, speed, tokens float64, age time.Duration) float64 {
+	waits := e.PrefillTime(tokens) / speed
 	if waits <= 0 {
 		return 0
 	}
--- a/internal/pool/fetch.go
+++ b/internal/pool/fetch.go
@@ -53,5 +53,5 @@
 
 // fetchIsFaster reports whether fetching cached parts from another engine is faster than reading them.
 func (c *Candidate) fetchIsFaster(e capacity.Engine) bool {
-	return c.Fetch > 0 && c.FetchMs < e.PrefillTime(c.Fetch)
+	return c.Fetch > 0 && c.FetchMs < e.PrefillTime(c.Fetch)/c.speed()
 }
--- a/internal/pool/peerload.go
+++ b/internal/pool/peerload.go
@@ -12,7 +12,7 @@
 // The age of a report grows with the number of nodes, and what it states of an upstream is valid for about
 // the duration of a request: after that, other requests are running, at any upstream. As it ages, a report
 // therefore counts less for the upstreams it names, and by the same amount more for all upstreams of the
-// service equally. If reports were taken literally, all nodes would send to the upstream that was free a
+// service, in proportion to their speeds. If reports were taken literally, all nodes would send to the upstream that was free a
 // second ago.
 
 // A relay sends the combined load of the nodes behind it, some tenths of a second old. It replaces the
@@ -97,7 +97,7 @@
 			totalAge += float64(l.Running) * float64(age) / float64(time.Millisecond)
 		}
 		weight := math.Exp(-float64(age) / float64(time.Millisecond) / durationMs)
-		m.peers.add(weight, float64(l.Running), remainingQueue(e, l.Queued, age), l.Reserved)
+		m.peers.add(weight, float64(l.Running), remainingQueue(e, m.speed.value(), l.Queued, age), l.Reserved)
 		p.peerLoaded = append(p.peerLoaded, m)
 		anywhere.add(1-weight, float64(l.Running), l.Queued, l.Reserved)
 	}
@@ -118,7 +118,7 @@
 	}
 	p.anywhere = loadSum{}
 	if len(members) > 0 {
-		p.anywhere.add(1/float64(len(members)), anywhere.running, anywhere.queued, anywhere.reserved)
+		p.anywhere.add(1/p.sumSpeeds(name), anywhere.running, anywhere.queued, anywhere.reserved)
 	}
 	if total == 0 {
 		return 0
@@ -129,6 +129,6 @@
 // peerLoad returns the load of other nodes at an upstream, of the service that was last passed to sumPeerLoad.
 func (p *Pools) peerLoad(m *member) loadSum {
 	v := m.peers
-	v.add(1, p.anywhere.running, p.anywhere.queued, p.anywhere.reserved)
+	v.add(m.speed.value(), p.anywhere.running, p.anywhere.queued, p.anywhere.reserved)
 	return v
 }
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -35,7 +35,7 @@
 func (p *Pools) chosenAt(now time.Time, n Request, f candidateSet, i int) chosen {
 	c := &f.list[i]
 	v := chosen{member: f.members[i], engine: p.engine(now, n.Service), reads: max(0, n.Prompt-c.Cached)}
-	v.choice = Choice{Candidates: len(f.list), Limited: f.limited, Running: int(c.Running), Queued: c.Queued, Cached: c.Cached, Slowness: c.Slowness, Revision: p.list.Revision(), OldestReport: p.oldestReport(now)}
+	v.choice = Choice{Candidates: len(f.list), Limited: f.limited, Running: int(c.Running), Queued: c.Queued, Cached: c.Cached, Slowness: c.Slowness, Speed: c.speed(), Revision: p.list.Revision(), OldestReport: p.oldestReport(now)}
 	if c.fetchIsFaster(v.engine) {
 		v.choice.Fetched, v.fetchFrom = c.Fetch, c.Source
 		v.reads = max(0, v.reads-c.Fetch)
@@ -87,7 +87,8 @@
 	u.onTrial = m.rank != notRanked && !p.splits[n.Service].ToTarget
 	u.reserved = n.Prompt + n.Output
 	u.output, u.reads = n.Output, v.choice.Queued+u.prompt
-	u.expectedMs = v.engine.FirstEventDelay(u.reads)
+	u.usualMs, u.speed = v.engine.FirstEventDelay(u.reads), m.speed.value()
+	u.expectedMs = u.usualMs / u.speed
 	if n.placed != m.entry.ID {
 		u.countedLimit = true
 		p.limits.Take(now, m.entry.Incarnation(), n.Engine)
@@ -176,6 +177,9 @@
 		Slowness: m.pace.slowness(now), Failures: m.failures,
 		Full: now.Sub(m.fullAt) < fullTTL, Cold: now.Before(m.coldUntil),
 	}
+	if m.speed.excess != 0 {
+		c.Speed = m.speed.value()
+	}
 	if m.prefixes == nil {
 		return c
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -80,6 +80,7 @@
 	peers         loadSum // load that other nodes reported at it, as of the last choice (Pools.peerLoad)
 	failures      float64
 	pace          pace
+	speed         memberSpeed
 	fullAt        time.Time
 	unreachableAt time.Time            // when it was last unreachable, for this node or several others
 	failedAt      time.Time            // when it was last unreachable for this node
@@ -133,6 +134,7 @@
 	listRead      bool                            // the list has been read
 	cooldowns     *retry.Cooldowns                // that upstreams asked this node for
 	limits        *limit.Tracker                  // that upstreams state for all nodes together
+	speeds        speeds
 }
 
 // service is what is known of one service.
@@ -162,7 +164,7 @@
 		clock: clock, hall: hall, start: clock.Now(), list: NewList(), members: make(map[string]*member),
 		services: make(map[string][]*member), halls: make(map[hallService][]*member), parts: make(map[hallService]*part), holders: make(map[uint64][]*member), counts: make(map[Group]int), busy: make(map[*member]struct{}), suspects: make(map[*member]struct{}), caching: make(map[*member]struct{}), outliers: make(map[string]*retry.Outliers),
 		reports: make(map[string]peerReport), serviceStats: make(map[string]*service), lastResponse: make(map[string]time.Time),
-		partitionedAt: make(map[string]time.Time), splits: make(map[string]Split), versions: make(map[string]map[string]time.Time), cooldowns: retry.NewCooldowns(), limits: limit.NewTracker(node),
+		partitionedAt: make(map[string]time.Time), splits: make(map[string]Split), versions: make(map[string]map[string]time.Time), cooldowns: retry.NewCooldowns(), limits: limit.NewTracker(node), speeds: newSpeeds(),
 	}
 }
 
--- a/internal/pool/state.go
+++ b/internal/pool/state.go
@@ -18,6 +18,8 @@
 	LimitAge       time.Duration // since it last stated the rate
 	Share          float64       // this node's share in requests a second; 0: only other nodes may send to it
 	Slowness       float64       // how many times as long as usual its responses are believed to take
+	Speed          float64       // how many times as fast as usual it is lastingly; 0: not known to differ
+	SpeedEvidence  float64       // responses that this rests on
 	UnreachableAge time.Duration // since it was last unreachable; negative: reachable, or too long ago to count
 	Running        int           // requests of this node in progress there
 }
@@ -46,6 +48,12 @@
 	if w, share, named := p.limits.Lookup(now, l); named {
 		s.Limited, s.Rate, s.LimitAge, s.Share = true, w.Rate, now.Sub(w.At), share
 	}
+	if f := p.speedOf(now, m); f.Weight > 0 {
+		s.SpeedEvidence = f.Weight
+		if !f.Usual() {
+			s.Speed = f.Speed
+		}
+	}
 	if d := now.Sub(m.unreachableAt); d < unreachableTTL {
 		s.UnreachableAge = d
 	}
--- a/internal/pool/update.go
+++ b/internal/pool/update.go
@@ -42,6 +42,8 @@
 	Group
 	Count int
 	Lost  int // of these, upstreams that don't count as capacity (Pools.Lost)
+	// Speed is the sum of the relative speeds of the others: how many usual upstreams they are like.
+	Speed float64
 }
 
 // Update lets f change the list, and applies the changes.
@@ -109,6 +111,9 @@
 		u.rerank = true
 	}
 	old := m.hallService()
+	if m.entry.Service != e.Service {
+		p.forgetSpeed(m)
+	}
 	u.countPart(m, -1)
 	m.entry = e
 	u.countPart(m, 1)
@@ -140,6 +145,7 @@
 	p.listHash ^= m.hash
 	u.countPart(m, -1)
 	delete(p.suspects, m)
+	p.forgetSpeed(m)
 	for h := range m.prefixes {
 		p.removePrefix(m, h)
 	}
@@ -225,13 +231,18 @@
 func (p *Pools) Counts(reporting map[string]bool) []GroupCount {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	lost := make(map[Group]int)
+	lost, excess := make(map[Group]int), make(map[Group]float64)
+	for m := range p.speeds.unusual {
+		excess[m.entry.group()] += m.speed.excess
+	}
 	for id := range p.lost(p.clock.Now(), reporting) {
-		lost[p.members[id].entry.group()]++
+		m := p.members[id]
+		lost[m.entry.group()]++
+		excess[m.entry.group()] -= m.speed.excess
 	}
 	list := make([]GroupCount, 0, len(p.counts))
 	for g, n := range p.counts {
-		list = append(list, GroupCount{Group: g, Count: n, Lost: lost[g]})
+		list = append(list, GroupCount{Group: g, Count: n, Lost: lost[g], Speed: float64(n-lost[g]) + excess[g]})
 	}
 	return list
 }
--- a/internal/pool/use.go
+++ b/internal/pool/use.go
@@ -22,6 +22,8 @@
 	prompt       float64 // counted as queued until the first event
 	reserved     float64
 	expectedMs   float64       // expected milliseconds to the first event
+	usualMs      float64       // the same if the upstream were a usual one
+	speed        float64       // of the upstream relative to the service's usual, as of the choice
 	reads        float64       // expected number of prompt tokens read before the first event
 	output       float64       // maximum number of output tokens
 	rank         int           // among the upstreams of a roll-out's target; notRanked: not one of them
@@ -42,7 +44,8 @@
 	Queued       float64       // prompt tokens there waiting for their first token
 	Cached       float64       // prompt tokens believed to be cached there
 	Fetched      float64       // prompt tokens to be fetched from another upstream
-	Slowness     float64       // how many times as long as usual its responses are believed to take
+	Slowness     float64       // how many times as long as usual its responses are believed to take at the moment
+	Speed        float64       // how many times as fast as usual it is believed to be lastingly
 	Revision     int64         // of the list
 	ByRelay      bool          // a relay chose it
 	OldestReport time.Duration // age of the oldest report of another node that counted
@@ -55,14 +58,15 @@
 func (u *Use) Rank() int { return u.rank }
 
 // Lag returns the time to the first event, or to the header of a plain response, as a multiple of the
-// expected time; 0 if it hasn't arrived.
+// time expected of a usual upstream; 0 if it hasn't arrived. A roll-out judges upstreams by it, so that what was
+// learned of an upstream's speed mustn't excuse it.
 func (u *Use) Lag() float64 {
 	u.p.mu.Lock()
 	defer u.p.mu.Unlock()
 	if u.firstEventAt.IsZero() {
 		return 0
 	}
-	return float64(u.firstEventAt.Sub(u.sentAt)) / float64(time.Millisecond) / u.expectedMs
+	return float64(u.firstEventAt.Sub(u.sentAt)) / float64(time.Millisecond) / u.usualMs
 }
 
 // Fetch returns the address of the upstream that has more of the prompt cached, if the chosen one should
@@ -93,14 +97,18 @@
 	switch {
 	case u.onTrial:
 	case u.engine && u.fetchFrom == "":
-		s.learner.ObserveFirst(u.firstEventAt, u.reads, after)
+		s.learner.ObserveFirst(u.firstEventAt, u.reads, u.atUsualSpeed(after))
 	case !u.engine:
-		s.responseMs += responseGain * (ms - s.responseMs)
+		s.responseMs += responseGain * (u.speed*ms - s.responseMs)
 	}
 	s.observeLag(ms - u.expectedMs)
+	u.observeSpeed(u.firstEventAt, ms)
 	u.m.pace.observe(u.firstEventAt, s.relativeToUsual(ms/u.expectedMs))
 }
 
+// atUsualSpeed returns the time that something would have taken at a usual upstream.
+func (u *Use) atUsualSpeed(d time.Duration) time.Duration { return time.Duration(u.speed * float64(d)) }
+
 // observeLag records by how many milliseconds a first event came later than expected.
 func (s *service) observeLag(ms float64) { s.lagMs += lagGain * (max(0, ms) - s.lagMs) }
 
@@ -159,7 +167,7 @@
 	s, now := u.p.service(u.entry.Service), u.p.clock.Now()
 	s.durationMs += responseGain * (float64(now.Sub(u.sentAt))/float64(time.Millisecond) - s.durationMs)
 	if u.engine && !u.firstEventAt.IsZero() && !u.onTrial {
-		s.learner.ObserveRest(u.output, now.Sub(u.firstEventAt))
+		s.learner.ObserveRest(u.output, u.atUsualSpeed(now.Sub(u.firstEventAt)))
 	}
 }
 
