Engines of different speeds in the model; the choice reads by speed alone

Change: only what an engine reads is divided by its speed, and more unreported work is assumed at a fast one.

--- a/internal/command/upstreams_test.go
+++ b/internal/command/upstreams_test.go
@@ -22,7 +22,7 @@
 func (believer) Upstreams(_ context.Context, r *connect.Request[wire.UpstreamsRequest]) (*connect.Response[wire.UpstreamsResponse], error) {
 	a := &wire.UpstreamsResponse{Node: "n1"}
 	for _, v := range []*wire.UpstreamState{
-		{Id: "a", Service: "llm", Hall: "h1", Slowness: 1, UnreachedMs: -1, Running: 3},
+		{Id: "a", Service: "llm", Hall: "h1", Slowness: 1, UnreachedMs: -1, Running: 3, Speed: 0.61, SpeedEvidence: 87.4},
 		{Id: "b", Service: "llm", Leaving: true, Declared: true, UnreachedMs: -1},
 		{Id: "c", Service: "llm", Leaving: true, UnreachedMs: -1, Born: 1_790_000_000_000},
 		{Id: "d", Service: "llm", RestMs: 2500, UnreachedMs: -1},
@@ -50,7 +50,7 @@
 		assert.NoError(t, err)
 		for _, v := range []string{
 			"n1", "requests", "its entry says that it leaves", "it has said that it leaves", "2026-09-21T14:13:20Z", "nothing for 2.5s: it asked for rest",
-			"1.2/s", "700ms ago", "0.6/s", "other nodes share its limit", "another upstream has its address", "unreachable 300ms ago", "orders",
+			"1.2/s", "700ms ago", "0.6/s", "other nodes share its limit", "another upstream has its address", "unreachable 300ms ago", "orders", "SPEED", "EVIDENCE", "0.61", "87", "usual",
 		} {
 			assert.Contains(t, out, v)
 		}
--- a/internal/message/fuzz_test.go
+++ b/internal/message/fuzz_test.go
@@ -1,6 +1,7 @@
 package message
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -45,6 +46,11 @@
 	seed(&wire.Group{Relay: "r", Version: 1 << 63, Share: &wire.Share{AgeMs: -1, Loads: load}, Changes: []*wire.Change{{Node: "n", UptimeMs: 1 << 62, AgeMs: -5}}, Trials: trial})
 	seed(&wire.GatherResponse{Version: 7, Shares: []*wire.Share{{AgeMs: 1 << 62, Loads: load}}, Reach: &wire.Reach{Unreached: []*wire.Unreached{{Upstream: "u", Nodes: -1, AgeMs: -1}}}})
 	seed(&wire.NodeReport{Node: "n", Lifetime: "l", Loads: load, Trials: trial, Started: []*wire.Started{{Window: -1, Workspace: "w", Count: -9}}})
+	seen := []*wire.SeenSpeed{{Upstream: "u", Steps: []uint32{0, 40, 1 << 31}, Counts: []float32{-1, 1e30}}}
+	part := []*wire.SpeedPart{{Upstream: "u", Log: float32(math.NaN()), Spread: -1, Weight: float32(math.Inf(1))}, {Upstream: "u", Log: 1, Spread: 1, Weight: 9}}
+	seed(&wire.NodeReport{Node: "n", Lifetime: "l", Speeds: seen})
+	seed(&wire.Group{Relay: "r", Version: 1, Speeds: part})
+	seed(&wire.GatherResponse{Version: 7, Speeds: []*wire.Speed{{Upstream: "u", Speed: -1, Weight: -1}, {Upstream: "u", Speed: 1e30}}})
 	seed(&wire.ListItem{Id: "u", Service: "s", Slots: -8, WarmUpMs: -1, Born: -1})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		clock := timer.NewManual(time.Unix(1000, 0))
@@ -59,6 +65,7 @@
 			assertTrials(t, v.Trials)
 			assertLoads(t, v.Share.Loads)
 			aggregator.MergeGroup(now, v)
+			p.ApplySpeedParts("r", SpeedPartsFromWire(g.Speeds))
 		}
 		var d wire.GatherResponse
 		if proto.Unmarshal(b, &d) == nil {
@@ -66,6 +73,7 @@
 			assertTrials(t, v.Trials)
 			var view relay.View
 			view.ApplyDigest(now, "r", v)
+			p.ApplySpeedFigures(SpeedsFromWire(d.Speeds))
 			p.ApplyPeerLoads(v.Shares, map[string]bool{"n": true}, v.Placed)
 			p.ApplyReachability(v.Reachability)
 		}
@@ -75,6 +83,7 @@
 			assertTrials(t, v.Trials)
 			assertLoads(t, v.Loads)
 			aggregator.ApplyReport(now, v)
+			p.ApplySeenSpeeds("n", SeenSpeedsFromWire(r.Speeds))
 			p.ApplyReport("n", v.Loads, v.Placed, nil)
 			p.ApplyReachability(v.Reachability)
 		}
@@ -84,6 +93,12 @@
 			assert.GreaterOrEqual(t, v.Entry.Slots, 0)
 			p.Update(func(l *pool.List) { l.Put(v) })
 		}
+		p.UpdateSpeeds()
+		for _, v := range p.States("") {
+			assert.True(t, v.Speed >= 0 && v.Speed < 4 && v.SpeedEvidence >= 0, "%+v", v)
+		}
+		p.SpeedParts("r", true)
+		p.SpeedFigures("n", true)
 		aggregator.Expire(now)
 		aggregator.Digest(now, "n", 0)
 		if u := p.Pick(pool.Request{ID: "x", Service: "s"}); u != nil {
--- a/internal/message/message_test.go
+++ b/internal/message/message_test.go
@@ -11,7 +11,9 @@
 	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/relay"
+	"spurhall.example/spurhall/internal/retry"
 	"spurhall.example/spurhall/internal/rollout"
+	"spurhall.example/spurhall/internal/speed"
 	"spurhall.example/spurhall/internal/usage"
 	"spurhall.example/spurhall/internal/wire"
 )
@@ -107,6 +109,25 @@
 			assert.Equal(t, d, DigestFromWire(&m))
 		})
 	})
+	t.Run("speeds of upstreams", func(t *testing.T) {
+		rapid.Check(t, func(t *rapid.T) {
+			id := retry.Incarnation{ID: names.Draw(t, "upstream"), Born: rapid.Int64().Draw(t, "born")}
+			x := float64(rapid.Float32Range(0.4, 2).Draw(t, "x"))
+			steps := rapid.SliceOfNDistinct(rapid.Uint32Range(0, 40), 0, 5, rapid.ID).Draw(t, "steps")
+			seen := []speed.Seen{{Upstream: id, Ratios: speed.HistogramOf(steps, []float32{1, 0.5, 3, 4, 5})}}
+			var r wire.NodeReport
+			send(t, &wire.NodeReport{Speeds: SeenSpeedsToWire(seen)}, &r)
+			assert.Equal(t, seen, SeenSpeedsFromWire(r.Speeds))
+			parts := []speed.Part{{Upstream: id, Log: x, Spread: x, Weight: x}}
+			var g wire.Group
+			send(t, &wire.Group{Speeds: SpeedPartsToWire(parts)}, &g)
+			assert.Equal(t, parts, SpeedPartsFromWire(g.Speeds))
+			figures := []speed.Figure{{Upstream: id, Speed: x, Weight: x}}
+			var d wire.GatherResponse
+			send(t, &wire.GatherResponse{Speeds: SpeedsToWire(figures)}, &d)
+			assert.Equal(t, figures, SpeedsFromWire(d.Speeds))
+		})
+	})
 	t.Run("an upstream's entry", func(t *testing.T) {
 		rapid.Check(t, func(t *rapid.T) {
 			v := pool.Item{Revision: rapid.Int64().Draw(t, "revision"), Entry: pool.Entry{
--- a/internal/model/engine.go
+++ b/internal/model/engine.go
@@ -31,6 +31,8 @@
 	waiting []*job // without a slot
 	busy    bool   // a step is under way
 	parts   *cache
+	speed   float64 // times as fast as the spec states
+	slowed  float64 // times as slow at the moment
 }
 
 // job is a request at an engine.
@@ -46,7 +48,7 @@
 }
 
 func newEngine(w *World, spec *EngineSpec, id string) *engine {
-	return &engine{w: w, spec: spec, id: id, parts: newCache(spec.Memory)}
+	return &engine{w: w, spec: spec, id: id, parts: newCache(spec.Memory), speed: 1, slowed: 1}
 }
 
 // take begins a request, or lets it wait for a slot.
@@ -97,7 +99,15 @@
 	}
 	tokens := e.spec.Chunk - budget
 	d := e.spec.Step + time.Duration(e.running)*e.spec.SlotStep + time.Duration(tokens/e.spec.Reading*float64(time.Millisecond))
-	e.w.after(d, func() { e.end(read) })
+	e.w.after(e.takes(d), func() { e.end(read) })
+}
+
+// takes is how long something takes that the spec gives a time for.
+func (e *engine) takes(d time.Duration) time.Duration {
+	if e.speed == 1 && e.slowed == 1 {
+		return d
+	}
+	return time.Duration(float64(d) * e.slowed / e.speed)
 }
 
 func (e *engine) end(read []*job) {
@@ -110,7 +120,7 @@
 		}
 	}
 	for _, j := range read {
-		e.w.after(e.spec.First, func() {
+		e.w.after(e.takes(e.spec.First), func() {
 			j.first = true
 			e.running++
 			j.started(e.w.now)
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -58,8 +58,30 @@
 	Spread                Spread
 	Seed                  uint64
 	Warm, Length          time.Duration // Warm isn't measured
+	Speeds                []float64     // of the engines, in turn; none: all are alike
+	Passing               Passing
+	Know                  Knowledge
+	Liar                  bool          // one node reports that one engine is very fast, and another one very slow
+	SlowLink              time.Duration // that responses take more to reach one node
 }
 
+// Passing is a slowness that each engine has now and then.
+type Passing struct {
+	Every  time.Duration // on average; 0: never
+	Length time.Duration
+	Factor float64
+}
+
+// Knowledge is what nodes know of the engines' speeds.
+type Knowledge int
+
+// The kinds.
+const (
+	SpeedsUnknown Knowledge = iota
+	SpeedsLearned
+	SpeedsTrue
+)
+
 // Result is what callers got of one class.
 type Result struct {
 	Class   string
@@ -74,6 +96,20 @@
 type Outcome struct {
 	Classes []Result
 	Read    float64 // prompt tokens read, of all that were asked
+	First   Firsts  // of all classes together
+	Speeds  Beliefs
+}
+
+// Firsts are the times to first events.
+type Firsts struct{ Mean, P50, P99 time.Duration }
+
+// Beliefs is what nodes came to believe of the engines' speeds.
+type Beliefs struct {
+	Differ int     // engines that a node believes to differ from the usual at the end, of all nodes' views
+	Views  int     // of all nodes at all engines
+	Off    float64 // mean of the absolute logarithms of believed over true speed
+	// Changes is how often a node changed what it believes of an engine.
+	Changes int
 }
 
 type part struct {
@@ -107,6 +143,7 @@
 	firsts  [][]time.Duration
 	asked   []int
 	prompts float64
+	changes int // of what nodes believe of speeds
 }
 
 const (
@@ -138,6 +175,7 @@
 	for i := 0; i < p.l.Engines; i++ {
 		id := fmt.Sprint("engine-", i)
 		p.engines[id] = newEngine(&p.World, &p.l.Engine, id)
+		p.setSpeed(i, p.engines[id])
 		items = append(items, pool.Item{Revision: 1, Entry: pool.Entry{ID: id, Service: service, Address: id, Hall: hall(i), Slots: p.l.Engine.Slots}})
 	}
 	for i := 0; i < p.l.Nodes; i++ {
@@ -147,6 +185,7 @@
 		n.pools.SetSize(service, capacity.Size{Slots: p.l.Engine.Slots, Memory: p.l.Engine.Memory, Fetch: p.l.Engine.Fetch})
 		p.nodes = append(p.nodes, n)
 		p.after(time.Duration(p.random.Int64N(int64(round))), func() { p.tell(n) })
+		p.tellTruth(n)
 	}
 }
 
@@ -182,12 +221,12 @@
 	p.engines[u.Entry().ID].take(&job{
 		q: q, out: int(q.output), counts: measured, from: p.engines[u.Fetch()],
 		started: func(now time.Duration) {
-			u.Started()
+			p.reach(n, u.Started)
 			if measured {
 				p.firsts[class] = append(p.firsts[class], now-q.at)
 			}
 		},
-		done: func(time.Duration) { u.End(pool.ResultGood) },
+		done: func(time.Duration) { p.reach(n, func() { u.End(pool.ResultGood) }) },
 	})
 }
 
@@ -205,5 +244,6 @@
 		o.Classes = append(o.Classes, r)
 	}
 	o.Read = p.read / math.Max(1, p.prompts)
+	o.First, o.Speeds = firstsOf(p.firsts), p.beliefs()
 	return o
 }
--- a/internal/model/spread.go
+++ b/internal/model/spread.go
@@ -35,9 +35,12 @@
 func (p *play) swap(a, b *node) {
 	la, pa := a.pools.Report()
 	lb, pb := b.pools.Report()
+	sa, sb := p.seen(a), p.seen(b)
 	p.after(hop, func() {
 		a.pools.ApplyReport(b.name, lb, pb, nil)
 		b.pools.ApplyReport(a.name, la, pa, nil)
+		a.pools.ApplySeenSpeeds(b.name, sb)
+		b.pools.ApplySeenSpeeds(a.name, sa)
 	})
 }
 
@@ -58,6 +61,7 @@
 func (p *play) tellRelay(n *node) {
 	loads, placed := n.pools.Report()
 	n.sequence++
+	seen := p.seen(n)
 	r := relay.Report{Node: n.name, Incarnation: "1", Sequence: n.sequence, Uptime: p.now, Loads: loads, Placed: placed}
 	ordered := p.hallOf(n.hall)
 	now := p.clock.Service().Now()
@@ -72,9 +76,14 @@
 	p.after(hop, func() {
 		now := p.clock.Service().Now()
 		h.book.ApplyReport(now, r)
+		h.pools.ApplySeenSpeeds(n.name, seen)
+		figures := h.pools.SpeedFigures(n.name, false)
 		lifetime, version := n.view.KnownVersion(h.name)
 		d := h.book.Digest(now, n.name, h.book.BaseVersion(lifetime, version))
-		p.after(hop, func() { p.take(n, h, d) })
+		p.after(hop, func() {
+			p.take(n, h, d)
+			n.pools.ApplySpeedFigures(figures)
+		})
 	})
 }
 
@@ -120,6 +129,7 @@
 		g.Share.Loads = append(g.Share.Loads, from.pools.Pending()...)
 	}
 	to.book.MergeGroup(now, g)
+	p.tellParts(from, to)
 	if p.l.Spread == SpreadPlaced {
 		p.digest(to)
 	}
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -18,6 +18,11 @@
 // well. Cached prefix parts thereby attract requests with the same prefix, and queues spread them, without
 // a separate rule for either.
 //
+// What a candidate reads takes as long as its lasting speed says (package speed). The time that all candidates take
+// alike, to a first event without anything to read, counts at none of them, nor does the speed count for occupied
+// slots: idle fast ones would otherwise get more than they carry, since the load that is known is some tenths of a
+// second old. For the same reason more unreported work is assumed at a fast one (docs/design/speed.md).
+//
 // Alternatives considered: the rendezvous hashing of package route. It needs no shared index, but spreads
 // each shared part over a fixed number of upstreams whatever the current load is; with a few nodes, an
 // index carried by each report costs a few hundred bytes a second.
@@ -63,7 +68,7 @@
 type Service struct {
 	Engine       capacity.Engine // for a service with engines
 	ResponseMs   float64         // milliseconds to the response header, for a service without engines
-	UnreportedMs float64         // milliseconds of unreported work of other nodes at an upstream
+	UnreportedMs float64         // milliseconds of unreported work of other nodes at a usual upstream
 }
 
 // The weights of a choice, in milliseconds unless stated otherwise. Costs that depend on the engines are
@@ -96,7 +101,7 @@
 		if n.Excluded[c.ID] {
 			continue
 		}
-		x := cost(n, s, c) + maxUnreportedFactor*s.UnreportedMs*randomFraction(request, c.ID)
+		x := cost(n, s, c) + maxUnreportedFactor*s.UnreportedMs*c.speed()*randomFraction(request, c.ID)
 		if i == home {
 			x -= homeBonusMs
 		}
@@ -112,10 +117,7 @@
 	if n.Engine {
 		x += engineCost(n, s.Engine, c)
 	} else {
-		x += plainFullFactor * s.ResponseMs * c.occupied()
-	}
-	if c.Speed > 0 {
-		x = atSpeed(n, s, x, c.Speed)
+		x += plainCost(s.ResponseMs, c)
 	}
 	if !c.SameHall {
 		x += otherHallMs
@@ -129,29 +131,24 @@
 	return x * c.Slowness * (1 + failureWeight*c.Failures)
 }
 
-// atSpeed returns the cost of a candidate with another speed than the usual, given the cost of a usual one. What all
-// candidates take alike, and costs don't contain, differs as well: the time to a first event without anything to
-// read, or to a plain response.
-func atSpeed(n Request, s Service, x, speed float64) float64 {
-	alike := s.ResponseMs
-	if n.Engine {
-		alike = s.Engine.First
-	}
-	return x/speed + alike*(1/speed-1)
-}
-
 func engineCost(n Request, e capacity.Engine, c *Candidate) float64 {
 	tokens := c.Queued + math.Max(0, n.Prompt-c.Cached)
 	wait := 0.0
 	if c.fetchIsFaster(e) {
 		tokens -= c.Fetch
-		wait = c.FetchMs * c.speed()
+		wait = c.FetchMs
 	}
 	if c.Memory > 0 {
 		over := c.Reserved + n.Prompt + n.Output - memoryShare*c.Memory
 		tokens += memoryWeight * math.Max(0, over)
 	}
-	return wait + e.PrefillTime(tokens) + occupiedMs*c.occupied()
+	return wait + e.PrefillTime(tokens)/c.speed() + occupiedMs*c.occupied()
+}
+
+// plainCost returns the cost of a plain upstream: the queue at its slots, and what its response takes longer than a
+// usual one's.
+func plainCost(responseMs float64, c *Candidate) float64 {
+	return plainFullFactor*responseMs*c.occupied()/c.speed() + responseMs*(1/c.speed()-1)
 }
 
 // speed returns the lasting speed relative to the pool's.
--- a/internal/speed/joiner.go
+++ b/internal/speed/joiner.go
@@ -38,6 +38,7 @@
 	figure  Figure
 	sentFig Figure // as last recorded in the journal
 	figAt   time.Time
+	since   time.Time // since when the evidence says that a usual upstream differs; zero: it doesn't
 }
 
 type receivedPart struct {
@@ -165,15 +166,23 @@
 // estimate joins what this joiner's nodes have seen.
 func (j *Joiner) estimate(now time.Time, v *joined) Part {
 	var sum Histogram
-	for name, h := range v.nodes {
+	names := slices.Sorted(maps.Keys(v.nodes)) // a fixed order, so that simulations are reproducible
+	weights := make([]float64, 0, len(names))
+	for _, name := range names {
+		h := v.nodes[name]
 		h.fade(now)
-		w := h.Weight()
-		if w < leastWeight {
-			delete(v.nodes, name)
-			j.histograms--
+		if w := h.Weight(); w >= leastWeight {
+			weights = append(weights, w)
 			continue
 		}
-		sum.addAll(h, min(1, nodeWeight/w))
+		delete(v.nodes, name)
+		j.histograms--
+	}
+	most := greatestWeight(weights)
+	for _, name := range names {
+		if h := v.nodes[name]; h != nil {
+			sum.addAll(h, min(1, most/h.Weight()))
+		}
 	}
 	p := Part{Upstream: v.figure.Upstream, Weight: sum.Weight()}
 	if p.Weight > 0 {
@@ -182,6 +191,16 @@
 	return p
 }
 
+// greatestWeight returns the greatest weight that one of several nodes may have: few times what the others have, so
+// that one that states a large weight doesn't outweigh many that see an upstream seldom.
+func greatestWeight(weights []float64) float64 {
+	if len(weights) == 0 {
+		return 0
+	}
+	l := slices.Sorted(slices.Values(weights))
+	return min(nodeWeight, nodeFactor*l[(len(l)-1)*3/4])
+}
+
 // centre determines the usual ratio of each service: the median over the upstreams with sufficient evidence.
 func (j *Joiner) centre() {
 	logs := make(map[string][]float64)
@@ -201,7 +220,7 @@
 func (j *Joiner) decide(now time.Time, id retry.Incarnation, v *joined) bool {
 	j.recordPart(now, id, v)
 	v.figure.Weight = v.weight
-	v.figure.Speed = j.speed(v)
+	v.figure.Speed = j.lasting(now, v)
 	before, after := math.Log(v.sentFig.Speed), math.Log(v.figure.Speed)
 	changed := math.Abs(after-before) > changedBy || v.figure.Usual() != v.sentFig.Usual()
 	if changed || !v.figure.Usual() && now.Sub(v.figAt) >= refreshEvery {
@@ -211,6 +230,21 @@
 	return changed
 }
 
+// lasting returns the speed that the evidence has given for some time.
+func (j *Joiner) lasting(now time.Time, v *joined) float64 {
+	x := j.speed(v)
+	switch {
+	case x == 1 || !v.figure.Usual():
+		v.since = time.Time{}
+	case v.since.IsZero():
+		v.since = now
+		return 1
+	case now.Sub(v.since) < lastingAfter:
+		return 1
+	}
+	return x
+}
+
 // speed returns the speed that the evidence gives.
 func (j *Joiner) speed(v *joined) float64 {
 	centre, known := j.centres[v.service]
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -42,8 +42,10 @@
 	quantile = 0.3
 	// lowQuantile and highQuantile are the quantiles around it that its error is derived from.
 	lowQuantile, highQuantile = 0.15, 0.45
-	// nodeWeight is the greatest weight of one node at one upstream, in responses.
+	// nodeWeight is the greatest weight of one node at one upstream, in responses, and nodeFactor the greatest in
+	// upper quartiles of the weights of all nodes there.
 	nodeWeight = 12
+	nodeFactor = 2
 	// minWeight is the weight from which a figure may leave the usual. No two nodes have it.
 	minWeight = 25
 	// keptWeight is the weight below which a figure that has left the usual returns to it. No single node has it.
@@ -54,8 +56,11 @@
 	// number of standard errors that it must exceed as well.
 	band       = 0.16
 	bandErrors = 4.0
+	// lastingAfter is how long the evidence must say that an upstream differs. Queues that nodes don't know of last, so
+	// that ratios which follow each other err alike.
+	lastingAfter = 5 * time.Second
 	// keptShare is the share of these limits within which a figure returns to the usual.
-	keptShare = 0.6
+	keptShare = 0.4
 	// minSpread is the least spread of ratios that is assumed, as a logarithm: equal times show no error.
 	minSpread = 0.3
 	// maxLog bounds figures: an upstream counts as at most that much faster or slower.
--- a/internal/speed/speed_test.go
+++ b/internal/speed/speed_test.go
@@ -343,8 +343,9 @@
 		j.ApplyPart(now, "r", "s", Part{Upstream: idOf(i), Log: 0.5 * float64(i%3-1), Spread: 0.3, Weight: 100})
 		j.ApplySeen(now, "n", "s", Seen{Upstream: idOf(i), Ratios: HistogramOf([]uint32{sideBins}, []float32{5})})
 	}
-	j.Update(now)
-	j.Update(now.Add(centreEvery))
+	for d := time.Duration(0); d <= centreEvery+lastingAfter; d += time.Second {
+		j.Update(now.Add(d))
+	}
 	figures, parts := make(map[retry.Incarnation]bool), make(map[retry.Incarnation]bool)
 	for range upstreams / maxParts * 2 {
 		l := j.Figures("n")
