--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -420,6 +420,6 @@
 	c := u.Choice()
 	return []zap.Field{
 		zap.String("upstream", u.Entry().ID), zap.String("hall", u.Entry().Hall), zap.Int("candidates", c.Candidates), zap.Int("limited", c.Limited), zap.Bool("by_relay", c.ByRelay), zap.Int("running", c.Running),
-		zap.Int("queued_tokens", int(c.Queued)), zap.Int("cached_tokens", int(c.Cached)), zap.Int("fetched_tokens", int(c.Fetched)), zap.Float64("slowness", math.Round(10*c.Slowness)/10), zap.Int64("list_revision", c.Revision), zap.Duration("oldest_report", c.OldestReport),
+		zap.Int("queued_tokens", int(c.Queued)), zap.Int("cached_tokens", int(c.Cached)), zap.Int("fetched_tokens", int(c.Fetched)), zap.Float64("slowness", math.Round(10*c.Slowness)/10), zap.Float64("speed", math.Round(100*c.Speed)/100), zap.Int64("list_revision", c.Revision), zap.Duration("oldest_report", c.OldestReport),
 	}
 }
--- a/internal/speed/joiner.go
+++ b/internal/speed/joiner.go
@@ -14,7 +14,8 @@
 // and each relay adds the parts of the others to what its own nodes report. It isn't safe for concurrent use.
 type Joiner struct {
 	upstreams  map[retry.Incarnation]*joined
-	histograms int // of nodes, at all upstreams
+	histograms int       // of nodes, at all upstreams
+	weights    []float64 // scratch space
 	dirty      map[retry.Incarnation]struct{}
 	centres    map[string]float64
 	centredAt  time.Time
@@ -27,7 +28,7 @@
 // joined is what is known of one upstream.
 type joined struct {
 	service string
-	nodes   map[string]*Histogram
+	nodes   []*nodeSeen // sorted by name
 	parts   map[string]receivedPart
 	own     Part // of this joiner's nodes
 	partAt  time.Time
@@ -38,9 +39,21 @@
 	figure  Figure
 	sentFig Figure // as last recorded in the journal
 	figAt   time.Time
-	since   time.Time // since when the evidence says that a usual upstream differs; zero: it doesn't
+	// combinedAt is when log, spread and weight were last determined.
+	combinedAt time.Time
+	since      time.Time // since when the evidence says that a usual upstream differs; zero: it doesn't
 }
 
+// nodeSeen is what one node has seen of an upstream.
+type nodeSeen struct {
+	node   string
+	ratios Histogram
+	weight float64 // as of at
+	at     time.Time
+}
+
+func (n *nodeSeen) weightAt(now time.Time) float64 { return n.weight * decay(now.Sub(n.at)) }
+
 type receivedPart struct {
 	Part
 	at time.Time
@@ -57,7 +70,7 @@
 func (j *Joiner) upstream(service string, id retry.Incarnation) *joined {
 	v := j.upstreams[id]
 	if v == nil && len(j.upstreams) < maxUpstreams {
-		v = &joined{service: service, nodes: make(map[string]*Histogram), parts: make(map[string]receivedPart), figure: Figure{Upstream: id, Speed: 1}, sentFig: Figure{Speed: 1}}
+		v = &joined{service: service, parts: make(map[string]receivedPart), figure: Figure{Upstream: id, Speed: 1}, sentFig: Figure{Speed: 1}}
 		j.upstreams[id] = v
 	}
 	return v
@@ -69,17 +82,16 @@
 	if v == nil {
 		return
 	}
-	h := v.nodes[node]
-	if h == nil {
+	i, known := slices.BinarySearchFunc(v.nodes, node, func(n *nodeSeen, name string) int { return cmp.Compare(n.node, name) })
+	if !known {
 		if j.histograms >= maxHistograms {
 			return
 		}
-		h = &Histogram{}
-		v.nodes[node] = h
+		v.nodes = slices.Insert(v.nodes, i, &nodeSeen{node: node})
 		j.histograms++
 	}
-	*h = s.Ratios
-	h.at = now
+	n := v.nodes[i]
+	n.ratios, n.weight, n.at = s.Ratios, s.Ratios.Weight(), now
 	j.dirty[s.Upstream] = struct{}{}
 }
 
@@ -115,35 +127,44 @@
 func (j *Joiner) Update(now time.Time) []Figure {
 	if now.Sub(j.centredAt) >= centreEvery {
 		j.centredAt = now
-		for id, v := range j.upstreams {
-			j.combine(now, v)
-			if v.weight < leastWeight && v.figure.Usual() && now.Sub(v.figAt) > figureTTL {
-				j.Forget(id)
-				continue
-			}
-			j.dirty[id] = struct{}{}
-		}
+		j.combineAll(now)
 		j.centre()
 	}
 	var changed []Figure
-	for _, id := range slices.SortedFunc(maps.Keys(j.dirty), compare) {
-		if v := j.upstreams[id]; v != nil {
+	for _, id := range slices.SortedFunc(maps.Keys(j.dirty), compare) { // a fixed order, so that simulations are reproducible
+		v := j.upstreams[id]
+		if age := now.Sub(v.combinedAt); age > 0 && age < combineEvery {
+			continue
+		} else if age != 0 {
 			j.combine(now, v)
-			if j.decide(now, id, v) {
-				changed = append(changed, v.figure)
-			}
+		}
+		delete(j.dirty, id)
+		if j.decide(now, id, v) {
+			changed = append(changed, v.figure)
 		}
 	}
-	clear(j.dirty)
 	return changed
 }
 
+// combineAll estimates all upstreams' ratios, and drops those of which nothing is known any more.
+func (j *Joiner) combineAll(now time.Time) {
+	for id, v := range j.upstreams {
+		j.combine(now, v)
+		if v.weight < leastWeight && v.figure.Usual() && now.Sub(v.figAt) > figureTTL {
+			j.Forget(id)
+			continue
+		}
+		j.dirty[id] = struct{}{}
+	}
+}
+
 func compare(a, b retry.Incarnation) int {
 	return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Born, b.Born))
 }
 
 // combine estimates an upstream's ratio from its nodes and from the parts of other joiners.
 func (j *Joiner) combine(now time.Time, v *joined) {
+	v.combinedAt = now
 	v.own = j.estimate(now, v)
 	sum := v.own.Weight
 	log, spread := sum*v.own.Log, sum*v.own.Spread
@@ -165,24 +186,18 @@
 
 // estimate joins what this joiner's nodes have seen.
 func (j *Joiner) estimate(now time.Time, v *joined) Part {
-	var sum Histogram
-	names := slices.Sorted(maps.Keys(v.nodes)) // a fixed order, so that simulations are reproducible
-	weights := make([]float64, 0, len(names))
-	for _, name := range names {
-		h := v.nodes[name]
-		h.fade(now)
-		if w := h.Weight(); w >= leastWeight {
-			weights = append(weights, w)
-			continue
-		}
-		delete(v.nodes, name)
-		j.histograms--
+	before := len(v.nodes)
+	v.nodes = slices.DeleteFunc(v.nodes, func(n *nodeSeen) bool { return n.weightAt(now) < leastWeight })
+	j.histograms -= before - len(v.nodes)
+	j.weights = j.weights[:0]
+	for _, n := range v.nodes {
+		j.weights = append(j.weights, n.weightAt(now))
 	}
-	most := greatestWeight(weights)
-	for _, name := range names {
-		if h := v.nodes[name]; h != nil {
-			sum.addAll(h, min(1, most/h.Weight()))
-		}
+	most := greatestWeight(j.weights)
+	var sum Histogram
+	for _, n := range v.nodes {
+		w := n.weightAt(now)
+		sum.addAll(&n.ratios, min(w, most)/n.weight)
 	}
 	p := Part{Upstream: v.figure.Upstream, Weight: sum.Weight()}
 	if p.Weight > 0 {
@@ -192,13 +207,13 @@
 }
 
 // greatestWeight returns the greatest weight that one of several nodes may have: few times what the others have, so
-// that one that states a large weight doesn't outweigh many that see an upstream seldom.
+// that one that states a large weight doesn't outweigh many that see an upstream seldom. It sorts the weights.
 func greatestWeight(weights []float64) float64 {
 	if len(weights) == 0 {
 		return 0
 	}
-	l := slices.Sorted(slices.Values(weights))
-	return min(nodeWeight, nodeFactor*l[(len(l)-1)*3/4])
+	slices.Sort(weights)
+	return min(nodeWeight, nodeFactor*weights[(len(weights)-1)*3/4])
 }
 
 // centre determines the usual ratio of each service: the median over the upstreams with sufficient evidence.
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -80,6 +80,8 @@
 	partTTL   = 40 * time.Second
 	// centreEvery is how often all figures are computed anew, for those that fade.
 	centreEvery = 3 * time.Second
+	// combineEvery is how often an upstream's figure is computed anew at most.
+	combineEvery = time.Second
 	// reportedFor is how long what a node saw of an upstream is part of its reports: a few rounds.
 	reportedFor = 700 * time.Millisecond
 	// maxSeen, maxParts and maxFigures bound one message, and maxUpstreams and maxHistograms what is kept.
