--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -20,9 +20,9 @@
 // equal upstreams remain equal.
 //
 // Alternatives considered: the mean of the ratios, which a queue that is unknown to the nodes moves as much as the
-// speed does; the time per token after the first event, which depends on how much an engine reads beside it: a
-// fast engine is sent more prompts and looks like a usual one (docs/design/speed.md). Counting responses by time
-// at the relays alone: relays don't see responses.
+// speed does; the time per token after the first event, alone or as well, which finds the speeds no better and depends
+// on how much an engine reads beside it and on how many of its tokens a response has (docs/design/speed.md).
+// Counting responses at the relays alone: relays don't see responses.
 //
 // The package is pure: time is passed in.
 package speed
