--- a/internal/pool/speed.go
+++ b/internal/pool/speed.go
@@ -23,8 +23,6 @@
 }
 
 const (
-	// figureTTL is how long a figure that a relay sent counts: the relay sends it again some times in between.
-	figureTTL = 40 * time.Second
 	// loggedRatio is the logarithm of the ratio from which a change of speed is reported to operators.
 	loggedRatio = 0.25
 	// maxSpeedChanges bounds the changes that are kept for operators.
@@ -67,7 +65,7 @@
 
 // speedOf returns the current figure of an upstream.
 func (p *Pools) speedOf(now time.Time, m *member) speed.Figure {
-	if !m.speed.receivedAt.IsZero() && now.Sub(m.speed.receivedAt) <= figureTTL {
+	if !m.speed.receivedAt.IsZero() && now.Sub(m.speed.receivedAt) <= speed.FigureTTL {
 		return m.speed.figure
 	}
 	f, _ := p.speeds.joiner.Figure(m.entry.Incarnation())
@@ -160,7 +158,7 @@
 		}
 	}
 	for m := range p.speeds.received {
-		if now.Sub(m.speed.receivedAt) > figureTTL {
+		if now.Sub(m.speed.receivedAt) > speed.FigureTTL {
 			m.speed.receivedAt = time.Time{}
 			delete(p.speeds.received, m)
 			p.setSpeed(now, m)
--- a/internal/pool/speed_test.go
+++ b/internal/pool/speed_test.go
@@ -133,7 +133,7 @@
 		assert.InDelta(t, 2.6, sum(), 1e-6, "a figure of the one before")
 	})
 	t.Run("a figure that isn't repeated is forgotten", func(t *testing.T) {
-		c.Advance(figureTTL + time.Second)
+		c.Advance(speed.FigureTTL + time.Second)
 		p.UpdateSpeeds()
 		assert.Equal(t, 3.0, sum())
 		assert.Equal(t, 3.0, p.sumSpeeds("s"))
--- a/internal/speed/joiner.go
+++ b/internal/speed/joiner.go
@@ -150,7 +150,7 @@
 func (j *Joiner) combineAll(now time.Time) {
 	for id, v := range j.upstreams {
 		j.combine(now, v)
-		if v.weight < leastWeight && v.figure.Usual() && now.Sub(v.figAt) > figureTTL {
+		if v.weight < leastWeight && v.figure.Usual() && now.Sub(v.figAt) > FigureTTL {
 			j.Forget(id)
 			continue
 		}
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -71,9 +71,10 @@
 	leastWeight = 0.2
 	// changedBy is the difference of a figure's logarithm from which it is sent again.
 	changedBy = 0.04
-	// refreshEvery is how often an unchanged figure is sent again; receivers keep it for figureTTL.
+	// refreshEvery is how often an unchanged figure is sent again; receivers keep it for FigureTTL.
 	refreshEvery = 8 * time.Second
-	figureTTL    = 40 * time.Second
+	// FigureTTL is how long a figure counts that isn't sent again.
+	FigureTTL = 40 * time.Second
 	// partEvery is how often the part of an upstream is sent to another joiner at most, and partTTL how long it
 	// counts there. Its weight halves as everything's does.
 	partEvery = 2 * time.Second
