A report without a process's name doesn't panic at a relay

Cause: found by FuzzMessages (15 s): a relay's new record had no map for charges if the report names no process. Change: the record begins with one; the report is a seed of the fuzz target and failed before.

--- a/internal/message/fuzz_test.go
+++ b/internal/message/fuzz_test.go
@@ -46,6 +46,8 @@
 	seed(&wire.Group{Relay: "r", Version: 1 << 63, Share: &wire.Share{AgeMs: -1, Loads: load}, Changes: []*wire.Change{{Node: "n", UptimeMs: 1 << 62, AgeMs: -5}}, Trials: trial})
 	seed(&wire.GatherResponse{Version: 7, Shares: []*wire.Share{{AgeMs: 1 << 62, Loads: load}}, Reach: &wire.Reach{Unreached: []*wire.Unreached{{Upstream: "u", Nodes: -1, AgeMs: -1}}}})
 	seed(&wire.NodeReport{Node: "n", Lifetime: "l", Loads: load, Trials: trial, Started: []*wire.Started{{Window: -1, Workspace: "w", Count: -9}}})
+	// A report without the name of a process: the relay's record had no map for its charges.
+	seed(&wire.NodeReport{Sequence: 48, Spent: []*wire.Spent{{Workspace: "w", Tokens: 1}}})
 	seen := []*wire.SeenSpeed{{Upstream: "u", Steps: []uint32{0, 40, 1 << 31}, Counts: []float32{-1, 1e30}}}
 	part := []*wire.SpeedPart{{Upstream: "u", Log: float32(math.NaN()), Spread: -1, Weight: float32(math.Inf(1))}, {Upstream: "u", Log: 1, Spread: 1, Weight: 9}}
 	seed(&wire.NodeReport{Node: "n", Lifetime: "l", Speeds: seen})
--- a/internal/relay/aggregator.go
+++ b/internal/relay/aggregator.go
@@ -109,7 +109,7 @@
 func (a *Aggregator) recordForUpdate(node, incarnation string, sequence uint64, startedAt time.Time) *record {
 	v := a.records[node]
 	if v == nil {
-		v = &record{}
+		v = &record{spent: make(map[string]counter)}
 		a.records[node] = v
 	}
 	if v.incarnation == incarnation && sequence <= v.sequence || v.incarnation != incarnation && startedAt.Before(v.startedAt) {
