Choice: a fast plain upstream that fails is chosen less

Cause: what a fast one's response takes less made its cost negative, which slowness and failures then multiplied. Change: the negative part is added after that product. Conclusion: more failures always cost more; tested.

--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -128,7 +128,11 @@
 	if c.Cold {
 		x += warmUpMs
 	}
-	return x * c.Slowness * (1 + failureWeight*c.Failures)
+	x *= c.Slowness * (1 + failureWeight*c.Failures)
+	if !n.Engine && c.speed() > 1 {
+		x += plainExcess(s.ResponseMs, c) // negative: slowness and failures mustn't scale it
+	}
+	return x
 }
 
 func engineCost(n Request, e capacity.Engine, c *Candidate) float64 {
@@ -145,12 +149,15 @@
 	return wait + e.PrefillTime(tokens)/c.speed() + occupiedMs*c.occupied()
 }
 
-// plainCost returns the cost of a plain upstream: the queue at its slots, and what its response takes longer than a
-// usual one's.
+// plainCost returns the cost of a plain upstream: the queue at its slots, and what the response of a slow one takes
+// longer than a usual one's.
 func plainCost(responseMs float64, c *Candidate) float64 {
-	return plainFullFactor*responseMs*c.occupied()/c.speed() + responseMs*(1/c.speed()-1)
+	return plainFullFactor*responseMs*c.occupied()/c.speed() + max(0, plainExcess(responseMs, c))
 }
 
+// plainExcess returns what a plain upstream's response takes longer than a usual one's, negative at a fast one.
+func plainExcess(responseMs float64, c *Candidate) float64 { return responseMs * (1/c.speed() - 1) }
+
 // speed returns the lasting speed relative to the pool's.
 func (c *Candidate) speed() float64 {
 	if c.Speed > 0 {
--- a/internal/pool/speed_test.go
+++ b/internal/pool/speed_test.go
@@ -59,6 +59,18 @@
 		fast.Running = 8 * 0.7
 		assert.Equal(t, "slow", chosen(n, slow, fast))
 	})
+	t.Run("a fast plain upstream that fails is chosen less, not more", func(t *testing.T) {
+		n, e := Request{ID: "r", Service: "s"}, Service{ResponseMs: 200}
+		usual, fast := candidate("usual", 1, 0), candidate("fast", 1.6, 0)
+		assert.Less(t, cost(n, e, &fast), cost(n, e, &usual))
+		last := cost(n, e, &fast)
+		for _, v := range []float64{0.1, 0.25, 0.5} {
+			fast.Failures = v
+			assert.Greater(t, cost(n, e, &fast), last)
+			last = cost(n, e, &fast)
+		}
+		assert.Greater(t, last, cost(n, e, &usual))
+	})
 	t.Run("an unknown speed is the usual", func(t *testing.T) {
 		for _, n := range []Request{engineRequest(3000), {ID: "r", Service: "s"}} {
 			a, b := candidate("a", 0, 1000), candidate("a", 1, 1000)
