Speeds: only responses that say something are observed

Causes: the expectation of a plain response knows no queue and contains the way to the hall; responses that were abandoned weren't observed, so a slow upstream left its quick ones; upstreams without a time of birth, or that had changed their service, kept speeds of other processes. Changes: one guard, Use.observesSpeed; plain responses count only if nothing else was known to run there, and relative to the node's usual of the service and hall; TimedOut observes the time waited; Born 0 has no speed, and a change of service resets all of it. Figures: without the changes, equal plain upstreams 5 ms away, one with a queue, one whose responses are abandoned, and one of Born 0 are each believed wrong in the new tests. Conclusion: with them, none is.

--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -15,6 +15,7 @@
 	member    *member
 	engine    capacity.Engine
 	choice    Choice
+	alone     bool    // nothing else is known to run there
 	reads     float64 // prompt tokens that it has to read
 	fetchFrom string  // address of the upstream that it fetches cached parts from
 }
@@ -34,7 +35,7 @@
 // there.
 func (p *Pools) chosenAt(now time.Time, n Request, f candidateSet, i int) chosen {
 	c := &f.list[i]
-	v := chosen{member: f.members[i], engine: p.engine(now, n.Service), reads: max(0, n.Prompt-c.Cached)}
+	v := chosen{member: f.members[i], engine: p.engine(now, n.Service), reads: max(0, n.Prompt-c.Cached), alone: c.Running == 0}
 	v.choice = Choice{Candidates: len(f.list), Limited: f.limited, Running: int(c.Running), Queued: c.Queued, Cached: c.Cached, Slowness: c.Slowness, Speed: c.speed(), Revision: p.list.Revision(), OldestReport: p.oldestReport(now)}
 	if c.fetchIsFaster(v.engine) {
 		v.choice.Fetched, v.fetchFrom = c.Fetch, c.Source
@@ -83,7 +84,7 @@
 func (p *Pools) use(now time.Time, n Request, v chosen) *Use {
 	m, s := v.member, p.service(n.Service)
 	p.outlier(n.Service).Sending(m.entry.ID)
-	u := &Use{p: p, m: m, entry: m.entry, choice: v.choice, sentAt: now, engine: n.Engine, prompt: v.reads, fetchFrom: v.fetchFrom, rank: m.rank}
+	u := &Use{p: p, m: m, entry: m.entry, choice: v.choice, sentAt: now, engine: n.Engine, prompt: v.reads, fetchFrom: v.fetchFrom, rank: m.rank, alone: v.alone}
 	u.onTrial = m.rank != notRanked && !p.splits[n.Service].ToTarget
 	u.reserved = n.Prompt + n.Output
 	u.output, u.reads = n.Output, v.choice.Queued+u.prompt
--- a/internal/pool/speed.go
+++ b/internal/pool/speed.go
@@ -113,6 +113,7 @@
 // forgetSpeed drops what is known of an incarnation's speed.
 func (p *Pools) forgetSpeed(m *member) {
 	p.setExcess(m, 0)
+	m.speed = memberSpeed{}
 	delete(p.speeds.received, m)
 	id := m.entry.Incarnation()
 	p.speeds.observer.Forget(id)
@@ -128,17 +129,26 @@
 	return n
 }
 
+// observesSpeed reports whether the request's times say something of the upstream's lasting speed. They don't on trial
+// or while warming up, or with cached parts to fetch, or for an upstream whose processes can't be told apart. The time
+// that is expected of a plain upstream knows no queue, so its responses count only if nothing else was known to run there.
+func (u *Use) observesSpeed() bool {
+	if u.onTrial || u.fetchFrom != "" || u.entry.Born == 0 || u.p.members[u.entry.ID] != u.m {
+		return false
+	}
+	return (u.engine || u.alone) && !u.p.clock.Now().Before(u.m.coldUntil)
+}
+
 // observeSpeed records how long a response took, relative to the time that was expected of a usual upstream.
-// An upstream on trial or warming up, or with cached parts to fetch, says nothing of its lasting speed.
 func (u *Use) observeSpeed(now time.Time, ms float64) {
-	if u.onTrial || u.fetchFrom != "" || now.Before(u.m.coldUntil) || u.p.members[u.entry.ID] != u.m {
+	if !u.observesSpeed() {
 		return
 	}
-	usual := u.usualMs
+	usual, peers := u.usualMs, u.entry.Service
 	if !u.engine {
-		usual = u.p.service(u.entry.Service).responseMs
+		usual, peers = u.p.service(u.entry.Service).responseMs, u.entry.Service+"\x00"+u.entry.Hall // much of the time may be the way there
 	}
-	u.p.speeds.observer.Observe(now, u.entry.Service, u.entry.Incarnation(), ms/usual, u.m.speed.value())
+	u.p.speeds.observer.Observe(now, peers, u.entry.Incarnation(), ms/usual, u.m.speed.value())
 }
 
 // UpdateSpeeds computes the speeds anew from what was seen and received, and returns the changes that matter to
@@ -169,9 +179,9 @@
 	return list
 }
 
-// incarnation returns the member of an incarnation, or nil if it isn't listed.
+// incarnation returns the member of an incarnation, or nil if it isn't listed, or its processes can't be told apart.
 func (p *Pools) incarnation(id string, born int64) *member {
-	if m := p.members[id]; m != nil && m.entry.Born == born {
+	if m := p.members[id]; m != nil && m.entry.Born == born && born != 0 {
 		return m
 	}
 	return nil
--- a/internal/pool/speed_test.go
+++ b/internal/pool/speed_test.go
@@ -225,3 +225,125 @@
 		})
 	}
 }
+
+// assertAllUsual checks that no upstream of the service is believed to differ.
+func assertAllUsual(t *testing.T, p *Pools) {
+	t.Helper()
+	for _, v := range p.States("s") {
+		assert.Zero(t, v.Speed, v.Entry.ID)
+	}
+}
+
+// hallNodes returns three nodes that know equal upstreams, two in another hall, and lets them swap what they have seen.
+func hallNodes(c *timer.Manual) (nodes []*Pools, swap func()) {
+	for i := range 3 {
+		p := New(c.Service(), fmt.Sprint("n", i), "h")
+		p.Update(func(l *List) {
+			for k, hall := range []string{"h", "h", "h", "far", "far"} {
+				id := fmt.Sprint("u", k)
+				l.Put(Item{Entry: Entry{ID: id, Service: "s", Address: "10.0.0.1:1", Hall: hall, Slots: 8, Born: 1}, Revision: 1})
+			}
+		})
+		nodes = append(nodes, p)
+	}
+	c.Advance(versionGrace)
+	return nodes, func() {
+		for k, to := range nodes {
+			to.UpdateSpeeds()
+			for m, from := range nodes {
+				if m != k {
+					to.ApplySeenSpeeds(fmt.Sprint("n", m), from.SeenSpeeds())
+				}
+			}
+		}
+	}
+}
+
+// onlyAt returns a plain request that one of the five upstreams may take.
+func onlyAt(k int) Request {
+	n := Request{ID: "r", Service: "s", Excluded: make(map[string]bool)}
+	for i := range 5 {
+		n.Excluded[fmt.Sprint("u", i)] = i != k
+	}
+	return n
+}
+
+// TestDistanceIsNotSpeed: upstreams of a hall that is 5 ms away are as fast as those near by.
+func TestDistanceIsNotSpeed(t *testing.T) {
+	c := timer.NewManual(start)
+	nodes, swap := hallNodes(c)
+	for i := range 3000 {
+		u := nodes[i%3].Pick(onlyAt(i % 5))
+		took := 30 * time.Millisecond
+		if u.Entry().Hall == "far" {
+			took += 10 * time.Millisecond
+		}
+		c.Advance(took)
+		u.Started()
+		u.End(ResultGood)
+		if i%8 == 0 {
+			swap()
+		}
+	}
+	assertAllUsual(t, nodes[0])
+}
+
+// TestQueueIsNotSpeed: a plain upstream that always has a queue is as fast as those that have none.
+func TestQueueIsNotSpeed(t *testing.T) {
+	c := timer.NewManual(start)
+	nodes, swap := hallNodes(c)
+	for i := range 3000 {
+		queue := []*Use{nodes[i%3].Pick(onlyAt(i % 5))}
+		for i%5 == 0 && len(queue) < 4 {
+			queue = append(queue, nodes[i%3].Pick(onlyAt(0)))
+		}
+		for _, u := range queue {
+			c.Advance(15 * time.Millisecond)
+			u.Started()
+			u.End(ResultGood)
+		}
+		if i%8 == 0 {
+			swap()
+		}
+	}
+	assertAllUsual(t, nodes[0])
+}
+
+// TestAbandonedResponsesCount: an upstream whose slow responses are abandoned isn't judged by its quick ones alone.
+func TestAbandonedResponsesCount(t *testing.T) {
+	c := timer.NewManual(start)
+	nodes, swap := hallNodes(c)
+	for i := range 3000 {
+		u := nodes[i%3].Pick(onlyAt(i % 5))
+		if i%40 != 0 && i%5 == 0 {
+			c.Advance(60 * time.Millisecond)
+			u.TimedOut(60 * time.Millisecond)
+			u.End(ResultInconclusive)
+		} else {
+			c.Advance(20 * time.Millisecond)
+			u.Started()
+			u.End(ResultGood)
+		}
+		if i%8 == 0 {
+			swap()
+		}
+	}
+	assert.Less(t, nodes[0].States("s")[0].Speed, 0.7)
+	assert.Greater(t, nodes[0].States("s")[0].Speed, 0.0)
+}
+
+// TestSpeedNeedsAnIncarnation: an upstream whose processes can't be told apart has no speed, nor has one that changed
+// its service.
+func TestSpeedNeedsAnIncarnation(t *testing.T) {
+	p, _ := speedPools()
+	putUpstream(p, "z", 0)
+	p.ApplySpeedFigures([]speed.Figure{{Upstream: retry.Incarnation{ID: "z"}, Speed: 0.6, Weight: 100}})
+	assertAllUsual(t, p)
+	know(p, "a", 0.6)
+	p.Update(func(l *List) {
+		l.Put(Item{Entry: Entry{ID: "a", Service: "other", Address: "10.0.0.1:1", Hall: "h", Slots: 8, Born: 1}, Revision: 9})
+	})
+	p.UpdateSpeeds()
+	assert.Equal(t, 1.0, p.speedOf(p.clock.Now(), p.members["a"]).Speed)
+	assert.Equal(t, memberSpeed{}, p.members["a"].speed)
+}
--- a/internal/pool/use.go
+++ b/internal/pool/use.go
@@ -28,6 +28,7 @@
 	output       float64       // maximum number of output tokens
 	rank         int           // among the upstreams of a roll-out's target; notRanked: not one of them
 	onTrial      bool          // of a version on trial: not representative of the service's upstreams
+	alone        bool          // nothing else of any node was known to run there when it was sent
 	fetchFrom    string        // address of the upstream that it fetches cached parts from
 	work         capacity.Work // counted as sent
 	firstEventAt time.Time
@@ -129,7 +130,11 @@
 func (u *Use) TimedOut(after time.Duration) {
 	u.p.mu.Lock()
 	defer u.p.mu.Unlock()
-	u.p.service(u.entry.Service).observeLag(float64(after)/float64(time.Millisecond) - u.expectedMs)
+	ms := float64(after) / float64(time.Millisecond)
+	u.p.service(u.entry.Service).observeLag(ms - u.expectedMs)
+	if u.firstEventAt.IsZero() {
+		u.observeSpeed(u.p.clock.Now(), ms) // the least that it would have taken
+	}
 }
 
 func (u *Use) markStarted() {
--- a/internal/speed/observer.go
+++ b/internal/speed/observer.go
@@ -11,7 +11,7 @@
 
 // Observer holds what one node has seen of upstreams. It isn't safe for concurrent use.
 type Observer struct {
-	usual     map[string]*Histogram // by service: ratios as they would have been at usual upstreams
+	usual     map[string]*Histogram // by peers: ratios as they would have been at usual upstreams
 	upstreams map[retry.Incarnation]*observed
 }
 
@@ -25,16 +25,16 @@
 	return &Observer{usual: make(map[string]*Histogram), upstreams: make(map[retry.Incarnation]*observed)}
 }
 
-// Observe records a response. ratio is its time over the time expected of a usual upstream, speed what is believed
+// Observe records a response. peers names the upstreams that the upstream is compared with. ratio is its time over the time expected of a usual upstream, speed what is believed
 // of the upstream: responses of fast upstreams mustn't become the node's usual ones.
-func (o *Observer) Observe(now time.Time, service string, id retry.Incarnation, ratio, speed float64) {
+func (o *Observer) Observe(now time.Time, peers string, id retry.Incarnation, ratio, speed float64) {
 	if !(ratio > 0) || math.IsInf(ratio, 0) {
 		return
 	}
-	u := o.usual[service]
+	u := o.usual[peers]
 	if u == nil {
 		u = &Histogram{}
-		o.usual[service] = u
+		o.usual[peers] = u
 	}
 	x := math.Log(ratio)
 	u.add(now, x+math.Log(speed))
