Speeds: parts bound each other, refreshes take turns, old evidence is sent as old

Causes: a relay's part counted for up to 1e6 responses, and that of a node that had moved to another relay at both for 20 s; a part was sent with its weight as of its recording; refreshes were recorded as changes, so that with many unusual upstreams some were sent again and again and others never; a lost return to the usual was not told again; all upstreams were computed in one call under the pool's lock. Changes: a part states its nodes, and counts for twelve responses of each and for twice the mean of a node over all parts; an upstream differs only if three nodes over all parts have seen it; what a node has seen counts while it reports; receivers walk a ring of the refreshed upstreams (outbox), half of a message at least; a returned figure stays in it for its time to live; a twelfth of the upstreams is computed a round, by scratch space; receivers that aren't heard for a minute are dropped; between 25 and 15 responses a figure fades to the usual.

--- a/internal/message/fuzz_test.go
+++ b/internal/message/fuzz_test.go
@@ -49,7 +49,7 @@
 	// A report without the name of a process: the relay's record had no map for its charges.
 	seed(&wire.NodeReport{Sequence: 48, Spent: []*wire.Spent{{Workspace: "w", Tokens: 1}}})
 	seen := []*wire.SeenSpeed{{Upstream: "u", Steps: []uint32{0, 40, 1 << 31}, Counts: []float32{-1, 1e30}}}
-	part := []*wire.SpeedPart{{Upstream: "u", Log: float32(math.NaN()), Spread: -1, Weight: float32(math.Inf(1))}, {Upstream: "u", Log: 1, Spread: 1, Weight: 9}}
+	part := []*wire.SpeedPart{{Upstream: "u", Log: float32(math.NaN()), Spread: -1, Weight: float32(math.Inf(1))}, {Upstream: "u", Log: 1, Spread: 1, Weight: 9, Nodes: math.MaxUint32}}
 	seed(&wire.NodeReport{Node: "n", Lifetime: "l", Speeds: seen})
 	seed(&wire.Group{Relay: "r", Version: 1, Speeds: part})
 	seed(&wire.GatherResponse{Version: 7, Speeds: []*wire.Speed{{Upstream: "u", Speed: -1, Weight: -1}, {Upstream: "u", Speed: 1e30}}})
--- a/internal/message/message_test.go
+++ b/internal/message/message_test.go
@@ -118,7 +118,7 @@
 			var r wire.NodeReport
 			send(t, &wire.NodeReport{Speeds: SeenSpeedsToWire(seen)}, &r)
 			assert.Equal(t, seen, SeenSpeedsFromWire(r.Speeds))
-			parts := []speed.Part{{Upstream: id, Log: x, Spread: x, Weight: x}}
+			parts := []speed.Part{{Upstream: id, Log: x, Spread: x, Weight: x, Nodes: 7}}
 			var g wire.Group
 			send(t, &wire.Group{Speeds: SpeedPartsToWire(parts)}, &g)
 			assert.Equal(t, parts, SpeedPartsFromWire(g.Speeds))
--- a/internal/message/speed.go
+++ b/internal/message/speed.go
@@ -29,7 +29,8 @@
 func SpeedPartsToWire(list []speed.Part) []*wire.SpeedPart {
 	r := make([]*wire.SpeedPart, len(list))
 	for i, v := range list {
-		r[i] = &wire.SpeedPart{Upstream: v.Upstream.ID, Born: v.Upstream.Born, Log: float32(v.Log), Spread: float32(v.Spread), Weight: float32(v.Weight)}
+		r[i] = &wire.SpeedPart{Upstream: v.Upstream.ID, Born: v.Upstream.Born, Nodes: uint32(v.Nodes)}
+		r[i].Log, r[i].Spread, r[i].Weight = float32(v.Log), float32(v.Spread), float32(v.Weight)
 	}
 	return r
 }
@@ -38,7 +39,8 @@
 func SpeedPartsFromWire(list []*wire.SpeedPart) []speed.Part {
 	r := make([]speed.Part, len(list))
 	for i, v := range list {
-		r[i] = speed.Part{Upstream: retry.Incarnation{ID: v.Upstream, Born: v.Born}, Log: float64(v.Log), Spread: float64(v.Spread), Weight: float64(v.Weight)}
+		r[i] = speed.Part{Upstream: retry.Incarnation{ID: v.Upstream, Born: v.Born}, Nodes: int(v.Nodes)}
+		r[i].Log, r[i].Spread, r[i].Weight = float64(v.Log), float64(v.Spread), float64(v.Weight)
 	}
 	return r
 }
--- a/internal/pool/speed.go
+++ b/internal/pool/speed.go
@@ -157,6 +157,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
+	p.speeds.joiner.Heard(now, "")
 	for _, s := range p.speeds.observer.Recent(now) {
 		if m := p.incarnation(s.Upstream.ID, s.Upstream.Born); m != nil {
 			p.speeds.joiner.ApplySeen(now, "", m.entry.Service, s)
@@ -199,6 +200,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
+	p.speeds.joiner.Heard(now, node)
 	for _, s := range list {
 		if m := p.incarnation(s.Upstream.ID, s.Upstream.Born); m != nil {
 			p.speeds.joiner.ApplySeen(now, node, m.entry.Service, s)
@@ -214,7 +216,7 @@
 	if fresh {
 		p.speeds.joiner.ForgetReceiver(receiver)
 	}
-	return p.speeds.joiner.Parts(receiver)
+	return p.speeds.joiner.Parts(p.clock.Now(), receiver)
 }
 
 // ApplySpeedParts applies what the nodes have seen that report to another relay.
@@ -236,7 +238,7 @@
 	if fresh {
 		p.speeds.joiner.ForgetReceiver(receiver)
 	}
-	return p.speeds.joiner.Figures(receiver)
+	return p.speeds.joiner.Figures(p.clock.Now(), receiver)
 }
 
 // ApplySpeedFigures applies the speeds that a relay sent.
--- a/internal/speed/bench_test.go
+++ b/internal/speed/bench_test.go
@@ -27,7 +27,7 @@
 				}
 				j.Update(now)
 				for node := range 24 {
-					j.Figures(fmt.Sprint(node))
+					j.Figures(now, fmt.Sprint(node))
 				}
 			}
 		})
--- a/internal/speed/joiner.go
+++ b/internal/speed/joiner.go
@@ -14,31 +14,39 @@
 // and each relay adds the parts of the others to what its own nodes report. It isn't safe for concurrent use.
 type Joiner struct {
 	upstreams  map[retry.Incarnation]*joined
-	histograms int       // of nodes, at all upstreams
-	weights    []float64 // scratch space
+	order      []*joined            // all upstreams, as they are computed in turn
+	next       int                  // in order
+	walkedAt   time.Time            // when the last ones were
+	heardAt    map[string]time.Time // by node
+	histograms int                  // of nodes, at all upstreams
 	dirty      map[retry.Incarnation]struct{}
 	centres    map[string]float64
 	centredAt  time.Time
-	parts      journal           // of the parts of this joiner's own nodes
-	figures    journal           // of the figures
-	sentParts  map[string]uint64 // by receiver: version of the newest part that it was sent
-	sent       map[string]uint64 // by receiver: version of the newest figure that it was sent
+	parts      outbox // of the parts of this joiner's own nodes
+	figures    outbox // of the figures
+	weights    []float64            // scratch space, as the following ones
+	logs       map[string][]float64 // by service
+	ids        []retry.Incarnation
+	due        []*joined
 }
 
 // joined is what is known of one upstream.
 type joined struct {
-	service string
-	nodes   []*nodeSeen // sorted by name
-	parts   map[string]receivedPart
-	own     Part // of this joiner's nodes
-	partAt  time.Time
-	sent    Part // as last recorded in the journal
-	log     float64
-	spread  float64
-	weight  float64
-	figure  Figure
-	sentFig Figure // as last recorded in the journal
-	figAt   time.Time
+	service      string
+	place        int            // in the joiner's order
+	nodes        []*nodeSeen    // sorted by name
+	parts        []receivedPart // sorted by source
+	own          Part           // of this joiner's nodes
+	sentPart     Part           // as last recorded as changed
+	partSentAt   time.Time
+	withdrawn    bool // the last part that was recorded is none
+	log          float64
+	spread       float64
+	weight       float64
+	seenBy       int // nodes
+	figure       Figure
+	sentFigure   Figure // as last recorded as changed
+	figureSentAt time.Time
 	// combinedAt is when log, spread and weight were last determined.
 	combinedAt time.Time
 	since      time.Time // since when the evidence says that a usual upstream differs; zero: it doesn't
@@ -56,28 +64,36 @@
 
 type receivedPart struct {
 	Part
-	at time.Time
+	source string
+	at     time.Time
 }
 
+func (p receivedPart) weightAt(now time.Time) float64 { return p.Weight * decay(now.Sub(p.at)) }
+
 // NewJoiner returns a joiner that knows nothing.
 func NewJoiner() *Joiner {
 	return &Joiner{
 		upstreams: make(map[retry.Incarnation]*joined), dirty: make(map[retry.Incarnation]struct{}), centres: make(map[string]float64),
-		parts: newJournal(), figures: newJournal(), sentParts: make(map[string]uint64), sent: make(map[string]uint64),
+		parts: newOutbox(maxParts), figures: newOutbox(maxFigures), heardAt: make(map[string]time.Time), logs: make(map[string][]float64),
 	}
 }
 
 func (j *Joiner) upstream(service string, id retry.Incarnation) *joined {
 	v := j.upstreams[id]
 	if v == nil && len(j.upstreams) < maxUpstreams {
-		v = &joined{service: service, parts: make(map[string]receivedPart), figure: Figure{Upstream: id, Speed: 1}, sentFig: Figure{Speed: 1}}
+		v = &joined{service: service, place: len(j.order), figure: Figure{Upstream: id, Speed: 1}, sentFigure: Figure{Speed: 1}}
 		j.upstreams[id] = v
+		j.order = append(j.order, v)
 	}
 	return v
 }
 
+// Heard records that a node reported. What it has seen counts only while it does: it may report to another joiner.
+func (j *Joiner) Heard(now time.Time, node string) { j.heardAt[node] = now }
+
 // ApplySeen applies what a node has seen of an upstream. It replaces what that node reported before.
 func (j *Joiner) ApplySeen(now time.Time, node, service string, s Seen) {
+	j.Heard(now, node)
 	v := j.upstream(service, s.Upstream)
 	if v == nil {
 		return
@@ -95,15 +111,29 @@
 	j.dirty[s.Upstream] = struct{}{}
 }
 
-// ApplyPart applies the part of another joiner. It replaces that joiner's former one.
+// ApplyPart applies the part of another joiner. It replaces that joiner's former one; one without nodes drops it.
 func (j *Joiner) ApplyPart(now time.Time, source, service string, p Part) {
-	if !p.valid() {
+	if !p.valid() && p.Nodes != 0 {
 		return
 	}
-	if v := j.upstream(service, p.Upstream); v != nil {
-		v.parts[source] = receivedPart{p, now}
-		j.dirty[p.Upstream] = struct{}{}
+	v := j.upstreams[p.Upstream]
+	if v == nil && p.Nodes > 0 {
+		v = j.upstream(service, p.Upstream)
 	}
+	if v == nil {
+		return
+	}
+	i, known := slices.BinarySearchFunc(v.parts, source, func(r receivedPart, name string) int { return cmp.Compare(r.source, name) })
+	switch {
+	case p.Nodes == 0 && known:
+		v.parts = slices.Delete(v.parts, i, i+1)
+	case p.Nodes == 0:
+	case known:
+		v.parts[i] = receivedPart{p, source, now}
+	default:
+		v.parts = slices.Insert(v.parts, i, receivedPart{p, source, now})
+	}
+	j.dirty[p.Upstream] = struct{}{}
 }
 
 // Forget drops an incarnation.
@@ -111,6 +141,10 @@
 	if v := j.upstreams[id]; v != nil {
 		j.histograms -= len(v.nodes)
 		delete(j.upstreams, id)
+		last := j.order[len(j.order)-1]
+		j.order[v.place], last.place = last, v.place
+		j.order[len(j.order)-1] = nil
+		j.order = j.order[:len(j.order)-1]
 	}
 	delete(j.dirty, id)
 	j.parts.forget(id)
@@ -119,19 +153,28 @@
 
 // ForgetReceiver records that a process knows nothing of what was sent to its name.
 func (j *Joiner) ForgetReceiver(name string) {
-	delete(j.sent, name)
-	delete(j.sentParts, name)
+	j.parts.forgetReceiver(name)
+	j.figures.forgetReceiver(name)
 }
 
-// Update computes the figures anew of what has changed, and returns those that changed enough to matter.
+// Update computes the figures anew of what has changed, and of a share of the others in turn. It returns those that
+// changed enough to matter.
 func (j *Joiner) Update(now time.Time) []Figure {
+	j.walk(now)
 	if now.Sub(j.centredAt) >= centreEvery {
 		j.centredAt = now
-		j.combineAll(now)
 		j.centre()
+		j.dropSilent(now)
 	}
 	var changed []Figure
-	for _, id := range slices.SortedFunc(maps.Keys(j.dirty), compare) { // a fixed order, so that simulations are reproducible
+	for _, v := range j.due {
+		if j.decide(now, v) {
+			changed = append(changed, v.figure)
+		}
+	}
+	j.ids = slices.AppendSeq(j.ids[:0], maps.Keys(j.dirty))
+	slices.SortFunc(j.ids, compare) // a fixed order, so that simulations are reproducible
+	for _, id := range j.ids {
 		v := j.upstreams[id]
 		if age := now.Sub(v.combinedAt); age > 0 && age < combineEvery {
 			continue
@@ -139,25 +182,45 @@
 			j.combine(now, v)
 		}
 		delete(j.dirty, id)
-		if j.decide(now, id, v) {
+		if j.decide(now, v) {
 			changed = append(changed, v.figure)
 		}
 	}
 	return changed
 }
 
-// combineAll estimates all upstreams' ratios, and drops those of which nothing is known any more.
-func (j *Joiner) combineAll(now time.Time) {
-	for id, v := range j.upstreams {
+// walk estimates the ratios of the upstreams whose turn it is, all in centreEvery, and drops those of which nothing is
+// known any more. The others are due for a decision.
+func (j *Joiner) walk(now time.Time) {
+	share := min(1, float64(now.Sub(j.walkedAt))/float64(centreEvery))
+	j.walkedAt = now
+	clear(j.due)
+	j.due = j.due[:0]
+	for range int(math.Ceil(share * float64(len(j.order)))) {
+		if j.next >= len(j.order) {
+			j.next = 0
+		}
+		if len(j.order) == 0 {
+			return
+		}
+		v := j.order[j.next]
 		j.combine(now, v)
-		if v.weight < leastWeight && v.figure.Usual() && now.Sub(v.figAt) > FigureTTL {
-			j.Forget(id)
+		if v.weight < leastWeight && !v.isTold(now) {
+			j.Forget(v.figure.Upstream)
 			continue
 		}
-		j.dirty[id] = struct{}{}
+		j.due = append(j.due, v)
+		j.next++
 	}
 }
 
+// dropSilent drops what is known of nodes and receivers that weren't heard for long.
+func (j *Joiner) dropSilent(now time.Time) {
+	maps.DeleteFunc(j.heardAt, func(_ string, at time.Time) bool { return now.Sub(at) > silentTTL })
+	j.parts.dropSilent(now)
+	j.figures.dropSilent(now)
+}
+
 func compare(a, b retry.Incarnation) int {
 	return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Born, b.Born))
 }
@@ -166,21 +229,27 @@
 func (j *Joiner) combine(now time.Time, v *joined) {
 	v.combinedAt = now
 	v.own = j.estimate(now, v)
-	sum := v.own.Weight
-	log, spread := sum*v.own.Log, sum*v.own.Spread
-	for _, name := range slices.Sorted(maps.Keys(v.parts)) {
-		p := v.parts[name]
-		age := now.Sub(p.at)
-		if age > partTTL {
-			delete(v.parts, name)
-			continue
-		}
-		w := p.Weight * decay(age)
-		sum, log, spread = sum+w, log+w*p.Log, spread+w*p.Spread
+	v.parts = slices.DeleteFunc(v.parts, func(p receivedPart) bool { return now.Sub(p.at) > partTTL })
+	total, nodes := v.own.Weight, v.own.Nodes
+	for _, p := range v.parts {
+		total, nodes = total+min(p.weightAt(now), nodeWeight*float64(p.Nodes)), nodes+p.Nodes
 	}
-	v.weight = sum
-	if sum > 0 {
-		v.log, v.spread = log/sum, spread/sum
+	v.weight, v.seenBy = 0, nodes
+	if nodes == 0 {
+		return
+	}
+	most := min(nodeWeight, nodeFactor*total/float64(nodes)) // of a node in the mean of a part
+	log, spread := 0.0, 0.0
+	add := func(p Part, w float64) {
+		w = min(w, most*float64(p.Nodes))
+		v.weight, log, spread = v.weight+w, log+w*p.Log, spread+w*p.Spread
+	}
+	add(v.own, v.own.Weight)
+	for _, p := range v.parts {
+		add(p.Part, p.weightAt(now))
+	}
+	if v.weight > 0 {
+		v.log, v.spread = log/v.weight, spread/v.weight
 	}
 }
 
@@ -191,21 +260,27 @@
 	j.histograms -= before - len(v.nodes)
 	j.weights = j.weights[:0]
 	for _, n := range v.nodes {
-		j.weights = append(j.weights, n.weightAt(now))
+		if j.reports(now, n.node) {
+			j.weights = append(j.weights, n.weightAt(now))
+		}
 	}
-	most := greatestWeight(j.weights)
+	nodes, most := len(j.weights), greatestWeight(j.weights)
 	var sum Histogram
 	for _, n := range v.nodes {
-		w := n.weightAt(now)
-		sum.addAll(&n.ratios, min(w, most)/n.weight)
+		if j.reports(now, n.node) {
+			sum.addAll(&n.ratios, min(n.weightAt(now), most)/n.weight)
+		}
 	}
-	p := Part{Upstream: v.figure.Upstream, Weight: sum.Weight()}
+	p := Part{Upstream: v.figure.Upstream, Weight: sum.Weight(), Nodes: nodes}
 	if p.Weight > 0 {
 		p.Log, p.Spread = sum.quantile(quantile), sum.spread()
 	}
 	return p
 }
 
+// reports reports whether a node still reports to this joiner.
+func (j *Joiner) reports(now time.Time, node string) bool { return now.Sub(j.heardAt[node]) <= nodeTTL }
+
 // greatestWeight returns the greatest weight that one of several nodes may have: few times what the others have, so
 // that one that states a large weight doesn't outweigh many that see an upstream seldom. It sorts the weights.
 func greatestWeight(weights []float64) float64 {
@@ -218,33 +293,46 @@
 
 // centre determines the usual ratio of each service: the median over the upstreams with sufficient evidence.
 func (j *Joiner) centre() {
-	logs := make(map[string][]float64)
-	for _, v := range j.upstreams {
+	for name, l := range j.logs {
+		j.logs[name] = l[:0]
+	}
+	for _, v := range j.order {
 		if v.weight >= minWeight {
-			logs[v.service] = append(logs[v.service], v.log)
+			j.logs[v.service] = append(j.logs[v.service], v.log)
 		}
 	}
 	clear(j.centres)
-	for name, l := range logs {
+	for name, l := range j.logs {
+		if len(l) == 0 {
+			delete(j.logs, name)
+			continue
+		}
 		slices.Sort(l)
 		j.centres[name] = (l[(len(l)-1)/2] + l[len(l)/2]) / 2
 	}
 }
 
 // decide sets an upstream's figure, and reports whether it changed enough to matter.
-func (j *Joiner) decide(now time.Time, id retry.Incarnation, v *joined) bool {
-	j.recordPart(now, id, v)
+func (j *Joiner) decide(now time.Time, v *joined) bool {
+	j.recordPart(now, v)
 	v.figure.Weight = v.weight
 	v.figure.Speed = j.lasting(now, v)
-	before, after := math.Log(v.sentFig.Speed), math.Log(v.figure.Speed)
-	changed := math.Abs(after-before) > changedBy || v.figure.Usual() != v.sentFig.Usual()
-	if changed || !v.figure.Usual() && now.Sub(v.figAt) >= refreshEvery {
-		v.sentFig, v.figAt = v.figure, now
-		j.figures.record(id)
+	before, after := math.Log(v.sentFigure.Speed), math.Log(v.figure.Speed)
+	changed := math.Abs(after-before) > changedBy || v.figure.Usual() != v.sentFigure.Usual()
+	if changed {
+		v.sentFigure, v.figureSentAt = v.figure, now
+		j.figures.record(v.figure.Upstream)
 	}
+	j.figures.setRefreshed(v.figure.Upstream, v.isTold(now))
 	return changed
 }
 
+// isTold reports whether the upstream's figure is sent again now and then: it differs from the usual, or receivers may
+// still have one that does.
+func (v *joined) isTold(now time.Time) bool {
+	return !v.figure.Usual() || !v.figureSentAt.IsZero() && now.Sub(v.figureSentAt) <= FigureTTL
+}
+
 // lasting returns the speed that the evidence has given for some time.
 func (j *Joiner) lasting(now time.Time, v *joined) float64 {
 	x := j.speed(v)
@@ -267,7 +355,7 @@
 	if !v.figure.Usual() {
 		least, share = keptWeight, keptShare
 	}
-	if !known || v.weight < least {
+	if !known || v.weight < least || v.seenBy < minNodes {
 		return 1
 	}
 	d := v.log - centre
@@ -275,40 +363,49 @@
 		return 1
 	}
 	d *= v.weight / (v.weight + priorWeight)
+	if v.weight < minWeight {
+		d *= (v.weight - keptWeight) / (minWeight - keptWeight)
+	}
 	return math.Exp(-min(max(d, -maxLog), maxLog))
 }
 
-// recordPart notes a part for other joiners if it has changed for some time.
-func (j *Joiner) recordPart(now time.Time, id retry.Incarnation, v *joined) {
-	old, p := v.sent, v.own
-	if p.Weight < 1 || now.Sub(v.partAt) < partEvery {
+// recordPart notes a part for other joiners if it has changed for some time, and that there is none any more if its
+// nodes have gone: what only ages does so at the receivers as well.
+func (j *Joiner) recordPart(now time.Time, v *joined) {
+	old, p, age := v.sentPart, v.own, now.Sub(v.partSentAt)
+	j.parts.setRefreshed(p.Upstream, p.Weight >= 1)
+	gone := p.Weight < 1 && old.Weight*decay(age) >= 2
+	changed := p.Weight >= 1 && (math.Abs(p.Log-old.Log) > changedBy || p.Weight >= 1.5*old.Weight || p.Weight <= old.Weight/1.5)
+	if !gone && !changed || age < partEvery {
 		return
 	}
-	if math.Abs(p.Log-old.Log) <= changedBy && p.Weight < 1.5*old.Weight && p.Weight > old.Weight/1.5 && now.Sub(v.partAt) < refreshEvery {
-		return
-	}
-	v.sent, v.partAt = p, now
-	j.parts.record(id)
+	v.sentPart, v.partSentAt, v.withdrawn = p, now, gone
+	j.parts.record(p.Upstream)
 }
 
 // Parts returns what a joiner is to be sent next of what this one's nodes have seen.
-func (j *Joiner) Parts(receiver string) []Part {
-	ids, upTo := j.parts.after(j.sentParts[receiver], maxParts)
-	j.sentParts[receiver] = upTo
+func (j *Joiner) Parts(now time.Time, receiver string) []Part {
+	ids := j.parts.take(now, receiver)
 	list := make([]Part, 0, len(ids))
 	for _, id := range ids {
-		list = append(list, j.upstreams[id].sent)
+		v := j.upstreams[id]
+		p := v.own
+		p.Weight *= decay(now.Sub(v.combinedAt))
+		if p.Weight >= 1 {
+			list = append(list, p)
+		} else if v.withdrawn {
+			list = append(list, Part{Upstream: id})
+		}
 	}
 	return list
 }
 
 // Figures returns the figures that a node is to be sent next.
-func (j *Joiner) Figures(receiver string) []Figure {
-	ids, upTo := j.figures.after(j.sent[receiver], maxFigures)
-	j.sent[receiver] = upTo
+func (j *Joiner) Figures(now time.Time, receiver string) []Figure {
+	ids := j.figures.take(now, receiver)
 	list := make([]Figure, 0, len(ids))
 	for _, id := range ids {
-		list = append(list, j.upstreams[id].sentFig)
+		list = append(list, j.upstreams[id].figure)
 	}
 	return list
 }
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -46,9 +46,16 @@
 	// upper quartiles of the weights of all nodes there.
 	nodeWeight = 12
 	nodeFactor = 2
+	// minNodes is the least number of nodes that must have seen an upstream that differs, at all joiners.
+	minNodes = 3
+	// nodeTTL is how long what a node has seen counts at a joiner that it doesn't report to any more.
+	nodeTTL = 2 * time.Second
+	// silentTTL is how long a node or receiver that isn't heard is remembered.
+	silentTTL = time.Minute
 	// minWeight is the weight from which a figure may leave the usual. No two nodes have it.
 	minWeight = 25
-	// keptWeight is the weight below which a figure that has left the usual returns to it. No single node has it.
+	// keptWeight is the weight below which a figure that has left the usual returns to it, gradually from minWeight on.
+	// No single node has it.
 	keptWeight = 15
 	// priorWeight is the weight of the usual that each estimate is averaged with.
 	priorWeight = 2
@@ -71,7 +78,7 @@
 	leastWeight = 0.2
 	// changedBy is the difference of a figure's logarithm from which it is sent again.
 	changedBy = 0.04
-	// refreshEvery is how often an unchanged figure is sent again; receivers keep it for FigureTTL.
+	// refreshEvery is how often an unchanged figure or part is sent again; receivers keep a figure for FigureTTL.
 	refreshEvery = 8 * time.Second
 	// FigureTTL is how long a figure counts that isn't sent again.
 	FigureTTL = 40 * time.Second
@@ -79,7 +86,7 @@
 	// counts there. Its weight halves as everything's does.
 	partEvery = 2 * time.Second
 	partTTL   = 40 * time.Second
-	// centreEvery is how often all figures are computed anew, for those that fade.
+	// centreEvery is the time in which all figures are computed anew in turn, for those that fade.
 	centreEvery = 3 * time.Second
 	// combineEvery is how often an upstream's figure is computed anew at most.
 	combineEvery = time.Second
@@ -91,6 +98,7 @@
 	maxFigures    = 64
 	maxUpstreams  = 12_000
 	maxHistograms = 16_000
+	maxNodes      = 1000 // in a part
 )
 
 // Seen is what one node has seen of an upstream.
@@ -105,6 +113,7 @@
 	Log      float64 // logarithm of the ratio
 	Spread   float64 // of the ratios: the error of Log is Spread over the root of Weight
 	Weight   float64 // in responses
+	Nodes    int     // that have seen it; 0: none does any more
 }
 
 // Figure is what all nodes together know of an upstream.
@@ -123,7 +132,7 @@
 		f.Speed = 1
 	}
 	f.Speed = min(max(f.Speed, math.Exp(-maxLog)), math.Exp(maxLog))
-	if !(f.Weight > 0) {
+	if !(f.Weight > 0) || math.IsInf(f.Weight, 0) {
 		f.Weight = 0
 	}
 	return f
@@ -131,7 +140,7 @@
 
 // valid reports whether a part's values are possible ones.
 func (p Part) valid() bool {
-	return math.Abs(p.Log) <= 2*histogramLimit && p.Spread > 0 && p.Spread < 100 && p.Weight > 0 && p.Weight < 1e6
+	return math.Abs(p.Log) <= 2*histogramLimit && p.Spread > 0 && p.Spread < 100 && p.Weight > 0 && p.Weight < 1e6 && p.Nodes > 0 && p.Nodes <= maxNodes
 }
 
 // decay returns the share of a weight that is left after a time.
