Speeds: the planner reads halls' means; reports of pairs in large fleets have no histograms

Causes: reports of pairs and their responses carried up to 64 histograms that fleets of 14 nodes and more drop; the metric of a hall's mean speed stayed where the duty had left; the planner's field was a comment. Changes: histograms go to relays, and to pairs where all pairs swap; only the holder of the duties publishes means, and those of others are removed; HallState.Speed is set. Conclusion: tested, with each report's content at 5 and 73 nodes.

--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -79,6 +79,7 @@
 	if o.n.partial.Load() {
 		*o = *newOrderer(o.n) // what it has seen of the halls isn't what they have
 		o.startedAt = time.Time{}
+		publishHallSpeeds(nil)
 		return
 	}
 	if o.startedAt.IsZero() {
@@ -94,7 +95,7 @@
 		o.engines.Restore(ctx, o.n.records(), o.n.pools.RestoreEngine)
 		o.beginTerm(ctx, c)
 	}
-	engines := make(map[string]capacity.Engine)
+	engines, means := make(map[string]capacity.Engine), make(map[string]float64)
 	for _, name := range c.Services() {
 		s := c.Service(name)
 		if s.Scaling == nil {
@@ -106,11 +107,15 @@
 		load := o.rate(name).Estimate(now, o.n.workSums(now, name), o.n.silenceLimit())
 		publishFigures(name, engines[name], load)
 		halls := o.hallStates(s)
+		if held {
+			addHallSpeeds(means, name, halls)
+		}
 		o.mix(s).Observe(o.n.clock.Since(o.n.start), load, halls)
 		if held && now.Sub(o.startedAt) >= o.observationPeriod() {
 			o.plan(ctx, token, s, halls, load)
 		}
 	}
+	publishHallSpeeds(means)
 	if held {
 		o.floor.Write(ctx, o.n.records(), token)
 		o.engines.Write(ctx, o.n.records(), token, engines)
@@ -226,9 +231,7 @@
 	}
 	list := make([]autoscale.HallState, 0, len(by))
 	for _, h := range by {
-		mean := speeds.mean(h.Hall)
-		publishHallSpeed(s.Name, h.Hall, mean)
-		// Mean speed of the hall's ready upstreams, for the planner: h.Speed = mean
+		h.Speed = speeds.mean(h.Hall)
 		list = append(list, *h)
 	}
 	return list
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -280,7 +280,9 @@
 	r.Reach = message.ReachToWire(n.pools.Reachability())
 	r.Suspicions = n.suspicions()
 	r.Limits = message.LimitsToWire(n.clock.Now(), n.pools.Limits())
-	r.Speeds = message.SeenSpeedsToWire(n.pools.SeenSpeeds())
+	if n.swapsAllPairs() {
+		r.Speeds = message.SeenSpeedsToWire(n.pools.SeenSpeeds())
+	}
 	r.Loads, r.Placed = message.LoadsToWire(loads), message.PlacementsToWire(placed)
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -86,7 +86,7 @@
 }
 
 func (n *Node) relayRound(ctx context.Context, now time.Time) {
-	r := n.buildReport(relayWindows)
+	r := n.buildRelayReport()
 	n.mu.Lock()
 	n.aggregator.Expire(now)
 	ordered := n.hallNodes(now, n.settings.Hall)
@@ -106,6 +106,14 @@
 	n.swapWithRelays(ctx, now)
 }
 
+// buildRelayReport returns this node's state as a relay is sent it: with what the node has seen of upstreams' speeds,
+// which pairs of large fleets don't join.
+func (n *Node) buildRelayReport() *wire.NodeReport {
+	r := n.buildReport(relayWindows)
+	r.Speeds = message.SeenSpeedsToWire(n.pools.SeenSpeeds())
+	return r
+}
+
 // hallNodes returns the nodes of a hall that may be its relays, in order. The node's lock is held.
 func (n *Node) hallNodes(now time.Time, hall string) []string {
 	nodes := make(map[string]float64)
--- a/internal/edge/scale_test.go
+++ b/internal/edge/scale_test.go
@@ -74,7 +74,7 @@
 	{"expire missing entries", 4, func(n *Node) {
 		n.updateList("lapsed", func(now time.Time, l *pool.List) { l.Expire(now) })
 	}},
-	{"report to a relay", 4, func(n *Node) { n.buildReport(relayWindows) }},
+	{"report to a relay", 4, func(n *Node) { n.buildRelayReport() }},
 	{"report to a pair", 4, func(n *Node) { n.buildReport(pairWindows) }},
 	{"limit senders", 4, func(n *Node) {
 		n.mu.Lock()
--- a/internal/edge/speeds.go
+++ b/internal/edge/speeds.go
@@ -2,9 +2,11 @@
 
 import (
 	"expvar"
+	"strings"
 
 	"go.uber.org/zap"
 
+	"spurhall.example/spurhall/internal/autoscale"
 	"spurhall.example/spurhall/internal/logging"
 	"spurhall.example/spurhall/internal/message"
 	"spurhall.example/spurhall/internal/pair"
@@ -76,13 +78,34 @@
 	return v.sum / float64(v.count)
 }
 
-// publishHallSpeed exports the mean speed of a hall's ready upstreams as a metric.
-func publishHallSpeed(service, hall string, mean float64) {
-	name := "mean_" + service + "_" + hall
-	f, ok := upstreamSpeeds.Get(name).(*expvar.Float)
-	if !ok {
-		f = new(expvar.Float)
-		upstreamSpeeds.Set(name, f)
+// meanPrefix starts the names of the metrics of halls' mean speeds.
+const meanPrefix = "mean_"
+
+// addHallSpeeds adds the mean speeds of the halls' ready upstreams of a service, by the names of their metrics.
+func addHallSpeeds(means map[string]float64, service string, halls []autoscale.HallState) {
+	for _, h := range halls {
+		means[meanPrefix+service+"_"+h.Hall] = h.Speed
+	}
+}
+
+// publishHallSpeeds exports the mean speeds as metrics, and removes those of other services and halls: only the node
+// that orders upstreams has any.
+func publishHallSpeeds(means map[string]float64) {
+	var old []string
+	upstreamSpeeds.Do(func(v expvar.KeyValue) {
+		if _, ok := means[v.Key]; !ok && strings.HasPrefix(v.Key, meanPrefix) {
+			old = append(old, v.Key)
+		}
+	})
+	for _, name := range old {
+		upstreamSpeeds.Delete(name)
+	}
+	for name, mean := range means {
+		f, ok := upstreamSpeeds.Get(name).(*expvar.Float)
+		if !ok {
+			f = new(expvar.Float)
+			upstreamSpeeds.Set(name, f)
+		}
+		f.Set(mean)
 	}
-	f.Set(mean)
 }
--- a/internal/edge/speeds_test.go
+++ b/internal/edge/speeds_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"spurhall.example/spurhall/internal/autoscale"
 	"spurhall.example/spurhall/internal/pair"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/timer"
@@ -116,3 +117,36 @@
 		})
 	}
 }
+
+// TestSpeedsAreReportedWhereTheyAreJoined: reports of pairs have what the node has seen only if pairs join it, and
+// those to a relay always.
+func TestSpeedsAreReportedWhereTheyAreJoined(t *testing.T) {
+	for nodes, pairs := range map[int]bool{5: true, 73: false} {
+		t.Run(fmt.Sprint(nodes, " nodes"), func(t *testing.T) {
+			n, clock := newScaleNode(t, nodes, 60)
+			for i := range 60 {
+				u := n.pools.Pick(pool.Request{ID: fmt.Sprint(i), Service: "llm", Engine: true, Prompt: 100, Output: 10})
+				clock.Advance(10 * time.Millisecond)
+				u.Started()
+				u.End(pool.ResultGood)
+			}
+			assert.Equal(t, pairs, len(n.buildReport(pairWindows).Speeds) > 0)
+			assert.NotEmpty(t, n.buildRelayReport().Speeds)
+		})
+	}
+}
+
+// TestHallSpeedsAreOfTheHolder: the metrics of halls' mean speeds are those that were published last.
+func TestHallSpeedsAreOfTheHolder(t *testing.T) {
+	means := make(map[string]float64)
+	addHallSpeeds(means, "s", []autoscale.HallState{{Hall: "a", Speed: 0.8}, {Hall: "b", Speed: 1.2}})
+	publishHallSpeeds(means)
+	assert.Equal(t, "0.8", upstreamSpeeds.Get("mean_s_a").String())
+	assert.Equal(t, "1.2", upstreamSpeeds.Get("mean_s_b").String())
+	delete(means, "mean_s_b")
+	publishHallSpeeds(means)
+	assert.Equal(t, "0.8", upstreamSpeeds.Get("mean_s_a").String())
+	assert.Nil(t, upstreamSpeeds.Get("mean_s_b"))
+	publishHallSpeeds(nil)
+	assert.Nil(t, upstreamSpeeds.Get("mean_s_a"))
+}
