--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -176,7 +176,7 @@
 		id := fmt.Sprint("engine-", i)
 		p.engines[id] = newEngine(&p.World, &p.l.Engine, id)
 		p.setSpeed(i, p.engines[id])
-		items = append(items, pool.Item{Revision: 1, Entry: pool.Entry{ID: id, Service: service, Address: id, Hall: hall(i), Slots: p.l.Engine.Slots}})
+		items = append(items, pool.Item{Revision: 1, Entry: pool.Entry{ID: id, Born: engineBorn, Service: service, Address: id, Hall: hall(i), Slots: p.l.Engine.Slots}})
 	}
 	for i := 0; i < p.l.Nodes; i++ {
 		n := &node{name: fmt.Sprint("node-", i), hall: hall(i), pools: pool.New(p.clock.Service(), fmt.Sprint("node-", i), hall(i))}
--- a/internal/model/speeds.go
+++ b/internal/model/speeds.go
@@ -13,6 +13,9 @@
 
 // This file lets engines differ in speed, and nodes learn so.
 
+// engineBorn is when all engines started: those without such a time have no speed.
+const engineBorn = 1
+
 // setSpeed sets how fast an engine is, and when it is slow for a moment.
 func (p *play) setSpeed(i int, e *engine) {
 	if n := len(p.l.Speeds); n > 0 {
@@ -52,7 +55,7 @@
 	var list []speed.Figure
 	for id, e := range p.engines {
 		if e.speed != 1 {
-			list = append(list, speed.Figure{Upstream: retry.Incarnation{ID: id}, Speed: e.speed, Weight: 1000})
+			list = append(list, speed.Figure{Upstream: retry.Incarnation{ID: id, Born: engineBorn}, Speed: e.speed, Weight: 1000})
 		}
 	}
 	n.pools.ApplySpeedFigures(list)
@@ -68,7 +71,7 @@
 	list := n.pools.SeenSpeeds()
 	if p.l.Liar && n == p.nodes[0] {
 		lie := func(engine int, step uint32) {
-			list = append(list, speed.Seen{Upstream: retry.Incarnation{ID: fmt.Sprint("engine-", engine)}, Ratios: speed.HistogramOf([]uint32{step}, []float32{1e5})})
+			list = append(list, speed.Seen{Upstream: retry.Incarnation{ID: fmt.Sprint("engine-", engine), Born: engineBorn}, Ratios: speed.HistogramOf([]uint32{step}, []float32{1e5})})
 		}
 		lie(0, 0)
 		lie(1, 40)
--- a/internal/speed/joiner.go
+++ b/internal/speed/joiner.go
@@ -238,10 +238,13 @@
 	if nodes == 0 {
 		return
 	}
-	most := min(nodeWeight, nodeFactor*total/float64(nodes)) // of a node in the mean of a part
+	mean := total / float64(nodes)
 	log, spread := 0.0, 0.0
 	add := func(p Part, w float64) {
-		w = min(w, most*float64(p.Nodes))
+		w = min(w, nodeWeight*float64(p.Nodes))
+		if p.Nodes < minNodes { // too few to bound each other
+			w = min(w, nodeFactor*mean*float64(p.Nodes))
+		}
 		v.weight, log, spread = v.weight+w, log+w*p.Log, spread+w*p.Spread
 	}
 	add(v.own, v.own.Weight)
