--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -36,7 +36,10 @@
 func (p *Pools) chosenAt(now time.Time, n Request, f candidateSet, i int) chosen {
 	c := &f.list[i]
 	v := chosen{member: f.members[i], engine: p.engine(now, n.Service), reads: max(0, n.Prompt-c.Cached), alone: c.Running == 0}
-	v.choice = Choice{Candidates: len(f.list), Limited: f.limited, Running: int(c.Running), Queued: c.Queued, Cached: c.Cached, Slowness: c.Slowness, Speed: c.speed(), Revision: p.list.Revision(), OldestReport: p.oldestReport(now)}
+	v.choice = Choice{
+		Candidates: len(f.list), Limited: f.limited, Running: int(c.Running), Queued: c.Queued, Cached: c.Cached,
+		Slowness: c.Slowness, Speed: c.speed(), Revision: p.list.Revision(), OldestReport: p.oldestReport(now),
+	}
 	if c.fetchIsFaster(v.engine) {
 		v.choice.Fetched, v.fetchFrom = c.Fetch, c.Source
 		v.reads = max(0, v.reads-c.Fetch)
--- a/internal/speed/joiner.go
+++ b/internal/speed/joiner.go
@@ -408,7 +408,9 @@
 	ids := j.figures.take(now, receiver)
 	list := make([]Figure, 0, len(ids))
 	for _, id := range ids {
-		list = append(list, j.upstreams[id].figure)
+		f := j.upstreams[id].sentFigure // it doesn't follow each small change
+		f.Upstream, f.Weight = id, j.upstreams[id].weight
+		list = append(list, f)
 	}
 	return list
 }
