--- a/internal/speed/joiner.go
+++ b/internal/speed/joiner.go
@@ -22,8 +22,8 @@
 	dirty      map[retry.Incarnation]struct{}
 	centres    map[string]float64
 	centredAt  time.Time
-	parts      outbox // of the parts of this joiner's own nodes
-	figures    outbox // of the figures
+	parts      outbox               // of the parts of this joiner's own nodes
+	figures    outbox               // of the figures
 	weights    []float64            // scratch space, as the following ones
 	logs       map[string][]float64 // by service
 	ids        []retry.Incarnation
