Merge the speeds of single upstreams

Cause: upstreams of 0.6, 1.0 and 1.6 of the usual speed were taken for alike, by every node. In the merge with the order at engines: a request that others overtake says nothing of the upstream's speed, one that overtakes is compared with its own prompt's reading, expected waits divide by the speed; the model's engines have one field for passing slowness.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -86,7 +86,7 @@
 }
 
 func (n *Node) relayRound(ctx context.Context, now time.Time) {
-	r := n.buildReport(relayWindows)
+	r := n.buildRelayReport()
 	n.mu.Lock()
 	n.aggregator.Expire(now)
 	ordered := n.hallNodes(now, n.settings.Hall)
@@ -106,6 +106,14 @@
 	n.swapWithRelays(ctx, now)
 }
 
+// buildRelayReport returns this node's state as a relay is sent it: with what the node has seen of upstreams' speeds,
+// which pairs of large fleets don't join.
+func (n *Node) buildRelayReport() *wire.NodeReport {
+	r := n.buildReport(relayWindows)
+	r.Speeds = message.SeenSpeedsToWire(n.pools.SeenSpeeds())
+	return r
+}
+
 // hallNodes returns the nodes of a hall that may be its relays, in order. The node's lock is held.
 func (n *Node) hallNodes(now time.Time, hall string) []string {
 	nodes := make(map[string]float64)
@@ -160,6 +168,7 @@
 	n.applyDigest(name, message.DigestFromWire(a))
 	n.mergeSuspicions(a.Suspicions, name)
 	n.mergeLimits(a.Limits, name)
+	n.pools.ApplySpeedFigures(message.SpeedsFromWire(a.Speeds))
 	if n.needsRelays() {
 		n.pools.ApplyReport(name, nil, nil, message.EnginesFromWire(a.Engines))
 	}
@@ -280,11 +289,13 @@
 // buildGroup returns this relay's state for another relay that knows it up to a version. The node's lock is
 // held.
 func (n *Node) buildGroup(name, incarnation string, version uint64) *wire.Group {
-	v := n.aggregator.Group(n.clock.Now(), n.aggregator.BaseVersion(incarnation, version))
+	after := n.aggregator.BaseVersion(incarnation, version)
+	v := n.aggregator.Group(n.clock.Now(), after)
 	v.Share.Loads = append(v.Share.Loads, n.pools.Pending()...)
 	g := message.GroupToWire(v)
 	g.KnownLifetime, g.KnownVersion = n.aggregator.KnownVersion(name)
 	g.Suspicions = n.suspicions()
+	g.Speeds = message.SpeedPartsToWire(n.pools.SpeedParts(name, after == 0))
 	g.Limits = message.LimitsToWire(n.clock.Now(), n.pools.Limits())
 	return g
 }
@@ -293,6 +304,7 @@
 func (n *Node) applyGroup(w *wire.Group) {
 	n.mergeSuspicions(w.Suspicions, w.Relay)
 	n.mergeLimits(w.Limits, w.Relay)
+	n.pools.ApplySpeedParts(w.Relay, message.SpeedPartsFromWire(w.Speeds))
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.clock.Now()
@@ -320,13 +332,16 @@
 		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("the report is missing"))
 	}
 	n, v := s.n, r.Msg.Report
-	n.applyReport(context.WithoutCancel(ctx), v)
+	if n.applyReport(context.WithoutCancel(ctx), v) && !n.swapsAllPairs() {
+		n.mergeSeenSpeeds(v)
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.clock.Now()
 	n.aggregator.ApplyReport(now, message.ReportFromWire(v))
-	d := n.aggregator.Digest(now, v.Node, n.aggregator.BaseVersion(r.Msg.Lifetime, r.Msg.Version))
-	a := message.DigestToWire(d)
+	version := n.aggregator.BaseVersion(r.Msg.Lifetime, r.Msg.Version)
+	a := message.DigestToWire(n.aggregator.Digest(now, v.Node, version))
+	a.Speeds = message.SpeedsToWire(n.pools.SpeedFigures(v.Node, version == 0))
 	a.Engines = message.EnginesToWire(n.pools.Engines())
 	a.Suspicions = n.suspicions()
 	a.Limits = message.LimitsToWire(now, n.pools.Limits())
--- a/internal/model/callers.go
+++ b/internal/model/callers.go
@@ -46,14 +46,14 @@
 	}
 	inTime := false
 	j.started = func(now time.Duration) {
-		u.Started()
+		p.reach(a.n, u.Started)
 		if measured {
 			p.record(a.q.class, now, now-a.q.at)
 			inTime = now-a.q.at <= a.c.Target
 		}
 	}
 	j.done = func(time.Duration) {
-		u.End(pool.ResultGood)
+		p.reach(a.n, func() { u.End(pool.ResultGood) })
 		if inTime && a.c.Gap > 0 && j.pause > a.c.Gap {
 			p.paused[a.q.class]++
 		}
@@ -130,7 +130,7 @@
 
 func (p *play) slow(x float64) {
 	for _, e := range p.engines {
-		e.slow = x
+		e.slowed = x
 	}
 }
 
--- a/internal/model/engine.go
+++ b/internal/model/engine.go
@@ -32,11 +32,12 @@
 	reading []*job // in order; the first one is read
 	running int
 	runs    []*job
-	waiting []*job  // without a slot, in order
-	number  int     // of the newest request
-	busy    bool    // a step is under way
-	slow    float64 // how many times as long its steps take
+	waiting []*job // without a slot, in order
+	number  int    // of the newest request
+	busy    bool   // a step is under way
 	parts   *cache
+	speed   float64 // times as fast as the spec states
+	slowed  float64 // times as slow at the moment
 }
 
 // job is a request at an engine.
@@ -67,7 +68,7 @@
 }
 
 func newEngine(w *World, spec *EngineSpec, id string) *engine {
-	return &engine{w: w, spec: spec, id: id, slow: 1, parts: newCache(spec.Memory)}
+	return &engine{w: w, spec: spec, id: id, parts: newCache(spec.Memory), speed: 1, slowed: 1}
 }
 
 // take begins a request, or lets it wait for a slot.
@@ -206,7 +207,15 @@
 	}
 	tokens := e.spec.Chunk - budget
 	d := e.spec.Step + time.Duration(e.running)*e.spec.SlotStep + time.Duration(tokens/e.spec.Reading*float64(time.Millisecond))
-	e.w.after(time.Duration(e.slow*float64(d)), func() { e.end(read) })
+	e.w.after(e.takes(d), func() { e.end(read) })
+}
+
+// takes is how long something takes that the spec gives a time for.
+func (e *engine) takes(d time.Duration) time.Duration {
+	if e.speed == 1 && e.slowed == 1 {
+		return d
+	}
+	return time.Duration(float64(d) * e.slowed / e.speed)
 }
 
 func (e *engine) end(read []*turn) {
@@ -224,7 +233,7 @@
 		e.preempt(e.victim())
 	}
 	for _, v := range read {
-		e.w.after(e.spec.First, func() {
+		e.w.after(e.takes(e.spec.First), func() {
 			if v.job.slot == v.slot {
 				e.start(v.job)
 			}
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -65,6 +65,11 @@
 	Warm, Length          time.Duration // Warm isn't measured
 	Changes               []Change
 	Order                 func(q order.Request, short bool) order.Decision // nil: all priorities are unset
+	Speeds                []float64                                        // of the engines, in turn; none: all are alike
+	Passing               Passing
+	Know                  Knowledge
+	Liar                  bool          // one node reports that one engine is very fast, and another one very slow
+	SlowLink              time.Duration // that responses take more to reach one node
 }
 
 // Change is a trouble that begins at a time and lasts for one.
@@ -75,6 +80,23 @@
 	Lost    float64 // share of the engines that end, and are replaced by new ones at the end of the trouble
 }
 
+// Passing is a slowness that each engine has now and then.
+type Passing struct {
+	Every  time.Duration // on average; 0: never
+	Length time.Duration
+	Factor float64
+}
+
+// Knowledge is what nodes know of the engines' speeds.
+type Knowledge int
+
+// The kinds.
+const (
+	SpeedsUnknown Knowledge = iota
+	SpeedsLearned
+	SpeedsTrue
+)
+
 // Result is what callers got of one class.
 type Result struct {
 	Class   string
@@ -96,6 +118,20 @@
 	Preempted float64
 	// Wasted is the prompt tokens that were read for requests whose callers left without a first event, of all asked.
 	Wasted float64
+	First  Firsts // of all classes together
+	Speeds Beliefs
+}
+
+// Firsts are the times to first events.
+type Firsts struct{ Mean, P50, P99 time.Duration }
+
+// Beliefs is what nodes came to believe of the engines' speeds.
+type Beliefs struct {
+	Differ int     // engines that a node believes to differ from the usual at the end, of all nodes' views
+	Views  int     // of all nodes at all engines
+	Off    float64 // mean of the absolute logarithms of believed over true speed
+	// Changes is how often a node changed what it believes of an engine.
+	Changes int
 }
 
 type part struct {
@@ -136,6 +172,7 @@
 	times           float64       // of the usual requests, now
 	items           []pool.Item
 	lastInTime, dry []time.Duration // by class
+	changes         int             // of what nodes believe of speeds
 }
 
 const (
@@ -184,7 +221,8 @@
 	for i := 0; i < p.l.Engines; i++ {
 		id := fmt.Sprint("engine-", i)
 		p.engines[id] = newEngine(&p.World, &p.l.Engine, id)
-		p.items = append(p.items, pool.Item{Revision: 1, Entry: pool.Entry{ID: id, Service: service, Address: id, Hall: hall(i), Slots: p.l.Engine.Slots}})
+		p.setSpeed(i, p.engines[id])
+		p.items = append(p.items, pool.Item{Revision: 1, Entry: pool.Entry{ID: id, Born: engineBorn, Service: service, Address: id, Hall: hall(i), Slots: p.l.Engine.Slots}})
 	}
 	for i := 0; i < p.l.Nodes; i++ {
 		n := &node{name: fmt.Sprint("node-", i), hall: hall(i), pools: pool.New(p.clock.Service(), fmt.Sprint("node-", i), hall(i))}
@@ -193,6 +231,7 @@
 		n.pools.SetSize(service, capacity.Size{Slots: p.l.Engine.Slots, Memory: p.l.Engine.Memory, Fetch: p.l.Engine.Fetch})
 		p.nodes = append(p.nodes, n)
 		p.after(time.Duration(p.random.Int64N(int64(round))), func() { p.tell(n) })
+		p.tellTruth(n)
 	}
 }
 
@@ -243,5 +282,6 @@
 	o.Read = p.read / math.Max(1, p.prompts)
 	o.Wasted = p.wasted / math.Max(1, p.prompts)
 	o.Preempted = p.preempted / math.Max(1, p.prompts)
+	o.First, o.Speeds = firstsOf(p.firsts), p.beliefs()
 	return o
 }
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -18,6 +18,11 @@
 // well. Cached prefix parts thereby attract requests with the same prefix, and queues spread them, without
 // a separate rule for either.
 //
+// What a candidate reads takes as long as its lasting speed says (package speed). The time that all candidates take
+// alike, to a first event without anything to read, counts at none of them, nor does the speed count for occupied
+// slots: idle fast ones would otherwise get more than they carry, since the load that is known is some tenths of a
+// second old. For the same reason more unreported work is assumed at a fast one (docs/design/speed.md).
+//
 // Alternatives considered: the rendezvous hashing of package route. It needs no shared index, but spreads
 // each shared part over a fixed number of upstreams whatever the current load is; with a few nodes, an
 // index carried by each report costs a few hundred bytes a second.
@@ -35,7 +40,8 @@
 	Fetch    float64 // further tokens that it could fetch from another upstream
 	FetchMs  float64 // duration of the fetch in milliseconds
 	Source   string  // address of that other upstream
-	Slowness float64 // response times relative to the pool's; 1 is usual
+	Slowness float64 // response times relative to the pool's at the moment; 1 is usual
+	Speed    float64 // lasting speed relative to the pool's; 0: not known to differ
 	Failures float64 // share of recent requests that failed
 	Full     bool    // it recently rejected a request because it was full
 	Cold     bool    // it is warming up
@@ -62,7 +68,7 @@
 type Service struct {
 	Engine       capacity.Engine // for a service with engines
 	ResponseMs   float64         // milliseconds to the response header, for a service without engines
-	UnreportedMs float64         // milliseconds of unreported work of other nodes at an upstream
+	UnreportedMs float64         // milliseconds of unreported work of other nodes at a usual upstream
 }
 
 // The weights of a choice, in milliseconds unless stated otherwise. Costs that depend on the engines are
@@ -95,7 +101,7 @@
 		if n.Excluded[c.ID] {
 			continue
 		}
-		x := cost(n, s, c) + maxUnreportedFactor*s.UnreportedMs*randomFraction(request, c.ID)
+		x := cost(n, s, c) + maxUnreportedFactor*s.UnreportedMs*c.speed()*randomFraction(request, c.ID)
 		if i == home {
 			x -= homeBonusMs
 		}
@@ -111,7 +117,7 @@
 	if n.Engine {
 		x += engineCost(n, s.Engine, c)
 	} else {
-		x += plainFullFactor * s.ResponseMs * c.occupied()
+		x += plainCost(s.ResponseMs, c)
 	}
 	if !c.SameHall {
 		x += otherHallMs
@@ -122,7 +128,11 @@
 	if c.Cold {
 		x += warmUpMs
 	}
-	return x * c.Slowness * (1 + failureWeight*c.Failures)
+	x *= c.Slowness * (1 + failureWeight*c.Failures)
+	if !n.Engine && c.speed() > 1 {
+		x += plainExcess(s.ResponseMs, c) // negative: slowness and failures mustn't scale it
+	}
+	return x
 }
 
 func engineCost(n Request, e capacity.Engine, c *Candidate) float64 {
@@ -136,7 +146,24 @@
 		over := c.Reserved + n.Prompt + n.Output - memoryShare*c.Memory
 		tokens += memoryWeight * math.Max(0, over)
 	}
-	return wait + e.PrefillTime(tokens) + occupiedMs*c.occupied()
+	return wait + e.PrefillTime(tokens)/c.speed() + occupiedMs*c.occupied()
+}
+
+// plainCost returns the cost of a plain upstream: the queue at its slots, and what the response of a slow one takes
+// longer than a usual one's.
+func plainCost(responseMs float64, c *Candidate) float64 {
+	return plainFullFactor*responseMs*c.occupied()/c.speed() + max(0, plainExcess(responseMs, c))
+}
+
+// plainExcess returns what a plain upstream's response takes longer than a usual one's, negative at a fast one.
+func plainExcess(responseMs float64, c *Candidate) float64 { return responseMs * (1/c.speed() - 1) }
+
+// speed returns the lasting speed relative to the pool's.
+func (c *Candidate) speed() float64 {
+	if c.Speed > 0 {
+		return c.Speed
+	}
+	return 1
 }
 
 // occupied returns the share of occupied slots.
@@ -199,9 +226,10 @@
 	return b
 }
 
-// remainingQueue returns what is left of a queue of tokens that was reported the given time ago.
-func remainingQueue(e capacity.Engine, tokens float64, age time.Duration) float64 {
-	waits := e.PrefillTime(tokens)
+// remainingQueue returns what is left of a queue of tokens that was reported the given time ago, at an engine with
+// the given relative speed.
+func remainingQueue(e capacity.Engine, speed, tokens float64, age time.Duration) float64 {
+	waits := e.PrefillTime(tokens) / speed
 	if waits <= 0 {
 		return 0
 	}
--- a/internal/pool/expect.go
+++ b/internal/pool/expect.go
@@ -20,7 +20,7 @@
 	u.p.mu.Lock()
 	defer u.p.mu.Unlock()
 	e := u.p.engine(u.p.clock.Now(), u.entry.Service)
-	slow := max(1, u.choice.Slowness)
+	slow := max(1, u.choice.Slowness) / u.speed
 	x := Expected{Reading: millis(slow * e.FirstEventDelay(u.prompt))}
 	if e.Reading > 0 {
 		x.Wait = millis(slow * e.PrefillTime(u.choice.Queued))
@@ -38,7 +38,8 @@
 	u.overtaken = !overtakes
 	if overtakes {
 		u.reads = u.prompt
-		u.expectedMs = u.p.engine(u.p.clock.Now(), u.entry.Service).FirstEventDelay(u.reads)
+		u.usualMs = u.p.engine(u.p.clock.Now(), u.entry.Service).FirstEventDelay(u.reads)
+		u.expectedMs = u.usualMs / u.speed
 	}
 }
 
