--- a/internal/quota/bounded.go
+++ b/internal/quota/bounded.go
@@ -51,6 +51,9 @@
 	minDemand = 1.0
 	// firstStartGrace is how long nodes of a system that has just started may be unheard and yet count as idle.
 	firstStartGrace = 2 * time.Second
+	// unlistedWindows is for how many windows since it was last heard a silent node keeps its part when it is no longer
+	// listed: in a cut nodes drop out of the registry and go on. One that stops as planned is listed until it has.
+	unlistedWindows = 3
 	// relayedDelay is the part of a report's greatest age by which it may be older than the relay says.
 	relayedDelay = 1.0 / 3
 )
@@ -213,8 +216,11 @@
 	}
 	v := Verdict{Level: room, Part: part, Asked: demand + w.ownAsked.last(at, demandTime)/demandTime.Seconds(), Reserved: reserved + silent}
 	fits := part >= 1 || own+q.draw()*tokens <= part*asked
-	ahead := room - part*demand*unheard.Seconds()              // of what others admit unheard
-	large := min(max(0, tokens-usualSize), largeReserve*limit) // another node may admit as large a one
+	ahead := room - part*demand*unheard.Seconds() // of what others admit unheard
+	large := 0.0
+	if unheard > 0 { // another node may admit as large a one
+		large = min(max(0, tokens-usualSize), largeReserve*limit)
+	}
 	if room < tokens || ahead < tokens+large || !fits {
 		short := max(tokens-room, (demand*unheard.Seconds()+asked)*(1-part))
 		v.Wait = q.retryWait(w.all.freeing(at, short))
@@ -302,6 +308,20 @@
 	p.charged = u.Charged
 }
 
+// coverLost takes it that a process that was replaced went on to charge, unheard, as it did in the window before. startedAt
+// is the start of the new one.
+func (q *Quotas) coverLost(p *peer, startedAt time.Time) {
+	d := min(startedAt.Sub(p.lastSeen), q.lostTime)
+	if !q.bounded() || d <= 0 {
+		return
+	}
+	for n, v := range p.uses {
+		if b := q.buckets[n]; b != nil && b.w != nil && isTokens(v.Recent) {
+			b.w.all.add(q.offset(startedAt), v.Recent*d.Seconds()/q.bound.Window.Seconds())
+		}
+	}
+}
+
 // applyAsked updates what a peer is asked for.
 func (q *Quotas) applyAsked(p *peer, u Update, fresh bool) {
 	d := p.lastSeen.Sub(p.agedAt).Seconds()
@@ -367,7 +387,7 @@
 
 // startWindowRound determines which nodes aren't heard. What one of them was asked for no longer counts: it has its part.
 func (q *Quotas) startWindowRound(now time.Time, timeout, lag time.Duration) {
-	q.lag = lag
+	q.lag, q.lostTime = lag, timeout
 	counts := make(map[time.Duration]float64)
 	grace := q.startFull && now.Sub(q.startedAt) < firstStartGrace
 	step := q.bound.Window / ledgerSlots
@@ -380,6 +400,13 @@
 			counts[max(q.offset(p.lastSeen), q.offset(now)-q.bound.Window-step).Truncate(step)]++
 		}
 	}
+	q.unlistedSilent = 0
+	for _, p := range q.removed {
+		if p.unresponsive && now.Sub(p.lastSeen) < unlistedWindows*q.bound.Window {
+			q.unlistedSilent++
+			counts[max(q.offset(p.lastSeen), q.offset(now)-q.bound.Window-step).Truncate(step)]++
+		}
+	}
 	q.silent, q.silentCount = q.silent[:0], 0
 	for at, n := range counts {
 		q.silentCount += n
--- /dev/null
+++ b/internal/quota/bounded_test.go
@@ -0,0 +1,212 @@
+package quota
+
+import (
+	"fmt"
+	"math"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+)
+
+// half is a draw that decides nothing by chance.
+func half() float64 { return 0.5 }
+
+// TestLedger compares the ledger with a list of charges: it is right to the charges of a slot at either end.
+func TestLedger(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const window = 8 * time.Second
+		l := newLedger(window, 0)
+		slot := window / ledgerSlots
+		var list []charge
+		now := start
+		for range rapid.IntRange(1, 60).Draw(t, "charges") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+			tokens := float64(rapid.IntRange(0, 1000).Draw(t, "tokens"))
+			l.add(now.Sub(start), tokens)
+			list = append(list, charge{now, tokens})
+			least, most := 0.0, 0.0
+			for _, c := range list {
+				if age := now.Sub(c.at); age < window+slot {
+					most += c.tokens
+					if age < window-slot {
+						least += c.tokens
+					}
+				}
+			}
+			got := l.total(now.Sub(start))
+			assert.True(t, got >= least-1e-6 && got <= most+1e-6, "%v is not from %v to %v", got, least, most)
+		}
+	})
+}
+
+// TestSpreadKeepsTheSum: what is spread over a part of the window is all in it.
+func TestSpreadKeepsTheSum(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := newLedger(8*time.Second, 0)
+		from := time.Duration(rapid.IntRange(0, 3900).Draw(t, "from")) * time.Millisecond
+		to := from + time.Duration(rapid.IntRange(0, 3900).Draw(t, "long"))*time.Millisecond
+		l.spread(from, to, 1000)
+		assert.InDelta(t, 1000, l.total(to), 1e-6)
+		l.spread(from, to, -400)
+		assert.InDelta(t, 600, l.total(to), 1e-6)
+	})
+}
+
+// TestSidesOfACutShareTheRoom: whatever set of nodes is cut off, and whatever was charged before, the rooms of both sides
+// add up to no more than the bound leaves.
+func TestSidesOfACutShareTheRoom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 30).Draw(t, "nodes")
+		off := rapid.IntRange(1, n-1).Draw(t, "cut off")
+		charged := float64(rapid.IntRange(0, 300_000).Draw(t, "charged"))
+		later := time.Duration(rapid.IntRange(1000, 20_000).Draw(t, "ms later")) * time.Millisecond
+		sum, left := 0.0, 0.0
+		for _, ownSide := range []int{n - off, off} {
+			q := New(start, true)
+			q.SetBound(operators, half)
+			q.SetLimits(start, map[string]Limit{"w": {Rate: 29_000, Burst: 29_000}})
+			var names []string
+			for i := range n - 1 {
+				names = append(names, fmt.Sprint(i))
+			}
+			q.SetPeers(start, names)
+			at := start.Add(3 * time.Second)
+			for _, name := range names {
+				c := map[string]float64{}
+				if name == "0" {
+					c["w"] = charged
+				}
+				q.ApplyUpdate(at, Update{Node: name, Incarnation: "i", Sequence: 1, Uptime: at.Sub(start), Charged: c})
+			}
+			now := at.Add(later)
+			for i := range ownSide - 1 {
+				q.ApplyUpdate(now, Update{Node: names[n-2-i], Incarnation: "i", Sequence: 2, Uptime: now.Sub(start)})
+			}
+			q.StartRound(now, 250*time.Millisecond, 0)
+			b := q.buckets["w"]
+			limit := q.boundTokens(q.offset(now), b)
+			known := b.w.all.total(q.offset(now))
+			sum += limit - known - q.silentReserve(q.offset(now), b, limit)
+			left = limit - known
+		}
+		assert.LessOrEqual(t, sum, left+1)
+	})
+}
+
+// TestRestoredWindow: a process continues from the charges that were stored, and each leaves the window in its time. One
+// that knows nothing of the past, and hears of none that does, waits for a window.
+func TestRestoredWindow(t *testing.T) {
+	limits := map[string]Limit{"w": {Rate: 29_000, Burst: 29_000}}
+	a := New(start, true)
+	a.SetBound(operators, half)
+	a.SetLimits(start, limits)
+	a.SetPeers(start, nil)
+	assert.True(t, a.Charge(start.Add(2*time.Second), "w", 300_000).Allowed)
+	stored := a.Levels(start.Add(4 * time.Second))
+	at := start.Add(4 * time.Second)
+	newProcess := func(restore bool) *Quotas {
+		q := New(at, false)
+		q.SetBound(operators, half)
+		q.SetLimits(at, limits)
+		q.SetPeers(at, nil)
+		if restore {
+			assert.True(t, q.Restore(at, 0, 500*time.Millisecond, stored))
+		}
+		return q
+	}
+	q := newProcess(true)
+	assert.False(t, q.Charge(at, "w", 100_000).Allowed)
+	assert.True(t, q.Charge(at, "w", 20_000).Allowed)
+	assert.True(t, q.Charge(start.Add(10700*time.Millisecond), "w", 300_000).Allowed)
+	unknown := newProcess(false)
+	assert.False(t, unknown.Charge(at.Add(7*time.Second), "w", 200).Allowed)
+	assert.True(t, unknown.Charge(at.Add(8200*time.Millisecond), "w", 200).Allowed)
+}
+
+// TestPastFromPeers: a process that starts beside others learns from them what they have charged in the window.
+func TestPastFromPeers(t *testing.T) {
+	q := New(start, false)
+	q.SetBound(operators, half)
+	q.SetLimits(start, map[string]Limit{"w": {Rate: 29_000, Burst: 29_000}})
+	q.SetPeers(start, []string{"b"})
+	now := start.Add(100 * time.Millisecond)
+	q.ApplyUpdate(now, Update{Node: "b", Incarnation: "i", Sequence: 1, Uptime: time.Minute, Charged: map[string]float64{"w": 9e6}, Uses: map[string]Use{"w": {Asked: 9e6, Recent: 50_000}}})
+	assert.InDelta(t, 50_000, q.buckets["w"].w.all.total(q.offset(now)), 1000)
+	assert.True(t, q.Charge(now, "w", 5000).Allowed)
+}
+
+// TestFiguresOfFaultyPeers: what isn't a number of tokens is passed over.
+func TestFiguresOfFaultyPeers(t *testing.T) {
+	q := New(start, true)
+	q.SetBound(operators, half)
+	q.SetLimits(start, map[string]Limit{"w": {Rate: 29_000, Burst: 29_000}})
+	for i, x := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -5} {
+		now := start.Add(time.Duration(i+1) * time.Second)
+		q.ApplyUpdate(now, Update{Node: "b", Incarnation: "i", Sequence: uint64(i + 1), Uptime: time.Minute, Charged: map[string]float64{"w": x}, Uses: map[string]Use{"w": {Asked: x, Recent: x}}})
+		assert.True(t, q.Charge(now, "w", 1000).Allowed, "%v", x)
+	}
+}
+
+// TestMemoryUnderABound is TestMemoryOfALargeFleet under a bound.
+func TestMemoryUnderABound(t *testing.T) {
+	before := heapInUse()
+	q, updates := largeQuotas(985, 333)
+	bounded := New(start, true)
+	bounded.SetBound(operators, half)
+	limits := make(map[string]Limit)
+	for n := range q.buckets {
+		limits[n] = Limit{Rate: 1000, Burst: 10_000}
+	}
+	bounded.SetLimits(start, limits)
+	for i := range 8 {
+		now := start.Add(time.Duration(i+1) * 500 * time.Millisecond)
+		bounded.StartRound(now, 500*time.Millisecond, 750*time.Millisecond)
+		for _, u := range updates {
+			u.Sequence += uint64(i)
+			bounded.ApplyUpdate(now, u)
+		}
+	}
+	q = nil
+	used := heapInUse() - before
+	runtime.KeepAlive(bounded)
+	runtime.KeepAlive(updates)
+	assert.Less(t, used, 5e6, "bytes, the updates themselves included")
+}
+
+// TestUnlistedSideOfACut: in a cut nodes drop out of the registry and go on to charge. They keep their part for some
+// windows; those that leave while they are heard don't.
+func TestUnlistedSideOfACut(t *testing.T) {
+	for _, silent := range []bool{true, false} {
+		q := New(start, true)
+		q.SetBound(operators, half)
+		q.SetLimits(start, map[string]Limit{"w": {Rate: 29_000, Burst: 29_000}})
+		q.SetPeers(start, []string{"a", "b", "c"})
+		report := func(at time.Duration, names ...string) {
+			for _, n := range names {
+				q.ApplyUpdate(start.Add(at), Update{Node: n, Incarnation: "i", Sequence: uint64(at), Uptime: at})
+			}
+			q.StartRound(start.Add(at), 250*time.Millisecond, 0)
+		}
+		report(2*time.Second, "a", "b", "c")
+		report(5*time.Second, "a")
+		if !silent {
+			report(5100*time.Millisecond, "a", "b", "c")
+		}
+		q.SetPeers(start.Add(6*time.Second), []string{"a"})
+		report(6*time.Second, "a")
+		free := func(at time.Duration) float64 {
+			b := q.buckets["w"]
+			return 1 - q.silentReserve(at, b, 1000)/1000
+		}
+		want := 1.0
+		if silent {
+			want = 0.5
+		}
+		assert.InDelta(t, want, free(6*time.Second), 1e-9)
+		report(40*time.Second, "a")
+		assert.InDelta(t, 1, free(40*time.Second), 1e-9)
+	}
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -17,6 +17,8 @@
 // charged before its first report counts, unless the peer is older than this process: then the initial
 // level accounts for it.
 //
+// Where operators state their bound (SetBound), bounded.go decides instead, by what was charged in their window.
+//
 // A request is admitted while the level is positive, and may overdraw it. Requiring the whole charge up
 // front would let small requests keep the level low forever, and the large ones of a busy workspace would
 // never be admitted.
@@ -112,14 +114,16 @@
 	restored map[string]restoredLevel // by workspace
 	removed  map[string]*peer         // nodes that are no longer listed, in the state of their last report
 
-	bound        Bound // without a window: none
-	draw         func() float64
-	lag          time.Duration // how old a responsive node's report may be
-	silent       []silentPeers
-	silentCount  float64
-	historyLives bool      // another node has run for a window longer
-	unheardAt    time.Time // when unheardFor was determined
-	unheardFor   time.Duration
+	bound          Bound // without a window: none
+	draw           func() float64
+	lag            time.Duration // how old a responsive node's report may be
+	lostTime       time.Duration // how long a process that is replaced may have charged unheard
+	silent         []silentPeers
+	silentCount    float64
+	unlistedSilent int       // nodes that were silent when they were no longer listed, under a bound
+	historyLives   bool      // another node has run for a window longer
+	unheardAt      time.Time // when unheardFor was determined
+	unheardFor     time.Duration
 }
 
 // restartLevel is the part of the burst with which a bucket starts in a process that does not start
@@ -202,7 +206,7 @@
 
 // nodes returns the number of nodes that share the quotas, this one included.
 func (q *Quotas) nodes() float64 {
-	n := float64(len(q.peers) + 1)
+	n := float64(len(q.peers) + 1 + q.unlistedSilent)
 	if !q.peersKnown {
 		return max(n, assumedNodes)
 	}
@@ -217,7 +221,7 @@
 			n++
 		}
 	}
-	return n / q.nodes()
+	return n / (q.nodes() - float64(q.unlistedSilent))
 }
 
 // allKnown reports whether the use of all nodes is known, or there was none.
@@ -440,6 +444,7 @@
 		// accounts for it already.
 		older = p.incarnation == "" && u.Uptime > now.Sub(q.startedAt)+startTolerance
 		p.incarnation, p.startedAt, p.sequence = u.Incarnation, startedAt, 0
+		q.coverLost(p, startedAt)
 		p.charged, p.uses = nil, nil
 		if older {
 			p.charged, p.uses = u.Charged, u.Uses
