Quotas: an idle node that a relay knows isn't silent

Cause: a report in a pair is newer than a relay's word of a node that charges nothing, so digests were passed over and the node counted as silent between its pairs; each such node would have reserved its part of the room. A process that restarts while the store is away and nobody has charged anything waited for a window.

Change: a digest's word of life counts under a bound (Quotas.Heard), demand of idle nodes ages with it; older processes that say nothing charged nothing.

Conclusion: covered by TestIdleNodeIsHeardThroughRelays.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -206,6 +206,8 @@
 		if p.incarnation != w.Incarnation || p.sequence <= w.Sequence {
 			p.leaving, p.storeUp = w.Status.Leaving, !w.Status.StoreDown
 			n.quotas.ApplyUpdate(now, quota.Update{Node: w.Node, Incarnation: w.Incarnation, Sequence: w.Sequence, Uptime: w.Uptime, Age: w.Age, Charged: w.Spent, Uses: w.Uses})
+		} else {
+			n.quotas.Heard(now, w.Node, w.Incarnation, w.Age)
 		}
 	}
 	n.digestAt, n.digestNodes, n.rollouts.digestTrials = now, covered, d.Trials
--- a/internal/quota/bounded.go
+++ b/internal/quota/bounded.go
@@ -263,8 +263,9 @@
 
 // applyWindow applies a peer's report: what it has charged since its last one was charged in between.
 func (q *Quotas) applyWindow(now time.Time, p *peer, u Update, older bool) {
-	if u.Sequence != 0 && u.Sequence < p.sequence {
-		return // it took a longer path
+	if u.Sequence != 0 && u.Sequence < p.sequence { // it took a longer path
+		q.Heard(now, u.Node, u.Incarnation, u.Age)
+		return
 	}
 	from, to := p.lastSeen, now.Add(-u.Age)
 	if late := to.Add(-q.bound.Window / lateSpread); late.After(from) {
@@ -273,13 +274,7 @@
 	if p.startedAt.After(from) {
 		from = p.startedAt
 	}
-	if to.After(p.lastSeen) {
-		p.lastSeen = to
-	}
-	if p.unresponsive {
-		p.unresponsive = false
-		q.addRecent(p, 1)
-	}
+	q.hear(to, p)
 	known := p.sequence == u.Sequence && u.Sequence != 0
 	p.sequence = u.Sequence
 	q.applyAsked(p, u, !known)
@@ -293,6 +288,28 @@
 	}
 }
 
+// hear records that a peer was there at a time.
+func (q *Quotas) hear(at time.Time, p *peer) {
+	if at.After(p.lastSeen) {
+		p.lastSeen = at
+	}
+	if p.unresponsive {
+		p.unresponsive = false
+		q.addRecent(p, 1)
+	}
+}
+
+// Heard records that a process was heard of, without more news than this node has. A relay's word of a node that does
+// nothing is as old as its last change, while a report of the node itself is newer. It has an effect under a bound only.
+func (q *Quotas) Heard(now time.Time, node, incarnation string, age time.Duration) {
+	p := q.peers[node]
+	if !q.bounded() || p == nil || p.incarnation != incarnation {
+		return
+	}
+	q.hear(now.Add(-age), p)
+	q.applyAsked(p, Update{}, false)
+}
+
 func (q *Quotas) applyWindowCharges(from, to time.Duration, p *peer, u Update) {
 	for n, x := range u.Charged {
 		b := q.buckets[n]
@@ -438,7 +455,7 @@
 // meanwhile, see what this node charges, and say what they charged lately. If they don't say, that is taken to leave the
 // window evenly.
 func (q *Quotas) learnHistory(now time.Time, u Update) {
-	if q.startFull || q.historyLives || u.Uptime-now.Sub(q.startedAt) < q.bound.Window || len(u.Charged) == 0 {
+	if q.startFull || q.historyLives || u.Uptime-now.Sub(q.startedAt) < q.bound.Window {
 		return
 	}
 	q.historyLives = true
@@ -447,7 +464,7 @@
 			continue
 		}
 		q.takeBack(now, b)
-		if b.w.learns = u.Uses != nil; !b.w.learns {
+		if b.w.learns = u.Uses != nil || len(u.Charged) == 0; !b.w.learns {
 			q.spreadUnknown(b)
 		}
 		b.w.unknown = 0
--- a/internal/quota/bounded_test.go
+++ b/internal/quota/bounded_test.go
@@ -210,3 +210,58 @@
 		assert.InDelta(t, 1, free(40*time.Second), 1e-9)
 	}
 }
+
+// TestIdleNodeIsHeardThroughRelays: a node's own report is newer than its relay's word of it, which doesn't change while the
+// node does nothing. It isn't silent, and what it was asked for is forgotten.
+func TestIdleNodeIsHeardThroughRelays(t *testing.T) {
+	q := New(start, true)
+	q.SetBound(operators, half)
+	q.SetLimits(start, map[string]Limit{"w": {Rate: 29_000, Burst: 29_000}})
+	q.SetPeers(start, []string{"a"})
+	u := Update{Node: "a", Incarnation: "i", Sequence: 5, Uptime: time.Second, Charged: map[string]float64{"w": 900}, Uses: map[string]Use{"w": {Asked: 900, Recent: 900}}}
+	q.ApplyUpdate(start.Add(time.Second), u)
+	assert.Positive(t, q.buckets["w"].peersRecent)
+	for at := time.Second; at < 12*time.Second; at += 250 * time.Millisecond {
+		now := start.Add(at)
+		q.Heard(now, "a", "i", 100*time.Millisecond)
+		q.StartRound(now, 500*time.Millisecond, 750*time.Millisecond)
+		assert.Zero(t, q.silentCount)
+	}
+	assert.Zero(t, q.buckets["w"].peersRecent)
+	assert.Zero(t, q.buckets["w"].peersAsked)
+}
+
+// BenchmarkUnderABound runs one round of a node: the start of a span, and a digest in which a fifth of the nodes has
+// charged; and a charge.
+func BenchmarkUnderABound(b *testing.B) {
+	for _, v := range []struct{ nodes, workspaces int }{{95, 60}, {985, 333}} {
+		_, updates := largeQuotas(v.nodes, v.workspaces)
+		limits := make(map[string]Limit)
+		for i := range v.workspaces {
+			limits[fmt.Sprint("w", i)] = Limit{Rate: 1e6, Burst: 1e6}
+		}
+		q := New(start, true)
+		q.SetBound(operators, half)
+		q.SetLimits(start, limits)
+		now := start
+		b.Run(fmt.Sprintf("round of %d nodes, %d workspaces", v.nodes, v.workspaces), func(b *testing.B) {
+			for b.Loop() {
+				now = now.Add(250 * time.Millisecond)
+				q.StartRound(now, 500*time.Millisecond, 750*time.Millisecond)
+				for i := range updates {
+					if i%5 == 0 {
+						updates[i].Sequence++
+						updates[i].Charged = map[string]float64{fmt.Sprint("w", i%v.workspaces): float64(updates[i].Sequence)}
+					}
+					q.ApplyUpdate(now, updates[i])
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("charge at %d nodes", v.nodes), func(b *testing.B) {
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				q.Charge(now, "w1", 100)
+			}
+		})
+	}
+}
