Quotas: a report after one with faulty figures counts

Cause: NaN and infinite figures were kept as a peer's last ones; the next difference refused the workspace for good or emptied its window. Change: the peer's last valid figure takes the place of a faulty one when a report comes.

--- a/internal/quota/bounded.go
+++ b/internal/quota/bounded.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -390,8 +391,53 @@
 	return 0
 }
 
+// maxTokens is the largest figure of another node that counts as one: larger ones don't add up exactly.
+const maxTokens = 1e15
+
 // isTokens reports whether a figure of another node is a number of tokens.
-func isTokens(x float64) bool { return x >= 0 && !math.IsInf(x, 0) }
+func isTokens(x float64) bool { return x >= 0 && x <= maxTokens }
+
+func (v Use) isValid() bool { return isTokens(v.Asked) && isTokens(v.Recent) && isTokens(v.Refunded) }
+
+// validFigures returns a report with a peer's last figures in place of those that aren't numbers of tokens.
+func validFigures(p *peer, u Update) Update {
+	u.Charged, u.Uses = validCharged(p.charged, u.Charged), validUses(p.refunds, u.Uses)
+	return u
+}
+
+func validCharged(last, said map[string]float64) map[string]float64 {
+	valid := true
+	for _, x := range said {
+		valid = valid && isTokens(x)
+	}
+	if valid {
+		return said
+	}
+	r := maps.Clone(said) // others may have the map
+	for n, x := range said {
+		if !isTokens(x) {
+			r[n] = last[n]
+		}
+	}
+	return r
+}
+
+func validUses(last, said map[string]Use) map[string]Use {
+	valid := true
+	for _, v := range said {
+		valid = valid && v.isValid()
+	}
+	if valid {
+		return said
+	}
+	r := maps.Clone(said)
+	for n, v := range said {
+		if !v.isValid() {
+			r[n] = last[n]
+		}
+	}
+	return r
+}
 
 func (q *Quotas) setDemand(p *peer, name string, x float64) {
 	b := q.buckets[name]
--- a/internal/quota/bounded_test.go
+++ b/internal/quota/bounded_test.go
@@ -144,10 +144,14 @@
 	q := New(start, true)
 	q.SetBound(operators, half)
 	q.SetLimits(start, map[string]Limit{"w": {Rate: 29_000, Burst: 29_000}})
-	for i, x := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -5} {
+	for i, x := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -5, 1e300} {
 		now := start.Add(time.Duration(i+1) * time.Second)
-		q.ApplyUpdate(now, Update{Node: "b", Incarnation: "i", Sequence: uint64(i + 1), Uptime: time.Minute, Charged: map[string]float64{"w": x}, Uses: map[string]Use{"w": {Asked: x, Recent: x}}})
+		q.ApplyUpdate(now, Update{Node: "b", Incarnation: "i", Sequence: uint64(2*i + 1), Uptime: time.Minute, Charged: map[string]float64{"w": x}, Uses: map[string]Use{"w": {Asked: x, Recent: x}}})
 		assert.True(t, q.Charge(now, "w", 1000).Allowed, "%v", x)
+		now = now.Add(500 * time.Millisecond)
+		next := 1000 * float64(i+1)
+		q.ApplyUpdate(now, Update{Node: "b", Incarnation: "i", Sequence: uint64(2*i + 2), Uptime: time.Minute, Charged: map[string]float64{"w": next}, Uses: map[string]Use{"w": {Asked: next, Recent: next}}})
+		assert.InDelta(t, 2000*float64(i+1), q.buckets["w"].w.all.total(q.offset(now)), 1, "a valid report after %v", x)
 	}
 }
 
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -448,12 +448,15 @@
 		p.incarnation, p.startedAt, p.sequence = u.Incarnation, startedAt, 0
 		q.coverLost(p, startedAt)
 		p.charged, p.uses, p.refunds = nil, nil, nil
+		if q.bounded() {
+			u = validFigures(p, u)
+		}
 		if older {
 			p.charged, p.uses, p.refunds = u.Charged, u.Uses, u.Uses
 		}
 	}
 	if q.bounded() {
-		q.applyWindow(now, p, u, older)
+		q.applyWindow(now, p, validFigures(p, u), older)
 		return
 	}
 	known := p.incarnation == u.Incarnation && p.sequence == u.Sequence && u.Sequence != 0 && len(p.assumed) == 0
