Quotas: a workspace that is listed again has the charges of its window

Cause: its bucket began anew, so a second bound fitted into the window, and peers took the smaller figure of its charges for refunds. Change: a dropped bucket is kept for a window; a figure that falls begins at 0 again. A node that doesn't say what it refunds isn't credited with refunds.

--- a/internal/quota/bounded.go
+++ b/internal/quota/bounded.go
@@ -114,6 +114,7 @@
 // charged under the old one leaves the window meanwhile, and nothing binds the window that it was changed in.
 func (q *Quotas) setWindowLimit(now time.Time, name string, b *bucket, l Limit) {
 	at := q.offset(now)
+	b.dropped = false
 	if b.w == nil {
 		b.w = &windowed{all: newLedger(q.bound.Window, at), own: newLedger(q.bound.Window, at), ownAsked: newLedger(q.bound.Window, at), calls: newLedger(q.bound.Window, at)}
 		b.w.squares, b.w.sizes = usualSamples*usualSize*usualSize, usualSamples*usualSize
@@ -326,15 +327,28 @@
 			continue
 		}
 		v, says := u.Uses[n]
-		refunded := v.Refunded - p.refunds[n].Refunded
-		x += refunded - p.charged[n]
+		last, before := p.charged[n], p.refunds[n].Refunded
+		if !says {
+			v.Refunded = before
+		}
+		if x+v.Refunded < last+before || v.Refunded < before {
+			if !says && x > last/2 {
+				continue // a refund of a node that doesn't say when it refunds
+			}
+			last, before = 0, 0 // it was dropped and listed again
+		}
+		refunded := v.Refunded - before
+		x += refunded - last
 		if says && v.Recent >= 0 {
 			x = min(x, v.Recent+refunded) // the rest has left the window
 		}
 		b.w.all.spread(from, to, x)
 		b.w.all.removeOldest(refunded)
 	}
-	p.charged, p.refunds = u.Charged, u.Uses
+	p.charged = u.Charged
+	if u.Uses != nil {
+		p.refunds = u.Uses
+	}
 }
 
 // coverLost takes it that a process that was replaced went on to charge, unheard, as it did in the window before. startedAt
@@ -461,6 +475,11 @@
 
 // startWindowRound determines which nodes aren't heard. What one of them was asked for no longer counts: it has its part.
 func (q *Quotas) startWindowRound(now time.Time, timeout, lag time.Duration) {
+	for n, b := range q.buckets {
+		if b.dropped {
+			q.drop(now, n, b)
+		}
+	}
 	q.lag, q.lostTime = lag, timeout
 	counts := make(map[time.Duration]float64)
 	grace := q.startFull && now.Sub(q.startedAt) < firstStartGrace
--- a/internal/quota/bounded_test.go
+++ b/internal/quota/bounded_test.go
@@ -345,3 +345,41 @@
 	q.Refund(now, "w", 4000, start)
 	assert.InDelta(t, 5000, q.buckets["w"].w.all.total(q.offset(now)), 1e-6)
 }
+
+// TestWorkspaceListedAgain: a workspace that is dropped and listed again has the charges of its window, at a node and at its
+// peers.
+func TestWorkspaceListedAgain(t *testing.T) {
+	limits := map[string]Limit{"w": {Rate: 29_000, Burst: 29_000}}
+	a, b := New(start, true), New(start, true)
+	for i, q := range []*Quotas{a, b} {
+		q.SetBound(operators, half)
+		q.SetLimits(start, limits)
+		q.SetPeers(start, []string{[]string{"b", "a"}[i]})
+	}
+	hear := func(now time.Time) {
+		a.ApplyUpdate(now, Update{Node: "b", Incarnation: "i", Uptime: now.Sub(start), Charged: b.Charged(), Uses: b.Uses(now)})
+	}
+	total := func(q *Quotas, now time.Time) float64 { return q.buckets["w"].w.all.total(q.offset(now)) }
+	now := start.Add(time.Second)
+	for range 20 {
+		assert.True(t, a.Charge(now, "w", 1000).Allowed)
+		assert.True(t, b.Charge(now, "w", 1000).Allowed)
+	}
+	hear(now)
+	for _, q := range []*Quotas{a, b} {
+		q.SetLimits(now, nil)
+		assert.True(t, q.Charge(now, "w", 1e9).Allowed, "it has no limit")
+		q.SetLimits(now.Add(time.Second), limits)
+	}
+	now = now.Add(time.Second)
+	hear(now)
+	assert.InDelta(t, 40_000, total(a, now), 1)
+	assert.InDelta(t, 20_000, total(b, now), 1)
+	b.buckets["w"].charged, b.buckets["w"].w.refunded = 3000, 0 // it was dropped for longer
+	now = now.Add(time.Second)
+	hear(now)
+	assert.InDelta(t, 43_000, total(a, now), 1)
+	a.SetLimits(now, nil)
+	a.StartRound(now.Add(20*time.Second), 250*time.Millisecond, 0)
+	assert.Empty(t, a.buckets)
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -97,6 +97,8 @@
 	initialLevel float64   // its level then
 	overflow     float64   // refill that found the bucket full and has not been credited against late reports
 	w            *windowed // nil: there is no bound
+	dropped      bool      // its workspace is no longer listed, under a bound
+	droppedAt    time.Time
 }
 
 // Quotas holds the buckets of all workspaces at one node. It isn't safe for concurrent use.
@@ -164,13 +166,24 @@
 		b.limit = l
 		b.level = min(b.level, l.Burst)
 	}
-	for n := range q.buckets {
+	for n, b := range q.buckets {
 		if _, ok := limits[n]; !ok {
-			delete(q.buckets, n)
+			q.drop(now, n, b)
 		}
 	}
 }
 
+// drop removes the bucket of a workspace that is no longer listed. Under a bound it is kept for a window, as the workspace
+// may be listed again.
+func (q *Quotas) drop(now time.Time, name string, b *bucket) {
+	switch {
+	case b.w != nil && !b.dropped:
+		b.dropped, b.droppedAt = true, now
+	case b.w == nil || now.Sub(b.droppedAt) > q.bound.Window+q.bound.Window/ledgerSlots:
+		delete(q.buckets, name)
+	}
+}
+
 func (q *Quotas) refill(now time.Time, b *bucket) {
 	d := now.Sub(b.updated).Seconds()
 	if d <= 0 {
@@ -244,7 +257,7 @@
 // Charge takes tokens from a workspace's quota if they are available.
 func (q *Quotas) Charge(now time.Time, workspace string, tokens float64) Verdict {
 	b := q.buckets[workspace]
-	if b == nil || b.limit.Rate <= 0 {
+	if b == nil || b.dropped || b.limit.Rate <= 0 {
 		return Verdict{Allowed: true}
 	}
 	if b.w != nil {
--- a/internal/quota/restore.go
+++ b/internal/quota/restore.go
@@ -24,7 +24,7 @@
 func (q *Quotas) Levels(now time.Time) map[string]Level {
 	r := make(map[string]Level, len(q.buckets))
 	for n, b := range q.buckets {
-		if b.limit.Rate <= 0 {
+		if b.dropped || b.limit.Rate <= 0 {
 			continue
 		}
 		if b.w != nil {
