Quotas: a lowered limit takes effect a window after it was lowered, whatever follows

Cause: each configuration in force, also with the same limits, began the lowering anew. Change: the same limit changes nothing; a second lower one keeps the end of the first.

--- a/internal/quota/bounded.go
+++ b/internal/quota/bounded.go
@@ -111,7 +111,8 @@
 func (q *Quotas) offset(t time.Time) time.Duration { return t.Sub(q.startedAt) }
 
 // setWindowLimit puts a bucket's limit in force. A lower one takes effect little by little over a window: what was
-// charged under the old one leaves the window meanwhile, and nothing binds the window that it was changed in.
+// charged under the old one leaves the window meanwhile, and nothing binds the window that it was changed in. A second one
+// within that window takes effect at the end of the first.
 func (q *Quotas) setWindowLimit(now time.Time, name string, b *bucket, l Limit) {
 	at := q.offset(now)
 	b.dropped = false
@@ -123,8 +124,16 @@
 		q.fillHistory(now, name, b)
 		return
 	}
+	if l == b.limit {
+		return
+	}
 	old, next := q.boundTokens(at, b), q.bound.tokens(l)
+	left := q.bound.Window - (at - b.w.loweredAt)
 	b.limit = l
+	if b.w.lowered > 0 && left > 0 { // the first lowering keeps its end
+		b.w.lowered = max(0, old-next) * q.bound.Window.Seconds() / left.Seconds()
+		return
+	}
 	b.w.lowered, b.w.loweredAt = max(0, old-next), at
 }
 
--- a/internal/quota/bounded_test.go
+++ b/internal/quota/bounded_test.go
@@ -383,3 +383,23 @@
 	a.StartRound(now.Add(20*time.Second), 250*time.Millisecond, 0)
 	assert.Empty(t, a.buckets)
 }
+
+// TestLoweredAgain: neither the same limit again nor a second lower one puts off the end of the first lowering.
+func TestLoweredAgain(t *testing.T) {
+	limit := func(x float64) map[string]Limit { return map[string]Limit{"w": {Rate: x, Burst: x}} }
+	q := New(start, true)
+	q.SetBound(operators, half)
+	q.SetLimits(start, limit(100_000))
+	at := func(d time.Duration) float64 { return q.boundTokens(d, q.buckets["w"]) }
+	high, low, lower := at(0), bound(limit(50_000)["w"]), bound(limit(40_000)["w"])
+	for d := time.Duration(0); d <= 4*time.Second; d += time.Second {
+		q.SetLimits(start.Add(d), limit(50_000))
+	}
+	assert.InDelta(t, (high+low)/2, at(4*time.Second), 1)
+	q.SetLimits(start.Add(4*time.Second), limit(40_000))
+	assert.InDelta(t, (high+low)/2, at(4*time.Second), 1)
+	assert.InDelta(t, ((high+low)/2+lower)/2, at(6*time.Second), 1)
+	assert.InDelta(t, lower, at(8*time.Second), 1)
+	q.SetLimits(start.Add(9*time.Second), limit(30_000))
+	assert.InDelta(t, lower, at(9*time.Second), 1, "a later one has its own window")
+}
