Quotas: a restarted node assumes the bound for nodes that were replaced or say nothing

Cause: the first older node's report dropped the whole assumption, and levels that came from the store after it were passed over. Change: each older node that says what it charged lately takes its part off the assumption; stored levels take the place of both whenever they come.

--- a/internal/quota/bounded.go
+++ b/internal/quota/bounded.go
@@ -88,8 +88,9 @@
 	count              float64
 	lowered            float64 // by how much the limit was lowered
 	loweredAt          time.Duration
-	learns             bool    // the past from what peers say
 	unknown            float64 // assumed to have been charged before this process started
+	learned            *ledger // of all, what older processes say of the time before; nil: nothing
+	restored           bool    // all has what was stored
 }
 
 // silentPeers counts the nodes that were last heard at a time.
@@ -301,9 +302,8 @@
 		hidden := time.Duration(relayedDelay * float64(q.lag))
 		q.applyWindowCharges(q.offset(from)-hidden, q.offset(p.lastSeen)-hidden, p, u)
 	}
-	q.learnHistory(now, u)
 	if older {
-		q.learnRecent(now, u)
+		q.learnHistory(now, u)
 	}
 }
 
@@ -527,61 +527,61 @@
 		q.fillRestored(at, b, r)
 		return
 	}
-	b.w.unknown = q.bound.tokens(b.limit)
-	if q.historyLives {
-		q.spreadUnknown(b)
-		b.w.unknown = 0
-		return
-	}
+	b.w.unknown = q.bound.tokens(b.limit) * (1 - float64(q.learnedFrom)/q.nodes())
 	b.w.all.add(0, b.w.unknown)
 }
 
-// learnHistory takes notice of a node that has run for a window longer than this process. Then the others have gone on
-// meanwhile, see what this node charges, and say what they charged lately. If they don't say, that is taken to leave the
-// window evenly.
+// learnHistory takes notice of a node that has run for a window longer than this process: it says what it charged lately.
+// Its part of the bound is no longer assumed to have been charged at the start of this process. That of nodes that were
+// replaced, this one among them, and of those that don't say, still is.
 func (q *Quotas) learnHistory(now time.Time, u Update) {
-	if q.startFull || q.historyLives || u.Uptime-now.Sub(q.startedAt) < q.bound.Window {
+	if q.startFull || now.Sub(q.startedAt) > q.bound.Window || u.Uses == nil && len(u.Charged) > 0 {
 		return
 	}
-	q.historyLives = true
-	for _, b := range q.buckets {
-		if b.w == nil || b.w.unknown == 0 {
-			continue
-		}
-		q.takeBack(now, b)
-		if b.w.learns = u.Uses != nil || len(u.Charged) == 0; !b.w.learns {
-			q.spreadUnknown(b)
+	at := q.offset(now)
+	if u.Uptime-at < q.bound.Window {
+		return
+	}
+	q.learnedFrom++
+	for n, b := range q.buckets {
+		if v := u.Uses[n]; b.w != nil && !b.w.restored && v.Recent > 0 {
+			q.learnRecent(at, b, v.Recent)
 		}
-		b.w.unknown = 0
 	}
+	q.assumeUnknown(at)
 }
 
 // learnRecent takes in what an older process says it charged in the window before this one heard of it.
-func (q *Quotas) learnRecent(now time.Time, u Update) {
-	at := q.offset(now)
-	for n, v := range u.Uses {
-		if b := q.buckets[n]; b != nil && b.w != nil && b.w.learns && isTokens(v.Recent) {
-			b.w.all.spread(at-q.bound.Window, at, v.Recent)
-		}
+func (q *Quotas) learnRecent(at time.Duration, b *bucket, tokens float64) {
+	if b.w.learned == nil {
+		b.w.learned = newLedger(q.bound.Window, at)
 	}
+	b.w.learned.spread(at-q.bound.Window, at, tokens)
+	b.w.all.spread(at-q.bound.Window, at, tokens)
 }
 
-// takeBack removes what is assumed to have been charged at the start of the process.
-func (q *Quotas) takeBack(now time.Time, b *bucket) {
-	b.w.all.advance(q.offset(now))
-	if b.w.all.newest < ledgerSize {
-		*b.w.all.at(0) -= b.w.unknown
-		b.w.all.sum -= b.w.unknown
+// assumeUnknown assumes the bound for the nodes that weren't learned from only.
+func (q *Quotas) assumeUnknown(at time.Duration) {
+	if q.startFull || q.learnedFrom == 0 || at > q.bound.Window {
+		return
+	}
+	part := max(0, 1-float64(q.learnedFrom)/q.nodes())
+	for _, b := range q.buckets {
+		if b.w == nil || b.w.unknown == 0 {
+			continue
+		}
+		next := q.bound.tokens(b.limit) * part
+		b.w.all.advance(at)
+		b.w.all.removeAt(0, b.w.unknown-next)
+		b.w.all.add(0, max(0, next-b.w.unknown))
+		b.w.unknown = next
 	}
-}
-
-func (q *Quotas) spreadUnknown(b *bucket) {
-	b.w.all.spread(-q.bound.Window, 0, b.w.unknown)
 }
 
 // fillRestored fills a bucket with what was stored. Use went on until the levels would have been stored again, and may have
 // grown.
 func (q *Quotas) fillRestored(at time.Duration, b *bucket, r restoredLevel) {
+	b.w.restored = true
 	stored := q.offset(r.at)
 	if r.charged == nil {
 		b.w.all.add(stored, max(0, q.bound.tokens(b.limit)-r.level))
@@ -616,13 +616,18 @@
 	return r
 }
 
-// restoreWindow continues from what was stored of a workspace, unless this process has learned of its past otherwise.
+// restoreWindow continues from what was stored of a workspace, in place of what this process has learned of its past.
 func (q *Quotas) restoreWindow(now time.Time, name string) {
 	b := q.buckets[name]
-	if b == nil || b.w == nil || b.w.unknown == 0 {
+	if b == nil || b.w == nil || b.w.restored {
 		return
 	}
-	q.takeBack(now, b)
-	b.w.unknown = 0
-	q.fillRestored(q.offset(now), b, q.restored[name])
+	at := q.offset(now)
+	b.w.all.advance(at)
+	b.w.all.removeAt(0, b.w.unknown)
+	if b.w.learned != nil {
+		b.w.all.subtract(at, b.w.learned)
+	}
+	b.w.unknown, b.w.learned = 0, nil
+	q.fillRestored(at, b, q.restored[name])
 }
--- a/internal/quota/bounded_test.go
+++ b/internal/quota/bounded_test.go
@@ -135,8 +135,16 @@
 	q.SetPeers(start, []string{"b"})
 	now := start.Add(100 * time.Millisecond)
 	q.ApplyUpdate(now, Update{Node: "b", Incarnation: "i", Sequence: 1, Uptime: time.Minute, Charged: map[string]float64{"w": 9e6}, Uses: map[string]Use{"w": {Asked: 9e6, Recent: 50_000}}})
-	assert.InDelta(t, 50_000, q.buckets["w"].w.all.total(q.offset(now)), 1000)
+	total := func() float64 { return q.buckets["w"].w.all.total(q.offset(now)) }
+	all := bound(Limit{Rate: 29_000, Burst: 29_000})
+	assert.InDelta(t, 50_000+all/2, total(), 1000, "this node's part isn't known")
 	assert.True(t, q.Charge(now, "w", 5000).Allowed)
+	q.SetPeers(now, []string{"b", "c", "d"})
+	assert.InDelta(t, 55_000+all*3/4, total(), 1000, "nor that of replaced nodes")
+	parts := make([]float64, storedParts)
+	parts[storedParts-1] = 70_000
+	q.Restore(now, 200*time.Millisecond, 500*time.Millisecond, map[string]Level{"w": {Level: all - 70_000, Charged: parts}})
+	assert.InDelta(t, 75_000+restartReserve*all, total(), 1000, "what was stored wins")
 }
 
 // TestFiguresOfFaultyPeers: what isn't a number of tokens is passed over.
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -104,7 +104,7 @@
 		return 0
 	}
 	p := l.at(slot)
-	x := min(*p, tokens)
+	x := min(*p, max(0, tokens))
 	*p -= x
 	l.sum -= x
 	return x
@@ -122,6 +122,17 @@
 	}
 }
 
+// subtract takes away what another ledger of the same slots has.
+func (l *ledger) subtract(at time.Duration, o *ledger) {
+	l.advance(at)
+	o.advance(at)
+	for s := l.newest - ledgerSlots; s <= l.newest; s++ {
+		x := min(*l.at(s), *o.at(s))
+		*l.at(s) -= x
+		l.sum -= x
+	}
+}
+
 // last returns what was charged in the time d before now.
 func (l *ledger) last(at, d time.Duration) float64 {
 	l.advance(at)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -124,7 +124,7 @@
 	silent         []silentPeers
 	silentCount    float64
 	unlistedSilent int       // nodes that were silent when they were no longer listed, under a bound
-	historyLives   bool      // another node has run for a window longer
+	learnedFrom    int       // nodes that have run for a window longer and said what they charged in it
 	unheardAt      time.Time // when unheardFor was determined
 	unheardFor     time.Duration
 }
@@ -406,6 +406,7 @@
 			}
 		}
 	}
+	q.assumeUnknown(q.offset(now))
 	for n, p := range q.removed {
 		if now.Sub(p.lastSeen) > removedPeerTTL {
 			delete(q.removed, n)
