Quotas: use goes on from when levels were stored, to the bound

Cause: half a second of use was assumed since, while levels are written every 3 s where little changes and are taken up to 6 s old. Change: use for the whole age, at most what is left of the bound.

--- a/internal/quota/bounded.go
+++ b/internal/quota/bounded.go
@@ -578,8 +578,7 @@
 	}
 }
 
-// fillRestored fills a bucket with what was stored. Use went on until the levels would have been stored again, and may have
-// grown.
+// fillRestored fills a bucket with what was stored. Use went on since, at most to the bound, and may have grown.
 func (q *Quotas) fillRestored(at time.Duration, b *bucket, r restoredLevel) {
 	b.w.restored = true
 	stored := q.offset(r.at)
@@ -590,7 +589,8 @@
 		end := stored - time.Duration(len(r.charged)-1-i)*q.bound.Window/storedParts
 		b.w.all.spread(end-q.bound.Window/storedParts, end, x)
 	}
-	b.w.all.spread(stored, min(at, stored+r.every), r.use*min(at-stored, r.every).Seconds())
+	free := max(0, q.bound.tokens(b.limit)-b.w.all.total(at))
+	b.w.all.spread(stored, at, min(free, r.use*(at-stored).Seconds()))
 	b.w.all.add(at, restartReserve*q.bound.tokens(b.limit))
 }
 
--- a/internal/quota/bounded_test.go
+++ b/internal/quota/bounded_test.go
@@ -411,3 +411,16 @@
 	q.SetLimits(start.Add(9*time.Second), limit(30_000))
 	assert.InDelta(t, lower, at(9*time.Second), 1, "a later one has its own window")
 }
+
+// TestUseSinceLevelsWereStored: levels may be seconds old, as they aren't stored again while little changes. Use went on.
+func TestUseSinceLevelsWereStored(t *testing.T) {
+	for _, v := range []struct{ use, want float64 }{{10_000, 50_000}, {1e6, bound(Limit{Rate: 29_000, Burst: 29_000})}} {
+		q := New(start, false)
+		q.SetBound(operators, half)
+		q.SetLimits(start, map[string]Limit{"w": {Rate: 29_000, Burst: 29_000}})
+		q.SetPeers(start, nil)
+		assert.True(t, q.Restore(start, 5*time.Second, 500*time.Millisecond, map[string]Level{"w": {Use: v.use, Charged: make([]float64, storedParts)}}))
+		all := bound(Limit{Rate: 29_000, Burst: 29_000})
+		assert.InDelta(t, v.want+restartReserve*all, q.buckets["w"].w.all.total(0), 1)
+	}
+}
--- a/internal/quota/restore.go
+++ b/internal/quota/restore.go
@@ -43,7 +43,6 @@
 	at      time.Time
 	charged []float64 // under a bound
 	use     float64
-	every   time.Duration // between two records of levels
 }
 
 // Restore applies stored levels of the given age, which are stored at the interval every, and reports
@@ -55,7 +54,7 @@
 	}
 	q.restored = make(map[string]restoredLevel, len(levels))
 	for n, l := range levels {
-		q.restored[n] = restoredLevel{level: l.Level - l.Use*min(age, every).Seconds(), at: now.Add(-age), charged: l.Charged, use: l.Use, every: every}
+		q.restored[n] = restoredLevel{level: l.Level - l.Use*min(age, every).Seconds(), at: now.Add(-age), charged: l.Charged, use: l.Use}
 		if q.bounded() {
 			q.restoreWindow(now, n)
 			continue
