Quotas: short waits are spread; suspended processes, planned leavers and builds without demand

Cause: callers told a short wait came back together. A relay of the build before left out what a node was asked for, and all that it was ever asked for then counted as new. A process that was suspended took the others for heard until its next round. A node that stopped as planned kept its part for three windows, as it is silent some seconds before it is unlisted. Change: the draw adds to the least wait; a first figure of what a known node was asked for is a base, and a report without keeps the last; a charge after the last round is too old begins one; reports say that a node leaves, and a silent leaver has no part.

--- a/internal/quota/bounded.go
+++ b/internal/quota/bounded.go
@@ -43,7 +43,7 @@
 	usualSize, usualSamples = 5000.0, 20.0
 	// restartReserve is the part of the bound that a restarted process takes as used, beyond what was stored.
 	restartReserve = 0.1
-	// minRetry and maxRetry bound the time that a refused caller is told to wait: one that is told more won't return.
+	// minRetry and maxRetry bound the time from which a refused caller's wait is drawn: one that is told more won't return.
 	minRetry, maxRetry = 100 * time.Millisecond, 1200 * time.Millisecond
 	// spendTime is the time in which demand above it takes up the room that is free beyond what comes free meanwhile: a
 	// rush goes on for seconds, and the window that follows it as well.
@@ -204,6 +204,9 @@
 		w.sizes /= 2
 		w.count /= 2
 	}
+	if q.lostTime > 0 && now.Sub(q.roundStart) > q.lostTime { // this process was suspended
+		q.startWindowRound(now, q.lostTime, q.lag)
+	}
 	unheard := q.unheard(now)
 	reserved := q.reserve(b, unheard)
 	limit := q.boundTokens(at, b) - reserved
@@ -264,10 +267,10 @@
 	return max(0, n-1) * mean / min(1, share)
 }
 
-// retryWait spreads the returns of refused callers around the time at which there will be room.
+// retryWait spreads the returns of refused callers, also those that have short to wait, around the time at which there will be room.
 func (q *Quotas) retryWait(free time.Duration) time.Duration {
 	d := min(max(free, minRetry), maxRetry)
-	return max(minRetry, time.Duration((0.5+q.draw())*float64(d)))
+	return minRetry + time.Duration(q.draw()*float64(d))
 }
 
 // refundWindow takes a charge back from the time when it was made. One that has left the window is no one's any more.
@@ -295,6 +298,7 @@
 		from = p.startedAt
 	}
 	q.hear(to, p)
+	p.leaving = u.Leaving
 	known := p.sequence == u.Sequence && u.Sequence != 0
 	p.sequence = u.Sequence
 	q.applyAsked(p, u, !known)
@@ -394,9 +398,15 @@
 		}
 	}
 	for n, v := range u.Uses {
-		q.addDemand(p, n, v.Asked-p.uses[n].Asked, d, keep)
+		last, known := p.uses[n]
+		if !known && p.charged[n] > 0 {
+			continue // the first figure of what it was asked for, of a time that isn't known
+		}
+		q.addDemand(p, n, v.Asked-last.Asked, d, keep)
+	}
+	if u.Uses != nil {
+		p.uses = u.Uses
 	}
-	p.uses = u.Uses
 }
 
 // addDemand adds what a peer was asked for in the d seconds since its last report.
@@ -489,7 +499,7 @@
 			q.drop(now, n, b)
 		}
 	}
-	q.lag, q.lostTime = lag, timeout
+	q.lag, q.lostTime, q.roundStart = lag, timeout, now
 	counts := make(map[time.Duration]float64)
 	grace := q.startFull && now.Sub(q.startedAt) < firstStartGrace
 	step := q.bound.Window / ledgerSlots
@@ -499,12 +509,14 @@
 				p.unresponsive = true
 				q.addRecent(p, -1)
 			}
-			counts[max(q.offset(p.lastSeen), q.offset(now)-q.bound.Window-step).Truncate(step)]++
+			if !p.leaving {
+				counts[max(q.offset(p.lastSeen), q.offset(now)-q.bound.Window-step).Truncate(step)]++
+			}
 		}
 	}
 	q.unlistedSilent = 0
 	for _, p := range q.removed {
-		if p.unresponsive && now.Sub(p.lastSeen) < unlistedWindows*q.bound.Window {
+		if p.unresponsive && !p.leaving && now.Sub(p.lastSeen) < unlistedWindows*q.bound.Window {
 			q.unlistedSilent++
 			counts[max(q.offset(p.lastSeen), q.offset(now)-q.bound.Window-step).Truncate(step)]++
 		}
--- a/internal/quota/bounded_test.go
+++ b/internal/quota/bounded_test.go
@@ -424,3 +424,75 @@
 		assert.InDelta(t, v.want+restartReserve*all, q.buckets["w"].w.all.total(0), 1)
 	}
 }
+
+// TestSpreadOfShortWaits: callers that have short to wait don't come back together.
+func TestSpreadOfShortWaits(t *testing.T) {
+	draw := 0.0
+	q := New(start, true)
+	q.SetBound(operators, func() float64 { return draw })
+	var waits []time.Duration
+	for _, draw = range []float64{0, 0.25, 0.5, 0.75} {
+		waits = append(waits, q.retryWait(0))
+	}
+	assert.Equal(t, []time.Duration{100 * time.Millisecond, 125 * time.Millisecond, 150 * time.Millisecond, 175 * time.Millisecond}, waits)
+}
+
+// TestDemandBesideAnOlderBuild: a relay of the build before leaves out what a node was asked for. The next report that has it
+// doesn't count all that the node was ever asked for as new.
+func TestDemandBesideAnOlderBuild(t *testing.T) {
+	q := New(start, true)
+	q.SetBound(operators, half)
+	q.SetLimits(start, map[string]Limit{"w": {Rate: 29_000, Burst: 29_000}})
+	q.SetPeers(start, []string{"b"})
+	report := func(i int, uses map[string]Use) float64 {
+		now := start.Add(time.Duration(i) * 500 * time.Millisecond)
+		q.ApplyUpdate(now, Update{Node: "b", Incarnation: "i", Sequence: uint64(i), Uptime: time.Minute, Charged: map[string]float64{"w": 1e6}, Uses: uses})
+		return q.buckets["w"].peersRecent
+	}
+	asked := func(x float64) map[string]Use { return map[string]Use{"w": {Asked: x}} }
+	report(1, nil)
+	base := report(2, nil)
+	assert.LessOrEqual(t, report(3, asked(2e6)), base, "the first figure")
+	report(4, nil)
+	assert.Less(t, report(5, asked(2e6+1000)), base+1000)
+}
+
+// TestSuspendedProcess: a process that goes on after it was suspended doesn't take the others for heard.
+func TestSuspendedProcess(t *testing.T) {
+	q := New(start, true)
+	q.SetBound(operators, half)
+	q.SetLimits(start, map[string]Limit{"w": {Rate: 29_000, Burst: 29_000}})
+	q.SetPeers(start, []string{"b", "c", "d"})
+	now := start.Add(5 * time.Second)
+	for _, n := range []string{"b", "c", "d"} {
+		q.ApplyUpdate(now, Update{Node: n, Incarnation: "i", Sequence: 1, Uptime: 5 * time.Second})
+	}
+	q.StartRound(now, 250*time.Millisecond, 0)
+	v := q.Charge(now.Add(20*time.Second), "w", 1000)
+	assert.Greater(t, v.Reserved, 0.7*bound(Limit{Rate: 29_000, Burst: 29_000}), "three of four parts")
+}
+
+// TestLeaverHasNoPart: a node that says that it leaves and isn't heard any more has stopped.
+func TestLeaverHasNoPart(t *testing.T) {
+	for _, leaving := range []bool{false, true} {
+		q := New(start, true)
+		q.SetBound(operators, half)
+		q.SetLimits(start, map[string]Limit{"w": {Rate: 29_000, Burst: 29_000}})
+		q.SetPeers(start, []string{"b"})
+		now := start.Add(5 * time.Second)
+		q.ApplyUpdate(now, Update{Node: "b", Incarnation: "i", Sequence: 1, Uptime: 5 * time.Second, Charged: map[string]float64{"w": 700}, Leaving: leaving})
+		silent := func(d time.Duration) float64 {
+			q.StartRound(now.Add(d), 250*time.Millisecond, 0)
+			return q.silentCount
+		}
+		assert.Zero(t, silent(0))
+		want := 1.0
+		if leaving {
+			want = 0
+		}
+		assert.Equal(t, want, silent(2*time.Second), "leaving: %v", leaving)
+		q.SetPeers(now.Add(4*time.Second), nil)
+		assert.Equal(t, want, silent(4*time.Second), "leaving: %v", leaving)
+		assert.InDelta(t, 700, q.buckets["w"].w.all.total(9*time.Second), 1, "its last charges stay")
+	}
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -72,6 +72,7 @@
 	sequence     uint64    // of its last report
 	lastSeen     time.Time
 	unresponsive bool
+	leaving      bool // it said that it stops as planned: once silent, it charges nothing
 	charged      map[string]float64 // as last reported by that incarnation
 	assumed      []float64          // deducted while it did not report, by bucket.index; nil: nothing
 	recent       map[string]float64 // of the workspaces that it used recently
@@ -444,6 +445,7 @@
 	Age         time.Duration // since the node's report to this node, or to the one that forwards the update
 	Charged     map[string]float64
 	Uses        map[string]Use // nil: the node doesn't say
+	Leaving     bool           // the node is stopping as planned
 }
 
 // ApplyUpdate applies another node's update. Updates of a process that has been replaced by a newer one
