Quotas: a relay's word of a node may be later than the node's last report

Cause: a relay gives the age of its own nodes' reports as 0 for a second after the last one. A node that was cut off was taken to know what had been charged until then, and its part was reckoned from too little room. Change: reports by relay say for how long it vouches; a silent node's part is reckoned from that much earlier. The play's relays vouch as well.

--- a/internal/quota/bounded.go
+++ b/internal/quota/bounded.go
@@ -287,7 +287,7 @@
 // applyWindow applies a peer's report: what it has charged since its last one was charged in between.
 func (q *Quotas) applyWindow(now time.Time, p *peer, u Update, older bool) {
 	if u.Sequence != 0 && u.Sequence < p.sequence { // it took a longer path
-		q.Heard(now, u.Node, u.Incarnation, u.Age)
+		q.Heard(now, u.Node, u.Incarnation, u.Age, u.Vouched)
 		return
 	}
 	from, to := p.lastSeen, now.Add(-u.Age)
@@ -297,7 +297,7 @@
 	if p.startedAt.After(from) {
 		from = p.startedAt
 	}
-	q.hear(to, p)
+	q.hear(to, p, u.Vouched)
 	p.leaving = u.Leaving
 	known := p.sequence == u.Sequence && u.Sequence != 0
 	p.sequence = u.Sequence
@@ -312,9 +312,9 @@
 }
 
 // hear records that a peer was there at a time.
-func (q *Quotas) hear(at time.Time, p *peer) {
+func (q *Quotas) hear(at time.Time, p *peer, vouched time.Duration) {
 	if at.After(p.lastSeen) {
-		p.lastSeen = at
+		p.lastSeen, p.vouched = at, vouched
 	}
 	if p.unresponsive {
 		p.unresponsive = false
@@ -324,12 +324,12 @@
 
 // Heard records that a process was heard of, without more news than this node has. A relay's word of a node that does
 // nothing is as old as its last change, while a report of the node itself is newer. It has an effect under a bound only.
-func (q *Quotas) Heard(now time.Time, node, incarnation string, age time.Duration) {
+func (q *Quotas) Heard(now time.Time, node, incarnation string, age, vouched time.Duration) {
 	p := q.peers[node]
 	if !q.bounded() || p == nil || p.incarnation != incarnation {
 		return
 	}
-	q.hear(now.Add(-age), p)
+	q.hear(now.Add(-age), p, vouched)
 	q.applyAsked(p, Update{}, false)
 }
 
@@ -367,7 +367,7 @@
 // coverLost takes it that a process that was replaced went on to charge, unheard, as it did in the window before. startedAt
 // is the start of the new one.
 func (q *Quotas) coverLost(p *peer, startedAt time.Time) {
-	d := min(startedAt.Sub(p.lastSeen), q.lostTime)
+	d := min(startedAt.Sub(p.lastSeen)+p.vouched, q.lostTime)
 	if !q.bounded() || d <= 0 {
 		return
 	}
@@ -502,7 +502,6 @@
 	q.lag, q.lostTime, q.roundStart = lag, timeout, now
 	counts := make(map[time.Duration]float64)
 	grace := q.startFull && now.Sub(q.startedAt) < firstStartGrace
-	step := q.bound.Window / ledgerSlots
 	for _, p := range q.peers {
 		if silent := now.Sub(p.lastSeen) > timeout && !grace; silent {
 			if !p.unresponsive {
@@ -510,7 +509,7 @@
 				q.addRecent(p, -1)
 			}
 			if !p.leaving {
-				counts[max(q.offset(p.lastSeen), q.offset(now)-q.bound.Window-step).Truncate(step)]++
+				counts[q.lastReport(now, p)]++
 			}
 		}
 	}
@@ -518,7 +517,7 @@
 	for _, p := range q.removed {
 		if p.unresponsive && !p.leaving && now.Sub(p.lastSeen) < unlistedWindows*q.bound.Window {
 			q.unlistedSilent++
-			counts[max(q.offset(p.lastSeen), q.offset(now)-q.bound.Window-step).Truncate(step)]++
+			counts[q.lastReport(now, p)]++
 		}
 	}
 	q.silent, q.silentCount = q.silent[:0], 0
@@ -528,6 +527,13 @@
 	}
 }
 
+// lastReport returns when a silent peer may have reported last, to a slot. It's no longer ago than a window.
+func (q *Quotas) lastReport(now time.Time, p *peer) time.Duration {
+	step := q.bound.Window / ledgerSlots
+	at := q.offset(p.lastSeen) - p.vouched
+	return max(at, q.offset(now)-q.bound.Window-step).Truncate(step)
+}
+
 // fillHistory fills a new bucket with what was charged before this process could know, as far as that is stored. Else
 // all of the bound may have been charged a moment ago.
 func (q *Quotas) fillHistory(now time.Time, name string, b *bucket) {
--- a/internal/quota/bounded_test.go
+++ b/internal/quota/bounded_test.go
@@ -236,7 +236,7 @@
 	assert.Positive(t, q.buckets["w"].peersRecent)
 	for at := time.Second; at < 12*time.Second; at += 250 * time.Millisecond {
 		now := start.Add(at)
-		q.Heard(now, "a", "i", 100*time.Millisecond)
+		q.Heard(now, "a", "i", 100*time.Millisecond, 0)
 		q.StartRound(now, 500*time.Millisecond, 750*time.Millisecond)
 		assert.Zero(t, q.silentCount)
 	}
@@ -496,3 +496,23 @@
 		assert.InDelta(t, 700, q.buckets["w"].w.all.total(9*time.Second), 1, "its last charges stay")
 	}
 }
+
+// TestRelayVouchesForASilentNode: what this node knew when it last heard of a node through a relay is what the node may have
+// known when it reported last.
+func TestRelayVouchesForASilentNode(t *testing.T) {
+	for _, vouched := range []time.Duration{0, time.Second} {
+		q := New(start, true)
+		q.SetBound(operators, half)
+		q.SetLimits(start, map[string]Limit{"w": {Rate: 29_000, Burst: 29_000}})
+		q.SetPeers(start, []string{"b"})
+		assert.True(t, q.Charge(start.Add(4500*time.Millisecond), "w", 1000).Allowed)
+		now := start.Add(5 * time.Second)
+		q.ApplyUpdate(now, Update{Node: "b", Incarnation: "i", Sequence: 1, Uptime: 5 * time.Second, Vouched: vouched})
+		q.StartRound(now.Add(2*time.Second), 250*time.Millisecond, 0)
+		want := 5000.0 // half of the room with that charge
+		if vouched == 0 {
+			want = 4500
+		}
+		assert.InDelta(t, want, q.silentReserve(7*time.Second, q.buckets["w"], 10_000), 1, "vouched for: %v", vouched)
+	}
+}
--- a/internal/quota/play_test.go
+++ b/internal/quota/play_test.go
@@ -189,6 +189,8 @@
 		for j := range p.nodes {
 			if j != i && (p.cut == nil || p.cut(at, i) == p.cut(at, j)) {
 				p.apply(now, i, j)
+			} else if j != i && p.nodes > 13 {
+				p.vouch(now, i, j)
 			}
 		}
 	}
@@ -222,10 +224,27 @@
 	}
 	p.q[i].ApplyUpdate(now, Update{
 		Node: p.names[j], Incarnation: s.incarnation, Sequence: s.sequence, Uptime: now.Sub(s.startedAt),
-		Age: min(now.Sub(s.at), time.Duration(back)*playRound/2), Charged: s.charged, Uses: s.uses,
+		Age: min(now.Sub(s.at), time.Duration(back)*playRound/2), Charged: s.charged, Uses: s.uses, Vouched: vouchTime,
 	})
 }
 
+// vouchTime is for how long a relay takes a node for heard after its last report.
+const vouchTime = time.Second
+
+// vouch lets node i apply what its relay says of node j after j was cut off: that it heard j just now.
+func (p *player) vouch(now time.Time, i, j int) {
+	for k := len(p.history[j]) - 1; k >= 0; k-- {
+		s := p.history[j][k]
+		if at := s.at.Sub(start); p.cut(at, i) != p.cut(at, j) {
+			continue
+		}
+		if now.Sub(s.at) < vouchTime {
+			p.q[i].ApplyUpdate(now, Update{Node: p.names[j], Incarnation: s.incarnation, Sequence: s.sequence, Uptime: now.Sub(s.startedAt), Charged: s.charged, Uses: s.uses, Vouched: vouchTime})
+		}
+		return
+	}
+}
+
 // restart replaces a node's process.
 func (p *player) restart(now time.Time, i int) {
 	q := p.newQuotas(now, false)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -71,8 +71,9 @@
 	startedAt    time.Time // of the process, as estimated from its reports
 	sequence     uint64    // of its last report
 	lastSeen     time.Time
+	vouched      time.Duration // by which lastSeen may be later than its last report
 	unresponsive bool
-	leaving      bool // it said that it stops as planned: once silent, it charges nothing
+	leaving      bool               // it said that it stops as planned: once silent, it charges nothing
 	charged      map[string]float64 // as last reported by that incarnation
 	assumed      []float64          // deducted while it did not report, by bucket.index; nil: nothing
 	recent       map[string]float64 // of the workspaces that it used recently
@@ -443,6 +444,7 @@
 	Sequence    uint64        // of the process's report; 0: not known
 	Uptime      time.Duration // of the process now
 	Age         time.Duration // since the node's report to this node, or to the one that forwards the update
+	Vouched     time.Duration // for how long the forwarding node takes a silent one for heard, with an age of 0
 	Charged     map[string]float64
 	Uses        map[string]Use // nil: the node doesn't say
 	Leaving     bool           // the node is stopping as planned
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -41,6 +41,8 @@
 	// unresponsiveAfter is the silence after which a node no longer counts as reporting to a relay: three
 	// missed reports plus some delay. It has moved to another relay, or is partitioned.
 	unresponsiveAfter = time.Second
+	// VouchTime is for how long a relay gives the age of a node's report as 0 after its last one.
+	VouchTime = unresponsiveAfter
 	// maxChanges bounds the processes whose changes fit into one digest; the rest is sent with the next one.
 	// A fleet of 95 nodes, all of them busy, has as many changed processes as nodes.
 	maxChanges = 128
