Quotas: who is heard before the registry was read isn't all of the fleet

Cause: a node that was restarted in a cut without the store took the nodes that it had heard after a second for all. Where the fleet is larger and cut off, a part of it may have too much until the registry was read.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -229,7 +229,7 @@
 
 // startQuotaSpan starts a new span of the quotas once every pair has had its turn.
 func (n *Node) startQuotaSpan(now time.Time) {
-	if n.knowsPeers(now) {
+	if n.peersRead || n.knowsPeers(now) && n.settings.Quota.Window == 0 { // a bound is kept in a cut without the store, too
 		n.quotas.SetPeers(now, n.peers.names())
 	}
 	every, lag := pair.Interval(n.peers.size()), time.Duration(0)
