--- a/internal/quota/bounded.go
+++ b/internal/quota/bounded.go
@@ -52,11 +52,13 @@
 	leastSpan = 300 * time.Millisecond
 	// minDemand is the demand in tokens below which a peer's use of a workspace is forgotten.
 	minDemand = 1.0
-	// firstStartGrace is how long nodes of a system that has just started may be unheard and yet count as idle.
+	// firstStartGrace is the age of a first process up to which nodes that it hasn't heard count as idle: they may still start.
 	firstStartGrace = 2 * time.Second
 	// unlistedWindows is for how many windows since it was last heard a silent node keeps its part when it is no longer
 	// listed: in a cut nodes drop out of the registry and go on. One that stops as planned is listed until it has.
 	unlistedWindows = 3
+	// unheardStep is how often the time unheard is determined anew.
+	unheardStep = 50 * time.Millisecond
 	// relayedDelay is the part of a report's greatest age by which it may be older than the relay says.
 	relayedDelay = 1.0 / 3
 )
@@ -161,7 +163,7 @@
 
 // unheard returns for how long, on average, this node hasn't heard of what the others do.
 func (q *Quotas) unheard(now time.Time) time.Duration {
-	if now.Sub(q.unheardAt) < ledgerStep && !q.unheardAt.IsZero() {
+	if now.Sub(q.unheardAt) < unheardStep && !q.unheardAt.IsZero() {
 		return q.unheardFor
 	}
 	sum, n := time.Duration(0), time.Duration(0)
@@ -178,9 +180,6 @@
 	return q.unheardFor
 }
 
-// ledgerStep is how often the time unheard is determined anew.
-const ledgerStep = 50 * time.Millisecond
-
 // silentReserve returns what the nodes that aren't heard may charge unseen.
 func (q *Quotas) silentReserve(at time.Duration, b *bucket, limit float64) float64 {
 	x := 0.0
