Quotas: demand is a base only after a report that left it out

Cause: the first figure of a node whose first report came with its registration counted as a base, so its first demand was lost. Change: a base only where the last report had charges and left out what was asked for.

--- a/internal/quota/bounded.go
+++ b/internal/quota/bounded.go
@@ -398,7 +398,7 @@
 	}
 	for n, v := range u.Uses {
 		last, known := p.uses[n]
-		if !known && p.charged[n] > 0 {
+		if !known && p.unsaid {
 			continue // the first figure of what it was asked for, of a time that isn't known
 		}
 		q.addDemand(p, n, v.Asked-last.Asked, d, keep)
@@ -406,6 +406,7 @@
 	if u.Uses != nil {
 		p.uses = u.Uses
 	}
+	p.unsaid = u.Uses == nil && len(u.Charged) > 0
 }
 
 // addDemand adds what a peer was asked for in the d seconds since its last report.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -82,6 +82,7 @@
 	// Under a bound, recent is what the peer is asked for in demandTime.
 	uses    map[string]Use // as last reported by that incarnation, for what it was asked for
 	refunds map[string]Use // the same, for what it took back
+	unsaid  bool           // its last report left out what it was asked for
 	agedAt  time.Time      // of recent
 }
 
