Room ahead of need only where the loss of a hall exceeds the fixed spares

Cause: small pools paid more for upstreams since room is planned ahead of need, with no better service.

Change: while the fixed spares of the other halls carry the loss of one (in three halls: up to a need of 12), there is no hold, no trend, no memory of what a loss takes, no kept survivors, and the base is lowered at once, in the order in which it was before.

--- a/internal/autoscale/mix.go
+++ b/internal/autoscale/mix.go
@@ -89,6 +89,8 @@
 	waves              waves
 	base               base
 	wanted             window // needs of a boot ahead, of which reclaimable upstreams carry the highest
+	sizes              window // needs of a boot ahead and on-demand upstreams, by the highest of which a pool counts as small
+	exceedsSpares      bool   // the loss of a hall takes more than the fixed spares of the others carry
 	inTerm             bool   // it has planned since the term began
 	termSince          time.Duration
 	termFound          float64 // most on-demand upstreams listed since then; negative: none counted
@@ -150,6 +152,7 @@
 	m.binding = binding
 	m.recordNeed(now, need)
 	m.wanted.add(now, spareHoldBoots*m.o.Boot, m.ahead(now))
+	m.sizes.add(now, sizeHoldBoots*m.o.Boot, math.Max(m.ahead(now), onDemandOf(halls)))
 	m.recordFound(now, halls)
 	m.recordNotices(now, halls)
 }
@@ -160,7 +163,11 @@
 	buys := m.buysReclaimable(now, s, len(halls))
 	most := mostCarried(s, halls)
 	need := math.Min(most, math.Max(m.need(now), m.keepFound(found, buys, halls)))
-	ahead := math.Min(most, math.Max(need, m.ahead(now)))
+	m.exceedsSpares = m.lossExceedsSpares(math.Max(need, m.sizes.highest(now, sizeHoldBoots*m.o.Boot)), len(halls))
+	ahead := need
+	if m.exceedsSpares {
+		ahead = math.Min(most, math.Max(need, m.ahead(now)))
+	}
 	m.base.value = math.Min(most, m.base.value)
 	sort.Slice(halls, func(i, j int) bool {
 		if halls[i].Price != halls[j].Price {
@@ -180,7 +187,7 @@
 	for i, h := range halls {
 		floors[i] = m.standaloneFloor(now, need/float64(len(halls)), h, counts[i].Reclaimable)
 	}
-	spread(max(minOnDemand, int(math.Ceil(safe/meanSpeed(halls)-1e-9))), s, halls, floors, counts)
+	spread(max(minOnDemand, int(math.Ceil(safe/meanSpeed(halls)-1e-9))), m.exceedsSpares, s, halls, floors, counts)
 	for i, h := range halls {
 		least := min(h.Reclaimable, s.Min-counts[i].OnDemand) // only existing ones
 		counts[i].Reclaimable = max(0, min(max(counts[i].Reclaimable, least), s.Max-counts[i].OnDemand))
@@ -194,10 +201,15 @@
 // has to be replaced, too. It reports whether halls lack any.
 func (m *MixPlanner) countReclaimable(now time.Duration, need, replaced float64, buys bool, s MixSpec, halls []HallState) (counts []Count, lacks bool) {
 	counts = make([]Count, len(halls))
-	want := math.Max(replaced, math.Min(mostCarried(s, halls), m.wanted.highest(now, spareHoldBoots*m.o.Boot)))
+	want := replaced
+	if m.exceedsSpares {
+		want = math.Max(replaced, math.Min(mostCarried(s, halls), m.wanted.highest(now, spareHoldBoots*m.o.Boot)))
+	}
 	wants := m.reclaimableCounts(replaced, want, s.Max, halls)
 	lack := lackOf(wants, s.Max, m.inWave(now) || m.keepsBase(now), halls)
-	wants = keptCounts(wants, lack, m.inWave(now), halls)
+	if m.exceedsSpares {
+		wants = keptCounts(wants, lack, m.inWave(now), halls)
+	}
 	for i, h := range halls {
 		counts[i].Hall = h.Hall
 		switch {
@@ -318,15 +330,16 @@
 }
 
 // spread distributes n on-demand upstreams. Each hall first gets the number that it has to have, including its
-// standalone floor, then halls with on-demand upstreams keep what they have, those with the fewest first, then the
-// halls with the fewest get more, the cheapest first among equals. So a hall that has many doesn't keep them all
-// in the room that its reclaimable ones need. So upstreams that serve or boot in one hall are not given up
+// standalone floor, then halls with on-demand upstreams keep what they have, then the halls with the fewest get more,
+// the cheapest first among equals. If the upstreams go evenly, those with the fewest keep theirs first, and otherwise
+// the cheapest: where a loss exceeds the spares, a hall that has many doesn't keep them all in the room that its
+// reclaimable ones need. So upstreams that serve or boot in one hall are not given up
 // for others that have to boot in another hall. Alternatives considered: distributing them anew each time, by
 // current availability, which moves some back and forth through a wave.
 //
 // Both kinds together are bounded, so existing reclaimable upstreams stay: giving them up for upstreams that
 // have to boot first would leave no capacity in between.
-func spread(n int, s MixSpec, halls []HallState, floors []int, counts []Count) {
+func spread(n int, even bool, s MixSpec, halls []HallState, floors []int, counts []Count) {
 	room := func(i int) bool { return counts[i].OnDemand < s.Max-halls[i].Reclaimable }
 	existing, kept := 0, 0
 	for i, h := range halls {
@@ -334,13 +347,17 @@
 		existing += h.OnDemand
 		kept += max(counts[i].OnDemand, min(h.OnDemand, s.Max-h.Reclaimable))
 	}
-	if n >= existing {
+	if even && n >= existing {
 		n = max(n, kept) // a floor is ordered beside what exists, not instead
 	}
 	for i := range counts {
 		n -= counts[i].OnDemand
 	}
-	n = fill(n, counts, func(i int) bool { return counts[i].OnDemand < halls[i].OnDemand && room(i) })
+	keeps := func(i int) bool { return counts[i].OnDemand < halls[i].OnDemand && room(i) }
+	for i := 0; i < len(counts) && !even; i++ {
+		n = fill(n, counts, func(k int) bool { return k == i && keeps(k) })
+	}
+	n = fill(n, counts, keeps)
 	n = fill(n, counts, room)
 	if n > 0 && onDemandIn(counts) < minOnDemand {
 		counts[0].OnDemand = min(s.Max, minOnDemand) // instead of reclaimable ones
--- a/internal/autoscale/spares.go
+++ b/internal/autoscale/spares.go
@@ -9,6 +9,9 @@
 // upstreams need more than that against bursts, so each hall has at least a fixed number beyond its part. What a
 // hall has beyond its count stands for what others lack, and isn't given up before they have theirs.
 //
+// A pool is small while the fixed spares carry the loss of a hall. All that is kept beyond them, the holds and the
+// trend begin above that size, and it stays large for a while.
+//
 // Alternatives considered: a fixed number of spares for any size, which carries the loss of a hall only where
 // upstreams are few, and has on-demand ones ordered for the rest at several times the cost; a hall's count
 // without regard to the others, which gives up survivors while upstreams are missing.
@@ -17,6 +20,10 @@
 // and a loss while traffic rises again finds what a boot couldn't bring in time.
 const spareHoldBoots = 4
 
+// sizeHoldBoots is how long a pool stays one whose loss exceeds the spares, in boot times: as long as the longest
+// hold, so that the size doesn't end one, and swings of traffic don't change it.
+const sizeHoldBoots = 12
+
 // speed is the mean relative speed of a hall's ready upstreams, 1 if unknown.
 func (h HallState) speed() float64 {
 	if h.Speed > 0 {
@@ -64,6 +71,13 @@
 	return sum - most
 }
 
+// lossExceedsSpares reports whether the loss of a hall takes more than the fixed spares of the others carry. Where it
+// doesn't, a loss needs no room of its own: on-demand upstreams that are kept for the next one, or reclaimable ones
+// for the last, would cost a small pool more than they serve.
+func (m *MixPlanner) lossExceedsSpares(need float64, halls int) bool {
+	return halls > 1 && hallCapacity(need, need, halls, m.o.SparePerHall) > hallCapacity(need, 0, halls, m.o.SparePerHall)
+}
+
 // hallCapacity returns what each of so many halls should carry with reclaimable upstreams: its part of the need and
 // some spare ones, and as much as is wanted of all halls without one.
 func hallCapacity(need, want float64, halls, spare int) float64 {
--- a/internal/autoscale/waves.go
+++ b/internal/autoscale/waves.go
@@ -80,6 +80,9 @@
 // keepsBase reports whether none of the base is given up: for a hold from a notice on, or from a first refusal,
 // which is all that a new process sees of a wave.
 func (m *MixPlanner) keepsBase(now time.Duration) bool {
+	if !m.exceedsSpares {
+		return false
+	}
 	return m.waves.within(now, m.hold()) || m.waves.refused && now-m.waves.refusedSince < m.hold()
 }
 
@@ -129,6 +132,10 @@
 	if m.inWave(now) {
 		required = ahead
 	}
+	if !m.exceedsSpares {
+		m.base.value, m.base.at = required, now
+		return required
+	}
 	if m.keepsBase(now) {
 		required = math.Max(required, m.base.value)
 	}
