--- a/internal/autoscale/mix.go
+++ b/internal/autoscale/mix.go
@@ -89,6 +89,8 @@
 	waves              waves
 	base               base
 	wanted             window // needs of a boot ahead, of which reclaimable upstreams carry the highest
+	sizes              window // needs of a boot ahead and on-demand upstreams, by the highest of which a pool counts as small
+	exceedsSpares      bool   // the loss of a hall takes more than the fixed spares of the others carry
 	inTerm             bool   // it has planned since the term began
 	termSince          time.Duration
 	termFound          float64 // most on-demand upstreams listed since then; negative: none counted
@@ -150,6 +152,7 @@
 	m.binding = binding
 	m.recordNeed(now, need)
 	m.wanted.add(now, spareHoldBoots*m.o.Boot, m.ahead(now))
+	m.sizes.add(now, sizeHoldBoots*m.o.Boot, math.Max(m.ahead(now), onDemandOf(halls)))
 	m.recordFound(now, halls)
 	m.recordNotices(now, halls)
 }
@@ -160,7 +163,11 @@
 	buys := m.buysReclaimable(now, s, len(halls))
 	most := mostCarried(s, halls)
 	need := math.Min(most, math.Max(m.need(now), m.keepFound(found, buys, halls)))
-	ahead := math.Min(most, math.Max(need, m.ahead(now)))
+	m.exceedsSpares = m.lossExceedsSpares(math.Max(need, m.sizes.highest(now, sizeHoldBoots*m.o.Boot)), len(halls))
+	ahead := need
+	if m.exceedsSpares {
+		ahead = math.Min(most, math.Max(need, m.ahead(now)))
+	}
 	m.base.value = math.Min(most, m.base.value)
 	sort.Slice(halls, func(i, j int) bool {
 		if halls[i].Price != halls[j].Price {
@@ -194,10 +201,15 @@
 // has to be replaced, too. It reports whether halls lack any.
 func (m *MixPlanner) countReclaimable(now time.Duration, need, replaced float64, buys bool, s MixSpec, halls []HallState) (counts []Count, lacks bool) {
 	counts = make([]Count, len(halls))
-	want := math.Max(replaced, math.Min(mostCarried(s, halls), m.wanted.highest(now, spareHoldBoots*m.o.Boot)))
+	want := replaced
+	if m.exceedsSpares {
+		want = math.Max(replaced, math.Min(mostCarried(s, halls), m.wanted.highest(now, spareHoldBoots*m.o.Boot)))
+	}
 	wants := m.reclaimableCounts(replaced, want, s.Max, halls)
 	lack := lackOf(wants, s.Max, m.inWave(now) || m.keepsBase(now), halls)
-	wants = keptCounts(wants, lack, m.inWave(now), halls)
+	if m.exceedsSpares {
+		wants = keptCounts(wants, lack, m.inWave(now), halls)
+	}
 	for i, h := range halls {
 		counts[i].Hall = h.Hall
 		switch {
