The size of a small pool has one bound

Cause: counts are rounded up, so whether a loss exceeds the spares changed to and fro as the need rose: in three halls 14.5 did, 15.5 didn't.

Change: the exact part of a hall is compared with the spares of the others: small up to a need of 12 in three halls, 4 in two, 24 in four.

Tests: TestSizeOfAPool.

--- a/internal/autoscale/small_test.go
+++ b/internal/autoscale/small_test.go
@@ -152,6 +152,18 @@
 	}
 }
 
+// TestSizeOfAPool: the part of a hall is what the spares of the others have to carry, and a higher need is never
+// smaller.
+func TestSizeOfAPool(t *testing.T) {
+	m := NewMixPlanner(DefaultMixOptions(boot))
+	for halls, most := range map[int]float64{2: 4, 3: 12, 4: 24} {
+		for need := 0.1; need < 60; need += 0.1 {
+			assert.Equal(t, need > most+0.05, m.lossExceedsSpares(need, halls), "need %.1f, %d halls", need, halls)
+		}
+	}
+	assert.False(t, m.lossExceedsSpares(1000, 1), "none stands for a hall that is alone")
+}
+
 // TestSizeDoesNotFlap: a need that swings around the size from which a loss exceeds the spares.
 func TestSizeDoesNotFlap(t *testing.T) {
 	m, halls, changes := NewMixPlanner(DefaultMixOptions(boot)), threeHalls(0, 0), 0
--- a/internal/autoscale/spares.go
+++ b/internal/autoscale/spares.go
@@ -75,7 +75,8 @@
 // doesn't, a loss needs no room of its own: on-demand upstreams that are kept for the next one, or reclaimable ones
 // for the last, would cost a small pool more than they serve.
 func (m *MixPlanner) lossExceedsSpares(need float64, halls int) bool {
-	return halls > 1 && hallCapacity(need, need, halls, m.o.SparePerHall) > hallCapacity(need, 0, halls, m.o.SparePerHall)
+	carried := float64(m.o.SparePerHall * halls * (halls - 1)) // a hall's part, by the spares of the others
+	return halls > 1 && need > carried+1e-9
 }
 
 // hallCapacity returns what each of so many halls should carry with reclaimable upstreams: its part of the need and
