--- a/internal/edge/limits_test.go
+++ b/internal/edge/limits_test.go
@@ -11,7 +11,6 @@
 	"spurhall.example/spurhall/internal/era"
 	"spurhall.example/spurhall/internal/pair"
 	"spurhall.example/spurhall/internal/pool"
-	"spurhall.example/spurhall/internal/quota"
 	"spurhall.example/spurhall/internal/timer"
 )
 
@@ -55,22 +54,3 @@
 		assert.True(t, sends(n, c, 3))
 	})
 }
-
-// TestQuotaBeforeTheRegistryIsRead: under the operators' bound, a restarted process that can't reach the store isn't taken for
-// the only node.
-func TestQuotaBeforeTheRegistryIsRead(t *testing.T) {
-	level := func(read bool) float64 {
-		c := timer.NewManual(time.Unix(1_700_000_000, 0))
-		s := &Settings{Node: "n", Hall: "h", Peers: "127.0.0.1:1", UsageWindow: time.Second, Quota: quota.Bound{Window: 8 * time.Second}}
-		n := New(Options{Settings: s, Incarnation: "n", Clock: c.Service(), Log: zap.NewNop(), Era: era.NewTracker()})
-		n.quotas.SetLimits(n.start, map[string]quota.Limit{"w": {Rate: 1000, Burst: 1000}})
-		n.peersRead = read
-		for range 40 {
-			c.Advance(pair.Round)
-			n.startQuotaSpan(c.Service().Now())
-		}
-		return n.quotas.Charge(c.Service().Now(), "w", 10_000).Level
-	}
-	assert.InDelta(t, 9000, level(true), 1)
-	assert.LessOrEqual(t, level(false), 9000.0/16)
-}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -21,7 +21,6 @@
 import (
 	"context"
 	"expvar"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -165,7 +164,6 @@
 	n.pools.SetSenders(nil, nil) // until the other nodes are known
 	n.lines = forward.NewConnections(o.Clock)
 	n.quotas = quota.New(n.start, s.FirstStart)
-	n.quotas.SetBound(s.Quota, rand.Float64)
 	n.usage = usage.New(s.Node, o.Incarnation, s.UsageWindow)
 	n.peers = newPeerTable(n)
 	n.registry = roster.NewRegistry()
@@ -244,18 +242,13 @@
 func (n *Node) charge(workspace string, tokens float64) quota.Verdict {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	v := n.quotas.Charge(n.clock.Now(), workspace, tokens)
-	quotaTokens.AddFloat("asked", tokens)
-	if !v.Allowed {
-		quotaTokens.AddFloat("refused", tokens)
-	}
-	return v
+	return n.quotas.Charge(n.clock.Now(), workspace, tokens)
 }
 
-func (n *Node) refund(workspace string, tokens float64, at time.Time) {
+func (n *Node) refund(workspace string, tokens float64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.quotas.Refund(n.clock.Now(), workspace, tokens, at)
+	n.quotas.Refund(workspace, tokens)
 }
 
 // countStarted counts by the wall clock, which defines the usage windows.
@@ -297,6 +290,5 @@
 	catalogVersion  = expvar.NewInt("catalog_version")
 	storeUp         = expvar.NewMap("store_up") // by reader: 0 connected, -1 disconnected
 	upstreamEvents  = expvar.NewMap("upstream_events")
-	quotaTokens     = expvar.NewMap("quota_tokens") // of requests at this node: asked, refused
 	responsivePeers = expvar.NewInt("peers_heard")
 )
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -230,7 +230,7 @@
 
 // startQuotaSpan starts a new span of the quotas once every pair has had its turn.
 func (n *Node) startQuotaSpan(now time.Time) {
-	if n.peersRead || n.knowsPeers(now) && n.settings.Quota.Window == 0 { // a bound is kept in a cut without the store, too
+	if n.knowsPeers(now) {
 		n.quotas.SetPeers(now, n.peers.names())
 	}
 	every, lag := pair.Interval(n.peers.size()), time.Duration(0)
@@ -288,7 +288,7 @@
 	defer n.mu.Unlock()
 	n.peers.sequence++
 	r.Sequence = n.peers.sequence
-	r.Spent = message.SpentToWire(n.quotas.Charged(), n.quotas.Uses(n.clock.Now()))
+	r.Spent = message.SpentToWire(n.quotas.Charged())
 	r.Trials = message.TrialsToWire(n.trialUpdates())
 	r.Started = message.StartedToWire(n.newestWindows(n.usage.Own(), windows))
 	r.Work, r.Engines = message.WorkToWire(n.pools.Work()), message.EnginesToWire(n.pools.Learned())
@@ -343,7 +343,7 @@
 	p.trials, p.reach = message.TrialsFromWire(r.Trials), message.ReachFromWire(r.Reach)
 	n.mergeTrials(now, p.trials, r.Node)
 	p.work, p.workAt = message.WorkFromWire(r.Work), now
-	n.quotas.ApplyUpdate(now, quota.Update{Node: r.Node, Incarnation: r.Lifetime, Sequence: r.Sequence, Uptime: message.FromMillis(r.UptimeMs), Charged: message.SpentFromWire(r.Spent), Uses: message.UsesFromWire(r.Spent), Leaving: r.Leaving})
+	n.quotas.ApplyUpdate(now, quota.Update{Node: r.Node, Incarnation: r.Lifetime, Sequence: r.Sequence, Uptime: message.FromMillis(r.UptimeMs), Charged: message.SpentFromWire(r.Spent)})
 	n.usage.Merge(r.Node, r.Lifetime, message.StartedFromWire(r.Started))
 	return true
 }
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -214,9 +214,7 @@
 		p.LastRelayed = now.Add(-w.Age)
 		if p.incarnation != w.Incarnation || p.sequence <= w.Sequence {
 			p.leaving, p.storeUp = w.Status.Leaving, !w.Status.StoreDown
-			n.quotas.ApplyUpdate(now, quota.Update{Node: w.Node, Incarnation: w.Incarnation, Sequence: w.Sequence, Uptime: w.Uptime, Age: w.Age, Charged: w.Spent, Uses: w.Uses, Leaving: w.Status.Leaving, Vouched: relay.VouchTime})
-		} else {
-			n.quotas.Heard(now, w.Node, w.Incarnation, w.Age, relay.VouchTime)
+			n.quotas.ApplyUpdate(now, quota.Update{Node: w.Node, Incarnation: w.Incarnation, Sequence: w.Sequence, Uptime: w.Uptime, Age: w.Age, Charged: w.Spent})
 		}
 	}
 	n.digestAt, n.digestNodes, n.rollouts.digestTrials = now, covered, d.Trials
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -9,7 +9,6 @@
 	"github.com/joomcode/errorx"
 
 	"spurhall.example/spurhall/internal/fault"
-	"spurhall.example/spurhall/internal/quota"
 )
 
 var errs = errorx.NewNamespace("edge")
@@ -55,9 +54,8 @@
 	LeaseTTL      time.Duration // of a duty
 	RetryRatio    float64       // retries per request, over all nodes
 	RetryWindow   time.Duration
-	RetryExtra    float64     // retries in the window beyond the ratio, over all nodes
-	Quota         quota.Bound // of the workspaces' charges over all nodes; without a window: none
-	Exposure      float64     // share of a service's requests that an untried version may get; 0: unspecified
+	RetryExtra    float64 // retries in the window beyond the ratio, over all nodes
+	Exposure      float64 // share of a service's requests that an untried version may get; 0: unspecified
 	UsageWindow   time.Duration
 	UsageDeadline time.Duration // time after a window's end within which its report is due
 }
@@ -87,9 +85,6 @@
 			add("%s is %v: it has to be longer than 0", v.name, v.d)
 		}
 	}
-	if b := s.Quota; b.Window < 0 || b.Window > 0 && (b.Overage < 0 || b.Slack < 0) {
-		add("the quotas' window is %v, with %v and %v tokens beyond the limit: none of them may be below 0", b.Window, b.Overage, b.Slack)
-	}
 	if len(list) == 0 {
 		return nil
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -74,9 +74,9 @@
 	Catalog func() *catalog.Catalog
 	// Place returns the upstream chosen for a request, or an empty string if this node is to choose one.
 	Place func(ctx context.Context, n pool.Request) string
-	// Charge takes tokens from a workspace's quota; Refund returns what was charged at a time.
+	// Charge takes tokens from a workspace's quota; Refund returns them.
 	Charge func(workspace string, tokens float64) quota.Verdict
-	Refund func(workspace string, tokens float64, at time.Time)
+	Refund func(workspace string, tokens float64)
 	// CountStarted counts a request that has started to run.
 	CountStarted func(workspace string)
 	// RecordFirstAttempt records a request's first attempt at a service; AllowRetry asks the retry budget for another.
@@ -333,12 +333,12 @@
 		r := s.o.Charge(q.workspace.Name(), q.tokens)
 		if !r.Allowed {
 			s.o.Log.Info("over_quota", zap.String("request", q.meta.ID), zap.String("workspace", q.workspace.Name()),
-				zap.Float64("tokens", q.tokens), zap.Float64("level", r.Level), zap.Duration("wait", r.Wait), zap.Float64("part", r.Part), zap.Float64("asked", r.Asked), zap.Float64("reserved", r.Reserved))
+				zap.Float64("tokens", q.tokens), zap.Float64("level", r.Level), zap.Duration("wait", r.Wait))
 			return nil, &rejection{status: http.StatusTooManyRequests, reason: "the workspace's quota is used up", retry: r.Wait}
 		}
 		a, err := next(ctx, q)
 		if err != nil && !q.mayHaveRun {
-			s.o.Refund(q.workspace.Name(), q.tokens, r.At)
+			s.o.Refund(q.workspace.Name(), q.tokens)
 		}
 		return a, err
 	}
--- a/internal/message/fuzz_test.go
+++ b/internal/message/fuzz_test.go
@@ -53,9 +53,6 @@
 	seed(&wire.NodeReport{Node: "n", Lifetime: "l", Speeds: seen})
 	seed(&wire.Group{Relay: "r", Version: 1, Speeds: part})
 	seed(&wire.GatherResponse{Version: 7, Speeds: []*wire.Speed{{Upstream: "u", Speed: -1, Weight: -1}, {Upstream: "u", Speed: 1e30}}})
-	spent := []*wire.Spent{{Workspace: "w", Tokens: -1, Asked: math.Inf(1), Recent: math.NaN()}, {Workspace: "w", Tokens: math.NaN(), Asked: 1}}
-	seed(&wire.NodeReport{Node: "n", Lifetime: "l", Spent: spent})
-	seed(&wire.Group{Relay: "r", Changes: []*wire.Change{{Node: "n", Lifetime: "l", Sequence: 1, Spent: spent}}})
 	seed(&wire.ListItem{Id: "u", Service: "s", Slots: -8, WarmUpMs: -1, Born: -1})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		clock := timer.NewManual(time.Unix(1000, 0))
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -14,7 +14,6 @@
 	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/limit"
 	"spurhall.example/spurhall/internal/pool"
-	"spurhall.example/spurhall/internal/quota"
 	"spurhall.example/spurhall/internal/relay"
 	"spurhall.example/spurhall/internal/retry"
 	"spurhall.example/spurhall/internal/rollout"
@@ -69,21 +68,16 @@
 	return r
 }
 
-// SpentToWire converts the tokens that were charged and asked for, by workspace.
-func SpentToWire(charged map[string]float64, uses map[string]quota.Use) []*wire.Spent {
-	r := make([]*wire.Spent, 0, max(len(charged), len(uses)))
-	for w, v := range charged {
-		r = append(r, &wire.Spent{Workspace: w, Tokens: v, Asked: uses[w].Asked, Recent: uses[w].Recent, Refunded: uses[w].Refunded})
-	}
-	for w, u := range uses {
-		if _, ok := charged[w]; !ok {
-			r = append(r, &wire.Spent{Workspace: w, Asked: u.Asked, Recent: u.Recent, Refunded: u.Refunded})
-		}
+// SpentToWire converts the charged tokens by workspace.
+func SpentToWire(m map[string]float64) []*wire.Spent {
+	r := make([]*wire.Spent, 0, len(m))
+	for w, v := range m {
+		r = append(r, &wire.Spent{Workspace: w, Tokens: v})
 	}
 	return r
 }
 
-// SpentFromWire returns the tokens charged by workspace.
+// SpentFromWire is the inverse of SpentToWire.
 func SpentFromWire(l []*wire.Spent) map[string]float64 {
 	r := make(map[string]float64, len(l))
 	for _, v := range l {
@@ -92,21 +86,6 @@
 	return r
 }
 
-// UsesFromWire returns what a node says of workspaces beside what it has charged, or nil if it says nothing.
-func UsesFromWire(l []*wire.Spent) map[string]quota.Use {
-	var r map[string]quota.Use
-	for _, v := range l {
-		if v.Asked <= 0 {
-			continue
-		}
-		if r == nil {
-			r = make(map[string]quota.Use, len(l))
-		}
-		r[v.Workspace] = quota.Use{Asked: v.Asked, Recent: v.Recent, Refunded: v.Refunded}
-	}
-	return r
-}
-
 // StartedToWire converts the number of started requests by window and workspace.
 func StartedToWire(w usage.Windows) []*wire.Started {
 	var r []*wire.Started
@@ -134,7 +113,7 @@
 func ReportFromWire(r *wire.NodeReport) relay.Report {
 	return relay.Report{
 		Node: r.Node, Incarnation: r.Lifetime, Sequence: r.Sequence, Uptime: FromMillis(r.UptimeMs), Loads: LoadsFromWire(r.Loads),
-		Placed: PlacementsFromWire(r.Placed), Spent: SpentFromWire(r.Spent), Uses: UsesFromWire(r.Spent), Started: StartedFromWire(r.Started),
+		Placed: PlacementsFromWire(r.Placed), Spent: SpentFromWire(r.Spent), Started: StartedFromWire(r.Started),
 		Trials: TrialsFromWire(r.Trials), Reachability: ReachFromWire(r.Reach),
 		Status: relay.Status{Leaving: r.Leaving, StoreDown: !r.StoreUp}, Work: WorkFromWire(r.Work),
 	}
@@ -258,7 +237,7 @@
 	for i, c := range l {
 		r[i] = &wire.Change{
 			Node: c.Node, Lifetime: c.Incarnation, Sequence: c.Sequence, UptimeMs: c.Uptime.Milliseconds(), AgeMs: c.Age.Milliseconds(),
-			Relay: c.Relay, Silent: c.Unresponsive, Spent: SpentToWire(c.Spent, c.Uses), Started: StartedToWire(c.Started),
+			Relay: c.Relay, Silent: c.Unresponsive, Spent: SpentToWire(c.Spent), Started: StartedToWire(c.Started),
 			Leaving: c.Status.Leaving, StoreDown: c.Status.StoreDown, Work: WorkToWire(c.Work),
 		}
 	}
@@ -271,7 +250,7 @@
 	for i, c := range l {
 		r[i] = relay.Change{
 			Node: c.Node, Incarnation: c.Lifetime, Sequence: c.Sequence, Uptime: FromMillis(c.UptimeMs), Age: FromMillis(c.AgeMs),
-			Relay: c.Relay, Unresponsive: c.Silent, Spent: SpentFromWire(c.Spent), Uses: UsesFromWire(c.Spent), Started: StartedFromWire(c.Started),
+			Relay: c.Relay, Unresponsive: c.Silent, Spent: SpentFromWire(c.Spent), Started: StartedFromWire(c.Started),
 			Status: relay.Status{Leaving: c.Leaving, StoreDown: c.StoreDown}, Work: WorkFromWire(c.Work),
 		}
 	}
--- a/internal/message/message_test.go
+++ b/internal/message/message_test.go
@@ -10,7 +10,6 @@
 
 	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/pool"
-	"spurhall.example/spurhall/internal/quota"
 	"spurhall.example/spurhall/internal/relay"
 	"spurhall.example/spurhall/internal/retry"
 	"spurhall.example/spurhall/internal/rollout"
@@ -148,13 +147,3 @@
 		assert.Zero(t, GroupFromWire(&wire.Group{}).Share.Age)
 	})
 }
-
-// TestUsesOfWorkspaces: a workspace that was only asked for is told, and a sender that says nothing of what it was asked
-// for is known from one that was asked for nothing.
-func TestUsesOfWorkspaces(t *testing.T) {
-	uses := map[string]quota.Use{"a": {Asked: 7, Recent: 2, Refunded: 4}, "b": {Asked: 3}}
-	l := SpentToWire(map[string]float64{"a": 5}, uses)
-	assert.Equal(t, uses, UsesFromWire(l))
-	assert.Equal(t, map[string]float64{"a": 5, "b": 0}, SpentFromWire(l))
-	assert.Nil(t, UsesFromWire(SpentToWire(map[string]float64{"a": 5}, nil)))
-}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -17,8 +17,6 @@
 // charged before its first report counts, unless the peer is older than this process: then the initial
 // level accounts for it.
 //
-// Where operators state their bound (SetBound), bounded.go decides instead, by what was charged in their window.
-//
 // A request is admitted while the level is positive, and may overdraw it. Requiring the whole charge up
 // front would let small requests keep the level low forever, and the large ones of a busy workspace would
 // never be admitted.
@@ -71,25 +69,16 @@
 	startedAt    time.Time // of the process, as estimated from its reports
 	sequence     uint64    // of its last report
 	lastSeen     time.Time
-	vouched      time.Duration // by which lastSeen may be later than its last report
 	unresponsive bool
-	leaving      bool               // it said that it stops as planned: once silent, it charges nothing
 	charged      map[string]float64 // as last reported by that incarnation
 	assumed      []float64          // deducted while it did not report, by bucket.index; nil: nothing
 	recent       map[string]float64 // of the workspaces that it used recently
 	overflow     []float64          // bucket.overflow at its last report, by bucket.index; shared, not changed
-
-	// Under a bound, recent is what the peer is asked for in demandTime.
-	uses    map[string]Use // as last reported by that incarnation, for what it was asked for
-	refunds map[string]Use // the same, for what it took back
-	unsaid  bool           // its last report left out what it was asked for
-	agedAt  time.Time      // of recent
 }
 
 type bucket struct {
 	index        int     // in the slices of peers; not used again
 	peersRecent  float64 // recent use of all peers
-	peersAsked   int     // number of peers with recent use, under a bound
 	limit        Limit
 	level        float64
 	updated      time.Time
@@ -99,9 +88,6 @@
 	createdAt    time.Time // when this process created it
 	initialLevel float64   // its level then
 	overflow     float64   // refill that found the bucket full and has not been credited against late reports
-	w            *windowed // nil: there is no bound
-	dropped      bool      // its workspace is no longer listed, under a bound
-	droppedAt    time.Time
 }
 
 // Quotas holds the buckets of all workspaces at one node. It isn't safe for concurrent use.
@@ -119,17 +105,6 @@
 
 	restored map[string]restoredLevel // by workspace
 	removed  map[string]*peer         // nodes that are no longer listed, in the state of their last report
-
-	bound          Bound // without a window: none
-	draw           func() float64
-	lag            time.Duration // how old a responsive node's report may be
-	lostTime       time.Duration // how long a process that is replaced may have charged unheard
-	silent         []silentPeers
-	silentCount    float64
-	unlistedSilent int       // nodes that were silent when they were no longer listed, under a bound
-	learnedFrom    int       // nodes that have run for a window longer and said what they charged in it
-	unheardAt      time.Time // when unheardFor was determined
-	unheardFor     time.Duration
 }
 
 // restartLevel is the part of the burst with which a bucket starts in a process that does not start
@@ -151,42 +126,22 @@
 			b = &bucket{index: q.nextIndex, updated: now, createdAt: now, initialLevel: q.initialLevel(now, n, l)}
 			b.level = b.initialLevel
 			for _, p := range q.peers {
-				if q.isCounted(p) {
-					b.peersRecent += p.recent[n]
-					if p.recent[n] > 0 {
-						b.peersAsked++
-					}
-				}
+				b.peersRecent += p.recent[n]
 			}
 			q.buckets[n] = b
 			q.nextIndex++
 		}
-		if q.bounded() {
-			q.setWindowLimit(now, n, b, l)
-			continue
-		}
 		q.refill(now, b)
 		b.limit = l
 		b.level = min(b.level, l.Burst)
 	}
-	for n, b := range q.buckets {
+	for n := range q.buckets {
 		if _, ok := limits[n]; !ok {
-			q.drop(now, n, b)
+			delete(q.buckets, n)
 		}
 	}
 }
 
-// drop removes the bucket of a workspace that is no longer listed. Under a bound it is kept for a window, as the workspace
-// may be listed again.
-func (q *Quotas) drop(now time.Time, name string, b *bucket) {
-	switch {
-	case b.w != nil && !b.dropped:
-		b.dropped, b.droppedAt = true, now
-	case b.w == nil || now.Sub(b.droppedAt) > q.bound.Window+q.bound.Window/ledgerSlots:
-		delete(q.buckets, name)
-	}
-}
-
 func (q *Quotas) refill(now time.Time, b *bucket) {
 	d := now.Sub(b.updated).Seconds()
 	if d <= 0 {
@@ -223,7 +178,7 @@
 
 // nodes returns the number of nodes that share the quotas, this one included.
 func (q *Quotas) nodes() float64 {
-	n := float64(len(q.peers) + 1 + q.unlistedSilent)
+	n := float64(len(q.peers) + 1)
 	if !q.peersKnown {
 		return max(n, assumedNodes)
 	}
@@ -238,7 +193,7 @@
 			n++
 		}
 	}
-	return n / (q.nodes() - float64(q.unlistedSilent))
+	return n / q.nodes()
 }
 
 // allKnown reports whether the use of all nodes is known, or there was none.
@@ -249,23 +204,14 @@
 	Allowed bool
 	Level   float64       // of the bucket as this node knows it
 	Wait    time.Duration // until a rejected request may be admitted
-	At      time.Time     // of the charge, for its refund
-
-	// Under a bound:
-	Part     float64 // of what is asked, that nodes admit
-	Asked    float64 // tokens per second, of all nodes as far as this one has heard
-	Reserved float64 // tokens of the bound, for what nodes don't know of each other
 }
 
 // Charge takes tokens from a workspace's quota if they are available.
 func (q *Quotas) Charge(now time.Time, workspace string, tokens float64) Verdict {
 	b := q.buckets[workspace]
-	if b == nil || b.dropped || b.limit.Rate <= 0 {
+	if b == nil || b.limit.Rate <= 0 {
 		return Verdict{Allowed: true}
 	}
-	if b.w != nil {
-		return q.chargeWindow(now, b, tokens)
-	}
 	q.refill(now, b)
 	floor := 0.0
 	if tokens <= smallRequest*b.limit.Burst {
@@ -281,19 +227,15 @@
 	b.spent += tokens
 	b.charged += tokens
 	b.recent += tokens
-	return Verdict{Allowed: true, Level: b.level, At: now}
+	return Verdict{Allowed: true, Level: b.level}
 }
 
-// Refund returns the charge, at a time, of a request that did not run.
-func (q *Quotas) Refund(now time.Time, workspace string, tokens float64, chargedAt time.Time) {
+// Refund returns the charge of a request that did not run.
+func (q *Quotas) Refund(workspace string, tokens float64) {
 	b := q.buckets[workspace]
 	if b == nil || b.limit.Rate <= 0 {
 		return
 	}
-	if b.w != nil {
-		q.refundWindow(now, b, tokens, chargedAt)
-		return
-	}
 	b.level = min(b.limit.Burst, b.level+tokens)
 	b.spent = max(0, b.spent-tokens)
 	b.charged -= tokens
@@ -317,10 +259,6 @@
 // responsive node may be on the path by which it is forwarded.
 func (q *Quotas) StartRound(now time.Time, every, lag time.Duration) {
 	timeout := time.Duration(unresponsiveRounds*float64(every)) + lag
-	if q.bounded() {
-		q.startWindowRound(now, timeout, lag)
-		return
-	}
 	d, before := now.Sub(q.roundStart).Seconds(), q.roundStart
 	q.roundStart = now
 	keep := 1 / (1 + d/recentUseTime.Seconds())
@@ -378,15 +316,11 @@
 	}
 }
 
-// isCounted reports whether a peer's recent use is in the sums of the buckets.
-func (q *Quotas) isCounted(p *peer) bool { return !q.bounded() || !p.unresponsive }
-
 // addRecent adds the recent use of a peer to the buckets, or removes it with a sign of -1.
 func (q *Quotas) addRecent(p *peer, sign float64) {
 	for n, x := range p.recent {
 		if b := q.buckets[n]; b != nil {
 			b.peersRecent = max(0, b.peersRecent+sign*x)
-			b.peersAsked += int(sign)
 		}
 	}
 }
@@ -404,12 +338,9 @@
 		if !keep[n] {
 			delete(q.peers, n)
 			q.removed[n] = p
-			if q.isCounted(p) {
-				q.addRecent(p, -1)
-			}
+			q.addRecent(p, -1)
 		}
 	}
-	q.assumeUnknown(q.offset(now))
 	for n, p := range q.removed {
 		if now.Sub(p.lastSeen) > removedPeerTTL {
 			delete(q.removed, n)
@@ -427,13 +358,11 @@
 	p := q.peers[name]
 	if p == nil {
 		if p = q.removed[name]; p == nil {
-			p = &peer{lastSeen: now, agedAt: now}
+			p = &peer{lastSeen: now}
 		}
 		delete(q.removed, name)
 		q.peers[name] = p
-		if q.isCounted(p) {
-			q.addRecent(p, 1)
-		}
+		q.addRecent(p, 1)
 	}
 	return p
 }
@@ -445,17 +374,14 @@
 	Sequence    uint64        // of the process's report; 0: not known
 	Uptime      time.Duration // of the process now
 	Age         time.Duration // since the node's report to this node, or to the one that forwards the update
-	Vouched     time.Duration // for how long the forwarding node takes a silent one for heard, with an age of 0
 	Charged     map[string]float64
-	Uses        map[string]Use // nil: the node doesn't say
-	Leaving     bool           // the node is stopping as planned
 }
 
 // ApplyUpdate applies another node's update. Updates of a process that has been replaced by a newer one
 // are ignored: they took a longer path.
 func (q *Quotas) ApplyUpdate(now time.Time, u Update) {
 	p := q.peer(now, u.Node)
-	startedAt, older := now.Add(-u.Uptime), false
+	startedAt := now.Add(-u.Uptime)
 	if p.incarnation != u.Incarnation {
 		if p.incarnation != "" && startedAt.Before(p.startedAt) {
 			return
@@ -463,21 +389,13 @@
 		// What an unknown incarnation charged before was charged while this node could not receive its
 		// reports, and is deducted. Only if it is older than this process, the bucket's initial level
 		// accounts for it already.
-		older = p.incarnation == "" && u.Uptime > now.Sub(q.startedAt)+startTolerance
+		older := p.incarnation == "" && u.Uptime > now.Sub(q.startedAt)+startTolerance
 		p.incarnation, p.startedAt, p.sequence = u.Incarnation, startedAt, 0
-		q.coverLost(p, startedAt)
-		p.charged, p.uses, p.refunds = nil, nil, nil
-		if q.bounded() {
-			u = validFigures(p, u)
-		}
+		p.charged = nil
 		if older {
-			p.charged, p.uses, p.refunds = u.Charged, u.Uses, u.Uses
+			p.charged = u.Charged
 		}
 	}
-	if q.bounded() {
-		q.applyWindow(now, p, validFigures(p, u), older)
-		return
-	}
 	known := p.incarnation == u.Incarnation && p.sequence == u.Sequence && u.Sequence != 0 && len(p.assumed) == 0
 	p.sequence = u.Sequence
 	late := now.Sub(p.lastSeen) > lateReport
@@ -495,31 +413,9 @@
 func (q *Quotas) Charged() map[string]float64 {
 	r := make(map[string]float64, len(q.buckets))
 	for n, b := range q.buckets {
-		if b.charged != 0 || b.w != nil && b.w.refunded != 0 {
+		if b.charged != 0 {
 			r[n] = b.charged
 		}
 	}
 	return r
 }
-
-// Use is what a node says of a workspace beside what it has charged, under a bound.
-type Use struct {
-	Asked  float64 // tokens, of the node since the process started
-	Recent float64 // tokens charged by the process in the last window
-	// Refunded is what the process took back of its charges while they were in the window.
-	Refunded float64
-}
-
-// Uses returns what this process says of the workspaces that it was asked for, or nil if there is no bound.
-func (q *Quotas) Uses(now time.Time) map[string]Use {
-	if !q.bounded() {
-		return nil
-	}
-	r := make(map[string]Use)
-	for n, b := range q.buckets {
-		if b.w != nil && b.w.asked != 0 {
-			r[n] = Use{Asked: b.w.asked, Recent: b.w.own.total(q.offset(now)), Refunded: b.w.refunded}
-		}
-	}
-	return r
-}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -229,7 +229,7 @@
 		q.SetPeers(start, nil)
 		q.SetLimits(start, map[string]Limit{"w": {Rate: 1000, Burst: 1000}})
 		assert.True(t, q.Charge(start, "w", 1000).Allowed)
-		q.Refund(start, "w", 1000, start)
+		q.Refund("w", 1000)
 		assert.True(t, q.Charge(start, "w", 1000).Allowed)
 		assert.Equal(t, 1000.0, q.Charged()["w"])
 	})
--- a/internal/quota/restore.go
+++ b/internal/quota/restore.go
@@ -12,8 +12,6 @@
 type Level struct {
 	Level float64 `json:"level"` // tokens
 	Use   float64 `json:"use"`   // tokens per second, over all nodes
-	// Charged is what was charged in parts of the operators' window, oldest first.
-	Charged []float64 `json:"charged,omitempty"`
 }
 
 // maxRestoreAge is the age up to which stored levels are used. What other nodes have charged since then
@@ -24,11 +22,7 @@
 func (q *Quotas) Levels(now time.Time) map[string]Level {
 	r := make(map[string]Level, len(q.buckets))
 	for n, b := range q.buckets {
-		if b.dropped || b.limit.Rate <= 0 {
-			continue
-		}
-		if b.w != nil {
-			r[n] = q.windowLevel(now, b)
+		if b.limit.Rate <= 0 {
 			continue
 		}
 		q.refill(now, b)
@@ -39,10 +33,8 @@
 
 // restoredLevel is a level as it was at a time before this process started.
 type restoredLevel struct {
-	level   float64
-	at      time.Time
-	charged []float64 // under a bound
-	use     float64
+	level float64
+	at    time.Time
 }
 
 // Restore applies stored levels of the given age, which are stored at the interval every, and reports
@@ -54,11 +46,7 @@
 	}
 	q.restored = make(map[string]restoredLevel, len(levels))
 	for n, l := range levels {
-		q.restored[n] = restoredLevel{level: l.Level - l.Use*min(age, every).Seconds(), at: now.Add(-age), charged: l.Charged, use: l.Use}
-		if q.bounded() {
-			q.restoreWindow(now, n)
-			continue
-		}
+		q.restored[n] = restoredLevel{level: l.Level - l.Use*min(age, every).Seconds(), at: now.Add(-age)}
 		if b := q.buckets[n]; b != nil && b.limit.Rate > 0 {
 			q.refill(now, b)
 			initial := q.initialLevel(b.createdAt, n, b.limit)
--- a/internal/relay/aggregator.go
+++ b/internal/relay/aggregator.go
@@ -7,7 +7,6 @@
 
 	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/pool"
-	"spurhall.example/spurhall/internal/quota"
 	"spurhall.example/spurhall/internal/rollout"
 	"spurhall.example/spurhall/internal/usage"
 )
@@ -40,7 +39,6 @@
 
 type counter struct {
 	value   float64
-	use     quota.Use
 	version uint64
 }
 
@@ -93,7 +91,7 @@
 		a.version++
 		v.work, v.countsVersion = r.Work, a.version
 	}
-	a.mergeSpent(v, r.Spent, r.Uses)
+	a.mergeSpent(v, r.Spent)
 	a.mergeStarted(v, r.Started)
 	a.logPlacements(now, a.self, r.Placed)
 }
@@ -153,11 +151,10 @@
 	}
 }
 
-// mergeSpent takes in what a node has charged. What leaves the operators' window isn't a change.
-func (a *Aggregator) mergeSpent(v *record, spent map[string]float64, uses map[string]quota.Use) {
+func (a *Aggregator) mergeSpent(v *record, spent map[string]float64) {
 	for w, x := range spent {
-		if c, ok := v.spent[w]; !ok || c.value != x || c.use.Asked != uses[w].Asked {
-			v.spent[w] = counter{x, uses[w], a.nextVersion(v)}
+		if c, ok := v.spent[w]; !ok || c.value != x {
+			v.spent[w] = counter{x, a.nextVersion(v)}
 		}
 	}
 }
@@ -279,7 +276,7 @@
 	v := a.recordForUpdate(c.Node, c.Incarnation, c.Sequence, at.Add(-c.Uptime))
 	if v != nil {
 		a.setStatus(v, c.Status)
-		a.mergeSpent(v, c.Spent, c.Uses)
+		a.mergeSpent(v, c.Spent)
 		a.mergeStarted(v, c.Started)
 	} else if v = a.records[c.Node]; v.incarnation != c.Incarnation || v.relay != relay {
 		return // the node has moved to another relay, which has a later report
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"spurhall.example/spurhall/internal/pool"
-	"spurhall.example/spurhall/internal/quota"
 	"spurhall.example/spurhall/internal/rollout"
 )
 
@@ -177,23 +176,11 @@
 	for w, x := range v.spent {
 		if x.version > after || v.resetVersion > after {
 			c.Spent[w] = x.value
-			c.addUse(w, x.use)
 		}
 	}
 	return c
 }
 
-// addUse records what the node says of a workspace, if it does.
-func (c *Change) addUse(workspace string, u quota.Use) {
-	if u.Asked <= 0 {
-		return
-	}
-	if c.Uses == nil {
-		c.Uses = make(map[string]quota.Use)
-	}
-	c.Uses[workspace] = u
-}
-
 func (a *Aggregator) placements(after, upTo uint64, counts func(loggedPlacement) bool) []pool.Placement {
 	var list []pool.Placement
 	for _, p := range a.placementLog {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -32,7 +32,6 @@
 
 	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/pool"
-	"spurhall.example/spurhall/internal/quota"
 	"spurhall.example/spurhall/internal/rollout"
 	"spurhall.example/spurhall/internal/usage"
 )
@@ -41,8 +40,6 @@
 	// unresponsiveAfter is the silence after which a node no longer counts as reporting to a relay: three
 	// missed reports plus some delay. It has moved to another relay, or is partitioned.
 	unresponsiveAfter = time.Second
-	// VouchTime is for how long a relay gives the age of a node's report as 0 after its last one.
-	VouchTime = unresponsiveAfter
 	// maxChanges bounds the processes whose changes fit into one digest; the rest is sent with the next one.
 	// A fleet of 95 nodes, all of them busy, has as many changed processes as nodes.
 	maxChanges = 128
@@ -63,9 +60,8 @@
 	Uptime       time.Duration
 	Loads        []pool.Load
 	Placed       []pool.Placement
-	Spent        map[string]float64   // tokens charged since the process started, by workspace
-	Uses         map[string]quota.Use // of workspaces; nil: the node doesn't say
-	Started      usage.Windows        // requests started, in the newest windows
+	Spent        map[string]float64 // tokens charged since the process started, by workspace
+	Started      usage.Windows      // requests started, in the newest windows
 	Trials       []rollout.Update
 	Reachability pool.Reachability
 	Status       Status
@@ -84,12 +80,11 @@
 	Incarnation  string
 	Sequence     uint64 // of its newest report; 0: the node moved to another relay, and no more is sent
 	Uptime       time.Duration
-	Age          time.Duration        // of the report
-	Relay        string               // relay that the node reports to
-	Unresponsive bool                 // the relay no longer receives its reports
-	Spent        map[string]float64   // changed workspaces only
-	Uses         map[string]quota.Use // of the same workspaces; nil: the node doesn't say
-	Started      usage.Windows        // between relays only
+	Age          time.Duration      // of the report
+	Relay        string             // relay that the node reports to
+	Unresponsive bool               // the relay no longer receives its reports
+	Spent        map[string]float64 // changed workspaces only
+	Started      usage.Windows      // between relays only
 	Status       Status
 	Work         map[string]capacity.Work // between relays only
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -11,7 +11,6 @@
 
 	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/pool"
-	"spurhall.example/spurhall/internal/quota"
 	"spurhall.example/spurhall/internal/usage"
 )
 
@@ -293,20 +292,3 @@
 	}
 	assert.Positive(t, groups)
 }
-
-// TestUsesAreHandedOn: a relay hands on what a node was asked for, also while it charges nothing. What leaves the
-// operators' window is no change, and is handed on with the next one.
-func TestUsesAreHandedOn(t *testing.T) {
-	now := time.Unix(1000, 0)
-	a, b := NewAggregator("p", "1"), NewAggregator("q", "1")
-	report := func(sequence uint64, asked, recent float64) Digest {
-		before := b.version
-		a.ApplyReport(now, Report{Node: "n", Incarnation: "i", Sequence: sequence, Spent: map[string]float64{"w": 5}, Uses: map[string]quota.Use{"w": {Asked: asked, Recent: recent}}})
-		b.MergeGroup(now, a.Group(now, 0))
-		return b.Digest(now, "m", before)
-	}
-	assert.Equal(t, map[string]quota.Use{"w": {Asked: 9, Recent: 5}}, report(1, 9, 5).Changes[0].Uses)
-	assert.Empty(t, report(2, 9, 0).Changes)
-	var v View
-	assert.Equal(t, map[string]quota.Use{"w": {Asked: 12}}, v.ApplyDigest(now, "q", report(3, 12, 0))[0].Uses)
-}
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -3,8 +3,6 @@
 import (
 	"maps"
 	"time"
-
-	"spurhall.example/spurhall/internal/quota"
 )
 
 // This file is the receiving side of a digest: a node's state of the others, as received from its relay.
@@ -17,7 +15,6 @@
 	Uptime      time.Duration // at the time of the digest
 	Age         time.Duration // since the relay received the node's report
 	Spent       map[string]float64
-	Uses        map[string]quota.Use // nil: the node doesn't say
 	Status      Status
 }
 
@@ -71,14 +68,10 @@
 func (v *View) applyChange(now time.Time, c Change) {
 	old := v.nodes[c.Node]
 	t := &nodeView{Update: Update{Node: c.Node, Incarnation: c.Incarnation, Sequence: c.Sequence, Status: c.Status}, relay: c.Relay, unresponsive: c.Unresponsive, startedAt: now.Add(-c.Uptime - c.Age)}
-	t.Spent, t.Uses = c.Spent, c.Uses
+	t.Spent = c.Spent
 	if old != nil && old.Incarnation == c.Incarnation {
 		t.Spent = maps.Clone(old.Spent) // the old map has been returned to callers
 		maps.Copy(t.Spent, c.Spent)
-		if old.Uses != nil {
-			t.Uses = maps.Clone(old.Uses)
-			maps.Copy(t.Uses, c.Uses)
-		}
 	}
 	v.nodes[c.Node] = t
 }
