planlog: plans are explained in a package of their own

Change: the log of changed plans, the engines' figures and the halls' mean speeds as metrics are package planlog; the mean speeds are hall_speeds now. No behaviour changes but the metric's name.

--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"expvar"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,6 +13,7 @@
 	"spurhall.example/spurhall/internal/duty"
 	"spurhall.example/spurhall/internal/handover"
 	"spurhall.example/spurhall/internal/logging"
+	"spurhall.example/spurhall/internal/planlog"
 	"spurhall.example/spurhall/internal/roster"
 )
 
@@ -59,14 +59,14 @@
 	floor      handover.Floor
 	engines    handover.Engines
 	room       *handover.Room
-	plans      planLog
+	plans      planlog.Log
 	maxListed  int       // highest number of listed upstreams
 	listGrewAt time.Time // when the list last grew
 	startedAt  time.Time // when it began to observe the whole list; zero: it doesn't
 }
 
 func newOrderer(n *Node) *orderer {
-	return &orderer{n: n, startedAt: n.start, room: handover.NewRoom(n.clock), plans: newPlanLog(n.clock, n.log), mixes: make(map[string]*autoscale.MixPlanner), rates: make(map[string]*autoscale.RateEstimator), orders: make(map[orderKey]placedOrder)}
+	return &orderer{n: n, startedAt: n.start, room: handover.NewRoom(n.clock), plans: planlog.New(n.clock, n.log), mixes: make(map[string]*autoscale.MixPlanner), rates: make(map[string]*autoscale.RateEstimator), orders: make(map[orderKey]placedOrder)}
 }
 
 // step measures the load, and orders missing upstreams.
@@ -79,7 +79,7 @@
 	if o.n.partial.Load() {
 		*o = *newOrderer(o.n) // what it has seen of the halls isn't what they have
 		o.startedAt = time.Time{}
-		publishHallSpeeds(nil)
+		planlog.PublishMeans(nil)
 		return
 	}
 	if o.startedAt.IsZero() {
@@ -105,17 +105,17 @@
 			engines[name] = e
 		}
 		load := o.rate(name).Estimate(now, o.n.workSums(now, name), o.n.silenceLimit())
-		publishFigures(name, engines[name], load)
+		planlog.PublishFigures(name, engines[name], load)
 		halls := o.hallStates(s)
 		if held {
-			addHallSpeeds(means, name, halls)
+			planlog.AddMeans(means, name, halls)
 		}
 		o.mix(s).Observe(o.n.clock.Since(o.n.start), load, halls)
 		if held && now.Sub(o.startedAt) >= o.observationPeriod() {
 			o.plan(ctx, token, s, halls, load)
 		}
 	}
-	publishHallSpeeds(means)
+	planlog.PublishMeans(means)
 	if held {
 		o.floor.Write(ctx, o.n.records(), token)
 		o.engines.Write(ctx, o.n.records(), token, engines)
@@ -185,7 +185,7 @@
 		have[orderKey{s.Name, h.Hall, true}] = h.Reclaimable
 	}
 	counts := m.Plan(o.n.clock.Since(o.n.start), spec, halls)
-	o.plans.record(s.Name, m.Planned())
+	o.plans.Record(s.Name, m.Planned())
 	for _, c := range counts {
 		o.order(ctx, token, m, orderKey{s.Name, c.Hall, true}, c.Reclaimable, have, load)
 		o.order(ctx, token, m, orderKey{s.Name, c.Hall, false}, c.OnDemand, have, load)
@@ -195,7 +195,7 @@
 // hallStates returns the state of each hall that the service has a price for, or upstreams in.
 func (o *orderer) hallStates(s *catalog.ServiceSpec) []autoscale.HallState {
 	by := make(map[string]*autoscale.HallState)
-	speeds := make(hallSpeeds)
+	speeds := make(planlog.HallSpeeds)
 	get := func(hall string) *autoscale.HallState {
 		h := by[hall]
 		if h == nil {
@@ -213,7 +213,7 @@
 			continue
 		}
 		h := get(g.Hall)
-		speeds.add(g)
+		speeds.Add(g)
 		switch {
 		case g.Reclaimable && g.Leaving:
 			h.Leaving += g.Count
@@ -231,7 +231,7 @@
 	}
 	list := make([]autoscale.HallState, 0, len(by))
 	for _, h := range by {
-		h.Speed = speeds.mean(h.Hall)
+		h.Speed = speeds.Mean(h.Hall)
 		list = append(list, *h)
 	}
 	return list
@@ -319,21 +319,3 @@
 	}
 	return n.start.Add(handover.FloorPeriod(boot))
 }
-
-// engineFigures holds the engine figures and the load, by service.
-var engineFigures = expvar.NewMap("engine")
-
-// publishFigures exports the inputs of an order as metrics.
-func publishFigures(service string, e capacity.Engine, load capacity.Work) {
-	v, ok := engineFigures.Get(service).(*expvar.Map)
-	if !ok {
-		v = new(expvar.Map)
-		engineFigures.Set(service, v)
-	}
-	for name, x := range map[string]float64{
-		"reading": e.Reading, "first_ms": e.First, "token_ms": e.Token, "samples": float64(e.Samples),
-		"load_reading": load.Prefill, "load_slots": load.Slots, "load_memory": load.Memory,
-	} {
-		setFloat(v, name, x)
-	}
-}
--- a/internal/edge/room.go
+++ b/internal/edge/room.go
@@ -2,19 +2,12 @@
 
 import (
 	"context"
-	"expvar"
-	"time"
-
-	"go.uber.org/zap"
 
 	"spurhall.example/spurhall/internal/autoscale"
 	"spurhall.example/spurhall/internal/catalog"
-	"spurhall.example/spurhall/internal/logging"
-	"spurhall.example/spurhall/internal/timer"
 )
 
-// This file connects the planners with their predecessors' knowledge (package handover), and explains their plans
-// in the log and as metrics.
+// This file connects the planners with their predecessors' knowledge (package handover).
 
 // beginTerm lets the planners continue from what the previous holder knew and ordered.
 func (o *orderer) beginTerm(ctx context.Context, c *catalog.Catalog) {
@@ -36,69 +29,3 @@
 	}
 	return known
 }
-
-// minPlanInterval is the shortest time between two lines on the plans of one service.
-const minPlanInterval = time.Second
-
-// loggedPlan is the plan of a service's last line.
-type loggedPlan struct {
-	plan autoscale.Planned
-	at   time.Time
-}
-
-// planLog logs changed plans.
-type planLog struct {
-	clock *timer.Service
-	log   *zap.Logger
-	last  map[string]loggedPlan // by service
-}
-
-func newPlanLog(clock *timer.Service, log *zap.Logger) planLog {
-	return planLog{clock: clock, log: log, last: make(map[string]loggedPlan)}
-}
-
-// record logs a service's plan if it has changed, and exports it.
-func (l *planLog) record(service string, p autoscale.Planned) {
-	publishPlan(service, p)
-	old, ok := l.last[service]
-	if ok && (!p.Changed(old.plan) || l.clock.Since(old.at) < minPlanInterval) {
-		return
-	}
-	l.last[service] = loggedPlan{p, l.clock.Now()}
-	l.log.Info("room_planned", zap.String("service", service), zap.String("reason", string(p.Reason)),
-		logging.Hundredths("need", p.Need), logging.Hundredths("ahead", p.Ahead), logging.Hundredths("survives", p.Survives),
-		zap.Int("on_demand", p.OnDemand), zap.Int("reclaimable", p.Reclaimable), zap.Int("spares", p.Spares), zap.Int("kept", p.Kept),
-		zap.Bool("wave", p.Wave), zap.Duration("hold", p.Hold))
-}
-
-// roomFigures holds the plans of the process that gives orders, by service.
-var roomFigures = expvar.NewMap("room")
-
-// publishPlan exports a plan as metrics.
-func publishPlan(service string, p autoscale.Planned) {
-	v, ok := roomFigures.Get(service).(*expvar.Map)
-	if !ok {
-		v = new(expvar.Map)
-		roomFigures.Set(service, v)
-	}
-	wave := 0.0
-	if p.Wave {
-		wave = 1
-	}
-	for name, x := range map[string]float64{
-		"need": p.Need, "ahead": p.Ahead, "survives": p.Survives, "on_demand": float64(p.OnDemand), "reclaimable": float64(p.Reclaimable),
-		"spares": float64(p.Spares), "kept": float64(p.Kept), "wave": wave, "hold_s": p.Hold.Seconds(),
-	} {
-		setFloat(v, name, x)
-	}
-}
-
-// setFloat sets a metric of a map.
-func setFloat(v *expvar.Map, name string, x float64) {
-	f, ok := v.Get(name).(*expvar.Float)
-	if !ok {
-		f = new(expvar.Float)
-		v.Set(name, f)
-	}
-	f.Set(x)
-}
