--- a/internal/forward/priority.go
+++ b/internal/forward/priority.go
@@ -80,7 +80,8 @@
 	}
 }
 
-// logRoom logs that a service became short of room, or isn't any more, which its next request shows. There are at most two lines of a service for each time that the order holds after a long wait.
+// logRoom logs that a service became short of room, or isn't any more, which its next request shows. There are at most
+// two lines of a service for each time that the order holds after a long wait.
 func (s *Server) logRoom(q *request, u *pool.Use, n order.News, tightest time.Duration) {
 	f := []zap.Field{
 		zap.String("service", q.service), zap.String("request", q.meta.ID), zap.String("upstream", u.Entry().ID),
