edge: who is registered, who is forgotten and which relay is avoided are decided elsewhere

Change: package registration keeps a node's key and reads the others'; roster decides when a node is gone, relay which relay is avoided, pair how often a peer is called that no relay names. Of swap_failed, a failure in the instant of a report is logged now.

--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"time"
 
 	"connectrpc.com/connect"
@@ -11,109 +9,29 @@
 	"go.uber.org/zap"
 
 	"spurhall.example/spurhall/internal/pair"
+	"spurhall.example/spurhall/internal/registration"
 	"spurhall.example/spurhall/internal/roster"
 	"spurhall.example/spurhall/internal/store"
 	"spurhall.example/spurhall/internal/wire"
 )
 
-// This file implements discovery: each node holds a key in the store under a lease, and reads the keys of the
-// others periodically. A node that exchanges reports knows its peers from those; the registry serves starting
-// nodes, and determines how many nodes share a quota when some are unresponsive.
+// This file implements discovery: it applies the registered nodes (package registration) to the peers, and contacts
+// the seeds while none is known.
 
-const (
-	memberPrefix = "spurhall/nodes/"
-	// memberTTL is how long a crashed node counts as sharing quotas: longer than a restart takes, so that the
-	// other nodes' shares stay stable.
-	memberTTL = 6 * time.Second
-	// memberRenewInterval is how often the lease is renewed. A renewal costs a tenth of a call, so renewing
-	// less often in a large fleet, with leases created anew, saves nothing.
-	memberRenewInterval = 1500 * time.Millisecond
-	// registryReadInterval is how often the registry is read, at the price of a stale read.
-	registryReadInterval = 2 * time.Second
-	// memberRetention is how long a node is kept that is neither responsive nor registered.
-	memberRetention = 3 * time.Second
-)
+// registryReadInterval is how often the registry is read, at the price of a stale read.
+const registryReadInterval = 2 * time.Second
 
-type memberValue struct {
-	Address     string  `json:"address"`
-	Incarnation string  `json:"lifetime"`
-	Hall        string  `json:"hall"`
-	Cores       float64 `json:"cores"`
+// registration returns this node's key in the store.
+func (n *Node) registration() *registration.Registration {
+	s := n.settings
+	return registration.New(registration.Options{
+		KV: n.kv, Clock: n.clock, Log: n.log, Incarnation: n.options.Incarnation, MinLease: s.Store.MinLease, FirstStart: s.FirstStart,
+		Member: roster.Member{Name: s.Node, Address: s.Peers, Hall: s.Hall, Cores: s.Cores},
+	})
 }
 
 // register keeps this node's key in the store until the context ends.
-func (n *Node) register(ctx context.Context) {
-	id := int64(0)
-	for ctx.Err() == nil {
-		pause := memberRenewInterval
-		if id = n.renewMember(ctx, id); id == 0 {
-			pause = storeRetryPause // the other nodes depend on the key
-		}
-		_ = n.clock.Sleep(ctx, pause) // the loop condition checks the context
-	}
-	if id != 0 {
-		n.withdrawMember(id)
-	}
-}
-
-// renewMember renews the lease of this node's key, or writes the key under a new lease. It returns the lease,
-// or 0 if there is none.
-func (n *Node) renewMember(ctx context.Context, id int64) int64 {
-	if id != 0 {
-		_, err := n.kv.KeepAlive(ctx, id)
-		if !errors.Is(err, store.ErrLeaseGone) {
-			return id // renewed, or to be retried in the next round
-		}
-	}
-	id, err := n.putMember(ctx)
-	if err != nil {
-		n.log.Info("registration_failed", zap.String("cause", err.Error()))
-		return 0
-	}
-	n.log.Info("registered", zap.Int64("lease", id))
-	return id
-}
-
-func (n *Node) putMember(ctx context.Context) (int64, error) {
-	id, err := n.kv.Grant(ctx, max(memberTTL, n.settings.Store.MinLease))
-	if err != nil {
-		return 0, err
-	}
-	b, err := json.Marshal(memberValue{Address: n.settings.Peers, Incarnation: n.options.Incarnation, Hall: n.settings.Hall, Cores: n.settings.Cores})
-	if err != nil {
-		return 0, err
-	}
-	// If the previous process was killed, the key may still be bound to its lease.
-	k := memberPrefix + n.settings.Node
-	if !n.settings.FirstStart { // then there was none, and all nodes start at once
-		n.logPrevious(ctx, k)
-	}
-	_, err = n.kv.Txn(ctx, store.Txn{Then: []store.Op{{Kind: store.OpPut, Key: k, Value: b, Lease: id}}})
-	return id, err
-}
-
-// logPrevious logs that the previous process was killed: a planned stop deletes the key.
-func (n *Node) logPrevious(ctx context.Context, key string) {
-	r, err := n.kv.Range(ctx, key, "")
-	if err != nil || len(r.Pairs) == 0 {
-		return // no trace of a previous process
-	}
-	var v memberValue
-	if err := json.Unmarshal(r.Pairs[0].Value, &v); err != nil || v.Incarnation == n.options.Incarnation {
-		return
-	}
-	n.log.Warn("previous_killed", zap.String("lifetime", v.Incarnation), zap.Int64("registered_at", r.Pairs[0].Modified))
-}
-
-const withdrawTimeout = 300 * time.Millisecond
-
-func (n *Node) withdrawMember(id int64) {
-	ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
-	defer cancel()
-	if err := n.kv.Revoke(ctx, id); err != nil {
-		n.log.Info("withdrawal_failed", zap.String("cause", err.Error()))
-	}
-}
+func (n *Node) register(ctx context.Context) { n.registration().Run(ctx) }
 
 // pollRegistry reads the registry until the context ends, unless a watcher sends it (follow.go). The first read
 // is exact, not stale: a starting node needs the other nodes at once.
@@ -155,20 +73,11 @@
 }
 
 func (n *Node) readRegistry(ctx context.Context, read func(ctx context.Context, prefix string) (store.RangeResult, error)) error {
-	r, err := read(ctx, memberPrefix)
+	list, err := registration.Read(ctx, n.log, read)
 	n.registryTried.Store(true)
 	if err != nil {
 		return err
 	}
-	list := make([]roster.Member, 0, len(r.Pairs))
-	for _, p := range r.Pairs {
-		var v memberValue
-		if err := json.Unmarshal(p.Value, &v); err != nil {
-			n.log.Warn("member_unreadable", zap.String("key", p.Key), zap.String("cause", err.Error()))
-			continue
-		}
-		list = append(list, roster.Member{Name: p.Key[len(memberPrefix):], Address: v.Address, Hall: v.Hall, Cores: v.Cores})
-	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.clock.Now()
@@ -185,7 +94,7 @@
 		}
 	}
 	for name, p := range n.peers.peers {
-		if !p.IsResponsive(now, n.peers.size()) && now.Sub(p.LastSeen) > memberRetention && now.Sub(p.LastListed) > memberRetention {
+		if p.IsGone(now, n.peers.size()) {
 			delete(n.peers.peers, name)
 			n.logPeer("peer_gone", zap.String("peer", name), zap.Duration("silent", now.Sub(p.LastSeen)))
 		}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -69,8 +69,7 @@
 	// them takes some 25 connections a second.
 	oneShot  *http.Client
 	sequence uint64
-	// fallbackAt is when a peer of a large fleet that no relay names was last due.
-	fallbackAt time.Time
+	fallback pair.Fallback // calls of peers that no relay names
 }
 
 func newPeerTable(n *Node) *peerTable {
@@ -126,11 +125,6 @@
 	return t.clientOf(p)
 }
 
-// fallbackInterval is how often a node of a large fleet calls a peer, one of those that no relay names. While all nodes
-// start, or relays are slow, these are most of the fleet, and each call opens a connection: one in each round was as much
-// as the reports to the relays, and made these slower still.
-const fallbackInterval = 2 * time.Second
-
 // due returns the peers to call in this round.
 func (t *peerTable) due(now time.Time) []*peer {
 	peers := make([]pair.Peer, 0, len(t.peers))
@@ -146,10 +140,9 @@
 	if len(list) == 0 || pair.Suffice(t.size()) {
 		return list
 	}
-	if now.Sub(t.fallbackAt) < fallbackInterval {
+	if !t.fallback.Take(now) {
 		return nil
 	}
-	t.fallbackAt = now
 	return list[:1]
 }
 
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -40,8 +40,6 @@
 	// idleRounds is the number of rounds in which a node of a large fleet without requests reports once: it has
 	// nothing to tell but that it is there, and needs no digest for a choice.
 	idleRounds = 2
-	// relayRetryPause is how long a failed relay isn't called unless it reports again.
-	relayRetryPause = 5 * time.Second
 )
 
 // relayState is what a node knows of a peer as a relay.
@@ -121,7 +119,7 @@
 		nodes[n.settings.Node] = n.settings.Cores
 	}
 	for _, p := range n.peers.peers {
-		failed := !p.relay.failedAt.IsZero() && p.LastSeen.Before(p.relay.failedAt) && now.Sub(p.relay.failedAt) < relayRetryPause
+		failed := relay.IsAvoided(now, p.relay.failedAt, p.LastSeen)
 		if p.hall == hall && !p.leaving && !failed && p.IsPresent(now, n.peers.size()) {
 			nodes[p.name] = p.cores
 		}
@@ -272,7 +270,7 @@
 	n.mu.Lock()
 	p.relay.busy = false
 	if err != nil {
-		if now := n.clock.Now(); p.relay.failedAt.Before(p.LastSeen) || now.Sub(p.relay.failedAt) > relayRetryPause {
+		if now := n.clock.Now(); !relay.IsAvoided(now, p.relay.failedAt, p.LastSeen) {
 			n.log.Info("swap_failed", zap.String("relay", p.name), zap.String("cause", err.Error()))
 			p.relay.failedAt = now
 		}
--- a/internal/edge/start_test.go
+++ b/internal/edge/start_test.go
@@ -16,6 +16,7 @@
 	"spurhall.example/spurhall/internal/follow"
 	"spurhall.example/spurhall/internal/pair"
 	"spurhall.example/spurhall/internal/pool"
+	"spurhall.example/spurhall/internal/registration"
 	"spurhall.example/spurhall/internal/relay"
 	"spurhall.example/spurhall/internal/roster"
 	"spurhall.example/spurhall/internal/standin"
@@ -43,7 +44,7 @@
 		n, _ := newStartingNode(t, 985)
 		n.settings.Cores = 0.8
 		reach := n.guard.Wrap(store.KV{Range: func(context.Context, string, string) (store.RangeResult, error) { return store.RangeResult{}, nil }})
-		_, err := reach.Range(t.Context(), memberPrefix, "") // it has read the registry
+		_, err := reach.Range(t.Context(), registration.Prefix, "") // it has read the registry
 		require.NoError(t, err)
 		assert.True(t, n.mustWatch())
 	})
@@ -103,7 +104,7 @@
 	}
 	called := make(map[string]int)
 	for range 8 {
-		c.Advance(fallbackInterval)
+		c.Advance(pair.FallbackInterval)
 		for _, p := range n.peers.peers {
 			if !silent[p.name] {
 				p.LastRelayed = n.clock.Now()
@@ -195,7 +196,7 @@
 			writes++
 			return store.TxnResult{Succeeded: true}, nil
 		}
-		id, err := n.putMember(t.Context())
+		id, err := n.registration().Put(t.Context())
 		assert.NoError(t, err)
 		assert.Equal(t, int64(7), id)
 		assert.Equal(t, 1, writes)
--- a/internal/pair/pair.go
+++ b/internal/pair/pair.go
@@ -84,3 +84,20 @@
 	}
 	return names
 }
+
+// FallbackInterval is how often a node of a large fleet calls a peer, one of those that no relay names. While all nodes
+// start, or relays are slow, these are most of the fleet, and each call opens a connection: one in each round was as much
+// as the reports to the relays, and made these slower still.
+const FallbackInterval = 2 * time.Second
+
+// Fallback paces the calls of a node of a large fleet to peers that no relay names. Its zero value has made none.
+type Fallback struct{ at time.Time }
+
+// Take reports whether a call is due, and counts it if so.
+func (f *Fallback) Take(now time.Time) bool {
+	if now.Sub(f.at) < FallbackInterval {
+		return false
+	}
+	f.at = now
+	return true
+}
--- a/internal/pair/pair_test.go
+++ b/internal/pair/pair_test.go
@@ -131,3 +131,11 @@
 		assert.Equal(t, Silence(97), Silence(nodes))
 	}
 }
+
+func TestFallbackIsPaced(t *testing.T) {
+	var f Fallback
+	now := time.Unix(1000, 0)
+	assert.True(t, f.Take(now))
+	assert.False(t, f.Take(now.Add(FallbackInterval-time.Millisecond)))
+	assert.True(t, f.Take(now.Add(FallbackInterval)))
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -26,6 +26,8 @@
 	relayedSilence = 3 * time.Second
 	// listedFor is how long after it was last listed a node counts as registered: two reads of the registry.
 	listedFor = 4 * time.Second
+	// retention is how long a node is kept that is neither responsive nor registered.
+	retention = 3 * time.Second
 	// WatchersPerHall is how many nodes of a hall watch the store: with two, the loss of one costs the others a
 	// time-out.
 	WatchersPerHall = 2
@@ -65,6 +67,11 @@
 	return s.IsResponsive(now, nodes) || now.Sub(s.LastListed) <= listedFor
 }
 
+// IsGone reports whether a node of a fleet is neither responsive nor registered any more.
+func (s *Signs) IsGone(now time.Time, nodes int) bool {
+	return !s.IsResponsive(now, nodes) && now.Sub(s.LastSeen) > retention && now.Sub(s.LastListed) > retention
+}
+
 // NeedsReport reports whether a node's own reports are needed: pairs suffice, or no digest has named it for longer
 // than it takes a node that has just been found to reach its relay.
 func (s *Signs) NeedsReport(now time.Time, nodes int) bool {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -130,3 +130,22 @@
 	assert.Equal(t, time.Second, MaxLag(time.Second, "n", maxSmall))
 	assert.GreaterOrEqual(t, MaxLag(time.Second, "n", 985), newsPatience)
 }
+
+// TestIsGone: a node is forgotten once neither its reports nor the registry have named it for a while.
+func TestIsGone(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for name, c := range map[string]struct {
+		seen, listed time.Duration // ago
+		want         bool
+	}{
+		"reports":                   {time.Second, time.Minute, false},
+		"is registered":             {time.Minute, time.Second, false},
+		"neither, for long enough":  {time.Minute, retention + time.Millisecond, true},
+		"neither, a short time ago": {time.Minute, retention, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := Signs{LastSeen: now.Add(-c.seen), LastListed: now.Add(-c.listed)}
+			assert.Equal(t, c.want, s.IsGone(now, 8))
+		})
+	}
+}
