--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -46,6 +46,7 @@
 	"spurhall.example/spurhall/internal/roster"
 	"spurhall.example/spurhall/internal/store"
 	"spurhall.example/spurhall/internal/timer"
+	"spurhall.example/spurhall/internal/upstream"
 	"spurhall.example/spurhall/internal/usage"
 )
 
@@ -76,6 +77,8 @@
 	// FetchCachedParts asks the engine at an address which prompt parts it has cached; nil if no engine can
 	// say.
 	FetchCachedParts func(ctx context.Context, address string) ([]call.Part, call.Response, error)
+	// DialUpstream opens connections to upstreams; nil: over the node's own network.
+	DialUpstream upstream.DialFunc
 }
 
 // Node is the process of one entry VM.
@@ -162,7 +165,7 @@
 	n := &Node{options: o, settings: s, clock: o.Clock, log: o.Log, start: o.Clock.Now(), initialized: make(chan struct{}), retryWindows: make(map[string]*retry.Window)}
 	n.pools = pool.New(o.Clock, s.Node, s.Hall)
 	n.pools.SetSenders(nil, nil) // until the other nodes are known
-	n.lines = forward.NewConnections(o.Clock)
+	n.lines = forward.NewConnections(o.Clock, o.DialUpstream)
 	n.quotas = quota.New(n.start, s.FirstStart)
 	n.usage = usage.New(s.Node, o.Incarnation, s.UsageWindow)
 	n.peers = newPeerTable(n)
--- a/internal/forward/connections.go
+++ b/internal/forward/connections.go
@@ -14,6 +14,7 @@
 type Connections struct {
 	mu      sync.Mutex
 	clock   *timer.Service
+	dial    upstream.DialFunc
 	clients map[string]*idleClient
 }
 
@@ -34,14 +35,17 @@
 	idleMargin = 700 * time.Millisecond
 )
 
-// NewConnections returns an empty set of connections.
-func NewConnections(clock *timer.Service) *Connections {
-	return &Connections{clock: clock, clients: make(map[string]*idleClient)}
+// NewConnections returns an empty set of connections that dial opens; nil: over the node's own network.
+func NewConnections(clock *timer.Service, dial upstream.DialFunc) *Connections {
+	if dial == nil {
+		dial = upstream.NewDialFunc(upstream.DialOptions{ConnectTimeout: connectTimeout, AckTimeout: silenceLimit})
+	}
+	return &Connections{clock: clock, dial: dial, clients: make(map[string]*idleClient)}
 }
 
 func (l *Connections) newClient(idle time.Duration) *idleClient {
 	return &idleClient{idleLimit: idle, client: upstream.NewClient(l.clock, upstream.Options{
-		ConnectTimeout: connectTimeout, IdlePerHost: idlePerUpstream, IdleTimeout: idle, AckTimeout: silenceLimit,
+		IdlePerHost: idlePerUpstream, IdleTimeout: idle, Dial: l.dial,
 	})}
 }
 
--- a/internal/forward/connections_test.go
+++ b/internal/forward/connections_test.go
@@ -60,7 +60,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			u, l := newCountingUpstream(t), NewConnections(timer.Real())
+			u, l := newCountingUpstream(t), NewConnections(timer.Real(), nil)
 			u.call(t, l)
 			l.setIdleLimit(u.entry, v.says)
 			u.call(t, l)
--- a/internal/forward/order_test.go
+++ b/internal/forward/order_test.go
@@ -213,7 +213,7 @@
 
 func TestFailedAttemptsNameTheirOrder(t *testing.T) {
 	v := newLLMRig(t, 0, 1)
-	v.server.o.Connections = NewConnections(v.clock.Service())
+	v.server.o.Connections = NewConnections(v.clock.Service(), nil)
 	v.fill(t)
 	q, _ := v.send(t, asked{host: "h1"})
 	q.deadline = v.clock.Service().Now().Add(time.Minute)
--- /dev/null
+++ b/internal/upstream/dial.go
@@ -0,0 +1,47 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+)
+
+// This file opens connections to upstreams, and detects the ones whose peer no longer answers.
+
+// DialFunc opens a connection to a TCP address.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// DialOptions configures the connections that NewDialFunc opens.
+type DialOptions struct {
+	ConnectTimeout time.Duration
+	// AckTimeout is how long a peer's kernel may leave bytes or probes unacknowledged
+	// before its connections count as broken; 0: the system's default, many minutes.
+	AckTimeout time.Duration
+}
+
+// NewDialFunc returns a function that opens connections over the node's own network.
+func NewDialFunc(o DialOptions) DialFunc {
+	d := &net.Dialer{Timeout: o.ConnectTimeout}
+	if o.AckTimeout > 0 {
+		d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+		d.Control = setUserTimeout(o.AckTimeout)
+	}
+	return func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
+}
+
+// setUserTimeout sets how long sent bytes may stay unacknowledged: a connection to a VM that lost
+// power or is partitioned would otherwise hang.
+func setUserTimeout(d time.Duration) func(network, address string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		var err error
+		e := c.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds()))
+		})
+		return errors.Join(e, err)
+	}
+}
+
+// tcpUserTimeout is TCP_USER_TIMEOUT of tcp(7), which package syscall doesn't define.
+const tcpUserTimeout = 18
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -178,27 +178,23 @@
 
 // Options configures a Client.
 type Options struct {
-	ConnectTimeout time.Duration
+	ConnectTimeout time.Duration // for the default of Dial
 	IdlePerHost    int
 	IdleTimeout    time.Duration // 0: half a minute
-	// AckTimeout is how long a peer's kernel may leave bytes or probes unacknowledged
-	// before its connections count as broken; 0: the system's default, many minutes.
-	AckTimeout time.Duration
+	Dial           DialFunc      // opens the connections; nil: over the node's own network
 }
 
 // NewClient returns a client.
 func NewClient(clock *timer.Service, o Options) *Client {
-	d := &net.Dialer{Timeout: o.ConnectTimeout}
-	if o.AckTimeout > 0 {
-		d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
-		d.Control = setUserTimeout(o.AckTimeout)
+	if o.Dial == nil {
+		o.Dial = NewDialFunc(DialOptions{ConnectTimeout: o.ConnectTimeout})
 	}
 	if o.IdleTimeout == 0 {
 		o.IdleTimeout = 30 * time.Second
 	}
 	t := &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := d.DialContext(ctx, network, address)
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			c, err := o.Dial(ctx, address)
 			if err != nil {
 				return nil, err
 			}
@@ -211,21 +207,6 @@
 	return &Client{transport: t, clock: clock, guardReplay: true, guardSeal: true}
 }
 
-// setUserTimeout sets how long sent bytes may stay unacknowledged: a connection to a VM that lost
-// power or is partitioned would otherwise hang.
-func setUserTimeout(d time.Duration) func(network, address string, c syscall.RawConn) error {
-	return func(_, _ string, c syscall.RawConn) error {
-		var err error
-		e := c.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds()))
-		})
-		return errors.Join(e, err)
-	}
-}
-
-// tcpUserTimeout is TCP_USER_TIMEOUT of tcp(7), which package syscall doesn't define.
-const tcpUserTimeout = 18
-
 // Close closes the idle connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
