A node whose own network reaches no upstream sends through other nodes

What callers saw: machines partitioned from all upstreams served 15 of 120 first attempts (others 245 of 257), in a second cut 0 of 75: 503 after 1.5 s, or their deadline.

Cause: a node had one way to each upstream, its own network. Every dial hung (300 ms, five a request; 250 of 262 failed attempts of one node are dials that timed out, not run), while two other nodes of six reached all upstreams. Leaving the balancer can't help: with two of a hall's three nodes out it uses all of them. Class: a node takes the fault of its own link for the upstreams' fault, and nothing that other nodes can reach is used for its callers. Ruled out: kept connections that hang eat the requests (12 of 262 attempts).

Change: a connection to an upstream that can't be opened directly is opened through another node by CONNECT at its peers' listener (package tunnel); package egress decides when, and whom to ask. Only bytes are forwarded: quotas, retries, what is known to have run and the versions of the configuration stay at the node that has the caller. After three upstreams in a row without a sign of any, the own network counts as lost (egress_lost): connections go through others first, idle ones are closed, and direct ones are probed until one opens (egress_regained). A planned stop waits for tunnels as for requests. A build before this one answers CONNECT with 404 and counts as no help for a second.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -57,6 +57,8 @@
 	trials         []rollout.Update
 	reach          pool.Reachability
 	relay          relayState
+	// refusedTunnelAt is when it last opened no tunnel that was asked for.
+	refusedTunnelAt time.Time
 }
 
 // peerTable holds the other nodes. Its fields are guarded by the node's lock.
@@ -169,7 +171,11 @@
 	n.guard.SetRates(n.storeShare())
 	n.usage.Forget(n.clock.Wall())
 	responsive, size := 0, n.peers.size()
+	var leaving []string
 	for _, p := range n.peers.peers {
+		if p.leaving {
+			leaving = append(leaving, p.name)
+		}
 		if p.IsResponsive(now, size) {
 			responsive++
 			p.silenceLogged = false
@@ -190,6 +196,7 @@
 	if !relayed {
 		n.applyReach(reach)
 	}
+	n.leaveTunnels(leaving)
 	responsivePeers.Set(int64(responsive))
 	for _, p := range due {
 		go n.swapReports(ctx, p, report)
@@ -270,7 +277,9 @@
 	if h := n.catalog.Load(); h != nil {
 		r.CatalogVersion = h.catalog.Version()
 	}
-	r.Reach = message.ReachToWire(n.pools.Reachability())
+	if !n.egress.paths.Lost() { // what a node can't reach says nothing of upstreams when its own network is lost
+		r.Reach = message.ReachToWire(n.pools.Reachability())
+	}
 	r.Suspicions = n.suspicions()
 	r.Limits = message.LimitsToWire(n.clock.Now(), n.pools.Limits())
 	if n.swapsAllPairs() {
--- a/internal/forward/connections.go
+++ b/internal/forward/connections.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -14,7 +16,7 @@
 type Connections struct {
 	mu      sync.Mutex
 	clock   *timer.Service
-	dial    upstream.DialFunc
+	dial    DialFunc
 	clients map[string]*idleClient
 }
 
@@ -35,17 +37,27 @@
 	idleMargin = 700 * time.Millisecond
 )
 
+// DialFunc opens a connection to an upstream.
+type DialFunc func(ctx context.Context, e pool.Entry) (net.Conn, error)
+
+// DialOptions are those of all connections that requests to upstreams take.
+func DialOptions() upstream.DialOptions {
+	return upstream.DialOptions{ConnectTimeout: connectTimeout, AckTimeout: silenceLimit}
+}
+
 // NewConnections returns an empty set of connections that dial opens; nil: over the node's own network.
-func NewConnections(clock *timer.Service, dial upstream.DialFunc) *Connections {
+func NewConnections(clock *timer.Service, dial DialFunc) *Connections {
 	if dial == nil {
-		dial = upstream.NewDialFunc(upstream.DialOptions{ConnectTimeout: connectTimeout, AckTimeout: silenceLimit})
+		d := upstream.NewDialFunc(DialOptions())
+		dial = func(ctx context.Context, e pool.Entry) (net.Conn, error) { return d(ctx, e.Address) }
 	}
 	return &Connections{clock: clock, dial: dial, clients: make(map[string]*idleClient)}
 }
 
-func (l *Connections) newClient(idle time.Duration) *idleClient {
+func (l *Connections) newClient(e pool.Entry, idle time.Duration) *idleClient {
 	return &idleClient{idleLimit: idle, client: upstream.NewClient(l.clock, upstream.Options{
-		IdlePerHost: idlePerUpstream, IdleTimeout: idle, Dial: l.dial,
+		IdlePerHost: idlePerUpstream, IdleTimeout: idle,
+		Dial: func(ctx context.Context, _ string) (net.Conn, error) { return l.dial(ctx, e) },
 	})}
 }
 
@@ -54,7 +66,7 @@
 	defer l.mu.Unlock()
 	v := l.clients[e.ID]
 	if v == nil {
-		v = l.newClient(defaultIdleLimit)
+		v = l.newClient(e, defaultIdleLimit)
 		l.clients[e.ID] = v
 	}
 	return v.client
@@ -73,7 +85,16 @@
 		return
 	}
 	v.client.Close()
-	l.clients[e.ID] = l.newClient(limit)
+	l.clients[e.ID] = l.newClient(e, limit)
+}
+
+// CloseIdle closes the idle connections to all upstreams.
+func (l *Connections) CloseIdle() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, v := range l.clients {
+		v.client.Close()
+	}
 }
 
 // Forget closes the idle connections to an upstream that is gone.
--- /dev/null
+++ b/internal/pool/lookup.go
@@ -0,0 +1,29 @@
+package pool
+
+// This file looks upstreams up for purposes other than a request.
+
+// ByAddress returns the entry of a listed upstream with an address.
+func (p *Pools) ByAddress(address string) (Entry, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.members {
+		if m.entry.Address == address {
+			return m.entry, true
+		}
+	}
+	return Entry{}, false
+}
+
+// Sample returns up to k of the listed upstreams, at random.
+func (p *Pools) Sample(k int) []Entry {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var r []Entry
+	for _, m := range p.members { // in random order
+		if len(r) == k {
+			break
+		}
+		r = append(r, m.entry)
+	}
+	return r
+}
--- /dev/null
+++ b/internal/tunnel/tunnel.go
@@ -0,0 +1,165 @@
+// Package tunnel opens connections through another process, by the method CONNECT of HTTP (RFC 9110, section 9.3.6),
+// and serves them. A tunnel carries bytes both ways until one end is over; an end is forwarded as what it was, so that
+// whoever uses a tunnel can tell a reset from a close.
+package tunnel
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"spurhall.example/spurhall/internal/fault"
+	"spurhall.example/spurhall/internal/upstream"
+)
+
+var errs = errorx.NewNamespace("tunnel")
+
+var (
+	// ErrUnavailable means that the other process opens no tunnel, whatever the address.
+	ErrUnavailable = errs.NewType("unavailable").New("the process opens no tunnel")
+	// ErrUnreachable means that the other process couldn't reach the address.
+	ErrUnreachable = errs.NewType("unreachable").New("the address can't be reached through the process")
+	// ErrRefused means that the address refused the other process's connection. It matches syscall.ECONNREFUSED, too.
+	ErrRefused = errs.NewType("refused").New("the address refuses connections")
+)
+
+// The statuses of an answer to CONNECT.
+const (
+	statusRefused     = http.StatusBadGateway
+	statusUnreachable = http.StatusGatewayTimeout
+	statusUnavailable = http.StatusServiceUnavailable
+)
+
+const (
+	bufferSize  = 16 << 10
+	established = "HTTP/1.1 200 Connection established\r\n\r\n"
+)
+
+// Open asks the process at the other end of a connection for a tunnel to an address. It closes the connection if it
+// fails. The context bounds the time until the tunnel is open.
+func Open(ctx context.Context, c net.Conn, address string) (net.Conn, error) {
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	r, err := handshake(c, address)
+	if !stop() && err == nil {
+		err = context.Cause(ctx)
+	}
+	if err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	return &conn{Conn: c, r: r}, nil
+}
+
+func handshake(c net.Conn, address string) (*bufio.Reader, error) {
+	q := &http.Request{Method: http.MethodConnect, Host: address}
+	if _, err := io.WriteString(c, "CONNECT "+address+" HTTP/1.1\r\nHost: "+address+"\r\n\r\n"); err != nil {
+		return nil, fault.Because(ErrUnavailable, "%v", err)
+	}
+	r := bufio.NewReader(c)
+	a, err := http.ReadResponse(r, q)
+	if err != nil {
+		return nil, fault.Because(ErrUnavailable, "%v", err)
+	}
+	switch a.StatusCode {
+	case http.StatusOK:
+		return r, nil
+	case statusRefused:
+		return nil, errors.Join(ErrRefused, syscall.ECONNREFUSED)
+	case statusUnreachable:
+		return nil, ErrUnreachable
+	}
+	return nil, fault.Because(ErrUnavailable, "it answered %d", a.StatusCode)
+}
+
+// conn is the near end of a tunnel.
+type conn struct {
+	net.Conn
+	r *bufio.Reader // may hold bytes that arrived with the answer to CONNECT
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) { return c.r.Read(b) }
+
+// SetLinger sets how a close treats bytes that aren't sent yet.
+func (c *conn) SetLinger(sec int) error { return upstream.SetLinger(c.Conn, sec) }
+
+// Reject answers a request for a tunnel that this process doesn't open.
+func Reject(w http.ResponseWriter, reason string) { http.Error(w, reason, statusUnavailable) }
+
+// RejectDial answers a request for a tunnel whose address couldn't be reached.
+func RejectDial(w http.ResponseWriter, err error) {
+	status := statusUnreachable
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		status = statusRefused
+	}
+	http.Error(w, err.Error(), status)
+}
+
+// Serve connects the caller of a request for a tunnel with the connection to its address, until one of them is over. It
+// closes both. A caller that leaves bytes unacknowledged for ackTimeout is gone.
+func Serve(w http.ResponseWriter, far net.Conn, ackTimeout time.Duration) error {
+	near, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		_ = far.Close()
+		return err
+	}
+	err = upstream.DetectSilence(near, ackTimeout)
+	if err == nil {
+		_, err = io.WriteString(near, established)
+	}
+	if err != nil {
+		reset(near, far)
+		return err
+	}
+	var g sync.WaitGroup
+	g.Go(func() { pump(near, far, buffered.Reader) })
+	g.Go(func() { pump(far, near, far) })
+	g.Wait()
+	return errors.Join(near.Close(), far.Close())
+}
+
+// pump copies what r reads from one connection to the other, and then forwards the end.
+func pump(from, to net.Conn, r io.Reader) {
+	b := make([]byte, bufferSize)
+	for {
+		k, err := r.Read(b)
+		if k > 0 {
+			if _, e := to.Write(b[:k]); e != nil {
+				reset(from, to)
+				return
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			_ = CloseWrite(to) // an end that is over already has nothing to be told
+			return
+		case err != nil:
+			reset(from, to)
+			return
+		}
+	}
+}
+
+// CloseWrite ends the direction to the peer, as (*net.TCPConn).CloseWrite does.
+func CloseWrite(c net.Conn) error {
+	if v, ok := c.(interface{ CloseWrite() error }); ok {
+		return v.CloseWrite()
+	}
+	return nil
+}
+
+// reset closes both connections without sending what is buffered: a request that its sender has given up mustn't arrive.
+func reset(list ...net.Conn) {
+	for _, c := range list {
+		_ = upstream.SetLinger(c, 0)
+		_ = c.Close()
+	}
+}
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -25,22 +25,44 @@
 func NewDialFunc(o DialOptions) DialFunc {
 	d := &net.Dialer{Timeout: o.ConnectTimeout}
 	if o.AckTimeout > 0 {
-		d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
-		d.Control = setUserTimeout(o.AckTimeout)
+		d.KeepAliveConfig = keepAlive
+		d.Control = func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, o.AckTimeout) }
 	}
 	return func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
 }
 
+// keepAlive probes idle connections.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+
+// DetectSilence makes a connection that was accepted count as broken as those do that NewDialFunc opens.
+func DetectSilence(c net.Conn, ackTimeout time.Duration) error {
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	r, err := t.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return errors.Join(t.SetKeepAliveConfig(keepAlive), setUserTimeout(r, ackTimeout))
+}
+
+// SetLinger sets how a close treats bytes that aren't sent yet, as (*net.TCPConn).SetLinger does.
+func SetLinger(c net.Conn, sec int) error {
+	if l, ok := c.(interface{ SetLinger(sec int) error }); ok {
+		return l.SetLinger(sec)
+	}
+	return nil
+}
+
 // setUserTimeout sets how long sent bytes may stay unacknowledged: a connection to a VM that lost
 // power or is partitioned would otherwise hang.
-func setUserTimeout(d time.Duration) func(network, address string, c syscall.RawConn) error {
-	return func(_, _ string, c syscall.RawConn) error {
-		var err error
-		e := c.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds()))
-		})
-		return errors.Join(e, err)
-	}
+func setUserTimeout(c syscall.RawConn, d time.Duration) error {
+	var err error
+	e := c.Control(func(fd uintptr) {
+		err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds()))
+	})
+	return errors.Join(e, err)
 }
 
 // tcpUserTimeout is TCP_USER_TIMEOUT of tcp(7), which package syscall doesn't define.
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -101,11 +101,7 @@
 // seconds after the caller got its response. A request whose response was read completely has arrived, so
 // a reset loses nothing.
 func (c *conn) Close() error {
-	var e error
-	if t, ok := c.Conn.(*net.TCPConn); ok {
-		e = t.SetLinger(0)
-	}
-	return errors.Join(e, c.Conn.Close())
+	return errors.Join(SetLinger(c.Conn, 0), c.Conn.Close())
 }
 
 func (c *conn) writeCount() int {
