A node's own network counts as lost only after probes

Cause: three upstreams in a row out of reach, and none heard of for 0.15 s, is also what half of the upstreams silent for a second, or crashed, look like at a node with ten requests a second. A false loss closes idle connections and takes a detour for 0.25 s.

Change: the network is then suspected only; upstreams that didn't fail lately are probed, and it is lost if none of them opens and nothing else is heard of.

TestNodesCutOffFromAllUpstreamsServe as before.

--- a/internal/edge/egress.go
+++ b/internal/edge/egress.go
@@ -86,7 +86,7 @@
 		return &watchedConn{Conn: c, d: d}, nil
 	}
 	if ctx.Err() == nil && d.paths.DirectFailed(now, e.ID, d.n.pools.Len()) {
-		d.n.onEgressLost(e, err)
+		go d.n.checkEgress(e, err) // bounded by the time-out of a connection
 	}
 	return nil, err
 }
@@ -218,8 +218,14 @@
 	}
 }
 
-// onEgressLost closes the idle connections: they may hang, and a request that is sent on one may have run.
-func (n *Node) onEgressLost(e pool.Entry, cause error) {
+// checkEgress tries upstreams that didn't fail lately, and tells whether this node's own network is lost. Idle
+// connections are then closed: they may hang, and a request that is sent on one may have run.
+func (n *Node) checkEgress(e pool.Entry, cause error) {
+	n.tryDirect(context.Background(), func(o pool.Entry) bool { return !n.egress.paths.Failed(o.ID) })
+	if !n.egress.paths.Conclude() {
+		n.log.Info("egress_sound", zap.String("upstream", e.ID), zap.String("hall", e.Hall), zap.String("cause", cause.Error()))
+		return
+	}
 	upstreamEvents.Add("egress_lost", 1)
 	n.log.Warn("egress_lost", zap.String("upstream", e.ID), zap.String("hall", e.Hall), zap.Int("upstreams", n.pools.Len()), zap.String("cause", cause.Error()))
 	n.lines.CloseIdle()
@@ -240,17 +246,21 @@
 // probeEgress tries direct connections while this node's own network is lost, until the context ends.
 func (n *Node) probeEgress(ctx context.Context) {
 	n.clock.Every(ctx, egressProbeInterval, func(time.Time) {
-		if !n.egress.paths.Lost() {
-			return
-		}
-		var w sync.WaitGroup
-		for _, e := range n.pools.Sample(egressProbes) {
-			w.Go(func() {
-				if c, err := n.egress.dialDirect(ctx, e); err == nil {
-					_ = c.Close()
-				}
-			})
+		if n.egress.paths.Lost() {
+			n.tryDirect(ctx, func(pool.Entry) bool { return true })
 		}
-		w.Wait()
 	})
 }
+
+// tryDirect opens direct connections to some of the upstreams that fit, and closes them.
+func (n *Node) tryDirect(ctx context.Context, fits func(e pool.Entry) bool) {
+	var w sync.WaitGroup
+	for _, e := range n.pools.Sample(egressProbes, fits) {
+		w.Go(func() {
+			if c, err := n.egress.dialDirect(ctx, e); err == nil {
+				_ = c.Close()
+			}
+		})
+	}
+	w.Wait()
+}
--- a/internal/egress/paths.go
+++ b/internal/egress/paths.go
@@ -9,8 +9,9 @@
 // forwards its bytes. All decisions on a request, and what is known of its outcome, stay at the node that has the caller.
 //
 // An upstream that only this node can't reach is told apart from one that has crashed by asking: the other node dials it,
-// too. The own network counts as lost when several upstreams in a row couldn't be reached and none has been heard of in
-// between. Until a direct connection succeeds again, no request waits for one.
+// too. The own network is suspected when several upstreams in a row couldn't be reached and none has been heard of in
+// between. It counts as lost if others, which are then probed, can't be reached either: half of the upstreams may have
+// crashed or fallen silent. Until a direct connection succeeds again, no request waits for one.
 //
 // Alternatives considered: forwarding whole requests. The other node would have to decide again on quotas, retries and
 // versions of the configuration, and a lost answer would leave two nodes in doubt whether a request has run.
@@ -32,11 +33,11 @@
 )
 
 const (
-	// lostAfter is how many upstreams in a row must be unreachable directly for the node's own network to count as lost.
-	lostAfter = 3
-	// lostQuiet is how long nothing must have been heard of any upstream before that: where only some of them are out of
+	// suspectAfter is how many upstreams in a row must be unreachable directly for the node's own network to be suspected.
+	suspectAfter = 3
+	// quietTime is how long nothing must have been heard of any upstream before that: where only some of them are out of
 	// reach, the others respond meanwhile.
-	lostQuiet = 150 * time.Millisecond
+	quietTime = 150 * time.Millisecond
 	// memory is how long the result of a try to reach one upstream counts.
 	memory = 2 * time.Second
 )
@@ -56,6 +57,7 @@
 	epoch     time.Time
 	upstreams map[string]*record
 	openedAt  time.Time // when a direct connection was last opened
+	suspected time.Time // since when the network is suspected and upstreams are probed; zero: it isn't
 	lost      bool
 }
 
@@ -112,18 +114,35 @@
 }
 
 // DirectFailed records that a direct connection to one of the listed upstreams couldn't be opened, and reports whether
-// the network is lost from now on.
-func (p *Paths) DirectFailed(now time.Time, upstream string, listed int) (lost bool) {
+// the network is suspected from now on. The caller then probes upstreams and calls Conclude.
+func (p *Paths) DirectFailed(now time.Time, upstream string, listed int) (suspected bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.record(now, upstream).directFailedAt = now
-	if p.lost || now.Sub(p.lastSign()) < lostQuiet || p.failing(now) < min(lostAfter, max(1, listed)) {
+	if p.lost || !p.suspected.IsZero() || now.Sub(p.lastSign()) < quietTime || p.failing(now) < min(suspectAfter, max(1, listed)) {
 		return false
 	}
-	p.lost = true
+	p.suspected = now
 	return true
 }
 
+// Conclude ends a suspicion after the probes, and reports whether the network is lost: no upstream was heard of since.
+func (p *Paths) Conclude() (lost bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lost = p.lost || !p.lastSign().After(p.suspected)
+	p.suspected = time.Time{}
+	return p.lost
+}
+
+// Failed reports whether the latest direct connection to an upstream couldn't be opened.
+func (p *Paths) Failed(upstream string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.upstreams[upstream]
+	return r != nil && !r.directFailedAt.IsZero()
+}
+
 // lastSign returns when the node's own network last worked.
 func (p *Paths) lastSign() time.Time {
 	if heard := p.epoch.Add(time.Duration(p.heardAt.Load())); heard.After(p.openedAt) {
--- a/internal/pool/lookup.go
+++ b/internal/pool/lookup.go
@@ -14,8 +14,8 @@
 	return Entry{}, false
 }
 
-// Sample returns up to k of the listed upstreams, at random.
-func (p *Pools) Sample(k int) []Entry {
+// Sample returns up to k of the listed upstreams that fit, at random.
+func (p *Pools) Sample(k int, fits func(e Entry) bool) []Entry {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var r []Entry
@@ -23,7 +23,9 @@
 		if len(r) == k {
 			break
 		}
-		r = append(r, m.entry)
+		if fits(m.entry) {
+			r = append(r, m.entry)
+		}
 	}
 	return r
 }
