A silent second of a sound VM breaks no connection

What callers would see: requests that wait, and streams between two events, end with a time-out of the connection when their upstream's VM is silent for a second.

Cause: beside a user time-out the kernel doesn't count probes: it gives a connection up at the first probe at which the last bytes are as old as that and a probe has gone unanswered. With probes each second and 1.5 s that is the second probe, 2 s after the last bytes, and one lost probe is enough. The number of probes that was set (2) had no effect.

Change: 3.5 s, so that two probes may go unanswered.

Evidence: TestASilentSecondBreaksNoConnection, which follows the kernel's rule, failed at 3,140 spans of up to 1.5 s. TestNodesCutOffFromAllUpstreamsServe passes with connections that hang for 3.5 s.

--- a/internal/forward/connections.go
+++ b/internal/forward/connections.go
@@ -26,8 +26,9 @@
 }
 
 const (
-	connectTimeout  = 300 * time.Millisecond // some hundred round trips between halls
-	silenceLimit    = 1500 * time.Millisecond
+	connectTimeout = 300 * time.Millisecond // some hundred round trips between halls
+	// silenceLimit leaves two probes unanswered: a sound VM may be silent for a second or so.
+	silenceLimit    = 3500 * time.Millisecond
 	idlePerUpstream = 64
 	// defaultIdleLimit is how long a connection may stay idle before the upstream has stated when it closes idle
 	// connections.
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -31,8 +31,16 @@
 	return func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
 }
 
-// keepAlive probes idle connections.
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+// ProbeAfter is how long a connection is idle before it is probed, and ProbeInterval the time between two probes: whole
+// seconds, which the kernel counts in.
+const (
+	ProbeAfter    = time.Second
+	ProbeInterval = time.Second
+)
+
+// keepAlive probes idle connections. The number of probes has no effect beside the user time-out, by which the kernel
+// decides when it gives up (tcp(7)).
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: ProbeAfter, Interval: ProbeInterval, Count: 9}
 
 // DetectSilence makes a connection that was accepted count as broken as those do that NewDialFunc opens.
 func DetectSilence(c net.Conn, ackTimeout time.Duration) error {
