The soak cuts daemons off from all upstreams, and has brittle upstreams and a silent second

Why it missed both: on its links a connection was always established, whatever the cut, and no upstream had little room.

Tried first: a socket filter that drops a daemon's new connections at the link; not supported by every kernel that this runs on. Daemons that are cut off count as in touch for all other promises. Upstreams of a service turn slow and bear one to four rejections in a second; upstreams are silent for 0.8 to 1.4 s, which disturbs nothing.

--- a/cmd/spurhalld/edge.go
+++ b/cmd/spurhalld/edge.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -17,8 +18,11 @@
 
 	"spurhall.example/spurhall/internal/edge"
 	"spurhall.example/spurhall/internal/era"
+	"spurhall.example/spurhall/internal/forward"
 	"spurhall.example/spurhall/internal/logging"
 	"spurhall.example/spurhall/internal/timer"
+	"spurhall.example/spurhall/internal/tunnel"
+	"spurhall.example/spurhall/internal/upstream"
 	"spurhall.example/spurhall/platform"
 )
 
@@ -33,11 +37,12 @@
 			"SIGTERM stops the node without cutting a request off; SIGHUP reads the file again.",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "peers-listen", Sources: env("PEERS_LISTEN"), Usage: "address to listen on for other nodes, where they reach this one at another (a mapped port); default: the settings file's"},
+			&cli.StringFlag{Name: "upstream-proxy", Sources: env("UPSTREAM_PROXY"), Usage: "HOST:PORT of a proxy that opens the connections to upstreams (HTTP CONNECT); default: none"},
 			&cli.IntFlag{Name: "metrics-port", Sources: env("METRICS_PORT"), Usage: "port of the metrics listener; 0: none"},
 			&cli.StringFlag{Name: "log-level", Sources: env("LOG_LEVEL"), Value: "info", Usage: "debug, info, warn or error"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
-			return runEdge(c.Int("metrics-port"), c.String("log-level"), c.String("peers-listen"))
+			return runEdge(c.Int("metrics-port"), c.String("log-level"), c.String("peers-listen"), dialThrough(c.String("upstream-proxy")))
 		},
 	}
 }
@@ -46,7 +51,24 @@
 // within; the rest is for stacks, sockets and what the collector is late for.
 const memoryShare = 0.6
 
-func runEdge(metricsPort int, level, peersListen string) error {
+// dialThrough returns a function that opens connections to upstreams through a proxy; nil: over the VM's own network.
+func dialThrough(proxy string) upstream.DialFunc {
+	if proxy == "" {
+		return nil
+	}
+	dial := upstream.NewDialFunc(forward.DialOptions())
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		t, cancel := context.WithTimeout(ctx, forward.DialOptions().ConnectTimeout)
+		defer cancel()
+		c, err := dial(t, proxy)
+		if err != nil {
+			return nil, err
+		}
+		return tunnel.Open(t, c, address)
+	}
+}
+
+func runEdge(metricsPort int, level, peersListen string, dial upstream.DialFunc) error {
 	path, err := platform.SettingsPath()
 	if err != nil {
 		return err
@@ -76,7 +98,7 @@
 		KV: platform.NewStore(s.Store.Address, eras.Observe), Era: eras, Cloud: platform.NewCloud(s.Cloud.Address, s.Node), Dialect: platform.Dialect(),
 		CatalogKey: platform.ConfigKey, EntryPrefix: platform.EntryPrefix,
 		OperatorPrefix: platform.OperatorPrefix, OrderPrefix: platform.OrderPrefix, DecodeOrder: platform.DecodeOrder, EncodeStatus: platform.EncodeStatus,
-		DecodeCatalog: platform.DecodeCatalog, DecodeEntry: platform.DecodeEntry, FetchCachedParts: platform.FetchCachedParts,
+		DecodeCatalog: platform.DecodeCatalog, DecodeEntry: platform.DecodeEntry, FetchCachedParts: platform.FetchCachedParts, DialUpstream: dial,
 	})
 	log.Info("started", zap.String("lifetime", lifetime), zap.String("hall", s.Hall), zap.String("front", s.Front), zap.String("peers", s.Peers),
 		zap.Bool("first_start", s.FirstStart))
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -60,7 +60,7 @@
 			v.runs[e.ID] = append(v.runs[e.ID], e)
 		case Arrived:
 			v.came[e.ID] = append(v.came[e.ID], e)
-		case Ended, Refused, Named, Started:
+		case Ended, Refused, Named, Started, Fell:
 		}
 	}
 	return v
@@ -106,7 +106,7 @@
 // unplanned is anything but what upstreams and operators do themselves.
 func unplanned(f Fault) bool {
 	switch f.Kind {
-	case FaultTerm, FaultConfig, FaultKeys, FaultQuota, FaultLimit, FaultDrain, FaultReclaim:
+	case FaultTerm, FaultConfig, FaultKeys, FaultQuota, FaultLimit, FaultDrain, FaultReclaim, FaultSecond:
 		return false
 	default:
 		return true
@@ -120,7 +120,7 @@
 func Check(r Record) []Failure {
 	v := newView(r)
 	var list []Failure
-	for _, c := range []func(v *view) []Failure{checkWhole, checkOnce, checkNotRun, checkAttempts, checkDrains, checkConfig, checkKeys, checkQuota, checkRepeats, checkLimits, checkEnds, checkStops, checkLost} {
+	for _, c := range []func(v *view) []Failure{checkWhole, checkOnce, checkNotRun, checkAttempts, checkDrains, checkConfig, checkKeys, checkQuota, checkRepeats, checkLimits, checkEgress, checkBrittle, checkEnds, checkStops, checkLost} {
 		list = append(list, c(v)...)
 	}
 	if r.Complete {
--- /dev/null
+++ b/internal/soak/check_reach.go
@@ -0,0 +1,90 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// This file is the promises on upstreams that some daemons don't reach, or that mustn't be asked too often.
+
+const (
+	cutNotice   = 3 * time.Second // from the beginning of a cut
+	cutShare    = 2.0 / 3         // of what the other daemons serve
+	cutLeast    = 10.0            // failed requests that are passed over, and
+	cutFailures = 1.0 / 50        // of all requests there
+	fallsLeast  = 2.0
+	fallsShare  = 0.1 // of the upstreams of the service
+)
+
+// tally counts requests.
+type tally struct{ asked, served int }
+
+func (t tally) share() float64 { return float64(t.served) / float64(max(1, t.asked)) }
+
+// checkEgress: daemons that reach no upstream themselves serve almost as much as the others.
+func checkEgress(v *view) []Failure {
+	var list []Failure
+	for _, f := range v.Day.Faults {
+		if f.Kind != FaultEgress || !v.unobstructed(f) {
+			continue
+		}
+		var cut, others tally
+		for i := range v.Replies {
+			r := &v.Replies[i]
+			if r.Call.Key != KeyWide || v.at(r.Sent) < f.At+cutNotice || v.at(r.Done) > f.End() {
+				continue
+			}
+			t := &others
+			if slices.Contains(f.Who, r.Call.Daemon) {
+				t = &cut
+			}
+			t.asked++
+			if r.good() && r.Whole {
+				t.served++
+			}
+		}
+		if failed := float64(cut.asked - cut.served); cut.share() < cutShare*others.share() && failed > cutLeast+cutFailures*float64(cut.asked) {
+			list = append(list, Failure{"egress", "", fmt.Sprintf("daemons that reach no upstream (%s) served %d of %d, the others %d of %d", f.How, cut.served, cut.asked, others.served, others.asked)})
+		}
+	}
+	return list
+}
+
+// unobstructed tells whether no other fault keeps daemons from callers or from each other while one is in force.
+func (v *view) unobstructed(own Fault) bool {
+	return v.calm(v.Began.Add(own.At), v.Began.Add(own.End()), func(f Fault) bool {
+		switch f.Kind {
+		case FaultHall, FaultKillAll, FaultTerm, FaultKill:
+			return true
+		case FaultFreeze:
+			return f.On == OnDaemons
+		case FaultDelay, FaultReset, FaultSilent, FaultOldSilent, FaultOneWay:
+			return f.On == OnPeers || f.On == OnCallers
+		case FaultEgress:
+			return own.Kind != FaultEgress
+		default:
+			return false
+		}
+	})
+}
+
+// checkBrittle: upstreams that bear few rejections don't fall over.
+func checkBrittle(v *view) []Failure {
+	var list []Failure
+	for _, f := range v.Day.Faults {
+		if f.Kind != FaultBrittle || !v.unobstructed(f) {
+			continue
+		}
+		falls := 0
+		for _, e := range v.Events {
+			if e.What == Fell && v.at(e.At) >= f.At && v.at(e.At) <= f.End() {
+				falls++
+			}
+		}
+		if allowed := fallsLeast + fallsShare*float64(len(f.Who)); float64(falls) > allowed {
+			list = append(list, Failure{"brittle", "", fmt.Sprintf("%d upstreams that bear %.0f rejections in a second fell over %d times", len(f.Who), f.X, falls)})
+		}
+	}
+	return list
+}
--- a/internal/soak/control.go
+++ b/internal/soak/control.go
@@ -20,6 +20,8 @@
 	Share float64 `json:"share,omitempty"` // of its requests that it
 	Fails bool    `json:"fails,omitempty"` // answers with a failure, or
 	Loses bool    `json:"loses,omitempty"` // runs without an answer, or
+	// Brittle is how many rejections in a second it bears, which it says: one more, and it falls over. It is slow, too.
+	Brittle float64 `json:"brittle,omitempty"` // 0: any number
 	// Spoils says that it answers without its signature, or as if to another request.
 	Spoils bool `json:"spoils,omitempty"`
 }
--- a/internal/soak/day.go
+++ b/internal/soak/day.go
@@ -52,6 +52,17 @@
 	FaultErrors    Kind = "errors"     // an upstream fails a part of its requests
 	FaultLost      Kind = "lost"       // an upstream runs requests and loses their answers
 	FaultSpoil     Kind = "spoil"      // an upstream's answers lack its signature, or name another request
+	FaultEgress    Kind = "egress-cut" // some daemons reach no upstream; How says what becomes of open connections
+	FaultBrittle   Kind = "brittle"    // the upstreams of a service are slow and fall over when they reject too much
+	FaultSecond    Kind = "second"     // upstreams are silent for a second or so, which is no disturbance
+)
+
+// What becomes of connections while daemons are cut off from upstreams.
+const (
+	EgressHangs   = "hang"   // open and new ones hang
+	EgressResets  = "reset"  // open ones are reset, new ones hang
+	EgressRefuses = "refuse" // open ones are reset, new ones refused
+	EgressLives   = "live"   // open ones live on, new ones hang
 )
 
 // How the store misbehaves.
@@ -163,6 +174,7 @@
 	for range 2 + r.IntN(mostFaults-1) {
 		d.Faults = append(d.Faults, d.draw(r, quietBefore, last))
 	}
+	d.Faults = append(d.Faults, d.drawLater(rand.New(rand.NewPCG(seed, 0xe9e5)), last)...)
 	slices.SortStableFunc(d.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return d
 }
@@ -173,6 +185,49 @@
 	FaultReclaim, FaultCrash, FaultDrain, FaultStore, FaultLapse, FaultForget, FaultCopy, FaultConfig, FaultKeys, FaultQuota, FaultLimit, FaultErrors, FaultLost, FaultSpoil,
 }
 
+// apart is how long after the other faults those of drawLater begin that are played by themselves, and apartSpan what
+// the day is longer by.
+const (
+	apart     = 3500 * time.Millisecond
+	apartSpan = apart + 7*time.Second
+)
+
+// drawLater draws faults that were added later, so that the other faults of a seed stay as they were. They come beside
+// these, or after them.
+func (d *Day) drawLater(r *rand.Rand, last time.Duration) []Fault {
+	var list []Fault
+	first := quietBefore
+	if r.IntN(2) == 0 {
+		first, last = last+apart, last+apartSpan
+		d.Traffic += apartSpan
+	}
+	span := func(least, most time.Duration) (at, lasts time.Duration) {
+		lasts = least + time.Duration(r.Int64N(int64(most-least)))
+		return first + time.Duration(r.Int64N(int64(last-first-lasts))), lasts
+	}
+	if r.IntN(2) == 0 {
+		f := Fault{Kind: FaultEgress, On: OnDaemons, How: []string{EgressHangs, EgressResets, EgressRefuses, EgressLives}[r.IntN(4)]}
+		f.At, f.For = span(4500*time.Millisecond, 6500*time.Millisecond)
+		f.Who = r.Perm(d.Daemons)[:1+r.IntN(d.Daemons-1)]
+		slices.Sort(f.Who)
+		list = append(list, f)
+	}
+	if r.IntN(3) == 0 {
+		f := Fault{Kind: FaultBrittle, On: OnUpstreams, X: float64(1 + r.IntN(4))}
+		f.At, f.For = span(3*time.Second, 6*time.Second)
+		for i := range d.Plain {
+			f.Who = append(f.Who, d.Engines+i)
+		}
+		list = append(list, f)
+	}
+	if r.IntN(2) == 0 {
+		f := Fault{Kind: FaultSecond, On: OnUpstreams, Who: d.some(r, OnUpstreams)}
+		f.At, f.For = span(800*time.Millisecond, 1400*time.Millisecond)
+		list = append(list, f)
+	}
+	return list
+}
+
 func (d *Day) draw(r *rand.Rand, first, last time.Duration) Fault {
 	f := Fault{Kind: kinds[r.IntN(len(kinds))]}
 	f.At = first + time.Duration(r.Int64N(int64(last-first)))
--- a/internal/soak/event.go
+++ b/internal/soak/event.go
@@ -21,6 +21,7 @@
 	Refused What = "refused" // it isn't run
 	Named   What = "named"   // an answer names a rate
 	Started What = "started" // an upstream's process
+	Fell    What = "fell"    // an upstream that rejected too much falls over
 )
 
 // Event is what an upstream saw.
--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -37,6 +37,7 @@
 	cloud     []*Link
 	callers   []*Link
 	peers     []*Link
+	gateways  []*Link
 	serving   []*Link // by upstream
 
 	mu     sync.Mutex
@@ -127,7 +128,8 @@
 	return s.finish(ctx)
 }
 
-func (s *Stage) address(host, port int) string { return fmt.Sprintf("%s%d:%d", s.base, host, port) }
+func (s *Stage) host(host int) string          { return s.base + strconv.Itoa(host) }
+func (s *Stage) address(host, port int) string { return fmt.Sprintf("%s:%d", s.host(host), port) }
 
 func (s *Stage) daemonHost(i int) int   { return 10 + i }
 func (s *Stage) upstreamHost(i int) int { return 130 + i }
@@ -193,6 +195,16 @@
 	}
 }
 
+// bySourceAddress tells which daemon a gateway dials for.
+func (s *Stage) bySourceAddress(c net.Conn) string {
+	for i := range s.day.Daemons {
+		if a, ok := c.RemoteAddr().(*net.TCPAddr); ok && a.IP.String() == s.host(s.daemonHost(i)) {
+			return daemonName(i)
+		}
+	}
+	return ""
+}
+
 // source tells which daemon dials; it is looked up only on days that need it.
 func (s *Stage) source() func(net.Conn) string {
 	for _, f := range s.day.Faults {
@@ -209,7 +221,7 @@
 
 func (s *Stage) addUpstream(p Programs, i int) error {
 	listen := s.address(s.upstreamHost(i), servePort)
-	l, err := s.link(listen, s.source())
+	l, err := s.link(listen, s.bySourceAddress)
 	if err != nil {
 		return err
 	}
@@ -238,10 +250,15 @@
 		}
 		*v.list = append(*v.list, l)
 	}
+	g, err := NewGateway(s.clock, s.base+"1", s.host(host))
+	if err != nil {
+		return err
+	}
+	s.gateways = append(s.gateways, g)
 	if err := s.writeSettings(i, true); err != nil {
 		return err
 	}
-	v, err := NewProcess(s.clock, s.dir, daemonName(i), p.Daemon, []string{s.world.SettingsVariable + "=" + s.settingsPath(i)}, "edge", "--peers-listen", s.address(host, peerPort))
+	v, err := NewProcess(s.clock, s.dir, daemonName(i), p.Daemon, []string{s.world.SettingsVariable + "=" + s.settingsPath(i)}, "edge", "--peers-listen", s.address(host, peerPort), "--upstream-proxy", g.Address())
 	if err != nil {
 		return err
 	}
@@ -431,7 +448,7 @@
 			p.Close()
 		}
 	}
-	for _, list := range [][]*Link{s.store, s.cloud, s.callers, s.peers, s.serving} {
+	for _, list := range [][]*Link{s.store, s.cloud, s.callers, s.peers, s.gateways, s.serving} {
 		for _, l := range list {
 			l.Close()
 		}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -17,6 +17,9 @@
 	Old     time.Time       // nothing passes on connections that were open then; zero: none
 	OneWay  bool            // nothing comes back
 	Sources map[string]bool // nothing passes from these, by the names of their processes; nil: none
+	// NewHang and NewRefused say what becomes of attempts to connect; gateways alone can tell.
+	NewHang    bool
+	NewRefused bool
 }
 
 func (m *Mode) holds(c *conn, back bool) bool {
@@ -27,9 +30,9 @@
 // sent again; an end that it holds back isn't seen either.
 type Link struct {
 	clock    *timer.Service
-	to       string
 	listener net.Listener
 	source   func(c net.Conn) string // who dials; nil: nobody asks
+	connect  func(near net.Conn) (net.Conn, error)
 
 	mu     sync.Mutex
 	modes  map[*Mode]bool // in force
@@ -50,7 +53,8 @@
 	if err != nil {
 		return nil, err
 	}
-	v := &Link{clock: clock, to: to, listener: l, source: source, modes: make(map[*Mode]bool), change: make(chan struct{}), open: make(map[*conn]bool)}
+	v := &Link{clock: clock, listener: l, source: source, modes: make(map[*Mode]bool), change: make(chan struct{}), open: make(map[*conn]bool)}
+	v.connect = func(net.Conn) (net.Conn, error) { return net.DialTimeout("tcp", to, dialTimeout) }
 	go v.accept()
 	return v, nil
 }
@@ -114,7 +118,7 @@
 	if l.source != nil {
 		c.source = l.source(near)
 	}
-	far, err := net.DialTimeout("tcp", l.to, dialTimeout)
+	far, err := l.connect(near)
 	if err != nil {
 		c.far = near
 		c.reset() // as whoever listens nowhere answers
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -50,6 +50,12 @@
 		s.behave(ctx, f, Behaviour{Share: f.X, Fails: true})
 	case FaultLost:
 		s.behave(ctx, f, Behaviour{Share: f.X, Loses: true})
+	case FaultEgress:
+		s.cutEgress(ctx, f)
+	case FaultBrittle:
+		s.behave(ctx, f, Behaviour{Brittle: f.X})
+	case FaultSecond:
+		s.hold(ctx, f, Mode{Silent: true})
 	case FaultSpoil:
 		s.behave(ctx, f, Behaviour{Share: f.X, Spoils: true})
 	}
@@ -108,6 +114,18 @@
 	s.lasts(ctx, f)
 }
 
+// cutEgress cuts some daemons off from all upstreams.
+func (s *Stage) cutEgress(ctx context.Context, f Fault) {
+	m := map[string]Mode{EgressHangs: {NewHang: true, Silent: true}, EgressResets: {NewHang: true}, EgressRefuses: {NewRefused: true}, EgressLives: {NewHang: true}}[f.How]
+	for _, i := range f.Who {
+		defer s.gateways[i].Add(m)()
+		if f.How == EgressResets || f.How == EgressRefuses {
+			s.gateways[i].Reset()
+		}
+	}
+	s.lasts(ctx, f)
+}
+
 // take reserves a process for one fault: two signals to one process at a time are drawn, two restarts aren't.
 func (s *Stage) take(p *Process) bool {
 	s.mu.Lock()
