--- a/internal/pool/brittle_test.go
+++ b/internal/pool/brittle_test.go
@@ -14,15 +14,7 @@
 // brittlePools returns the pools of one node with two brittle upstreams of two slots each.
 func brittlePools(t *testing.T) (*Pools, *timer.Manual, map[string]Entry) {
 	t.Helper()
-	clock := timer.NewManual(start)
-	p := New(clock.Service(), "self", "h")
-	entries := map[string]Entry{}
-	for _, id := range []string{"a", "b"} {
-		e := Entry{ID: id, Service: "s", Address: "10.0.0.1:1", Hall: "h", Slots: 2}
-		entries[id] = e
-		p.Update(func(l *List) { l.Put(Item{Entry: e, Revision: 1}) })
-	}
-	clock.Advance(versionGrace)
+	p, clock, entries := twoUpstreams(2)
 	assert.True(t, p.ObserveBrittle(entries["a"], call.Brittle{Stated: true, Rejections: 3}, start))
 	return p, clock, entries
 }
--- a/internal/pool/limit_test.go
+++ b/internal/pool/limit_test.go
@@ -11,19 +11,25 @@
 	"spurhall.example/spurhall/internal/timer"
 )
 
-// limited returns the pools of one node with two upstreams, of which a states a limit of one request a
-// second and this node's share has no tokens saved.
-func limited(t *testing.T) (*Pools, *timer.Manual, map[string]Entry) {
-	t.Helper()
+// twoUpstreams returns the pools of one node with two upstreams, a and b.
+func twoUpstreams(slots int) (*Pools, *timer.Manual, map[string]Entry) {
 	clock := timer.NewManual(start)
 	p := New(clock.Service(), "self", "h")
 	entries := map[string]Entry{}
 	for _, id := range []string{"a", "b"} {
-		e := Entry{ID: id, Service: "s", Address: "10.0.0.1:1", Hall: "h", Slots: 8}
+		e := Entry{ID: id, Service: "s", Address: "10.0.0.1:1", Hall: "h", Slots: slots}
 		entries[id] = e
 		p.Update(func(l *List) { l.Put(Item{Entry: e, Revision: 1}) })
 	}
 	clock.Advance(versionGrace)
+	return p, clock, entries
+}
+
+// limited returns the pools of one node with two upstreams, of which a states a limit of one request a
+// second and this node's share has no tokens saved.
+func limited(t *testing.T) (*Pools, *timer.Manual, map[string]Entry) {
+	t.Helper()
+	p, clock, entries := twoUpstreams(8)
 	assert.True(t, p.ObserveLimit(entries["a"], call.Limit{Status: call.LimitNamed, Rate: 1}, start))
 	assert.False(t, p.AllowQuery(entries["a"]), "its share starts empty")
 	return p, clock, entries
