Similar requests are known by prefixes of their bodies, too

Cause: one shape a request, the normalized body. Names and turns give each request a shape of its own; where harmless requests have the same shape, their answers clear it. Class: one fixed measure of likeness.

Change: a request's shapes are also the prefixes of its body of 4 bytes to 32 kB, each with crashes, answers and probes of its own. A prefix counts once a request of its route and workspace without it was answered after its first crash: before that nothing tells the deadly ones from the rest. Messages and the store's record have the prefixes in fields of their own; the build before passes over them, and its crashes count as before.

Tried first: prefixes that always count; TestSimilarChatsThatCrashEngines then refused harmless chats with the same head.

--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -27,7 +27,7 @@
 
 // fingerprint returns the fingerprint of a request, if upstreams have crashed under similar ones.
 func (d *Dispatcher) fingerprint(of func() quarantine.Request) (quarantine.Fingerprint, bool) {
-	if !d.quarantine.HasCrashes(func() quarantine.Shape { return quarantine.ShapeOf(of()) }) {
+	if !d.quarantine.HasCrashes(func() []quarantine.Shape { return quarantine.ShapesOf(of()) }) {
 		return quarantine.Fingerprint{}, false
 	}
 	return quarantine.FingerprintOf(of()), true
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -75,9 +75,10 @@
 
 // storedCrash is a crash of an upstream with its wall-clock time, as processes on other VMs read it.
 type storedCrash struct {
-	Fingerprint quarantine.Fingerprint `json:"print"`
-	Upstream    string                 `json:"upstream"`
-	At          int64                  `json:"at"` // Unix milliseconds
+	ID       quarantine.ID      `json:"print"`
+	Prefixes []quarantine.Shape `json:"prefixes,omitempty"`
+	Upstream string             `json:"upstream"`
+	At       int64              `json:"at"` // Unix milliseconds
 }
 
 // quarantineWriter stores the evidence for the holder of the duties.
@@ -95,7 +96,7 @@
 	}
 	list := make([]storedCrash, len(ends))
 	for i, e := range ends {
-		list[i] = storedCrash{e.Fingerprint, e.Upstream, n.clock.WallOf(e.At).UnixMilli()}
+		list[i] = storedCrash{e.Fingerprint.ID(), e.Fingerprint.Prefixes(), e.Upstream, n.clock.WallOf(e.At).UnixMilli()}
 	}
 	if n.records().Write(ctx, quarantineRecord, token, list) {
 		v.written, v.token = version, token
@@ -125,7 +126,7 @@
 	var w quarantine.Update
 	for _, v := range list {
 		at := now.Add(-max(0, now.Sub(n.clock.At(time.UnixMilli(v.At))))) // no crash lies in the future
-		w.Crashes = append(w.Crashes, quarantine.Crash{Fingerprint: v.Fingerprint, Upstream: v.Upstream, At: at})
+		w.Crashes = append(w.Crashes, quarantine.Crash{Fingerprint: quarantine.NewFingerprint(v.ID, v.Prefixes), Upstream: v.Upstream, At: at})
 	}
 	n.log.Info("held_found", zap.Int("ends", len(w.Crashes)))
 	n.front.ApplyQuarantine(n.quarantine.Merge(now, w), quarantineRecord.Key)
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -21,7 +21,7 @@
 // suspectShape reports whether upstreams have crashed under requests of this shape. Only then is the
 // request's body read for a fingerprint.
 func (s *Server) suspectShape(q *request) bool {
-	return s.o.Quarantine.HasCrashes(func() quarantine.Shape { return quarantine.ShapeOf(q.identity()) })
+	return s.o.Quarantine.HasCrashes(func() []quarantine.Shape { return quarantine.ShapesOf(q.identity()) })
 }
 
 // quarantineError returns the final error for a request in progress that is quarantined, or nil.
@@ -125,7 +125,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for a, q := range f.attempts {
-		if quarantine.ShapeOf(q.identity()) == p.Shape() && quarantine.FingerprintOf(q.identity()) == p {
+		if quarantine.ShapeOf(q.identity()) == p.Shape() && quarantine.FingerprintOf(q.identity()).ID() == p.ID() {
 			a.cancel(errQuarantined)
 			count("withdrawn", 1)
 		}
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -17,20 +17,20 @@
 		return changes
 	}
 	t.stale = false
-	for p, s := range t.suspects {
+	for _, s := range t.suspects {
 		until := quarantineUntil(s.crashes)
 		longer, released := until.After(s.until), until.IsZero() && !s.until.IsZero()
 		s.until = until
 		if longer || released {
-			changes = append(changes, t.newChange(p, s))
+			changes = append(changes, t.newChange(s))
 		}
 	}
 	return changes
 }
 
-func (t *Tracker) newChange(p Fingerprint, s *suspect) Change {
+func (t *Tracker) newChange(s *suspect) Change {
 	t.revision++
-	c := Change{Fingerprint: p, Quarantined: !s.until.IsZero(), Until: s.until}
+	c := Change{Fingerprint: s.print, Quarantined: !s.until.IsZero(), Until: s.until}
 	for _, e := range s.crashes {
 		c.Upstreams = append(c.Upstreams, e.Upstream)
 	}
@@ -68,12 +68,9 @@
 func (t *Tracker) Check(now time.Time, p Fingerprint) Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.suspects[p]
+	s := t.suspects[p.id]
 	if s == nil || s.until.IsZero() {
-		if f := t.shapes[p.Shape()]; f != nil {
-			return f.check(now, t.node, p)
-		}
-		return Verdict{}
+		return t.checkShapes(now, p)
 	}
 	free := s.until.Add(t.probeDelay(p))
 	if now.Before(free) {
@@ -86,12 +83,51 @@
 	return Verdict{Probe: true, Upstreams: len(s.crashes)}
 }
 
+// countsAgainst reports whether crashes under requests of a shape count against a request of that shape. Those of a prefix
+// do once a request of the route without that prefix was answered after the first of them: all requests of a route may
+// begin alike, and before that nothing tells the deadly ones from the others.
+func (t *Tracker) countsAgainst(p Fingerprint, x Shape) bool {
+	if x == p.Shape() {
+		return true
+	}
+	f, route := t.shapes[x], t.shapes[p.route()]
+	return f != nil && route != nil && len(f.crashes) > 0 && route.lastResponse.At.After(f.crashes[0].At)
+}
+
+// checkShapes decides whether a request may be sent as far as requests of its shapes are concerned: if one shape is
+// quarantined, it may not.
+func (t *Tracker) checkShapes(now time.Time, p Fingerprint) Verdict {
+	var r Verdict
+	var probed []*shapeState
+	for _, x := range p.shapes() {
+		f := t.shapes[x]
+		if f == nil || !t.countsAgainst(p, x) {
+			continue
+		}
+		switch v := f.check(now, t.node); {
+		case v.Quarantined && (!r.Quarantined || v.Wait > r.Wait):
+			r = v
+		case v.Probe:
+			probed = append(probed, f)
+			if !r.Quarantined {
+				r = v
+			}
+		}
+	}
+	if r.Probe {
+		for _, f := range probed {
+			f.lastProbe = Probe{Fingerprint: p, At: now}
+		}
+	}
+	return r
+}
+
 // Remaining returns how much longer a request is quarantined; 0: it is not. Unlike Check, it never admits
 // a probe.
 func (t *Tracker) Remaining(now time.Time, p Fingerprint) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.suspects[p]
+	s := t.suspects[p.id]
 	if s == nil {
 		return 0
 	}
@@ -104,7 +140,7 @@
 func (t *Tracker) MayRetry(p Fingerprint, own func(upstream string) bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.suspects[p]
+	s := t.suspects[p.id]
 	return s == nil || !slices.ContainsFunc(s.crashes, func(e Crash) bool { return !own(e.Upstream) })
 }
 
--- a/internal/quarantine/fingerprint_test.go
+++ b/internal/quarantine/fingerprint_test.go
@@ -71,6 +71,80 @@
 	})
 }
 
+// TestPrefixes: requests that begin alike share the shapes of their common prefixes, and no others.
+func TestPrefixes(t *testing.T) {
+	of := func(body string) []Shape {
+		return FingerprintOf(Request{Target: "/chat/", Body: []byte(body)}).Prefixes()[1:]
+	}
+	common := func(a, b []Shape) (n int) {
+		for n < min(len(a), len(b)) && a[n] == b[n] {
+			n++
+		}
+		return n
+	}
+	const system = "You are an assistant of a shop. " // 32 bytes
+	for name, v := range map[string]struct {
+		a, b string
+		want int // of 4, 8, 16, 32, ... bytes
+	}{
+		"a name at the end":        {system + "Write to Anna, please.", system + "Write to Bo, please.", 4},
+		"a chat that grows":        {system + "And then? ", system + "And then? And then? And then? ", 4},
+		"a number at the start":    {"666001" + system, "666002" + system, 1},
+		"another number":           {"666001" + system, "100001" + system, 0},
+		"shorter than the least":   {"abc", "abc", 0},
+		"longer than the longest":  {strings.Repeat("x", 40_000) + "a", strings.Repeat("x", 40_000) + "b", prefixCount - 1},
+		"another byte at the head": {"d" + system, "h" + system, 0},
+	} {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, v.want, common(of(v.a), of(v.b))) })
+	}
+	t.Run("of another workspace", func(t *testing.T) {
+		r := Request{Workspace: "v", Target: "/chat/", Body: []byte(system)}
+		assert.Zero(t, common(of(system), FingerprintOf(r).Prefixes()[1:]))
+	})
+	t.Run("all shapes", func(t *testing.T) {
+		r := Request{Target: "/chat/", Body: []byte(system)}
+		assert.Equal(t, FingerprintOf(r).shapes(), ShapesOf(r))
+		assert.Len(t, ShapesOf(r), 6, "the normalized body, the route, four prefixes")
+	})
+}
+
+// TestPrefixesOfAnEarlierVersion: a node of an earlier version tells of requests without their prefixes.
+func TestPrefixesOfAnEarlierVersion(t *testing.T) {
+	r := Request{Target: "/chat/", Body: []byte("deadly and long")}
+	p := FingerprintOf(r)
+	v := NewTracker("a")
+	now := at(time.Hour)
+	m := Update{Crashes: []Crash{{Fingerprint: p, Upstream: "u", At: now}}}.ToWire(now)
+	assert.Equal(t, p, UpdateFromWire(now, m).Crashes[0].Fingerprint)
+	m.Ends[0].Prefixes = nil
+	v.Merge(now, UpdateFromWire(now, m))
+	assert.Equal(t, 1, v.CrashCount(p), "it is the same request")
+	v.ObserveCrash(now, Crash{Fingerprint: p, Upstream: "w", At: now})
+	assert.True(t, v.HasCrashes(func() []Shape { return p.Prefixes() }))
+	v.BuildUpdate(now.Add(suspectTTL + time.Second))
+	assert.Empty(t, v.shapes)
+}
+
+// TestPrefixesCountOnceOthersAreAnswered guards against the quarantine of all requests of a route, which begin alike.
+func TestPrefixesCountOnceOthersAreAnswered(t *testing.T) {
+	of := func(text string) Fingerprint { return FingerprintOf(Request{Target: "/chat/", Body: []byte(text)}) }
+	const head = "The head that all have. "
+	v, now := NewTracker("a"), at(time.Hour)
+	crash := func(names ...string) {
+		for _, n := range names {
+			now = now.Add(time.Second)
+			v.ObserveCrash(now, Crash{Fingerprint: of(head + "Write to " + n + "."), Upstream: n, At: now})
+		}
+	}
+	crash("Anna", "Bo", "Christopher", "Dee", "Emilia")
+	assert.False(t, v.Check(now, of(head+"Where is my parcel, please?")).Quarantined, "nothing tells it from the deadly ones")
+	now = now.Add(time.Second)
+	v.ObserveResponse(now, of(head+"Where is my parcel, please?"))
+	crash("Fatou", "Giovanna", "Hu", "Ingeborg")
+	assert.False(t, v.Check(now, of(head+"When do you close, please?")).Quarantined)
+	assert.True(t, v.Check(now, of(head+"Write to Jan, at home.")).Quarantined)
+}
+
 func BenchmarkFingerprint(b *testing.B) {
 	r := Request{Method: "POST", Host: "shop.example", Target: "/chat/1", Workspace: "w", Body: []byte(strings.Repeat("Where is parcel 4711 of 2026-12-01? ", 600)[:20_000])}
 	b.Run("shape", func(b *testing.B) {
@@ -78,6 +152,11 @@
 			_ = ShapeOf(r)
 		}
 	})
+	b.Run("all shapes", func(b *testing.B) {
+		for b.Loop() {
+			_ = ShapesOf(r)
+		}
+	})
 	b.Run("fingerprint", func(b *testing.B) {
 		for b.Loop() {
 			_ = FingerprintOf(r)
@@ -89,9 +168,11 @@
 // the updates sent on stay within their bounds.
 func FuzzWords(f *testing.F) {
 	p := FingerprintOf(Request{Body: []byte("x")})
+	id := p.id[:]
 	for _, m := range []*wire.Suspicions{
-		{Ends: []*wire.End{{Print: p[:], Upstream: "u", AgeMs: -1 << 62}, {Print: []byte{1}, Upstream: "v"}}},
-		{Answers: []*wire.Answered{{Print: p[:], AgeMs: 1 << 62}}, Trials: []*wire.Answered{{Print: p[:], AgeMs: -5}}},
+		{Ends: []*wire.End{{Print: id, Upstream: "u", AgeMs: -1 << 62}, {Print: []byte{1}, Upstream: "v"}}},
+		{Ends: []*wire.End{{Print: id, Prefixes: []uint64{7, 7, 0, 7, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12}, Upstream: "u"}}},
+		{Answers: []*wire.Answered{{Print: id, AgeMs: 1 << 62}}, Trials: []*wire.Answered{{Print: id, AgeMs: -5}}},
 	} {
 		b, err := proto.Marshal(m)
 		if err != nil {
--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -16,34 +16,58 @@
 	}
 	m := &wire.Suspicions{}
 	for _, e := range u.Crashes {
-		m.Ends = append(m.Ends, &wire.End{Print: e.Fingerprint[:], Upstream: e.Upstream, AgeMs: now.Sub(e.At).Milliseconds()})
+		id, prefixes := e.Fingerprint.toWire()
+		m.Ends = append(m.Ends, &wire.End{Print: id, Prefixes: prefixes, Upstream: e.Upstream, AgeMs: now.Sub(e.At).Milliseconds()})
 	}
 	for _, a := range u.Responses {
-		m.Answers = append(m.Answers, &wire.Answered{Print: a.Fingerprint[:], AgeMs: now.Sub(a.At).Milliseconds()})
+		m.Answers = append(m.Answers, answeredToWire(now, a.Fingerprint, a.At))
 	}
 	for _, t := range u.Probes {
-		m.Trials = append(m.Trials, &wire.Answered{Print: t.Fingerprint[:], AgeMs: now.Sub(t.At).Milliseconds()})
+		m.Trials = append(m.Trials, answeredToWire(now, t.Fingerprint, t.At))
 	}
 	return m
 }
 
-// UpdateFromWire is the inverse of ToWire. It skips fingerprints of another length, which a node of
-// another version may send.
+func answeredToWire(now time.Time, p Fingerprint, at time.Time) *wire.Answered {
+	id, prefixes := p.toWire()
+	return &wire.Answered{Print: id, Prefixes: prefixes, AgeMs: now.Sub(at).Milliseconds()}
+}
+
+func (p Fingerprint) toWire() (id []byte, prefixes []uint64) {
+	for _, s := range p.Prefixes() {
+		prefixes = append(prefixes, uint64(s))
+	}
+	return p.id[:], prefixes
+}
+
+// fingerprintFromWire reports false for an id of another length, which a node of another version may send.
+func fingerprintFromWire(id []byte, prefixes []uint64) (Fingerprint, bool) {
+	if len(id) != len(ID{}) {
+		return Fingerprint{}, false
+	}
+	var list []Shape
+	for _, s := range prefixes {
+		list = append(list, Shape(s))
+	}
+	return NewFingerprint(ID(id), list), true
+}
+
+// UpdateFromWire is the inverse of ToWire.
 func UpdateFromWire(now time.Time, m *wire.Suspicions) Update {
 	var u Update
 	for _, e := range m.GetEnds() {
-		if len(e.Print) == len(Fingerprint{}) {
-			u.Crashes = append(u.Crashes, Crash{Fingerprint: Fingerprint(e.Print), Upstream: e.Upstream, At: now.Add(-time.Duration(e.AgeMs) * time.Millisecond)})
+		if p, ok := fingerprintFromWire(e.Print, e.Prefixes); ok {
+			u.Crashes = append(u.Crashes, Crash{Fingerprint: p, Upstream: e.Upstream, At: now.Add(-time.Duration(e.AgeMs) * time.Millisecond)})
 		}
 	}
 	for _, a := range m.GetAnswers() {
-		if len(a.Print) == len(Fingerprint{}) {
-			u.Responses = append(u.Responses, Response{Fingerprint: Fingerprint(a.Print), At: now.Add(-time.Duration(a.AgeMs) * time.Millisecond)})
+		if p, ok := fingerprintFromWire(a.Print, a.Prefixes); ok {
+			u.Responses = append(u.Responses, Response{Fingerprint: p, At: now.Add(-time.Duration(a.AgeMs) * time.Millisecond)})
 		}
 	}
 	for _, t := range m.GetTrials() {
-		if len(t.Print) == len(Fingerprint{}) {
-			u.Probes = append(u.Probes, Probe{Fingerprint: Fingerprint(t.Print), At: now.Add(-time.Duration(t.AgeMs) * time.Millisecond)})
+		if p, ok := fingerprintFromWire(t.Print, t.Prefixes); ok {
+			u.Probes = append(u.Probes, Probe{Fingerprint: p, At: now.Add(-time.Duration(t.AgeMs) * time.Millisecond)})
 		}
 	}
 	return u
--- a/internal/quarantine/shape.go
+++ b/internal/quarantine/shape.go
@@ -7,9 +7,11 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// This file tracks similar requests that crash upstreams: a counter or a time in the body gives each of
-// them a fingerprint of its own. What they share is their shape: method, host, path, workspace and the
-// normalized body (normalize.go).
+// This file tracks similar requests that crash upstreams: a counter, a name or a further turn of a chat gives
+// each of them a fingerprint of its own. What they share is a shape: method, host, path, workspace, and the
+// normalized body (normalize.go) or a prefix of the body. Prefixes double in length: similar requests begin
+// alike, and where a harmless request begins like them, a longer prefix tells them apart. A prefix counts only
+// once requests without it were answered (countsAgainst).
 //
 // Most requests of a shape are harmless, so crashes are weaker evidence against a shape than against a
 // fingerprint, and a shape is quarantined more cautiously in two ways. A response to any request of the
@@ -52,7 +54,7 @@
 
 // add records a crash and reports whether it starts or extends the quarantine of the shape.
 func (f *shapeState) add(e Crash) bool {
-	if !e.At.After(f.lastResponse.At) || slices.ContainsFunc(f.crashes, func(o Crash) bool { return o.Fingerprint == e.Fingerprint && o.same(e) }) {
+	if !e.At.After(f.lastResponse.At) || slices.ContainsFunc(f.crashes, func(o Crash) bool { return o.Fingerprint.id == e.Fingerprint.id && o.same(e) }) {
 		return false
 	}
 	before := f.until()
@@ -99,9 +101,9 @@
 	if n < shapeCrashThreshold {
 		return time.Time{}
 	}
-	distinct := make(map[Fingerprint]bool, len(f.crashes))
+	distinct := make(map[ID]bool, len(f.crashes))
 	for _, e := range f.crashes {
-		distinct[e.Fingerprint] = true
+		distinct[e.Fingerprint.id] = true
 	}
 	if len(distinct) < shapeMinRequests {
 		return time.Time{}
@@ -111,9 +113,9 @@
 }
 
 // check decides whether a request of the shape may be sent now. Once the quarantine has expired, one
-// probe at a time is admitted. While it runs, for at most probeTimeout, the other requests wait for its
-// response or for the crash that extends the quarantine.
-func (f *shapeState) check(now time.Time, node string, p Fingerprint) Verdict {
+// probe at a time is admitted, which the caller records. While it runs, for at most probeTimeout, the other
+// requests wait for its response or for the crash that extends the quarantine.
+func (f *shapeState) check(now time.Time, node string) Verdict {
 	until := f.until()
 	if until.IsZero() {
 		return Verdict{}
@@ -127,7 +129,6 @@
 		v.Quarantined, v.Wait = true, free.Sub(now)
 		return v
 	}
-	f.lastProbe = Probe{Fingerprint: p, At: now}
 	v.Probe = true
 	return v
 }
--- a/internal/quarantine/similar_test.go
+++ b/internal/quarantine/similar_test.go
@@ -216,9 +216,8 @@
 	return fmt.Sprintf("h%sWhere is my parcel %d, and %s?", text, i, strings.Repeat("why so late ", 1+i%17))
 }
 
-// TestSimilarRequestsInWords guards the limits of shapes: requests that differ by a name, or by one more
-// turn of a chat, are not recognized as similar; nor are deadly requests quarantined together if harmless
-// ones, which get responses in between, differ from them by a number alone.
+// TestSimilarRequestsInWords guards against series of deadly requests that no normalized body has in common, or that
+// harmless ones, which get responses in between, have in common with them.
 func TestSimilarRequestsInWords(t *testing.T) {
 	names := []string{"Anna", "Bo", "Christopher", "Dee", "Emilia", "Fatou", "Giovanna", "Hu", "Ingeborg", "Jan", "Katharina", "Li", "Maximilian", "Noor"}
 	for _, v := range []scenario{
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -55,6 +55,7 @@
 
 // suspect is a request under which upstreams crashed.
 type suspect struct {
+	print     Fingerprint
 	crashes   []Crash   // sorted by time
 	updatedAt time.Time // when this last learned something new
 	clearedAt time.Time // when it last got a complete response; earlier crashes don't count
@@ -68,7 +69,7 @@
 	size atomic.Int64 // number of suspects, readable without the lock
 
 	mu           sync.Mutex
-	suspects     map[Fingerprint]*suspect
+	suspects     map[ID]*suspect
 	shapes       map[Shape]*shapeState
 	shapeChanges []Change // of quarantined shapes, not yet returned
 	revision     int64    // rises with each change of the quarantined requests
@@ -77,7 +78,7 @@
 
 // NewTracker returns an empty tracker for a node.
 func NewTracker(node string) *Tracker {
-	return &Tracker{node: node, suspects: make(map[Fingerprint]*suspect), shapes: make(map[Shape]*shapeState)}
+	return &Tracker{node: node, suspects: make(map[ID]*suspect), shapes: make(map[Shape]*shapeState)}
 }
 
 // Change reports that a request is quarantined, or no longer is.
@@ -89,23 +90,23 @@
 	ByShape     bool     // concerns all requests of the shape
 }
 
-// HasCrashes reports whether crashes were observed under a request of the shape. Most processes know of
+// HasCrashes reports whether crashes were observed under a request of one of the shapes. Most processes know of
 // none; for these it takes no lock.
-func (t *Tracker) HasCrashes(r func() Shape) bool {
+func (t *Tracker) HasCrashes(r func() []Shape) bool {
 	if t.size.Load() == 0 {
 		return false
 	}
-	s := r()
+	list := r()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.shapes[s] != nil
+	return slices.ContainsFunc(list, func(s Shape) bool { return t.shapes[s] != nil })
 }
 
 // CrashCount returns how many crashes were observed under a request.
 func (t *Tracker) CrashCount(p Fingerprint) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s := t.suspects[p]; s != nil {
+	if s := t.suspects[p.id]; s != nil {
 		return len(s.crashes)
 	}
 	return 0
@@ -121,10 +122,11 @@
 
 // addCrash records a crash and reports whether it is new.
 func (t *Tracker) addCrash(now time.Time, e Crash) bool {
-	s := t.suspects[e.Fingerprint]
+	s := t.suspects[e.Fingerprint.id]
 	if s == nil {
 		s = t.newSuspect(now, e.Fingerprint)
 	}
+	t.adoptPrefixes(s, e.Fingerprint)
 	if e.At.Before(s.clearedAt.Add(sameCrashWindow)) {
 		return false // may be a crash from before the response, reported late
 	}
@@ -137,14 +139,23 @@
 		s.crashes = slices.Delete(s.crashes, 0, 1)
 	}
 	t.touch(now, s)
-	t.addToShape(e)
+	t.addToShapes(s, e)
 	return true
 }
 
-// addToShape counts a crash against all requests of its shape.
-func (t *Tracker) addToShape(e Crash) {
-	f := t.shapes[e.Fingerprint.Shape()]
-	if !f.add(e) {
+// addToShapes counts a crash against all requests of its shapes, except the route: most requests there are harmless.
+// It reports the quarantine of the first of these.
+func (t *Tracker) addToShapes(s *suspect, e Crash) {
+	var f *shapeState
+	for _, x := range s.print.shapes() {
+		if x == s.print.route() {
+			continue
+		}
+		if v := t.shapes[x]; v.add(e) && f == nil && t.countsAgainst(s.print, x) {
+			f = v
+		}
+	}
+	if f == nil {
 		return
 	}
 	c := Change{Fingerprint: e.Fingerprint, Quarantined: true, Until: f.until(), ByShape: true}
@@ -165,22 +176,37 @@
 	if len(t.suspects) >= maxSuspects {
 		t.evict(now)
 	}
-	s := &suspect{}
-	t.suspects[p] = s
-	f := t.shapes[p.Shape()]
-	if f == nil {
-		f = &shapeState{}
-		t.shapes[p.Shape()] = f
-	}
-	f.suspects++
+	s := &suspect{print: p}
+	t.suspects[p.id] = s
+	t.trackShapes(p.shapes())
 	t.size.Store(int64(len(t.suspects)))
 	return s
 }
 
+// trackShapes counts one more suspect of each shape.
+func (t *Tracker) trackShapes(list []Shape) {
+	for _, x := range list {
+		f := t.shapes[x]
+		if f == nil {
+			f = &shapeState{}
+			t.shapes[x] = f
+		}
+		f.suspects++
+	}
+}
+
+// adoptPrefixes adds the prefixes of a request that a node of an earlier version told of without them.
+func (t *Tracker) adoptPrefixes(s *suspect, p Fingerprint) {
+	if list := p.Prefixes(); len(s.print.Prefixes()) == 0 && len(list) > 0 {
+		t.trackShapes(list)
+		s.print = p
+	}
+}
+
 // evict makes room: it removes what has expired and, if that is not enough, the requests with the fewest
 // crashes, among these the least recently updated ones.
 func (t *Tracker) evict(now time.Time) {
-	list := make([]Fingerprint, 0, len(t.suspects))
+	list := make([]ID, 0, len(t.suspects))
 	for p, s := range t.suspects {
 		if s.expired(now) {
 			t.remove(p)
@@ -188,7 +214,7 @@
 		}
 		list = append(list, p)
 	}
-	slices.SortFunc(list, func(x, y Fingerprint) int {
+	slices.SortFunc(list, func(x, y ID) int {
 		v, w := t.suspects[x], t.suspects[y]
 		return cmp.Or(cmp.Compare(len(v.crashes), len(w.crashes)), v.updatedAt.Compare(w.updatedAt))
 	})
@@ -207,12 +233,14 @@
 	return now.Sub(s.updatedAt) > suspectTTL
 }
 
-func (t *Tracker) remove(p Fingerprint) {
-	delete(t.suspects, p)
-	f := t.shapes[p.Shape()]
-	if f.suspects--; f.suspects == 0 {
-		delete(t.shapes, p.Shape())
+func (t *Tracker) remove(p ID) {
+	for _, x := range t.suspects[p].print.shapes() {
+		f := t.shapes[x]
+		if f.suspects--; f.suspects == 0 {
+			delete(t.shapes, x)
+		}
 	}
+	delete(t.suspects, p)
 	t.size.Store(int64(len(t.suspects)))
 }
 
@@ -221,20 +249,24 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.clear(now, p, now)
-	t.clearShape(Response{p, now})
+	t.clearShapes(Response{p, now})
 	return t.evaluate()
 }
 
-// clearShape records a response to a request of a shape: earlier crashes no longer count against the
-// shape.
-func (t *Tracker) clearShape(a Response) {
-	if f := t.shapes[a.Fingerprint.Shape()]; f != nil && f.observeResponse(a) {
+// clearShapes records a response to a request: earlier crashes no longer count against its shapes.
+func (t *Tracker) clearShapes(a Response) {
+	released := false
+	for _, x := range a.Fingerprint.shapes() {
+		f := t.shapes[x]
+		released = f != nil && f.observeResponse(a) || released
+	}
+	if released {
 		t.shapeChanges = append(t.shapeChanges, Change{Fingerprint: a.Fingerprint, ByShape: true})
 	}
 }
 
 func (t *Tracker) clear(now time.Time, p Fingerprint, at time.Time) bool {
-	s := t.suspects[p]
+	s := t.suspects[p.id]
 	if s == nil || at.Sub(s.clearedAt) < sameCrashWindow {
 		return false
 	}
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -52,8 +52,8 @@
 	assert.Equal(t, CrashThreshold, w.check("x").Upstreams)
 	assert.Greater(t, w.check("x").Wait, initialQuarantine-5*time.Second)
 	t.Run("other requests use no memory", func(t *testing.T) {
-		assert.True(t, w.b.HasCrashes(func() Shape { return ShapeOf(Request{Body: []byte("x")}) }))
-		assert.False(t, w.b.HasCrashes(func() Shape { return ShapeOf(Request{Body: []byte("other")}) }))
+		assert.True(t, w.b.HasCrashes(func() []Shape { return []Shape{ShapeOf(Request{Body: []byte("x")})} }))
+		assert.False(t, w.b.HasCrashes(func() []Shape { return []Shape{ShapeOf(Request{Body: []byte("other")})} }))
 	})
 }
 
--- a/internal/quarantine/update.go
+++ b/internal/quarantine/update.go
@@ -57,14 +57,14 @@
 			continue
 		}
 		recent := now.Sub(s.updatedAt) <= announceFor
-		if recent || !s.until.IsZero() || shapes[p.Shape()] {
+		if recent || !s.until.IsZero() || slices.ContainsFunc(s.print.shapes(), func(x Shape) bool { return shapes[x] }) {
 			list = append(list, s)
 		}
 		if recent && !s.clearedAt.IsZero() {
-			u.Responses = append(u.Responses, Response{p, s.clearedAt})
+			u.Responses = append(u.Responses, Response{s.print, s.clearedAt})
 		}
 		if now.Sub(s.probedAt) <= announceFor {
-			u.Probes = append(u.Probes, Probe{p, s.probedAt})
+			u.Probes = append(u.Probes, Probe{s.print, s.probedAt})
 		}
 	}
 	for _, f := range t.shapes {
@@ -122,17 +122,19 @@
 	changed := false
 	for _, a := range u.Responses {
 		changed = t.clear(now, a.Fingerprint, a.At) || changed
-		t.clearShape(a)
+		t.clearShapes(a)
 	}
 	for _, e := range u.Crashes {
 		changed = t.addCrash(now, e) || changed
 	}
 	for _, p := range u.Probes {
-		if s := t.suspects[p.Fingerprint]; s != nil && p.At.Sub(s.probedAt) >= sameCrashWindow {
+		if s := t.suspects[p.Fingerprint.id]; s != nil && p.At.Sub(s.probedAt) >= sameCrashWindow {
 			s.probedAt = p.At
 		}
-		if f := t.shapes[p.Fingerprint.Shape()]; f != nil && p.At.After(f.lastProbe.At) {
-			f.lastProbe = p
+		for _, x := range p.Fingerprint.shapes() {
+			if f := t.shapes[x]; f != nil && p.At.After(f.lastProbe.At) {
+				f.lastProbe = p
+			}
 		}
 	}
 	if !changed && len(t.shapeChanges) == 0 {
