A node that holds off from all brittle upstreams still asks

What callers would see: a service refused by a node for up to half a minute after its upstreams were sound.

Cause: connections that break and rejections make a node hold off, for 18 to 36 s at six nodes and one rejection a second. Where it holds off from all upstreams of a service it sends nothing, and answers alone tell that they are brittle no longer.

Change: such a node sends a first attempt all the same, every half to three seconds by the number of nodes, upstreams and rejections that these bear; callers are told to come back after three seconds at most. The first answer that says nothing ends it.

Without upstreams that say they are brittle nothing changes.

--- a/internal/brittle/brittle.go
+++ b/internal/brittle/brittle.go
@@ -8,6 +8,9 @@
 // single request goes there, and more only once it was accepted. What can't be sent is rejected at once; the caller is told
 // when slots become free.
 //
+// A node that holds off from all upstreams would learn neither of room nor that the service is brittle no longer: responses
+// alone tell. So it sends one request in a while all the same.
+//
 // All upstreams of a service are brittle at the same time, so that one that has just started counts as brittle before its
 // first response.
 //
@@ -36,6 +39,9 @@
 	reserve = 3.0
 	// leastRejections stands for a stated number below it in the length of a hold.
 	leastRejections = 0.5
+	// minProbe and maxProbe bound the time between two requests of a node that holds off from all upstreams.
+	minProbe = 500 * time.Millisecond
+	maxProbe = 3 * time.Second
 )
 
 // Statement is what an upstream's response states.
@@ -63,6 +69,7 @@
 	rejections float64
 	statedAt   time.Time
 	holds      map[string]time.Time // by upstream: until when this node holds off
+	probedAt   time.Time            // when a request was last sent though this node holds off from all upstreams
 }
 
 // NewTracker returns the tracker of a node.
@@ -142,13 +149,34 @@
 	until, held := s.holds[upstream]
 	switch {
 	case now.Before(until):
-		return until.Sub(now)
+		return min(until.Sub(now), maxProbe) // a probe may tell more before
 	case held && l.Own > 0, l.isFull():
 		return duration
 	}
 	return 0
 }
 
+// Holds reports whether this node holds off from an upstream.
+func (t *Tracker) Holds(now time.Time, name, upstream string) bool {
+	s := t.current(now, name)
+	return s != nil && now.Before(s.holds[upstream])
+}
+
+// MayProbe reports whether a request may be sent though this node holds off from all upstreams that could take it, and
+// records that it is. The nodes' probes together stay below the number that the upstreams bear, if no bound cuts in.
+func (t *Tracker) MayProbe(now time.Time, name string, nodes, upstreams int) bool {
+	s := t.current(now, name)
+	if s == nil || upstreams == 0 {
+		return false
+	}
+	d := time.Duration(reserve * float64(nodes) / (math.Max(s.rejections, leastRejections) * float64(upstreams)) * float64(time.Second))
+	if now.Sub(s.probedAt) < min(max(d, minProbe), maxProbe) {
+		return false
+	}
+	s.probedAt = now
+	return true
+}
+
 // isFull reports whether one more request may have to wait for a slot.
 func (l Load) isFull() bool {
 	if l.Slots == 0 {
--- a/internal/pool/brittle_test.go
+++ b/internal/pool/brittle_test.go
@@ -54,6 +54,25 @@
 		probe.Started()
 		assert.NotNil(t, p.Pick(onlyA()))
 	})
+	t.Run("get a request in a while though this node holds off from all, which may tell that they are sound", func(t *testing.T) {
+		p, clock, e := brittlePools(t)
+		for range 2 {
+			u := p.Pick(request)
+			u.End(ResultRejected)
+			u.HoldOff()
+		}
+		probe := p.Pick(request)
+		require.NotNil(t, probe)
+		assert.Nil(t, p.Pick(request))
+		wait := p.RetryAfter("s")
+		assert.Positive(t, wait)
+		assert.LessOrEqual(t, wait, 3*time.Second)
+		clock.Advance(3 * time.Second)
+		require.NotNil(t, p.Pick(request))
+		assert.True(t, p.ObserveBrittle(e["a"], call.Brittle{}, clock.Service().Now()))
+		assert.NotNil(t, p.Pick(request))
+		assert.NotNil(t, p.Pick(request))
+	})
 	t.Run("of other nodes", func(t *testing.T) {
 		p, _, _ := brittlePools(t)
 		p.ApplyReport("other", []Load{{Upstream: "a", Running: 2}}, nil, nil)
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -121,7 +121,8 @@
 // candidates returns the upstreams that may take a request. Upstreams that are leaving or in a cooldown,
 // or whose limit is used up, are never included. Ejected upstreams are included only if no others are
 // left, and upstreams of a version that may not take the request yet, or no longer, only if there are no
-// ejected ones either.
+// ejected ones either. Brittle ones that this node holds off from are included if there are no others, once
+// in a while and for a first attempt.
 func (p *Pools) candidates(now time.Time, n Request) candidateSet {
 	chain := newPromptKeys(n.Parts)
 	unreported := p.sumPeerLoad(now, n.Service, p.engine(now, n.Service))
@@ -147,14 +148,19 @@
 // their limit is used up.
 func (p *Pools) usable(now time.Time, n Request, set []*member) (members []*member, limited int) {
 	o := p.outlier(n.Service)
-	var spare, fallbacks []*member
+	var spare, fallbacks, held []*member
 	for _, m := range set {
 		takes, fallback := p.serves(now, m, n)
 		switch {
 		case m.entry.Leaving || m.misplaced || n.Excluded[m.entry.ID] || p.cooldowns.Wait(now, m.entry.Incarnation()) > 0:
 		case n.ReachableOnly && now.Sub(m.failedAt) < unreachableTTL:
-		case n.placed != m.entry.ID && p.limits.Wait(now, m.entry.Incarnation(), n.Engine) > 0, p.brittleWait(now, m) > 0:
+		case n.placed != m.entry.ID && p.limits.Wait(now, m.entry.Incarnation(), n.Engine) > 0:
 			limited++
+		case p.brittleWait(now, m) > 0:
+			limited++
+			if takes && p.brittle.Holds(now, n.Service, m.entry.ID) {
+				held = append(held, m)
+			}
 		case fallback:
 			fallbacks = append(fallbacks, m)
 		case !takes:
@@ -170,6 +176,9 @@
 	if len(members) == 0 {
 		members = fallbacks
 	}
+	if len(members) == 0 && len(n.Excluded) == 0 && p.brittle.MayProbe(now, n.Service, p.nodes(now), len(held)) {
+		members = held
+	}
 	return members, limited
 }
 
