Only what another node knows counts against it or the upstream

Cause, two of one class (silence or hearsay taken for knowledge): a tunnel that wasn't open in 120 ms counted as the other node's refusal for 1 s, and as the upstream's fault for 2 s; and one node alone was asked, whose "refused" counted as the upstream's fault though that node was cut off itself.

Change: up to three nodes are asked; a node that reaches the upstream only through others says that the fault is its own; time-outs count against nobody, unless the direct way is silent as well (a dark upstream).

--- a/internal/edge/egress.go
+++ b/internal/edge/egress.go
@@ -24,7 +24,8 @@
 const (
 	// tunnelTimeout bounds the wait for a tunnel through one node: some ten round trips, which leaves time for a retry.
 	tunnelTimeout = 120 * time.Millisecond
-	// maxTunnelPeers is how many nodes are asked for one connection while the own network is lost; otherwise one is.
+	// maxTunnelPeers is how many nodes are asked for one connection: one of them may be cut off from the upstream, too. While
+	// the own network isn't lost, one that doesn't answer is the last: the upstream may be silent.
 	maxTunnelPeers = 3
 	// egressProbeInterval is how often a direct connection is tried while the own network is lost.
 	egressProbeInterval = 250 * time.Millisecond
@@ -54,22 +55,33 @@
 
 // dial opens a connection to an upstream, over the path that is likely to work first.
 func (d *egressDialer) dial(ctx context.Context, e pool.Entry) (net.Conn, error) {
-	if d.paths.First(d.n.clock.Now(), e.ID) == egress.PathPeer {
+	asked := d.paths.First(d.n.clock.Now(), e.ID) == egress.PathPeer
+	if asked {
 		c, err := d.dialPeers(ctx, e)
 		if err == nil || d.paths.Lost() && isOfUpstream(err) {
 			return c, err
 		}
 	}
 	c, err := d.dialDirect(ctx, e)
-	if err == nil || ctx.Err() != nil || !d.paths.MayUsePeer(d.n.clock.Now(), e.ID) {
+	if err == nil || ctx.Err() != nil || asked || !d.paths.MayUsePeer(d.n.clock.Now(), e.ID) {
 		return c, err
 	}
-	if v, err := d.dialPeers(ctx, e); err == nil {
+	v, tunnelErr := d.dialPeers(ctx, e)
+	if tunnelErr == nil {
 		return v, nil
 	}
+	if isOfUpstream(tunnelErr) || isTimeout(err) && errors.Is(tunnelErr, tunnel.ErrNoAnswer) {
+		d.paths.PeerFailed(d.n.clock.Now(), e.ID)
+	}
 	return nil, err
 }
 
+// isTimeout reports whether a connection wasn't answered in time.
+func isTimeout(err error) bool {
+	t, ok := errors.AsType[net.Error](err)
+	return ok && t.Timeout()
+}
+
 // isOfUpstream reports whether another node found that the upstream itself can't be reached.
 func isOfUpstream(err error) bool {
 	return errors.Is(err, tunnel.ErrRefused) || errors.Is(err, tunnel.ErrUnreachable)
@@ -93,12 +105,9 @@
 
 // dialPeers opens a connection through another node.
 func (d *egressDialer) dialPeers(ctx context.Context, e pool.Entry) (net.Conn, error) {
-	peers, most := d.n.rankPeers(e), 1
-	if d.paths.Lost() {
-		most = maxTunnelPeers
-	}
+	peers := d.n.rankPeers(e)
 	var last error = errNoTunnel
-	for _, p := range peers[:min(most, len(peers))] {
+	for _, p := range peers[:min(maxTunnelPeers, len(peers))] {
 		c, err := d.dialPeer(ctx, p, e)
 		if err == nil {
 			d.paths.PeerOpened(d.n.clock.Now(), e.ID)
@@ -107,8 +116,10 @@
 		}
 		d.n.log.Info("tunnel_failed", zap.String("peer", p.Name), zap.String("upstream", e.ID), zap.Bool("egress_lost", d.paths.Lost()), zap.String("cause", fault.Reason(err)))
 		last = err
+		if errors.Is(err, tunnel.ErrNoAnswer) && !d.paths.Lost() {
+			break
+		}
 	}
-	d.paths.PeerFailed(d.n.clock.Now(), e.ID)
 	return nil, last
 }
 
@@ -119,8 +130,8 @@
 	if err == nil {
 		c, err = tunnel.Open(t, c, e.Address)
 	}
-	if err != nil && !isOfUpstream(err) && ctx.Err() == nil {
-		d.n.markPeerRefusal(p.Name)
+	if err != nil && !isOfUpstream(err) && t.Err() == nil {
+		d.n.markPeerRefusal(p.Name) // it has answered, or refuses connections
 	}
 	return c, err
 }
--- a/internal/edge/tunnels.go
+++ b/internal/edge/tunnels.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"spurhall.example/spurhall/internal/egress"
 	"spurhall.example/spurhall/internal/forward"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/tunnel"
@@ -51,7 +52,12 @@
 func (n *Node) openTunnel(w http.ResponseWriter, r *http.Request, e pool.Entry) {
 	far, err := n.egress.dialDirect(r.Context(), e)
 	if err != nil {
-		n.log.Info("tunnel_refused", zap.String("upstream", e.ID), zap.String("for", r.RemoteAddr), zap.String("cause", err.Error()))
+		own := n.egress.paths.First(n.clock.Now(), e.ID) == egress.PathPeer
+		n.log.Info("tunnel_refused", zap.String("upstream", e.ID), zap.String("for", r.RemoteAddr), zap.Bool("own_network", own), zap.String("cause", err.Error()))
+		if own { // others reach the upstream
+			tunnel.Reject(w, "the node doesn't reach the upstream either")
+			return
+		}
 		tunnel.RejectDial(w, err)
 		return
 	}
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -25,6 +25,8 @@
 var (
 	// ErrUnavailable means that the other process opens no tunnel, whatever the address.
 	ErrUnavailable = errs.NewType("unavailable").New("the process opens no tunnel")
+	// ErrNoAnswer means that the other process didn't answer in time: it or the address may be slow, or silent.
+	ErrNoAnswer = errs.NewType("no_answer").New("the process has not answered in time")
 	// ErrUnreachable means that the other process couldn't reach the address.
 	ErrUnreachable = errs.NewType("unreachable").New("the address can't be reached through the process")
 	// ErrRefused means that the address refused the other process's connection. It matches syscall.ECONNREFUSED, too.
@@ -48,8 +50,8 @@
 func Open(ctx context.Context, c net.Conn, address string) (net.Conn, error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	r, err := handshake(c, address)
-	if !stop() && err == nil {
-		err = context.Cause(ctx)
+	if !stop() {
+		err = fault.Because(ErrNoAnswer, "%v", context.Cause(ctx))
 	}
 	if err != nil {
 		_ = c.Close()
