edge: connections to upstreams, the crashes in the store, and who watches, relays and sends are decided elsewhere

Moved, not changed, with tests of their own. One of them fails, TestNodeThatIsCutOffItselfSaysSo: each failed try of the direct way hides that others reach the upstream.

--- a/internal/edge/cached.go
+++ b/internal/edge/cached.go
@@ -65,7 +65,7 @@
 // assignedEngines returns the engines of this hall that are assigned to this node.
 func (n *Node) assignedEngines() []pool.Entry {
 	n.mu.Lock()
-	relays := relay.Relays(n.hallNodes(n.clock.Now(), n.settings.Hall))
+	relays := relay.Relays(n.view(n.clock.Now()).HallNodes(n.settings.Hall))
 	n.mu.Unlock()
 	c := n.currentCatalog()
 	var list []pool.Entry
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -42,7 +42,7 @@
 	rolls := newRunner(n)
 	var c handover.Usage
 	v := handover.NewLevels(n.clock, dutyInterval)
-	var q quarantineWriter
+	var q handover.Crashes
 	term := int64(0)
 	n.clock.Every(ctx, dutyInterval, func(time.Time) {
 		token, held := n.lease.Token()
@@ -60,7 +60,7 @@
 			r.Step(ctx)
 		}
 		if held {
-			q.write(ctx, n, token)
+			q.Write(ctx, n.records(), n.clock, token, n.quarantine)
 		}
 		if n.settings.Cloud.Rollouts && held {
 			rolls.step(ctx, token)
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -63,7 +63,7 @@
 	n.mu.Lock()
 	p, large := n.peers.peers[name], !pair.Suffice(n.peers.size())
 	n.mu.Unlock()
-	if p == nil || p.address == "" {
+	if p == nil || p.Address == "" {
 		return errNoUpdates
 	}
 	version, revision := int64(-1), int64(0)
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -45,7 +44,7 @@
 // doesn't know the other nodes yet has no share: after a loss of all processes, each would use the whole rate.
 // The node's lock is held.
 func (n *Node) updateLimitSenders(now time.Time) {
-	var nodes, placers []string
+	var placers []string
 	if !n.knowsPeers(now) {
 		n.pools.SetSenders(nil, nil)
 		return
@@ -54,17 +53,8 @@
 		return
 	}
 	n.sendersSetAt = now
-	if !n.isLeaving() {
-		nodes = append(nodes, n.settings.Node)
-	}
-	for _, p := range n.peers.peers {
-		if !p.leaving && p.IsPresent(now, n.peers.size()) {
-			nodes = append(nodes, p.name)
-		}
-	}
-	slices.Sort(nodes)
 	if pair.Interval(n.peers.size()) > pair.Round {
-		placers = n.relaysOfAllHalls(now, relay.Active)
+		placers = n.view(now).RelaysOfAllHalls(relay.Active)
 	}
-	n.pools.SetSenders(nodes, placers)
+	n.pools.SetSenders(n.view(now).Senders(), placers)
 }
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -110,7 +110,7 @@
 		return
 	}
 	found := n.peers.getOrAdd(m.Name, m.Address)
-	found.LastListed, found.hall, found.cores = now, m.Hall, m.Cores
+	found.LastListed, found.Hall, found.Cores = now, m.Hall, m.Cores
 }
 
 // seedSpread is the time over which the nodes of a fleet begin to call the seeds, when all start at once and the
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -11,8 +11,7 @@
 //	rollouts.go   moves traffic to upstreams of another version
 //	duties.go     runs the duties of the lease holder, such as usage reports
 //	records.go    connects the records for the next holder (package handover) with quotas and usage
-//	egress.go     opens connections to upstreams, through other nodes if need be
-//	tunnels.go    opens connections to upstreams for other nodes
+//	uplink.go     connects package uplink, which opens connections to upstreams, with the other nodes
 //	serve.go      listeners, readiness, planned stop
 //
 // A request holds no lock for longer than a map look-up and never waits for the store: agreed state
@@ -48,6 +47,7 @@
 	"spurhall.example/spurhall/internal/roster"
 	"spurhall.example/spurhall/internal/store"
 	"spurhall.example/spurhall/internal/timer"
+	"spurhall.example/spurhall/internal/uplink"
 	"spurhall.example/spurhall/internal/upstream"
 	"spurhall.example/spurhall/internal/usage"
 )
@@ -94,7 +94,7 @@
 	kv         store.KV
 	era        *era.Tracker
 	pools      *pool.Pools
-	egress     *egressDialer
+	uplink     *uplink.Uplink
 	lines      *forward.Connections
 	front      *forward.Server
 	quarantine *quarantine.Tracker // tracks requests that crash upstreams
@@ -168,8 +168,8 @@
 	n := &Node{options: o, settings: s, clock: o.Clock, log: o.Log, start: o.Clock.Now(), initialized: make(chan struct{}), retryWindows: make(map[string]*retry.Window)}
 	n.pools = pool.New(o.Clock, s.Node, s.Hall)
 	n.pools.SetSenders(nil, nil) // until the other nodes are known
-	n.egress = newEgressDialer(n, o.DialUpstream)
-	n.lines = forward.NewConnections(o.Clock, n.egress.dial)
+	n.uplink = n.newUplink(o.DialUpstream)
+	n.lines = forward.NewConnections(o.Clock, n.uplink.Dial)
 	n.quotas = quota.New(n.start, s.FirstStart)
 	n.usage = usage.New(s.Node, o.Incarnation, s.UsageWindow)
 	n.peers = newPeerTable(n)
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -249,7 +249,7 @@
 	relayed := now.Sub(n.digestAt) <= digestLifetime
 	for name, p := range n.peers.peers {
 		if relayed && n.digestNodes[name] || now.Sub(p.LastSeen) <= digestLifetime {
-			halls[p.hall] = true
+			halls[p.Hall] = true
 		}
 	}
 	return halls
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -35,13 +35,7 @@
 
 // peer is another node as this node knows it.
 type peer struct {
-	roster.Signs
-	name           string
-	address        string
-	hall           string // empty: no report received yet
-	leaving        bool
-	storeUp        bool // the store is available to it
-	cores          float64
+	roster.Peer
 	incarnation    string
 	sequence       uint64
 	lastCalled     time.Time // by this node
@@ -57,8 +51,6 @@
 	trials         []rollout.Update
 	reach          pool.Reachability
 	relay          relayState
-	// refusedTunnelAt is when it last opened no tunnel that was asked for.
-	refusedTunnelAt time.Time
 }
 
 // peerTable holds the other nodes. Its fields are guarded by the node's lock.
@@ -74,6 +66,22 @@
 	fallback pair.Fallback // calls of peers that no relay names
 }
 
+// view returns the fleet as this node sees it. The node's lock is held while the view is used.
+func (n *Node) view(now time.Time) roster.View {
+	s := n.settings
+	return roster.View{
+		Now: now, Size: n.peers.size(), Regions: s.Halls,
+		Self: roster.Peer{Name: s.Node, Hall: s.Hall, Cores: s.Cores, Leaving: n.isLeaving(), StoreUp: n.guard.Up()},
+		Peers: func(yield func(*roster.Peer) bool) {
+			for _, p := range n.peers.peers {
+				if !yield(&p.Peer) {
+					return
+				}
+			}
+		},
+	}
+}
+
 func newPeerTable(n *Node) *peerTable {
 	d := &net.Dialer{Timeout: reportTimeout}
 	return &peerTable{
@@ -91,15 +99,15 @@
 func (t *peerTable) getOrAdd(name, address string) *peer {
 	p := t.peers[name]
 	if p == nil {
-		p = &peer{name: name}
+		p = &peer{Peer: roster.Peer{Name: name}}
 		p.FoundAt = t.n.clock.Now()
 		t.peers[name] = p
 		t.n.logPeer("peer_found", zap.String("peer", name), zap.String("address", address))
 	}
-	if p.address != address {
+	if p.Address != address {
 		p.clientMu.Lock()
 		defer p.clientMu.Unlock()
-		p.address, p.client = address, nil
+		p.Address, p.client = address, nil
 	}
 	return p
 }
@@ -110,7 +118,7 @@
 	p.clientMu.Lock()
 	defer p.clientMu.Unlock()
 	if p.client == nil {
-		p.client = t.newClient(p.address)
+		p.client = t.newClient(p.Address)
 	}
 	return p.client
 }
@@ -122,7 +130,7 @@
 // pairClient returns the client for the reports of a pair.
 func (t *peerTable) pairClient(p *peer) wireconnect.EdgeClient {
 	if !pair.Suffice(t.size()) {
-		return wireconnect.NewEdgeClient(t.oneShot, "http://"+p.address)
+		return wireconnect.NewEdgeClient(t.oneShot, "http://"+p.Address)
 	}
 	return t.clientOf(p)
 }
@@ -132,7 +140,7 @@
 	peers := make([]pair.Peer, 0, len(t.peers))
 	for _, p := range t.peers {
 		if p.NeedsReport(now, t.size()) {
-			peers = append(peers, pair.Peer{Name: p.name, LastSeen: p.LastSeen, LastCalled: p.lastCalled, Busy: p.busy})
+			peers = append(peers, pair.Peer{Name: p.Name, LastSeen: p.LastSeen, LastCalled: p.lastCalled, Busy: p.busy})
 		}
 	}
 	var list []*peer
@@ -173,15 +181,15 @@
 	responsive, size := 0, n.peers.size()
 	var leaving []string
 	for _, p := range n.peers.peers {
-		if p.leaving {
-			leaving = append(leaving, p.name)
+		if p.Leaving {
+			leaving = append(leaving, p.Name)
 		}
 		if p.IsResponsive(now, size) {
 			responsive++
 			p.silenceLogged = false
 		} else if !p.silenceLogged && !p.LastSign(size).IsZero() {
 			p.silenceLogged = true
-			n.logPeer("peer_silent", zap.String("peer", p.name), zap.Duration("for", now.Sub(p.LastSign(size))), zap.String("last_call", p.lastFailure))
+			n.logPeer("peer_silent", zap.String("peer", p.Name), zap.Duration("for", now.Sub(p.LastSign(size))), zap.String("last_call", p.lastFailure))
 		}
 	}
 	due := n.peers.due(now)
@@ -217,7 +225,7 @@
 func (n *Node) hallReach(now time.Time) pool.Reachability {
 	var sum pool.Reachability
 	for _, p := range n.peers.peers {
-		if p.hall == n.settings.Hall {
+		if p.Hall == n.settings.Hall {
 			sum = sum.Merge(p.reach, now.Sub(p.LastSeen))
 		}
 	}
@@ -277,7 +285,7 @@
 	if h := n.catalog.Load(); h != nil {
 		r.CatalogVersion = h.catalog.Version()
 	}
-	if !n.egress.paths.Lost() { // what a node can't reach says nothing of upstreams when its own network is lost
+	if !n.uplink.Lost() { // what a node can't reach says nothing of upstreams when its own network is lost
 		r.Reach = message.ReachToWire(n.pools.Reachability())
 	}
 	r.Suspicions = n.suspicions()
@@ -341,7 +349,7 @@
 		n.logPeer("peer_heard", zap.String("peer", r.Node), zap.String("lifetime", r.Lifetime), zap.Int64("catalog", r.CatalogVersion))
 	}
 	p.incarnation, p.sequence, p.LastSeen, p.silenceLogged = r.Lifetime, r.Sequence, now, false
-	p.catalogVersion, p.listRevision, p.hall, p.leaving, p.storeUp, p.cores = r.CatalogVersion, r.ListRevision, r.Hall, r.Leaving, r.StoreUp, r.Cores
+	p.catalogVersion, p.listRevision, p.Hall, p.Leaving, p.StoreUp, p.Cores = r.CatalogVersion, r.ListRevision, r.Hall, r.Leaving, r.StoreUp, r.Cores
 	p.trials, p.reach = message.TrialsFromWire(r.Trials), message.ReachFromWire(r.Reach)
 	n.mergeTrials(now, p.trials, r.Node)
 	p.work, p.workAt = message.WorkFromWire(r.Work), now
@@ -366,7 +374,7 @@
 func (n *Node) requestCatchUp(ctx context.Context, name string, have int64) {
 	n.mu.Lock()
 	p := n.peers.peers[name]
-	if p == nil || p.address == "" {
+	if p == nil || p.Address == "" {
 		n.mu.Unlock()
 		return
 	}
@@ -403,7 +411,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	p := n.peers.peers[name]
-	return p != nil && p.hall == n.settings.Hall
+	return p != nil && p.Hall == n.settings.Hall
 }
 
 // edgeService serves the calls of other nodes.
--- a/internal/edge/place.go
+++ b/internal/edge/place.go
@@ -51,7 +51,7 @@
 		n.mu.Lock()
 		n.placeRetryAt = n.clock.Now().Add(placeRetryPause)
 		n.mu.Unlock()
-		n.log.Info("place_failed", zap.String("request", v.ID), zap.String("relay", p.name), zap.String("cause", err.Error()))
+		n.log.Info("place_failed", zap.String("request", v.ID), zap.String("relay", p.Name), zap.String("cause", err.Error()))
 		return ""
 	}
 	return a.Msg.Upstream
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -44,7 +44,6 @@
 
 // relayState is what a node knows of a peer as a relay.
 type relayState struct {
-	failedAt         time.Time // when it last failed to respond
 	lastCalled       time.Time // last call for a swap
 	lastSwapped      time.Time // last successful swap
 	busy             bool      // a swap is in progress
@@ -87,7 +86,7 @@
 	r := n.buildRelayReport()
 	n.mu.Lock()
 	n.aggregator.Expire(now)
-	ordered := n.hallNodes(now, n.settings.Hall)
+	ordered := n.view(now).HallNodes(n.settings.Hall)
 	if !slices.Contains(relay.Relays(ordered), n.settings.Node) {
 		n.mu.Unlock()
 		if len(ordered) > 0 {
@@ -112,34 +111,6 @@
 	return r
 }
 
-// hallNodes returns the nodes of a hall that may be its relays, in order. The node's lock is held.
-func (n *Node) hallNodes(now time.Time, hall string) []string {
-	nodes := make(map[string]float64)
-	if hall == n.settings.Hall && !n.isLeaving() {
-		nodes[n.settings.Node] = n.settings.Cores
-	}
-	for _, p := range n.peers.peers {
-		failed := relay.IsAvoided(now, p.relay.failedAt, p.LastSeen)
-		if p.hall == hall && !p.leaving && !failed && p.IsPresent(now, n.peers.size()) {
-			nodes[p.name] = p.cores
-		}
-	}
-	return relay.RankNodes(nodes)
-}
-
-// relaysOfAllHalls returns some of the relays of all halls as this node sees them: those that a function of
-// package relay picks from a hall's ordered nodes. The node's lock is held.
-func (n *Node) relaysOfAllHalls(now time.Time, some func(ordered []string) []string) []string {
-	list := some(n.hallNodes(now, n.settings.Hall))
-	for hall := range n.settings.Halls {
-		if hall != n.settings.Hall {
-			list = append(list, some(n.hallNodes(now, hall))...)
-		}
-	}
-	slices.Sort(list)
-	return list
-}
-
 // reportToRelay sends this node's report to a relay, and applies the digest that it responds with.
 func (n *Node) reportToRelay(ctx context.Context, name string, r *wire.NodeReport) {
 	n.mu.Lock()
@@ -184,17 +155,17 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if err == nil {
-		if n.homeRelay != p.name {
-			n.homeRelay = p.name
-			n.log.Info("relay_in_use", zap.String("relay", p.name))
+		if n.homeRelay != p.Name {
+			n.homeRelay = p.Name
+			n.log.Info("relay_in_use", zap.String("relay", p.Name))
 		}
 		return
 	}
-	p.relay.failedAt = n.clock.Now()
-	if n.homeRelay == p.name {
+	p.RelayFailedAt = n.clock.Now()
+	if n.homeRelay == p.Name {
 		n.homeRelay = ""
 	}
-	n.log.Info("relay_failed", zap.String("relay", p.name), zap.String("cause", err.Error()))
+	n.log.Info("relay_failed", zap.String("relay", p.Name), zap.String("cause", err.Error()))
 }
 
 // applyDigest applies a relay's digest of the other nodes.
@@ -211,7 +182,7 @@
 		}
 		p.LastRelayed = now.Add(-w.Age)
 		if p.incarnation != w.Incarnation || p.sequence <= w.Sequence {
-			p.leaving, p.storeUp = w.Status.Leaving, !w.Status.StoreDown
+			p.Leaving, p.StoreUp = w.Status.Leaving, !w.Status.StoreDown
 			n.quotas.ApplyUpdate(now, quota.Update{Node: w.Node, Incarnation: w.Incarnation, Sequence: w.Sequence, Uptime: w.Uptime, Age: w.Age, Charged: w.Spent})
 		}
 	}
@@ -244,7 +215,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var peers []pair.Peer
-	for _, name := range n.relaysOfAllHalls(now, relay.Relays) {
+	for _, name := range n.view(now).RelaysOfAllHalls(relay.Relays) {
 		if p := n.peers.peers[name]; p != nil {
 			peers = append(peers, pair.Peer{Name: name, LastSeen: p.relay.lastSwapped, LastCalled: p.relay.lastCalled, Busy: p.relay.busy})
 		}
@@ -261,7 +232,7 @@
 	c, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	n.mu.Lock()
-	g, client := n.buildGroup(p.name, p.relay.knownIncarnation, p.relay.knownVersion), n.peers.clientOf(p)
+	g, client := n.buildGroup(p.Name, p.relay.knownIncarnation, p.relay.knownVersion), n.peers.clientOf(p)
 	n.mu.Unlock()
 	a, err := client.Swap(c, connect.NewRequest(&wire.SwapRequest{Group: g}))
 	if err == nil && a.Msg.Group == nil {
@@ -270,9 +241,9 @@
 	n.mu.Lock()
 	p.relay.busy = false
 	if err != nil {
-		if now := n.clock.Now(); !relay.IsAvoided(now, p.relay.failedAt, p.LastSeen) {
-			n.log.Info("swap_failed", zap.String("relay", p.name), zap.String("cause", err.Error()))
-			p.relay.failedAt = now
+		if now := n.clock.Now(); !relay.IsAvoided(now, p.RelayFailedAt, p.LastSeen) {
+			n.log.Info("swap_failed", zap.String("relay", p.Name), zap.String("cause", err.Error()))
+			p.RelayFailedAt = now
 		}
 		n.mu.Unlock()
 		return
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -117,7 +117,7 @@
 		go n.serve(n.server(http.HandlerFunc(n.serveMetrics)), l.Metrics)
 	}
 	var duties sync.WaitGroup
-	for _, f := range []func(context.Context){n.followStore, n.expireMissing, n.runRounds, n.runRelay, n.register, n.pollRegistry, n.contactSeeds, n.restoreLevels, n.restoreCachedParts, n.restoreRollouts, n.restoreQuarantine, n.probeEgress, n.runDuties} {
+	for _, f := range []func(context.Context){n.followStore, n.expireMissing, n.runRounds, n.runRelay, n.register, n.pollRegistry, n.contactSeeds, n.restoreLevels, n.restoreCachedParts, n.restoreRollouts, n.restoreQuarantine, n.uplink.Probe, n.runDuties} {
 		duties.Add(1)
 		go func() {
 			defer duties.Done()
@@ -204,7 +204,7 @@
 	_, h := wireconnect.NewEdgeHandler(&edgeService{n}, connect.WithCompressMinBytes(minCompressed))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodConnect {
-			n.serveTunnel(w, r)
+			n.uplink.ServeHTTP(w, r)
 			return
 		}
 		h.ServeHTTP(w, r)
@@ -213,7 +213,7 @@
 
 // isDrained reports whether neither callers nor other nodes use this node.
 func (n *Node) isDrained(t *requestTracker, now time.Time) bool {
-	return t.isQuiet(now) && n.egress.tunnels.Load() == 0
+	return t.isQuiet(now) && n.uplink.Served() == 0
 }
 
 // stop waits until the callers have left, within the time limit.
@@ -232,7 +232,7 @@
 		now := n.clock.Now()
 		d := now.Sub(startedAt)
 		if d >= n.settings.StopTimeout-stopMargin || d >= minStopTime && n.isDrained(t, now) {
-			n.log.Info("stopped", zap.Duration("after", d), zap.Bool("quiet", t.isQuiet(now)), zap.Int64("tunnels", n.egress.tunnels.Load()))
+			n.log.Info("stopped", zap.Duration("after", d), zap.Bool("quiet", t.isQuiet(now)), zap.Int64("tunnels", n.uplink.Served()))
 			return
 		}
 		_ = n.clock.Sleep(context.Background(), stopPoll)
--- a/internal/edge/watchers.go
+++ b/internal/edge/watchers.go
@@ -46,30 +46,12 @@
 func (n *Node) watchers() []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.watchersLocked(n.clock.Now())
-}
-
-// watchersLocked is watchers with the node's lock held.
-func (n *Node) watchersLocked(now time.Time) []string {
-	size := n.peers.size()
-	nodes := []roster.Node{{Name: n.settings.Node, Cores: n.settings.Cores, StoreUp: n.guard.Up()}}
-	for _, p := range n.peers.peers {
-		if p.hall != n.settings.Hall || p.leaving {
-			continue
-		}
-		// A node that has just started has heard of the others only by the registry, which shows that they reach the
-		// store.
-		unheard := roster.IsLarge(size) && p.LastSign(size).IsZero() && p.IsPresent(now, size)
-		if unheard || p.IsResponsive(now, size) {
-			nodes = append(nodes, roster.Node{Name: p.name, Cores: p.cores, StoreUp: unheard || p.storeUp})
-		}
-	}
-	return roster.Watchers(nodes)
+	return n.view(n.clock.Now()).Watchers()
 }
 
 // isWatcherLocked is isWatcher with the node's lock held.
 func (n *Node) isWatcherLocked(now time.Time) bool {
-	return slices.Contains(n.watchersLocked(now), n.settings.Node)
+	return slices.Contains(n.view(now).Watchers(), n.settings.Node)
 }
 
 // isWatcher reports whether this node is one of the watchers of its hall.
@@ -118,7 +100,7 @@
 	if len(n.startWatchers) > 0 && now.Sub(n.start) < seat.Period {
 		return n.startWatchers
 	}
-	return n.watchersLocked(now)
+	return n.view(now).Watchers()
 }
 
 // waitsForNews reports whether this node polls on although the watchers have failed it, since it last had news at
@@ -158,7 +140,7 @@
 		if h.Node == n.settings.Node {
 			return true
 		}
-		n.peers.getOrAdd(h.Node, h.Address).hall = n.settings.Hall
+		n.peers.getOrAdd(h.Node, h.Address).Hall = n.settings.Hall
 		n.startWatchers = append(n.startWatchers, h.Node)
 	}
 	return false
--- a/internal/egress/peers.go
+++ b/internal/egress/peers.go
@@ -10,8 +10,8 @@
 const (
 	// heardWithin is how recently a node must have heard of a hall's upstreams to be asked first: some reports.
 	heardWithin = 1500 * time.Millisecond
-	// refusalMemory is how long a node isn't asked again after it couldn't help.
-	refusalMemory = time.Second
+	// RefusalMemory is how long a node isn't asked again after it couldn't help.
+	RefusalMemory = time.Second
 )
 
 // Peer is another node that may open connections.
@@ -29,7 +29,7 @@
 func Rank(now time.Time, hall string, peers []Peer) []Peer {
 	r := make([]Peer, 0, len(peers))
 	for _, p := range peers {
-		if p.RefusedAt.IsZero() || now.Sub(p.RefusedAt) > refusalMemory {
+		if p.RefusedAt.IsZero() || now.Sub(p.RefusedAt) > RefusalMemory {
 			r = append(r, p)
 		}
 	}
--- /dev/null
+++ b/internal/roster/view.go
@@ -0,0 +1,114 @@
+package roster
+
+import (
+	"iter"
+	"slices"
+	"time"
+
+	"spurhall.example/spurhall/internal/relay"
+)
+
+// Peer is another node as a node knows it.
+type Peer struct {
+	Signs
+	Name          string
+	Address       string // of its listener for other nodes
+	Hall          string // empty: no report received yet
+	Cores         float64
+	Leaving       bool
+	StoreUp       bool      // the store is available to it
+	RelayFailedAt time.Time // when it last failed to respond as a relay
+}
+
+// View is a fleet as one of its nodes sees it at a moment.
+type View struct {
+	Now     time.Time
+	Self    Peer
+	Size    int               // number of nodes, this one included
+	Regions map[string]string // region by hall
+	Peers   iter.Seq[*Peer]
+}
+
+// Present returns the other nodes that are present and don't leave.
+func (v View) Present() iter.Seq[*Peer] {
+	return func(yield func(*Peer) bool) {
+		for p := range v.Peers {
+			if !p.Leaving && p.IsPresent(v.Now, v.Size) && !yield(p) {
+				return
+			}
+		}
+	}
+}
+
+// Watchers returns the nodes of this hall that watch the store.
+func (v View) Watchers() []string {
+	nodes := []Node{{Name: v.Self.Name, Cores: v.Self.Cores, StoreUp: v.Self.StoreUp}}
+	for p := range v.Peers {
+		if p.Hall != v.Self.Hall || p.Leaving {
+			continue
+		}
+		// A node that has just started has heard of the others only by the registry, which shows that they reach the
+		// store.
+		unheard := IsLarge(v.Size) && p.LastSign(v.Size).IsZero() && p.IsPresent(v.Now, v.Size)
+		if unheard || p.IsResponsive(v.Now, v.Size) {
+			nodes = append(nodes, Node{Name: p.Name, Cores: p.Cores, StoreUp: unheard || p.StoreUp})
+		}
+	}
+	return Watchers(nodes)
+}
+
+// HallNodes returns the nodes of a hall that may be its relays, in order.
+func (v View) HallNodes(hall string) []string {
+	nodes := make(map[string]float64)
+	if hall == v.Self.Hall && !v.Self.Leaving {
+		nodes[v.Self.Name] = v.Self.Cores
+	}
+	for p := range v.Present() {
+		if p.Hall == hall && !relay.IsAvoided(v.Now, p.RelayFailedAt, p.LastSeen) {
+			nodes[p.Name] = p.Cores
+		}
+	}
+	return relay.RankNodes(nodes)
+}
+
+// RelaysOfAllHalls returns some of the relays of all halls as this node sees them: those that a function of
+// package relay picks from a hall's ordered nodes.
+func (v View) RelaysOfAllHalls(some func(ordered []string) []string) []string {
+	list := some(v.HallNodes(v.Self.Hall))
+	for hall := range v.Regions {
+		if hall != v.Self.Hall {
+			list = append(list, some(v.HallNodes(hall))...)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Senders returns the nodes that share what upstreams take from all nodes together.
+func (v View) Senders() []string {
+	var nodes []string
+	if !v.Self.Leaving {
+		nodes = append(nodes, v.Self.Name)
+	}
+	for p := range v.Present() {
+		nodes = append(nodes, p.Name)
+	}
+	slices.Sort(nodes)
+	return nodes
+}
+
+// LastHeard returns the addresses of up to k nodes of a hall, the ones last heard of first.
+func (v View) LastHeard(hall string, k int) []string {
+	var list []*Peer
+	for p := range v.Peers {
+		if p.Hall == hall {
+			list = append(list, p)
+		}
+	}
+	slices.SortFunc(list, func(x, y *Peer) int { return y.LastSeen.Compare(x.LastSeen) })
+	addresses := make([]string, 0, k)
+	for _, p := range list[:min(len(list), k)] {
+		addresses = append(addresses, p.Address)
+	}
+	return addresses
+}
--- /dev/null
+++ b/internal/roster/view_test.go
@@ -0,0 +1,57 @@
+package roster
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"spurhall.example/spurhall/internal/relay"
+)
+
+// fleetOf returns the view of node "a" of hall "h".
+func fleetOf(now time.Time, peers ...*Peer) View {
+	return View{
+		Now: now, Self: Peer{Name: "a", Hall: "h", Cores: 1, StoreUp: true}, Size: len(peers) + 1, Regions: map[string]string{"h": "r", "i": "r"},
+		Peers: slices.Values(peers),
+	}
+}
+
+func TestView(t *testing.T) {
+	now := time.Unix(1000, 0)
+	heard := func(name, hall string, ago time.Duration) *Peer {
+		return &Peer{Name: name, Address: name + ":1", Hall: hall, Cores: 1, StoreUp: true, Signs: Signs{LastSeen: now.Add(-ago)}}
+	}
+	b, c, silent, leaving := heard("b", "h", 100*time.Millisecond), heard("c", "i", 0), heard("silent", "h", time.Hour), heard("leaving", "h", 0)
+	leaving.Leaving = true
+	v := fleetOf(now, b, c, silent, leaving)
+	t.Run("senders are present and stay", func(t *testing.T) { assert.Equal(t, []string{"a", "b", "c"}, v.Senders()) })
+	t.Run("relays of a hall", func(t *testing.T) {
+		assert.ElementsMatch(t, []string{"a", "b"}, v.HallNodes("h"))
+		assert.Equal(t, []string{"c"}, v.HallNodes("i"))
+	})
+	t.Run("relays of all halls", func(t *testing.T) {
+		assert.Equal(t, []string{"a", "b", "c"}, v.RelaysOfAllHalls(func(l []string) []string { return l }))
+		assert.Len(t, v.RelaysOfAllHalls(relay.Active), 2, "one of each hall")
+	})
+	t.Run("a relay that failed is avoided", func(t *testing.T) {
+		b.RelayFailedAt = now
+		defer func() { b.RelayFailedAt = time.Time{} }()
+		assert.Equal(t, []string{"a"}, v.HallNodes("h"))
+	})
+	t.Run("watchers reach the store", func(t *testing.T) {
+		assert.ElementsMatch(t, []string{"a", "b"}, v.Watchers())
+		b.StoreUp = false
+		assert.Equal(t, []string{"a"}, v.Watchers())
+	})
+	t.Run("last heard of", func(t *testing.T) {
+		assert.Equal(t, []string{"leaving:1", "b:1"}, v.LastHeard("h", 2))
+		assert.Empty(t, v.LastHeard("nowhere", 2))
+	})
+	t.Run("a node that leaves has no part", func(t *testing.T) {
+		v.Self.Leaving = true
+		assert.Equal(t, []string{"b", "c"}, v.Senders())
+		assert.Equal(t, []string{"b"}, v.HallNodes("h"))
+	})
+}
--- /dev/null
+++ b/internal/uplink/serve.go
@@ -0,0 +1,67 @@
+package uplink
+
+import (
+	"net/http"
+
+	"go.uber.org/zap"
+
+	"spurhall.example/spurhall/internal/egress"
+	"spurhall.example/spurhall/internal/pool"
+	"spurhall.example/spurhall/internal/tunnel"
+)
+
+const (
+	// descriptorsPerTunnel and maxTunnelShare bound the tunnels by the descriptors that the process may open.
+	descriptorsPerTunnel = 2
+	maxTunnelShare       = 0.25
+	// maxTunnels applies if the number of descriptors is unknown.
+	maxTunnels = 512
+)
+
+func (u *Uplink) tunnelLimit() int64 {
+	if d := u.o.MaxDescriptors; d > 0 {
+		return int64(maxTunnelShare * float64(d) / descriptorsPerTunnel)
+	}
+	return maxTunnels
+}
+
+// Served returns the number of tunnels that this node serves for others.
+func (u *Uplink) Served() int64 { return u.served.Load() }
+
+// ServeHTTP opens a connection for another node. It goes to a listed upstream only, and never through a third node.
+func (u *Uplink) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e, listed := u.o.Pools.ByAddress(r.Host)
+	open := u.served.Add(1)
+	defer u.served.Add(-1)
+	switch {
+	case u.o.Leaving():
+		tunnel.Reject(w, "the node is leaving")
+	case u.paths.Lost():
+		tunnel.Reject(w, "the node doesn't reach upstreams either")
+	case open > u.tunnelLimit():
+		u.o.Log.Warn("tunnel_rejected", zap.String("upstream", e.ID), zap.Int64("open", open), zap.Int64("limit", u.tunnelLimit()))
+		tunnel.Reject(w, "too many tunnels")
+	case !listed:
+		tunnel.Reject(w, "no listed upstream has the address")
+	default:
+		u.serve(w, r, e)
+	}
+}
+
+func (u *Uplink) serve(w http.ResponseWriter, r *http.Request, e pool.Entry) {
+	far, err := u.dialDirect(r.Context(), e)
+	if err != nil {
+		own := u.paths.First(u.o.Clock.Now(), e.ID) == egress.PathPeer
+		u.o.Log.Info("tunnel_refused", zap.String("upstream", e.ID), zap.String("for", r.RemoteAddr), zap.Bool("own_network", own), zap.String("cause", err.Error()))
+		if own { // others reach the upstream
+			tunnel.Reject(w, "the node doesn't reach the upstream either")
+			return
+		}
+		tunnel.RejectDial(w, err)
+		return
+	}
+	u.o.Count("tunnels_served")
+	if err := tunnel.Serve(w, far, u.o.Dial.AckTimeout); err != nil {
+		u.o.Log.Debug("tunnel_ended", zap.String("upstream", e.ID), zap.String("for", r.RemoteAddr), zap.String("cause", err.Error()))
+	}
+}
