A failed try of the direct way doesn't hide that others reach the upstream

What callers of another cut node would see: refusals, since a cut node that reached an upstream through others said that the upstream refuses connections. Cause: the memory of a tunnel counted only until the next failed direct try, and a request for a tunnel makes one.

--- a/internal/egress/paths.go
+++ b/internal/egress/paths.go
@@ -76,12 +76,24 @@
 		return PathPeer
 	case r == nil || r.directFailedAt.IsZero() || now.Sub(r.directFailedAt) > memory:
 		return PathDirect
-	case r.peerOpenedAt.After(r.directFailedAt):
+	case r.openedByPeer(now):
 		return PathPeer
 	}
 	return PathDirect
 }
 
+// OwnFault reports whether another node has lately reached an upstream, so that it is this node's fault if this one doesn't.
+func (p *Paths) OwnFault(now time.Time, upstream string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.upstreams[upstream]
+	return p.lost || r != nil && r.openedByPeer(now)
+}
+
+func (r *record) openedByPeer(now time.Time) bool {
+	return !r.peerOpenedAt.IsZero() && now.Sub(r.peerOpenedAt) <= memory
+}
+
 // MayUsePeer reports whether another node may be asked for an upstream that couldn't be reached directly. It is false
 // shortly after another node couldn't reach it, either.
 func (p *Paths) MayUsePeer(now time.Time, upstream string) bool {
--- a/internal/uplink/serve.go
+++ b/internal/uplink/serve.go
@@ -5,7 +5,6 @@
 
 	"go.uber.org/zap"
 
-	"spurhall.example/spurhall/internal/egress"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/tunnel"
 )
@@ -51,7 +50,7 @@
 func (u *Uplink) serve(w http.ResponseWriter, r *http.Request, e pool.Entry) {
 	far, err := u.dialDirect(r.Context(), e)
 	if err != nil {
-		own := u.paths.First(u.o.Clock.Now(), e.ID) == egress.PathPeer
+		own := u.paths.OwnFault(u.o.Clock.Now(), e.ID)
 		u.o.Log.Info("tunnel_refused", zap.String("upstream", e.ID), zap.String("for", r.RemoteAddr), zap.Bool("own_network", own), zap.String("cause", err.Error()))
 		if own { // others reach the upstream
 			tunnel.Reject(w, "the node doesn't reach the upstream either")
