--- a/internal/soak/check_reach.go
+++ b/internal/soak/check_reach.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// This file is the promises on upstreams that some daemons don't reach, or that mustn't be asked too often.
+// This file checks what is promised where some daemons reach no upstream, and where upstreams bear few rejections.
 
 const (
 	cutNotice   = 3 * time.Second // from the beginning of a cut
--- a/internal/soak/day.go
+++ b/internal/soak/day.go
@@ -185,21 +185,21 @@
 	FaultReclaim, FaultCrash, FaultDrain, FaultStore, FaultLapse, FaultForget, FaultCopy, FaultConfig, FaultKeys, FaultQuota, FaultLimit, FaultErrors, FaultLost, FaultSpoil,
 }
 
-// apart is how long after the other faults those of drawLater begin that are played by themselves, and apartSpan what
-// the day is longer by.
 const (
-	apart     = 3500 * time.Millisecond
-	apartSpan = apart + 7*time.Second
+	// recoveryGap is the pause between the faults of draw and those of drawLater, where these come after them.
+	recoveryGap = 3500 * time.Millisecond
+	// secondPart is by how much such a day is longer.
+	secondPart = recoveryGap + 7*time.Second
 )
 
-// drawLater draws faults that were added later, so that the other faults of a seed stay as they were. They come beside
-// these, or after them.
+// drawLater draws the kinds of faults that were added later, from a sequence of random numbers of their own: the other
+// faults of a seed stay as they were. They overlap with these in half of the days, and come after them in the others.
 func (d *Day) drawLater(r *rand.Rand, last time.Duration) []Fault {
 	var list []Fault
 	first := quietBefore
 	if r.IntN(2) == 0 {
-		first, last = last+apart, last+apartSpan
-		d.Traffic += apartSpan
+		first, last = last+recoveryGap, last+secondPart
+		d.Traffic += secondPart
 	}
 	span := func(least, most time.Duration) (at, lasts time.Duration) {
 		lasts = least + time.Duration(r.Int64N(int64(most-least)))
--- a/internal/soak/gateway.go
+++ b/internal/soak/gateway.go
@@ -12,9 +12,9 @@
 	"spurhall.example/spurhall/internal/timer"
 )
 
-// This file is a daemon's way to its upstreams: a proxy by the method CONNECT of HTTP (RFC 9110, section 9.3.6). Unlike a
-// link, it can refuse a connection or leave it open-ended before it is established, as a network does that cuts one VM off
-// from addresses which others reach.
+// This file implements a daemon's proxy to its upstreams, by the method CONNECT of HTTP (RFC 9110, section 9.3.6). Unlike a
+// link, it can refuse a connection or not answer before the connection is established, as when the network cuts one VM off
+// from addresses that others reach.
 
 var errCut = errors.New("the daemon is cut off")
 
--- a/internal/uplink/probe.go
+++ b/internal/uplink/probe.go
@@ -26,8 +26,8 @@
 	})
 }
 
-// check tries upstreams that didn't fail lately, and tells whether the node's own network is lost, as a direct connection
-// to an upstream has made likely.
+// check finds out whether the node's own network is lost, after a failed connection to an upstream has made it suspected:
+// it tries upstreams that didn't fail lately.
 func (u *Uplink) check(e pool.Entry, cause error) {
 	u.tryDirect(context.Background(), func(o pool.Entry) bool { return !u.paths.Failed(o.ID) })
 	f := []zap.Field{zap.String("upstream", e.ID), zap.String("hall", e.Hall), zap.Int("upstreams", u.o.Pools.Len()), zap.String("cause", cause.Error())}
