--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -13,7 +13,6 @@
 	"errors"
 	"expvar"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -73,7 +72,7 @@
 			_ = c.Close()
 		default:
 			callersOpen.Set(l.open.Add(1))
-			return &callerConn{Conn: c, l: l}, nil
+			return &callerConn{Conn: c, listener: l}, nil
 		}
 	}
 }
@@ -88,18 +87,8 @@
 	l.failedAt.Store(now.UnixNano())
 }
 
-// callerConn is a caller's connection, which counts until it is closed.
-type callerConn struct {
-	net.Conn
-	l    *Listener
-	once sync.Once
-}
-
-// Close closes the connection.
-func (c *callerConn) Close() error {
-	c.once.Do(func() { callersOpen.Set(c.l.open.Add(-1)) })
-	return c.Conn.Close()
-}
+// Open returns the number of callers' connections.
+func (l *Listener) Open() int64 { return l.open.Load() }
 
 // Failing reports whether the listener failed recently, or is closed.
 func (l *Listener) Failing(now time.Time) bool {
@@ -110,4 +99,5 @@
 var (
 	callersOpen     = expvar.NewInt("callers_connected")
 	callersRejected = expvar.NewInt("callers_turned_away")
+	callersCut      = expvar.NewInt("callers_cut")
 )
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -181,6 +181,14 @@
 	return w != nil && w.Failing(n.clock.Now())
 }
 
+// openCallers returns the number of callers' connections.
+func (n *Node) openCallers() int64 {
+	if w := n.frontListener.Load(); w != nil {
+		return w.Open()
+	}
+	return 0
+}
+
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !n.isReady() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
@@ -223,6 +231,7 @@
 	n.log.Info("stopping")
 	defer n.clock.AfterFunc(stopAcceptPeriod, func() {
 		n.phase.Store(int32(forward.PhaseClosed))
+		n.log.Info("callers_closing", zap.Int64("open", n.openCallers()), zap.Bool("quiet", t.isQuiet(n.clock.Now())))
 		// Callers with idle connections open new ones elsewhere without a failed attempt.
 		if err := front.Shutdown(context.Background()); err != nil {
 			n.log.Info("shutdown_failed", zap.String("cause", err.Error()))
@@ -232,7 +241,7 @@
 		now := n.clock.Now()
 		d := now.Sub(startedAt)
 		if d >= n.settings.StopTimeout-stopMargin || d >= minStopTime && n.isDrained(t, now) {
-			n.log.Info("stopped", zap.Duration("after", d), zap.Bool("quiet", t.isQuiet(now)), zap.Int64("tunnels", n.uplink.Served()))
+			n.log.Info("stopped", zap.Duration("after", d), zap.Bool("quiet", t.isQuiet(now)), zap.Int64("callers", n.openCallers()), zap.Int64("tunnels", n.uplink.Served()))
 			return
 		}
 		_ = n.clock.Sleep(context.Background(), stopPoll)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -402,6 +402,9 @@
 	if q.firstResponse > 0 {
 		f = append(f, zap.Duration("first", q.firstResponse), zap.Duration("longest_pause", q.longestPause))
 	}
+	if outcome == "cut" || outcome == "caller_left" {
+		f = append(f, zap.String("caller", q.http.RemoteAddr))
+	}
 	if q.use != nil {
 		f = append(f, choiceFields(q.use)...)
 		f = append(f, zap.Bool("says_leaving", q.observed.Leaving))
