A stop closes callers' connections only between requests

Cause: idle connections were closed by net/http's Shutdown, 2.5 s after SIGTERM and again every 0.5 s. For net/http a connection is idle until a request's head is parsed. A request that was read, and not yet parsed, lost its connection; its handler ran, and its response went nowhere. The class: one goroutine closes what another one has just begun to use, by a belief that the other corrects later.

Change: a connection ends only by the goroutine that reads it. accept.Listener.Drain ends the wait for a request by the read deadline. The reader either has bytes of a request, which is then responded to with Connection: close, or it looks once more, for what has arrived meanwhile, and ends the connection. A request is in progress from its first byte until net/http reports that its response is written. What crosses the close on the network is not read, as before.

Ruled out: SetKeepAlivesEnabled(false) closes idle connections in the same way. A list of idle connections of our own, with a lock around read and close, still discards a request whose read system call has returned and whose lock is taken by the close.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -4,15 +4,22 @@
 // descriptors, or when the listener was closed by other code. A paused process answers the balancer as
 // little as its callers.
 //
+// It also closes the connections in a planned stop (caller.go).
+//
 // A node doesn't run out of descriptors by itself, since it accepts only as many callers as it can
 // forward. Without descriptors, it would leave connections in the listener's queue for seconds; their
 // requests would be read and forwarded after their callers have left.
 package accept
 
 import (
+	"context"
 	"errors"
 	"expvar"
+	"maps"
 	"net"
+	"net/http"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,11 +38,12 @@
 	// callersShare is the part of the other descriptors that callers' connections may use: a forwarded
 	// request also needs one to an upstream, and some of the upstream connections are idle.
 	callersShare = 0.45
+	waitPoll     = 20 * time.Millisecond
 )
 
 // maxCallers is the maximum number of callers' connections of a process; 0: no limit.
-func maxCallers(descriptors int) int64 {
-	return int64(callersShare * float64(max(0, descriptors-reservedDescriptors)))
+func maxCallers(descriptors int) int {
+	return int(callersShare * float64(max(0, descriptors-reservedDescriptors)))
 }
 
 // Listener records when accepting a connection failed, and closes connections above the limit at once:
@@ -44,15 +52,17 @@
 	net.Listener
 	clock    *timer.Service
 	log      *zap.Logger
-	maxOpen  int64 // connections; 0: no limit
-	open     atomic.Int64
+	maxOpen  int          // connections; 0: no limit
 	failedAt atomic.Int64 // nanoseconds of the clock; 0: never
 	closed   atomic.Bool
+	draining atomic.Bool
+	mu       sync.Mutex
+	callers  map[*callerConn]bool
 }
 
 // New returns a listener of a process that has so many descriptors; 0: no limit.
 func New(l net.Listener, clock *timer.Service, log *zap.Logger, descriptors int) *Listener {
-	return &Listener{Listener: l, clock: clock, log: log, maxOpen: maxCallers(descriptors)}
+	return &Listener{Listener: l, clock: clock, log: log, maxOpen: maxCallers(descriptors), callers: make(map[*callerConn]bool)}
 }
 
 // Accept returns the next connection within the limit.
@@ -60,23 +70,65 @@
 	for {
 		c, err := l.Listener.Accept()
 		switch {
+		case err != nil && l.draining.Load():
+			return nil, http.ErrServerClosed
 		case errors.Is(err, net.ErrClosed):
 			l.closed.Store(true) // the server on this listener reports it
 			return nil, err
 		case err != nil:
 			l.recordFailure("accept_failed", zap.String("cause", err.Error()))
 			return nil, err
-		case l.maxOpen > 0 && l.open.Load() >= l.maxOpen:
+		case l.maxOpen > 0 && l.Open() >= l.maxOpen:
 			callersRejected.Add(1)
-			l.recordFailure("callers_turned_away", zap.Int64("open", l.open.Load()))
+			l.recordFailure("callers_turned_away", zap.Int("open", l.Open()))
 			_ = c.Close()
 		default:
-			callersOpen.Set(l.open.Add(1))
-			return &callerConn{Conn: c, listener: l}, nil
+			return l.add(c), nil
 		}
 	}
 }
 
+func (l *Listener) add(c net.Conn) *callerConn {
+	v := &callerConn{Conn: c, listener: l}
+	l.mu.Lock()
+	l.callers[v] = true
+	callersOpen.Set(int64(len(l.callers)))
+	l.mu.Unlock()
+	v.drain()
+	return v
+}
+
+func (l *Listener) remove(c *callerConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.callers, c)
+	callersOpen.Set(int64(len(l.callers)))
+}
+
+// Drain stops accepting, closes the connections without a request, and each other one once its request has its
+// response. The server on this listener ends with http.ErrServerClosed.
+func (l *Listener) Drain() error {
+	l.draining.Store(true)
+	err := l.Close()
+	l.mu.Lock()
+	open := slices.Collect(maps.Keys(l.callers))
+	l.mu.Unlock()
+	for _, c := range open {
+		c.drain()
+	}
+	return err
+}
+
+// Wait waits until all callers' connections are closed, or the context ends.
+func (l *Listener) Wait(ctx context.Context) error {
+	for l.Open() > 0 {
+		if err := l.clock.Sleep(ctx, waitPoll); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // recordFailure records that a connection couldn't be accepted, and logs it unless the last failure was
 // recent.
 func (l *Listener) recordFailure(event string, f ...zap.Field) {
@@ -88,7 +140,11 @@
 }
 
 // Open returns the number of callers' connections.
-func (l *Listener) Open() int64 { return l.open.Load() }
+func (l *Listener) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.callers)
+}
 
 // Failing reports whether the listener failed recently, or is closed.
 func (l *Listener) Failing(now time.Time) bool {
--- a/internal/accept/accept_test.go
+++ b/internal/accept/accept_test.go
@@ -19,7 +19,8 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	clock := timer.NewManual(time.Unix(1000, 0))
-	w := &Listener{Listener: l, clock: clock.Service(), log: zap.NewNop(), maxOpen: 2}
+	w := New(l, clock.Service(), zap.NewNop(), 0)
+	w.maxOpen = 2
 	taken := make(chan net.Conn, 8)
 	go func() {
 		for {
@@ -49,11 +50,11 @@
 	_ = first.Close() // a second close must not count
 	call()
 	assert.NotNil(t, <-taken)
-	assert.Equal(t, int64(2), w.open.Load())
+	assert.Equal(t, 2, w.Open())
 	require.NoError(t, l.Close())
 	<-taken
 	t.Run("limit by descriptors", func(t *testing.T) {
 		assert.Zero(t, maxCallers(0))
-		assert.Equal(t, int64(1665), maxCallers(4100))
+		assert.Equal(t, 1665, maxCallers(4100))
 	})
 }
--- a/internal/accept/caller.go
+++ b/internal/accept/caller.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"time"
@@ -10,8 +11,17 @@
 	"go.uber.org/zap"
 )
 
-// This file follows what has been read from a caller's connection and not been responded to, so that a connection
-// that is closed under a request is logged with who closed it.
+// This file follows how far a caller's connection is with its requests, so that a planned stop closes it only between
+// two of them.
+//
+// net/http takes a connection for idle until it has parsed a request's head, and its Shutdown closes idle ones: also
+// one of which a request has just been read. Here a request is in progress from its first byte until the server
+// reports that its response is written. A connection without one is ended by its read deadline, so that the goroutine
+// that reads either has bytes of a request, which is then responded to, or ends the connection.
+
+// lastLook is how long a connection that is to close still waits for a request. Any time is long enough for one that
+// has already arrived.
+const lastLook = time.Millisecond
 
 // callerConn is a caller's connection, which counts until it is closed.
 type callerConn struct {
@@ -21,6 +31,8 @@
 	mu         sync.Mutex
 	closed     bool
 	callerLeft bool      // a read has failed: the caller closed or reset the connection
+	inProgress bool      // a byte of a request has been read, and its response isn't complete
+	deadline   time.Time // for reads, as the server has set it
 	unanswered int       // bytes read since the last byte was written
 	readAt     time.Time // when the first of them was read
 	responses  int       // times that a response was begun
@@ -29,16 +41,49 @@
 // Read reads what the caller sends.
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.isClosing() {
+		_ = c.Conn.SetReadDeadline(c.listener.clock.Wall().Add(lastLook)) // fails only if it is closed
+		n, err = c.Conn.Read(b)
+	}
+	c.recordRead(n, err)
+	return n, err
+}
+
+// isClosing reports whether the connection is to close and has no request.
+func (c *callerConn) isClosing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n > 0 && c.unanswered == 0 {
+	return c.listener.draining.Load() && !c.inProgress
+}
+
+func (c *callerConn) recordRead(n int, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil && !c.closed && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.callerLeft = true
+	}
+	if n == 0 {
+		return
+	}
+	if c.unanswered == 0 {
 		c.readAt = c.listener.clock.Now()
 	}
 	c.unanswered += n
-	if err != nil && !c.closed && !errors.Is(err, os.ErrDeadlineExceeded) {
-		c.callerLeft = true
+	if !c.inProgress && c.listener.draining.Load() {
+		_ = c.Conn.SetReadDeadline(c.deadline) // fails only if it is closed
 	}
-	return n, err
+	c.inProgress = true
+}
+
+// SetReadDeadline sets the deadline of reads, except of a connection that is to close.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	if c.listener.draining.Load() && !c.inProgress {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
 }
 
 // Write writes a part of a response.
@@ -53,13 +98,37 @@
 	return n, err
 }
 
+// completeResponse records that the response is written. If the server already has the first byte of another request,
+// the last look finds the rest.
+func (c *callerConn) completeResponse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inProgress = false
+	c.unanswered = 0
+	c.closeIfIdle()
+}
+
+// drain closes the connection if it has no request, or else once that has its response.
+func (c *callerConn) drain() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closeIfIdle()
+}
+
+// closeIfIdle ends the wait for a request if the listener drains.
+func (c *callerConn) closeIfIdle() {
+	if c.listener.draining.Load() && !c.inProgress {
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only if it is closed
+	}
+}
+
 // Close closes the connection.
 func (c *callerConn) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.closed {
 		c.closed = true
-		callersOpen.Set(c.listener.open.Add(-1))
+		c.listener.remove(c)
 		c.logCut()
 	}
 	return c.Conn.Close()
@@ -75,3 +144,10 @@
 	l.log.Info("caller_cut", zap.Stringer("caller", c.RemoteAddr()), zap.Bool("caller_left", c.callerLeft), zap.Int("bytes", c.unanswered),
 		zap.Duration("after", l.clock.Since(c.readAt)), zap.Int("responses", c.responses))
 }
+
+// ObserveState is the http.Server.ConnState of the server on this listener.
+func (l *Listener) ObserveState(c net.Conn, s http.ConnState) {
+	if v, ok := c.(*callerConn); ok && s == http.StateIdle {
+		v.completeResponse()
+	}
+}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -110,7 +110,9 @@
 	}))
 	ready := n.server(http.HandlerFunc(n.serveReady))
 	peers := n.server(n.peerHandler())
-	go n.serve(front, n.monitorFront(l.Front))
+	callers := n.monitorFront(l.Front)
+	front.ConnState = callers.ObserveState
+	go n.serve(front, callers)
 	go n.serve(ready, l.Readiness)
 	go n.serve(peers, l.Peers)
 	if l.Metrics != nil {
@@ -125,7 +127,7 @@
 		}()
 	}
 	<-ctx.Done()
-	n.stop(&t, front)
+	n.stop(&t, callers)
 	cancel()
 	duties.Wait()
 	return errors.Join(front.Close(), ready.Close(), peers.Close())
@@ -170,7 +172,7 @@
 }
 
 // monitorFront wraps the callers' listener to detect failing accepts.
-func (n *Node) monitorFront(l net.Listener) net.Listener {
+func (n *Node) monitorFront(l net.Listener) *accept.Listener {
 	w := accept.New(l, n.clock, n.log, n.settings.MaxDescriptors)
 	n.frontListener.Store(w)
 	return w
@@ -181,14 +183,6 @@
 	return w != nil && w.Failing(n.clock.Now())
 }
 
-// openCallers returns the number of callers' connections.
-func (n *Node) openCallers() int64 {
-	if w := n.frontListener.Load(); w != nil {
-		return w.Open()
-	}
-	return 0
-}
-
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !n.isReady() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
@@ -225,23 +219,23 @@
 }
 
 // stop waits until the callers have left, within the time limit.
-func (n *Node) stop(t *requestTracker, front *http.Server) {
+func (n *Node) stop(t *requestTracker, callers *accept.Listener) {
 	n.phase.Store(int32(forward.PhaseLeaving))
 	startedAt := n.clock.Now()
 	n.log.Info("stopping")
 	defer n.clock.AfterFunc(stopAcceptPeriod, func() {
 		n.phase.Store(int32(forward.PhaseClosed))
-		n.log.Info("callers_closing", zap.Int64("open", n.openCallers()), zap.Bool("quiet", t.isQuiet(n.clock.Now())))
+		n.log.Info("callers_closing", zap.Int("open", callers.Open()), zap.Bool("quiet", t.isQuiet(n.clock.Now())))
 		// Callers with idle connections open new ones elsewhere without a failed attempt.
-		if err := front.Shutdown(context.Background()); err != nil {
-			n.log.Info("shutdown_failed", zap.String("cause", err.Error()))
+		if err := callers.Drain(); err != nil {
+			n.log.Info("drain_failed", zap.String("cause", err.Error()))
 		}
 	})()
 	for {
 		now := n.clock.Now()
 		d := now.Sub(startedAt)
 		if d >= n.settings.StopTimeout-stopMargin || d >= minStopTime && n.isDrained(t, now) {
-			n.log.Info("stopped", zap.Duration("after", d), zap.Bool("quiet", t.isQuiet(now)), zap.Int64("callers", n.openCallers()), zap.Int64("tunnels", n.uplink.Served()))
+			n.log.Info("stopped", zap.Duration("after", d), zap.Bool("quiet", t.isQuiet(now)), zap.Int("callers", callers.Open()), zap.Int64("tunnels", n.uplink.Served()))
 			return
 		}
 		_ = n.clock.Sleep(context.Background(), stopPoll)
