A stopping node ends once its callers' connections are closed, not when its handlers have returned

Callers saw a request cut that an upstream had run: LOST, and for what may not be repeated a request lost for good.

Cause: requests in progress were counted by handlers. net/http writes a response of up to 4 kB, and the end of a stream, after the handler has returned; the node ended when no handler ran and none had begun for 0.3 s. A response that wasn't written by then was lost.

Change: the node ends when no caller's connection is open; each one closes once its response is written (accept.Listener). requestTracker goes.

--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -27,7 +27,7 @@
 // to use another connection next. The listeners stay open meanwhile, since the balancer needs several failed
 // checks to notice and callers hold connections; requests that still arrive are served. Then idle connections
 // are closed with the listener, and requests that still arrive on a busy one are redirected to other nodes.
-// The process ends when no request is in progress, or shortly before it would be killed.
+// The process ends when no caller is connected any more, or shortly before it would be killed.
 
 const (
 	maxHeaderBytes    = 64 << 10
@@ -39,7 +39,6 @@
 	minStopTime      = 3 * time.Second
 	stopMargin       = 600 * time.Millisecond // before the kill
 	stopPoll         = 50 * time.Millisecond
-	stopQuietPeriod  = 300 * time.Millisecond
 	peerDeadline     = 5 * time.Second
 )
 
@@ -72,46 +71,15 @@
 	return &l, nil
 }
 
-// requestTracker counts the requests in progress and records when the last one arrived.
-type requestTracker struct {
-	mu          sync.Mutex
-	inFlight    int
-	lastStarted time.Time
-}
-
-func (t *requestTracker) start(now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.inFlight++
-	t.lastStarted = now
-}
-
-func (t *requestTracker) end() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.inFlight--
-}
-
-func (t *requestTracker) isQuiet(now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.inFlight == 0 && now.Sub(t.lastStarted) > stopQuietPeriod
-}
-
 // Run serves until the context ends, then stops without interrupting requests.
 func (n *Node) Run(ctx context.Context, l *Listeners) error {
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	var t requestTracker
-	front := n.server(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		t.start(n.clock.Now())
-		defer t.end()
-		n.front.ServeHTTP(w, r)
-	}))
-	ready := n.server(http.HandlerFunc(n.serveReady))
-	peers := n.server(n.peerHandler())
 	callers := n.monitorFront(l.Front)
+	front := n.server(n.front)
 	front.ConnState = callers.ObserveState
+	ready := n.server(http.HandlerFunc(n.serveReady))
+	peers := n.server(n.peerHandler())
 	go n.serve(front, callers)
 	go n.serve(ready, l.Readiness)
 	go n.serve(peers, l.Peers)
@@ -127,7 +95,7 @@
 		}()
 	}
 	<-ctx.Done()
-	n.stop(&t, callers)
+	n.stop(callers)
 	cancel()
 	duties.Wait()
 	return errors.Join(front.Close(), ready.Close(), peers.Close())
@@ -213,31 +181,30 @@
 	})
 }
 
-// isDrained reports whether neither callers nor other nodes use this node.
-func (n *Node) isDrained(t *requestTracker, now time.Time) bool {
-	return t.isQuiet(now) && n.uplink.Served() == 0
-}
-
 // stop waits until the callers have left, within the time limit.
-func (n *Node) stop(t *requestTracker, callers *accept.Listener) {
+func (n *Node) stop(callers *accept.Listener) {
 	n.phase.Store(int32(forward.PhaseLeaving))
 	startedAt := n.clock.Now()
-	n.log.Info("stopping")
+	n.log.Info("stopping", zap.Int("callers", callers.Open()))
 	defer n.clock.AfterFunc(stopAcceptPeriod, func() {
 		n.phase.Store(int32(forward.PhaseClosed))
-		n.log.Info("callers_closing", zap.Int("open", callers.Open()), zap.Bool("quiet", t.isQuiet(n.clock.Now())))
+		n.log.Info("callers_closing", zap.Int("open", callers.Open()))
 		// Callers with idle connections open new ones elsewhere without a failed attempt.
 		if err := callers.Drain(); err != nil {
 			n.log.Info("drain_failed", zap.String("cause", err.Error()))
 		}
 	})()
 	for {
-		now := n.clock.Now()
-		d := now.Sub(startedAt)
-		if d >= n.settings.StopTimeout-stopMargin || d >= minStopTime && n.isDrained(t, now) {
-			n.log.Info("stopped", zap.Duration("after", d), zap.Bool("quiet", t.isQuiet(now)), zap.Int("callers", callers.Open()), zap.Int64("tunnels", n.uplink.Served()))
+		d := n.clock.Since(startedAt)
+		if d >= n.settings.StopTimeout-stopMargin || d >= minStopTime && n.isDrained(callers) {
+			n.log.Info("stopped", zap.Duration("after", d), zap.Int("callers", callers.Open()), zap.Int64("tunnels", n.uplink.Served()))
 			return
 		}
 		_ = n.clock.Sleep(context.Background(), stopPoll)
 	}
 }
+
+// isDrained reports whether neither callers nor other nodes use this node.
+func (n *Node) isDrained(callers *accept.Listener) bool {
+	return callers.Open() == 0 && n.uplink.Served() == 0
+}
