The own interface's stop closes connections only between requests, too

The same cause as on the platform's path: its listeners were closed by net/http's Shutdown, and a request read in that moment was handled, told not-run and its response written to a closed connection. It doesn't run (the node has left the claim protocol by then), but its caller isn't told so.

Change: callers, peers and operators connect through accept.Listener, over TLS where it is in use. What is still open when the time to drain ends is logged (callers_cut_off); before, it was closed without a line.

--- a/cmd/spurhalld/main.go
+++ b/cmd/spurhalld/main.go
@@ -6,7 +6,6 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -14,7 +13,9 @@
 	"time"
 
 	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
 
+	"spurhall.example/spurhall/internal/accept"
 	"spurhall.example/spurhall/internal/admin"
 	"spurhall.example/spurhall/internal/logging"
 	"spurhall.example/spurhall/internal/node"
@@ -133,11 +134,11 @@
 	})
 	stop := make(chan os.Signal, 2)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
-	return serve(s, n, sec, stop)
+	return serve(s, n, sec, clock, log, stop)
 }
 
 // serve opens the listeners, runs until a signal, drains and closes.
-func serve(s *settings.Settings, n *node.Node, sec security, stop chan os.Signal) error {
+func serve(s *settings.Settings, n *node.Node, sec security, clock *timer.Service, log *zap.Logger, stop chan os.Signal) error {
 	drain := func() {
 		select {
 		case stop <- syscall.SIGTERM:
@@ -154,17 +155,18 @@
 		{s.AdminListen, sec.callers, admin.Handler(admin.Options{Node: n, TokenHashes: s.AdminTokenHashes, Drain: drain})},
 	}
 	// All listeners are open before one is served: a node that answers callers answers operators, too.
-	listeners := make([]net.Listener, len(servers))
+	listeners := make([]*accept.Listener, len(servers))
 	for i, v := range servers {
 		l, err := settings.Listen(v.address, v.tls)
 		if err != nil {
 			return err
 		}
-		listeners[i] = l
+		listeners[i] = accept.New(l, clock, log, 0)
 	}
 	var open []*http.Server
 	for i, v := range servers {
 		h := server(v.handler)
+		h.ConnState = listeners[i].ObserveState
 		open = append(open, h)
 		go func() { _ = h.Serve(listeners[i]) }()
 	}
@@ -177,9 +179,9 @@
 		cancel()
 	}()
 	n.Drain(x)
-	for _, h := range open {
-		if err := h.Shutdown(x); err != nil && !errors.Is(err, context.Canceled) {
-			_ = h.Close()
+	for i, h := range open {
+		if err := errors.Join(listeners[i].Drain(), listeners[i].Wait(x), h.Close()); err != nil {
+			log.Info("callers_cut_off", zap.String("address", servers[i].address), zap.Int("connections", listeners[i].Open()), zap.Error(err))
 		}
 	}
 	n.Stop()
