--- a/internal/edge/ready_test.go
+++ b/internal/edge/ready_test.go
@@ -54,3 +54,19 @@
 		assert.False(t, n.isReady())
 	})
 }
+
+// TestListenLeavesNothingOpen: a daemon whose second listener fails may be started again at once.
+func TestListenLeavesNothingOpen(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = taken.Close() }()
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	front := free.Addr().String()
+	require.NoError(t, free.Close())
+	_, err = Listen(&Settings{Front: front, Readiness: taken.Addr().String(), Peers: "127.0.0.1:0"}, "", 0)
+	require.Error(t, err)
+	again, err := net.Listen("tcp", front)
+	require.NoError(t, err, "the callers' listener must be closed")
+	require.NoError(t, again.Close())
+}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -16,30 +16,16 @@
 	"go.uber.org/zap"
 
 	"spurhall.example/spurhall/internal/accept"
-	"spurhall.example/spurhall/internal/forward"
 	"spurhall.example/spurhall/internal/metric"
 	"spurhall.example/spurhall/internal/wire/wireconnect"
 )
 
-// This file opens the listeners and stops the node.
-//
-// A planned stop first takes the node out of the balancer: readiness fails, and each response tells the caller
-// to use another connection next. The listeners stay open meanwhile, since the balancer needs several failed
-// checks to notice and callers hold connections; requests that still arrive are served. Then idle connections
-// are closed with the listener, and requests that still arrive on a busy one are redirected to other nodes.
-// The process ends when no caller is connected any more, or shortly before it would be killed.
+// This file opens the listeners and serves them.
 
 const (
 	maxHeaderBytes    = 64 << 10
 	readHeaderTimeout = 15 * time.Second  // callers use shorter time-outs
 	idleTimeout       = 180 * time.Second // callers use shorter time-outs
-	// stopAcceptPeriod is how long after the stop signal new requests are served: the balancer needs two failed
-	// checks, a second apart, to send callers elsewhere.
-	stopAcceptPeriod = 2500 * time.Millisecond
-	minStopTime      = 3 * time.Second
-	stopMargin       = 600 * time.Millisecond // before the kill
-	stopPoll         = 50 * time.Millisecond
-	peerDeadline     = 5 * time.Second
 )
 
 // Listeners holds the open listeners of a node.
@@ -51,21 +37,28 @@
 // peers gives another one. metricsPort 0 disables metrics.
 func Listen(s *Settings, peers string, metricsPort int) (*Listeners, error) {
 	peers = cmp.Or(peers, s.Peers)
+	front, err := netip.ParseAddrPort(s.Front)
+	if err != nil {
+		return nil, err
+	}
 	var l Listeners
-	open := func(to *net.Listener, address string) error {
+	var open []net.Listener
+	listen := func(to *net.Listener, address string) error {
 		v, err := net.Listen("tcp", address)
-		*to = v
+		if err == nil {
+			*to = v
+			open = append(open, v)
+		}
 		return err
 	}
-	err := errors.Join(open(&l.Front, s.Front), open(&l.Readiness, s.Readiness), open(&l.Peers, peers))
+	err = errors.Join(listen(&l.Front, s.Front), listen(&l.Readiness, s.Readiness), listen(&l.Peers, peers))
 	if err == nil && metricsPort != 0 {
-		a, e := netip.ParseAddrPort(s.Front)
-		if e != nil {
-			return nil, e
-		}
-		err = open(&l.Metrics, net.JoinHostPort(a.Addr().String(), strconv.Itoa(metricsPort)))
+		err = listen(&l.Metrics, net.JoinHostPort(front.Addr().String(), strconv.Itoa(metricsPort)))
 	}
 	if err != nil {
+		for _, v := range open {
+			err = errors.Join(err, v.Close())
+		}
 		return nil, err
 	}
 	return &l, nil
@@ -122,10 +115,6 @@
 	}
 }
 
-func (n *Node) stopPhase() forward.Phase { return forward.Phase(n.phase.Load()) }
-
-func (n *Node) isLeaving() bool { return n.stopPhase() != forward.PhaseServing }
-
 // isReady reports whether this node should receive callers: it has the configuration and the upstream list,
 // isn't stopping, and accepts connections. When the whole system starts, it also has to know the other nodes: until
 // then it would grant a workspace only a small part of its quota.
@@ -180,31 +169,3 @@
 		h.ServeHTTP(w, r)
 	})
 }
-
-// stop waits until the callers have left, within the time limit.
-func (n *Node) stop(callers *accept.Listener) {
-	n.phase.Store(int32(forward.PhaseLeaving))
-	startedAt := n.clock.Now()
-	n.log.Info("stopping", zap.Int("callers", callers.Open()))
-	defer n.clock.AfterFunc(stopAcceptPeriod, func() {
-		n.phase.Store(int32(forward.PhaseClosed))
-		n.log.Info("callers_closing", zap.Int("open", callers.Open()))
-		// Callers with idle connections open new ones elsewhere without a failed attempt.
-		if err := callers.Drain(); err != nil {
-			n.log.Info("drain_failed", zap.String("cause", err.Error()))
-		}
-	})()
-	for {
-		d := n.clock.Since(startedAt)
-		if d >= n.settings.StopTimeout-stopMargin || d >= minStopTime && n.isDrained(callers) {
-			n.log.Info("stopped", zap.Duration("after", d), zap.Int("callers", callers.Open()), zap.Int64("tunnels", n.uplink.Served()))
-			return
-		}
-		_ = n.clock.Sleep(context.Background(), stopPoll)
-	}
-}
-
-// isDrained reports whether neither callers nor other nodes use this node.
-func (n *Node) isDrained(callers *accept.Listener) bool {
-	return callers.Open() == 0 && n.uplink.Served() == 0
-}
