A stop accepts what already waits in the kernel's queue

A connection that the kernel has accepted may hold a request when the listener closes; it was reset. Drain ends Accept by its deadline, and Accept looks once more, like a connection's read: what has arrived is accepted and responded to. A listener without deadlines is closed.

TestDrainAcceptsWhatWaitsInTheQueue failed before: three connections of three were reset.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -18,6 +18,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -69,6 +70,10 @@
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
+		if errors.Is(err, os.ErrDeadlineExceeded) && l.draining.Load() {
+			_ = l.setDeadline(l.clock.Wall().Add(lastLook)) // fails only if it is closed
+			c, err = l.Listener.Accept()
+		}
 		switch {
 		case err != nil && l.draining.Load():
 			return nil, http.ErrServerClosed
@@ -106,10 +111,10 @@
 }
 
 // Drain stops accepting, closes the connections without a request, and each other one once its request has its
-// response. The server on this listener ends with http.ErrServerClosed.
+// response. The server on this listener closes it and ends with http.ErrServerClosed.
 func (l *Listener) Drain() error {
 	l.draining.Store(true)
-	err := l.Close()
+	err := l.setDeadline(time.Unix(1, 0))
 	l.mu.Lock()
 	open := slices.Collect(maps.Keys(l.callers))
 	l.mu.Unlock()
@@ -119,6 +124,15 @@
 	return err
 }
 
+// setDeadline sets the deadline of Accept, so that what waits in the kernel's queue is still accepted. A listener
+// that has none is closed.
+func (l *Listener) setDeadline(t time.Time) error {
+	if v, ok := l.Listener.(interface{ SetDeadline(t time.Time) error }); ok {
+		return v.SetDeadline(t)
+	}
+	return l.Close()
+}
+
 // Wait waits until all callers' connections are closed, or the context ends.
 func (l *Listener) Wait(ctx context.Context) error {
 	for l.Open() > 0 {
--- a/internal/accept/drain_test.go
+++ b/internal/accept/drain_test.go
@@ -156,6 +156,26 @@
 	})
 }
 
+func TestDrainAcceptsWhatWaitsInTheQueue(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := New(inner, timer.Real(), zap.NewNop(), 0)
+	for range 3 {
+		c, err := net.Dial("tcp", l.Addr().String())
+		require.NoError(t, err)
+		defer func() { _ = c.Close() }()
+	}
+	require.NoError(t, l.Drain())
+	for range 3 {
+		c, err := l.Accept()
+		require.NoError(t, err)
+		require.NoError(t, c.Close())
+	}
+	_, err = l.Accept()
+	assert.ErrorIs(t, err, http.ErrServerClosed)
+	require.NoError(t, l.Close())
+}
+
 func TestWaitEndsWithItsContext(t *testing.T) {
 	r := newDrainRig(t)
 	r.write(r.connect(), wholeRequest)
