--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -115,7 +115,6 @@
 	r        Request
 	finish   float64
 	serial   int
-	offered  time.Duration
 	index    int
 	deadline time.Duration
 	started  time.Duration
@@ -161,7 +160,7 @@
 	if v := c.check(now, s, &r); v.Decision == DecisionReject {
 		return v
 	}
-	it := &item{r: r, offered: now, serial: c.serial, deadline: now + r.MaxWait}
+	it := &item{r: r, serial: c.serial, deadline: now + r.MaxWait}
 	c.serial++
 	if c.fits(r.Class) && c.queues[ClassLive].Len() == 0 && (r.Class == ClassLive || c.queues[ClassBatch].Len() == 0) {
 		c.admit(now, s, it)
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -182,7 +182,8 @@
 	n.unreadableEntries = make(unreadableEntries)
 	n.changes = changelog.New()
 	n.source, n.follower = n.newSource(), n.newFollower()
-	n.guard = store.NewGuard(o.Clock, n.storeShare())
+	reads, writes := n.storeRates()
+	n.guard = store.NewGuard(o.Clock, store.GuardOptions{Reads: reads, Writes: writes, MaxBackoff: storeBackoff})
 	n.era = o.Era
 	n.era.OnRise(n.onEraRise)
 	n.kv = n.guard.Wrap(store.WithEra(o.KV, o.Era))
@@ -195,10 +196,10 @@
 	return n
 }
 
-// storeShare returns this node's part of the store's call rates.
-func (n *Node) storeShare() store.GuardOptions {
+// storeRates returns this node's part of the store's call rates, per second.
+func (n *Node) storeRates() (reads, writes float64) {
 	k := float64(n.peers.size())
-	return store.GuardOptions{Reads: n.settings.Store.Reads / k, Writes: n.settings.Store.Writes / k, MaxBackoff: storeBackoff}
+	return n.settings.Store.Reads / k, n.settings.Store.Writes / k
 }
 
 func (n *Node) currentCatalog() *catalog.Catalog {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -176,7 +176,7 @@
 	n.mu.Lock()
 	n.logSuspension()
 	n.startQuotaSpan(now)
-	n.guard.SetRates(n.storeShare())
+	n.guard.SetRates(n.storeRates())
 	n.usage.Forget(n.clock.Wall())
 	responsive, size := 0, n.peers.size()
 	var leaving []string
--- a/internal/limit/fleet_test.go
+++ b/internal/limit/fleet_test.go
@@ -36,8 +36,6 @@
 	nodes     []*simNode
 	arrivals  []time.Time // of all processes
 	checked   []time.Time // of processes that know the rate
-	rejected  int
-	requests  int
 	of        retry.Incarnation
 	rate      func(at time.Duration) (float64, bool) // that the upstream names
 	startedAt time.Time
@@ -153,9 +151,7 @@
 		n.inFlight = n.inFlight[1:]
 	}
 	for range poisson(f.r, o.demand*simTick.Seconds()) {
-		f.requests++
 		if n.tracker.Wait(f.now, f.of, false) > 0 {
-			f.rejected++
 			continue
 		}
 		n.tracker.Take(f.now, f.of, false)
--- a/internal/node/pace.go
+++ b/internal/node/pace.go
@@ -6,7 +6,6 @@
 
 	"spurhall.example/spurhall/internal/member"
 	"spurhall.example/spurhall/internal/route"
-	"spurhall.example/spurhall/internal/store"
 )
 
 // This file keeps a node's background work in proportion to the fleet: which node has a duty, how often state
@@ -98,6 +97,6 @@
 	n.clock.Every(ctx, time.Second, func(time.Time) {
 		n.updateIntervals()
 		k := float64(max(len(n.liveNodes()), 1))
-		n.guard.SetRates(store.GuardOptions{Reads: n.o.PlatformRate / k, Writes: n.o.PlatformRate / 4 / k})
+		n.guard.SetRates(n.o.PlatformRate/k, n.o.PlatformRate/4/k)
 	})
 }
--- a/internal/store/guard.go
+++ b/internal/store/guard.go
@@ -77,9 +77,9 @@
 }
 
 // SetRates changes the node's rates, which depend on the number of nodes.
-func (g *Guard) SetRates(o GuardOptions) {
-	g.reads.SetLimit(rate.Limit(o.Reads))
-	g.writes.SetLimit(rate.Limit(o.Writes))
+func (g *Guard) SetRates(reads, writes float64) {
+	g.reads.SetLimit(rate.Limit(reads))
+	g.writes.SetLimit(rate.Limit(writes))
 }
 
 // The breaker opens after breakerThreshold consecutive failures, for a jittered time that
