The soak presses daemons that stop: requests that wait at them when they close connections have an answer

New fault press: SIGTERM, and around the moment at which the daemon closes connections it isn't scheduled for 0.25 to 0.45 s while callers press. New check answered: a stopping daemon closes no connection on which a request has waited for more than 0.2 s.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -74,7 +74,7 @@
 	r := Reply{Call: v, ID: id, Sent: c.clock.Wall()}
 	ctx, cancel := context.WithTimeout(context.Background(), callGiveUp)
 	defer cancel()
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) { r.Wrote = i.Err == nil }})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) { r.Wrote, r.WroteAt = i.Err == nil, c.clock.Wall() }})
 	h, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.to[v.Daemon]+"/"+string(v.Route)+"/x", io.NopCloser(strings.NewReader("ask "+id)))
 	if err == nil {
 		h.ContentLength = int64(len("ask " + id))
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -21,11 +21,12 @@
 
 // The bounds. Those of time are the platform's pages'.
 const (
-	lately      = 3 * time.Second // how long after a fault a daemon isn't in touch
-	stallEcho   = time.Second     // until what a stall has held up is made good
-	drainBound  = 2 * time.Second // requests reach an upstream that leaves no later
-	applyBound  = 2 * time.Second // a configuration is in force
-	backBound   = time.Second     // from a daemon's first use of a configuration, after which it uses none before it
+	lately      = 3 * time.Second        // how long after a fault a daemon isn't in touch
+	stallEcho   = time.Second            // until what a stall has held up is made good
+	drainBound  = 2 * time.Second        // requests reach an upstream that leaves no later
+	applyBound  = 2 * time.Second        // a configuration is in force
+	backBound   = time.Second            // from a daemon's first use of a configuration, after which it uses none before it
+	lossSlack   = 200 * time.Millisecond // that a request may lie at a daemon that closes its connection
 	endBound    = 1500 * time.Millisecond
 	quotaSpan   = 8 * time.Second
 	quotaShare  = 1.1 // of what a quota allows in a span
@@ -78,7 +79,7 @@
 func (v *view) calm(from, to time.Time, fits func(f Fault) bool) bool {
 	return !v.stalled(from, to) && !slices.ContainsFunc(v.Day.Faults, func(f Fault) bool {
 		end := f.End()
-		if f.Kind == FaultTerm || f.Kind == FaultReclaim || f.Kind == FaultDrain || f.Kind == FaultCrash || f.Kind == FaultKill || f.Kind == FaultKillAll {
+		if f.plannedStop() || f.Kind == FaultReclaim || f.Kind == FaultDrain || f.Kind == FaultCrash || f.Kind == FaultKill || f.Kind == FaultKillAll {
 			end += stopGrace + 2*time.Second // until the process has started again
 		}
 		return f.At <= v.at(to) && end+lately >= v.at(from) && fits(f)
@@ -91,7 +92,7 @@
 		switch f.Kind {
 		case FaultHall, FaultKillAll, FaultLapse, FaultForget, FaultCopy:
 			return true
-		case FaultTerm, FaultKill:
+		case FaultTerm, FaultPress, FaultKill:
 			return slices.Contains(f.Who, daemon)
 		case FaultFreeze:
 			return f.On == OnStore || f.On == OnDaemons && slices.Contains(f.Who, daemon)
@@ -106,7 +107,7 @@
 // unplanned is anything but what upstreams and operators do themselves.
 func unplanned(f Fault) bool {
 	switch f.Kind {
-	case FaultTerm, FaultConfig, FaultKeys, FaultQuota, FaultLimit, FaultDrain, FaultReclaim, FaultSecond:
+	case FaultTerm, FaultPress, FaultConfig, FaultKeys, FaultQuota, FaultLimit, FaultDrain, FaultReclaim, FaultSecond:
 		return false
 	default:
 		return true
@@ -120,7 +121,7 @@
 func Check(r Record) []Failure {
 	v := newView(r)
 	var list []Failure
-	for _, c := range []func(v *view) []Failure{checkWhole, checkOnce, checkNotRun, checkAttempts, checkDrains, checkConfig, checkKeys, checkQuota, checkRepeats, checkLimits, checkEgress, checkBrittle, checkEnds, checkStops, checkLost} {
+	for _, c := range []func(v *view) []Failure{checkWhole, checkOnce, checkNotRun, checkAttempts, checkDrains, checkConfig, checkKeys, checkQuota, checkRepeats, checkLimits, checkEgress, checkBrittle, checkEnds, checkStops, checkAnswered, checkLost} {
 		list = append(list, c(v)...)
 	}
 	if r.Complete {
--- a/internal/soak/check_answers.go
+++ b/internal/soak/check_answers.go
@@ -90,7 +90,7 @@
 func checkStops(v *view) []Failure {
 	var list []Failure
 	for _, s := range v.Stops {
-		if !slices.ContainsFunc(v.Day.Faults, func(f Fault) bool { return f.Kind == FaultTerm && slices.Contains(f.Who, s.Daemon) }) || s.Ended.IsZero() {
+		if !v.planned(s) || s.Ended.IsZero() {
 			continue
 		}
 		for i := range v.Replies {
@@ -108,6 +108,30 @@
 	return list
 }
 
+// planned tells whether the day has a planned stop of a daemon.
+func (v *view) planned(s Stop) bool {
+	return slices.ContainsFunc(v.Day.Faults, func(f Fault) bool { return f.plannedStop() && slices.Contains(f.Who, s.Daemon) })
+}
+
+// checkAnswered: a stopping daemon closes no connection on which a request has lain for longer than the slack.
+func checkAnswered(v *view) []Failure {
+	return v.eachReply("answered", func(r *Reply) string {
+		waited := r.Done.Sub(r.WroteAt)
+		if r.Status != 0 || !r.Wrote || waited <= lossSlack {
+			return ""
+		}
+		for _, s := range v.Stops {
+			if s.Daemon != r.Call.Daemon || s.Ended.IsZero() || !v.planned(s) || r.Done.Before(s.At) || r.Sent.After(s.Ended) {
+				continue
+			}
+			if r.Sent.Sub(s.At) < stopGrace/2 && v.calm(s.At, r.Done, unplanned) && !v.drained(r) {
+				return fmt.Sprintf("closed without an answer %v after it was sent, %v after %s was told to stop: %s", waited, r.Done.Sub(s.At), daemonName(s.Daemon), r.Error)
+			}
+		}
+		return ""
+	})
+}
+
 // drained tells whether an upstream that ran a request had its planned end under it.
 func (v *view) drained(r *Reply) bool {
 	return slices.ContainsFunc(v.runs[r.ID], func(e Event) bool {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -19,7 +19,7 @@
 
 // reply is a good answer to a request that was sent at a time.
 func reply(id string, route Route, at time.Duration) Reply {
-	r := Reply{Call: Call{At: at, Route: route, Key: KeyWide}, ID: id, Sent: atDay(at), Wrote: true, Done: atDay(at + 50*time.Millisecond), Status: http.StatusOK, Signed: "u", Whole: true, Body: Body(id)}
+	r := Reply{Call: Call{At: at, Route: route, Key: KeyWide}, ID: id, Sent: atDay(at), Wrote: true, WroteAt: atDay(at), Done: atDay(at + 50*time.Millisecond), Status: http.StatusOK, Signed: "u", Whole: true, Body: Body(id)}
 	if r.stream() {
 		r.Body = ""
 		for n := 1; n <= Pieces(id); n++ {
@@ -206,6 +206,16 @@
 		r.Stops = []Stop{{Daemon: 0, At: atDay(4 * time.Second), Ended: atDay(8 * time.Second)}}
 		assertChecks(t, r, "stop")
 	})
+	t.Run("a planned stop that leaves a request lying", func(t *testing.T) {
+		r, p := record(Fault{Kind: FaultPress, Who: []int{0}, At: 2 * time.Second, For: pressEnd}), reply("a", RoutePlain, 4*time.Second)
+		p.Status, p.Signed, p.Whole, p.Body, p.Error = 0, "", false, "", "EOF"
+		p.Done = p.WroteAt.Add(lossSlack + time.Millisecond)
+		r.Replies = []Reply{p}
+		r.Stops = []Stop{{Daemon: 0, At: atDay(2 * time.Second), Ended: atDay(6 * time.Second)}}
+		assertChecks(t, r, "answered")
+		r.Replies[0].Done = p.WroteAt.Add(lossSlack)
+		assertChecks(t, r)
+	})
 	t.Run("a process that ended", func(t *testing.T) {
 		r := record()
 		r.Lost = []string{"daemon-0: exit status 2"}
--- a/internal/soak/day.go
+++ b/internal/soak/day.go
@@ -18,6 +18,7 @@
 package soak
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -55,6 +56,7 @@
 	FaultEgress    Kind = "egress-cut" // some daemons reach no upstream; How says what becomes of open connections
 	FaultBrittle   Kind = "brittle"    // the upstreams of a service are slow and fall over when they reject too much
 	FaultSecond    Kind = "second"     // upstreams are silent for a second or so, which is no disturbance
+	FaultPress     Kind = "press"      // SIGTERM of daemons that more callers use; they aren't scheduled when they close connections
 )
 
 // What becomes of connections while daemons are cut off from upstreams.
@@ -101,6 +103,9 @@
 // End is when a fault is over.
 func (f Fault) End() time.Duration { return f.At + f.For }
 
+// plannedStop tells whether daemons are told to stop.
+func (f Fault) plannedStop() bool { return f.Kind == FaultTerm || f.Kind == FaultPress }
+
 // Call is one request of a day.
 type Call struct {
 	At     time.Duration
@@ -175,6 +180,7 @@
 		d.Faults = append(d.Faults, d.draw(r, quietBefore, last))
 	}
 	d.Faults = append(d.Faults, d.drawLater(rand.New(rand.NewPCG(seed, 0xe9e5)), last)...)
+	d.Faults = append(d.Faults, d.drawPress(rand.New(rand.NewPCG(seed, 0x57e5)), d.Traffic-quietAfter)...)
 	slices.SortStableFunc(d.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return d
 }
@@ -185,6 +191,16 @@
 	FaultReclaim, FaultCrash, FaultDrain, FaultStore, FaultLapse, FaultForget, FaultCopy, FaultConfig, FaultKeys, FaultQuota, FaultLimit, FaultErrors, FaultLost, FaultSpoil,
 }
 
+// Of a stop under pressure: callers press from pressStart to pressEnd after the signal. The daemon closes connections
+// without a request in between, and isn't scheduled around that moment, from pressFreeze on: before callers press, so
+// that the connections which they have kept since the signal are still open.
+const (
+	pressFreeze = 2300 * time.Millisecond
+	pressStart  = 2320 * time.Millisecond
+	pressEnd    = 3200 * time.Millisecond
+	pressRate   = 150.0 // calls a second at each daemon
+)
+
 const (
 	// recoveryGap is the pause between the faults of draw and those of drawLater, where these come after them.
 	recoveryGap = 3500 * time.Millisecond
@@ -228,6 +244,17 @@
 	return list
 }
 
+// drawPress draws planned stops under pressure, from a sequence of their own as well.
+func (d *Day) drawPress(r *rand.Rand, last time.Duration) []Fault {
+	if r.IntN(3) > 0 {
+		return nil
+	}
+	f := Fault{Kind: FaultPress, On: OnDaemons, Who: d.some(r, OnDaemons), X: 0.25 + 0.2*r.Float64()}
+	f.At = quietBefore + time.Duration(r.Int64N(int64(last-quietBefore-pressEnd)))
+	f.For = pressEnd
+	return []Fault{f}
+}
+
 func (d *Day) draw(r *rand.Rand, first, last time.Duration) Fault {
 	f := Fault{Kind: kinds[r.IntN(len(kinds))]}
 	f.At = first + time.Duration(r.Int64N(int64(last-first)))
@@ -261,6 +288,22 @@
 	return f
 }
 
+// pressingCalls draws the calls to daemons that are stopped under pressure.
+func (d *Day) pressingCalls(r *rand.Rand) []Call {
+	var list []Call
+	for _, f := range d.Faults {
+		if f.Kind != FaultPress {
+			continue
+		}
+		for _, i := range f.Who {
+			for at := f.At + pressStart; at < f.At+pressEnd; at += time.Duration(r.ExpFloat64() / pressRate * float64(time.Second)) {
+				list = append(list, Call{At: at, Daemon: i, Route: []Route{RoutePlain, RouteAgain}[r.IntN(2)], Key: KeyWide, Size: 10})
+			}
+		}
+	}
+	return list
+}
+
 // some returns up to half of what a target has, at least one.
 func (d *Day) some(r *rand.Rand, on Target) []int {
 	n := d.Daemons
@@ -286,10 +329,11 @@
 // Calls draws the day's requests: at any time, whatever became of those before.
 func (d *Day) Calls() []Call {
 	r := rand.New(rand.NewPCG(d.Seed, 0xca11))
-	var list []Call
+	list := d.pressingCalls(rand.New(rand.NewPCG(d.Seed, 0x9e55)))
 	for at := time.Duration(0); ; {
 		at += time.Duration(r.ExpFloat64() / d.PerSecond * float64(time.Second))
 		if at >= d.Traffic {
+			slices.SortStableFunc(list, func(a, b Call) int { return cmp.Compare(a.At, b.At) })
 			return list
 		}
 		c := Call{At: at, Daemon: r.IntN(d.Daemons), Key: KeyWide, Size: 10 + r.IntN(40)}
--- a/internal/soak/event.go
+++ b/internal/soak/event.go
@@ -91,17 +91,18 @@
 
 // Reply is what a caller got.
 type Reply struct {
-	Call   Call      `json:"call"`
-	ID     string    `json:"id"`
-	Sent   time.Time `json:"sent"`
-	Wrote  bool      `json:"wrote"` // the whole request was sent
-	Done   time.Time `json:"done"`
-	Status int       `json:"status"` // 0: no answer
-	Signed string    `json:"signed,omitempty"`
-	Whole  bool      `json:"whole"` // the answer came to its end
-	Body   string    `json:"body,omitempty"`
-	Retry  string    `json:"retry,omitempty"`
-	Error  string    `json:"error,omitempty"`
+	Call    Call      `json:"call"`
+	ID      string    `json:"id"`
+	Sent    time.Time `json:"sent"`
+	Wrote   bool      `json:"wrote"` // the whole request was sent
+	WroteAt time.Time `json:"wroteAt"`
+	Done    time.Time `json:"done"`
+	Status  int       `json:"status"` // 0: no answer
+	Signed  string    `json:"signed,omitempty"`
+	Whole   bool      `json:"whole"` // the answer came to its end
+	Body    string    `json:"body,omitempty"`
+	Retry   string    `json:"retry,omitempty"`
+	Error   string    `json:"error,omitempty"`
 }
 
 // Pieces is how many events the stream of a request has.
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -30,7 +30,7 @@
 		}
 	case FaultHall:
 		s.cutHall(ctx, f)
-	case FaultTerm, FaultKill, FaultKillAll:
+	case FaultTerm, FaultPress, FaultKill, FaultKillAll:
 		s.stopDaemons(ctx, f)
 	case FaultFreeze:
 		s.freeze(ctx, f)
@@ -167,9 +167,12 @@
 	}
 	s.each(s.daemons, who, func(i int, p *Process) {
 		at := s.clock.Wall()
-		if f.Kind == FaultTerm {
+		if f.plannedStop() {
 			s.noteStop(Stop{Daemon: i, At: at})
 			p.Signal(syscall.SIGTERM)
+			if f.Kind == FaultPress {
+				s.pause(ctx, p, seconds(f.X))
+			}
 			if !p.Wait(stopGrace) {
 				p.Kill()
 			}
@@ -183,6 +186,14 @@
 	})
 }
 
+// pause keeps a stopping daemon from being scheduled when it closes connections.
+func (s *Stage) pause(ctx context.Context, p *Process, d time.Duration) {
+	_ = s.clock.Sleep(ctx, pressFreeze) // what comes next is harmless at the day's end
+	p.Signal(syscall.SIGSTOP)
+	_ = s.clock.Sleep(ctx, d)
+	p.Signal(syscall.SIGCONT)
+}
+
 // noteStop notes a planned stop, or its end.
 func (s *Stage) noteStop(v Stop) {
 	s.mu.Lock()
