A request that was read together with the one before it counts as in progress

A draining connection whose next request is already in the server's buffer had none in progress, by its reads: Drain set a read deadline that net/http's background read met, and the handler's context ended as if the caller had left. The server's StateActive begins the request, too (TestDrainInterruptsNoRequest, that_was_read_with_the_one_before_it: context canceled before).

caller_cut told of requests that were answered: with a 503 before their body was read, since bytes counted from the last write; and it named the node where a response couldn't be written because the caller had closed.

--- a/internal/accept/caller.go
+++ b/internal/accept/caller.go
@@ -30,12 +30,13 @@
 
 	mu         sync.Mutex
 	closed     bool
-	callerLeft bool      // a read has failed: the caller closed or reset the connection
+	callerLeft bool      // a read or write has failed: the caller closed or reset the connection
 	inProgress bool      // a byte of a request has been read, and its response isn't complete
+	answered   bool      // a byte of that response has been written
 	deadline   time.Time // for reads, as the server has set it
-	unanswered int       // bytes read since the last byte was written
+	bytes      int       // read of the request in progress
 	readAt     time.Time // when the first of them was read
-	responses  int       // times that a response was begun
+	responses  int       // begun on this connection
 }
 
 // Read reads what the caller sends.
@@ -59,20 +60,38 @@
 func (c *callerConn) recordRead(n int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if err != nil && !c.closed && !errors.Is(err, os.ErrDeadlineExceeded) {
-		c.callerLeft = true
-	}
+	c.recordFailure(err)
 	if n == 0 {
 		return
 	}
-	if c.unanswered == 0 {
-		c.readAt = c.listener.clock.Now()
+	if !c.inProgress {
+		c.begin()
+	}
+	c.bytes += n
+}
+
+// recordFailure records that the caller has closed or reset the connection.
+func (c *callerConn) recordFailure(err error) {
+	if err != nil && !c.closed && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.callerLeft = true
 	}
-	c.unanswered += n
-	if !c.inProgress && c.listener.draining.Load() {
+}
+
+// begin records that a request has begun to arrive, whose bytes are read until the server's own deadline.
+func (c *callerConn) begin() {
+	c.inProgress, c.answered, c.bytes, c.readAt = true, false, 0, c.listener.clock.Now()
+	if c.listener.draining.Load() {
 		_ = c.Conn.SetReadDeadline(c.deadline) // fails only if it is closed
 	}
-	c.inProgress = true
+}
+
+// beginBuffered records that a request has begun, also one of which all bytes were read with the request before it.
+func (c *callerConn) beginBuffered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.inProgress {
+		c.begin()
+	}
 }
 
 // SetReadDeadline sets the deadline of reads, except of a connection that is to close.
@@ -91,8 +110,9 @@
 	n, err := c.Conn.Write(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n > 0 && c.unanswered > 0 {
-		c.unanswered = 0
+	c.recordFailure(err)
+	if n > 0 && c.inProgress && !c.answered {
+		c.answered = true
 		c.responses++
 	}
 	return n, err
@@ -104,7 +124,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inProgress = false
-	c.unanswered = 0
 	c.closeIfIdle()
 }
 
@@ -136,18 +155,23 @@
 
 // logCut logs that the connection closes under a request to which no byte of a response was written.
 func (c *callerConn) logCut() {
-	if c.unanswered == 0 {
+	if !c.inProgress || c.answered {
 		return
 	}
 	callersCut.Add(1)
 	l := c.listener
-	l.log.Info("caller_cut", zap.Stringer("caller", c.RemoteAddr()), zap.Bool("caller_left", c.callerLeft), zap.Int("bytes", c.unanswered),
+	l.log.Info("caller_cut", zap.Stringer("caller", c.RemoteAddr()), zap.Bool("caller_left", c.callerLeft), zap.Int("bytes", c.bytes),
 		zap.Duration("after", l.clock.Since(c.readAt)), zap.Int("responses", c.responses))
 }
 
 // ObserveState is the http.Server.ConnState of the server on this listener.
 func (l *Listener) ObserveState(c net.Conn, s http.ConnState) {
-	if v, ok := c.(*callerConn); ok && s == http.StateIdle {
+	v, ok := c.(*callerConn)
+	switch {
+	case !ok:
+	case s == http.StateActive:
+		v.beginBuffered()
+	case s == http.StateIdle:
 		v.completeResponse()
 	}
 }
--- a/internal/accept/drain_test.go
+++ b/internal/accept/drain_test.go
@@ -121,6 +121,26 @@
 		r.assertClosed(c)
 		r.assertDrained()
 	})
+	t.Run("that was read with the one before it", func(t *testing.T) {
+		r := newDrainRig(t)
+		c := r.connect()
+		r.write(c, wholeRequest+wholeRequest)
+		<-r.running
+		r.respond <- struct{}{}
+		ctx := <-r.running
+		require.NoError(t, r.l.Drain())
+		time.Sleep(30 * time.Millisecond)
+		assert.NoError(t, ctx.Err(), "the handler must not take its caller for gone")
+		r.respond <- struct{}{}
+		b := bufio.NewReader(c)
+		for range 2 {
+			a, err := http.ReadResponse(b, nil)
+			require.NoError(t, err)
+			_, err = io.Copy(io.Discard, a.Body)
+			require.NoError(t, err)
+		}
+		r.assertDrained()
+	})
 	t.Run("of which only a part has arrived", func(t *testing.T) {
 		r := newDrainRig(t)
 		c := r.connect()
