Leftovers: config refuses a negative max_tokens, and of several unknown parameters reports the first by name

Cause, from docs/FINDINGS.md: the check for unknown parameters ranged over a map, so which of several was reported changed from one rendering to the next; the check of a service's limits left max_tokens out.

Change: parameters are checked in order of name, as missing ones are. A negative max_tokens is refused with the text of the other limits.

TestLimits/max_tokens failed before: no error where one is expected; its four other limits passed. Both pass now with the whole package.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -64,6 +64,46 @@
 	goldie.New(t).Assert(t, "mistakes", []byte(out.String()))
 }
 
+// renderText renders the workspace of a text that holds the template t and the workspace w.
+func renderText(t *testing.T, text string) error {
+	t.Helper()
+	list, err := Parse("shops.yaml", []byte(text))
+	require.NoError(t, err)
+	docs := documentsByKey(list)
+	template, workspace := docs["template/t"], docs["workspace/w"]
+	_, err = Render(&template, &workspace)
+	return err
+}
+
+// requireInvalid asserts that an error is ErrInvalid with the given position and reason.
+func requireInvalid(t *testing.T, err error, text string) {
+	t.Helper()
+	require.ErrorIs(t, err, ErrInvalid)
+	require.Equal(t, "config.invalid: invalid document: "+text, err.Error())
+}
+
+// TestUnknownParameters renders a workspace with several unknown parameters often: the error is always that of
+// the first by name, wherever it stands.
+func TestUnknownParameters(t *testing.T) {
+	text := head + "  - {name: a, protocol: chat, pool: p}\n---\nkind: workspace\nname: w\ntemplate: t\nparameters:\n  n: 1\n  z: 1\n  b: 1\n  y: 1\n"
+	for range 100 {
+		requireInvalid(t, renderText(t, text), "shops.yaml:15: parameter b: template t has none of that name")
+	}
+}
+
+func TestLimits(t *testing.T) {
+	text := func(limit string, v int) string {
+		return fmt.Sprintf("%s  - {name: a, protocol: chat, pool: p, limits: {%s: %d}}\n---\nkind: workspace\nname: w\ntemplate: t\nparameters: {n: 1}\n", head, limit, v)
+	}
+	for _, l := range []string{"requests_per_second", "in_flight", "queue", "body_bytes", "max_tokens"} {
+		t.Run(l, func(t *testing.T) {
+			requireInvalid(t, renderText(t, text(l, -1)), `shops.yaml:7: service "a": limits can't be negative (filled in for workspace w)`)
+			assert.NoError(t, renderText(t, text(l, 0)))
+			assert.NoError(t, renderText(t, text(l, 1)))
+		})
+	}
+}
+
 func TestViewNeverReverts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		v := NewView()
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -12,8 +12,9 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"regexp"
-	"sort"
+	"slices"
 	"strings"
 	"time"
 
@@ -284,11 +285,4 @@
 	return &w, nil
 }
 
-func sortedKeys(m map[string]Parameter) []string {
-	r := make([]string, 0, len(m))
-	for k := range m {
-		r = append(r, k)
-	}
-	sort.Strings(r)
-	return r
-}
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- a/internal/config/render.go
+++ b/internal/config/render.go
@@ -70,7 +70,7 @@
 }
 
 func resolveParameters(t *Template, w *Workspace, lines map[string]int) (map[string]string, error) {
-	for n := range w.Parameters {
+	for _, n := range sortedKeys(w.Parameters) {
 		if _, ok := t.Parameters[n]; !ok {
 			return nil, fmt.Errorf("line %d: parameter %s: template %s has none of that name", lines[n], n, t.Name)
 		}
@@ -229,7 +229,7 @@
 		return fmt.Errorf("legacy.address is missing")
 	case s.Weights.Cost < 0 || s.Weights.Recompute < 0 || s.Share < 0:
 		return fmt.Errorf("weights and share can't be negative")
-	case s.Limits.RequestsPerSecond < 0 || s.Limits.InFlight < 0 || s.Limits.Queue < 0 || s.Limits.BodyBytes < 0:
+	case s.Limits.RequestsPerSecond < 0 || s.Limits.InFlight < 0 || s.Limits.Queue < 0 || s.Limits.BodyBytes < 0 || s.Limits.MaxTokens < 0:
 		return fmt.Errorf("limits can't be negative")
 	}
 	for _, c := range s.Calls {
