Leftovers: FuzzRecords has seeds with the stored key began_ms

Cause, from docs/FINDINGS.md: a seed spells the key of a roll-out's start beganMs, which the reader doesn't know.

Change: the same value with began_ms beside the old seed, and one of a known stage, since the reader leaves an unknown stage before it takes the start time. No change of code; the old seeds stay.

Evidence: none of the old seeds covers the lines of readStage that take the start time, by the coverage of a run without the new ones; the seed of a known stage does.

--- a/internal/edge/records_test.go
+++ b/internal/edge/records_test.go
@@ -28,6 +28,7 @@
 		`[{"node":"a","lifetime":"l","windows":{"200":{"w":5}}}]`, `[{"node":"a","lifetime":"l","windows":{"200":null}}]`,
 		`[{"print":"","upstream":"u","at":1}]`, `[{"print":[1,2],"upstream":"u","at":9223372036854775807}]`, `{"era":9,"at":1}`,
 		`{"order":5,"target":"v2","stage":99,"beganMs":1}`, `{"order":5,"target":"v2","stage":-7}`,
+		`{"order":5,"target":"v2","stage":99,"began_ms":1}`, `{"order":5,"target":"v2","stage":1,"began_ms":1}`,
 		`{"llm":{"need":-1e308,"notice":9223372036854775807,"hold":-9223372036854775808}}`, `{"llm":{"need":1e308,"notice":-1,"hold":9223372036854775807}}`,
 		`{"llm":{"need":1e308,"notice":1,"hold":1}}`,
 	} {
