Leftovers: the comment of quota.deductAssumed says what the code deducts

Change: the comment. No change of code, so no test failed before; the package is formatted, vetted and checked, its tests were not run.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -292,7 +292,7 @@
 }
 
 // deductAssumed deducts what a node that missed a round may have charged in it and, once the node becomes
-// unresponsive, its part of the level as it was known at its last report.
+// unresponsive, its even share of the current level, if that is positive.
 func (q *Quotas) deductAssumed(unresponsive bool, p *peer, missed bool, d float64) {
 	becomes := unresponsive && !p.unresponsive
 	p.unresponsive = unresponsive
