A drain is over when Accept has returned, not when no connection is open

Found by a review of the stop by one who hadn't seen it.

What callers saw: their connection ended under a request on the own interface's way to stop, and on the platform's where a node isn't scheduled from before it closes connections until after it may end.

Cause: the end of a drain counted open connections. One that Accept was about to return, or that lay in the kernel's queue, wasn't counted; the server closed, and the queue was reset.

Change: a drain is over when Accept has returned http.ErrServerClosed and no connection is open. Accept's last look has one time for all, so that callers who keep coming don't prolong a stop; other failures of Accept are logged while draining, too.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -57,6 +57,8 @@
 	failedAt atomic.Int64 // nanoseconds of the clock; 0: never
 	closed   atomic.Bool
 	draining atomic.Bool
+	looked   bool        // Accept has begun its last look
+	ended    atomic.Bool // nothing is accepted any more
 	mu       sync.Mutex
 	callers  map[*callerConn]bool
 }
@@ -70,12 +72,12 @@
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
-		if errors.Is(err, os.ErrDeadlineExceeded) && l.draining.Load() {
-			_ = l.setDeadline(l.clock.Wall().Add(lastLook)) // fails only if it is closed
-			c, err = l.Listener.Accept()
-		}
 		switch {
-		case err != nil && l.draining.Load():
+		case l.draining.Load() && errors.Is(err, os.ErrDeadlineExceeded) && !l.looked:
+			l.looked = true
+			_ = l.setDeadline(l.clock.Wall().Add(lastLook)) // fails only if it is closed
+		case l.draining.Load() && (errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed)):
+			l.ended.Store(true)
 			return nil, http.ErrServerClosed
 		case errors.Is(err, net.ErrClosed):
 			l.closed.Store(true) // the server on this listener reports it
@@ -111,7 +113,7 @@
 }
 
 // Drain stops accepting, closes the connections without a request, and each other one once its request has its
-// response. The server on this listener closes it and ends with http.ErrServerClosed.
+// response. Accept then returns http.ErrServerClosed, with which the server on this listener closes it and ends.
 func (l *Listener) Drain() error {
 	l.draining.Store(true)
 	err := l.setDeadline(time.Unix(1, 0))
@@ -130,12 +132,22 @@
 	if v, ok := l.Listener.(interface{ SetDeadline(t time.Time) error }); ok {
 		return v.SetDeadline(t)
 	}
-	return l.Close()
+	return l.Listener.Close()
 }
 
-// Wait waits until all callers' connections are closed, or the context ends.
+// Close closes the listener.
+func (l *Listener) Close() error {
+	err := l.Listener.Close()
+	l.ended.Store(true)
+	return err
+}
+
+// Drained reports whether nothing is accepted any more and all callers' connections are closed.
+func (l *Listener) Drained() bool { return l.ended.Load() && l.Open() == 0 }
+
+// Wait waits until the listener is drained, or the context ends.
 func (l *Listener) Wait(ctx context.Context) error {
-	for l.Open() > 0 {
+	for !l.Drained() {
 		if err := l.clock.Sleep(ctx, waitPoll); err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/accept/pause_test.go
@@ -0,0 +1,96 @@
+package accept
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"spurhall.example/spurhall/internal/timer"
+)
+
+// pausedAccept isn't scheduled between the kernel's accept and its use.
+type pausedAccept struct {
+	*net.TCPListener
+	accepted, resume chan struct{}
+}
+
+// Accept accepts a connection and pauses.
+func (p *pausedAccept) Accept() (net.Conn, error) {
+	c, err := p.TCPListener.Accept()
+	if err == nil {
+		p.accepted <- struct{}{}
+		<-p.resume
+	}
+	return c, err
+}
+
+func listenTCP(t *testing.T) *net.TCPListener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	return l.(*net.TCPListener)
+}
+
+func dial(t *testing.T, l net.Listener) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	require.NoError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+	return c
+}
+
+// serve serves a listener until the test ends.
+func serve(t *testing.T, l *Listener) *http.Server {
+	t.Helper()
+	s := &http.Server{ConnState: l.ObserveState, ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") })}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return s
+}
+
+// assertDrainAnswers checks that a request that was sent is answered though its listener drains and its server closes.
+func assertDrainAnswers(t *testing.T, l *Listener, s *http.Server, c net.Conn) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	require.NoError(t, l.Drain())
+	require.NoError(t, l.Wait(ctx))
+	_ = s.Close()
+	_, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NoError(t, err)
+}
+
+func TestDrainWaitsForWhatIsBeingAccepted(t *testing.T) {
+	t.Run("and isn't counted yet", func(t *testing.T) {
+		p := &pausedAccept{TCPListener: listenTCP(t), accepted: make(chan struct{}, 8), resume: make(chan struct{})}
+		l := New(p, timer.Real(), zap.NewNop(), 0)
+		s := serve(t, l)
+		c := dial(t, p)
+		_, err := io.WriteString(c, wholeRequest)
+		require.NoError(t, err)
+		<-p.accepted
+		time.AfterFunc(100*time.Millisecond, func() { close(p.resume) })
+		assertDrainAnswers(t, l, s, c)
+	})
+	t.Run("from the kernel's queue", func(t *testing.T) {
+		for range 30 {
+			l := New(listenTCP(t), timer.Real(), zap.NewNop(), 0)
+			s := serve(t, l)
+			time.Sleep(time.Millisecond)
+			c := dial(t, l)
+			_, err := io.WriteString(c, wholeRequest)
+			require.NoError(t, err)
+			assertDrainAnswers(t, l, s, c)
+		}
+	})
+}
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -56,5 +56,5 @@
 
 // isDrained reports whether neither callers nor other nodes use this node.
 func (n *Node) isDrained(callers *accept.Listener) bool {
-	return callers.Open() == 0 && n.uplink.Served() == 0
+	return callers.Drained() && n.uplink.Served() == 0
 }
