The last look at a connection outlasts a pause of the process

Found by a review of the stop by one who hadn't seen it.

What callers saw: a request that had arrived at a stopping node is reset, if the node isn't scheduled for a millisecond at the wrong moment.

Cause: the last look had 1 ms, and Go's poller checks the deadline before the system call: a reader that comes later than its deadline doesn't look at all.

Change: it has 100 ms, for a listener's queue as well. What has arrived is returned at once; connections without a request close 0.1 s later, well before the node may end.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -116,7 +116,7 @@
 // response. Accept then returns http.ErrServerClosed, with which the server on this listener closes it and ends.
 func (l *Listener) Drain() error {
 	l.draining.Store(true)
-	err := l.setDeadline(time.Unix(1, 0))
+	err := l.setDeadline(longAgo)
 	l.mu.Lock()
 	open := slices.Collect(maps.Keys(l.callers))
 	l.mu.Unlock()
--- a/internal/accept/caller.go
+++ b/internal/accept/caller.go
@@ -19,9 +19,12 @@
 // reports that its response is written. A connection without one is ended by its read deadline, so that the goroutine
 // that reads either has bytes of a request, which is then responded to, or ends the connection.
 
-// lastLook is how long a connection that is to close still waits for a request. Any time is long enough for one that
-// has already arrived.
-const lastLook = time.Millisecond
+// lastLook is how long a connection that is to close still waits for a request, and a listener for a connection. What
+// has already arrived is found at once, unless the process isn't scheduled for that long.
+const lastLook = 100 * time.Millisecond
+
+// longAgo is a deadline that ends a wait at once.
+var longAgo = time.Unix(1, 0)
 
 // callerConn is a caller's connection, which counts until it is closed.
 type callerConn struct {
@@ -137,7 +140,7 @@
 // closeIfIdle ends the wait for a request if the listener drains.
 func (c *callerConn) closeIfIdle() {
 	if c.listener.draining.Load() && !c.inProgress {
-		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only if it is closed
+		_ = c.Conn.SetReadDeadline(longAgo) // fails only if it is closed
 	}
 }
 
--- a/internal/accept/pause_test.go
+++ b/internal/accept/pause_test.go
@@ -32,6 +32,38 @@
 	return c, err
 }
 
+// readHooks is a listener whose connections call functions around each read.
+type readHooks struct {
+	net.Listener
+	before, after func(n int)
+}
+
+// Accept accepts a connection.
+func (l *readHooks) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &hookedConn{Conn: c, l: l}, nil
+}
+
+type hookedConn struct {
+	net.Conn
+	l     *readHooks
+	reads int
+}
+
+// Read reads.
+func (c *hookedConn) Read(b []byte) (int, error) {
+	c.reads++
+	c.l.before(c.reads)
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.l.after(c.reads)
+	}
+	return n, err
+}
+
 func listenTCP(t *testing.T) *net.TCPListener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -94,3 +126,22 @@
 		}
 	})
 }
+
+func TestDrainReadsWhatHasArrivedThoughTheReaderIsLate(t *testing.T) {
+	h := &readHooks{Listener: listenTCP(t), after: func(int) {}, before: func(n int) {
+		if n == 2 {
+			time.Sleep(lastLook / 20)
+		}
+	}}
+	l := New(h, timer.Real(), zap.NewNop(), 0)
+	c := dial(t, l)
+	_, err := io.WriteString(c, wholeRequest)
+	require.NoError(t, err)
+	v, err := l.Accept()
+	require.NoError(t, err)
+	time.Sleep(20 * time.Millisecond)
+	require.NoError(t, l.Drain())
+	n, err := v.Read(make([]byte, 100))
+	assert.NoError(t, err)
+	assert.Equal(t, len(wholeRequest), n)
+}
