The own interface drains its listeners at once

Found by a review of the stop by one who hadn't seen it.

What callers saw: if a peer's call outlasts the time to drain, all callers' connections are cut, idle ones without notice.

Cause: the listeners were drained in turn within one time limit, the peers' first; nothing was left for the others, which went on accepting meanwhile.

Change: DrainAll drains all of them and then waits for all.

--- a/cmd/spurhalld/main.go
+++ b/cmd/spurhalld/main.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -179,11 +178,14 @@
 		cancel()
 	}()
 	n.Drain(x)
-	for i, h := range open {
-		if err := errors.Join(listeners[i].Drain(), listeners[i].Wait(x), h.Close()); err != nil {
-			log.Info("callers_cut_off", zap.String("address", servers[i].address), zap.Int("connections", listeners[i].Open()), zap.Error(err))
+	if err := accept.DrainAll(x, listeners...); err != nil {
+		for i, l := range listeners {
+			log.Info("callers_cut_off", zap.String("address", servers[i].address), zap.Int("connections", l.Open()), zap.String("cause", err.Error()))
 		}
 	}
+	for _, h := range open {
+		_ = h.Close() // the listener is closed
+	}
 	n.Stop()
 	return nil
 }
--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -145,8 +145,19 @@
 // Drained reports whether nothing is accepted any more and all callers' connections are closed.
 func (l *Listener) Drained() bool { return l.ended.Load() && l.Open() == 0 }
 
-// Wait waits until the listener is drained, or the context ends.
-func (l *Listener) Wait(ctx context.Context) error {
+// DrainAll drains listeners that are served, and waits until each is drained or the context ends.
+func DrainAll(ctx context.Context, list ...*Listener) error {
+	var all []error
+	for _, l := range list {
+		all = append(all, l.Drain())
+	}
+	for _, l := range list {
+		all = append(all, l.wait(ctx))
+	}
+	return errors.Join(all...)
+}
+
+func (l *Listener) wait(ctx context.Context) error {
 	for !l.Drained() {
 		if err := l.clock.Sleep(ctx, waitPoll); err != nil {
 			return err
--- a/internal/accept/drain_test.go
+++ b/internal/accept/drain_test.go
@@ -24,6 +24,8 @@
 	running chan context.Context
 	respond chan struct{}
 	ended   chan error // what the server returned
+
+	connected int // callers' connections so far, all of them open
 }
 
 func newDrainRig(t *testing.T) *drainRig {
@@ -48,7 +50,8 @@
 	require.NoError(r.t, err)
 	r.t.Cleanup(func() { _ = c.Close() })
 	require.NoError(r.t, c.SetDeadline(time.Now().Add(10*time.Second)))
-	require.Eventually(r.t, func() bool { return r.l.Open() > 0 }, 10*time.Second, time.Millisecond)
+	r.connected++
+	require.Eventually(r.t, func() bool { return r.l.Open() == r.connected }, 10*time.Second, time.Millisecond)
 	return c
 }
 
@@ -80,7 +83,7 @@
 	r.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	require.NoError(r.t, r.l.Wait(ctx))
+	require.NoError(r.t, r.l.wait(ctx))
 	assert.ErrorIs(r.t, <-r.ended, http.ErrServerClosed)
 }
 
@@ -203,7 +206,7 @@
 	require.NoError(t, r.l.Drain())
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
 	defer cancel()
-	assert.ErrorIs(t, r.l.Wait(ctx), context.DeadlineExceeded)
+	assert.ErrorIs(t, r.l.wait(ctx), context.DeadlineExceeded)
 	r.respond <- struct{}{}
 	r.assertDrained()
 }
@@ -218,9 +221,9 @@
 	s := &http.Server{ConnState: l.ObserveState, Handler: http.NotFoundHandler(), ReadHeaderTimeout: time.Second}
 	ended := make(chan error)
 	go func() { ended <- s.Serve(l) }()
-	fmt.Println(l.Drain(), l.Wait(context.Background()))
+	fmt.Println(DrainAll(context.Background(), l))
 	fmt.Println(<-ended)
 	// Output:
-	// <nil> <nil>
+	// <nil>
 	// http: Server closed
 }
--- a/internal/accept/pause_test.go
+++ b/internal/accept/pause_test.go
@@ -95,8 +95,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	require.NoError(t, l.Drain())
-	require.NoError(t, l.Wait(ctx))
+	require.NoError(t, DrainAll(ctx, l))
 	_ = s.Close()
 	_, err := http.ReadResponse(bufio.NewReader(c), nil)
 	assert.NoError(t, err)
@@ -127,6 +126,20 @@
 	})
 }
 
+func TestDrainOfOneListenerDoesNotWaitForAnother(t *testing.T) {
+	first, second := newDrainRig(t), newDrainRig(t)
+	first.write(first.connect(), wholeRequest)
+	<-first.running
+	idle := second.connect()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- DrainAll(ctx, first.l, second.l) }()
+	second.assertClosed(idle)
+	cancel()
+	assert.ErrorIs(t, <-ended, context.Canceled)
+	first.respond <- struct{}{}
+}
+
 func TestDrainReadsWhatHasArrivedThoughTheReaderIsLate(t *testing.T) {
 	h := &readHooks{Listener: listenTCP(t), after: func(int) {}, before: func(n int) {
 		if n == 2 {
