Listeners with TLS drain like others, and say why a handshake failed

Found by a review of the stop by one who hadn't seen it.

Cause: accept wrapped a TLS listener. That has no deadline for Accept, so its queue was reset by a drain; and net/http no longer saw the type of its connections: a caller without TLS got no response, and a handshake that failed no line.

Change: the listener makes the TLS connections itself. handshake_failed is the line; the response to a caller without TLS is net/http's. settings.Listen had no other user and is gone; its test opens its listener itself.

Evidence: TestCallersWithoutTLSGetAHint; the review saw an empty response and an empty log.

--- a/cmd/spurhalld/main.go
+++ b/cmd/spurhalld/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/tls"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -156,11 +157,11 @@
 	// All listeners are open before one is served: a node that answers callers answers operators, too.
 	listeners := make([]*accept.Listener, len(servers))
 	for i, v := range servers {
-		l, err := settings.Listen(v.address, v.tls)
+		l, err := net.Listen("tcp", v.address)
 		if err != nil {
 			return err
 		}
-		listeners[i] = accept.New(l, clock, log, 0)
+		listeners[i] = accept.NewTLS(l, v.tls, clock, log)
 	}
 	var open []*http.Server
 	for i, v := range servers {
--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"expvar"
 	"maps"
@@ -59,6 +60,7 @@
 	draining atomic.Bool
 	looked   bool        // Accept has begun its last look
 	ended    atomic.Bool // nothing is accepted any more
+	tls      *tls.Config // nil: none
 	mu       sync.Mutex
 	callers  map[*callerConn]bool
 }
@@ -68,6 +70,13 @@
 	return &Listener{Listener: l, clock: clock, log: log, maxOpen: maxCallers(descriptors), callers: make(map[*callerConn]bool)}
 }
 
+// NewTLS returns a listener whose connections use TLS if t is not nil.
+func NewTLS(l net.Listener, t *tls.Config, clock *timer.Service, log *zap.Logger) *Listener {
+	v := New(l, clock, log, 0)
+	v.tls = t
+	return v
+}
+
 // Accept returns the next connection within the limit.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
@@ -96,6 +105,9 @@
 }
 
 func (l *Listener) add(c net.Conn) *callerConn {
+	if l.tls != nil {
+		c = tls.Server(c, l.tls)
+	}
 	v := &callerConn{Conn: c, listener: l}
 	l.mu.Lock()
 	l.callers[v] = true
--- a/internal/accept/caller.go
+++ b/internal/accept/caller.go
@@ -50,6 +50,7 @@
 		n, err = c.Conn.Read(b)
 	}
 	c.recordRead(n, err)
+	c.checkHandshake(err)
 	return n, err
 }
 
--- a/internal/accept/pause_test.go
+++ b/internal/accept/pause_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -158,3 +159,14 @@
 	assert.NoError(t, err)
 	assert.Equal(t, len(wholeRequest), n)
 }
+
+func TestCallersWithoutTLSGetAHint(t *testing.T) {
+	l := NewTLS(listenTCP(t), &tls.Config{MinVersion: tls.VersionTLS12}, timer.Real(), zap.NewNop())
+	serve(t, l)
+	c := dial(t, l)
+	_, err := io.WriteString(c, wholeRequest)
+	require.NoError(t, err)
+	a, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusBadRequest, a.StatusCode)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,7 +8,6 @@
 	"crypto/x509"
 	"errors"
 	"fmt"
-	"net"
 	"net/netip"
 	"os"
 	"strings"
@@ -189,12 +188,3 @@
 	}
 	return p, nil
 }
-
-// Listen opens a TCP listener, with TLS if t is not nil.
-func Listen(address string, t *tls.Config) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil || t == nil {
-		return l, err
-	}
-	return tls.NewListener(l, t), nil
-}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -116,7 +116,7 @@
 	clock := timer.NewManual(time.Now())
 	c, err := NewCertificates(cert, key, clock.Service())
 	require.NoError(t, err)
-	l, err := Listen("127.0.0.1:0", c.ServerConfig(a.pool, true))
+	l, err := tls.Listen("tcp", "127.0.0.1:0", c.ServerConfig(a.pool, true))
 	require.NoError(t, err)
 	defer l.Close()
 	go func() {
