Tests hold lines of the stop that none held

The review took lines out one by one. Three mutations passed: the server's read deadline that isn't restored, a connection accepted while draining that isn't ended, and a stop without the server's states, which lasted to its time limit.

--- a/internal/accept/pause_test.go
+++ b/internal/accept/pause_test.go
@@ -160,6 +160,42 @@
 	assert.Equal(t, len(wholeRequest), n)
 }
 
+func TestDrainRestoresTheServersDeadline(t *testing.T) {
+	h := &readHooks{Listener: listenTCP(t), before: func(int) {}}
+	l := New(h, timer.Real(), zap.NewNop(), 0)
+	c := dial(t, l)
+	h.after = func(n int) {
+		if n > 1 {
+			return
+		}
+		_ = l.Drain()
+		time.AfterFunc(2*lastLook, func() { _, _ = io.WriteString(c, " / ") })
+	}
+	v, err := l.Accept()
+	require.NoError(t, err)
+	require.NoError(t, v.SetReadDeadline(time.Now().Add(5*time.Second)))
+	_, err = io.WriteString(c, "GET")
+	require.NoError(t, err)
+	b := make([]byte, 10)
+	for range 2 {
+		n, err := v.Read(b)
+		require.NoError(t, err)
+		assert.Equal(t, 3, n)
+	}
+}
+
+func TestConnectionsAcceptedWhileDrainingEnd(t *testing.T) {
+	l := New(listenTCP(t), timer.Real(), zap.NewNop(), 0)
+	dial(t, l)
+	require.NoError(t, l.Drain())
+	v, err := l.Accept()
+	require.NoError(t, err)
+	from := time.Now()
+	_, err = v.Read(make([]byte, 10))
+	assert.Error(t, err)
+	assert.Less(t, time.Since(from), time.Second)
+}
+
 func TestCallersWithoutTLSGetAHint(t *testing.T) {
 	l := NewTLS(listenTCP(t), &tls.Config{MinVersion: tls.VersionTLS12}, timer.Real(), zap.NewNop())
 	serve(t, l)
