Soak: a pause may outlast the moment at which a stop may end; when a request was written is read under a lock

The pause of a pressed daemon was over 2.75 s after SIGTERM at the latest, so that an end at 3 s that left the queue unaccepted couldn't be found. It lasts 0.25 to 0.85 s now. WroteAt was written by the transport's goroutine, at times after the answer had come (the review, by reading).

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -74,7 +74,8 @@
 	r := Reply{Call: v, ID: id, Sent: c.clock.Wall()}
 	ctx, cancel := context.WithTimeout(context.Background(), callGiveUp)
 	defer cancel()
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) { r.Wrote, r.WroteAt = i.Err == nil, c.clock.Wall() }})
+	var wrote sent
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) { wrote.set(i.Err == nil, c.clock.Wall()) }})
 	h, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.to[v.Daemon]+"/"+string(v.Route)+"/x", io.NopCloser(strings.NewReader("ask "+id)))
 	if err == nil {
 		h.ContentLength = int64(len("ask " + id))
@@ -85,9 +86,30 @@
 		r.Error = err.Error()
 	}
 	r.Done = c.clock.Wall()
+	r.Wrote, r.WroteAt = wrote.get()
 	return r
 }
 
+// sent is whether and when a request was sent whole; the transport says so on a goroutine of its own, at times after
+// the answer has come.
+type sent struct {
+	mu    sync.Mutex
+	whole bool
+	at    time.Time
+}
+
+func (s *sent) set(whole bool, at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.whole, s.at = whole, at
+}
+
+func (s *sent) get() (whole bool, at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.whole, s.at
+}
+
 func (c *callers) exchange(h *http.Request, v Call, r *Reply) error {
 	a, err := c.clients[v.Daemon].Do(h)
 	if err != nil {
--- a/internal/soak/day.go
+++ b/internal/soak/day.go
@@ -249,7 +249,7 @@
 	if r.IntN(3) > 0 {
 		return nil
 	}
-	f := Fault{Kind: FaultPress, On: OnDaemons, Who: d.some(r, OnDaemons), X: 0.25 + 0.2*r.Float64()}
+	f := Fault{Kind: FaultPress, On: OnDaemons, Who: d.some(r, OnDaemons), X: 0.25 + 0.6*r.Float64()}
 	f.At = quietBefore + time.Duration(r.Int64N(int64(last-quietBefore-pressEnd)))
 	f.For = pressEnd
 	return []Fault{f}
