--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -4,11 +4,11 @@
 // descriptors, or when the listener was closed by other code. A paused process answers the balancer as
 // little as its callers.
 //
-// It also closes the connections in a planned stop (caller.go).
-//
 // A node doesn't run out of descriptors by itself, since it accepts only as many callers as it can
 // forward. Without descriptors, it would leave connections in the listener's queue for seconds; their
 // requests would be read and forwarded after their callers have left.
+//
+// In a planned stop, Drain closes callers' connections, each of them between two requests (caller.go).
 package accept
 
 import (
@@ -111,8 +111,8 @@
 	v := &callerConn{Conn: c, listener: l}
 	l.mu.Lock()
 	l.callers[v] = true
-	callersOpen.Set(int64(len(l.callers)))
 	l.mu.Unlock()
+	callersOpen.Add(1)
 	v.drain()
 	return v
 }
@@ -121,7 +121,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.callers, c)
-	callersOpen.Set(int64(len(l.callers)))
+	callersOpen.Add(-1)
 }
 
 // Drain stops accepting, closes the connections without a request, and each other one once its request has its
