A process says how late it runs, how old its list may be, and how long a request waited

running_late (package lag): a wake-up each 100 ms, and by how much it comes late. list_stale and list_current: up to when the list is known to be complete; a watcher's response says how long it held the request and how late the watcher runs, an empty one confirms the list as well. waited: the kernel's own figure of when a connection's last bytes came (TCP_INFO). written: when the first byte of an attempt went out, from a hook just before the write (upstream.DoChecked), which decides nothing yet.

No decision changes.

--- a/internal/accept/caller.go
+++ b/internal/accept/caller.go
@@ -33,13 +33,14 @@
 
 	mu         sync.Mutex
 	closed     bool
-	callerLeft bool      // a read or write has failed: the caller closed or reset the connection
-	inProgress bool      // a byte of a request has been read, and its response isn't complete
-	answered   bool      // a byte of that response has been written
-	deadline   time.Time // for reads, as the server has set it
-	bytes      int       // read of the request in progress
-	readAt     time.Time // when the first of them was read
-	responses  int       // begun on this connection
+	callerLeft bool          // a read or write has failed: the caller closed or reset the connection
+	inProgress bool          // a byte of a request has been read, and its response isn't complete
+	answered   bool          // a byte of that response has been written
+	deadline   time.Time     // for reads, as the server has set it
+	bytes      int           // read of the request in progress
+	readAt     time.Time     // when the first of them was read
+	waited     time.Duration // that it had waited in the kernel by then
+	responses  int           // begun on this connection
 }
 
 // Read reads what the caller sends.
@@ -70,6 +71,7 @@
 	}
 	if !c.inProgress {
 		c.begin()
+		c.waited = sinceArrival(c.Conn)
 	}
 	c.bytes += n
 }
@@ -83,7 +85,7 @@
 
 // begin records that a request has begun to arrive, whose bytes are read until the server's own deadline.
 func (c *callerConn) begin() {
-	c.inProgress, c.answered, c.bytes, c.readAt = true, false, 0, c.listener.clock.Now()
+	c.inProgress, c.answered, c.bytes, c.readAt, c.waited = true, false, 0, c.listener.clock.Now(), 0
 	if c.listener.draining.Load() {
 		_ = c.Conn.SetReadDeadline(c.deadline) // fails only if it is closed
 	}
@@ -165,7 +167,7 @@
 	callersCut.Add(1)
 	l := c.listener
 	l.log.Info("caller_cut", zap.Stringer("caller", c.RemoteAddr()), zap.Bool("caller_left", c.callerLeft), zap.Int("bytes", c.bytes),
-		zap.Duration("after", l.clock.Since(c.readAt)), zap.Int("responses", c.responses))
+		zap.Duration("waited", c.waited), zap.Duration("after", l.clock.Since(c.readAt)), zap.Int("responses", c.responses))
 }
 
 // ObserveState is the http.Server.ConnState of the server on this listener.
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -24,6 +24,7 @@
 		Incarnation: n.options.Incarnation, Clock: n.clock, Pools: n.pools, Changes: n.changes, Registry: n.registry,
 		Watching: func() bool { return n.catalogFollower.connected.Load() && n.listFollower.connected.Load() },
 		Starting: func() bool { return n.isStarting() && n.mustWatch() },
+		Late:     n.lag.Late,
 		Catalog: func() ([]byte, int64) {
 			h := n.catalog.Load()
 			if h == nil {
@@ -80,7 +81,7 @@
 	defer cancel()
 	a, err := n.peers.clientOf(p).Follow(c, connect.NewRequest(r))
 	if err == nil {
-		err = n.applyFollowed(name, a.Msg, at)
+		err = n.applyFollowed(name, asked, a.Msg, at)
 	}
 	if err != nil {
 		at.Abandon()
@@ -94,7 +95,7 @@
 
 // applyFollowed applies the response of a watcher. The configuration holds also where the list is behind this node's: a
 // node that has read more of the store than its watchers must not wait for them to catch up.
-func (n *Node) applyFollowed(name string, m *wire.FollowResponse, at *follow.Position) error {
+func (n *Node) applyFollowed(name string, asked time.Time, m *wire.FollowResponse, at *follow.Position) error {
 	if m.Watching && len(m.Catalog) > 0 {
 		n.applyCatalog(m.Catalog, name)
 	}
@@ -103,6 +104,9 @@
 	}
 	n.markStoreAvailable()
 	n.follower.Apply(name, m, at)
+	if !m.More {
+		n.confirmed.Confirm(follow.ConfirmedAt(asked, m))
+	}
 	return nil
 }
 
--- a/internal/edge/follow_test.go
+++ b/internal/edge/follow_test.go
@@ -330,17 +330,17 @@
 		return catalog.New(catalog.Spec{Version: version})
 	}
 	behind := &wire.FollowResponse{Watching: true, Lifetime: "w", Catalog: []byte("11"), ListRevision: 400, HasChanges: true}
-	assert.ErrorIs(t, n.applyFollowed("w", behind, follow.NewPosition(false)), errNoUpdates)
+	assert.ErrorIs(t, n.applyFollowed("w", n.clock.Now(), behind, follow.NewPosition(false)), errNoUpdates)
 	assert.Equal(t, int64(11), n.currentCatalog().Version())
 	assert.Equal(t, int64(500), n.pools.Revision())
 	t.Run("not of a node that doesn't watch", func(t *testing.T) {
 		behind.Watching, behind.Catalog = false, []byte("12")
-		assert.ErrorIs(t, n.applyFollowed("w", behind, follow.NewPosition(false)), errNoUpdates)
+		assert.ErrorIs(t, n.applyFollowed("w", n.clock.Now(), behind, follow.NewPosition(false)), errNoUpdates)
 		assert.Equal(t, int64(11), n.currentCatalog().Version())
 	})
 	t.Run("an older one isn't put in force", func(t *testing.T) {
 		behind.Watching, behind.Catalog = true, []byte("10")
-		assert.ErrorIs(t, n.applyFollowed("w", behind, follow.NewPosition(false)), errNoUpdates)
+		assert.ErrorIs(t, n.applyFollowed("w", n.clock.Now(), behind, follow.NewPosition(false)), errNoUpdates)
 		assert.Equal(t, int64(11), n.currentCatalog().Version())
 	})
 }
--- /dev/null
+++ b/internal/edge/listage.go
@@ -0,0 +1,43 @@
+package edge
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// This file decides whether this node's list of upstreams is recent enough to choose from. An upstream that leaves
+// serves on for a time that the operators state, and gets nothing new after it; a list that may lack changes of as long
+// a time can't be chosen from. A node whose news is late because it isn't scheduled doesn't notice by the news itself.
+//
+// A list can't be confirmed while the store is away, and whoever reads it knows that: the last list then stays in use.
+
+// maxListAgeShare is the part of that time up to which a list may be behind. The rest is for the way of the news to
+// the watchers, which wait for several changes at a time, and for the request's way to the upstream.
+const maxListAgeShare = 0.6
+
+// listAge returns how old this node's list may be, and whether it is recent enough.
+func (n *Node) listAge() (age time.Duration, current bool) {
+	now := n.clock.Now()
+	if n.listFollower.connected.Load() {
+		n.confirmed.Confirm(now.Add(-n.lag.Late()))
+	}
+	age = n.confirmed.Age(now)
+	most := time.Duration(maxListAgeShare * float64(n.settings.DrainTime))
+	current = most == 0 || age <= most || !n.listed.Load() || n.listFollower.lost.Load()
+	n.noteListAge(age, current)
+	return age, current
+}
+
+// noteListAge logs when the list becomes too old to choose from, and when it is recent enough again.
+func (n *Node) noteListAge(age time.Duration, current bool) {
+	if n.staleList.Swap(!current) == !current {
+		return
+	}
+	event := "list_stale"
+	if current {
+		event = "list_current"
+	}
+	upstreamEvents.Add(event, 1)
+	n.log.Info(event, zap.Duration("age", age), zap.Duration("late", n.lag.Late()), zap.Int64("revision", n.pools.Revision()))
+}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -2,6 +2,7 @@
 // a goroutine for each background task.
 //
 //	watch.go      follows the configuration and the upstream list in the store
+//	listage.go    decides whether the upstream list is recent enough to choose from
 //	watchers.go   decides which nodes watch the store; the others follow them
 //	peers.go      exchanges reports with the other nodes
 //	relay.go      exchanges them through relays in a large fleet
@@ -37,6 +38,7 @@
 	"spurhall.example/spurhall/internal/era"
 	"spurhall.example/spurhall/internal/follow"
 	"spurhall.example/spurhall/internal/forward"
+	"spurhall.example/spurhall/internal/lag"
 	"spurhall.example/spurhall/internal/lease"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/quarantine"
@@ -107,11 +109,14 @@
 	changes           *changelog.Log
 	source            *follow.Source // what this node has for its followers
 	follower          *follow.Follower
+	confirmed         follow.Confirmation // of the upstream list
+	lag               *lag.Monitor
 
 	catalog         atomic.Pointer[activeCatalog]
 	listed          atomic.Bool               // the upstream list has been read at least once
 	storeRestoredAt atomic.Pointer[time.Time] // when the store was last restored from a copy; nil: not during this process
 	registryTried   atomic.Bool               // the registry has been read, or couldn't be
+	staleList       atomic.Bool               // the list was too old to choose from when it was last looked at
 	partial         atomic.Bool               // the upstream list leaves out upstreams of other halls (pool.ScopeKept)
 	holdsSeat       atomic.Bool               // this node reads the store for its hall while the whole system starts
 	initOnce        sync.Once
@@ -166,6 +171,7 @@
 func New(o Options) *Node {
 	s := o.Settings
 	n := &Node{options: o, settings: s, clock: o.Clock, log: o.Log, start: o.Clock.Now(), initialized: make(chan struct{}), retryWindows: make(map[string]*retry.Window)}
+	n.lag = lag.New(o.Clock, o.Log)
 	n.pools = pool.New(o.Clock, s.Node, s.Hall)
 	n.pools.SetSenders(nil, nil) // until the other nodes are known
 	n.uplink = n.newUplink(o.DialUpstream)
@@ -190,7 +196,7 @@
 	n.lease = lease.New(n.kv, o.Clock, dutyKey, s.Node, max(s.LeaseTTL, s.Store.MinLease))
 	n.front = forward.NewServer(forward.Options{
 		Clock: o.Clock, Log: o.Log, Dialect: o.Dialect, Pools: n.pools, Connections: n.lines, Ready: n.initialized, Catalog: n.currentCatalog,
-		Place: n.placeByRelay, Charge: n.charge, Refund: n.refund, CountStarted: n.countStarted, RecordFirstAttempt: n.countFirstAttempt, AllowRetry: n.allowRetry, ObserveResponse: n.observeResponse, Phase: n.stopPhase, Quarantine: n.quarantine, HallReachable: n.reachesHall,
+		ListAge: n.listAge, Place: n.placeByRelay, Charge: n.charge, Refund: n.refund, CountStarted: n.countStarted, RecordFirstAttempt: n.countFirstAttempt, AllowRetry: n.allowRetry, ObserveResponse: n.observeResponse, Phase: n.stopPhase, Quarantine: n.quarantine, HallReachable: n.reachesHall,
 		Trials: forward.Trials{Offer: n.offerTrial, Return: n.returnOffer, Record: n.recordResponse, ShouldMove: n.movesStreams},
 	})
 	return n
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -50,6 +50,7 @@
 	Store          StoreSettings
 	Cloud          CloudSettings
 
+	DrainTime     time.Duration // for which a leaving upstream still gets requests at most; 0: unspecified
 	StopTimeout   time.Duration // from the stop signal to the kill
 	LeaseTTL      time.Duration // of a duty
 	RetryRatio    float64       // retries per request, over all nodes
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -62,6 +62,7 @@
 	applyBatch    func(b store.WatchBatch)
 	failedSince   time.Time // since when the store is unavailable; zero: it is available
 	connected     atomic.Bool
+	lost          atomic.Bool // the store is unavailable, as far as this node has tried
 
 	mu          sync.Mutex
 	cancelWatch context.CancelCauseFunc // cancels the watch in progress
@@ -95,6 +96,7 @@
 		return
 	}
 	f.failedSince = f.n.clock.Now()
+	f.lost.Store(true)
 	f.connected.Store(false)
 	storeUp.Add(f.name, -1)
 	f.n.log.Warn("store_lost", zap.String("reader", f.name), zap.String("cause", err.Error()))
@@ -108,7 +110,13 @@
 		return
 	}
 	f.n.log.Info("store_regained", zap.String("reader", f.name), zap.Duration("after", f.n.clock.Since(f.failedSince)))
+	f.clearFailure()
+}
+
+// clearFailure records that the store is available.
+func (f *follower) clearFailure() {
 	f.failedSince = time.Time{}
+	f.lost.Store(false)
 	storeUp.Add(f.name, 1)
 }
 
@@ -118,8 +126,7 @@
 func (n *Node) markStoreAvailable() {
 	for _, f := range []*follower{n.listFollower, n.catalogFollower} {
 		if !f.failedSince.IsZero() {
-			f.failedSince = time.Time{}
-			storeUp.Add(f.name, 1)
+			f.clearFailure()
 		}
 	}
 }
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -37,6 +37,8 @@
 	Watching func() bool
 	// Starting reports whether the node will watch the store, but hasn't read it yet.
 	Starting func() bool
+	// Late returns how late the node runs.
+	Late func() time.Duration
 	// Catalog returns the configuration in force as the operator wrote it, and its version; nil: none.
 	Catalog func() (raw []byte, version int64)
 }
@@ -49,10 +51,11 @@
 	}
 	timeout, stop := s.Clock.After(limit)
 	defer stop()
+	began := s.Clock.Now()
 	for {
 		_, changed := s.Changes.Subscribe()
 		_, membersChanged := s.Registry.Subscribe()
-		a := s.Answer(r)
+		a := s.answerAfter(r, began)
 		if !a.Watching && !s.Starting() || a.HasList || a.HasChanges || a.HasPart || a.HasMembers || a.HasMemberChanges || len(a.Catalog) > 0 {
 			return a, nil
 		}
@@ -60,13 +63,21 @@
 		case <-changed:
 		case <-membersChanged:
 		case <-timeout:
-			return a, nil
+			return s.answerAfter(r, began), nil
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
 	}
 }
 
+// answerAfter is Answer to a request that has been held since a time.
+func (s *Source) answerAfter(r *wire.FollowRequest, began time.Time) *wire.FollowResponse {
+	held, late := s.Clock.Since(began), s.Late()
+	a := s.Answer(r)
+	a.HeldMs, a.LateMs = held.Milliseconds(), late.Milliseconds()
+	return a
+}
+
 // Answer returns what a follower lacks of the configuration, the registry and the upstream list.
 func (s *Source) Answer(r *wire.FollowRequest) *wire.FollowResponse {
 	sequence, _ := s.Changes.Subscribe() // before anything is read: what changes meanwhile is sent again
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -35,11 +36,18 @@
 	head          *http.Response
 	events        *eventReader // streamed responses only
 	first         event
-	body          []byte    // plain responses only
-	addressReused bool      // the address now belongs to another upstream
-	eventsPassed  int       // events forwarded to the caller
-	firstEventAt  time.Time // when the first event was forwarded
-	sentAt        time.Time // when the first byte may have been sent
+	body          []byte       // plain responses only
+	addressReused bool         // the address now belongs to another upstream
+	eventsPassed  int          // events forwarded to the caller
+	firstEventAt  time.Time    // when the first event was forwarded
+	sentAt        time.Time    // when the first byte may have been sent
+	wroteAt       atomic.Int64 // nanoseconds from the request's arrival until its first byte was to be written; 0: it wasn't
+}
+
+// noteWrite notes that the first byte of the request is about to be written.
+func (a *attempt) noteWrite(after time.Duration) error {
+	a.wroteAt.Store(int64(after))
+	return nil
 }
 
 // finish reports the attempt's result and closes its connection if a response is still in progress.
@@ -204,7 +212,8 @@
 	if ctx.Err() == nil && errors.Is(err, errIncompleteResponse) && !a.quarantined() {
 		s.o.Trials.Record(q.service, q.route.Name(), use.Rank(), rollout.Response{Failed: true})
 	}
-	f := append(choiceFields(use), zap.String("request", q.meta.ID),
+	age, _ := s.o.ListAge()
+	f := append(choiceFields(use), zap.String("request", q.meta.ID), zap.Duration("waited", q.waited), zap.Duration("list_age", age), zap.Duration("written", time.Duration(a.wroteAt.Load())),
 		zap.String("address", use.Entry().Address), zap.Int("send", q.sends), zap.Duration("after", s.o.Clock.Since(q.arrived)),
 		zap.Bool("not_run", errors.Is(err, errNotRun)), zap.Bool("says_leaving", q.observed.Leaving), zap.Duration("asks_rest", q.observed.Cooldown), zap.String("cause", fault.Reason(err)))
 	f = append(f, limitFields(q.observed.Limit)...)
@@ -273,7 +282,7 @@
 	e := a.use.Entry()
 	client := s.o.Connections.get(e)
 	a.sentAt = s.o.Clock.Now()
-	head, err := client.Do(r, len(q.body) > 0)
+	head, err := client.DoChecked(r, len(q.body) > 0, func() error { return a.noteWrite(s.o.Clock.Since(q.arrived)) })
 	if err != nil && errors.Is(err, upstream.ErrNotSent) {
 		return fault.Because(errNotRun, "%s", fault.Reason(err))
 	}
--- a/internal/forward/await_test.go
+++ b/internal/forward/await_test.go
@@ -29,7 +29,8 @@
 func newStartingServer() *startingServer {
 	s := &startingServer{clock: timer.NewManual(time.Unix(1000, 0)), ready: make(chan struct{}), status: make(chan int, 1)}
 	s.server = NewServer(Options{
-		Clock: s.clock.Service(), Log: zap.NewNop(), Ready: s.ready, Catalog: s.catalog.Load, Phase: func() Phase { return PhaseServing },
+		ListAge: func() (time.Duration, bool) { return 0, true },
+		Clock:   s.clock.Service(), Log: zap.NewNop(), Ready: s.ready, Catalog: s.catalog.Load, Phase: func() Phase { return PhaseServing },
 		Dialect: call.Dialect{
 			ReadMeta:        func(http.Header) call.Meta { return call.Meta{ID: "r"} },
 			WriteRetryAfter: func(http.Header, time.Duration) {},
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -32,6 +32,7 @@
 	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
+	"spurhall.example/spurhall/internal/accept"
 	"spurhall.example/spurhall/internal/call"
 	"spurhall.example/spurhall/internal/catalog"
 	"spurhall.example/spurhall/internal/fault"
@@ -70,6 +71,8 @@
 	Ready <-chan struct{}
 	// Catalog returns the configuration in force, or nil before there is one.
 	Catalog func() *catalog.Catalog
+	// ListAge returns how old the node's list of upstreams may be, and whether it is recent enough to choose from.
+	ListAge func() (age time.Duration, current bool)
 	// Place returns the upstream chosen for a request, or an empty string if this node is to choose one.
 	Place func(ctx context.Context, n pool.Request) string
 	// Charge takes tokens from a workspace's quota; Refund returns them.
@@ -142,6 +145,7 @@
 	service         string
 	tokens          float64
 	arrived         time.Time
+	waited          time.Duration     // unread, in the kernel, before it arrived
 	deadline        time.Time         // deadline for the response
 	waitedBefore    time.Duration     // between the caller's first attempt and this request
 	search          retry.SearchLimit // state of the current search for an upstream
@@ -179,7 +183,7 @@
 
 // ServeHTTP handles one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	q := &request{meta: s.o.Dialect.ReadMeta(r.Header), http: r, arrived: s.o.Clock.Now()}
+	q := &request{meta: s.o.Dialect.ReadMeta(r.Header), http: r, arrived: s.o.Clock.Now(), waited: accept.Waited(r.Context())}
 	count("requests", 1)
 	gauge("requests_now", 1)
 	defer gauge("requests_now", -1)
--- a/internal/forward/order_test.go
+++ b/internal/forward/order_test.go
@@ -67,7 +67,8 @@
 	core, log := observer.New(zap.InfoLevel)
 	v.log = log
 	v.server = NewServer(Options{
-		Clock: v.clock.Service(), Log: zap.New(core), Pools: v.pools, Dialect: call.Dialect{WriteOrder: func(_ http.Header, o call.Order) { v.sent = o }},
+		ListAge: func() (time.Duration, bool) { return 0, true },
+		Clock:   v.clock.Service(), Log: zap.New(core), Pools: v.pools, Dialect: call.Dialect{WriteOrder: func(_ http.Header, o call.Order) { v.sent = o }},
 	})
 	return v
 }
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -19,7 +19,7 @@
 	countOutcome(outcome, status)
 	f := []zap.Field{
 		zap.String("request", q.meta.ID), zap.String("outcome", outcome), zap.Int("status", status),
-		zap.Duration("took", d), zap.Int("sends", q.sends), zap.Bool("may_have_run", q.mayHaveRun), zap.String("workspace", q.workspaceName()),
+		zap.Duration("took", d), zap.Duration("waited", q.waited), zap.Int("sends", q.sends), zap.Bool("may_have_run", q.mayHaveRun), zap.String("workspace", q.workspaceName()),
 	}
 	if q.route != nil {
 		f = append(f, zap.String("route", q.route.Name()), zap.String("service", q.service), zap.Int64("catalog", q.catalog.Version()))
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -38,6 +38,8 @@
 var (
 	// ErrNotSent means that no byte of the request was sent to the upstream.
 	ErrNotSent = errs.NewType("not_sent").New("no byte of the request reached the upstream")
+	// ErrWithheld is ErrNotSent where the sender's own check, just before the first byte, found a reason.
+	ErrWithheld = fault.Because(ErrNotSent, "it was withheld")
 	// ErrRejected means that the upstream rejected the request without running it.
 	ErrRejected = errs.NewType("refused").New("the upstream refused the request before running it")
 	// ErrMayHaveRun means that the upstream may have run the request.
@@ -64,6 +66,8 @@
 	writes  int
 	sealed  bool
 	severed bool
+	check   func() error // called before the next write; nil: none
+	refused error        // of that call
 }
 
 // Read records that the peer has closed or reset the connection. The transport then closes its own end
@@ -87,15 +91,42 @@
 
 func (c *conn) Write(b []byte) (int, error) {
 	c.mu.Lock()
-	if c.sealed {
+	if err := c.begin(); err != nil {
 		c.mu.Unlock()
-		return 0, errSealed
+		return 0, err
 	}
 	c.writes++
 	c.mu.Unlock()
 	return c.Conn.Write(b)
 }
 
+// begin returns an error if nothing may be written any more. The connection's lock is held.
+func (c *conn) begin() error {
+	if c.sealed {
+		return errSealed
+	}
+	if c.check == nil {
+		return nil
+	}
+	c.refused, c.check = c.check(), nil
+	c.sealed = c.refused != nil
+	return c.refused
+}
+
+// expect sets the check before the next write.
+func (c *conn) expect(check func() error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.check = check
+}
+
+// refusal returns the error of the check, if it prevented a write.
+func (c *conn) refusal() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refused
+}
+
 // Close resets the connection. After an ordinary close, the kernel continues to deliver the buffered bytes
 // of an aborted request: after a network partition, it would reach the upstream when the partition heals,
 // seconds after the caller got its response. A request whose response was read completely has arrived, so
@@ -125,6 +156,7 @@
 	conns        []*conn
 	writesBefore []int
 	seal         bool
+	check        func() error
 }
 
 func (u *connUse) gotConn(i httptrace.GotConnInfo) {
@@ -133,6 +165,7 @@
 		return
 	}
 	n := c.writeCount()
+	c.expect(u.check)
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.conns = append(u.conns, c)
@@ -162,6 +195,18 @@
 	return slices.ContainsFunc(u.conns, (*conn).wasSevered)
 }
 
+// refusal returns the error of the check that prevented the request from being written, if it did.
+func (u *connUse) refusal() error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, c := range u.conns {
+		if err := c.refusal(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Client sends requests to upstreams.
 type Client struct {
 	transport *http.Transport
@@ -234,7 +279,13 @@
 // Do sends a request once. Its error is ErrNotSent or ErrMayHaveRun; a nil error means
 // that the header of a response arrived.
 func (c *Client) Do(r *http.Request, repeatable bool) (*http.Response, error) {
-	u := connUse{seal: c.guardSeal}
+	return c.DoChecked(r, repeatable, nil)
+}
+
+// DoChecked is Do with a check that is called just before the first byte is written, when a connection is open. If it
+// returns an error, nothing is written, and the error is ErrWithheld with its reason. It may be called more than once.
+func (c *Client) DoChecked(r *http.Request, repeatable bool, check func() error) (*http.Response, error) {
+	u := connUse{seal: c.guardSeal, check: check}
 	s := r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: u.gotConn}))
 	if !repeatable && c.guardReplay {
 		b := s.Body
@@ -247,8 +298,12 @@
 	if err == nil {
 		return a, nil
 	}
+	wrote := u.wrote()
+	if v := u.refusal(); v != nil && !wrote {
+		return nil, fault.Because(ErrWithheld, "%v", v)
+	}
 	switch {
-	case !u.wrote():
+	case !wrote:
 		return nil, fault.Because(ErrNotSent, "%v", err)
 	case errors.Is(err, net.ErrClosed) && u.severed():
 		return nil, fault.Because(ErrSevered, "%v", err)
--- a/internal/upstream/transport_test.go
+++ b/internal/upstream/transport_test.go
@@ -8,6 +8,7 @@
 	"math/rand"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -235,3 +236,39 @@
 	cancel()
 	assert.False(t, c.RefusesConnections(cancelled, l.Addr().String()), "the address was not dialled")
 }
+
+func TestCheckBeforeTheFirstByte(t *testing.T) {
+	arrived := make(chan struct{}, 8)
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { arrived <- struct{}{} }))
+	t.Cleanup(s.Close)
+	c := NewClient(timer.Real(), Options{ConnectTimeout: time.Second, IdlePerHost: 1})
+	t.Cleanup(c.Close)
+	send := func(check func() error) error {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.URL, strings.NewReader("body"))
+		require.NoError(t, err)
+		a, err := c.DoChecked(r, false, check)
+		if err == nil {
+			_, _ = io.Copy(io.Discard, a.Body)
+			_ = a.Body.Close()
+		}
+		return err
+	}
+	refuse := func() error { return errors.New("it leaves") }
+	for _, name := range []string{"new connection", "kept connection"} {
+		t.Run(name, func(t *testing.T) {
+			err := send(refuse)
+			assert.ErrorIs(t, err, ErrWithheld)
+			assert.ErrorIs(t, err, ErrNotSent)
+			assert.Contains(t, err.Error(), "it leaves")
+			assert.Empty(t, arrived, "no byte of it may arrive")
+			checks := 0
+			require.NoError(t, send(func() error { checks++; return nil }))
+			assert.Equal(t, 1, checks)
+			<-arrived
+		})
+	}
+	t.Run("a later request on the connection has none", func(t *testing.T) {
+		require.NoError(t, send(nil))
+		<-arrived
+	})
+}
