One crash of an upstream counts once, however late its news is

What callers saw: in a fleet whose nodes run late, hundreds of harmless requests refused for 45 s and more (request_held, in each of 837 lines with one upstream alone, named three to six times), and processor time gone: 12 to 18 % of a core from the moment 28 upstreams ended, all that the smaller VMs have.

Cause: an observation carries its age, since clocks differ, and an age leaves out for how long the message was under way or lay unread. Each step makes a crash look younger. Two reports of one crash counted as one within 2 s; in a fleet whose steps take 0.7 s the third step was another crash, which is new, and so is told to everybody again, for good. Three of them quarantine a request; what quarantines is in every report of every node. The same of responses and of probes.

Change: an observation has an identifier (quarantine.Origin), made where it is observed, told with it and stored with it; a tracker places it in time once, by the earliest that it is told, so that later copies fall on it. Observations that a node of an earlier version tells, without one, count as the same crash of an upstream within 30 s.

TestTrackersConverge now draws identified observations as before, and others on a wider grid.

--- a/internal/handover/crashes.go
+++ b/internal/handover/crashes.go
@@ -25,6 +25,7 @@
 	Prefixes []quarantine.Shape `json:"prefixes,omitempty"`
 	Upstream string             `json:"upstream"`
 	At       int64              `json:"at"` // Unix milliseconds
+	Origin   quarantine.Origin  `json:"origin,omitempty"`
 }
 
 // Crashes stores the evidence for the holder of the duties.
@@ -42,7 +43,7 @@
 	}
 	list := make([]storedCrash, len(crashes))
 	for i, e := range crashes {
-		list[i] = storedCrash{e.Fingerprint.ID(), e.Fingerprint.Prefixes(), e.Upstream, clock.WallOf(e.At).UnixMilli()}
+		list[i] = storedCrash{e.Fingerprint.ID(), e.Fingerprint.Prefixes(), e.Upstream, clock.WallOf(e.At).UnixMilli(), e.Origin}
 	}
 	if s.Write(ctx, CrashesRecord, token, list) {
 		v.written, v.token = version, token
@@ -67,7 +68,7 @@
 	now := clock.Now()
 	for _, v := range list {
 		at := now.Add(-max(0, now.Sub(clock.At(time.UnixMilli(v.At))))) // no crash lies in the future
-		u.Crashes = append(u.Crashes, quarantine.Crash{Fingerprint: quarantine.NewFingerprint(v.ID, v.Prefixes), Upstream: v.Upstream, At: at})
+		u.Crashes = append(u.Crashes, quarantine.Crash{Fingerprint: quarantine.NewFingerprint(v.ID, v.Prefixes), Upstream: v.Upstream, At: at, Origin: v.Origin})
 	}
 	return u
 }
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -76,10 +76,10 @@
 	if now.Before(free) {
 		return Verdict{Quarantined: true, Wait: free.Sub(now), Upstreams: len(s.crashes)}
 	}
-	if until := s.probedAt.Add(probeTimeout); now.Before(until) {
+	if until := s.probe.At.Add(probeTimeout); now.Before(until) {
 		return Verdict{Quarantined: true, Wait: until.Sub(now), Upstreams: len(s.crashes)}
 	}
-	s.probedAt = now
+	s.probe = Probe{p, now, t.originOf(now)}
 	return Verdict{Probe: true, Upstreams: len(s.crashes)}
 }
 
@@ -115,8 +115,9 @@
 		}
 	}
 	if r.Probe {
+		v := Probe{p, now, t.originOf(now)}
 		for _, f := range probed {
-			f.lastProbe = Probe{Fingerprint: p, At: now}
+			f.lastProbe = v
 		}
 	}
 	return r
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -24,8 +24,8 @@
 	// probeTimeout is how long all nodes wait for the outcome of a probe before another one is admitted.
 	// It is longer than a request waits at an upstream before it runs.
 	probeTimeout = 5 * time.Second
-	// sameCrashWindow is how far apart two reports of one crash may be. Reports carry an age, which omits
-	// the time that the message takes. An upstream needs some seconds to restart.
+	// sameCrashWindow is how far apart two observations of one crash may be: each is placed in time by its age, which
+	// omits the time that the first message of it took. An upstream needs some seconds to restart.
 	sameCrashWindow = 2 * time.Second
 	// suspectTTL is how long crashes below the threshold are remembered, quarantinedTTL how long a
 	// request is remembered after its quarantine.
@@ -46,11 +46,16 @@
 	Fingerprint Fingerprint
 	Upstream    string
 	At          time.Time // when the request's connection broke
+	Origin      Origin
 }
 
 // same reports whether both are the same crash. An upstream may restart under its ID and crash again.
 func (e Crash) same(o Crash) bool {
-	return e.Upstream == o.Upstream && e.At.Sub(o.At).Abs() < sameCrashWindow
+	window := sameCrashWindow
+	if e.Origin == 0 || o.Origin == 0 {
+		window = unknownOriginWindow
+	}
+	return e.Upstream == o.Upstream && e.At.Sub(o.At).Abs() < window
 }
 
 // suspect is a request under which upstreams crashed.
@@ -58,9 +63,9 @@
 	print     Fingerprint
 	crashes   []Crash   // sorted by time
 	updatedAt time.Time // when this last learned something new
-	clearedAt time.Time // when it last got a complete response; earlier crashes don't count
+	cleared   Response  // the last complete response; earlier crashes don't count
 	until     time.Time // end of the quarantine; zero: not quarantined
-	probedAt  time.Time // when this node or another one last admitted a probe
+	probe     Probe     // the last one that this node or another one admitted
 }
 
 // Tracker holds what one process knows of requests that crash upstreams.
@@ -74,11 +79,13 @@
 	shapeChanges []Change // of quarantined shapes, not yet returned
 	revision     int64    // rises with each change of the quarantined requests
 	stale        bool     // crashes that can quarantine a request have changed since the last evaluation
+	observed     uint64   // number of this process's own observations
+	origins      map[Origin]placed
 }
 
 // NewTracker returns an empty tracker for a node.
 func NewTracker(node string) *Tracker {
-	return &Tracker{node: node, suspects: make(map[ID]*suspect), shapes: make(map[Shape]*shapeState)}
+	return &Tracker{node: node, suspects: make(map[ID]*suspect), shapes: make(map[Shape]*shapeState), origins: make(map[Origin]placed)}
 }
 
 // Change reports that a request is quarantined, or no longer is.
@@ -116,18 +123,20 @@
 func (t *Tracker) ObserveCrash(now time.Time, e Crash) []Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	e.Origin = t.originOf(e.At)
 	t.addCrash(now, e)
 	return t.evaluate()
 }
 
 // addCrash records a crash and reports whether it is new.
 func (t *Tracker) addCrash(now time.Time, e Crash) bool {
+	e.At = t.place(now, e.Origin, e.At)
 	s := t.suspects[e.Fingerprint.id]
 	if s == nil {
 		s = t.newSuspect(now, e.Fingerprint)
 	}
 	t.adoptPrefixes(s, e.Fingerprint)
-	if e.At.Before(s.clearedAt.Add(sameCrashWindow)) {
+	if e.At.Before(s.cleared.At.Add(sameCrashWindow)) {
 		return false // may be a crash from before the response, reported late
 	}
 	if slices.ContainsFunc(s.crashes, e.same) {
@@ -226,7 +235,7 @@
 func (s *suspect) expired(now time.Time) bool {
 	switch {
 	case len(s.crashes) == 0:
-		return now.Sub(s.clearedAt) > clearedTTL
+		return now.Sub(s.cleared.At) > clearedTTL
 	case !s.until.IsZero():
 		return now.Sub(s.until) > quarantinedTTL
 	}
@@ -248,8 +257,9 @@
 func (t *Tracker) ObserveResponse(now time.Time, p Fingerprint) []Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.clear(now, p, now)
-	t.clearShapes(Response{p, now})
+	a := Response{p, now, t.originOf(now)}
+	t.clear(now, a)
+	t.clearShapes(a)
 	return t.evaluate()
 }
 
@@ -265,13 +275,14 @@
 	}
 }
 
-func (t *Tracker) clear(now time.Time, p Fingerprint, at time.Time) bool {
-	s := t.suspects[p.id]
-	if s == nil || at.Sub(s.clearedAt) < sameCrashWindow {
+// clear records a response to a request and reports whether it is new.
+func (t *Tracker) clear(now time.Time, a Response) bool {
+	s := t.suspects[a.Fingerprint.id]
+	if s == nil || a.At.Sub(s.cleared.At) < sameCrashWindow {
 		return false
 	}
-	s.clearedAt = at
+	s.cleared = a
 	t.touch(now, s)
-	s.crashes = slices.DeleteFunc(s.crashes, func(e Crash) bool { return e.At.Before(at.Add(sameCrashWindow)) })
+	s.crashes = slices.DeleteFunc(s.crashes, func(e Crash) bool { return e.At.Before(a.At.Add(sameCrashWindow)) })
 	return true
 }
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -171,28 +171,40 @@
 // of messages: at the very moment at which one ends, trackers may differ.
 const grid = 5700 * time.Millisecond
 
+// wideGrid is grid for observations without an identifier.
+const wideGrid = 34700 * time.Millisecond
+
 // TestTrackersConverge generates crashes and responses, merges them into trackers in any order and more
 // than once, each report too young by the delay of its message, and checks that all trackers quarantine
 // the same requests.
 func TestTrackersConverge(t *testing.T) {
+	t.Run("identified observations", func(t *testing.T) { checkConvergence(t, grid, true) })
+	t.Run("others", func(t *testing.T) { checkConvergence(t, wideGrid, false) })
+}
+
+func checkConvergence(t *testing.T, grid time.Duration, identified bool) {
 	rapid.Check(t, func(t *rapid.T) {
 		type report struct {
 			w  Update
 			at time.Duration
 		}
 		var reports []report
-		for range rapid.IntRange(1, 40).Draw(t, "reports") {
+		for i := range rapid.IntRange(1, 40).Draw(t, "reports") {
+			o := Origin(0)
+			if identified {
+				o = Origin(i + 1)
+			}
 			v := report{at: time.Duration(rapid.IntRange(0, 20).Draw(t, "at")) * grid}
 			p := fpOf(rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "fingerprint"))
 			if rapid.IntRange(0, 9).Draw(t, "kind") == 0 {
-				v.w.Responses = []Response{{p, at(v.at)}}
+				v.w.Responses = []Response{{p, at(v.at), o}}
 			} else {
 				u := rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(t, "upstream")
-				v.w.Crashes = []Crash{{Fingerprint: p, Upstream: u, At: at(v.at)}}
+				v.w.Crashes = []Crash{{Fingerprint: p, Upstream: u, At: at(v.at), Origin: o}}
 			}
 			reports = append(reports, v)
 		}
-		now := at(121 * time.Second)
+		now := at(20*grid + 7*time.Second)
 		r := rand.New(rand.NewSource(rapid.Int64().Draw(t, "order")))
 		merged := func() *Tracker {
 			b := NewTracker("n")
--- a/internal/quarantine/update.go
+++ b/internal/quarantine/update.go
@@ -22,6 +22,7 @@
 type Response struct {
 	Fingerprint Fingerprint
 	At          time.Time
+	Origin      Origin
 }
 
 // Probe records that a quarantined request was admitted. Other nodes wait for its outcome: without this
@@ -29,6 +30,7 @@
 type Probe struct {
 	Fingerprint Fingerprint
 	At          time.Time
+	Origin      Origin
 }
 
 // Update is what a tracker sends to others.
@@ -60,11 +62,11 @@
 		if recent || !s.until.IsZero() || slices.ContainsFunc(s.print.shapes(), func(x Shape) bool { return shapes[x] }) {
 			list = append(list, s)
 		}
-		if recent && !s.clearedAt.IsZero() {
-			u.Responses = append(u.Responses, Response{s.print, s.clearedAt})
+		if recent && !s.cleared.At.IsZero() {
+			u.Responses = append(u.Responses, s.cleared)
 		}
-		if now.Sub(s.probedAt) <= announceFor {
-			u.Probes = append(u.Probes, Probe{s.print, s.probedAt})
+		if now.Sub(s.probe.At) <= announceFor {
+			u.Probes = append(u.Probes, s.probe)
 		}
 	}
 	for _, f := range t.shapes {
@@ -121,15 +123,17 @@
 	defer t.mu.Unlock()
 	changed := false
 	for _, a := range u.Responses {
-		changed = t.clear(now, a.Fingerprint, a.At) || changed
+		a.At = t.place(now, a.Origin, a.At)
+		changed = t.clear(now, a) || changed
 		t.clearShapes(a)
 	}
 	for _, e := range u.Crashes {
 		changed = t.addCrash(now, e) || changed
 	}
 	for _, p := range u.Probes {
-		if s := t.suspects[p.Fingerprint.id]; s != nil && p.At.Sub(s.probedAt) >= sameCrashWindow {
-			s.probedAt = p.At
+		p.At = t.place(now, p.Origin, p.At)
+		if s := t.suspects[p.Fingerprint.id]; s != nil && p.At.Sub(s.probe.At) >= sameCrashWindow {
+			s.probe = p
 		}
 		for _, x := range p.Fingerprint.shapes() {
 			if f := t.shapes[x]; f != nil && p.At.After(f.lastProbe.At) {
