A request is looked at again just before its first byte is written

What callers saw: requests that reached an upstream more than 3 s after it had said that it leaves, and after their callers' deadlines.

Cause: the choice of an upstream was the last look at it. Between the choice and the first byte lie the answer of a relay, the opening of a connection, through other nodes where need be, and on a VM without processor time each of these steps lasts up to a second: the lines of edge-sofia-b-6 have requests that were at it for 2.7 s without a byte sent. The same gap lies after the look at the configuration, and after the deadline's timer was set, which fires late where nothing is scheduled. Class: a decision that isn't repeated when it takes effect.

Change: upstream.DoChecked asks just before the first byte, on the goroutine that writes. The attempt is withheld if the upstream leaves, is no longer listed, rests, is another one or of a version that takes nothing; if the route or key of a request that hasn't begun has changed; if its deadline has passed. Nothing was sent then: it counts neither against the upstream nor as a send, another upstream is chosen while there is time, or else the caller is told so, truthfully. An attempt ahead of which the configuration has changed ends at once.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -44,12 +44,6 @@
 	wroteAt       atomic.Int64 // nanoseconds from the request's arrival until its first byte was to be written; 0: it wasn't
 }
 
-// noteWrite notes that the first byte of the request is about to be written.
-func (a *attempt) noteWrite(after time.Duration) error {
-	a.wroteAt.Store(int64(after))
-	return nil
-}
-
 // finish reports the attempt's result and closes its connection if a response is still in progress.
 func (a *attempt) finish(r pool.Result) {
 	a.use.End(r)
@@ -118,11 +112,16 @@
 func (s *Server) checkRetry(ctx context.Context, q *request, attempts int, last error) error {
 	if attempts == 0 {
 		s.o.RecordFirstAttempt(q.service)
-		return nil
 	}
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
+	if err := s.checkConfiguration(q); err != nil {
+		return s.giveUp(q, err, last)
+	}
+	if attempts == 0 {
+		return s.checkTimeLeft(q)
+	}
 	if err := s.quarantineError(q); err != nil {
 		return err
 	}
@@ -142,6 +141,14 @@
 	return s.giveUp(q, last, last)
 }
 
+// checkTimeLeft returns the final error of a request whose time was over before anything was done for it.
+func (s *Server) checkTimeLeft(q *request) error {
+	if s.o.Clock.Now().Before(q.deadline) {
+		return nil
+	}
+	return s.giveUp(q, errTimeout, nil)
+}
+
 // decideRetry decides whether a request may be sent again. Requests that have reached no upstream so far
 // are not charged to the retry budget.
 func (s *Server) decideRetry(q *request) (retry.Verdict, retry.Reason) {
@@ -192,7 +199,9 @@
 		s.recordTrialStart(q, a)
 		return a, nil
 	}
-	if errors.Is(err, errNotRun) && a.head == nil {
+	if errors.Is(err, errWithheld) {
+		q.search.RecordUnreachable(0)
+	} else if errors.Is(err, errNotRun) && a.head == nil {
 		q.search.RecordUnreachable(s.o.Clock.Since(a.sentAt))
 	} else {
 		q.search.RecordReached()
@@ -230,8 +239,11 @@
 
 // withCause replaces a connection error by the reason for which the attempt's own context was canceled.
 func withCause(err, cause error) error {
-	s := errIncompleteResponse
-	if errors.Is(err, errNotRun) {
+	var s error = errIncompleteResponse
+	switch {
+	case errors.Is(err, errWithheld):
+		s = errWithheld
+	case errors.Is(err, errNotRun):
 		s = errNotRun
 	}
 	return fault.Because(s, "%v", cause)
@@ -244,6 +256,8 @@
 		return pool.ResultMisplaced
 	case ctx.Err() != nil, a.quarantined():
 		return pool.ResultInconclusive
+	case errors.Is(err, errWithheld):
+		return pool.ResultWithheld
 	case errors.Is(err, errNotRun) && a.head != nil:
 		return pool.ResultRejected
 	case errors.Is(err, errNotRun):
@@ -282,7 +296,10 @@
 	e := a.use.Entry()
 	client := s.o.Connections.get(e)
 	a.sentAt = s.o.Clock.Now()
-	head, err := client.DoChecked(r, len(q.body) > 0, func() error { return a.noteWrite(s.o.Clock.Since(q.arrived)) })
+	head, err := client.DoChecked(r, len(q.body) > 0, func() error { return s.mayWrite(a, q) })
+	if err != nil && errors.Is(err, upstream.ErrWithheld) {
+		return fault.Because(errWithheld, "%s", fault.Reason(err))
+	}
 	if err != nil && errors.Is(err, upstream.ErrNotSent) {
 		return fault.Because(errNotRun, "%s", fault.Reason(err))
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -144,8 +144,8 @@
 	workspace       *catalog.Workspace // nil if none
 	service         string
 	tokens          float64
-	arrived         time.Time
-	waited          time.Duration     // unread, in the kernel, before it arrived
+	arrived         time.Time         // at this VM, though it may have been read later
+	waited          time.Duration     // unread, in the kernel
 	deadline        time.Time         // deadline for the response
 	waitedBefore    time.Duration     // between the caller's first attempt and this request
 	search          retry.SearchLimit // state of the current search for an upstream
--- a/internal/forward/withhold_test.go
+++ b/internal/forward/withhold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -82,3 +83,29 @@
 	assert.Equal(t, http.StatusServiceUnavailable, w.Code)
 	assert.NotEmpty(t, w.Header().Get("Retry-After"))
 }
+
+func TestWithheldAttempts(t *testing.T) {
+	t.Run("an upstream that leaves while its connection opens counts for nothing", func(t *testing.T) {
+		r := newWithholdRig(t)
+		r.server.o.Connections = NewConnections(r.clock.Service(), func(ctx context.Context, e pool.Entry) (net.Conn, error) {
+			e.Leaving = true
+			r.server.o.Pools.Update(func(l *pool.List) { l.Put(pool.Item{Revision: 2, Entry: e}) })
+			return (&net.Dialer{}).DialContext(ctx, "tcp", e.Address)
+		})
+		w := r.call()
+		assert.Zero(t, r.arrived.Load())
+		assert.Equal(t, http.StatusServiceUnavailable, w.Code)
+		s := r.server.o.Pools.States("api")[0]
+		assert.Negative(t, s.UnreachableAge, "it could be reached")
+		assert.Zero(t, s.Running)
+	})
+	t.Run("nothing is sent after the deadline, also where its timer is late", func(t *testing.T) {
+		r := newWithholdRig(t)
+		r.server.o.Connections = NewConnections(r.clock.Service(), func(ctx context.Context, e pool.Entry) (net.Conn, error) {
+			r.clock.Suspend(time.Hour)
+			return (&net.Dialer{}).DialContext(ctx, "tcp", e.Address)
+		})
+		assert.Equal(t, http.StatusServiceUnavailable, r.call().Code)
+		assert.Zero(t, r.arrived.Load())
+	})
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -19,6 +19,7 @@
 	ResultUnreachable         // no connection could be established
 	ResultMisplaced           // another upstream uses its address
 	ResultInconclusive        // it ended for reasons on the caller's side
+	ResultWithheld            // this node sent nothing after all
 )
 
 // Load is the load of one node at one upstream.
--- a/internal/pool/use.go
+++ b/internal/pool/use.go
@@ -84,6 +84,25 @@
 	return u.m.entry.Leaving || u.p.members[u.entry.ID] != u.m
 }
 
+// Unavailable returns why the upstream gets no requests any more that it was chosen for, or "" if it still does.
+func (u *Use) Unavailable() string {
+	u.p.mu.Lock()
+	defer u.p.mu.Unlock()
+	switch m := u.m; {
+	case u.p.members[u.entry.ID] != m:
+		return "the upstream is no longer listed"
+	case m.entry.Leaving:
+		return "the upstream leaves"
+	case m.misplaced:
+		return "another upstream has the address"
+	case u.p.cooldowns.Wait(u.p.clock.Now(), m.entry.Incarnation()) > 0:
+		return "the upstream has asked for rest"
+	case u.p.splits[m.entry.Service].Barred[m.entry.Version]:
+		return "the upstream's version takes no requests"
+	}
+	return ""
+}
+
 // Entry returns the entry of the chosen upstream.
 func (u *Use) Entry() Entry { return u.entry }
 
@@ -207,10 +226,10 @@
 }
 
 func (u *Use) recordResult(r Result) {
-	if u.countedLimit && (r == ResultUnreachable || r == ResultMisplaced) {
+	if u.countedLimit && (r == ResultUnreachable || r == ResultMisplaced || r == ResultWithheld) {
 		u.p.limits.Return(u.entry.Incarnation())
 	}
-	if r == ResultUnreachable || r == ResultRejected || r == ResultMisplaced {
+	if r == ResultUnreachable || r == ResultRejected || r == ResultMisplaced || r == ResultWithheld {
 		s := u.p.service(u.entry.Service)
 		s.notExecuted = s.notExecuted.Add(u.work)
 	}
@@ -235,7 +254,7 @@
 		o.Inconclusive(now.Sub(u.p.start), id)
 		u.m.misplaced = true
 		u.p.suspect(u.m)
-	case ResultInconclusive:
+	case ResultInconclusive, ResultWithheld:
 		o.Inconclusive(now.Sub(u.p.start), id)
 	}
 }
