A node doesn't choose by a list of upstreams that may be too old

What callers saw: requests that reached an upstream more than 3 s after it had said that it leaves.

Cause: a node chose by the list that it had, however old. News of a leaving goes from the store to a watcher and from there to the nodes of its hall; where processes run a second late, it takes two seconds and more, and the node that lacks it has no sign of that. Class: silence taken for 'nothing has changed'.

Change: a node knows up to when its list is complete. A watcher's answer confirms it, an empty one, too: up to the end of the time for which the question was held, less how late the watcher runs; a watcher's own list is as old as it runs late. Beyond 0.6 of the time for which a leaving upstream gets requests (drain_ms) requests are refused at once as not run, and attempts withheld before their first byte. Where the store is away, as the node has tried or its watchers say, the last list stays in use, as before.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -99,7 +99,12 @@
 	if m.Watching && len(m.Catalog) > 0 {
 		n.applyCatalog(m.Catalog, name)
 	}
-	if !m.Watching || n.follower.IsBehind(m, at) {
+	if !m.Watching {
+		now := n.clock.Now()
+		n.noNewsAt.Store(&now)
+		return errNoUpdates
+	}
+	if n.follower.IsBehind(m, at) {
 		return errNoUpdates
 	}
 	n.markStoreAvailable()
--- a/internal/edge/listage.go
+++ b/internal/edge/listage.go
@@ -16,6 +16,9 @@
 // the watchers, which wait for several changes at a time, and for the request's way to the upstream.
 const maxListAgeShare = 0.6
 
+// noNewsTTL is how long a watcher's word counts that it has no news: a node that follows asks again at once.
+const noNewsTTL = 1500 * time.Millisecond
+
 // listAge returns how old this node's list may be, and whether it is recent enough.
 func (n *Node) listAge() (age time.Duration, current bool) {
 	now := n.clock.Now()
@@ -24,11 +27,17 @@
 	}
 	age = n.confirmed.Age(now)
 	most := time.Duration(maxListAgeShare * float64(n.settings.DrainTime))
-	current = most == 0 || age <= most || !n.listed.Load() || n.listFollower.lost.Load()
+	current = most == 0 || age <= most || n.storeIsAway(now)
 	n.noteListAge(age, current)
 	return age, current
 }
 
+// storeIsAway reports whether the store can't be read, as far as this node has tried, or the watchers say.
+func (n *Node) storeIsAway(now time.Time) bool {
+	at := n.noNewsAt.Load()
+	return n.listFollower.lost.Load() || at != nil && now.Sub(*at) < noNewsTTL
+}
+
 // noteListAge logs when the list becomes too old to choose from, and when it is recent enough again.
 func (n *Node) noteListAge(age time.Duration, current bool) {
 	if n.staleList.Swap(!current) == !current {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -116,6 +116,7 @@
 	listed          atomic.Bool               // the upstream list has been read at least once
 	storeRestoredAt atomic.Pointer[time.Time] // when the store was last restored from a copy; nil: not during this process
 	registryTried   atomic.Bool               // the registry has been read, or couldn't be
+	noNewsAt        atomic.Pointer[time.Time] // when a watcher last answered that it isn't in touch with the store; nil: never
 	staleList       atomic.Bool               // the list was too old to choose from when it was last looked at
 	partial         atomic.Bool               // the upstream list leaves out upstreams of other halls (pool.ScopeKept)
 	holdsSeat       atomic.Bool               // this node reads the store for its hall while the whole system starts
--- a/internal/follow/confirmation.go
+++ b/internal/follow/confirmation.go
@@ -24,10 +24,13 @@
 	}
 }
 
-// Age returns how long ago the list was last known to be complete.
+// Age returns how long ago the list was last known to be complete; 0 if it never was.
 func (c *Confirmation) Age(now time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.at.IsZero() {
+		return 0
+	}
 	return now.Sub(c.at)
 }
 
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -116,7 +116,7 @@
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	if err := s.checkConfiguration(q); err != nil {
+	if err := errors.Join(s.checkConfiguration(q), s.checkList()); err != nil {
 		return s.giveUp(q, err, last)
 	}
 	if attempts == 0 {
--- a/internal/forward/withhold.go
+++ b/internal/forward/withhold.go
@@ -1,6 +1,9 @@
 package forward
 
 import (
+	"errors"
+	"time"
+
 	"spurhall.example/spurhall/internal/fault"
 )
 
@@ -11,6 +14,8 @@
 var (
 	// errWithheld means that an attempt was given up before anything was sent.
 	errWithheld = fault.Because(errNotRun, "nothing was sent")
+	// errStaleList means that this node's list of upstreams is too old to choose from.
+	errStaleList = errs.NewType("stale_list").New("this node's list of upstreams is out of date")
 	// errReconfigured means that the configuration has changed since the request arrived.
 	errReconfigured = errs.NewType("reconfigured").New("the configuration has changed")
 )
@@ -28,7 +33,16 @@
 	if reason := a.use.Unavailable(); reason != "" {
 		return fault.Because(errWithheld, "%s", reason)
 	}
-	return s.checkConfiguration(q)
+	return errors.Join(s.checkConfiguration(q), s.checkList())
+}
+
+// checkList returns errStaleList if this node's list of upstreams is too old to choose from.
+func (s *Server) checkList() error {
+	age, current := s.o.ListAge()
+	if current {
+		return nil
+	}
+	return fault.Because(errStaleList, "this node's list of upstreams is %v old", age.Round(time.Millisecond))
 }
 
 // checkConfiguration returns errReconfigured if the configuration in force no longer sends the request to its service.
