A request's time counts from its arrival at the VM, not from when it was read

What callers saw: requests that went on to an upstream up to 1.5 s after their own deadlines.

On a VM without processor time it had waited in the kernel for a second by then, of which nothing was known.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -183,7 +183,8 @@
 
 // ServeHTTP handles one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	q := &request{meta: s.o.Dialect.ReadMeta(r.Header), http: r, arrived: s.o.Clock.Now(), waited: accept.Waited(r.Context())}
+	q := &request{meta: s.o.Dialect.ReadMeta(r.Header), http: r, waited: accept.Waited(r.Context())}
+	q.arrived = s.o.Clock.Now().Add(-q.waited)
 	count("requests", 1)
 	gauge("requests_now", 1)
 	defer gauge("requests_now", -1)
