The own interface looks at an upstream again before the first byte, too

Calls and chats are withheld where the upstream is leaving or gone by then, or the caller has left; nothing counts against the upstream, and another one is chosen as after any attempt of which nothing was sent.

--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -148,7 +148,7 @@
 	call := &upstream.ChatCall{
 		RequestID: c.Record.ID(), Address: t.fact.Address, Body: c.Body, MaxTokens: c.MaxTokens,
 		Priority: priority, Offset: offset, Text: c.Record.Text(), FirstTokenTimeout: first,
-		TokenTimeout: betweenBytesLimit, Traceparent: c.Traceparent,
+		TokenTimeout: betweenBytesLimit, Traceparent: c.Traceparent, Check: func() error { return p.d.mayWrite(x, t.fact.ID) },
 	}
 	l.fire("send")
 	startedAt := p.d.o.Clock.Now()
@@ -171,7 +171,7 @@
 		l.fire("lost")
 		return next, errMoved
 	}
-	p.recordOutcome(t.fact.ID, err, ctx.Err() == nil && !errors.Is(err, upstream.ErrRejected))
+	p.recordOutcome(t.fact.ID, err, ctx.Err() == nil && !errors.Is(err, upstream.ErrRejected) && !errors.Is(err, upstream.ErrWithheld))
 	if err == nil {
 		l.fire("finish")
 		p.recordDuration(t.fact.ID, p.d.o.Clock.Since(startedAt), c.Record.Len()-offset)
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -210,9 +210,9 @@
 		p.recordOutcome(t.fact.ID, err, false)
 		return nil, err
 	}
-	s, err := p.d.o.Client.Do(r, *c.Rule.Repeatable)
+	s, err := p.d.o.Client.DoChecked(r, *c.Rule.Repeatable, func() error { return p.d.mayWrite(ctx, t.fact.ID) })
 	if err != nil {
-		p.recordOutcome(t.fact.ID, err, ctx.Err() == nil)
+		p.recordOutcome(t.fact.ID, err, ctx.Err() == nil && !errors.Is(err, upstream.ErrWithheld))
 		return nil, err
 	}
 	if c.Service.IsRejection(s.StatusCode) {
--- a/internal/upstream/chat.go
+++ b/internal/upstream/chat.go
@@ -45,6 +45,7 @@
 	FirstTokenTimeout time.Duration // until the first token
 	TokenTimeout      time.Duration // between two tokens
 	Traceparent       string
+	Check             func() error // called just before the first byte is written (DoChecked); nil: none
 }
 
 // Chunk is one token, or the end of the stream.
@@ -108,7 +109,7 @@
 	}
 	stall := func() { cancel(ErrStalled) }
 	dog := c.clock.Watchdog(x, call.FirstTokenTimeout, stall)
-	a, err := c.Do(r, false)
+	a, err := c.DoChecked(r, false, call.Check)
 	if err != nil {
 		dog.Stop()
 		return stallError(x, err)
