The soak starves daemons of processor time while upstreams leave

A daemon that gets no processor time is in touch all the same, so what leaves gets nothing new from it: the check on drains looks at it, the others take it for disturbed.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -92,7 +92,7 @@
 		switch f.Kind {
 		case FaultHall, FaultKillAll, FaultLapse, FaultForget, FaultCopy:
 			return true
-		case FaultTerm, FaultPress, FaultKill:
+		case FaultTerm, FaultPress, FaultKill, FaultStarve:
 			return slices.Contains(f.Who, daemon)
 		case FaultFreeze:
 			return f.On == OnStore || f.On == OnDaemons && slices.Contains(f.Who, daemon)
@@ -104,6 +104,12 @@
 	}
 }
 
+// disturbs is touches without what is the daemon's own trouble: one without processor time is in touch all the same.
+func (v *view) disturbs(daemon int) func(f Fault) bool {
+	touches := v.touches(daemon)
+	return func(f Fault) bool { return f.Kind != FaultStarve && touches(f) }
+}
+
 // unplanned is anything but what upstreams and operators do themselves.
 func unplanned(f Fault) bool {
 	switch f.Kind {
--- a/internal/soak/check_changes.go
+++ b/internal/soak/check_changes.go
@@ -18,7 +18,7 @@
 			if e.What != Arrived || e.Upstream != d.Upstream || r == nil || e.At.Sub(d.At) <= drainBound || e.At.After(d.Ended) {
 				continue
 			}
-			if v.calm(d.At, e.At, v.touches(r.Call.Daemon)) {
+			if v.calm(d.At, e.At, v.disturbs(r.Call.Daemon)) {
 				list = append(list, Failure{"drain", e.ID, fmt.Sprintf("reached %s %v after it said that it leaves", e.Upstream, e.At.Sub(d.At))})
 			}
 		}
--- a/internal/soak/day.go
+++ b/internal/soak/day.go
@@ -56,6 +56,7 @@
 	FaultEgress    Kind = "egress-cut" // some daemons reach no upstream; How says what becomes of open connections
 	FaultBrittle   Kind = "brittle"    // the upstreams of a service are slow and fall over when they reject too much
 	FaultSecond    Kind = "second"     // upstreams are silent for a second or so, which is no disturbance
+	FaultStarve    Kind = "starve"     // daemons run for a small part of the time, X; upstreams leave meanwhile
 	FaultPress     Kind = "press"      // SIGTERM of daemons that more callers use; they aren't scheduled when they close connections
 )
 
@@ -181,6 +182,7 @@
 	}
 	d.Faults = append(d.Faults, d.drawLater(rand.New(rand.NewPCG(seed, 0xe9e5)), last)...)
 	d.Faults = append(d.Faults, d.drawPress(rand.New(rand.NewPCG(seed, 0x57e5)), d.Traffic-quietAfter)...)
+	d.Faults = append(d.Faults, d.drawStarve(rand.New(rand.NewPCG(seed, 0x51a4)), d.Traffic-quietAfter)...)
 	slices.SortStableFunc(d.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return d
 }
@@ -201,6 +203,9 @@
 	pressRate   = 150.0 // calls a second at each daemon
 )
 
+// Of daemons without processor time: they run for a part of each starvePeriod.
+const starvePeriod = 800 * time.Millisecond
+
 const (
 	// recoveryGap is the pause between the faults of draw and those of drawLater, where these come after them.
 	recoveryGap = 3500 * time.Millisecond
@@ -255,6 +260,19 @@
 	return []Fault{f}
 }
 
+// drawStarve draws daemons that get hardly any processor time, and upstreams that leave meanwhile, from a sequence of
+// their own as well.
+func (d *Day) drawStarve(r *rand.Rand, last time.Duration) []Fault {
+	if r.IntN(3) > 0 {
+		return nil
+	}
+	f := Fault{Kind: FaultStarve, On: OnDaemons, Who: d.some(r, OnDaemons), X: 0.03 + 0.15*r.Float64()}
+	f.For = 3*time.Second + time.Duration(r.Int64N(int64(2*time.Second)))
+	f.At = quietBefore + time.Duration(r.Int64N(int64(max(1, last-quietBefore-f.For))))
+	left := Fault{Kind: FaultDrain, On: OnUpstreams, Who: d.some(r, OnUpstreams), At: f.At + time.Duration(r.Int64N(int64(time.Second)))}
+	return []Fault{f, left}
+}
+
 func (d *Day) draw(r *rand.Rand, first, last time.Duration) Fault {
 	f := Fault{Kind: kinds[r.IntN(len(kinds))]}
 	f.At = first + time.Duration(r.Int64N(int64(last-first)))
--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -229,7 +229,7 @@
 	d := DaemonSettings{
 		Name: daemonName(i), Hall: hallName(s.day.HallOf(i)), Front: s.address(host, servePort), Ready: s.address(host, readyPort), Peers: s.peers[i].Address(),
 		Store: s.store[i].Address(), Cloud: s.cloud[i].Address(), First: first, Stop: stopGrace, Lease: leaseTime, UsageWindow: usageWindow, UsageLate: usageLate,
-		RetryRatio: retryRatio, RetryExtra: retryExtra, RetryWindow: retryWindow, StoreWrites: storeWrites, StoreReads: storeReads,
+		RetryRatio: retryRatio, RetryExtra: retryExtra, RetryWindow: retryWindow, StoreWrites: storeWrites, StoreReads: storeReads, Drain: drainBound,
 	}
 	for h := range s.day.Halls {
 		d.Halls = append(d.Halls, hallName(h))
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -34,6 +34,8 @@
 		s.stopDaemons(ctx, f)
 	case FaultFreeze:
 		s.freeze(ctx, f)
+	case FaultStarve:
+		s.starve(ctx, f)
 	case FaultReclaim, FaultCrash, FaultDrain:
 		s.endUpstreams(ctx, f)
 	case FaultStore, FaultLapse, FaultForget, FaultCopy:
@@ -222,6 +224,20 @@
 	})
 }
 
+// starve lets daemons run for a part of the time.
+func (s *Stage) starve(ctx context.Context, f Fault) {
+	until := s.clock.Now().Add(f.For)
+	runs := time.Duration(f.X * float64(starvePeriod))
+	s.each(s.daemons, f.Who, func(_ int, p *Process) {
+		for s.clock.Now().Before(until) && ctx.Err() == nil {
+			p.Signal(syscall.SIGSTOP)
+			_ = s.clock.Sleep(ctx, starvePeriod-runs) // what comes next sees the end
+			p.Signal(syscall.SIGCONT)
+			_ = s.clock.Sleep(ctx, runs)
+		}
+	})
+}
+
 func (s *Stage) endUpstreams(ctx context.Context, f Fault) {
 	who := f.Who
 	if f.Kind == FaultReclaim {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -33,6 +33,7 @@
 	UsageWindow, UsageLate  time.Duration
 	RetryRatio, RetryExtra  float64
 	RetryWindow             time.Duration
+	Drain                   time.Duration // for which an upstream that leaves gets requests at most
 	StoreWrites, StoreReads float64
 }
 
