--- a/internal/quarantine/late_test.go
+++ b/internal/quarantine/late_test.go
@@ -1,11 +1,13 @@
 package quarantine
 
 import (
+	"bytes"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"google.golang.org/protobuf/proto"
 )
 
 // lateFleet is a fleet whose messages are under way, or wait unread, for a while.
@@ -78,3 +80,28 @@
 		assert.Empty(t, n.BuildUpdate(at(f.now)).Responses, "it was told for longer than each node tells it")
 	}
 }
+
+// mostBytes is what a message about crashes may have: eight a second are a tenth of a link of 10 Mbit/s.
+const mostBytes = 16 << 10
+
+func TestNewsOfAWaveOfCrashesFillsALink(t *testing.T) {
+	b := NewTracker("n")
+	body := bytes.Repeat([]byte("long prompt "), 1000)
+	print := func(i int) Fingerprint {
+		return FingerprintOf(Request{Method: "POST", Host: "h", Target: "/a", Body: append([]byte(fmt.Sprintf("%d %d ", i*i, i)), body...)})
+	}
+	for i := range 600 {
+		b.ObserveCrash(at(0), Crash{Fingerprint: print(i), Upstream: fmt.Sprint("u", i/40), At: at(0)})
+	}
+	assertSmall := func(what string) {
+		t.Helper()
+		u := b.BuildUpdate(at(time.Second))
+		assert.False(t, u.Empty())
+		assert.LessOrEqual(t, proto.Size(u.ToWire(at(time.Second))), mostBytes, what)
+	}
+	assertSmall("fifteen upstreams end with forty requests each")
+	for i := range 600 {
+		b.ObserveResponse(at(time.Second), print(i))
+	}
+	assertSmall("and all of the requests are answered elsewhere")
+}
