The news of a wave of crashes fits a small link

Cause: a message with the evidence about requests had up to 400 crashes (80 kB), and of responses and probes any number: one response clears up to sixteen shapes of prompts, each of which named it again. After a wave of fifteen upstreams with forty requests each that is 1.1 MB a message, some eight messages a second at each node. A link of 10 Mbit/s takes 1.25 MB a second. Class: what is told grows with what has happened, not with what the way takes.

Change: a message has 48 crashes, 20 responses and 8 probes at most, each request's response once; requests with the most crashes go first, the others in turn, another way in each message.

--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -79,6 +79,7 @@
 	shapeChanges []Change // of quarantined shapes, not yet returned
 	revision     int64    // rises with each change of the quarantined requests
 	stale        bool     // crashes that can quarantine a request have changed since the last evaluation
+	updates      uint64   // number of messages built
 	observed     uint64   // number of this process's own observations
 	origins      map[Origin]placed
 }
--- a/internal/quarantine/update.go
+++ b/internal/quarantine/update.go
@@ -2,8 +2,12 @@
 
 import (
 	"cmp"
+	"encoding/binary"
+	"maps"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // This file exchanges state between trackers. A tracker forwards what is new to it for a while, so that
@@ -13,9 +17,12 @@
 const (
 	// announceFor is how long a change is announced: several rounds, since a report may be lost.
 	announceFor = 2 * time.Second
-	// maxUpdateCrashes bounds the crashes in one message, some 70 bytes each. It covers a wave of
-	// reclaims that stops most upstreams of a hall, reported by many nodes.
-	maxUpdateCrashes = 400
+	// maxUpdateCrashes, maxUpdateResponses and maxUpdateProbes bound one message, in which each takes up to 200 bytes: a
+	// node sends and gets some eight a second, over a link of 10 Mbit/s. In a wave of reclaims more is new than that;
+	// what counts most goes first, and the others in turn.
+	maxUpdateCrashes   = 48
+	maxUpdateResponses = 20
+	maxUpdateProbes    = 8
 )
 
 // Response records that a request got a complete response.
@@ -50,8 +57,9 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var u Update
+	t.updates++
 	var list []*suspect
+	responses, probes := make(map[ID]Response), make(map[ID]Probe) // one of each request
 	shapes := t.quarantinedShapes()
 	for p, s := range t.suspects {
 		if s.expired(now) {
@@ -63,30 +71,81 @@
 			list = append(list, s)
 		}
 		if recent && !s.cleared.At.IsZero() {
-			u.Responses = append(u.Responses, s.cleared)
+			addLatest(responses, s.cleared)
 		}
 		if now.Sub(s.probe.At) <= announceFor {
-			u.Probes = append(u.Probes, s.probe)
+			addLatestProbe(probes, s.probe)
 		}
 	}
 	for _, f := range t.shapes {
 		if now.Sub(f.clearedBy.At) <= announceFor {
-			u.Responses = append(u.Responses, f.clearedBy)
+			addLatest(responses, f.clearedBy)
 		}
 		if now.Sub(f.lastProbe.At) <= announceFor {
-			u.Probes = append(u.Probes, f.lastProbe)
+			addLatestProbe(probes, f.lastProbe)
+		}
+	}
+	return Update{Crashes: t.selectCrashes(list), Responses: t.selectResponses(responses), Probes: t.selectProbes(probes)}
+}
+
+// addLatest adds a response unless a later one to the same request is there: one response clears many shapes.
+func addLatest(all map[ID]Response, a Response) {
+	if old, ok := all[a.Fingerprint.id]; !ok || a.At.After(old.At) {
+		all[a.Fingerprint.id] = a
+	}
+}
+
+// addLatestProbe adds a probe unless a later one of the same request is there.
+func addLatestProbe(all map[ID]Probe, p Probe) {
+	if old, ok := all[p.Fingerprint.id]; !ok || p.At.After(old.At) {
+		all[p.Fingerprint.id] = p
+	}
+}
+
+// turn orders facts of equal weight, in each message another way. The tracker's lock is held.
+func (t *Tracker) turn(p Fingerprint) uint64 {
+	return xxhash.Sum64(binary.LittleEndian.AppendUint64(slices.Clone(p.id[:]), t.updates))
+}
+
+// selectCrashes returns the crashes that a message has room for: those of the requests with the most crashes first.
+func (t *Tracker) selectCrashes(list []*suspect) []Crash {
+	turns := make(map[*suspect]uint64, len(list))
+	if len(list) > maxUpdateCrashes {
+		for _, s := range list {
+			turns[s] = t.turn(s.print)
 		}
 	}
 	slices.SortFunc(list, func(x, y *suspect) int {
-		return cmp.Or(cmp.Compare(len(y.crashes), len(x.crashes)), y.updatedAt.Compare(x.updatedAt))
+		return cmp.Or(cmp.Compare(len(y.crashes), len(x.crashes)), cmp.Compare(turns[x], turns[y]))
 	})
+	var selected []Crash
 	for _, s := range list {
-		if len(u.Crashes)+len(s.crashes) > maxUpdateCrashes {
+		selected = append(selected, s.crashes[:min(len(s.crashes), maxUpdateCrashes-len(selected))]...)
+		if len(selected) == maxUpdateCrashes {
 			break
 		}
-		u.Crashes = append(u.Crashes, s.crashes...)
 	}
-	return u
+	return selected
+}
+
+// selectResponses returns the responses that a message has room for.
+func (t *Tracker) selectResponses(all map[ID]Response) []Response {
+	list := slices.Collect(maps.Values(all))
+	if len(list) <= maxUpdateResponses {
+		return list
+	}
+	slices.SortFunc(list, func(x, y Response) int { return cmp.Compare(t.turn(x.Fingerprint), t.turn(y.Fingerprint)) })
+	return list[:maxUpdateResponses]
+}
+
+// selectProbes returns the probes that a message has room for.
+func (t *Tracker) selectProbes(all map[ID]Probe) []Probe {
+	list := slices.Collect(maps.Values(all))
+	if len(list) <= maxUpdateProbes {
+		return list
+	}
+	slices.SortFunc(list, func(x, y Probe) int { return cmp.Compare(t.turn(x.Fingerprint), t.turn(y.Fingerprint)) })
+	return list[:maxUpdateProbes]
 }
 
 // quarantinedShapes returns the shapes that are quarantined.
