Bytes without end are no answer

What callers would see: a whole answer of 64 MB of garbage with status 200 and a signature; and nodes out of memory, since an event of lines without an empty one was held up to the deadline (300 MB and 1.5 GB allocated in 6 s by one request).

Cause: the limit of a plain body cut it off and took the rest for whole; the limit of an event was looked at only within a line; a head had the default limit of 10 MB.

Change: a body beyond 16 MB, an event beyond 1 MB and a header beyond 64 kB are no response: the attempt ends, and its connection closes.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -353,6 +353,9 @@
 	return nil
 }
 
+// maxResponseBody bounds the body of a plain response, in bytes: it is held whole, and one without end is no response.
+const maxResponseBody = 16 << 20
+
 // readStart reads the part of the response that must be complete before the caller gets the head.
 func (s *Server) readStart(a *attempt, q *request) error {
 	if q.route.Kind() == catalog.KindStream && a.head.StatusCode < 300 {
@@ -366,10 +369,13 @@
 		return nil
 	}
 	s.recordStarted(q, a)
-	b, err := io.ReadAll(io.LimitReader(a.head.Body, maxBody))
+	b, err := io.ReadAll(io.LimitReader(a.head.Body, maxResponseBody+1))
 	if err != nil {
 		return fault.Because(readError(err), "the body broke off: %v", err)
 	}
+	if len(b) > maxResponseBody {
+		return fault.Because(errIncompleteResponse, "the body is longer than %d bytes", maxResponseBody)
+	}
 	a.body = b
 	if a.head.StatusCode >= 500 && q.route.Repeatable() && q.sends < q.route.MaxAttempts() {
 		q.upstreamFailure = &response{status: a.head.StatusCode, header: endToEndHeader(a.head.Header), body: b}
--- a/internal/forward/event.go
+++ b/internal/forward/event.go
@@ -32,10 +32,9 @@
 		line, err := e.r.ReadSlice('\n')
 		v.raw = append(v.raw, line...)
 		switch {
+		case len(v.raw) > maxEvent:
+			return event{}, fault.Because(errIncompleteResponse, "an event is longer than %d bytes", maxEvent)
 		case errors.Is(err, bufio.ErrBufferFull):
-			if len(v.raw) > maxEvent {
-				return event{}, fault.Because(errIncompleteResponse, "an event is longer than %d bytes", maxEvent)
-			}
 			continue
 		case errors.Is(err, io.EOF) && len(v.raw) == 0:
 			return event{}, io.EOF
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -207,6 +207,9 @@
 	return nil
 }
 
+// maxResponseHeader bounds the header of a response, in bytes, as nodes bound that of a request.
+const maxResponseHeader = 64 << 10
+
 // Client sends requests to upstreams.
 type Client struct {
 	transport *http.Transport
@@ -244,6 +247,8 @@
 		MaxIdleConnsPerHost: o.IdlePerHost,
 		IdleConnTimeout:     o.IdleTimeout,
 		DisableCompression:  true, // bodies pass through as they are
+		// What an upstream in trouble sends instead of a header may not end.
+		MaxResponseHeaderBytes: maxResponseHeader,
 	}
 	return &Client{transport: t, clock: clock, guardReplay: true, guardSeal: true}
 }
