A node that knows of a later list or configuration doesn't serve by its own

Cause: a node whose link is full can't reach the store, takes it for away, and by design goes on with what it has. It had heard from other nodes' reports that they have version 9, asked each of them for it (catch_up_failed), got none in time, and served by the old one. Class: the same as the list's: an outage of one's own taken for everybody's.

Change: a node notes since when other nodes report a later list or configuration than its own. Beyond 0.6 of drain_ms it refuses, as with a list that is too old, for 5 s at most: what doesn't come by then may not exist.

Evidence: TestNodeServesByLessThanOtherNodesHave fails without the change to listAge; package edge passes.

--- a/internal/edge/listage.go
+++ b/internal/edge/listage.go
@@ -10,7 +10,9 @@
 // serves on for a time that the operators state, and gets nothing new after it; a list that may lack changes of as long
 // a time can't be chosen from. A node whose news is late because it isn't scheduled doesn't notice by the news itself.
 //
-// A list can't be confirmed while the store is away, and whoever reads it knows that: the last list then stays in use.
+// A list can't be confirmed while the store is away, and whoever reads it knows that: the last list then stays in use,
+// unless other nodes report that they have a later one, or a later configuration. To a node that is cut off, or whose
+// link is full, the store seems away as well.
 
 // maxListAgeShare is the part of that time up to which a list may be behind. The rest is for the way of the news to
 // the watchers, which wait for several changes at a time, and for the request's way to the upstream.
@@ -27,7 +29,7 @@
 	}
 	age = n.confirmed.Age(now)
 	most := time.Duration(maxListAgeShare * float64(n.settings.DrainTime))
-	current = most == 0 || age <= most || n.storeIsAway(now)
+	current = most == 0 || (age <= most || n.storeIsAway(now)) && !n.knowsItselfBehind(now, most)
 	n.noteListAge(age, current)
 	return age, current
 }
@@ -38,6 +40,43 @@
 	return n.listFollower.lost.Load() || at != nil && now.Sub(*at) < noNewsTTL
 }
 
+// lack is a change that other nodes have and this one doesn't.
+type lack struct {
+	newest int64     // that a peer has reported: a revision or version
+	since  time.Time // when this node first lacked it; zero: it didn't
+}
+
+// hear records what a peer has, where this node has what have says.
+func (l *lack) hear(now time.Time, newest, have int64) {
+	l.newest = max(l.newest, newest)
+	switch {
+	case have >= l.newest:
+		l.since = time.Time{}
+	case l.since.IsZero():
+		l.since = now
+	}
+}
+
+// maxLack is how long a change that others have makes a node refuse requests. One that still doesn't arrive may not exist.
+const maxLack = 5 * time.Second
+
+// lasts reports whether the node has lacked the change for longer than d, and not for too long to believe in it.
+func (l *lack) lasts(now time.Time, have int64, d time.Duration) bool {
+	t := now.Sub(l.since)
+	return !l.since.IsZero() && have < l.newest && t > d && t <= d+maxLack
+}
+
+// knowsItselfBehind reports whether other nodes have had a later list or configuration for longer than d.
+func (n *Node) knowsItselfBehind(now time.Time, d time.Duration) bool {
+	version := int64(0)
+	if c := n.currentCatalog(); c != nil {
+		version = c.Version()
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.lacksList.lasts(now, n.pools.Revision(), d) || n.lacksCatalog.lasts(now, version, d)
+}
+
 // noteListAge logs when the list becomes too old to choose from, and when it is recent enough again.
 func (n *Node) noteListAge(age time.Duration, current bool) {
 	if n.staleList.Swap(!current) == !current {
--- a/internal/edge/listage_test.go
+++ b/internal/edge/listage_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"spurhall.example/spurhall/internal/follow"
+	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/timer"
 	"spurhall.example/spurhall/internal/wire"
 )
@@ -101,3 +102,35 @@
 		assertCurrent(t, true, n)
 	})
 }
+
+func TestNodeServesByLessThanOtherNodesHave(t *testing.T) {
+	away := func(t *testing.T) (*Node, *timer.Manual) {
+		n, clock := newAgingNode(t)
+		n.listFollower.markLost(errors.New("no answer"))
+		return n, clock
+	}
+	later := func(n *Node) *wire.NodeReport {
+		return &wire.NodeReport{Node: "edge-b-1", CatalogVersion: n.currentCatalog().Version() + 1}
+	}
+	t.Run("a later configuration", func(t *testing.T) {
+		n, clock := away(t)
+		n.catchUp(t.Context(), later(n))
+		assertCurrent(t, true, n)
+		clock.Advance(1900 * time.Millisecond)
+		assertCurrent(t, false, n)
+	})
+	t.Run("a later list", func(t *testing.T) {
+		n, clock := away(t)
+		n.recordListChange("edge-b-1", n.pools.Revision()+1)
+		clock.Advance(1900 * time.Millisecond)
+		assertCurrent(t, false, n)
+		n.updateList("store", func(_ time.Time, l *pool.List) { l.Advance(l.Revision() + 1) })
+		assertCurrent(t, true, n)
+	})
+	t.Run("one that never comes", func(t *testing.T) {
+		n, clock := away(t)
+		n.catchUp(t.Context(), later(n))
+		clock.Advance(maxLack + 2*time.Second)
+		assertCurrent(t, true, n)
+	})
+}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -149,6 +149,8 @@
 	startWatchers     []string          // nodes that read the store for this hall while the whole system starts
 
 	peerListChange   int64         // newest change of the upstream list that a peer has reported
+	lacksList        lack          // of what other nodes' lists have
+	lacksCatalog     lack          // of what other nodes' configurations have
 	behindSince      time.Time     // since when this node lacks that change; zero: it doesn't
 	loggedSuspension time.Duration // total suspension of the VM at the last log line
 	selfWatchUntil   time.Time     // until when this node watches the store regardless of its role
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -364,6 +364,9 @@
 	if c := n.currentCatalog(); c != nil {
 		have = c.Version()
 	}
+	n.mu.Lock()
+	n.lacksCatalog.hear(n.clock.Now(), r.CatalogVersion, have)
+	n.mu.Unlock()
 	stale := !n.guard.Up() && r.StoreUp && r.ListRevision > n.pools.Revision()
 	if r.CatalogVersion <= have && !stale {
 		return
