A stream goes on only at the software version that began it

Cause: nothing looked at the version. A node went on with a stream at any upstream, and in a roll-out moved streams to the target on purpose; a caller that takes a stream up comes to any node, and what began it was known to one node alone, which has often ended. Class: state that outlives the process that has it.

Change, within an answer: the version that began a stream is a condition of every later choice. Streams aren't moved to a roll-out's target any more.

Change, over a caller's attempts (package lineage): while a service has upstreams of several versions, the node that brings a resumable stream's first event tells two others, in two halls drawn from the stream's key (workspace and request id); whoever takes it up asks these by Resumes, and the next in each hall's order. Messages go by streams, not by the fleet's size, and only then. When a second version appears, which gets no requests for 2.5 s, nodes tell of the streams in progress. A stream of which nobody knows goes on at the one version that has had requests, or, once two have, is refused at once as not run, with a time to come back. What is remembered ends with the stream's time; 32,768 at most, the oldest goes first.

Refusals are checked to be true. TestKeepers, TestBook without a network. The tests of roll-outs pass.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -28,6 +28,7 @@
 	HasTokens    bool   // whether PromptTokens and MaxOutput were stated
 	Parts        []Part // of the prompt, in order; the last one is specific to the request
 	LastEvent    string // the stream event after which to resume
+	Resumes      string // id of the attempt that brought the first event of the stream to resume
 }
 
 // Order is what is sent to an upstream beside the body.
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -8,6 +8,7 @@
 //	relay.go      exchanges them through relays in a large fleet
 //	members.go    registers this node and discovers the others
 //	quarantine.go shares crash evidence about requests
+//	lineage.go    shares which version began a stream
 //	limits.go     shares the rate limits that upstreams set for all nodes together
 //	rollouts.go   moves traffic to upstreams of another version
 //	duties.go     runs the duties of the lease holder, such as usage reports
@@ -99,6 +100,7 @@
 	uplink     *uplink.Uplink
 	lines      *forward.Connections
 	front      *forward.Server
+	streams    *streamKeeper
 	quarantine *quarantine.Tracker // tracks requests that crash upstreams
 	lease      *lease.Lease
 
@@ -185,6 +187,7 @@
 	n.registry = roster.NewRegistry()
 	n.aggregator = relay.NewAggregator(s.Node, o.Incarnation)
 	n.quarantine = quarantine.NewTracker(s.Node)
+	n.streams = newStreamKeeper()
 	n.rollouts = newRollouts()
 	n.catalogFollower = n.newCatalogFollower()
 	n.listFollower = n.newListFollower()
@@ -200,7 +203,8 @@
 	n.front = forward.NewServer(forward.Options{
 		Clock: o.Clock, Log: o.Log, Dialect: o.Dialect, Pools: n.pools, Connections: n.lines, Ready: n.initialized, Catalog: n.currentCatalog,
 		ListAge: n.listAge, Place: n.placeByRelay, Charge: n.charge, Refund: n.refund, CountStarted: n.countStarted, RecordFirstAttempt: n.countFirstAttempt, AllowRetry: n.allowRetry, ObserveResponse: n.observeResponse, Phase: n.stopPhase, Quarantine: n.quarantine, HallReachable: n.reachesHall,
-		Trials: forward.Trials{Offer: n.offerTrial, Return: n.returnOffer, Record: n.recordResponse, ShouldMove: n.movesStreams},
+		Trials:  forward.Trials{Offer: n.offerTrial, Return: n.returnOffer, Record: n.recordResponse},
+		Lineage: forward.Lineage{Tell: n.tellStream, Find: n.findStream},
 	})
 	return n
 }
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -230,22 +230,6 @@
 	}
 }
 
-// movesStreams reports whether streams at versions other than the target are to continue at the target.
-func (n *Node) movesStreams(service string) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	t := n.rollouts.trials[service]
-	if t == nil || t.Stage() != rollout.StageFull {
-		return false
-	}
-	now := n.clock.Now()
-	return t.Side(now) == rollout.SideTarget && now.Sub(t.Since()) >= moveDelay
-}
-
-// moveDelay is the time from learning that the target gets all requests until the streams that still run
-// elsewhere are moved: half of the shorter ones have ended by then.
-const moveDelay = 700 * time.Millisecond
-
 // countsAsCapacity reports whether upstreams of a version count as capacity of their service: those of an
 // untried version don't, nor do those of one that is about to be stopped.
 func (n *Node) countsAsCapacity(service, version string) bool {
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -334,6 +334,7 @@
 	if len(u.Touched) > 0 || n.pools.LastChange() != before {
 		n.changes.Append(changelog.Update{Revision: n.pools.Revision(), Local: source == sourceAnswer || source == sourceLapsed, Length: n.pools.Len(), IDs: u.Touched})
 	}
+	n.noteVersions(u.Changes)
 	for i, c := range u.Changes {
 		upstreamEvents.Add(c.Event, 1)
 		if c.Event == "gone" {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -58,6 +58,9 @@
 // response is passed on unchanged if no later attempt succeeded.
 func (s *Server) send(ctx context.Context, v any) (any, error) {
 	q := v.(*request)
+	if err := s.bindVersion(ctx, q); err != nil {
+		return nil, err
+	}
 	a, err := s.attemptAll(ctx, q)
 	if err != nil && ctx.Err() == nil && q.upstreamFailure != nil {
 		return q.upstreamFailure, nil
@@ -95,6 +98,9 @@
 func (s *Server) pick(ctx context.Context, q *request, tried map[string]bool) *pool.Use {
 	n := s.need(q, tried)
 	n.ReachableOnly = q.search.Next() == retry.ScopeReachable
+	if n.Version != "" {
+		return s.o.Pools.Pick(n)
+	}
 	if len(tried) == 0 {
 		if u := s.pickTrial(q, n); u != nil {
 			return u
@@ -176,7 +182,7 @@
 }
 
 func (s *Server) need(q *request, tried map[string]bool) pool.Request {
-	n := pool.Request{ID: q.meta.ID, Service: q.service, Excluded: tried, Parts: q.meta.Parts, Prompt: float64(q.meta.PromptTokens), Output: float64(q.meta.MaxOutput)}
+	n := pool.Request{ID: q.meta.ID, Service: q.service, Excluded: tried, Parts: q.meta.Parts, Prompt: float64(q.meta.PromptTokens), Output: float64(q.meta.MaxOutput), Version: q.version}
 	n.Engine = q.engine()
 	return n
 }
@@ -464,6 +470,7 @@
 func (s *Server) newResponse(ctx context.Context, q *request, a *attempt) *response {
 	v := &response{status: a.head.StatusCode, header: endToEndHeader(a.head.Header), body: a.body}
 	if a.events != nil {
+		s.beginStream(q, a)
 		v.stream = &stream{s: s, q: q, ctx: ctx, a: a}
 		return v
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -89,6 +89,8 @@
 	Phase func() Phase
 	// Trials connects requests to roll-outs.
 	Trials Trials
+	// Lineage keeps streams at the version that began them.
+	Lineage Lineage
 	// Quarantine tracks the requests that crash upstreams.
 	Quarantine *quarantine.Tracker
 	// HallReachable reports whether a hall can be reached over the network.
@@ -103,9 +105,6 @@
 	// Record records a response of an upstream whose version has that rank among the target's versions;
 	// -1 is any other version.
 	Record func(service, route string, rank int, a rollout.Response)
-	// ShouldMove reports whether a stream at an upstream outside the target's versions is to continue at
-	// the target.
-	ShouldMove func(service string) bool
 }
 
 // Phase is the progress of a planned stop.
@@ -125,11 +124,12 @@
 	waits   waitTracker
 	orders  order.Tracker
 	pending attemptSet
+	streams streamSet
 }
 
 // NewServer returns a server.
 func NewServer(o Options) *Server {
-	s := &Server{o: o, pending: newAttemptSet()}
+	s := &Server{o: o, pending: newAttemptSet(), streams: newStreamSet()}
 	s.next = endpoint.Chain(s.awaitReady, s.authorize, s.rejectQuarantined, s.charge)(s.send)
 	return s
 }
@@ -143,6 +143,7 @@
 	route           *catalog.Route
 	workspace       *catalog.Workspace // nil if none
 	service         string
+	version         string // of the software that began the stream; empty: any may run the request
 	tokens          float64
 	arrived         time.Time         // at this VM, though it may have been read later
 	waited          time.Duration     // unread, in the kernel
--- /dev/null
+++ b/internal/forward/lineage.go
@@ -0,0 +1,119 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"spurhall.example/spurhall/internal/lineage"
+)
+
+// This file keeps a stream at the software version that began it (package lineage): within one answer, and over its
+// caller's attempts.
+
+// Lineage connects streams with what the nodes know of them.
+type Lineage struct {
+	// Tell makes the version that began a stream known to other nodes.
+	Tell func(r lineage.Record)
+	// Find returns the version that began a stream, if a node knows it.
+	Find func(ctx context.Context, k lineage.Key) (version string, known bool)
+}
+
+// lineageSlack is for how long beyond its deadline a stream is remembered: its caller's clock may be a little behind.
+const lineageSlack = time.Second
+
+// streamSet is the set of resumable streams in progress.
+type streamSet struct {
+	mu   sync.Mutex
+	open map[*request]bool
+}
+
+func newStreamSet() streamSet { return streamSet{open: make(map[*request]bool)} }
+
+func (t *streamSet) add(q *request) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.open[q] = true
+}
+
+func (t *streamSet) remove(q *request) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.open, q)
+}
+
+// resumesStream reports whether the caller takes up a stream that an earlier attempt began.
+func (q *request) resumesStream() bool { return q.meta.LastEvent != "" && q.route.Resumable() }
+
+// streamKey returns the key of the request's stream.
+func (q *request) streamKey() lineage.Key {
+	if q.resumesStream() && q.meta.Resumes != "" {
+		return lineage.KeyOf(q.workspaceName(), q.meta.Resumes)
+	}
+	return lineage.KeyOf(q.workspaceName(), q.meta.ID)
+}
+
+// streamTime is how long a stream of the request's route may last, its caller's attempts together.
+func (q *request) streamTime() time.Duration {
+	if t := q.route.Timeout(); t > 0 {
+		return t + lineageSlack
+	}
+	return defaultMaxWait
+}
+
+// bindVersion binds a stream that its caller takes up to the version that began it.
+func (s *Server) bindVersion(ctx context.Context, q *request) error {
+	if !q.resumesStream() {
+		return nil
+	}
+	known, used := s.o.Pools.StreamVersions(q.service, q.streamTime())
+	if len(known) <= 1 {
+		return nil
+	}
+	version, found := "", false
+	if q.meta.Resumes != "" {
+		version, found = s.o.Lineage.Find(ctx, q.streamKey())
+	}
+	if !found && len(used) == 1 {
+		version, found = used[0], true // no other has begun a stream yet
+	}
+	s.o.Log.Info("stream_version", zap.String("request", q.meta.ID), zap.String("service", q.service), zap.Bool("known", found),
+		zap.String("version", version), zap.Strings("versions", known), zap.Strings("used", used))
+	if !found {
+		count("versions_unknown", 1)
+		return &rejection{status: http.StatusServiceUnavailable, reason: "nobody knows which version of the service began the stream", retry: retryAfterFailure}
+	}
+	q.version = version
+	return nil
+}
+
+// beginStream records a stream whose first event has arrived. It stays at its version.
+func (s *Server) beginStream(q *request, a *attempt) {
+	if !q.route.Resumable() {
+		return
+	}
+	q.version = a.use.Entry().Version
+	s.streams.add(q)
+	if known, _ := s.o.Pools.StreamVersions(q.service, q.streamTime()); len(known) > 1 {
+		s.tell(q, q.version)
+	}
+}
+
+func (s *Server) tell(q *request, version string) {
+	s.o.Lineage.Tell(lineage.Record{Key: q.streamKey(), Version: version, Left: q.deadline.Sub(s.o.Clock.Now()) + lineageSlack})
+}
+
+// TellStreams makes known which versions began the streams of a service that are in progress. It is called when the
+// service gets a second version.
+func (s *Server) TellStreams(service string) {
+	s.streams.mu.Lock()
+	defer s.streams.mu.Unlock()
+	for q := range s.streams.open {
+		if q.service == service {
+			s.tell(q, q.version)
+		}
+	}
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -24,11 +24,13 @@
 	a           *attempt
 	lastEventID string    // of the last event forwarded
 	lastEventAt time.Time // when that event was forwarded
-	pinned      bool      // not moved by a roll-out any more
 }
 
 // close ends the current attempt. It is also called after a stream has completed.
-func (t *stream) close() { t.a.finish(pool.ResultInconclusive) }
+func (t *stream) close() {
+	t.s.streams.remove(t.q)
+	t.a.finish(pool.ResultInconclusive)
+}
 
 // errCallerLeft means that the caller no longer reads the response.
 var errCallerLeft = errs.NewType("write").New("the caller left")
@@ -91,9 +93,6 @@
 
 // next returns the next event, from another upstream if necessary.
 func (t *stream) next() (event, error) {
-	if v, moved := t.moveToTarget(); moved {
-		return v, nil
-	}
 	stop := t.watchStall()
 	v, err := t.a.events.next()
 	stop()
@@ -134,7 +133,7 @@
 	return t.q.route.Resumable() && t.lastEventID != "" && t.q.sends < t.q.route.MaxAttempts()
 }
 
-// resume continues the stream at another upstream, after the last event forwarded.
+// resume continues the stream at another upstream of the version that began it, after the last event forwarded.
 func (t *stream) resume(cause error) (event, error) {
 	tried := map[string]bool{t.a.use.Entry().ID: true}
 	t.q.search = retry.SearchLimit{}
--- a/internal/forward/trial.go
+++ b/internal/forward/trial.go
@@ -4,15 +4,12 @@
 	"net/http"
 	"time"
 
-	"go.uber.org/zap"
-
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/rollout"
 )
 
 // This file implements a request's part in a roll-out (package rollout): whether it goes to the version on
-// trial, what is recorded about its response, and moving a stream to the target when its upstream is about
-// to be stopped.
+// trial, and what is recorded about its response.
 //
 // Only a request's first attempt is sent to a version on trial. If it fails, the request is retried at the
 // version in service, so a bad version costs most callers a second.
@@ -58,39 +55,3 @@
 	d := t.lastEventAt.Sub(t.a.firstEventAt) / (paceEvents - 1)
 	t.recordTrial(rollout.Response{Pace: float64(d) / float64(time.Millisecond)})
 }
-
-// errMoved means that a stream continues elsewhere although its upstream is healthy.
-var errMoved = errs.NewType("moved").New("the upstream's version is about to be stopped")
-
-// moveToTarget continues a stream at the target of a roll-out if its upstream is about to be stopped and the
-// stream may be resumed elsewhere. It returns the next event. If the target does not accept the stream, it is
-// treated as broken and resumed like any other.
-func (t *stream) moveToTarget() (event, bool) {
-	if t.a.use.Rank() >= 0 || t.pinned || !t.s.o.Trials.ShouldMove(t.q.service) || !t.resumable() {
-		return event{}, false
-	}
-	if !t.s.o.AllowRetry(t.q.service) {
-		return event{}, false // checked again after the next event
-	}
-	use := t.s.o.Pools.Pick(t.s.need(t.q, map[string]bool{t.a.use.Entry().ID: true}))
-	if use == nil || use.Rank() < 0 {
-		if use != nil {
-			use.End(pool.ResultInconclusive)
-		}
-		t.pinned = true // no upstream can take the stream over: it stays until it or its upstream ends
-		return event{}, false
-	}
-	t.s.o.Log.Info("stream_moved", zap.String("request", t.q.meta.ID), zap.String("upstream", t.a.use.Entry().ID),
-		zap.String("to", use.Entry().ID), zap.String("last_event", t.lastEventID))
-	t.a.cancel(errMoved)
-	t.a.finish(pool.ResultInconclusive)
-	a, err := t.s.runAttempt(t.ctx, t.q, use, t.lastEventID)
-	if err == nil && a.events != nil {
-		t.a = a
-		return a.first, true
-	}
-	if a != nil {
-		a.finish(pool.ResultFailed)
-	}
-	return event{}, false
-}
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -60,6 +60,7 @@
 	Engine        bool // the service runs on engines
 	Trial         bool // it goes to an upstream of a roll-out's target that is on trial
 	Excluded      map[string]bool
+	Version       string // only upstreams of this software version; empty: any
 	ReachableOnly bool   // only upstreams that this node has not recently failed to reach
 	placed        string // upstream chosen by a relay, which has counted the request against the upstream's limit
 }
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -152,6 +152,7 @@
 	for _, m := range set {
 		takes, fallback := p.serves(now, m, n)
 		switch {
+		case n.Version != "" && m.entry.Version != n.Version:
 		case m.entry.Leaving || m.misplaced || n.Excluded[m.entry.ID] || p.cooldowns.Wait(now, m.entry.Incarnation()) > 0:
 		case n.ReachableOnly && now.Sub(m.failedAt) < unreachableTTL:
 		case n.placed != m.entry.ID && p.limits.Wait(now, m.entry.Incarnation(), n.Engine) > 0:
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -133,6 +133,7 @@
 	partitionedAt map[string]time.Time            // when the other nodes of this hall last found a hall partitioned off
 	splits        map[string]Split                // by service
 	versions      map[string]map[string]time.Time // when each was first seen, by service
+	versionsLost  map[string]map[string]time.Time // when the last upstream of each was dropped, by service
 	listRead      bool                            // the list has been read
 	cooldowns     *retry.Cooldowns                // that upstreams asked this node for
 	limits        *limit.Tracker                  // that upstreams state for all nodes together
@@ -167,7 +168,7 @@
 		clock: clock, hall: hall, start: clock.Now(), list: NewList(), members: make(map[string]*member),
 		services: make(map[string][]*member), halls: make(map[hallService][]*member), parts: make(map[hallService]*part), holders: make(map[uint64][]*member), counts: make(map[Group]int), busy: make(map[*member]struct{}), suspects: make(map[*member]struct{}), caching: make(map[*member]struct{}), outliers: make(map[string]*retry.Outliers),
 		reports: make(map[string]peerReport), serviceStats: make(map[string]*service), lastResponse: make(map[string]time.Time),
-		partitionedAt: make(map[string]time.Time), splits: make(map[string]Split), versions: make(map[string]map[string]time.Time), cooldowns: retry.NewCooldowns(), limits: limit.NewTracker(node), brittle: brittle.NewTracker(node), speeds: newSpeeds(),
+		partitionedAt: make(map[string]time.Time), splits: make(map[string]Split), versions: make(map[string]map[string]time.Time), versionsLost: make(map[string]map[string]time.Time), cooldowns: retry.NewCooldowns(), limits: limit.NewTracker(node), brittle: brittle.NewTracker(node), speeds: newSpeeds(),
 	}
 }
 
--- a/internal/pool/split.go
+++ b/internal/pool/split.go
@@ -89,6 +89,8 @@
 	switch {
 	case s.Barred[v]:
 		return false, false
+	case n.Version != "":
+		return true, false // usable leaves the others out
 	case n.Trial:
 		return target && m.rank >= 0 && m.rank < s.TrialUpstreams, false
 	case s.Target == "":
--- a/internal/pool/update.go
+++ b/internal/pool/update.go
@@ -139,6 +139,7 @@
 func (u *update) drop(m *member) {
 	p, id := u.p, m.entry.ID
 	u.changes = append(u.changes, Change{m.entry, "gone"})
+	p.recordVersionLost(u.now, m.entry)
 	u.removed[m.hallService()] = append(u.removed[m.hallService()], m)
 	p.count(m.entry, -1)
 	delete(p.members, id)
--- a/internal/wire/wireconnect/edge.connect.go
+++ b/internal/wire/wireconnect/edge.connect.go
@@ -55,6 +55,10 @@
 	EdgeUpstreamsProcedure = "/spurhall.v1.Edge/Upstreams"
 	// EdgeFollowProcedure is the fully-qualified name of the Edge's Follow RPC.
 	EdgeFollowProcedure = "/spurhall.v1.Edge/Follow"
+	// EdgeTellStreamsProcedure is the fully-qualified name of the Edge's TellStreams RPC.
+	EdgeTellStreamsProcedure = "/spurhall.v1.Edge/TellStreams"
+	// EdgeFindStreamProcedure is the fully-qualified name of the Edge's FindStream RPC.
+	EdgeFindStreamProcedure = "/spurhall.v1.Edge/FindStream"
 )
 
 // EdgeClient is a client for the spurhall.v1.Edge service.
@@ -68,6 +72,8 @@
 	Store(context.Context, *connect.Request[wire.StoreRequest]) (*connect.Response[wire.StoreResponse], error)
 	Upstreams(context.Context, *connect.Request[wire.UpstreamsRequest]) (*connect.Response[wire.UpstreamsResponse], error)
 	Follow(context.Context, *connect.Request[wire.FollowRequest]) (*connect.Response[wire.FollowResponse], error)
+	TellStreams(context.Context, *connect.Request[wire.TellStreamsRequest]) (*connect.Response[wire.TellStreamsResponse], error)
+	FindStream(context.Context, *connect.Request[wire.FindStreamRequest]) (*connect.Response[wire.FindStreamResponse], error)
 }
 
 // NewEdgeClient constructs a client for the spurhall.v1.Edge service. By default, it uses the
@@ -135,20 +141,34 @@
 			connect.WithSchema(edgeMethods.ByName("Follow")),
 			connect.WithClientOptions(opts...),
 		),
+		tellStreams: connect.NewClient[wire.TellStreamsRequest, wire.TellStreamsResponse](
+			httpClient,
+			baseURL+EdgeTellStreamsProcedure,
+			connect.WithSchema(edgeMethods.ByName("TellStreams")),
+			connect.WithClientOptions(opts...),
+		),
+		findStream: connect.NewClient[wire.FindStreamRequest, wire.FindStreamResponse](
+			httpClient,
+			baseURL+EdgeFindStreamProcedure,
+			connect.WithSchema(edgeMethods.ByName("FindStream")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // edgeClient implements EdgeClient.
 type edgeClient struct {
-	gather    *connect.Client[wire.GatherRequest, wire.GatherResponse]
-	place     *connect.Client[wire.PlaceRequest, wire.PlaceResponse]
-	swap      *connect.Client[wire.SwapRequest, wire.SwapResponse]
-	report    *connect.Client[wire.ReportRequest, wire.ReportResponse]
-	catchUp   *connect.Client[wire.CatchUpRequest, wire.CatchUpResponse]
-	rollouts  *connect.Client[wire.RolloutsRequest, wire.RolloutsResponse]
-	store     *connect.Client[wire.StoreRequest, wire.StoreResponse]
-	upstreams *connect.Client[wire.UpstreamsRequest, wire.UpstreamsResponse]
-	follow    *connect.Client[wire.FollowRequest, wire.FollowResponse]
+	gather      *connect.Client[wire.GatherRequest, wire.GatherResponse]
+	place       *connect.Client[wire.PlaceRequest, wire.PlaceResponse]
+	swap        *connect.Client[wire.SwapRequest, wire.SwapResponse]
+	report      *connect.Client[wire.ReportRequest, wire.ReportResponse]
+	catchUp     *connect.Client[wire.CatchUpRequest, wire.CatchUpResponse]
+	rollouts    *connect.Client[wire.RolloutsRequest, wire.RolloutsResponse]
+	store       *connect.Client[wire.StoreRequest, wire.StoreResponse]
+	upstreams   *connect.Client[wire.UpstreamsRequest, wire.UpstreamsResponse]
+	follow      *connect.Client[wire.FollowRequest, wire.FollowResponse]
+	tellStreams *connect.Client[wire.TellStreamsRequest, wire.TellStreamsResponse]
+	findStream  *connect.Client[wire.FindStreamRequest, wire.FindStreamResponse]
 }
 
 // Gather calls spurhall.v1.Edge.Gather.
@@ -196,6 +216,16 @@
 	return c.follow.CallUnary(ctx, req)
 }
 
+// TellStreams calls spurhall.v1.Edge.TellStreams.
+func (c *edgeClient) TellStreams(ctx context.Context, req *connect.Request[wire.TellStreamsRequest]) (*connect.Response[wire.TellStreamsResponse], error) {
+	return c.tellStreams.CallUnary(ctx, req)
+}
+
+// FindStream calls spurhall.v1.Edge.FindStream.
+func (c *edgeClient) FindStream(ctx context.Context, req *connect.Request[wire.FindStreamRequest]) (*connect.Response[wire.FindStreamResponse], error) {
+	return c.findStream.CallUnary(ctx, req)
+}
+
 // EdgeHandler is an implementation of the spurhall.v1.Edge service.
 type EdgeHandler interface {
 	Gather(context.Context, *connect.Request[wire.GatherRequest]) (*connect.Response[wire.GatherResponse], error)
@@ -207,6 +237,8 @@
 	Store(context.Context, *connect.Request[wire.StoreRequest]) (*connect.Response[wire.StoreResponse], error)
 	Upstreams(context.Context, *connect.Request[wire.UpstreamsRequest]) (*connect.Response[wire.UpstreamsResponse], error)
 	Follow(context.Context, *connect.Request[wire.FollowRequest]) (*connect.Response[wire.FollowResponse], error)
+	TellStreams(context.Context, *connect.Request[wire.TellStreamsRequest]) (*connect.Response[wire.TellStreamsResponse], error)
+	FindStream(context.Context, *connect.Request[wire.FindStreamRequest]) (*connect.Response[wire.FindStreamResponse], error)
 }
 
 // NewEdgeHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -270,6 +302,18 @@
 		connect.WithSchema(edgeMethods.ByName("Follow")),
 		connect.WithHandlerOptions(opts...),
 	)
+	edgeTellStreamsHandler := connect.NewUnaryHandler(
+		EdgeTellStreamsProcedure,
+		svc.TellStreams,
+		connect.WithSchema(edgeMethods.ByName("TellStreams")),
+		connect.WithHandlerOptions(opts...),
+	)
+	edgeFindStreamHandler := connect.NewUnaryHandler(
+		EdgeFindStreamProcedure,
+		svc.FindStream,
+		connect.WithSchema(edgeMethods.ByName("FindStream")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/spurhall.v1.Edge/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case EdgeGatherProcedure:
@@ -290,6 +334,10 @@
 			edgeUpstreamsHandler.ServeHTTP(w, r)
 		case EdgeFollowProcedure:
 			edgeFollowHandler.ServeHTTP(w, r)
+		case EdgeTellStreamsProcedure:
+			edgeTellStreamsHandler.ServeHTTP(w, r)
+		case EdgeFindStreamProcedure:
+			edgeFindStreamHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -334,3 +382,11 @@
 func (UnimplementedEdgeHandler) Follow(context.Context, *connect.Request[wire.FollowRequest]) (*connect.Response[wire.FollowResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("spurhall.v1.Edge.Follow is not implemented"))
 }
+
+func (UnimplementedEdgeHandler) TellStreams(context.Context, *connect.Request[wire.TellStreamsRequest]) (*connect.Response[wire.TellStreamsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("spurhall.v1.Edge.TellStreams is not implemented"))
+}
+
+func (UnimplementedEdgeHandler) FindStream(context.Context, *connect.Request[wire.FindStreamRequest]) (*connect.Response[wire.FindStreamResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("spurhall.v1.Edge.FindStream is not implemented"))
+}
