--- a/internal/quarantine/update.go
+++ b/internal/quarantine/update.go
@@ -103,8 +103,11 @@
 }
 
 // turn orders facts of equal weight, in each message another way. The tracker's lock is held.
-func (t *Tracker) turn(p Fingerprint) uint64 {
-	return xxhash.Sum64(binary.LittleEndian.AppendUint64(slices.Clone(p.id[:]), t.updates))
+func (t *Tracker) turn(id ID) uint64 {
+	var b [len(id) + 8]byte
+	copy(b[:], id[:])
+	binary.LittleEndian.PutUint64(b[len(id):], t.updates)
+	return xxhash.Sum64(b[:])
 }
 
 // selectCrashes returns the crashes that a message has room for: those of the requests with the most crashes first.
@@ -112,7 +115,7 @@
 	turns := make(map[*suspect]uint64, len(list))
 	if len(list) > maxUpdateCrashes {
 		for _, s := range list {
-			turns[s] = t.turn(s.print)
+			turns[s] = t.turn(s.print.id)
 		}
 	}
 	slices.SortFunc(list, func(x, y *suspect) int {
@@ -134,7 +137,13 @@
 	if len(list) <= maxUpdateResponses {
 		return list
 	}
-	slices.SortFunc(list, func(x, y Response) int { return cmp.Compare(t.turn(x.Fingerprint), t.turn(y.Fingerprint)) })
+	turns := make(map[ID]uint64, len(all))
+	for id := range all {
+		turns[id] = t.turn(id)
+	}
+	slices.SortFunc(list, func(x, y Response) int {
+		return cmp.Compare(turns[x.Fingerprint.id], turns[y.Fingerprint.id])
+	})
 	return list[:maxUpdateResponses]
 }
 
@@ -144,7 +153,13 @@
 	if len(list) <= maxUpdateProbes {
 		return list
 	}
-	slices.SortFunc(list, func(x, y Probe) int { return cmp.Compare(t.turn(x.Fingerprint), t.turn(y.Fingerprint)) })
+	turns := make(map[ID]uint64, len(all))
+	for id := range all {
+		turns[id] = t.turn(id)
+	}
+	slices.SortFunc(list, func(x, y Probe) int {
+		return cmp.Compare(turns[x.Fingerprint.id], turns[y.Fingerprint.id])
+	})
 	return list[:maxUpdateProbes]
 }
 
