Who remembers a stream and whom it is told to is decided in lineage, how old a list may be in follow

What tells and asks for streams is lineage.Keeper, with functions for the calls; the wire's form is in message; the bounds of a list's age, and a change that others have, are in follow.

--- a/internal/edge/listage.go
+++ b/internal/edge/listage.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"spurhall.example/spurhall/internal/follow"
 )
 
 // This file decides whether this node's list of upstreams is recent enough to choose from. An upstream that leaves
@@ -14,10 +16,6 @@
 // unless other nodes report that they have a later one, or a later configuration. To a node that is cut off, or whose
 // link is full, the store seems away as well.
 
-// maxListAgeShare is the part of that time up to which a list may be behind. The rest is for the way of the news to
-// the watchers, which wait for several changes at a time, and for the request's way to the upstream.
-const maxListAgeShare = 0.6
-
 // noNewsTTL is how long a watcher's word counts that it has no news: a node that follows asks again at once.
 const noNewsTTL = 1500 * time.Millisecond
 
@@ -28,7 +26,7 @@
 		n.confirmed.Confirm(now.Add(-n.lag.Late()))
 	}
 	age = n.confirmed.Age(now)
-	most := time.Duration(maxListAgeShare * float64(n.settings.DrainTime))
+	most := follow.MaxAge(n.settings.DrainTime)
 	current = most == 0 || (age <= most || n.storeIsAway(now)) && !n.knowsItselfBehind(now, most)
 	n.noteListAge(age, current)
 	return age, current
@@ -40,32 +38,6 @@
 	return n.listFollower.lost.Load() || at != nil && now.Sub(*at) < noNewsTTL
 }
 
-// lack is a change that other nodes have and this one doesn't.
-type lack struct {
-	newest int64     // that a peer has reported: a revision or version
-	since  time.Time // when this node first lacked it; zero: it didn't
-}
-
-// hear records what a peer has, where this node has what have says.
-func (l *lack) hear(now time.Time, newest, have int64) {
-	l.newest = max(l.newest, newest)
-	switch {
-	case have >= l.newest:
-		l.since = time.Time{}
-	case l.since.IsZero():
-		l.since = now
-	}
-}
-
-// maxLack is how long a change that others have makes a node refuse requests. One that still doesn't arrive may not exist.
-const maxLack = 5 * time.Second
-
-// lasts reports whether the node has lacked the change for longer than d, and not for too long to believe in it.
-func (l *lack) lasts(now time.Time, have int64, d time.Duration) bool {
-	t := now.Sub(l.since)
-	return !l.since.IsZero() && have < l.newest && t > d && t <= d+maxLack
-}
-
 // knowsItselfBehind reports whether other nodes have had a later list or configuration for longer than d.
 func (n *Node) knowsItselfBehind(now time.Time, d time.Duration) bool {
 	version := int64(0)
@@ -74,7 +46,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.lacksList.lasts(now, n.pools.Revision(), d) || n.lacksCatalog.lasts(now, version, d)
+	return n.lacksList.Lasts(now, n.pools.Revision(), d) || n.lacksCatalog.Lasts(now, version, d)
 }
 
 // noteListAge logs when the list becomes too old to choose from, and when it is recent enough again.
--- a/internal/edge/listage_test.go
+++ b/internal/edge/listage_test.go
@@ -130,7 +130,7 @@
 	t.Run("one that never comes", func(t *testing.T) {
 		n, clock := away(t)
 		n.catchUp(t.Context(), later(n))
-		clock.Advance(maxLack + 2*time.Second)
+		clock.Advance(7 * time.Second)
 		assertCurrent(t, true, n)
 	})
 }
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -41,6 +41,7 @@
 	"spurhall.example/spurhall/internal/forward"
 	"spurhall.example/spurhall/internal/lag"
 	"spurhall.example/spurhall/internal/lease"
+	"spurhall.example/spurhall/internal/lineage"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/quarantine"
 	"spurhall.example/spurhall/internal/quota"
@@ -100,7 +101,7 @@
 	uplink     *uplink.Uplink
 	lines      *forward.Connections
 	front      *forward.Server
-	streams    *streamKeeper
+	streams    *lineage.Keeper
 	quarantine *quarantine.Tracker // tracks requests that crash upstreams
 	lease      *lease.Lease
 
@@ -150,12 +151,13 @@
 	sendersSetAt      time.Time         // when the nodes that share limits were last determined
 	startWatchers     []string          // nodes that read the store for this hall while the whole system starts
 
-	peerListChange   int64         // newest change of the upstream list that a peer has reported
-	lacksList        lack          // of what other nodes' lists have
-	lacksCatalog     lack          // of what other nodes' configurations have
-	behindSince      time.Time     // since when this node lacks that change; zero: it doesn't
-	loggedSuspension time.Duration // total suspension of the VM at the last log line
-	selfWatchUntil   time.Time     // until when this node watches the store regardless of its role
+	peerListChange   int64           // newest change of the upstream list that a peer has reported
+	mixedServices    map[string]bool // services that had several versions when the list last changed
+	lacksList        follow.Lack     // of what other nodes' lists have
+	lacksCatalog     follow.Lack     // of what other nodes' configurations have
+	behindSince      time.Time       // since when this node lacks that change; zero: it doesn't
+	loggedSuspension time.Duration   // total suspension of the VM at the last log line
+	selfWatchUntil   time.Time       // until when this node watches the store regardless of its role
 	rollouts         rollouts
 }
 
@@ -175,7 +177,7 @@
 // New returns a node that isn't started.
 func New(o Options) *Node {
 	s := o.Settings
-	n := &Node{options: o, settings: s, clock: o.Clock, log: o.Log, start: o.Clock.Now(), initialized: make(chan struct{}), retryWindows: make(map[string]*retry.Window)}
+	n := &Node{options: o, settings: s, clock: o.Clock, log: o.Log, start: o.Clock.Now(), initialized: make(chan struct{}), retryWindows: make(map[string]*retry.Window), mixedServices: make(map[string]bool)}
 	n.lag = lag.New(o.Clock, o.Log)
 	n.pools = pool.New(o.Clock, s.Node, s.Hall)
 	n.pools.SetSenders(nil, nil) // until the other nodes are known
@@ -187,7 +189,7 @@
 	n.registry = roster.NewRegistry()
 	n.aggregator = relay.NewAggregator(s.Node, o.Incarnation)
 	n.quarantine = quarantine.NewTracker(s.Node)
-	n.streams = newStreamKeeper()
+	n.streams = n.newStreamKeeper()
 	n.rollouts = newRollouts()
 	n.catalogFollower = n.newCatalogFollower()
 	n.listFollower = n.newListFollower()
@@ -204,7 +206,7 @@
 		Clock: o.Clock, Log: o.Log, Dialect: o.Dialect, Pools: n.pools, Connections: n.lines, Ready: n.initialized, Catalog: n.currentCatalog,
 		ListAge: n.listAge, Place: n.placeByRelay, Charge: n.charge, Refund: n.refund, CountStarted: n.countStarted, RecordFirstAttempt: n.countFirstAttempt, AllowRetry: n.allowRetry, ObserveResponse: n.observeResponse, Phase: n.stopPhase, Quarantine: n.quarantine, HallReachable: n.reachesHall,
 		Trials:  forward.Trials{Offer: n.offerTrial, Return: n.returnOffer, Record: n.recordResponse},
-		Lineage: forward.Lineage{Tell: n.tellStream, Find: n.findStream},
+		Lineage: forward.Lineage{Tell: n.streams.Tell, Find: n.streams.Find},
 	})
 	return n
 }
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -365,7 +365,7 @@
 		have = c.Version()
 	}
 	n.mu.Lock()
-	n.lacksCatalog.hear(n.clock.Now(), r.CatalogVersion, have)
+	n.lacksCatalog.Hear(n.clock.Now(), r.CatalogVersion, have)
 	n.mu.Unlock()
 	stale := !n.guard.Up() && r.StoreUp && r.ListRevision > n.pools.Revision()
 	if r.CatalogVersion <= have && !stale {
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -187,7 +187,7 @@
 	now := n.clock.Now()
 	n.peerListChange = max(n.peerListChange, change)
 	have := n.pools.Revision()
-	n.lacksList.hear(now, change, have)
+	n.lacksList.Hear(now, change, have)
 	switch {
 	case have >= n.peerListChange:
 		n.behindSince = time.Time{}
--- a/internal/follow/confirmation.go
+++ b/internal/follow/confirmation.go
@@ -38,3 +38,40 @@
 func ConfirmedAt(sent time.Time, a *wire.FollowResponse) time.Time {
 	return sent.Add(time.Duration(a.HeldMs-a.LateMs) * time.Millisecond)
 }
+
+// maxAgeShare is the part of the time for which a leaving upstream gets requests up to which a list may be behind. The
+// rest is for the way of the news to the watchers, which wait for several changes at a time, and for the request's way to
+// the upstream.
+const maxAgeShare = 0.6
+
+// MaxAge returns how old a list may be that is chosen from, where a leaving upstream gets requests for a time at most; 0:
+// there is no bound.
+func MaxAge(drain time.Duration) time.Duration {
+	return time.Duration(maxAgeShare * float64(drain))
+}
+
+// Lack is a change that other nodes have and this one doesn't. Its zero value is none. It isn't safe for concurrent use.
+type Lack struct {
+	newest int64     // that a peer has reported: a revision or version
+	since  time.Time // when this node first lacked it; zero: it didn't
+}
+
+// maxLack is how long a change that others have makes a node refuse requests. One that still doesn't arrive may not exist.
+const maxLack = 5 * time.Second
+
+// Hear records what a peer has, where this node has what have says.
+func (l *Lack) Hear(now time.Time, newest, have int64) {
+	l.newest = max(l.newest, newest)
+	switch {
+	case have >= l.newest:
+		l.since = time.Time{}
+	case l.since.IsZero():
+		l.since = now
+	}
+}
+
+// Lasts reports whether the node has lacked the change for longer than d, and not for too long to believe in it.
+func (l *Lack) Lasts(now time.Time, have int64, d time.Duration) bool {
+	t := now.Sub(l.since)
+	return !l.since.IsZero() && have < l.newest && t > d && t <= d+maxLack
+}
--- /dev/null
+++ b/internal/lineage/keeper.go
@@ -0,0 +1,193 @@
+package lineage
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"time"
+
+	"go.uber.org/zap"
+
+	"spurhall.example/spurhall/internal/timer"
+)
+
+// This file tells other nodes which version began a stream, and asks them.
+
+const (
+	// maxUntold bounds the records that wait to be told: some seconds of a node's streams.
+	maxUntold = 4096
+	// tellDelay is how long a record waits for others to the same nodes. A node that ends meanwhile takes it along.
+	tellDelay   = 30 * time.Millisecond
+	tellTimeout = 400 * time.Millisecond
+	tellTries   = 2
+	// findTimeout bounds the wait for the nodes that are asked: some ten round trips.
+	findTimeout = 250 * time.Millisecond
+	// findTries is how often they are asked: a stream that has just begun may not have been told yet.
+	findTries = 2
+	// MaxTime bounds for how long a stream is remembered that another node tells of.
+	MaxTime = 10 * time.Minute
+)
+
+// Options configures a keeper. All fields are required.
+type Options struct {
+	Clock *timer.Service
+	Log   *zap.Logger
+	Node  string // name of this node
+	// Nodes returns the nodes that may keep records, this one included.
+	Nodes func() []Node
+	// Tell tells another node of streams.
+	Tell func(ctx context.Context, node string, list []Record) error
+	// Ask asks another node for a stream.
+	Ask func(ctx context.Context, node string, k Key) (version string, known bool, err error)
+}
+
+// Keeper is what a node remembers of streams, and what it has to tell. It is safe for concurrent use.
+type Keeper struct {
+	o      Options
+	book   *Book
+	untold chan Record
+}
+
+// NewKeeper returns a keeper that knows of no stream.
+func NewKeeper(o Options) *Keeper {
+	return &Keeper{o: o, book: NewBook(), untold: make(chan Record, maxUntold)}
+}
+
+// Tell remembers a stream and has it told to its keepers.
+func (k *Keeper) Tell(r Record) {
+	k.book.Add(k.o.Clock.Now(), r)
+	select {
+	case k.untold <- r:
+	default:
+		events.Add("untold", 1)
+	}
+}
+
+// Hear remembers streams that another node began.
+func (k *Keeper) Hear(list []Record) {
+	now := k.o.Clock.Now()
+	for _, r := range list {
+		if r.Left > 0 && r.Left <= MaxTime {
+			k.book.Add(now, r)
+		}
+	}
+}
+
+// Version returns the version that began a stream, if this node knows it.
+func (k *Keeper) Version(x Key) (version string, known bool) {
+	return k.book.Version(k.o.Clock.Now(), x)
+}
+
+// Run tells other nodes of streams until the context ends.
+func (k *Keeper) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case r := <-k.untold:
+			if k.o.Clock.Sleep(ctx, tellDelay) != nil {
+				return
+			}
+			k.tellAll(ctx, k.take(r))
+		}
+	}
+}
+
+// take returns a record and those that wait behind it.
+func (k *Keeper) take(r Record) []Record {
+	list := []Record{r}
+	for {
+		select {
+		case r := <-k.untold:
+			list = append(list, r)
+		default:
+			return list
+		}
+	}
+}
+
+func (k *Keeper) tellAll(ctx context.Context, list []Record) {
+	nodes := k.o.Nodes()
+	byNode := make(map[string][]Record)
+	for _, r := range list {
+		for _, name := range Told(r.Key, nodes) {
+			if name != k.o.Node {
+				byNode[name] = append(byNode[name], r)
+			}
+		}
+	}
+	for name, l := range byNode {
+		go k.tell(ctx, name, l) // bounded by its time-outs
+	}
+}
+
+func (k *Keeper) tell(ctx context.Context, node string, list []Record) {
+	var err error
+	for range tellTries {
+		c, cancel := context.WithTimeout(ctx, tellTimeout)
+		err = k.o.Tell(c, node, list)
+		cancel()
+		if err == nil {
+			events.Add("told", int64(len(list)))
+			return
+		}
+	}
+	events.Add("untold", int64(len(list)))
+	k.o.Log.Info("streams_untold", zap.String("peer", node), zap.Int("streams", len(list)), zap.String("cause", err.Error()))
+}
+
+// Find returns the version that began a stream, if this node or one of the stream's keepers knows it.
+func (k *Keeper) Find(ctx context.Context, x Key) (version string, known bool) {
+	if v, ok := k.Version(x); ok {
+		return v, true
+	}
+	c, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	for range findTries {
+		if v, ok := k.ask(c, x); ok {
+			events.Add("found", 1)
+			return v, true
+		}
+		if k.o.Clock.Sleep(c, 2*tellDelay) != nil {
+			break
+		}
+	}
+	events.Add("not_found", 1)
+	return "", false
+}
+
+// answer is what a node said that was asked.
+type answer struct {
+	version string
+	known   bool
+}
+
+// ask asks the nodes that should know a stream.
+func (k *Keeper) ask(c context.Context, x Key) (version string, known bool) {
+	names := Asked(x, k.o.Nodes())
+	answers := make(chan answer, len(names))
+	asked := 0
+	for _, name := range names {
+		if name == k.o.Node {
+			continue
+		}
+		asked++
+		go func() { answers <- k.askNode(c, name, x) }()
+	}
+	for range asked {
+		if a := <-answers; a.known {
+			return a.version, true
+		}
+	}
+	return k.Version(x) // this node may have been told meanwhile
+}
+
+func (k *Keeper) askNode(c context.Context, name string, x Key) answer {
+	v, known, err := k.o.Ask(c, name, x)
+	if err != nil && !errors.Is(context.Cause(c), context.Canceled) { // another one has answered
+		k.o.Log.Info("find_failed", zap.String("peer", name), zap.String("cause", err.Error()))
+	}
+	return answer{v, known && err == nil}
+}
+
+var events = expvar.NewMap("streams")
--- /dev/null
+++ b/internal/message/streams.go
@@ -0,0 +1,28 @@
+package message
+
+import (
+	"time"
+
+	"spurhall.example/spurhall/internal/lineage"
+	"spurhall.example/spurhall/internal/wire"
+)
+
+// StreamsToWire converts which versions began streams.
+func StreamsToWire(list []lineage.Record) []*wire.StreamRecord {
+	m := make([]*wire.StreamRecord, 0, len(list))
+	for _, r := range list {
+		m = append(m, &wire.StreamRecord{Key: uint64(r.Key), Version: r.Version, LeftMs: r.Left.Milliseconds()})
+	}
+	return m
+}
+
+// StreamsFromWire is the inverse of StreamsToWire. Times that no stream has are left out.
+func StreamsFromWire(m []*wire.StreamRecord) []lineage.Record {
+	list := make([]lineage.Record, 0, len(m))
+	for _, v := range m {
+		if v.GetLeftMs() > 0 && v.GetLeftMs() <= lineage.MaxTime.Milliseconds() {
+			list = append(list, lineage.Record{Key: lineage.Key(v.Key), Version: v.Version, Left: time.Duration(v.LeftMs) * time.Millisecond})
+		}
+	}
+	return list
+}
