--- a/internal/lineage/lineage.go
+++ b/internal/lineage/lineage.go
@@ -134,26 +134,58 @@
 func Asked(k Key, nodes []Node) []string { return keepers(k, nodes, askedPerHall) }
 
 func keepers(k Key, nodes []Node, perHall int) []string {
-	weight := func(s string) uint64 {
-		d := xxhash.NewWithSeed(uint64(k))
-		_, _ = d.WriteString(s) // never fails
-		return d.Sum64()
-	}
-	byHall := make(map[string][]string)
-	var halls []string
+	halls := top{most: keeperHalls}
 	for _, n := range nodes {
-		if byHall[n.Hall] == nil {
-			halls = append(halls, n.Hall)
-		}
-		byHall[n.Hall] = append(byHall[n.Hall], n.Name)
-	}
-	first := func(list []string, n int) []string {
-		slices.SortFunc(list, func(a, b string) int { return cmp.Or(cmp.Compare(weight(a), weight(b)), cmp.Compare(a, b)) })
-		return list[:min(n, len(list))]
+		halls.add(n.Hall, k)
 	}
 	var list []string
-	for _, h := range first(halls, keeperHalls) {
-		list = append(list, first(byHall[h], perHall)...)
+	for _, h := range halls.list {
+		t := top{most: perHall}
+		for _, n := range nodes {
+			if n.Hall == h.name {
+				t.add(n.Name, k)
+			}
+		}
+		for _, n := range t.list {
+			list = append(list, n.name)
+		}
 	}
 	return list
 }
+
+// top holds the names of the lowest weights for a key, lowest first.
+type top struct {
+	most int
+	list []weighted
+}
+
+type weighted struct {
+	name   string
+	weight uint64
+}
+
+// add adds a name, unless it is there.
+func (t *top) add(name string, k Key) {
+	v := weighted{name, weight(name, k)}
+	i := len(t.list)
+	for i > 0 && v.less(t.list[i-1]) {
+		i--
+	}
+	if i > 0 && t.list[i-1] == v || i == t.most {
+		return
+	}
+	t.list = slices.Insert(t.list, i, v)
+	t.list = t.list[:min(len(t.list), t.most)]
+}
+
+func (v weighted) less(o weighted) bool {
+	return cmp.Or(cmp.Compare(v.weight, o.weight), cmp.Compare(v.name, o.name)) < 0
+}
+
+// weight returns a number that looks drawn anew for each name and key (the last step of splitmix64).
+func weight(name string, k Key) uint64 {
+	x := xxhash.Sum64String(name) ^ uint64(k)
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
