--- a/internal/edge/compress_test.go
+++ b/internal/edge/compress_test.go
@@ -21,8 +21,8 @@
 // newChangedWatcher returns a node that watches, and the request of a follower that lacks a number of changes.
 func newChangedWatcher(tb testing.TB, changes int) (*Node, *wire.FollowRequest) {
 	n, _ := newScaleNode(tb, 2, 10_000)
-	n.catalogFollower.connected.Store(true)
-	n.listFollower.connected.Store(true)
+	n.catalogFollower.MarkConnected()
+	n.listFollower.MarkConnected()
 	before, _ := n.changes.Subscribe()
 	for i := range changes {
 		putItem(n, leavingItem(i, int64(20_000+i)))
--- a/internal/edge/era.go
+++ b/internal/edge/era.go
@@ -37,8 +37,8 @@
 	now := n.clock.Now()
 	n.storeRestoredAt.Store(&now)
 	n.lease.Forget()
-	n.catalogFollower.restart()
-	n.listFollower.restart()
+	n.catalogFollower.Restart()
+	n.listFollower.Restart()
 }
 
 // mergeEra applies the era of a revision that a peer has reported: this node may not reach the store itself.
@@ -55,7 +55,7 @@
 	missing, upstreams := n.pools.Missing()
 	_, holder := n.lease.Token()
 	r := &wire.StoreResponse{
-		Node: n.settings.Node, Era: n.era.Current(), Revision: era.Number(n.pools.Revision()), Watching: n.listFollower.connected.Load(),
+		Node: n.settings.Node, Era: n.era.Current(), Revision: era.Number(n.pools.Revision()), Watching: n.listFollower.Connected(),
 		Holder: holder, Upstreams: int64(upstreams),
 	}
 	if t := n.storeRestoredAt.Load(); t != nil {
--- a/internal/edge/era_test.go
+++ b/internal/edge/era_test.go
@@ -11,6 +11,7 @@
 
 	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/era"
+	"spurhall.example/spurhall/internal/follow"
 	"spurhall.example/spurhall/internal/handover"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/quarantine"
@@ -129,16 +130,29 @@
 // the watch's wait, up to 6 s later.
 func TestWatchesRestartOnEraRise(t *testing.T) {
 	n := newEraNode(t).Node
-	n.listFollower, n.catalogFollower = &follower{n: n}, &follower{n: n}
-	startWatch := func(f *follower) context.Context {
-		c, stop := context.WithCancelCause(t.Context())
-		f.setCancel(stop)
-		return c
+	watches := make(chan context.Context, 2)
+	n.kv.Range = func(context.Context, string, string) (store.RangeResult, error) { return store.RangeResult{}, nil }
+	n.kv.Watch = func(ctx context.Context, _ store.Span, _ func(store.WatchBatch) error) error {
+		watches <- ctx
+		<-ctx.Done()
+		return ctx.Err()
 	}
-	list, catalog := startWatch(n.listFollower), startWatch(n.catalogFollower)
+	newReader := func() *follow.Reader {
+		return follow.NewReader(follow.ReaderOptions{
+			Clock: n.clock, Log: zap.NewNop(), KV: func() store.KV { return n.kv }, ApplySnapshot: func(store.RangeResult) {}, OnConnected: func() {},
+		})
+	}
+	n.listFollower, n.catalogFollower = newReader(), newReader()
+	ended := make(chan error, 2)
+	for _, r := range []*follow.Reader{n.listFollower, n.catalogFollower} {
+		go func() { ended <- r.ReadAndWatch(t.Context()) }()
+	}
+	list, catalog := <-watches, <-watches
 	n.onEraRise(era.Rise{From: 1, To: 2})
-	assert.ErrorIs(t, context.Cause(list), errBehind)
-	assert.ErrorIs(t, context.Cause(catalog), errBehind)
+	assert.ErrorIs(t, context.Cause(list), follow.ErrBehind)
+	assert.ErrorIs(t, context.Cause(catalog), follow.ErrBehind)
+	assert.ErrorIs(t, <-ended, follow.ErrBehind)
+	assert.ErrorIs(t, <-ended, follow.ErrBehind)
 }
 
 // TestDoubtfulWindows checks that the first holder in an era doubts the windows that ended before its term,
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -22,7 +22,7 @@
 func (n *Node) newSource() *follow.Source {
 	return &follow.Source{
 		Incarnation: n.options.Incarnation, Clock: n.clock, Pools: n.pools, Changes: n.changes, Registry: n.registry,
-		Watching: func() bool { return n.catalogFollower.connected.Load() && n.listFollower.connected.Load() },
+		Watching: func() bool { return n.catalogFollower.Connected() && n.listFollower.Connected() },
 		Starting: func() bool { return n.isStarting() && n.mustWatch() },
 		Late:     n.lag.Late,
 		Catalog: func() ([]byte, int64) {
--- a/internal/edge/follow_test.go
+++ b/internal/edge/follow_test.go
@@ -20,8 +20,8 @@
 func newWatchingNode(t *testing.T, incarnation string, upstreams int) *Node {
 	n, _ := newScaleNode(t, 3, upstreams)
 	n.source.Incarnation = incarnation
-	n.catalogFollower.connected.Store(true)
-	n.listFollower.connected.Store(true)
+	n.catalogFollower.MarkConnected()
+	n.listFollower.MarkConnected()
 	return n
 }
 
@@ -349,7 +349,7 @@
 // it is answered once it has, and not told again and again that there is no news.
 func TestFollowersWaitForAStartingWatcher(t *testing.T) {
 	w := newWatchingNode(t, "w", 10)
-	w.listFollower.connected.Store(false)
+	w.listFollower.Disconnect()
 	w.listed.Store(false)
 	w.holdsSeat.Store(true)
 	answers := make(chan *wire.FollowResponse, 1)
@@ -364,12 +364,12 @@
 	case <-time.After(50 * time.Millisecond):
 	}
 	w.listed.Store(true)
-	w.listFollower.markRegained()
+	w.listFollower.MarkConnected()
 	a := <-answers
 	assert.True(t, a.Watching)
 	assert.Len(t, a.List, 10)
 	t.Run("one that watches no longer says so at once", func(t *testing.T) {
-		w.listFollower.connected.Store(false)
+		w.listFollower.Disconnect()
 		a, err := w.source.Await(t.Context(), follow.NewPosition(false).Request(1, 0))
 		assert.NoError(t, err)
 		assert.False(t, a.Watching)
--- a/internal/edge/listage.go
+++ b/internal/edge/listage.go
@@ -22,7 +22,7 @@
 // listAge returns how old this node's list may be, and whether it is recent enough.
 func (n *Node) listAge() (age time.Duration, current bool) {
 	now := n.clock.Now()
-	if n.listFollower.connected.Load() {
+	if n.listFollower.Connected() {
 		n.confirmed.Confirm(now.Add(-n.lag.Late()))
 	}
 	age = n.confirmed.Age(now)
@@ -35,7 +35,7 @@
 // storeIsAway reports whether the store can't be read, as far as this node has tried, or the watchers say.
 func (n *Node) storeIsAway(now time.Time) bool {
 	at := n.noNewsAt.Load()
-	return n.listFollower.lost.Load() || at != nil && now.Sub(*at) < noNewsTTL
+	return n.listFollower.Lost() || at != nil && now.Sub(*at) < noNewsTTL
 }
 
 // knowsItselfBehind reports whether other nodes have had a later list or configuration for longer than d.
--- a/internal/edge/listage_test.go
+++ b/internal/edge/listage_test.go
@@ -81,12 +81,12 @@
 	t.Run("this node has lost the store", func(t *testing.T) {
 		n, clock := newAgingNode(t)
 		clock.Advance(time.Minute)
-		n.listFollower.markLost(errors.New("no answer"))
+		n.listFollower.MarkLost(errors.New("no answer"))
 		assertCurrent(t, true, n)
 	})
 	t.Run("a watcher's own list", func(t *testing.T) {
 		n, clock := newAgingNode(t)
-		n.listFollower.connected.Store(true)
+		n.listFollower.MarkConnected()
 		clock.Advance(time.Minute)
 		assertCurrent(t, true, n)
 	})
@@ -106,7 +106,7 @@
 func TestNodeServesByLessThanOtherNodesHave(t *testing.T) {
 	away := func(t *testing.T) (*Node, *timer.Manual) {
 		n, clock := newAgingNode(t)
-		n.listFollower.markLost(errors.New("no answer"))
+		n.listFollower.MarkLost(errors.New("no answer"))
 		return n, clock
 	}
 	later := func(n *Node) *wire.NodeReport {
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"spurhall.example/spurhall/internal/follow"
 	"spurhall.example/spurhall/internal/pair"
 	"spurhall.example/spurhall/internal/registration"
 	"spurhall.example/spurhall/internal/roster"
@@ -43,7 +44,7 @@
 		n.awaitMembers(ctx)
 	}
 	for !n.hasReadRegistry() && n.readRegistry(ctx, exact) != nil {
-		if n.clock.Sleep(ctx, storeRetryPause) != nil {
+		if n.clock.Sleep(ctx, follow.RetryPause) != nil {
 			return
 		}
 	}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -105,9 +105,9 @@
 	quarantine *quarantine.Tracker // tracks requests that crash upstreams
 	lease      *lease.Lease
 
-	catalogFollower   *follower
-	listFollower      *follower
-	unreadableEntries unreadableEntries
+	catalogFollower   *follow.Reader
+	listFollower      *follow.Reader
+	unreadableEntries follow.Unreadable
 	unknownNames      unknownNames
 	changes           *changelog.Log
 	source            *follow.Source // what this node has for its followers
@@ -193,7 +193,7 @@
 	n.rollouts = newRollouts()
 	n.catalogFollower = n.newCatalogFollower()
 	n.listFollower = n.newListFollower()
-	n.unreadableEntries = make(unreadableEntries)
+	n.unreadableEntries = make(follow.Unreadable)
 	n.changes = changelog.New()
 	n.source, n.follower = n.newSource(), n.newFollower()
 	reads, writes := n.storeRates()
--- a/internal/edge/relayscale_test.go
+++ b/internal/edge/relayscale_test.go
@@ -76,8 +76,8 @@
 	}
 	for _, upstreams := range []int{2000, 10_000} {
 		n, _ := newScaleNode(b, 2, upstreams)
-		n.catalogFollower.connected.Store(true)
-		n.listFollower.connected.Store(true)
+		n.catalogFollower.MarkConnected()
+		n.listFollower.MarkConnected()
 		b.Run(fmt.Sprintf("changes sent/500 of %d upstreams", upstreams), func(b *testing.B) {
 			before, _ := n.changes.Subscribe()
 			for i := range 500 {
--- a/internal/edge/watch_test.go
+++ b/internal/edge/watch_test.go
@@ -59,7 +59,7 @@
 		return f(changesOf(2+responses*cut, 3))
 	}
 	ended := make(chan error)
-	go func() { ended <- n.listFollower.readAndWatch(t.Context()) }()
+	go func() { ended <- n.listFollower.ReadAndWatch(t.Context()) }()
 	select {
 	case <-paused:
 	case <-time.After(time.Minute):
@@ -99,13 +99,13 @@
 				return pool.Entry{ID: key, Service: "s", Address: "x"}, nil
 			}
 			n.listFollower, n.catalogFollower = n.newListFollower(), n.newCatalogFollower()
-			n.listFollower.applySnapshot(store.RangeResult{Revision: 1, Pairs: []store.Pair{{Key: "up/u", Modified: 1}}})
-			n.listFollower.markLost(store.ErrUnavailable)
+			n.applyListSnapshot(store.RangeResult{Revision: 1, Pairs: []store.Pair{{Key: "up/u", Modified: 1}}})
+			n.listFollower.MarkLost(store.ErrUnavailable)
 			c.Advance(8 * time.Second)
 			if v.followed {
 				n.markStoreAvailable()
 			}
-			n.listFollower.applySnapshot(store.RangeResult{Revision: 2})
+			n.applyListSnapshot(store.RangeResult{Revision: 2})
 			assert.Len(t, n.pools.Items(), v.remaining)
 		})
 	}
--- a/internal/edge/watchers.go
+++ b/internal/edge/watchers.go
@@ -158,7 +158,7 @@
 	for ctx.Err() == nil {
 		if n.mustWatch() {
 			n.log.Info("watching", zap.Strings("watchers", n.watchers()))
-			n.runWhile(ctx, n.mustWatch, n.catalogFollower.run, n.listFollower.run)
+			n.runWhile(ctx, n.mustWatch, n.catalogFollower.Run, n.listFollower.Run)
 		} else {
 			n.runWhile(ctx, func() bool { return !n.mustWatch() }, n.followWatchers)
 		}
