The soak plays two software versions and callers that take streams up elsewhere

A caller whose stream breaks off takes it up at the next daemon, up to four times, by Resumes and Last-Event-Id. Two checks: more than two streams with events of both versions; at daemons in touch, less than half as large a share of streams taken up goes on as of new ones begins (from 12 on).

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -52,7 +52,7 @@
 		if c.clock.Sleep(ctx, began.Add(v.At).Sub(c.clock.Now())) != nil {
 			break
 		}
-		w.Go(func() { c.note(c.call(v, fmt.Sprintf("%s-%d", prefix, i))) })
+		w.Go(func() { c.callAndTakeUp(ctx, v, fmt.Sprintf("%s-%d", prefix, i)) })
 	}
 	w.Wait()
 }
@@ -70,7 +70,31 @@
 	return append([]Reply(nil), c.replies...)
 }
 
-func (c *callers) call(v Call, id string) Reply {
+const (
+	takeUps    = 4                      // attempts at taking a stream up
+	takeUpWait = 220 * time.Millisecond // between two of them, which is more than a refusal asks for
+)
+
+// callAndTakeUp sends a request, and takes its stream up at other daemons while it breaks off and there is time.
+func (c *callers) callAndTakeUp(ctx context.Context, v Call, id string) {
+	began := c.clock.Now()
+	r := c.call(v, id, callWait)
+	c.note(r)
+	for i := 1; i <= takeUps && r.brokeOff() && ctx.Err() == nil; i++ {
+		left := callWait - c.clock.Since(began)
+		if left < takeUpWait {
+			return
+		}
+		v.Resumes, v.After, v.Daemon = r.streamID(), r.last(), (v.Daemon+1)%len(c.to)
+		r = c.call(v, fmt.Sprintf("%s-again-%d", id, i), left)
+		c.note(r)
+		if !r.good() && c.clock.Sleep(ctx, takeUpWait) != nil {
+			return
+		}
+	}
+}
+
+func (c *callers) call(v Call, id string, wait time.Duration) Reply {
 	r := Reply{Call: v, ID: id, Sent: c.clock.Wall()}
 	ctx, cancel := context.WithTimeout(context.Background(), callGiveUp)
 	defer cancel()
@@ -79,7 +103,7 @@
 	h, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.to[v.Daemon]+"/"+string(v.Route)+"/x", io.NopCloser(strings.NewReader("ask "+id)))
 	if err == nil {
 		h.ContentLength = int64(len("ask " + id))
-		c.world.WriteCall(h, v, id, callWait)
+		c.world.WriteCall(h, v, id, wait)
 		err = c.exchange(h, v, &r)
 	}
 	if err != nil {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -127,11 +127,11 @@
 func Check(r Record) []Failure {
 	v := newView(r)
 	var list []Failure
-	for _, c := range []func(v *view) []Failure{checkWhole, checkOnce, checkNotRun, checkAttempts, checkDrains, checkConfig, checkKeys, checkQuota, checkRepeats, checkLimits, checkEgress, checkBrittle, checkEnds, checkStops, checkAnswered, checkLost} {
+	for _, c := range []func(v *view) []Failure{checkWhole, checkOnce, checkNotRun, checkAttempts, checkDrains, checkVersions, checkConfig, checkKeys, checkQuota, checkRepeats, checkLimits, checkEgress, checkBrittle, checkEnds, checkStops, checkAnswered, checkLost} {
 		list = append(list, c(v)...)
 	}
 	if r.Complete {
-		for _, c := range []func(v *view) []Failure{checkServed, checkUsage, checkLevels} {
+		for _, c := range []func(v *view) []Failure{checkServed, checkTakenUp, checkUsage, checkLevels} {
 			list = append(list, c(v)...)
 		}
 	}
--- a/internal/soak/check_answers.go
+++ b/internal/soak/check_answers.go
@@ -28,8 +28,8 @@
 			return ""
 		}
 		want := ""
-		for n := 1; n <= Pieces(r.ID); n++ {
-			want += Piece(r.ID, n)
+		for n := r.Call.After + 1; n <= Pieces(r.streamID()); n++ {
+			want += Piece(r.streamID(), n)
 		}
 		if r.Whole && r.Body != want {
 			return fmt.Sprintf("a stream that ends as whole: %q", r.Body)
--- a/internal/soak/day.go
+++ b/internal/soak/day.go
@@ -114,6 +114,9 @@
 	Route  Route
 	Key    KeyName
 	Size   int // tokens
+	// Of a stream that its caller takes up: the id of the attempt that brought its first event, and the last event.
+	Resumes string `json:"resumes,omitempty"`
+	After   int    `json:"after,omitempty"`
 }
 
 // Route is which route a call takes.
@@ -148,6 +151,7 @@
 	PerSecond float64       `json:"per_second"`
 	Traffic   time.Duration `json:"traffic"`
 	Faults    []Fault       `json:"faults"`
+	Mixed     bool          `json:"mixed,omitempty"` // engines are of two software versions, and slower
 }
 
 // Options bounds the days that are drawn.
@@ -183,6 +187,7 @@
 	d.Faults = append(d.Faults, d.drawLater(rand.New(rand.NewPCG(seed, 0xe9e5)), last)...)
 	d.Faults = append(d.Faults, d.drawPress(rand.New(rand.NewPCG(seed, 0x57e5)), d.Traffic-quietAfter)...)
 	d.Faults = append(d.Faults, d.drawStarve(rand.New(rand.NewPCG(seed, 0x51a4)), d.Traffic-quietAfter)...)
+	d.Mixed = rand.New(rand.NewPCG(seed, 0x3e75)).IntN(2) == 0
 	slices.SortStableFunc(d.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return d
 }
@@ -339,6 +344,26 @@
 // HallOf is the hall of a daemon or an upstream.
 func (d *Day) HallOf(i int) int { return i % d.Halls }
 
+const (
+	usualPace = 25 * time.Millisecond  // between two events of a stream
+	mixedPace = 100 * time.Millisecond // where callers are to take streams up
+)
+
+func (d *Day) pace() time.Duration {
+	if d.Mixed {
+		return mixedPace
+	}
+	return usualPace
+}
+
+// Version is the software version of an upstream. Each hall has engines of both.
+func (d *Day) Version(i int) string {
+	if d.Mixed && i < d.Engines && i/d.Halls%2 == 1 {
+		return "v1.1"
+	}
+	return "v1"
+}
+
 // Disturbed tells whether any fault is in force or was so lately.
 func (d *Day) Disturbed(from, to, lately time.Duration) bool {
 	return slices.ContainsFunc(d.Faults, func(f Fault) bool { return f.At <= to && f.End()+lately >= from })
--- a/internal/soak/event.go
+++ b/internal/soak/event.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"sync"
 	"time"
 )
@@ -35,6 +37,7 @@
 	After    string    `json:"after,omitempty"` // the stream event after which it goes on
 	Size     int       `json:"size,omitempty"`
 	Rate     float64   `json:"rate,omitempty"`
+	Version  string    `json:"version,omitempty"` // of the upstream's software
 }
 
 // Journal writes events as lines. It is safe for concurrent use.
@@ -105,6 +108,17 @@
 	Error   string    `json:"error,omitempty"`
 }
 
+// streamID is the id that a reply's stream goes by: of the attempt that brought its first event.
+func (r *Reply) streamID() string { return cmp.Or(r.Call.Resumes, r.ID) }
+
+// last is the last whole event of a stream that the caller has, of this attempt or one before.
+func (r *Reply) last() int { return r.Call.After + strings.Count(r.Body, "\n\n") }
+
+// brokeOff tells whether a stream that may be taken up has begun and isn't whole.
+func (r *Reply) brokeOff() bool {
+	return r.Call.Route == RouteResume && r.last() > 0 && r.last() < Pieces(r.streamID()) && !(r.good() && r.Whole)
+}
+
 // Pieces is how many events the stream of a request has.
 func Pieces(id string) int {
 	n := 0
--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -183,7 +183,7 @@
 	}
 	s.serving = append(s.serving, l)
 	v, err := NewProcess(s.clock, s.dir, upstreamName(i), p.Self, nil, "upstream", "--id", upstreamName(i), "--service", s.day.serviceOf(i), "--hall", hallName(s.day.HallOf(i)),
-		"--listen", listen, "--advertise", l.Address(), "--control", s.control(), "--journal", s.journal(i), "--beat", beatEvery.String(), "--leaves", drainServes.String())
+		"--listen", listen, "--advertise", l.Address(), "--control", s.control(), "--journal", s.journal(i), "--beat", beatEvery.String(), "--leaves", drainServes.String(), "--version", s.day.Version(i), "--pace", s.day.pace().String())
 	if err != nil {
 		return err
 	}
