--- /dev/null
+++ b/internal/lineage/keeper_test.go
@@ -0,0 +1,171 @@
+package lineage
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"go.uber.org/zap"
+
+	"spurhall.example/spurhall/internal/timer"
+)
+
+// keeperFleet is a fleet of keepers that call each other directly.
+type keeperFleet struct {
+	mu      sync.Mutex
+	nodes   []Node
+	keepers map[string]*Keeper
+	silent  map[string]bool // nodes that don't answer, or are of a build that knows no such call
+}
+
+var errSilent = errors.New("no answer")
+
+func newKeeperFleet(t *testing.T, halls, perHall int) *keeperFleet {
+	f := &keeperFleet{nodes: fleet(halls, perHall), keepers: make(map[string]*Keeper), silent: make(map[string]bool)}
+	for _, n := range f.nodes {
+		f.start(t, n.Name)
+	}
+	return f
+}
+
+// start starts a node that remembers nothing.
+func (f *keeperFleet) start(t *testing.T, name string) {
+	k := NewKeeper(Options{
+		Clock: timer.Real(), Log: zap.NewNop(), Node: name, Nodes: func() []Node { return f.nodes },
+		Tell: func(_ context.Context, node string, list []Record) error {
+			if f.isSilent(node) {
+				return errSilent
+			}
+			f.keeper(node).Hear(list)
+			return nil
+		},
+		Ask: func(_ context.Context, node string, x Key) (string, bool, error) {
+			if f.isSilent(node) {
+				return "", false, errSilent
+			}
+			v, known := f.keeper(node).Version(x)
+			return v, known, nil
+		},
+	})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.keepers[name] = k
+	go k.Run(t.Context())
+}
+
+func (f *keeperFleet) keeper(name string) *Keeper {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.keepers[name]
+}
+
+func (f *keeperFleet) isSilent(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.silent[name]
+}
+
+func (f *keeperFleet) setSilent(names ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range names {
+		f.silent[n] = true
+	}
+}
+
+// begin lets a node begin a stream, and waits until it is told.
+func (f *keeperFleet) begin(t *testing.T, node string, k Key) {
+	t.Helper()
+	f.keeper(node).Tell(Record{k, "v1.1", 15 * time.Second})
+	assert.Eventually(t, func() bool {
+		for _, n := range Told(k, f.nodes) {
+			if _, known := f.keeper(n).Version(k); !known && !f.isSilent(n) {
+				return false
+			}
+		}
+		return true
+	}, 10*time.Second, time.Millisecond)
+}
+
+// assertFound checks what a node finds of a stream.
+func (f *keeperFleet) assertFound(t *testing.T, want bool, node string, k Key) {
+	t.Helper()
+	began := time.Now()
+	v, known := f.keeper(node).Find(t.Context(), k)
+	assert.Equal(t, want, known)
+	if known {
+		assert.Equal(t, "v1.1", v)
+	}
+	assert.Less(t, time.Since(began), 2*time.Second, "callers wait for it")
+}
+
+func TestStreamsAreFound(t *testing.T) {
+	k := KeyOf("w", "r")
+	other := func(f *keeperFleet, not ...string) string {
+		for _, n := range f.nodes {
+			if n.Name != "n0-0" && !contains(not, n.Name) {
+				return n.Name
+			}
+		}
+		return ""
+	}
+	t.Run("at any node", func(t *testing.T) {
+		f := newKeeperFleet(t, 3, 4)
+		f.begin(t, "n0-0", k)
+		for _, n := range f.nodes {
+			f.assertFound(t, true, n.Name, k)
+		}
+	})
+	t.Run("after the node that began it and a keeper have ended", func(t *testing.T) {
+		f := newKeeperFleet(t, 3, 4)
+		f.begin(t, "n0-0", k)
+		f.setSilent("n0-0", Told(k, f.nodes)[0])
+		f.assertFound(t, true, other(f, Told(k, f.nodes)...), k)
+	})
+	t.Run("by a node that has just started, and after a keeper has", func(t *testing.T) {
+		f := newKeeperFleet(t, 3, 4)
+		f.begin(t, "n0-0", k)
+		f.start(t, Told(k, f.nodes)[0])
+		f.start(t, other(f, Told(k, f.nodes)...))
+		f.assertFound(t, true, other(f, Told(k, f.nodes)...), k)
+	})
+	t.Run("not by a node that is cut off from all others", func(t *testing.T) {
+		f := newKeeperFleet(t, 3, 4)
+		f.begin(t, "n0-0", k)
+		n := other(f, Told(k, f.nodes)...)
+		for _, o := range f.nodes {
+			if o.Name != n {
+				f.setSilent(o.Name)
+			}
+		}
+		f.assertFound(t, false, n, k)
+	})
+	t.Run("not after both keepers have started anew", func(t *testing.T) {
+		f := newKeeperFleet(t, 3, 4)
+		f.begin(t, "n0-0", k)
+		for _, n := range Told(k, f.nodes) {
+			f.start(t, n)
+		}
+		f.setSilent("n0-0")
+		f.assertFound(t, false, other(f, Told(k, f.nodes)...), k)
+	})
+	t.Run("unless it is of another build that knows no such call", func(t *testing.T) {
+		f := newKeeperFleet(t, 2, 1)
+		f.setSilent("n1-0")
+		f.keeper("n0-0").Tell(Record{k, "v1.1", time.Second})
+		f.assertFound(t, true, "n0-0", k)
+		f.assertFound(t, false, "n0-0", KeyOf("w", "begun by the other build"))
+	})
+	t.Run("a caller that leaves ends the search", func(t *testing.T) {
+		f := newKeeperFleet(t, 2, 1)
+		c, cancel := context.WithCancel(t.Context())
+		cancel()
+		_, known := f.keeper("n0-0").Find(c, KeyOf("w", "x"))
+		assert.False(t, known)
+	})
+}
+
+func contains(list []string, s string) bool { return len(common(list, []string{s})) > 0 }
--- /dev/null
+++ b/internal/pool/lineage_test.go
@@ -0,0 +1,79 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"spurhall.example/spurhall/internal/timer"
+)
+
+// newVersions returns pools with an upstream of v1, listed first, and one of v2.
+func newVersions(t *testing.T) (*Pools, *timer.Manual) {
+	t.Helper()
+	c := timer.NewManual(time.Unix(1000, 0))
+	p := New(c.Service(), "n", "h")
+	put := func(revision int64, id, version string) {
+		p.Update(func(l *List) {
+			l.Put(Item{Revision: revision, Entry: Entry{ID: id, Service: "s", Address: id, Hall: "h", Version: version, Slots: 8}})
+		})
+	}
+	put(1, "a", "v1")
+	put(2, "b", "v2")
+	return p, c
+}
+
+func TestPickOfAVersion(t *testing.T) {
+	picked := func(p *Pools, version string) string {
+		u := p.Pick(Request{Service: "s", Version: version})
+		if u == nil {
+			return ""
+		}
+		u.End(ResultGood)
+		return u.Entry().ID
+	}
+	t.Run("while both serve", func(t *testing.T) {
+		p, c := newVersions(t)
+		c.Advance(versionGrace)
+		for range 10 {
+			assert.Equal(t, "a", picked(p, "v1"))
+			assert.Equal(t, "b", picked(p, "v2"))
+		}
+	})
+	t.Run("in a roll-out to the other", func(t *testing.T) {
+		p, _ := newVersions(t)
+		p.SetSplit("s", Split{Target: "v2", ToTarget: true})
+		assert.Equal(t, "a", picked(p, "v1"))
+	})
+	t.Run("on trial", func(t *testing.T) {
+		p, _ := newVersions(t)
+		p.SetSplit("s", Split{Target: "v2", TrialUpstreams: 1})
+		assert.Equal(t, "b", picked(p, "v2"))
+	})
+	t.Run("after a roll-out was taken back", func(t *testing.T) {
+		p, _ := newVersions(t)
+		p.SetSplit("s", Split{Barred: map[string]bool{"v2": true}})
+		assert.Empty(t, picked(p, "v2"))
+	})
+	t.Run("of which there is none", func(t *testing.T) {
+		p, _ := newVersions(t)
+		assert.Empty(t, picked(p, "v3"))
+	})
+}
+
+func TestStreamVersions(t *testing.T) {
+	p, c := newVersions(t)
+	known, used := p.StreamVersions("s", time.Minute)
+	assert.Equal(t, []string{"v1", "v2"}, known)
+	assert.Equal(t, []string{"v1"}, used, "the new one gets no requests yet")
+	c.Advance(versionGrace)
+	_, used = p.StreamVersions("s", time.Minute)
+	assert.Equal(t, []string{"v1", "v2"}, used)
+	p.Update(func(l *List) { l.Delete(c.Service().Now(), "a") })
+	known, _ = p.StreamVersions("s", time.Minute)
+	assert.Equal(t, []string{"v1", "v2"}, known, "its streams may still be taken up")
+	c.Advance(time.Minute + time.Second)
+	known, _ = p.StreamVersions("s", time.Minute)
+	assert.Equal(t, []string{"v2"}, known)
+}
