--- /dev/null
+++ b/internal/tunnel/late_test.go
@@ -0,0 +1,79 @@
+package tunnel
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// lateListener is a listener whose connections are read late: what has arrived waits in the kernel.
+type lateListener struct {
+	net.Listener
+	delay atomic.Int64 // of each read, as a time.Duration
+}
+
+// Accept returns the next connection.
+func (l *lateListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &lateConn{TCPConn: c.(*net.TCPConn), l: l}, nil
+}
+
+type lateConn struct {
+	*net.TCPConn
+	l *lateListener
+}
+
+// Read reads late.
+func (c *lateConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b[:0])
+	if err == nil {
+		time.Sleep(time.Duration(c.l.delay.Load()))
+		n, err = c.TCPConn.Read(b)
+	}
+	return n, err
+}
+
+func TestBytesThatWaitedAtATunnelAreSentOn(t *testing.T) {
+	f := newFar(t)
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, err := net.Dial("tcp", r.Host)
+		if err == nil {
+			_ = Serve(w, c, time.Second)
+		}
+	}))
+	l := &lateListener{Listener: s.Listener}
+	s.Listener = l
+	s.Start()
+	t.Cleanup(s.Close)
+	near, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	c, err := Open(t.Context(), near, f.address())
+	require.NoError(t, err)
+	far := <-f.accepted
+	require.NoError(t, far.SetReadDeadline(time.Now().Add(10*time.Second)))
+	send := func(text string) {
+		_, err := io.WriteString(c, text)
+		require.NoError(t, err)
+	}
+	send("first")
+	b := make([]byte, 16)
+	n, err := far.Read(b)
+	require.NoError(t, err)
+	assert.Equal(t, "first", string(b[:n]))
+	l.delay.Store(int64(600 * time.Millisecond))
+	send("wakes the read")
+	_, _ = far.Read(b)
+	send("late")
+	n, err = far.Read(b)
+	assert.Error(t, err, "%q is a request that was chosen too long ago", b[:n])
+}
