What waited unread at a node that serves a tunnel is dropped with the tunnel

Cause: the node that chose the upstream looks again before the first byte, and the node that accepts a request counts the time it lay unread; the node between them, which serves a tunnel for one that can't reach the upstream, did neither. Change: a tunnel measures how long what it reads has lain in the kernel while it was waiting to read, as accept does, and resets both ends past the age a list of upstreams may have (follow.MaxAge). The caller's node then sees a connection that broke before a byte was answered. What waited while the far end took earlier bytes slowly is on time. SinceArrival is now one function, in upstream, for both. Evidence: TestBytesThatWaitedAtATunnelAreSentOn failed before and passes now; tunnel, uplink, accept, upstream three times with the race detector. Once before this commit internal/tunnel failed in a run of five packages beside other work; its lines weren't kept.

--- a/internal/accept/caller.go
+++ b/internal/accept/caller.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"spurhall.example/spurhall/internal/upstream"
 )
 
 // This file follows how far a caller's connection is with its requests, so that a planned stop closes it only between
@@ -71,7 +73,7 @@
 	}
 	if !c.inProgress {
 		c.begin()
-		c.waited = sinceArrival(c.Conn)
+		c.waited = upstream.SinceArrival(c.Conn)
 	}
 	c.bytes += n
 }
--- a/internal/accept/waited.go
+++ b/internal/accept/waited.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"net"
-	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // This file tells how long a request waited in the kernel before it was read. Its caller's deadline counts from the
@@ -34,25 +31,3 @@
 	defer c.mu.Unlock()
 	return c.waited
 }
-
-// sinceArrival returns how long ago the kernel received the last bytes of a connection; 0 if it doesn't say.
-func sinceArrival(c net.Conn) time.Duration {
-	s, ok := c.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	r, err := s.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	var d time.Duration
-	err = r.Control(func(fd uintptr) {
-		if i, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			d = time.Duration(i.Last_data_recv) * time.Millisecond
-		}
-	})
-	if err != nil {
-		return 0
-	}
-	return d
-}
--- a/internal/edge/uplink.go
+++ b/internal/edge/uplink.go
@@ -2,6 +2,7 @@
 
 import (
 	"spurhall.example/spurhall/internal/egress"
+	"spurhall.example/spurhall/internal/follow"
 	"spurhall.example/spurhall/internal/forward"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/uplink"
@@ -13,7 +14,7 @@
 func (n *Node) newUplink(direct upstream.DialFunc) *uplink.Uplink {
 	return uplink.New(uplink.Options{
 		Clock: n.clock, Log: n.log, Pools: n.pools, Dial: forward.DialOptions(), Direct: direct, Peers: n.tunnelPeers, OnLost: func() { n.lines.CloseIdle() },
-		Leaving: n.isLeaving, MaxDescriptors: n.settings.MaxDescriptors, Count: func(event string) { upstreamEvents.Add(event, 1) },
+		Leaving: n.isLeaving, MaxWait: follow.MaxAge(n.settings.DrainTime), MaxDescriptors: n.settings.MaxDescriptors, Count: func(event string) { upstreamEvents.Add(event, 1) },
 	})
 }
 
--- a/internal/tunnel/late_test.go
+++ b/internal/tunnel/late_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"spurhall.example/spurhall/internal/timer"
 )
 
 // lateListener is a listener whose connections are read late: what has arrived waits in the kernel.
@@ -48,7 +50,7 @@
 	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, err := net.Dial("tcp", r.Host)
 		if err == nil {
-			_ = Serve(w, c, time.Second)
+			_ = Serve(w, c, ServeOptions{Clock: timer.Real(), AckTimeout: time.Second, MaxWait: 300 * time.Millisecond})
 		}
 	}))
 	l := &lateListener{Listener: s.Listener}
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -17,6 +17,7 @@
 	"github.com/joomcode/errorx"
 
 	"spurhall.example/spurhall/internal/fault"
+	"spurhall.example/spurhall/internal/timer"
 	"spurhall.example/spurhall/internal/upstream"
 )
 
@@ -105,15 +106,24 @@
 	http.Error(w, err.Error(), status)
 }
 
+// ServeOptions configures a served tunnel.
+type ServeOptions struct {
+	Clock      *timer.Service
+	AckTimeout time.Duration // for which a caller may leave bytes unacknowledged before it counts as gone
+	// MaxWait is how long what the caller sends may wait here because this process isn't scheduled: what it was sent by
+	// may have changed since, and it is dropped with the tunnel. 0: for ever.
+	MaxWait time.Duration
+}
+
 // Serve connects the caller of a request for a tunnel with the connection to its address, until one of them is over. It
-// closes both. A caller that leaves bytes unacknowledged for ackTimeout is gone.
-func Serve(w http.ResponseWriter, far net.Conn, ackTimeout time.Duration) error {
+// closes both.
+func Serve(w http.ResponseWriter, far net.Conn, o ServeOptions) error {
 	near, buffered, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		_ = far.Close()
 		return err
 	}
-	err = upstream.DetectSilence(near, ackTimeout)
+	err = upstream.DetectSilence(near, o.AckTimeout)
 	if err == nil {
 		_, err = io.WriteString(near, established)
 	}
@@ -122,17 +132,42 @@
 		return err
 	}
 	var g sync.WaitGroup
-	g.Go(func() { pump(near, far, buffered.Reader) })
-	g.Go(func() { pump(far, near, far) })
+	g.Go(func() { pump(near, far, buffered.Reader, &wait{o: o, conn: near}) })
+	g.Go(func() { pump(far, near, far, nil) })
 	g.Wait()
 	return errors.Join(near.Close(), far.Close())
 }
 
+// wait measures how long what a connection sends waits unread; nil measures nothing.
+type wait struct {
+	o     ServeOptions
+	conn  net.Conn
+	began time.Time
+}
+
+// begin records that the connection is about to be read. What arrived before waited for this process to be done with what
+// came before it, and is on time: the other end takes it slowly.
+func (w *wait) begin() {
+	if w != nil {
+		w.began = w.o.Clock.Now()
+	}
+}
+
+// tooLong reports whether what was just read waited for longer than it may.
+func (w *wait) tooLong() bool {
+	return w != nil && w.o.MaxWait > 0 && min(upstream.SinceArrival(w.conn), w.o.Clock.Since(w.began)) > w.o.MaxWait
+}
+
 // pump copies what r reads from one connection to the other, and then forwards the end.
-func pump(from, to net.Conn, r io.Reader) {
+func pump(from, to net.Conn, r io.Reader, v *wait) {
 	b := make([]byte, bufferSize)
 	for {
+		v.begin()
 		k, err := r.Read(b)
+		if k > 0 && v.tooLong() {
+			reset(from, to)
+			return
+		}
 		if k > 0 {
 			if _, e := to.Write(b[:k]); e != nil {
 				reset(from, to)
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"spurhall.example/spurhall/internal/timer"
 	"spurhall.example/spurhall/internal/upstream"
 )
 
@@ -51,7 +52,7 @@
 				RejectDial(w, err)
 				return
 			}
-			_ = Serve(w, c, time.Second)
+			_ = Serve(w, c, ServeOptions{Clock: timer.Real(), AckTimeout: time.Second})
 		}
 	}
 	s := httptest.NewServer(http.HandlerFunc(h))
--- a/internal/uplink/serve.go
+++ b/internal/uplink/serve.go
@@ -60,7 +60,7 @@
 		return
 	}
 	u.o.Count("tunnels_served")
-	if err := tunnel.Serve(w, far, u.o.Dial.AckTimeout); err != nil {
+	if err := tunnel.Serve(w, far, tunnel.ServeOptions{Clock: u.o.Clock, AckTimeout: u.o.Dial.AckTimeout, MaxWait: u.o.MaxWait}); err != nil {
 		u.o.Log.Debug("tunnel_ended", zap.String("upstream", e.ID), zap.String("for", r.RemoteAddr), zap.String("cause", err.Error()))
 	}
 }
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -53,6 +53,8 @@
 	OnLost func()
 	// Leaving reports whether this node stops, so that it opens no tunnels any more.
 	Leaving func() bool
+	// MaxWait is how long what other nodes send through this one may wait here unread (package tunnel); 0: for ever.
+	MaxWait time.Duration
 	// MaxDescriptors is how many descriptors the process may open; 0: unknown.
 	MaxDescriptors int
 	// Count counts an event.
