Failing test: a tunnel lives on after its caller has left

The goroutines of such a daemon: 21 tunnels whose near end is over (CLOSE-WAIT) wait for their far end, which is still ESTABLISHED: it was never told. A caller that waited 120 ms for a tunnel closes the connection, and the tunnel is opened into nothing.

--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -122,6 +123,50 @@
 	})
 }
 
+func TestTunnelLivesOnAfterItsCallerHasLeft(t *testing.T) {
+	leave := func(t *testing.T, dialFar func(address string) (net.Conn, error)) {
+		t.Helper()
+		f := newFar(t)
+		over := make(chan struct{})
+		s := newServer(t, func(w http.ResponseWriter, r *http.Request) {
+			c, err := dialFar(r.Host)
+			if assert.NoError(t, err) {
+				_ = Serve(w, c, ServeOptions{Clock: timer.Real(), AckTimeout: time.Second})
+			}
+			close(over)
+		})
+		near, err := open(t, s, f.address())
+		require.NoError(t, err)
+		end := <-f.accepted
+		require.NoError(t, near.Close())
+		_ = end.SetReadDeadline(time.Now().Add(10 * time.Second))
+		_, err = end.Read(make([]byte, 1))
+		require.Error(t, err)
+		assert.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+		_ = end.Close()
+		assertClosed(t, over)
+	}
+	t.Run("the upstream is reached through a proxy", func(t *testing.T) {
+		proxy := newServer(t, nil)
+		leave(t, func(address string) (net.Conn, error) { return open(t, proxy, address) })
+	})
+	t.Run("the far connection can't end one direction alone", func(t *testing.T) {
+		leave(t, func(address string) (net.Conn, error) {
+			c, err := net.Dial("tcp", address)
+			return struct{ net.Conn }{c}, err
+		})
+	})
+}
+
+func assertClosed(t *testing.T, c <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-c:
+	case <-time.After(10 * time.Second):
+		assert.Fail(t, "the tunnel is still open")
+	}
+}
+
 func TestFailuresToOpen(t *testing.T) {
 	closed := newFar(t)
 	_ = closed.listener.Close()
