A tunnel whose caller has left ends, also where upstreams are reached through a proxy

Callers saw nothing yet: a node that serves tunnels had 85 to 180 descriptors, 26 before, and would have refused tunnels once a quarter of its descriptors were taken (soak). Cause: an end is forwarded by CloseWrite, which the connection through a proxy didn't have; what can't be told an end was left open without a word. Change: connections through a proxy have it, and a tunnel is over if an end can't be forwarded. Evidence: TestTunnelLivesOnAfterItsCallerHasLeft failed in both forms before and passes now, five times with the race detector.

--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -94,6 +94,9 @@
 // SetLinger sets how a close treats bytes that aren't sent yet.
 func (c *conn) SetLinger(sec int) error { return upstream.SetLinger(c.Conn, sec) }
 
+// CloseWrite ends the direction to the far end.
+func (c *conn) CloseWrite() error { return CloseWrite(c.Conn) }
+
 // Reject answers a request for a tunnel that this process doesn't open.
 func Reject(w http.ResponseWriter, reason string) { http.Error(w, reason, statusUnavailable) }
 
@@ -176,7 +179,9 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			_ = CloseWrite(to) // an end that is over already has nothing to be told
+			if CloseWrite(to) != nil { // it can't be told, or is over: the tunnel is over, too
+				reset(from, to)
+			}
 			return
 		case err != nil:
 			reset(from, to)
@@ -185,12 +190,13 @@
 	}
 }
 
-// CloseWrite ends the direction to the peer, as (*net.TCPConn).CloseWrite does.
+// CloseWrite ends the direction to the peer, as (*net.TCPConn).CloseWrite does; errors.ErrUnsupported: the connection
+// can't end one direction alone.
 func CloseWrite(c net.Conn) error {
 	if v, ok := c.(interface{ CloseWrite() error }); ok {
 		return v.CloseWrite()
 	}
-	return nil
+	return errors.ErrUnsupported
 }
 
 // reset closes both connections without sending what is buffered: a request that its sender has given up mustn't arrive.
