--- a/internal/quarantine/update.go
+++ b/internal/quarantine/update.go
@@ -133,34 +133,33 @@
 
 // selectResponses returns the responses that a message has room for.
 func (t *Tracker) selectResponses(all map[ID]Response) []Response {
-	list := slices.Collect(maps.Values(all))
-	if len(list) <= maxUpdateResponses {
-		return list
-	}
-	turns := make(map[ID]uint64, len(all))
-	for id := range all {
-		turns[id] = t.turn(id)
+	var selected []Response
+	for _, id := range t.takeTurns(slices.Collect(maps.Keys(all)), maxUpdateResponses) {
+		selected = append(selected, all[id])
 	}
-	slices.SortFunc(list, func(x, y Response) int {
-		return cmp.Compare(turns[x.Fingerprint.id], turns[y.Fingerprint.id])
-	})
-	return list[:maxUpdateResponses]
+	return selected
 }
 
 // selectProbes returns the probes that a message has room for.
 func (t *Tracker) selectProbes(all map[ID]Probe) []Probe {
-	list := slices.Collect(maps.Values(all))
-	if len(list) <= maxUpdateProbes {
+	var selected []Probe
+	for _, id := range t.takeTurns(slices.Collect(maps.Keys(all)), maxUpdateProbes) {
+		selected = append(selected, all[id])
+	}
+	return selected
+}
+
+// takeTurns returns as many requests as a message has room for, in each message others.
+func (t *Tracker) takeTurns(list []ID, room int) []ID {
+	if len(list) <= room {
 		return list
 	}
-	turns := make(map[ID]uint64, len(all))
-	for id := range all {
+	turns := make(map[ID]uint64, len(list))
+	for _, id := range list {
 		turns[id] = t.turn(id)
 	}
-	slices.SortFunc(list, func(x, y Probe) int {
-		return cmp.Compare(turns[x.Fingerprint.id], turns[y.Fingerprint.id])
-	})
-	return list[:maxUpdateProbes]
+	slices.SortFunc(list, func(x, y ID) int { return cmp.Compare(turns[x], turns[y]) })
+	return list[:room]
 }
 
 // quarantinedShapes returns the shapes that are quarantined.
