What a node lacks of other nodes' lists is one record

The list that peers report as later was kept twice, once for reading the store anew and once for refusing to choose. The line watch_behind names how long the change has been lacked in all. edge and follow pass.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -151,11 +151,10 @@
 	sendersSetAt      time.Time         // when the nodes that share limits were last determined
 	startWatchers     []string          // nodes that read the store for this hall while the whole system starts
 
-	peerListChange   int64           // newest change of the upstream list that a peer has reported
 	mixedServices    map[string]bool // services that had several versions when the list last changed
 	lacksList        follow.Lack     // of what other nodes' lists have
 	lacksCatalog     follow.Lack     // of what other nodes' configurations have
-	behindSince      time.Time       // since when this node lacks that change; zero: it doesn't
+	listRestartedAt  time.Time       // when the list was last read anew because of that
 	loggedSuspension time.Duration   // total suspension of the VM at the last log line
 	selfWatchUntil   time.Time       // until when this node watches the store regardless of its role
 	rollouts         rollouts
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -56,18 +56,13 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.clock.Now()
-	n.peerListChange = max(n.peerListChange, change)
 	have := n.pools.Revision()
 	n.lacksList.Hear(now, change, have)
-	switch {
-	case have >= n.peerListChange:
-		n.behindSince = time.Time{}
-	case n.behindSince.IsZero():
-		n.behindSince = now
-	case now.Sub(n.behindSince) > roster.MaxLag(maxListLag, n.settings.Node, n.peers.size()):
+	lacked, lacks := n.lacksList.For(now)
+	if waited := min(lacked, now.Sub(n.listRestartedAt)); lacks && waited > roster.MaxLag(maxListLag, n.settings.Node, n.peers.size()) {
 		n.log.Warn("watch_behind", zap.String("reader", listReader), zap.String("peer", peer),
-			zap.Int64("revision", have), zap.Int64("change", n.peerListChange), zap.Duration("for", now.Sub(n.behindSince)))
-		n.behindSince = now
+			zap.Int64("revision", have), zap.Int64("change", n.lacksList.Newest()), zap.Duration("for", lacked))
+		n.listRestartedAt = now
 		n.listFollower.Restart()
 		n.startSelfWatch(now)
 	}
--- a/internal/follow/confirmation.go
+++ b/internal/follow/confirmation.go
@@ -70,8 +70,19 @@
 	}
 }
 
+// Newest returns the newest change that a peer has reported.
+func (l *Lack) Newest() int64 { return l.newest }
+
+// For returns for how long the node has lacked the change, as of the last report; false: it has it.
+func (l *Lack) For(now time.Time) (time.Duration, bool) {
+	if l.since.IsZero() {
+		return 0, false
+	}
+	return now.Sub(l.since), true
+}
+
 // Lasts reports whether the node has lacked the change for longer than d, and not for too long to believe in it.
 func (l *Lack) Lasts(now time.Time, have int64, d time.Duration) bool {
-	t := now.Sub(l.since)
-	return !l.since.IsZero() && have < l.newest && t > d && t <= d+maxLack
+	t, lacks := l.For(now)
+	return lacks && have < l.newest && t > d && t <= d+maxLack
 }
