Messages of evidence go through what is new, not through all that ever was

Cause: each message (eight a second at a node, more at a relay) looked at every shape that any crashed request of the last half hour has, some ten for each request, for a response or probe of the last two seconds; and took each request's shapes apart to compare them with those in quarantine, of which there mostly are none. Change: a tracker keeps the shapes at hand of which there may be something to tell.

--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -98,7 +98,7 @@
 // quarantined, it may not.
 func (t *Tracker) checkShapes(now time.Time, p Fingerprint) Verdict {
 	var r Verdict
-	var probed []*shapeState
+	var probed []Shape
 	for _, x := range p.shapes() {
 		f := t.shapes[x]
 		if f == nil || !t.countsAgainst(p, x) {
@@ -108,7 +108,7 @@
 		case v.Quarantined && (!r.Quarantined || v.Wait > r.Wait):
 			r = v
 		case v.Probe:
-			probed = append(probed, f)
+			probed = append(probed, x)
 			if !r.Quarantined {
 				r = v
 			}
@@ -116,8 +116,9 @@
 	}
 	if r.Probe {
 		v := Probe{p, now, t.originOf(now)}
-		for _, f := range probed {
-			f.lastProbe = v
+		for _, x := range probed {
+			t.shapes[x].lastProbe = v
+			t.tellOf(x)
 		}
 	}
 	return r
--- a/internal/quarantine/shape.go
+++ b/internal/quarantine/shape.go
@@ -112,6 +112,22 @@
 	return f.crashes[len(f.crashes)-1].At.Add(hold)
 }
 
+// isQuarantined reports whether the shape is quarantined.
+func (f *shapeState) isQuarantined() bool {
+	return len(f.crashes) >= shapeCrashThreshold && !f.until().IsZero()
+}
+
+// hasNews reports whether there may be something to tell of the shape.
+func (f *shapeState) hasNews() bool {
+	return len(f.crashes) >= shapeCrashThreshold || !f.clearedBy.At.IsZero() || !f.lastProbe.At.IsZero()
+}
+
+// isToBeTold reports whether messages tell of the shape: of its response and its probe for a while, of the crashes that
+// quarantine it as long as they do.
+func (f *shapeState) isToBeTold(now time.Time) bool {
+	return now.Sub(f.clearedBy.At) <= announceFor || now.Sub(f.lastProbe.At) <= announceFor || f.isQuarantined()
+}
+
 // check decides whether a request of the shape may be sent now. Once the quarantine has expired, one
 // probe at a time is admitted, which the caller records. While it runs, for at most probeTimeout, the other
 // requests wait for its response or for the crash that extends the quarantine.
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -76,17 +76,18 @@
 	mu           sync.Mutex
 	suspects     map[ID]*suspect
 	shapes       map[Shape]*shapeState
-	shapeChanges []Change // of quarantined shapes, not yet returned
-	revision     int64    // rises with each change of the quarantined requests
-	stale        bool     // crashes that can quarantine a request have changed since the last evaluation
-	updates      uint64   // number of messages built
-	observed     uint64   // number of this process's own observations
+	shapeChanges []Change              // of quarantined shapes, not yet returned
+	telling      map[Shape]*shapeState // of which messages may have to tell; most shapes have nothing new
+	revision     int64                 // rises with each change of the quarantined requests
+	stale        bool                  // crashes that can quarantine a request have changed since the last evaluation
+	updates      uint64                // number of messages built
+	observed     uint64                // number of this process's own observations
 	origins      map[Origin]placed
 }
 
 // NewTracker returns an empty tracker for a node.
 func NewTracker(node string) *Tracker {
-	return &Tracker{node: node, suspects: make(map[ID]*suspect), shapes: make(map[Shape]*shapeState), origins: make(map[Origin]placed)}
+	return &Tracker{node: node, suspects: make(map[ID]*suspect), shapes: make(map[Shape]*shapeState), telling: make(map[Shape]*shapeState), origins: make(map[Origin]placed)}
 }
 
 // Change reports that a request is quarantined, or no longer is.
@@ -161,7 +162,10 @@
 		if x == s.print.route() {
 			continue
 		}
-		if v := t.shapes[x]; v.add(e) && f == nil && t.countsAgainst(s.print, x) {
+		v := t.shapes[x]
+		extended := v.add(e)
+		t.tellOf(x)
+		if extended && f == nil && t.countsAgainst(s.print, x) {
 			f = v
 		}
 	}
@@ -175,6 +179,13 @@
 	t.shapeChanges = append(t.shapeChanges, c)
 }
 
+// tellOf has messages tell of a shape, as far as there is something to tell.
+func (t *Tracker) tellOf(x Shape) {
+	if f := t.shapes[x]; f.hasNews() {
+		t.telling[x] = f
+	}
+}
+
 // touch records that something was learned about a request.
 func (t *Tracker) touch(now time.Time, s *suspect) {
 	s.updatedAt = now
@@ -248,6 +259,7 @@
 		f := t.shapes[x]
 		if f.suspects--; f.suspects == 0 {
 			delete(t.shapes, x)
+			delete(t.telling, x)
 		}
 	}
 	delete(t.suspects, p)
@@ -268,8 +280,10 @@
 func (t *Tracker) clearShapes(a Response) {
 	released := false
 	for _, x := range a.Fingerprint.shapes() {
-		f := t.shapes[x]
-		released = f != nil && f.observeResponse(a) || released
+		if f := t.shapes[x]; f != nil {
+			released = f.observeResponse(a) || released
+			t.tellOf(x)
+		}
 	}
 	if released {
 		t.shapeChanges = append(t.shapeChanges, Change{Fingerprint: a.Fingerprint, ByShape: true})
--- a/internal/quarantine/update.go
+++ b/internal/quarantine/update.go
@@ -67,7 +67,7 @@
 			continue
 		}
 		recent := now.Sub(s.updatedAt) <= announceFor
-		if recent || !s.until.IsZero() || slices.ContainsFunc(s.print.shapes(), func(x Shape) bool { return shapes[x] }) {
+		if recent || !s.until.IsZero() || s.hasShapeOf(shapes) {
 			list = append(list, s)
 		}
 		if recent && !s.cleared.At.IsZero() {
@@ -77,7 +77,11 @@
 			addLatestProbe(probes, s.probe)
 		}
 	}
-	for _, f := range t.shapes {
+	for x, f := range t.telling {
+		if !f.isToBeTold(now) {
+			delete(t.telling, x)
+			continue
+		}
 		if now.Sub(f.clearedBy.At) <= announceFor {
 			addLatest(responses, f.clearedBy)
 		}
@@ -165,14 +169,19 @@
 // quarantinedShapes returns the shapes that are quarantined.
 func (t *Tracker) quarantinedShapes() map[Shape]bool {
 	m := make(map[Shape]bool)
-	for s, f := range t.shapes {
-		if len(f.crashes) >= shapeCrashThreshold && !f.until().IsZero() {
+	for s, f := range t.telling {
+		if f.isQuarantined() {
 			m[s] = true
 		}
 	}
 	return m
 }
 
+// hasShapeOf reports whether the request is of one of the shapes.
+func (s *suspect) hasShapeOf(shapes map[Shape]bool) bool {
+	return len(shapes) > 0 && slices.ContainsFunc(s.print.shapes(), func(x Shape) bool { return shapes[x] })
+}
+
 // Evidence returns the crashes that quarantine requests, and a revision that rises with each change of
 // the quarantined requests.
 func (t *Tracker) Evidence() ([]Crash, int64) {
@@ -211,6 +220,7 @@
 		for _, x := range p.Fingerprint.shapes() {
 			if f := t.shapes[x]; f != nil && p.At.After(f.lastProbe.At) {
 				f.lastProbe = p
+				t.tellOf(x)
 			}
 		}
 	}
