--- a/cmd/spurhall-soak/main.go
+++ b/cmd/spurhall-soak/main.go
@@ -46,6 +46,7 @@
 			&cli.IntFlag{Name: "daemons", Usage: "daemons of each day; 0: drawn"},
 			&cli.DurationFlag{Name: "traffic", Usage: "length of each day; 0: the usual"},
 			&cli.StringFlag{Name: "daemon", Value: "bin/spurhalld", Usage: "path of spurhalld"},
+			&cli.StringFlag{Name: "beside", Usage: "path of another build, which every other daemon runs; engines are then of one version, by which a build may not keep streams"},
 			&cli.StringFlag{Name: "dir", Value: "target/soak", Usage: "folder for failed days"},
 			&cli.BoolFlag{Name: "shrink", Usage: "leave out faults of a failed day while it still fails"},
 			&cli.BoolFlag{Name: "stop", Usage: "begin no day after one that failed"},
@@ -71,7 +72,7 @@
 
 func run(ctx context.Context, c *cli.Command) error {
 	clock := timer.Real()
-	o, first := soak.Options{Daemons: c.Int("daemons"), Traffic: c.Duration("traffic")}, c.Uint64("seed")
+	o, first := soak.Options{Daemons: c.Int("daemons"), Traffic: c.Duration("traffic"), OneVersion: c.String("beside") != ""}, c.Uint64("seed")
 	if first == 0 {
 		first = uint64(clock.Wall().UnixNano())
 	}
@@ -82,7 +83,7 @@
 	if err != nil {
 		return err
 	}
-	p := &player{clock: clock, programs: soak.Programs{Daemon: c.String("daemon"), Self: self}, dir: c.String("dir"), keep: c.Bool("keep"), stop: c.Bool("stop")}
+	p := &player{clock: clock, programs: soak.Programs{Daemon: c.String("daemon"), Beside: c.String("beside"), Self: self}, dir: c.String("dir"), keep: c.Bool("keep"), stop: c.Bool("stop")}
 	if _, err := os.Stat(p.programs.Daemon); err != nil {
 		return fmt.Errorf("--daemon: %w", err)
 	}
--- a/internal/soak/day.go
+++ b/internal/soak/day.go
@@ -158,6 +158,8 @@
 type Options struct {
 	Daemons int           // 0: drawn
 	Traffic time.Duration // 0: the usual
+	// OneVersion draws engines of one software version alone.
+	OneVersion bool
 }
 
 const (
@@ -187,7 +189,7 @@
 	d.Faults = append(d.Faults, d.drawLater(rand.New(rand.NewPCG(seed, 0xe9e5)), last)...)
 	d.Faults = append(d.Faults, d.drawPress(rand.New(rand.NewPCG(seed, 0x57e5)), d.Traffic-quietAfter)...)
 	d.Faults = append(d.Faults, d.drawStarve(rand.New(rand.NewPCG(seed, 0x51a4)), d.Traffic-quietAfter)...)
-	d.Mixed = rand.New(rand.NewPCG(seed, 0x3e75)).IntN(2) == 0
+	d.Mixed = rand.New(rand.NewPCG(seed, 0x3e75)).IntN(2) == 0 && !o.OneVersion
 	slices.SortStableFunc(d.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return d
 }
--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -18,9 +18,18 @@
 // Programs is what is played.
 type Programs struct {
 	Daemon string // path of spurhalld
+	Beside string // path of another build of it, which every other daemon runs; empty: none
 	Self   string // path of spurhall-soak, which is the stand-ins, too
 }
 
+// daemon returns the path of the program that a daemon runs.
+func (p Programs) daemon(i int) string {
+	if p.Beside != "" && i%2 == 1 {
+		return p.Beside
+	}
+	return p.Daemon
+}
+
 // Stage is what one day runs on.
 type Stage struct {
 	clock *timer.Service
@@ -214,7 +223,7 @@
 	if err := s.writeSettings(i, true); err != nil {
 		return err
 	}
-	v, err := NewProcess(s.clock, s.dir, daemonName(i), p.Daemon, []string{s.world.SettingsVariable + "=" + s.settingsPath(i)}, "edge", "--peers-listen", s.address(host, peerPort), "--upstream-proxy", g.Address())
+	v, err := NewProcess(s.clock, s.dir, daemonName(i), p.daemon(i), []string{s.world.SettingsVariable + "=" + s.settingsPath(i)}, "edge", "--peers-listen", s.address(host, peerPort), "--upstream-proxy", g.Address())
 	if err != nil {
 		return err
 	}
