Tests of whole nodes run three at a time, after the build

Cause, as far as shown: as many of these tests run at once as there are processors, three nodes each, beside the build of all other packages with the race detector; on a machine that is short of time they make each other miss the time-outs that nodes keep on real clocks. Change: all is built first, and three tests run at once. No test, bound or time-out is changed.

--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,9 @@
 # clocks, which models and drawn loads beside them make them miss.
 PACKAGES = 6
 ALONE = ./internal/node ./cmd/spurhalld
+# How many tests of these run at the same time, each with several nodes: as many as the machine has processors make each
+# other miss their time-outs where it is short of time.
+TOGETHER = 3
 export CGO_ENABLED = 1
 
 .PHONY: all build test check demo measure sizes generate fuzz soak soak-short format clean
@@ -21,7 +24,8 @@
 
 test: ## every test but those known to fail, with the race detector; the played ones also without, with more seeds
 	@if test -s KNOWN-RED.txt; then echo "passed over, as known to fail:"; cat KNOWN-RED.txt; fi
-	go test -race -count=1 $(SKIP) $(ALONE)
+	go build -race ./...
+	go test -race -count=1 -parallel $(TOGETHER) $(SKIP) $(ALONE)
 	go test -race -count=1 -p $(PACKAGES) $(SKIP) $$(go list ./... | grep -v -e /internal/node$$ -e /cmd/spurhalld$$)
 	go test -count=1 $(SKIP) -run 'Rollouts$$|Fleets$$|SimilarRequests$$|OfOrder$$|RoomIsShort$$' ./internal/model ./internal/quarantine
 
