--- a/internal/tunnel/late_test.go
+++ b/internal/tunnel/late_test.go
@@ -5,46 +5,16 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"spurhall.example/spurhall/internal/standin"
 	"spurhall.example/spurhall/internal/timer"
 )
 
-// lateListener is a listener whose connections are read late: what has arrived waits in the kernel.
-type lateListener struct {
-	net.Listener
-	delay atomic.Int64 // of each read, as a time.Duration
-}
-
-// Accept returns the next connection.
-func (l *lateListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &lateConn{TCPConn: c.(*net.TCPConn), l: l}, nil
-}
-
-type lateConn struct {
-	*net.TCPConn
-	l *lateListener
-}
-
-// Read reads late.
-func (c *lateConn) Read(b []byte) (int, error) {
-	n, err := c.TCPConn.Read(b[:0])
-	if err == nil {
-		time.Sleep(time.Duration(c.l.delay.Load()))
-		n, err = c.TCPConn.Read(b)
-	}
-	return n, err
-}
-
 func TestBytesThatWaitedAtATunnelAreSentOn(t *testing.T) {
 	f := newFar(t)
 	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -53,7 +23,7 @@
 			_ = Serve(w, c, ServeOptions{Clock: timer.Real(), AckTimeout: time.Second, MaxWait: 300 * time.Millisecond})
 		}
 	}))
-	l := &lateListener{Listener: s.Listener}
+	l := standin.NewLateListener(s.Listener, timer.Real())
 	s.Listener = l
 	s.Start()
 	t.Cleanup(s.Close)
@@ -72,7 +42,7 @@
 	n, err := far.Read(b)
 	require.NoError(t, err)
 	assert.Equal(t, "first", string(b[:n]))
-	l.delay.Store(int64(600 * time.Millisecond))
+	l.SetDelay(600 * time.Millisecond)
 	send("wakes the read")
 	_, _ = far.Read(b)
 	_, _ = io.WriteString(c, "late") // the tunnel may be over: what woke the read may itself have waited
