--- a/internal/message/streams.go
+++ b/internal/message/streams.go
@@ -16,13 +16,11 @@
 	return m
 }
 
-// StreamsFromWire is the inverse of StreamsToWire. Times that no stream has are left out.
+// StreamsFromWire is the inverse of StreamsToWire.
 func StreamsFromWire(m []*wire.StreamRecord) []lineage.Record {
 	list := make([]lineage.Record, 0, len(m))
 	for _, v := range m {
-		if v.GetLeftMs() > 0 && v.GetLeftMs() <= lineage.MaxTime.Milliseconds() {
-			list = append(list, lineage.Record{Key: lineage.Key(v.Key), Version: v.Version, Left: time.Duration(v.LeftMs) * time.Millisecond})
-		}
+		list = append(list, lineage.Record{Key: lineage.Key(v.GetKey()), Version: v.GetVersion(), Left: time.Duration(v.GetLeftMs()) * time.Millisecond})
 	}
 	return list
 }
--- a/internal/tunnel/late_test.go
+++ b/internal/tunnel/late_test.go
@@ -17,10 +17,11 @@
 
 func TestBytesThatWaitedAtATunnelAreSentOn(t *testing.T) {
 	f := newFar(t)
+	over := make(chan error, 1)
 	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, err := net.Dial("tcp", r.Host)
 		if err == nil {
-			_ = Serve(w, c, ServeOptions{Clock: timer.Real(), AckTimeout: time.Second, MaxWait: 300 * time.Millisecond})
+			over <- Serve(w, c, ServeOptions{Clock: timer.Real(), AckTimeout: time.Second, MaxWait: 300 * time.Millisecond})
 		}
 	}))
 	l := standin.NewLateListener(s.Listener, timer.Real())
@@ -48,4 +49,5 @@
 	_, _ = io.WriteString(c, "late") // the tunnel may be over: what woke the read may itself have waited
 	n, err = far.Read(b)
 	assert.Error(t, err, "%q is a request that was chosen too long ago", b[:n])
+	assert.ErrorIs(t, <-over, ErrLate)
 }
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -32,6 +32,8 @@
 	ErrUnreachable = errs.NewType("unreachable").New("the address can't be reached through the process")
 	// ErrRefused means that the address refused the other process's connection. It matches syscall.ECONNREFUSED, too.
 	ErrRefused = errs.NewType("refused").New("the address refuses connections")
+	// ErrLate means that what the caller of a tunnel sent waited in this process for too long.
+	ErrLate = errs.NewType("late").New("what the caller sent waited unread for too long")
 )
 
 // The statuses of an answer to CONNECT.
@@ -118,8 +120,8 @@
 	MaxWait time.Duration
 }
 
-// Serve connects the caller of a request for a tunnel with the connection to its address, until one of them is over. It
-// closes both.
+// Serve connects the caller of a request for a tunnel with the connection to its address, until one of them is over, or
+// what the caller sends has waited for too long (ErrLate). It closes both.
 func Serve(w http.ResponseWriter, far net.Conn, o ServeOptions) error {
 	near, buffered, err := http.NewResponseController(w).Hijack()
 	if err != nil {
@@ -135,10 +137,11 @@
 		return err
 	}
 	var g sync.WaitGroup
-	g.Go(func() { pump(near, far, buffered.Reader, &wait{o: o, conn: near}) })
-	g.Go(func() { pump(far, near, far, nil) })
+	var late error
+	g.Go(func() { late = pump(near, far, buffered.Reader, &wait{o: o, conn: near}) })
+	g.Go(func() { _ = pump(far, near, far, nil) }) // nothing waits too long without a bound
 	g.Wait()
-	return errors.Join(near.Close(), far.Close())
+	return errors.Join(late, near.Close(), far.Close())
 }
 
 // wait measures how long what a connection sends waits unread; nil measures nothing.
@@ -156,25 +159,32 @@
 	}
 }
 
-// tooLong reports whether what was just read waited for longer than it may.
-func (w *wait) tooLong() bool {
-	return w != nil && w.o.MaxWait > 0 && min(upstream.SinceArrival(w.conn), w.o.Clock.Since(w.began)) > w.o.MaxWait
+// check returns ErrLate if what was just read waited for longer than it may.
+func (w *wait) check() error {
+	if w == nil || w.o.MaxWait == 0 {
+		return nil
+	}
+	if d := min(upstream.SinceArrival(w.conn), w.o.Clock.Since(w.began)); d > w.o.MaxWait {
+		return fault.Because(ErrLate, "%v", d.Round(time.Millisecond))
+	}
+	return nil
 }
 
-// pump copies what r reads from one connection to the other, and then forwards the end.
-func pump(from, to net.Conn, r io.Reader, v *wait) {
+// pump copies what r reads from one connection to the other, and then forwards the end. It fails only with ErrLate, and
+// has then dropped both.
+func pump(from, to net.Conn, r io.Reader, v *wait) error {
 	b := make([]byte, bufferSize)
 	for {
 		v.begin()
 		k, err := r.Read(b)
-		if k > 0 && v.tooLong() {
-			reset(from, to)
-			return
-		}
 		if k > 0 {
+			if late := v.check(); late != nil {
+				reset(from, to)
+				return late
+			}
 			if _, e := to.Write(b[:k]); e != nil {
 				reset(from, to)
-				return
+				return nil
 			}
 		}
 		switch {
@@ -182,10 +192,10 @@
 			if CloseWrite(to) != nil { // it can't be told, or is over: the tunnel is over, too
 				reset(from, to)
 			}
-			return
+			return nil
 		case err != nil:
 			reset(from, to)
-			return
+			return nil
 		}
 	}
 }
--- a/internal/uplink/serve.go
+++ b/internal/uplink/serve.go
@@ -1,6 +1,7 @@
 package uplink
 
 import (
+	"errors"
 	"net/http"
 
 	"go.uber.org/zap"
@@ -60,7 +61,12 @@
 		return
 	}
 	u.o.Count("tunnels_served")
-	if err := tunnel.Serve(w, far, tunnel.ServeOptions{Clock: u.o.Clock, AckTimeout: u.o.Dial.AckTimeout, MaxWait: u.o.MaxWait}); err != nil {
+	err = tunnel.Serve(w, far, tunnel.ServeOptions{Clock: u.o.Clock, AckTimeout: u.o.Dial.AckTimeout, MaxWait: u.o.MaxWait})
+	switch {
+	case errors.Is(err, tunnel.ErrLate):
+		u.o.Count("tunnels_late")
+		u.o.Log.Info("tunnel_late", zap.String("upstream", e.ID), zap.String("for", r.RemoteAddr), zap.String("cause", err.Error()))
+	case err != nil:
 		u.o.Log.Debug("tunnel_ended", zap.String("upstream", e.ID), zap.String("for", r.RemoteAddr), zap.String("cause", err.Error()))
 	}
 }
