--- a/internal/forward/severed.go
+++ b/internal/forward/severed.go
@@ -67,8 +67,8 @@
 }
 
 // recordSevered records that an upstream broke the connection under a request, and returns the log fields
-// for it. Several upstreams logged with the same fingerprint distinguish a request that crashes upstreams
-// from one that was running by coincidence.
+// for it. Several upstreams logged with the same fingerprint, or with the same part of a prompt, distinguish
+// requests that crash upstreams from those that were running by coincidence.
 func (s *Server) recordSevered(ctx context.Context, q *request, a *attempt) []zap.Field {
 	now, v := s.o.Clock.Now(), a.progress()
 	q.severedBy = append(q.severedBy, a.use.Entry().ID)
@@ -82,7 +82,8 @@
 			s.recordCrash(ctx, e, a.use.Entry())
 		}
 	}
-	return []zap.Field{zap.Stringer("print", q.fingerprintOf()), zap.Stringer("shown", v), zap.Duration("since_sent", now.Sub(a.sentAt))}
+	f := []zap.Field{zap.Stringer("print", q.fingerprintOf()), zap.Stringer("shown", v), zap.Duration("since_sent", now.Sub(a.sentAt))}
+	return append(f, originFields(q)...)
 }
 
 // recordCrash records that an upstream crashed under a request, unless the upstream still listens: then it
