Requests with a part of a prompt that crashes upstreams are refused

Cause: evidence was brought together by what a body or a path has in common (fingerprint, shapes), and what a caller states of its prompt beside the body was read for routing alone. The evidence was there, 280 upstream_ended in 9 s under 163 fingerprints. Class: a poison message whose key is too narrow.

Change: a crash is evidence against all shared parts of the requests whose answers hadn't begun, or just had. An answer to any request with a part clears it. A part under which three upstreams crashed in three bursts, under three requests, while others of the service were answered, is quarantined on all nodes: requests with it get 503 at once, attempts that wait are withdrawn, second tries stop. Parts that were always together are refused together only; a part that stands beside a bad one is explained by it. One probe after a minute, one after an hour, by the holder of the duties alone; what quarantines is in the store.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 	go build -race ./...
 	go test -race -count=1 -parallel $(TOGETHER) $(SKIP) $(ALONE)
 	go test -race -count=1 -p $(PACKAGES) $(SKIP) $$(go list ./... | grep -v -e /internal/node$$ -e /cmd/spurhalld$$)
-	go test -count=1 $(SKIP) -run 'Rollouts$$|Fleets$$|SimilarRequests$$|OfOrder$$|RoomIsShort$$' ./internal/model ./internal/quarantine
+	go test -count=1 $(SKIP) -run 'Rollouts$$|Fleets$$|SimilarRequests$$|PartsThatCrashUpstreams$$|PartsAreServed$$|OfOrder$$|RoomIsShort$$' ./internal/model ./internal/quarantine
 
 check: ## format, vet and lint
 	@out=$$($(TOOL) gofumpt -l $(SOURCES)); test -z "$$out" || { echo "gofumpt differs:"; echo "$$out"; exit 1; }
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -98,6 +98,10 @@
 
 func (d *Dispatcher) logChanges(list []quarantine.Change) {
 	for _, c := range list {
+		if c.Parts != nil {
+			d.o.Event(map[bool]string{true: "part_held", false: "part_released"}[c.Quarantined], "", fmt.Sprintf("parts %x ended %s", c.Parts, strings.Join(c.Upstreams, " ")))
+			continue
+		}
 		if c.ByShape {
 			d.o.Event(map[bool]string{true: "shape_held", false: "shape_released"}[c.Quarantined], "", fmt.Sprintf("shape %d, %s", c.Fingerprint.Shape(), strings.Join(c.Upstreams, " ")))
 			continue
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -43,6 +43,7 @@
 	var c handover.Usage
 	v := handover.NewLevels(n.clock, dutyInterval)
 	var q handover.Crashes
+	var parts handover.Parts
 	term := int64(0)
 	n.clock.Every(ctx, dutyInterval, func(time.Time) {
 		token, held := n.lease.Token()
@@ -61,6 +62,7 @@
 		}
 		if held {
 			q.Write(ctx, n.records(), n.clock, token, n.quarantine)
+			parts.Write(ctx, n.records(), n.clock, token, n.quarantine)
 		}
 		if n.settings.Cloud.Rollouts && held {
 			rolls.step(ctx, token)
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -203,7 +203,7 @@
 	n.lease = lease.New(n.kv, o.Clock, dutyKey, s.Node, max(s.LeaseTTL, s.Store.MinLease))
 	n.front = forward.NewServer(forward.Options{
 		Clock: o.Clock, Log: o.Log, Dialect: o.Dialect, Pools: n.pools, Connections: n.lines, Ready: n.initialized, Catalog: n.currentCatalog,
-		ListAge: n.listAge, Place: n.placeByRelay, Charge: n.charge, Refund: n.refund, CountStarted: n.countStarted, RecordFirstAttempt: n.countFirstAttempt, AllowRetry: n.allowRetry, ObserveResponse: n.observeResponse, Phase: n.stopPhase, Quarantine: n.quarantine, HallReachable: n.reachesHall,
+		ListAge: n.listAge, Place: n.placeByRelay, Charge: n.charge, Refund: n.refund, CountStarted: n.countStarted, RecordFirstAttempt: n.countFirstAttempt, AllowRetry: n.allowRetry, ObserveResponse: n.observeResponse, Phase: n.stopPhase, Quarantine: n.quarantine, MayProbe: n.holdsDuties, HallReachable: n.reachesHall,
 		Trials:  forward.Trials{Offer: n.offerTrial, Return: n.returnOffer, Record: n.recordResponse},
 		Lineage: forward.Lineage{Tell: n.streams.Tell, Find: n.streams.Find},
 	})
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -61,10 +61,18 @@
 	if n.settings.FirstStart {
 		return
 	}
-	u := handover.ReadCrashes(ctx, n.records(), n.clock)
-	if u.Empty() {
-		return
+	if u := handover.ReadCrashes(ctx, n.records(), n.clock); !u.Empty() {
+		n.log.Info("held_found", zap.Int("ends", len(u.Crashes)))
+		n.front.ApplyQuarantine(n.quarantine.Merge(n.clock.Now(), u), handover.CrashesRecord.Key)
+	}
+	if u := handover.ReadParts(ctx, n.records(), n.clock); !u.Empty() {
+		n.log.Info("held_parts_found", zap.Int("ends", len(u.PartCrashes)))
+		n.front.ApplyQuarantine(n.quarantine.Merge(n.clock.Now(), u), handover.PartsRecord.Key)
 	}
-	n.log.Info("held_found", zap.Int("ends", len(u.Crashes)))
-	n.front.ApplyQuarantine(n.quarantine.Merge(n.clock.Now(), u), handover.CrashesRecord.Key)
+}
+
+// holdsDuties reports whether this node holds the lease of the duties, which one node has at a time.
+func (n *Node) holdsDuties() bool {
+	_, held := n.lease.Token()
+	return held
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -39,6 +39,7 @@
 	addressReused bool         // the address now belongs to another upstream
 	eventsPassed  int          // events forwarded to the caller
 	firstEventAt  time.Time    // when the first event was forwarded
+	shownSound    bool         // the stream has shown that its parts crash no upstream
 	sentAt        time.Time    // when the first byte may have been sent
 	wroteAt       atomic.Int64 // nanoseconds from the request's arrival until its first byte was to be written; 0: it wasn't
 }
@@ -346,6 +347,9 @@
 	} else {
 		s.recordComplete(q)
 	}
+	if v.status < http.StatusMultipleChoices {
+		s.recordSound(q)
+	}
 	a.finish(r)
 	return v
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -93,6 +93,8 @@
 	Lineage Lineage
 	// Quarantine tracks the requests that crash upstreams.
 	Quarantine *quarantine.Tracker
+	// MayProbe reports whether this process is the one that may admit requests with quarantined parts as probes.
+	MayProbe func() bool
 	// HallReachable reports whether a hall can be reached over the network.
 	HallReachable func(ctx context.Context, hall string) bool
 }
@@ -164,6 +166,8 @@
 	observed        call.Response     // last response of that upstream
 	upstreamFailure *response         // an upstream's own error response, passed on if no later attempt succeeds
 	fingerprint     *quarantine.Fingerprint
+	prompt          *quarantine.Prompt
+	probe           bool // admitted though its parts are quarantined
 }
 
 func (q *request) workspaceName() string {
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -26,10 +26,10 @@
 
 // quarantineError returns the final error for a request in progress that is quarantined, or nil.
 func (s *Server) quarantineError(q *request) error {
-	if !s.suspectShape(q) {
-		return nil
+	wait := s.partWait(q)
+	if s.suspectShape(q) {
+		wait = max(wait, s.o.Quarantine.Remaining(s.o.Clock.Now(), q.fingerprintOf()))
 	}
-	wait := s.o.Quarantine.Remaining(s.o.Clock.Now(), q.fingerprintOf())
 	switch {
 	case wait == 0:
 		return nil
@@ -42,7 +42,13 @@
 // allowsRepeat reports whether a request that has reached an upstream may be sent again, given what is known of
 // other copies of it: once a copy has crashed an upstream, second attempts would crash as many again.
 func (s *Server) allowsRepeat(q *request) bool {
-	return q.arrivals == 0 || !s.suspectShape(q) || s.o.Quarantine.MayRetry(q.fingerprintOf(), func(u string) bool { return slices.Contains(q.severedBy, u) })
+	if q.arrivals == 0 {
+		return true
+	}
+	if s.o.Quarantine.HasPartCrashes() && !s.o.Quarantine.MayRetryParts(q.promptOf(), q.fingerprintOf().RequestKey()) {
+		return false
+	}
+	return !s.suspectShape(q) || s.o.Quarantine.MayRetry(q.fingerprintOf(), func(u string) bool { return slices.Contains(q.severedBy, u) })
 }
 
 // rejectQuarantined rejects a quarantined request before it is charged. The request has not run, and the
@@ -51,6 +57,9 @@
 func (s *Server) rejectQuarantined(next endpoint.Endpoint) endpoint.Endpoint {
 	return func(ctx context.Context, v any) (any, error) {
 		q := v.(*request)
+		if err := s.checkParts(q); err != nil {
+			return nil, err
+		}
 		if !s.suspectShape(q) {
 			return next(ctx, q)
 		}
@@ -71,6 +80,10 @@
 // this node), and cancels the attempts with newly quarantined requests that wait at an upstream.
 func (s *Server) ApplyQuarantine(changes []quarantine.Change, source string) {
 	for _, c := range changes {
+		if c.Parts != nil {
+			s.applyPartQuarantine(c, source)
+			continue
+		}
 		if c.ByShape {
 			s.applyShapeQuarantine(c, source)
 			continue
@@ -83,7 +96,9 @@
 		count("held", 1)
 		s.o.Log.Info("request_held", zap.Stringer("print", c.Fingerprint), zap.Strings("upstreams", c.Upstreams),
 			zap.Duration("for", c.Until.Sub(s.o.Clock.Now())), zap.String("source", source))
-		s.pending.cancel(c.Fingerprint)
+		s.pending.cancelIf(func(q *request) bool {
+			return quarantine.ShapeOf(q.identity()) == c.Fingerprint.Shape() && quarantine.FingerprintOf(q.identity()).ID() == c.Fingerprint.ID()
+		})
 	}
 }
 
@@ -120,12 +135,12 @@
 	delete(f.attempts, a)
 }
 
-// cancel ends the attempts of a request: upstreams drop a queued request when its connection closes.
-func (f *attemptSet) cancel(p quarantine.Fingerprint) {
+// cancelIf ends attempts whose requests are quarantined: upstreams drop a queued request when its connection closes.
+func (f *attemptSet) cancelIf(quarantined func(q *request) bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for a, q := range f.attempts {
-		if quarantine.ShapeOf(q.identity()) == p.Shape() && quarantine.FingerprintOf(q.identity()).ID() == p.ID() {
+		if quarantined(q) {
 			a.cancel(errQuarantined)
 			count("withdrawn", 1)
 		}
--- a/internal/forward/severed.go
+++ b/internal/forward/severed.go
@@ -75,28 +75,40 @@
 	count("broken_"+v.String(), 1)
 	observe("broken_after_ms", now.Sub(a.sentAt))
 	if p := q.fingerprintOf(); !a.use.Leaving() { // an upstream that announced its shutdown has not crashed
-		e := quarantine.Crash{Fingerprint: p, Upstream: a.use.Entry().ID, At: now}
+		o := observation{upstream: a.use.Entry(), crash: quarantine.Crash{Fingerprint: p, Upstream: a.use.Entry().ID, At: now}, part: q.partCrash(a, now)}
 		if s.o.Quarantine.CrashCount(p) == 0 {
-			go s.recordCrash(context.WithoutCancel(ctx), e, a.use.Entry()) // bounded by the time-outs of the two checks
+			go s.recordCrash(context.WithoutCancel(ctx), o) // bounded by the time-outs of the two checks
 		} else {
-			s.recordCrash(ctx, e, a.use.Entry())
+			s.recordCrash(ctx, o)
 		}
 	}
 	f := []zap.Field{zap.Stringer("print", q.fingerprintOf()), zap.Stringer("shown", v), zap.Duration("since_sent", now.Sub(a.sentAt))}
 	return append(f, originFields(q)...)
 }
 
+// observation is the crash of an upstream as one attempt saw it.
+type observation struct {
+	upstream pool.Entry
+	crash    quarantine.Crash
+	part     *quarantine.PartCrash // nil: the parts of its prompt can't be the cause
+}
+
 // recordCrash records that an upstream crashed under a request, unless the upstream still listens: then it
 // has only lost the response, and counting resets by running upstreams would quarantine a harmless request.
 // Nor is it a crash if the upstream's hall is unreachable: a partition that resets connections ends idle
 // ones to several upstreams in a row. Each check takes a round trip, or a time-out during a partition, so
 // only a request that already has a crash on record waits for them before its next attempt.
-func (s *Server) recordCrash(ctx context.Context, e quarantine.Crash, u pool.Entry) {
+func (s *Server) recordCrash(ctx context.Context, o observation) {
+	u := o.upstream
 	if !s.o.Connections.get(u).RefusesConnections(ctx, u.Address) || !s.o.HallReachable(ctx, u.Hall) {
 		return
 	}
-	s.o.Log.Info("upstream_ended", zap.String("upstream", e.Upstream), zap.Stringer("print", e.Fingerprint))
-	s.ApplyQuarantine(s.o.Quarantine.ObserveCrash(s.o.Clock.Now(), e), "")
+	s.o.Log.Info("upstream_ended", zap.String("upstream", u.ID), zap.Stringer("print", o.crash.Fingerprint), zap.Bool("parts_suspect", o.part != nil))
+	now := s.o.Clock.Now()
+	s.ApplyQuarantine(s.o.Quarantine.ObserveCrash(now, o.crash), "")
+	if o.part != nil {
+		s.ApplyQuarantine(s.o.Quarantine.ObservePartCrash(now, *o.part), "")
+	}
 }
 
 // recordComplete records that a request received a complete response.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -60,6 +60,7 @@
 	observe("longest_pause_ms", q.longestPause)
 	if errors.Is(err, io.EOF) {
 		s.recordComplete(q)
+		t.recordEnd()
 		t.a.finish(pool.ResultGood)
 		s.logDone(q, a.status, "streamed", nil)
 		return
@@ -88,6 +89,7 @@
 	}
 	t.lastEventAt = now
 	t.recordPace()
+	t.recordProgress()
 	return nil
 }
 
--- a/internal/forward/withhold.go
+++ b/internal/forward/withhold.go
@@ -33,7 +33,7 @@
 	if reason := a.use.Unavailable(); reason != "" {
 		return fault.Because(errWithheld, "%s", reason)
 	}
-	return errors.Join(s.checkConfiguration(q), s.checkList())
+	return errors.Join(s.checkConfiguration(q), s.checkList(), s.checkPartsBeforeSend(q))
 }
 
 // checkList returns errStaleList if this node's list of upstreams is too old to choose from.
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -11,8 +11,8 @@
 
 // evaluate recomputes which requests are quarantined and returns the changes.
 func (t *Tracker) evaluate() []Change {
-	changes := t.shapeChanges
-	t.shapeChanges = nil
+	changes := t.pendingChanges
+	t.pendingChanges = nil
 	if !t.stale {
 		return changes
 	}
@@ -62,6 +62,7 @@
 	Upstreams   int           // that crashed under it
 	Probe       bool          // quarantined before, and now admitted to see whether upstreams still crash under it
 	ByShape     bool          // because of crashes under requests of the same shape
+	Parts       []uint64      // because of crashes under requests with these parts
 }
 
 // Check decides whether a request may be sent now.
--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -25,9 +25,32 @@
 	for _, t := range u.Probes {
 		m.Trials = append(m.Trials, answeredToWire(now, t.Fingerprint, t.At, t.Origin))
 	}
+	for _, c := range u.PartCrashes {
+		m.PromptEnds = append(m.PromptEnds, &wire.PromptEnd{
+			Service: c.Prompt.service, Workspace: c.Prompt.workspace, Parts: c.Prompt.parts, Request: c.Request, Upstream: c.Upstream,
+			AgeMs: now.Sub(c.At).Milliseconds(), Origin: uint64(c.Origin), Begun: c.Begun,
+		})
+	}
+	m.PartAnswers, m.PartProbes, m.PartSplits = partEventsToWire(now, u.PartAnswers), partEventsToWire(now, u.PartProbes), partEventsToWire(now, u.PartSplits)
 	return m
 }
 
+func partEventsToWire(now time.Time, list []PartEvent) []*wire.PartsSeen {
+	var r []*wire.PartsSeen
+	for _, e := range list {
+		r = append(r, &wire.PartsSeen{Service: e.Service, Parts: e.Parts, AgeMs: now.Sub(e.At).Milliseconds(), Origin: uint64(e.Origin)})
+	}
+	return r
+}
+
+func partEventsFromWire(now time.Time, list []*wire.PartsSeen) []PartEvent {
+	var r []PartEvent
+	for _, e := range list {
+		r = append(r, PartEvent{Service: e.Service, Parts: sortedParts(e.Parts), At: now.Add(-time.Duration(e.AgeMs) * time.Millisecond), Origin: Origin(e.Origin)})
+	}
+	return r
+}
+
 func answeredToWire(now time.Time, p Fingerprint, at time.Time, o Origin) *wire.Answered {
 	id, prefixes := p.toWire()
 	return &wire.Answered{Print: id, Prefixes: prefixes, AgeMs: now.Sub(at).Milliseconds(), Origin: uint64(o)}
@@ -70,5 +93,12 @@
 			u.Probes = append(u.Probes, Probe{Fingerprint: p, At: now.Add(-time.Duration(t.AgeMs) * time.Millisecond), Origin: Origin(t.Origin)})
 		}
 	}
+	for _, c := range m.GetPromptEnds() {
+		u.PartCrashes = append(u.PartCrashes, PartCrash{
+			Prompt:  Prompt{service: c.Service, workspace: c.Workspace, parts: sortedParts(c.Parts)},
+			Request: c.Request, Upstream: c.Upstream, At: now.Add(-time.Duration(c.AgeMs) * time.Millisecond), Origin: Origin(c.Origin), Begun: c.Begun,
+		})
+	}
+	u.PartAnswers, u.PartProbes, u.PartSplits = partEventsFromWire(now, m.GetPartAnswers()), partEventsFromWire(now, m.GetPartProbes()), partEventsFromWire(now, m.GetPartSplits())
 	return u
 }
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -73,21 +73,22 @@
 	node string
 	size atomic.Int64 // number of suspects, readable without the lock
 
-	mu           sync.Mutex
-	suspects     map[ID]*suspect
-	shapes       map[Shape]*shapeState
-	shapeChanges []Change              // of quarantined shapes, not yet returned
-	telling      map[Shape]*shapeState // of which messages may have to tell; most shapes have nothing new
-	revision     int64                 // rises with each change of the quarantined requests
-	stale        bool                  // crashes that can quarantine a request have changed since the last evaluation
-	updates      uint64                // number of messages built
-	observed     uint64                // number of this process's own observations
-	origins      map[Origin]placed
+	mu             sync.Mutex
+	suspects       map[ID]*suspect
+	shapes         map[Shape]*shapeState
+	parts          *partTracker
+	pendingChanges []Change              // not yet returned
+	telling        map[Shape]*shapeState // of which messages may have to tell; most shapes have nothing new
+	revision       int64                 // rises with each change of the quarantined requests
+	stale          bool                  // crashes that can quarantine a request have changed since the last evaluation
+	updates        uint64                // number of messages built
+	observed       uint64                // number of this process's own observations
+	origins        map[Origin]placed
 }
 
 // NewTracker returns an empty tracker for a node.
 func NewTracker(node string) *Tracker {
-	return &Tracker{node: node, suspects: make(map[ID]*suspect), shapes: make(map[Shape]*shapeState), telling: make(map[Shape]*shapeState), origins: make(map[Origin]placed)}
+	return &Tracker{node: node, suspects: make(map[ID]*suspect), shapes: make(map[Shape]*shapeState), telling: make(map[Shape]*shapeState), parts: newPartTracker(), origins: make(map[Origin]placed)}
 }
 
 // Change reports that a request is quarantined, or no longer is.
@@ -97,6 +98,11 @@
 	Until       time.Time
 	Upstreams   []string // that crashed under it
 	ByShape     bool     // concerns all requests of the shape
+	// Of requests whose prompts have all of these parts; nil: the change concerns others.
+	Parts        []uint64
+	Requests     int           // under which the upstreams crashed
+	Since        time.Duration // the first of these crashes
+	OneWorkspace bool          // only the requests of the workspace under which the upstreams crashed are concerned
 }
 
 // HasCrashes reports whether crashes were observed under a request of one of the shapes. Most processes know of
@@ -176,7 +182,7 @@
 	for _, v := range f.crashes {
 		c.Upstreams = append(c.Upstreams, v.Upstream)
 	}
-	t.shapeChanges = append(t.shapeChanges, c)
+	t.pendingChanges = append(t.pendingChanges, c)
 }
 
 // tellOf has messages tell of a shape, as far as there is something to tell.
@@ -286,7 +292,7 @@
 		}
 	}
 	if released {
-		t.shapeChanges = append(t.shapeChanges, Change{Fingerprint: a.Fingerprint, ByShape: true})
+		t.pendingChanges = append(t.pendingChanges, Change{Fingerprint: a.Fingerprint, ByShape: true})
 	}
 }
 
--- a/internal/quarantine/update.go
+++ b/internal/quarantine/update.go
@@ -45,19 +45,28 @@
 	Crashes   []Crash
 	Responses []Response
 	Probes    []Probe
+
+	PartCrashes []PartCrash
+	PartAnswers []PartEvent
+	PartProbes  []PartEvent // of requests with all parts of a quarantined set
+	PartSplits  []PartEvent // of requests with some of them
 }
 
 // Empty reports whether there is nothing to send.
-func (u Update) Empty() bool { return len(u.Crashes)+len(u.Responses)+len(u.Probes) == 0 }
+func (u Update) Empty() bool {
+	return len(u.Crashes)+len(u.Responses)+len(u.Probes)+len(u.PartCrashes)+len(u.PartAnswers)+len(u.PartProbes)+len(u.PartSplits) == 0
+}
 
 // BuildUpdate returns what is to be sent now. It removes what has expired.
 func (t *Tracker) BuildUpdate(now time.Time) Update {
-	if t.size.Load() == 0 {
+	if t.size.Load() == 0 && !t.HasPartCrashes() {
 		return Update{}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.updates++
+	var u Update
+	t.buildParts(now, &u)
 	var list []*suspect
 	responses, probes := make(map[ID]Response), make(map[ID]Probe) // one of each request
 	shapes := t.quarantinedShapes()
@@ -89,7 +98,8 @@
 			addLatestProbe(probes, f.lastProbe)
 		}
 	}
-	return Update{Crashes: t.selectCrashes(list), Responses: t.selectResponses(responses), Probes: t.selectProbes(probes)}
+	u.Crashes, u.Responses, u.Probes = t.selectCrashes(list), t.selectResponses(responses), t.selectProbes(probes)
+	return u
 }
 
 // addLatest adds a response unless a later one to the same request is there: one response clears many shapes.
@@ -224,8 +234,9 @@
 			}
 		}
 	}
-	if !changed && len(t.shapeChanges) == 0 {
-		return nil
+	parts := t.mergeParts(now, u)
+	if !changed && len(t.pendingChanges) == 0 {
+		return parts
 	}
-	return t.evaluate()
+	return append(t.evaluate(), parts...)
 }
