--- /dev/null
+++ b/internal/quarantine/part_test.go
@@ -0,0 +1,205 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"google.golang.org/protobuf/proto"
+)
+
+// partRig is a tracker, and what upstreams do under requests with parts.
+type partRig struct {
+	t       *testing.T
+	tracker *Tracker
+	now     time.Time
+	request uint64
+}
+
+func newPartRig(t *testing.T) *partRig {
+	return &partRig{t: t, tracker: NewTracker("n"), now: at(0)}
+}
+
+// crash lets an upstream crash under a new request of a workspace, and others be answered.
+func (r *partRig) crash(workspace string, parts ...uint64) {
+	r.now = r.now.Add(time.Second)
+	r.request++
+	r.tracker.ObservePartCrash(r.now, PartCrash{Prompt: NewPrompt("llm", workspace, parts), Request: r.request, Upstream: fmt.Sprint("u", r.request), At: r.now})
+	r.now = r.now.Add(100 * time.Millisecond)
+	r.answer(0xffff)
+}
+
+func (r *partRig) answer(parts ...uint64) {
+	r.tracker.ObservePartAnswer(r.now, NewPrompt("llm", "w", parts))
+}
+
+func (r *partRig) crashes(n int, workspace string, parts ...uint64) {
+	for range n {
+		r.crash(workspace, parts...)
+	}
+}
+
+func (r *partRig) assertHeld(held bool, workspace string, parts ...uint64) {
+	r.t.Helper()
+	assert.Equal(r.t, held, r.tracker.CheckParts(r.now, NewPrompt("llm", workspace, parts), false).Quarantined)
+}
+
+func TestPartIsQuarantined(t *testing.T) {
+	t.Run("after three crashes, for requests that have it", func(t *testing.T) {
+		r := newPartRig(t)
+		r.crashes(2, "w", 1, badPart)
+		r.answer(1)
+		r.assertHeld(false, "w", 1, badPart)
+		r.crash("w", badPart, 1)
+		r.answer(1)
+		r.assertHeld(true, "w", 1, badPart)
+		r.assertHeld(true, "w", badPart, 7, 8)
+		r.assertHeld(false, "w", 1)
+		assert.False(t, r.tracker.CheckParts(r.now, NewPrompt("other service", "w", []uint64{badPart}), false).Quarantined)
+	})
+	t.Run("not while nothing of its service is answered", func(t *testing.T) {
+		r := newPartRig(t)
+		for i := range uint64(9) {
+			r.now = r.now.Add(time.Second)
+			r.tracker.ObservePartCrash(r.now, PartCrash{Prompt: NewPrompt("llm", "w", []uint64{badPart}), Request: i, Upstream: fmt.Sprint("u", i), At: r.now})
+		}
+		r.assertHeld(false, "w", badPart)
+	})
+	t.Run("not by repeats of one request", func(t *testing.T) {
+		r := newPartRig(t)
+		for range 9 {
+			r.request = 1
+			r.crash("w", badPart)
+		}
+		r.assertHeld(false, "w", badPart)
+	})
+	t.Run("not by one burst", func(t *testing.T) {
+		r := newPartRig(t)
+		for i := range uint64(9) {
+			r.now = r.now.Add(10 * time.Millisecond)
+			r.tracker.ObservePartCrash(r.now, PartCrash{Prompt: NewPrompt("llm", "w", []uint64{badPart}), Request: i, Upstream: fmt.Sprint("u", i), At: r.now})
+		}
+		r.now = r.now.Add(100 * time.Millisecond)
+		r.answer(0xffff)
+		r.assertHeld(false, "w", badPart)
+	})
+	t.Run("and released by an answer", func(t *testing.T) {
+		r := newPartRig(t)
+		r.crashes(4, "w", badPart)
+		r.assertHeld(true, "w", badPart)
+		r.now = r.now.Add(time.Second)
+		r.answer(badPart)
+		r.assertHeld(false, "w", badPart)
+	})
+	t.Run("together with those that it was always with", func(t *testing.T) {
+		r := newPartRig(t)
+		r.crashes(4, "w", 1, badPart)
+		r.assertHeld(true, "w", 1, badPart)
+		assert.True(t, r.tracker.CheckParts(r.now, NewPrompt("llm", "w", []uint64{1}), true).Probe, "one with some of them tells them apart")
+		assert.True(t, r.tracker.CheckParts(r.now, NewPrompt("llm", "w", []uint64{1}), true).Quarantined, "one at a time")
+		r.now = r.now.Add(time.Second)
+		r.answer(1)
+		r.assertHeld(false, "w", 1)
+		r.assertHeld(true, "w", badPart)
+	})
+}
+
+// TestPartOfOneWorkspace guards against one workspace that has the requests of others refused by the names of its parts.
+func TestPartOfOneWorkspace(t *testing.T) {
+	r := newPartRig(t)
+	r.crashes(5, "w", badPart)
+	r.assertHeld(true, "w", badPart)
+	r.assertHeld(false, "x", badPart)
+	r.crash("x", badPart)
+	r.assertHeld(true, "y", badPart)
+}
+
+// TestProbesOfAPartEnd guards against a part that is let through again and again, by one node after the other.
+func TestProbesOfAPartEnd(t *testing.T) {
+	r := newPartRig(t)
+	r.crashes(3, "w", badPart)
+	admitted := 0
+	for range 48 * 60 { // two days, half a minute at a time
+		r.now = r.now.Add(30 * time.Second)
+		if r.tracker.BuildUpdate(r.now); r.now.Sub(at(0)) > heldPartTTL {
+			break
+		}
+		r.assertHeld(true, "w", badPart) // a process that may not probe
+		if v := r.tracker.CheckParts(r.now, NewPrompt("llm", "w", []uint64{badPart}), true); v.Probe {
+			admitted++
+			r.crash("w", badPart)
+		}
+	}
+	assert.Equal(t, maxPartProbes, admitted)
+}
+
+// TestPartsAreToldAndRestored checks that another process derives the same from messages, and from what is stored.
+func TestPartsAreToldAndRestored(t *testing.T) {
+	r := newPartRig(t)
+	for i := range uint64(20) {
+		r.crash("w", badPart, 10+i%3)
+	}
+	r.now = r.now.Add(10 * time.Second)
+	for name, u := range map[string]Update{"told": r.tracker.BuildUpdate(r.now), "stored": first(r.tracker.PartEvidence())} {
+		t.Run(name, func(t *testing.T) {
+			o := NewTracker("o")
+			o.Merge(r.now, UpdateFromWire(r.now, u.ToWire(r.now)))
+			assert.True(t, o.CheckParts(r.now, NewPrompt("llm", "w", []uint64{badPart}), false).Quarantined)
+			assert.False(t, o.CheckParts(r.now, NewPrompt("llm", "w", []uint64{10}), false).Quarantined)
+			assert.LessOrEqual(t, len(u.PartCrashes), maxWitnesses)
+		})
+	}
+}
+
+func first(u Update, _ int64) Update { return u }
+
+// TestBoundsOfParts guards against callers that take memory and messages by the parts they name.
+func TestBoundsOfParts(t *testing.T) {
+	r := newPartRig(t)
+	most := 0
+	for i := range 1500 {
+		var parts []uint64
+		for j := range 400 {
+			parts = append(parts, uint64(1000*i+j))
+		}
+		r.now = r.now.Add(time.Millisecond)
+		r.request++
+		r.tracker.ObservePartCrash(r.now, PartCrash{Prompt: NewPrompt("llm", "w", parts), Request: r.request, Upstream: fmt.Sprint("u", i), At: r.now})
+		r.answer(uint64(1000*i+500), uint64(1000*i+501))
+		if i%100 == 0 {
+			most = max(most, proto.Size(r.tracker.BuildUpdate(r.now).ToWire(r.now)))
+		}
+	}
+	t.Logf("largest message: %d bytes", most)
+	p := r.tracker.parts
+	assert.LessOrEqual(t, len(p.crashes), maxPartCrashes)
+	assert.LessOrEqual(t, len(p.refs), maxPartRefs)
+	assert.LessOrEqual(t, len(p.answers), maxPartAnswers+1)
+	assert.Less(t, most, 16<<10)
+}
+
+func BenchmarkParts(b *testing.B) {
+	t := NewTracker("n")
+	q := NewPrompt("llm", "w", []uint64{1, 2, 3})
+	b.Run("check, none known", func(b *testing.B) {
+		for b.Loop() {
+			t.CheckParts(at(0), q, false)
+		}
+	})
+	for i := range 200 {
+		t.ObservePartCrash(at(time.Duration(i)*time.Second), PartCrash{Prompt: NewPrompt("llm", "w", []uint64{badPart, uint64(100 + i%5)}), Request: uint64(i), Upstream: fmt.Sprint(i), At: at(time.Duration(i) * time.Second)})
+	}
+	now := 200 * time.Second
+	b.Run("answer, 200 crashes known", func(b *testing.B) {
+		for b.Loop() {
+			now += time.Millisecond
+			t.ObservePartAnswer(at(now), q)
+		}
+	})
+	b.Run("check, 200 crashes known", func(b *testing.B) {
+		for b.Loop() {
+			t.CheckParts(at(now), q, false)
+		}
+	})
+}
