--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -61,7 +61,7 @@
 			v.runs[e.ID] = append(v.runs[e.ID], e)
 		case Arrived:
 			v.came[e.ID] = append(v.came[e.ID], e)
-		case Ended, Refused, Named, Started, Fell:
+		case Ended, Refused, Named, Started, Fell, Crashed:
 		}
 	}
 	return v
@@ -79,7 +79,7 @@
 func (v *view) calm(from, to time.Time, fits func(f Fault) bool) bool {
 	return !v.stalled(from, to) && !slices.ContainsFunc(v.Day.Faults, func(f Fault) bool {
 		end := f.End()
-		if f.plannedStop() || f.Kind == FaultReclaim || f.Kind == FaultDrain || f.Kind == FaultCrash || f.Kind == FaultKill || f.Kind == FaultKillAll {
+		if f.plannedStop() || f.Kind == FaultReclaim || f.Kind == FaultDrain || f.Kind == FaultCrash || f.Kind == FaultPart || f.Kind == FaultKill || f.Kind == FaultKillAll {
 			end += stopGrace + 2*time.Second // until the process has started again
 		}
 		return f.At <= v.at(to) && end+lately >= v.at(from) && fits(f)
@@ -127,7 +127,7 @@
 func Check(r Record) []Failure {
 	v := newView(r)
 	var list []Failure
-	for _, c := range []func(v *view) []Failure{checkWhole, checkOnce, checkNotRun, checkAttempts, checkDrains, checkVersions, checkConfig, checkKeys, checkQuota, checkRepeats, checkLimits, checkEgress, checkBrittle, checkEnds, checkStops, checkAnswered, checkLost} {
+	for _, c := range []func(v *view) []Failure{checkWhole, checkOnce, checkNotRun, checkAttempts, checkDrains, checkVersions, checkConfig, checkKeys, checkQuota, checkRepeats, checkLimits, checkEgress, checkBrittle, checkParts, checkEnds, checkStops, checkAnswered, checkLost} {
 		list = append(list, c(v)...)
 	}
 	if r.Complete {
--- a/internal/soak/check_reach.go
+++ b/internal/soak/check_reach.go
@@ -47,7 +47,7 @@
 		cut, others := make(map[Route]tally), make(map[Route]tally) // by route
 		for i := range v.Replies {
 			r := &v.Replies[i]
-			if r.Call.Key != KeyWide || v.at(r.Sent) < f.At+cutNotice || v.at(r.Done) > f.End() {
+			if r.Call.Key != KeyWide || r.Call.bad() || v.at(r.Sent) < f.At+cutNotice || v.at(r.Done) > f.End() {
 				continue
 			}
 			where := others
--- a/internal/soak/day.go
+++ b/internal/soak/day.go
@@ -19,6 +19,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -57,6 +58,7 @@
 	FaultBrittle   Kind = "brittle"    // the upstreams of a service are slow and fall over when they reject too much
 	FaultSecond    Kind = "second"     // upstreams are silent for a second or so, which is no disturbance
 	FaultStarve    Kind = "starve"     // daemons run for a small part of the time, X; upstreams leave meanwhile
+	FaultPart      Kind = "part"       // streams come with a part that crashes each engine which begins to answer, X a second
 	FaultPress     Kind = "press"      // SIGTERM of daemons that more callers use; they aren't scheduled when they close connections
 )
 
@@ -117,8 +119,19 @@
 	// Of a stream that its caller takes up: the id of the attempt that brought its first event, and the last event.
 	Resumes string `json:"resumes,omitempty"`
 	After   int    `json:"after,omitempty"`
+	// Parts are those of its prompt that others share.
+	Parts []string `json:"parts,omitempty"`
 }
 
+// Parts of prompts: one that all streams share, and one that crashes engines.
+const (
+	CommonPart = "a1"
+	BadPart    = "bad0"
+)
+
+// bad tells whether a call crashes the engine that begins to answer it.
+func (c Call) bad() bool { return slices.Contains(c.Parts, BadPart) }
+
 // Route is which route a call takes.
 type Route string
 
@@ -189,6 +202,7 @@
 	d.Faults = append(d.Faults, d.drawLater(rand.New(rand.NewPCG(seed, 0xe9e5)), last)...)
 	d.Faults = append(d.Faults, d.drawPress(rand.New(rand.NewPCG(seed, 0x57e5)), d.Traffic-quietAfter)...)
 	d.Faults = append(d.Faults, d.drawStarve(rand.New(rand.NewPCG(seed, 0x51a4)), d.Traffic-quietAfter)...)
+	d.Faults = append(d.Faults, d.drawPart(rand.New(rand.NewPCG(seed, 0xbad0)), d.Traffic-quietAfter)...)
 	d.Mixed = rand.New(rand.NewPCG(seed, 0x3e75)).IntN(2) == 0 && !o.OneVersion
 	slices.SortStableFunc(d.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return d
@@ -280,6 +294,37 @@
 	return []Fault{f, left}
 }
 
+// drawPart draws streams with a part that crashes engines, from a sequence of their own as well.
+func (d *Day) drawPart(r *rand.Rand, last time.Duration) []Fault {
+	if r.IntN(3) > 0 {
+		return nil
+	}
+	f := Fault{Kind: FaultPart, On: OnUpstreams, X: 3 + 3*r.Float64(), For: partLasts}
+	f.At = quietBefore + time.Duration(r.Int64N(int64(max(1, last-quietBefore-f.For))))
+	return []Fault{f}
+}
+
+// partLasts is long enough for five crashes, the time in which daemons hear of each other, and more streams after it.
+const partLasts = 6500 * time.Millisecond
+
+// partCalls draws the streams with a part that crashes engines.
+func (d *Day) partCalls(r *rand.Rand) []Call {
+	var list []Call
+	for _, f := range d.Faults {
+		if f.Kind != FaultPart {
+			continue
+		}
+		for at := f.At; at < f.End(); at += time.Duration(r.ExpFloat64() / f.X * float64(time.Second)) {
+			parts := [][]string{{CommonPart, BadPart}, {BadPart, CommonPart}, {CommonPart, neighbourPart(len(list)), BadPart}}[r.IntN(3)]
+			list = append(list, Call{At: at, Daemon: r.IntN(d.Daemons), Route: []Route{RouteStream, RouteResume}[r.IntN(2)], Key: KeyWide, Size: 10, Parts: parts})
+		}
+	}
+	return list
+}
+
+// neighbourPart is one of some parts that a share of the streams have.
+func neighbourPart(i int) string { return fmt.Sprintf("e%d", i%5) }
+
 func (d *Day) draw(r *rand.Rand, first, last time.Duration) Fault {
 	f := Fault{Kind: kinds[r.IntN(len(kinds))]}
 	f.At = first + time.Duration(r.Int64N(int64(last-first)))
@@ -375,6 +420,8 @@
 func (d *Day) Calls() []Call {
 	r := rand.New(rand.NewPCG(d.Seed, 0xca11))
 	list := d.pressingCalls(rand.New(rand.NewPCG(d.Seed, 0x9e55)))
+	list = append(list, d.partCalls(rand.New(rand.NewPCG(d.Seed, 0xbad1)))...)
+	sharesParts := slices.ContainsFunc(d.Faults, func(f Fault) bool { return f.Kind == FaultPart })
 	for at := time.Duration(0); ; {
 		at += time.Duration(r.ExpFloat64() / d.PerSecond * float64(time.Second))
 		if at >= d.Traffic {
@@ -389,6 +436,9 @@
 		case x < 8:
 			c.Key = KeyWithdrawn
 		}
+		if sharesParts && (c.Route == RouteStream || c.Route == RouteResume) {
+			c.Parts = []string{CommonPart, neighbourPart(len(list))}
+		}
 		list = append(list, c)
 	}
 }
--- a/internal/soak/event.go
+++ b/internal/soak/event.go
@@ -24,6 +24,7 @@
 	Named   What = "named"   // an answer names a rate
 	Started What = "started" // an upstream's process
 	Fell    What = "fell"    // an upstream that rejected too much falls over
+	Crashed What = "crashed" // a run ends its upstream's process
 )
 
 // Event is what an upstream saw.
--- a/internal/soak/gateway.go
+++ b/internal/soak/gateway.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"spurhall.example/spurhall/internal/timer"
@@ -18,21 +19,23 @@
 
 var errCut = errors.New("the daemon is cut off")
 
-// NewGateway returns a gateway that listens at an address of its own and dials from another.
-func NewGateway(clock *timer.Service, listen, from string) (*Link, error) {
+// NewGateway returns a gateway that listens at an address of its own and dials from another. Behind an address that it
+// dials may stand a link, which accepts connections whatever listens behind it: behind returns the address of that, or an
+// empty string.
+func NewGateway(clock *timer.Service, listen, from string, behind func(address string) string) (*Link, error) {
 	l, err := net.Listen("tcp", net.JoinHostPort(listen, "0"))
 	if err != nil {
 		return nil, err
 	}
 	v := &Link{clock: clock, listener: l, modes: make(map[*Mode]bool), change: make(chan struct{}), open: make(map[*conn]bool)}
 	d := &net.Dialer{Timeout: dialTimeout, LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}
-	v.connect = func(near net.Conn) (net.Conn, error) { return v.handshake(near, d) }
+	v.connect = func(near net.Conn) (net.Conn, error) { return v.handshake(near, d, behind) }
 	go v.accept()
 	return v, nil
 }
 
 // handshake reads which address is asked for, and opens a connection to it.
-func (l *Link) handshake(near net.Conn, d *net.Dialer) (net.Conn, error) {
+func (l *Link) handshake(near net.Conn, d *net.Dialer, behind func(string) string) (net.Conn, error) {
 	_ = near.SetReadDeadline(l.clock.Wall().Add(dialTimeout))
 	q, err := http.ReadRequest(bufio.NewReader(near)) // the daemon sends nothing more before the answer
 	if err != nil {
@@ -42,6 +45,9 @@
 	if l.holdsNew() {
 		return nil, answer(near, http.StatusBadGateway, errCut)
 	}
+	if err := checkListens(behind(q.Host)); err != nil {
+		return nil, answer(near, http.StatusBadGateway, err)
+	}
 	far, err := d.Dial("tcp", q.Host)
 	if err != nil {
 		return nil, answer(near, http.StatusBadGateway, err)
@@ -53,6 +59,21 @@
 	return far, nil
 }
 
+// checkListens returns an error if an address refuses connections.
+func checkListens(address string) error {
+	if address == "" {
+		return nil
+	}
+	c, err := net.DialTimeout("tcp", address, dialTimeout)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return err
+	}
+	if err == nil {
+		_ = c.Close()
+	}
+	return nil // what else is wrong shows on the connection itself
+}
+
 // holdsNew waits while new connections hang, and reports whether they are refused.
 func (l *Link) holdsNew() bool {
 	for {
--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -69,6 +69,8 @@
 	drainServes = 4 * time.Second         // an upstream serves on after it has said that it leaves
 	beatEvery   = 400 * time.Millisecond  // of upstreams
 	restartWait = 300 * time.Millisecond
+	crashedFor  = 1500 * time.Millisecond // until an engine that a request has crashed starts again
+	crashPoll   = 100 * time.Millisecond
 	checkEvery  = 2 * time.Second
 	facePort    = 7000
 	servePort   = 8080
@@ -200,6 +202,16 @@
 	return v.Start()
 }
 
+// behindLink returns where the upstream listens whose link has an address; empty: it is of no upstream.
+func (s *Stage) behindLink(address string) string {
+	for i, l := range s.serving {
+		if l.Address() == address {
+			return s.address(s.upstreamHost(i), servePort)
+		}
+	}
+	return ""
+}
+
 func (s *Stage) journal(i int) string { return filepath.Join(s.dir, upstreamName(i)+".events") }
 
 func (s *Stage) addDaemon(p Programs, i int) error {
@@ -215,7 +227,7 @@
 		}
 		*v.list = append(*v.list, l)
 	}
-	g, err := NewGateway(s.clock, s.base+"1", s.host(host))
+	g, err := NewGateway(s.clock, s.base+"1", s.host(host), s.behindLink)
 	if err != nil {
 		return err
 	}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -71,6 +71,13 @@
 	_ = p.cmd.Process.Signal(s) // it may have ended
 }
 
+// ExpectEnd says that the process may end by itself.
+func (p *Process) ExpectEnd() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wanted = true
+}
+
 // Wait waits until the process has ended, and tells whether it did in time.
 func (p *Process) Wait(d time.Duration) bool {
 	p.mu.Lock()
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -58,6 +58,8 @@
 		s.behave(ctx, f, Behaviour{Brittle: f.X})
 	case FaultSecond:
 		s.hold(ctx, f, Mode{Silent: true})
+	case FaultPart:
+		s.restartCrashed(ctx, f)
 	case FaultSpoil:
 		s.behave(ctx, f, Behaviour{Share: f.X, Spoils: true})
 	}
@@ -265,6 +267,31 @@
 	})
 }
 
+// restartCrashed starts engines again that requests with a bad part have crashed, and those that such requests crash for
+// as long as they may be under way.
+func (s *Stage) restartCrashed(ctx context.Context, f Fault) {
+	until := s.clock.Now().Add(f.For + callWait)
+	var w sync.WaitGroup
+	for i := range s.day.Engines {
+		p := s.upstreams[i]
+		w.Go(func() {
+			for s.clock.Now().Before(until) && ctx.Err() == nil {
+				p.ExpectEnd()
+				if !p.Wait(crashPoll) || !s.take(p) {
+					_ = s.clock.Sleep(ctx, crashPoll) // what comes next sees the end
+					continue
+				}
+				if p.Wait(0) { // no other fault has started it meanwhile
+					_ = s.clock.Sleep(context.WithoutCancel(ctx), crashedFor)
+					s.log(p.Start())
+				}
+				s.release(p)
+			}
+		})
+	}
+	w.Wait()
+}
+
 func (s *Stage) strikeStore(ctx context.Context, f Fault) {
 	modes := map[string]standin.FaultMode{StoreSlow: standin.FaultSlow, StoreDown: standin.FaultRefuse, StoreLoses: standin.FaultLose, StoreFrozen: standin.FaultFreeze, StoreBusy: standin.FaultBusy}
 	set := func(who []int, v standin.Fault) {
