Probes of a part are counted in messages and in the store

The count goes with the event. TestProbesAreCountedAfterARestart fails without it (a probe is admitted), passes with it; TestPartsThatCrashUpstreams as before.

--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -38,7 +38,7 @@
 func partEventsToWire(now time.Time, list []PartEvent) []*wire.PartsSeen {
 	var r []*wire.PartsSeen
 	for _, e := range list {
-		r = append(r, &wire.PartsSeen{Service: e.Service, Parts: e.Parts, AgeMs: now.Sub(e.At).Milliseconds(), Origin: uint64(e.Origin)})
+		r = append(r, &wire.PartsSeen{Service: e.Service, Parts: e.Parts, AgeMs: now.Sub(e.At).Milliseconds(), Origin: uint64(e.Origin), Count: int32(e.Count)})
 	}
 	return r
 }
@@ -46,7 +46,7 @@
 func partEventsFromWire(now time.Time, list []*wire.PartsSeen) []PartEvent {
 	var r []PartEvent
 	for _, e := range list {
-		r = append(r, PartEvent{Service: e.Service, Parts: sortedParts(e.Parts), At: now.Add(-time.Duration(e.AgeMs) * time.Millisecond), Origin: Origin(e.Origin)})
+		r = append(r, PartEvent{Service: e.Service, Parts: sortedParts(e.Parts), Count: int(e.Count), At: now.Add(-time.Duration(e.AgeMs) * time.Millisecond), Origin: Origin(e.Origin)})
 	}
 	return r
 }
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -122,6 +122,7 @@
 type PartEvent struct {
 	Service uint64
 	Parts   []uint64
+	Count   int // of the admissions so far, this one included; 0 for an answer
 	At      time.Time
 	Origin  Origin
 }
@@ -138,7 +139,6 @@
 // knownEvent is an event as a tracker has it.
 type knownEvent struct {
 	PartEvent
-	count     int       // of the events so far that concern the same parts
 	toldUntil time.Time // messages tell of it until then
 }
 
--- a/internal/quarantine/part_evaluate.go
+++ b/internal/quarantine/part_evaluate.go
@@ -40,7 +40,7 @@
 func (q *partQuarantine) latest(events map[PartKey]*knownEvent) (count int, last time.Time) {
 	for _, x := range q.parts {
 		if e := events[PartKey{Service: q.service, Part: x}]; e != nil {
-			count = max(count, e.count)
+			count = max(count, e.Count)
 			if e.At.After(last) {
 				last = e.At
 			}
@@ -158,9 +158,10 @@
 		if old != nil && e.At.Sub(old.At) < sameCrashWindow || p.refs[k] == 0 {
 			continue
 		}
-		v := &knownEvent{PartEvent: e, count: 1, toldUntil: now.Add(announceFor)}
+		v := &knownEvent{PartEvent: e, toldUntil: now.Add(announceFor)}
+		v.Count = max(1, e.Count)
 		if old != nil {
-			v.count += old.count
+			v.Count = max(v.Count, old.Count+1)
 		}
 		events[k], news = v, true
 	}
--- a/internal/quarantine/part_test.go
+++ b/internal/quarantine/part_test.go
@@ -134,6 +134,24 @@
 	assert.Equal(t, maxPartProbes, admitted)
 }
 
+// TestProbesAreCountedAfterARestart guards against a process that knows the last probe of a part alone, and admits more.
+func TestProbesAreCountedAfterARestart(t *testing.T) {
+	r := newPartRig(t)
+	r.crashes(3, "w", badPart)
+	for range maxPartProbes {
+		r.now = r.now.Add(2 * nextPartProbe)
+		assert.True(t, r.tracker.CheckParts(r.now, NewPrompt("llm", "w", []uint64{badPart}), true).Probe)
+		r.crash("w", badPart)
+	}
+	stored := UpdateFromWire(r.now, first(r.tracker.PartEvidence()).ToWire(r.now))
+	r.tracker = NewTracker("o")
+	r.tracker.Merge(r.now, stored)
+	r.now = r.now.Add(2 * nextPartProbe)
+	v := r.tracker.CheckParts(r.now, NewPrompt("llm", "w", []uint64{badPart}), true)
+	assert.True(t, v.Quarantined)
+	assert.False(t, v.Probe)
+}
+
 // TestPartsAreToldAndRestored checks that another process derives the same from messages, and from what is stored.
 func TestPartsAreToldAndRestored(t *testing.T) {
 	r := newPartRig(t)
