review: streams that are taken up during a rolling restart are refused (LOST)

Cause: which version began a stream is told once to two nodes and kept in memory; a node that stops hands its records to nobody.

--- a/review/_rig/cases.go
+++ b/review/_rig/cases.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -17,6 +18,7 @@
 	"part-moved": partMoved,
 	"budget":     budget,
 	"cut-answer": cutAnswer,
+	"taken-up":   takenUp,
 }
 
 // versions: the workers of a service are replaced by others of a new software version; then all processes of the system
@@ -522,3 +524,116 @@
 	w.Wait()
 	return broken
 }
+
+// takenUp: two software versions of a service serve side by side, and the machines are stopped and started in turn. Clients
+// take up the streams that a machine's end cuts.
+func takenUp(r *rig) []string {
+	r.startPlatform(6)
+	r.must(r.configure(nil, nil))
+	zones := []string{"ist-a", "ist-b", "ist-c"}
+	for i := range 8 {
+		r.startWorker(fmt.Sprintf("i-llm-%d", i+1), "llm-pool", zones[i%3], fmt.Sprintf("v%d", 1+i%2), func(w *worker) { w.pace = 165 * time.Millisecond })
+	}
+	for _, zone := range []string{"ist-a", "ist-a", "ist-a", "ist-b", "ist-b", "ist-c"} {
+		r.addMachine(zone)
+	}
+	r.startAll()
+	var mu sync.Mutex
+	since := make(map[*machine]time.Time) // in touch, without a start or a stop
+	for _, m := range r.machines {
+		since[m] = time.Now().Add(-contactTime)
+	}
+	stopped := make(map[*machine]bool)
+	inTouch := func(m *machine) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return !stopped[m] && time.Since(since[m]) >= contactTime
+	}
+	ready := func(n int) *machine { // as the platform hands channels out
+		for i := range r.machines {
+			m := r.machines[(n+i)%len(r.machines)]
+			mu.Lock()
+			s := stopped[m]
+			mu.Unlock()
+			if !s && m.ready() == nil {
+				return m
+			}
+		}
+		return r.machines[n%len(r.machines)]
+	}
+	var began, asked, goesOn, takenUp int
+	stop := r.clients("s", 120*time.Millisecond, func(id string, first int) {
+		until := time.Now().Add(15 * time.Second)
+		m := ready(first)
+		q := request{id: id + "-0", path: "/chat/x", key: "key-one", tokens: "300,234", wait: 15 * time.Second}
+		calm := inTouch(m)
+		a := r.attempt(m, q)
+		mu.Lock()
+		if calm {
+			asked++
+			if len(a.events) > 0 {
+				began++
+			}
+		}
+		mu.Unlock()
+		if len(a.events) == 0 || a.events[len(a.events)-1].id == 78 {
+			return
+		}
+		q.resumes, q.after = q.id, a.events[len(a.events)-1].id
+		tried, on := false, false
+		for n := 1; n <= 4 && !on; n++ {
+			if q.wait = time.Until(until); q.wait < 300*time.Millisecond {
+				break
+			}
+			m, q.id = ready(first+n), fmt.Sprintf("%s-%d", id, n)
+			calm := inTouch(m)
+			a := r.attempt(m, q)
+			tried = tried || calm
+			on = on || calm && len(a.events) > 0
+			if len(a.events) > 0 {
+				break
+			}
+			time.Sleep(max(a.retry, 200*time.Millisecond))
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		if tried {
+			takenUp++
+			if on {
+				goesOn++
+			}
+		}
+	})
+	time.Sleep(14 * time.Second)
+	if r.trouble {
+		var w sync.WaitGroup
+		for _, m := range r.machines {
+			w.Add(1)
+			mu.Lock()
+			stopped[m] = true
+			mu.Unlock()
+			m.signal(syscall.SIGTERM)
+			r.note("%s gets SIGTERM", m.name)
+			go func() {
+				defer w.Done()
+				_ = m.cmd.Wait()
+				r.note("%s has ended", m.name)
+				time.Sleep(500 * time.Millisecond)
+				m.start(false)
+				mu.Lock()
+				stopped[m], since[m] = false, time.Now()
+				mu.Unlock()
+			}()
+			time.Sleep(2 * time.Second)
+		}
+		w.Wait()
+	}
+	time.Sleep(3 * time.Second)
+	stop()
+	r.note("at machines in touch: %d of %d new streams began, %d of %d streams that were taken up went on", began, asked, goesOn, takenUp)
+	fmt.Printf("%d of %d began, %d of %d went on\n", began, asked, goesOn, takenUp)
+	if takenUp >= 12 && float64(goesOn)/float64(takenUp) < 0.5*float64(began)/float64(max(1, asked)) {
+		return []string{fmt.Sprintf("LOST: of %d streams that clients took up again at machines in touch %d went on, of %d new ones %d began", takenUp, goesOn, asked, began)}
+	}
+	return nil
+}
