--- a/review/_rig/cases.go
+++ b/review/_rig/cases.go
@@ -16,6 +16,7 @@
 var cases = map[string]func(r *rig) []string{
 	"versions":   versions,
 	"part-moved": partMoved,
+	"part-rush":  partRush,
 	"budget":     budget,
 	"cut-answer": cutAnswer,
 	"taken-up":   takenUp,
@@ -272,6 +273,47 @@
 	return r.lateSends(&c, 5, workers)
 }
 
+// words is a body of words that are no other's.
+func words(id string) string {
+	x := hash(id)
+	var b strings.Builder
+	for range 30 {
+		for range 3 + x%5 {
+			x = x*1664525 + 1013904223
+			b.WriteByte(byte('a' + x>>24%26))
+		}
+		b.WriteByte(' ')
+	}
+	return b.String()
+}
+
+// partRush: requests with one part of a prompt crash the workers that begin to answer them. They come first, and sound ones of
+// the same caller and route some seconds later.
+func partRush(r *rig) []string {
+	var c crashList
+	workers := r.sheet(func(w *worker) {
+		if r.trouble {
+			badPart(&c)(w)
+		} else {
+			w.events = 10
+		}
+	})
+	with := func(f func(id string) request) func(id string) request {
+		return func(id string) request {
+			q := f(id)
+			q.body = words(id)
+			return q
+		}
+	}
+	bad := r.traffic("bad", 150*time.Millisecond, with(badPrompt))
+	time.Sleep(5 * time.Second)
+	sound := r.traffic("g", 250*time.Millisecond, with(soundPrompt))
+	time.Sleep(25 * time.Second)
+	bad()
+	sound()
+	return r.lateSends(&c, 5, workers)
+}
+
 // budgetKills is when all processes are killed, from the start of the first spell of failures.
 var budgetKills = []time.Duration{3500 * time.Millisecond, 7500 * time.Millisecond}
 
