--- a/review/_rig/cases.go
+++ b/review/_rig/cases.go
@@ -166,18 +166,6 @@
 	return workers
 }
 
-func (r *rig) herdKill() {
-	r.note("all processes of the system are killed")
-	for _, m := range r.machines {
-		m.kill()
-	}
-	time.Sleep(time.Second)
-	for _, m := range r.machines {
-		m.start(false)
-	}
-	r.note("all processes of the system are started")
-}
-
 // badPart makes workers crash that begin to answer a prompt with a certain part.
 func badPart(c *crashList) func(w *worker) {
 	return func(w *worker) {
--- a/review/_rig/rig.go
+++ b/review/_rig/rig.go
@@ -82,8 +82,6 @@
 	fmt.Fprintf(r.record, "%8.3f "+format+"\n", append([]any{time.Since(r.began).Seconds()}, a...)...)
 }
 
-func (r *rig) at(d time.Duration) { time.Sleep(time.Until(r.began.Add(d))) }
-
 func (r *rig) start(env []string, name, program string, args ...string) *exec.Cmd {
 	log, err := os.OpenFile(filepath.Join(r.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	r.must(err)
@@ -149,15 +147,6 @@
 	return err
 }
 
-// fault puts a fault in force at one machine's way to the store; an empty mode ends it.
-func (r *rig) fault(i int, mode string) error {
-	b, err := json.Marshal(map[string]any{"mode": mode})
-	if err == nil {
-		_, err = call(http.MethodPost, "http://"+r.face(i)+"/standin/fault", b)
-	}
-	return err
-}
-
 func (r *rig) put(key string, value any) error {
 	b, err := json.Marshal(value)
 	if err == nil {
--- a/review/_rig/worker.go
+++ b/review/_rig/worker.go
@@ -106,15 +106,6 @@
 	}
 }
 
-// drain makes the worker say that it leaves.
-func (w *worker) drain() {
-	w.mu.Lock()
-	w.state = "draining"
-	w.mu.Unlock()
-	w.beat()
-	w.r.note("worker %s says draining", w.id)
-}
-
 // unlist removes the worker's entry; it serves on.
 func (w *worker) unlist() {
 	w.mu.Lock()
