--- a/review/build.sh
+++ b/review/build.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p target
 go build -o target/ ./cmd/spurhalld ./cmd/spurhall-soak
-go build -o target/review-rig ./review/_rig
+go build -o target/review-rig ./review/_rig/platform
