--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -10,6 +10,7 @@
 	"spurhall.example/spurhall/internal/duty"
 	"spurhall.example/spurhall/internal/handover"
 	"spurhall.example/spurhall/internal/lease"
+	"spurhall.example/spurhall/internal/lineage"
 )
 
 // dutyInterval is how often the holder of the duties checks for due work.
@@ -44,6 +45,7 @@
 	v := handover.NewLevels(n.clock, dutyInterval)
 	var q handover.Crashes
 	var parts handover.Parts
+	var versions handover.Versions
 	term := int64(0)
 	n.clock.Every(ctx, dutyInterval, func(time.Time) {
 		token, held := n.lease.Token()
@@ -63,6 +65,7 @@
 		if held {
 			q.Write(ctx, n.records(), n.clock, token, n.quarantine)
 			parts.Write(ctx, n.records(), n.clock, token, n.quarantine)
+			versions.Write(ctx, n.records(), token, n.pools.LateVersions(lineage.MaxTime))
 		}
 		if n.settings.Cloud.Rollouts && held {
 			rolls.step(ctx, token)
--- a/internal/edge/era.go
+++ b/internal/edge/era.go
@@ -37,6 +37,8 @@
 	now := n.clock.Now()
 	n.storeRestoredAt.Store(&now)
 	n.lease.Forget()
+	n.savedStreams.Forget()
+	n.streams.SaveAgain()
 	n.catalogFollower.Restart()
 	n.listFollower.Restart()
 }
--- a/internal/edge/era_test.go
+++ b/internal/edge/era_test.go
@@ -143,6 +143,7 @@
 		})
 	}
 	n.listFollower, n.catalogFollower = newReader(), newReader()
+	n.streams = n.newStreamKeeper()
 	ended := make(chan error, 2)
 	for _, r := range []*follow.Reader{n.listFollower, n.catalogFollower} {
 		go func() { ended <- r.ReadAndWatch(t.Context()) }()
--- a/internal/edge/lineage.go
+++ b/internal/edge/lineage.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"slices"
+	"time"
 
 	"connectrpc.com/connect"
 	"go.uber.org/zap"
 
+	"spurhall.example/spurhall/internal/handover"
 	"spurhall.example/spurhall/internal/lineage"
 	"spurhall.example/spurhall/internal/message"
 	"spurhall.example/spurhall/internal/pool"
@@ -15,9 +18,58 @@
 // This file connects package lineage with the other nodes and the upstream list.
 
 func (n *Node) newStreamKeeper() *lineage.Keeper {
-	return lineage.NewKeeper(lineage.Options{Clock: n.clock, Log: n.log, Node: n.settings.Node, Nodes: n.streamKeepers, Tell: n.tellStreams, Ask: n.askStream})
+	n.savedStreams = handover.NewStreams(n.records(), n.clock, n.settings.Node)
+	return lineage.NewKeeper(lineage.Options{
+		Clock: n.clock, Log: n.log, Node: n.settings.Node, Nodes: n.streamKeepers, Tell: n.tellStreams, Ask: n.askStream,
+		Saved: lineage.Saved{Load: n.loadStreams, Save: n.savedStreams.Save, Interval: n.saveInterval},
+	})
 }
 
+// savesShare is the part of the store's writes that all nodes together use at most for what they remember of streams.
+const savesShare = 0.25
+
+// saveInterval returns the shortest time between two saves of what this node remembers of streams.
+func (n *Node) saveInterval() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	perNode := savesShare * n.settings.Store.Writes / float64(n.peers.size())
+	if perNode <= 0 { // the store states no rate
+		return lineage.MinSaveInterval
+	}
+	return max(lineage.MinSaveInterval, time.Duration(float64(time.Second)/perNode))
+}
+
+// loadStreams reads which versions served before this process started, and which streams the process before remembered.
+func (n *Node) loadStreams(ctx context.Context) ([]lineage.Record, error) {
+	if n.settings.FirstStart {
+		return nil, nil
+	}
+	versions, err := handover.ReadVersions(ctx, n.records())
+	if err != nil {
+		return nil, err
+	}
+	list, err := n.savedStreams.Load(ctx)
+	if err != nil {
+		return nil, err
+	}
+	n.pools.RestoreVersions(versions)
+	for service, v := range versions {
+		n.noteVersionsOf(service)
+		n.log.Info("versions_found", zap.String("service", service), zap.Strings("versions", v))
+	}
+	return list, nil
+}
+
+// leaveStreams stores what this node remembers of streams, before its process ends.
+func (n *Node) leaveStreams() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	n.streams.Save(ctx)
+}
+
+// leaveTimeout bounds what a node does for others after its callers have left.
+const leaveTimeout = 300 * time.Millisecond
+
 // streamKeepers returns the nodes that may remember streams.
 func (n *Node) streamKeepers() []lineage.Node {
 	n.mu.Lock()
@@ -68,25 +120,33 @@
 
 // FindStream returns the version that began a stream, if this node knows it.
 func (s *edgeService) FindStream(_ context.Context, r *connect.Request[wire.FindStreamRequest]) (*connect.Response[wire.FindStreamResponse], error) {
-	v, known := s.n.streams.Version(lineage.Key(r.Msg.Key))
+	v, known, err := s.n.streams.Answer(lineage.Key(r.Msg.Key))
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
 	return connect.NewResponse(&wire.FindStreamResponse{Known: known, Version: v}), nil
 }
 
-// noteVersions has the streams in progress told of a service that has got a second version.
+// noteVersions has the streams in progress told of services that have got another version.
 func (n *Node) noteVersions(changes []pool.Change) {
 	services := make(map[string]bool)
 	for _, c := range changes {
 		services[c.Entry.Service] = true
 	}
 	for service := range services {
-		known, _ := n.pools.StreamVersions(service, lineage.MaxTime)
-		n.mu.Lock()
-		before := n.mixedServices[service]
-		n.mixedServices[service] = len(known) > 1
-		n.mu.Unlock()
-		if len(known) > 1 && !before {
-			n.log.Info("versions_mixed", zap.String("service", service), zap.Strings("versions", known))
-			n.front.TellStreams(service)
-		}
+		n.noteVersionsOf(service)
+	}
+}
+
+func (n *Node) noteVersionsOf(service string) {
+	known, _ := n.pools.StreamVersions(service, lineage.MaxTime)
+	n.mu.Lock()
+	before := n.streamVersions[service]
+	n.streamVersions[service] = known
+	n.mu.Unlock()
+	added := slices.ContainsFunc(known, func(v string) bool { return !slices.Contains(before, v) })
+	if len(known) > 1 && added {
+		n.log.Info("versions_mixed", zap.String("service", service), zap.Strings("versions", known))
+		n.front.TellStreams(service)
 	}
 }
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -39,6 +39,7 @@
 	"spurhall.example/spurhall/internal/era"
 	"spurhall.example/spurhall/internal/follow"
 	"spurhall.example/spurhall/internal/forward"
+	"spurhall.example/spurhall/internal/handover"
 	"spurhall.example/spurhall/internal/lag"
 	"spurhall.example/spurhall/internal/lease"
 	"spurhall.example/spurhall/internal/lineage"
@@ -89,21 +90,23 @@
 
 // Node is the process of one entry VM.
 type Node struct {
-	options    Options
-	settings   *Settings
-	clock      *timer.Service
-	log        *zap.Logger
-	start      time.Time
-	guard      *store.Guard
-	kv         store.KV
-	era        *era.Tracker
-	pools      *pool.Pools
-	uplink     *uplink.Uplink
-	lines      *forward.Connections
-	front      *forward.Server
-	streams    *lineage.Keeper
-	quarantine *quarantine.Tracker // tracks requests that crash upstreams
-	lease      *lease.Lease
+	options  Options
+	settings *Settings
+	clock    *timer.Service
+	log      *zap.Logger
+	start    time.Time
+	guard    *store.Guard
+	kv       store.KV
+	era      *era.Tracker
+	pools    *pool.Pools
+	uplink   *uplink.Uplink
+	lines    *forward.Connections
+	front    *forward.Server
+	streams  *lineage.Keeper
+	// savedStreams stores them for the next process.
+	savedStreams *handover.Streams
+	quarantine   *quarantine.Tracker // tracks requests that crash upstreams
+	lease        *lease.Lease
 
 	catalogFollower   *follow.Reader
 	listFollower      *follow.Reader
@@ -151,12 +154,12 @@
 	sendersSetAt      time.Time         // when the nodes that share limits were last determined
 	startWatchers     []string          // nodes that read the store for this hall while the whole system starts
 
-	mixedServices    map[string]bool // services that had several versions when the list last changed
-	lacksList        follow.Lack     // of what other nodes' lists have
-	lacksCatalog     follow.Lack     // of what other nodes' configurations have
-	listRestartedAt  time.Time       // when the list was last read anew because of that
-	loggedSuspension time.Duration   // total suspension of the VM at the last log line
-	selfWatchUntil   time.Time       // until when this node watches the store regardless of its role
+	streamVersions   map[string][]string // versions that may have begun streams, by service, when the list last changed
+	lacksList        follow.Lack         // of what other nodes' lists have
+	lacksCatalog     follow.Lack         // of what other nodes' configurations have
+	listRestartedAt  time.Time           // when the list was last read anew because of that
+	loggedSuspension time.Duration       // total suspension of the VM at the last log line
+	selfWatchUntil   time.Time           // until when this node watches the store regardless of its role
 	rollouts         rollouts
 }
 
@@ -176,7 +179,7 @@
 // New returns a node that isn't started.
 func New(o Options) *Node {
 	s := o.Settings
-	n := &Node{options: o, settings: s, clock: o.Clock, log: o.Log, start: o.Clock.Now(), initialized: make(chan struct{}), retryWindows: make(map[string]*retry.Window), mixedServices: make(map[string]bool)}
+	n := &Node{options: o, settings: s, clock: o.Clock, log: o.Log, start: o.Clock.Now(), initialized: make(chan struct{}), retryWindows: make(map[string]*retry.Window), streamVersions: make(map[string][]string)}
 	n.lag = lag.New(o.Clock, o.Log)
 	n.pools = pool.New(o.Clock, s.Node, s.Hall)
 	n.pools.SetSenders(nil, nil) // until the other nodes are known
@@ -188,7 +191,6 @@
 	n.registry = roster.NewRegistry()
 	n.aggregator = relay.NewAggregator(s.Node, o.Incarnation)
 	n.quarantine = quarantine.NewTracker(s.Node)
-	n.streams = n.newStreamKeeper()
 	n.rollouts = newRollouts()
 	n.catalogFollower = n.newCatalogFollower()
 	n.listFollower = n.newListFollower()
@@ -200,12 +202,13 @@
 	n.era = o.Era
 	n.era.OnRise(n.onEraRise)
 	n.kv = n.guard.Wrap(store.WithEra(o.KV, o.Era))
+	n.streams = n.newStreamKeeper()
 	n.lease = lease.New(n.kv, o.Clock, dutyKey, s.Node, max(s.LeaseTTL, s.Store.MinLease))
 	n.front = forward.NewServer(forward.Options{
 		Clock: o.Clock, Log: o.Log, Dialect: o.Dialect, Pools: n.pools, Connections: n.lines, Ready: n.initialized, Catalog: n.currentCatalog,
 		ListAge: n.listAge, Place: n.placeByRelay, Charge: n.charge, Refund: n.refund, CountStarted: n.countStarted, RecordFirstAttempt: n.countFirstAttempt, AllowRetry: n.allowRetry, ObserveResponse: n.observeResponse, Phase: n.stopPhase, Quarantine: n.quarantine, MayProbe: n.holdsDuties, HallReachable: n.reachesHall,
 		Trials:  forward.Trials{Offer: n.offerTrial, Return: n.returnOffer, Record: n.recordResponse},
-		Lineage: forward.Lineage{Tell: n.streams.Tell, Find: n.streams.Find},
+		Lineage: forward.Lineage{Tell: n.streams.Tell, Find: n.streams.Find, AwaitVersions: n.streams.AwaitRestored},
 	})
 	return n
 }
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -80,7 +80,7 @@
 		go n.serve(n.server(http.HandlerFunc(n.serveMetrics)), l.Metrics)
 	}
 	var duties sync.WaitGroup
-	for _, f := range []func(context.Context){n.lag.Run, n.streams.Run, n.followStore, n.expireMissing, n.runRounds, n.runRelay, n.register, n.pollRegistry, n.contactSeeds, n.restoreLevels, n.restoreCachedParts, n.restoreRollouts, n.restoreQuarantine, n.uplink.Probe, n.runDuties} {
+	for _, f := range []func(context.Context){n.lag.Run, n.streams.Run, n.streams.RunSaved, n.followStore, n.expireMissing, n.runRounds, n.runRelay, n.register, n.pollRegistry, n.contactSeeds, n.restoreLevels, n.restoreCachedParts, n.restoreRollouts, n.restoreQuarantine, n.uplink.Probe, n.runDuties} {
 		duties.Add(1)
 		go func() {
 			defer duties.Done()
@@ -92,6 +92,7 @@
 	n.uplink.Stop()
 	cancel()
 	duties.Wait()
+	n.leaveStreams()
 	return errors.Join(front.Close(), ready.Close(), peers.Close())
 }
 
--- a/internal/edge/watch_test.go
+++ b/internal/edge/watch_test.go
@@ -93,7 +93,7 @@
 	}{{"it followed watchers", true, 0}, {"it got no updates meanwhile", false, 1}} {
 		t.Run(v.name, func(t *testing.T) {
 			c := timer.NewManual(time.Unix(1000, 0))
-			n := &Node{mixedServices: make(map[string]bool), settings: &Settings{Node: "a"}, clock: c.Service(), log: zap.NewNop(), pools: pool.New(c.Service(), "a", "h"), changes: changelog.New(), lines: forward.NewConnections(c.Service(), nil)}
+			n := &Node{streamVersions: make(map[string][]string), settings: &Settings{Node: "a"}, clock: c.Service(), log: zap.NewNop(), pools: pool.New(c.Service(), "a", "h"), changes: changelog.New(), lines: forward.NewConnections(c.Service(), nil)}
 			n.options.EntryPrefix = "up/"
 			n.options.DecodeEntry = func(key string, _ []byte) (pool.Entry, error) {
 				return pool.Entry{ID: key, Service: "s", Address: "x"}, nil
--- a/internal/forward/lineage.go
+++ b/internal/forward/lineage.go
@@ -18,13 +18,20 @@
 type Lineage struct {
 	// Tell makes the version that began a stream known to other nodes.
 	Tell func(r lineage.Record)
-	// Find returns the version that began a stream, if a node knows it.
-	Find func(ctx context.Context, k lineage.Key) (version string, known bool)
+	// Find returns the version that began a stream, if a node knows it; lost reports that no node will.
+	Find func(ctx context.Context, k lineage.Key) (version string, known, lost bool)
+	// AwaitVersions waits for a moment until it is known which versions served before this process started, and reports
+	// whether it is.
+	AwaitVersions func(ctx context.Context) bool
 }
 
 // lineageSlack is for how long beyond its deadline a stream is remembered: its caller's clock may be a little behind.
 const lineageSlack = time.Second
 
+// retryAfterLost is when a caller may come back with a stream of which no node knows the version: coming back sooner won't
+// help it, and a node that was away may be back then.
+const retryAfterLost = 2 * time.Second
+
 // streamSet is the set of resumable streams in progress.
 type streamSet struct {
 	mu   sync.Mutex
@@ -69,22 +76,27 @@
 	if !q.resumesStream() {
 		return nil
 	}
+	complete := s.o.Lineage.AwaitVersions(ctx)
 	known, used := s.o.Pools.StreamVersions(q.service, q.streamTime())
-	if len(known) <= 1 {
+	if complete && len(known) <= 1 {
 		return nil
 	}
-	version, found := "", false
+	version, found, lost := "", false, true
 	if q.meta.Resumes != "" {
-		version, found = s.o.Lineage.Find(ctx, q.streamKey())
+		version, found, lost = s.o.Lineage.Find(ctx, q.streamKey())
 	}
-	if !found && len(used) == 1 {
+	if !found && complete && len(used) == 1 {
 		version, found = used[0], true // no other has begun a stream yet
 	}
-	s.o.Log.Info("stream_version", zap.String("request", q.meta.ID), zap.String("service", q.service), zap.Bool("known", found),
+	s.o.Log.Info("stream_version", zap.String("request", q.meta.ID), zap.String("resumes", q.meta.Resumes), zap.String("service", q.service), zap.Bool("known", found), zap.Bool("lost", lost), zap.Bool("complete", complete),
 		zap.String("version", version), zap.Strings("versions", known), zap.Strings("used", used))
 	if !found {
 		count("versions_unknown", 1)
-		return &rejection{status: http.StatusServiceUnavailable, reason: "nobody knows which version of the service began the stream", retry: retryAfterFailure}
+		r := &rejection{status: http.StatusServiceUnavailable, reason: "nobody knows which version of the service began the stream", retry: retryAfterFailure}
+		if lost {
+			r.retry = retryAfterLost
+		}
+		return r
 	}
 	q.version = version
 	return nil
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -24,6 +24,9 @@
 	if q.route != nil {
 		f = append(f, zap.String("route", q.route.Name()), zap.String("service", q.service), zap.Int64("catalog", q.catalog.Version()))
 	}
+	if q.meta.LastEvent != "" {
+		f = append(f, zap.String("resumes", q.meta.Resumes), zap.String("version", q.version))
+	}
 	if q.firstResponse > 0 {
 		f = append(f, zap.Duration("first", q.firstResponse), zap.Duration("longest_pause", q.longestPause))
 	}
--- a/internal/lineage/keeper.go
+++ b/internal/lineage/keeper.go
@@ -4,8 +4,12 @@
 	"context"
 	"errors"
 	"expvar"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
 	"spurhall.example/spurhall/internal/timer"
@@ -20,15 +24,20 @@
 	tellDelay   = 30 * time.Millisecond
 	tellTimeout = 400 * time.Millisecond
 	tellTries   = 2
-	// findTimeout bounds the wait for the nodes that are asked: some ten round trips.
-	findTimeout = 250 * time.Millisecond
-	// findTries is how often they are asked: a stream that has just begun may not have been told yet.
+	// askTimeout bounds the wait for a node that is asked: some ten round trips.
+	askTimeout = 250 * time.Millisecond
+	// findTries is how often all are asked who answer: a stream that has just begun may not have been told yet.
 	findTries = 2
+	// findTimeout bounds the search while some don't answer: nodes that are starting again are back within about a second.
+	findTimeout = time.Second
 	// MaxTime bounds for how long a stream is remembered that another node tells of.
 	MaxTime = 10 * time.Minute
 )
 
-// Options configures a keeper. All fields are required.
+// ErrNotRestored means that a node can't say yet what it knows: it hasn't read what its process before stored.
+var ErrNotRestored = errorx.NewNamespace("lineage").NewType("not_restored").New("what the process before knew hasn't been read yet")
+
+// Options configures a keeper. All fields are required, but for those of saved.go.
 type Options struct {
 	Clock *timer.Service
 	Log   *zap.Logger
@@ -39,6 +48,7 @@
 	Tell func(ctx context.Context, node string, list []Record) error
 	// Ask asks another node for a stream.
 	Ask func(ctx context.Context, node string, k Key) (version string, known bool, err error)
+	Saved
 }
 
 // Keeper is what a node remembers of streams, and what it has to tell. It is safe for concurrent use.
@@ -46,11 +56,18 @@
 	o      Options
 	book   *Book
 	untold chan Record
+
+	restored chan struct{} // closed once what the process before stored has been read
+	saved    atomic.Int64  // number of streams that had been added at the last save
 }
 
 // NewKeeper returns a keeper that knows of no stream.
 func NewKeeper(o Options) *Keeper {
-	return &Keeper{o: o, book: NewBook(), untold: make(chan Record, maxUntold)}
+	k := &Keeper{o: o, book: NewBook(), untold: make(chan Record, maxUntold), restored: make(chan struct{})}
+	if o.Load == nil {
+		close(k.restored)
+	}
+	return k
 }
 
 // Tell remembers a stream and has it told to its keepers.
@@ -73,6 +90,15 @@
 	}
 }
 
+// Answer returns the version that began a stream, if this node knows it, to a node that asks. ErrNotRestored: it may yet.
+func (k *Keeper) Answer(x Key) (version string, known bool, err error) {
+	version, known = k.Version(x)
+	if !known && !k.isRestored() {
+		return "", false, ErrNotRestored
+	}
+	return version, known, nil
+}
+
 // Version returns the version that began a stream, if this node knows it.
 func (k *Keeper) Version(x Key) (version string, known bool) {
 	return k.book.Version(k.o.Clock.Now(), x)
@@ -88,7 +114,7 @@
 			if k.o.Clock.Sleep(ctx, tellDelay) != nil {
 				return
 			}
-			k.tellAll(ctx, k.take(r))
+			k.tellAll(ctx, k.take(r)) // doesn't wait: a node that is slow holds up no other
 		}
 	}
 }
@@ -106,7 +132,8 @@
 	}
 }
 
-func (k *Keeper) tellAll(ctx context.Context, list []Record) {
+// tellAll tells streams to their keepers, in messages of bounded size.
+func (k *Keeper) tellAll(ctx context.Context, list []Record) *sync.WaitGroup {
 	nodes := k.o.Nodes()
 	byNode := make(map[string][]Record)
 	for _, r := range list {
@@ -116,9 +143,13 @@
 			}
 		}
 	}
+	var w sync.WaitGroup
 	for name, l := range byNode {
-		go k.tell(ctx, name, l) // bounded by its time-outs
+		for part := range slices.Chunk(l, maxUntold) {
+			w.Go(func() { k.tell(ctx, name, part) }) // bounded by its time-outs
+		}
 	}
+	return &w
 }
 
 func (k *Keeper) tell(ctx context.Context, node string, list []Record) {
@@ -136,35 +167,41 @@
 	k.o.Log.Info("streams_untold", zap.String("peer", node), zap.Int("streams", len(list)), zap.String("cause", err.Error()))
 }
 
-// Find returns the version that began a stream, if this node or one of the stream's keepers knows it.
-func (k *Keeper) Find(ctx context.Context, x Key) (version string, known bool) {
+// Find returns the version that began a stream, if this node or one of the stream's keepers knows it. It asks again while
+// some of them don't answer. Lost reports that all have answered, and none knows it.
+func (k *Keeper) Find(ctx context.Context, x Key) (version string, known, lost bool) {
 	if v, ok := k.Version(x); ok {
-		return v, true
+		return v, true, false
 	}
 	c, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	for range findTries {
-		if v, ok := k.ask(c, x); ok {
+	answered := 0
+	for asked := Asked; answered < findTries; asked = AskedWidely {
+		v, ok, all := k.ask(c, x, asked(x, k.o.Nodes()))
+		if ok {
 			events.Add("found", 1)
-			return v, true
+			return v, true, false
+		}
+		if all {
+			answered++
 		}
 		if k.o.Clock.Sleep(c, 2*tellDelay) != nil {
 			break
 		}
 	}
 	events.Add("not_found", 1)
-	return "", false
+	return "", false, answered >= findTries
 }
 
 // answer is what a node said that was asked.
 type answer struct {
 	version string
 	known   bool
+	err     error
 }
 
-// ask asks the nodes that should know a stream.
-func (k *Keeper) ask(c context.Context, x Key) (version string, known bool) {
-	names := Asked(x, k.o.Nodes())
+// ask asks nodes that may know a stream, and reports whether all of them answered.
+func (k *Keeper) ask(c context.Context, x Key, names []string) (version string, known, all bool) {
 	answers := make(chan answer, len(names))
 	asked := 0
 	for _, name := range names {
@@ -174,20 +211,26 @@
 		asked++
 		go func() { answers <- k.askNode(c, name, x) }()
 	}
+	all = true
 	for range asked {
-		if a := <-answers; a.known {
-			return a.version, true
+		a := <-answers
+		if a.known {
+			return a.version, true, true
 		}
+		all = all && a.err == nil
 	}
-	return k.Version(x) // this node may have been told meanwhile
+	version, known, err := k.Answer(x) // this node may have been told meanwhile
+	return version, known, all && err == nil
 }
 
 func (k *Keeper) askNode(c context.Context, name string, x Key) answer {
-	v, known, err := k.o.Ask(c, name, x)
+	t, cancel := context.WithTimeout(c, askTimeout)
+	defer cancel()
+	v, known, err := k.o.Ask(t, name, x)
 	if err != nil && !errors.Is(context.Cause(c), context.Canceled) { // another one has answered
 		k.o.Log.Info("find_failed", zap.String("peer", name), zap.String("cause", err.Error()))
 	}
-	return answer{v, known && err == nil}
+	return answer{v, known && err == nil, err}
 }
 
 var events = expvar.NewMap("streams")
--- a/internal/lineage/keeper_test.go
+++ b/internal/lineage/keeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -18,6 +19,7 @@
 	mu      sync.Mutex
 	nodes   []Node
 	keepers map[string]*Keeper
+	store   *memoryStore    // nil: none
 	silent  map[string]bool // nodes that don't answer, or are of a build that knows no such call
 }
 
@@ -34,7 +36,7 @@
 // start starts a node that remembers nothing.
 func (f *keeperFleet) start(t *testing.T, name string) {
 	k := NewKeeper(Options{
-		Clock: timer.Real(), Log: zap.NewNop(), Node: name, Nodes: func() []Node { return f.nodes },
+		Clock: timer.Real(), Log: zap.NewNop(), Node: name, Nodes: f.present,
 		Tell: func(_ context.Context, node string, list []Record) error {
 			if f.isSilent(node) {
 				return errSilent
@@ -46,14 +48,15 @@
 			if f.isSilent(node) {
 				return "", false, errSilent
 			}
-			v, known := f.keeper(node).Version(x)
-			return v, known, nil
+			return f.keeper(node).Answer(x)
 		},
+		Saved: f.saved(name),
 	})
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.keepers[name] = k
 	go k.Run(t.Context())
+	f.startSaving(t, k)
 }
 
 func (f *keeperFleet) keeper(name string) *Keeper {
@@ -62,6 +65,12 @@
 	return f.keepers[name]
 }
 
+func (f *keeperFleet) present() []Node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.nodes)
+}
+
 func (f *keeperFleet) isSilent(name string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -94,7 +103,7 @@
 func (f *keeperFleet) assertFound(t *testing.T, want bool, node string, k Key) {
 	t.Helper()
 	began := time.Now()
-	v, known := f.keeper(node).Find(t.Context(), k)
+	v, known, _ := f.keeper(node).Find(t.Context(), k)
 	assert.Equal(t, want, known)
 	if known {
 		assert.Equal(t, "v1.1", v)
@@ -163,7 +172,7 @@
 		f := newKeeperFleet(t, 2, 1)
 		c, cancel := context.WithCancel(t.Context())
 		cancel()
-		_, known := f.keeper("n0-0").Find(c, KeyOf("w", "x"))
+		_, known, _ := f.keeper("n0-0").Find(c, KeyOf("w", "x"))
 		assert.False(t, known)
 	})
 }
--- a/internal/lineage/lineage.go
+++ b/internal/lineage/lineage.go
@@ -7,13 +7,23 @@
 // fixed number of messages, whatever the size of the fleet, and no keeper has more than its part of the streams. When a
 // second version appears, nodes tell of the streams that they have, before it gets its first request.
 //
-// A stream that nobody knows of is refused once two versions have had requests: the node that began it ended before it
-// could tell, or its keepers can't be reached.
+// All nodes may end at once, and all in turn within a stream's time. So each node stores what it remembers, a few times a
+// second while that changes, and its next process reads it. A process
+// that starts doesn't know which versions served before: the holder of the duties stores them, and until they are read, no
+// stream is taken up there.
+//
+// A stream that nobody knows of is refused once two versions have had requests: all nodes that knew of it ended before they
+// could tell or store it, or its keepers can't be reached.
 //
 // Alternatives considered: the version in an event's id or a header (events and heads are the upstream's own, and callers
-// return nothing else); the store (its rates are a few writes a second for each node); asking every node (messages grow with
-// the fleet's size, and the one that knows has often ended); a version drawn from the request's id (upstreams of it may be
-// full, and nodes differ on which versions there are).
+// return nothing else); a write to the store for each stream (its rates are a few writes a second for each node); one value
+// for all nodes' streams (each process that starts would read the fleet's, which grows with the square of its size); asking
+// every node (messages grow with the fleet's size, and the one that knows has often ended); a version drawn from the
+// request's id (upstreams of it may be full, and nodes differ on which versions there are).
+//
+//	lineage.go  which nodes keep a stream's record, and what one node remembers
+//	keeper.go   tells other nodes and asks them
+//	saved.go    keeps what this node remembers for its next process
 package lineage
 
 import (
@@ -58,6 +68,7 @@
 	mu      sync.Mutex
 	entries map[Key]entry
 	order   []Key // in which they were added; the oldest goes first
+	added   int64 // number of streams that were added so far
 }
 
 // NewBook returns an empty book.
@@ -80,6 +91,7 @@
 			b.order = append(b.order, r.Key)
 		}
 		b.entries[r.Key] = entry{r.Version, until}
+		b.added++
 	}
 }
 
@@ -106,6 +118,25 @@
 	return e.version, known && e.until.After(now)
 }
 
+// Records returns the streams that may still be taken up, the oldest first, and how many were added so far.
+func (b *Book) Records(now time.Time) (list []Record, added int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, k := range b.order {
+		if e := b.entries[k]; e.until.After(now) {
+			list = append(list, Record{k, e.version, e.until.Sub(now)})
+		}
+	}
+	return list, b.added
+}
+
+// Added returns how many streams were added so far.
+func (b *Book) Added() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.added
+}
+
 // Len returns the number of streams that are remembered.
 func (b *Book) Len() int {
 	b.mu.Lock()
@@ -125,6 +156,9 @@
 	// a node's start that the one who told hadn't.
 	toldPerHall  = 1
 	askedPerHall = 2
+	// askedWidely is how many nodes are asked, of any hall, for a stream that these don't know: all nodes of both halls may
+	// have been away when it was told. In a small fleet these are all.
+	askedWidely = 12
 )
 
 // Told returns the nodes that are told of a stream.
@@ -133,6 +167,15 @@
 // Asked returns the nodes that are asked for a stream.
 func Asked(k Key, nodes []Node) []string { return keepers(k, nodes, askedPerHall) }
 
+// AskedWidely returns the nodes that are asked for a stream that those of Asked don't know.
+func AskedWidely(k Key, nodes []Node) []string {
+	t := top{most: askedWidely}
+	for _, n := range nodes {
+		t.add(n.Name, k)
+	}
+	return t.names()
+}
+
 func keepers(k Key, nodes []Node, perHall int) []string {
 	halls := top{most: keeperHalls}
 	for _, n := range nodes {
@@ -146,9 +189,7 @@
 				t.add(n.Name, k)
 			}
 		}
-		for _, n := range t.list {
-			list = append(list, n.name)
-		}
+		list = append(list, t.names()...)
 	}
 	return list
 }
@@ -159,6 +200,14 @@
 	list []weighted
 }
 
+func (t *top) names() []string {
+	list := make([]string, len(t.list))
+	for i, v := range t.list {
+		list[i] = v.name
+	}
+	return list
+}
+
 type weighted struct {
 	name   string
 	weight uint64
--- /dev/null
+++ b/internal/lineage/saved.go
@@ -0,0 +1,106 @@
+package lineage
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// This file keeps what a node remembers for its next process.
+
+// Saved connects a keeper with what is stored of it. All functions are needed if Load is set; with its zero value nothing
+// is stored.
+type Saved struct {
+	// Load reads what was stored before this process started. It fails if the store isn't available.
+	Load func(ctx context.Context) ([]Record, error)
+	// Save stores what the node remembers.
+	Save func(ctx context.Context, list []Record) error
+	// Interval returns the shortest time between two saves.
+	Interval func() time.Duration
+}
+
+const (
+	loadRetryPause = 200 * time.Millisecond
+	// saveCheck is how often a save may be due.
+	saveCheck   = 50 * time.Millisecond
+	saveTimeout = time.Second
+)
+
+// MinSaveInterval is the shortest time between two saves: a stream that began since the last one is refused after a loss of
+// all nodes, about a tenth of those in progress where they last for two seconds.
+const MinSaveInterval = 250 * time.Millisecond
+
+// RunSaved reads what was stored, and then stores what the node remembers when that has changed, until the context ends.
+func (k *Keeper) RunSaved(ctx context.Context) {
+	if k.o.Load == nil || !k.load(ctx) {
+		return
+	}
+	last := k.o.Clock.Now().Add(-k.o.Interval())
+	k.o.Clock.Every(ctx, saveCheck, func(now time.Time) {
+		if k.book.Added() == k.saved.Load() || now.Sub(last) < k.o.Interval() {
+			return
+		}
+		last = now
+		k.Save(ctx)
+	})
+}
+
+// load reads what was stored, and reports whether it could before the context ended.
+func (k *Keeper) load(ctx context.Context) bool {
+	for {
+		list, err := k.o.Load(ctx)
+		if err == nil {
+			k.Hear(list)
+			k.saved.Store(k.book.Added())
+			close(k.restored)
+			k.o.Log.Info("streams_found", zap.Int("streams", len(list)))
+			return true
+		}
+		k.o.Log.Info("streams_unread", zap.String("cause", err.Error()))
+		if k.o.Clock.Sleep(ctx, loadRetryPause) != nil {
+			return false
+		}
+	}
+}
+
+// Save stores what the node remembers, if that has changed.
+func (k *Keeper) Save(ctx context.Context) {
+	list, added := k.book.Records(k.o.Clock.Now())
+	if k.o.Save == nil || added == k.saved.Load() {
+		return
+	}
+	c, cancel := context.WithTimeout(ctx, saveTimeout)
+	defer cancel()
+	if err := k.o.Save(c, list); err != nil {
+		events.Add("save_failed", 1)
+		k.o.Log.Info("streams_unsaved", zap.Int("streams", len(list)), zap.String("cause", err.Error()))
+		return
+	}
+	events.Add("saves", 1)
+	k.saved.Store(added)
+}
+
+// SaveAgain has what the node remembers stored again: the store may have lost it.
+func (k *Keeper) SaveAgain() { k.saved.Store(-1) }
+
+func (k *Keeper) isRestored() bool {
+	select {
+	case <-k.restored:
+		return true
+	default:
+		return false
+	}
+}
+
+// AwaitRestored waits for a moment until the node has read what was stored, and reports whether it has.
+func (k *Keeper) AwaitRestored(ctx context.Context) bool {
+	c, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	select {
+	case <-k.restored:
+		return true
+	case <-c.Done():
+		return k.isRestored()
+	}
+}
--- /dev/null
+++ b/internal/lineage/saved_test.go
@@ -0,0 +1,162 @@
+package lineage
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// memoryStore is what keepers have stored, by node.
+type memoryStore struct {
+	mu     sync.Mutex
+	values map[string][]Record
+	writes int
+	down   bool
+}
+
+func (m *memoryStore) setDown(down bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.down = down
+}
+
+func (m *memoryStore) writeCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.writes
+}
+
+func (m *memoryStore) of(node string) Saved {
+	return Saved{
+		Load: func(context.Context) ([]Record, error) {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			if m.down {
+				return nil, errSilent
+			}
+			return m.values[node], nil
+		},
+		Save: func(_ context.Context, list []Record) error {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			if m.down {
+				return errSilent
+			}
+			m.values[node] = list
+			m.writes++
+			return nil
+		},
+		Interval: func() time.Duration { return MinSaveInterval },
+	}
+}
+
+// newStoringFleet is newKeeperFleet with a store.
+func newStoringFleet(t *testing.T, halls, perHall int) (*keeperFleet, *memoryStore) {
+	m := &memoryStore{values: make(map[string][]Record)}
+	f := newKeeperFleet(t, halls, perHall)
+	f.store = m
+	f.restartAll(t)
+	return f, m
+}
+
+// restartAll replaces all nodes by new processes.
+func (f *keeperFleet) restartAll(t *testing.T) {
+	for _, n := range f.nodes {
+		f.start(t, n.Name)
+	}
+}
+
+// TestStreamsAreForgottenWithAllProcesses guards against streams that nobody knows of after a loss of all nodes.
+func TestStreamsAreForgottenWithAllProcesses(t *testing.T) {
+	f, m := newStoringFleet(t, 3, 2)
+	const streams = 40
+	for i := range streams {
+		f.begin(t, "n0-0", KeyOf("w", fmt.Sprint(i)))
+	}
+	time.Sleep(2 * MinSaveInterval)
+	t.Run("once", func(t *testing.T) {
+		f.restartAll(t)
+		for i := range streams {
+			f.assertFound(t, true, f.nodes[i%len(f.nodes)].Name, KeyOf("w", fmt.Sprint(i)))
+		}
+	})
+	t.Run("twice in a row, before anything is stored again", func(t *testing.T) {
+		f.restartAll(t)
+		f.restartAll(t)
+		for i := range streams {
+			f.assertFound(t, true, f.nodes[i%len(f.nodes)].Name, KeyOf("w", fmt.Sprint(i)))
+		}
+	})
+	t.Run("while the store is away for a moment", func(t *testing.T) {
+		m.setDown(true)
+		f.restartAll(t)
+		_, _, err := f.keeper("n0-0").Answer(KeyOf("w", "0"))
+		require.ErrorIs(t, err, ErrNotRestored, "it may know yet")
+		time.AfterFunc(400*time.Millisecond, func() { m.setDown(false) })
+		for i := range streams {
+			f.assertFound(t, true, f.nodes[i%len(f.nodes)].Name, KeyOf("w", fmt.Sprint(i)))
+		}
+	})
+}
+
+// TestStreamsAreNotFoundWithoutAnEnd guards against callers who wait, or come back at once, though nobody will ever know.
+func TestStreamsAreNotFoundWithoutAnEnd(t *testing.T) {
+	f, m := newStoringFleet(t, 2, 2)
+	k := KeyOf("w", "unknown")
+	require.True(t, f.keeper("n0-0").AwaitRestored(t.Context()))
+	time.Sleep(2 * loadRetryPause)
+	t.Run("all answer", func(t *testing.T) {
+		began := time.Now()
+		_, known, lost := f.keeper("n0-0").Find(t.Context(), k)
+		assert.False(t, known)
+		assert.True(t, lost)
+		assert.Less(t, time.Since(began), findTimeout/2)
+	})
+	t.Run("some may know yet", func(t *testing.T) {
+		m.setDown(true)
+		f.restartAll(t)
+		assert.False(t, f.keeper("n0-0").AwaitRestored(t.Context()))
+		_, known, lost := f.keeper("n0-0").Find(t.Context(), k)
+		assert.False(t, known)
+		assert.False(t, lost)
+	})
+}
+
+// TestSavesHaveABound guards against a write to the store for each stream, and against writes while nothing changes.
+func TestSavesHaveABound(t *testing.T) {
+	f, m := newStoringFleet(t, 1, 1)
+	assert.Zero(t, m.writeCount(), "there is nothing to store")
+	const lasts = 5
+	for i := range 100 * lasts {
+		f.keeper("n0-0").Tell(Record{KeyOf("w", fmt.Sprint(i)), "v1", time.Minute})
+		time.Sleep(MinSaveInterval / 100)
+	}
+	time.Sleep(2 * MinSaveInterval)
+	n := m.writeCount()
+	assert.LessOrEqual(t, n, 2*lasts+2)
+	time.Sleep(2 * MinSaveInterval)
+	assert.Equal(t, n, m.writeCount(), "nothing has changed")
+	f.keeper("n0-0").SaveAgain()
+	time.Sleep(2 * MinSaveInterval)
+	assert.Equal(t, n+1, m.writeCount(), "the store has lost it")
+	assert.Len(t, m.values["n0-0"], 100*lasts)
+}
+
+// startSaving has a node store what it remembers, if the fleet has a store.
+func (f *keeperFleet) startSaving(t *testing.T, k *Keeper) {
+	if f.store != nil {
+		go k.RunSaved(t.Context())
+	}
+}
+
+func (f *keeperFleet) saved(name string) Saved {
+	if f.store == nil {
+		return Saved{}
+	}
+	return f.store.of(name)
+}
--- a/internal/pool/lineage.go
+++ b/internal/pool/lineage.go
@@ -17,6 +17,50 @@
 	v[e.Version] = now
 }
 
+// LateVersions returns the versions of each service's software of which upstreams are listed, or were within some time,
+// in order.
+func (p *Pools) LateVersions(lasts time.Duration) map[string][]string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	m := make(map[string][]string)
+	for g := range p.counts {
+		if !slices.Contains(m[g.Service], g.Version) {
+			m[g.Service] = append(m[g.Service], g.Version)
+		}
+	}
+	for service, list := range p.versionsLost {
+		for v, at := range list {
+			if now.Sub(at) <= lasts && !slices.Contains(m[service], v) {
+				m[service] = append(m[service], v)
+			}
+		}
+	}
+	for _, list := range m {
+		slices.Sort(list)
+	}
+	return m
+}
+
+// RestoreVersions records that versions served before this process started: of those that aren't listed the last upstream
+// may have gone just now. They may all have begun streams.
+func (p *Pools) RestoreVersions(m map[string][]string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	for service, list := range m {
+		if p.versions[service] == nil {
+			p.versions[service] = make(map[string]time.Time)
+		}
+		for _, v := range list {
+			if _, known := p.versions[service][v]; !known {
+				p.versions[service][v] = time.Time{}
+				p.recordVersionLost(now, Entry{Service: service, Version: v})
+			}
+		}
+	}
+}
+
 // StreamVersions returns the versions of a service's software of which upstreams are listed, or were within the time for
 // which a stream may be taken up, and those of them that may have begun streams: a version that is new to the service
 // gets no requests for a moment (versionGrace), which is longer than nodes differ in when they hear of it.
--- a/internal/pool/lineage_test.go
+++ b/internal/pool/lineage_test.go
@@ -77,3 +77,35 @@
 	known, _ = p.StreamVersions("s", time.Minute)
 	assert.Equal(t, []string{"v2"}, known)
 }
+
+// TestVersionsThatServedBeforeThisProcess guards against a process that takes the one listed version for the only one there ever was.
+func TestVersionsThatServedBeforeThisProcess(t *testing.T) {
+	stored := map[string][]string{"s": {"v0", "v1"}}
+	assertKnown := func(t *testing.T, p *Pools, want, wantUsed []string) {
+		t.Helper()
+		known, used := p.StreamVersions("s", time.Minute)
+		assert.Equal(t, want, known)
+		assert.Equal(t, wantUsed, used)
+	}
+	t.Run("read after the list", func(t *testing.T) {
+		p, c := newVersions(t) // v1 is listed, v2 is new
+		p.RestoreVersions(stored)
+		assertKnown(t, p, []string{"v0", "v1", "v2"}, []string{"v0", "v1"})
+		c.Advance(time.Minute + time.Second)
+		assertKnown(t, p, []string{"v1", "v2"}, []string{"v1", "v2"})
+		p.RestoreVersions(stored)
+		assertKnown(t, p, []string{"v1", "v2"}, []string{"v1", "v2"})
+	})
+	t.Run("read before the list", func(t *testing.T) {
+		c := timer.NewManual(time.Unix(1000, 0))
+		p := New(c.Service(), "n", "h")
+		p.RestoreVersions(stored)
+		p.Update(func(l *List) {
+			l.Put(Item{Entry: Entry{ID: "c", Service: "s", Address: "c", Hall: "h", Version: "v1"}, Revision: 1})
+		})
+		assertKnown(t, p, []string{"v0", "v1"}, []string{"v0", "v1"})
+		assert.Equal(t, map[string][]string{"s": {"v0", "v1"}}, p.LateVersions(time.Minute))
+		c.Advance(time.Minute + time.Second)
+		assert.Equal(t, map[string][]string{"s": {"v1"}}, p.LateVersions(time.Minute))
+	})
+}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -79,7 +79,7 @@
 func (v *view) calm(from, to time.Time, fits func(f Fault) bool) bool {
 	return !v.stalled(from, to) && !slices.ContainsFunc(v.Day.Faults, func(f Fault) bool {
 		end := f.End()
-		if f.plannedStop() || f.Kind == FaultReclaim || f.Kind == FaultDrain || f.Kind == FaultCrash || f.Kind == FaultPart || f.Kind == FaultKill || f.Kind == FaultKillAll {
+		if f.plannedStop() || f.Kind == FaultReclaim || f.Kind == FaultDrain || f.Kind == FaultRelease || f.Kind == FaultCrash || f.Kind == FaultPart || f.Kind == FaultKill || f.Kind == FaultKillAll {
 			end += stopGrace + 2*time.Second // until the process has started again
 		}
 		return f.At <= v.at(to) && end+lately >= v.at(from) && fits(f)
@@ -113,7 +113,7 @@
 // unplanned is anything but what upstreams and operators do themselves.
 func unplanned(f Fault) bool {
 	switch f.Kind {
-	case FaultTerm, FaultPress, FaultConfig, FaultKeys, FaultQuota, FaultLimit, FaultDrain, FaultReclaim, FaultSecond:
+	case FaultTerm, FaultPress, FaultConfig, FaultKeys, FaultQuota, FaultLimit, FaultDrain, FaultRelease, FaultReclaim, FaultSecond:
 		return false
 	default:
 		return true
--- a/internal/soak/control.go
+++ b/internal/soak/control.go
@@ -24,6 +24,8 @@
 	Brittle float64 `json:"brittle,omitempty"` // 0: any number
 	// Spoils says that it answers without its signature, or as if to another request.
 	Spoils bool `json:"spoils,omitempty"`
+	// Unlists says that its entry goes as soon as it is told to end, and that it never says that it leaves.
+	Unlists bool `json:"unlists,omitempty"`
 }
 
 // BehavePath is where an upstream takes its behaviour.
--- a/internal/soak/day.go
+++ b/internal/soak/day.go
@@ -59,6 +59,7 @@
 	FaultSecond    Kind = "second"     // upstreams are silent for a second or so, which is no disturbance
 	FaultStarve    Kind = "starve"     // daemons run for a small part of the time, X; upstreams leave meanwhile
 	FaultPart      Kind = "part"       // streams come with a part that crashes each engine which begins to answer, X a second
+	FaultRelease   Kind = "release"    // engines are replaced by ones of another version: their entries go, and they serve on for a while
 	FaultPress     Kind = "press"      // SIGTERM of daemons that more callers use; they aren't scheduled when they close connections
 )
 
@@ -164,8 +165,9 @@
 	PerSecond float64       `json:"per_second"`
 	Traffic   time.Duration `json:"traffic"`
 	Faults    []Fault       `json:"faults"`
-	Mixed     bool          `json:"mixed,omitempty"` // engines are of two software versions, and slower
-	Bare      bool          `json:"bare,omitempty"`  // answers have neither a length nor chunks and end with their connections; engines are slower
+	Mixed     bool          `json:"mixed,omitempty"`    // engines are of two software versions, and slower
+	Released  bool          `json:"released,omitempty"` // the engines of the old version are replaced, and all daemons are killed; engines are slower still
+	Bare      bool          `json:"bare,omitempty"`     // answers have neither a length nor chunks and end with their connections; engines are slower
 }
 
 // Options bounds the days that are drawn.
@@ -205,6 +207,7 @@
 	d.Faults = append(d.Faults, d.drawStarve(rand.New(rand.NewPCG(seed, 0x51a4)), d.Traffic-quietAfter)...)
 	d.Faults = append(d.Faults, d.drawPart(rand.New(rand.NewPCG(seed, 0xbad0)), d.Traffic-quietAfter)...)
 	d.Mixed = rand.New(rand.NewPCG(seed, 0x3e75)).IntN(2) == 0 && !o.OneVersion
+	d.Faults = append(d.Faults, d.drawReleased(rand.New(rand.NewPCG(seed, 0x7e1e)), d.Traffic-quietAfter)...)
 	d.Faults = append(d.Faults, d.drawBetween(rand.New(rand.NewPCG(seed, 0xba7e)), d.Traffic-quietAfter)...)
 	slices.SortStableFunc(d.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return d
@@ -323,6 +326,26 @@
 	return list
 }
 
+// releasedFor is how long after its beginning a release has replaced the entries of the old version, a part of a stream's time.
+const releasedFor = 700 * time.Millisecond
+
+// drawReleased draws a release that replaces all engines of one of two versions, and a kill of all daemons while streams of
+// the old version are in progress, from a sequence of their own as well.
+func (d *Day) drawReleased(r *rand.Rand, last time.Duration) []Fault {
+	if !d.Mixed || r.IntN(3) > 0 {
+		return nil
+	}
+	d.Released = true
+	f := Fault{Kind: FaultRelease, On: OnUpstreams}
+	for i := range d.Engines {
+		if d.Version(i) == oldVersion {
+			f.Who = append(f.Who, i)
+		}
+	}
+	f.At = quietBefore + time.Second + time.Duration(r.Int64N(int64(max(1, last-quietBefore-2*time.Second))))
+	return []Fault{f, {Kind: FaultKillAll, At: f.At + releasedFor}}
+}
+
 // drawPart draws streams with a part that crashes engines, from a sequence of their own as well.
 func (d *Day) drawPart(r *rand.Rand, last time.Duration) []Fault {
 	if r.IntN(3) > 0 {
@@ -423,10 +446,14 @@
 const (
 	usualPace = 25 * time.Millisecond  // between two events of a stream
 	mixedPace = 100 * time.Millisecond // where callers are to take streams up
+	slowPace  = 250 * time.Millisecond // where these are to outlast the entries of their engines
 )
 
 func (d *Day) pace() time.Duration {
-	if d.Mixed || d.Bare {
+	switch {
+	case d.Released:
+		return slowPace
+	case d.Mixed || d.Bare:
 		return mixedPace
 	}
 	return usualPace
@@ -435,11 +462,17 @@
 // Version is the software version of an upstream. Each hall has engines of both.
 func (d *Day) Version(i int) string {
 	if d.Mixed && i < d.Engines && i/d.Halls%2 == 1 {
-		return "v1.1"
+		return newVersion
 	}
-	return "v1"
+	return oldVersion
 }
 
+// The software versions of engines.
+const (
+	oldVersion = "v1"
+	newVersion = "v1.1"
+)
+
 // Disturbed tells whether any fault is in force or was so lately.
 func (d *Day) Disturbed(from, to, lately time.Duration) bool {
 	return slices.ContainsFunc(d.Faults, func(f Fault) bool { return f.At <= to && f.End()+lately >= from })
--- a/internal/soak/day_test.go
+++ b/internal/soak/day_test.go
@@ -28,7 +28,7 @@
 				}
 			}
 		}
-		assert.Len(t, seen, len(kinds)+6)
+		assert.Len(t, seen, len(kinds)+7)
 	})
 	t.Run("faults overlap", func(t *testing.T) {
 		n := 0
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -36,6 +37,15 @@
 	return &Process{name: name, path: path, args: args, env: env, log: f, clock: clock}, err
 }
 
+// SetArg sets the value that follows an argument, from the next start on.
+func (p *Process) SetArg(name, value string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if i := slices.Index(p.args, name); i >= 0 {
+		p.args[i+1] = value
+	}
+}
+
 // Start starts it, or starts it again.
 func (p *Process) Start() error {
 	p.mu.Lock()
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -36,7 +36,7 @@
 		s.freeze(ctx, f)
 	case FaultStarve:
 		s.starve(ctx, f)
-	case FaultReclaim, FaultCrash, FaultDrain:
+	case FaultReclaim, FaultCrash, FaultDrain, FaultRelease:
 		s.endUpstreams(ctx, f)
 	case FaultStore, FaultLapse, FaultForget, FaultCopy:
 		s.strikeStore(ctx, f)
@@ -249,10 +249,14 @@
 			}
 		}
 	}
-	s.each(s.upstreams, who, func(_ int, p *Process) {
+	s.each(s.upstreams, who, func(i int, p *Process) {
 		if f.Kind == FaultCrash {
 			p.Kill()
 		} else {
+			if f.Kind == FaultRelease {
+				s.log(tell(context.WithoutCancel(ctx), s.address(s.upstreamHost(i), servePort), BehavePath, Behaviour{Unlists: true}))
+				p.SetArg("--version", newVersion)
+			}
 			d := Drain{Upstream: p.name, At: s.clock.Wall()}
 			p.Signal(syscall.SIGTERM)
 			p.Wait(drainServes + dialTimeout)
