The soak's link passed on what its sender had reset, and streams looked joined from two versions

Cause: a daemon had given up its first attempt and reset the connection while a link was silent. The link held the request, and passed it on seconds later; a kernel would have dropped it with the reset. The upstream ran it, and the check counts runs.

TestWhatWasResetIsntPassedOn failed before: the bytes arrived.

Change: what was held is dropped if its connection has been reset meanwhile. No check is changed.

--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"spurhall.example/spurhall/internal/timer"
 )
 
@@ -147,6 +149,10 @@
 	for {
 		n, err := from.Read(b)
 		l.wait(c, back)
+		if n > 0 && wasReset(from) {
+			c.reset()
+			return
+		}
 		if n > 0 {
 			if _, e := to.Write(b[:n]); e != nil {
 				c.reset()
@@ -166,6 +172,24 @@
 	}
 }
 
+// wasReset reports whether a connection's peer has reset it: what it sent before is lost, and mustn't be passed on.
+func wasReset(c net.Conn) bool {
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	r, err := t.SyscallConn()
+	if err != nil {
+		return false
+	}
+	closed := false
+	err = r.Control(func(fd uintptr) {
+		i, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		closed = err == nil && i.State == unix.BPF_TCP_CLOSE
+	})
+	return err == nil && closed
+}
+
 // wait holds something back as long as the modes say.
 func (l *Link) wait(c *conn, back bool) {
 	for {
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -155,3 +155,29 @@
 	require.NoError(t, err)
 	assert.Equal(t, []Event{{What: Began, ID: "a"}}, list)
 }
+
+// TestWhatWasResetIsntPassedOn guards against bytes that reach an upstream although their sender had reset the connection
+// while a link held them.
+func TestWhatWasResetIsntPassedOn(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	l, err := NewLink(timer.Real(), "127.0.0.1", listener.Addr().String(), nil)
+	require.NoError(t, err)
+	t.Cleanup(l.Close)
+	near := dial(t, l)
+	far, err := listener.Accept()
+	require.NoError(t, err)
+	over := l.Add(Mode{Silent: true})
+	_, err = near.Write([]byte("given up\n"))
+	require.NoError(t, err)
+	time.Sleep(50 * time.Millisecond) // it is at the link
+	require.NoError(t, near.(*net.TCPConn).SetLinger(0))
+	require.NoError(t, near.Close())
+	time.Sleep(50 * time.Millisecond)
+	over()
+	require.NoError(t, far.SetReadDeadline(time.Now().Add(5*time.Second)))
+	b := make([]byte, 16)
+	n, err := far.Read(b)
+	assert.Error(t, err, "%q", b[:n])
+}
