--- a/internal/edge/lineage.go
+++ b/internal/edge/lineage.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -60,21 +61,27 @@
 	return list, nil
 }
 
-// leaveStreams stores what this node remembers of streams, before its process ends.
+// leaveStreams hands on and stores what this node remembers of streams, before its process ends.
 func (n *Node) leaveStreams() {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
-	n.streams.Save(ctx)
+	var w sync.WaitGroup
+	w.Go(func() { n.streams.HandOn(ctx) })
+	w.Go(func() { n.streams.Save(ctx) })
+	w.Wait()
 }
 
 // leaveTimeout bounds what a node does for others after its callers have left.
 const leaveTimeout = 300 * time.Millisecond
 
-// streamKeepers returns the nodes that may remember streams.
+// streamKeepers returns the nodes that may remember streams, this one unless it leaves.
 func (n *Node) streamKeepers() []lineage.Node {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	nodes := []lineage.Node{{Name: n.settings.Node, Hall: n.settings.Hall}}
+	var nodes []lineage.Node
+	if !n.isLeaving() {
+		nodes = append(nodes, lineage.Node{Name: n.settings.Node, Hall: n.settings.Hall})
+	}
 	for p := range n.view(n.clock.Now()).Present() {
 		nodes = append(nodes, lineage.Node{Name: p.Name, Hall: p.Hall})
 	}
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -36,6 +36,7 @@
 	n.phase.Store(int32(forward.PhaseLeaving))
 	startedAt := n.clock.Now()
 	n.log.Info("stopping", zap.Int("callers", callers.Open()))
+	go n.streams.HandOn(context.Background()) // bounded by its time-outs
 	defer n.clock.AfterFunc(stopAcceptPeriod, func() {
 		n.phase.Store(int32(forward.PhaseClosed))
 		n.log.Info("callers_closing", zap.Int("open", callers.Open()))
--- a/internal/lineage/keeper.go
+++ b/internal/lineage/keeper.go
@@ -132,6 +132,16 @@
 	}
 }
 
+// HandOn tells the nodes that stay all that this one remembers, before it stops. It is to be called when it begins to
+// stop, since the others no longer ask it, and just before its end, since some have told it more.
+func (k *Keeper) HandOn(ctx context.Context) {
+	list, _ := k.book.Records(k.o.Clock.Now())
+	k.tellAll(ctx, list).Wait()
+	if len(list) > 0 {
+		k.o.Log.Info("streams_handed_on", zap.Int("streams", len(list)))
+	}
+}
+
 // tellAll tells streams to their keepers, in messages of bounded size.
 func (k *Keeper) tellAll(ctx context.Context, list []Record) *sync.WaitGroup {
 	nodes := k.o.Nodes()
--- a/internal/lineage/keeper_test.go
+++ b/internal/lineage/keeper_test.go
@@ -20,6 +20,7 @@
 	nodes   []Node
 	keepers map[string]*Keeper
 	store   *memoryStore    // nil: none
+	longest int             // most streams that one message had
 	silent  map[string]bool // nodes that don't answer, or are of a build that knows no such call
 }
 
@@ -41,6 +42,9 @@
 			if f.isSilent(node) {
 				return errSilent
 			}
+			f.mu.Lock()
+			f.longest = max(f.longest, len(list))
+			f.mu.Unlock()
 			f.keeper(node).Hear(list)
 			return nil
 		},
--- a/internal/lineage/lineage.go
+++ b/internal/lineage/lineage.go
@@ -8,7 +8,7 @@
 // second version appears, nodes tell of the streams that they have, before it gets its first request.
 //
 // All nodes may end at once, and all in turn within a stream's time. So each node stores what it remembers, a few times a
-// second while that changes, and its next process reads it. A process
+// second while that changes, and its next process reads it; and a node that stops tells it to those that stay. A process
 // that starts doesn't know which versions served before: the holder of the duties stores them, and until they are read, no
 // stream is taken up there.
 //
