--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -284,8 +284,7 @@
 	n.requestAt = n.clock.Now()
 }
 
-// retryBudgetShare is the part of the operators' retry budget that is used: a node that was killed loses the
-// count of its retries and may use its part again.
+// retryBudgetShare is the part of the operators' retry budget that is used: nodes differ for a moment on how many share it.
 const retryBudgetShare = 0.7
 
 func (n *Node) retryWindow(service string) *retry.Window {
@@ -293,6 +292,9 @@
 	w := n.retryWindows[service]
 	if w == nil {
 		w = retry.NewWindow(retryBudgetShare*n.settings.RetryRatio, a, n.settings.RetryWindow)
+		if !n.settings.FirstStart {
+			w.WithholdExtra(n.settings.RetryWindow)
+		}
 		n.retryWindows[service] = w
 	}
 	w.SetExtra(a)
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -14,6 +14,7 @@
 	ratio      float64
 	extra      float64
 	slotLength time.Duration
+	extraFrom  time.Duration // before it the extra retries count as spent
 	firsts     [windowSlots]float64
 	repeats    [windowSlots]float64
 	newest     int64 // number of the newest slot
@@ -32,6 +33,18 @@
 // SetExtra changes this node's share of the extra retries.
 func (w *Window) SetExtra(a float64) { w.extra = a }
 
+// WithholdExtra has the extra retries count as spent before a time: a process before this one may have spent them within
+// the same span, and nobody knows.
+func (w *Window) WithholdExtra(until time.Duration) { w.extraFrom = until }
+
+// extraAt returns the extra retries that may be in use at a time.
+func (w *Window) extraAt(now time.Duration) float64 {
+	if now < w.extraFrom {
+		return 0
+	}
+	return w.extra
+}
+
 func (w *Window) advance(now time.Duration) int {
 	n := int64(now / w.slotLength)
 	if n-w.newest > windowSlots {
@@ -59,7 +72,7 @@
 			firsts += w.firsts[i]
 		}
 	}
-	if repeats+1 > w.ratio*firsts+w.extra {
+	if repeats+1 > w.ratio*firsts+w.extraAt(now) {
 		return false
 	}
 	w.repeats[at]++
--- a/internal/retry/window_test.go
+++ b/internal/retry/window_test.go
@@ -50,3 +50,34 @@
 	assert.False(t, w.Take(9*time.Second))
 	assert.True(t, w.Take(12*time.Second))
 }
+
+// TestRestartsSpendTheExtraRetriesAgain guards against processes that are killed and begin with the extra retries again.
+func TestRestartsSpendTheExtraRetriesAgain(t *testing.T) {
+	const (
+		span  = 10 * time.Second
+		ratio = 0.2
+		extra = 50.0
+		step  = 10 * time.Millisecond
+	)
+	for _, restarts := range [][]time.Duration{{3 * time.Second}, {3 * time.Second, 7 * time.Second}, {time.Second, 2 * time.Second, 3 * time.Second, 4 * time.Second}} {
+		w, started, firsts, repeats := NewWindow(ratio, extra, span), time.Duration(0), 0, 0
+		for now := time.Duration(0); now < span; now += step { // all within one span
+			if len(restarts) > 0 && now >= restarts[0] {
+				w, started, restarts = NewWindow(ratio, extra, span), now, restarts[1:]
+				w.WithholdExtra(span)
+			}
+			w.First(now - started)
+			firsts++
+			for w.Take(now - started) {
+				repeats++
+			}
+		}
+		assert.LessOrEqual(t, float64(repeats), ratio*float64(firsts)+extra)
+	}
+	t.Run("they are there again once the span is over", func(t *testing.T) {
+		w := NewWindow(ratio, extra, span)
+		w.WithholdExtra(span)
+		assert.False(t, w.Take(span-time.Second))
+		assert.True(t, w.Take(span))
+	})
+}
