A stop before the stored streams were read replaced them, and what a process knew before that wasn't stored

Seen in reading the change, not by callers. A process that stops, or remembers a stream, before it has read what the one before stored now leaves that as it is, and stores its own with it afterwards (TestStoredStreamsAreReplacedBeforeTheyAreRead). A caller waits for what was stored for 0.25 s, not a second, before other nodes are asked. The last steps of a stop run side by side: one after the other they could take longer than is left before the kill.

--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -89,10 +89,12 @@
 	}
 	<-ctx.Done()
 	n.stop(callers)
-	n.uplink.Stop()
+	var last sync.WaitGroup // at once: there is little time
+	last.Go(n.uplink.Stop)
+	last.Go(n.leaveStreams)
 	cancel()
 	duties.Wait()
-	n.leaveStreams()
+	last.Wait()
 	return errors.Join(front.Close(), ready.Close(), peers.Close())
 }
 
--- a/internal/lineage/saved.go
+++ b/internal/lineage/saved.go
@@ -25,6 +25,8 @@
 	// saveCheck is how often a save may be due.
 	saveCheck   = 50 * time.Millisecond
 	saveTimeout = time.Second
+	// restoreTimeout bounds how long a caller waits for what was stored, after which other nodes are asked.
+	restoreTimeout = 250 * time.Millisecond
 )
 
 // MinSaveInterval is the shortest time between two saves: a stream that began since the last one is refused after a loss of
@@ -51,8 +53,9 @@
 	for {
 		list, err := k.o.Load(ctx)
 		if err == nil {
+			began := k.book.Added() // since this process started: not stored yet
 			k.Hear(list)
-			k.saved.Store(k.book.Added())
+			k.saved.Store(k.book.Added() - began)
 			close(k.restored)
 			k.o.Log.Info("streams_found", zap.Int("streams", len(list)))
 			return true
@@ -64,10 +67,10 @@
 	}
 }
 
-// Save stores what the node remembers, if that has changed.
+// Save stores what the node remembers, if that has changed. What the process before stored isn't replaced before it is read.
 func (k *Keeper) Save(ctx context.Context) {
 	list, added := k.book.Records(k.o.Clock.Now())
-	if k.o.Save == nil || added == k.saved.Load() {
+	if k.o.Save == nil || !k.isRestored() || added == k.saved.Load() {
 		return
 	}
 	c, cancel := context.WithTimeout(ctx, saveTimeout)
@@ -95,7 +98,7 @@
 
 // AwaitRestored waits for a moment until the node has read what was stored, and reports whether it has.
 func (k *Keeper) AwaitRestored(ctx context.Context) bool {
-	c, cancel := context.WithTimeout(ctx, findTimeout)
+	c, cancel := context.WithTimeout(ctx, restoreTimeout)
 	defer cancel()
 	select {
 	case <-k.restored:
--- a/internal/lineage/saved_test.go
+++ b/internal/lineage/saved_test.go
@@ -17,6 +17,8 @@
 	values map[string][]Record
 	writes int
 	down   bool
+	// unreadable says that reads fail, and writes don't.
+	unreadable bool
 }
 
 func (m *memoryStore) setDown(down bool) {
@@ -36,7 +38,7 @@
 		Load: func(context.Context) ([]Record, error) {
 			m.mu.Lock()
 			defer m.mu.Unlock()
-			if m.down {
+			if m.down || m.unreadable {
 				return nil, errSilent
 			}
 			return m.values[node], nil
@@ -160,3 +162,31 @@
 	}
 	return f.store.of(name)
 }
+
+// TestStoredStreamsAreReplacedBeforeTheyAreRead guards against a process that stops, or stores, without what the one before knew.
+func TestStoredStreamsAreReplacedBeforeTheyAreRead(t *testing.T) {
+	f, m := newStoringFleet(t, 1, 1)
+	f.keeper("n0-0").Tell(Record{KeyOf("w", "before"), "v1.1", time.Minute})
+	time.Sleep(2 * MinSaveInterval)
+	m.setDown(true)
+	f.restartAll(t)
+	k := f.keeper("n0-0")
+	k.Tell(Record{KeyOf("w", "since"), "v1.1", time.Minute})
+	time.Sleep(loadRetryPause / 4)
+	m.mu.Lock()
+	m.down, m.unreadable = false, true
+	m.mu.Unlock()
+	k.Save(t.Context())
+	assert.Len(t, m.stored("n0-0"), 1, "what was stored isn't read yet")
+	m.mu.Lock()
+	m.unreadable = false
+	m.mu.Unlock()
+	time.Sleep(2*loadRetryPause + 2*MinSaveInterval)
+	assert.Len(t, m.stored("n0-0"), 2, "both are stored once it is")
+}
+
+func (m *memoryStore) stored(node string) []Record {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.values[node]
+}
