--- a/internal/edge/cached.go
+++ b/internal/edge/cached.go
@@ -59,7 +59,7 @@
 func (n *Node) hasReadRegistry() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.peersRead
+	return n.role.RegistryRead
 }
 
 // assignedEngines returns the engines of this hall that are assigned to this node.
--- a/internal/edge/limits_test.go
+++ b/internal/edge/limits_test.go
@@ -50,7 +50,7 @@
 	})
 	t.Run("the registry has been read", func(t *testing.T) {
 		n, c := start()
-		n.peersRead = true
+		n.role.RegistryRead = true
 		assert.True(t, sends(n, c, 3))
 	})
 }
--- a/internal/edge/lineage.go
+++ b/internal/edge/lineage.go
@@ -26,18 +26,11 @@
 	})
 }
 
-// savesShare is the part of the store's writes that all nodes together use at most for what they remember of streams.
-const savesShare = 0.25
-
 // saveInterval returns the shortest time between two saves of what this node remembers of streams.
 func (n *Node) saveInterval() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	perNode := savesShare * n.settings.Store.Writes / float64(n.peers.size())
-	if perNode <= 0 { // the store states no rate
-		return lineage.MinSaveInterval
-	}
-	return max(lineage.MinSaveInterval, time.Duration(float64(time.Second)/perNode))
+	return lineage.SaveInterval(n.peers.size(), n.settings.Store.Writes)
 }
 
 // loadStreams reads which versions served before this process started, and which streams the process before remembered.
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -100,7 +100,7 @@
 			n.logPeer("peer_gone", zap.String("peer", name), zap.Duration("silent", now.Sub(p.LastSeen)))
 		}
 	}
-	n.peersRead = true
+	n.role.RegistryRead = true
 	n.quotas.SetPeers(now, n.peers.names())
 }
 
--- a/internal/edge/members_test.go
+++ b/internal/edge/members_test.go
@@ -98,7 +98,7 @@
 	assert.Equal(t, int64(94), logs.FilterMessage("peers_changed").All()[0].ContextMap()["heard"])
 	n.flushPeerLog()
 	assert.Equal(t, 1, logs.Len(), "no new events")
-	n.peerLog.verbose = true
+	n.events.EndRound(true)
 	n.logPeer("peer_heard", zap.String("peer", "edge-1"))
 	assert.Equal(t, 1, logs.FilterMessage("peer_heard").Len(), "a watcher logs each event")
 }
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -135,7 +135,7 @@
 	quotas        *quota.Quotas
 	retryWindows  map[string]*retry.Window
 	spanStartedAt time.Time // start of the current quota span
-	peersRead     bool      // the registry of nodes has been read
+	role          roster.Role
 	registry      *roster.Registry
 	// registrySentAt is when a watcher last sent or confirmed the registry, and registryAppliedAt when that was
 	// last applied.
@@ -143,7 +143,7 @@
 	registryAppliedAt time.Time
 	usage             *usage.Tracker
 	peers             *peerTable
-	peerLog           peerLog
+	events            roster.Events     // of other nodes
 	aggregator        *relay.Aggregator // state of this node as a relay
 	relayView         relay.View        // state received from this node's relay
 	homeRelay         string            // name of the relay that this node reports to
@@ -152,14 +152,12 @@
 	placeRetryAt      time.Time         // no relay is asked to place a request before this time
 	requestAt         time.Time         // when a request of this node last started at an upstream
 	sendersSetAt      time.Time         // when the nodes that share limits were last determined
-	startWatchers     []string          // nodes that read the store for this hall while the whole system starts
 
 	streamVersions   map[string][]string // versions that may have begun streams, by service, when the list last changed
 	lacksList        follow.Lack         // of what other nodes' lists have
 	lacksCatalog     follow.Lack         // of what other nodes' configurations have
 	listRestartedAt  time.Time           // when the list was last read anew because of that
 	loggedSuspension time.Duration       // total suspension of the VM at the last log line
-	selfWatchUntil   time.Time           // until when this node watches the store regardless of its role
 	rollouts         rollouts
 }
 
@@ -180,6 +178,7 @@
 func New(o Options) *Node {
 	s := o.Settings
 	n := &Node{options: o, settings: s, clock: o.Clock, log: o.Log, start: o.Clock.Now(), initialized: make(chan struct{}), retryWindows: make(map[string]*retry.Window), streamVersions: make(map[string][]string)}
+	n.role.StartedAt = n.start
 	n.lag = lag.New(o.Clock, o.Log)
 	n.pools = pool.New(o.Clock, s.Node, s.Hall)
 	n.pools.SetSenders(nil, nil) // until the other nodes are known
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -38,10 +38,7 @@
 	roster.Peer
 	incarnation    string
 	sequence       uint64
-	lastCalled     time.Time // by this node
-	busy           bool      // a call is in progress
-	silenceLogged  bool      // its silence has been logged
-	lastFailure    string    // of the last call; empty: it succeeded
+	lastFailure    string // of the last call; empty: it succeeded
 	clientMu       sync.Mutex
 	client         wireconnect.EdgeClient   // nil: not called yet (peerTable.clientOf)
 	catalogVersion int64                    // of its configuration
@@ -135,27 +132,6 @@
 	return t.clientOf(p)
 }
 
-// due returns the peers to call in this round.
-func (t *peerTable) due(now time.Time) []*peer {
-	peers := make([]pair.Peer, 0, len(t.peers))
-	for _, p := range t.peers {
-		if p.NeedsReport(now, t.size()) {
-			peers = append(peers, pair.Peer{Name: p.Name, LastSeen: p.LastSeen, LastCalled: p.lastCalled, Busy: p.busy})
-		}
-	}
-	var list []*peer
-	for _, name := range pair.Due(now, t.n.settings.Node, t.size(), peers) {
-		list = append(list, t.peers[name])
-	}
-	if len(list) == 0 || pair.Suffice(t.size()) {
-		return list
-	}
-	if !t.fallback.Take(now) {
-		return nil
-	}
-	return list[:1]
-}
-
 // names returns the names of the other nodes.
 func (t *peerTable) names() []string {
 	r := make([]string, 0, len(t.peers))
@@ -178,23 +154,13 @@
 	n.startQuotaSpan(now)
 	n.guard.SetRates(n.storeRates())
 	n.usage.Forget(n.clock.Wall())
-	responsive, size := 0, n.peers.size()
-	var leaving []string
-	for _, p := range n.peers.peers {
-		if p.Leaving {
-			leaving = append(leaving, p.Name)
-		}
-		if p.IsResponsive(now, size) {
-			responsive++
-			p.silenceLogged = false
-		} else if !p.silenceLogged && !p.LastSign(size).IsZero() {
-			p.silenceLogged = true
-			n.logPeer("peer_silent", zap.String("peer", p.Name), zap.Duration("for", now.Sub(p.LastSign(size))), zap.String("last_call", p.lastFailure))
-		}
+	round := n.view(now).Round(&n.peers.fallback)
+	for _, p := range round.Silent {
+		n.logPeer("peer_silent", zap.String("peer", p.Name), zap.Duration("for", now.Sub(p.LastSign(n.peers.size()))), zap.String("last_call", n.peers.peers[p.Name].lastFailure))
 	}
-	due := n.peers.due(now)
-	for _, p := range due {
-		p.busy, p.lastCalled = true, now
+	due := make([]*peer, 0, len(round.Due))
+	for _, name := range round.Due {
+		due = append(due, n.peers.peers[name])
 	}
 	n.updateLimitSenders(now)
 	n.flushPeerLog()
@@ -204,8 +170,8 @@
 	if !relayed {
 		n.applyReach(reach)
 	}
-	n.leaveTunnels(leaving)
-	responsivePeers.Set(int64(responsive))
+	n.leaveTunnels(round.Leaving)
+	responsivePeers.Set(int64(round.Responsive))
 	for _, p := range due {
 		go n.swapReports(ctx, p, report)
 	}
@@ -234,7 +200,9 @@
 
 // knowsPeers reports whether the known peers count as all other nodes. A process that has just started
 // without reaching the store isn't the only node, though no peer has reported to it. The node's lock is held.
-func (n *Node) knowsPeers(now time.Time) bool { return n.peersRead || now.Sub(n.start) > peersWait }
+func (n *Node) knowsPeers(now time.Time) bool {
+	return n.role.RegistryRead || now.Sub(n.start) > peersWait
+}
 
 // startQuotaSpan starts a new span of the quotas once every pair has had its turn.
 func (n *Node) startQuotaSpan(now time.Time) {
@@ -261,7 +229,7 @@
 	n.mu.Unlock()
 	a, err := client.Report(c, connect.NewRequest(&wire.ReportRequest{Report: r}))
 	n.mu.Lock()
-	p.busy, p.lastFailure = false, ""
+	p.Calling, p.lastFailure = false, ""
 	if err != nil {
 		p.lastFailure = err.Error()
 	}
@@ -348,7 +316,7 @@
 	if p.incarnation != r.Lifetime || !p.IsResponsive(now, n.peers.size()) {
 		n.logPeer("peer_heard", zap.String("peer", r.Node), zap.String("lifetime", r.Lifetime), zap.Int64("catalog", r.CatalogVersion))
 	}
-	p.incarnation, p.sequence, p.LastSeen, p.silenceLogged = r.Lifetime, r.Sequence, now, false
+	p.incarnation, p.sequence, p.LastSeen = r.Lifetime, r.Sequence, now
 	p.catalogVersion, p.listRevision, p.Hall, p.Leaving, p.StoreUp, p.Cores = r.CatalogVersion, r.ListRevision, r.Hall, r.Leaving, r.StoreUp, r.Cores
 	p.trials, p.reach = message.TrialsFromWire(r.Trials), message.ReachFromWire(r.Reach)
 	n.mergeTrials(now, p.trials, r.Node)
--- a/internal/edge/scale_test.go
+++ b/internal/edge/scale_test.go
@@ -59,9 +59,9 @@
 		hall := scaleHalls[i%len(scaleHalls)]
 		p := n.peers.getOrAdd(fmt.Sprintf("edge-%s-%d", hall, i), fmt.Sprintf("10.200.%d.%d:9000", i>>8, i&255))
 		p.Hall, p.Cores, p.StoreUp, p.incarnation, p.sequence = hall, 0.2, true, "p", 1
-		p.LastSeen, p.LastListed, p.lastCalled = n.clock.Now(), n.clock.Now(), n.clock.Now()
+		p.LastSeen, p.LastListed, p.LastCalled = n.clock.Now(), n.clock.Now(), n.clock.Now()
 	}
-	n.peersRead = true
+	n.role.RegistryRead = true
 	return n, clock
 }
 
--- a/internal/edge/start_test.go
+++ b/internal/edge/start_test.go
@@ -96,8 +96,15 @@
 	n, c := newScaleNode(t, 985, 0)
 	c.Advance(time.Minute)
 	now := n.clock.Now()
-	assert.Len(t, n.peers.due(now), 1, "no digest names any node")
-	assert.Empty(t, n.peers.due(now.Add(pair.Round)), "not in each round")
+	due := func(now time.Time) []string {
+		names := n.view(now).Round(&n.peers.fallback).Due
+		for _, name := range names {
+			n.peers.peers[name].Calling = false // the call is over
+		}
+		return names
+	}
+	assert.Len(t, due(now), 1, "no digest names any node")
+	assert.Empty(t, due(now.Add(pair.Round)), "not in each round")
 	silent := make(map[string]bool) // some of them call this node and not the other way round
 	for i := range 12 {
 		silent[fmt.Sprintf("edge-a-%d", 5*(i+1))] = true
@@ -110,9 +117,8 @@
 				p.LastRelayed = n.clock.Now()
 			}
 		}
-		for _, p := range n.peers.due(n.clock.Now()) {
-			p.lastCalled = n.clock.Now()
-			called[p.Name]++
+		for _, name := range due(n.clock.Now()) {
+			called[name]++
 		}
 	}
 	for name, times := range called {
@@ -176,7 +182,7 @@
 			assert.ElementsMatch(t, []string{"edge-a-3", "edge-a-5"}, n.watchersToPoll())
 		}
 	}
-	nodes[0].peersRead = true
+	nodes[0].role.RegistryRead = true
 	assert.True(t, nodes[0].mustWatch(), "in a small fleet it then reads by itself")
 }
 
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -64,7 +64,7 @@
 			zap.Int64("revision", have), zap.Int64("change", n.lacksList.Newest()), zap.Duration("for", lacked))
 		n.listRestartedAt = now
 		n.listFollower.Restart()
-		n.startSelfWatch(now)
+		n.role.WatchItself(now)
 	}
 }
 
--- a/internal/edge/watchers.go
+++ b/internal/edge/watchers.go
@@ -15,21 +15,14 @@
 
 // This file decides which nodes watch the store. Each change of the upstream list completes a watch, each
 // completion is a paid call, and with a watch per node the calls grow with nodes times changes. So two nodes
-// of a hall watch, and the others poll one of them with a call that is held open until there is a change.
-//
-// A node that gets no updates from the watchers, or that learns of a change which they lack, watches by
-// itself for a while. In a small fleet a starting node does so until it has received reports from its hall: it
-// needs the store's state at once. In a large one, all nodes together would read more than the store can send
-// (10,000 entries are some 3 MB), so a starting node follows the watchers that the registry names, and reads by
-// itself only if they have nothing for some seconds.
+// of a hall watch, and the others poll one of them with a call that is held open until there is a change. When a node
+// watches by itself is decided in package roster (Role).
 //
 // Alternatives considered: sending changes along with the reports between nodes. Pairs swap reports every
 // second or two in a fleet of some 80 nodes, which is all the time that a leaving upstream allows.
 // One watcher for the whole fleet: a partitioned hall has to learn of changes to its own upstreams.
 
 const (
-	// selfWatchDuration is how long a node watches by itself after the watchers failed it.
-	selfWatchDuration = 5 * time.Second
 	// registryWait is how long a starting node waits for the registry, which takes 2 s if a thousand nodes read it
 	// at once. firstStartDelay is how long after its start a node reads it when the whole system starts: until
 	// then the others have registered.
@@ -49,58 +42,32 @@
 	return n.view(n.clock.Now()).Watchers()
 }
 
-// isWatcherLocked is isWatcher with the node's lock held.
-func (n *Node) isWatcherLocked(now time.Time) bool {
-	return slices.Contains(n.view(now).Watchers(), n.settings.Node)
-}
-
 // isWatcher reports whether this node is one of the watchers of its hall.
 func (n *Node) isWatcher() bool { return slices.Contains(n.watchers(), n.settings.Node) }
 
-// startSelfWatch makes this node watch by itself for a while. The node's lock is held.
-func (n *Node) startSelfWatch(now time.Time) { n.selfWatchUntil = now.Add(selfWatchDuration) }
-
 // mustWatch reports whether this node has to watch the store now.
 func (n *Node) mustWatch() bool {
-	now := n.clock.Now()
+	starting := n.isStarting()
 	n.mu.Lock()
-	selfWatch := now.Before(n.selfWatchUntil)
-	n.mu.Unlock()
-	switch {
-	case selfWatch || n.holdsSeat.Load() && now.Sub(n.start) < seat.HolderPeriod:
-		return true
-	case n.isStarting():
-		return !n.startsAsFollower(now)
-	}
-	return n.isWatcher()
+	defer n.mu.Unlock()
+	return n.role.MustWatch(n.view(n.clock.Now()), starting, n.holdsSeat.Load())
 }
 
 // isStarting reports whether this node lacks the configuration or the upstream list.
 func (n *Node) isStarting() bool { return !n.listed.Load() || n.currentCatalog() == nil }
 
 // startsAsFollower reports whether this node, which is starting, waits for its hall's watchers.
-func (n *Node) startsAsFollower(now time.Time) bool {
+func (n *Node) startsAsFollower() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if len(n.startWatchers) > 0 && !n.peersRead {
-		return now.Sub(n.start) < roster.StartPatience
-	}
-	if !n.peersRead || n.isWatcherLocked(now) {
-		return false
-	}
-	return roster.WaitsToStart(now.Sub(n.start), n.settings.Node, n.peers.size())
+	return n.role.StartsAsFollower(n.view(n.clock.Now()))
 }
 
-// watchersToPoll returns the nodes that this one polls: while the whole system starts, the holders of seats, and
-// then the watchers.
+// watchersToPoll returns the nodes that this one polls.
 func (n *Node) watchersToPoll() []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now := n.clock.Now()
-	if len(n.startWatchers) > 0 && now.Sub(n.start) < seat.Period {
-		return n.startWatchers
-	}
-	return n.view(now).Watchers()
+	return n.role.ToPoll(n.view(n.clock.Now()))
 }
 
 // waitsForNews reports whether this node polls on although the watchers have failed it, since it last had news at
@@ -141,7 +108,7 @@
 			return true
 		}
 		n.peers.getOrAdd(h.Node, h.Address).Hall = n.settings.Hall
-		n.startWatchers = append(n.startWatchers, h.Node)
+		n.role.Seats = append(n.role.Seats, h.Node)
 	}
 	return false
 }
@@ -204,13 +171,13 @@
 		if failed <= roster.WatchersPerHall || failed%repeatedFailures == 0 {
 			n.log.Info("follow_failed", zap.String("peer", name), zap.Int("in_a_row", failed), zap.String("cause", err.Error()))
 		}
-		if n.waitsForNews(lastNews) || n.isStarting() && n.startsAsFollower(n.clock.Now()) {
+		if n.waitsForNews(lastNews) || n.isStarting() && n.startsAsFollower() {
 			_ = n.clock.Sleep(ctx, pollGap) // the loop condition checks the context
 			continue
 		}
 		if failed >= roster.WatchersPerHall {
 			n.mu.Lock()
-			n.startSelfWatch(n.clock.Now())
+			n.role.WatchItself(n.clock.Now())
 			n.mu.Unlock()
 			return
 		}
--- a/internal/lineage/saved.go
+++ b/internal/lineage/saved.go
@@ -20,6 +20,18 @@
 	Interval func() time.Duration
 }
 
+// savesShare is the part of the store's writes that all nodes together use at most for what they remember.
+const savesShare = 0.25
+
+// SaveInterval returns the shortest time between two saves in a fleet of so many nodes, whose store takes some writes a
+// second from all of them; 0: it states no rate.
+func SaveInterval(nodes int, writes float64) time.Duration {
+	if writes <= 0 {
+		return MinSaveInterval
+	}
+	return max(MinSaveInterval, time.Duration(float64(time.Second)*float64(nodes)/(savesShare*writes)))
+}
+
 const (
 	loadRetryPause = 200 * time.Millisecond
 	// saveCheck is how often a save may be due.
--- a/internal/roster/view.go
+++ b/internal/roster/view.go
@@ -11,6 +11,7 @@
 // Peer is another node as a node knows it.
 type Peer struct {
 	Signs
+	Calls
 	Name          string
 	Address       string // of its listener for other nodes
 	Hall          string // empty: no report received yet
--- a/internal/seat/seat.go
+++ b/internal/seat/seat.go
@@ -38,14 +38,6 @@
 	pause    = 100 * time.Millisecond
 )
 
-// Period is how long the nodes of a hall ask the holders of its seats. By then, the nodes know each other, and the
-// watchers have read the store. HolderPeriod is how long the holders read for them: nodes start some
-// seconds apart.
-const (
-	Period       = 8 * time.Second
-	HolderPeriod = 2 * Period
-)
-
 // Delay returns how long after its start a node waits before it takes a seat. 0 cores means that they aren't
 // known.
 func Delay(cores float64) time.Duration {
