Usage of a window lacked what reports on their way couldn't tell

What callers saw: nothing; a workspace's usage of a window may be reported too low.

Cause: the holder of the duties took a window's counts for complete once each node's report had arrived after the window's end. A report that arrives then may have been built before: a call takes up to 0.6 s. 0.6 s after the end the counts are settled, without the requests since. Ruled out as a way to tell: the age of a report (it is measured from its arrival).

Change: a node's counts are complete once it tells of requests after the window, which only a report can that was built after it, or once its report has arrived later than one built before can (0.6 s after the end). Nothing new is told between nodes.

Evidence: TestUsageLacksRequestsOfAReportOnItsWay fails before ("such a report doesn't complete the window": it did).

--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -77,8 +77,8 @@
 	<-done
 }
 
-// usageTally returns the counts of a window. They are complete if every node that shares the traffic has
-// reported since the window ended.
+// usageTally returns the counts of a window. They are complete if every node that shares the traffic has built a report
+// since the window ended: it tells of requests after that, or came later than a report that was built before can.
 func (n *Node) usageTally(window int64) duty.Tally {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -86,7 +86,7 @@
 	now, since := n.clock.Now(), n.clock.Wall().Sub(end)
 	complete := true
 	for _, p := range n.peers.peers {
-		if now.Sub(p.LastSeen) > since {
+		if !n.usage.HasLeft(p.Name, p.incarnation, window) && now.Sub(p.LastSeen)+reportTimeout > since {
 			complete = false
 		}
 	}
--- a/internal/edge/records_usage_test.go
+++ b/internal/edge/records_usage_test.go
@@ -8,7 +8,9 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"spurhall.example/spurhall/internal/duty"
 	"spurhall.example/spurhall/internal/handover"
+	"spurhall.example/spurhall/internal/pair"
 	"spurhall.example/spurhall/internal/standin"
 	"spurhall.example/spurhall/internal/store"
 	"spurhall.example/spurhall/internal/timer"
@@ -94,3 +96,35 @@
 		assert.Equal(t, usage.Counts{"w": 8}, third.usage.Sum(window))
 	})
 }
+
+// TestUsageLacksRequestsOfAReportOnItsWay: a report that arrives after a window's end may have been built before it.
+func TestUsageLacksRequestsOfAReportOnItsWay(t *testing.T) {
+	report := func(n, from *Node) { n.applyReport(t.Context(), from.buildReport(pairWindows)) }
+	begin := func() (clock *timer.Manual, holder, peer *Node, window int64) {
+		clock = timer.NewManual(time.Unix(1000, 0))
+		holder, peer = newTestNode("x", clock), newTestNode("y", clock)
+		peer.countStarted("w")
+		late := peer.buildReport(pairWindows)
+		peer.countStarted("w")
+		clock.Advance(time.Second)
+		holder.applyReport(t.Context(), late)
+		clock.Advance(pair.Round)
+		return clock, holder, peer, holder.usage.Window(clock.Service().Wall()) - 1
+	}
+	t.Run("such a report doesn't complete the window", func(t *testing.T) {
+		_, holder, _, window := begin()
+		assert.False(t, holder.usageTally(window).Complete)
+	})
+	t.Run("one that tells of the next window does", func(t *testing.T) {
+		_, holder, peer, window := begin()
+		peer.countStarted("w")
+		report(holder, peer)
+		assert.Equal(t, duty.Tally{Counts: usage.Counts{"w": 2}, Processes: 1, Complete: true}, holder.usageTally(window))
+	})
+	t.Run("and one that came later than any report takes", func(t *testing.T) {
+		clock, holder, peer, window := begin()
+		clock.Advance(reportTimeout)
+		report(holder, peer)
+		assert.Equal(t, duty.Tally{Counts: usage.Counts{"w": 2}, Processes: 1, Complete: true}, holder.usageTally(window))
+	})
+}
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -81,6 +81,16 @@
 	}
 }
 
+// HasLeft reports whether a process has told of requests after a window: its counts of that window no longer change.
+func (b *Tracker) HasLeft(node, incarnation string, window int64) bool {
+	for k := range b.counts[process{node, incarnation}] {
+		if k > window {
+			return true
+		}
+	}
+	return false
+}
+
 // EachOther calls f for the counts of each process except this one.
 func (b *Tracker) EachOther(f func(node, incarnation string, w Windows)) {
 	for p, w := range b.counts {
