The soak compared usage with when engines had admitted streams, not with when these began

Cause: the check.

Change: engines note a stream's first event, too, and the check counts streams from there. Its bounds are as they were. The new case of TestEndOfDay fails with the check as it was.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -47,10 +47,11 @@
 	replies map[string]*Reply
 	runs    map[string][]Event // by request, those that began
 	came    map[string][]Event // by request, arrivals
+	counted map[string]Event   // by request, when it first counts as run
 }
 
 func newView(r Record) *view {
-	v := &view{Record: r, replies: make(map[string]*Reply), runs: make(map[string][]Event), came: make(map[string][]Event)}
+	v := &view{Record: r, replies: make(map[string]*Reply), runs: make(map[string][]Event), came: make(map[string][]Event), counted: make(map[string]Event)}
 	for i := range r.Replies {
 		v.replies[r.Replies[i].ID] = &r.Replies[i]
 	}
@@ -59,6 +60,11 @@
 		switch e.What {
 		case Began:
 			v.runs[e.ID] = append(v.runs[e.ID], e)
+			if e.Service != ServiceEngine {
+				v.count(e)
+			}
+		case Token:
+			v.count(e)
 		case Arrived:
 			v.came[e.ID] = append(v.came[e.ID], e)
 		case Ended, Refused, Named, Started, Fell, Crashed:
@@ -67,6 +73,12 @@
 	return v
 }
 
+func (v *view) count(e Event) {
+	if _, counted := v.counted[e.ID]; !counted {
+		v.counted[e.ID] = e
+	}
+}
+
 // at is a time of the day.
 func (v *view) at(t time.Time) time.Duration { return t.Sub(v.Began) }
 
--- a/internal/soak/check_bounds.go
+++ b/internal/soak/check_bounds.go
@@ -156,12 +156,12 @@
 	return list
 }
 
-// begunIn counts the requests that began to run in a window, by workspace.
+// begunIn counts the requests that began to run in a window, by workspace. A stream begins with its first event.
 func (v *view) begunIn(from time.Time) map[string]int64 {
 	n := make(map[string]int64)
-	for id, runs := range v.runs {
-		if v.replies[id] != nil && !runs[0].At.Before(from) && runs[0].At.Before(from.Add(usageWindow)) {
-			n[runs[0].Tenant]++
+	for id, e := range v.counted {
+		if v.replies[id] != nil && !e.At.Before(from) && e.At.Before(from.Add(usageWindow)) {
+			n[e.Tenant]++
 		}
 	}
 	return n
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -256,6 +256,16 @@
 				r.Events = append(r.Events, event(Began, id, "upstream-2", ServicePlain, 5100*time.Millisecond))
 			}
 		}, []string{"usage"}},
+		"streams of which the first event comes in the next window": {func(r *Record) {
+			r.Usage[r.Began.Unix()+6] = []map[string]int64{{"wide": 20}}
+			for i := range 20 {
+				id := string(rune('a' + i))
+				p := reply(id, RouteResume, 5900*time.Millisecond)
+				p.Signed = "upstream-0"
+				r.Replies = append(r.Replies, p)
+				r.Events = append(r.Events, event(Began, id, "upstream-0", ServiceEngine, 5900*time.Millisecond), event(Token, id, "upstream-0", ServiceEngine, 6100*time.Millisecond))
+			}
+		}, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := whole()
--- a/internal/soak/event.go
+++ b/internal/soak/event.go
@@ -18,7 +18,8 @@
 // The events. An upstream notes each before it acts on it, so that its own end hides none.
 const (
 	Arrived What = "arrived" // a request is at an upstream
-	Began   What = "began"   // it runs
+	Began   What = "began"   // it runs; a stream is admitted
+	Token   What = "token"   // a stream's first event is out: it counts as run in usage from then on
 	Ended   What = "ended"   // its run came to its end
 	Refused What = "refused" // it isn't run
 	Named   What = "named"   // an answer names a rate
