--- a/internal/edge/lineage.go
+++ b/internal/edge/lineage.go
@@ -28,9 +28,7 @@
 
 // saveInterval returns the shortest time between two saves of what this node remembers of streams.
 func (n *Node) saveInterval() time.Duration {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return lineage.SaveInterval(n.peers.size(), n.settings.Store.Writes)
+	return lineage.SaveInterval(n.streamKeepers(), n.settings.Store.Writes)
 }
 
 // loadStreams reads which versions served before this process started, and which streams the process before remembered.
--- a/internal/lineage/fleet_test.go
+++ b/internal/lineage/fleet_test.go
@@ -31,6 +31,7 @@
 			nodes[i] = lineage.Node{Name: fmt.Sprint("n", i), Hall: fmt.Sprint("h", i%5)}
 			books[nodes[i].Name] = lineage.NewBook()
 		}
+		candidates := lineage.Candidates(nodes)
 		var c cost
 		now := time.Unix(1000, 0)
 		for s := range seconds {
@@ -38,14 +39,14 @@
 			for i := range size * perNode {
 				rec := lineage.Record{Key: lineage.KeyOf("w", fmt.Sprint(s, "/", i)), Version: "v1.1", Left: lasts}
 				size := proto.Size(&wire.TellStreamsRequest{Streams: message.StreamsToWire([]lineage.Record{rec})})
-				for _, name := range lineage.Told(rec.Key, nodes) {
+				for _, name := range lineage.Told(rec.Key, candidates) {
 					books[name].Add(now, rec)
 					c.told++
 					c.bytes += float64(size)
 				}
 				if r.IntN(10) == 0 {
 					known := 0
-					for _, name := range lineage.Asked(rec.Key, nodes) {
+					for _, name := range lineage.Asked(rec.Key, candidates) {
 						c.asked++
 						if _, ok := books[name].Version(now, rec.Key); ok {
 							known++
--- a/internal/lineage/keeper.go
+++ b/internal/lineage/keeper.go
@@ -21,13 +21,14 @@
 	// maxUntold bounds the records that wait to be told: some seconds of a node's streams.
 	maxUntold = 4096
 	// tellDelay is how long a record waits for others to the same nodes. A node that ends meanwhile takes it along.
-	tellDelay   = 30 * time.Millisecond
+	tellDelay   = 5 * time.Millisecond
 	tellTimeout = 400 * time.Millisecond
 	tellTries   = 2
 	// askTimeout bounds the wait for a node that is asked: some ten round trips.
 	askTimeout = 250 * time.Millisecond
 	// findTries is how often all are asked who answer: a stream that has just begun may not have been told yet.
 	findTries = 2
+	findPause = 60 * time.Millisecond
 	// findTimeout bounds the search while some don't answer: nodes that are starting again are back within about a second.
 	findTimeout = time.Second
 	// MaxTime bounds for how long a stream is remembered that another node tells of.
@@ -58,12 +59,14 @@
 	untold chan Record
 
 	restored chan struct{} // closed once what the process before stored has been read
-	saved    atomic.Int64  // number of streams that had been added at the last save
+	kept     atomic.Int64  // number of streams that it has come to keep
+	saved    atomic.Int64  // that number at the last save
+	dirty    chan struct{} // has one element if it may differ
 }
 
 // NewKeeper returns a keeper that knows of no stream.
 func NewKeeper(o Options) *Keeper {
-	k := &Keeper{o: o, book: NewBook(), untold: make(chan Record, maxUntold), restored: make(chan struct{})}
+	k := &Keeper{o: o, book: NewBook(), untold: make(chan Record, maxUntold), restored: make(chan struct{}), dirty: make(chan struct{}, 1)}
 	if o.Load == nil {
 		close(k.restored)
 	}
@@ -85,7 +88,7 @@
 	now := k.o.Clock.Now()
 	for _, r := range list {
 		if r.Left > 0 && r.Left <= MaxTime {
-			k.book.Add(now, r)
+			k.keep(k.book.Add(now, r))
 		}
 	}
 }
@@ -135,7 +138,7 @@
 // HandOn tells the nodes that stay all that this one remembers, before it stops. It is to be called when it begins to
 // stop, since the others no longer ask it, and just before its end, since some have told it more.
 func (k *Keeper) HandOn(ctx context.Context) {
-	list, _ := k.book.Records(k.o.Clock.Now())
+	list := k.book.Records(k.o.Clock.Now())
 	k.tellAll(ctx, list).Wait()
 	if len(list) > 0 {
 		k.o.Log.Info("streams_handed_on", zap.Int("streams", len(list)))
@@ -144,15 +147,15 @@
 
 // tellAll tells streams to their keepers, in messages of bounded size.
 func (k *Keeper) tellAll(ctx context.Context, list []Record) *sync.WaitGroup {
-	nodes := k.o.Nodes()
+	nodes := Candidates(k.o.Nodes())
 	byNode := make(map[string][]Record)
 	for _, r := range list {
 		for _, name := range Told(r.Key, nodes) {
-			if name != k.o.Node {
-				byNode[name] = append(byNode[name], r)
-			}
+			byNode[name] = append(byNode[name], r)
 		}
 	}
+	k.keep(len(byNode[k.o.Node]))
+	delete(byNode, k.o.Node)
 	var w sync.WaitGroup
 	for name, l := range byNode {
 		for part := range slices.Chunk(l, maxUntold) {
@@ -186,8 +189,8 @@
 	c, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	answered := 0
-	for asked := Asked; answered < findTries; asked = AskedWidely {
-		v, ok, all := k.ask(c, x, asked(x, k.o.Nodes()))
+	for names := Asked(x, Candidates(k.o.Nodes())); answered < findTries; names = AskedWidely(x, k.o.Nodes()) {
+		v, ok, all := k.ask(c, x, names)
 		if ok {
 			events.Add("found", 1)
 			return v, true, false
@@ -195,7 +198,7 @@
 		if all {
 			answered++
 		}
-		if k.o.Clock.Sleep(c, 2*tellDelay) != nil {
+		if k.o.Clock.Sleep(c, findPause) != nil {
 			break
 		}
 	}
--- a/internal/lineage/keeper_test.go
+++ b/internal/lineage/keeper_test.go
@@ -89,12 +89,15 @@
 	}
 }
 
+// keepersOf returns the nodes that are told of a stream.
+func (f *keeperFleet) keepersOf(k Key) []string { return Told(k, Candidates(f.present())) }
+
 // begin lets a node begin a stream, and waits until it is told.
 func (f *keeperFleet) begin(t *testing.T, node string, k Key) {
 	t.Helper()
 	f.keeper(node).Tell(Record{k, "v1.1", 15 * time.Second})
 	assert.Eventually(t, func() bool {
-		for _, n := range Told(k, f.nodes) {
+		for _, n := range f.keepersOf(k) {
 			if _, known := f.keeper(n).Version(k); !known && !f.isSilent(n) {
 				return false
 			}
@@ -135,20 +138,20 @@
 	t.Run("after the node that began it and a keeper have ended", func(t *testing.T) {
 		f := newKeeperFleet(t, 3, 4)
 		f.begin(t, "n0-0", k)
-		f.setSilent("n0-0", Told(k, f.nodes)[0])
-		f.assertFound(t, true, other(f, Told(k, f.nodes)...), k)
+		f.setSilent("n0-0", f.keepersOf(k)[0])
+		f.assertFound(t, true, other(f, f.keepersOf(k)...), k)
 	})
 	t.Run("by a node that has just started, and after a keeper has", func(t *testing.T) {
 		f := newKeeperFleet(t, 3, 4)
 		f.begin(t, "n0-0", k)
-		f.start(t, Told(k, f.nodes)[0])
-		f.start(t, other(f, Told(k, f.nodes)...))
-		f.assertFound(t, true, other(f, Told(k, f.nodes)...), k)
+		f.start(t, f.keepersOf(k)[0])
+		f.start(t, other(f, f.keepersOf(k)...))
+		f.assertFound(t, true, other(f, f.keepersOf(k)...), k)
 	})
 	t.Run("not by a node that is cut off from all others", func(t *testing.T) {
 		f := newKeeperFleet(t, 3, 4)
 		f.begin(t, "n0-0", k)
-		n := other(f, Told(k, f.nodes)...)
+		n := other(f, f.keepersOf(k)...)
 		for _, o := range f.nodes {
 			if o.Name != n {
 				f.setSilent(o.Name)
@@ -159,11 +162,11 @@
 	t.Run("not after both keepers have started anew", func(t *testing.T) {
 		f := newKeeperFleet(t, 3, 4)
 		f.begin(t, "n0-0", k)
-		for _, n := range Told(k, f.nodes) {
+		for _, n := range f.keepersOf(k) {
 			f.start(t, n)
 		}
 		f.setSilent("n0-0")
-		f.assertFound(t, false, other(f, Told(k, f.nodes)...), k)
+		f.assertFound(t, false, other(f, f.keepersOf(k)...), k)
 	})
 	t.Run("unless it is of another build that knows no such call", func(t *testing.T) {
 		f := newKeeperFleet(t, 2, 1)
--- a/internal/lineage/lineage.go
+++ b/internal/lineage/lineage.go
@@ -2,12 +2,13 @@
 // and their callers come back to any node, often because the one that began them has ended.
 //
 // While a service has upstreams of one version alone, nothing is told or asked. While it has several, the node that
-// begins a resumable stream tells two others, its keepers: in each of two halls drawn from the stream's key, the first node of
-// an order that is drawn from the key, too. Whoever takes the stream up asks these, and the next in each order. A stream costs a
-// fixed number of messages, whatever the size of the fleet, and no keeper has more than its part of the streams. When a
-// second version appears, nodes tell of the streams that they have, before it gets its first request.
+// begins a resumable stream tells two others, its keepers: in each of two halls drawn from the stream's key, the first of the
+// hall's candidates in an order that is drawn from the key, too. Whoever takes the stream up asks these, and the next in each
+// order. A stream costs a fixed number of messages, whatever the size of the fleet. The candidates are a tenth of a hall's
+// nodes, and two at least: each stores what it keeps, and keeps twice the streams of ten nodes at most. When a second version
+// appears, nodes tell of the streams that they have, before it gets its first request.
 //
-// All nodes may end at once, and all in turn within a stream's time. So each node stores what it remembers, a few times a
+// All nodes may end at once, and all in turn within a stream's time. So each node stores what it remembers, several times a
 // second while that changes, and its next process reads it; and a node that stops tells it to those that stay. A process
 // that starts doesn't know which versions served before: the holder of the duties stores them, and until they are read, no
 // stream is taken up there.
@@ -68,14 +69,14 @@
 	mu      sync.Mutex
 	entries map[Key]entry
 	order   []Key // in which they were added; the oldest goes first
-	added   int64 // number of streams that were added so far
 }
 
 // NewBook returns an empty book.
 func NewBook() *Book { return &Book{entries: make(map[Key]entry)} }
 
-// Add remembers streams. What began a stream never changes, so that a later record only extends its time.
-func (b *Book) Add(now time.Time, list ...Record) {
+// Add remembers streams, and returns how many of them it didn't know. What began a stream never changes, so that a later
+// record only extends its time.
+func (b *Book) Add(now time.Time, list ...Record) (added int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, r := range list {
@@ -91,8 +92,9 @@
 			b.order = append(b.order, r.Key)
 		}
 		b.entries[r.Key] = entry{r.Version, until}
-		b.added++
+		added++
 	}
+	return added
 }
 
 func later(a, b time.Time) time.Time {
@@ -118,23 +120,17 @@
 	return e.version, known && e.until.After(now)
 }
 
-// Records returns the streams that may still be taken up, the oldest first, and how many were added so far.
-func (b *Book) Records(now time.Time) (list []Record, added int64) {
+// Records returns the streams that may still be taken up, the oldest first.
+func (b *Book) Records(now time.Time) []Record {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	var list []Record
 	for _, k := range b.order {
 		if e := b.entries[k]; e.until.After(now) {
 			list = append(list, Record{k, e.version, e.until.Sub(now)})
 		}
 	}
-	return list, b.added
-}
-
-// Added returns how many streams were added so far.
-func (b *Book) Added() int64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.added
+	return list
 }
 
 // Len returns the number of streams that are remembered.
@@ -156,24 +152,63 @@
 	// a node's start that the one who told hadn't.
 	toldPerHall  = 1
 	askedPerHall = 2
-	// askedWidely is how many nodes are asked, of any hall, for a stream that these don't know: all nodes of both halls may
+	// askedWidely is how many candidates are asked, of any hall, for a stream that these don't know: all of both halls may
 	// have been away when it was told. In a small fleet these are all.
-	askedWidely = 12
+	askedWidely = 24
+	// minCandidates is how many nodes of a hall may keep records, or nodesPerCandidate nodes have one, whichever is more:
+	// few enough that storing what they keep costs little, and enough that a part of them may end.
+	minCandidates     = 2
+	nodesPerCandidate = 10
+	// spareCandidates is how many more of a hall may have been candidates while others of it were away.
+	spareCandidates = 2
 )
 
+// Candidates returns the nodes that may keep records: some of each hall, which differ little while nodes come and go.
+func Candidates(nodes []Node) []Node { return candidates(nodes, 0) }
+
+// LateCandidates returns those that may have kept some lately.
+func LateCandidates(nodes []Node) []Node { return candidates(nodes, spareCandidates) }
+
+func candidates(nodes []Node, spare int) []Node {
+	halls := make(map[string]int)
+	for _, n := range nodes {
+		halls[n.Hall]++
+	}
+	var list []Node
+	for hall, size := range halls {
+		t := top{most: max(minCandidates, (size+nodesPerCandidate-1)/nodesPerCandidate) + spare}
+		for _, n := range nodes {
+			if n.Hall == hall {
+				t.add(n.Name, 0)
+			}
+		}
+		for _, name := range t.names() {
+			list = append(list, Node{Name: name, Hall: hall})
+		}
+	}
+	return list
+}
+
 // Told returns the nodes that are told of a stream.
 func Told(k Key, nodes []Node) []string { return keepers(k, nodes, toldPerHall) }
 
 // Asked returns the nodes that are asked for a stream.
 func Asked(k Key, nodes []Node) []string { return keepers(k, nodes, askedPerHall) }
 
-// AskedWidely returns the nodes that are asked for a stream that those of Asked don't know.
+// AskedWidely returns the nodes that are asked for a stream that those of Asked don't know: late candidates, and the nodes
+// that a build without candidates tells, which chooses among all.
 func AskedWidely(k Key, nodes []Node) []string {
 	t := top{most: askedWidely}
-	for _, n := range nodes {
+	for _, n := range LateCandidates(nodes) {
 		t.add(n.Name, k)
 	}
-	return t.names()
+	list := t.names()
+	for _, name := range Told(k, nodes) {
+		if !slices.Contains(list, name) {
+			list = append(list, name)
+		}
+	}
+	return list
 }
 
 func keepers(k Key, nodes []Node, perHall int) []string {
--- a/internal/lineage/lineage_test.go
+++ b/internal/lineage/lineage_test.go
@@ -105,6 +105,72 @@
 	})
 }
 
+func TestCandidates(t *testing.T) {
+	const streamsPerNode = 20
+	count := func(nodes []Node) map[string]int {
+		m := make(map[string]int)
+		for _, n := range nodes {
+			m[n.Hall]++
+		}
+		return m
+	}
+	t.Run("two nodes of a small hall, a tenth of a large one", func(t *testing.T) {
+		assert.Len(t, Candidates(fleet(3, 1)), 3)
+		assert.Len(t, Candidates(fleet(3, 20)), 6)
+		assert.Len(t, Candidates(fleet(5, 197)), 5*20)
+		for _, c := range count(Candidates(fleet(3, 20))) {
+			assert.Equal(t, 2, c)
+		}
+		assert.Empty(t, Candidates(nil))
+	})
+	t.Run("a node that comes or goes changes one of them at most", func(t *testing.T) {
+		all := fleet(3, 24)
+		for i := range all {
+			without := append(append([]Node{}, all[:i]...), all[i+1:]...)
+			before, after := Candidates(all), Candidates(without)
+			changed := 0
+			for _, n := range before {
+				if !slices.Contains(after, n) {
+					changed++
+				}
+			}
+			assert.LessOrEqual(t, changed, 1)
+			assert.Subset(t, LateCandidates(all), Candidates(without), "those that were while another was away")
+		}
+	})
+	t.Run("those that a build without candidates tells are asked, too", func(t *testing.T) {
+		all := fleet(3, 24)
+		for i := range 100 {
+			assert.Subset(t, AskedWidely(Key(i), all), Told(Key(i), all))
+		}
+		assert.Len(t, AskedWidely(1, fleet(3, 2)), 6, "each once")
+	})
+	t.Run("what one keeps doesn't grow with the fleet", func(t *testing.T) {
+		for _, size := range []int{16, 77, 197, 985} {
+			nodes := fleet(1, size)
+			candidates := Candidates(nodes)
+			count := make(map[string]int)
+			for i := range streamsPerNode * size {
+				for _, n := range Told(Key(i), candidates) {
+					count[n]++
+				}
+			}
+			for n, c := range count {
+				assert.LessOrEqual(t, c, streamsPerNode*nodesPerCandidate*4/3, "%s of %d", n, size)
+			}
+		}
+	})
+	t.Run("saves of all nodes together have a bound", func(t *testing.T) {
+		for _, size := range []int{2, 26, 197} {
+			nodes := fleet(5, size)
+			each := SaveInterval(nodes, 400)
+			assert.LessOrEqual(t, float64(len(Candidates(nodes)))/each.Seconds(), savesShare*400+1e-6)
+			assert.GreaterOrEqual(t, each, MinSaveInterval)
+		}
+		assert.Equal(t, MinSaveInterval, SaveInterval(fleet(3, 2), 0))
+	})
+}
+
 func common(a, b []string) []string {
 	var list []string
 	for _, n := range a {
--- a/internal/lineage/saved.go
+++ b/internal/lineage/saved.go
@@ -20,44 +20,61 @@
 	Interval func() time.Duration
 }
 
-// savesShare is the part of the store's writes that all nodes together use at most for what they remember.
+// savesShare is the part of the store's writes that all nodes together use at most for what they keep.
 const savesShare = 0.25
 
-// SaveInterval returns the shortest time between two saves in a fleet of so many nodes, whose store takes some writes a
-// second from all of them; 0: it states no rate.
-func SaveInterval(nodes int, writes float64) time.Duration {
+// SaveInterval returns the shortest time between two saves of a node in a fleet whose store takes some writes a second from
+// all nodes together; 0: it states no rate.
+func SaveInterval(nodes []Node, writes float64) time.Duration {
 	if writes <= 0 {
 		return MinSaveInterval
 	}
-	return max(MinSaveInterval, time.Duration(float64(time.Second)*float64(nodes)/(savesShare*writes)))
+	return max(MinSaveInterval, time.Duration(float64(time.Second)*float64(len(Candidates(nodes)))/(savesShare*writes)))
 }
 
 const (
 	loadRetryPause = 200 * time.Millisecond
-	// saveCheck is how often a save may be due.
-	saveCheck   = 50 * time.Millisecond
-	saveTimeout = time.Second
+	saveTimeout    = time.Second
 	// restoreTimeout bounds how long a caller waits for what was stored, after which other nodes are asked.
 	restoreTimeout = 250 * time.Millisecond
 )
 
-// MinSaveInterval is the shortest time between two saves: a stream that began since the last one is refused after a loss of
-// all nodes, about a tenth of those in progress where they last for two seconds.
-const MinSaveInterval = 250 * time.Millisecond
+// MinSaveInterval is the shortest time between two saves: a stream that began since the last one of both its keepers is
+// refused after a loss of all nodes.
+const MinSaveInterval = 100 * time.Millisecond
 
-// RunSaved reads what was stored, and then stores what the node remembers when that has changed, until the context ends.
+// RunSaved reads what was stored, and then stores what the node remembers when it has come to keep more, until the context
+// ends.
 func (k *Keeper) RunSaved(ctx context.Context) {
 	if k.o.Load == nil || !k.load(ctx) {
 		return
 	}
-	last := k.o.Clock.Now().Add(-k.o.Interval())
-	k.o.Clock.Every(ctx, saveCheck, func(now time.Time) {
-		if k.book.Added() == k.saved.Load() || now.Sub(last) < k.o.Interval() {
+	for {
+		select {
+		case <-ctx.Done():
 			return
+		case <-k.dirty:
 		}
-		last = now
 		k.Save(ctx)
-	})
+		if k.o.Clock.Sleep(ctx, k.o.Interval()) != nil {
+			return
+		}
+	}
+}
+
+// keep counts streams that the node has come to keep.
+func (k *Keeper) keep(streams int) {
+	if streams > 0 {
+		k.kept.Add(int64(streams))
+		k.markDirty()
+	}
+}
+
+func (k *Keeper) markDirty() {
+	select {
+	case k.dirty <- struct{}{}:
+	default: // it is marked already
+	}
 }
 
 // load reads what was stored, and reports whether it could before the context ended.
@@ -65,9 +82,9 @@
 	for {
 		list, err := k.o.Load(ctx)
 		if err == nil {
-			began := k.book.Added() // since this process started: not stored yet
+			since := k.kept.Load() // not stored yet
 			k.Hear(list)
-			k.saved.Store(k.book.Added() - began)
+			k.saved.Store(k.kept.Load() - since)
 			close(k.restored)
 			k.o.Log.Info("streams_found", zap.Int("streams", len(list)))
 			return true
@@ -79,25 +96,31 @@
 	}
 }
 
-// Save stores what the node remembers, if that has changed. What the process before stored isn't replaced before it is read.
+// Save stores what the node remembers, if it has come to keep more. What the process before stored isn't replaced before it
+// is read.
 func (k *Keeper) Save(ctx context.Context) {
-	list, added := k.book.Records(k.o.Clock.Now())
-	if k.o.Save == nil || !k.isRestored() || added == k.saved.Load() {
+	kept := k.kept.Load() // before the records are looked up: more may come meanwhile
+	if k.o.Save == nil || !k.isRestored() || kept == k.saved.Load() {
 		return
 	}
+	list := k.book.Records(k.o.Clock.Now())
 	c, cancel := context.WithTimeout(ctx, saveTimeout)
 	defer cancel()
 	if err := k.o.Save(c, list); err != nil {
 		events.Add("save_failed", 1)
+		k.markDirty()
 		k.o.Log.Info("streams_unsaved", zap.Int("streams", len(list)), zap.String("cause", err.Error()))
 		return
 	}
 	events.Add("saves", 1)
-	k.saved.Store(added)
+	k.saved.Store(kept)
 }
 
 // SaveAgain has what the node remembers stored again: the store may have lost it.
-func (k *Keeper) SaveAgain() { k.saved.Store(-1) }
+func (k *Keeper) SaveAgain() {
+	k.saved.Store(-1)
+	k.markDirty()
+}
 
 func (k *Keeper) isRestored() bool {
 	select {
--- a/internal/lineage/saved_test.go
+++ b/internal/lineage/saved_test.go
@@ -33,6 +33,13 @@
 	return m.writes
 }
 
+// writers returns how many nodes have stored streams.
+func (m *memoryStore) writers() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.values)
+}
+
 func (m *memoryStore) of(node string) Saved {
 	return Saved{
 		Load: func(context.Context) ([]Record, error) {
@@ -106,6 +113,36 @@
 	})
 }
 
+// TestEachNodeOfALargeFleetStoresStreams guards against writes to the store that grow with the fleet, and against streams
+// that nobody knows of after a loss of all its nodes.
+func TestEachNodeOfALargeFleetStoresStreams(t *testing.T) {
+	f, m := newStoringFleet(t, 3, 26)
+	const streams = 150
+	for i := range streams {
+		f.keeper(f.nodes[i%len(f.nodes)].Name).Tell(Record{KeyOf("w", fmt.Sprint(i)), "v1.1", 15 * time.Second})
+		time.Sleep(MinSaveInterval / 50)
+	}
+	time.Sleep(2 * MinSaveInterval)
+	assert.LessOrEqual(t, m.writers(), 3*3, "a tenth of the nodes of each hall")
+	f.restartAll(t)
+	for i := range streams {
+		f.assertFound(t, true, f.nodes[(7*i+1)%len(f.nodes)].Name, KeyOf("w", fmt.Sprint(i)))
+	}
+}
+
+// TestStreamsOfABuildWithoutCandidatesAreLost guards against refusals, at nodes of this build, of what one tells that
+// chooses keepers among all nodes.
+func TestStreamsOfABuildWithoutCandidatesAreLost(t *testing.T) {
+	f := newKeeperFleet(t, 3, 26)
+	for i := range 40 {
+		k := KeyOf("w", fmt.Sprint(i))
+		for _, n := range Told(k, f.nodes) {
+			f.keeper(n).Hear([]Record{{k, "v1.1", 15 * time.Second}})
+		}
+		f.assertFound(t, true, f.nodes[i].Name, k)
+	}
+}
+
 // TestStreamsAreNotFoundWithoutAnEnd guards against callers who wait, or come back at once, though nobody will ever know.
 func TestStreamsAreNotFoundWithoutAnEnd(t *testing.T) {
 	f, m := newStoringFleet(t, 2, 2)
