The soak couldn't tell an upstream's late note from a late request

An upstream notes what it does in a file before it answers; a write that the machine's disk holds up moves a request's begin away from its note.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -67,7 +67,7 @@
 			v.count(e)
 		case Arrived:
 			v.came[e.ID] = append(v.came[e.ID], e)
-		case Ended, Refused, Named, Started, Fell, Crashed:
+		case Ended, Refused, Named, Started, Fell, Crashed, Slow:
 		}
 	}
 	return v
--- a/internal/soak/event.go
+++ b/internal/soak/event.go
@@ -26,6 +26,7 @@
 	Started What = "started" // an upstream's process
 	Fell    What = "fell"    // an upstream that rejected too much falls over
 	Crashed What = "crashed" // a run ends its upstream's process
+	Slow    What = "slow"    // the event before took long to write: what followed from it came late
 )
 
 // Event is what an upstream saw.
