--- a/internal/forward/part.go
+++ b/internal/forward/part.go
@@ -134,7 +134,7 @@
 // applyPartQuarantine logs that requests with certain parts are quarantined, or are no longer, and cancels the attempts of
 // those that wait at an upstream.
 func (s *Server) applyPartQuarantine(c quarantine.Change, source string) {
-	f := []zap.Field{partsField(c.Parts), zap.Strings("upstreams", c.Upstreams), zap.Int("requests", c.Requests), zap.Duration("since", c.Since), zap.Bool("one_workspace", c.OneWorkspace), zap.String("source", source)}
+	f := []zap.Field{partsField(c.Parts), zap.Strings("upstreams", c.Upstreams), zap.Int("requests", c.Requests), zap.Duration("since", c.Since), zap.Bool("one_workspace", c.OneWorkspace), zap.Bool("unproved", c.Unproved), zap.String("source", source)}
 	if !c.Quarantined {
 		count("parts_released", 1)
 		s.o.Log.Info("part_released", f...)
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -17,7 +17,9 @@
 // part is never answered; what remains of a crash are the parts that can have caused it.
 //
 // A part is quarantined once upstreams crashed under it again and again while requests of its service without it were
-// answered. Where parts were together at each of these crashes, nobody knows which of them it is: refused are requests that
+// answered. Upstreams that crash faster than they come back answer nothing, so that where none is answered, a part is
+// quarantined, too, if more upstreams crashed, and all under it. It may not be the cause: a request is let through soon, and
+// others later, until one is answered. Where parts were together at each of these crashes, nobody knows which of them it is: refused are requests that
 // have all of them. Of requests with some of them one at a time goes through, and clears these or crashes one more
 // upstream, under which the others weren't.
 //
@@ -37,6 +39,9 @@
 	// weakPartThreshold is the same where another request was closer to the crash: it had a head and no event, as one that
 	// crashes an upstream when it begins to answer, and this one was waiting or had events.
 	weakPartThreshold = 6
+	// unprovedPartThreshold is how many upstreams, all that crashed, quarantine a part while nothing is answered: a failure
+	// of a whole service looks the same.
+	unprovedPartThreshold = 6
 	// partBurst is the span in which crashes count as one.
 	partBurst = 250 * time.Millisecond
 	// partShare is the least share of all crashes, from the first under a part to the last, that were under it. In a wave
@@ -47,6 +52,10 @@
 	firstPartProbe = time.Minute
 	nextPartProbe  = time.Hour
 	maxPartProbes  = 2
+	// unprovedPartProbe is the time to the first one while nothing is answered: about what an upstream takes to come back.
+	// Each further one comes after twice the time, firstPartProbe at most, and there is no last one.
+	unprovedPartProbe = 5 * time.Second
+	maxPartDoublings  = 4
 	// partProbeWait is what a caller is told to wait where another node admits the probe.
 	partProbeWait = 10 * time.Second
 	// Of requests with some of the parts that are quarantined together, the process that may admit probes admits one at
--- a/internal/quarantine/part_evaluate.go
+++ b/internal/quarantine/part_evaluate.go
@@ -16,6 +16,7 @@
 	parts      []uint64      // sorted
 	crashes    []*knownCrash // with these parts, by time
 	workspaces map[uint64]bool
+	unproved   bool // no request of the service was answered since the first of these crashes: it may not be the parts
 }
 
 // applies reports whether the quarantine concerns a request. Crashes under requests of one workspace alone concern that
@@ -52,10 +53,15 @@
 // until returns when the next probe of a quarantined set may be admitted, and whether one may be.
 func (p *partTracker) until(q *partQuarantine) (time.Time, bool) {
 	n, last := q.latest(p.probes)
+	if q.unproved && last.Before(q.crashes[0].At) {
+		n = 0 // these were let through for crashes of before
+	}
 	if q.last().After(last) {
 		last = q.last()
 	}
 	switch {
+	case q.unproved:
+		return last.Add(min(unprovedPartProbe<<min(n, maxPartDoublings), firstPartProbe)), true
 	case n == 0:
 		return last.Add(firstPartProbe), true
 	case n < maxPartProbes:
@@ -242,7 +248,7 @@
 	for _, e := range q.crashes {
 		requests[e.Request] = true
 	}
-	c.Requests, c.Since = len(requests), now.Sub(q.crashes[0].At)
+	c.Requests, c.Since, c.Unproved = len(requests), now.Sub(q.crashes[0].At), q.unproved
 	if len(q.workspaces) == 1 {
 		c.OneWorkspace = true
 	}
@@ -276,7 +282,7 @@
 		if !ok {
 			return p.withoutExplained(list)
 		}
-		q := &partQuarantine{service: k.Service, crashes: all[k], workspaces: make(map[uint64]bool)}
+		q := &partQuarantine{service: k.Service, crashes: all[k], workspaces: make(map[uint64]bool), unproved: !p.answeredSince(k.Service, all[k][0].At)}
 		for _, c := range q.crashes {
 			q.workspaces[c.Prompt.workspace] = true
 		}
@@ -395,8 +401,17 @@
 		return false
 	}
 	first, last := crashes[0].At, crashes[len(crashes)-1].At
-	answer := p.answers[PartKey{Service: k.Service, Any: true}]
-	return answer != nil && answer.At.After(first) && float64(countClusters(crashes)) >= partShare*float64(p.clustersBetween(k.Service, first, last))
+	clusters, all := countClusters(crashes), p.clustersBetween(k.Service, first, last)
+	if !p.answeredSince(k.Service, first) {
+		return clusters == all && recur(strong, partCrashThreshold) && countClusters(strong) >= unprovedPartThreshold
+	}
+	return float64(clusters) >= partShare*float64(all)
+}
+
+// answeredSince reports whether a request of a service was answered after a time.
+func (p *partTracker) answeredSince(service uint64, since time.Time) bool {
+	answer := p.answers[PartKey{Service: service, Any: true}]
+	return answer != nil && answer.At.After(since)
 }
 
 // recur reports whether crashes are of so many upstreams, in as many bursts and under as many requests; one request less
--- a/internal/quarantine/part_fleet_test.go
+++ b/internal/quarantine/part_fleet_test.go
@@ -21,7 +21,8 @@
 	q              partRequest
 	starts, ends   time.Duration
 	proved         bool
-	sends          int // by its node
+	sends          int  // by its node
+	probe          bool // it isn't withdrawn
 }
 
 // partRequest is what a caller sends, the same at each attempt.
@@ -83,7 +84,7 @@
 		}
 		return
 	}
-	p.begin(&partFlight{node: node, q: q})
+	p.begin(&partFlight{node: node, q: q, probe: v.Probe})
 }
 
 // begin sends a request to an upstream that is up.
@@ -137,7 +138,7 @@
 // step starts, proves and ends requests, and withdraws those that wait and are refused by now.
 func (p *partPlay) step() {
 	p.flights = slices.DeleteFunc(p.flights, func(f *partFlight) bool {
-		return f.starts > p.now && p.nodes[f.node].PartWait(at(p.now), f.q.prompt()) > 0
+		return f.starts > p.now && !f.probe && p.nodes[f.node].PartWait(at(p.now), f.q.prompt()) > 0
 	})
 	for _, f := range slices.Clone(p.flights) {
 		x, bad := p.badPart(f.q)
@@ -197,6 +198,7 @@
 	workspaces int
 	waves      bool
 	maxRefused float64 // share of the sound requests
+	soundFrom  time.Duration
 }
 
 const (
@@ -235,6 +237,9 @@
 	bad, sound := 0, 0
 	for ; p.now < time.Duration(v.seconds)*time.Second; p.now += tick {
 		for range v.perTick {
+			if p.now < v.soundFrom {
+				break
+			}
 			sound++
 			p.request(fmt.Sprint("w", sound%max(1, v.workspaces)), v.sound(sound)...)
 		}
@@ -258,27 +263,30 @@
 	sharedSound := func(i int) []uint64 { return []uint64{common, rare(i, 7)} }
 	between := func(int) []uint64 { return []uint64{common, badPart} }
 	for _, v := range []partScenario{
-		{"beside a part that all share", 3, 60, 90, 200 * time.Millisecond, between, sharedSound, 2, 1, false, 0},
-		{"at nine upstreams", 6, 9, 90, 350 * time.Millisecond, between, sharedSound, 2, 1, false, 0},
-		{"first", 3, 60, 40, 200 * time.Millisecond, func(int) []uint64 { return []uint64{badPart, common} }, sharedSound, 2, 1, false, 0},
-		{"its neighbours vary", 3, 60, 40, 200 * time.Millisecond, func(i int) []uint64 { return []uint64{common, rare(i, 7), badPart, rare(i, 5)} }, sharedSound, 2, 1, false, 0},
-		{"its neighbours are rare", 3, 60, 40, 200 * time.Millisecond, func(i int) []uint64 { return []uint64{common, rare(i, 40), badPart} }, func(i int) []uint64 { return []uint64{common, rare(i, 400)} }, 2, 1, false, 0.001},
+		{"beside a part that all share", 3, 60, 90, 200 * time.Millisecond, between, sharedSound, 2, 1, false, 0, 0},
+		{"at nine upstreams", 6, 9, 90, 350 * time.Millisecond, between, sharedSound, 2, 1, false, 0, 0},
+		{"first", 3, 60, 40, 200 * time.Millisecond, func(int) []uint64 { return []uint64{badPart, common} }, sharedSound, 2, 1, false, 0, 0},
+		{"its neighbours vary", 3, 60, 40, 200 * time.Millisecond, func(i int) []uint64 { return []uint64{common, rare(i, 7), badPart, rare(i, 5)} }, sharedSound, 2, 1, false, 0, 0},
+		{"its neighbours are rare", 3, 60, 40, 200 * time.Millisecond, func(i int) []uint64 { return []uint64{common, rare(i, 40), badPart} }, func(i int) []uint64 { return []uint64{common, rare(i, 400)} }, 2, 1, false, 0.001, 0},
 		{"with a part that hardly anybody else has", 3, 60, 60, 200 * time.Millisecond, func(int) []uint64 { return []uint64{common, 0x77, badPart} }, func(i int) []uint64 {
 			if i%200 == 0 {
 				return []uint64{common, 0x77}
 			}
 			return sharedSound(i)
-		}, 2, 1, false, 0.001},
+		}, 2, 1, false, 0.001, 0},
 		{"with parts that it leaves later on", 3, 60, 60, 200 * time.Millisecond, func(i int) []uint64 {
 			return [][]uint64{{0x77, 0x78, badPart}, {0x77, badPart}, {badPart}}[min(2, i/50)]
-		}, sharedSound, 2, 1, false, 0},
-		{"two at once", 3, 60, 40, 200 * time.Millisecond, func(i int) []uint64 { return []uint64{common, []uint64{badPart, otherBadPart}[i%2]} }, sharedSound, 2, 1, false, 0},
-		{"three at once at nine upstreams", 6, 9, 60, 200 * time.Millisecond, func(i int) []uint64 { return []uint64{common, []uint64{badPart, otherBadPart, thirdBadPart}[i%3]} }, sharedSound, 2, 1, false, 0.001},
-		{"slowly", 3, 20, 300, 7 * time.Second, between, sharedSound, 1, 1, false, 0},
-		{"of five workspaces", 3, 60, 40, 200 * time.Millisecond, between, sharedSound, 2, 5, false, 0},
-		{"amid waves", 12, 60, 40, 200 * time.Millisecond, between, func(i int) []uint64 { return []uint64{common, rare(i, 40)} }, 3, 1, true, 0.001},
-		{"at 70 nodes", 70, 60, 90, 200 * time.Millisecond, between, sharedSound, 8, 1, false, 0},
-		{"amid waves at 70 nodes", 70, 60, 40, 200 * time.Millisecond, between, func(i int) []uint64 { return []uint64{common, rare(i, 40)} }, 8, 1, true, 0.001},
+		}, sharedSound, 2, 1, false, 0, 0},
+		{"two at once", 3, 60, 40, 200 * time.Millisecond, func(i int) []uint64 { return []uint64{common, []uint64{badPart, otherBadPart}[i%2]} }, sharedSound, 2, 1, false, 0, 0},
+		{"three at once at nine upstreams", 6, 9, 60, 200 * time.Millisecond, func(i int) []uint64 { return []uint64{common, []uint64{badPart, otherBadPart, thirdBadPart}[i%3]} }, sharedSound, 2, 1, false, 0.001, 0},
+		{"slowly", 3, 20, 300, 7 * time.Second, between, sharedSound, 1, 1, false, 0, 0},
+		{"of five workspaces", 3, 60, 40, 200 * time.Millisecond, between, sharedSound, 2, 5, false, 0, 0},
+		{"amid waves", 12, 60, 40, 200 * time.Millisecond, between, func(i int) []uint64 { return []uint64{common, rare(i, 40)} }, 3, 1, true, 0.001, 0},
+		{"before any sound request, faster than upstreams come back", 6, 9, 60, 150 * time.Millisecond, between, sharedSound, 1, 1, false, 0.5, 8 * time.Second},
+		{"without any sound request", 6, 9, 30, 150 * time.Millisecond, between, sharedSound, 0, 1, false, 0, 0},
+		{"before any sound request at 70 nodes", 70, 60, 40, 50 * time.Millisecond, between, sharedSound, 4, 1, false, 0.5, 8 * time.Second},
+		{"at 70 nodes", 70, 60, 90, 200 * time.Millisecond, between, sharedSound, 8, 1, false, 0, 0},
+		{"amid waves at 70 nodes", 70, 60, 40, 200 * time.Millisecond, between, func(i int) []uint64 { return []uint64{common, rare(i, 40)} }, 8, 1, true, 0.001, 0},
 	} {
 		v.run(t)
 	}
@@ -288,7 +296,36 @@
 // upstreams stopped by themselves.
 func TestWavesCrashUpstreamsAndPartsAreServed(t *testing.T) {
 	for _, n := range []int{1, 7, 40, 400, 4000} {
-		partScenario{fmt.Sprintf("%d parts", n), 12, 24, 40, 0, nil, func(i int) []uint64 { return []uint64{common, rare(i, n)} }, 3, 1, true, 0.001}.run(t)
+		partScenario{fmt.Sprintf("%d parts", n), 12, 24, 40, 0, nil, func(i int) []uint64 { return []uint64{common, rare(i, n)} }, 3, 1, true, 0.001, 0}.run(t)
+	}
+	partScenario{"400 parts at 70 nodes", 70, 60, 40, 0, nil, func(i int) []uint64 { return []uint64{common, rare(i, 400)} }, 8, 1, true, 0.001, 0}.run(t)
+}
+
+// TestPartsOfAServiceThatComesBackAreRefused bounds for how long sound requests are refused once upstreams that all crashed, time after
+// time, with nothing answered in between, are back.
+func TestPartsOfAServiceThatComesBackAreRefused(t *testing.T) {
+	const over, back = 15 * time.Second, restartTime
+	for _, nodes := range []int{3, 12} {
+		t.Run(fmt.Sprint(nodes, " nodes"), func(t *testing.T) {
+			late := 0
+			for seed := range int64(10) {
+				p := newPartPlay(seed, nodes, 9)
+				for i := 0; p.now < time.Minute; p.now += tick {
+					i++
+					if p.now == over+back+over {
+						p.refused = 0
+					}
+					p.request("w", common, rare(i, 7))
+					for u := range p.down {
+						if p.now < over && p.down[u] <= p.now && p.now%time.Second == 0 {
+							p.crash(u)
+						}
+					}
+					p.step()
+				}
+				late += p.refused
+			}
+			assert.Zero(t, late, "refused later than the outage took once more")
+		})
 	}
-	partScenario{"400 parts at 70 nodes", 70, 60, 40, 0, nil, func(i int) []uint64 { return []uint64{common, rare(i, 400)} }, 8, 1, true, 0.001}.run(t)
 }
--- a/internal/quarantine/part_update.go
+++ b/internal/quarantine/part_update.go
@@ -66,6 +66,7 @@
 		with := append(slices.Clone(list), c)
 		narrower := countCommon(with) < common
 		useful := narrower || countPartBursts(with) > countPartBursts(list) && len(list) < maxWitnesses/2 ||
+			q.unproved && !c.weak && countClusters(with) > countClusters(list) && len(list) < unprovedPartThreshold ||
 			!requests[c.Request] && len(requests) < partCrashThreshold || !workspaces[c.Prompt.workspace] && len(workspaces) < 2
 		if i < len(q.crashes)-1 && (!useful || len(list) >= maxWitnesses-1) {
 			continue
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -102,6 +102,7 @@
 	Parts        []uint64
 	Requests     int           // under which the upstreams crashed
 	Since        time.Duration // the first of these crashes
+	Unproved     bool          // no other request of the service was answered since
 	OneWorkspace bool          // only the requests of the workspace under which the upstreams crashed are concerned
 }
 
