--- a/internal/roster/events.go
+++ b/internal/roster/events.go
@@ -2,10 +2,9 @@
 
 import "spurhall.example/spurhall/internal/pair"
 
-// This file decides which events of other nodes get a line of their own in the log. With a line for each pair, they grow
-// with the square of the fleet's size: when all 95 nodes of a fleet returned at once, they were seven tenths of the log. So
-// in a fleet in which pairs don't swap reports in each round, the nodes that watch the store for their hall log each event,
-// and all others log a round's totals.
+// This file decides which events of other nodes get a line of their own in the log. With a line for each pair, they would
+// grow with the square of the fleet's size. So in a fleet in which pairs don't swap reports in each round, the nodes that
+// watch the store for their hall log each event, and all others log a round's totals.
 
 // Events counts the events since the last round that weren't logged by themselves. Its zero value has none.
 type Events struct {
