--- a/internal/forward/backup.go
+++ b/internal/forward/backup.go
@@ -117,11 +117,17 @@
 	w.a.use.Silent()
 	reason := ""
 	for wait := w.after; ; wait *= 2 {
-		use, why := w.successor()
+		unsent := w.a.wroteAt.Load() == 0
+		use, why := w.successor(unsent)
 		if use != nil || why != reason {
-			w.log(use, why)
+			w.log(use, why, unsent)
 		}
-		if use != nil && w.try(use) {
+		switch {
+		case use != nil && unsent:
+			use.End(pool.ResultWithheld)
+			w.a.cancel(errUnresponsive) // nothing is lost: the request goes elsewhere
+			return
+		case use != nil && w.try(use):
 			return
 		}
 		reason = why
@@ -150,8 +156,9 @@
 	return true
 }
 
-// successor chooses another upstream for the request and takes the attempt from the retry budget, or returns why it may not.
-func (w *silenceWatch) successor() (use *pool.Use, why string) {
+// successor chooses another upstream for the request, or returns why it may not go there. The attempt is taken from the retry
+// budget, unless it replaces one of which nothing was sent.
+func (w *silenceWatch) successor(unsent bool) (use *pool.Use, why string) {
 	s, q := w.s, w.q
 	if q.sends >= q.route.MaxAttempts() || q.search.Next() == retry.ScopeNone {
 		return nil, "no attempt is left"
@@ -168,8 +175,8 @@
 	if use == nil {
 		return nil, "no other upstream can take it"
 	}
-	if w.a.wroteAt.Load() == 0 {
-		return use, "" // it replaces an attempt of which nothing was sent
+	if unsent {
+		return use, ""
 	}
 	if v, _ := s.decideRetry(q); v != retry.VerdictRetry {
 		use.End(pool.ResultWithheld)
@@ -178,14 +185,8 @@
 	return use, ""
 }
 
-// try makes an attempt at a successor, and reports whether the race is over. Of an attempt that waits for its connection
-// nothing is lost: it is ended, and the request goes elsewhere.
+// try makes an attempt at a successor, and reports whether the race is over.
 func (w *silenceWatch) try(use *pool.Use) bool {
-	if w.a.wroteAt.Load() == 0 {
-		use.End(pool.ResultWithheld)
-		w.a.cancel(errUnresponsive)
-		return true
-	}
 	if !w.setRunning() {
 		use.End(pool.ResultWithheld)
 		return true
@@ -234,7 +235,7 @@
 }
 
 // log logs how the request goes on while its upstream is silent.
-func (w *silenceWatch) log(use *pool.Use, why string) {
+func (w *silenceWatch) log(use *pool.Use, why string, unsent bool) {
 	f := []zap.Field{
 		zap.String("request", w.q.meta.ID), zap.String("upstream", w.a.use.Entry().ID), zap.Duration("silent", w.after), zap.String("last_event", w.lastEvent),
 		zap.Int("sends", w.q.sends), zap.Duration("left", w.q.deadline.Sub(w.s.o.Clock.Now())),
@@ -243,7 +244,7 @@
 		w.s.o.Log.Info("silence_borne", append(f, zap.String("cause", why))...)
 		return
 	}
-	w.s.o.Log.Info("backup_sent", append(f, zap.String("successor", use.Entry().ID), zap.Bool("first_unsent", w.a.wroteAt.Load() == 0))...)
+	w.s.o.Log.Info("backup_sent", append(f, zap.String("successor", use.Entry().ID), zap.Bool("first_unsent", unsent))...)
 }
 
 // attemptEnd is how the wait for an attempt ended.
