Requests still in progress at the end of a stop's time were closed without an answer, and each ended context was logged as caller_left

What callers saw: a node that stops closed the connections of requests whose upstream hadn't answered by the end of the node's time to stop, kept connections and new ones alike: no response, no refusal. The log said caller_left for these, as for any request whose context had ended, whoever had ended it.

Cause: net/http ends a request's context for each failure to read the connection; the handler took an ended context for a caller who has left and aborted the connection. A stop closed the server under its handlers, so that nothing could be written.

Fix: internal/accept keeps who ended a connection (a small enum: the caller closed or reset it, its host acknowledges nothing, a deadline passed, it failed otherwise, this node closed it). request_done and caller_cut say so (ended_by), and caller_left is logged for callers who were seen to leave. A request whose context ended though its caller is there gets its final response: 503 if it has not run, else 502 or 504. Streams in progress can only be cut.

Evidence, before: TestEndOfTheTimeToStopClosesNoConnectionUnderARequest: "unexpected EOF"; TestCallerLeftIsLoggedForCallersWhoLeave: no ended_by; TestRequestWhoseContextEndsBeforeItIsSentIsRefused, with the decision by the context alone: "unexpected EOF". After: they pass, also with -race.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -129,15 +129,19 @@
 func (l *Listener) Drain() error {
 	l.draining.Store(true)
 	err := l.setDeadline(longAgo)
-	l.mu.Lock()
-	open := slices.Collect(maps.Keys(l.callers))
-	l.mu.Unlock()
-	for _, c := range open {
+	for _, c := range l.open() {
 		c.drain()
 	}
 	return err
 }
 
+// open returns the callers' connections.
+func (l *Listener) open() []*callerConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Keys(l.callers))
+}
+
 // setDeadline sets the deadline of Accept, so that what waits in the kernel's queue is still accepted. A listener
 // that has none is closed.
 func (l *Listener) setDeadline(t time.Time) error {
--- a/internal/accept/caller.go
+++ b/internal/accept/caller.go
@@ -1,6 +1,7 @@
 package accept
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -35,14 +36,15 @@
 
 	mu         sync.Mutex
 	closed     bool
-	callerLeft bool          // a read or write has failed: the caller closed or reset the connection
-	inProgress bool          // a byte of a request has been read, and its response isn't complete
-	answered   bool          // a byte of that response has been written
-	deadline   time.Time     // for reads, as the server has set it
-	bytes      int           // read of the request in progress
-	readAt     time.Time     // when the first of them was read
-	waited     time.Duration // that it had waited in the kernel by then
-	responses  int           // begun on this connection
+	ending     Ending                  // who or what ended the connection
+	cancel     context.CancelCauseFunc // ends the contexts of its requests; nil: the server has none
+	inProgress bool                    // a byte of a request has been read, and its response isn't complete
+	answered   bool                    // a byte of that response has been written
+	deadline   time.Time               // for reads, as the server has set it
+	bytes      int                     // read of the request in progress
+	readAt     time.Time               // when the first of them was read
+	waited     time.Duration           // that it had waited in the kernel by then
+	responses  int                     // begun on this connection
 }
 
 // Read reads what the caller sends.
@@ -67,7 +69,7 @@
 func (c *callerConn) recordRead(n int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.recordFailure(err)
+	c.recordReadEnding(err)
 	if n == 0 {
 		return
 	}
@@ -78,13 +80,6 @@
 	c.bytes += n
 }
 
-// recordFailure records that the caller has closed or reset the connection.
-func (c *callerConn) recordFailure(err error) {
-	if err != nil && !c.closed && !errors.Is(err, os.ErrDeadlineExceeded) {
-		c.callerLeft = true
-	}
-}
-
 // begin records that a request has begun to arrive, whose bytes are read until the server's own deadline.
 func (c *callerConn) begin() {
 	c.inProgress, c.answered, c.bytes, c.readAt, c.waited = true, false, 0, c.listener.clock.Now(), 0
@@ -118,7 +113,7 @@
 	n, err := c.Conn.Write(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.recordFailure(err)
+	c.recordEnding(err)
 	if n > 0 && c.inProgress && !c.answered {
 		c.answered = true
 		c.responses++
@@ -156,7 +151,13 @@
 	if !c.closed {
 		c.closed = true
 		c.listener.remove(c)
+		if c.ending == EndingNone {
+			c.ending = EndingHere
+		}
 		c.logCut()
+		if c.cancel != nil {
+			c.cancel(nil)
+		}
 	}
 	return c.Conn.Close()
 }
@@ -168,7 +169,7 @@
 	}
 	callersCut.Add(1)
 	l := c.listener
-	l.log.Info("caller_cut", zap.Stringer("caller", c.RemoteAddr()), zap.Bool("caller_left", c.callerLeft), zap.Int("bytes", c.bytes),
+	l.log.Info("caller_cut", zap.Stringer("caller", c.RemoteAddr()), zap.Stringer("ended_by", c.ending), zap.Bool("caller_left", c.ending.CallerLeft()), zap.Int("bytes", c.bytes),
 		zap.Duration("waited", c.waited), zap.Duration("after", l.clock.Since(c.readAt)), zap.Int("responses", c.responses))
 }
 
--- a/internal/accept/pause_test.go
+++ b/internal/accept/pause_test.go
@@ -206,3 +206,13 @@
 	require.NoError(t, err)
 	assert.Equal(t, http.StatusBadRequest, a.StatusCode)
 }
+
+// assertStatus checks that the next response on a connection has this status, and its whole body.
+func assertStatus(t *testing.T, c net.Conn, status int) {
+	t.Helper()
+	a, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, a.Body)
+	require.NoError(t, err)
+	assert.Equal(t, status, a.StatusCode)
+}
--- a/internal/accept/waited.go
+++ b/internal/accept/waited.go
@@ -17,6 +17,11 @@
 
 // ConnContext is the http.Server.ConnContext of the server on this listener.
 func (l *Listener) ConnContext(ctx context.Context, c net.Conn) context.Context {
+	if v, ok := c.(*callerConn); ok {
+		var cancel context.CancelCauseFunc
+		ctx, cancel = context.WithCancelCause(ctx)
+		v.setCancel(cancel)
+	}
 	return context.WithValue(ctx, connKey{}, c)
 }
 
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -90,6 +90,7 @@
 	<-ctx.Done()
 	n.stop(callers)
 	var last sync.WaitGroup // at once: there is little time
+	last.Go(func() { callers.Interrupt(errEndOfStop) })
 	last.Go(n.uplink.Stop)
 	last.Go(n.leaveStreams)
 	cancel()
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -123,7 +123,7 @@
 }
 
 // giveUp returns the final response to a request that no upstream has completed.
-func (s *Server) giveUp(q *request, cause, last error) error {
+func (s *Server) giveUp(q *request, cause, last error) *rejection {
 	reason := fault.Reason(cause)
 	if last != nil && !errors.Is(cause, last) {
 		reason += "; before that: " + fault.Reason(last)
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"spurhall.example/spurhall/internal/accept"
 	"spurhall.example/spurhall/internal/call"
 	"spurhall.example/spurhall/internal/fault"
 	"spurhall.example/spurhall/internal/pool"
@@ -30,8 +31,12 @@
 	if q.firstResponse > 0 {
 		f = append(f, zap.Duration("first", q.firstResponse), zap.Duration("longest_pause", q.longestPause))
 	}
-	if outcome == "cut" || outcome == "caller_left" {
+	e, known := accept.EndingOf(q.http.Context())
+	if outcome == outcomeCut || outcome == outcomeCallerLeft || outcome == outcomeUnanswered || e != accept.EndingNone {
 		f = append(f, zap.String("caller", q.http.RemoteAddr))
+		if known {
+			f = append(f, zap.Stringer("ended_by", e))
+		}
 	}
 	if q.use != nil {
 		f = append(f, choiceFields(q.use)...)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -32,8 +32,8 @@
 	t.a.finish(pool.ResultInconclusive)
 }
 
-// errCallerLeft means that the caller no longer reads the response.
-var errCallerLeft = errs.NewType("write").New("the caller left")
+// errUnwritten means that the caller's connection takes no more of the response.
+var errUnwritten = errs.NewType("write").New("the response couldn't be written")
 
 const (
 	// stallPauses is the silence after which another upstream may resume a stream, as a multiple of the route's limit for
@@ -65,20 +65,16 @@
 		s.logDone(q, a.status, "streamed", nil)
 		return
 	}
-	outcome := "cut"
-	if errors.Is(err, errCallerLeft) || t.ctx.Err() != nil {
-		outcome = "caller_left"
-	}
-	s.logDone(q, a.status, outcome, err)
+	s.logDone(q, a.status, brokenOutcome(q, errors.Is(err, errUnwritten)), err)
 	panic(http.ErrAbortHandler) // without the closing chunk, the response cannot look complete
 }
 
 func (t *stream) passEvent(w http.ResponseWriter, c *http.ResponseController, v event) error {
 	if _, err := w.Write(v.raw); err != nil {
-		return fault.Because(errCallerLeft, "%s", fault.Reason(err))
+		return fault.Because(errUnwritten, "%s", fault.Reason(err))
 	}
 	if err := c.Flush(); err != nil {
-		return fault.Because(errCallerLeft, "%s", fault.Reason(err))
+		return fault.Because(errUnwritten, "%s", fault.Reason(err))
 	}
 	if v.id != "" {
 		t.lastEventID = v.id
