A deadline closed a connection whose request had arrived

What callers saw: a request that was sent in time, to a node that wasn't scheduled for some time, got a reset. The node hadn't read it.

Cause: when a connection's read deadline passes (the idle time-out of a kept connection, the time for the head of a new one), a read fails without a look at what has arrived. A planned stop already looked at such a connection again.

Fix: a read is repeated once, for 0.1 s in all, when a deadline passes that the server has set to bound it. The deadline by which net/http interrupts its own read of a connection lies in the past and is told apart by that. A head that comes byte by byte ends as before, 0.1 s later.

Evidence, before: TestDeadlineClosesNoConnectionWhoseRequestHasArrived: "connection reset by peer" in its four cases (a new connection, a long head, a stop within the head, a kept connection). After: passes, three times with -race.

--- a/internal/accept/caller.go
+++ b/internal/accept/caller.go
@@ -41,6 +41,7 @@
 	inProgress bool                    // a byte of a request has been read, and its response isn't complete
 	answered   bool                    // a byte of that response has been written
 	deadline   time.Time               // for reads, as the server has set it
+	looked     bool                    // it has passed, and the last look has begun
 	bytes      int                     // read of the request in progress
 	readAt     time.Time               // when the first of them was read
 	waited     time.Duration           // that it had waited in the kernel by then
@@ -50,8 +51,7 @@
 // Read reads what the caller sends.
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.isClosing() {
-		_ = c.Conn.SetReadDeadline(c.listener.clock.Wall().Add(lastLook)) // fails only if it is closed
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.looksAgain() {
 		n, err = c.Conn.Read(b)
 	}
 	c.recordRead(n, err)
@@ -59,13 +59,23 @@
 	return n, err
 }
 
-// isClosing reports whether the connection is to close and has no request.
-func (c *callerConn) isClosing() bool {
+// looksAgain reports whether a read is repeated whose deadline has passed, for lastLook. The deadline counts before what has
+// arrived, and both are there at once if the process wasn't scheduled in between: so a connection that is to close is looked
+// at again, and each other one once when its deadline passes.
+func (c *callerConn) looksAgain() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.listener.draining.Load() && !c.inProgress
+	if !c.isClosing() && (c.interrupts() || c.looked) {
+		return false
+	}
+	c.looked = true
+	_ = c.Conn.SetReadDeadline(c.listener.clock.Wall().Add(lastLook)) // fails only if it is closed
+	return true
 }
 
+// isClosing reports whether the connection is to close and has no request.
+func (c *callerConn) isClosing() bool { return c.listener.draining.Load() && !c.inProgress }
+
 func (c *callerConn) recordRead(n int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -101,8 +111,8 @@
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.deadline = t
-	if c.listener.draining.Load() && !c.inProgress {
+	c.deadline, c.looked = t, false
+	if c.isClosing() {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -139,7 +149,7 @@
 
 // closeIfIdle ends the wait for a request if the listener drains.
 func (c *callerConn) closeIfIdle() {
-	if c.listener.draining.Load() && !c.inProgress {
+	if c.isClosing() {
 		_ = c.Conn.SetReadDeadline(longAgo) // fails only if it is closed
 	}
 }
--- a/internal/accept/ending.go
+++ b/internal/accept/ending.go
@@ -62,7 +62,7 @@
 
 // recordReadEnding is recordEnding for a read. One that was interrupted by its deadline being set into the past says nothing.
 func (c *callerConn) recordReadEnding(err error) {
-	if errors.Is(err, os.ErrDeadlineExceeded) && (c.interrupts() || c.listener.draining.Load() && !c.inProgress) {
+	if errors.Is(err, os.ErrDeadlineExceeded) && (c.interrupts() || c.isClosing()) {
 		return
 	}
 	c.recordEnding(err)
--- a/internal/accept/pause_test.go
+++ b/internal/accept/pause_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -216,3 +218,69 @@
 	require.NoError(t, err)
 	assert.Equal(t, status, a.StatusCode)
 }
+
+// TestDeadlineClosesNoConnectionWhoseRequestHasArrived guards against a deadline that passes while the process isn't
+// scheduled, and then counts before what has arrived.
+func TestDeadlineClosesNoConnectionWhoseRequestHasArrived(t *testing.T) {
+	const limit = 100 * time.Millisecond
+	var frozen atomic.Int32 // the read before which the process isn't scheduled
+	h := &readHooks{Listener: listenTCP(t), after: func(int) {}, before: func(n int) {
+		if int32(n) == frozen.Load() {
+			time.Sleep(2 * limit)
+		}
+	}}
+	l := New(h, timer.Real(), zap.NewNop(), 0)
+	s := &http.Server{
+		ConnState: l.ObserveState, ReadHeaderTimeout: limit, IdleTimeout: limit,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") }),
+	}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	long := "GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 20_000) + "\r\n\r\n"
+	for _, v := range []struct {
+		name, request string
+		frozen        int32
+	}{
+		{"of a new connection", wholeRequest, 1},
+		{"of a new connection, in several reads", long, 1},
+		{"of a new connection, the process stops within its head", long, 2},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			frozen.Store(v.frozen)
+			c := dial(t, l)
+			_, err := io.WriteString(c, v.request)
+			require.NoError(t, err)
+			assertStatus(t, c, http.StatusOK)
+		})
+	}
+	t.Run("of a kept connection", func(t *testing.T) {
+		frozen.Store(3) // after the first request's read and the one that waits for its caller to leave
+		c := dial(t, l)
+		for range 2 {
+			_, err := io.WriteString(c, wholeRequest)
+			require.NoError(t, err)
+			assertStatus(t, c, http.StatusOK)
+		}
+	})
+	t.Run("but one without a request", func(t *testing.T) {
+		frozen.Store(0)
+		c := dial(t, l)
+		from := time.Now()
+		_, err := io.WriteString(c, "GET / HT")
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, c)
+		assert.NoError(t, err)
+		assert.Less(t, time.Since(from), time.Second)
+	})
+	t.Run("but one whose request comes byte by byte", func(t *testing.T) {
+		c := dial(t, l)
+		from := time.Now()
+		for range 100 {
+			if _, err := io.WriteString(c, "x"); err != nil {
+				break
+			}
+			time.Sleep(lastLook / 5)
+		}
+		assert.Less(t, time.Since(from), time.Second)
+	})
+}
