A refusal was overtaken by a reset while a long body was unread

What callers saw: callers who read the response only once their whole body is sent got "connection reset by peer" in its place, for 413 and for the 503 of a node that stops, on kept connections and on new ones, by length and in chunks.

Cause: the refusal was written with the body unread. net/http reads 256 KB of it at most, waits 0.5 s and closes; the kernel resets a connection that is closed with unread bytes. The caller's connection didn't let net/http close the direction to the caller before that wait, either.

Fix: the refusal is written at once and announces the close; then the body is read on, 64 MB and 5 s at most. The callers' connections have CloseWrite, so that what net/http itself refuses ends before the reset.

--- a/internal/accept/caller.go
+++ b/internal/accept/caller.go
@@ -131,6 +131,14 @@
 	return n, err
 }
 
+// CloseWrite closes the direction to the caller, so that a reset that follows can't overtake the response.
+func (c *callerConn) CloseWrite() error {
+	if v, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return v.CloseWrite()
+	}
+	return nil
+}
+
 // completeResponse records that the response is written. If the server already has the first byte of another request,
 // the last look finds the rest.
 func (c *callerConn) completeResponse() {
--- a/internal/accept/ending_test.go
+++ b/internal/accept/ending_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -120,3 +121,17 @@
 	_ = r.s.Close()
 	assertStatus(t, c, http.StatusOK)
 }
+
+func TestServersEndIsNoResetWhileABodyIsUnread(t *testing.T) {
+	l := New(listenTCP(t), timer.Real(), zap.NewNop(), 0)
+	serve(t, l)
+	c := dial(t, l)
+	_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10000000\r\n\r\nxxx")
+	require.NoError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	_, err = io.WriteString(c, strings.Repeat("x", 100_000)) // after the response
+	require.NoError(t, err)
+	b, err := io.ReadAll(c)
+	require.NoError(t, err, "the connection ends, and isn't reset")
+	assert.Contains(t, string(b), "done")
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -141,6 +141,7 @@
 	meta            call.Meta
 	http            *http.Request
 	body            []byte
+	bodyRead        bool // in full, or as far as it came
 	catalog         *catalog.Catalog
 	route           *catalog.Route
 	workspace       *catalog.Workspace // nil if none
@@ -189,7 +190,7 @@
 
 // ServeHTTP handles one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	q := &request{meta: s.o.Dialect.ReadMeta(r.Header), http: r, waited: accept.Waited(r.Context())}
+	q := &request{meta: s.o.Dialect.ReadMeta(r.Header), http: r, bodyRead: r.ContentLength == 0, waited: accept.Waited(r.Context())}
 	q.arrived = s.o.Clock.Now().Add(-q.waited)
 	count("requests", 1)
 	gauge("requests_now", 1)
@@ -230,12 +231,13 @@
 		return &rejection{status: http.StatusRequestEntityTooLarge, reason: "the body is larger than the limit"}
 	}
 	b, err := io.ReadAll(io.LimitReader(q.http.Body, int64(limit)+1))
-	if err != nil {
-		return &rejection{status: http.StatusBadRequest, reason: "the body broke off"}
-	}
 	if len(b) > limit {
 		return &rejection{status: http.StatusRequestEntityTooLarge, reason: "the body is larger than the limit"}
 	}
+	q.bodyRead = true
+	if err != nil {
+		return &rejection{status: http.StatusBadRequest, reason: "the body broke off"}
+	}
 	q.body = b
 	return nil
 }
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -47,15 +47,20 @@
 	}
 	s.logDone(q, r.status, "refused", err)
 	h := w.Header()
-	if s.o.Phase() != PhaseServing {
+	if s.o.Phase() != PhaseServing || !q.bodyRead {
 		h.Set("Connection", "close")
 	}
 	if r.retry > 0 {
 		s.o.Dialect.WriteRetryAfter(h, r.retry)
 	}
+	text := r.reason + "\n"
 	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Content-Length", itoa(len(text)))
 	w.WriteHeader(r.status)
-	_, _ = io.WriteString(w, r.reason+"\n")
+	_, _ = io.WriteString(w, text)
+	if !q.bodyRead {
+		s.discardBody(w, q)
+	}
 }
 
 // writeResponse forwards an upstream's response.
