--- a/internal/forward/connections_test.go
+++ b/internal/forward/connections_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -71,3 +72,34 @@
 		})
 	}
 }
+
+// TestNoRequestFailsWhileIdleConnectionsClose guards against the close of a connection that a request has just taken.
+func TestNoRequestFailsWhileIdleConnectionsClose(t *testing.T) {
+	v := newCountingUpstream(t)
+	l := NewConnections(timer.Real(), nil)
+	var callers sync.WaitGroup
+	var called atomic.Int64
+	for range 8 {
+		callers.Go(func() {
+			for range 300 {
+				v.call(t, l)
+				called.Add(1)
+			}
+		})
+	}
+	const total = 8 * 300
+	for i := 0; called.Load() < total && !t.Failed(); i++ {
+		switch i % 3 {
+		case 0:
+			l.setIdleLimit(v.entry, time.Duration(1+i%7)*time.Second)
+		case 1:
+			l.CloseIdle()
+		case 2:
+			l.Forget(v.entry.ID)
+		}
+		time.Sleep(50 * time.Microsecond)
+	}
+	callers.Wait()
+	assert.EqualValues(t, total, called.Load())
+	assert.Greater(t, v.opens.Load(), int64(8), "connections were closed")
+}
