A fault of this node's own code ended a request without a word

What callers saw: a request under which the node's handler panicked had its connection closed: no response, no refusal.

Cause: net/http ends the connection of a handler that panics.

Fix: the handler recovers.

Evidence, before: TestRequestWhoseHandlerPanicsIsAnswered, before and after the request was sent: "unexpected EOF". After: it passes, also with -race.

--- a/internal/forward/ended_test.go
+++ b/internal/forward/ended_test.go
@@ -14,6 +14,8 @@
 	"go.uber.org/zap"
 
 	"spurhall.example/spurhall/internal/accept"
+	"spurhall.example/spurhall/internal/call"
+	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/timer"
 )
 
@@ -51,3 +53,41 @@
 	assert.NotEmpty(t, a.Header.Get("Retry-After"))
 	assert.Zero(t, r.arrived.Load())
 }
+
+func TestRequestWhoseHandlerPanicsIsAnswered(t *testing.T) {
+	for _, v := range []struct {
+		name   string
+		spoil  func(o *Options)
+		status int
+		sent   int64
+	}{
+		{"before it is sent", func(o *Options) { o.RecordFirstAttempt = func(string) { panic("test") } }, http.StatusServiceUnavailable, 0},
+		{"after it was sent", func(o *Options) { o.ObserveResponse = func(pool.Entry, call.Response, time.Time) { panic("test") } }, http.StatusBadGateway, 1},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			r := newWithholdRig(t)
+			v.spoil(&r.server.o)
+			c := serveOne(t, func(*accept.Listener) http.HandlerFunc { return r.server.ServeHTTP })
+			a, err := http.ReadResponse(bufio.NewReader(c), nil)
+			require.NoError(t, err)
+			assert.Equal(t, v.status, a.StatusCode)
+			assert.Equal(t, v.sent, r.arrived.Load())
+		})
+	}
+	t.Run("after its response has begun", func(t *testing.T) {
+		r := newWithholdRig(t)
+		c := serveOne(t, func(*accept.Listener) http.HandlerFunc {
+			return func(w http.ResponseWriter, q *http.Request) {
+				defer r.server.recoverHandler(w, &request{http: q, responding: true})
+				w.Header().Set("Content-Length", "10")
+				_, _ = io.WriteString(w, "half")
+				panic("test")
+			}
+		})
+		a, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err == nil {
+			_, err = io.Copy(io.Discard, a.Body)
+		}
+		assert.Error(t, err)
+	})
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -157,6 +157,7 @@
 	arrivals        int               // attempts of which a byte was sent
 	mayHaveRun      bool              // an attempt may have run the request
 	severedBy       []string          // upstreams that broke the connection under the request
+	responding      bool              // the caller's response has begun
 	started         bool              // the first event or the head has arrived
 	counted         bool              // included in the usage of its workspace
 	firstResponse   time.Duration     // from arrival to the first event or the head; 0 if none came
@@ -195,6 +196,7 @@
 	count("requests", 1)
 	gauge("requests_now", 1)
 	defer gauge("requests_now", -1)
+	defer s.recoverHandler(w, q)
 	a, cancel, err := s.serve(r.Context(), q)
 	defer cancel()
 	if err != nil {
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -56,6 +56,7 @@
 	text := r.reason + "\n"
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Content-Length", itoa(len(text)))
+	q.responding = true
 	w.WriteHeader(r.status)
 	_, _ = io.WriteString(w, text)
 	if !q.bodyRead {
@@ -77,6 +78,7 @@
 		return
 	}
 	h.Set("Content-Length", itoa(len(a.body)))
+	q.responding = true
 	w.WriteHeader(a.status)
 	if _, err := w.Write(a.body); err != nil {
 		s.logDone(q, a.status, brokenOutcome(q, true), err)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -48,6 +48,7 @@
 	t := a.stream
 	c := http.NewResponseController(w)
 	_ = c.SetWriteDeadline(s.o.Clock.WallOf(q.deadline.Add(writeSlack))) // unsupported only by test recorders
+	q.responding = true
 	w.WriteHeader(a.status)
 	err := t.passEvent(w, c, t.a.first)
 	for err == nil {
