A signal to read the settings again ended a node that was just starting

What callers saw: connections to a node's address were reset, and their requests got nothing: the process had ended with "signal: hangup".

Cause: the handling of SIGHUP was set up last, by a goroutine of its own, when the listeners were already open. Until then the signal ends a process. SIGTERM had the same gap, though a shorter one.

Fix: both are expected before anything else is done.

Evidence, before: TestReloadAsANodeStartsDoesNotEndIt: "signal: hangup" where the test's kill was expected. After: it passes, ten starts, also with -race. Beside it a test of a process that is frozen while whole and half requests wait in its sockets, with a configuration that is old by the time it goes on, also with a reload and a stop behind: each gets its response, on the code before too.

--- a/cmd/spurhalld/edge.go
+++ b/cmd/spurhalld/edge.go
@@ -69,6 +69,11 @@
 }
 
 func runEdge(metricsPort int, level, peersListen string, dial upstream.DialFunc) error {
+	// Both signals may come before anything else is done, and would end the process.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
 	path, err := platform.SettingsPath()
 	if err != nil {
 		return err
@@ -102,9 +107,7 @@
 	})
 	log.Info("started", zap.String("lifetime", lifetime), zap.String("hall", s.Hall), zap.String("front", s.Front), zap.String("peers", s.Peers),
 		zap.Bool("first_start", s.FirstStart))
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	go watchSettings(ctx, clock, log, path)
+	go watchSettings(ctx, clock, log, path, hup)
 	return n.Run(ctx, l)
 }
 
@@ -115,9 +118,7 @@
 // watchSettings reads the settings file again after a signal or a change, and says what
 // came of it. What a node listens on and where the store is holds for its whole life;
 // the platform starts a node anew to change that.
-func watchSettings(ctx context.Context, clock *timer.Service, log *zap.Logger, path string) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
+func watchSettings(ctx context.Context, clock *timer.Service, log *zap.Logger, path string, hup <-chan os.Signal) {
 	old, _ := os.ReadFile(path) // it was read a moment ago; if it is gone, that is a change
 	for {
 		c, stop := clock.After(settingsPoll)
