--- a/internal/accept/ending.go
+++ b/internal/accept/ending.go
@@ -102,9 +102,10 @@
 // more.
 const interruptWait = 200 * time.Millisecond
 
-// Interrupt ends the contexts of all requests in progress on a listener that drains, and waits until each has its response,
-// or for a short time.
+// Interrupt ends the contexts of all requests in progress, has the listener drain, and waits until each request has its
+// response, or for a short time.
 func (l *Listener) Interrupt(cause error) {
+	_ = l.Drain() // fails only if it is closed: then it has drained
 	for _, c := range l.open() {
 		c.interrupt(cause)
 	}
