--- a/internal/accept/caller.go
+++ b/internal/accept/caller.go
@@ -1,6 +1,7 @@
 package accept
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -35,21 +36,22 @@
 
 	mu         sync.Mutex
 	closed     bool
-	callerLeft bool          // a read or write has failed: the caller closed or reset the connection
-	inProgress bool          // a byte of a request has been read, and its response isn't complete
-	answered   bool          // a byte of that response has been written
-	deadline   time.Time     // for reads, as the server has set it
-	bytes      int           // read of the request in progress
-	readAt     time.Time     // when the first of them was read
-	waited     time.Duration // that it had waited in the kernel by then
-	responses  int           // begun on this connection
+	ending     Ending                  // who or what ended the connection
+	cancel     context.CancelCauseFunc // ends the contexts of its requests; nil: the server has none
+	inProgress bool                    // a byte of a request has been read, and its response isn't complete
+	answered   bool                    // a byte of that response has been written
+	deadline   time.Time               // for reads, as the server has set it
+	looked     bool                    // it has passed, and the last look has begun
+	bytes      int                     // read of the request in progress
+	readAt     time.Time               // when the first of them was read
+	waited     time.Duration           // that it had waited in the kernel by then
+	responses  int                     // begun on this connection
 }
 
 // Read reads what the caller sends.
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.isClosing() {
-		_ = c.Conn.SetReadDeadline(c.listener.clock.Wall().Add(lastLook)) // fails only if it is closed
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.looksAgain() {
 		n, err = c.Conn.Read(b)
 	}
 	c.recordRead(n, err)
@@ -57,17 +59,27 @@
 	return n, err
 }
 
-// isClosing reports whether the connection is to close and has no request.
-func (c *callerConn) isClosing() bool {
+// looksAgain reports whether a read is repeated whose deadline has passed, for lastLook. The deadline counts before what has
+// arrived, and both are there at once if the process wasn't scheduled in between: so a connection that is to close is looked
+// at again, and each other one once when its deadline passes.
+func (c *callerConn) looksAgain() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.listener.draining.Load() && !c.inProgress
+	if !c.isClosing() && (c.interrupts() || c.looked) {
+		return false
+	}
+	c.looked = true
+	_ = c.Conn.SetReadDeadline(c.listener.clock.Wall().Add(lastLook)) // fails only if it is closed
+	return true
 }
 
+// isClosing reports whether the connection is to close and has no request.
+func (c *callerConn) isClosing() bool { return c.listener.draining.Load() && !c.inProgress }
+
 func (c *callerConn) recordRead(n int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.recordFailure(err)
+	c.recordReadEnding(err)
 	if n == 0 {
 		return
 	}
@@ -78,13 +90,6 @@
 	c.bytes += n
 }
 
-// recordFailure records that the caller has closed or reset the connection.
-func (c *callerConn) recordFailure(err error) {
-	if err != nil && !c.closed && !errors.Is(err, os.ErrDeadlineExceeded) {
-		c.callerLeft = true
-	}
-}
-
 // begin records that a request has begun to arrive, whose bytes are read until the server's own deadline.
 func (c *callerConn) begin() {
 	c.inProgress, c.answered, c.bytes, c.readAt, c.waited = true, false, 0, c.listener.clock.Now(), 0
@@ -106,8 +111,8 @@
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.deadline = t
-	if c.listener.draining.Load() && !c.inProgress {
+	c.deadline, c.looked = t, false
+	if c.isClosing() {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -118,7 +123,7 @@
 	n, err := c.Conn.Write(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.recordFailure(err)
+	c.recordEnding(err)
 	if n > 0 && c.inProgress && !c.answered {
 		c.answered = true
 		c.responses++
@@ -126,6 +131,14 @@
 	return n, err
 }
 
+// CloseWrite closes the direction to the caller, so that a reset that follows can't overtake the response.
+func (c *callerConn) CloseWrite() error {
+	if v, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return v.CloseWrite()
+	}
+	return nil
+}
+
 // completeResponse records that the response is written. If the server already has the first byte of another request,
 // the last look finds the rest.
 func (c *callerConn) completeResponse() {
@@ -144,7 +157,7 @@
 
 // closeIfIdle ends the wait for a request if the listener drains.
 func (c *callerConn) closeIfIdle() {
-	if c.listener.draining.Load() && !c.inProgress {
+	if c.isClosing() {
 		_ = c.Conn.SetReadDeadline(longAgo) // fails only if it is closed
 	}
 }
@@ -156,7 +169,13 @@
 	if !c.closed {
 		c.closed = true
 		c.listener.remove(c)
+		if c.ending == EndingNone {
+			c.ending = EndingHere
+		}
 		c.logCut()
+		if c.cancel != nil {
+			c.cancel(nil)
+		}
 	}
 	return c.Conn.Close()
 }
@@ -168,7 +187,7 @@
 	}
 	callersCut.Add(1)
 	l := c.listener
-	l.log.Info("caller_cut", zap.Stringer("caller", c.RemoteAddr()), zap.Bool("caller_left", c.callerLeft), zap.Int("bytes", c.bytes),
+	l.log.Info("caller_cut", zap.Stringer("caller", c.RemoteAddr()), zap.Stringer("ended_by", c.ending), zap.Bool("caller_left", c.ending.CallerLeft()), zap.Int("bytes", c.bytes),
 		zap.Duration("waited", c.waited), zap.Duration("after", l.clock.Since(c.readAt)), zap.Int("responses", c.responses))
 }
 
