A stream of which nothing was left was cut, and its sound upstream taken for a crashed one

What callers saw: a resumable stream whose upstream breaks off right after the last event (before its last chunk) goes on at another upstream, which has nothing more to send and answers 200, signed, with a length of 0, a last chunk alone, or 204. The stream was cut, though all of it had been forwarded; a caller that came back for the rest itself got 502. An upstream that is silent after its last event, with a backup that has nothing more to send, cut the stream at the caller's deadline.

Cause: readStart took io.EOF before the first event for a connection that the upstream's side had closed (readError, errSevered), whatever ended the body. So the sound upstream was held off, and the request recorded as one that may crash upstreams.

Fix: where a stream goes on after an event (within one answer, or taken up by its caller on a resumable route), a 2xx response that is signed, has a length or chunks, and ends by them without an event is the rest of the stream: nothing. The attempt is complete, the stream ends with io.EOF, and nothing is recorded against the upstream. The end of a connection in place of a length or chunks stays a break, as do a missing last chunk, a trailer that breaks off and a missing signature. A new stream without any event stays one that failed.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -35,6 +35,7 @@
 	head          *http.Response
 	events        *eventReader // streamed responses only
 	first         event
+	ended         bool         // the stream is complete: nothing of it was left
 	body          []byte       // plain responses only
 	addressReused bool         // the address now belongs to another upstream
 	eventsPassed  int          // events forwarded to the caller
@@ -85,12 +86,20 @@
 	switch {
 	case err != nil:
 		return attemptFailed
-	case a.events != nil:
+	case a.events != nil && !a.ended:
 		return attemptWentOn
 	}
 	return attemptComplete
 }
 
+// begin returns the stream's first event; io.EOF: nothing of it was left.
+func (a *attempt) begin() (event, error) {
+	if a.ended {
+		return event{}, io.EOF
+	}
+	return a.first, nil
+}
+
 // recordFailed records an attempt that has failed, or that a backup has overtaken, and returns its error.
 func (s *Server) recordFailed(ctx context.Context, q *request, a *attempt, err error) error {
 	if err == nil {
@@ -209,7 +218,7 @@
 	if err := s.checkHead(head, v); err != nil {
 		return err
 	}
-	return s.readStart(a, q)
+	return s.readStart(a, q, lastEvent)
 }
 
 // checkHead rejects heads that are not a complete and unmodified response of the upstream, and statuses that
@@ -233,12 +242,20 @@
 // maxResponseBody bounds the body of a plain response, in bytes: it is held whole, and one without end is no response.
 const maxResponseBody = 16 << 20
 
-// readStart reads the part of the response that must be complete before the caller gets the head.
-func (s *Server) readStart(a *attempt, q *request) error {
+// framed reports whether a response has a length or chunks, so that a part of it can't look whole.
+func framed(head *http.Response) bool {
+	return head.ContentLength >= 0 || len(head.TransferEncoding) > 0
+}
+
+// readStart reads the part of the response that must be complete before the caller gets the head. Of a stream that goes on
+// after an event, nothing may be left: then it has no event and ends by its length or its last chunk. An end of the
+// connection in its place says nothing.
+func (s *Server) readStart(a *attempt, q *request, lastEvent string) error {
 	if q.route.Kind() == catalog.KindStream && a.head.StatusCode < 300 {
 		a.events = newEventReader(a.head.Body)
 		v, err := a.events.next()
-		if err != nil {
+		a.ended = errors.Is(err, io.EOF) && framed(a.head) && (lastEvent != "" || q.resumesStream())
+		if err != nil && !a.ended {
 			return fault.Because(readError(err), "no first event: %s", fault.Reason(err))
 		}
 		a.first = v
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -49,12 +49,10 @@
 	c := http.NewResponseController(w)
 	_ = c.SetWriteDeadline(s.o.Clock.WallOf(q.deadline.Add(writeSlack))) // unsupported only by test recorders
 	w.WriteHeader(a.status)
-	err := t.passEvent(w, c, t.a.first)
+	v, err := t.a.begin()
 	for err == nil {
-		var v event
-		v, err = t.next()
-		if err == nil {
-			err = t.passEvent(w, c, v)
+		if err = t.passEvent(w, c, v); err == nil {
+			v, err = t.next()
 		}
 	}
 	observe("longest_pause_ms", q.longestPause)
@@ -112,7 +110,7 @@
 		return event{}, t.ctx.Err()
 	}
 	if b != nil {
-		return t.continueAt(b), nil
+		return t.continueAt(b)
 	}
 	return t.resume(err, w.triedOr(t.a))
 }
@@ -150,12 +148,12 @@
 	return err
 }
 
-// continueAt goes on with another attempt, and returns its first event.
-func (t *stream) continueAt(a *attempt) event {
+// continueAt goes on with another attempt, and returns its first event; io.EOF: nothing was left.
+func (t *stream) continueAt(a *attempt) (event, error) {
 	t.a = a
 	count("resumes", 1)
-	t.s.o.Log.Info("stream_resumed", zap.String("request", t.q.meta.ID), zap.String("upstream", a.use.Entry().ID), zap.String("last_event", t.lastEventID))
-	return a.first
+	t.s.o.Log.Info("stream_resumed", zap.String("request", t.q.meta.ID), zap.String("upstream", a.use.Entry().ID), zap.String("last_event", t.lastEventID), zap.Bool("nothing_left", a.ended))
+	return a.begin()
 }
 
 func (t *stream) resumable() bool {
@@ -199,7 +197,7 @@
 			cause = fault.Because(errIncompleteResponse, "the resumed stream was answered %d", a.head.StatusCode)
 			continue
 		}
-		return t.continueAt(a), nil
+		return t.continueAt(a)
 	}
 	return event{}, cause
 }
