--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -12,6 +12,7 @@
 type attempts struct {
 	reachedBy map[string]bool
 	search    retry.SearchLimit
+	next      *target // reserved for the next attempt while the upstream of the last one was silent, or nil
 }
 
 func newAttempts() *attempts { return &attempts{reachedBy: make(map[string]bool)} }
--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -32,8 +32,8 @@
 	TakenOver func() bool
 }
 
-// Silences after which an engine counts as stalled. The first token waits for a slot and the prefill;
-// between tokens an engine is never silent for long.
+// Silences after which a successor of an engine is looked for. The first token waits for a slot and the prefill;
+// between tokens an engine is rarely silent for long.
 const (
 	firstByteLimit    = 20 * time.Second
 	batchByteLimit    = 2 * time.Minute // batch work may wait in the engine's own queue
@@ -89,6 +89,7 @@
 		l.fire("admit")
 	}
 	tried := newAttempts()
+	defer func() { p.release(tried.next) }()
 	prefer := ""
 	for {
 		next, err := p.attempt(ctx, c, l, tried, prefer)
@@ -110,6 +111,10 @@
 		if d.crashedElsewhere(c.identity, tried) {
 			return err
 		}
+		if tried.next != nil && ctx.Err() == nil {
+			d.o.Event("retry", c.Record.ID(), err.Error())
+			continue
+		}
 		a := retry.Attempt{Repeatable: true, MayHaveRun: !errors.Is(err, upstream.ErrRejected), TimeLeft: c.Deadline.Sub(d.o.Clock.Now())}
 		if ctx.Err() != nil || errors.Is(err, errNoUpstream) || !p.mayRetry(tried, a) {
 			return err
@@ -145,10 +150,11 @@
 	if c.Service.Class == config.ClassBatch {
 		priority, first = 1, batchByteLimit
 	}
+	w := &silence{p: p, request: c, t: t, tried: tried}
 	call := &upstream.ChatCall{
 		RequestID: c.Record.ID(), Address: t.fact.Address, Body: c.Body, MaxTokens: c.MaxTokens,
 		Priority: priority, Offset: offset, Text: c.Record.Text(), FirstTokenTimeout: first,
-		TokenTimeout: betweenBytesLimit, Traceparent: c.Traceparent, Check: func() error { return p.d.mayWrite(x, t.fact.ID) },
+		TokenTimeout: betweenBytesLimit, GiveUp: w.giveUp, Traceparent: c.Traceparent, Check: func() error { return p.d.mayWrite(x, t.fact.ID) },
 	}
 	l.fire("send")
 	startedAt := p.d.o.Clock.Now()
@@ -165,6 +171,7 @@
 		}
 		return c.Record.Append(number, k.Offset, k.Text)
 	})
+	tried.next = w.end()
 	next, moved := p.untrack(c.Record.ID(), m)
 	if err != nil && moved {
 		p.recordOutcome(t.fact.ID, err, false)
@@ -195,9 +202,15 @@
 	p.totals.cached += int64(u.Details.Cached)
 }
 
-// choose returns the upstream that received the KV cache, if there is one and it is still usable, and asks
-// the router otherwise.
+// choose returns the upstream that received the KV cache, if there is one and it is still usable, or the one that was
+// reserved while the upstream before was silent, and asks the router otherwise.
 func (p *pool) choose(c *Chat, tried *attempts, prefer string) (target, bool) {
+	next := tried.next
+	tried.next = nil
+	if prefer == "" && next != nil {
+		return *next, true
+	}
+	p.release(next)
 	if prefer == "" {
 		return p.pick(c.Service, &c.Prompt, tried)
 	}
--- a/internal/upstream/chat.go
+++ b/internal/upstream/chat.go
@@ -44,8 +44,11 @@
 	Text              string
 	FirstTokenTimeout time.Duration // until the first token
 	TokenTimeout      time.Duration // between two tokens
-	Traceparent       string
-	Check             func() error // called just before the first byte is written (DoChecked); nil: none
+	// GiveUp is called after a time-out, and from then on while the engine is silent. It reports whether the attempt is to
+	// end. nil: it ends.
+	GiveUp      func() bool
+	Traceparent string
+	Check       func() error // called just before the first byte is written (DoChecked); nil: none
 }
 
 // Chunk is one token, or the end of the stream.
@@ -108,26 +111,44 @@
 		r.Header.Set("Traceparent", call.Traceparent)
 	}
 	stall := func() { cancel(ErrStalled) }
-	dog := c.clock.Watchdog(x, call.FirstTokenTimeout, stall)
+	stopWatch := c.watchSilence(x, call, call.FirstTokenTimeout, stall)
 	a, err := c.DoChecked(r, false, call.Check)
 	if err != nil {
-		dog.Stop()
+		stopWatch()
 		return stallError(x, err)
 	}
 	defer a.Body.Close()
 	if a.StatusCode != http.StatusOK {
-		dog.Stop()
+		stopWatch()
 		return statusError(a)
 	}
 	err = call.readStream(a.Body, func(k Chunk) error {
-		dog.Stop()
-		dog = c.clock.Watchdog(x, call.TokenTimeout, stall)
+		stopWatch()
+		stopWatch = c.watchSilence(x, call, call.TokenTimeout, stall)
 		return f(k)
 	})
-	dog.Stop()
+	stopWatch()
 	return stallError(x, err)
 }
 
+// giveUpInterval is how long an engine that has been silent for too long is waited for before GiveUp is called again: less
+// than another engine takes to start, and far more than the call costs.
+const giveUpInterval = time.Second
+
+// watchSilence calls f once the engine has been silent for d and the attempt is to end.
+func (c *Client) watchSilence(ctx context.Context, call *ChatCall, d time.Duration, f func()) (stop func()) {
+	x, cancel := context.WithCancel(ctx)
+	c.clock.Watchdog(x, d, func() {
+		for call.GiveUp != nil && !call.GiveUp() {
+			if c.clock.Sleep(x, giveUpInterval) != nil {
+				return
+			}
+		}
+		f()
+	})
+	return cancel
+}
+
 // stallError returns ErrStalled if a stall caused the error, else the error.
 func stallError(x context.Context, err error) error {
 	if err != nil && context.Cause(x) == ErrStalled { //nolint:errorlint // set by us, never wrapped
