--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -111,6 +111,7 @@
 	n.follower.Apply(name, m, at)
 	if !m.More {
 		n.confirmed.Confirm(follow.ConfirmedAt(asked, m))
+		n.step.Confirm(follow.ConfirmedAt(asked, m))
 	}
 	return nil
 }
--- a/internal/edge/lineage.go
+++ b/internal/edge/lineage.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 	"go.uber.org/zap"
 
+	"spurhall.example/spurhall/internal/follow"
 	"spurhall.example/spurhall/internal/handover"
 	"spurhall.example/spurhall/internal/lineage"
 	"spurhall.example/spurhall/internal/message"
@@ -22,7 +23,8 @@
 	n.savedStreams = handover.NewStreams(n.records(), n.clock, n.settings.Node)
 	return lineage.NewKeeper(lineage.Options{
 		Clock: n.clock, Log: n.log, Node: n.settings.Node, Nodes: n.streamKeepers, Tell: n.tellStreams, Ask: n.askStream,
-		Saved: lineage.Saved{Load: n.loadStreams, Save: n.savedStreams.Save, Interval: n.saveInterval},
+		InStep: func() bool { v, _ := n.inStep(); return v },
+		Saved:  lineage.Saved{Load: n.loadStreams, Save: n.savedStreams.Save, Interval: n.saveInterval},
 	})
 }
 
@@ -69,14 +71,7 @@
 func (n *Node) streamKeepers() []lineage.Node {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	var nodes []lineage.Node
-	if !n.isLeaving() {
-		nodes = append(nodes, lineage.Node{Name: n.settings.Node, Hall: n.settings.Hall})
-	}
-	for p := range n.view(n.clock.Now()).Present() {
-		nodes = append(nodes, lineage.Node{Name: p.Name, Hall: p.Hall})
-	}
-	return nodes
+	return lineage.NodesOf(n.view(n.clock.Now()))
 }
 
 func (n *Node) tellStreams(ctx context.Context, node string, list []lineage.Record) error {
@@ -125,6 +120,20 @@
 	return connect.NewResponse(&wire.FindStreamResponse{Known: known, Version: v}), nil
 }
 
+// inStep reports whether this node is in step with the others, and whether it has been for a while.
+func (n *Node) inStep() (holds, steady bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.clock.Now()
+	if n.listFollower.Connected() {
+		n.step.ConfirmByStore(now, n.guard.Contact(), n.lag.Late())
+	}
+	if _, lacks := n.lacksList.For(now); !lacks && n.view(now).HearsMost(follow.SignLimit) {
+		n.step.ConfirmByOthers(now, n.lag.Late())
+	}
+	return n.step.Holds(now), n.step.Steady(now)
+}
+
 // noteVersions has the streams in progress told of services that have got another version.
 func (n *Node) noteVersions(changes []pool.Change) {
 	services := make(map[string]bool)
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -116,6 +116,7 @@
 	source            *follow.Source // what this node has for its followers
 	follower          *follow.Follower
 	confirmed         follow.Confirmation // of the upstream list
+	step              follow.Step
 	lag               *lag.Monitor
 
 	catalog         atomic.Pointer[activeCatalog]
@@ -207,7 +208,7 @@
 		Clock: o.Clock, Log: o.Log, Dialect: o.Dialect, Pools: n.pools, Connections: n.lines, Ready: n.initialized, Catalog: n.currentCatalog,
 		ListAge: n.listAge, Place: n.placeByRelay, Charge: n.charge, Refund: n.refund, CountStarted: n.countStarted, RecordFirstAttempt: n.countFirstAttempt, AllowRetry: n.allowRetry, ObserveResponse: n.observeResponse, Phase: n.stopPhase, Quarantine: n.quarantine, MayProbe: n.holdsDuties, HallReachable: n.reachesHall,
 		Trials:  forward.Trials{Offer: n.offerTrial, Return: n.returnOffer, Record: n.recordResponse},
-		Lineage: forward.Lineage{Tell: n.streams.Tell, Find: n.streams.Find, AwaitVersions: n.streams.AwaitRestored},
+		Lineage: forward.Lineage{Tell: n.streams.Tell, Find: n.streams.Find, AwaitVersions: n.streams.AwaitRestored, Step: n.inStep},
 	})
 	return n
 }
--- /dev/null
+++ b/internal/follow/step.go
@@ -0,0 +1,74 @@
+package follow
+
+import (
+	"sync"
+	"time"
+
+	"spurhall.example/spurhall/internal/pool"
+)
+
+// This file tells whether a node is in step with the others: whether its list has each version of a service of which an
+// upstream can have begun a stream. A version that is new gets its first requests a moment after nodes have heard of it, so a
+// list that was complete less than that moment ago lacks none that has had any. While the store is away, a node is in step that
+// hears most others, none of which has a later list. One that has been frozen, or cut off from the store and the other nodes,
+// isn't until it has heard of what it missed.
+
+// steadyAfter is how long after it got back into step a node no longer knows less than the others of the versions that
+// came meanwhile: to it they look new when they aren't.
+const steadyAfter = 2 * pool.MaxVersionLag
+
+// SignLimit is how recent the signs of the other nodes have to be: pairs of a fleet swap reports every two seconds at least,
+// or relays name it more often. It is less than pool.MaxVersionLag: who has a new version then tells so in time.
+const SignLimit = 2 * time.Second
+
+// Step is up to when a node was in step. Its zero value never was. It is safe for concurrent use.
+type Step struct {
+	mu    sync.Mutex
+	at    time.Time // up to which the list was complete
+	since time.Time // since when it has been without a gap; zero: since it was first complete
+}
+
+// Confirm records that the list was complete at a time.
+func (s *Step) Confirm(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !at.After(s.at) {
+		return
+	}
+	if !s.at.IsZero() && at.Sub(s.at) > pool.MaxVersionLag {
+		s.since = at
+	}
+	s.at = at
+}
+
+// ConfirmByStore records that the node watches the store, which was last known to be within reach at a time. What has arrived
+// since may not have been read by a process that runs late.
+func (s *Step) ConfirmByStore(now, contact time.Time, late time.Duration) {
+	if t := now.Add(-late); t.Before(contact) {
+		contact = t
+	}
+	s.Confirm(contact)
+}
+
+// ConfirmByOthers records that most of the other nodes have given a sign within SignLimit, and none has a later list. A process
+// that runs late takes old signs for new.
+func (s *Step) ConfirmByOthers(now time.Time, late time.Duration) {
+	s.Confirm(now.Add(-max(SignLimit, late)))
+}
+
+// Age returns for how long the list hasn't been known to be complete.
+func (s *Step) Age(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.at)
+}
+
+// Holds reports whether the node is in step.
+func (s *Step) Holds(now time.Time) bool { return s.Age(now) <= pool.MaxVersionLag }
+
+// Steady reports whether the node is in step, and has been for so long that it knows of each version as long as the others.
+func (s *Step) Steady(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.at) <= pool.MaxVersionLag && now.Sub(s.since) >= steadyAfter
+}
--- a/internal/forward/lineage.go
+++ b/internal/forward/lineage.go
@@ -18,8 +18,11 @@
 type Lineage struct {
 	// Tell makes the version that began a stream known to other nodes.
 	Tell func(r lineage.Record)
-	// Find returns the version that began a stream, if a node knows it; lost reports that no node will.
-	Find func(ctx context.Context, k lineage.Key) (version string, known, lost bool)
+	// Find returns the version that began a stream, if a node knows it.
+	Find func(ctx context.Context, k lineage.Key) lineage.Found
+	// Step reports whether this node is in step with the others, so that it lacks no version that they use, and whether it has
+	// been for so long (steady) that it has known each for as long as they have.
+	Step func() (inStep, steady bool)
 	// AwaitVersions waits for a moment until it is known which versions served before this process started, and reports
 	// whether it is.
 	AwaitVersions func(ctx context.Context) bool
@@ -77,31 +80,46 @@
 		return nil
 	}
 	complete := s.o.Lineage.AwaitVersions(ctx)
+	inStep, steady := s.o.Lineage.Step()
 	known, used := s.o.Pools.StreamVersions(q.service, q.streamTime())
-	if complete && len(known) <= 1 {
+	if inStep && complete && len(known) <= 1 {
 		return nil
 	}
-	version, found, lost := "", false, true
+	found := lineage.Found{Lost: true}
 	if q.meta.Resumes != "" {
-		version, found, lost = s.o.Lineage.Find(ctx, q.streamKey())
+		found = s.o.Lineage.Find(ctx, q.streamKey())
 	}
-	if !found && complete && len(used) == 1 {
-		version, found = used[0], true // no other has begun a stream yet
+	if !found.Known && complete {
+		found.Version, found.Known = onlyVersion(steady, found.Denied && !inStep, known, used)
 	}
-	s.o.Log.Info("stream_version", zap.String("request", q.meta.ID), zap.String("resumes", q.meta.Resumes), zap.String("service", q.service), zap.Bool("known", found), zap.Bool("lost", lost), zap.Bool("complete", complete),
-		zap.String("version", version), zap.Strings("versions", known), zap.Strings("used", used))
-	if !found {
+	s.o.Log.Info("stream_version", zap.String("request", q.meta.ID), zap.String("resumes", q.meta.Resumes), zap.String("service", q.service), zap.Bool("known", found.Known), zap.Bool("lost", found.Lost), zap.Bool("complete", complete),
+		zap.Bool("in_step", inStep), zap.Bool("steady", steady), zap.Bool("denied", found.Denied), zap.String("version", found.Version), zap.Strings("versions", known), zap.Strings("used", used))
+	if !found.Known {
 		count("versions_unknown", 1)
 		r := &rejection{status: http.StatusServiceUnavailable, reason: "nobody knows which version of the service began the stream", retry: retryAfterFailure}
-		if lost {
+		if found.Lost {
 			r.retry = retryAfterLost
 		}
 		return r
 	}
-	q.version = version
+	q.version = found.Version
 	return nil
 }
 
+// onlyVersion returns the only version that can have begun a stream that nobody knows, if there is one. A node that has known
+// the versions for as long as the others (steady) goes by those that have had requests. To another one, used ones may look
+// new. One that is out of step may lack some: it needs to know of one alone, and other nodes that deny to know the stream.
+// They are told of each stream while there are several versions.
+func onlyVersion(steady, denied bool, known, used []string) (string, bool) {
+	switch {
+	case steady && len(used) == 1:
+		return used[0], true // no other has begun a stream yet
+	case denied && len(known) == 1:
+		return known[0], true
+	}
+	return "", false
+}
+
 // beginStream records a stream whose first event has arrived. It stays at its version.
 func (s *Server) beginStream(q *request, a *attempt) {
 	if !q.route.Resumable() {
--- a/internal/lineage/keeper.go
+++ b/internal/lineage/keeper.go
@@ -38,6 +38,9 @@
 // ErrNotRestored means that a node can't say yet what it knows: it hasn't read what its process before stored.
 var ErrNotRestored = errorx.NewNamespace("lineage").NewType("not_restored").New("what the process before knew hasn't been read yet")
 
+// ErrOutOfStep means that a node can't say that nobody knows a stream: who began it may not have reached this node.
+var ErrOutOfStep = errorx.NewNamespace("lineage").NewType("out_of_step").New("this node is out of step with the others")
+
 // Options configures a keeper. All fields are required, but for those of saved.go.
 type Options struct {
 	Clock *timer.Service
@@ -45,6 +48,8 @@
 	Node  string // name of this node
 	// Nodes returns the nodes that may keep records, this one included.
 	Nodes func() []Node
+	// InStep reports whether this node is in step with the others.
+	InStep func() bool
 	// Tell tells another node of streams.
 	Tell func(ctx context.Context, node string, list []Record) error
 	// Ask asks another node for a stream.
@@ -94,11 +99,15 @@
 }
 
 // Answer returns the version that began a stream, if this node knows it, to a node that asks. ErrNotRestored: it may yet.
+// ErrOutOfStep: another node may know it that this one doesn't reach.
 func (k *Keeper) Answer(x Key) (version string, known bool, err error) {
 	version, known = k.Version(x)
 	if !known && !k.isRestored() {
 		return "", false, ErrNotRestored
 	}
+	if !known && !k.o.InStep() {
+		return "", false, ErrOutOfStep
+	}
 	return version, known, nil
 }
 
@@ -180,30 +189,42 @@
 	k.o.Log.Info("streams_untold", zap.String("peer", node), zap.Int("streams", len(list)), zap.String("cause", err.Error()))
 }
 
+// Found is what is known of a stream.
+type Found struct {
+	Version string // that began it
+	Known   bool
+	// Lost reports that all nodes that were asked have answered, and none knows the stream.
+	Lost bool
+	// Denied reports that it is lost, and that another node is among those that have answered.
+	Denied bool
+}
+
 // Find returns the version that began a stream, if this node or one of the stream's keepers knows it. It asks again while
-// some of them don't answer. Lost reports that all have answered, and none knows it.
-func (k *Keeper) Find(ctx context.Context, x Key) (version string, known, lost bool) {
+// some of them don't answer.
+func (k *Keeper) Find(ctx context.Context, x Key) Found {
 	if v, ok := k.Version(x); ok {
-		return v, true, false
+		return Found{Version: v, Known: true}
 	}
 	c, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	answered := 0
+	answered, others := 0, 0
 	for names := Asked(x, Candidates(k.o.Nodes())); answered < findTries; names = AskedWidely(x, k.o.Nodes()) {
-		v, ok, all := k.ask(c, x, names)
+		v, ok, asked, all := k.ask(c, x, names)
 		if ok {
 			events.Add("found", 1)
-			return v, true, false
+			return Found{Version: v, Known: true}
 		}
 		if all {
 			answered++
+			others = max(others, asked)
 		}
 		if k.o.Clock.Sleep(c, findPause) != nil {
 			break
 		}
 	}
 	events.Add("not_found", 1)
-	return "", false, answered >= findTries
+	lost := answered >= findTries
+	return Found{Lost: lost, Denied: lost && others > 0}
 }
 
 // answer is what a node said that was asked.
@@ -213,10 +234,9 @@
 	err     error
 }
 
-// ask asks nodes that may know a stream, and reports whether all of them answered.
-func (k *Keeper) ask(c context.Context, x Key, names []string) (version string, known, all bool) {
+// ask asks nodes that may know a stream, and returns how many others it asked and whether all of them answered.
+func (k *Keeper) ask(c context.Context, x Key, names []string) (version string, known bool, asked int, all bool) {
 	answers := make(chan answer, len(names))
-	asked := 0
 	for _, name := range names {
 		if name == k.o.Node {
 			continue
@@ -228,12 +248,12 @@
 	for range asked {
 		a := <-answers
 		if a.known {
-			return a.version, true, true
+			return a.version, true, asked, true
 		}
 		all = all && a.err == nil
 	}
-	version, known, err := k.Answer(x) // this node may have been told meanwhile
-	return version, known, all && err == nil
+	version, known = k.Version(x) // this node may have been told meanwhile
+	return version, known, asked, all && k.isRestored()
 }
 
 func (k *Keeper) askNode(c context.Context, name string, x Key) answer {
--- a/internal/lineage/keeper_test.go
+++ b/internal/lineage/keeper_test.go
@@ -22,12 +22,13 @@
 	store   *memoryStore    // nil: none
 	longest int             // most streams that one message had
 	silent  map[string]bool // nodes that don't answer, or are of a build that knows no such call
+	behind  map[string]bool // nodes that are out of step
 }
 
 var errSilent = errors.New("no answer")
 
 func newKeeperFleet(t *testing.T, halls, perHall int) *keeperFleet {
-	f := &keeperFleet{nodes: fleet(halls, perHall), keepers: make(map[string]*Keeper), silent: make(map[string]bool)}
+	f := &keeperFleet{nodes: fleet(halls, perHall), keepers: make(map[string]*Keeper), silent: make(map[string]bool), behind: make(map[string]bool)}
 	for _, n := range f.nodes {
 		f.start(t, n.Name)
 	}
@@ -37,7 +38,7 @@
 // start starts a node that remembers nothing.
 func (f *keeperFleet) start(t *testing.T, name string) {
 	k := NewKeeper(Options{
-		Clock: timer.Real(), Log: zap.NewNop(), Node: name, Nodes: f.present,
+		Clock: timer.Real(), Log: zap.NewNop(), Node: name, Nodes: f.present, InStep: func() bool { return !f.isBehind(name) },
 		Tell: func(_ context.Context, node string, list []Record) error {
 			if f.isSilent(node) {
 				return errSilent
@@ -75,6 +76,18 @@
 	return slices.Clone(f.nodes)
 }
 
+func (f *keeperFleet) setBehind(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.behind[name] = true
+}
+
+func (f *keeperFleet) isBehind(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.behind[name]
+}
+
 func (f *keeperFleet) isSilent(name string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -110,10 +123,10 @@
 func (f *keeperFleet) assertFound(t *testing.T, want bool, node string, k Key) {
 	t.Helper()
 	began := time.Now()
-	v, known, _ := f.keeper(node).Find(t.Context(), k)
-	assert.Equal(t, want, known)
-	if known {
-		assert.Equal(t, "v1.1", v)
+	v := f.keeper(node).Find(t.Context(), k)
+	assert.Equal(t, want, v.Known)
+	if v.Known {
+		assert.Equal(t, "v1.1", v.Version)
 	}
 	assert.Less(t, time.Since(began), 2*time.Second, "callers wait for it")
 }
@@ -175,12 +188,26 @@
 		f.assertFound(t, true, "n0-0", k)
 		f.assertFound(t, false, "n0-0", KeyOf("w", "begun by the other build"))
 	})
+	t.Run("a node that is out of step can't deny that it knows a stream", func(t *testing.T) {
+		f := newKeeperFleet(t, 2, 1)
+		k := KeyOf("w", "unknown")
+		assert.Equal(t, Found{Lost: true, Denied: true}, f.keeper("n0-0").Find(t.Context(), k))
+		f.setBehind("n0-0")
+		assert.Equal(t, Found{Lost: true, Denied: true}, f.keeper("n0-0").Find(t.Context(), k), "the one that asks may be")
+		f.setBehind("n1-0")
+		assert.Equal(t, Found{}, f.keeper("n0-0").Find(t.Context(), k))
+		f.keeper("n1-0").Hear([]Record{{Key: k, Version: "v1.1", Left: time.Minute}})
+		f.assertFound(t, true, "n0-0", k)
+	})
+	t.Run("nobody denies a stream who isn't asked", func(t *testing.T) {
+		f := newKeeperFleet(t, 1, 1)
+		assert.Equal(t, Found{Lost: true}, f.keeper("n0-0").Find(t.Context(), KeyOf("w", "unknown")))
+	})
 	t.Run("a caller that leaves ends the search", func(t *testing.T) {
 		f := newKeeperFleet(t, 2, 1)
 		c, cancel := context.WithCancel(t.Context())
 		cancel()
-		_, known, _ := f.keeper("n0-0").Find(c, KeyOf("w", "x"))
-		assert.False(t, known)
+		assert.False(t, f.keeper("n0-0").Find(c, KeyOf("w", "x")).Known)
 	})
 }
 
--- a/internal/lineage/saved_test.go
+++ b/internal/lineage/saved_test.go
@@ -151,18 +151,14 @@
 	time.Sleep(2 * loadRetryPause)
 	t.Run("all answer", func(t *testing.T) {
 		began := time.Now()
-		_, known, lost := f.keeper("n0-0").Find(t.Context(), k)
-		assert.False(t, known)
-		assert.True(t, lost)
+		assert.Equal(t, Found{Lost: true, Denied: true}, f.keeper("n0-0").Find(t.Context(), k))
 		assert.Less(t, time.Since(began), findTimeout/2)
 	})
 	t.Run("some may know yet", func(t *testing.T) {
 		m.setDown(true)
 		f.restartAll(t)
 		assert.False(t, f.keeper("n0-0").AwaitRestored(t.Context()))
-		_, known, lost := f.keeper("n0-0").Find(t.Context(), k)
-		assert.False(t, known)
-		assert.False(t, lost)
+		assert.Equal(t, Found{}, f.keeper("n0-0").Find(t.Context(), k))
 	})
 }
 
--- a/internal/pool/split.go
+++ b/internal/pool/split.go
@@ -21,6 +21,10 @@
 // tenths of a second later.
 const versionGrace = 2500 * time.Millisecond
 
+// MaxVersionLag is how old a node's list may be if a version that it lacks must not have had requests yet: the moment for
+// which such a version gets none, less what nodes differ in when they hear of it.
+const MaxVersionLag = versionGrace - 200*time.Millisecond
+
 // Split is which versions of a service take which requests. With its zero value all versions take all
 // requests.
 type Split struct {
--- a/internal/roster/view.go
+++ b/internal/roster/view.go
@@ -41,6 +41,22 @@
 	}
 }
 
+// HearsMost reports whether this node and those of which it has had a sign within some time are more than half of all that
+// don't leave. The nodes that it doesn't hear can't be as many then, so that this one isn't cut off with a few others.
+func (v View) HearsMost(within time.Duration) bool {
+	heard, all := 1, 1
+	for p := range v.Peers {
+		if p.Leaving {
+			continue
+		}
+		all++
+		if v.Now.Sub(p.LastSign(v.Size)) <= within {
+			heard++
+		}
+	}
+	return 2*heard > all
+}
+
 // Watchers returns the nodes of this hall that watch the store.
 func (v View) Watchers() []string {
 	nodes := []Node{{Name: v.Self.Name, Cores: v.Self.Cores, StoreUp: v.Self.StoreUp}}
--- a/internal/roster/view_test.go
+++ b/internal/roster/view_test.go
@@ -40,6 +40,11 @@
 		defer func() { b.RelayFailedAt = time.Time{} }()
 		assert.Equal(t, []string{"a"}, v.HallNodes("h"))
 	})
+	t.Run("most nodes are heard", func(t *testing.T) {
+		assert.True(t, v.HearsMost(time.Second), "three of four that stay")
+		assert.False(t, fleetOf(now, b, silent, silent).HearsMost(time.Second), "half of them may be the fleet")
+		assert.True(t, fleetOf(now).HearsMost(time.Second), "there is no other")
+	})
 	t.Run("watchers reach the store", func(t *testing.T) {
 		assert.ElementsMatch(t, []string{"a", "b"}, v.Watchers())
 		b.StoreUp = false
--- a/internal/store/guard.go
+++ b/internal/store/guard.go
@@ -43,6 +43,7 @@
 	failures   int
 	openUntil  time.Time
 	up         bool
+	contact    time.Time     // when the latest call that was answered was made, or a watch's response arrived
 	maxBackoff time.Duration // of the breaker's open time
 	untrusted  chan struct{} // closed and replaced when a call fails
 }
@@ -76,6 +77,14 @@
 	return g.up
 }
 
+// Contact returns up to when the platform is known to have been within reach: when the latest call was made that was
+// answered, or when a watch's response arrived.
+func (g *Guard) Contact() time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.contact
+}
+
 // SetRates changes the node's rates, which depend on the number of nodes.
 func (g *Guard) SetRates(reads, writes float64) {
 	g.reads.SetLimit(rate.Limit(reads))
@@ -97,13 +106,17 @@
 	return g.clock.Now().Before(g.openUntil)
 }
 
-// recordResult records the result of a call. A failure ends all watches, since a waiting watch
+// recordResult records the result of a call that was made at a time. A failure ends all watches, since a waiting watch
 // can't distinguish an unresponsive store from one without changes. ErrBudget doesn't: a store
 // that rejects a call for its rate is reachable, and restarting all watches would add calls.
-func (g *Guard) recordResult(err error) {
+func (g *Guard) recordResult(sent time.Time, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.updateBreaker(err) && !errors.Is(err, ErrBudget) {
+	failed := g.updateBreaker(err)
+	if err == nil && sent.After(g.contact) {
+		g.contact = sent
+	}
+	if failed && !errors.Is(err, ErrBudget) {
 		close(g.untrusted)
 		g.untrusted = make(chan struct{})
 	}
@@ -159,8 +172,9 @@
 				return RangeResult{}, err
 			}
 			countKey("range", key)
+			sent := g.clock.Now()
 			r, err := kv.Range(ctx, key, end)
-			g.recordResult(err)
+			g.recordResult(sent, err)
 			return r, err
 		},
 		StaleRange: func(ctx context.Context, prefix string) (RangeResult, error) {
@@ -168,8 +182,9 @@
 				return RangeResult{}, err
 			}
 			countKey("glance", prefix)
+			sent := g.clock.Now()
 			r, err := kv.StaleRange(ctx, prefix)
-			g.recordResult(err)
+			g.recordResult(sent, err)
 			return r, err
 		},
 		Txn: func(ctx context.Context, t Txn) (TxnResult, error) {
@@ -179,8 +194,9 @@
 			if len(t.Then) > 0 {
 				countKey("txn", t.Then[0].Key)
 			}
+			sent := g.clock.Now()
 			r, err := kv.Txn(ctx, t)
-			g.recordResult(err)
+			g.recordResult(sent, err)
 			return r, err
 		},
 		Grant: func(ctx context.Context, ttl time.Duration) (int64, error) {
@@ -188,15 +204,17 @@
 				return 0, err
 			}
 			countKey("grant", "")
+			sent := g.clock.Now()
 			id, err := kv.Grant(ctx, ttl)
-			g.recordResult(err)
+			g.recordResult(sent, err)
 			return id, err
 		},
 		KeepAlive: func(ctx context.Context, lease int64) (time.Duration, error) {
 			Calls.Add("leases", 1)
 			countKey("keep_alive", "")
+			sent := g.clock.Now()
 			d, err := kv.KeepAlive(ctx, lease)
-			g.recordResult(err)
+			g.recordResult(sent, err)
 			return d, err
 		},
 		Revoke: func(ctx context.Context, lease int64) error {
@@ -231,7 +249,7 @@
 	countKey("watch", s.Key)
 	err := kv.Watch(c, s, func(b WatchBatch) error {
 		countKey("watch", s.Key) // each response is followed by another call
-		g.recordResult(nil)
+		g.recordResult(g.clock.Now(), nil)
 		callback = f(b)
 		return callback
 	})
@@ -243,6 +261,6 @@
 	if untrusted {
 		return ErrWatchUntrusted
 	}
-	g.recordResult(err)
+	g.recordResult(time.Time{}, err)
 	return err
 }
--- a/internal/store/guard_test.go
+++ b/internal/store/guard_test.go
@@ -168,3 +168,31 @@
 	}
 	assert.Less(t, made, 20)
 }
+
+func TestContact(t *testing.T) {
+	clock := timer.NewManual(time.Unix(1000, 0))
+	g := newGuard(clock.Service())
+	var err error
+	stub := stubKV(&err)
+	answers := stub.KeepAlive
+	stub.KeepAlive = func(ctx context.Context, lease int64) (time.Duration, error) {
+		clock.Advance(time.Second)
+		return answers(ctx, lease)
+	}
+	stub.Watch = func(_ context.Context, _ Span, f func(WatchBatch) error) error { return f(WatchBatch{}) }
+	kv := g.Wrap(stub)
+	call := func() {
+		t.Helper()
+		_, got := kv.KeepAlive(t.Context(), 1)
+		assert.Equal(t, err, got)
+	}
+	assert.Zero(t, g.Contact())
+	sent := clock.Service().Now()
+	call()
+	assert.Equal(t, sent, g.Contact(), "when it was made, not when the response arrived")
+	err = ErrUnknown
+	call()
+	assert.Equal(t, sent, g.Contact(), "no response")
+	require.NoError(t, kv.Watch(t.Context(), Span{Key: "k", From: 1}, func(WatchBatch) error { return nil }))
+	assert.Equal(t, clock.Service().Now(), g.Contact(), "a watch's response")
+}
