A stream that was taken up went on at a version that arrived meanwhile (ORDER)

Callers saw: a stream of the only version was taken up at any node, its upstream broke off before the first event, and the next attempt went to an upstream of a new version that had been listed meanwhile: 200, one text from two versions. No node needs to be out of step for it.

Cause: where one version is known, bindVersion let the request pass unbound, as the choice had nothing else to choose. It is made again for each attempt, though, and an upstream of a version that is new takes requests at once if there is no other.

Change: the request is bound to the only version. First attempts at engines still go where the relay places them, as long as no other version is known; the version of the choice is checked in any case. A service of which no version is known has no upstream, and the stream is refused as before.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -38,7 +38,7 @@
 		}
 		use := s.pick(ctx, q, tried)
 		if use == nil {
-			return nil, s.giveUp(q, fault.Because(errNotRun, "no upstream of service %s takes it", q.service), last)
+			return nil, s.giveUp(q, noUpstream(q), last)
 		}
 		tried[use.Entry().ID] = true
 		a, err := s.runAttempt(ctx, q, use, "", tried)
@@ -53,15 +53,19 @@
 	return nil, s.giveUp(q, last, last)
 }
 
-// pick chooses an upstream. The first attempt may go to a version on trial; otherwise the first attempt at
-// an engine goes where Options.Place says.
+func noUpstream(q *request) error {
+	return fault.Because(errNotRun, "no upstream of service %s takes it", q.service)
+}
+
+// pick chooses an upstream. A stream that is taken up stays at its version. Else the first attempt may go to a version on
+// trial. A first attempt at an engine goes where Options.Place says.
 func (s *Server) pick(ctx context.Context, q *request, tried map[string]bool) *pool.Use {
 	n := s.need(q, tried)
 	n.ReachableOnly = q.search.Next() == retry.ScopeReachable
-	if n.Version != "" {
+	if n.Version != "" && !q.onlyVersion {
 		return s.o.Pools.Pick(n)
 	}
-	if len(tried) == 0 {
+	if n.Version == "" && len(tried) == 0 {
 		if u := s.pickTrial(q, n); u != nil {
 			return u
 		}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -146,6 +146,7 @@
 	workspace       *catalog.Workspace // nil if none
 	service         string
 	version         string // of the software that began the stream; empty: any may run the request
+	onlyVersion     bool   // no other version is known
 	tokens          float64
 	arrived         time.Time         // at this VM, though it may have been read later
 	waited          time.Duration     // unread, in the kernel
--- a/internal/forward/lineage.go
+++ b/internal/forward/lineage.go
@@ -82,7 +82,11 @@
 	complete := s.o.Lineage.AwaitVersions(ctx)
 	inStep, steady := s.o.Lineage.Step()
 	known, used := s.o.Pools.StreamVersions(q.service, q.streamTime())
-	if inStep && complete && len(known) <= 1 {
+	if inStep && complete && len(known) == 0 {
+		return s.giveUp(q, noUpstream(q), nil)
+	}
+	if inStep && complete && len(known) == 1 {
+		q.version, q.onlyVersion = known[0], true // another one may arrive before its last attempt
 		return nil
 	}
 	found := lineage.Found{Lost: true}
