--- a/internal/pool/incarnation.go
+++ b/internal/pool/incarnation.go
@@ -15,7 +15,7 @@
 //
 //   - its entry states a start time and did not before: the software was replaced, and with it the
 //     process
-//   - its address has changed
+//   - its address or its version has changed
 //   - its entry had declared that it leaves, and now says ready: a declaration is never withdrawn
 //   - its entry was absent for longer than that of a running upstream may be
 //
@@ -41,6 +41,9 @@
 // isOtherIncarnation reports whether two entries of an id are of different incarnations, where neither is
 // known to be later.
 func (e Entry) isOtherIncarnation(o Entry) bool {
+	if e.Version != o.Version {
+		return true // a process keeps its software
+	}
 	if e.Born == 0 && o.Born == 0 {
 		return e.Address != o.Address || e.StartRevision != o.StartRevision
 	}
@@ -58,7 +61,7 @@
 		return false // of the listed incarnation
 	case e.StartRevision != 0:
 		return e.StartRevision > o.StartRevision
-	case e.Address != o.Address:
+	case e.Address != o.Address || e.Version != o.Version:
 		return true
 	}
 	return o.Declared && !e.Declared && v.Revision > old.Revision && era.Of(v.Revision) == era.Of(old.Revision)
--- a/internal/pool/lineage_test.go
+++ b/internal/pool/lineage_test.go
@@ -109,3 +109,39 @@
 		assert.Equal(t, map[string][]string{"s": {"v1"}}, p.LateVersions(time.Minute))
 	})
 }
+
+// TestUpstreamThatComesBackAtAnotherVersion guards against an entry that is written over with another version: a request that
+// was chosen for the old one runs at the new one, which isn't known to be used.
+func TestUpstreamThatComesBackAtAnotherVersion(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		born int64
+	}{
+		{"which says when it started", 2000},
+		{"which doesn't", 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			clock := timer.NewManual(time.Unix(1000, 0))
+			p := New(clock.Service(), "n", "h")
+			put := func(revision, born int64, version string) {
+				p.Update(func(l *List) {
+					l.Put(Item{Revision: revision, Entry: Entry{ID: "a", Service: "s", Address: "a", Hall: "h", Version: version, Slots: 8, Born: born}})
+				})
+			}
+			put(1, c.born/2, "v1")
+			u := p.Pick(Request{Service: "s", Version: "v1"})
+			if assert.NotNil(t, u) {
+				defer u.End(ResultInconclusive)
+			}
+			put(2, c.born, "v2")
+			assert.NotEmpty(t, u.Unavailable())
+			assert.Nil(t, p.Pick(Request{Service: "s", Version: "v1"}))
+			known, used := p.StreamVersions("s", time.Minute)
+			assert.Equal(t, []string{"v1", "v2"}, known)
+			assert.Equal(t, []string{"v1"}, used)
+			clock.Advance(versionGrace)
+			_, used = p.StreamVersions("s", time.Minute)
+			assert.Equal(t, []string{"v1", "v2"}, used)
+		})
+	}
+}
