An odd entry of another writer was logged only once ever, or at each read and at any length

What was seen: an entry that names no upstream was logged when it came. When it was removed and came again, nothing was logged any more; and after 256 such keys, however long gone, no further one ever was. A configuration or an order of a roll-out that can't be read was logged at each read of the range: after each restart of the watch, at each node that watches. What the other writer wrote stood in the line in full, 60 kB and more.

Cause: follow.Unreadable forgot a key only when it was written again and could be read; configurations and orders had no such memory. Causes of errors quote what was read.

Change: a key is forgotten when its deletion is seen, and when a range is read that lacks it. Orders have the same memory; the configuration remembers its last cause. A cause is shortened to 512 bytes.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -43,6 +43,7 @@
 	"spurhall.example/spurhall/internal/lag"
 	"spurhall.example/spurhall/internal/lease"
 	"spurhall.example/spurhall/internal/lineage"
+	"spurhall.example/spurhall/internal/logging"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/quarantine"
 	"spurhall.example/spurhall/internal/quota"
@@ -111,6 +112,8 @@
 	catalogFollower   *follow.Reader
 	listFollower      *follow.Reader
 	unreadableEntries follow.Unreadable
+	unreadableOrders  follow.Unreadable
+	invalidCatalog    atomic.Pointer[string] // why the last one that was rejected can't be used; nil: one was valid since
 	unknownNames      unknownNames
 	changes           *changelog.Log
 	source            *follow.Source // what this node has for its followers
@@ -193,7 +196,6 @@
 	n.rollouts = newRollouts()
 	n.catalogFollower = n.newCatalogFollower()
 	n.listFollower = n.newListFollower()
-	n.unreadableEntries = make(follow.Unreadable)
 	n.changes = changelog.New()
 	n.source, n.follower = n.newSource(), n.newFollower()
 	reads, writes := n.storeRates()
@@ -237,9 +239,13 @@
 func (n *Node) applyCatalog(raw []byte, source string) {
 	c, err := n.options.DecodeCatalog(raw)
 	if err != nil {
-		n.log.Error("catalog_invalid", zap.String("source", source), zap.String("cause", err.Error()))
+		reason := logging.Shorten(err.Error())
+		if old := n.invalidCatalog.Swap(&reason); old == nil || *old != reason {
+			n.log.Error("catalog_invalid", zap.String("source", source), zap.String("cause", reason))
+		}
 		return
 	}
+	n.invalidCatalog.Store(nil)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	old := n.catalog.Load()
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -40,9 +40,10 @@
 func (n *Node) applyOrder(p store.Pair, source string) {
 	o, err := n.options.DecodeOrder(p.Key, p.Value)
 	if err != nil {
-		n.log.Error("rollout_unreadable", zap.String("key", p.Key), zap.Int64("revision", p.Modified), zap.String("cause", err.Error()))
+		n.unreadableOrders.Record(n.log.Error, "rollout_unreadable", p, err)
 		return
 	}
+	n.unreadableOrders.Clear(p.Key)
 	o.Revision = p.Modified
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -90,6 +90,7 @@
 	return n.newReader(follow.ReaderOptions{
 		Name: "catalog", Prefix: n.options.OperatorPrefix, WatchWait: catalogWatchWait,
 		ApplySnapshot: func(r store.RangeResult) {
+			n.unreadableOrders.Keep(r.Pairs)
 			// Orders first: requests are served as soon as there is a configuration.
 			slices.SortStableFunc(r.Pairs, func(a, b store.Pair) int { return strings.Compare(b.Key, a.Key) })
 			for _, p := range r.Pairs {
@@ -102,6 +103,7 @@
 				case !e.Deleted:
 					apply(e.Pair)
 				case strings.HasPrefix(e.Pair.Key, n.options.OrderPrefix):
+					n.unreadableOrders.Clear(e.Pair.Key)
 					n.withdrawOrder(e.Pair.Key, e.Pair.Modified)
 				}
 			}
@@ -118,6 +120,7 @@
 // applyListSnapshot applies the whole upstream list as read from the store.
 func (n *Node) applyListSnapshot(r store.RangeResult) {
 	returned := n.listFollower.Lost()
+	n.unreadableEntries.Keep(r.Pairs)
 	items, undecodable := n.decodeEntries(r.Pairs)
 	n.partial.Store(false)
 	n.updateList("store", func(now time.Time, l *pool.List) {
@@ -143,6 +146,7 @@
 
 func (n *Node) applyListEvent(now time.Time, l *pool.List, e store.Event) {
 	if e.Deleted {
+		n.unreadableEntries.Clear(e.Pair.Key)
 		l.Remove(now, e.Pair.Modified, n.entryID(e.Pair.Key))
 		return
 	}
@@ -168,7 +172,7 @@
 	for _, p := range pairs {
 		e, err := n.options.DecodeEntry(p.Key, p.Value)
 		if err != nil {
-			if n.unreadableEntries.Record(n.log, p, err) {
+			if n.unreadableEntries.Record(n.log.Warn, "entry_unreadable", p, err) {
 				upstreamEvents.Add("unreadable", 1)
 			}
 			undecodable = append(undecodable, p)
