--- a/internal/accept/ending.go
+++ b/internal/accept/ending.go
@@ -7,8 +7,14 @@
 	"os"
 	"syscall"
 	"time"
+
+	"github.com/joomcode/errorx"
 )
 
+// ErrEndOfStop ends the requests that are still in progress when a node's time to stop is over: their callers are told
+// whether they may have run.
+var ErrEndOfStop = errorx.NewNamespace("accept").NewType("end_of_stop").New("the node's time to stop is over")
+
 // This file tells who or what ended a caller's connection. net/http ends a request's context for each failure to read its
 // connection alike, and a planned stop ends it too, so that an ended context doesn't say that the caller has left.
 
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"log"
 	"net"
 	"net/http"
 	"net/netip"
@@ -16,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"spurhall.example/spurhall/internal/accept"
+	"spurhall.example/spurhall/internal/logging"
 	"spurhall.example/spurhall/internal/metric"
 	"spurhall.example/spurhall/internal/wire/wireconnect"
 )
@@ -90,7 +90,7 @@
 	<-ctx.Done()
 	n.stop(callers)
 	var last sync.WaitGroup // at once: there is little time
-	last.Go(func() { callers.Interrupt(errEndOfStop) })
+	last.Go(func() { callers.Interrupt(accept.ErrEndOfStop) })
 	last.Go(n.uplink.Stop)
 	last.Go(n.leaveStreams)
 	cancel()
@@ -102,18 +102,10 @@
 func (n *Node) server(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler: h, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-		ErrorLog: log.New(logWriter{n.log}, "", 0),
+		ErrorLog: logging.Standard(n.log, "http"),
 	}
 }
 
-// logWriter forwards net/http's log lines to the log.
-type logWriter struct{ log *zap.Logger }
-
-func (w logWriter) Write(b []byte) (int, error) {
-	w.log.Info("http", zap.ByteString("text", b[:max(0, len(b)-1)]))
-	return len(b), nil
-}
-
 func (n *Node) serve(s *http.Server, l net.Listener) {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		n.log.Error("listener_failed", zap.String("address", l.Addr().String()), zap.String("cause", err.Error()))
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -27,10 +27,6 @@
 	stopPoll         = 50 * time.Millisecond
 )
 
-// errEndOfStop ends the requests that are still in progress when the time to stop is over: their callers are told whether
-// they may have run.
-var errEndOfStop = errs.NewType("end").New("the node's time to stop is over")
-
 func (n *Node) stopPhase() forward.Phase { return forward.Phase(n.phase.Load()) }
 
 func (n *Node) isLeaving() bool { return n.stopPhase() != forward.PhaseServing }
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 )
 
 // stuck is a reader of the log that takes nothing until it is let go.
@@ -55,3 +56,11 @@
 	assert.LessOrEqual(t, written, ringLines+2*batchBytes/len("msg=request_done"))
 	assert.GreaterOrEqual(t, written, ringLines)
 }
+
+func TestLinesOfTheStandardLoggerAreEvents(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	Standard(zap.New(core), "http").Print("a line\n")
+	l := logs.FilterMessage("http").All()
+	require.Len(t, l, 1)
+	assert.Equal(t, "a line", l[0].ContextMap()["text"])
+}
