A backup went to an upstream without a free slot, to an ejected one, or was remembered where none was sent

What callers saw: attempts spent at upstreams that were full, while the first one still held its place. Evidence: TestSuccessorThatCannotTakeTheRequest, "all of its slots are taken" and "it is ejected", failed before. What a prompt's parts may be cached at is recorded once a backup is sent, not each time the retry budget denies one.

--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -62,7 +62,7 @@
 	Excluded      map[string]bool
 	Version       string // only upstreams of this software version; empty: any
 	ReachableOnly bool   // only upstreams that this node has not recently failed to reach
-	Successor     bool   // only upstreams that are believed to have room, to be reachable, and not to be silent
+	Successor     bool   // only upstreams with a free slot that are believed to be sound, reachable, and not silent
 	placed        string // upstream chosen by a relay, which has counted the request against the upstream's limit
 }
 
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -36,7 +36,7 @@
 // there.
 func (p *Pools) chosenAt(now time.Time, n Request, f candidateSet, i int) chosen {
 	c := &f.list[i]
-	v := chosen{member: f.members[i], engine: p.engine(now, n.Service), reads: max(0, n.Prompt-c.Cached), alone: c.Running == 0, mayFollow: !c.Full && !c.Unreachable}
+	v := chosen{member: f.members[i], engine: p.engine(now, n.Service), reads: max(0, n.Prompt-c.Cached), alone: c.Running == 0, mayFollow: !c.Full && !c.Unreachable && c.Running < float64(c.Slots)}
 	v.choice = Choice{
 		Candidates: len(f.list), Limited: f.limited, Running: int(c.Running), Queued: c.Queued, Cached: c.Cached,
 		Slowness: c.Slowness, Speed: c.speed(), Revision: p.list.Revision(), OldestReport: p.oldestReport(now),
@@ -107,7 +107,9 @@
 		u.work = v.engine.Work(u.prompt, n.Output, s.size)
 		s.addWork(u.work)
 	}
-	p.recordPlacement(now, m, n.Parts)
+	if !n.Successor {
+		p.recordPlacement(now, m, n.Parts)
+	}
 	return u
 }
 
@@ -172,6 +174,9 @@
 			spare = append(spare, m)
 		}
 	}
+	if n.Successor {
+		return members, limited
+	}
 	if len(members) == 0 {
 		members = spare
 	}
@@ -233,6 +238,13 @@
 	return ok && now.Sub(t) <= prefixTTL
 }
 
+// RecordPlacement records that the upstream of a successor is sent a prompt with the given parts: only then it may cache them.
+func (u *Use) RecordPlacement(parts []call.Part) {
+	u.p.mu.Lock()
+	defer u.p.mu.Unlock()
+	u.p.recordPlacement(u.p.clock.Now(), u.m, parts)
+}
+
 func (p *Pools) recordPlacement(now time.Time, m *member, parts []call.Part) {
 	chain := PrefixHashes(parts)
 	for i, h := range chain {
--- a/internal/pool/successor_test.go
+++ b/internal/pool/successor_test.go
@@ -44,6 +44,20 @@
 			assertSuccessor(t, p, "a1", "a2")
 		})
 	}
+	t.Run("all of its slots are taken", func(t *testing.T) {
+		p := twoHalls(c)
+		for range 8 {
+			assert.NotNil(t, pickFrom(p, "a2"))
+		}
+		assertSuccessor(t, p, "a1", "")
+	})
+	t.Run("it is ejected", func(t *testing.T) {
+		p := twoHalls(c)
+		for range 3 {
+			pickFrom(p, "a2").End(ResultFailed)
+		}
+		assertSuccessor(t, p, "a1", "")
+	})
 	t.Run("it was silent, and has been heard since", func(t *testing.T) {
 		p := twoHalls(c)
 		u := pickFrom(p, "a2")
