Backups: the next one at once after a failure, 503 where all turned the request away, nothing ended that was just written

Found in a review of the code. Callers saw 502, may have run, though both upstreams had said that they won't run the request (TestRequestThatAllTurnAwayIsSaidToHaveRun, failed before); waited 8.0 s in place of 4.0 s for a third upstream after a backup was rejected (TestNextUpstreamWaitsAfterABackupFailed, failed before). An attempt is withdrawn or written by one atomic step, where a write between the look and the end was cut. A successor is looked for each quarter of a second; a panic in a race no longer ends the process.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -42,7 +42,18 @@
 	firstEventAt  time.Time    // when the first event was forwarded
 	shownSound    bool         // the stream has shown that its parts crash no upstream
 	sentAt        time.Time    // when the first byte may have been sent
-	wroteAt       atomic.Int64 // nanoseconds from the request's arrival until its first byte was to be written; 0: it wasn't
+	wroteAt       atomic.Int64 // nanoseconds from the request's arrival until its first byte was to be written; 0: it wasn't; withdrawn
+}
+
+// withdrawn is the value of attempt.wroteAt from when the attempt may not be written any more.
+const withdrawn = -1
+
+// withdraw keeps the attempt from being written, and reports whether it wasn't yet.
+func (a *attempt) withdraw() bool { return a.wroteAt.CompareAndSwap(0, withdrawn) }
+
+// write records when the first byte is written, and reports whether it may be.
+func (a *attempt) write(after time.Duration) bool {
+	return a.wroteAt.CompareAndSwap(0, max(1, int64(after))) || a.wroteAt.Load() != withdrawn
 }
 
 // finish reports the attempt's result and closes its connection if a response is still in progress.
@@ -133,7 +144,7 @@
 
 func (s *Server) logFailed(ctx context.Context, q *request, a *attempt, err error, held time.Duration, severed bool) {
 	age, _ := s.o.ListAge()
-	f := append(choiceFields(a.use), zap.String("request", q.meta.ID), zap.Duration("waited", q.waited), zap.Duration("list_age", age), zap.Duration("written", time.Duration(a.wroteAt.Load())),
+	f := append(choiceFields(a.use), zap.String("request", q.meta.ID), zap.Duration("waited", q.waited), zap.Duration("list_age", age), zap.Duration("written", time.Duration(max(0, a.wroteAt.Load()))),
 		zap.String("address", a.use.Entry().Address), zap.Int("send", q.sends), zap.Duration("after", s.o.Clock.Since(q.arrived)),
 		zap.Bool("not_run", errors.Is(err, errNotRun)), zap.Bool("says_leaving", q.observed.Leaving), zap.Duration("asks_rest", q.observed.Cooldown), zap.String("cause", fault.Reason(err)))
 	f = append(f, limitFields(q.observed.Limit)...)
--- a/internal/forward/backup.go
+++ b/internal/forward/backup.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
@@ -19,7 +20,7 @@
 // that has crashed or is cut off looks the same. So an attempt isn't given up for its silence. Where the route allows a
 // second run, and another upstream can take the request, a backup attempt runs beside the first one. Whichever goes on
 // first is kept, and the other one is canceled at once. Where there is no successor, the attempt is waited for as long as
-// the route and the caller allow, and a successor is looked for again, at growing intervals.
+// the route and the caller allow, and a successor is looked for again and again.
 //
 // A backup runs in a goroutine of its own, on a copy of the request, so that the two attempts share nothing that changes.
 // The request's goroutine takes over the copy's counts once the race is over.
@@ -36,15 +37,17 @@
 	// times are in line with the others.
 	attemptWaitShare   = 0.5
 	attemptWaitTargets = 2
-	// minSilence is the least time after which a successor is looked for.
-	minSilence = 10 * time.Millisecond
+	// minSilence is the least time after which a successor is looked for, and successorInterval how long after that it is
+	// looked for again.
+	minSilence        = 10 * time.Millisecond
+	successorInterval = 250 * time.Millisecond
 )
 
 // raceState is how far the race between an attempt and its backup is.
 type raceState int
 
 const (
-	raceOpen  raceState = iota // the watched attempt is silent, or not yet for too long
+	raceOpen  raceState = iota // neither attempt has gone on, or the watched one isn't silent for too long yet
 	raceKept                   // the watched attempt is kept
 	raceLeft                   // the watched attempt has failed: a backup in progress is kept, and no further one begins
 	raceTaken                  // the backup has overtaken the watched attempt
@@ -58,6 +61,7 @@
 	starting  bool     // its response hasn't started
 	lastEvent string   // after which a backup resumes the stream
 	after     time.Duration
+	began     time.Time // of the wait
 	stopTimer func()
 
 	mu      sync.Mutex
@@ -89,7 +93,7 @@
 	}
 	c := *q // the attempt changes the request while it is watched
 	c.sends, c.arrivals = c.sends+1, c.arrivals+1
-	w := &silenceWatch{s: s, parent: ctx, a: a, starting: true, q: &c, lastEvent: lastEvent, tried: tried, after: max(d, minSilence)}
+	w := &silenceWatch{s: s, parent: ctx, a: a, starting: true, q: &c, lastEvent: lastEvent, tried: tried, after: max(d, minSilence), began: s.o.Clock.Now()}
 	w.stopTimer = s.o.Clock.AfterFunc(w.after, w.race)
 	return w
 }
@@ -100,7 +104,7 @@
 	if p == 0 || !t.resumable() {
 		return nil
 	}
-	w := &silenceWatch{s: t.s, parent: t.ctx, a: t.a, q: t.q, lastEvent: t.lastEventID, after: max(stallPauses*p, minSilence)}
+	w := &silenceWatch{s: t.s, parent: t.ctx, a: t.a, q: t.q, lastEvent: t.lastEventID, after: max(stallPauses*p, minSilence), began: t.lastEventAt}
 	w.stopTimer = t.s.o.Clock.AfterFunc(w.after, w.race)
 	return w
 }
@@ -115,28 +119,41 @@
 		w.a.use.TimedOut(w.after)
 	}
 	w.a.use.Silent()
-	reason := ""
-	for wait := w.after; ; wait *= 2 {
-		unsent := w.a.wroteAt.Load() == 0
-		use, why := w.successor(unsent)
-		if use != nil || why != reason {
-			w.log(use, why, unsent)
-		}
+	defer w.recoverRace()
+	for reason := ""; ; {
+		over, why := w.runBackup()
 		switch {
-		case use != nil && unsent:
-			use.End(pool.ResultWithheld)
-			w.a.cancel(errUnresponsive) // nothing is lost: the request goes elsewhere
-			return
-		case use != nil && w.try(use):
+		case over:
 			return
+		case why == "":
+			continue // it failed: the next one is looked for at once
+		case why != reason:
+			w.log("silence_borne", zap.String("cause", why))
 		}
 		reason = why
-		if w.s.o.Clock.Sleep(w.ctx, wait) != nil {
+		if w.s.o.Clock.Sleep(w.ctx, successorInterval) != nil {
 			return
 		}
 	}
 }
 
+// runBackup makes a backup attempt if there is a successor, and reports whether the race is over. why tells why there was
+// none.
+func (w *silenceWatch) runBackup() (over bool, why string) {
+	use, why := w.successor()
+	if use == nil {
+		return false, why
+	}
+	if w.withdraw(use) {
+		return true, ""
+	}
+	if v, _ := w.s.decideRetry(w.q); v != retry.VerdictRetry {
+		use.End(pool.ResultWithheld)
+		return false, "the retry budget is spent, or no time is left"
+	}
+	return w.try(use), ""
+}
+
 // begin begins the race, unless the watch has ended.
 func (w *silenceWatch) begin() bool {
 	w.mu.Lock()
@@ -147,7 +164,7 @@
 	w.done = make(chan struct{})
 	w.ctx, w.cancel = context.WithCancelCause(w.parent)
 	c := *w.q
-	c.isCopy, c.mayHaveRun, c.search = true, true, retry.SearchLimit{}
+	c.isCopy, c.mayHaveRun, c.search = true, false, retry.SearchLimit{}
 	c.severedBy = slices.Clone(c.severedBy)
 	w.q, w.base = &c, c.counts()
 	if w.tried == nil {
@@ -156,9 +173,8 @@
 	return true
 }
 
-// successor chooses another upstream for the request, or returns why it may not go there. The attempt is taken from the retry
-// budget, unless it replaces one of which nothing was sent.
-func (w *silenceWatch) successor(unsent bool) (use *pool.Use, why string) {
+// successor chooses another upstream for the request, or returns why it may not go there.
+func (w *silenceWatch) successor() (use *pool.Use, why string) {
 	s, q := w.s, w.q
 	if q.sends >= q.route.MaxAttempts() || q.search.Next() == retry.ScopeNone {
 		return nil, "no attempt is left"
@@ -171,20 +187,24 @@
 	}
 	n := s.need(q, w.tried)
 	n.Successor = true
-	use = s.o.Pools.Pick(n)
-	if use == nil {
+	if use = s.o.Pools.Pick(n); use == nil {
 		return nil, "no other upstream can take it"
 	}
-	if unsent {
-		return use, ""
-	}
-	if v, _ := s.decideRetry(q); v != retry.VerdictRetry {
-		use.End(pool.ResultWithheld)
-		return nil, "the retry budget is spent, or no time is left"
-	}
 	return use, ""
 }
 
+// withdraw ends the watched attempt if nothing of it was sent, and reports whether it did. Nothing is lost then: the request
+// goes elsewhere.
+func (w *silenceWatch) withdraw(successor *pool.Use) bool {
+	if !w.a.withdraw() {
+		return false
+	}
+	w.log("attempt_withdrawn", zap.String("successor", successor.Entry().ID))
+	successor.End(pool.ResultWithheld)
+	w.a.cancel(errUnresponsive)
+	return true
+}
+
 // try makes an attempt at a successor, and reports whether the race is over.
 func (w *silenceWatch) try(use *pool.Use) bool {
 	if !w.setRunning() {
@@ -192,6 +212,8 @@
 		return true
 	}
 	count("backups", 1)
+	use.RecordPlacement(w.q.meta.Parts)
+	w.log("backup_sent", zap.String("successor", use.Entry().ID))
 	w.tried[use.Entry().ID] = true
 	b, err := w.s.runAttempt(w.ctx, w.q, use, w.lastEvent, w.tried)
 	if err == nil && !w.goesOn(b) {
@@ -201,6 +223,14 @@
 	return w.record(b)
 }
 
+// recoverRace keeps a fault of this node's own code from ending the process: the race has a goroutine of its own, and the
+// watched attempt is waited for.
+func (w *silenceWatch) recoverRace() {
+	if v := recover(); v != nil {
+		w.s.o.Log.Error("handler_failed", zap.String("request", w.q.meta.ID), zap.Any("cause", v), zap.ByteString("stack", debug.Stack()))
+	}
+}
+
 // setRunning records that an attempt of the backup begins, unless the watch has ended.
 func (w *silenceWatch) setRunning() bool {
 	w.mu.Lock()
@@ -235,16 +265,9 @@
 }
 
 // log logs how the request goes on while its upstream is silent.
-func (w *silenceWatch) log(use *pool.Use, why string, unsent bool) {
-	f := []zap.Field{
-		zap.String("request", w.q.meta.ID), zap.String("upstream", w.a.use.Entry().ID), zap.Duration("silent", w.after), zap.String("last_event", w.lastEvent),
-		zap.Int("sends", w.q.sends), zap.Duration("left", w.q.deadline.Sub(w.s.o.Clock.Now())),
-	}
-	if use == nil {
-		w.s.o.Log.Info("silence_borne", append(f, zap.String("cause", why))...)
-		return
-	}
-	w.s.o.Log.Info("backup_sent", append(f, zap.String("successor", use.Entry().ID), zap.Bool("first_unsent", unsent))...)
+func (w *silenceWatch) log(event string, more zap.Field) {
+	w.s.o.Log.Info(event, zap.String("request", w.q.meta.ID), zap.String("upstream", w.a.use.Entry().ID), zap.Duration("silent", w.s.o.Clock.Since(w.began)),
+		zap.String("last_event", w.lastEvent), zap.Int("sends", w.q.sends), zap.Duration("left", w.q.deadline.Sub(w.s.o.Clock.Now())), more)
 }
 
 // attemptEnd is how the wait for an attempt ended.
@@ -253,7 +276,7 @@
 const (
 	attemptFailed attemptEnd = iota
 	attemptWentOn
-	attemptComplete // nothing more is to come
+	attemptComplete // nothing more is to come: it is kept even if it was overtaken in that moment
 )
 
 // settle ends the wait, and reports whether the watched attempt is kept. One that was overtaken while it went on is kept
@@ -314,7 +337,7 @@
 	q.sends += c.sends - base.sends
 	q.arrivals += c.arrivals - base.arrivals
 	q.severedBy = append(q.severedBy, c.severedBy[base.severed:]...)
-	q.mayHaveRun = q.mayHaveRun || c.arrivals > base.arrivals
+	q.mayHaveRun = q.mayHaveRun || c.mayHaveRun
 	if c.upstreamFailure != nil {
 		q.upstreamFailure = c.upstreamFailure
 	}
--- a/internal/forward/withhold.go
+++ b/internal/forward/withhold.go
@@ -23,7 +23,9 @@
 // mayWrite returns nil if the attempt may be sent now, or else the reason for which it may not. It is called by the
 // goroutine that writes to the connection.
 func (s *Server) mayWrite(a *attempt, q *request) error {
-	a.wroteAt.Store(int64(s.o.Clock.Since(q.arrived)))
+	if !a.write(s.o.Clock.Since(q.arrived)) {
+		return errUnresponsive
+	}
 	if err := a.ctx.Err(); err != nil {
 		return err
 	}
