Soak: silent seconds that leave nobody else who could serve, and a check of the answers that they end

The fault "second" didn't find what was mended: half of the upstreams at most were silent, and daemons waited longer than that, since routes aimed at 500 ms. The new check "silence": at daemons in touch no answer is cut, unanswered, or ends as 502 or 504 with 0.5 s or more left, while its upstream was silent and nothing else was wrong.

The number of kinds that TestDraw expects is higher by the new kind.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -90,11 +90,7 @@
 // calm tells whether no fault that fits was in force in a span, or lately before it, and the VM ran what was due.
 func (v *view) calm(from, to time.Time, fits func(f Fault) bool) bool {
 	return !v.stalled(from, to) && !slices.ContainsFunc(v.Day.Faults, func(f Fault) bool {
-		end := f.End()
-		if f.plannedStop() || f.Kind == FaultReclaim || f.Kind == FaultDrain || f.Kind == FaultRelease || f.Kind == FaultCrash || f.Kind == FaultPart || f.Kind == FaultKill || f.Kind == FaultKillAll {
-			end += stopGrace + 2*time.Second // until the process has started again
-		}
-		return f.At <= v.at(to) && end+lately >= v.at(from) && fits(f)
+		return f.At <= v.at(to) && f.passed()+lately >= v.at(from) && fits(f)
 	})
 }
 
@@ -125,7 +121,7 @@
 // unplanned is anything but what upstreams and operators do themselves.
 func unplanned(f Fault) bool {
 	switch f.Kind {
-	case FaultTerm, FaultPress, FaultConfig, FaultKeys, FaultQuota, FaultLimit, FaultDrain, FaultRelease, FaultReclaim, FaultSecond:
+	case FaultTerm, FaultPress, FaultConfig, FaultKeys, FaultQuota, FaultAims, FaultLimit, FaultDrain, FaultRelease, FaultReclaim, FaultSecond:
 		return false
 	default:
 		return true
@@ -139,7 +135,7 @@
 func Check(r Record) []Failure {
 	v := newView(r)
 	var list []Failure
-	for _, c := range []func(v *view) []Failure{checkWhole, checkOnce, checkNotRun, checkAttempts, checkDrains, checkVersions, checkConfig, checkKeys, checkQuota, checkRepeats, checkLimits, checkEgress, checkBrittle, checkParts, checkEnds, checkStops, checkAnswered, checkLost} {
+	for _, c := range []func(v *view) []Failure{checkWhole, checkOnce, checkNotRun, checkAttempts, checkDrains, checkVersions, checkConfig, checkKeys, checkQuota, checkRepeats, checkLimits, checkEgress, checkBrittle, checkParts, checkEnds, checkStops, checkAnswered, checkSilence, checkLost} {
 		list = append(list, c(v)...)
 	}
 	if r.Complete {
--- a/internal/soak/day.go
+++ b/internal/soak/day.go
@@ -49,6 +49,7 @@
 	FaultConfig    Kind = "config"     // the operators move a route
 	FaultKeys      Kind = "keys"       // the operators withdraw a key
 	FaultQuota     Kind = "quota"      // the operators lower a quota
+	FaultAims      Kind = "aims"       // the operators aim at shorter times, in answers and between a stream's events
 	FaultLimit     Kind = "limit"      // an upstream names a rate for all daemons
 	FaultErrors    Kind = "errors"     // an upstream fails a part of its requests
 	FaultLost      Kind = "lost"       // an upstream runs requests and loses their answers
--- a/internal/soak/day_test.go
+++ b/internal/soak/day_test.go
@@ -28,7 +28,7 @@
 				}
 			}
 		}
-		assert.Len(t, seen, len(kinds)+7)
+		assert.Len(t, seen, len(kinds)+8)
 	})
 	t.Run("faults overlap", func(t *testing.T) {
 		n := 0
--- a/internal/soak/draw.go
+++ b/internal/soak/draw.go
@@ -48,6 +48,7 @@
 	d.Mixed = rand.New(rand.NewPCG(seed, 0x3e75)).IntN(2) == 0 && !o.OneVersion
 	d.Faults = append(d.Faults, d.drawReleased(rand.New(rand.NewPCG(seed, 0x7e1e)), d.Traffic-quietAfter)...)
 	d.Faults = append(d.Faults, d.drawBetween(rand.New(rand.NewPCG(seed, 0xba7e)), d.Traffic-quietAfter)...)
+	d.Faults = append(d.Faults, d.drawStill(rand.New(rand.NewPCG(seed, 0x5717)))...)
 	slices.SortStableFunc(d.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return d
 }
@@ -108,7 +109,7 @@
 	}
 	if r.IntN(2) == 0 {
 		f := Fault{Kind: FaultSecond, On: OnUpstreams, Who: d.some(r, OnUpstreams)}
-		f.At, f.For = span(800*time.Millisecond, 1400*time.Millisecond)
+		f.At, f.For = span(leastSecond, mostSecond)
 		list = append(list, f)
 	}
 	return list
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -18,7 +18,7 @@
 	switch f.Kind {
 	case FaultDelay:
 		s.hold(ctx, f, Mode{Delay: seconds(f.X)})
-	case FaultSilent:
+	case FaultSilent, FaultSecond:
 		s.hold(ctx, f, Mode{Silent: true})
 	case FaultOldSilent:
 		s.hold(ctx, f, Mode{Old: s.clock.Now()})
@@ -46,6 +46,8 @@
 		s.log(s.configure(ctx, func(c *Configuration) { c.Withdrawn = true }))
 	case FaultQuota:
 		s.log(s.configure(ctx, func(c *Configuration) { c.Lowered = true }))
+	case FaultAims:
+		s.log(s.configure(ctx, func(c *Configuration) { c.Tight = true }))
 	case FaultLimit:
 		s.behave(ctx, f, Behaviour{Limit: f.X})
 	case FaultErrors:
@@ -56,8 +58,6 @@
 		s.cutEgress(ctx, f)
 	case FaultBrittle:
 		s.behave(ctx, f, Behaviour{Brittle: f.X})
-	case FaultSecond:
-		s.hold(ctx, f, Mode{Silent: true})
 	case FaultPart:
 		s.restartCrashed(ctx, f)
 	case FaultSpoil:
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -43,6 +43,7 @@
 	Moved     bool // the moving route goes to the other plain service
 	Withdrawn bool // a key is taken away
 	Lowered   bool // the narrow workspace's quota is halved
+	Tight     bool // routes aim at shorter times
 }
 
 // The services.
