--- /dev/null
+++ b/internal/edge/instep_test.go
@@ -0,0 +1,86 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"spurhall.example/spurhall/internal/pool"
+	"spurhall.example/spurhall/internal/store"
+	"spurhall.example/spurhall/internal/wire"
+)
+
+func assertInStep(t *testing.T, want bool, n *Node) {
+	t.Helper()
+	holds, _ := n.inStep()
+	assert.Equal(t, want, holds)
+}
+
+// hearFrom lets a node hear from so many of its peers.
+func (n *Node) hearFrom(peers int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, p := range n.peers.peers {
+		if peers--; peers >= 0 {
+			p.LastSeen = n.clock.Now()
+		}
+	}
+}
+
+func TestInStep(t *testing.T) {
+	t.Run("a node that follows", func(t *testing.T) {
+		n, clock := newAgingNode(t)
+		clock.Advance(pool.MaxVersionLag)
+		assertInStep(t, true, n)
+		clock.Advance(time.Millisecond)
+		assertInStep(t, false, n)
+		hear(t, n, &wire.FollowResponse{Watching: true})
+		holds, steady := n.inStep()
+		assert.True(t, holds)
+		assert.False(t, steady, "what it has just heard of may be old")
+	})
+	t.Run("a watch that hangs", func(t *testing.T) {
+		n, clock := newAgingNode(t)
+		n.listFollower.MarkConnected()
+		var err error
+		kv := n.guard.Wrap(store.KV{KeepAlive: func(context.Context, int64) (time.Duration, error) { return 0, err }})
+		for range 5 {
+			clock.Advance(2 * time.Second)
+			_, got := kv.KeepAlive(t.Context(), 1)
+			require.NoError(t, got)
+			assertInStep(t, true, n)
+		}
+		err = errors.New("no answer")
+		clock.Advance(2 * time.Second)
+		_, _ = kv.KeepAlive(t.Context(), 1)
+		assertInStep(t, true, n)
+		clock.Advance(time.Second)
+		assertInStep(t, false, n)
+		assertCurrent(t, true, n)
+	})
+	t.Run("the store is away", func(t *testing.T) {
+		n, clock := newAgingNode(t)
+		n.listFollower.MarkLost(errors.New("no answer"))
+		size := len(n.peers.peers)
+		for range 10 {
+			clock.Advance(time.Second)
+			n.hearFrom(size)
+			assertInStep(t, true, n)
+		}
+		t.Run("and half of the nodes are", func(t *testing.T) {
+			clock.Advance(5 * time.Second)
+			n.hearFrom((size+1)/2 - 1)
+			assertInStep(t, false, n)
+		})
+		t.Run("and another node has a later list", func(t *testing.T) {
+			clock.Advance(5 * time.Second)
+			n.hearFrom(size)
+			n.recordListChange("w", n.pools.Revision()+1)
+			assertInStep(t, false, n)
+		})
+	})
+}
