In a single hall, a stream's version had one keeper (LOST)

Callers saw, where all nodes are in one hall: streams taken up while one node was frozen or had ended were refused, as nobody knew their version, if that node was the keeper or had kept what it began itself.

Cause: keepers are one node in each of two halls. Of a single hall that is one node in all, and often the one that began the stream.

Evidence (TestStreamsOfOneHallHaveOneKeeper), before: for each of 100 streams "should have 2 item(s), but has 1".

Change: in a single hall, the first two candidates are told; these two are asked already.

--- a/internal/lineage/leave_test.go
+++ b/internal/lineage/leave_test.go
@@ -118,3 +118,15 @@
 	defer f.mu.Unlock()
 	assert.LessOrEqual(t, f.longest, maxUntold, "streams in one message")
 }
+
+// TestStreamsOfOneHallHaveOneKeeper guards against streams that nobody knows once one node of a single hall doesn't answer.
+func TestStreamsOfOneHallHaveOneKeeper(t *testing.T) {
+	nodes := fleet(1, 5)
+	for i := range 100 {
+		told := Told(KeyOf("w", fmt.Sprint(i)), nodes)
+		assert.Len(t, told, keeperHalls)
+		assert.Subset(t, Asked(KeyOf("w", fmt.Sprint(i)), nodes), told)
+	}
+	assert.Len(t, Told(KeyOf("w", "x"), fleet(1, 1)), 1)
+	assert.Empty(t, Told(KeyOf("w", "x"), nil))
+}
--- a/internal/lineage/lineage.go
+++ b/internal/lineage/lineage.go
@@ -3,10 +3,11 @@
 //
 // While a service has upstreams of one version alone, nothing is told or asked by nodes that can know so. While it has
 // several, the node that begins a resumable stream tells two others, its keepers: in each of two halls drawn from the
-// stream's key, the first of the hall's candidates in an order that is drawn from the key, too. Whoever takes the stream up
-// asks these, and the next in each order. A stream costs a fixed number of messages, whatever the size of the fleet. The
-// candidates are a tenth of a hall's nodes, and two at least: each stores what it keeps, and keeps twice the streams of ten
-// nodes at most. When a second version appears, nodes tell of the streams that they have, before it gets its first request.
+// stream's key, the first of the hall's candidates in an order that is drawn from the key, too; in a single hall the first
+// two. Whoever takes the stream up asks these, and the next in each order. A stream costs a fixed number of messages,
+// whatever the size of the fleet. The candidates are a tenth of a hall's nodes, and two at least: each stores what it keeps,
+// and keeps twice the streams of ten nodes at most. When a second version appears, nodes tell of the streams that they have,
+// before it gets its first request.
 //
 // All nodes may end at once, and all in turn within a stream's time. So each node stores what it remembers, several times a
 // second while that changes, and its next process reads it; and a node that stops tells it to those that stay. A process
@@ -233,6 +234,9 @@
 	for _, n := range nodes {
 		halls.add(n.Hall, k)
 	}
+	if len(halls.list) == 1 {
+		perHall = max(perHall, keeperHalls)
+	}
 	var list []string
 	for _, h := range halls.list {
 		t := top{most: perHall}
