Streams of a node that was frozen as a version arrived were lost (LOST)

Callers saw: a node stands still; its callers take their streams up at other nodes, which are in touch, and two upstreams of the streams' version serve. A second version has arrived meanwhile: all were refused, as nobody knew their version.

Cause: while one version served, streams were known to the node that began them alone. When a second one appears each node tells of its own, but one that is frozen, or has ended, doesn't.

Change: while one version serves, a node tells its streams' keepers of those in progress once a second, in one message to each keeper; streams that are over by then cost nothing. Nothing is stored meanwhile: keepers store what they have when a service gets a second version.

--- a/internal/edge/lineage.go
+++ b/internal/edge/lineage.go
@@ -24,7 +24,7 @@
 	return lineage.NewKeeper(lineage.Options{
 		Clock: n.clock, Log: n.log, Node: n.settings.Node, Nodes: n.streamKeepers, Tell: n.tellStreams, Ask: n.askStream,
 		InStep: func() bool { v, _ := n.inStep(); return v },
-		Saved:  lineage.Saved{Load: n.loadStreams, Save: n.savedStreams.Save, Interval: n.saveInterval},
+		Saved:  lineage.Saved{Load: n.loadStreams, Save: n.savedStreams.Save, Interval: n.saveInterval, Needed: n.pools.MixesVersions},
 	})
 }
 
@@ -155,5 +155,6 @@
 	if len(known) > 1 && added {
 		n.log.Info("versions_mixed", zap.String("service", service), zap.Strings("versions", known))
 		n.front.TellStreams(service)
+		n.streams.SaveSoon()
 	}
 }
--- a/internal/forward/lineage.go
+++ b/internal/forward/lineage.go
@@ -35,18 +35,24 @@
 // help it, and a node that was away may be back then.
 const retryAfterLost = 2 * time.Second
 
+// tellPause is the time between two times at which streams are told of whose service has one version. A version may arrive
+// while this node is frozen or has ended, after which nobody would know of them. A pause of this length makes it few messages;
+// the streams of the last one are lost then.
+const tellPause = time.Second
+
 // streamSet is the set of resumable streams in progress.
 type streamSet struct {
-	mu   sync.Mutex
-	open map[*request]bool
+	mu     sync.Mutex
+	open   map[*request]bool // whether it has been told of
+	toldAt time.Time
 }
 
 func newStreamSet() streamSet { return streamSet{open: make(map[*request]bool)} }
 
-func (t *streamSet) add(q *request) {
+func (t *streamSet) add(q *request, told bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.open[q] = true
+	t.open[q] = told
 }
 
 func (t *streamSet) remove(q *request) {
@@ -130,12 +136,30 @@
 		return
 	}
 	q.version = a.use.Entry().Version
-	s.streams.add(q)
-	if known, _ := s.o.Pools.StreamVersions(q.service, q.streamTime()); len(known) > 1 {
+	known, _ := s.o.Pools.StreamVersions(q.service, q.streamTime())
+	mixed := len(known) > 1
+	s.streams.add(q, mixed)
+	if mixed {
 		s.tell(q, q.version)
 	}
 }
 
+// TellNewStreams makes known which versions began the streams in progress that haven't been told of, after a pause.
+func (s *Server) TellNewStreams(now time.Time) {
+	s.streams.mu.Lock()
+	defer s.streams.mu.Unlock()
+	if now.Sub(s.streams.toldAt) < tellPause {
+		return
+	}
+	s.streams.toldAt = now
+	for q, told := range s.streams.open {
+		if !told {
+			s.streams.open[q] = true
+			s.tell(q, q.version)
+		}
+	}
+}
+
 func (s *Server) tell(q *request, version string) {
 	s.o.Lineage.Tell(lineage.Record{Key: q.streamKey(), Version: version, Left: q.deadline.Sub(s.o.Clock.Now()) + lineageSlack})
 }
--- a/internal/lineage/lineage.go
+++ b/internal/lineage/lineage.go
@@ -1,18 +1,18 @@
 // Package lineage remembers which software version began a stream. Streams may go on only at upstreams of that version,
 // and their callers come back to any node, often because the one that began them has ended.
 //
-// While a service has upstreams of one version alone, nothing is told or asked by nodes that can know so. While it has
-// several, the node that begins a resumable stream tells two others, its keepers: in each of two halls drawn from the
-// stream's key, the first of the hall's candidates in an order that is drawn from the key, too; in a single hall the first
-// two. Whoever takes the stream up asks these, and the next in each order. A stream costs a fixed number of messages,
-// whatever the size of the fleet. The candidates are a tenth of a hall's nodes, and two at least: each stores what it keeps,
-// and keeps twice the streams of ten nodes at most. When a second version appears, nodes tell of the streams that they have,
-// before it gets its first request.
+// While a service has upstreams of one version alone, nothing is asked by nodes that can know so. The node that begins a
+// resumable stream tells two others, its keepers: in each of two halls drawn from the stream's key, the first of the hall's
+// candidates in an order that is drawn from the key, too; in a single hall the first two. Whoever takes the stream up asks
+// these, and the next in each order. A stream costs a fixed number of messages, whatever the size of the fleet. The candidates
+// are a tenth of a hall's nodes, and two at least: each keeps twice the streams of ten nodes at most. While there is one
+// version, streams are told of once a second, if they last, and nothing is stored: a second version may appear while the node
+// that began them is frozen. When it does, nodes tell of the streams that they have, before it gets its first request.
 //
-// All nodes may end at once, and all in turn within a stream's time. So each node stores what it remembers, several times a
-// second while that changes, and its next process reads it; and a node that stops tells it to those that stay. A process
-// that starts doesn't know which versions served before: the holder of the duties stores them, and until they are read, no
-// stream is taken up there.
+// All nodes may end at once, and all in turn within a stream's time. So while there are several versions each node stores what
+// it remembers, several times a second while that changes, and its next process reads it; and a node that stops tells it to
+// those that stay. A process that starts doesn't know which versions served before: the holder of the duties stores them, and
+// until they are read, no stream is taken up there.
 //
 // A node that is out of step with the others (package follow) may lack a version that they use. It asks them though it knows of
 // one alone, and takes nothing up that they can't answer for.
--- a/internal/lineage/saved.go
+++ b/internal/lineage/saved.go
@@ -16,6 +16,8 @@
 	Load func(ctx context.Context) ([]Record, error)
 	// Save stores what the node remembers.
 	Save func(ctx context.Context, list []Record) error
+	// Needed reports whether what nodes remember has to outlast them: only while a service has several versions.
+	Needed func() bool
 	// Interval returns the shortest time between two saves.
 	Interval func() time.Duration
 }
@@ -66,6 +68,13 @@
 func (k *Keeper) keep(streams int) {
 	if streams > 0 {
 		k.kept.Add(int64(streams))
+		k.SaveSoon()
+	}
+}
+
+// SaveSoon has what the node remembers stored if it has come to keep more, and if that is needed now.
+func (k *Keeper) SaveSoon() {
+	if k.o.Save != nil && k.o.Needed() {
 		k.markDirty()
 	}
 }
@@ -100,7 +109,7 @@
 // is read.
 func (k *Keeper) Save(ctx context.Context) {
 	kept := k.kept.Load() // before the records are looked up: more may come meanwhile
-	if k.o.Save == nil || !k.isRestored() || kept == k.saved.Load() {
+	if k.o.Save == nil || !k.isRestored() || kept == k.saved.Load() || !k.o.Needed() {
 		return
 	}
 	list := k.book.Records(k.o.Clock.Now())
--- a/internal/lineage/saved_test.go
+++ b/internal/lineage/saved_test.go
@@ -19,6 +19,7 @@
 	down   bool
 	// unreadable says that reads fail, and writes don't.
 	unreadable bool
+	calm       bool // services have one version each
 }
 
 func (m *memoryStore) setDown(down bool) {
@@ -61,6 +62,11 @@
 			return nil
 		},
 		Interval: func() time.Duration { return MinSaveInterval },
+		Needed: func() bool {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			return !m.calm
+		},
 	}
 }
 
@@ -218,6 +224,28 @@
 	assert.Len(t, m.stored("n0-0"), 2, "both are stored once it is")
 }
 
+// TestStreamsAreStoredWhileOneVersionServes guards against writes to the store in calm times.
+func TestStreamsAreStoredWhileOneVersionServes(t *testing.T) {
+	f, m := newStoringFleet(t, 1, 1)
+	k := f.keeper("n0-0")
+	require.True(t, k.AwaitRestored(t.Context()))
+	m.setCalm(true)
+	k.Tell(Record{KeyOf("w", "calm"), "v1.1", time.Minute})
+	time.Sleep(2 * MinSaveInterval)
+	k.Save(t.Context())
+	assert.Zero(t, m.writeCount())
+	m.setCalm(false)
+	k.SaveSoon()
+	time.Sleep(2 * MinSaveInterval)
+	assert.Len(t, m.stored("n0-0"), 1, "a second version serves")
+}
+
+func (m *memoryStore) setCalm(calm bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calm = calm
+}
+
 func (m *memoryStore) stored(node string) []Record {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/pool/lineage.go
+++ b/internal/pool/lineage.go
@@ -42,6 +42,20 @@
 	return m
 }
 
+// streamsLast is for how long versions count that are gone when it is asked whether there are several: longer than routes
+// let streams be taken up.
+const streamsLast = 10 * time.Minute
+
+// MixesVersions reports whether upstreams of several versions of a service are listed, or were lately.
+func (p *Pools) MixesVersions() bool {
+	for _, list := range p.LateVersions(streamsLast) {
+		if len(list) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // RestoreVersions records that versions served before this process started: of those that aren't listed the last upstream
 // may have gone just now. They may all have begun streams.
 func (p *Pools) RestoreVersions(m map[string][]string) {
