--- a/internal/store/guard.go
+++ b/internal/store/guard.go
@@ -112,7 +112,7 @@
 // updateBreaker opens the breaker after breakerThreshold consecutive failures, and reports whether
 // err is a failure.
 func (g *Guard) updateBreaker(err error) bool {
-	if err == nil || errors.Is(err, ErrLeaseGone) || errors.Is(err, ErrCompacted) {
+	if err == nil || errors.Is(err, ErrLeaseGone) || errors.Is(err, ErrCompacted) || errors.Is(err, ErrNotTaken) {
 		g.failures, g.up = 0, true
 		return false
 	}
--- a/internal/store/guard_test.go
+++ b/internal/store/guard_test.go
@@ -45,6 +45,7 @@
 		{"a call that is rejected", ErrUnavailable, true},
 		{"a call over the store's rate", ErrBudget, false},
 		{"an expired lease", ErrLeaseGone, false},
+		{"a call that the store doesn't take", ErrNotTaken, false},
 		{"a response", nil, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/store/kv.go
+++ b/internal/store/kv.go
@@ -36,6 +36,9 @@
 	// ErrWatchUntrusted means that a watch was ended because another call failed, so that it may
 	// have missed changes. It is no proof of an outage: the next read shows that.
 	ErrWatchUntrusted = errs.NewType("doubted").New("another call failed, this watch is no longer trusted")
+	// ErrNotTaken means that the store takes no such call, whoever makes it and when: a key that is too long, say. It shows
+	// that the store answers.
+	ErrNotTaken = errs.NewType("not_taken").New("the platform takes no such call, it had no effect")
 	// ErrLeaseGone means that a lease has expired or was revoked.
 	ErrLeaseGone = errs.NewType("lease_gone").New("the lease has expired")
 )
