An entry that names a hall which doesn't exist had upstreams ordered there

What was seen: an entry of another writer whose hall is none of the deployment's counts as capacity of its service, and its hall as one more that the service runs in: the holder of the duties plans the service's minimum there and orders it, which the cloud can't take, again at each step; the need is divided among one hall too many.

Cause: any hall that an entry names was taken as one, at the price 1.

Change: a hall exists if the node's settings list it, or the service has a price for it; where neither lists any, as before.

Evidence: before, TestNothingIsOrderedInAHallThatDoesNotExist fails with `elements differ ... extra elements in list B: nowhere`; with the change it passes. Seen by this test alone, not on real nodes.

--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -213,7 +213,7 @@
 		return h
 	}
 	for _, g := range o.n.pools.Counts(o.n.reachableHalls()) {
-		if g.Service != s.Name || !o.n.countsAsCapacity(g.Service, g.Version) {
+		if g.Service != s.Name || !o.n.countsAsCapacity(g.Service, g.Version) || !autoscale.Exists(g.Hall, o.n.settings.Halls, s.Scaling.ZonePrices) {
 			continue
 		}
 		h := get(g.Hall)
--- a/internal/edge/orders_test.go
+++ b/internal/edge/orders_test.go
@@ -66,6 +66,26 @@
 	})
 }
 
+// TestNothingIsOrderedInAHallThatDoesNotExist guards against orders for a hall that an entry of another writer names, and
+// against such an upstream that counts as capacity.
+func TestNothingIsOrderedInAHallThatDoesNotExist(t *testing.T) {
+	clock := timer.NewManual(time.Unix(1000, 0))
+	o := newListedOrderer(clock.Service())
+	o.n.settings.Halls["c"] = "r"
+	o.n.pools.Update(func(l *pool.List) {
+		for id, hall := range map[string]string{"c1": "c", "odd": "nowhere"} {
+			l.Put(pool.Item{Entry: pool.Entry{ID: id, Hall: hall, Service: "s", Address: "10.0.0.1:1", Slots: 8, Version: "v1"}})
+		}
+	})
+	s := &catalog.ServiceSpec{Name: "s", Scaling: &catalog.ScalingSpec{Min: 2, Max: 4, ZonePrices: map[string]float64{"a": 1, "b": 1}}}
+	states := o.hallStates(s)
+	var halls []string
+	for _, c := range autoscale.NewMixPlanner(autoscale.DefaultMixOptions(time.Second)).Plan(0, autoscale.MixSpec{Min: 2, Max: 4}, states) {
+		halls = append(halls, c.Hall)
+	}
+	assert.ElementsMatch(t, []string{"a", "b", "c"}, halls)
+}
+
 // TestUntriedVersionsAreNoCapacity checks that upstreams of a roll-out's target count only from its end on,
 // when those of the previous version are gone.
 func TestUntriedVersionsAreNoCapacity(t *testing.T) {
