--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -125,15 +125,15 @@
 // unplanned is anything but what upstreams and operators do themselves.
 func unplanned(f Fault) bool {
 	switch f.Kind {
-	case FaultTerm, FaultPress, FaultConfig, FaultKeys, FaultQuota, FaultLimit, FaultDrain, FaultRelease, FaultReclaim, FaultSecond:
+	case FaultTerm, FaultPress, FaultConfig, FaultKeys, FaultQuota, FaultLimit, FaultDrain, FaultRelease, FaultReclaim, FaultSecond, FaultOdd:
 		return false
 	default:
 		return true
 	}
 }
 
-// anything is any fault.
-func anything(Fault) bool { return true }
+// anything is any fault but odd entries, which excuse nothing.
+func anything(f Fault) bool { return f.Kind != FaultOdd }
 
 // Check returns the promises that a record breaks. What needs the whole day is looked at once it is over.
 func Check(r Record) []Failure {
--- a/internal/soak/day.go
+++ b/internal/soak/day.go
@@ -59,6 +59,7 @@
 	FaultStarve    Kind = "starve"     // daemons run for a small part of the time, X; upstreams leave meanwhile
 	FaultPart      Kind = "part"       // streams come with a part that crashes each engine which begins to answer, X a second
 	FaultRelease   Kind = "release"    // engines are replaced by ones of another version: their entries go, and they serve on for a while
+	FaultOdd       Kind = "odd"        // another writer leaves an odd entry among those of the upstreams, as How says, which is no disturbance
 	FaultPress     Kind = "press"      // SIGTERM of daemons that more callers use; they aren't scheduled when they close connections
 )
 
@@ -79,6 +80,18 @@
 	StoreBusy   = "busy"
 )
 
+// What is odd about an entry of another writer.
+const (
+	OddDeep      = "deep"      // nested very deeply
+	OddNumber    = "number"    // a number that is too large
+	OddPort      = "port"      // a port out of range
+	OddLong      = "long"      // a version of 60 kB
+	OddID        = "id"        // an id with control characters
+	OddSame      = "same"      // the id of an upstream, which writes again
+	OddElsewhere = "elsewhere" // a hall that doesn't exist
+	OddOrder     = "order"     // not an entry: an order of the operators, of a service whose name is as long as a key may be
+)
+
 // Target is what a fault strikes.
 type Target string
 
--- a/internal/soak/day_test.go
+++ b/internal/soak/day_test.go
@@ -28,7 +28,19 @@
 				}
 			}
 		}
-		assert.Len(t, seen, len(kinds)+7)
+		assert.Len(t, seen, len(kinds)+8)
+	})
+	t.Run("odd entries of each kind come, and change nothing else", func(t *testing.T) {
+		seen := make(map[string]bool)
+		for seed := range uint64(200) {
+			d := Draw(seed, Options{})
+			for _, f := range d.Faults {
+				if f.Kind == FaultOdd {
+					seen[f.How] = true
+				}
+			}
+		}
+		assert.Len(t, seen, 8)
 	})
 	t.Run("faults overlap", func(t *testing.T) {
 		n := 0
--- a/internal/soak/draw.go
+++ b/internal/soak/draw.go
@@ -48,6 +48,7 @@
 	d.Mixed = rand.New(rand.NewPCG(seed, 0x3e75)).IntN(2) == 0 && !o.OneVersion
 	d.Faults = append(d.Faults, d.drawReleased(rand.New(rand.NewPCG(seed, 0x7e1e)), d.Traffic-quietAfter)...)
 	d.Faults = append(d.Faults, d.drawBetween(rand.New(rand.NewPCG(seed, 0xba7e)), d.Traffic-quietAfter)...)
+	d.Faults = append(d.Faults, d.drawOdd(rand.New(rand.NewPCG(seed, 0x0dde)), d.Traffic-quietAfter)...)
 	slices.SortStableFunc(d.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return d
 }
@@ -195,6 +196,22 @@
 	return []Fault{f}
 }
 
+// drawOdd draws odd entries of another writer, from a sequence of their own as well.
+func (d *Day) drawOdd(r *rand.Rand, last time.Duration) []Fault {
+	if r.IntN(3) > 0 {
+		return nil
+	}
+	var list []Fault
+	for range 1 + r.IntN(3) {
+		f := Fault{Kind: FaultOdd, On: OnUpstreams, Who: d.some(r, OnUpstreams)[:1]}
+		f.How = []string{OddDeep, OddNumber, OddPort, OddLong, OddID, OddSame, OddElsewhere, OddOrder}[r.IntN(8)]
+		f.At = quietBefore + time.Duration(r.Int64N(int64(last-quietBefore)))
+		f.For = time.Duration(r.Int64N(int64(last - f.At)))
+		list = append(list, f)
+	}
+	return list
+}
+
 // partLasts is long enough for five crashes, the time in which daemons hear of each other, and more streams after it.
 const partLasts = 6500 * time.Millisecond
 
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"os"
 	"sync"
 	"syscall"
@@ -40,12 +41,8 @@
 		s.endUpstreams(ctx, f)
 	case FaultStore, FaultLapse, FaultForget, FaultCopy:
 		s.strikeStore(ctx, f)
-	case FaultConfig:
-		s.log(s.configure(ctx, func(c *Configuration) { c.Moved = true }))
-	case FaultKeys:
-		s.log(s.configure(ctx, func(c *Configuration) { c.Withdrawn = true }))
-	case FaultQuota:
-		s.log(s.configure(ctx, func(c *Configuration) { c.Lowered = true }))
+	case FaultConfig, FaultKeys, FaultQuota:
+		s.log(s.configure(ctx, func(c *Configuration) { c.change(f.Kind) }))
 	case FaultLimit:
 		s.behave(ctx, f, Behaviour{Limit: f.X})
 	case FaultErrors:
@@ -60,6 +57,8 @@
 		s.hold(ctx, f, Mode{Silent: true})
 	case FaultPart:
 		s.restartCrashed(ctx, f)
+	case FaultOdd:
+		s.writeOdd(ctx, f)
 	case FaultSpoil:
 		s.behave(ctx, f, Behaviour{Share: f.X, Spoils: true})
 	}
@@ -328,6 +327,29 @@
 	}
 }
 
+// change makes the operators' change of a kind.
+func (c *Configuration) change(k Kind) {
+	switch k {
+	case FaultKeys:
+		c.Withdrawn = true
+	case FaultQuota:
+		c.Lowered = true
+	default:
+		c.Moved = true
+	}
+}
+
+// writeOdd writes an odd entry, and removes it if it isn't an upstream's own.
+func (s *Stage) writeOdd(ctx context.Context, f Fault) {
+	key, value := s.world.OddEntry(f.How, upstreamName(f.Who[0]))
+	s.log(WriteKey(context.WithoutCancel(ctx), s.control(), http.MethodPut, key, value))
+	if f.How == OddSame {
+		return
+	}
+	s.lasts(ctx, f)
+	s.log(WriteKey(context.WithoutCancel(ctx), s.control(), http.MethodDelete, key, nil))
+}
+
 func (s *Stage) behave(ctx context.Context, f Fault, b Behaviour) {
 	set := func(b Behaviour) {
 		for _, i := range f.Who {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -14,6 +14,8 @@
 	Configuration func(c Configuration) (key string, value []byte)
 	// EntryKey returns where an upstream's entry stands.
 	EntryKey func(upstream string) string
+	// OddEntry returns what is odd about an entry of another writer, beside or instead of an upstream's.
+	OddEntry func(how, upstream string) (key string, value []byte)
 	// WriteCall puts a caller's words into a request.
 	WriteCall func(r *http.Request, c Call, id string, wait time.Duration)
 	// Signed returns the upstream that signed an answer; empty: none.
