Bytes behind a complete response were taken for the response to the next request

What callers saw: an upstream that sends more after a complete response, a second response or other bytes, could answer the next request on that connection with them. With the id of another request, or none of HTTP, the next caller got 502 for a request that nobody had reason to fail; a 2xx with a signature and no id would have been forwarded as its response.

Cause: net/http returns a connection to its idle list as soon as a response is complete, and looks at what is left in its buffer only afterwards. Another request that waits for a connection gets it in between, and what is left counts as its response, also before a byte of it has been written.

Fix: the first write of a request on a reused connection waits until the transport reads on, which it does only when nothing is left. If its response begins before that, the connection is sealed: nothing is written, and the request goes elsewhere (ErrNotSent), whatever its route. A write on a connection that was closed here before isn't counted as one. What arrives while the request is being written is told apart by its id alone, as before.

--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -2,7 +2,7 @@
 // failure whether any byte of the request may have reached the upstream. The caller may
 // be told that a request was not run only if none has.
 //
-// Three properties of net/http's transport matter for this:
+// Four properties of net/http's transport matter for this:
 //
 //   - It resends a request when a reused connection breaks, if it considers the request
 //     idempotent. A POST with an Idempotency-Key header and no body counts as such, which
@@ -11,6 +11,11 @@
 //   - It returns when the context is cancelled although its writer may be about to
 //     write. So after a failure the connection is sealed before the writes on it are
 //     counted.
+//   - It keeps a connection on which more has arrived than the response, and the next
+//     request can get it before the transport looks at what is left, which then counts
+//     as that request's response. So a request on a reused connection is written only
+//     once the transport reads on (see conn.awaitRead), and not at all if the response
+//     to it has begun before.
 //   - It doesn't follow redirects when used as a transport. That is intended: a redirect
 //     is returned to the caller.
 package upstream
@@ -66,15 +71,27 @@
 	writes  int
 	sealed  bool
 	severed bool
+	closed  bool
 	check   func() error // called before the next write; nil: none
 	refused error        // of that call
+	reading bool         // a Read is in progress
+	unread  bool         // the transport hasn't read on since the last response, of which more may have arrived
+	changed sync.Cond    // of mu: sealed, closed or unread has changed
+}
+
+func newConn(v net.Conn) *conn {
+	c := &conn{Conn: v}
+	c.changed.L = &c.mu
+	return c
 }
 
 // Read records that the peer has closed or reset the connection. The transport then closes its own end
 // and may be about to write; it returns the error of that write, which doesn't show which end closed
 // the connection.
 func (c *conn) Read(b []byte) (int, error) {
+	c.setReading(true)
 	n, err := c.Conn.Read(b)
+	c.setReading(false)
 	if err != nil && Severed(err) {
 		c.mu.Lock()
 		c.severed = true
@@ -83,6 +100,24 @@
 	return n, err
 }
 
+func (c *conn) setReading(v bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = v
+	if v && c.unread {
+		c.unread = false
+		c.changed.Broadcast()
+	}
+}
+
+// awaitRead lets the next write wait until the transport reads on. It reads only when it has nothing left, and closes the
+// connection or begins a response when it has.
+func (c *conn) awaitRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unread = !c.reading
+}
+
 func (c *conn) wasSevered() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -91,6 +126,9 @@
 
 func (c *conn) Write(b []byte) (int, error) {
 	c.mu.Lock()
+	for c.unread && !c.sealed && !c.closed {
+		c.changed.Wait()
+	}
 	if err := c.begin(); err != nil {
 		c.mu.Unlock()
 		return 0, err
@@ -105,6 +143,9 @@
 	if c.sealed {
 		return errSealed
 	}
+	if c.closed {
+		return net.ErrClosed
+	}
 	if c.check == nil {
 		return nil
 	}
@@ -132,6 +173,10 @@
 // seconds after the caller got its response. A request whose response was read completely has arrived, so
 // a reset loses nothing.
 func (c *conn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.changed.Broadcast()
+	c.mu.Unlock()
 	return errors.Join(SetLinger(c.Conn, 0), c.Conn.Close())
 }
 
@@ -146,9 +191,22 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sealed = true
+	c.changed.Broadcast()
 	return c.writes
 }
 
+// sealUnless prevents further writes unless one has started after the first n, and reports whether it has sealed.
+func (c *conn) sealUnless(n int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writes > n {
+		return false
+	}
+	c.sealed = true
+	c.changed.Broadcast()
+	return true
+}
+
 // connUse records the connections that one request used: usually one, more if the transport
 // found a reused connection broken.
 type connUse struct {
@@ -156,6 +214,7 @@
 	conns        []*conn
 	writesBefore []int
 	seal         bool
+	early        bool // a response began before the request was written
 	check        func() error
 }
 
@@ -166,12 +225,31 @@
 	}
 	n := c.writeCount()
 	c.expect(u.check)
+	if i.Reused {
+		c.awaitRead()
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.conns = append(u.conns, c)
 	u.writesBefore = append(u.writesBefore, n)
 }
 
+// gotFirstByte keeps a request from being written if its response has begun before: it is another request's, or nobody's.
+func (u *connUse) gotFirstByte() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	last := len(u.conns) - 1
+	if last >= 0 {
+		u.early = u.conns[last].sealUnless(u.writesBefore[last])
+	}
+}
+
+func (u *connUse) gotEarly() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.early
+}
+
 // wrote seals all connections used, and reports whether a write of this request has started
 // on any of them.
 func (u *connUse) wrote() bool {
@@ -242,7 +320,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &conn{Conn: c}, nil
+			return newConn(c), nil
 		},
 		MaxIdleConnsPerHost: o.IdlePerHost,
 		IdleConnTimeout:     o.IdleTimeout,
@@ -291,7 +369,7 @@
 // returns an error, nothing is written, and the error is ErrWithheld with its reason. It may be called more than once.
 func (c *Client) DoChecked(r *http.Request, repeatable bool, check func() error) (*http.Response, error) {
 	u := connUse{seal: c.guardSeal, check: check}
-	s := r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: u.gotConn}))
+	s := r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: u.gotConn, GotFirstResponseByte: u.gotFirstByte}))
 	if !repeatable && c.guardReplay {
 		b := s.Body
 		if b == nil {
@@ -300,6 +378,10 @@
 		s.Body, s.GetBody = oneShotBody{b}, nil
 	}
 	a, err := c.transport.RoundTrip(s)
+	if err == nil && u.gotEarly() {
+		_ = a.Body.Close()
+		return nil, fault.Because(ErrNotSent, "a response was there before the request")
+	}
 	if err == nil {
 		return a, nil
 	}
