Tests: a chat response of an engine that breaks off at any of its bytes

Not reproduced: with a length, chunks, neither, and behind 100 and 103, the own interface's client takes no part of a stream for the whole (TestChatThatBreaksOffLooksWhole); the mark [DONE] after a finish reason is what ends it, whatever ends the connection.

--- a/internal/upstream/chat_test.go
+++ b/internal/upstream/chat_test.go
@@ -106,3 +106,42 @@
 		})
 	})
 }
+
+// TestChatThatBreaksOffLooksWhole guards against an engine's response that breaks off, at any of its bytes, and counts as complete.
+func TestChatThatBreaksOffLooksWhole(t *testing.T) {
+	body := event("r", 0, "a") + event("r", 1, "b") + end("r")
+	for name, response := range map[string]string{
+		"a length":            fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", len(body), body),
+		"chunks":              fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body),
+		"neither":             "HTTP/1.1 200 OK\r\n\r\n" + body,
+		"interim ones before": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\n\n" + body,
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newTestClient()
+			sent := 0
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				v, _, err := http.NewResponseController(w).Hijack()
+				if err == nil {
+					_, _ = v.Write([]byte(response[:sent]))
+					_ = v.Close()
+				}
+			}))
+			defer s.Close()
+			for ; sent <= len(response); sent++ {
+				var got strings.Builder
+				err := c.Chat(t.Context(), &ChatCall{RequestID: "r", Address: s.Listener.Addr().String(), FirstTokenTimeout: time.Second, TokenTimeout: time.Second}, func(k Chunk) error {
+					got.WriteString(k.Text)
+					return nil
+				})
+				assert.True(t, strings.HasPrefix("ab", got.String()), got.String())
+				if err == nil {
+					assert.Equal(t, "ab", got.String())
+					assert.GreaterOrEqual(t, sent, strings.Index(response, "[DONE]")+len("[DONE]"))
+				}
+				if sent == len(response) {
+					assert.NoError(t, err)
+				}
+			}
+		})
+	}
+}
