--- a/internal/soak/draw.go
+++ b/internal/soak/draw.go
@@ -48,7 +48,7 @@
 	d.Mixed = rand.New(rand.NewPCG(seed, 0x3e75)).IntN(2) == 0 && !o.OneVersion
 	d.Faults = append(d.Faults, d.drawReleased(rand.New(rand.NewPCG(seed, 0x7e1e)), d.Traffic-quietAfter)...)
 	d.Faults = append(d.Faults, d.drawBetween(rand.New(rand.NewPCG(seed, 0xba7e)), d.Traffic-quietAfter)...)
-	d.Faults = append(d.Faults, d.drawOdd(rand.New(rand.NewPCG(seed, 0x0dde)), d.Traffic-quietAfter)...)
+	d.Faults = append(d.Faults, d.drawOdd(rand.New(rand.NewPCG(seed, 0x0ded)), d.Traffic-quietAfter)...)
 	d.Faults = append(d.Faults, d.drawStill(rand.New(rand.NewPCG(seed, 0x5717)))...)
 	slices.SortStableFunc(d.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return d
