--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -44,6 +44,7 @@
 	"spurhall.example/spurhall/internal/lease"
 	"spurhall.example/spurhall/internal/lineage"
 	"spurhall.example/spurhall/internal/logging"
+	"spurhall.example/spurhall/internal/peerload"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/quarantine"
 	"spurhall.example/spurhall/internal/quota"
@@ -121,6 +122,7 @@
 	confirmed         follow.Confirmation // of the upstream list
 	step              follow.Step
 	lag               *lag.Monitor
+	load              *peerload.Meter // of calls between nodes
 
 	catalog         atomic.Pointer[activeCatalog]
 	listed          atomic.Bool               // the upstream list has been read at least once
@@ -183,7 +185,7 @@
 	s := o.Settings
 	n := &Node{options: o, settings: s, clock: o.Clock, log: o.Log, start: o.Clock.Now(), initialized: make(chan struct{}), retryWindows: make(map[string]*retry.Window), streamVersions: make(map[string][]string)}
 	n.role.StartedAt = n.start
-	n.lag = lag.New(o.Clock, o.Log)
+	n.lag, n.load = lag.New(o.Clock, o.Log), peerload.New(o.Clock, o.Log)
 	n.pools = pool.New(o.Clock, s.Node, s.Hall)
 	n.pools.SetSenders(nil, nil) // until the other nodes are known
 	n.uplink = n.newUplink(o.DialUpstream)
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -83,10 +83,10 @@
 	d := &net.Dialer{Timeout: reportTimeout}
 	return &peerTable{
 		n: n, peers: make(map[string]*peer),
-		keepAlive: &http.Client{Transport: &http.Transport{
+		keepAlive: &http.Client{Transport: n.load.Transport(&http.Transport{
 			DialContext: d.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second, DisableCompression: true,
-		}},
-		oneShot: &http.Client{Transport: &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true}},
+		})},
+		oneShot: &http.Client{Transport: n.load.Transport(&http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true})},
 	}
 }
 
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -80,7 +80,7 @@
 		go n.serve(n.server(http.HandlerFunc(n.serveMetrics)), l.Metrics)
 	}
 	var duties sync.WaitGroup
-	for _, f := range []func(context.Context){n.lag.Run, n.streams.Run, n.streams.RunSaved, n.followStore, n.expireMissing, n.runRounds, n.runRelay, n.register, n.pollRegistry, n.contactSeeds, n.restoreLevels, n.restoreCachedParts, n.restoreRollouts, n.restoreQuarantine, n.uplink.Probe, n.runDuties} {
+	for _, f := range []func(context.Context){n.lag.Run, n.load.Run, n.streams.Run, n.streams.RunSaved, n.followStore, n.expireMissing, n.runRounds, n.runRelay, n.register, n.pollRegistry, n.contactSeeds, n.restoreLevels, n.restoreCachedParts, n.restoreRollouts, n.restoreQuarantine, n.uplink.Probe, n.runDuties} {
 		duties.Add(1)
 		go func() {
 			defer duties.Done()
@@ -158,6 +158,7 @@
 
 func (n *Node) peerHandler() http.Handler {
 	_, h := wireconnect.NewEdgeHandler(&edgeService{n}, connect.WithCompressMinBytes(minCompressed))
+	h = n.load.Handler(h)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodConnect {
 			n.uplink.ServeHTTP(w, r)
