Nodes that change relays were sent all placements again, all of them in the same second

Digests that came too late were asked for again in whole.

Cause: what a node knows is compared by the version of one relay's process; to any other one it counted as new. Now a request names the process of the relay that sent the last digest whoever it is; a relay that doesn't know it sends what was placed in the last two seconds, and not what it was itself sent at its first contact with another relay. A node that had no digest for 1.5 s, or a new process, gets all as before. No new field: nodes of the build before tell nothing and are sent all.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -95,7 +95,7 @@
 		return
 	}
 	n.aggregator.ApplyReport(now, message.ReportFromWire(r))
-	_, version := n.relayView.KnownVersion(n.settings.Node)
+	_, version := n.relayView.KnownVersion(now, n.settings.Node)
 	d := n.aggregator.Digest(now, n.settings.Node, version)
 	n.homeRelay = n.settings.Node
 	n.mu.Unlock()
@@ -115,7 +115,7 @@
 func (n *Node) reportToRelay(ctx context.Context, name string, r *wire.NodeReport) {
 	n.mu.Lock()
 	p := n.peers.peers[name]
-	incarnation, version := n.relayView.KnownVersion(name)
+	incarnation, version := n.relayView.KnownVersion(n.clock.Now(), name)
 	n.mu.Unlock()
 	if p == nil {
 		return
@@ -309,6 +309,9 @@
 	now := n.clock.Now()
 	n.aggregator.ApplyReport(now, message.ReportFromWire(v))
 	version := n.aggregator.BaseVersion(r.Msg.Lifetime, r.Msg.Version)
+	if r.Msg.Lifetime != "" && version == 0 {
+		n.aggregator.Inform(v.Node)
+	}
 	a := message.DigestToWire(n.aggregator.Digest(now, v.Node, version))
 	a.Speeds = message.SpeedsToWire(n.pools.SpeedFigures(v.Node, version == 0))
 	a.Engines = message.EnginesToWire(n.pools.Engines())
--- a/internal/model/spread.go
+++ b/internal/model/spread.go
@@ -78,7 +78,7 @@
 		h.book.ApplyReport(now, r)
 		h.pools.ApplySeenSpeeds(n.name, seen)
 		figures := h.pools.SpeedFigures(n.name, false)
-		lifetime, version := n.view.KnownVersion(h.name)
+		lifetime, version := n.view.KnownVersion(now, h.name)
 		d := h.book.Digest(now, n.name, h.book.BaseVersion(lifetime, version))
 		p.after(hop, func() {
 			p.take(n, h, d)
@@ -138,7 +138,7 @@
 // digest takes in what a relay knows by itself.
 func (p *play) digest(n *node) {
 	now := p.clock.Service().Now()
-	_, version := n.view.KnownVersion(n.name)
+	_, version := n.view.KnownVersion(now, n.name)
 	d := n.book.Digest(now, n.name, version)
 	if p.l.Spread == SpreadPlaced {
 		d.Shares[0].Complete = true
--- a/internal/relay/aggregator.go
+++ b/internal/relay/aggregator.go
@@ -35,6 +35,8 @@
 	work          map[string]capacity.Work // of nodes that report to this relay only
 	trials        []rollout.Update
 	pastTrials    []rollout.Update // of the node's former processes
+	// informed says that another relay has sent the process a digest.
+	informed bool
 }
 
 type counter struct {
@@ -57,6 +59,8 @@
 	version uint64
 	at      time.Time
 	relay   string // relay that sent it
+	// backlog says that it was made before this relay had contact with the one that sent it.
+	backlog bool
 }
 
 // Aggregator is the state of one relay. It is not safe for concurrent use.
@@ -93,7 +97,15 @@
 	}
 	a.mergeSpent(v, r.Spent)
 	a.mergeStarted(v, r.Started)
-	a.logPlacements(now, a.self, r.Placed)
+	a.logPlacements(now, a.self, r.Placed, false)
+}
+
+// Inform records that a node that reports here has had digests of another relay. It isn't sent all placements again,
+// which are most of a whole digest: where a relay ends, all its nodes ask the next one in the same second.
+func (a *Aggregator) Inform(node string) {
+	if v := a.records[node]; v != nil {
+		v.informed = true
+	}
 }
 
 // OwnNodeMoved records that the aggregator's own node reports to another relay.
@@ -118,6 +130,7 @@
 	if v.incarnation != incarnation {
 		v.incarnation, v.startedAt, v.spent, v.started = incarnation, startedAt, make(map[string]counter), nil
 		v.pastTrials, v.trials = rollout.Merge(v.pastTrials, v.trials), nil
+		v.informed = false
 		v.resetVersion = a.nextVersion(v)
 	}
 	v.sequence = sequence
@@ -168,14 +181,14 @@
 }
 
 // logPlacements appends the placements that have not been logged recently.
-func (a *Aggregator) logPlacements(now time.Time, relay string, list []pool.Placement) {
+func (a *Aggregator) logPlacements(now time.Time, relay string, list []pool.Placement, backlog bool) {
 	for _, p := range list {
 		if t, ok := a.lastLogged[p]; ok && now.Sub(t) < placementRepeatAfter {
 			continue
 		}
 		a.lastLogged[p] = now
 		a.version++
-		a.placementLog = append(a.placementLog, loggedPlacement{p, a.version, now, relay})
+		a.placementLog = append(a.placementLog, loggedPlacement{p, a.version, now, relay, backlog})
 	}
 	if over := len(a.placementLog) - maxPlacements; over > 0 {
 		a.placementLog = slices.Delete(a.placementLog, 0, over)
@@ -238,7 +251,8 @@
 	if g.Relay == a.self {
 		return
 	}
-	if old := a.groups[g.Relay]; old != nil && old.incarnation != g.Incarnation {
+	old := a.groups[g.Relay]
+	if old != nil && old.incarnation != g.Incarnation {
 		a.detachNodes(g.Relay)
 	}
 	a.groups[g.Relay] = &group{incarnation: g.Incarnation, version: g.Version, receivedAt: now, share: g.Share, trials: g.Trials}
@@ -250,7 +264,7 @@
 			v.lastSeen = now
 		}
 	}
-	a.logPlacements(now, g.Relay, g.Placed)
+	a.logPlacements(now, g.Relay, g.Placed, old == nil)
 }
 
 // detachNodes records that a relay restarted: its former nodes belong to it again once it reports them.
--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -132,7 +132,7 @@
 	if slices.Contains(Relays(ranked), n.name) {
 		n.aggregator.ApplyReport(f.now, r)
 		f.exchangeGroups(n)
-		_, version := n.view.KnownVersion(n.name)
+		_, version := n.view.KnownVersion(f.now, n.name)
 		n.applyDigest(f.now, n.name, n.aggregator.Digest(f.now, n.name, version))
 		return
 	}
@@ -142,8 +142,12 @@
 	f.calls[h.name]++
 	h.usage.Merge(n.name, n.incarnation, r.Started)
 	h.aggregator.ApplyReport(f.now, r)
-	incarnation, version := n.view.KnownVersion(h.name)
-	n.applyDigest(f.now, h.name, h.aggregator.Digest(f.now, n.name, h.aggregator.BaseVersion(incarnation, version)))
+	incarnation, version := n.view.KnownVersion(f.now, h.name)
+	after := h.aggregator.BaseVersion(incarnation, version)
+	if incarnation != "" && after == 0 {
+		h.aggregator.Inform(n.name)
+	}
+	n.applyDigest(f.now, h.name, h.aggregator.Digest(f.now, n.name, after))
 }
 
 func (n *node) applyDigest(now time.Time, relay string, d Digest) {
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -55,7 +55,10 @@
 		}
 		return v.version
 	})
-	d.Placed = a.placements(after, d.Version, func(loggedPlacement) bool { return true })
+	informed := a.records[receiver] != nil && a.records[receiver].informed
+	d.Placed = a.placements(after, d.Version, func(p loggedPlacement) bool {
+		return !informed || !p.backlog && (after > 0 || now.Sub(p.at) <= handoverSpan)
+	})
 	d.Trials = a.ownTrials(receiver)
 	d.Trials = rollout.Merge(d.Trials, a.peerTrials(now))
 	d.Reachability = a.reachability(now, receiver)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -48,6 +48,10 @@
 	// placementRepeatAfter is the age after which a placement is sent again: receivers use it for three
 	// times as long.
 	placementRepeatAfter = 10 * time.Second
+	// handoverSpan is the age up to which a node that comes from another relay may lack placements, and informedFor how
+	// long after its last digest it counts as coming from another relay: the difference is what is on its way between relays.
+	handoverSpan = 2 * time.Second
+	informedFor  = 1500 * time.Millisecond
 	// recordRetention is how long an unresponsive process is remembered: until its counts have been reported.
 	recordRetention = 30 * time.Second
 )
--- /dev/null
+++ b/internal/relay/takeover_test.go
@@ -0,0 +1,66 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"spurhall.example/spurhall/internal/pool"
+)
+
+// placements returns some placements with distinct parts, from a number on.
+func placements(from, n int) []pool.Placement {
+	list := make([]pool.Placement, n)
+	for i := range list {
+		list[i] = pool.Placement{Prefix: uint64(from + i), Upstream: "u"}
+	}
+	return list
+}
+
+// TestNodesThatChangeRelaysAreSentAllPlacementsAgain: where a relay ends, all its nodes come to the next one in the same second.
+func TestNodesThatChangeRelaysAreSentAllPlacementsAgain(t *testing.T) {
+	now := startTime
+	before, next := NewAggregator("before", "1"), NewAggregator("next", "1")
+	before.ApplyReport(now, Report{Node: "other", Incarnation: "1", Sequence: 1, Placed: placements(0, 3000)})
+	var moved View
+	moved.ApplyDigest(now, "before", before.Digest(now, "moved", 0))
+	now = now.Add(time.Minute)
+	before.ApplyReport(now, Report{Node: "other", Incarnation: "1", Sequence: 2})
+	moved.ApplyDigest(now, "before", before.Digest(now, "moved", moved.version))
+	next.MergeGroup(now, before.Group(now, 0))
+	next.ApplyReport(now, Report{Node: "third", Incarnation: "1", Sequence: 1, Placed: placements(9000, 5)})
+
+	// ask lets a node report to the next relay and apply its digest.
+	ask := func(node string, v *View, sequence uint64) Digest {
+		next.ApplyReport(now, Report{Node: node, Incarnation: "1", Sequence: sequence})
+		incarnation, version := v.KnownVersion(now, "next")
+		if incarnation != "" && version == 0 {
+			next.Inform(node)
+		}
+		d := next.Digest(now, node, version)
+		v.ApplyDigest(now, "next", d)
+		return d
+	}
+	t.Run("a node that another relay has informed", func(t *testing.T) {
+		d := ask("moved", &moved, 1)
+		assert.Equal(t, placements(9000, 5), d.Placed, "what it may lack")
+		assert.NotEmpty(t, d.Changes)
+	})
+	t.Run("what comes later", func(t *testing.T) {
+		next.ApplyReport(now, Report{Node: "third", Incarnation: "1", Sequence: 2, Placed: placements(9100, 2)})
+		assert.Equal(t, placements(9100, 2), ask("moved", &moved, 2).Placed)
+	})
+	t.Run("a backlog that the relay gets later", func(t *testing.T) {
+		next.MergeGroup(now, Group{Relay: "far", Incarnation: "1", Version: 1, Placed: placements(20000, 2000)})
+		assert.Empty(t, ask("moved", &moved, 3).Placed)
+	})
+	t.Run("a new process", func(t *testing.T) {
+		assert.Len(t, ask("new", new(View), 1).Placed, maxPlacements)
+	})
+	t.Run("a node that had no digest for long", func(t *testing.T) {
+		var v View
+		v.ApplyDigest(now.Add(-time.Minute), "before", Digest{Incarnation: "1"})
+		assert.Len(t, ask("late", &v, 1).Placed, maxPlacements)
+	})
+}
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -23,6 +23,7 @@
 	relay       string
 	incarnation string // of the relay
 	version     uint64
+	receivedAt  time.Time // arrival of the last digest
 	nodes       map[string]*nodeView
 }
 
@@ -33,13 +34,17 @@
 	startedAt    time.Time // of the process
 }
 
-// KnownVersion returns the relay's incarnation and the version up to which its changes are known, for the
-// next request to that relay.
-func (v *View) KnownVersion(relay string) (incarnation string, version uint64) {
-	if relay != v.relay {
-		return "", 0
+// KnownVersion returns the incarnation of the relay whose digests are known, and the version up to which they are, for
+// the next request to a relay. A request to another relay has version 0: it shows that relay that the node has had
+// digests, unless the last one is long ago.
+func (v *View) KnownVersion(now time.Time, relay string) (incarnation string, version uint64) {
+	switch {
+	case relay == v.relay:
+		return v.incarnation, v.version
+	case now.Sub(v.receivedAt) <= informedFor:
+		return v.incarnation, 0
 	}
-	return v.incarnation, v.version
+	return "", 0
 }
 
 // ApplyDigest applies a relay's digest, and returns the state of each node that reports to some relay.
@@ -47,7 +52,7 @@
 	if relay != v.relay || d.Incarnation != v.incarnation {
 		*v = View{relay: relay, incarnation: d.Incarnation, nodes: make(map[string]*nodeView)}
 	}
-	v.version = d.Version
+	v.version, v.receivedAt = d.Version, now
 	for _, c := range d.Changes {
 		v.applyChange(now, c)
 	}
