Small VMs that took over a hall's relays had half of the hall each

Cause: a hall has a relay for each 24 nodes, whatever it bears.

Now relays are as many as it takes for the hall's reports to be borne (30 nodes a core, at most 24; at most 8 relays in a hall for that reason alone, since each swaps with all others of the fleet), and each gets nodes in proportion. Where all relays are large nothing changes (TestLargeVMsKeepAHallsRelays). Relays and rank are typed (relay.Ranking).

Evidence: TestSmallVMsStarveAsTheyTakeOverAHall; at 2 ms a report half of the hall is 104 to 112 ms of 192 (96 allowed); spread by hashes alone 8 and 10 nodes came to one relay where 7 and 9 are allowed (0.12, 0.144 cores).

--- a/internal/edge/cached.go
+++ b/internal/edge/cached.go
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 
 	"spurhall.example/spurhall/internal/pool"
-	"spurhall.example/spurhall/internal/relay"
 )
 
 // This file asks the engines which prompt parts they have cached when a process starts in a running system,
@@ -65,7 +64,7 @@
 // assignedEngines returns the engines of this hall that are assigned to this node.
 func (n *Node) assignedEngines() []pool.Entry {
 	n.mu.Lock()
-	relays := relay.Relays(n.view(n.clock.Now()).HallNodes(n.settings.Hall))
+	relays := n.view(n.clock.Now()).HallNodes(n.settings.Hall).Relays().Names()
 	n.mu.Unlock()
 	c := n.currentCatalog()
 	var list []pool.Entry
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -54,7 +54,7 @@
 	}
 	n.sendersSetAt = now
 	if pair.Interval(n.peers.size()) > pair.Round {
-		placers = n.view(now).RelaysOfAllHalls(relay.Active)
+		placers = n.view(now).RelaysOfAllHalls(relay.Ranking.Active)
 	}
 	n.pools.SetSenders(n.view(now).Senders(), placers)
 }
--- a/internal/edge/members_test.go
+++ b/internal/edge/members_test.go
@@ -11,7 +11,6 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"spurhall.example/spurhall/internal/pair"
-	"spurhall.example/spurhall/internal/relay"
 	"spurhall.example/spurhall/internal/roster"
 	"spurhall.example/spurhall/internal/store"
 	"spurhall.example/spurhall/internal/timer"
@@ -52,9 +51,9 @@
 // passed.
 func TestFailedRelaysAreNotCalled(t *testing.T) {
 	n, c, _ := newHallNode(t, 20)
-	first := relay.Relays(n.view(n.clock.Now()).HallNodes("a"))[0]
+	first := n.view(n.clock.Now()).HallNodes("a").Relays()[0].Name()
 	if first == n.settings.Node {
-		first = relay.Relays(n.view(n.clock.Now()).HallNodes("a"))[1]
+		first = n.view(n.clock.Now()).HallNodes("a").Relays()[1].Name()
 	}
 	p := n.peers.peers[first]
 	assertAsked := func(t *testing.T, want bool) {
@@ -64,7 +63,7 @@
 				o.LastSeen = n.clock.Now()
 			}
 		}
-		assert.Equal(t, want, len(matching(n.view(n.clock.Now()).HallNodes("a"), first)) == 1)
+		assert.Equal(t, want, n.view(n.clock.Now()).HallNodes("a").Has(first))
 	}
 	assertAsked(t, true)
 	c.Advance(time.Second)
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -87,10 +86,10 @@
 	n.mu.Lock()
 	n.aggregator.Expire(now)
 	ordered := n.view(now).HallNodes(n.settings.Hall)
-	if !slices.Contains(relay.Relays(ordered), n.settings.Node) {
+	if !ordered.Relays().Has(n.settings.Node) {
 		n.mu.Unlock()
 		if len(ordered) > 0 {
-			n.reportToRelay(ctx, relay.ReportTargets(n.settings.Node, ordered)[0], r)
+			n.reportToRelay(ctx, ordered.ReportTargets(n.settings.Node)[0], r)
 		}
 		return
 	}
@@ -215,7 +214,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var peers []pair.Peer
-	for _, name := range n.view(now).RelaysOfAllHalls(relay.Relays) {
+	for _, name := range n.view(now).RelaysOfAllHalls(relay.Ranking.Relays) {
 		if p := n.peers.peers[name]; p != nil {
 			peers = append(peers, pair.Peer{Name: name, LastSeen: p.relay.lastSwapped, LastCalled: p.relay.lastCalled, Busy: p.relay.busy})
 		}
--- a/internal/model/rollout.go
+++ b/internal/model/rollout.go
@@ -321,14 +321,14 @@
 	return w
 }
 
-func (p *rolloutPlay) hallOf(hall string) []string {
+func (p *rolloutPlay) hallOf(hall string) relay.Ranking {
 	nodes := make(map[string]float64)
 	for _, n := range p.nodes {
 		if n.hall == hall && !n.down {
 			nodes[n.name] = 1
 		}
 	}
-	return relay.RankNodes(nodes)
+	return relay.Rank(nodes)
 }
 
 func (p *rolloutPlay) named(name string) *rolloutNode {
@@ -340,13 +340,11 @@
 	return nil
 }
 
-func (p *rolloutPlay) home(n *rolloutNode, ordered []string) *rolloutNode {
-	for _, r := range relay.Relays(ordered) {
-		if r == n.name {
-			return n
-		}
+func (p *rolloutPlay) home(n *rolloutNode, ordered relay.Ranking) *rolloutNode {
+	if ordered.Relays().Has(n.name) {
+		return n
 	}
-	return p.named(relay.ReportTargets(n.name, ordered)[0])
+	return p.named(ordered.ReportTargets(n.name)[0])
 }
 
 func (p *rolloutPlay) take(n *rolloutNode, d relay.Digest) {
@@ -362,7 +360,7 @@
 		if hall != n.hall && (hall == p.cutHall || n.hall == p.cutHall) {
 			continue
 		}
-		for _, name := range relay.Relays(p.hallOf(hall)) {
+		for _, name := range p.hallOf(hall).Relays().Names() {
 			if o := p.named(name); name > n.name {
 				p.after(hop, func() {
 					o.book.MergeGroup(p.time(), n.book.Group(p.time(), 0))
--- a/internal/model/spread.go
+++ b/internal/model/spread.go
@@ -44,14 +44,14 @@
 	})
 }
 
-func (p *play) hallOf(hall string) []string {
+func (p *play) hallOf(hall string) relay.Ranking {
 	nodes := make(map[string]float64)
 	for _, n := range p.nodes {
 		if n.hall == hall {
 			nodes[n.name] = 1
 		}
 	}
-	return relay.RankNodes(nodes)
+	return relay.Rank(nodes)
 }
 
 func (p *play) named(name string) *node {
@@ -65,14 +65,14 @@
 	r := relay.Report{Node: n.name, Incarnation: "1", Sequence: n.sequence, Uptime: p.now, Loads: loads, Placed: placed}
 	ordered := p.hallOf(n.hall)
 	now := p.clock.Service().Now()
-	if slices.Contains(relay.Relays(ordered), n.name) {
+	if ordered.Relays().Has(n.name) {
 		n.book.ApplyReport(now, r)
 		n.book.Expire(now)
 		p.digest(n)
 		p.swapRelays(n)
 		return
 	}
-	h := p.named(relay.ReportTargets(n.name, ordered)[0])
+	h := p.named(ordered.ReportTargets(n.name)[0])
 	p.after(hop, func() {
 		now := p.clock.Service().Now()
 		h.book.ApplyReport(now, r)
@@ -90,7 +90,7 @@
 // pick chooses an engine for a request of a node.
 func (p *play) pick(n *node, need pool.Request) *pool.Use {
 	if p.l.Spread == SpreadPlaced {
-		if h := p.named(relay.ReportTargets(n.name, p.hallOf(n.hall))[0]); h != n {
+		if h := p.named(p.hallOf(n.hall).ReportTargets(n.name)[0]); h != n {
 			return n.pools.PickAt(need, h.pools.PlaceFor(n.name, need))
 		}
 	}
@@ -108,7 +108,7 @@
 // swapRelays swaps with the relays behind this one in name.
 func (p *play) swapRelays(n *node) {
 	for h := 0; h < p.l.Halls; h++ {
-		for _, name := range relay.Relays(p.hallOf(p.nodes[h].hall)) {
+		for _, name := range p.hallOf(p.nodes[h].hall).Relays().Names() {
 			if name <= n.name {
 				continue
 			}
--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -91,14 +90,14 @@
 func (f *fleet) byName(name string) *node { return f.nodesByName[name] }
 
 // rankedHall returns the nodes of a hall that a node reaches, ranked.
-func (f *fleet) rankedHall(n *node, hall string) []string {
+func (f *fleet) rankedHall(n *node, hall string) Ranking {
 	nodes := make(map[string]float64)
 	for _, o := range f.nodes {
 		if o.hall == hall && (o == n || f.reachable(n, o)) {
 			nodes[o.name] = 1
 		}
 	}
-	return RankNodes(nodes)
+	return Rank(nodes)
 }
 
 func (n *node) report() Report {
@@ -129,14 +128,14 @@
 	r.Uptime = f.now.Sub(n.startedAt)
 	n.aggregator.Expire(f.now)
 	ranked := f.rankedHall(n, n.hall)
-	if slices.Contains(Relays(ranked), n.name) {
+	if ranked.Relays().Has(n.name) {
 		n.aggregator.ApplyReport(f.now, r)
 		f.exchangeGroups(n)
 		_, version := n.view.KnownVersion(f.now, n.name)
 		n.applyDigest(f.now, n.name, n.aggregator.Digest(f.now, n.name, version))
 		return
 	}
-	h := f.byName(ReportTargets(n.name, ranked)[0])
+	h := f.byName(ranked.ReportTargets(n.name)[0])
 	n.aggregator.OwnNodeMoved(h.name)
 	f.calls[n.name]++
 	f.calls[h.name]++
@@ -164,7 +163,7 @@
 		halls[o.hall] = true
 	}
 	for hall := range halls {
-		for _, name := range Relays(f.rankedHall(n, hall)) {
+		for _, name := range f.rankedHall(n, hall).Relays().Names() {
 			if o := f.byName(name); o.name > n.name {
 				f.calls[n.name]++
 				f.calls[o.name]++
@@ -260,7 +259,7 @@
 // once the state has settled, exactly the counts of the running ones.
 func (f *fleet) assertCounts(t assert.TestingT, settled bool) {
 	for _, n := range f.nodes {
-		if !n.up || !slices.Contains(Relays(f.rankedHall(n, n.hall)), n.name) {
+		if !n.up || !f.rankedHall(n, n.hall).Relays().Has(n.name) {
 			continue
 		}
 		n.usage.EachOther(func(name, incarnation string, w usage.Windows) {
@@ -283,7 +282,7 @@
 // member returns a node that is not a relay.
 func (f *fleet) member() *node {
 	for _, n := range f.nodes {
-		if !slices.Contains(Relays(f.rankedHall(n, n.hall)), n.name) {
+		if !f.rankedHall(n, n.hall).Relays().Has(n.name) {
 			return n
 		}
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -57,7 +57,7 @@
 func TestLostRelays(t *testing.T) {
 	relaysOf := func(f *fleet, hall string) []*node {
 		var list []*node
-		for _, name := range Relays(f.rankedHall(f.nodes[0], hall)) {
+		for _, name := range f.rankedHall(f.nodes[0], hall).Relays().Names() {
 			list = append(list, f.byName(name))
 		}
 		return list
@@ -144,7 +144,7 @@
 	k := n.usage.Window(f.now)
 	relays := 0
 	for _, o := range f.nodes {
-		if !o.up || !slices.Contains(Relays(f.rankedHall(o, o.hall)), o.name) {
+		if !o.up || !f.rankedHall(o, o.hall).Relays().Has(o.name) {
 			continue
 		}
 		relays++
@@ -168,13 +168,13 @@
 	assert.Equal(t, map[string]float64{"w": 1}, d.Changes[0].Spent)
 }
 
-// TestRankNodes: VMs with more cores come first, and the order of the others does not depend on them.
-func TestRankNodes(t *testing.T) {
+// TestRank: VMs with more cores come first, and the order of the others does not depend on them.
+func TestRank(t *testing.T) {
 	nodes := map[string]float64{"a": 0.2, "b": 0.2, "c": 0.8, "d": 0.2}
-	before := RankNodes(nodes)
+	before := Rank(nodes).Names()
 	assert.Equal(t, "c", before[0])
 	nodes["c"] = 0.2
-	after := slices.DeleteFunc(RankNodes(nodes), func(n string) bool { return n == "c" })
+	after := slices.DeleteFunc(Rank(nodes).Names(), func(n string) bool { return n == "c" })
 	assert.Equal(t, before[1:], after)
 }
 
--- a/internal/relay/takeover_test.go
+++ b/internal/relay/takeover_test.go
@@ -1,10 +1,12 @@
 package relay
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
 
 	"spurhall.example/spurhall/internal/pool"
 )
@@ -64,3 +66,62 @@
 		assert.Len(t, ask("late", &v, 1).Placed, maxPlacements)
 	})
 }
+
+const (
+	reportsPerSecond = int(time.Second / reportInterval)
+	// reportCost is the processor time that a report takes at a relay, with all that follows from it.
+	reportCost = 2 * time.Millisecond
+	// largestShare is the share of its processor time that a node may give to reports of others.
+	largestShare = 0.5
+)
+
+// TestSmallVMsStarveAsTheyTakeOverAHall: where the large VMs of a hall are gone, two small ones had half of the hall each.
+func TestSmallVMsStarveAsTheyTakeOverAHall(t *testing.T) {
+	for _, small := range []float64{0.12, 0.144, 0.192} {
+		for _, large := range []int{0, 1, 2} {
+			t.Run(fmt.Sprint(small, "_cores_beside_", large), func(t *testing.T) {
+				rapid.Check(t, func(t *rapid.T) {
+					nodes := make(map[string]float64)
+					for i := range large {
+						nodes[fmt.Sprint("large-", i)] = 0.8
+					}
+					first := rapid.IntRange(0, 1000).Draw(t, "first")
+					for i := range rapid.IntRange(8, 30).Draw(t, "small") {
+						nodes[fmt.Sprint("edge-", first+i)] = small
+					}
+					hall, reports := Rank(nodes), make(map[string]int)
+					for _, v := range hall {
+						if !hall.Relays().Has(v.Name()) {
+							reports[hall.ReportTargets(v.Name())[0]] += reportsPerSecond
+						}
+					}
+					for name, n := range reports {
+						assert.LessOrEqual(t, (time.Duration(n) * reportCost).Seconds(), largestShare*nodes[name], "%s has %d reports a second", name, n)
+					}
+				})
+			})
+		}
+	}
+}
+
+func TestLargeVMsKeepAHallsRelays(t *testing.T) {
+	for _, v := range []struct{ large, small, relays int }{{2, 27, 2}, {2, 21, 1}, {3, 17, 1}, {10, 197, 9}, {10, 174, 8}} {
+		nodes := make(map[string]float64)
+		for i := range v.large {
+			nodes[fmt.Sprint("large-", i)] = 0.8
+		}
+		for i := range v.small {
+			nodes[fmt.Sprint("edge-", i)] = 0.192
+		}
+		assert.Len(t, Rank(nodes).Active(), v.relays, "%d and %d", v.large, v.small)
+	}
+}
+
+// TestRelaysDontGrowBeyondWhatTheyCanSwap: each relay swaps with all others of the fleet.
+func TestRelaysDontGrowBeyondWhatTheyCanSwap(t *testing.T) {
+	nodes := make(map[string]float64)
+	for i := range 197 {
+		nodes[fmt.Sprint("edge-", i)] = 0.192
+		assert.LessOrEqual(t, len(Rank(nodes).Active()), max(maxForSmall, (i+24)/24))
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -89,7 +89,7 @@
 // Watchers returns the nodes of a hall that watch the store: the first ones in the hall's order of those that
 // reach the store, or of all nodes if none reaches it. While views differ, a node may poll one that doesn't
 // watch; the response says so.
-func Watchers(nodes []Node) []string {
+func Watchers(nodes []Node) relay.Ranking {
 	all, connected := make(map[string]float64, len(nodes)), make(map[string]float64, len(nodes))
 	for _, n := range nodes {
 		all[n.Name] = n.Cores
@@ -100,6 +100,6 @@
 	if len(connected) == 0 {
 		connected = all
 	}
-	names := relay.RankNodes(connected)
-	return names[:min(len(names), WatchersPerHall)]
+	order := relay.Rank(connected)
+	return order[:min(len(order), WatchersPerHall)]
 }
--- a/internal/roster/view.go
+++ b/internal/roster/view.go
@@ -58,7 +58,9 @@
 }
 
 // Watchers returns the nodes of this hall that watch the store.
-func (v View) Watchers() []string {
+func (v View) Watchers() []string { return v.watchers().Names() }
+
+func (v View) watchers() relay.Ranking {
 	nodes := []Node{{Name: v.Self.Name, Cores: v.Self.Cores, StoreUp: v.Self.StoreUp}}
 	for p := range v.Peers {
 		if p.Hall != v.Self.Hall || p.Leaving {
@@ -75,7 +77,7 @@
 }
 
 // HallNodes returns the nodes of a hall that may be its relays, in order.
-func (v View) HallNodes(hall string) []string {
+func (v View) HallNodes(hall string) relay.Ranking {
 	nodes := make(map[string]float64)
 	if hall == v.Self.Hall && !v.Self.Leaving {
 		nodes[v.Self.Name] = v.Self.Cores
@@ -85,16 +87,16 @@
 			nodes[p.Name] = p.Cores
 		}
 	}
-	return relay.RankNodes(nodes)
+	return relay.Rank(nodes)
 }
 
 // RelaysOfAllHalls returns some of the relays of all halls as this node sees them: those that a function of
 // package relay picks from a hall's ordered nodes.
-func (v View) RelaysOfAllHalls(some func(ordered []string) []string) []string {
-	list := some(v.HallNodes(v.Self.Hall))
+func (v View) RelaysOfAllHalls(some func(relay.Ranking) relay.Ranking) []string {
+	list := some(v.HallNodes(v.Self.Hall)).Names()
 	for hall := range v.Regions {
 		if hall != v.Self.Hall {
-			list = append(list, some(v.HallNodes(hall))...)
+			list = append(list, some(v.HallNodes(hall)).Names()...)
 		}
 	}
 	slices.Sort(list)
--- a/internal/roster/view_test.go
+++ b/internal/roster/view_test.go
@@ -28,17 +28,17 @@
 	v := fleetOf(now, b, c, silent, leaving)
 	t.Run("senders are present and stay", func(t *testing.T) { assert.Equal(t, []string{"a", "b", "c"}, v.Senders()) })
 	t.Run("relays of a hall", func(t *testing.T) {
-		assert.ElementsMatch(t, []string{"a", "b"}, v.HallNodes("h"))
-		assert.Equal(t, []string{"c"}, v.HallNodes("i"))
+		assert.ElementsMatch(t, []string{"a", "b"}, v.HallNodes("h").Names())
+		assert.Equal(t, []string{"c"}, v.HallNodes("i").Names())
 	})
 	t.Run("relays of all halls", func(t *testing.T) {
-		assert.Equal(t, []string{"a", "b", "c"}, v.RelaysOfAllHalls(func(l []string) []string { return l }))
-		assert.Len(t, v.RelaysOfAllHalls(relay.Active), 2, "one of each hall")
+		assert.Equal(t, []string{"a", "b", "c"}, v.RelaysOfAllHalls(func(l relay.Ranking) relay.Ranking { return l }))
+		assert.Len(t, v.RelaysOfAllHalls(relay.Ranking.Active), 2, "one of each hall")
 	})
 	t.Run("a relay that failed is avoided", func(t *testing.T) {
 		b.RelayFailedAt = now
 		defer func() { b.RelayFailedAt = time.Time{} }()
-		assert.Equal(t, []string{"a"}, v.HallNodes("h"))
+		assert.Equal(t, []string{"a"}, v.HallNodes("h").Names())
 	})
 	t.Run("most nodes are heard", func(t *testing.T) {
 		assert.True(t, v.HearsMost(time.Second), "three of four that stay")
@@ -57,6 +57,6 @@
 	t.Run("a node that leaves has no part", func(t *testing.T) {
 		v.Self.Leaving = true
 		assert.Equal(t, []string{"b", "c"}, v.Senders())
-		assert.Equal(t, []string{"b"}, v.HallNodes("h"))
+		assert.Equal(t, []string{"b"}, v.HallNodes("h").Names())
 	})
 }
