A small VM was relay and watcher of its hall at once

Now a node under 0.4 cores that is one of the relays watches only where no other node of the hall can.

A node of the build before polls the first of the order, which may not watch now; it reads the store by itself after 1.5 s, as it does today.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -14,6 +14,8 @@
 package roster
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"spurhall.example/spurhall/internal/pair"
@@ -87,8 +89,8 @@
 }
 
 // Watchers returns the nodes of a hall that watch the store: the first ones in the hall's order of those that
-// reach the store, or of all nodes if none reaches it. While views differ, a node may poll one that doesn't
-// watch; the response says so.
+// reach the store, or of all nodes if none reaches it. A small node that is a relay doesn't watch as well, if there is
+// another one. While views differ, a node may poll one that doesn't watch; the response says so.
 func Watchers(nodes []Node) relay.Ranking {
 	all, connected := make(map[string]float64, len(nodes)), make(map[string]float64, len(nodes))
 	for _, n := range nodes {
@@ -97,9 +99,20 @@
 			connected[n.Name] = n.Cores
 		}
 	}
+	relays := relay.Rank(all).Active()
 	if len(connected) == 0 {
 		connected = all
 	}
 	order := relay.Rank(connected)
+	// Stable: the hall's order holds among those that only watch, and among the rest.
+	slices.SortStableFunc(order, func(a, b relay.Ranked) int { return cmp.Compare(burden(a, relays), burden(b, relays)) })
 	return order[:min(len(order), WatchersPerHall)]
 }
+
+// burden is 1 for a small node that is a relay.
+func burden(n relay.Ranked, relays relay.Ranking) int {
+	if !n.BearsAll() && relays.Has(n.Name()) {
+		return 1
+	}
+	return 0
+}
