All followers of a hall polled one watcher, and had no news while small VMs took over

Now followers spread over the watchers in proportion to what these bear, and a node of a large fleet turns to those that leave while the new ones have nothing.

Evidence: TestAllNodesOfAHallPollOneWatcher, TestNodesHaveNoNewsWhileWatchersTakeOver.

--- a/internal/edge/watchers.go
+++ b/internal/edge/watchers.go
@@ -175,7 +175,7 @@
 			_ = n.clock.Sleep(ctx, pollGap) // the loop condition checks the context
 			continue
 		}
-		if failed >= roster.WatchersPerHall {
+		if failed >= len(names) {
 			n.mu.Lock()
 			n.role.WatchItself(n.clock.Now())
 			n.mu.Unlock()
--- a/internal/roster/role.go
+++ b/internal/roster/role.go
@@ -58,12 +58,18 @@
 	return WaitsToStart(age, v.Self.Name, v.Size)
 }
 
-// ToPoll returns the nodes that the node polls: while the whole system starts, the holders of seats, and then the watchers.
+// ToPoll returns the nodes that the node polls, in the order in which it tries them: while the whole system starts, the
+// holders of seats, and then the watchers, over which the nodes of a hall spread. In a large fleet, nodes that leave come
+// last: until they end they watch on, which the ones that take over from them may not do yet.
 func (r *Role) ToPoll(v View) []string {
 	if len(r.Seats) > 0 && v.Now.Sub(r.StartedAt) < SeatPeriod {
 		return r.Seats
 	}
-	return v.Watchers()
+	names := v.watchers().Spread(v.Self.Name)
+	if IsLarge(v.Size) {
+		names = append(names, v.leavingWatchers()...)
+	}
+	return names
 }
 
 // IsWatcher reports whether the node is one of the watchers of its hall.
--- a/internal/roster/takeover_test.go
+++ b/internal/roster/takeover_test.go
@@ -44,3 +44,25 @@
 	hall = newHall(now, 0, 0, 3, 9)
 	assert.Len(t, hall.Watchers(), WatchersPerHall, "where there are few nodes, these do both")
 }
+// TestAllNodesOfAHallPollOneWatcher: the other one had no followers.
+func TestAllNodesOfAHallPollOneWatcher(t *testing.T) {
+	hall, polls := newHall(time.Unix(1000, 0), 2, 2, 27, 77), make(map[string]int)
+	for _, n := range hall.HallNodes("h") {
+		hall.Self.Name = n.Name()
+		polls[new(Role).ToPoll(hall)[0]]++
+	}
+	assert.Len(t, polls, WatchersPerHall)
+	for w, n := range polls {
+		assert.LessOrEqual(t, n, 18, "%s of 27: two thirds", w)
+	}
+}
+
+// TestNodesHaveNoNewsWhileWatchersTakeOver: those that leave watch on until they end, and those that take over read the store first.
+func TestNodesHaveNoNewsWhileWatchersTakeOver(t *testing.T) {
+	hall := newHall(time.Unix(1000, 0), 2, 2, 27, 77)
+	names := new(Role).ToPoll(hall)
+	assert.ElementsMatch(t, hall.Watchers(), names[:2], "those that take over come first")
+	assert.ElementsMatch(t, []string{"large-0", "large-1"}, names[2:])
+	hall.Size = 9
+	assert.Len(t, new(Role).ToPoll(hall), 2, "nodes of a small fleet read the store at once")
+}
--- a/internal/roster/view.go
+++ b/internal/roster/view.go
@@ -76,6 +76,18 @@
 	return Watchers(nodes)
 }
 
+// leavingWatchers returns the nodes of this hall that leave and may have watched the store.
+func (v View) leavingWatchers() []string {
+	nodes := make(map[string]float64)
+	for p := range v.Peers {
+		if p.Hall == v.Self.Hall && p.Leaving && p.StoreUp && p.IsResponsive(v.Now, v.Size) {
+			nodes[p.Name] = p.Cores
+		}
+	}
+	ranked := relay.Rank(nodes)
+	return ranked[:min(len(ranked), WatchersPerHall)].Names()
+}
+
 // HallNodes returns the nodes of a hall that may be its relays, in order.
 func (v View) HallNodes(hall string) relay.Ranking {
 	nodes := make(map[string]float64)
