Each new configuration was requested whole from all peers that reported in a round

Now a node asks once it has lacked the configuration for a round, two peers at a time, and decodes only what is newer than what it has by then. One that has none asks at once.

--- a/internal/edge/listage.go
+++ b/internal/edge/listage.go
@@ -46,7 +46,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.lacksList.Lasts(now, n.pools.Revision(), d) || n.lacksCatalog.Lasts(now, version, d)
+	return n.lacksList.Lasts(now, n.pools.Revision(), d) || n.catchUps.Lasts(now, version, d)
 }
 
 // noteListAge logs when the list becomes too old to choose from, and when it is recent enough again.
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -121,6 +121,7 @@
 	follower          *follow.Follower
 	confirmed         follow.Confirmation // of the upstream list
 	step              follow.Step
+	catchUps          follow.CatchUps
 	lag               *lag.Monitor
 	load              *peerload.Meter // of calls between nodes
 
@@ -161,7 +162,6 @@
 
 	streamVersions   map[string][]string // versions that may have begun streams, by service, when the list last changed
 	lacksList        follow.Lack         // of what other nodes' lists have
-	lacksCatalog     follow.Lack         // of what other nodes' configurations have
 	listRestartedAt  time.Time           // when the list was last read anew because of that
 	loggedSuspension time.Duration       // total suspension of the VM at the last log line
 	rollouts         rollouts
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -332,17 +332,14 @@
 	if c := n.currentCatalog(); c != nil {
 		have = c.Version()
 	}
-	n.mu.Lock()
-	n.lacksCatalog.Hear(n.clock.Now(), r.CatalogVersion, have)
-	n.mu.Unlock()
 	stale := !n.guard.Up() && r.StoreUp && r.ListRevision > n.pools.Revision()
-	if r.CatalogVersion <= have && !stale {
-		return
+	if n.catchUps.Hear(n.clock.Now(), r.CatalogVersion, have, stale) {
+		go n.requestCatchUp(ctx, r.Node, have)
 	}
-	go n.requestCatchUp(ctx, r.Node, have)
 }
 
 func (n *Node) requestCatchUp(ctx context.Context, name string, have int64) {
+	defer n.catchUps.End()
 	n.mu.Lock()
 	p := n.peers.peers[name]
 	if p == nil || p.Address == "" {
@@ -358,7 +355,7 @@
 		n.log.Info("catch_up_failed", zap.String("peer", name), zap.String("cause", err.Error()))
 		return
 	}
-	if a.Msg.CatalogVersion > have && len(a.Msg.Catalog) > 0 {
+	if c := n.currentCatalog(); len(a.Msg.Catalog) > 0 && (c == nil || a.Msg.CatalogVersion > c.Version()) {
 		n.applyCatalog(a.Msg.Catalog, name)
 	}
 	n.applyList(name, a.Msg)
