--- a/internal/edge/members_test.go
+++ b/internal/edge/members_test.go
@@ -74,17 +74,6 @@
 	assertAsked(t, true)
 }
 
-// matching returns the elements of a list that equal a name.
-func matching(list []string, name string) []string {
-	var r []string
-	for _, v := range list {
-		if v == name {
-			r = append(r, v)
-		}
-	}
-	return r
-}
-
 // TestPeerLogIsAggregatedInLargeFleets checks that in a large fleet, a node that doesn't watch the store for
 // its hall logs one line per round about its peers, whatever the number of events.
 func TestPeerLogIsAggregatedInLargeFleets(t *testing.T) {
