Counts of the running usage window were lost with all processes

Cause: counts were stored once their window had ended and were with all nodes before, which are lost together; a window that ended in the last 0.35 s had no counts either.

Now the holder of the duties writes the counts of the running window and the one before in the call that stores the quotas' levels (each 0.5 s under load): no further call, at most 32 kB a second and 256 kB at once. The next holder merges them process by process, as it does those of ended windows, so what it knows itself isn't counted twice. It reads one record more at the beginning of its term.

--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -42,7 +42,7 @@
 	o := newOrderer(n)
 	rolls := newRunner(n)
 	var c handover.Usage
-	v := handover.NewLevels(n.clock, dutyInterval)
+	v := n.newLevels(&c)
 	var q handover.Crashes
 	var parts handover.Parts
 	var versions handover.Versions
@@ -53,7 +53,7 @@
 			if token != term {
 				term = token
 				n.restoreUsage(ctx)
-				c, v, e = handover.Usage{}, handover.NewLevels(n.clock, dutyInterval), eraTerm{}
+				c, v, e = handover.Usage{}, n.newLevels(&c), eraTerm{}
 			}
 			if !e.loaded {
 				e.restore(ctx, n, token)
--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -35,6 +35,19 @@
 	})
 }
 
+// newLevels returns a writer of levels that writes the newest counts beside them.
+func (n *Node) newLevels(u *handover.Usage) *handover.Levels {
+	v := handover.NewLevels(n.clock, dutyInterval)
+	v.Add(func() []handover.Entry {
+		return u.Running(n.clock.Now(), func() []handover.ProcessCounts {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return handover.RunningCountsOf(n.usage, n.settings.Node, n.options.Incarnation, n.usage.Window(n.clock.Wall()))
+		})
+	})
+	return v
+}
+
 func (n *Node) writeLevels(ctx context.Context, v *handover.Levels, token int64) {
 	if !v.IsDue() {
 		return
--- a/internal/edge/records_test.go
+++ b/internal/edge/records_test.go
@@ -53,7 +53,7 @@
 		n.peers = &peerTable{}
 		token := acquireLease(t, n.Node)
 		var keys []store.Op
-		for _, k := range []string{handover.OrderedRecord.Key, handover.EnginesRecord.Key, handover.RoomRecord.Key, handover.LevelsRecord.Key, handover.UsageRecord.Key, handover.CrashesRecord.Key, eraRecord.Key, rolloutStagePrefix + "s"} {
+		for _, k := range []string{handover.OrderedRecord.Key, handover.EnginesRecord.Key, handover.RoomRecord.Key, handover.LevelsRecord.Key, handover.UsageRecord.Key, handover.CountingRecord.Key, handover.CrashesRecord.Key, eraRecord.Key, rolloutStagePrefix + "s"} {
 			keys = append(keys, store.Op{Kind: store.OpPut, Key: k, Value: b})
 		}
 		_, err := n.kv.Txn(ctx, store.Txn{Then: keys})
--- a/internal/handover/levels.go
+++ b/internal/handover/levels.go
@@ -37,6 +37,7 @@
 	checkedAt     time.Time
 	writtenAt     time.Time
 	writtenLevels map[string]quota.Level
+	with          func() []Entry
 }
 
 // NewLevels returns a writer of levels that is called once per step.
@@ -44,6 +45,9 @@
 	return &Levels{clock: clock, step: step}
 }
 
+// Add has f's entries written in the same call as the levels.
+func (v *Levels) Add(f func() []Entry) { v.with = f }
+
 // IsDue reports whether the levels are to be checked now.
 func (v *Levels) IsDue() bool {
 	return v.clock.Since(v.checkedAt) >= LevelsCheckInterval-v.step/2
@@ -59,7 +63,11 @@
 	if len(levels) == 0 || now.Sub(v.writtenAt) < levelsRewriteInterval && !v.changed(levels, bursts) {
 		return
 	}
-	if s.Write(ctx, LevelsRecord, token, levelsValue{At: v.clock.WallOf(now).UnixMilli(), Levels: levels}) {
+	entries := []Entry{{LevelsRecord, levelsValue{At: v.clock.WallOf(now).UnixMilli(), Levels: levels}}}
+	if v.with != nil {
+		entries = append(entries, v.with()...)
+	}
+	if s.WriteAll(ctx, token, entries) {
 		v.writtenAt, v.writtenLevels = now, levels
 	}
 }
--- a/internal/handover/record.go
+++ b/internal/handover/record.go
@@ -48,18 +48,34 @@
 	return true, json.Unmarshal(a.Pairs[0].Value, into)
 }
 
+// Entry is a record and the value to be stored in it.
+type Entry struct {
+	Record Record
+	Value  any
+}
+
 // Write stores the value on condition that the term of the token lasts. It reports whether no retry is needed:
 // the value is stored, or the term is over and the next holder's value counts.
 func (s *Store) Write(ctx context.Context, r Record, token int64, value any) bool {
-	b, err := json.Marshal(value)
+	return s.WriteAll(ctx, token, []Entry{{r, value}})
+}
+
+// WriteAll is Write for several values in one call: all are stored, or none. A failure is logged under the first one's name.
+func (s *Store) WriteAll(ctx context.Context, token int64, entries []Entry) bool {
+	t := store.Txn{If: []store.Compare{store.Unmodified(s.Lease, token)}}
+	var err error
+	for _, e := range entries {
+		var b []byte
+		if b, err = json.Marshal(e.Value); err != nil {
+			break
+		}
+		t.Then = append(t.Then, store.Op{Kind: store.OpPut, Key: e.Record.Key, Value: b})
+	}
 	if err == nil {
-		_, err = s.KV.Txn(ctx, store.Txn{
-			If:   []store.Compare{store.Unmodified(s.Lease, token)},
-			Then: []store.Op{{Kind: store.OpPut, Key: r.Key, Value: b}},
-		})
+		_, err = s.KV.Txn(ctx, t)
 	}
 	if err != nil {
-		s.Log.Info(r.Name+"_unwritten", zap.String("cause", err.Error()))
+		s.Log.Info(entries[0].Record.Name+"_unwritten", zap.String("cause", err.Error()))
 	}
 	return err == nil
 }
