A node whose digests of a relay were lost on their way counted as informed by another one

Found by reading. A node that had come from another relay was remembered as informed; if no digest reached it for so long that it asked for all, it was sent what was placed in the last two seconds. What it says with its newest request counts now.

Evidence: TestNodesThatChangeRelaysAreSentAllPlacementsAgain, 'a node whose digests were lost on their way' (before: the recent ones alone, as the flag stayed).

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -308,8 +308,8 @@
 	now := n.clock.Now()
 	n.aggregator.ApplyReport(now, message.ReportFromWire(v))
 	version := n.aggregator.BaseVersion(r.Msg.Lifetime, r.Msg.Version)
-	if r.Msg.Lifetime != "" && version == 0 {
-		n.aggregator.Inform(v.Node)
+	if version == 0 {
+		n.aggregator.SetInformed(v.Node, r.Msg.Lifetime != "")
 	}
 	a := message.DigestToWire(n.aggregator.Digest(now, v.Node, version))
 	a.Speeds = message.SpeedsToWire(n.pools.SpeedFigures(v.Node, version == 0))
--- a/internal/model/takeover_test.go
+++ b/internal/model/takeover_test.go
@@ -144,8 +144,8 @@
 	n.book.OwnNodeMoved(h.name)
 	h.book.ApplyReport(p.now, r)
 	incarnation, version := n.view.KnownVersion(p.now, h.name)
-	if incarnation != "" && version == 0 && !p.l.sendAll {
-		h.book.Inform(n.name)
+	if version == 0 {
+		h.book.SetInformed(n.name, incarnation != "" && !p.l.sendAll)
 	}
 	d := h.book.Digest(p.now, n.name, version)
 	n.view.ApplyDigest(p.now, h.name, d)
--- a/internal/relay/aggregator.go
+++ b/internal/relay/aggregator.go
@@ -100,11 +100,12 @@
 	a.logPlacements(now, a.self, r.Placed, false)
 }
 
-// Inform records that a node that reports here has had digests of another relay. It isn't sent all placements again,
-// which are most of a whole digest: where a relay ends, all its nodes ask the next one in the same second.
-func (a *Aggregator) Inform(node string) {
+// SetInformed records whether a node that reports here, and knows no digest of this relay, has had digests of another one. It
+// isn't sent all placements again then, which are most of a whole digest: where a relay ends, all its nodes ask the next
+// one in the same second.
+func (a *Aggregator) SetInformed(node string, informed bool) {
 	if v := a.records[node]; v != nil {
-		v.informed = true
+		v.informed = informed
 	}
 }
 
--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -143,8 +143,8 @@
 	h.aggregator.ApplyReport(f.now, r)
 	incarnation, version := n.view.KnownVersion(f.now, h.name)
 	after := h.aggregator.BaseVersion(incarnation, version)
-	if incarnation != "" && after == 0 {
-		h.aggregator.Inform(n.name)
+	if after == 0 {
+		h.aggregator.SetInformed(n.name, incarnation != "")
 	}
 	n.applyDigest(f.now, h.name, h.aggregator.Digest(f.now, n.name, after))
 }
--- a/internal/relay/takeover_test.go
+++ b/internal/relay/takeover_test.go
@@ -37,8 +37,8 @@
 	ask := func(node string, v *View, sequence uint64) Digest {
 		next.ApplyReport(now, Report{Node: node, Incarnation: "1", Sequence: sequence})
 		incarnation, version := v.KnownVersion(now, "next")
-		if incarnation != "" && version == 0 {
-			next.Inform(node)
+		if version == 0 {
+			next.SetInformed(node, incarnation != "")
 		}
 		d := next.Digest(now, node, version)
 		v.ApplyDigest(now, "next", d)
@@ -60,6 +60,9 @@
 	t.Run("a new process", func(t *testing.T) {
 		assert.Len(t, ask("new", new(View), 1).Placed, maxPlacements)
 	})
+	t.Run("a node whose digests were lost on their way", func(t *testing.T) {
+		assert.Len(t, ask("moved", new(View), 4).Placed, maxPlacements)
+	})
 	t.Run("a node that had no digest for long", func(t *testing.T) {
 		var v View
 		v.ApplyDigest(now.Add(-time.Minute), "before", Digest{Incarnation: "1"})
