Streams that began just before a loss of all nodes were known to nobody

Cause: a stream's version was told as its first event arrived, and stored up to some 0.14 s later (a save every 117 to 139 ms, which takes 15 to 26 ms; median and 90th percentile). What began in between is known to no node. Ruled out by the lines: all keepers answered each question (lost=true at every one of these, no find_failed, streams_untold or streams_unsaved around the losses), and candidates that are late were asked, too. None of these streams was found later.

Now the version is told 20 ms after the request was sent, while its first event is awaited, as long as the service has several versions; the messages are as many. From then on the request stays at this version, so that what was told can't be untrue. An attempt that an upstream rejects sooner, or that goes to a version on trial, binds nothing.

Evidence, before: TestStreamsOfTheMomentBeforeALossOfAllNodesAreUnknown, 8 of 12 went on; TestStreamBeginsAtAnotherVersionThanWasTold, 2 versions where 1 is allowed. TestStreamStaysAtAVersionOnTrialThatFailsIt guards the exception (without it 502).

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -76,19 +76,23 @@
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	a.stopTimer = s.o.Clock.AfterFunc(left, func() { a.cancel(errTimeout) })
 	s.placeInOrder(q, use, lastEvent)
+	t := s.bindStart(q, use)
 	w := s.watchStart(ctx, a, q, lastEvent, tried, left)
 	s.pending.add(a, q)
 	err := s.exchange(a, q, lastEvent)
 	s.pending.remove(a)
 	if w.settle(endOf(a, err)) {
 		w.join(q)
+		t.end(q, true)
 		s.recordTrialStart(q, a)
 		return a, nil
 	}
 	err = s.recordFailed(ctx, q, a, err)
 	if b := w.join(q); b != nil {
+		t.end(q, true)
 		return b, nil
 	}
+	t.end(q, false)
 	return nil, err
 }
 
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -62,11 +62,13 @@
 func (s *Server) pick(ctx context.Context, q *request, tried map[string]bool) *pool.Use {
 	n := s.need(q, tried)
 	n.ReachableOnly = q.search.Next() == retry.ScopeReachable
+	q.onTrial = false
 	if n.Version != "" && !q.onlyVersion {
 		return s.o.Pools.Pick(n)
 	}
 	if n.Version == "" && len(tried) == 0 {
 		if u := s.pickTrial(q, n); u != nil {
+			q.onTrial = true
 			return u
 		}
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -148,6 +148,8 @@
 	service         string
 	version         string // of the software that began the stream; empty: any may run the request
 	onlyVersion     bool   // no other version is known
+	onTrial         bool   // the attempt goes to a version on trial
+	told            bool   // the stream's keepers were told of that version before it began
 	tokens          float64
 	arrived         time.Time         // at this VM, though it may have been read later
 	waited          time.Duration     // unread, in the kernel
--- a/internal/forward/lineage.go
+++ b/internal/forward/lineage.go
@@ -4,11 +4,13 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"spurhall.example/spurhall/internal/lineage"
+	"spurhall.example/spurhall/internal/pool"
 )
 
 // This file keeps a stream at the software version that began it (package lineage): within one answer, and over its
@@ -130,16 +132,68 @@
 	return "", false
 }
 
+// startTellDelay is how long after a request was sent its stream's version is told: some round trips, in which an upstream
+// rejects what it won't run.
+const startTellDelay = 20 * time.Millisecond
+
+// startTell is what a stream's keepers are to be told while the response to its first attempt is waited for. Keepers store it
+// meanwhile, so that the version is known when the first event arrives.
+type startTell struct {
+	state atomic.Int32
+	stop  func()
+}
+
+const (
+	tellOpen int32 = iota
+	tellDone
+	tellWithdrawn
+)
+
+// bindStart binds a stream to the version to which it is about to be sent, while its service has several. It returns nil if
+// there is nothing to bind. A request that fails at a version on trial is retried at the one in service, so it isn't bound.
+func (s *Server) bindStart(q *request, use *pool.Use) *startTell {
+	if q.isCopy || q.onTrial || q.version != "" || q.resumesStream() || !q.route.Resumable() || !s.mixesVersions(q) {
+		return nil
+	}
+	q.version = use.Entry().Version
+	r := s.record(q, q.version)
+	t := &startTell{}
+	t.stop = s.o.Clock.AfterFunc(startTellDelay, func() {
+		if t.state.CompareAndSwap(tellOpen, tellDone) {
+			s.o.Lineage.Tell(r)
+		}
+	})
+	return t
+}
+
+// end is called when the attempt has ended, or has begun the stream. One that failed before it was told of may begin at any
+// version. Else the stream stays at its version: what was told may be all that is known of it after a loss of all nodes.
+func (t *startTell) end(q *request, begun bool) {
+	if t == nil {
+		return
+	}
+	t.stop()
+	q.told = !t.state.CompareAndSwap(tellOpen, tellWithdrawn)
+	if !q.told && !begun {
+		q.version = ""
+	}
+}
+
+// mixesVersions reports whether streams of a request's service may be of several versions.
+func (s *Server) mixesVersions(q *request) bool {
+	known, _ := s.o.Pools.StreamVersions(q.service, q.streamTime())
+	return len(known) > 1
+}
+
 // beginStream records a stream whose first event has arrived. It stays at its version.
 func (s *Server) beginStream(q *request, a *attempt) {
 	if !q.route.Resumable() {
 		return
 	}
 	q.version = a.use.Entry().Version
-	known, _ := s.o.Pools.StreamVersions(q.service, q.streamTime())
-	mixed := len(known) > 1
-	s.streams.add(q, mixed)
-	if mixed {
+	mixed := s.mixesVersions(q)
+	s.streams.add(q, mixed || q.told)
+	if mixed && !q.told {
 		s.tell(q, q.version)
 	}
 }
@@ -161,7 +215,11 @@
 }
 
 func (s *Server) tell(q *request, version string) {
-	s.o.Lineage.Tell(lineage.Record{Key: q.streamKey(), Version: version, Left: q.deadline.Sub(s.o.Clock.Now()) + lineageSlack})
+	s.o.Lineage.Tell(s.record(q, version))
+}
+
+func (s *Server) record(q *request, version string) lineage.Record {
+	return lineage.Record{Key: q.streamKey(), Version: version, Left: q.deadline.Sub(s.o.Clock.Now()) + lineageSlack}
 }
 
 // TellStreams makes known which versions began the streams of a service that are in progress. It is called when the
--- a/internal/lineage/lineage.go
+++ b/internal/lineage/lineage.go
@@ -11,7 +11,8 @@
 //
 // All nodes may end at once, and all in turn within a stream's time. So while there are several versions each node stores what
 // it remembers, several times a second while that changes, and its next process reads it; and a node that stops tells it to
-// those that stay. A process that starts doesn't know which versions served before: the holder of the duties stores them, and
+// those that stay. A loss of all takes along what was told since the last save, so a stream is told of while its first event
+// is awaited, and its request stays at that version from then on. A process that starts doesn't know which versions served before: the holder of the duties stores them, and
 // until they are read, no stream is taken up there.
 //
 // A node that is out of step with the others (package follow) may lack a version that they use. It asks them though it knows of
