Nothing told that records of streams waited for long to be stored

A save that comes later than three intervals after the first of its records is logged (streams_saved_late, with how long the store took): what a loss of all nodes would have taken along. At most a few lines a second, only while it is late. TestSaveThatIsLateIsNotSaid.

--- a/internal/lineage/keeper.go
+++ b/internal/lineage/keeper.go
@@ -63,15 +63,17 @@
 	book   *Book
 	untold chan Record
 
-	restored chan struct{} // closed once what the process before stored has been read
-	kept     atomic.Int64  // number of streams that it has come to keep
-	saved    atomic.Int64  // that number at the last save
-	dirty    chan struct{} // has one element if it may differ
+	restored     chan struct{} // closed once what the process before stored has been read
+	start        time.Time
+	unsavedSince atomic.Int64  // nanoseconds from start until the first was kept that has to be saved; 0: none
+	kept         atomic.Int64  // number of streams that it has come to keep
+	saved        atomic.Int64  // that number at the last save
+	dirty        chan struct{} // has one element if it may differ
 }
 
 // NewKeeper returns a keeper that knows of no stream.
 func NewKeeper(o Options) *Keeper {
-	k := &Keeper{o: o, book: NewBook(), untold: make(chan Record, maxUntold), restored: make(chan struct{}), dirty: make(chan struct{}, 1)}
+	k := &Keeper{o: o, start: o.Clock.Now(), book: NewBook(), untold: make(chan Record, maxUntold), restored: make(chan struct{}), dirty: make(chan struct{}, 1)}
 	if o.Load == nil {
 		close(k.restored)
 	}
--- a/internal/lineage/saved.go
+++ b/internal/lineage/saved.go
@@ -45,6 +45,9 @@
 // refused after a loss of all nodes.
 const MinSaveInterval = 100 * time.Millisecond
 
+// lateSave is how long the first of the records that a save stores may have waited until it was stored, without a line.
+const lateSave = 3 * MinSaveInterval
+
 // RunSaved reads what was stored, and then stores what the node remembers when it has come to keep more, until the context
 // ends.
 func (k *Keeper) RunSaved(ctx context.Context) {
@@ -75,6 +78,7 @@
 // SaveSoon has what the node remembers stored if it has come to keep more, and if that is needed now.
 func (k *Keeper) SaveSoon() {
 	if k.o.Save != nil && k.o.Needed() {
+		k.unsavedSince.CompareAndSwap(0, max(1, int64(k.o.Clock.Since(k.start))))
 		k.markDirty()
 	}
 }
@@ -94,6 +98,9 @@
 			since := k.kept.Load() // not stored yet
 			k.Hear(list)
 			k.saved.Store(k.kept.Load() - since)
+			if since == 0 {
+				k.unsavedSince.Store(0)
+			}
 			close(k.restored)
 			k.o.Log.Info("streams_found", zap.Int("streams", len(list)))
 			return true
@@ -112,17 +119,23 @@
 	if k.o.Save == nil || !k.isRestored() || kept == k.saved.Load() || !k.o.Needed() {
 		return
 	}
-	list := k.book.Records(k.o.Clock.Now())
+	began := k.o.Clock.Now()
+	first := k.unsavedSince.Swap(0)
+	list := k.book.Records(began)
 	c, cancel := context.WithTimeout(ctx, saveTimeout)
 	defer cancel()
 	if err := k.o.Save(c, list); err != nil {
 		events.Add("save_failed", 1)
+		k.unsavedSince.Store(first)
 		k.markDirty()
 		k.o.Log.Info("streams_unsaved", zap.Int("streams", len(list)), zap.String("cause", err.Error()))
 		return
 	}
 	events.Add("saves", 1)
 	k.saved.Store(kept)
+	if waited := k.o.Clock.Since(k.start) - time.Duration(first); first > 0 && waited >= lateSave {
+		k.o.Log.Info("streams_saved_late", zap.Int("streams", len(list)), zap.Duration("waited", waited), zap.Duration("took", k.o.Clock.Since(began)))
+	}
 }
 
 // SaveAgain has what the node remembers stored again: the store may have lost it.
--- a/internal/lineage/saved_test.go
+++ b/internal/lineage/saved_test.go
@@ -9,6 +9,10 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"spurhall.example/spurhall/internal/timer"
 )
 
 // memoryStore is what keepers have stored, by node.
@@ -251,3 +255,23 @@
 	defer m.mu.Unlock()
 	return m.values[node]
 }
+
+// TestSaveThatIsLateIsNotSaid guards against records that wait for long to be stored without a line.
+func TestSaveThatIsLateIsNotSaid(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	m := &memoryStore{values: make(map[string][]Record)}
+	k := NewKeeper(Options{Clock: timer.Real(), Log: zap.New(core), Node: "n", InStep: func() bool { return true }, Saved: m.of("n")})
+	close(k.restored)
+	hear := func(id string) { k.Hear([]Record{{KeyOf("w", id), "v1", time.Minute}}) }
+	hear("a")
+	k.Save(t.Context())
+	assert.Zero(t, logs.FilterMessage("streams_saved_late").Len(), "at once")
+	hear("b")
+	time.Sleep(lateSave)
+	m.setDown(true)
+	k.Save(t.Context())
+	m.setDown(false)
+	k.Save(t.Context())
+	require.Equal(t, 1, logs.FilterMessage("streams_saved_late").Len())
+	assert.GreaterOrEqual(t, logs.FilterMessage("streams_saved_late").All()[0].ContextMap()["waited"], lateSave)
+}
