Roll-outs: a silent second of a good target's upstreams rolled it back

What was seen: in a trial a good target whose four upstreams were silent together for 1.2 s (latency target 150 ms) was rolled back with reason fails. Callers lost nothing; the operators' roll-out did not happen.

Cause: an attempt that a backup had overtaken was counted as a failure of its version. By itself it says nothing: it is canceled at once, so nobody sees whether it would have gone on.

Change: such attempts are held back by upstream (rollout/silence.go). They count as failures once later attempts, without an answer in between, show that the silence lasts longer than a sound upstream's; they count for nothing once it is heard. An upstream has one such silence in ten seconds, so that a version which hangs under some requests is still stopped. Both versions are counted alike.

Considered and not done: counting them as slow (a silent second has enough of them), and a timer in place of later attempts (a sound upstream that gets no requests after its silence would be condemned).

--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -225,9 +225,27 @@
 	if t == nil || t.Stage().Ended() {
 		return
 	}
+	now := n.clock.Now()
+	if a.HeardFrom != "" {
+		t.Heard(now, a.HeardFrom)
+	}
 	if t.Observe(route, rank, a) {
 		n.logStop(t, "responses at this node")
-		n.applySplit(n.clock.Now(), service)
+		n.applySplit(now, service)
+	}
+}
+
+// recordOvertaken records an attempt that a backup has overtaken, of a service under a roll-out.
+func (n *Node) recordOvertaken(service string, v rollout.Silence) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	t := n.rollouts.trials[service]
+	if t == nil || t.Stage().Ended() {
+		return
+	}
+	if now := n.clock.Now(); t.Overtaken(now, v) {
+		n.logStop(t, "silence at this node")
+		n.applySplit(now, service)
 	}
 }
 
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -18,7 +18,6 @@
 	"spurhall.example/spurhall/internal/catalog"
 	"spurhall.example/spurhall/internal/fault"
 	"spurhall.example/spurhall/internal/pool"
-	"spurhall.example/spurhall/internal/rollout"
 	"spurhall.example/spurhall/internal/upstream"
 )
 
@@ -136,7 +135,7 @@
 		held = a.use.HoldOff()
 	}
 	if ctx.Err() == nil && errors.Is(err, errIncompleteResponse) && !a.quarantined() {
-		s.o.Trials.Record(q.service, q.route.Name(), a.use.Rank(), rollout.Response{Failed: true})
+		s.recordTrialFailure(q, a, a.sentAt, false)
 	}
 	s.logFailed(ctx, q, a, err, held, severed)
 	return err
--- a/internal/forward/backup.go
+++ b/internal/forward/backup.go
@@ -311,6 +311,7 @@
 	switch {
 	case w.state == raceKept:
 		w.a.use.Heard()
+		w.s.recordTrialHeard(q, w.a)
 		if w.backup != nil {
 			w.backup.finish(pool.ResultInconclusive)
 		}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -107,6 +107,8 @@
 	// Record records a response of an upstream whose version has that rank among the target's versions;
 	// -1 is any other version.
 	Record func(service, route string, rank int, a rollout.Response)
+	// Overtaken records an attempt that a backup has overtaken.
+	Overtaken func(service string, v rollout.Silence)
 }
 
 // Phase is the progress of a planned stop.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -12,7 +12,6 @@
 	"spurhall.example/spurhall/internal/fault"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/retry"
-	"spurhall.example/spurhall/internal/rollout"
 )
 
 // stream is a response whose events are still arriving. Its head and first event come from one upstream;
@@ -133,7 +132,7 @@
 		err = withCause(err, c)
 	}
 	t.a.finish(pool.ResultFailed)
-	t.recordTrial(rollout.Response{Failed: true, AfterStart: true})
+	t.s.recordTrialFailure(t.q, t.a, t.lastEventAt, true)
 	f := []zap.Field{
 		zap.String("request", t.q.meta.ID), zap.String("upstream", t.a.use.Entry().ID), zap.String("last_event", t.lastEventID), zap.String("cause", fault.Reason(err)),
 	}
--- a/internal/forward/trial.go
+++ b/internal/forward/trial.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -29,10 +31,25 @@
 
 // recordTrialStart records an attempt whose response has started.
 func (s *Server) recordTrialStart(q *request, a *attempt) {
-	v := rollout.Response{Started: true, First: a.use.Lag(), Failed: a.head.StatusCode >= http.StatusInternalServerError}
+	v := rollout.Response{Started: true, HeardFrom: a.use.Entry().ID, First: a.use.Lag(), Failed: a.head.StatusCode >= http.StatusInternalServerError}
 	s.o.Trials.Record(q.service, q.route.Name(), a.use.Rank(), v)
 }
 
+// recordTrialFailure records an attempt that has failed, or that a backup has overtaken since the given time without a word
+// of its upstream.
+func (s *Server) recordTrialFailure(q *request, a *attempt, silentSince time.Time, afterStart bool) {
+	if errors.Is(context.Cause(a.ctx), errOvertaken) {
+		s.o.Trials.Overtaken(q.service, rollout.Silence{Upstream: a.use.Entry().ID, Route: q.route.Name(), Rank: a.use.Rank(), Since: silentSince, AfterStart: afterStart})
+		return
+	}
+	s.o.Trials.Record(q.service, q.route.Name(), a.use.Rank(), rollout.Response{Failed: true, AfterStart: afterStart})
+}
+
+// recordTrialHeard records that an attempt's upstream goes on after it was silent.
+func (s *Server) recordTrialHeard(q *request, a *attempt) {
+	s.o.Trials.Record(q.service, q.route.Name(), a.use.Rank(), rollout.Response{HeardFrom: a.use.Entry().ID})
+}
+
 // recordTrial records a result of the stream's response.
 func (t *stream) recordTrial(a rollout.Response) {
 	t.s.o.Trials.Record(t.q.service, t.q.route.Name(), t.a.use.Rank(), a)
--- a/internal/forward/withhold_test.go
+++ b/internal/forward/withhold_test.go
@@ -56,6 +56,7 @@
 		ObserveResponse: func(pool.Entry, call.Response, time.Time) {},
 		Trials: Trials{
 			Offer: func(string, string) bool { return false }, Return: func(string, string) {}, Record: func(string, string, int, rollout.Response) {},
+			Overtaken: func(string, rollout.Silence) {},
 		},
 		Dialect: call.Dialect{
 			ReadMeta:        func(http.Header) call.Meta { return call.Meta{ID: "1"} },
--- a/internal/rollout/tally.go
+++ b/internal/rollout/tally.go
@@ -160,3 +160,11 @@
 
 // groupOf returns the group of the target's upstream of a rank. All nodes rank the upstreams in the same way.
 func groupOf(rank int) int { return 1 + rank%targetGroups }
+
+// cellOf returns the cell of a rank; -1 is the version in service.
+func cellOf(rank int) int {
+	if rank < 0 {
+		return groupInService
+	}
+	return groupOf(rank)
+}
