--- /dev/null
+++ b/internal/forward/race_test.go
@@ -0,0 +1,226 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"spurhall.example/spurhall/internal/call"
+	"spurhall.example/spurhall/internal/catalog"
+	"spurhall.example/spurhall/internal/lineage"
+	"spurhall.example/spurhall/internal/pool"
+	"spurhall.example/spurhall/internal/quarantine"
+	"spurhall.example/spurhall/internal/quota"
+	"spurhall.example/spurhall/internal/rollout"
+	"spurhall.example/spurhall/internal/timer"
+)
+
+// This file plays the race between a silent attempt and its backup, by a clock that the test moves.
+
+// raceRig is a server before two upstreams, a plain route and a route of streams.
+type raceRig struct {
+	t       *testing.T
+	server  *Server
+	clock   *timer.Manual
+	arrived atomic.Int64 // attempts
+	counted atomic.Int64 // requests in the usage
+	tokens  atomic.Int64 // of the retry budget
+	done    chan *httptest.ResponseRecorder
+}
+
+const (
+	raceTarget   = 150 * time.Millisecond
+	raceDeadline = 30 * time.Second
+	plainPath    = "http://plain.example/a"
+	streamPath   = "http://stream.example/a"
+)
+
+// newRaceRig returns a rig whose upstreams serve by the number of the attempt, from 1 on.
+func newRaceRig(t *testing.T, serve func(attempt int, w http.ResponseWriter, q *http.Request)) *raceRig {
+	t.Helper()
+	r := &raceRig{t: t, clock: timer.NewManual(time.Unix(1000, 0)), done: make(chan *httptest.ResponseRecorder, 1)}
+	r.tokens.Store(1)
+	u := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { serve(int(r.arrived.Add(1)), w, q) }))
+	t.Cleanup(u.Close)
+	to := []catalog.WeightedService{{Service: "api", Weight: 1}}
+	c, err := catalog.New(catalog.Spec{
+		Services:   []catalog.ServiceSpec{{Name: "api"}},
+		Workspaces: []catalog.WorkspaceSpec{{Name: "w", Keys: []string{"key"}}},
+		Routes: []catalog.RouteSpec{
+			{Name: "p", Host: "plain.example", Prefix: "/", Kind: catalog.KindRepeatable, MaxAttempts: 2, LatencyTarget: raceTarget, Timeout: raceDeadline, Services: to},
+			{Name: "s", Host: "stream.example", Prefix: "/", Kind: catalog.KindStream, MaxAttempts: 2, LatencyTarget: raceTarget, MaxEventGap: raceTarget, Timeout: raceDeadline, Resumable: true, Services: to},
+		},
+	})
+	require.NoError(t, err)
+	clock := r.clock.Service()
+	pools := pool.New(clock, "n", "hall")
+	pools.Update(func(l *pool.List) {
+		var list []pool.Item
+		for _, id := range []string{"a", "b"} {
+			list = append(list, pool.Item{Revision: 1, Entry: pool.Entry{ID: id, Service: "api", Address: u.Listener.Addr().String(), Hall: "hall", Slots: 8, Version: "v1"}})
+		}
+		l.Replace(clock.Now(), 1, list)
+	})
+	ready := make(chan struct{})
+	close(ready)
+	r.server = NewServer(Options{
+		Clock: clock, Log: zap.NewNop(), Pools: pools, Connections: NewConnections(clock, nil), Ready: ready, Quarantine: quarantine.NewTracker("n"),
+		Catalog: func() *catalog.Catalog { return c }, Phase: func() Phase { return PhaseServing },
+		ListAge: func() (time.Duration, bool) { return 0, true }, Place: func(context.Context, pool.Request) string { return "" },
+		Charge: func(string, float64) quota.Verdict { return quota.Verdict{Allowed: true} }, Refund: func(string, float64) {},
+		RecordFirstAttempt: func(string) {}, AllowRetry: func(string) bool { return r.tokens.Add(-1) >= 0 },
+		CountStarted:    func(string) { r.counted.Add(1) },
+		ObserveResponse: func(pool.Entry, call.Response, time.Time) {},
+		MayProbe:        func() bool { return false }, HallReachable: func(context.Context, string) bool { return true },
+		Trials: Trials{
+			Offer: func(string, string) bool { return false }, Return: func(string, string) {}, Record: func(string, string, int, rollout.Response) {},
+			Overtaken: func(string, rollout.Silence) {},
+		},
+		Lineage: Lineage{Tell: func(lineage.Record) {}, Step: func() (bool, bool) { return true, true }},
+		Dialect: call.Dialect{
+			ReadMeta:   func(http.Header) call.Meta { return call.Meta{ID: "1", Credential: "key"} },
+			WriteOrder: func(h http.Header, o call.Order) { h.Set("Last-Event-Id", o.LastEvent) },
+			ReadResponse: func(h *http.Response) call.Response {
+				return call.Response{RequestID: "1", Signed: true, NotRun: h.Header.Get("Not-Run") != ""}
+			},
+			WriteRetryAfter: func(h http.Header, _ time.Duration) { h.Set("Retry-After", "soon") },
+		},
+	})
+	return r
+}
+
+// send sends a request.
+func (r *raceRig) send(path string) {
+	go func() {
+		w := httptest.NewRecorder()
+		defer func() {
+			_ = recover() // the handler aborts where an answer is cut
+			r.done <- w
+		}()
+		r.server.ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, http.NoBody))
+	}()
+}
+
+// until moves time on until a condition holds.
+func (r *raceRig) until(what string, is func() bool) {
+	r.t.Helper()
+	for range 2000 {
+		if is() {
+			return
+		}
+		r.clock.Advance(5 * time.Millisecond)
+		time.Sleep(time.Millisecond)
+	}
+	require.Fail(r.t, "it didn't come", what)
+}
+
+// race sends a request and waits until its backup runs, too.
+func (r *raceRig) race(path string) {
+	r.t.Helper()
+	r.send(path)
+	r.until("the backup runs", func() bool { return r.arrived.Load() == 2 })
+}
+
+// answer returns what the caller gets.
+func (r *raceRig) answer() *httptest.ResponseRecorder {
+	r.t.Helper()
+	select {
+	case w := <-r.done:
+		return w
+	case <-time.After(5 * time.Second):
+		require.Fail(r.t, "no answer")
+		return nil
+	}
+}
+
+func (r *raceRig) running() int {
+	n := 0
+	for _, s := range r.server.o.Pools.States("api") {
+		n += s.Running
+	}
+	return n
+}
+
+func event123(w http.ResponseWriter, q *http.Request) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	after, _ := strconv.Atoi(q.Header.Get("Last-Event-Id")) // 0: from the start
+	for i := after + 1; i <= 3; i++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: e\n\n", i)
+	}
+}
+
+const allEvents = "id: 1\ndata: e\n\nid: 2\ndata: e\n\nid: 3\ndata: e\n\n"
+
+// silentAfter returns upstreams that are silent until go is closed, before an answer or, of streams, after the first event.
+func silentAfter(release <-chan struct{}) func(attempt int, w http.ResponseWriter, q *http.Request) {
+	return func(attempt int, w http.ResponseWriter, q *http.Request) {
+		stream := q.Host == "stream.example"
+		if stream && attempt == 1 {
+			_, _ = io.WriteString(w, "id: 1\ndata: e\n\n")
+			_ = http.NewResponseController(w).Flush()
+			q.Header.Set("Last-Event-Id", "1")
+		}
+		select {
+		case <-release:
+		case <-q.Context().Done():
+			return
+		}
+		if stream {
+			event123(w, q)
+			return
+		}
+		_, _ = io.WriteString(w, "ok")
+	}
+}
+
+// TestClockOrSuspensionEndsARace guards against answers that are lost since the time of day stepped, or the VM was suspended,
+// while an attempt and its backup were both silent.
+func TestClockOrSuspensionEndsARace(t *testing.T) {
+	for name, happens := range map[string]func(m *timer.Manual){
+		"a step forward":                      func(m *timer.Manual) { m.Step(time.Hour) },
+		"a step back":                         func(m *timer.Manual) { m.Step(-time.Hour) },
+		"a suspension":                        func(m *timer.Manual) { m.Suspend(5 * time.Second) },
+		"a suspension of almost all the time": func(m *timer.Manual) { m.Suspend(raceDeadline - 2*time.Second) },
+		"a suspension beyond the deadline":    func(m *timer.Manual) { m.Suspend(time.Hour) },
+	} {
+		for path, body := range map[string]string{plainPath: "ok", streamPath: allEvents} {
+			t.Run(name+", "+path, func(t *testing.T) {
+				release := make(chan struct{})
+				r := newRaceRig(t, silentAfter(release))
+				r.race(path)
+				happens(r.clock)
+				r.clock.Advance(time.Second)
+				close(release)
+				w := r.answer()
+				assert.Equal(t, http.StatusOK, w.Code)
+				assert.Equal(t, body, w.Body.String())
+				assert.Equal(t, int64(2), r.arrived.Load())
+				assert.Zero(t, r.running())
+			})
+		}
+	}
+}
+
+// TestSuspensionIsTakenForSilence guards against backups for an upstream that was silent while this VM was suspended.
+func TestSuspensionIsTakenForSilence(t *testing.T) {
+	release := make(chan struct{})
+	r := newRaceRig(t, silentAfter(release))
+	r.send(plainPath)
+	require.Eventually(t, func() bool { return r.arrived.Load() == 1 }, 5*time.Second, time.Millisecond)
+	r.clock.Suspend(5 * time.Second)
+	r.clock.Advance(raceTarget)
+	time.Sleep(50 * time.Millisecond)
+	close(release)
+	assert.Equal(t, "ok", r.answer().Body.String())
+	assert.Equal(t, int64(1), r.arrived.Load())
+}
--- a/internal/timer/timer.go
+++ b/internal/timer/timer.go
@@ -133,6 +133,7 @@
 	mu      sync.Mutex
 	now     time.Time
 	paused  time.Duration
+	stepped time.Duration // of the time of day
 	waiting []*waiter
 }
 
@@ -146,7 +147,7 @@
 
 // Service returns the service that follows this clock.
 func (m *Manual) Service() *Service {
-	return &Service{now: m.read, wall: m.read, suspended: m.suspensions, after: m.after, afterFunc: m.afterFunc}
+	return &Service{now: m.read, wall: m.readWall, suspended: m.suspensions, after: m.after, afterFunc: m.afterFunc}
 }
 
 func (m *Manual) afterFunc(d time.Duration, f func()) func() {
@@ -171,6 +172,19 @@
 	return m.now
 }
 
+func (m *Manual) readWall() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.now.Add(m.stepped)
+}
+
+// Step sets the time of day forward or back. No time passes.
+func (m *Manual) Step(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stepped += d
+}
+
 func (m *Manual) suspensions() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
