Usage: a backup that ran was missing where the first attempt was rejected

What was wrong: a request whose first attempt was rejected late, while its backup had run and broken off, ran and wasn't counted in its workspace's usage. Cause: a backup works on a copy of the request, which counts nothing, and nothing was taken over but its attempts. Change: the copy notes that it ran, and the original is counted once the race is over.

Evidence: TestBackupThatRanIsMissingInTheUsage (before: expected 1, actual 0).

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -310,7 +310,11 @@
 
 // countStarted counts a request that an upstream has started to run, once.
 func (s *Server) countStarted(q *request) {
-	if q.started || q.isCopy {
+	if q.isCopy {
+		s.countUsage(q)
+		return
+	}
+	if q.started {
 		return
 	}
 	q.started = true
@@ -321,13 +325,15 @@
 
 // countUsage counts a request that runs in its workspace's usage, once. A request whose upstream accepted it
 // and broke the connection counts too: an upstream that loses responses has run the requests, and a crash
-// affects few requests that had not started.
+// affects few requests that had not started. What a backup ran is counted with its original, once the race is over.
 func (s *Server) countUsage(q *request) {
-	if q.counted || q.isCopy || q.workspace == nil {
+	if q.counted || q.workspace == nil {
 		return
 	}
 	q.counted = true
-	s.o.CountStarted(q.workspace.Name())
+	if !q.isCopy {
+		s.o.CountStarted(q.workspace.Name())
+	}
 }
 
 // newUpstreamRequest builds the request for an upstream. Its body cannot be rewound, so that net/http never
--- a/internal/forward/backup.go
+++ b/internal/forward/backup.go
@@ -308,6 +308,9 @@
 	}
 	<-w.done
 	q.takeOver(w.q, w.base)
+	if w.q.counted {
+		w.s.countUsage(q)
+	}
 	switch {
 	case w.state == raceKept:
 		w.a.use.Heard()
--- a/internal/forward/race_test.go
+++ b/internal/forward/race_test.go
@@ -224,3 +224,23 @@
 	assert.Equal(t, "ok", r.answer().Body.String())
 	assert.Equal(t, int64(1), r.arrived.Load())
 }
+
+// TestBackupThatRanIsMissingInTheUsage guards against a request that ran and isn't counted since its first attempt was
+// rejected and its backup, which had run, broke off.
+func TestBackupThatRanIsMissingInTheUsage(t *testing.T) {
+	release := make(chan struct{})
+	r := newRaceRig(t, func(attempt int, w http.ResponseWriter, _ *http.Request) {
+		if attempt == 2 {
+			panic(http.ErrAbortHandler)
+		}
+		<-release
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	r.race(plainPath)
+	time.Sleep(50 * time.Millisecond)
+	close(release)
+	assert.Equal(t, http.StatusBadGateway, r.answer().Code, "it may have run")
+	assert.Equal(t, int64(1), r.counted.Load())
+	assert.Zero(t, r.running())
+}
