Retry budget: a token for a backup of which nothing was sent was spent

What was wrong: where the silent upstream goes on in the moment in which the budget has given a token, or the backup gets no connection, nothing is sent and the token is gone; later requests lack it. Cause: nothing returned it. Change: it is returned if no attempt has arrived (retry.Window.Return); the bound holds in every span, since the oldest slot is reduced.

Evidence: TestTokenOfABackupThatIsNotSentIsSpent (before: expected 1 token, actual 0); TestReturnedRetriesLoosenTheBound.

--- a/internal/forward/backup.go
+++ b/internal/forward/backup.go
@@ -151,7 +151,12 @@
 		use.End(pool.ResultWithheld)
 		return false, "the retry budget is spent, or no time is left"
 	}
-	return w.try(use), ""
+	arrivals := w.q.arrivals
+	over = w.try(use)
+	if w.q.arrivals == arrivals {
+		w.s.o.ReturnRetry(w.q.service) // nothing was sent
+	}
+	return over, ""
 }
 
 // begin begins the race, unless the watch has ended.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -80,9 +80,11 @@
 	Refund func(workspace string, tokens float64)
 	// CountStarted counts a request that has started to run.
 	CountStarted func(workspace string)
-	// RecordFirstAttempt records a request's first attempt at a service; AllowRetry asks the retry budget for another.
+	// RecordFirstAttempt records a request's first attempt at a service; AllowRetry asks the retry budget for another, and
+	// ReturnRetry returns one of which nothing was sent.
 	RecordFirstAttempt func(service string)
 	AllowRetry         func(service string) bool
+	ReturnRetry        func(service string)
 	// ObserveResponse records what an upstream states about itself in a response to a request sent at that time.
 	ObserveResponse func(e pool.Entry, v call.Response, sent time.Time)
 	// Phase returns the progress of a planned stop.
--- a/internal/forward/race_test.go
+++ b/internal/forward/race_test.go
@@ -35,6 +35,7 @@
 	arrived atomic.Int64 // attempts
 	counted atomic.Int64 // requests in the usage
 	tokens  atomic.Int64 // of the retry budget
+	allowed func()       // called when it has given one; nil: nothing is
 	done    chan *httptest.ResponseRecorder
 }
 
@@ -78,7 +79,7 @@
 		Catalog: func() *catalog.Catalog { return c }, Phase: func() Phase { return PhaseServing },
 		ListAge: func() (time.Duration, bool) { return 0, true }, Place: func(context.Context, pool.Request) string { return "" },
 		Charge: func(string, float64) quota.Verdict { return quota.Verdict{Allowed: true} }, Refund: func(string, float64) {},
-		RecordFirstAttempt: func(string) {}, AllowRetry: func(string) bool { return r.tokens.Add(-1) >= 0 },
+		RecordFirstAttempt: func(string) {}, AllowRetry: r.allowRetry, ReturnRetry: func(string) { r.tokens.Add(1) },
 		CountStarted:    func(string) { r.counted.Add(1) },
 		ObserveResponse: func(pool.Entry, call.Response, time.Time) {},
 		MayProbe:        func() bool { return false }, HallReachable: func(context.Context, string) bool { return true },
@@ -99,6 +100,17 @@
 	return r
 }
 
+func (r *raceRig) allowRetry(string) bool {
+	if r.tokens.Add(-1) < 0 {
+		r.tokens.Add(1)
+		return false
+	}
+	if r.allowed != nil {
+		r.allowed()
+	}
+	return true
+}
+
 // send sends a request.
 func (r *raceRig) send(path string) {
 	go func() {
@@ -244,3 +256,18 @@
 	assert.Equal(t, int64(1), r.counted.Load())
 	assert.Zero(t, r.running())
 }
+
+// TestTokenOfABackupThatIsNotSentIsSpent guards against a retry budget that is used up by backups of which nothing was sent.
+func TestTokenOfABackupThatIsNotSentIsSpent(t *testing.T) {
+	release := make(chan struct{})
+	r := newRaceRig(t, silentAfter(release))
+	r.allowed = func() {
+		close(release)
+		time.Sleep(50 * time.Millisecond) // the first attempt goes on
+	}
+	r.send(plainPath)
+	r.until("the answer", func() bool { return len(r.done) > 0 })
+	assert.Equal(t, "ok", r.answer().Body.String())
+	assert.Equal(t, int64(1), r.arrived.Load())
+	assert.Equal(t, int64(1), r.tokens.Load())
+}
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -78,3 +78,15 @@
 	w.repeats[at]++
 	return true
 }
+
+// Return returns a retry that was taken and of which nothing was sent. It leaves the oldest slot that has one: those in
+// newer ones count for longer, so that the bound holds whichever it was.
+func (w *Window) Return(now time.Duration) {
+	at := w.advance(now)
+	for i := 1; i <= windowSlots; i++ {
+		if r := &w.repeats[(at+i)%windowSlots]; *r > 0 {
+			*r--
+			return
+		}
+	}
+}
--- a/internal/retry/window_test.go
+++ b/internal/retry/window_test.go
@@ -43,6 +43,49 @@
 	})
 }
 
+// TestReturnedRetriesLoosenTheBound guards against more retries than the bound allows since some were returned unused.
+func TestReturnedRetriesLoosenTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const span = 10 * time.Second
+		const extra = 5
+		w := NewWindow(0, extra, span)
+		var repeats []time.Duration
+		now := time.Duration(0)
+		for range 200 {
+			now += time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond
+			if !w.Take(now) {
+				continue
+			}
+			if rapid.Bool().Draw(t, "returned") {
+				now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "later")) * time.Millisecond
+				w.Return(now)
+				continue
+			}
+			repeats = append(repeats, now)
+			n := 0
+			for _, x := range repeats {
+				if x > now-span {
+					n++
+				}
+			}
+			assert.LessOrEqual(t, n, extra)
+		}
+	})
+	t.Run("it may be used again", func(t *testing.T) {
+		w := NewWindow(0, 1, 10*time.Second)
+		assert.True(t, w.Take(0))
+		w.Return(time.Second)
+		assert.True(t, w.Take(time.Second))
+		assert.False(t, w.Take(time.Second))
+	})
+	t.Run("nothing is returned that wasn't taken", func(t *testing.T) {
+		w := NewWindow(0, 1, 10*time.Second)
+		w.Return(0)
+		assert.True(t, w.Take(0))
+		assert.False(t, w.Take(0))
+	})
+}
+
 func TestWindowOpensAgain(t *testing.T) {
 	w := NewWindow(0, 2, 10*time.Second)
 	assert.True(t, w.Take(0))
