--- a/internal/forward/backup.go
+++ b/internal/forward/backup.go
@@ -151,7 +151,12 @@
 		use.End(pool.ResultWithheld)
 		return false, "the retry budget is spent, or no time is left"
 	}
-	return w.try(use), ""
+	arrivals := w.q.arrivals
+	over = w.try(use)
+	if w.q.arrivals == arrivals {
+		w.s.o.ReturnRetry(w.q.service) // nothing was sent
+	}
+	return over, ""
 }
 
 // begin begins the race, unless the watch has ended.
@@ -308,9 +313,13 @@
 	}
 	<-w.done
 	q.takeOver(w.q, w.base)
+	if w.q.counted {
+		w.s.countUsage(q)
+	}
 	switch {
 	case w.state == raceKept:
 		w.a.use.Heard()
+		w.s.recordTrialHeard(q, w.a)
 		if w.backup != nil {
 			w.backup.finish(pool.ResultInconclusive)
 		}
