The loss of any relay sent every node all placements again, in the same second

Cause: a relay that hears nothing of another one for a second requests the complete state of all others (detectLostRelays). Their groups then have all that they hold in their placement log. Placements that this relay logged more than ten seconds ago counted as new, so they went into the digest of each of its nodes, informed by another relay or not. What a node has had was known by the log, and wasn't looked at.

Change: of a state that was requested again, only what the log lacks is logged (Aggregator.notLogged). The first contact with a relay, and one with a new process of it, stay as they are.

Evidence: TestLossOfARelaySendsAllPlacementsAgain said before "1.25s after the last group of the lost relay: expected 1, actual 3001" placements in one digest; it has 1 now.

--- a/internal/relay/aggregator.go
+++ b/internal/relay/aggregator.go
@@ -52,6 +52,7 @@
 	version      uint64
 	share        pool.PeerLoad
 	trials       []rollout.Update
+	again        bool // its complete state has been requested again
 }
 
 type loggedPlacement struct {
@@ -225,7 +226,7 @@
 		return
 	}
 	for _, g := range a.groups {
-		g.version = 0
+		g.version, g.again = 0, true
 	}
 }
 
@@ -265,7 +266,24 @@
 			v.lastSeen = now
 		}
 	}
-	a.logPlacements(now, g.Relay, g.Placed, old == nil)
+	placed := g.Placed
+	if old != nil && old.incarnation == g.Incarnation && old.again {
+		placed = a.notLogged(placed)
+	}
+	a.logPlacements(now, g.Relay, placed, old == nil)
+}
+
+// notLogged returns the placements that a complete state has more often than this relay has logged them. The others have
+// been sent on: with the loss of any relay, each node of the fleet would be sent all of them again.
+func (a *Aggregator) notLogged(list []pool.Placement) []pool.Placement {
+	logged := make(map[pool.Placement]int, len(a.placementLog))
+	for _, p := range a.placementLog {
+		logged[p.Placement]++
+	}
+	return slices.DeleteFunc(slices.Clone(list), func(p pool.Placement) bool {
+		logged[p]--
+		return logged[p] >= 0
+	})
 }
 
 // detachNodes records that a relay restarted: its former nodes belong to it again once it reports them.
