Nodes of large fleets that change relays were sent all placements again, from the second digest on

Cause: where more than maxChanges processes have changed, a relay's first state takes several digests. Only the first one left out what an informed node has had; the next ones counted as a calm round, in which all placements after the last version are sent.

Change: what counts is when the node came to the relay (record.informedAt), for each of its digests.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -309,7 +309,7 @@
 	n.aggregator.ApplyReport(now, message.ReportFromWire(v))
 	version := n.aggregator.BaseVersion(r.Msg.Lifetime, r.Msg.Version)
 	if version == 0 {
-		n.aggregator.SetInformed(v.Node, r.Msg.Lifetime != "")
+		n.aggregator.SetInformed(now, v.Node, r.Msg.Lifetime != "")
 	}
 	a := message.DigestToWire(n.aggregator.Digest(now, v.Node, version))
 	a.Speeds = message.SpeedsToWire(n.pools.SpeedFigures(v.Node, version == 0))
--- a/internal/model/takeover_test.go
+++ b/internal/model/takeover_test.go
@@ -145,7 +145,7 @@
 	h.book.ApplyReport(p.now, r)
 	incarnation, version := n.view.KnownVersion(p.now, h.name)
 	if version == 0 {
-		h.book.SetInformed(n.name, incarnation != "" && !p.l.sendAll)
+		h.book.SetInformed(p.now, n.name, incarnation != "" && !p.l.sendAll)
 	}
 	d := h.book.Digest(p.now, n.name, version)
 	n.view.ApplyDigest(p.now, h.name, d)
--- a/internal/relay/aggregator.go
+++ b/internal/relay/aggregator.go
@@ -35,8 +35,8 @@
 	work          map[string]capacity.Work // of nodes that report to this relay only
 	trials        []rollout.Update
 	pastTrials    []rollout.Update // of the node's former processes
-	// informed says that another relay has sent the process a digest.
-	informed bool
+	// informedAt is when the process came here from another relay, which had sent it digests; zero: it hasn't.
+	informedAt time.Time
 }
 
 type counter struct {
@@ -104,9 +104,14 @@
 // SetInformed records whether a node that reports here, and knows no digest of this relay, has had digests of another one. It
 // isn't sent all placements again then, which are most of a whole digest: where a relay ends, all its nodes ask the next
 // one in the same second.
-func (a *Aggregator) SetInformed(node string, informed bool) {
-	if v := a.records[node]; v != nil {
-		v.informed = informed
+func (a *Aggregator) SetInformed(now time.Time, node string, informed bool) {
+	v := a.records[node]
+	switch {
+	case v == nil:
+	case informed:
+		v.informedAt = now
+	default:
+		v.informedAt = time.Time{}
 	}
 }
 
@@ -132,7 +137,7 @@
 	if v.incarnation != incarnation {
 		v.incarnation, v.startedAt, v.spent, v.started = incarnation, startedAt, make(map[string]counter), nil
 		v.pastTrials, v.trials = rollout.Merge(v.pastTrials, v.trials), nil
-		v.informed = false
+		v.informedAt = time.Time{}
 		v.resetVersion = a.nextVersion(v)
 	}
 	v.sequence = sequence
--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -144,7 +144,7 @@
 	incarnation, version := n.view.KnownVersion(f.now, h.name)
 	after := h.aggregator.BaseVersion(incarnation, version)
 	if after == 0 {
-		h.aggregator.SetInformed(n.name, incarnation != "")
+		h.aggregator.SetInformed(f.now, n.name, incarnation != "")
 	}
 	n.applyDigest(f.now, h.name, h.aggregator.Digest(f.now, n.name, after))
 }
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -55,10 +55,7 @@
 		}
 		return v.version
 	})
-	informed := a.records[receiver] != nil && a.records[receiver].informed
-	d.Placed = a.placements(after, d.Version, func(p loggedPlacement) bool {
-		return !informed || !p.backlog && (after > 0 || now.Sub(p.at) <= handoverSpan)
-	})
+	d.Placed = a.placements(after, d.Version, a.records[receiver].mayLack)
 	d.Trials = a.ownTrials(receiver)
 	d.Trials = rollout.Merge(d.Trials, a.peerTrials(now))
 	d.Reachability = a.reachability(now, receiver)
@@ -184,6 +181,12 @@
 	return c
 }
 
+// mayLack reports whether a process may lack a placement of those after its last digest. The first digests of a relay take
+// several rounds in a large fleet: what counts is when it came to this relay.
+func (v *record) mayLack(p loggedPlacement) bool {
+	return v == nil || v.informedAt.IsZero() || !p.backlog && v.informedAt.Sub(p.at) <= handoverSpan
+}
+
 func (a *Aggregator) placements(after, upTo uint64, counts func(loggedPlacement) bool) []pool.Placement {
 	var list []pool.Placement
 	for _, p := range a.placementLog {
--- a/internal/relay/takeover_test.go
+++ b/internal/relay/takeover_test.go
@@ -38,7 +38,7 @@
 		next.ApplyReport(now, Report{Node: node, Incarnation: "1", Sequence: sequence})
 		incarnation, version := v.KnownVersion(now, "next")
 		if version == 0 {
-			next.SetInformed(node, incarnation != "")
+			next.SetInformed(now, node, incarnation != "")
 		}
 		d := next.Digest(now, node, version)
 		v.ApplyDigest(now, "next", d)
