Beyond 97 nodes, small VMs that performed the duties lacked what other nodes had counted

Cause: the lease of the duties is for watchers (edge/duties.go). Where pairs don't suffice, counts of usage and work go between relays only, and a watcher used to be a relay, as both are the first nodes of their hall. Since small relays don't watch, a holder in a hall without large VMs has only its own counts: usage reports would lack the other nodes, and orders would take the pools for idle. Read in the code, not played.

Change: relays and watchers are kept apart only where pairs suffice. Beyond, a small VM may have both, as before; to let it do so without starving its callers, the watchers would have to be told the counts.

Evidence: TestHolderOfTheDutiesLacksTheCountsOfALargeFleet said before "should be true: edge-... is a relay", for both watchers of a hall of 40 small VMs in a fleet of 120.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -90,8 +90,9 @@
 
 // Watchers returns the nodes of a hall that watch the store: the first ones in the hall's order of those that
 // reach the store, or of all nodes if none reaches it. A small node that is a relay doesn't watch as well, if there is
-// another one. While views differ, a node may poll one that doesn't watch; the response says so.
-func Watchers(nodes []Node) relay.Ranking {
+// another one, and pairs suffice in a fleet of that size: beyond, only relays have the counts of all nodes, which a watcher
+// needs that performs the duties. While views differ, a node may poll one that doesn't watch; the response says so.
+func Watchers(nodes []Node, fleet int) relay.Ranking {
 	all, connected := make(map[string]float64, len(nodes)), make(map[string]float64, len(nodes))
 	for _, n := range nodes {
 		all[n.Name] = n.Cores
@@ -104,6 +105,9 @@
 		connected = all
 	}
 	order := relay.Rank(connected)
+	if !pair.Suffice(fleet) {
+		return order[:min(len(order), WatchersPerHall)]
+	}
 	// Stable: the hall's order holds among those that only watch, and among the rest.
 	slices.SortStableFunc(order, func(a, b relay.Ranked) int { return cmp.Compare(burden(a, relays), burden(b, relays)) })
 	return order[:min(len(order), WatchersPerHall)]
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -57,12 +57,12 @@
 
 func TestWatchers(t *testing.T) {
 	nodes := []Node{{"a", 0.2, true}, {"b", 0.8, false}, {"c", 0.8, true}, {"d", 0.4, true}}
-	assert.Equal(t, []string{"c", "d"}, Watchers(nodes).Names(), "those with the most cores that reach the store")
+	assert.Equal(t, []string{"c", "d"}, Watchers(nodes, len(nodes)).Names(), "those with the most cores that reach the store")
 	for i := range nodes {
 		nodes[i].StoreUp = false
 	}
-	assert.Len(t, Watchers(nodes), WatchersPerHall)
-	assert.Equal(t, []string{"a"}, Watchers(nodes[:1]).Names())
+	assert.Len(t, Watchers(nodes, len(nodes)), WatchersPerHall)
+	assert.Equal(t, []string{"a"}, Watchers(nodes[:1], 1).Names())
 }
 
 // TestRegistryFollowers draws reads of the registry, and a node that is sent the changes now and then: it has
--- a/internal/roster/takeover_test.go
+++ b/internal/roster/takeover_test.go
@@ -67,3 +67,12 @@
 	hall.Size = 9
 	assert.Len(t, new(Role).ToPoll(hall), 2, "nodes of a small fleet read the store at once")
 }
+
+// TestHolderOfTheDutiesLacksTheCountsOfALargeFleet: a watcher performs the duties, and beyond pairs only relays are told what others have done.
+func TestHolderOfTheDutiesLacksTheCountsOfALargeFleet(t *testing.T) {
+	hall := newHall(time.Unix(1000, 0), 2, 2, 40, 120)
+	relays := hall.HallNodes("h").Active()
+	for _, w := range hall.Watchers() {
+		assert.True(t, relays.Has(w), "%s is a relay", w)
+	}
+}
--- a/internal/roster/view.go
+++ b/internal/roster/view.go
@@ -73,7 +73,7 @@
 			nodes = append(nodes, Node{Name: p.Name, Cores: p.Cores, StoreUp: unheard || p.StoreUp})
 		}
 	}
-	return Watchers(nodes)
+	return Watchers(nodes, v.Size)
 }
 
 // leavingWatchers returns the nodes of this hall that leave and may have watched the store.
