Pool: an attempt kept its place, and its connection, after this node's own code failed

What was wrong: after a panic in an attempt the caller was answered, but the attempt was never ended: its upstream counted as one busier for good, the connection stayed open, and a backup beside it ran on. Cause: only attempts that return are finished. Change: an attempt that doesn't return is finished, and the race is abandoned.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -77,7 +77,16 @@
 	s.placeInOrder(q, use, lastEvent)
 	w := s.watchStart(ctx, a, q, lastEvent, tried, left)
 	s.pending.add(a, q)
+	exchanged := false
+	defer func() {
+		if !exchanged { // this node's own code has failed
+			s.pending.remove(a)
+			a.finish(pool.ResultInconclusive)
+			w.abandon()
+		}
+	}()
 	err := s.exchange(a, q, lastEvent)
+	exchanged = true
 	s.pending.remove(a)
 	if w.settle(endOf(a, err)) {
 		w.join(q)
--- a/internal/forward/backup.go
+++ b/internal/forward/backup.go
@@ -333,6 +333,19 @@
 	return w.backup
 }
 
+// abandon ends the wait and the backup.
+func (w *silenceWatch) abandon() {
+	w.settle(attemptFailed)
+	if w == nil || w.done == nil {
+		return
+	}
+	w.cancel(errOvertaken)
+	<-w.done
+	if w.backup != nil {
+		w.backup.finish(pool.ResultInconclusive)
+	}
+}
+
 // triedOr returns the upstreams that were tried while an attempt was watched, its own among them.
 func (w *silenceWatch) triedOr(a *attempt) map[string]bool {
 	if w != nil && w.done != nil {
--- a/internal/forward/race_test.go
+++ b/internal/forward/race_test.go
@@ -92,6 +92,9 @@
 			ReadMeta:   func(http.Header) call.Meta { return call.Meta{ID: "1", Credential: "key"} },
 			WriteOrder: func(h http.Header, o call.Order) { h.Set("Last-Event-Id", o.LastEvent) },
 			ReadResponse: func(h *http.Response) call.Response {
+				if h.Header.Get("Fault") != "" {
+					panic("a fault of this node's own code")
+				}
 				return call.Response{RequestID: "1", Signed: true, NotRun: h.Header.Get("Not-Run") != ""}
 			},
 			WriteRetryAfter: func(h http.Header, _ time.Duration) { h.Set("Retry-After", "soon") },
@@ -271,3 +274,53 @@
 	assert.Equal(t, int64(1), r.arrived.Load())
 	assert.Equal(t, int64(1), r.tokens.Load())
 }
+
+// TestFaultOfOwnCodeKeepsAPlaceInThePool guards against upstreams that count as busy for ever since this node's code failed
+// under a request.
+func TestFaultOfOwnCodeKeepsAPlaceInThePool(t *testing.T) {
+	fail := func(w http.ResponseWriter) {
+		w.Header().Set("Fault", "1")
+		_, _ = io.WriteString(w, "x")
+	}
+	t.Run("in the only attempt", func(t *testing.T) {
+		r := newRaceRig(t, func(_ int, w http.ResponseWriter, _ *http.Request) { fail(w) })
+		r.send(plainPath)
+		assert.Equal(t, http.StatusBadGateway, r.answer().Code)
+		assert.Zero(t, r.running())
+	})
+	for name, faulty := range map[string]int{"in the first of two": 1, "in its backup": 2} {
+		t.Run(name, func(t *testing.T) {
+			release := make(chan struct{})
+			r := newRaceRig(t, func(attempt int, w http.ResponseWriter, q *http.Request) {
+				if attempt == faulty {
+					<-release
+					fail(w)
+					return
+				}
+				if attempt == 1 {
+					sleepAfter(q, release)
+					_, _ = io.WriteString(w, "ok")
+					return
+				}
+				<-q.Context().Done()
+			})
+			r.race(plainPath)
+			close(release)
+			want := http.StatusOK
+			if faulty == 1 {
+				want = http.StatusBadGateway
+			}
+			assert.Equal(t, want, r.answer().Code)
+			assert.Zero(t, r.running())
+		})
+	}
+}
+
+// sleepAfter waits for a moment after a channel is closed, or until the caller leaves.
+func sleepAfter(q *http.Request, c <-chan struct{}) {
+	<-c
+	select {
+	case <-time.After(50 * time.Millisecond):
+	case <-q.Context().Done():
+	}
+}
