follow_failed has how long the call took and how late the process ran

A follower's call that fails is either the watcher's failure or the process's own lateness, and the line told neither. Eight calls that ran out of time in TestTwoNodesOfAHallWatch beside eight busy processes (load 50 to 85 on 8 cores): late 0.23 to 0.96 s, took 0.65 to 1.31 s where 0.65 is the limit.

--- a/internal/edge/watchers.go
+++ b/internal/edge/watchers.go
@@ -159,6 +159,7 @@
 	for ctx.Err() == nil {
 		names := n.watchersToPoll()
 		name := names[failed%len(names)]
+		asked := n.clock.Now()
 		err := n.pollWatcher(ctx, name, at)
 		if err == nil {
 			failed, lastNews = 0, n.clock.Now()
@@ -169,7 +170,8 @@
 		}
 		failed++
 		if failed <= roster.WatchersPerHall || failed%repeatedFailures == 0 {
-			n.log.Info("follow_failed", zap.String("peer", name), zap.Int("in_a_row", failed), zap.String("cause", err.Error()))
+			n.log.Info("follow_failed", zap.String("peer", name), zap.Int("in_a_row", failed), zap.String("cause", err.Error()),
+				zap.Duration("took", n.clock.Since(asked)), zap.Duration("late", n.lag.Late()))
 		}
 		if n.waitsForNews(lastNews) || n.isStarting() && n.startsAsFollower() {
 			_ = n.clock.Sleep(ctx, pollGap) // the loop condition checks the context
