Soak: the large daemons of a hall stop together, and small ones take over

The soak had daemons of one size, and nothing bounded what passes between them: a VM that takes over its hall's duties could bear any number of calls (docs/incidents/takeover.md). The large ones of a hall get SIGTERM together; the configuration changes 6 to 12 times, and every other upstream is released. All links of a daemon share its bandwidth, each way; what is beyond passes later, in order. A process that has used up its part of 100 ms isn't run until the next 100 ms. Check 'takeover': whatever is asked of daemons that go on is answered in time.

What a daemon asks of others counts at these alone: looking up who dials, socket by socket, took the soak's process 1.1 cores with 17 daemons, and connections waited for it.

--- a/cmd/spurhall-soak/main.go
+++ b/cmd/spurhall-soak/main.go
@@ -44,6 +44,7 @@
 			&cli.StringFlag{Name: "regressions", Usage: "play the seeds of this file instead; each line has a seed and why it failed once"},
 			&cli.IntFlag{Name: "at-once", Value: 1, Usage: "days played at the same time"},
 			&cli.IntFlag{Name: "daemons", Usage: "daemons of each day; 0: drawn"},
+			&cli.BoolFlag{Name: "takeover", Usage: "play days alone on which the large daemons of a hall stop together"},
 			&cli.DurationFlag{Name: "traffic", Usage: "length of each day; 0: the usual"},
 			&cli.StringFlag{Name: "daemon", Value: "bin/spurhalld", Usage: "path of spurhalld"},
 			&cli.StringFlag{Name: "beside", Usage: "path of another build, which every other daemon runs; engines are then of one version, by which a build may not keep streams"},
@@ -72,7 +73,7 @@
 
 func run(ctx context.Context, c *cli.Command) error {
 	clock := timer.Real()
-	o, first := soak.Options{Daemons: c.Int("daemons"), Traffic: c.Duration("traffic"), OneVersion: c.String("beside") != ""}, c.Uint64("seed")
+	o, first := soak.Options{Daemons: c.Int("daemons"), Traffic: c.Duration("traffic"), OneVersion: c.String("beside") != "", Takeover: c.Bool("takeover")}, c.Uint64("seed")
 	if first == 0 {
 		first = uint64(clock.Wall().UnixNano())
 	}
@@ -130,7 +131,11 @@
 	failed, played := 0, 0
 	turns := make(chan struct{}, atOnce)
 	for _, seed := range seeds {
-		turns <- struct{}{}
+		day := soak.Draw(seed, o)
+		weight := min(day.Weight(), atOnce)
+		for range weight {
+			turns <- struct{}{}
+		}
 		mu.Lock()
 		enough := ctx.Err() != nil || p.stop && failed > 0
 		mu.Unlock()
@@ -138,8 +143,12 @@
 			break
 		}
 		w.Go(func() {
-			defer func() { <-turns }()
-			ok := p.report(ctx, soak.Draw(seed, o), shrink)
+			defer func() {
+				for range weight {
+					<-turns
+				}
+			}()
+			ok := p.report(ctx, day, shrink)
 			mu.Lock()
 			defer mu.Unlock()
 			played++
--- a/internal/soak/calls.go
+++ b/internal/soak/calls.go
@@ -49,7 +49,7 @@
 	r := rand.New(rand.NewPCG(d.Seed, 0xca11))
 	list := d.pressingCalls(rand.New(rand.NewPCG(d.Seed, 0x9e55)))
 	list = append(list, d.partCalls(rand.New(rand.NewPCG(d.Seed, 0xbad1)))...)
-	sharesParts := slices.ContainsFunc(d.Faults, func(f Fault) bool { return f.Kind == FaultPart })
+	sharesParts := d.Large > 0 || slices.ContainsFunc(d.Faults, func(f Fault) bool { return f.Kind == FaultPart })
 	for at := time.Duration(0); ; {
 		at += time.Duration(r.ExpFloat64() / d.PerSecond * float64(time.Second))
 		if at >= d.Traffic {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -100,7 +100,7 @@
 		switch f.Kind {
 		case FaultHall, FaultKillAll, FaultLapse, FaultForget, FaultCopy:
 			return true
-		case FaultTerm, FaultPress, FaultKill, FaultStarve:
+		case FaultTerm, FaultPress, FaultTakeover, FaultKill, FaultStarve:
 			return slices.Contains(f.Who, daemon)
 		case FaultFreeze:
 			return f.On == OnStore || f.On == OnDaemons && slices.Contains(f.Who, daemon)
@@ -121,7 +121,7 @@
 // unplanned is anything but what upstreams and operators do themselves.
 func unplanned(f Fault) bool {
 	switch f.Kind {
-	case FaultTerm, FaultPress, FaultConfig, FaultKeys, FaultQuota, FaultAims, FaultLimit, FaultDrain, FaultRelease, FaultReclaim, FaultSecond, FaultOdd:
+	case FaultTerm, FaultPress, FaultTakeover, FaultConfig, FaultKeys, FaultQuota, FaultAims, FaultLimit, FaultDrain, FaultRelease, FaultReclaim, FaultSecond, FaultOdd:
 		return false
 	default:
 		return true
@@ -135,7 +135,7 @@
 func Check(r Record) []Failure {
 	v := newView(r)
 	var list []Failure
-	for _, c := range []func(v *view) []Failure{checkWhole, checkOnce, checkNotRun, checkAttempts, checkDrains, checkVersions, checkConfig, checkKeys, checkQuota, checkRepeats, checkLimits, checkEgress, checkBrittle, checkParts, checkEnds, checkStops, checkAnswered, checkSilence, checkLost} {
+	for _, c := range []func(v *view) []Failure{checkWhole, checkOnce, checkNotRun, checkAttempts, checkDrains, checkVersions, checkConfig, checkKeys, checkQuota, checkRepeats, checkLimits, checkEgress, checkBrittle, checkParts, checkEnds, checkStops, checkAnswered, checkSilence, checkTakeover, checkLost} {
 		list = append(list, c(v)...)
 	}
 	if r.Complete {
--- a/internal/soak/check_reach.go
+++ b/internal/soak/check_reach.go
@@ -73,7 +73,7 @@
 func (v *view) unobstructed(own Fault) bool {
 	return v.calm(v.Began.Add(own.At), v.Began.Add(own.End()), func(f Fault) bool {
 		switch f.Kind {
-		case FaultHall, FaultKillAll, FaultTerm, FaultPress, FaultKill:
+		case FaultHall, FaultKillAll, FaultTerm, FaultPress, FaultTakeover, FaultKill:
 			return true
 		case FaultFreeze:
 			return f.On == OnDaemons
--- a/internal/soak/check_silence_test.go
+++ b/internal/soak/check_silence_test.go
@@ -99,6 +99,8 @@
 	for seed, faults := range map[uint64]int{
 		1796332068615036458: 9, 13: 9, 1796384216810810460: 15, 9024: 16, 9129: 8, 770034: 9, 9124: 14, 1796422237284269995: 6,
 	} {
-		assert.Len(t, Draw(seed, Options{}).Faults, faults, "seed %d", seed)
+		d := Draw(seed, Options{})
+		assert.Len(t, d.Faults, faults, "seed %d", seed)
+		assert.Zero(t, d.Large, "seed %d", seed)
 	}
 }
--- a/internal/soak/day.go
+++ b/internal/soak/day.go
@@ -61,6 +61,7 @@
 	FaultPart      Kind = "part"       // streams come with a part that crashes each engine which begins to answer, X a second
 	FaultRelease   Kind = "release"    // engines are replaced by ones of another version: their entries go, and they serve on for a while
 	FaultOdd       Kind = "odd"        // another writer leaves an odd entry among those of the upstreams, as How says, which is no disturbance
+	FaultTakeover  Kind = "takeover"   // SIGTERM of all large daemons of a hall, which has small ones besides
 	FaultPress     Kind = "press"      // SIGTERM of daemons that more callers use; they aren't scheduled when they close connections
 )
 
@@ -121,7 +122,9 @@
 func (f Fault) End() time.Duration { return f.At + f.For }
 
 // plannedStop tells whether daemons are told to stop.
-func (f Fault) plannedStop() bool { return f.Kind == FaultTerm || f.Kind == FaultPress }
+func (f Fault) plannedStop() bool {
+	return f.Kind == FaultTerm || f.Kind == FaultPress || f.Kind == FaultTakeover
+}
 
 // Call is one request of a day.
 type Call struct {
@@ -180,6 +183,8 @@
 	Faults    []Fault       `json:"faults"`
 	Mixed     bool          `json:"mixed,omitempty"`    // engines are of two software versions, and slower
 	Released  bool          `json:"released,omitempty"` // the engines of the old version are replaced, and all daemons are killed; engines are slower still
+	Large     int           `json:"large,omitempty"`    // large daemons in each hall; 0: all are equal, and nothing bounds them
+	Small     float64       `json:"small,omitempty"`    // cores of the others
 	Bare      bool          `json:"bare,omitempty"`     // answers have neither a length nor chunks and end with their connections; engines are slower
 }
 
--- a/internal/soak/draw.go
+++ b/internal/soak/draw.go
@@ -15,6 +15,8 @@
 	Traffic time.Duration // 0: the usual
 	// OneVersion draws engines of one software version alone.
 	OneVersion bool
+	// Takeover draws days with a takeover alone.
+	Takeover bool
 }
 
 const (
@@ -30,6 +32,10 @@
 func Draw(seed uint64, o Options) Day {
 	r := rand.New(rand.NewPCG(seed, 0x50a4))
 	d := Day{Seed: seed, Daemons: 3 + r.IntN(4), Halls: 2 + r.IntN(2), Engines: 4 + r.IntN(4), Plain: 3 + r.IntN(2), PerSecond: 40 + 60*r.Float64(), Traffic: usualTraffic}
+	t := rand.New(rand.NewPCG(seed, takeoverSequence))
+	if t.IntN(takeoverShare) == 0 || o.Takeover {
+		d.enlarge(t)
+	}
 	if o.Daemons > 0 {
 		d.Daemons = o.Daemons
 		d.Halls = min(d.Halls, o.Daemons)
@@ -37,6 +43,20 @@
 	if o.Traffic > 0 {
 		d.Traffic = o.Traffic
 	}
+	if d.Large == 0 || t.IntN(2) == 0 && !o.Takeover {
+		d.drawOthers(r, seed, o)
+	}
+	if d.Large > 0 {
+		d.Faults = append(d.Faults, d.drawTakeover(t)...)
+	} else {
+		d.Faults = append(d.Faults, d.drawStill(rand.New(rand.NewPCG(seed, 0x5717)))...)
+	}
+	slices.SortStableFunc(d.Faults, func(a, b Fault) int { return int(a.At - b.At) })
+	return d
+}
+
+// drawOthers draws the faults of days with and without a takeover.
+func (d *Day) drawOthers(r *rand.Rand, seed uint64, o Options) {
 	last := d.Traffic - quietAfter
 	for range 2 + r.IntN(mostFaults-1) {
 		d.Faults = append(d.Faults, d.draw(r, quietBefore, last))
@@ -49,9 +69,6 @@
 	d.Faults = append(d.Faults, d.drawReleased(rand.New(rand.NewPCG(seed, 0x7e1e)), d.Traffic-quietAfter)...)
 	d.Faults = append(d.Faults, d.drawBetween(rand.New(rand.NewPCG(seed, 0xba7e)), d.Traffic-quietAfter)...)
 	d.Faults = append(d.Faults, d.drawOdd(rand.New(rand.NewPCG(seed, 0x0ded)), d.Traffic-quietAfter)...)
-	d.Faults = append(d.Faults, d.drawStill(rand.New(rand.NewPCG(seed, 0x5717)))...)
-	slices.SortStableFunc(d.Faults, func(a, b Fault) int { return int(a.At - b.At) })
-	return d
 }
 
 // kinds are drawn evenly.
--- a/internal/soak/draw_still.go
+++ b/internal/soak/draw_still.go
@@ -74,7 +74,7 @@
 }
 
 // endsProcesses lists the kinds of faults after which processes start again.
-var endsProcesses = []Kind{FaultTerm, FaultPress, FaultReclaim, FaultDrain, FaultRelease, FaultCrash, FaultPart, FaultKill, FaultKillAll}
+var endsProcesses = []Kind{FaultTerm, FaultPress, FaultTakeover, FaultReclaim, FaultDrain, FaultRelease, FaultCrash, FaultPart, FaultKill, FaultKillAll}
 
 // passed is when a fault is over and the processes that it ended have started again.
 func (f Fault) passed() time.Duration {
--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -238,6 +238,7 @@
 		return err
 	}
 	s.gateways = append(s.gateways, g)
+	s.limit(i)
 	if err := s.writeSettings(i, true); err != nil {
 		return err
 	}
@@ -249,6 +250,21 @@
 	return v.Start()
 }
 
+// limit bounds what passes to and from a daemon. What it asks of other daemons counts at these alone: looking up who dials takes
+// longer than daemons wait, where many do at once.
+func (s *Stage) limit(i int) {
+	rate := s.day.rate(i)
+	if rate == 0 {
+		return
+	}
+	b := NewBandwidth(s.clock, rate)
+	for _, l := range []*Link{s.store[i], s.cloud[i], s.gateways[i]} {
+		l.Limit(nil, b)
+	}
+	s.callers[i].Limit(b, nil)
+	s.peers[i].Limit(b, nil)
+}
+
 func (s *Stage) settingsPath(i int) string { return filepath.Join(s.dir, daemonName(i)+".toml") }
 
 func (s *Stage) writeSettings(i int, first bool) error {
@@ -256,7 +272,7 @@
 	d := DaemonSettings{
 		Name: daemonName(i), Hall: hallName(s.day.HallOf(i)), Front: s.address(host, servePort), Ready: s.address(host, readyPort), Peers: s.peers[i].Address(),
 		Store: s.store[i].Address(), Cloud: s.cloud[i].Address(), First: first, Stop: stopGrace, Lease: leaseTime, UsageWindow: usageWindow, UsageLate: usageLate,
-		RetryRatio: retryRatio, RetryExtra: retryExtra, RetryWindow: retryWindow, StoreWrites: storeWrites, StoreReads: storeReads, Drain: drainBound,
+		RetryRatio: retryRatio, RetryExtra: retryExtra, RetryWindow: retryWindow, StoreWrites: storeWrites, StoreReads: storeReads, Drain: drainBound, Cores: s.day.Cores(i),
 	}
 	for h := range s.day.Halls {
 		d.Halls = append(d.Halls, hallName(h))
@@ -296,6 +312,9 @@
 	began := s.clock.Now()
 	var w sync.WaitGroup
 	w.Go(func() { s.watchVM(ctx) })
+	if s.day.Large > 0 {
+		w.Go(func() { shareOut(ctx, s.clock, s.shares()) })
+	}
 	for _, f := range s.day.Faults {
 		w.Go(func() {
 			if s.clock.Sleep(ctx, began.Add(f.At).Sub(s.clock.Now())) == nil {
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -40,6 +40,8 @@
 	modes  map[*Mode]bool // in force
 	change chan struct{}  // closed when they change
 	open   map[*conn]bool
+	far    *Bandwidth // of the VM that the link leads to; nil: no bound
+	near   *Bandwidth // of the one that dials
 }
 
 // conn is one connection through a link.
@@ -146,8 +148,10 @@
 // pump passes one direction on. An end is passed on as what it was.
 func (l *Link) pump(c *conn, from, to net.Conn, back bool) {
 	b := make([]byte, chunk)
+	bounds := l.bandwidths()
 	for {
 		n, err := from.Read(b)
+		l.pace(bounds, n, back)
 		l.wait(c, back)
 		if n > 0 && wasReset(from) {
 			c.reset()
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -31,7 +31,7 @@
 		}
 	case FaultHall:
 		s.cutHall(ctx, f)
-	case FaultTerm, FaultPress, FaultKill, FaultKillAll:
+	case FaultTerm, FaultPress, FaultTakeover, FaultKill, FaultKillAll:
 		s.stopDaemons(ctx, f)
 	case FaultFreeze:
 		s.freeze(ctx, f)
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -30,7 +30,8 @@
 	Front, Ready, Peers     string // where callers, the balancer and other daemons call
 	Store, Cloud            string
 	Seeds                   []string
-	First                   bool // the whole system starts
+	First                   bool    // the whole system starts
+	Cores                   float64 // 0: one
 	Stop, Lease             time.Duration
 	UsageWindow, UsageLate  time.Duration
 	RetryRatio, RetryExtra  float64
