--- a/internal/soak/calls.go
+++ b/internal/soak/calls.go
@@ -49,6 +49,7 @@
 	r := rand.New(rand.NewPCG(d.Seed, 0xca11))
 	list := d.pressingCalls(rand.New(rand.NewPCG(d.Seed, 0x9e55)))
 	list = append(list, d.partCalls(rand.New(rand.NewPCG(d.Seed, 0xbad1)))...)
+	own := rand.New(rand.NewPCG(d.Seed, 0x0a27))
 	sharesParts := d.Large > 0 || slices.ContainsFunc(d.Faults, func(f Fault) bool { return f.Kind == FaultPart })
 	for at := time.Duration(0); ; {
 		at += time.Duration(r.ExpFloat64() / d.PerSecond * float64(time.Second))
@@ -66,6 +67,9 @@
 		}
 		if sharesParts && (c.Route == RouteStream || c.Route == RouteResume) {
 			c.Parts = []string{CommonPart, neighbourPart(len(list))}
+			for range d.ownParts() {
+				c.Parts = append(c.Parts, fmt.Sprintf("%x", own.Uint64()))
+			}
 		}
 		list = append(list, c)
 	}
--- a/internal/soak/draw_takeover.go
+++ b/internal/soak/draw_takeover.go
@@ -23,6 +23,7 @@
 	takeoverPlain    = 4
 	takeoverAsks     = 150.0 // requests a second, at least
 	takeoverMore     = 150.0
+	takeoverParts    = 4
 	takeoverLonger   = 8 * time.Second
 )
 
@@ -59,6 +60,15 @@
 	return d.Small
 }
 
+// ownParts is how many parts the prompt of a stream has that no other one has: within some seconds daemons have as many of them to
+// tell each other of as they keep.
+func (d *Day) ownParts() int {
+	if d.Large == 0 {
+		return 0
+	}
+	return takeoverParts
+}
+
 // isLarge tells whether a daemon is one of the large ones of its hall.
 func (d *Day) isLarge(i int) bool { return i/d.Halls < d.Large }
 
--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -48,6 +48,8 @@
 	gateways  []*Link
 	serving   []*Link // by upstream
 
+	bandwidths []*Bandwidth // by daemon; empty: nothing bounds them
+
 	mu     sync.Mutex
 	config Configuration
 	record Record
@@ -258,6 +260,7 @@
 		return
 	}
 	b := NewBandwidth(s.clock, rate)
+	s.bandwidths = append(s.bandwidths, b)
 	for _, l := range []*Link{s.store[i], s.cloud[i], s.gateways[i]} {
 		l.Limit(nil, b)
 	}
@@ -314,6 +317,7 @@
 	w.Go(func() { s.watchVM(ctx) })
 	if s.day.Large > 0 {
 		w.Go(func() { shareOut(ctx, s.clock, s.shares()) })
+		w.Go(func() { s.noteLoads(ctx) })
 	}
 	for _, f := range s.day.Faults {
 		w.Go(func() {
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -25,6 +25,7 @@
 	Lost     []string         `json:"lost"` // processes that ended by themselves
 	Usage    map[int64][]map[string]int64
 	Stalls   []Stall `json:"stalls"`
+	Loads    []Load  `json:"loads,omitempty"`
 	Complete bool    `json:"complete"` // the day was played to its end
 }
 
