Soak: daemons were held up for seconds where the soak's own process was late

Now a share goes by the time that has passed, and at most one period's part is made good (TestShares).

--- a/internal/soak/share.go
+++ b/internal/soak/share.go
@@ -41,11 +41,11 @@
 
 // shareOut keeps processes within their shares until the context ends.
 func shareOut(ctx context.Context, clock *timer.Service, list []*share) {
-	for next := clock.Now(); clock.Sleep(ctx, sharePoll) == nil; {
-		if now := clock.Now(); !now.Before(next) {
-			next = now.Add(sharePeriod)
+	for began := clock.Now(); clock.Sleep(ctx, sharePoll) == nil; {
+		if lasted := clock.Since(began); lasted >= sharePeriod {
+			began = clock.Now()
 			for _, v := range list {
-				v.begin()
+				v.begin(lasted)
 			}
 		}
 		for _, v := range list {
@@ -57,11 +57,12 @@
 	}
 }
 
-// begin begins a period.
-func (v *share) begin() {
+// begin begins a period, after one that lasted for some time. What was used beyond the periods before counts as one of them at most: where
+// the soak itself wasn't run, it may be much.
+func (v *share) begin(lasted time.Duration) {
 	part := time.Duration(v.cores * float64(sharePeriod))
-	v.left = min(part, v.left+part)
-	if v.left > 0 {
+	v.left = min(part, max(v.left, -part)+time.Duration(v.cores*float64(lasted)))
+	if v.left >= 0 {
 		v.run()
 	}
 }
--- a/internal/soak/share_test.go
+++ b/internal/soak/share_test.go
@@ -44,6 +44,15 @@
 		assert.Less(t, got, 2*cores)
 		assert.Positive(t, got)
 	})
+	t.Run("one that ran on while nobody looked isn't stopped for longer than a period", func(t *testing.T) {
+		v := &share{p: p, cores: cores, left: -time.Hour}
+		v.begin(sharePeriod)
+		v.begin(sharePeriod)
+		assert.Positive(t, v.left)
+		v.left = -time.Hour
+		v.begin(3 * sharePeriod)
+		assert.Positive(t, v.left, "and gets its part of a period that lasted longer")
+	})
 	t.Run("at the end it runs", func(t *testing.T) {
 		cancel()
 		<-ended
