place_late tells placements that a relay made too late, too

A relay that chooses an upstream for another node's request takes a turn of it; where the node waits no more by then, the line was missing, and a limited engine that gets too little couldn't be explained.

--- a/internal/edge/place.go
+++ b/internal/edge/place.go
@@ -69,5 +69,9 @@
 	for _, x := range m.Parts {
 		v.Parts = append(v.Parts, call.Part{ID: x.Id, Tokens: int(x.Tokens)})
 	}
-	return connect.NewResponse(&wire.PlaceResponse{Upstream: s.n.pools.PlaceFor(m.Node, v)}), nil
+	chosen := s.n.pools.PlaceFor(m.Node, v)
+	if ctx.Err() != nil {
+		s.n.log.Info("place_late", zap.String("request", m.Request), zap.String("node", m.Node), zap.String("upstream", chosen))
+	}
+	return connect.NewResponse(&wire.PlaceResponse{Upstream: chosen}), nil
 }
