Backups: a node that runs late took its own lateness for the silence of its upstreams

Silence was counted by the clock alone: a node that ran late sent backups to other upstreams though answers might have arrived unread, which is more work for the same VM. With lateness that lasts, backups begin later by that much, and not never.

Evidence: TestOwnLatenessIsTakenForSilence, of an answer and of a stream (before: 2 attempts where 1 was expected, 2 of 2 cases).

--- a/internal/forward/backup.go
+++ b/internal/forward/backup.go
@@ -94,7 +94,7 @@
 	c := *q // the attempt changes the request while it is watched
 	c.sends, c.arrivals = c.sends+1, c.arrivals+1
 	w := &silenceWatch{s: s, parent: ctx, a: a, starting: true, q: &c, lastEvent: lastEvent, tried: tried, after: max(d, minSilence), began: s.o.Clock.Now()}
-	w.stopTimer = s.o.Clock.AfterFunc(w.after, w.race)
+	w.arm(w.after)
 	return w
 }
 
@@ -105,12 +105,32 @@
 		return nil
 	}
 	w := &silenceWatch{s: t.s, parent: t.ctx, a: t.a, q: t.q, lastEvent: t.lastEventID, after: max(stallPauses*p, minSilence), began: t.lastEventAt}
-	w.stopTimer = t.s.o.Clock.AfterFunc(w.after, w.race)
+	w.arm(w.after)
 	return w
 }
 
+// arm has the race begin after a time, unless the watch ends before.
+func (w *silenceWatch) arm(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.state == raceOpen {
+		w.stopTimer = w.s.o.Clock.AfterFunc(d, w.race)
+	}
+}
+
+// unseen returns how much longer the upstream may be silent before it is for too long: what has arrived may be unread for as
+// long as this process runs late.
+func (w *silenceWatch) unseen() time.Duration {
+	return w.after + w.s.o.Late() - w.s.o.Clock.Since(w.began)
+}
+
 // race is called when the watched attempt has been silent for too long.
 func (w *silenceWatch) race() {
+	if d := w.unseen(); d > 0 {
+		count("silences_unseen", 1)
+		w.arm(max(d, minSilence))
+		return
+	}
 	if !w.begin() {
 		return
 	}
@@ -290,9 +310,9 @@
 	if w == nil {
 		return e != attemptFailed
 	}
-	w.stopTimer()
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.stopTimer()
 	switch {
 	case e == attemptComplete, e == attemptWentOn && w.state == raceOpen:
 		w.state = raceKept
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -87,6 +87,8 @@
 	ReturnRetry        func(service string)
 	// ObserveResponse records what an upstream states about itself in a response to a request sent at that time.
 	ObserveResponse func(e pool.Entry, v call.Response, sent time.Time)
+	// Late returns how late this process has been running of late: what has arrived may be unread for as long.
+	Late func() time.Duration
 	// Phase returns the progress of a planned stop.
 	Phase func() Phase
 	// Trials connects requests to roll-outs.
--- a/internal/forward/race_test.go
+++ b/internal/forward/race_test.go
@@ -35,6 +35,7 @@
 	arrived atomic.Int64 // attempts
 	counted atomic.Int64 // requests in the usage
 	tokens  atomic.Int64 // of the retry budget
+	late    atomic.Int64 // how late the process runs, in nanoseconds
 	allowed func()       // called when it has given one; nil: nothing is
 	done    chan *httptest.ResponseRecorder
 }
@@ -80,6 +81,7 @@
 		ListAge: func() (time.Duration, bool) { return 0, true }, Place: func(context.Context, pool.Request) string { return "" },
 		Charge: func(string, float64) quota.Verdict { return quota.Verdict{Allowed: true} }, Refund: func(string, float64) {},
 		RecordFirstAttempt: func(string) {}, AllowRetry: r.allowRetry, ReturnRetry: func(string) { r.tokens.Add(1) },
+		Late:            func() time.Duration { return time.Duration(r.late.Load()) },
 		CountStarted:    func(string) { r.counted.Add(1) },
 		ObserveResponse: func(pool.Entry, call.Response, time.Time) {},
 		MayProbe:        func() bool { return false }, HallReachable: func(context.Context, string) bool { return true },
@@ -324,3 +326,32 @@
 	case <-q.Context().Done():
 	}
 }
+
+// TestOwnLatenessIsTakenForSilence guards against backups at upstreams that may have answered a node which runs late.
+func TestOwnLatenessIsTakenForSilence(t *testing.T) {
+	const late = 400 * time.Millisecond
+	limit := map[string]time.Duration{plainPath: attemptWaitTargets * raceTarget, streamPath: stallPauses * raceTarget}
+	for path, body := range map[string]string{plainPath: "ok", streamPath: allEvents} {
+		t.Run(path, func(t *testing.T) {
+			release := make(chan struct{})
+			r := newRaceRig(t, silentAfter(release))
+			r.late.Store(int64(late))
+			r.send(path)
+			require.Eventually(t, func() bool { return r.arrived.Load() == 1 }, 5*time.Second, time.Millisecond)
+			time.Sleep(20 * time.Millisecond) // a stream's first event has been passed on
+			r.clock.Advance(limit[path] + late - 50*time.Millisecond)
+			time.Sleep(50 * time.Millisecond)
+			assert.Equal(t, int64(1), r.arrived.Load(), "what it could have seen is no silence yet")
+			close(release)
+			assert.Equal(t, body, r.answer().Body.String())
+		})
+		t.Run(path+", silent for longer", func(t *testing.T) {
+			release := make(chan struct{})
+			r := newRaceRig(t, silentAfter(release))
+			r.late.Store(int64(late))
+			r.race(path)
+			close(release)
+			assert.Equal(t, body, r.answer().Body.String())
+		})
+	}
+}
