Egress: a node that runs late took connections it hadn't seen answered for a lost network

A connection that isn't answered within 0.3 s counted against the own network whatever the process itself was doing. Change: where it ran late by half that time, the connection is tried once more; if that stays unseen, too, nothing is recorded, no other node is asked, and a node that serves a tunnel doesn't say that the upstream is out of reach. Refused connections count as before.

Evidence: TestOwnLatenessIsTakenForALostConnection (before: 1 direct try where 2 were expected, and a tunnel; a tunnel was opened where nobody was to be asked). Open: the attempt still counts as one that couldn't reach its upstream.

--- a/internal/edge/uplink.go
+++ b/internal/edge/uplink.go
@@ -13,7 +13,7 @@
 
 func (n *Node) newUplink(direct upstream.DialFunc) *uplink.Uplink {
 	return uplink.New(uplink.Options{
-		Clock: n.clock, Log: n.log, Pools: n.pools, Dial: forward.DialOptions(), Direct: direct, Peers: n.tunnelPeers, OnLost: func() { n.lines.CloseIdle() },
+		Clock: n.clock, Log: n.log, Pools: n.pools, Dial: forward.DialOptions(), Direct: direct, Peers: n.tunnelPeers, Late: n.lag.Late, OnLost: func() { n.lines.CloseIdle() },
 		Leaving: n.isLeaving, MaxWait: follow.MaxAge(n.settings.DrainTime), MaxDescriptors: n.settings.MaxDescriptors, Count: func(event string) { upstreamEvents.Add(event, 1) },
 	})
 }
--- a/internal/uplink/serve.go
+++ b/internal/uplink/serve.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		own := u.paths.OwnFault(u.o.Clock.Now(), e.ID)
 		u.o.Log.Info("tunnel_refused", zap.String("upstream", e.ID), zap.String("for", r.RemoteAddr), zap.Bool("own_network", own), zap.String("cause", err.Error()))
-		if own { // others reach the upstream
+		if own || errors.Is(err, errUnseen) { // others reach the upstream, or may
 			tunnel.Reject(w, "the node doesn't reach the upstream either")
 			return
 		}
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -31,7 +31,12 @@
 // ErrNoTunnel means that there is no other node to ask for a connection.
 var ErrNoTunnel = errs.NewType("no_tunnel").New("no other node opens a connection")
 
+// errUnseen means that a connection wasn't answered in the time in which this process could have seen it.
+var errUnseen = errs.NewType("unseen").New("this node runs late and may not have seen the answer")
+
 const (
+	// unseenShare is the part of the time-out of a connection by which a process that runs late may not have seen its answer.
+	unseenShare = 0.5
 	// tunnelTimeout bounds the wait for a tunnel through one node: some ten round trips, which leaves time for a retry.
 	tunnelTimeout = 120 * time.Millisecond
 	// maxTunnelPeers is how many nodes are asked for one connection: one of them may be cut off from the upstream, too. While
@@ -49,6 +54,8 @@
 	Direct upstream.DialFunc
 	// Peers returns the other nodes that may be asked for an upstream.
 	Peers func(e pool.Entry) []egress.Peer
+	// Late returns how late this process has been running of late: what has arrived may be unseen for as long.
+	Late func() time.Duration
 	// OnLost is called when the node's own network has been lost: open connections may hang.
 	OnLost func()
 	// Leaving reports whether this node stops, so that it opens no tunnels any more.
@@ -100,7 +107,7 @@
 		}
 	}
 	c, err := u.dialDirect(ctx, e)
-	if err == nil || ctx.Err() != nil || asked || !u.paths.MayUsePeer(u.o.Clock.Now(), e.ID) {
+	if err == nil || ctx.Err() != nil || asked || errors.Is(err, errUnseen) || !u.paths.MayUsePeer(u.o.Clock.Now(), e.ID) {
 		return c, err
 	}
 	v, tunnelErr := u.dialPeers(ctx, e)
@@ -126,7 +133,7 @@
 
 // dialDirect opens a connection over the node's own network.
 func (u *Uplink) dialDirect(ctx context.Context, e pool.Entry) (net.Conn, error) {
-	c, err := u.direct(ctx, e.Address)
+	c, err := u.openDirect(ctx, e)
 	now := u.o.Clock.Now()
 	if err == nil {
 		if u.paths.DirectOpened(now, e.ID) {
@@ -135,12 +142,32 @@
 		}
 		return &directConn{Conn: c, u: u}, nil
 	}
-	if ctx.Err() == nil && u.paths.DirectFailed(now, e.ID, u.o.Pools.Len()) {
+	if ctx.Err() == nil && !errors.Is(err, errUnseen) && u.paths.DirectFailed(now, e.ID, u.o.Pools.Len()) {
 		go u.check(e, err) // bounded by the time-out of a connection
 	}
 	return nil, err
 }
 
+// openDirect opens a connection over the node's own network. One that isn't answered in time while this process runs late says
+// nothing of the network: it is tried once more.
+func (u *Uplink) openDirect(ctx context.Context, e pool.Entry) (net.Conn, error) {
+	c, err := u.direct(ctx, e.Address)
+	if !u.isUnseen(ctx, err) {
+		return c, err
+	}
+	u.o.Count("connections_unseen")
+	c, err = u.direct(ctx, e.Address)
+	if !u.isUnseen(ctx, err) {
+		return c, err
+	}
+	return nil, fault.Because(errUnseen, "%v", err)
+}
+
+// isUnseen reports whether a connection's answer may have come unseen.
+func (u *Uplink) isUnseen(ctx context.Context, err error) bool {
+	return err != nil && ctx.Err() == nil && isTimeout(err) && u.o.Late() >= time.Duration(unseenShare*float64(u.o.Dial.ConnectTimeout))
+}
+
 // dialPeers opens a connection through another node.
 func (u *Uplink) dialPeers(ctx context.Context, e pool.Entry) (net.Conn, error) {
 	peers := u.rank(e)
--- a/internal/uplink/uplink_test.go
+++ b/internal/uplink/uplink_test.go
@@ -50,6 +50,11 @@
 
 // start starts a node whose own network is given by a function; nil: it reaches the upstream.
 func (w *world) start(name string, direct upstream.DialFunc, peers ...*node) *node {
+	return w.startLate(name, direct, 0, peers...)
+}
+
+// startLate is start for a node that runs late.
+func (w *world) startLate(name string, direct upstream.DialFunc, late time.Duration, peers ...*node) *node {
 	pools := pool.New(timer.Real(), name, "h")
 	pools.Update(func(l *pool.List) { l.Put(pool.Item{Entry: w.entry, Revision: 1}) })
 	n := &node{}
@@ -61,6 +66,7 @@
 			}
 			return list
 		},
+		Late:   func() time.Duration { return late },
 		OnLost: func() {}, Leaving: func() bool { return false }, Count: func(string) {},
 	})
 	s := httptest.NewServer(n)
@@ -131,6 +137,42 @@
 	assert.True(t, n.paths.MayUsePeer(time.Now(), "u"), "it isn't the upstream's fault")
 }
 
+// TestOwnLatenessIsTakenForALostConnection guards against tunnels and suspicions for connections that were answered while this
+// process wasn't scheduled: more work for a node that runs late.
+func TestOwnLatenessIsTakenForALostConnection(t *testing.T) {
+	const late = 600 * time.Millisecond
+	t.Run("it is opened again directly", func(t *testing.T) {
+		w := newWorld(t)
+		sound, dials := w.start("sound", nil), 0
+		n := w.startLate("n", func(ctx context.Context, address string) (net.Conn, error) {
+			if dials++; dials == 1 {
+				return silent(ctx, address)
+			}
+			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		}, late, sound)
+		w.assertOpens(n, true)
+		assert.Equal(t, 2, dials)
+		assert.Zero(t, sound.Served())
+	})
+	t.Run("nobody is asked, and nothing suspected", func(t *testing.T) {
+		w := newWorld(t)
+		n := w.startLate("n", silent, late, w.start("sound", nil))
+		w.assertOpens(n, false)
+		assert.False(t, n.paths.Failed("u"))
+		assert.False(t, n.Lost())
+	})
+	t.Run("a refusal is still one", func(t *testing.T) {
+		w := newWorld(t)
+		w.assertOpens(w.startLate("n", refused, late, w.start("sound", nil)), true)
+	})
+	t.Run("others aren't told that the upstream is out of reach", func(t *testing.T) {
+		w := newWorld(t)
+		n := w.start("n", refused, w.startLate("busy", silent, late))
+		w.assertOpens(n, false)
+		assert.True(t, n.paths.MayUsePeer(time.Now(), "u"))
+	})
+}
+
 func TestTunnelsGoToListedUpstreamsOnly(t *testing.T) {
 	w := newWorld(t)
 	sound := w.start("sound", nil)
