A watcher of a hall of small VMs became a relay where a relay was avoided

Found by the review. Watchers ranked right behind the relays, so that the first one took over where a node avoids a relay that didn't answer: the load that a small VM isn't to have came back in just that second. Now two more nodes rank in between.

Evidence: TestSmallVMIsRelayAndWatcherAtOnce, with each relay avoided in turn (before: edge-23, where edge-25 is avoided as a relay).

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -81,6 +81,9 @@
 	return pair.Suffice(nodes) || now.Sub(s.LastRelayed) > relayedSilence && now.Sub(s.FoundAt) > relayedSilence
 }
 
+// spareRelays is how many nodes rank behind a hall's relays as the next ones: each that some node avoids is followed by one.
+const spareRelays = 2
+
 // Node is a node of a hall, as a candidate for watching the store.
 type Node struct {
 	Name    string
@@ -100,7 +103,8 @@
 			connected[n.Name] = n.Cores
 		}
 	}
-	relays := relay.Rank(all).Active()
+	ranked := relay.Rank(all)
+	relays := ranked[:min(len(ranked), len(ranked.Active())+spareRelays)]
 	if len(connected) == 0 {
 		connected = all
 	}
@@ -113,7 +117,7 @@
 	return order[:min(len(order), WatchersPerHall)]
 }
 
-// burden is 1 for a small node that is a relay.
+// burden is 1 for a small node that is a relay, or the next to be one.
 func burden(n relay.Ranked, relays relay.Ranking) int {
 	if !n.BearsAll() && relays.Has(n.Name()) {
 		return 1
--- a/internal/roster/takeover_test.go
+++ b/internal/roster/takeover_test.go
@@ -39,7 +39,20 @@
 			assert.True(t, w.BearsAll() || !relays.Has(w.Name()), "%s, %d of %d large ones leave", w.Name(), v.leaving, v.large)
 		}
 	}
-	hall := newHall(now, 2, 0, 27, 77)
+	hall := newHall(now, 2, 2, 27, 77)
+	for _, v := range hall.HallNodes("h").Active() {
+		for p := range hall.Peers {
+			p.RelayFailedAt = time.Time{}
+			if p.Name == v.Name() {
+				p.RelayFailedAt = now.Add(time.Millisecond)
+			}
+		}
+		hall.Now = now.Add(2 * time.Millisecond)
+		for _, w := range hall.Watchers() {
+			assert.False(t, hall.HallNodes("h").Active().Has(w), "%s, where %s is avoided as a relay", w, v.Name())
+		}
+	}
+	hall = newHall(now, 2, 0, 27, 77)
 	assert.Equal(t, hall.HallNodes("h").Active().Names(), hall.Watchers(), "large VMs do both")
 	hall = newHall(now, 0, 0, 3, 9)
 	assert.Len(t, hall.Watchers(), WatchersPerHall, "where there are few nodes, these do both")
