Followers of a large fleet waited for four failed polls before they watched by themselves

Found by the review. The nodes that leave were counted as watchers whose failure is awaited: at 0.65 s a poll up to 2.6 s, of 2 s in which a configuration has to be in force.

--- a/internal/edge/watchers.go
+++ b/internal/edge/watchers.go
@@ -177,7 +177,7 @@
 			_ = n.clock.Sleep(ctx, pollGap) // the loop condition checks the context
 			continue
 		}
-		if failed >= len(names) {
+		if failed >= roster.WatchersPerHall {
 			n.mu.Lock()
 			n.role.WatchItself(n.clock.Now())
 			n.mu.Unlock()
