--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -268,22 +268,11 @@
 	r.Sequence = n.peers.sequence
 	r.Spent = message.SpentToWire(n.quotas.Charged())
 	r.Trials = message.TrialsToWire(n.trialUpdates())
-	r.Started = message.StartedToWire(n.newestWindows(n.usage.Own(), windows))
+	r.Started = message.StartedToWire(n.usage.Own().Newest(n.usage.Window(n.clock.Wall()), windows))
 	r.Work, r.Engines = message.WorkToWire(n.pools.Work()), message.EnginesToWire(n.pools.Learned())
 	return r
 }
 
-// newestWindows returns the given number of newest windows.
-func (n *Node) newestWindows(w usage.Windows, windows int64) usage.Windows {
-	r := make(usage.Windows, windows)
-	for k := n.usage.Window(n.clock.Wall()); windows > 0; k, windows = k-1, windows-1 {
-		if c := w[k]; c != nil {
-			r[k] = c
-		}
-	}
-	return r
-}
-
 // applyReport applies a peer's report, and reports whether it is newer than the last one.
 func (n *Node) applyReport(ctx context.Context, r *wire.NodeReport) bool {
 	if r.GetNode() == "" || r.Node == n.settings.Node {
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -219,32 +219,26 @@
 
 // recordResponse records a response of a service under a roll-out.
 func (n *Node) recordResponse(service, route string, rank int, a rollout.Response) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	t := n.rollouts.trials[service]
-	if t == nil || t.Stage().Ended() {
-		return
-	}
-	now := n.clock.Now()
-	if a.HeardFrom != "" {
-		t.Heard(now, a.HeardFrom)
-	}
-	if t.Observe(route, rank, a) {
-		n.logStop(t, "responses at this node")
-		n.applySplit(now, service)
-	}
+	n.observeTrial(service, "responses at this node", func(now time.Time, t *rollout.Trial) bool {
+		if a.HeardFrom != "" {
+			t.Heard(now, a.HeardFrom)
+		}
+		return t.Observe(route, rank, a)
+	})
 }
 
 // recordOvertaken records an attempt that a backup has overtaken, of a service under a roll-out.
 func (n *Node) recordOvertaken(service string, v rollout.Silence) {
+	n.observeTrial(service, "silence at this node", func(now time.Time, t *rollout.Trial) bool { return t.Overtaken(now, v) })
+}
+
+// observeTrial applies an observation, which reports whether it stops a version, to a service's trial.
+func (n *Node) observeTrial(service, by string, observe func(now time.Time, t *rollout.Trial) bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	t := n.rollouts.trials[service]
-	if t == nil || t.Stage().Ended() {
-		return
-	}
-	if now := n.clock.Now(); t.Overtaken(now, v) {
-		n.logStop(t, "silence at this node")
+	t, now := n.rollouts.trials[service], n.clock.Now()
+	if t != nil && !t.Stage().Ended() && observe(now, t) {
+		n.logStop(t, by)
 		n.applySplit(now, service)
 	}
 }
--- a/internal/edge/watchers.go
+++ b/internal/edge/watchers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -125,30 +124,13 @@
 	for ctx.Err() == nil {
 		if n.mustWatch() {
 			n.log.Info("watching", zap.Strings("watchers", n.watchers()))
-			n.runWhile(ctx, n.mustWatch, n.catalogFollower.Run, n.listFollower.Run)
+			n.clock.While(ctx, roleCheckInterval, n.mustWatch, n.catalogFollower.Run, n.listFollower.Run)
 		} else {
-			n.runWhile(ctx, func() bool { return !n.mustWatch() }, n.followWatchers)
+			n.clock.While(ctx, roleCheckInterval, func() bool { return !n.mustWatch() }, n.followWatchers)
 		}
 	}
 }
 
-// runWhile runs the tasks for as long as the condition holds, and returns when they have ended.
-func (n *Node) runWhile(ctx context.Context, holds func() bool, duties ...func(context.Context)) {
-	c, cancel := context.WithCancel(ctx)
-	var w sync.WaitGroup
-	for _, f := range duties {
-		w.Add(1)
-		go func() {
-			defer w.Done()
-			f(c)
-		}()
-	}
-	for holds() && n.clock.Sleep(c, roleCheckInterval) == nil {
-	}
-	cancel()
-	w.Wait()
-}
-
 // followWatchers polls the watchers one after the other, and makes this node watch by itself when all of
 // them have failed in a row.
 func (n *Node) followWatchers(ctx context.Context) {
--- a/internal/timer/timer.go
+++ b/internal/timer/timer.go
@@ -86,6 +86,20 @@
 	}
 }
 
+// While runs tasks for as long as a condition holds, which it checks each d, and returns when they have ended. They are to
+// end with their context.
+func (s *Service) While(ctx context.Context, d time.Duration, holds func() bool, tasks ...func(context.Context)) {
+	c, cancel := context.WithCancel(ctx)
+	var w sync.WaitGroup
+	for _, f := range tasks {
+		w.Go(func() { f(c) })
+	}
+	for holds() && s.Sleep(c, d) == nil {
+	}
+	cancel()
+	w.Wait()
+}
+
 // Watchdog calls a function unless it is fed in time.
 type Watchdog struct {
 	feed chan struct{}
--- a/internal/timer/timer_test.go
+++ b/internal/timer/timer_test.go
@@ -111,3 +111,14 @@
 	fmt.Println((<-c).Format(time.TimeOnly))
 	// Output: 00:01:00
 }
+
+func TestWhile(t *testing.T) {
+	ended, checks := 0, 0
+	task := func(ctx context.Context) { <-ctx.Done() }
+	Real().While(t.Context(), time.Millisecond, func() bool { checks++; return checks < 3 }, task, func(ctx context.Context) {
+		task(ctx)
+		ended++
+	})
+	assert.Equal(t, 3, checks)
+	assert.Equal(t, 1, ended, "it has returned once its tasks have ended")
+}
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -25,6 +25,17 @@
 // Windows holds counts by window number.
 type Windows map[int64]Counts
 
+// Newest returns the counts of the last of some windows, and of those before it.
+func (w Windows) Newest(last, windows int64) Windows {
+	r := make(Windows, windows)
+	for k := last; k > last-windows; k-- {
+		if c := w[k]; c != nil {
+			r[k] = c
+		}
+	}
+	return r
+}
+
 // process identifies one incarnation of a node.
 type process struct{ node, incarnation string }
 
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -86,3 +86,8 @@
 		assert.Zero(t, n)
 	})
 }
+
+func TestNewestWindows(t *testing.T) {
+	w := Windows{1: {"w": 1}, 2: {"w": 2}, 4: {"w": 4}, 5: {"w": 5}}
+	assert.Equal(t, Windows{2: {"w": 2}, 4: {"w": 4}}, w.Newest(4, 3), "none that is later, or older")
+}
