--- a/internal/peerload/peerload.go
+++ b/internal/peerload/peerload.go
@@ -28,8 +28,8 @@
 const (
 	// interval is the time that a line is about.
 	interval = time.Second
-	// notedCalls and notedBytes are what a second has to have for a line: a tenth of a processor share of 0.192 cores at 0.5 ms
-	// a call, and a tenth of a link of 10 Mbit/s.
+	// notedCalls and notedBytes are what a second has to have for a line: about a tenth of what a VM with 0.2 cores and a link
+	// of 10 Mbit/s bears.
 	notedCalls = 40
 	notedBytes = 128 << 10
 	// namedCalls is how many kinds of calls a line names.
--- a/internal/relay/selection.go
+++ b/internal/relay/selection.go
@@ -21,7 +21,8 @@
 
 const (
 	// nodesPerCore is how many nodes a relay bears for each of its cores: at four reports a second each, which take up to 2 ms
-	// and 10 kB with all that follows from them, a quarter of its processor time, and of a link of 50 Mbit/s a core.
+	// and 10 kB with all that follows from them, a quarter of its processor time and, with 0.2 cores, a fifth of a link of
+	// 10 Mbit/s.
 	nodesPerCore = 30
 	// mostNodes is the most nodes that report to one relay, and leastNodes the least that any relay counts as bearing.
 	mostNodes  = 24
