--- a/internal/roster/takeover_test.go
+++ b/internal/roster/takeover_test.go
@@ -44,6 +44,7 @@
 	hall = newHall(now, 0, 0, 3, 9)
 	assert.Len(t, hall.Watchers(), WatchersPerHall, "where there are few nodes, these do both")
 }
+
 // TestAllNodesOfAHallPollOneWatcher: the other one had no followers.
 func TestAllNodesOfAHallPollOneWatcher(t *testing.T) {
 	hall, polls := newHall(time.Unix(1000, 0), 2, 2, 27, 77), make(map[string]int)
