--- a/internal/relay/takeover_test.go
+++ b/internal/relay/takeover_test.go
@@ -128,3 +128,12 @@
 		assert.LessOrEqual(t, len(Rank(nodes).Active()), max(maxForSmall, (i+24)/24))
 	}
 }
+
+// TestSmallRelayGetsTheShareOfALargeOne: hashes alone gave a small relay as many nodes as the large one beside it.
+func TestSmallRelayGetsTheShareOfALargeOne(t *testing.T) {
+	pair, first := Rank(map[string]float64{"large": 0.8, "small": 0.2}), make(map[string]int)
+	for i := range 1000 {
+		first[pair.Spread(fmt.Sprint("edge-", i))[0]]++
+	}
+	assert.InDelta(t, 200, first["small"], 60, "a fifth of the nodes")
+}
