A node whose first read of the list took long was said to have a watch that is behind

What operators saw: watch_behind with revision 0 at a node that is starting. Cause: what others have and this node lacks was taken for a watch that hangs also before the first read had ended; only the line was untrue, since a restart ends a watch, and no read is given up.

TestNodeThatStartsIsCalledBehind: expected 0, actual 1.

--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -60,8 +60,10 @@
 	n.lacksList.Hear(now, change, have)
 	lacked, lacks := n.lacksList.For(now)
 	if waited := min(lacked, now.Sub(n.listRestartedAt)); lacks && waited > roster.MaxLag(maxListLag, n.settings.Node, n.peers.size()) {
-		n.log.Warn("watch_behind", zap.String("reader", listReader), zap.String("peer", peer),
-			zap.Int64("revision", have), zap.Int64("change", n.lacksList.Newest()), zap.Duration("for", lacked))
+		if n.listed.Load() { // else its first read hasn't ended yet
+			n.log.Warn("watch_behind", zap.String("reader", listReader), zap.String("peer", peer),
+				zap.Int64("revision", have), zap.Int64("change", n.lacksList.Newest()), zap.Duration("for", lacked))
+		}
 		n.listRestartedAt = now
 		n.listFollower.Restart()
 		n.role.WatchItself(now)
--- a/internal/edge/watch_test.go
+++ b/internal/edge/watch_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"spurhall.example/spurhall/internal/changelog"
 	"spurhall.example/spurhall/internal/forward"
@@ -110,3 +111,18 @@
 		})
 	}
 }
+
+// TestNodeThatStartsIsCalledBehind: the log said that a watch was behind where the node's first read of the list took long.
+func TestNodeThatStartsIsCalledBehind(t *testing.T) {
+	for listed, lines := range map[bool]int{false: 0, true: 1} {
+		n, clock := newScaleNode(t, 3, 0)
+		core, logs := observer.New(zap.InfoLevel)
+		n.log = zap.New(core)
+		n.listed.Store(listed)
+		n.recordListChange("edge-b-1", 97)
+		clock.Advance(maxListLag + time.Millisecond)
+		n.recordListChange("edge-b-1", 97)
+		assert.Equal(t, lines, logs.FilterMessage("watch_behind").Len(), "listed: %v", listed)
+		assert.True(t, n.mustWatch(), "it reads by itself")
+	}
+}
