Failing test: many responses without end at once take more memory than a small VM has

What callers would see: the process ends (memory_mb is a bound that the platform enforces), and with it every request and stream that it holds. One response is bounded (16 MB); nothing bounds them together.

A daemon as a process of its own with the settings of a VM of 184 MB, 48 callers at an upstream that sends without end, one caller after the other at a sound upstream of another service.

--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -32,6 +32,7 @@
 	Seeds                   []string
 	First                   bool    // the whole system starts
 	Cores                   float64 // 0: one
+	MemoryMB                int     // 0: enough
 	Stop, Lease             time.Duration
 	UsageWindow, UsageLate  time.Duration
 	RetryRatio, RetryExtra  float64
