A faulty upstream's responses without end took all of a VM's memory

Cause: each response had a bound of its own (16 MB of a body, 1 MB of an event), and nothing bounded them together. Class: bounded for each, not for all.

Package memory: one budget for the process, a third of the memory that its settings name, half of it for responses. A response takes each piece before it reads it. While there is room nobody notices; when there is none, whoever wants more waits unread, small ones go first, and the response ends that is furthest beyond what whole responses of its service weigh (502, as for any that isn't whole; it counts against its upstream). Where all wait for each other, the newest ends. Bodies are kept in pieces, so that growing doesn't hold them twice.

Alternatives: a weighted semaphore can't choose whom to end; a memory limit of the collector only makes it work harder.

--- /dev/null
+++ b/internal/edge/budget.go
@@ -0,0 +1,31 @@
+package edge
+
+import (
+	"cmp"
+
+	"go.uber.org/zap"
+
+	"spurhall.example/spurhall/internal/memory"
+)
+
+// This file bounds what requests and responses take of the VM's memory (package memory).
+
+const (
+	// messageShare is the part of the VM's memory that requests and responses may take together. What the process itself takes
+	// and what the garbage collector hasn't freed yet need the rest.
+	messageShare = 1.0 / 3
+	// unknownMemory is assumed of a VM whose settings don't name its memory, in bytes.
+	unknownMemory = 256 << 20
+)
+
+// newBudget returns the budget of requests and responses.
+func (n *Node) newBudget() *memory.Budget {
+	v := cmp.Or(n.settings.MemoryBytes, unknownMemory)
+	return memory.New(n.clock, int64(messageShare*float64(v)), n.logResponseEnded)
+}
+
+// logResponseEnded logs that a response was ended so that others got room.
+func (n *Node) logResponseEnded(v memory.Ended) {
+	n.log.Info("response_ended", zap.String("service", v.Service), zap.String("upstream", v.Upstream), zap.Int64("bytes", v.Bytes), zap.Int64("usual", v.Usual),
+		zap.Int64("used", v.Used), zap.Int64("limit", v.Limit))
+}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -210,7 +210,7 @@
 	n.lease = lease.New(n.kv, o.Clock, dutyKey, s.Node, max(s.LeaseTTL, s.Store.MinLease))
 	n.front = forward.NewServer(forward.Options{
 		Clock: o.Clock, Log: o.Log, Dialect: o.Dialect, Pools: n.pools, Connections: n.lines, Ready: n.initialized, Catalog: n.currentCatalog,
-		ListAge: n.listAge, Place: n.placeByRelay, Charge: n.charge, Refund: n.refund, CountStarted: n.countStarted, RecordFirstAttempt: n.countFirstAttempt, AllowRetry: n.allowRetry, ReturnRetry: n.returnRetry, Late: n.lag.Late, ObserveResponse: n.observeResponse, Phase: n.stopPhase, Quarantine: n.quarantine, MayProbe: n.holdsDuties, HallReachable: n.reachesHall,
+		ListAge: n.listAge, Place: n.placeByRelay, Charge: n.charge, Refund: n.refund, CountStarted: n.countStarted, RecordFirstAttempt: n.countFirstAttempt, AllowRetry: n.allowRetry, ReturnRetry: n.returnRetry, Late: n.lag.Late, ObserveResponse: n.observeResponse, Phase: n.stopPhase, Memory: n.newBudget(), Quarantine: n.quarantine, MayProbe: n.holdsDuties, HallReachable: n.reachesHall,
 		Trials:  forward.Trials{Offer: n.offerTrial, Return: n.returnOffer, Record: n.recordResponse, Overtaken: n.recordOvertaken},
 		Lineage: forward.Lineage{Tell: n.streams.Tell, Find: n.streams.Find, AwaitVersions: n.streams.AwaitRestored, Step: n.inStep},
 	})
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -44,7 +44,7 @@
 	Seeds      []string // peer addresses of some nodes
 	FirstStart bool     // the whole system starts for the first time
 
-	MemoryBytes    int64
+	MemoryBytes    int64   // that the process may take; 0: unknown
 	MaxDescriptors int     // that the process may open; 0: unknown
 	Cores          float64 // of the VM that this node may use; 0: unknown
 	Store          StoreSettings
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -17,6 +17,7 @@
 	"spurhall.example/spurhall/internal/call"
 	"spurhall.example/spurhall/internal/catalog"
 	"spurhall.example/spurhall/internal/fault"
+	"spurhall.example/spurhall/internal/memory"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/upstream"
 )
@@ -35,7 +36,8 @@
 	events        *eventReader // streamed responses only
 	first         event
 	ended         bool         // the stream is complete: nothing of it was left
-	body          []byte       // plain responses only
+	body          *memory.Body // plain responses only
+	held          *memory.Hold // what the response takes
 	addressReused bool         // the address now belongs to another upstream
 	eventsPassed  int          // events forwarded to the caller
 	firstEventAt  time.Time    // when the first event was forwarded
@@ -65,11 +67,18 @@
 	}
 }
 
+// drop is finish for an attempt of whose response nothing is kept.
+func (a *attempt) drop(r pool.Result) {
+	a.finish(r)
+	a.held.Release()
+}
+
 // runAttempt sends the request to one upstream and waits until there is something to pass on. If the upstream is silent for
 // too long, a backup attempt may overtake it, and is returned instead; tried gets the backup's upstreams. The error is
 // errNotRun if the upstream will not run the request, otherwise errIncompleteResponse.
 func (s *Server) runAttempt(ctx context.Context, q *request, use *pool.Use, lastEvent string, tried map[string]bool) (*attempt, error) {
 	a := &attempt{use: use}
+	a.holdResponse(q)
 	q.use, q.observed = use, call.Response{}
 	left := q.deadline.Sub(s.o.Clock.Now())
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
@@ -82,7 +91,7 @@
 	defer func() {
 		if !exchanged { // this node's own code has failed
 			s.pending.remove(a)
-			a.finish(pool.ResultInconclusive)
+			a.drop(pool.ResultInconclusive)
 			w.abandon()
 		}
 	}()
@@ -143,6 +152,9 @@
 	}
 	result := s.resultOf(ctx, a, err)
 	a.finish(result)
+	if a.body == nil || q.upstreamFailure == nil || q.upstreamFailure.body != a.body {
+		a.held.Release()
+	}
 	held := time.Duration(0)
 	if severed || result == pool.ResultRejected || result == pool.ResultUnreachable {
 		held = a.use.HoldOff()
@@ -187,7 +199,7 @@
 	switch {
 	case a.addressReused:
 		return pool.ResultMisplaced
-	case ctx.Err() != nil, a.quarantined():
+	case ctx.Err() != nil, a.quarantined(), errors.Is(err, errNoRoom):
 		return pool.ResultInconclusive
 	case errors.Is(err, errWithheld):
 		return pool.ResultWithheld
@@ -276,9 +288,6 @@
 	return nil
 }
 
-// maxResponseBody bounds the body of a plain response, in bytes: it is held whole, and one without end is no response.
-const maxResponseBody = 16 << 20
-
 // framed reports whether a response has a length or chunks, so that a part of it can't look whole.
 func framed(head *http.Response) bool {
 	return head.ContentLength >= 0 || len(head.TransferEncoding) > 0
@@ -289,27 +298,22 @@
 // connection in its place says nothing.
 func (s *Server) readStart(a *attempt, q *request, lastEvent string) error {
 	if q.route.Kind() == catalog.KindStream && a.head.StatusCode < 300 {
-		a.events = newEventReader(a.head.Body)
+		a.events = newEventReader(a.head.Body, eventRoom{ctx: a.ctx, held: a.held})
 		v, err := a.events.next()
 		a.ended = errors.Is(err, io.EOF) && framed(a.head) && (lastEvent != "" || q.resumesStream())
 		if err != nil && !a.ended {
-			return fault.Because(readError(err), "no first event: %s", fault.Reason(err))
+			return roomError(err, "no first event")
 		}
 		a.first = v
 		s.recordStarted(q, a)
 		return nil
 	}
 	s.recordStarted(q, a)
-	b, err := io.ReadAll(io.LimitReader(a.head.Body, maxResponseBody+1))
-	if err != nil {
-		return fault.Because(readError(err), "the body broke off: %v", err)
-	}
-	if len(b) > maxResponseBody {
-		return fault.Because(errIncompleteResponse, "the body is longer than %d bytes", maxResponseBody)
+	if err := s.readPlain(a); err != nil {
+		return err
 	}
-	a.body = b
 	if a.head.StatusCode >= 500 && q.route.Repeatable() && q.sends < q.route.MaxAttempts() {
-		q.upstreamFailure = &response{status: a.head.StatusCode, header: endToEndHeader(a.head.Header), body: b}
+		q.upstreamFailure = &response{status: a.head.StatusCode, header: endToEndHeader(a.head.Header), body: a.body}
 		return fault.Because(errIncompleteResponse, "the upstream answered %d", a.head.StatusCode)
 	}
 	return nil
--- a/internal/forward/backup.go
+++ b/internal/forward/backup.go
@@ -341,7 +341,7 @@
 		w.a.use.Heard()
 		w.s.recordTrialHeard(q, w.a)
 		if w.backup != nil {
-			w.backup.finish(pool.ResultInconclusive)
+			w.backup.drop(pool.ResultInconclusive)
 		}
 		return nil
 	case w.backup == nil:
@@ -362,7 +362,7 @@
 	w.cancel(errOvertaken)
 	<-w.done
 	if w.backup != nil {
-		w.backup.finish(pool.ResultInconclusive)
+		w.backup.drop(pool.ResultInconclusive)
 	}
 }
 
--- /dev/null
+++ b/internal/forward/body.go
@@ -0,0 +1,110 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"spurhall.example/spurhall/internal/fault"
+	"spurhall.example/spurhall/internal/memory"
+)
+
+// This file reads the bodies of requests and of plain responses, which are held whole, within the memory that there is for all
+// of them (package memory).
+
+const (
+	// maxBody bounds a request's body, in bytes, until the configuration sets a limit.
+	maxBody = 64 << 20
+	// maxResponseBody bounds the body of a plain response, in bytes: one without end is no response.
+	maxResponseBody = 16 << 20
+)
+
+var (
+	// errOversized is errIncompleteResponse for a response that is larger than any may be, or that ended as the one furthest
+	// beyond what is usual when memory was short.
+	errOversized = fault.Because(errIncompleteResponse, "it is larger than there is room for")
+	// errNoRoom is errIncompleteResponse for a response for which this node has no memory, whatever its size.
+	errNoRoom = fault.Because(errIncompleteResponse, "this node has no room for it")
+)
+
+// readBody reads the complete body: it may have to be sent twice, and net/http does not notice that the
+// caller has disconnected while the body is unread.
+func (s *Server) readBody(q *request) error {
+	limit := maxBody
+	if c := s.o.Catalog(); c != nil && c.Limits().MaxBodyBytes > 0 {
+		limit = c.Limits().MaxBodyBytes
+	}
+	if q.http.ContentLength > int64(limit) {
+		return &rejection{status: http.StatusRequestEntityTooLarge, reason: "the body is larger than the limit"}
+	}
+	b, err := io.ReadAll(io.LimitReader(q.http.Body, int64(limit)+1))
+	if len(b) > limit {
+		return &rejection{status: http.StatusRequestEntityTooLarge, reason: "the body is larger than the limit"}
+	}
+	q.bodyRead = true
+	if err != nil {
+		return &rejection{status: http.StatusBadRequest, reason: "the body broke off"}
+	}
+	q.body = b
+	return nil
+}
+
+// holdResponse begins to count what an attempt's response takes.
+func (a *attempt) holdResponse(q *request) {
+	e := a.use.Entry()
+	a.held = q.held.Hold(memory.Options{Kind: memory.KindResponse, Service: e.Service, Upstream: e.ID, End: func(error) { a.cancel(errOversized) }})
+}
+
+// readPlain reads a plain response's body.
+func (s *Server) readPlain(a *attempt) error {
+	b, err := a.held.ReadBody(a.ctx, a.head.Body, a.head.ContentLength, maxResponseBody)
+	switch {
+	case errors.Is(err, memory.ErrTooLong):
+		return fault.Because(errOversized, "the body is longer than %d bytes", maxResponseBody)
+	case err != nil:
+		return roomError(err, "the body broke off")
+	}
+	a.held.Complete()
+	s.o.Memory.Observe(a.use.Entry().Service, b.Len())
+	a.body = b
+	return nil
+}
+
+// roomError returns the error for a response that couldn't be read to its end.
+func roomError(err error, what string) error {
+	switch {
+	case errors.Is(err, memory.ErrOversized):
+		return fault.Because(errOversized, "%s", fault.Reason(err))
+	case errors.Is(err, memory.ErrFull):
+		return fault.Because(errNoRoom, "%s", fault.Reason(err))
+	}
+	return fault.Because(readError(err), "%s: %s", what, fault.Reason(err))
+}
+
+// freeEvent is the size in bytes up to which an event isn't counted: a stream holds one at a time.
+const freeEvent = 16 << 10
+
+// eventRoom counts what the events of a stream take.
+type eventRoom struct {
+	ctx  context.Context
+	held *memory.Hold
+}
+
+// grow counts an event that has grown by n bytes to size.
+func (r eventRoom) grow(size, n int) error {
+	switch {
+	case r.held == nil || size <= freeEvent:
+		return nil
+	case size-n <= freeEvent:
+		return r.held.Take(r.ctx, int64(size))
+	}
+	return r.held.Take(r.ctx, int64(n))
+}
+
+// next gives back what the last event took.
+func (r eventRoom) next() {
+	if r.held != nil {
+		r.held.Return()
+	}
+}
--- a/internal/forward/event.go
+++ b/internal/forward/event.go
@@ -20,20 +20,29 @@
 
 // eventReader splits a text/event-stream into events. Events are forwarded byte for byte; only their ids
 // are parsed.
-type eventReader struct{ r *bufio.Reader }
+type eventReader struct {
+	r    *bufio.Reader
+	room eventRoom
+}
 
-func newEventReader(r io.Reader) *eventReader { return &eventReader{r: bufio.NewReader(r)} }
+func newEventReader(r io.Reader, room eventRoom) *eventReader {
+	return &eventReader{r: bufio.NewReader(r), room: room}
+}
 
-// next returns the next complete event. The error is io.EOF at a clean end, errIncompleteResponse if the
+// next returns the next complete event; the one before isn't held any more. The error is io.EOF at a clean end, errIncompleteResponse if the
 // stream ends within an event, and errSevered if the upstream broke the connection there.
 func (e *eventReader) next() (event, error) {
 	var v event
+	e.room.next()
 	for {
 		line, err := e.r.ReadSlice('\n')
+		if full := e.room.grow(len(v.raw)+len(line), len(line)); full != nil {
+			return event{}, roomError(full, "an event")
+		}
 		v.raw = append(v.raw, line...)
 		switch {
 		case len(v.raw) > maxEvent:
-			return event{}, fault.Because(errIncompleteResponse, "an event is longer than %d bytes", maxEvent)
+			return event{}, fault.Because(errOversized, "an event is longer than %d bytes", maxEvent)
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case errors.Is(err, io.EOF) && len(v.raw) == 0:
--- a/internal/forward/event_test.go
+++ b/internal/forward/event_test.go
@@ -10,7 +10,7 @@
 
 // readAll returns the events of a text, and the final error.
 func readAll(s string) ([]event, error) {
-	r := newEventReader(strings.NewReader(s))
+	r := newEventReader(strings.NewReader(s), eventRoom{})
 	var l []event
 	for {
 		v, err := r.next()
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -24,7 +24,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -36,6 +35,7 @@
 	"spurhall.example/spurhall/internal/call"
 	"spurhall.example/spurhall/internal/catalog"
 	"spurhall.example/spurhall/internal/fault"
+	"spurhall.example/spurhall/internal/memory"
 	"spurhall.example/spurhall/internal/order"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/quarantine"
@@ -99,6 +99,8 @@
 	Quarantine *quarantine.Tracker
 	// MayProbe reports whether this process is the one that may admit requests with quarantined parts as probes.
 	MayProbe func() bool
+	// Memory bounds the bytes of all requests and responses together.
+	Memory *memory.Budget
 	// HallReachable reports whether a hall can be reached over the network.
 	HallReachable func(ctx context.Context, hall string) bool
 }
@@ -147,7 +149,8 @@
 	meta            call.Meta
 	http            *http.Request
 	body            []byte
-	bodyRead        bool // in full, or as far as it came
+	bodyRead        bool          // in full, or as far as it came
+	held            *memory.Scope // what its body and its responses take
 	catalog         *catalog.Catalog
 	route           *catalog.Route
 	workspace       *catalog.Workspace // nil if none
@@ -195,12 +198,10 @@
 	return v != nil && v.Engine != nil
 }
 
-// maxBody bounds a request's body, in bytes, until the configuration sets a limit.
-const maxBody = 64 << 20
-
 // ServeHTTP handles one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	q := &request{meta: s.o.Dialect.ReadMeta(r.Header), http: r, bodyRead: r.ContentLength == 0, waited: accept.Waited(r.Context())}
+	q := &request{meta: s.o.Dialect.ReadMeta(r.Header), http: r, bodyRead: r.ContentLength == 0, waited: accept.Waited(r.Context()), held: s.o.Memory.Scope()}
+	defer q.held.Release()
 	q.arrived = s.o.Clock.Now().Add(-q.waited)
 	count("requests", 1)
 	gauge("requests_now", 1)
@@ -231,28 +232,6 @@
 	return a, cancel, err
 }
 
-// readBody reads the complete body: it may have to be sent twice, and net/http does not notice that the
-// caller has disconnected while the body is unread.
-func (s *Server) readBody(q *request) error {
-	limit := maxBody
-	if c := s.o.Catalog(); c != nil && c.Limits().MaxBodyBytes > 0 {
-		limit = c.Limits().MaxBodyBytes
-	}
-	if q.http.ContentLength > int64(limit) {
-		return &rejection{status: http.StatusRequestEntityTooLarge, reason: "the body is larger than the limit"}
-	}
-	b, err := io.ReadAll(io.LimitReader(q.http.Body, int64(limit)+1))
-	if len(b) > limit {
-		return &rejection{status: http.StatusRequestEntityTooLarge, reason: "the body is larger than the limit"}
-	}
-	q.bodyRead = true
-	if err != nil {
-		return &rejection{status: http.StatusBadRequest, reason: "the body broke off"}
-	}
-	q.body = b
-	return nil
-}
-
 // readyWait is how long a request waits at a process that has just started and has no configuration or
 // upstreams yet. Reading both takes some 30 ms while the store responds; if it does not, the caller is
 // better served by another node.
--- a/internal/forward/order_test.go
+++ b/internal/forward/order_test.go
@@ -17,6 +17,7 @@
 	"spurhall.example/spurhall/internal/call"
 	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/catalog"
+	"spurhall.example/spurhall/internal/memory"
 	"spurhall.example/spurhall/internal/order"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/timer"
@@ -67,6 +68,7 @@
 	core, log := observer.New(zap.InfoLevel)
 	v.log = log
 	v.server = NewServer(Options{
+		Memory:  memory.New(v.clock.Service(), 64<<20, nil),
 		ListAge: func() (time.Duration, bool) { return 0, true },
 		Clock:   v.clock.Service(), Log: zap.New(core), Pools: v.pools, Dialect: call.Dialect{WriteOrder: func(_ http.Header, o call.Order) { v.sent = o }},
 	})
@@ -91,6 +93,7 @@
 	t.Helper()
 	v.number++
 	q := &request{
+		held: v.server.o.Memory.Scope(),
 		meta: call.Meta{ID: fmt.Sprint(v.number), PromptTokens: r.prompt, LastEvent: r.lastEvent}, http: httptest.NewRequest(http.MethodPost, "/a", http.NoBody),
 		catalog: v.catalog, route: v.catalog.Match(r.host, "/"), workspace: v.catalog.Workspace(r.key), service: "llm", arrived: v.clock.Service().Now(), waitedBefore: r.earlier,
 	}
--- a/internal/forward/race_test.go
+++ b/internal/forward/race_test.go
@@ -18,6 +18,7 @@
 	"spurhall.example/spurhall/internal/call"
 	"spurhall.example/spurhall/internal/catalog"
 	"spurhall.example/spurhall/internal/lineage"
+	"spurhall.example/spurhall/internal/memory"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/quarantine"
 	"spurhall.example/spurhall/internal/quota"
@@ -76,7 +77,8 @@
 	ready := make(chan struct{})
 	close(ready)
 	r.server = NewServer(Options{
-		Clock: clock, Log: zap.NewNop(), Pools: pools, Connections: NewConnections(clock, nil), Ready: ready, Quarantine: quarantine.NewTracker("n"),
+		Memory: memory.New(clock, 64<<20, nil),
+		Clock:  clock, Log: zap.NewNop(), Pools: pools, Connections: NewConnections(clock, nil), Ready: ready, Quarantine: quarantine.NewTracker("n"),
 		Catalog: func() *catalog.Catalog { return c }, Phase: func() Phase { return PhaseServing },
 		ListAge: func() (time.Duration, bool) { return 0, true }, Place: func(context.Context, pool.Request) string { return "" },
 		Charge: func(string, float64) quota.Verdict { return quota.Verdict{Allowed: true} }, Refund: func(string, float64) {},
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -4,7 +4,10 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
+
+	"spurhall.example/spurhall/internal/memory"
 )
 
 // This file writes the final response to the caller.
@@ -13,7 +16,7 @@
 type response struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *memory.Body
 	stream *stream // nil for a plain response
 }
 
@@ -77,10 +80,10 @@
 		s.copyEvents(w, q, a)
 		return
 	}
-	h.Set("Content-Length", itoa(len(a.body)))
+	h.Set("Content-Length", strconv.FormatInt(a.body.Len(), 10))
 	q.responding = true
 	w.WriteHeader(a.status)
-	if _, err := w.Write(a.body); err != nil {
+	if _, err := a.body.WriteTo(w); err != nil {
 		s.logDone(q, a.status, brokenOutcome(q, true), err)
 		return
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -101,7 +101,7 @@
 	b := w.join(t.q)
 	if t.ctx.Err() != nil {
 		if b != nil {
-			b.finish(pool.ResultInconclusive)
+			b.drop(pool.ResultInconclusive)
 		}
 		return event{}, t.ctx.Err()
 	}
@@ -131,7 +131,7 @@
 	if c := context.Cause(t.a.ctx); c != nil {
 		err = withCause(err, c)
 	}
-	t.a.finish(pool.ResultFailed)
+	t.a.drop(pool.ResultFailed)
 	t.s.recordTrialFailure(t.q, t.a, t.lastEventAt, true)
 	f := []zap.Field{
 		zap.String("request", t.q.meta.ID), zap.String("upstream", t.a.use.Entry().ID), zap.String("last_event", t.lastEventID), zap.String("cause", fault.Reason(err)),
@@ -179,7 +179,7 @@
 		a, err := t.s.runAttempt(t.ctx, t.q, use, t.lastEventID, tried)
 		if t.ctx.Err() != nil {
 			if a != nil {
-				a.finish(pool.ResultInconclusive)
+				a.drop(pool.ResultInconclusive)
 			}
 			return event{}, t.ctx.Err()
 		}
@@ -188,7 +188,7 @@
 			continue
 		}
 		if a.events == nil {
-			a.finish(pool.ResultFailed)
+			a.drop(pool.ResultFailed)
 			t.q.search.RecordReached()
 			cause = fault.Because(errIncompleteResponse, "the resumed stream was answered %d", a.head.StatusCode)
 			continue
--- a/internal/forward/withhold_test.go
+++ b/internal/forward/withhold_test.go
@@ -15,6 +15,7 @@
 
 	"spurhall.example/spurhall/internal/call"
 	"spurhall.example/spurhall/internal/catalog"
+	"spurhall.example/spurhall/internal/memory"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/quarantine"
 	"spurhall.example/spurhall/internal/rollout"
@@ -48,7 +49,8 @@
 	ready := make(chan struct{})
 	close(ready)
 	r.server = NewServer(Options{
-		Clock: clock, Log: zap.NewNop(), Pools: pools, Connections: NewConnections(clock, nil), Ready: ready, Quarantine: quarantine.NewTracker("n"),
+		Memory: memory.New(clock, 64<<20, nil),
+		Clock:  clock, Log: zap.NewNop(), Pools: pools, Connections: NewConnections(clock, nil), Ready: ready, Quarantine: quarantine.NewTracker("n"),
 		Catalog: func() *catalog.Catalog { return c }, Phase: func() Phase { return PhaseServing },
 		ListAge:            func() (time.Duration, bool) { return r.age, r.current },
 		Place:              func(context.Context, pool.Request) string { return "" },
--- /dev/null
+++ b/internal/memory/budget.go
@@ -0,0 +1,354 @@
+// Package memory bounds the bytes that a process holds of requests and responses together. A bound for each of them isn't
+// enough: a process that takes more memory than its VM has ends, and with it everything else that it holds.
+//
+// Bytes are taken before they are read, and given back when their holder ends (Hold). While there is room, nobody notices.
+// When there is none, whoever wants more waits, unread, so that its sender waits too; the others go on. What is small goes
+// before what is large, by a part that is set aside for it.
+//
+// Waiting alone would let one upstream's garbage keep everybody else waiting. So when room is short, the response ends that
+// is furthest beyond what its service usually sends, by what whole responses have shown. If all that hold a part of a message
+// wait for the rest, none of them can be done first: the newest one ends.
+//
+//	budget.go  who gets room, and who is ended for it
+//	scope.go   the holds of one request
+//	read.go    reads a body within the budget
+//	usual.go   what the responses of a service usually weigh
+//
+// Alternatives considered: a weighted semaphore (golang.org/x/sync), which can't choose whom to end and is held up by whoever
+// wants most; a tighter limit of the garbage collector, which only makes it work harder.
+package memory
+
+import (
+	"container/list"
+	"context"
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"spurhall.example/spurhall/internal/timer"
+)
+
+var errs = errorx.NewNamespace("memory")
+
+var (
+	// ErrOversized means that a response was ended, when room was short, as the one furthest beyond what is usual.
+	ErrOversized = errs.NewType("oversized").New("the response is far larger than its service's usually are, and the memory is short")
+	// ErrFull means that there is no room, and no prospect of any.
+	ErrFull = errs.NewType("full").New("the memory for requests and responses is used up")
+)
+
+var metrics = expvar.NewMap("memory")
+
+// Kind is what a hold is for. Each kind has a half of the budget: a request that has room for its body waits for room for its
+// response, and must not wait for others that do the same.
+type Kind int
+
+// The kinds of holds.
+const (
+	KindRequest Kind = iota
+	KindResponse
+	kinds
+)
+
+func (k Kind) String() string { return [...]string{"requests", "responses"}[k] }
+
+const (
+	// smallSize is the size in bytes up to which a message is small.
+	smallSize = 64 << 10
+	// smallShare is the part of the budget that is set aside for small messages.
+	smallShare = 1.0 / 8
+	// excessive is how many times the usual size of its service a response may reach before it is ended for others.
+	excessive = 4
+)
+
+// Budget is the bytes that may be held. It is safe for concurrent use.
+type Budget struct {
+	clock *timer.Service
+	mu    sync.Mutex
+	kinds [kinds]part
+	usual map[string]float64 // size of a service's responses, in bytes
+	ended func(Ended)
+}
+
+// part is the budget of one kind.
+type part struct {
+	limit, used int64
+	holds       *list.List // of *Hold, the oldest first
+	waiting     *list.List // of *Hold, in the order in which they wait
+}
+
+// Ended is a response that is ended so that others get room.
+type Ended struct {
+	Service, Upstream string
+	Bytes             int64 // that it holds
+	Usual             int64 // that a response of its service has
+	Used, Limit       int64 // of all responses
+}
+
+// New returns a budget of some bytes. Ended is called, without a lock, for each response that is ended for others; it may be
+// nil.
+func New(clock *timer.Service, limit int64, ended func(Ended)) *Budget {
+	b := &Budget{clock: clock, usual: make(map[string]float64), ended: ended}
+	for i := range b.kinds {
+		b.kinds[i] = part{limit: limit / int64(kinds), holds: list.New(), waiting: list.New()}
+	}
+	return b
+}
+
+// Limit returns how many bytes of a kind may be held together.
+func (b *Budget) Limit(k Kind) int64 { return b.kinds[k].limit }
+
+// Used returns how many bytes of a kind are held.
+func (b *Budget) Used(k Kind) int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.kinds[k].used
+}
+
+// Options describes a hold. Service and Upstream are those of a response.
+type Options struct {
+	Kind              Kind
+	Service, Upstream string
+	// End ends what the hold is for, which then releases it. It is called without a lock, at most once; nil: it can't be ended.
+	End func(error)
+	// MaxWait is how long it may wait for room at once; 0: until its context ends.
+	MaxWait time.Duration
+}
+
+// Hold is the bytes that one request or one response holds. Its methods may be called at the same time as Release, and
+// otherwise one at a time.
+type Hold struct {
+	b        *Budget
+	o        Options
+	bytes    int64
+	wants    int64         // bytes that it waits for
+	granted  chan struct{} // closed when it has got them, or has been ended
+	cause    error         // why it was ended; nil: it wasn't
+	place    *list.Element // among the holds; nil: released
+	queue    *list.Element // among those that wait; nil: it doesn't
+	complete bool          // it takes no more
+}
+
+// Hold begins a hold of no bytes.
+func (b *Budget) Hold(o Options) *Hold {
+	h := &Hold{b: b, o: o}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h.place = b.kinds[o.Kind].holds.PushBack(h)
+	return h
+}
+
+// Take takes some bytes more, and waits for them if there is no room. The error is ErrOversized or ErrFull if the hold is to
+// end so that others get room, or the context's.
+func (h *Hold) Take(ctx context.Context, n int64) error {
+	b := h.b
+	b.mu.Lock()
+	p := &b.kinds[h.o.Kind]
+	switch {
+	case h.cause != nil:
+		b.mu.Unlock()
+		return h.cause
+	case h.place == nil || h.bytes+n > p.limit:
+		b.mu.Unlock()
+		return ErrFull
+	case p.grant(h, n):
+		b.mu.Unlock()
+		return nil
+	}
+	h.wants, h.granted = n, make(chan struct{})
+	h.queue = p.waiting.PushBack(h)
+	end := b.makeRoom(p)
+	b.mu.Unlock()
+	metrics.Add("waits_"+h.o.Kind.String(), 1)
+	end()
+	err := h.await(ctx)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if h.queue == nil {
+		return h.cause
+	}
+	p.leave(h)
+	return err
+}
+
+// await waits until the hold has got what it wants, and returns the error if it doesn't.
+func (h *Hold) await(ctx context.Context) error {
+	var late <-chan time.Time
+	if h.o.MaxWait > 0 {
+		c, stop := h.b.clock.After(h.o.MaxWait)
+		defer stop()
+		late = c
+	}
+	select {
+	case <-h.granted:
+		return nil
+	case <-late:
+		return ErrFull
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// Complete records that the hold takes no more: it will be released without that others are.
+func (h *Hold) Complete() {
+	h.b.mu.Lock()
+	defer h.b.mu.Unlock()
+	h.complete = true
+}
+
+// Return gives all bytes back. The hold may take others.
+func (h *Hold) Return() { h.giveBack(false) }
+
+// Release gives all bytes back, and ends the hold. Only the first call has an effect.
+func (h *Hold) Release() { h.giveBack(true) }
+
+func (h *Hold) giveBack(last bool) {
+	b := h.b
+	b.mu.Lock()
+	if h.place == nil || !last && h.bytes == 0 {
+		b.mu.Unlock()
+		return
+	}
+	p := &b.kinds[h.o.Kind]
+	p.used -= h.bytes
+	h.bytes = 0
+	if last {
+		h.leave(p)
+	}
+	p.grantWaiting()
+	end := b.makeRoom(p)
+	b.mu.Unlock()
+	end()
+}
+
+// leave removes the hold.
+func (h *Hold) leave(p *part) {
+	p.holds.Remove(h.place)
+	h.place = nil
+	if h.queue != nil {
+		h.finish(p, ErrFull)
+	}
+}
+
+// grant gives a hold some bytes if there is room. One that is large gets none before those that wait already.
+func (p *part) grant(h *Hold, n int64) bool {
+	room := p.limit
+	if h.bytes+n > smallSize {
+		room -= int64(smallShare * float64(p.limit))
+		if p.waiting.Len() > 0 && h.queue != p.waiting.Front() {
+			return false
+		}
+	}
+	if p.used+n > room && p.used > h.bytes { // alone, it may have it all
+		return false
+	}
+	p.used += n
+	h.bytes += n
+	return true
+}
+
+// grantWaiting gives room to those that wait, in order.
+func (p *part) grantWaiting() {
+	for e := p.waiting.Front(); e != nil; {
+		h, next := e.Value.(*Hold), e.Next()
+		if p.grant(h, h.wants) {
+			h.finish(p, nil)
+		}
+		e = next
+	}
+}
+
+// finish ends the wait of a hold.
+func (h *Hold) finish(p *part, cause error) {
+	if cause != nil {
+		h.cause = cause
+	}
+	p.leave(h)
+	close(h.granted)
+}
+
+func (p *part) leave(h *Hold) {
+	p.waiting.Remove(h.queue)
+	h.queue, h.wants = nil, 0
+}
+
+// makeRoom chooses whom to end while somebody waits, and returns the call that ends it.
+func (b *Budget) makeRoom(p *part) (end func()) {
+	none := func() {}
+	if p.waiting.Len() == 0 || p.ending() {
+		return none
+	}
+	if h := b.mostExcessive(p); h != nil {
+		return b.end(p, h, ErrOversized)
+	}
+	if p.stalled() {
+		return b.end(p, p.newestWaiting(), ErrFull)
+	}
+	return none
+}
+
+// ending reports whether a hold that was ended hasn't been released: its bytes come back soon.
+func (p *part) ending() bool {
+	for e := p.holds.Front(); e != nil; e = e.Next() {
+		if h := e.Value.(*Hold); h.cause != nil && h.bytes > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// mostExcessive returns the hold that is furthest beyond the usual size of its service; nil: none is far beyond.
+func (b *Budget) mostExcessive(p *part) *Hold {
+	var most *Hold
+	worst := float64(excessive)
+	for e := p.holds.Front(); e != nil; e = e.Next() {
+		h := e.Value.(*Hold)
+		if h.o.End == nil || h.complete || h.bytes <= smallSize {
+			continue
+		}
+		if x := float64(h.bytes+h.wants) / b.usualSize(h.o.Service); x > worst {
+			most, worst = h, x
+		}
+	}
+	return most
+}
+
+// stalled reports whether all that hold bytes wait for more.
+func (p *part) stalled() bool {
+	for e := p.holds.Front(); e != nil; e = e.Next() {
+		if h := e.Value.(*Hold); h.bytes > 0 && h.queue == nil {
+			return false
+		}
+	}
+	return true
+}
+
+// newestWaiting returns the newest hold of those that hold a part and wait for the rest.
+func (p *part) newestWaiting() *Hold {
+	for e := p.holds.Back(); e != nil; e = e.Prev() {
+		if h := e.Value.(*Hold); h.queue != nil && h.bytes > 0 {
+			return h
+		}
+	}
+	return p.waiting.Back().Value.(*Hold)
+}
+
+// end ends a hold. The budget's lock is held; the call that is returned is made without it.
+func (b *Budget) end(p *part, h *Hold, cause error) func() {
+	v := Ended{Service: h.o.Service, Upstream: h.o.Upstream, Bytes: h.bytes, Usual: int64(b.usualSize(h.o.Service)), Used: p.used, Limit: p.limit}
+	h.cause = cause
+	if h.queue != nil {
+		h.finish(p, cause)
+	}
+	return func() {
+		metrics.Add("ended_"+h.o.Kind.String(), 1)
+		if b.ended != nil && h.o.Kind == KindResponse {
+			b.ended(v)
+		}
+		if h.o.End != nil {
+			h.o.End(cause)
+		}
+	}
+}
