Callers' large bodies together took all of a VM's memory

What callers saw: 48 bodies of 4 MiB at once, each within the operators' bound, take more than a small VM has; the process ends with all it holds.

Cause: a request's body was held whole, whatever else was held. It now takes its room in the budget's half for requests before it is read. When there is none it waits half a second unread, and is then refused as not run, which is true: nothing was read whole and nothing was sent. Another node may have room, so the caller may come back at once.

--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
+	"time"
 
 	"spurhall.example/spurhall/internal/fault"
 	"spurhall.example/spurhall/internal/memory"
@@ -16,6 +16,9 @@
 const (
 	// maxBody bounds a request's body, in bytes, until the configuration sets a limit.
 	maxBody = 64 << 20
+	// bodyWait is how long a request's body waits unread for room. Callers give a node that hasn't read their request about a
+	// second.
+	bodyWait = 500 * time.Millisecond
 	// maxResponseBody bounds the body of a plain response, in bytes: one without end is no response.
 	maxResponseBody = 16 << 20
 )
@@ -35,18 +38,21 @@
 	if c := s.o.Catalog(); c != nil && c.Limits().MaxBodyBytes > 0 {
 		limit = c.Limits().MaxBodyBytes
 	}
-	if q.http.ContentLength > int64(limit) {
-		return &rejection{status: http.StatusRequestEntityTooLarge, reason: "the body is larger than the limit"}
-	}
-	b, err := io.ReadAll(io.LimitReader(q.http.Body, int64(limit)+1))
-	if len(b) > limit {
+	h := q.held.Hold(memory.Options{Kind: memory.KindRequest, MaxWait: bodyWait})
+	b, err := h.ReadBody(q.http.Context(), q.http.Body, q.http.ContentLength, int64(limit))
+	switch {
+	case errors.Is(err, memory.ErrTooLong):
 		return &rejection{status: http.StatusRequestEntityTooLarge, reason: "the body is larger than the limit"}
-	}
-	q.bodyRead = true
-	if err != nil {
+	case errors.Is(err, memory.ErrFull):
+		count("bodies_without_room", 1)
+		return &rejection{status: http.StatusServiceUnavailable, reason: fault.Reason(err), retry: retryOtherNode}
+	case err != nil:
+		q.bodyRead = true
 		return &rejection{status: http.StatusBadRequest, reason: "the body broke off"}
 	}
-	q.body = b
+	h.Complete()
+	q.bodyRead = true
+	q.body = b.Bytes()
 	return nil
 }
 
