The head of an answer to CONNECT was read without a bound

What callers would see: the process of the address that should open a tunnel sends bytes without end, and the node holds what arrives until the tunnel's time-out, for each connection that it opens.

Cause: http.ReadResponse reads a head of any length. It gets 16 kB now; what follows the head is the tunnel's and has no bound.

Evidence: before, 894 MB (no head), 1,795 MB (one line) and 144 MB (lines) were sent in the 5 s that the test allows; now it is known at once (TestHeadWithoutEndIsReadForATunnel).

--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -11,6 +11,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -51,6 +52,7 @@
 
 const (
 	bufferSize        = 16 << 10
+	maxHead           = 16 << 10 // bytes of an answer to CONNECT
 	established       = "HTTP/1.1 200 Connection established\r\n\r\n"
 	establishedFrames = "HTTP/1.1 200 Connection established\r\n" + framesHeader + ": " + framesValue + "\r\n\r\n"
 )
@@ -96,11 +98,13 @@
 	if _, err := io.WriteString(c, head); err != nil {
 		return nil, nil, fault.Because(ErrUnavailable, "%v", err)
 	}
-	r := bufio.NewReader(c)
+	l := &io.LimitedReader{R: c, N: maxHead}
+	r := bufio.NewReader(l)
 	a, err := http.ReadResponse(r, &http.Request{Method: http.MethodConnect})
 	if err != nil {
 		return nil, nil, fault.Because(ErrUnavailable, "%v", err)
 	}
+	l.N = math.MaxInt64 // what follows is the tunnel's
 	switch a.StatusCode {
 	case http.StatusOK:
 		return r, a.Header, nil
