What another process answers in place of a node was held without a bound

What callers would see: the address of a node that is gone is given to another process, which sends without end, and each report to it takes what arrives in 0.6 s; or a caller posts a message without end to the peers' listener. The process ends, with all it holds.

Cause: messages between nodes had no bound, heads the library's 10 MB.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -84,9 +84,9 @@
 	return &peerTable{
 		n: n, peers: make(map[string]*peer),
 		keepAlive: &http.Client{Transport: n.load.Transport(&http.Transport{
-			DialContext: d.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second, DisableCompression: true,
+			DialContext: d.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: message.MaxHeader,
 		})},
-		oneShot: &http.Client{Transport: n.load.Transport(&http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true})},
+		oneShot: &http.Client{Transport: n.load.Transport(&http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: message.MaxHeader})},
 	}
 }
 
@@ -121,13 +121,13 @@
 }
 
 func (t *peerTable) newClient(address string) wireconnect.EdgeClient {
-	return wireconnect.NewEdgeClient(t.keepAlive, "http://"+address)
+	return wireconnect.NewEdgeClient(t.keepAlive, "http://"+address, message.Bounded())
 }
 
 // pairClient returns the client for the reports of a pair.
 func (t *peerTable) pairClient(p *peer) wireconnect.EdgeClient {
 	if !pair.Suffice(t.size()) {
-		return wireconnect.NewEdgeClient(t.oneShot, "http://"+p.Address)
+		return wireconnect.NewEdgeClient(t.oneShot, "http://"+p.Address, message.Bounded())
 	}
 	return t.clientOf(p)
 }
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -16,6 +16,7 @@
 
 	"spurhall.example/spurhall/internal/accept"
 	"spurhall.example/spurhall/internal/logging"
+	"spurhall.example/spurhall/internal/message"
 	"spurhall.example/spurhall/internal/metric"
 	"spurhall.example/spurhall/internal/wire/wireconnect"
 )
@@ -157,7 +158,7 @@
 const minCompressed = 16 << 10
 
 func (n *Node) peerHandler() http.Handler {
-	_, h := wireconnect.NewEdgeHandler(&edgeService{n}, connect.WithCompressMinBytes(minCompressed))
+	_, h := wireconnect.NewEdgeHandler(&edgeService{n}, connect.WithCompressMinBytes(minCompressed), message.Bounded())
 	h = n.load.Handler(h)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodConnect {
