A response to HEAD was taken for one whose body breaks off

What callers would see: 502 for HEAD at an upstream that states the length which a GET would have.

Cause: the announced length was expected of a response that has no body.

--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -64,7 +64,7 @@
 
 // readPlain reads a plain response's body.
 func (s *Server) readPlain(a *attempt) error {
-	b, err := a.held.ReadBody(a.ctx, a.head.Body, a.head.ContentLength, maxResponseBody)
+	b, err := a.held.ReadBody(a.ctx, a.head.Body, bodyLength(a.head), maxResponseBody)
 	switch {
 	case errors.Is(err, memory.ErrTooLong):
 		return fault.Because(errOversized, "the body is longer than %d bytes", maxResponseBody)
@@ -77,6 +77,15 @@
 	return nil
 }
 
+// bodyLength returns the length that a response's body was announced with, or -1. The length of a response to HEAD is that of
+// a body which doesn't come.
+func bodyLength(head *http.Response) int64 {
+	if head.Body == http.NoBody {
+		return 0
+	}
+	return head.ContentLength
+}
+
 // roomError returns the error for a response that couldn't be read to its end.
 func roomError(err error, what string) error {
 	switch {
