The soak plays upstreams that send without end, and checks daemons' memory

A new fault, endless: for some seconds one or two upstreams, of one or two services, send bytes without end in place of responses, in ten shapes, while 12 to 48 callers at once come to that service at one daemon.

The number of descriptors is checked as before.

--- a/internal/soak/calls.go
+++ b/internal/soak/calls.go
@@ -49,6 +49,7 @@
 	r := rand.New(rand.NewPCG(d.Seed, 0xca11))
 	list := d.pressingCalls(rand.New(rand.NewPCG(d.Seed, 0x9e55)))
 	list = append(list, d.partCalls(rand.New(rand.NewPCG(d.Seed, 0xbad1)))...)
+	list = append(list, d.endlessCalls(rand.New(rand.NewPCG(d.Seed, 0xe4d2)))...)
 	own := rand.New(rand.NewPCG(d.Seed, 0x0a27))
 	sharesParts := d.Large > 0 || slices.ContainsFunc(d.Faults, func(f Fault) bool { return f.Kind == FaultPart })
 	for at := time.Duration(0); ; {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -39,6 +39,8 @@
 	limitExtra  = 5
 	fdsMore     = 60
 	bytesMore   = 48 << 20
+	// messageParts: messages may take one of so many parts of a VM's memory together.
+	messageParts = 3
 )
 
 // view is a record, made ready to be looked at.
@@ -135,11 +137,11 @@
 func Check(r Record) []Failure {
 	v := newView(r)
 	var list []Failure
-	for _, c := range []func(v *view) []Failure{checkWhole, checkOnce, checkNotRun, checkAttempts, checkDrains, checkVersions, checkConfig, checkKeys, checkQuota, checkRepeats, checkLimits, checkEgress, checkBrittle, checkParts, checkEnds, checkStops, checkAnswered, checkSilence, checkTakeover, checkLost} {
+	for _, c := range []func(v *view) []Failure{checkWhole, checkOnce, checkNotRun, checkAttempts, checkDrains, checkVersions, checkConfig, checkKeys, checkQuota, checkRepeats, checkLimits, checkEgress, checkBrittle, checkParts, checkEnds, checkStops, checkAnswered, checkSilence, checkTakeover, checkMemory, checkLost} {
 		list = append(list, c(v)...)
 	}
 	if r.Complete {
-		for _, c := range []func(v *view) []Failure{checkServed, checkTakenUp, checkUsage, checkLevels} {
+		for _, c := range []func(v *view) []Failure{checkServed, checkSound, checkTakenUp, checkUsage, checkLevels} {
 			list = append(list, c(v)...)
 		}
 	}
--- a/internal/soak/check_answers.go
+++ b/internal/soak/check_answers.go
@@ -15,6 +15,11 @@
 func checkWhole(v *view) []Failure {
 	return v.eachReply("whole", func(r *Reply) string {
 		switch {
+		case r.Whole && r.garbage():
+			if v.endedUnder(r) {
+				return "" // its response ends with its connection
+			}
+			return fmt.Sprintf("status %d with a body without end ends as whole after %d bytes", r.Status, len(r.Body))
 		case !r.good() && r.Signed != "" && r.Status != http.StatusInternalServerError:
 			return fmt.Sprintf("status %d bears an upstream's signature", r.Status)
 		case !r.good():
@@ -44,12 +49,17 @@
 // cutByUpstream tells whether an upstream ended under a request whose answer ends with its connection: nobody can tell that
 // from the answer's end, since the upstream's kernel closes the connection in order.
 func (v *view) cutByUpstream(r *Reply) bool {
-	return v.Day.Bare && (v.drained(r) || slices.ContainsFunc(v.runs[r.ID], func(run Event) bool {
+	return v.Day.Bare && v.endedUnder(r)
+}
+
+// endedUnder tells whether an upstream ended under a request.
+func (v *view) endedUnder(r *Reply) bool {
+	return v.drained(r) || slices.ContainsFunc(v.runs[r.ID], func(run Event) bool {
 		return slices.ContainsFunc(v.Events, func(e Event) bool {
 			ends := e.What == Started || e.What == Fell || e.What == Crashed
 			return ends && e.Upstream == run.Upstream && e.At.After(run.At) && e.At.Before(r.Done.Add(longestRestart))
 		})
-	}))
+	})
 }
 
 // longestRestart is until when an upstream that has ended under a request has started again.
--- a/internal/soak/check_bounds.go
+++ b/internal/soak/check_bounds.go
@@ -178,9 +178,14 @@
 	return list
 }
 
-// checkLevels: what daemons hold is back where it was.
+// checkLevels: what daemons hold is back where it was. Garbage of messages stays resident until the next collection, which a
+// daemon that is asked for little reaches late: where messages took much, as much as they may take together may be left of them.
 func checkLevels(v *view) []Failure {
 	var list []Failure
+	most := int64(bytesMore)
+	if v.Day.Memory > 0 {
+		most += int64(v.Day.Memory) << 20 / messageParts
+	}
 	for name, b := range v.Before {
 		a, ok := v.After[name]
 		if !ok {
@@ -190,7 +195,7 @@
 		if a.Descriptors > b.Descriptors+fdsMore {
 			list = append(list, Failure{"levels", "", fmt.Sprintf("%s has %d descriptors, %d before", name, a.Descriptors, b.Descriptors)})
 		}
-		if a.Bytes > b.Bytes+bytesMore {
+		if a.Bytes > b.Bytes+most {
 			list = append(list, Failure{"levels", "", fmt.Sprintf("%s has %d MB, %d before", name, a.Bytes>>20, b.Bytes>>20)})
 		}
 	}
--- a/internal/soak/check_reach.go
+++ b/internal/soak/check_reach.go
@@ -79,6 +79,8 @@
 			return f.On == OnDaemons
 		case FaultDelay, FaultReset, FaultSilent, FaultOldSilent, FaultOneWay:
 			return f.On == OnPeers || f.On == OnCallers
+		case FaultEndless:
+			return true // its bursts of callers fail at some daemons more than at others
 		case FaultEgress:
 			return own.Kind != FaultEgress
 		default:
--- a/internal/soak/control.go
+++ b/internal/soak/control.go
@@ -24,6 +24,8 @@
 	Brittle float64 `json:"brittle,omitempty"` // 0: any number
 	// Spoils says that it answers without its signature, or as if to another request.
 	Spoils bool `json:"spoils,omitempty"`
+	// Endless is what it sends without end in place of a response; empty: nothing.
+	Endless string `json:"endless,omitempty"`
 	// Unlists says that its entry goes as soon as it is told to end, and that it never says that it leaves.
 	Unlists bool `json:"unlists,omitempty"`
 }
--- a/internal/soak/day.go
+++ b/internal/soak/day.go
@@ -61,6 +61,7 @@
 	FaultPart      Kind = "part"       // streams come with a part that crashes each engine which begins to answer, X a second
 	FaultRelease   Kind = "release"    // engines are replaced by ones of another version: their entries go, and they serve on for a while
 	FaultOdd       Kind = "odd"        // another writer leaves an odd entry among those of the upstreams, as How says, which is no disturbance
+	FaultEndless   Kind = "endless"    // an upstream sends without end, as How says, to bursts of X callers
 	FaultTakeover  Kind = "takeover"   // SIGTERM of all large daemons of a hall, which has small ones besides
 	FaultPress     Kind = "press"      // SIGTERM of daemons that more callers use; they aren't scheduled when they close connections
 )
@@ -185,6 +186,8 @@
 	Released  bool          `json:"released,omitempty"` // the engines of the old version are replaced, and all daemons are killed; engines are slower still
 	Large     int           `json:"large,omitempty"`    // large daemons in each hall; 0: all are equal, and nothing bounds them
 	Small     float64       `json:"small,omitempty"`    // cores of the others
+	Memory    int           `json:"memory,omitempty"`   // MB of a daemon's VM; 0: the usual
+	Rate      float64       `json:"rate,omitempty"`     // bytes a second that a daemon's network connection carries each way, where all are equal; 0: any number
 	Bare      bool          `json:"bare,omitempty"`     // answers have neither a length nor chunks and end with their connections; engines are slower
 }
 
--- a/internal/soak/draw.go
+++ b/internal/soak/draw.go
@@ -17,6 +17,8 @@
 	OneVersion bool
 	// Takeover draws days with a takeover alone.
 	Takeover bool
+	// Endless draws days with upstreams that send without end alone.
+	Endless bool
 }
 
 const (
@@ -33,9 +35,13 @@
 	r := rand.New(rand.NewPCG(seed, 0x50a4))
 	d := Day{Seed: seed, Daemons: 3 + r.IntN(4), Halls: 2 + r.IntN(2), Engines: 4 + r.IntN(4), Plain: 3 + r.IntN(2), PerSecond: 40 + 60*r.Float64(), Traffic: usualTraffic}
 	t := rand.New(rand.NewPCG(seed, takeoverSequence))
-	if t.IntN(takeoverShare) == 0 || o.Takeover {
+	if taken := t.IntN(takeoverShare) == 0; taken && !o.Endless || o.Takeover {
 		d.enlarge(t)
 	}
+	e, alone := rand.New(rand.NewPCG(seed, endlessSequence)), false
+	if drawn := e.IntN(endlessShare) == 0; d.Large == 0 && (drawn || o.Endless) {
+		alone = d.lessen(e)
+	}
 	if o.Daemons > 0 {
 		d.Daemons = o.Daemons
 		d.Halls = min(d.Halls, o.Daemons)
@@ -43,12 +49,15 @@
 	if o.Traffic > 0 {
 		d.Traffic = o.Traffic
 	}
-	if d.Large == 0 || t.IntN(2) == 0 && !o.Takeover {
+	if d.Large == 0 && !alone || d.Large > 0 && t.IntN(2) == 0 && !o.Takeover {
 		d.drawOthers(r, seed, o)
 	}
+	if d.Memory > 0 {
+		d.Faults = append(d.Faults, d.drawEndless(e, d.Traffic-quietAfter)...)
+	}
 	if d.Large > 0 {
 		d.Faults = append(d.Faults, d.drawTakeover(t)...)
-	} else {
+	} else if !alone {
 		d.Faults = append(d.Faults, d.drawStill(rand.New(rand.NewPCG(seed, 0x5717)))...)
 	}
 	slices.SortStableFunc(d.Faults, func(a, b Fault) int { return int(a.At - b.At) })
--- a/internal/soak/draw_takeover.go
+++ b/internal/soak/draw_takeover.go
@@ -76,7 +76,7 @@
 func (d *Day) rate(i int) float64 {
 	switch {
 	case d.Large == 0:
-		return 0
+		return d.Rate
 	case d.isLarge(i):
 		return largeRate
 	}
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -24,9 +25,10 @@
 	After    map[string]Level `json:"after"`
 	Lost     []string         `json:"lost"` // processes that ended by themselves
 	Usage    map[int64][]map[string]int64
-	Stalls   []Stall `json:"stalls"`
-	Loads    []Load  `json:"loads,omitempty"`
-	Complete bool    `json:"complete"` // the day was played to its end
+	Stalls   []Stall          `json:"stalls"`
+	Loads    []Load           `json:"loads,omitempty"`
+	Peaks    map[string]int64 `json:"peaks"`    // most resident memory of each daemon, in bytes
+	Complete bool             `json:"complete"` // the day was played to its end
 }
 
 // Stall is a time in which the VM itself was too busy to run what was due: bounds of time say nothing there.
@@ -60,7 +62,7 @@
 	s.mu.Lock()
 	r := s.record
 	r.Configs, r.Drains, r.Stops = append([]Change(nil), r.Configs...), append([]Drain(nil), r.Drains...), append([]Stop(nil), r.Stops...)
-	r.Stalls = append([]Stall(nil), r.Stalls...)
+	r.Stalls, r.Peaks = append([]Stall(nil), r.Stalls...), maps.Clone(r.Peaks)
 	s.mu.Unlock()
 	r.Replies = c.known()
 	r.Events, _ = s.events() // what can't be read now is read at the end
@@ -82,6 +84,7 @@
 // finish gathers what is there once the day is over.
 func (s *Stage) finish(ctx context.Context) (Record, error) {
 	r := &s.record
+	s.lookAtPeaks()
 	if r.Complete {
 		_ = s.clock.Sleep(ctx, usageLate+usageWindow) // the last windows are reported
 		r.After = s.levels()
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -53,6 +53,8 @@
 		s.cutEgress(ctx, f)
 	case FaultBrittle:
 		s.behave(ctx, f, Behaviour{Brittle: f.X})
+	case FaultEndless:
+		s.behave(ctx, f, Behaviour{Endless: f.How})
 	case FaultPart:
 		s.restartCrashed(ctx, f)
 	case FaultOdd:
