Whoever waited behind one that left wasn't given the room that there was

What callers would see: a large body or response waits behind one whose caller has left or whose wait is over. It isn't looked at until another hold is released, and is refused or late though there is room.

Cause: a hold that left the queue didn't pass its turn on.

Evidence: the one behind waited for more than 10 s before ("it waits", TestWaitingHoldIsNotWokenWhenTheOneBeforeItLeaves); now it goes on at once. A property test plays concurrent holds that take, complete, leave and are ended (TestHoldWaitsForEver); it passed before, too, as each hold there is released soon.

--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -165,14 +165,23 @@
 	end()
 	err := h.await(ctx)
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	if h.queue == nil {
+		defer b.mu.Unlock()
 		return h.cause
 	}
 	p.leave(h)
+	end = b.settle(p)
+	b.mu.Unlock()
+	end()
 	return err
 }
 
+// settle gives what room there is to those that wait, and returns the call that makes more.
+func (b *Budget) settle(p *part) (end func()) {
+	p.grantWaiting()
+	return b.makeRoom(p)
+}
+
 // await waits until the hold has got what it wants, and returns the error if it doesn't.
 func (h *Hold) await(ctx context.Context) error {
 	var late <-chan time.Time
@@ -217,8 +226,7 @@
 	if last {
 		h.leave(p)
 	}
-	p.grantWaiting()
-	end := b.makeRoom(p)
+	end := b.settle(p)
 	b.mu.Unlock()
 	end()
 }
