A response was ended for want of room though the rest of it fitted

What callers would see: 502 for a sound response, of whose last bytes there was room, and a failure on its upstream's record.

Cause: a large one takes its turn behind those that wait already, also behind one that holds nothing yet and wants more than there is. If all that hold a part wait then, the newest of them was ended. Those that hold a part and fit get their room now, before one is ended.

Evidence: of two responses with room for both, the newest ended as "used up" before (TestResponseIsEndedThoughTheRestOfItFits); now both go on, and the one that waits before them follows.

--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -242,19 +242,25 @@
 
 // grant gives a hold some bytes if there is room. One that is large gets none before those that wait already.
 func (p *part) grant(h *Hold, n int64) bool {
+	if h.bytes+n > smallSize && p.waiting.Len() > 0 && h.queue != p.waiting.Front() || !p.fits(h, n) {
+		return false
+	}
+	p.add(h, n)
+	return true
+}
+
+// fits reports whether there is room for some bytes more of a hold.
+func (p *part) fits(h *Hold, n int64) bool {
 	room := p.limit
 	if h.bytes+n > smallSize {
 		room -= int64(smallShare * float64(p.limit))
-		if p.waiting.Len() > 0 && h.queue != p.waiting.Front() {
-			return false
-		}
-	}
-	if p.used+n > room && p.used > h.bytes { // alone, it may have it all
-		return false
 	}
+	return p.used+n <= room || p.used <= h.bytes // alone, it may have it all
+}
+
+func (p *part) add(h *Hold, n int64) {
 	p.used += n
 	h.bytes += n
-	return true
 }
 
 // grantWaiting gives room to those that wait, in order.
@@ -268,6 +274,21 @@
 	}
 }
 
+// grantParts gives room to those that hold a part and fit, though others wait before them, and reports whether there were any.
+// If all that hold a part wait, the others' turn doesn't come before theirs.
+func (p *part) grantParts() (any bool) {
+	for e := p.waiting.Front(); e != nil; {
+		h, next := e.Value.(*Hold), e.Next()
+		if h.bytes > 0 && p.fits(h, h.wants) {
+			p.add(h, h.wants)
+			h.finish(p, nil)
+			any = true
+		}
+		e = next
+	}
+	return any
+}
+
 // finish ends the wait of a hold.
 func (h *Hold) finish(p *part, cause error) {
 	if cause != nil {
@@ -291,7 +312,7 @@
 	if h := b.mostExcessive(p); h != nil {
 		return b.end(p, h, ErrOversized)
 	}
-	if p.stalled() {
+	if p.stalled() && !p.grantParts() {
 		return b.end(p, p.newestWaiting(), ErrFull)
 	}
 	return none
--- a/internal/memory/wait_test.go
+++ b/internal/memory/wait_test.go
@@ -36,6 +36,23 @@
 	assert.NoError(t, result(t, c))
 }
 
+func TestResponseIsEndedThoughTheRestOfItFits(t *testing.T) {
+	b := memory.New(timer.Real(), 16*mb, nil)
+	b.Observe("api", 8*mb)
+	old, young, newcomer := hold(b, "api"), hold(b, "api"), hold(b, "api")
+	require.NoError(t, old.Take(context.Background(), 3*mb))
+	require.NoError(t, young.Take(context.Background(), 3*mb+mb/2))
+	waits := newcomer.take(mb)
+	assertWaits(t, waits)
+	first, second := old.take(mb/4), young.take(mb/4)
+	assert.NoError(t, result(t, first))
+	assert.NoError(t, result(t, second))
+	assert.Empty(t, old.ended)
+	assert.Empty(t, young.ended)
+	old.Release()
+	assert.NoError(t, result(t, waits))
+}
+
 // TestHoldWaitsForEver plays concurrent holds that take, complete, leave and are ended: each comes to its end, and nothing is left.
 func TestHoldWaitsForEver(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
