A response that was whole as it was chosen to end kept garbage from being ended

What callers would see: large responses wait, and time out, behind garbage that is never ended, for as long as one caller reads its response slowly.

Cause: while a hold that was chosen isn't released, no other is chosen: its bytes come back soon. A response whose last piece arrives in that moment is whole and passed on, so they come back when its caller has read them. It isn't waited for any more once it is whole.

--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -202,9 +202,14 @@
 
 // Complete records that the hold takes no more: it will be released without that others are.
 func (h *Hold) Complete() {
-	h.b.mu.Lock()
-	defer h.b.mu.Unlock()
+	b, end := h.b, func() {}
+	b.mu.Lock()
 	h.complete = true
+	if h.cause != nil { // it was to end, and is whole
+		end = b.settle(&b.kinds[h.o.Kind])
+	}
+	b.mu.Unlock()
+	end()
 }
 
 // Return gives all bytes back. The hold may take others.
@@ -318,10 +323,11 @@
 	return none
 }
 
-// ending reports whether a hold that was ended hasn't been released: its bytes come back soon.
+// ending reports whether a hold that was ended hasn't been released: its bytes come back soon. One that is whole by then doesn't
+// end: it is released when its caller has it.
 func (p *part) ending() bool {
 	for e := p.holds.Front(); e != nil; e = e.Next() {
-		if h := e.Value.(*Hold); h.cause != nil && h.bytes > 0 {
+		if h := e.Value.(*Hold); h.cause != nil && h.bytes > 0 && !h.complete {
 			return true
 		}
 	}
--- a/internal/memory/wait_test.go
+++ b/internal/memory/wait_test.go
@@ -53,6 +53,19 @@
 	assert.NoError(t, result(t, waits))
 }
 
+func TestCompleteResponseThatWasChosenKeepsGarbageFromBeingEnded(t *testing.T) {
+	b := memory.New(timer.Real(), 16*mb, nil)
+	chosen := b.Hold(memory.Options{Kind: memory.KindResponse, Service: "api", End: func(error) {}})
+	garbage, sound := hold(b, "faulty"), hold(b, "sound")
+	require.NoError(t, chosen.Take(context.Background(), 4*mb))
+	require.NoError(t, garbage.Take(context.Background(), 2*mb+mb/2))
+	c := sound.take(mb)
+	assertWaits(t, c) // the one that was chosen hasn't been released
+	chosen.Complete() // and was whole by then; its caller reads slowly
+	assert.NoError(t, result(t, c))
+	assert.ErrorIs(t, result(t, garbage.ended), memory.ErrOversized)
+}
+
 // TestHoldWaitsForEver plays concurrent holds that take, complete, leave and are ended: each comes to its end, and nothing is left.
 func TestHoldWaitsForEver(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
