Requests that cross a planned stop's close had no line, and were reset

What callers saw: now and then a try beside a stop ends without an answer, and no node has a line for it. A caller that was still writing such a request got "broken pipe" or a reset.

Cause: a connection that a stop closes between two requests was closed in both directions at once. What its caller had sent before it saw the close reached the kernel alone, which resets the connection.

Now only the direction to the caller is closed at first; the other one is read for 0.3 s more, or until the caller closes it. What arrives has a line, request_crossed, with the request's id, the time after the close and the responses before. It isn't run: there is no way left for a response.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -52,6 +52,8 @@
 // their callers try another node before anything that they sent was read.
 type Listener struct {
 	net.Listener
+	Identify func(h http.Header) string // the id of a request; nil: nobody knows
+
 	clock    *timer.Service
 	log      *zap.Logger
 	maxOpen  int          // connections; 0: no limit
@@ -209,4 +211,5 @@
 	callersOpen     = expvar.NewInt("callers_connected")
 	callersRejected = expvar.NewInt("callers_turned_away")
 	callersCut      = expvar.NewInt("callers_cut")
+	callersCrossed  = expvar.NewInt("callers_crossed")
 )
--- a/internal/accept/caller.go
+++ b/internal/accept/caller.go
@@ -36,6 +36,7 @@
 
 	mu         sync.Mutex
 	closed     bool
+	lingers    bool
 	ending     Ending                  // who or what ended the connection
 	cancel     context.CancelCauseFunc // ends the contexts of its requests; nil: the server has none
 	inProgress bool                    // a byte of a request has been read, and its response isn't complete
@@ -162,8 +163,16 @@
 	}
 }
 
-// Close closes the connection.
+// Close closes the connection. One that a planned stop closes between two requests is read on for a while.
 func (c *callerConn) Close() error {
+	if c.beginLinger() {
+		go c.linger()
+		return nil
+	}
+	return c.close()
+}
+
+func (c *callerConn) close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.closed {
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -129,6 +129,7 @@
 // monitorFront wraps the callers' listener to detect failing accepts.
 func (n *Node) monitorFront(l net.Listener) *accept.Listener {
 	w := accept.New(l, n.clock, n.log, n.settings.MaxDescriptors)
+	w.Identify = n.front.Identify
 	n.frontListener.Store(w)
 	return w
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -216,6 +216,9 @@
 	s.writeResponse(w, q, a)
 }
 
+// Identify returns the id of the request with this header.
+func (s *Server) Identify(h http.Header) string { return s.o.Dialect.ReadMeta(h).ID }
+
 func (s *Server) serve(ctx context.Context, q *request) (*response, context.CancelFunc, error) {
 	if s.o.Phase() == PhaseClosed {
 		return nil, func() {}, &rejection{status: http.StatusServiceUnavailable, reason: "this node is stopping", retry: retryOtherNode}
