Tests: requests that cross a stop's close, on a real process

Eight kept connections, each of which sends as soon as it has seen the close: each has its line, none is run, and the stop isn't held up.

--- a/cmd/spurhalld/edge_process_test.go
+++ b/cmd/spurhalld/edge_process_test.go
@@ -35,18 +35,21 @@
 	front    string
 	ready    string
 	cmd      *exec.Cmd
+	level    string   // of its log
+	log      *os.File // of its process; nil: none
+	runs     *platformtest.Runs
 }
 
 func newEdgeRig(t *testing.T) *edgeRig {
 	t.Helper()
 	d := t.TempDir()
-	r := &edgeRig{t: t, p: platformtest.New(timer.Real()), bin: filepath.Join(d, "spurhalld"), settings: filepath.Join(d, "settings.toml"), front: port(t), ready: port(t)}
+	r := &edgeRig{t: t, p: platformtest.New(timer.Real()), bin: filepath.Join(d, "spurhalld"), settings: filepath.Join(d, "settings.toml"), front: port(t), ready: port(t), level: "error", runs: &platformtest.Runs{}}
 	out, err := exec.Command("go", "build", "-o", r.bin, ".").CombinedOutput()
 	require.NoError(t, err, string(out))
 	s := httptest.NewServer(r.p.Endpoint().Handler())
 	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
 	r.configure(soak.Configuration{Version: 1})
-	r.p.Upstream(t, &platformtest.Runs{}, "a", soak.ServicePlain, "hall-a")
+	r.p.Upstream(t, r.runs, "a", soak.ServicePlain, "hall-a")
 	address := s.Listener.Addr().String()
 	require.NoError(t, os.WriteFile(r.settings, []byte(platformtest.World().Settings(soak.DaemonSettings{
 		Name: "n0", Hall: "hall-a", Halls: []string{"hall-a"}, Front: r.front, Ready: r.ready, Peers: port(t), Store: address, Cloud: address, First: true,
@@ -64,7 +67,10 @@
 // start starts the process.
 func (r *edgeRig) start() {
 	r.t.Helper()
-	r.cmd = exec.Command(r.bin, "edge", "--log-level", "error")
+	r.cmd = exec.Command(r.bin, "edge", "--log-level", r.level)
+	if r.log != nil {
+		r.cmd.Stdout, r.cmd.Stderr = r.log, r.log
+	}
 	r.cmd.Env = append(os.Environ(), platformtest.World().SettingsVariable+"="+r.settings)
 	require.NoError(r.t, r.cmd.Start())
 	p := r.cmd
@@ -198,3 +204,42 @@
 		require.EqualError(t, r.cmd.Wait(), "signal: killed")
 	}
 }
+
+// TestRequestThatCrossesAStopsCloseLeavesNoTrace guards against tries that end beside a stop and that no process knows of.
+func TestRequestThatCrossesAStopsCloseLeavesNoTrace(t *testing.T) {
+	r := newEdgeRig(t)
+	f, err := os.Create(filepath.Join(t.TempDir(), "log"))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = f.Close() })
+	r.level, r.log = "info", f
+	r.start()
+	r.awaitReady()
+	var callers []*edgeConn
+	for i := range 8 {
+		c := r.dial()
+		c.send(t, text(t, soak.RoutePlain, fmt.Sprintf("warm-%d", i)))
+		c.assertAnswered(t, "before")
+		callers = append(callers, c)
+	}
+	r.signal(syscall.SIGTERM)
+	at := time.Now()
+	for _, c := range callers {
+		_, err := c.r.ReadByte()
+		require.ErrorIs(t, err, io.EOF, "it closes between two requests")
+	}
+	for i, c := range callers {
+		s := text(t, soak.RoutePlain, fmt.Sprintf("crossed-%d", i))
+		c.send(t, s[:100])
+		time.Sleep(5 * time.Millisecond)
+		c.send(t, s[100:])
+	}
+	require.NoError(t, r.cmd.Wait())
+	assert.Less(t, time.Since(at), 4*time.Second, "who crosses doesn't hold up the stop")
+	b, err := os.ReadFile(f.Name())
+	require.NoError(t, err)
+	for i := range callers {
+		id := fmt.Sprintf("crossed-%d", i)
+		assert.Regexp(t, "msg=request_crossed .*request="+id+" .*responses=1", string(b))
+		assert.Empty(t, r.runs.Of(id), "it wasn't run")
+	}
+}
