The head of a request that crosses a stop's close was held without a bound

What callers would see: nothing but a node that ends in place of stopping, as a caller goes on sending lines of a head behind the close.

Cause: the id of a request that crosses is read from a head of any length. 16 kB are looked at now, the rest is read and dropped.

--- a/internal/accept/linger.go
+++ b/internal/accept/linger.go
@@ -7,16 +7,18 @@
 	"time"
 
 	"go.uber.org/zap"
-
-	"spurhall.example/spurhall/internal/upstream"
 )
 
 // This file reads on for a while behind the close of a connection in a planned stop. A request that its caller sent before it
 // saw the close gets no response, since there is none left to send it on; the line says which one it was, and that it
 // reached nobody.
 
-// lingerTime is how long a closed connection is read on: several round trips, and over before a stop may end.
-const lingerTime = 300 * time.Millisecond
+const (
+	// lingerTime is how long a closed connection is read on: several round trips, and over before a stop may end.
+	lingerTime = 300 * time.Millisecond
+	// maxCrossedHead is how many bytes of what arrives are looked at for a request's id.
+	maxCrossedHead = 16 << 10
+)
 
 // beginLinger reports whether the connection is one that this node closes between two requests in a planned stop, the first
 // time.
@@ -36,12 +38,12 @@
 	at := l.clock.Now()
 	_ = c.CloseWrite()                                         // fails only if the connection is gone
 	_ = c.Conn.SetReadDeadline(l.clock.Wall().Add(lingerTime)) // likewise
-	r := bufio.NewReader(c.Conn)
+	r := bufio.NewReader(io.LimitReader(c.Conn, maxCrossedHead))
 	if _, err := r.Peek(1); err == nil {
 		callersCrossed.Add(1)
-		d, w := l.clock.Since(at), upstream.SinceArrival(c.Conn)
-		l.log.Info("request_crossed", zap.Stringer("caller", c.RemoteAddr()), zap.String("request", l.identify(r)), zap.Duration("after", d), zap.Duration("waited", w), zap.Int("responses", c.responses))
-		_, _ = io.Copy(io.Discard, r) // a reset would end the caller's write of the rest
+		d := l.clock.Since(at)
+		l.log.Info("request_crossed", zap.Stringer("caller", c.RemoteAddr()), zap.String("request", l.identify(r)), zap.Duration("after", d), zap.Int("responses", c.responses))
+		_, _ = io.Copy(io.Discard, c.Conn) // a reset would end the caller's write of the rest
 	}
 	_ = c.close() // nobody is left to tell
 }
--- a/internal/accept/linger_test.go
+++ b/internal/accept/linger_test.go
@@ -1,8 +1,11 @@
 package accept
 
 import (
+	"bytes"
+	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"testing"
 	"time"
 
@@ -65,6 +68,24 @@
 	}
 }
 
+// TestHeadWithoutEndThatCrossesACloseIsHeld guards against a caller's head that is held however long it is.
+func TestHeadWithoutEndThatCrossesACloseIsHeld(t *testing.T) {
+	r, logs := newCrossingRig(t)
+	c := r.keep()
+	require.NoError(t, r.l.Drain())
+	r.assertClosed(c)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\n")
+	for lines := bytes.Repeat([]byte("A: a\r\n"), 10_000); err == nil; {
+		_, err = c.Write(lines)
+	}
+	r.assertDrained()
+	runtime.ReadMemStats(&after)
+	assert.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(8<<20))
+	assert.Equal(t, 1, logs.FilterMessage("request_crossed").Len())
+}
+
 func TestCallerThatNeverClosesHoldsUpAStop(t *testing.T) {
 	r, logs := newCrossingRig(t)
 	r.keep()
