A stop closed connections whose request had arrived, where the process ran late

What callers saw: a try beside a planned stop ends without an answer, or with a reset on a new connection, though its request had arrived before the node closed; no line at any node.

A stop therefore looks once more, for 0.1 s, at each connection and at the listener's queue. But the look ends by a deadline, too: what arrived while the process wasn't scheduled at the look's end was closed unread. A small VM has a fifth of a core.

Now a look whose end is noticed 5 ms late or more is repeated, at most three looks in all, so that a process that is always late closes, too.

Evidence: before, "unexpected EOF" (TestRequestInTheLastLookOfALateProcessIsCut) and "read: connection reset by peer" (TestConnectionInTheLastLookOfALateProcessIsReset); TestProcessThatIsAlwaysLateNeverDrains holds the bound. request_crossed says by `waited` whether the bytes were there before the close.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -60,7 +60,7 @@
 	failedAt atomic.Int64 // nanoseconds of the clock; 0: never
 	closed   atomic.Bool
 	draining atomic.Bool
-	looked   bool        // Accept has begun its last look
+	look     look        // of Accept
 	ended    atomic.Bool // nothing is accepted any more
 	tls      *tls.Config // nil: none
 	mu       sync.Mutex
@@ -84,8 +84,7 @@
 	for {
 		c, err := l.Listener.Accept()
 		switch {
-		case l.draining.Load() && errors.Is(err, os.ErrDeadlineExceeded) && !l.looked:
-			l.looked = true
+		case l.draining.Load() && errors.Is(err, os.ErrDeadlineExceeded) && l.look.next(l.clock.Now()):
 			_ = l.setDeadline(l.clock.Wall().Add(lastLook)) // fails only if it is closed
 		case l.draining.Load() && (errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed)):
 			l.ended.Store(true)
--- a/internal/accept/caller.go
+++ b/internal/accept/caller.go
@@ -22,10 +22,6 @@
 // reports that its response is written. A connection without one is ended by its read deadline, so that the goroutine
 // that reads either has bytes of a request, which is then responded to, or ends the connection.
 
-// lastLook is how long a connection that is to close still waits for a request, and a listener for a connection. What
-// has already arrived is found at once, unless the process isn't scheduled for that long.
-const lastLook = 100 * time.Millisecond
-
 // longAgo is a deadline that ends a wait at once.
 var longAgo = time.Unix(1, 0)
 
@@ -42,7 +38,7 @@
 	inProgress bool                    // a byte of a request has been read, and its response isn't complete
 	answered   bool                    // a byte of that response has been written
 	deadline   time.Time               // for reads, as the server has set it
-	looked     bool                    // it has passed, and the last look has begun
+	look       look                    // when it has passed
 	bytes      int                     // read of the request in progress
 	readAt     time.Time               // when the first of them was read
 	waited     time.Duration           // that it had waited in the kernel by then
@@ -52,7 +48,7 @@
 // Read reads what the caller sends.
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.looksAgain() {
+	for errors.Is(err, os.ErrDeadlineExceeded) && c.looksAgain() {
 		n, err = c.Conn.Read(b)
 	}
 	c.recordRead(n, err)
@@ -60,16 +56,14 @@
 	return n, err
 }
 
-// looksAgain reports whether a read is repeated whose deadline has passed, for lastLook. The deadline counts before what has
-// arrived, and both are there at once if the process wasn't scheduled in between: so a connection that is to close is looked
-// at again, and each other one once when its deadline passes.
+// looksAgain reports whether a read is repeated whose deadline has passed: a connection that is to close is looked at again,
+// and each other one when its deadline passes.
 func (c *callerConn) looksAgain() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.isClosing() && (c.interrupts() || c.looked) {
+	if !c.isClosing() && c.interrupts() || !c.look.next(c.listener.clock.Now()) {
 		return false
 	}
-	c.looked = true
 	_ = c.Conn.SetReadDeadline(c.listener.clock.Wall().Add(lastLook)) // fails only if it is closed
 	return true
 }
@@ -93,6 +87,7 @@
 
 // begin records that a request has begun to arrive, whose bytes are read until the server's own deadline.
 func (c *callerConn) begin() {
+	c.look = look{}
 	c.inProgress, c.answered, c.bytes, c.readAt, c.waited = true, false, 0, c.listener.clock.Now(), 0
 	if c.listener.draining.Load() {
 		_ = c.Conn.SetReadDeadline(c.deadline) // fails only if it is closed
@@ -112,7 +107,7 @@
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.deadline, c.looked = t, false
+	c.deadline, c.look = t, look{}
 	if c.isClosing() {
 		return nil
 	}
--- a/internal/accept/linger.go
+++ b/internal/accept/linger.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"spurhall.example/spurhall/internal/upstream"
 )
 
 // This file reads on for a while behind the close of a connection in a planned stop. A request that its caller sent before it
@@ -37,8 +39,8 @@
 	r := bufio.NewReader(c.Conn)
 	if _, err := r.Peek(1); err == nil {
 		callersCrossed.Add(1)
-		d := l.clock.Since(at)
-		l.log.Info("request_crossed", zap.Stringer("caller", c.RemoteAddr()), zap.String("request", l.identify(r)), zap.Duration("after", d), zap.Int("responses", c.responses))
+		d, w := l.clock.Since(at), upstream.SinceArrival(c.Conn)
+		l.log.Info("request_crossed", zap.Stringer("caller", c.RemoteAddr()), zap.String("request", l.identify(r)), zap.Duration("after", d), zap.Duration("waited", w), zap.Int("responses", c.responses))
 		_, _ = io.Copy(io.Discard, r) // a reset would end the caller's write of the rest
 	}
 	_ = c.close() // nobody is left to tell
--- /dev/null
+++ b/internal/accept/look.go
@@ -0,0 +1,29 @@
+package accept
+
+import "time"
+
+// This file looks once more at what has arrived by the time at which a deadline has passed. The deadline counts before what has
+// arrived, and both are there at once if the process wasn't scheduled in between. That holds for the look's own end, too.
+
+const (
+	// lastLook is how long a connection that is to close still waits for a request, and a listener for a connection.
+	lastLook = 100 * time.Millisecond
+	// lateLook is how late the end of a look is noticed by a process that wasn't scheduled.
+	lateLook = 5 * time.Millisecond
+	maxLooks = 3 // a process that is always late must close, too
+)
+
+// look counts the looks at a connection or listener. The zero value has none.
+type look struct {
+	n     int
+	until time.Time
+}
+
+// next reports whether there is another look, and begins it.
+func (k *look) next(now time.Time) bool {
+	if k.n == maxLooks || k.n > 0 && now.Sub(k.until) < lateLook {
+		return false
+	}
+	k.n, k.until = k.n+1, now.Add(lastLook)
+	return true
+}
