Tests: a process that is frozen as a stop closes its connections

Eight kept connections and eight new ones send while the process is frozen for 0.3 s, within the last look. A freeze that comes too late on a busy machine is tried again.

--- a/cmd/spurhalld/edge_process_test.go
+++ b/cmd/spurhalld/edge_process_test.go
@@ -205,22 +205,42 @@
 	}
 }
 
+// keepLog has the process write its log to a file.
+func (r *edgeRig) keepLog() {
+	r.t.Helper()
+	f, err := os.Create(filepath.Join(r.t.TempDir(), "log"))
+	require.NoError(r.t, err)
+	r.t.Cleanup(func() { _ = f.Close() })
+	r.level, r.log = "info", f
+}
+
+func (r *edgeRig) lines() string {
+	r.t.Helper()
+	b, err := os.ReadFile(r.log.Name())
+	require.NoError(r.t, err)
+	return string(b)
+}
+
+// keep returns connections that have had a response.
+func (r *edgeRig) keep(n int) []*edgeConn {
+	r.t.Helper()
+	var l []*edgeConn
+	for i := range n {
+		c := r.dial()
+		c.send(r.t, text(r.t, soak.RoutePlain, fmt.Sprintf("warm-%d", i)))
+		c.assertAnswered(r.t, "before")
+		l = append(l, c)
+	}
+	return l
+}
+
 // TestRequestThatCrossesAStopsCloseLeavesNoTrace guards against tries that end beside a stop and that no process knows of.
 func TestRequestThatCrossesAStopsCloseLeavesNoTrace(t *testing.T) {
 	r := newEdgeRig(t)
-	f, err := os.Create(filepath.Join(t.TempDir(), "log"))
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = f.Close() })
-	r.level, r.log = "info", f
+	r.keepLog()
 	r.start()
 	r.awaitReady()
-	var callers []*edgeConn
-	for i := range 8 {
-		c := r.dial()
-		c.send(t, text(t, soak.RoutePlain, fmt.Sprintf("warm-%d", i)))
-		c.assertAnswered(t, "before")
-		callers = append(callers, c)
-	}
+	callers := r.keep(8)
 	r.signal(syscall.SIGTERM)
 	at := time.Now()
 	for _, c := range callers {
@@ -235,11 +255,58 @@
 	}
 	require.NoError(t, r.cmd.Wait())
 	assert.Less(t, time.Since(at), 4*time.Second, "who crosses doesn't hold up the stop")
-	b, err := os.ReadFile(f.Name())
-	require.NoError(t, err)
+	text := r.lines()
 	for i := range callers {
 		id := fmt.Sprintf("crossed-%d", i)
-		assert.Regexp(t, "msg=request_crossed .*request="+id+" .*responses=1", string(b))
+		assert.Regexp(t, "msg=request_crossed .*request="+id+" .*responses=1", text)
 		assert.Empty(t, r.runs.Of(id), "it wasn't run")
 	}
 }
+
+// freezeAsItCloses stops the process as it closes its callers' connections, and reports whether that was in time: while it still
+// looks at them.
+func (r *edgeRig) freezeAsItCloses() bool {
+	r.t.Helper()
+	for before := time.Now(); ; before = time.Now() {
+		if !strings.Contains(r.lines(), "msg=callers_closing") {
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		r.signal(syscall.SIGSTOP)
+		return time.Since(before) < 50*time.Millisecond
+	}
+}
+
+// TestFreezeAsAStopClosesConnectionsCutsRequests guards against requests that arrive in time at a stopping process that isn't
+// scheduled, and are closed unread.
+func TestFreezeAsAStopClosesConnectionsCutsRequests(t *testing.T) {
+	const tries = 5 // on a busy machine the freeze may come too late
+	for range tries {
+		r := newEdgeRig(t)
+		r.keepLog()
+		r.start()
+		r.awaitReady()
+		callers := r.keep(8)
+		r.signal(syscall.SIGTERM)
+		inTime := r.freezeAsItCloses()
+		for range 8 {
+			callers = append(callers, r.dial())
+		}
+		if inTime {
+			for i, c := range callers {
+				c.send(t, text(t, soak.RoutePlain, fmt.Sprintf("frozen-%d", i)))
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+		r.signal(syscall.SIGCONT)
+		if !inTime {
+			continue
+		}
+		for i, c := range callers {
+			c.assertAnswered(t, fmt.Sprintf("caller %d", i))
+		}
+		require.NoError(t, r.cmd.Wait())
+		return
+	}
+	require.Fail(t, "no freeze came in time")
+}
