A stop closed connections at which a request waited as their last look ended

Cause: the end of a look says nothing of what has arrived by then. Now the kernel is asked before a connection that is to close, or a listener, is given up. Others, whose deadline bounds a caller that sends slowly, aren't asked.

Evidence: before, "unexpected EOF" and "connection reset by peer" (the cases "0s" of TestRequestInTheLastLookOfALateProcessIsCut and TestConnectionInTheLastLookOfALateProcessIsReset).

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -84,7 +84,7 @@
 	for {
 		c, err := l.Listener.Accept()
 		switch {
-		case l.draining.Load() && errors.Is(err, os.ErrDeadlineExceeded) && l.look.next(l.clock.Now()):
+		case l.draining.Load() && errors.Is(err, os.ErrDeadlineExceeded) && l.look.next(l.clock.Now(), l.Listener):
 			_ = l.setDeadline(l.clock.Wall().Add(lastLook)) // fails only if it is closed
 		case l.draining.Load() && (errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed)):
 			l.ended.Store(true)
--- a/internal/accept/caller.go
+++ b/internal/accept/caller.go
@@ -61,7 +61,13 @@
 func (c *callerConn) looksAgain() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.isClosing() && c.interrupts() || !c.look.next(c.listener.clock.Now()) {
+	var waiting any // a caller that sends slowly isn't waited for without end
+	if c.isClosing() {
+		waiting = c.Conn
+	} else if c.interrupts() {
+		return false
+	}
+	if !c.look.next(c.listener.clock.Now(), waiting) {
 		return false
 	}
 	_ = c.Conn.SetReadDeadline(c.listener.clock.Wall().Add(lastLook)) // fails only if it is closed
--- a/internal/accept/late_test.go
+++ b/internal/accept/late_test.go
@@ -42,23 +42,23 @@
 	if err != nil {
 		return nil, err
 	}
-	return &lateConn{Conn: c, l: l}, nil
+	return &lateConn{TCPConn: c.(*net.TCPConn), l: l}, nil
 }
 
 type lateConn struct {
-	net.Conn
+	*net.TCPConn
 	l *lateListener
 }
 
 // Read reads.
 func (c *lateConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
+	n, err := c.TCPConn.Read(b)
 	c.l.reads.check(err)
 	return n, err
 }
 
-// lateBy is how late the process is.
-const lateBy = 50 * time.Millisecond
+// late is how late the process is: also by less than what it notices.
+var late = []time.Duration{0, 50 * time.Millisecond}
 
 func serveLate(t *testing.T, l *lateListener) *Listener {
 	t.Helper()
@@ -80,37 +80,45 @@
 }
 
 func TestRequestInTheLastLookOfALateProcessIsCut(t *testing.T) {
-	l := newLateListener(t)
-	var c net.Conn
-	l.reads.call = func(n int) {
-		if n == 2 {
-			_, err := io.WriteString(c, wholeRequest)
-			assert.NoError(t, err)
-			time.Sleep(lateBy)
-		}
+	for _, d := range late {
+		t.Run(d.String(), func(t *testing.T) {
+			l := newLateListener(t)
+			var c net.Conn
+			l.reads.call = func(n int) {
+				if n == 2 {
+					_, err := io.WriteString(c, wholeRequest)
+					assert.NoError(t, err)
+					time.Sleep(d)
+				}
+			}
+			v := serveLate(t, l)
+			c = dial(t, v)
+			require.Eventually(t, func() bool { return v.Open() == 1 }, 10*time.Second, time.Millisecond)
+			require.NoError(t, v.Drain())
+			(&drainRig{t: t}).assertResponse(c)
+		})
 	}
-	v := serveLate(t, l)
-	c = dial(t, v)
-	require.Eventually(t, func() bool { return v.Open() == 1 }, 10*time.Second, time.Millisecond)
-	require.NoError(t, v.Drain())
-	(&drainRig{t: t}).assertResponse(c)
 }
 
 func TestConnectionInTheLastLookOfALateProcessIsReset(t *testing.T) {
-	l := newLateListener(t)
-	callers := make(chan net.Conn, 1)
-	l.accepts.call = func(n int) {
-		if n == 2 {
-			c := dial(t, l)
-			_, err := io.WriteString(c, wholeRequest)
-			assert.NoError(t, err)
-			time.Sleep(lateBy)
-			callers <- c
-		}
+	for _, d := range late {
+		t.Run(d.String(), func(t *testing.T) {
+			l := newLateListener(t)
+			callers := make(chan net.Conn, 1)
+			l.accepts.call = func(n int) {
+				if n == 2 {
+					c := dial(t, l)
+					_, err := io.WriteString(c, wholeRequest)
+					assert.NoError(t, err)
+					time.Sleep(d)
+					callers <- c
+				}
+			}
+			v := serveLate(t, l)
+			require.NoError(t, v.Drain())
+			(&drainRig{t: t}).assertResponse(<-callers)
+		})
 	}
-	v := serveLate(t, l)
-	require.NoError(t, v.Drain())
-	(&drainRig{t: t}).assertResponse(<-callers)
 }
 
 func TestProcessThatIsAlwaysLateNeverDrains(t *testing.T) {
