--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -165,14 +165,23 @@
 	end()
 	err := h.await(ctx)
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	if h.queue == nil {
+		defer b.mu.Unlock()
 		return h.cause
 	}
 	p.leave(h)
+	end = b.settle(p)
+	b.mu.Unlock()
+	end()
 	return err
 }
 
+// settle gives what room there is to those that wait, and returns the call that makes more.
+func (b *Budget) settle(p *part) (end func()) {
+	p.grantWaiting()
+	return b.makeRoom(p)
+}
+
 // await waits until the hold has got what it wants, and returns the error if it doesn't.
 func (h *Hold) await(ctx context.Context) error {
 	var late <-chan time.Time
@@ -193,9 +202,14 @@
 
 // Complete records that the hold takes no more: it will be released without that others are.
 func (h *Hold) Complete() {
-	h.b.mu.Lock()
-	defer h.b.mu.Unlock()
+	b, end := h.b, func() {}
+	b.mu.Lock()
 	h.complete = true
+	if h.cause != nil { // it was to end, and is whole
+		end = b.settle(&b.kinds[h.o.Kind])
+	}
+	b.mu.Unlock()
+	end()
 }
 
 // Return gives all bytes back. The hold may take others.
@@ -217,8 +231,7 @@
 	if last {
 		h.leave(p)
 	}
-	p.grantWaiting()
-	end := b.makeRoom(p)
+	end := b.settle(p)
 	b.mu.Unlock()
 	end()
 }
@@ -234,19 +247,25 @@
 
 // grant gives a hold some bytes if there is room. One that is large gets none before those that wait already.
 func (p *part) grant(h *Hold, n int64) bool {
+	if h.bytes+n > smallSize && p.waiting.Len() > 0 && h.queue != p.waiting.Front() || !p.fits(h, n) {
+		return false
+	}
+	p.add(h, n)
+	return true
+}
+
+// fits reports whether there is room for some bytes more of a hold.
+func (p *part) fits(h *Hold, n int64) bool {
 	room := p.limit
 	if h.bytes+n > smallSize {
 		room -= int64(smallShare * float64(p.limit))
-		if p.waiting.Len() > 0 && h.queue != p.waiting.Front() {
-			return false
-		}
-	}
-	if p.used+n > room && p.used > h.bytes { // alone, it may have it all
-		return false
 	}
+	return p.used+n <= room || p.used <= h.bytes // alone, it may have it all
+}
+
+func (p *part) add(h *Hold, n int64) {
 	p.used += n
 	h.bytes += n
-	return true
 }
 
 // grantWaiting gives room to those that wait, in order.
@@ -260,6 +279,21 @@
 	}
 }
 
+// grantParts gives room to those that hold a part and fit, though others wait before them, and reports whether there were any.
+// If all that hold a part wait, the others' turn doesn't come before theirs.
+func (p *part) grantParts() (any bool) {
+	for e := p.waiting.Front(); e != nil; {
+		h, next := e.Value.(*Hold), e.Next()
+		if h.bytes > 0 && p.fits(h, h.wants) {
+			p.add(h, h.wants)
+			h.finish(p, nil)
+			any = true
+		}
+		e = next
+	}
+	return any
+}
+
 // finish ends the wait of a hold.
 func (h *Hold) finish(p *part, cause error) {
 	if cause != nil {
@@ -283,16 +317,17 @@
 	if h := b.mostExcessive(p); h != nil {
 		return b.end(p, h, ErrOversized)
 	}
-	if p.stalled() {
+	if p.stalled() && !p.grantParts() {
 		return b.end(p, p.newestWaiting(), ErrFull)
 	}
 	return none
 }
 
-// ending reports whether a hold that was ended hasn't been released: its bytes come back soon.
+// ending reports whether a hold that was ended hasn't been released: its bytes come back soon. One that is whole by then doesn't
+// end: it is released when its caller has it.
 func (p *part) ending() bool {
 	for e := p.holds.Front(); e != nil; e = e.Next() {
-		if h := e.Value.(*Hold); h.cause != nil && h.bytes > 0 {
+		if h := e.Value.(*Hold); h.cause != nil && h.bytes > 0 && !h.complete {
 			return true
 		}
 	}
