--- a/internal/memory/read.go
+++ b/internal/memory/read.go
@@ -85,14 +85,14 @@
 		n, err := readFull(r, p)
 		b.pieces, b.size = append(b.pieces, p[:n]), b.size+int64(n)
 		switch {
+		case b.size > limit:
+			return b, ErrTooLong
 		case errors.Is(err, io.EOF) && length < 0:
 			return b, nil
 		case errors.Is(err, io.EOF):
 			return b, io.ErrUnexpectedEOF
 		case err != nil:
 			return b, err
-		case b.size > limit:
-			return b, ErrTooLong
 		}
 	}
 }
--- a/internal/memory/read_test.go
+++ b/internal/memory/read_test.go
@@ -53,3 +53,17 @@
 		assert.ErrorIs(t, err, memory.ErrTooLong, "announced: %d", length)
 	}
 }
+
+func TestBodyBeyondItsLimitLooksSound(t *testing.T) {
+	for _, limit := range []int64{65536, mb} {
+		for _, size := range []int64{limit, limit + 1, limit + 50_000} {
+			b, err := newHold().ReadBody(context.Background(), bytes.NewReader(make([]byte, size)), -1, limit)
+			if size == limit {
+				assert.NoError(t, err)
+				assert.Equal(t, size, b.Len())
+				continue
+			}
+			assert.ErrorIs(t, err, memory.ErrTooLong, "%d bytes of %d", size, limit)
+		}
+	}
+}
