A refused body kept its room while its caller went on sending

What callers would see: large bodies are refused for want of room, up to five seconds after others were refused, as what these had sent counts as held.

Cause: the rest of a refused body is read on and dropped, for up to five seconds, before the request ends and gives back what it took.

Evidence: 520,192 and 126,976 bytes were held after the refusal before, now none (TestRefusedBodyKeepsItsRoom).

--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -40,6 +40,9 @@
 	}
 	h := q.held.Hold(memory.Options{Kind: memory.KindRequest, MaxWait: bodyWait})
 	b, err := h.ReadBody(q.http.Context(), q.http.Body, q.http.ContentLength, int64(limit))
+	if err != nil {
+		h.Release() // what is left of it may be read on (unread.go), and isn't kept
+	}
 	switch {
 	case errors.Is(err, memory.ErrTooLong):
 		return &rejection{status: http.StatusRequestEntityTooLarge, reason: "the body is larger than the limit"}
--- /dev/null
+++ b/internal/forward/memory_test.go
@@ -0,0 +1,64 @@
+package forward
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"spurhall.example/spurhall/internal/catalog"
+	"spurhall.example/spurhall/internal/memory"
+)
+
+// This file plays requests and responses for which there is no room.
+
+// newFullRig is a raceRig with so many bytes for requests, and as many for responses.
+func newFullRig(t *testing.T, room int64, serve func(attempt int, w http.ResponseWriter, q *http.Request)) *raceRig {
+	t.Helper()
+	r := newRaceRig(t, serve)
+	r.server.o.Memory = memory.New(r.clock.Service(), 2*room, nil)
+	return r
+}
+
+// TestRefusedBodyKeepsItsRoom guards against room that a refused request holds for as long as its caller goes on sending.
+func TestRefusedBodyKeepsItsRoom(t *testing.T) {
+	const limit = 2 << 20
+	k, err := catalog.New(catalog.Spec{Limits: catalog.Limits{MaxBodyBytes: limit}})
+	require.NoError(t, err)
+	for name, c := range map[string]struct{ status, size int }{
+		"too long":  {http.StatusRequestEntityTooLarge, limit + 1},
+		"no room":   {http.StatusServiceUnavailable, 1 << 20},
+		"broke off": {http.StatusBadRequest, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			room := int64(3 * limit)
+			if c.status == http.StatusServiceUnavailable {
+				room = 512 << 10
+			}
+			r := newFullRig(t, room, nil)
+			r.server.o.Catalog = func() *catalog.Catalog { return k }
+			body := io.MultiReader(strings.NewReader(strings.Repeat("x", max(c.size, 100<<10))), brokenReader{c.size > 0})
+			q := &request{held: r.server.o.Memory.Scope(), http: httptest.NewRequest(http.MethodPost, plainPath, body)}
+			q.http.ContentLength = -1
+			var refused *rejection
+			require.ErrorAs(t, r.server.readBody(q), &refused)
+			assert.Equal(t, c.status, refused.status)
+			assert.Zero(t, r.server.o.Memory.Used(memory.KindRequest))
+		})
+	}
+}
+
+// brokenReader ends a body, or breaks it off.
+type brokenReader struct{ sound bool }
+
+// Read returns no bytes.
+func (r brokenReader) Read([]byte) (int, error) {
+	if r.sound {
+		return 0, io.EOF
+	}
+	return 0, io.ErrUnexpectedEOF
+}
