An upstream was held responsible for what this node had no memory for

What callers would see: 502 that calls a sound response "larger than there is room for", and fewer upstreams: those of responses that ended since two waited for each other count as failed, also for a roll-out's verdict.

Cause: whatever a hold was ended for, its attempt was canceled as oversized, and that cause replaced the error that told them apart. Of a stream no such difference was made.

Evidence: the attempt's result was "failed" and its error "larger" before, now inconclusive and "used up" (TestUpstreamIsBlamedForThisNodesMemory, of a plain response; the stream's by reading).

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -159,7 +159,7 @@
 	if severed || result == pool.ResultRejected || result == pool.ResultUnreachable {
 		held = a.use.HoldOff()
 	}
-	if ctx.Err() == nil && errors.Is(err, errIncompleteResponse) && !a.quarantined() {
+	if ctx.Err() == nil && errors.Is(err, errIncompleteResponse) && !errors.Is(err, errNoRoom) && !a.quarantined() {
 		s.recordTrialFailure(q, a, a.sentAt, false)
 	}
 	s.logFailed(ctx, q, a, err, held, severed)
@@ -190,8 +190,10 @@
 		s = errWithheld
 	case errors.Is(err, errNotRun):
 		s = errNotRun
+	case errors.Is(cause, errNoRoom):
+		s = errNoRoom
 	}
-	return fault.Because(s, "%v", cause)
+	return fault.Because(s, "%s", fault.Reason(cause))
 }
 
 // resultOf classifies a failed attempt for the upstream's health record.
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -62,7 +62,7 @@
 // holdResponse begins to count what an attempt's response takes.
 func (a *attempt) holdResponse(q *request) {
 	e := a.use.Entry()
-	a.held = q.held.Hold(memory.Options{Kind: memory.KindResponse, Service: e.Service, Upstream: e.ID, End: func(error) { a.cancel(errOversized) }})
+	a.held = q.held.Hold(memory.Options{Kind: memory.KindResponse, Service: e.Service, Upstream: e.ID, End: func(err error) { a.cancel(roomError(err, "")) }})
 }
 
 // readPlain reads a plain response's body.
--- a/internal/forward/memory_test.go
+++ b/internal/forward/memory_test.go
@@ -1,17 +1,20 @@
 package forward
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"spurhall.example/spurhall/internal/catalog"
 	"spurhall.example/spurhall/internal/memory"
+	"spurhall.example/spurhall/internal/pool"
 )
 
 // This file plays requests and responses for which there is no room.
@@ -24,6 +27,50 @@
 	return r
 }
 
+// TestUpstreamIsBlamedForThisNodesMemory guards against sound upstreams that count as failed, and responses that are called too
+// large, since this node had no room for two at once.
+func TestUpstreamIsBlamedForThisNodesMemory(t *testing.T) {
+	r := newFullRig(t, 1<<20, nil)
+	s := r.server
+	s.o.Memory.Observe("api", 1<<20)
+	other := s.o.Memory.Hold(memory.Options{Kind: memory.KindResponse, Service: "api", End: func(error) {}})
+	require.NoError(t, other.Take(context.Background(), 400<<10))
+	q := &request{held: s.o.Memory.Scope()}
+	use := s.o.Pools.Pick(pool.Request{ID: "1", Service: "api"})
+	require.NotNil(t, use)
+	waits := func() {
+		go func() { _ = other.Take(context.Background(), 400<<10) }()
+		time.Sleep(20 * time.Millisecond)
+	}
+	a := &attempt{use: use, head: &http.Response{ContentLength: 1 << 20, Body: io.NopCloser(&firstRead{Reader: strings.NewReader(strings.Repeat("x", 1<<20)), do: waits})}}
+	a.holdResponse(q)
+	a.ctx, a.cancel = context.WithCancelCause(context.Background())
+	err := s.readPlain(a)
+	require.ErrorIs(t, err, errNoRoom)
+	require.Error(t, a.ctx.Err(), "it is ended")
+	err = withCause(err, context.Cause(a.ctx))
+	assert.ErrorIs(t, err, errIncompleteResponse)
+	assert.Equal(t, pool.ResultInconclusive, s.resultOf(context.Background(), a, err))
+	assert.NotContains(t, err.Error(), "larger")
+	q.held.Release()
+	other.Release()
+}
+
+// firstRead is a body that does something before it is read.
+type firstRead struct {
+	io.Reader
+	do func()
+}
+
+// Read reads.
+func (r *firstRead) Read(b []byte) (int, error) {
+	if r.do != nil {
+		r.do()
+		r.do = nil
+	}
+	return r.Reader.Read(b)
+}
+
 // TestRefusedBodyKeepsItsRoom guards against room that a refused request holds for as long as its caller goes on sending.
 func TestRefusedBodyKeepsItsRoom(t *testing.T) {
 	const limit = 2 << 20
