An error response of any size made garbage as large usual

What callers would see: when memory is short, a sound response is ended, or waits, while garbage of up to four times the size of an earlier error response is spared.

Cause: what a service's responses usually weigh was learned from whole responses of any status. Only those below 300 are signed; others may be anything.

Evidence: one 404 and one 500 of 1 MB raised the usual size from 65,536 to 1,048,576 bytes before, now it stays (TestUsualSizeIsLearnedFromFailures).

--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -75,7 +75,9 @@
 		return roomError(err, "the body broke off")
 	}
 	a.held.Complete()
-	s.o.Memory.Observe(a.use.Entry().Service, b.Len())
+	if a.head.StatusCode < http.StatusMultipleChoices { // signed: others may be anything
+		s.o.Memory.Observe(a.use.Entry().Service, b.Len())
+	}
 	a.body = b
 	return nil
 }
--- a/internal/forward/memory_test.go
+++ b/internal/forward/memory_test.go
@@ -109,3 +109,25 @@
 	}
 	return 0, io.ErrUnexpectedEOF
 }
+
+// TestUsualSizeIsLearnedFromFailures guards against garbage that is spared when memory is short, since an error response as large
+// made it usual.
+func TestUsualSizeIsLearnedFromFailures(t *testing.T) {
+	const size = 1 << 20
+	for _, status := range []int{http.StatusOK, http.StatusNotFound, http.StatusInternalServerError} {
+		r := newFullRig(t, 32<<20, func(_ int, w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, strings.Repeat("x", size))
+		})
+		before := r.server.o.Memory.Usual("api")
+		r.send(plainPath)
+		w := r.answer()
+		assert.Equal(t, status, w.Code)
+		assert.Equal(t, size, w.Body.Len())
+		if status == http.StatusOK {
+			assert.EqualValues(t, size, r.server.o.Memory.Usual("api"))
+			continue
+		}
+		assert.Equal(t, before, r.server.o.Memory.Usual("api"), "after %d", status)
+	}
+}
