--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -40,6 +40,9 @@
 	}
 	h := q.held.Hold(memory.Options{Kind: memory.KindRequest, MaxWait: bodyWait})
 	b, err := h.ReadBody(q.http.Context(), q.http.Body, q.http.ContentLength, int64(limit))
+	if err != nil {
+		h.Release() // what is left of it may be read on (unread.go), and isn't kept
+	}
 	switch {
 	case errors.Is(err, memory.ErrTooLong):
 		return &rejection{status: http.StatusRequestEntityTooLarge, reason: "the body is larger than the limit"}
@@ -59,7 +62,7 @@
 // holdResponse begins to count what an attempt's response takes.
 func (a *attempt) holdResponse(q *request) {
 	e := a.use.Entry()
-	a.held = q.held.Hold(memory.Options{Kind: memory.KindResponse, Service: e.Service, Upstream: e.ID, End: func(error) { a.cancel(errOversized) }})
+	a.held = q.held.Hold(memory.Options{Kind: memory.KindResponse, Service: e.Service, Upstream: e.ID, End: func(err error) { a.cancel(roomError(err, "")) }})
 }
 
 // readPlain reads a plain response's body.
@@ -72,7 +75,9 @@
 		return roomError(err, "the body broke off")
 	}
 	a.held.Complete()
-	s.o.Memory.Observe(a.use.Entry().Service, b.Len())
+	if a.head.StatusCode < http.StatusMultipleChoices { // signed: others may be anything
+		s.o.Memory.Observe(a.use.Entry().Service, b.Len())
+	}
 	a.body = b
 	return nil
 }
