One upstream's garbage left the responses of all others next to nothing of a small link

What callers saw: beside 12 or 48 callers of an upstream that sends without end, a response of 60 kB of another service, for which a link of 10 Mbit/s needs 50 ms by arithmetic, took some 0.7 s and more than 2 s.

Cause: nothing bounded what such responses take of the link together. The bounds of memory aren't reached before the callers' deadlines pass.

Change: package link. What a response, or an event of a stream, has beyond what its service's usually have is read at a quarter of the link for all such together, while requests without such a response are in progress; otherwise it has all of the link. The speed is link_mbps under [limits]; without it nothing is slowed. Connections to upstreams on a slow link get a read buffer of 10 ms of the link: with the kernel's own, pacing alone left 3 of 14 and 2 of 2 calls late.

Evidence: TestGarbageTakesTheLink. With the link's speed unknown, which is the code before: 4 to 6 calls beside 12 callers, 2 beside 48, the longest 0.74 to 3.2 s, all 8 cases fail. With it, under the race detector: 41 to 48 calls and 25 to 36, the longest 0.34 to 0.51 s and 1.6 to 1.8 s; all 8 cases pass. What is late beside 48 comes at the start, while read buffers fill. A response of 2 MB on an idle node: 1.72 to 2.14 s, 1.89 to 2.20 s at a node that slows nothing, on a loaded machine.

--- a/internal/edge/budget.go
+++ b/internal/edge/budget.go
@@ -5,10 +5,11 @@
 
 	"go.uber.org/zap"
 
+	"spurhall.example/spurhall/internal/link"
 	"spurhall.example/spurhall/internal/memory"
 )
 
-// This file bounds what requests and responses take of the VM's memory (package memory).
+// This file bounds what requests and responses take of the VM's memory (package memory), and of its link (package link).
 
 const (
 	// messageShare is the part of the VM's memory that requests and responses may take together. What the process itself takes
@@ -29,3 +30,13 @@
 	n.log.Info("response_ended", zap.String("service", v.Service), zap.String("upstream", v.Upstream), zap.Int64("bytes", v.Bytes), zap.Int64("usual", v.Usual),
 		zap.Int64("used", v.Used), zap.Int64("limit", v.Limit))
 }
+
+// newLink returns the VM's link.
+func (n *Node) newLink() *link.Link {
+	return link.New(n.clock, n.settings.LinkRate, n.logResponsePaced)
+}
+
+// logResponsePaced logs that a response is slowed for others.
+func (n *Node) logResponsePaced(v link.Paced) {
+	n.log.Info("response_paced", zap.String("request", v.Request), zap.String("service", v.Service), zap.String("upstream", v.Upstream), zap.Int64("bytes", v.Bytes), zap.Int64("usual", v.Usual))
+}
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -47,6 +47,7 @@
 	MemoryBytes    int64   // that the process may take; 0: unknown
 	MaxDescriptors int     // that the process may open; 0: unknown
 	Cores          float64 // of the VM that this node may use; 0: unknown
+	LinkRate       float64 // of the VM's network, in bytes a second each way; 0: unknown
 	Store          StoreSettings
 	Cloud          CloudSettings
 
--- a/internal/edge/uplink.go
+++ b/internal/edge/uplink.go
@@ -12,8 +12,10 @@
 // This file connects the connections to upstreams (package uplink) with what is known of the other nodes.
 
 func (n *Node) newUplink(direct upstream.DialFunc) *uplink.Uplink {
+	dial := forward.DialOptions()
+	dial.ReadBuffer = n.link.ReadBuffer()
 	return uplink.New(uplink.Options{
-		Clock: n.clock, Log: n.log, Pools: n.pools, Dial: forward.DialOptions(), Direct: direct, Peers: n.tunnelPeers, Late: n.lag.Late, OnLost: func() { n.lines.CloseIdle() },
+		Clock: n.clock, Log: n.log, Pools: n.pools, Dial: dial, Direct: direct, Peers: n.tunnelPeers, Late: n.lag.Late, OnLost: func() { n.lines.CloseIdle() },
 		Leaving: n.isLeaving, MaxWait: follow.MaxAge(n.settings.DrainTime), MaxDescriptors: n.settings.MaxDescriptors, Count: func(event string) { upstreamEvents.Add(event, 1) },
 	})
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -17,6 +17,7 @@
 	"spurhall.example/spurhall/internal/call"
 	"spurhall.example/spurhall/internal/catalog"
 	"spurhall.example/spurhall/internal/fault"
+	"spurhall.example/spurhall/internal/link"
 	"spurhall.example/spurhall/internal/memory"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/upstream"
@@ -38,6 +39,7 @@
 	ended         bool         // the stream is complete: nothing of it was left
 	body          *memory.Body // plain responses only
 	held          *memory.Hold // what the response takes
+	line          *link.Response
 	addressReused bool         // the address now belongs to another upstream
 	eventsPassed  int          // events forwarded to the caller
 	firstEventAt  time.Time    // when the first event was forwarded
@@ -298,7 +300,8 @@
 // connection in its place says nothing.
 func (s *Server) readStart(a *attempt, q *request, lastEvent string) error {
 	if q.route.Kind() == catalog.KindStream && a.head.StatusCode < 300 {
-		a.events = newEventReader(a.head.Body, eventRoom{ctx: a.ctx, held: a.held})
+		a.beginLine(q, true)
+		a.events = newEventReader(a.head.Body, eventRoom{ctx: a.ctx, held: a.held, line: a.line})
 		v, err := a.events.next()
 		a.ended = errors.Is(err, io.EOF) && framed(a.head) && (lastEvent != "" || q.resumesStream())
 		if err != nil && !a.ended {
@@ -309,6 +312,7 @@
 		return nil
 	}
 	s.recordStarted(q, a)
+	a.beginLine(q, false)
 	if err := s.readPlain(a); err != nil {
 		return err
 	}
@@ -319,6 +323,12 @@
 	return nil
 }
 
+// beginLine begins to count what the response takes of the link.
+func (a *attempt) beginLine(q *request, events bool) {
+	e := a.use.Entry()
+	a.line = q.line.Response(link.Options{Service: e.Service, Upstream: e.ID, Request: q.meta.ID, Events: events})
+}
+
 // recordStarted records that the upstream has started to run the request.
 func (s *Server) recordStarted(q *request, a *attempt) {
 	a.use.Started()
--- a/internal/forward/await_test.go
+++ b/internal/forward/await_test.go
@@ -14,6 +14,7 @@
 
 	"spurhall.example/spurhall/internal/call"
 	"spurhall.example/spurhall/internal/catalog"
+	"spurhall.example/spurhall/internal/link"
 	"spurhall.example/spurhall/internal/memory"
 	"spurhall.example/spurhall/internal/timer"
 )
@@ -31,6 +32,7 @@
 	s := &startingServer{clock: timer.NewManual(time.Unix(1000, 0)), ready: make(chan struct{}), status: make(chan int, 1)}
 	s.server = NewServer(Options{
 		Memory:  memory.New(s.clock.Service(), 64<<20, nil),
+		Link:    link.New(s.clock.Service(), 0, nil),
 		ListAge: func() (time.Duration, bool) { return 0, true },
 		Clock:   s.clock.Service(), Log: zap.NewNop(), Ready: s.ready, Catalog: s.catalog.Load, Phase: func() Phase { return PhaseServing },
 		Dialect: call.Dialect{
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"spurhall.example/spurhall/internal/fault"
+	"spurhall.example/spurhall/internal/link"
 	"spurhall.example/spurhall/internal/memory"
 )
 
@@ -64,7 +65,7 @@
 
 // readPlain reads a plain response's body.
 func (s *Server) readPlain(a *attempt) error {
-	b, err := a.held.ReadBody(a.ctx, a.head.Body, bodyLength(a.head), maxResponseBody)
+	b, err := a.held.ReadBody(a.ctx, a.line.Reader(a.ctx, a.head.Body), bodyLength(a.head), maxResponseBody)
 	switch {
 	case errors.Is(err, memory.ErrTooLong):
 		return fault.Because(errOversized, "the body is longer than %d bytes", maxResponseBody)
@@ -72,6 +73,7 @@
 		return roomError(err, "the body broke off")
 	}
 	a.held.Complete()
+	a.line.Whole()
 	s.o.Memory.Observe(a.use.Entry().Service, b.Len())
 	a.body = b
 	return nil
@@ -104,6 +106,15 @@
 type eventRoom struct {
 	ctx  context.Context
 	held *memory.Hold
+	line *link.Response
+}
+
+// take counts an event that has grown by n bytes to size, and waits for their turn.
+func (r eventRoom) take(size, n int) error {
+	if err := r.grow(size, n); err != nil || r.line == nil {
+		return err
+	}
+	return r.line.Took(r.ctx, n)
 }
 
 // grow counts an event that has grown by n bytes to size.
@@ -122,4 +133,7 @@
 	if r.held != nil {
 		r.held.Return()
 	}
+	if r.line != nil {
+		r.line.Next()
+	}
 }
--- a/internal/forward/event.go
+++ b/internal/forward/event.go
@@ -36,7 +36,7 @@
 	e.room.next()
 	for {
 		line, err := e.r.ReadSlice('\n')
-		if full := e.room.grow(len(v.raw)+len(line), len(line)); full != nil {
+		if full := e.room.take(len(v.raw)+len(line), len(line)); full != nil {
 			return event{}, roomError(full, "an event")
 		}
 		v.raw = append(v.raw, line...)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -35,6 +35,7 @@
 	"spurhall.example/spurhall/internal/call"
 	"spurhall.example/spurhall/internal/catalog"
 	"spurhall.example/spurhall/internal/fault"
+	"spurhall.example/spurhall/internal/link"
 	"spurhall.example/spurhall/internal/memory"
 	"spurhall.example/spurhall/internal/order"
 	"spurhall.example/spurhall/internal/pool"
@@ -101,6 +102,8 @@
 	MayProbe func() bool
 	// Memory bounds the bytes of all requests and responses together.
 	Memory *memory.Budget
+	// Link shares what the VM's link takes in among the responses.
+	Link *link.Link
 	// HallReachable reports whether a hall can be reached over the network.
 	HallReachable func(ctx context.Context, hall string) bool
 }
@@ -151,6 +154,7 @@
 	body            []byte
 	bodyRead        bool          // in full, or as far as it came
 	held            *memory.Scope // what its body and its responses take
+	line            *link.Request
 	catalog         *catalog.Catalog
 	route           *catalog.Route
 	workspace       *catalog.Workspace // nil if none
@@ -200,8 +204,9 @@
 
 // ServeHTTP handles one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	q := &request{meta: s.o.Dialect.ReadMeta(r.Header), http: r, bodyRead: r.ContentLength == 0, waited: accept.Waited(r.Context()), held: s.o.Memory.Scope()}
+	q := &request{meta: s.o.Dialect.ReadMeta(r.Header), http: r, bodyRead: r.ContentLength == 0, waited: accept.Waited(r.Context()), held: s.o.Memory.Scope(), line: s.o.Link.Begin()}
 	defer q.held.Release()
+	defer q.line.End()
 	q.arrived = s.o.Clock.Now().Add(-q.waited)
 	count("requests", 1)
 	gauge("requests_now", 1)
--- a/internal/forward/order_test.go
+++ b/internal/forward/order_test.go
@@ -17,6 +17,7 @@
 	"spurhall.example/spurhall/internal/call"
 	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/catalog"
+	"spurhall.example/spurhall/internal/link"
 	"spurhall.example/spurhall/internal/memory"
 	"spurhall.example/spurhall/internal/order"
 	"spurhall.example/spurhall/internal/pool"
@@ -69,6 +70,7 @@
 	v.log = log
 	v.server = NewServer(Options{
 		Memory:  memory.New(v.clock.Service(), 64<<20, nil),
+		Link:    link.New(v.clock.Service(), 0, nil),
 		ListAge: func() (time.Duration, bool) { return 0, true },
 		Clock:   v.clock.Service(), Log: zap.New(core), Pools: v.pools, Dialect: call.Dialect{WriteOrder: func(_ http.Header, o call.Order) { v.sent = o }},
 	})
--- a/internal/forward/race_test.go
+++ b/internal/forward/race_test.go
@@ -18,6 +18,7 @@
 	"spurhall.example/spurhall/internal/call"
 	"spurhall.example/spurhall/internal/catalog"
 	"spurhall.example/spurhall/internal/lineage"
+	"spurhall.example/spurhall/internal/link"
 	"spurhall.example/spurhall/internal/memory"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/quarantine"
@@ -78,6 +79,7 @@
 	close(ready)
 	r.server = NewServer(Options{
 		Memory: memory.New(clock, 64<<20, nil),
+		Link:   link.New(clock, 0, nil),
 		Clock:  clock, Log: zap.NewNop(), Pools: pools, Connections: NewConnections(clock, nil), Ready: ready, Quarantine: quarantine.NewTracker("n"),
 		Catalog: func() *catalog.Catalog { return c }, Phase: func() Phase { return PhaseServing },
 		ListAge: func() (time.Duration, bool) { return 0, true }, Place: func(context.Context, pool.Request) string { return "" },
--- a/internal/forward/withhold_test.go
+++ b/internal/forward/withhold_test.go
@@ -15,6 +15,7 @@
 
 	"spurhall.example/spurhall/internal/call"
 	"spurhall.example/spurhall/internal/catalog"
+	"spurhall.example/spurhall/internal/link"
 	"spurhall.example/spurhall/internal/memory"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/quarantine"
@@ -50,6 +51,7 @@
 	close(ready)
 	r.server = NewServer(Options{
 		Memory: memory.New(clock, 64<<20, nil),
+		Link:   link.New(clock, 0, nil),
 		Clock:  clock, Log: zap.NewNop(), Pools: pools, Connections: NewConnections(clock, nil), Ready: ready, Quarantine: quarantine.NewTracker("n"),
 		Catalog: func() *catalog.Catalog { return c }, Phase: func() Phase { return PhaseServing },
 		ListAge:            func() (time.Duration, bool) { return r.age, r.current },
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -19,6 +19,8 @@
 	// AckTimeout is how long a peer's kernel may leave bytes or probes unacknowledged
 	// before its connections count as broken; 0: the system's default, many minutes.
 	AckTimeout time.Duration
+	// ReadBuffer is the size of the kernel's read buffer in bytes; 0: the kernel's own.
+	ReadBuffer int
 }
 
 // NewDialFunc returns a function that opens connections over the node's own network.
@@ -26,11 +28,23 @@
 	d := &net.Dialer{Timeout: o.ConnectTimeout}
 	if o.AckTimeout > 0 {
 		d.KeepAliveConfig = keepAlive
-		d.Control = func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, o.AckTimeout) }
 	}
+	d.Control = func(_, _ string, c syscall.RawConn) error { return o.set(c) }
 	return func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
 }
 
+// set sets the options of a connection that isn't open yet: its peer is told of the read buffer as it opens.
+func (o *DialOptions) set(c syscall.RawConn) error {
+	var list []error
+	if o.AckTimeout > 0 {
+		list = append(list, setUserTimeout(c, o.AckTimeout))
+	}
+	if o.ReadBuffer > 0 {
+		list = append(list, setOption(c, syscall.SOL_SOCKET, syscall.SO_RCVBUF, o.ReadBuffer))
+	}
+	return errors.Join(list...)
+}
+
 // ProbeAfter is how long a connection is idle before it is probed, and ProbeInterval the time between two probes: whole
 // seconds, which the kernel counts in.
 const (
@@ -66,10 +80,12 @@
 // setUserTimeout sets how long sent bytes may stay unacknowledged: a connection to a VM that lost
 // power or is partitioned would otherwise hang.
 func setUserTimeout(c syscall.RawConn, d time.Duration) error {
+	return setOption(c, syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds()))
+}
+
+func setOption(c syscall.RawConn, level, name, value int) error {
 	var err error
-	e := c.Control(func(fd uintptr) {
-		err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds()))
-	})
+	e := c.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), level, name, value) })
 	return errors.Join(e, err)
 }
 
