An upstream that had sent without end was forgotten with the request, and asked again

What callers saw: further requests went to an upstream that had just sent more than any response may have, each waited for its garbage, and their second attempts took the other upstreams' room.

Cause: such a response counted as one failure like any other, and three eject an upstream.

Change: a body beyond maxResponseBody or an event beyond maxEvent ejects its upstream at once, within the share of the pool that may be ejected (Outliers.Eject, which TestOutliersLeaveMostOfThePool draws now, too). What was known of the response stays its cause when the attempt was cancelled meanwhile. One that was ended because memory was short remains one failure.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -188,6 +188,8 @@
 func withCause(err, cause error) error {
 	var s error = errIncompleteResponse
 	switch {
+	case errors.Is(err, errEndless):
+		return err // it was known before
 	case errors.Is(err, errWithheld):
 		s = errWithheld
 	case errors.Is(err, errNotRun):
@@ -210,6 +212,14 @@
 	case errors.Is(err, errNotRun):
 		return pool.ResultUnreachable
 	}
+	return failedResult(err)
+}
+
+// failedResult classifies a response that isn't whole.
+func failedResult(err error) pool.Result {
+	if errors.Is(err, errEndless) {
+		return pool.ResultEndless
+	}
 	return pool.ResultFailed
 }
 
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -68,7 +68,7 @@
 	b, err := a.held.ReadBody(a.ctx, a.line.Reader(a.ctx, a.head.Body), bodyLength(a.head), maxResponseBody)
 	switch {
 	case errors.Is(err, memory.ErrTooLong):
-		return fault.Because(errOversized, "the body is longer than %d bytes", maxResponseBody)
+		return fault.Because(errEndless, "the body is longer than %d bytes", maxResponseBody)
 	case err != nil:
 		return roomError(err, "the body broke off")
 	}
--- a/internal/forward/event.go
+++ b/internal/forward/event.go
@@ -12,6 +12,9 @@
 // maxEvent bounds one event of a stream, in bytes.
 const maxEvent = 1 << 20
 
+// errEndless is errOversized for a response that is longer than any may be, however much room there is.
+var errEndless = fault.Because(errOversized, "it is longer than any may be")
+
 // event is one event of a stream as received, including the blank line that ends it.
 type event struct {
 	raw []byte
@@ -42,7 +45,7 @@
 		v.raw = append(v.raw, line...)
 		switch {
 		case len(v.raw) > maxEvent:
-			return event{}, fault.Because(errOversized, "an event is longer than %d bytes", maxEvent)
+			return event{}, fault.Because(errEndless, "an event is longer than %d bytes", maxEvent)
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case errors.Is(err, io.EOF) && len(v.raw) == 0:
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -131,7 +131,7 @@
 	if c := context.Cause(t.a.ctx); c != nil {
 		err = withCause(err, c)
 	}
-	t.a.drop(pool.ResultFailed)
+	t.a.drop(failedResult(err))
 	t.s.recordTrialFailure(t.q, t.a, t.lastEventAt, true)
 	f := []zap.Field{
 		zap.String("request", t.q.meta.ID), zap.String("upstream", t.a.use.Entry().ID), zap.String("last_event", t.lastEventID), zap.String("cause", fault.Reason(err)),
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -15,6 +15,7 @@
 const (
 	ResultGood         Result = iota
 	ResultFailed              // no complete response, or a response that states a failure
+	ResultEndless             // a response longer than any may be
 	ResultRejected            // the upstream did not execute the request
 	ResultUnreachable         // no connection could be established
 	ResultMisplaced           // another upstream uses its address
--- a/internal/pool/use.go
+++ b/internal/pool/use.go
@@ -260,6 +260,9 @@
 	case ResultFailed:
 		o.Failure(now.Sub(u.p.start), id, len(u.p.services[u.m.entry.Service]))
 		u.m.failures += failureGain * (1 - u.m.failures)
+	case ResultEndless:
+		o.Eject(now.Sub(u.p.start), id, len(u.p.services[u.m.entry.Service]))
+		u.m.failures += failureGain * (1 - u.m.failures)
 	case ResultRejected:
 		o.Inconclusive(now.Sub(u.p.start), id)
 		u.m.fullAt = now
--- a/internal/retry/outlier.go
+++ b/internal/retry/outlier.go
@@ -96,8 +96,18 @@
 // Failure records a failed or timed-out attempt in a pool of the given size, and reports whether it caused
 // an ejection.
 func (o *Outliers) Failure(now time.Duration, id string, size int) bool {
+	return o.fail(now, id, size, 1)
+}
+
+// Eject records a failure that no sound upstream shows, so that one is enough for an ejection. It reports as Failure does.
+func (o *Outliers) Eject(now time.Duration, id string, size int) bool {
+	return o.fail(now, id, size, o.ejectAfter)
+}
+
+// fail records a failure that counts as several.
+func (o *Outliers) fail(now time.Duration, id string, size, count int) bool {
 	h := o.get(id)
-	h.failures++
+	h.failures += count
 	probing := h.state.Is("probing")
 	if !probing && (h.failures < o.ejectAfter || !o.canEject(size)) {
 		return false
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -74,11 +74,13 @@
 				continue
 			}
 			o.Sending(id)
-			switch rapid.IntRange(0, 3).Draw(t, "result") {
+			switch rapid.IntRange(0, 4).Draw(t, "result") {
 			case 0:
 				o.Success(id)
 			case 1:
 				o.Inconclusive(now, id)
+			case 2:
+				o.Eject(now, id, size)
 			default:
 				o.Failure(now, id, size)
 			}
