--- a/cmd/spurhalld/edge_process_test.go
+++ b/cmd/spurhalld/edge_process_test.go
@@ -35,18 +35,21 @@
 	front    string
 	ready    string
 	cmd      *exec.Cmd
+	level    string   // of its log
+	log      *os.File // of its process; nil: none
+	runs     *platformtest.Runs
 }
 
 func newEdgeRig(t *testing.T) *edgeRig {
 	t.Helper()
 	d := t.TempDir()
-	r := &edgeRig{t: t, p: platformtest.New(timer.Real()), bin: filepath.Join(d, "spurhalld"), settings: filepath.Join(d, "settings.toml"), front: port(t), ready: port(t)}
+	r := &edgeRig{t: t, p: platformtest.New(timer.Real()), bin: filepath.Join(d, "spurhalld"), settings: filepath.Join(d, "settings.toml"), front: port(t), ready: port(t), level: "error", runs: &platformtest.Runs{}}
 	out, err := exec.Command("go", "build", "-o", r.bin, ".").CombinedOutput()
 	require.NoError(t, err, string(out))
 	s := httptest.NewServer(r.p.Endpoint().Handler())
 	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
 	r.configure(soak.Configuration{Version: 1})
-	r.p.Upstream(t, &platformtest.Runs{}, "a", soak.ServicePlain, "hall-a")
+	r.p.Upstream(t, r.runs, "a", soak.ServicePlain, "hall-a")
 	address := s.Listener.Addr().String()
 	require.NoError(t, os.WriteFile(r.settings, []byte(platformtest.World().Settings(soak.DaemonSettings{
 		Name: "n0", Hall: "hall-a", Halls: []string{"hall-a"}, Front: r.front, Ready: r.ready, Peers: port(t), Store: address, Cloud: address, First: true,
@@ -64,7 +67,10 @@
 // start starts the process.
 func (r *edgeRig) start() {
 	r.t.Helper()
-	r.cmd = exec.Command(r.bin, "edge", "--log-level", "error")
+	r.cmd = exec.Command(r.bin, "edge", "--log-level", r.level)
+	if r.log != nil {
+		r.cmd.Stdout, r.cmd.Stderr = r.log, r.log
+	}
 	r.cmd.Env = append(os.Environ(), platformtest.World().SettingsVariable+"="+r.settings)
 	require.NoError(r.t, r.cmd.Start())
 	p := r.cmd
@@ -198,3 +204,109 @@
 		require.EqualError(t, r.cmd.Wait(), "signal: killed")
 	}
 }
+
+// keepLog has the process write its log to a file.
+func (r *edgeRig) keepLog() {
+	r.t.Helper()
+	f, err := os.Create(filepath.Join(r.t.TempDir(), "log"))
+	require.NoError(r.t, err)
+	r.t.Cleanup(func() { _ = f.Close() })
+	r.level, r.log = "info", f
+}
+
+func (r *edgeRig) lines() string {
+	r.t.Helper()
+	b, err := os.ReadFile(r.log.Name())
+	require.NoError(r.t, err)
+	return string(b)
+}
+
+// keep returns connections that have had a response.
+func (r *edgeRig) keep(n int) []*edgeConn {
+	r.t.Helper()
+	var l []*edgeConn
+	for i := range n {
+		c := r.dial()
+		c.send(r.t, text(r.t, soak.RoutePlain, fmt.Sprintf("warm-%d", i)))
+		c.assertAnswered(r.t, "before")
+		l = append(l, c)
+	}
+	return l
+}
+
+// TestRequestThatCrossesAStopsCloseLeavesNoTrace guards against tries that end beside a stop and that no process knows of.
+func TestRequestThatCrossesAStopsCloseLeavesNoTrace(t *testing.T) {
+	r := newEdgeRig(t)
+	r.keepLog()
+	r.start()
+	r.awaitReady()
+	callers := r.keep(8)
+	r.signal(syscall.SIGTERM)
+	at := time.Now()
+	for _, c := range callers {
+		_, err := c.r.ReadByte()
+		require.ErrorIs(t, err, io.EOF, "it closes between two requests")
+	}
+	for i, c := range callers {
+		s := text(t, soak.RoutePlain, fmt.Sprintf("crossed-%d", i))
+		c.send(t, s[:100])
+		time.Sleep(5 * time.Millisecond)
+		c.send(t, s[100:])
+	}
+	require.NoError(t, r.cmd.Wait())
+	assert.Less(t, time.Since(at), 4*time.Second, "who crosses doesn't hold up the stop")
+	text := r.lines()
+	for i := range callers {
+		id := fmt.Sprintf("crossed-%d", i)
+		assert.Regexp(t, "msg=request_crossed .*request="+id+" .*responses=1", text)
+		assert.Empty(t, r.runs.Of(id), "it wasn't run")
+	}
+}
+
+// freezeAsItCloses stops the process as it closes its callers' connections, and reports whether that was in time: while it still
+// looks at them.
+func (r *edgeRig) freezeAsItCloses() bool {
+	r.t.Helper()
+	for before := time.Now(); ; before = time.Now() {
+		if !strings.Contains(r.lines(), "msg=callers_closing") {
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		r.signal(syscall.SIGSTOP)
+		return time.Since(before) < 50*time.Millisecond
+	}
+}
+
+// TestFreezeAsAStopClosesConnectionsCutsRequests guards against requests that arrive in time at a stopping process that isn't
+// scheduled, and are closed unread.
+func TestFreezeAsAStopClosesConnectionsCutsRequests(t *testing.T) {
+	const tries = 5 // on a busy machine the freeze may come too late
+	for range tries {
+		r := newEdgeRig(t)
+		r.keepLog()
+		r.start()
+		r.awaitReady()
+		callers := r.keep(8)
+		r.signal(syscall.SIGTERM)
+		inTime := r.freezeAsItCloses()
+		for range 8 {
+			callers = append(callers, r.dial())
+		}
+		if inTime {
+			for i, c := range callers {
+				c.send(t, text(t, soak.RoutePlain, fmt.Sprintf("frozen-%d", i)))
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+		r.signal(syscall.SIGCONT)
+		if !inTime {
+			continue
+		}
+		for i, c := range callers {
+			c.assertAnswered(t, fmt.Sprintf("caller %d", i))
+		}
+		require.NoError(t, r.cmd.Wait())
+		return
+	}
+	require.Fail(t, "no freeze came in time")
+}
--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -52,13 +52,15 @@
 // their callers try another node before anything that they sent was read.
 type Listener struct {
 	net.Listener
+	Identify func(h http.Header) string // the id of a request; nil: nobody knows
+
 	clock    *timer.Service
 	log      *zap.Logger
 	maxOpen  int          // connections; 0: no limit
 	failedAt atomic.Int64 // nanoseconds of the clock; 0: never
 	closed   atomic.Bool
 	draining atomic.Bool
-	looked   bool        // Accept has begun its last look
+	look     look        // of Accept
 	ended    atomic.Bool // nothing is accepted any more
 	tls      *tls.Config // nil: none
 	mu       sync.Mutex
@@ -82,8 +84,7 @@
 	for {
 		c, err := l.Listener.Accept()
 		switch {
-		case l.draining.Load() && errors.Is(err, os.ErrDeadlineExceeded) && !l.looked:
-			l.looked = true
+		case l.draining.Load() && errors.Is(err, os.ErrDeadlineExceeded) && l.look.next(l.clock.Now(), l.Listener):
 			_ = l.setDeadline(l.clock.Wall().Add(lastLook)) // fails only if it is closed
 		case l.draining.Load() && (errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed)):
 			l.ended.Store(true)
@@ -209,4 +210,5 @@
 	callersOpen     = expvar.NewInt("callers_connected")
 	callersRejected = expvar.NewInt("callers_turned_away")
 	callersCut      = expvar.NewInt("callers_cut")
+	callersCrossed  = expvar.NewInt("callers_crossed")
 )
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -41,6 +41,9 @@
 	}
 	h := q.held.Hold(memory.Options{Kind: memory.KindRequest, MaxWait: bodyWait})
 	b, err := h.ReadBody(q.http.Context(), q.http.Body, q.http.ContentLength, int64(limit))
+	if err != nil {
+		h.Release() // what is left of it may be read on (unread.go), and isn't kept
+	}
 	switch {
 	case errors.Is(err, memory.ErrTooLong):
 		return &rejection{status: http.StatusRequestEntityTooLarge, reason: "the body is larger than the limit"}
@@ -60,7 +63,7 @@
 // holdResponse begins to count what an attempt's response takes.
 func (a *attempt) holdResponse(q *request) {
 	e := a.use.Entry()
-	a.held = q.held.Hold(memory.Options{Kind: memory.KindResponse, Service: e.Service, Upstream: e.ID, End: func(error) { a.cancel(errOversized) }})
+	a.held = q.held.Hold(memory.Options{Kind: memory.KindResponse, Service: e.Service, Upstream: e.ID, End: func(err error) { a.cancel(roomError(err, "")) }})
 }
 
 // readPlain reads a plain response's body.
@@ -73,8 +76,10 @@
 		return roomError(err, "the body broke off")
 	}
 	a.held.Complete()
-	a.line.Whole()
-	s.o.Memory.Observe(a.use.Entry().Service, b.Len())
+	if a.head.StatusCode < http.StatusMultipleChoices { // signed: others may be anything
+		a.line.Whole()
+		s.o.Memory.Observe(a.use.Entry().Service, b.Len())
+	}
 	a.body = b
 	return nil
 }
