--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -17,6 +17,7 @@
 	"spurhall.example/spurhall/internal/call"
 	"spurhall.example/spurhall/internal/catalog"
 	"spurhall.example/spurhall/internal/fault"
+	"spurhall.example/spurhall/internal/link"
 	"spurhall.example/spurhall/internal/memory"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/upstream"
@@ -38,6 +39,7 @@
 	ended         bool         // the stream is complete: nothing of it was left
 	body          *memory.Body // plain responses only
 	held          *memory.Hold // what the response takes
+	line          *link.Response
 	addressReused bool         // the address now belongs to another upstream
 	eventsPassed  int          // events forwarded to the caller
 	firstEventAt  time.Time    // when the first event was forwarded
@@ -186,6 +188,8 @@
 func withCause(err, cause error) error {
 	var s error = errIncompleteResponse
 	switch {
+	case errors.Is(err, errEndless):
+		return err // it was known before
 	case errors.Is(err, errWithheld):
 		s = errWithheld
 	case errors.Is(err, errNotRun):
@@ -210,6 +214,14 @@
 	case errors.Is(err, errNotRun):
 		return pool.ResultUnreachable
 	}
+	return failedResult(err)
+}
+
+// failedResult classifies a response that isn't whole.
+func failedResult(err error) pool.Result {
+	if errors.Is(err, errEndless) {
+		return pool.ResultEndless
+	}
 	return pool.ResultFailed
 }
 
@@ -300,7 +312,8 @@
 // connection in its place says nothing.
 func (s *Server) readStart(a *attempt, q *request, lastEvent string) error {
 	if q.route.Kind() == catalog.KindStream && a.head.StatusCode < 300 {
-		a.events = newEventReader(a.head.Body, eventRoom{ctx: a.ctx, held: a.held})
+		a.beginLine(q, true)
+		a.events = newEventReader(a.head.Body, eventRoom{ctx: a.ctx, held: a.held, line: a.line})
 		v, err := a.events.next()
 		a.ended = errors.Is(err, io.EOF) && framed(a.head) && (lastEvent != "" || q.resumesStream())
 		if err != nil && !a.ended {
@@ -311,6 +324,7 @@
 		return nil
 	}
 	s.recordStarted(q, a)
+	a.beginLine(q, false)
 	if err := s.readPlain(a); err != nil {
 		return err
 	}
@@ -321,6 +335,12 @@
 	return nil
 }
 
+// beginLine begins to count what the response takes of the link.
+func (a *attempt) beginLine(q *request, events bool) {
+	e := a.use.Entry()
+	a.line = q.line.Response(link.Options{Service: e.Service, Upstream: e.ID, Request: q.meta.ID, Events: events})
+}
+
 // recordStarted records that the upstream has started to run the request.
 func (s *Server) recordStarted(q *request, a *attempt) {
 	a.use.Started()
--- a/internal/forward/event.go
+++ b/internal/forward/event.go
@@ -12,6 +12,9 @@
 // maxEvent bounds one event of a stream, in bytes.
 const maxEvent = 1 << 20
 
+// errEndless is errOversized for a response that is longer than any may be, however much room there is.
+var errEndless = fault.Because(errOversized, "it is longer than any may be")
+
 // event is one event of a stream as received, including the blank line that ends it.
 type event struct {
 	raw []byte
@@ -36,13 +39,13 @@
 	e.room.next()
 	for {
 		line, err := e.r.ReadSlice('\n')
-		if full := e.room.grow(len(v.raw)+len(line), len(line)); full != nil {
+		if full := e.room.take(len(v.raw)+len(line), len(line)); full != nil {
 			return event{}, roomError(full, "an event")
 		}
 		v.raw = append(v.raw, line...)
 		switch {
 		case len(v.raw) > maxEvent:
-			return event{}, fault.Because(errOversized, "an event is longer than %d bytes", maxEvent)
+			return event{}, fault.Because(errEndless, "an event is longer than %d bytes", maxEvent)
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case errors.Is(err, io.EOF) && len(v.raw) == 0:
--- a/internal/forward/memory_test.go
+++ b/internal/forward/memory_test.go
@@ -35,7 +35,7 @@
 	s.o.Memory.Observe("api", 1<<20)
 	other := s.o.Memory.Hold(memory.Options{Kind: memory.KindResponse, Service: "api", End: func(error) {}})
 	require.NoError(t, other.Take(context.Background(), 400<<10))
-	q := &request{held: s.o.Memory.Scope()}
+	q := &request{held: s.o.Memory.Scope(), line: s.o.Link.Begin()}
 	use := s.o.Pools.Pick(pool.Request{ID: "1", Service: "api"})
 	require.NotNil(t, use)
 	waits := func() {
@@ -44,6 +44,7 @@
 	}
 	a := &attempt{use: use, head: &http.Response{ContentLength: 1 << 20, Body: io.NopCloser(&firstRead{Reader: strings.NewReader(strings.Repeat("x", 1<<20)), do: waits})}}
 	a.holdResponse(q)
+	a.beginLine(q, false)
 	a.ctx, a.cancel = context.WithCancelCause(context.Background())
 	err := s.readPlain(a)
 	require.ErrorIs(t, err, errNoRoom)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -134,7 +134,7 @@
 	if errors.Is(err, errNoRoom) {
 		t.a.drop(pool.ResultInconclusive)
 	} else {
-		t.a.drop(pool.ResultFailed)
+		t.a.drop(failedResult(err))
 		t.s.recordTrialFailure(t.q, t.a, t.lastEventAt, true)
 	}
 	f := []zap.Field{
