Memory: responses with an announced length began together and ended each other

What callers saw: at a node with little memory, 502 "it is larger than there is room for" for sound responses of 4 MB, as the upstream had announced them, when many came at once.

Cause: a hold took a piece at a time, whatever length was announced, so many more responses began than there is room for. When all of them waited for their rest, the newest was ended, one after the other.

Change: what was announced is reserved when a large message begins, and it begins when there is room for all of it. Those that have begun don't wait any more. A reservation counts where the one furthest beyond the usual is looked for.

Evidence: TestAnnouncedResponsesEndEachOther, 24 responses of 4 MB in 16 MB. Before: "memory.full: the memory for requests and responses is used up" where no error is expected; now none, three runs with -race.

Left: responses whose length isn't announced (chunks) still end each other so.

--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -75,6 +75,7 @@
 // part is the budget of one kind.
 type part struct {
 	limit, used int64
+	reserved    int64      // that holds which have begun will take yet, as announced
 	holds       *list.List // of *Hold, the oldest first
 	waiting     *list.List // of *Hold, in the order in which they wait
 }
@@ -123,6 +124,8 @@
 	b        *Budget
 	o        Options
 	bytes    int64
+	length   int64         // that was announced; 0: none was
+	rest     int64         // bytes reserved for what it hasn't taken of that
 	wants    int64         // bytes that it waits for
 	granted  chan struct{} // closed when it has got them, or has been ended
 	cause    error         // why it was ended; nil: it wasn't
@@ -191,6 +194,13 @@
 	}
 }
 
+// Announce records how many bytes the hold will take altogether, before it takes any.
+func (h *Hold) Announce(n int64) {
+	h.b.mu.Lock()
+	defer h.b.mu.Unlock()
+	h.length = n
+}
+
 // Complete records that the hold takes no more: it will be released without that others are.
 func (h *Hold) Complete() {
 	h.b.mu.Lock()
@@ -227,26 +237,42 @@
 func (h *Hold) leave(p *part) {
 	p.holds.Remove(h.place)
 	h.place = nil
+	p.reserved -= h.rest
+	h.rest = 0
 	if h.queue != nil {
 		h.finish(p, ErrFull)
 	}
 }
 
-// grant gives a hold some bytes if there is room. One that is large gets none before those that wait already.
+// grant gives a hold some bytes if there is room. One that is large gets none before those that wait already, and if its length
+// was announced, it begins when there is room for all of it: many that have begun would wait for each other.
 func (p *part) grant(h *Hold, n int64) bool {
-	room := p.limit
+	if n <= h.rest {
+		p.reserved -= n
+		h.rest -= n
+		p.take(h, n)
+		return true
+	}
+	room, need := p.limit, n
 	if h.bytes+n > smallSize {
 		room -= int64(smallShare * float64(p.limit))
 		if p.waiting.Len() > 0 && h.queue != p.waiting.Front() {
 			return false
 		}
+		need = max(n, h.length-h.bytes)
 	}
-	if p.used+n > room && p.used > h.bytes { // alone, it may have it all
+	if others := p.used + p.reserved - h.bytes - h.rest; others > 0 && others+h.bytes+need > room { // alone, it may have it all
 		return false
 	}
+	p.reserved += need - n - h.rest
+	h.rest = need - n
+	p.take(h, n)
+	return true
+}
+
+func (p *part) take(h *Hold, n int64) {
 	p.used += n
 	h.bytes += n
-	return true
 }
 
 // grantWaiting gives room to those that wait, in order.
@@ -308,7 +334,7 @@
 		if h.o.End == nil || h.complete || h.bytes <= smallSize {
 			continue
 		}
-		if x := float64(h.bytes+h.wants) / b.usualSize(h.o.Service); x > worst {
+		if x := float64(h.bytes+h.wants+h.rest) / b.usualSize(h.o.Service); x > worst {
 			most, worst = h, x
 		}
 	}
--- a/internal/memory/read.go
+++ b/internal/memory/read.go
@@ -70,6 +70,7 @@
 	if length > limit {
 		return b, ErrTooLong
 	}
+	h.Announce(max(0, length))
 	for next := int64(firstPiece); ; next = min(2*next, largestPiece) {
 		size := next
 		if length >= 0 {
