Callers who read nothing held the memory of responses for as long as they liked

What callers saw: at a node with 184 MB, beside 24 callers who asked for 4 MB and read nothing, a caller who did read waited 19.6 s for its response of 4 MB: until the first of those had passed their deadlines.

Cause: a complete response was written without any bound in time, and all of it stayed counted until the last byte was written.

Change: while a response is written, its caller is looked at each 250 ms, by what it has acknowledged. One who has taken nothing for 2 s is cut when its deadline (and writeSlack) has passed, or before if others wait for room and nothing is excessive; the one idle for longest goes first. Who reads on isn't cut, also after its deadline. Pieces are given back as they are written, and the rest is flushed before "answered" is logged. What is cut has less than its Content-Length, and its connection closes.

A write deadline for each piece was ruled out: the kernel takes up to 4 MB of a connection at once (ss showed 4,174,585 bytes unacknowledged), and then nothing for long, so it would cut slow readers.

TestResponseWaitsForEverForItsCaller, before: "Condition never satisfied: the response is given up" in 6 s with a deadline of 1 s; passes. TestCallerWhoReadsOnIsCut (160 kB/s, 5 s beyond the deadline) passed before, and does now.

--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"spurhall.example/spurhall/internal/fault"
 	"spurhall.example/spurhall/internal/memory"
 )
 
@@ -83,9 +84,32 @@
 	h.Set("Content-Length", strconv.FormatInt(a.body.Len(), 10))
 	q.responding = true
 	w.WriteHeader(a.status)
-	if _, err := a.body.WriteTo(w); err != nil {
+	if err := s.writePlain(w, q, a.body); err != nil {
 		s.logDone(q, a.status, brokenOutcome(q, true), err)
-		return
+		panic(http.ErrAbortHandler) // nothing more can be written
 	}
 	s.logDone(q, a.status, "answered", nil)
 }
+
+// writePlain writes a plain response's body until the connection has all of it.
+func (s *Server) writePlain(w http.ResponseWriter, q *request, b *memory.Body) error {
+	h := b.Hold()
+	if h == nil || b.Len() == 0 {
+		_, err := b.WriteTo(w)
+		return err
+	}
+	c, to := http.NewResponseController(w), &countingWriter{Writer: w}
+	v := s.watchReader(c, q, h, to)
+	_, err := b.WriteTo(to)
+	if err == nil {
+		err = c.Flush()
+	}
+	cause := v.finish()
+	if err == nil {
+		return nil
+	}
+	if cause != nil {
+		err = cause
+	}
+	return fault.Because(errUnwritten, "%s", fault.Reason(err))
+}
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -6,11 +6,13 @@
 // before what is large, by a part that is set aside for it.
 //
 // Waiting alone would let one upstream's garbage keep everybody else waiting. So when room is short, the response ends that
-// is furthest beyond what its service usually sends, by what whole responses have shown. If all that hold a part of a message
+// is furthest beyond what its service usually sends, by what whole responses have shown. If there is none, the message ends whose
+// caller has neither taken nor sent anything for longest, if that is long. If all that hold a part of a message
 // wait for the rest, none of them can be done first: the newest one ends.
 //
 //	budget.go  who gets room, and who is ended for it
 //	scope.go   the holds of one request
+//	idle.go    whose callers do nothing
 //	read.go    reads a body within the budget
 //	usual.go   what the responses of a service usually weigh
 //
@@ -22,6 +24,7 @@
 	"container/list"
 	"context"
 	"expvar"
+	"math"
 	"sync"
 	"time"
 
@@ -35,6 +38,8 @@
 var (
 	// ErrOversized means that a response was ended, when room was short, as the one furthest beyond what is usual.
 	ErrOversized = errs.NewType("oversized").New("the response is far larger than its service's usually are, and the memory is short")
+	// ErrIdle means that a message was ended, when room was short, as the one whose caller has done nothing for longest.
+	ErrIdle = errs.NewType("idle").New("the caller takes or sends nothing, and the memory is short")
 	// ErrFull means that there is no room, and no prospect of any.
 	ErrFull = errs.NewType("full").New("the memory for requests and responses is used up")
 )
@@ -86,6 +91,7 @@
 	Bytes             int64 // that it holds
 	Usual             int64 // that a response of its service has
 	Used, Limit       int64 // of all responses
+	Cause             error
 }
 
 // New returns a budget of some bytes. Ended is called, without a lock, for each response that is ended for others; it may be
@@ -118,8 +124,8 @@
 	MaxWait time.Duration
 }
 
-// Hold is the bytes that one request or one response holds. Its methods may be called at the same time as Release, and
-// otherwise one at a time.
+// Hold is the bytes that one request or one response holds. Release and Look may be called at any time, the other methods one
+// at a time.
 type Hold struct {
 	b        *Budget
 	o        Options
@@ -132,6 +138,7 @@
 	place    *list.Element // among the holds; nil: released
 	queue    *list.Element // among those that wait; nil: it doesn't
 	complete bool          // it takes no more
+	idle     int           // looks in a row at which its caller had done nothing
 }
 
 // Hold begins a hold of no bytes.
@@ -209,21 +216,22 @@
 }
 
 // Return gives all bytes back. The hold may take others.
-func (h *Hold) Return() { h.giveBack(false) }
+func (h *Hold) Return() { h.giveBack(math.MaxInt64, false) }
 
 // Release gives all bytes back, and ends the hold. Only the first call has an effect.
-func (h *Hold) Release() { h.giveBack(true) }
+func (h *Hold) Release() { h.giveBack(math.MaxInt64, true) }
 
-func (h *Hold) giveBack(last bool) {
+// giveBack gives some bytes back, at most all.
+func (h *Hold) giveBack(n int64, last bool) {
 	b := h.b
 	b.mu.Lock()
-	if h.place == nil || !last && h.bytes == 0 {
+	if n = min(n, h.bytes); h.place == nil || !last && n == 0 {
 		b.mu.Unlock()
 		return
 	}
 	p := &b.kinds[h.o.Kind]
-	p.used -= h.bytes
-	h.bytes = 0
+	p.used -= n
+	h.bytes -= n
 	if last {
 		h.leave(p)
 	}
@@ -309,6 +317,9 @@
 	if h := b.mostExcessive(p); h != nil {
 		return b.end(p, h, ErrOversized)
 	}
+	if h := p.idlest(); h != nil {
+		return b.end(p, h, ErrIdle)
+	}
 	if p.stalled() {
 		return b.end(p, p.newestWaiting(), ErrFull)
 	}
@@ -363,7 +374,7 @@
 
 // end ends a hold. The budget's lock is held; the call that is returned is made without it.
 func (b *Budget) end(p *part, h *Hold, cause error) func() {
-	v := Ended{Service: h.o.Service, Upstream: h.o.Upstream, Bytes: h.bytes, Usual: int64(b.usualSize(h.o.Service)), Used: p.used, Limit: p.limit}
+	v := Ended{Service: h.o.Service, Upstream: h.o.Upstream, Bytes: h.bytes, Usual: int64(b.usualSize(h.o.Service)), Used: p.used, Limit: p.limit, Cause: cause}
 	h.cause = cause
 	if h.queue != nil {
 		h.finish(p, cause)
--- a/internal/memory/read.go
+++ b/internal/memory/read.go
@@ -23,6 +23,7 @@
 type Body struct {
 	pieces [][]byte
 	size   int64
+	held   *Hold // nil: it isn't counted
 }
 
 // NewBody returns a body of these bytes.
@@ -36,18 +37,29 @@
 	return b.size
 }
 
-// WriteTo implements io.WriterTo.
+// Hold returns the hold of the body's bytes; nil: they aren't counted. The body may be nil.
+func (b *Body) Hold() *Hold {
+	if b == nil {
+		return nil
+	}
+	return b.held
+}
+
+// WriteTo implements io.WriterTo. Pieces that are written are given back, so it works once.
 func (b *Body) WriteTo(w io.Writer) (int64, error) {
 	if b == nil {
 		return 0, nil
 	}
 	var n int64
-	for _, p := range b.pieces {
+	for i, p := range b.pieces {
 		k, err := w.Write(p)
 		n += int64(k)
 		if err != nil {
 			return n, err
 		}
+		if b.pieces[i] = nil; b.held != nil {
+			b.held.giveBack(int64(cap(p)), false)
+		}
 	}
 	return n, nil
 }
@@ -66,7 +78,7 @@
 // ReadBody reads a body to its end, and takes each piece before it reads it. length is the size that was announced, or -1;
 // limit is the largest size that it may have. What was read of a body that fails is returned with the error.
 func (h *Hold) ReadBody(ctx context.Context, r io.Reader, length, limit int64) (*Body, error) {
-	b := &Body{}
+	b := &Body{held: h}
 	if length > limit {
 		return b, ErrTooLong
 	}
