Bodies that came a byte at a time held the memory of requests without a bound in time

What callers saw: at a node with 184 MB, beside 48 callers who had announced 4 MB, sent 700 kB and then five bytes a second, each large sound body was refused (true 503); small ones were served. A body that came too slowly was read on beyond its deadline.

Cause: a body had no bound in time, and nobody yielded when all room was held by bodies that come slowly. A refused one was counted while its rest was discarded, for up to 5 s.

Change: a body that isn't whole at its caller's deadline (5 minutes without one) gets 408. When others wait for room, a body ends with 503 that for 2 s has come too slowly to be whole by its deadline. Refused bodies are given back at once. A hold of a request can be ended now, so what is excessive is looked for among responses alone: nothing is usual for requests (TestLargeRequestIsEndedAsExcessive; a trial without that told sound callers 400).

TestBodyIsReadBeyondItsDeadline, before: no response in 30 s with a deadline of 1 s; now 408 in 1.09 s, and a body that takes 4 s of 20 is served. The tests of unread bodies pass with -race. TestManyLargeBodiesEndTheProcess: 6 of 48 served (5 and 6 before this), the others true 503.

--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -33,17 +33,28 @@
 
 // readBody reads the complete body: it may have to be sent twice, and net/http does not notice that the
 // caller has disconnected while the body is unread.
-func (s *Server) readBody(q *request) error {
+func (s *Server) readBody(w http.ResponseWriter, q *request) error {
 	limit := maxBody
 	if c := s.o.Catalog(); c != nil && c.Limits().MaxBodyBytes > 0 {
 		limit = c.Limits().MaxBodyBytes
 	}
 	h := q.held.Hold(memory.Options{Kind: memory.KindRequest, MaxWait: bodyWait})
-	b, err := h.ReadBody(q.http.Context(), q.http.Body, q.http.ContentLength, int64(limit))
+	r := &sender{Reader: q.http.Body}
+	v := s.watchSender(http.NewResponseController(w), q, h, r, q.http.ContentLength)
+	b, err := h.ReadBody(q.http.Context(), r, q.http.ContentLength, int64(limit))
+	if cause := v.finish(); cause != nil {
+		err = cause // also if all has come: the connection takes no more
+	}
+	if err != nil {
+		h.Release() // before the rest of the body is discarded
+	}
 	switch {
+	case errors.Is(err, errUnsent):
+		count("bodies_late", 1)
+		return &rejection{status: http.StatusRequestTimeout, reason: fault.Reason(err)}
 	case errors.Is(err, memory.ErrTooLong):
 		return &rejection{status: http.StatusRequestEntityTooLarge, reason: "the body is larger than the limit"}
-	case errors.Is(err, memory.ErrFull):
+	case errors.Is(err, memory.ErrFull), errors.Is(err, memory.ErrIdle):
 		count("bodies_without_room", 1)
 		return &rejection{status: http.StatusServiceUnavailable, reason: fault.Reason(err), retry: retryOtherNode}
 	case err != nil:
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -207,7 +207,7 @@
 	gauge("requests_now", 1)
 	defer gauge("requests_now", -1)
 	defer s.recoverHandler(w, q)
-	a, cancel, err := s.serve(r.Context(), q)
+	a, cancel, err := s.serve(w, q)
 	defer cancel()
 	if err != nil {
 		s.writeRejection(w, q, err)
@@ -216,14 +216,14 @@
 	s.writeResponse(w, q, a)
 }
 
-func (s *Server) serve(ctx context.Context, q *request) (*response, context.CancelFunc, error) {
+func (s *Server) serve(w http.ResponseWriter, q *request) (*response, context.CancelFunc, error) {
 	if s.o.Phase() == PhaseClosed {
 		return nil, func() {}, &rejection{status: http.StatusServiceUnavailable, reason: "this node is stopping", retry: retryOtherNode}
 	}
-	if err := s.readBody(q); err != nil {
+	if err := s.readBody(w, q); err != nil {
 		return nil, func() {}, err
 	}
-	v, err := s.next(ctx, q)
+	v, err := s.next(q.http.Context(), q)
 	a, _ := v.(*response)
 	cancel := func() {}
 	if a != nil && a.stream != nil {
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -342,7 +342,7 @@
 	worst := float64(excessive)
 	for e := p.holds.Front(); e != nil; e = e.Next() {
 		h := e.Value.(*Hold)
-		if h.o.End == nil || h.complete || h.bytes <= smallSize {
+		if h.o.Kind != KindResponse || h.o.End == nil || h.complete || h.bytes <= smallSize {
 			continue
 		}
 		if x := float64(h.bytes+h.wants+h.rest) / b.usualSize(h.o.Service); x > worst {
--- a/internal/memory/idle_test.go
+++ b/internal/memory/idle_test.go
@@ -100,3 +100,13 @@
 		assert.Zero(t, b.Used(memory.KindResponse))
 	}
 }
+
+func TestLargeRequestIsEndedAsExcessive(t *testing.T) {
+	b := memory.New(timer.Real(), 16*mb, nil)
+	first := &holder{Hold: b.Hold(memory.Options{Kind: memory.KindRequest}), ended: make(chan error, 1)}
+	first.Follow(func(err error) { first.ended <- err })
+	require.NoError(t, first.Take(context.Background(), 4*mb))
+	second := &holder{Hold: b.Hold(memory.Options{Kind: memory.KindRequest})}
+	assertWaits(t, second.take(4*mb))
+	assert.Empty(t, first.ended)
+}
