A version counts for its streams longer than today's time-out

Cause: which versions may have begun a stream was asked for the time-out of the route as it is configured now, plus a second. A stream may be older: it began under another time-out, or its caller comes back after its first attempt was ended. The version was then forgotten, one was left, and the stream's keepers weren't asked though they knew it. Their records ended with the attempt's deadline, too, not with the caller's.

Change: a version counts for ten minutes after its last upstream was dropped (pool.StreamsLast), whatever is configured; it is the bound that the record in the store and the keepers had already. A record lasts until the caller gives up, and a take-up extends it, also where it is refused. While several versions count, a stream's keepers are told before its first event, as before; that lasts for ten minutes after a release now, in place of a time-out.

--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -10,7 +10,6 @@
 	"spurhall.example/spurhall/internal/duty"
 	"spurhall.example/spurhall/internal/handover"
 	"spurhall.example/spurhall/internal/lease"
-	"spurhall.example/spurhall/internal/lineage"
 )
 
 // dutyInterval is how often the holder of the duties checks for due work.
@@ -65,7 +64,7 @@
 		if held {
 			q.Write(ctx, n.records(), n.clock, token, n.quarantine)
 			parts.Write(ctx, n.records(), n.clock, token, n.quarantine)
-			versions.Write(ctx, n.records(), token, n.pools.LateVersions(lineage.MaxTime))
+			versions.Write(ctx, n.records(), token, n.pools.LateVersions())
 		}
 		if n.settings.Cloud.Rollouts && held {
 			rolls.step(ctx, token)
--- a/internal/edge/lineage.go
+++ b/internal/edge/lineage.go
@@ -146,7 +146,7 @@
 }
 
 func (n *Node) noteVersionsOf(service string) {
-	known, _ := n.pools.StreamVersions(service, lineage.MaxTime)
+	known, _ := n.pools.StreamVersions(service)
 	n.mu.Lock()
 	before := n.streamVersions[service]
 	n.streamVersions[service] = known
--- a/internal/forward/lineage.go
+++ b/internal/forward/lineage.go
@@ -30,7 +30,7 @@
 	AwaitVersions func(ctx context.Context) bool
 }
 
-// lineageSlack is for how long beyond its deadline a stream is remembered: its caller's clock may be a little behind.
+// lineageSlack is for how long beyond its caller's deadline a stream is remembered: the caller's clock may be a little behind.
 const lineageSlack = time.Second
 
 // retryAfterLost is when a caller may come back with a stream of which no node knows the version: coming back sooner won't
@@ -74,12 +74,14 @@
 	return lineage.KeyOf(q.workspaceName(), q.meta.ID)
 }
 
-// streamTime is how long a stream of the request's route may last, its caller's attempts together.
-func (q *request) streamTime() time.Duration {
-	if t := q.route.Timeout(); t > 0 {
-		return t + lineageSlack
+// streamTime is for how long from now on a stream may be taken up: until its caller gives up, which may be long after its
+// route's time-out has ended this attempt.
+func (q *request) streamTime(now time.Time) time.Duration {
+	left := q.deadline.Sub(now)
+	if q.meta.WaitLimit > 0 {
+		left = max(left, q.arrived.Add(q.meta.WaitLimit).Sub(now))
 	}
-	return defaultMaxWait
+	return min(left+lineageSlack, lineage.MaxTime)
 }
 
 // bindVersion binds a stream that its caller takes up to the version that began it.
@@ -89,7 +91,7 @@
 	}
 	complete := s.o.Lineage.AwaitVersions(ctx)
 	inStep, steady := s.o.Lineage.Step()
-	known, used := s.o.Pools.StreamVersions(q.service, q.streamTime())
+	known, used := s.o.Pools.StreamVersions(q.service)
 	if inStep && complete && len(known) == 0 {
 		return s.giveUp(q, noUpstream(q), nil)
 	}
@@ -115,6 +117,7 @@
 		return r
 	}
 	q.version = found.Version
+	s.tell(q, q.version) // for as long as its caller may come again, also where this attempt is refused
 	return nil
 }
 
@@ -181,7 +184,7 @@
 
 // mixesVersions reports whether streams of a request's service may be of several versions.
 func (s *Server) mixesVersions(q *request) bool {
-	known, _ := s.o.Pools.StreamVersions(q.service, q.streamTime())
+	known, _ := s.o.Pools.StreamVersions(q.service)
 	return len(known) > 1
 }
 
@@ -219,7 +222,7 @@
 }
 
 func (s *Server) record(q *request, version string) lineage.Record {
-	return lineage.Record{Key: q.streamKey(), Version: version, Left: q.deadline.Sub(s.o.Clock.Now()) + lineageSlack}
+	return lineage.Record{Key: q.streamKey(), Version: version, Left: q.streamTime(s.o.Clock.Now())}
 }
 
 // TellStreams makes known which versions began the streams of a service that are in progress. It is called when the
--- a/internal/lineage/keeper.go
+++ b/internal/lineage/keeper.go
@@ -12,6 +12,7 @@
 	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
+	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/timer"
 )
 
@@ -31,8 +32,8 @@
 	findPause = 60 * time.Millisecond
 	// findTimeout bounds the search while some don't answer: nodes that are starting again are back within about a second.
 	findTimeout = time.Second
-	// MaxTime bounds for how long a stream is remembered that another node tells of.
-	MaxTime = 10 * time.Minute
+	// MaxTime bounds for how long a stream is remembered.
+	MaxTime = pool.StreamsLast
 )
 
 // ErrNotRestored means that a node can't say yet what it knows: it hasn't read what its process before stored.
--- a/internal/pool/lineage.go
+++ b/internal/pool/lineage.go
@@ -17,9 +17,13 @@
 	v[e.Version] = now
 }
 
-// LateVersions returns the versions of each service's software of which upstreams are listed, or were within some time,
-// in order.
-func (p *Pools) LateVersions(lasts time.Duration) map[string][]string {
+// StreamsLast is for how long after its last upstream was dropped a version counts as one that may have begun streams. No
+// configuration bounds that time: a stream may have begun under a longer time-out than today's, or at an upstream that serves
+// on unlisted, and its caller may take it up more than once.
+const StreamsLast = 10 * time.Minute
+
+// LateVersions returns the versions of each service's software that may have begun streams, in order.
+func (p *Pools) LateVersions() map[string][]string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
@@ -31,7 +35,7 @@
 	}
 	for service, list := range p.versionsLost {
 		for v, at := range list {
-			if now.Sub(at) <= lasts && !slices.Contains(m[service], v) {
+			if now.Sub(at) <= StreamsLast && !slices.Contains(m[service], v) {
 				m[service] = append(m[service], v)
 			}
 		}
@@ -42,13 +46,9 @@
 	return m
 }
 
-// streamsLast is for how long versions count that are gone when it is asked whether there are several: longer than routes
-// let streams be taken up.
-const streamsLast = 10 * time.Minute
-
-// MixesVersions reports whether upstreams of several versions of a service are listed, or were lately.
+// MixesVersions reports whether there is a service of which several versions may have begun streams.
 func (p *Pools) MixesVersions() bool {
-	for _, list := range p.LateVersions(streamsLast) {
+	for _, list := range p.LateVersions() {
 		if len(list) > 1 {
 			return true
 		}
@@ -75,10 +75,10 @@
 	}
 }
 
-// StreamVersions returns the versions of a service's software of which upstreams are listed, or were within the time for
-// which a stream may be taken up, and those of them that may have begun streams: a version that is new to the service
-// gets no requests for a moment (versionGrace), which is longer than nodes differ in when they hear of it.
-func (p *Pools) StreamVersions(service string, lasts time.Duration) (known, used []string) {
+// StreamVersions returns the versions of a service's software of which upstreams are listed, or were within StreamsLast, and
+// those of them that may have begun streams: a version that is new to the service gets no requests for a moment
+// (versionGrace), which is longer than nodes differ in when they hear of it.
+func (p *Pools) StreamVersions(service string) (known, used []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
@@ -89,7 +89,7 @@
 		}
 	}
 	for v, first := range p.versions[service] {
-		if !listed[v] && now.Sub(p.versionsLost[service][v]) > lasts {
+		if !listed[v] && now.Sub(p.versionsLost[service][v]) > StreamsLast {
 			continue
 		}
 		known = append(known, v)
--- a/internal/pool/lineage_test.go
+++ b/internal/pool/lineage_test.go
@@ -64,17 +64,17 @@
 
 func TestStreamVersions(t *testing.T) {
 	p, c := newVersions(t)
-	known, used := p.StreamVersions("s", time.Minute)
+	known, used := p.StreamVersions("s")
 	assert.Equal(t, []string{"v1", "v2"}, known)
 	assert.Equal(t, []string{"v1"}, used, "the new one gets no requests yet")
 	c.Advance(versionGrace)
-	_, used = p.StreamVersions("s", time.Minute)
+	_, used = p.StreamVersions("s")
 	assert.Equal(t, []string{"v1", "v2"}, used)
 	p.Update(func(l *List) { l.Delete(c.Service().Now(), "a") })
-	known, _ = p.StreamVersions("s", time.Minute)
+	known, _ = p.StreamVersions("s")
 	assert.Equal(t, []string{"v1", "v2"}, known, "its streams may still be taken up")
-	c.Advance(time.Minute + time.Second)
-	known, _ = p.StreamVersions("s", time.Minute)
+	c.Advance(StreamsLast + time.Second)
+	known, _ = p.StreamVersions("s")
 	assert.Equal(t, []string{"v2"}, known)
 }
 
@@ -83,7 +83,7 @@
 	stored := map[string][]string{"s": {"v0", "v1"}}
 	assertKnown := func(t *testing.T, p *Pools, want, wantUsed []string) {
 		t.Helper()
-		known, used := p.StreamVersions("s", time.Minute)
+		known, used := p.StreamVersions("s")
 		assert.Equal(t, want, known)
 		assert.Equal(t, wantUsed, used)
 	}
@@ -91,7 +91,7 @@
 		p, c := newVersions(t) // v1 is listed, v2 is new
 		p.RestoreVersions(stored)
 		assertKnown(t, p, []string{"v0", "v1", "v2"}, []string{"v0", "v1"})
-		c.Advance(time.Minute + time.Second)
+		c.Advance(StreamsLast + time.Second)
 		assertKnown(t, p, []string{"v1", "v2"}, []string{"v1", "v2"})
 		p.RestoreVersions(stored)
 		assertKnown(t, p, []string{"v1", "v2"}, []string{"v1", "v2"})
@@ -104,9 +104,9 @@
 			l.Put(Item{Entry: Entry{ID: "c", Service: "s", Address: "c", Hall: "h", Version: "v1"}, Revision: 1})
 		})
 		assertKnown(t, p, []string{"v0", "v1"}, []string{"v0", "v1"})
-		assert.Equal(t, map[string][]string{"s": {"v0", "v1"}}, p.LateVersions(time.Minute))
-		c.Advance(time.Minute + time.Second)
-		assert.Equal(t, map[string][]string{"s": {"v1"}}, p.LateVersions(time.Minute))
+		assert.Equal(t, map[string][]string{"s": {"v0", "v1"}}, p.LateVersions())
+		c.Advance(StreamsLast + time.Second)
+		assert.Equal(t, map[string][]string{"s": {"v1"}}, p.LateVersions())
 	})
 }
 
@@ -136,11 +136,11 @@
 			put(2, c.born, "v2")
 			assert.NotEmpty(t, u.Unavailable())
 			assert.Nil(t, p.Pick(Request{Service: "s", Version: "v1"}))
-			known, used := p.StreamVersions("s", time.Minute)
+			known, used := p.StreamVersions("s")
 			assert.Equal(t, []string{"v1", "v2"}, known)
 			assert.Equal(t, []string{"v1"}, used)
 			clock.Advance(versionGrace)
-			_, used = p.StreamVersions("s", time.Minute)
+			_, used = p.StreamVersions("s")
 			assert.Equal(t, []string{"v1", "v2"}, used)
 		})
 	}
