One version that is known alone is knowledge only where none can have been missed

What callers saw: a version was tried on one upstream and withdrawn while a node stood still.

Cause: a node that was in step, and whose record of versions before its start had been read, took the one version that it knew for the one that began the stream and asked nobody. Being in step says that it lacks nothing now. What came and went while it was frozen or cut off it has never seen: a read of the list, or a batch of events, shows what is there. Five ways lead there: a gap in what the node itself saw, a watch that was found behind, a watcher that had either of them, a process that starts where no record of the versions is stored, and a list that leaves out upstreams of other halls.

Change: a node knows until when it may have missed versions (follow.Step); for as long as streams of that time can be owed, it asks the stream's keepers. They answer with the versions of the service that they know, too, so that a stream nobody remembers is bound only where the versions of all who answered are one. A follower takes over what its watcher has missed. Each take-up has a line now (stream_version, by = alone, record, used, denied or unknown), and so has each time that may have been missed (versions_missed) and what others knew more (versions_heard). Nothing is asked for new streams.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -25,6 +25,10 @@
 		Watching: func() bool { return n.catalogFollower.Connected() && n.listFollower.Connected() },
 		Starting: func() bool { return n.isStarting() && n.mustWatch() },
 		Late:     n.lag.Late,
+		Step: func() (bool, time.Duration) {
+			v := n.sight()
+			return v.InStep, n.step.MissedAgo(n.clock.Now())
+		},
 		Catalog: func() ([]byte, int64) {
 			h := n.catalog.Load()
 			if h == nil {
@@ -111,11 +115,22 @@
 	n.follower.Apply(name, m, at)
 	if !m.More {
 		n.confirmed.Confirm(follow.ConfirmedAt(asked, m))
-		n.step.Confirm(follow.ConfirmedAt(asked, m))
+		n.confirmStep(name, follow.ConfirmedAt(asked, m), m)
 	}
 	return nil
 }
 
+// confirmStep records up to when a watcher's response has this node in step. What the watcher has missed, this node has, too.
+func (n *Node) confirmStep(name string, at time.Time, m *wire.FollowResponse) {
+	if m.OutOfStep {
+		return
+	}
+	n.noteMissed(name, n.step.Confirm(at))
+	if m.MissedAgoMs > 0 {
+		n.missVersions(name, time.Duration(m.MissedAgoMs)*time.Millisecond)
+	}
+}
+
 // Follow responds as soon as there is a change that the caller lacks.
 func (s *edgeService) Follow(ctx context.Context, r *connect.Request[wire.FollowRequest]) (*connect.Response[wire.FollowResponse], error) {
 	a, err := s.n.source.Await(ctx, r.Msg)
--- a/internal/edge/instep_test.go
+++ b/internal/edge/instep_test.go
@@ -16,8 +16,7 @@
 
 func assertInStep(t *testing.T, want bool, n *Node) {
 	t.Helper()
-	holds, _ := n.inStep()
-	assert.Equal(t, want, holds)
+	assert.Equal(t, want, n.sight().InStep)
 }
 
 // hearFrom lets a node hear from so many of its peers.
@@ -39,9 +38,32 @@
 		clock.Advance(time.Millisecond)
 		assertInStep(t, false, n)
 		hear(t, n, &wire.FollowResponse{Watching: true})
-		holds, steady := n.inStep()
-		assert.True(t, holds)
-		assert.False(t, steady, "what it has just heard of may be old")
+		v := n.sight()
+		assert.True(t, v.InStep)
+		assert.False(t, v.Steady, "what it has just heard of may be old")
+		assert.False(t, v.Whole, "it may have missed versions that came and went")
+	})
+	t.Run("a watcher that missed a while, or isn't in step", func(t *testing.T) {
+		n, clock := newAgingNode(t)
+		assert.True(t, n.sight().Whole)
+		clock.Advance(pool.MaxVersionLag)
+		hear(t, n, &wire.FollowResponse{Watching: true, MissedAgoMs: 60_000})
+		v := n.sight()
+		assert.True(t, v.InStep)
+		assert.False(t, v.Whole, "it has missed what its watcher has")
+		clock.Advance(pool.MaxVersionLag)
+		hear(t, n, &wire.FollowResponse{Watching: true, OutOfStep: true})
+		clock.Advance(pool.MaxVersionLag)
+		assertInStep(t, false, n)
+	})
+	t.Run("a watch that was behind", func(t *testing.T) {
+		n, clock := newAgingNode(t)
+		n.recordListChange("w", n.pools.Revision()+1)
+		clock.Advance(time.Second)
+		n.recordListChange("w", n.pools.Revision()+1)
+		clock.Advance(pool.MaxVersionLag)
+		hear(t, n, &wire.FollowResponse{Watching: true})
+		assert.False(t, n.sight().Whole)
 	})
 	t.Run("a watch that hangs", func(t *testing.T) {
 		n, clock := newAgingNode(t)
--- a/internal/edge/lineage.go
+++ b/internal/edge/lineage.go
@@ -23,7 +23,7 @@
 	n.savedStreams = handover.NewStreams(n.records(), n.clock, n.settings.Node)
 	return lineage.NewKeeper(lineage.Options{
 		Clock: n.clock, Log: n.log, Node: n.settings.Node, Nodes: n.streamKeepers, Tell: n.tellStreams, Ask: n.askStream,
-		InStep: func() bool { v, _ := n.inStep(); return v },
+		InStep: func() bool { return n.sight().InStep },
 		Saved:  lineage.Saved{Load: n.loadStreams, Save: n.savedStreams.Save, Interval: n.saveInterval, Needed: n.pools.MixesVersions},
 	})
 }
@@ -42,6 +42,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if len(versions) == 0 {
+		n.missVersions("no versions are stored", 0)
+	}
 	list, err := n.savedStreams.Load(ctx)
 	if err != nil {
 		return nil, err
@@ -82,15 +85,19 @@
 	return err
 }
 
-func (n *Node) askStream(ctx context.Context, node string, k lineage.Key) (version string, known bool, err error) {
+func (n *Node) askStream(ctx context.Context, node string, k lineage.Key, service string) (version string, known bool, err error) {
 	p, err := n.peerNamed(node)
 	if err != nil {
 		return "", false, err
 	}
-	a, err := n.peers.clientOf(p).FindStream(ctx, connect.NewRequest(&wire.FindStreamRequest{Key: uint64(k)}))
+	a, err := n.peers.clientOf(p).FindStream(ctx, connect.NewRequest(&wire.FindStreamRequest{Key: uint64(k), Service: service}))
 	if err != nil {
 		return "", false, err
 	}
+	if n.pools.HearVersions(service, message.VersionsFromWire(a.Msg.Versions)) {
+		n.log.Info("versions_heard", zap.String("service", service), zap.String("peer", node), zap.Any("versions", n.pools.LateVersionsOf(service)))
+		n.noteVersionsOf(service)
+	}
 	return a.Msg.Version, a.Msg.Known, nil
 }
 
@@ -117,23 +124,48 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
-	return connect.NewResponse(&wire.FindStreamResponse{Known: known, Version: v}), nil
+	a := &wire.FindStreamResponse{Known: known, Version: v}
+	if !known && r.Msg.Service != "" {
+		a.Versions = message.VersionsToWire(s.n.pools.LateVersionsOf(r.Msg.Service))
+	}
+	return connect.NewResponse(a), nil
 }
 
-// inStep reports whether this node is in step with the others, and whether it has been for a while.
-func (n *Node) inStep() (holds, steady bool) {
+// sight returns what this node has seen of the versions that may have begun streams.
+func (n *Node) sight() lineage.Sight {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.clock.Now()
 	if n.listFollower.Connected() {
-		n.step.ConfirmByStore(now, n.guard.Contact(), n.lag.Late())
+		n.noteMissed("store", n.step.ConfirmByStore(now, n.guard.Contact(), n.lag.Late()))
 	}
 	if _, lacks := n.lacksList.For(now); !lacks && n.view(now).HearsMost(follow.SignLimit) {
-		n.step.ConfirmByOthers(now, n.lag.Late())
+		n.noteMissed("peers", n.step.ConfirmByOthers(now, n.lag.Late()))
+	}
+	inStep := n.step.Holds(now)
+	return lineage.Sight{InStep: inStep, Steady: n.step.Steady(now), Whole: inStep && n.step.MissedAgo(now) == 0 && !n.partial.Load()}
+}
+
+// noteMissed logs that this node is in step again after a time in which it may have missed versions; 0: it can't have.
+func (n *Node) noteMissed(source string, missed time.Duration) {
+	if missed > 0 {
+		n.log.Info("versions_missed", zap.String("source", source), zap.Duration("for", missed), zap.Int64("revision", n.pools.Revision()))
+	}
+}
+
+// missVersions records that this node may have missed versions until some time ago, and why.
+func (n *Node) missVersions(source string, ago time.Duration) {
+	now := n.clock.Now()
+	if before := n.step.MissedAgo(now); before == 0 || before > ago+missedSlack {
+		n.log.Info("versions_missed", zap.String("source", source), zap.Duration("ago", ago), zap.Int64("revision", n.pools.Revision()))
 	}
-	return n.step.Holds(now), n.step.Steady(now)
+	n.step.Miss(now.Add(-ago))
 }
 
+// missedSlack is how much later a time in which versions were missed may seem to have ended without another line in the log:
+// the way of a message, and its rounding.
+const missedSlack = time.Second
+
 // noteVersions has the streams in progress told of services that have got another version.
 func (n *Node) noteVersions(changes []pool.Change) {
 	services := make(map[string]bool)
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -215,7 +215,7 @@
 		Clock: o.Clock, Log: o.Log, Dialect: o.Dialect, Pools: n.pools, Connections: n.lines, Ready: n.initialized, Catalog: n.currentCatalog,
 		ListAge: n.listAge, Place: n.placeByRelay, Charge: n.charge, Refund: n.refund, CountStarted: n.countStarted, RecordFirstAttempt: n.countFirstAttempt, AllowRetry: n.allowRetry, ReturnRetry: n.returnRetry, Late: n.lag.Late, ObserveResponse: n.observeResponse, Phase: n.stopPhase, Memory: n.newBudget(), Link: n.link, Quarantine: n.quarantine, MayProbe: n.holdsDuties, HallReachable: n.reachesHall,
 		Trials:  forward.Trials{Offer: n.offerTrial, Return: n.returnOffer, Record: n.recordResponse, Overtaken: n.recordOvertaken},
-		Lineage: forward.Lineage{Tell: n.streams.Tell, Find: n.streams.Find, AwaitVersions: n.streams.AwaitRestored, Step: n.inStep},
+		Lineage: forward.Lineage{Tell: n.streams.Tell, Find: n.streams.Find, AwaitVersions: n.streams.AwaitRestored, Sight: n.sight},
 	})
 	return n
 }
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -65,6 +65,7 @@
 				zap.Int64("revision", have), zap.Int64("change", n.lacksList.Newest()), zap.Duration("for", lacked))
 		}
 		n.listRestartedAt = now
+		n.missVersions("a watch that is behind", 0)
 		n.listFollower.Restart()
 		n.role.WatchItself(now)
 	}
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -39,6 +39,8 @@
 	Starting func() bool
 	// Late returns how late the node runs.
 	Late func() time.Duration
+	// Step reports whether the node is in step with the others, and how long ago it may last have missed versions (0: never).
+	Step func() (inStep bool, missedAgo time.Duration)
 	// Catalog returns the configuration in force as the operator wrote it, and its version; nil: none.
 	Catalog func() (raw []byte, version int64)
 }
@@ -73,8 +75,9 @@
 // answerAfter is Answer to a request that has been held since a time.
 func (s *Source) answerAfter(r *wire.FollowRequest, began time.Time) *wire.FollowResponse {
 	held, late := s.Clock.Since(began), s.Late()
+	inStep, missed := s.Step()
 	a := s.Answer(r)
-	a.HeldMs, a.LateMs = held.Milliseconds(), late.Milliseconds()
+	a.HeldMs, a.LateMs, a.OutOfStep, a.MissedAgoMs = held.Milliseconds(), late.Milliseconds(), !inStep, missed.Milliseconds()
 	return a
 }
 
--- a/internal/follow/step.go
+++ b/internal/follow/step.go
@@ -12,6 +12,9 @@
 // list that was complete less than that moment ago lacks none that has had any. While the store is away, a node is in step that
 // hears most others, none of which has a later list. One that has been frozen, or cut off from the store and the other nodes,
 // isn't until it has heard of what it missed.
+//
+// Being in step says that nothing is lacking now. What came and went while the node was out of step it has never seen: a version
+// that was tried and withdrawn meanwhile may have begun streams. So the node also knows since when its list was without a gap.
 
 // steadyAfter is how long after it got back into step a node no longer knows less than the others of the versions that
 // came meanwhile: to it they look new when they aren't.
@@ -28,32 +31,53 @@
 	since time.Time // since when it has been without a gap; zero: since it was first complete
 }
 
-// Confirm records that the list was complete at a time.
-func (s *Step) Confirm(at time.Time) {
+// Confirm records that the list was complete at a time. It returns for how long it may have missed versions, 0 if it can't.
+func (s *Step) Confirm(at time.Time) (missed time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !at.After(s.at) {
-		return
+		return 0
 	}
-	if !s.at.IsZero() && at.Sub(s.at) > pool.MaxVersionLag {
-		s.since = at
+	if d := at.Sub(s.at); !s.at.IsZero() && d > pool.MaxVersionLag {
+		s.since, missed = at, d
 	}
 	s.at = at
+	return missed
+}
+
+// Miss records that the node may have missed versions until a time.
+func (s *Step) Miss(until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if until.After(s.since) {
+		s.since = until
+	}
+}
+
+// MissedAgo returns how long ago the node may last have missed versions that can still be owed a stream; 0: it can't.
+func (s *Step) MissedAgo(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := now.Sub(s.since)
+	if s.since.IsZero() || d > pool.StreamsLast {
+		return 0
+	}
+	return max(time.Millisecond, d)
 }
 
 // ConfirmByStore records that the node watches the store, which was last known to be within reach at a time. What has arrived
 // since may not have been read by a process that runs late.
-func (s *Step) ConfirmByStore(now, contact time.Time, late time.Duration) {
+func (s *Step) ConfirmByStore(now, contact time.Time, late time.Duration) (missed time.Duration) {
 	if t := now.Add(-late); t.Before(contact) {
 		contact = t
 	}
-	s.Confirm(contact)
+	return s.Confirm(contact)
 }
 
 // ConfirmByOthers records that most of the other nodes have given a sign within SignLimit, and none has a later list. A process
 // that runs late takes old signs for new.
-func (s *Step) ConfirmByOthers(now time.Time, late time.Duration) {
-	s.Confirm(now.Add(-max(SignLimit, late)))
+func (s *Step) ConfirmByOthers(now time.Time, late time.Duration) (missed time.Duration) {
+	return s.Confirm(now.Add(-max(SignLimit, late)))
 }
 
 // Age returns for how long the list hasn't been known to be complete.
--- a/internal/follow/step_test.go
+++ b/internal/follow/step_test.go
@@ -64,4 +64,19 @@
 		s.Confirm(back.Add(steadyAfter))
 		assertStep(t, true, true, s, back.Add(steadyAfter))
 	})
+	t.Run("what it may have missed", func(t *testing.T) {
+		s := &Step{}
+		assert.Zero(t, s.Confirm(start))
+		assert.Zero(t, s.MissedAgo(start), "nothing since the first list")
+		assert.Zero(t, s.Confirm(start.Add(pool.MaxVersionLag)))
+		back := start.Add(time.Minute)
+		assert.Equal(t, time.Minute-pool.MaxVersionLag, s.Confirm(back))
+		assert.Equal(t, time.Second, s.MissedAgo(back.Add(time.Second)))
+		assert.Equal(t, pool.StreamsLast, s.MissedAgo(back.Add(pool.StreamsLast)))
+		assert.Zero(t, s.MissedAgo(back.Add(pool.StreamsLast+1)), "streams of that time are over")
+		s.Miss(back.Add(-time.Second))
+		assert.Equal(t, time.Second, s.MissedAgo(back.Add(time.Second)), "an earlier one changes nothing")
+		s.Miss(back.Add(time.Minute))
+		assert.Equal(t, time.Millisecond, s.MissedAgo(back.Add(time.Minute)), "until this moment")
+	})
 }
--- a/internal/forward/lineage.go
+++ b/internal/forward/lineage.go
@@ -20,11 +20,11 @@
 type Lineage struct {
 	// Tell makes the version that began a stream known to other nodes.
 	Tell func(r lineage.Record)
-	// Find returns the version that began a stream, if a node knows it.
-	Find func(ctx context.Context, k lineage.Key) lineage.Found
-	// Step reports whether this node is in step with the others, so that it lacks no version that they use, and whether it has
-	// been for so long (steady) that it has known each for as long as they have.
-	Step func() (inStep, steady bool)
+	// Find returns the version that began a stream which is to go on at a service, if a node knows it. What others know of the
+	// service's versions is known here from then on.
+	Find func(ctx context.Context, k lineage.Key, service string) lineage.Found
+	// Sight returns what this node has seen of the versions that may have begun streams.
+	Sight func() lineage.Sight
 	// AwaitVersions waits for a moment until it is known which versions served before this process started, and reports
 	// whether it is.
 	AwaitVersions func(ctx context.Context) bool
@@ -84,55 +84,95 @@
 	return min(left+lineageSlack, lineage.MaxTime)
 }
 
-// bindVersion binds a stream that its caller takes up to the version that began it.
+// bindVersion binds a stream that its caller takes up to the version that began it. Where one version alone is known, that is
+// knowledge only if this node can't have missed another one since the stream began. Else it asks those who remember the stream.
 func (s *Server) bindVersion(ctx context.Context, q *request) error {
 	if !q.resumesStream() {
 		return nil
 	}
 	complete := s.o.Lineage.AwaitVersions(ctx)
-	inStep, steady := s.o.Lineage.Step()
+	sight := s.o.Lineage.Sight()
 	known, used := s.o.Pools.StreamVersions(q.service)
-	if inStep && complete && len(known) == 0 {
+	b := binding{complete: complete, sight: sight, known: known, used: used}
+	switch whole := sight.Whole && complete; {
+	case whole && len(known) == 0:
 		return s.giveUp(q, noUpstream(q), nil)
-	}
-	if inStep && complete && len(known) == 1 {
+	case whole && len(known) == 1:
 		q.version, q.onlyVersion = known[0], true // another one may arrive before its last attempt
+		b.version, b.by = known[0], boundAlone
+		s.logBinding(q, b)
 		return nil
 	}
-	found := lineage.Found{Lost: true}
+	return s.bindUnseen(ctx, q, b)
+}
+
+// boundBy is how it is known which version began a stream.
+type boundBy string
+
+const (
+	boundAlone   boundBy = "alone"   // there is no other
+	boundRecord  boundBy = "record"  // a node remembers the stream
+	boundUsed    boundBy = "used"    // no other has had requests
+	boundDenied  boundBy = "denied"  // those who would remember a stream of another one don't
+	boundUnknown boundBy = "unknown" // it isn't known
+)
+
+// binding is a decision which version a stream that is taken up goes on at, and what it rests on.
+type binding struct {
+	version     string
+	by          boundBy
+	complete    bool // it is known which versions served before this process
+	sight       lineage.Sight
+	found       lineage.Found
+	known, used []string
+}
+
+// bindUnseen binds a stream that may have begun at a version which this node doesn't know.
+func (s *Server) bindUnseen(ctx context.Context, q *request, b binding) error {
+	b.found = lineage.Found{Lost: true}
 	if q.meta.Resumes != "" {
-		found = s.o.Lineage.Find(ctx, q.streamKey())
+		b.found = s.o.Lineage.Find(ctx, q.streamKey(), q.service)
+		b.known, b.used = s.o.Pools.StreamVersions(q.service) // others may have known of more
 	}
-	if !found.Known && complete {
-		found.Version, found.Known = onlyVersion(steady, found.Denied && !inStep, known, used)
+	b.version, b.by = b.found.Version, boundRecord
+	if !b.found.Known {
+		b.version, b.by = "", boundUnknown
+		if b.complete {
+			b.version, b.by = onlyVersion(b.sight, b.found.Denied, b.known, b.used)
+		}
 	}
-	s.o.Log.Info("stream_version", zap.String("request", q.meta.ID), zap.String("resumes", q.meta.Resumes), zap.String("service", q.service), zap.Bool("known", found.Known), zap.Bool("lost", found.Lost), zap.Bool("complete", complete),
-		zap.Bool("in_step", inStep), zap.Bool("steady", steady), zap.Bool("denied", found.Denied), zap.String("version", found.Version), zap.Strings("versions", known), zap.Strings("used", used))
-	if !found.Known {
+	s.logBinding(q, b)
+	if b.by == boundUnknown {
 		count("versions_unknown", 1)
 		r := &rejection{status: http.StatusServiceUnavailable, reason: "nobody knows which version of the service began the stream", retry: retryAfterFailure}
-		if found.Lost {
+		if b.found.Lost {
 			r.retry = retryAfterLost
 		}
 		return r
 	}
-	q.version = found.Version
+	q.version = b.version
 	s.tell(q, q.version) // for as long as its caller may come again, also where this attempt is refused
 	return nil
 }
 
-// onlyVersion returns the only version that can have begun a stream that nobody knows, if there is one. A node that has known
-// the versions for as long as the others (steady) goes by those that have had requests. To another one, used ones may look
-// new. One that is out of step may lack some: it needs to know of one alone, and other nodes that deny to know the stream.
-// They are told of each stream while there are several versions.
-func onlyVersion(steady, denied bool, known, used []string) (string, bool) {
+func (s *Server) logBinding(q *request, b binding) {
+	s.o.Log.Info("stream_version", zap.String("request", q.meta.ID), zap.String("resumes", q.meta.Resumes), zap.String("service", q.service),
+		zap.Bool("known", b.by != boundUnknown), zap.String("version", b.version), zap.String("by", string(b.by)), zap.Bool("lost", b.found.Lost), zap.Bool("denied", b.found.Denied), zap.Bool("complete", b.complete),
+		zap.Bool("in_step", b.sight.InStep), zap.Bool("steady", b.sight.Steady), zap.Bool("whole", b.sight.Whole), zap.Strings("versions", b.known), zap.Strings("used", b.used))
+}
+
+// onlyVersion returns the only version that can have begun a stream that nobody remembers, if there is one. A node that can't
+// have missed any goes by those that have had requests. Another one needs others that deny to know the stream and have said
+// which versions they know: they are told of each stream while there are several. To a node that hasn't known the versions for
+// as long as they have (steady), used ones may look new.
+func onlyVersion(v lineage.Sight, denied bool, known, used []string) (string, boundBy) {
 	switch {
-	case steady && len(used) == 1:
-		return used[0], true // no other has begun a stream yet
-	case denied && len(known) == 1:
-		return known[0], true
+	case len(used) == 1 && v.Steady && (v.Whole || denied):
+		return used[0], boundUsed
+	case len(known) == 1 && denied:
+		return known[0], boundDenied
 	}
-	return "", false
+	return "", boundUnknown
 }
 
 // startTellDelay is how long after a request was sent its stream's version is told: some round trips, in which an upstream
--- a/internal/forward/race_test.go
+++ b/internal/forward/race_test.go
@@ -93,7 +93,7 @@
 			Offer: func(string, string) bool { return false }, Return: func(string, string) {}, Record: func(string, string, int, rollout.Response) {},
 			Overtaken: func(string, rollout.Silence) {},
 		},
-		Lineage: Lineage{Tell: func(lineage.Record) {}, Step: func() (bool, bool) { return true, true }},
+		Lineage: Lineage{Tell: func(lineage.Record) {}, Sight: func() lineage.Sight { return lineage.Sight{InStep: true, Steady: true, Whole: true} }},
 		Dialect: call.Dialect{
 			ReadMeta:   func(http.Header) call.Meta { return call.Meta{ID: "1", Credential: "key"} },
 			WriteOrder: func(h http.Header, o call.Order) { h.Set("Last-Event-Id", o.LastEvent) },
--- a/internal/lineage/keeper.go
+++ b/internal/lineage/keeper.go
@@ -53,8 +53,8 @@
 	InStep func() bool
 	// Tell tells another node of streams.
 	Tell func(ctx context.Context, node string, list []Record) error
-	// Ask asks another node for a stream.
-	Ask func(ctx context.Context, node string, k Key) (version string, known bool, err error)
+	// Ask asks another node for a stream that is to go on at a service, and hears which versions that one knows.
+	Ask func(ctx context.Context, node string, k Key, service string) (version string, known bool, err error)
 	Saved
 }
 
@@ -192,6 +192,13 @@
 	k.o.Log.Info("streams_untold", zap.String("peer", node), zap.Int("streams", len(list)), zap.String("cause", err.Error()))
 }
 
+// Sight is what a node has seen of the versions that may have begun streams.
+type Sight struct {
+	InStep bool // it lacks none that others use
+	Steady bool // it is in step, and has been for so long that it has known each for as long as they have
+	Whole  bool // it is in step, and can't have missed one that came and went since the oldest stream began
+}
+
 // Found is what is known of a stream.
 type Found struct {
 	Version string // that began it
@@ -203,8 +210,8 @@
 }
 
 // Find returns the version that began a stream, if this node or one of the stream's keepers knows it. It asks again while
-// some of them don't answer.
-func (k *Keeper) Find(ctx context.Context, x Key) Found {
+// some of them don't answer. Those that don't know it say which versions of the service may have begun it.
+func (k *Keeper) Find(ctx context.Context, x Key, service string) Found {
 	if v, ok := k.Version(x); ok {
 		return Found{Version: v, Known: true}
 	}
@@ -212,7 +219,7 @@
 	defer cancel()
 	answered, others := 0, 0
 	for names := Asked(x, Candidates(k.o.Nodes())); answered < findTries; names = AskedWidely(x, k.o.Nodes()) {
-		v, ok, asked, all := k.ask(c, x, names)
+		v, ok, asked, all := k.ask(c, x, service, names)
 		if ok {
 			events.Add("found", 1)
 			return Found{Version: v, Known: true}
@@ -238,14 +245,14 @@
 }
 
 // ask asks nodes that may know a stream, and returns how many others it asked and whether all of them answered.
-func (k *Keeper) ask(c context.Context, x Key, names []string) (version string, known bool, asked int, all bool) {
+func (k *Keeper) ask(c context.Context, x Key, service string, names []string) (version string, known bool, asked int, all bool) {
 	answers := make(chan answer, len(names))
 	for _, name := range names {
 		if name == k.o.Node {
 			continue
 		}
 		asked++
-		go func() { answers <- k.askNode(c, name, x) }()
+		go func() { answers <- k.askNode(c, name, x, service) }()
 	}
 	all = true
 	for range asked {
@@ -259,10 +266,10 @@
 	return version, known, asked, all && k.isRestored()
 }
 
-func (k *Keeper) askNode(c context.Context, name string, x Key) answer {
+func (k *Keeper) askNode(c context.Context, name string, x Key, service string) answer {
 	t, cancel := context.WithTimeout(c, askTimeout)
 	defer cancel()
-	v, known, err := k.o.Ask(t, name, x)
+	v, known, err := k.o.Ask(t, name, x, service)
 	if err != nil && !errors.Is(context.Cause(c), context.Canceled) { // another one has answered
 		k.o.Log.Info("find_failed", zap.String("peer", name), zap.String("cause", err.Error()))
 	}
--- a/internal/lineage/keeper_test.go
+++ b/internal/lineage/keeper_test.go
@@ -49,7 +49,7 @@
 			f.keeper(node).Hear(list)
 			return nil
 		},
-		Ask: func(_ context.Context, node string, x Key) (string, bool, error) {
+		Ask: func(_ context.Context, node string, x Key, _ string) (string, bool, error) {
 			if f.isSilent(node) {
 				return "", false, errSilent
 			}
@@ -123,7 +123,7 @@
 func (f *keeperFleet) assertFound(t *testing.T, want bool, node string, k Key) {
 	t.Helper()
 	began := time.Now()
-	v := f.keeper(node).Find(t.Context(), k)
+	v := f.keeper(node).Find(t.Context(), k, "s")
 	assert.Equal(t, want, v.Known)
 	if v.Known {
 		assert.Equal(t, "v1.1", v.Version)
@@ -191,23 +191,23 @@
 	t.Run("a node that is out of step can't deny that it knows a stream", func(t *testing.T) {
 		f := newKeeperFleet(t, 2, 1)
 		k := KeyOf("w", "unknown")
-		assert.Equal(t, Found{Lost: true, Denied: true}, f.keeper("n0-0").Find(t.Context(), k))
+		assert.Equal(t, Found{Lost: true, Denied: true}, f.keeper("n0-0").Find(t.Context(), k, "s"))
 		f.setBehind("n0-0")
-		assert.Equal(t, Found{Lost: true, Denied: true}, f.keeper("n0-0").Find(t.Context(), k), "the one that asks may be")
+		assert.Equal(t, Found{Lost: true, Denied: true}, f.keeper("n0-0").Find(t.Context(), k, "s"), "the one that asks may be")
 		f.setBehind("n1-0")
-		assert.Equal(t, Found{}, f.keeper("n0-0").Find(t.Context(), k))
+		assert.Equal(t, Found{}, f.keeper("n0-0").Find(t.Context(), k, "s"))
 		f.keeper("n1-0").Hear([]Record{{Key: k, Version: "v1.1", Left: time.Minute}})
 		f.assertFound(t, true, "n0-0", k)
 	})
 	t.Run("nobody denies a stream who isn't asked", func(t *testing.T) {
 		f := newKeeperFleet(t, 1, 1)
-		assert.Equal(t, Found{Lost: true}, f.keeper("n0-0").Find(t.Context(), KeyOf("w", "unknown")))
+		assert.Equal(t, Found{Lost: true}, f.keeper("n0-0").Find(t.Context(), KeyOf("w", "unknown"), "s"))
 	})
 	t.Run("a caller that leaves ends the search", func(t *testing.T) {
 		f := newKeeperFleet(t, 2, 1)
 		c, cancel := context.WithCancel(t.Context())
 		cancel()
-		assert.False(t, f.keeper("n0-0").Find(c, KeyOf("w", "x")).Known)
+		assert.False(t, f.keeper("n0-0").Find(c, KeyOf("w", "x"), "s").Known)
 	})
 }
 
--- a/internal/lineage/leave_test.go
+++ b/internal/lineage/leave_test.go
@@ -98,7 +98,7 @@
 		f.leave(t, all[4].Name)
 		found := 0
 		for i := range streams {
-			if f.keeper(all[1].Name).Find(t.Context(), KeyOf("w", fmt.Sprint(i))).Known {
+			if f.keeper(all[1].Name).Find(t.Context(), KeyOf("w", fmt.Sprint(i)), "s").Known {
 				found++
 			}
 		}
--- a/internal/lineage/saved_test.go
+++ b/internal/lineage/saved_test.go
@@ -161,14 +161,14 @@
 	time.Sleep(2 * loadRetryPause)
 	t.Run("all answer", func(t *testing.T) {
 		began := time.Now()
-		assert.Equal(t, Found{Lost: true, Denied: true}, f.keeper("n0-0").Find(t.Context(), k))
+		assert.Equal(t, Found{Lost: true, Denied: true}, f.keeper("n0-0").Find(t.Context(), k, "s"))
 		assert.Less(t, time.Since(began), findTimeout/2)
 	})
 	t.Run("some may know yet", func(t *testing.T) {
 		m.setDown(true)
 		f.restartAll(t)
 		assert.False(t, f.keeper("n0-0").AwaitRestored(t.Context()))
-		assert.Equal(t, Found{}, f.keeper("n0-0").Find(t.Context(), k))
+		assert.Equal(t, Found{}, f.keeper("n0-0").Find(t.Context(), k, "s"))
 	})
 }
 
--- a/internal/message/streams.go
+++ b/internal/message/streams.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"spurhall.example/spurhall/internal/lineage"
+	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/wire"
 )
 
@@ -24,3 +25,28 @@
 	}
 	return list
 }
+
+// VersionsToWire converts the versions of a service that may have begun streams.
+func VersionsToWire(list []pool.LateVersion) []*wire.LateVersion {
+	m := make([]*wire.LateVersion, 0, len(list))
+	for _, v := range list {
+		m = append(m, &wire.LateVersion{Version: v.Version, GoneAgoMs: v.GoneAgo.Milliseconds()})
+	}
+	return m
+}
+
+// VersionsFromWire is the inverse of VersionsToWire. It leaves out what can't be: names without an end, times to come.
+func VersionsFromWire(m []*wire.LateVersion) []pool.LateVersion {
+	list := make([]pool.LateVersion, 0, min(len(m), maxVersions))
+	for _, v := range m[:min(len(m), maxVersions)] {
+		if ms := v.GetGoneAgoMs(); ms >= 0 && ms <= pool.StreamsLast.Milliseconds() && len(v.GetVersion()) <= maxVersionName {
+			list = append(list, pool.LateVersion{Version: v.GetVersion(), GoneAgo: time.Duration(ms) * time.Millisecond})
+		}
+	}
+	return list
+}
+
+const (
+	maxVersions    = 64  // of one service in a message
+	maxVersionName = 256 // bytes
+)
--- a/internal/pool/lineage.go
+++ b/internal/pool/lineage.go
@@ -75,6 +75,66 @@
 	}
 }
 
+// LateVersion is a version that may have begun streams.
+type LateVersion struct {
+	Version string
+	GoneAgo time.Duration // since its last upstream was dropped; 0: one is listed
+}
+
+// LateVersionsOf returns the versions of one service's software that may have begun streams, in order.
+func (p *Pools) LateVersionsOf(service string) []LateVersion {
+	known, _ := p.StreamVersions(service)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list, now := make([]LateVersion, 0, len(known)), p.clock.Now()
+	for _, v := range known {
+		l := LateVersion{Version: v}
+		if !p.listsVersion(service, v) {
+			l.GoneAgo = max(time.Millisecond, now.Sub(p.versionsLost[service][v]))
+		}
+		list = append(list, l)
+	}
+	return list
+}
+
+// listsVersion reports whether upstreams of a version are listed.
+func (p *Pools) listsVersion(service, version string) bool {
+	for g := range p.counts {
+		if g.Service == service && g.Version == version {
+			return true
+		}
+	}
+	return false
+}
+
+// HearVersions records versions of a service that another node knows, and reports whether this one didn't. A version that has
+// gone may have had requests; one that is listed there will be listed here, and is new.
+func (p *Pools) HearVersions(service string, list []LateVersion) (added bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	if p.versions[service] == nil {
+		p.versions[service] = make(map[string]time.Time)
+	}
+	for _, v := range list {
+		lost := now.Add(-v.GoneAgo)
+		if v.GoneAgo > StreamsLast || p.listsVersion(service, v.Version) {
+			continue
+		}
+		first, known := p.versions[service][v.Version]
+		if known && !p.versionsLost[service][v.Version].Before(lost) {
+			continue
+		}
+		if !known && v.GoneAgo == 0 {
+			first = now
+		}
+		p.versions[service][v.Version] = first
+		p.recordVersionLost(lost, Entry{Service: service, Version: v.Version})
+		added = true
+	}
+	return added
+}
+
 // StreamVersions returns the versions of a service's software of which upstreams are listed, or were within StreamsLast, and
 // those of them that may have begun streams: a version that is new to the service gets no requests for a moment
 // (versionGrace), which is longer than nodes differ in when they hear of it.
--- a/internal/pool/lineage_test.go
+++ b/internal/pool/lineage_test.go
@@ -145,3 +145,23 @@
 		})
 	}
 }
+
+func TestHearVersions(t *testing.T) {
+	assertVersions := func(t *testing.T, p *Pools, known, used []string) {
+		t.Helper()
+		k, u := p.StreamVersions("s")
+		assert.Equal(t, known, k)
+		assert.Equal(t, used, u)
+	}
+	p, c := newVersions(t) // v1, and v2 which is new
+	assert.False(t, p.HearVersions("s", p.LateVersionsOf("s")), "it has them all")
+	assert.False(t, p.HearVersions("s", []LateVersion{{"v0", StreamsLast + 1}}))
+	assert.True(t, p.HearVersions("s", []LateVersion{{"v0", time.Minute}, {"v3", 0}}))
+	assertVersions(t, p, []string{"v0", "v1", "v2", "v3"}, []string{"v0", "v1"})
+	assert.False(t, p.HearVersions("s", []LateVersion{{"v0", 2 * time.Minute}}))
+	list := p.LateVersionsOf("s")
+	assert.Equal(t, []LateVersion{{"v0", time.Minute}, {"v1", 0}, {"v2", 0}}, list[:3])
+	c.Advance(StreamsLast - time.Minute + time.Second)
+	assertVersions(t, p, []string{"v1", "v2", "v3"}, []string{"v1", "v2", "v3"})
+	assert.True(t, p.HearVersions("t", []LateVersion{{"v0", time.Minute}}), "a service that isn't listed")
+}
