Versions that come and go within one batch of events are remembered

What callers could see: streams joined from two versions at a node that was in step all the while. Read from the code and shown as decisions, not seen on real nodes.

Cause: which versions there were was recorded from the list as it stood after an update. An entry that is put and removed, or written over with another version and back, within one batch of events left no trace, though nodes that read these events one by one may have sent it requests: at once if they knew the version, however long ago that was, since a version was new to a node only once.

Change: an update records each version that an entry had in it. A version that comes back after it was forgotten is new again, so that it gets no requests for the moment in which other nodes hear of it.

Evidence: TestVersionThatComesAndGoesWithinOneUpdateIsNeverKnown (three of three cases) and TestForgottenVersionComesBackAsKnown failed before, and pass.

--- a/internal/pool/lineage.go
+++ b/internal/pool/lineage.go
@@ -135,6 +135,25 @@
 	return added
 }
 
+// isForgotten reports whether a version counts no longer as one that may have begun streams. One that comes back after that is
+// new, as it is to nodes that never knew it.
+func (p *Pools) isForgotten(now time.Time, e Entry) bool {
+	at, lost := p.versionsLost[e.Service][e.Version]
+	return lost && now.Sub(at) > StreamsLast && !p.listsVersion(e.Service, e.Version)
+}
+
+// recordSeen records the versions that entries had in an update, also those that came and went within it.
+func (p *Pools) recordSeen(now time.Time, seen map[serviceVersion]bool) {
+	for v := range seen {
+		e := Entry{Service: v.service, Version: v.version}
+		if p.listsVersion(v.service, v.version) {
+			continue // recorded as its upstream was listed
+		}
+		p.recordVersion(now, e)
+		p.recordVersionLost(now, e)
+	}
+}
+
 // StreamVersions returns the versions of a service's software of which upstreams are listed, or were within StreamsLast, and
 // those of them that may have begun streams: a version that is new to the service gets no requests for a moment
 // (versionGrace), which is longer than nodes differ in when they hear of it.
--- a/internal/pool/lineage_test.go
+++ b/internal/pool/lineage_test.go
@@ -146,6 +146,59 @@
 	}
 }
 
+// TestVersionThatComesAndGoesWithinOneUpdateIsNeverKnown guards against entries that change more than once within a batch of
+// events: which versions they had in between was never recorded.
+func TestVersionThatComesAndGoesWithinOneUpdateIsNeverKnown(t *testing.T) {
+	item := func(revision int64, id, version string) Item {
+		return Item{Revision: revision, Entry: Entry{ID: id, Service: "s", Address: id, Hall: "h", Version: version, Slots: 8}}
+	}
+	for _, c := range []struct {
+		name   string
+		update func(now time.Time, l *List)
+	}{
+		{"put and removed", func(now time.Time, l *List) { l.Put(item(2, "b", "v2")); l.Remove(now, 3, "b") }},
+		{"written over and back", func(_ time.Time, l *List) { l.Put(item(2, "a", "v2")); l.Put(item(3, "a", "v1")) }},
+		{"put and unreadable", func(_ time.Time, l *List) { l.Put(item(2, "b", "v2")); l.MarkUnreadable(3, "b") }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			clock := timer.NewManual(time.Unix(1000, 0))
+			p := New(clock.Service(), "n", "h")
+			p.Update(func(l *List) { l.Put(item(1, "a", "v1")) })
+			p.Update(func(l *List) { c.update(clock.Service().Now(), l) })
+			known, _ := p.StreamVersions("s")
+			assert.Equal(t, []string{"v1", "v2"}, known)
+			clock.Advance(StreamsLast + time.Second)
+			known, _ = p.StreamVersions("s")
+			assert.Equal(t, []string{"v1"}, known)
+		})
+	}
+}
+
+// TestForgottenVersionComesBackAsKnown guards against a version that gets requests at once from nodes that knew it long ago,
+// while others may not have heard of it.
+func TestForgottenVersionComesBackAsKnown(t *testing.T) {
+	p, c := newVersions(t)
+	c.Advance(versionGrace)
+	p.Update(func(l *List) { l.Remove(c.Service().Now(), 3, "b") })
+	list := func(revision int64) {
+		p.Update(func(l *List) {
+			l.Put(Item{Revision: revision, Entry: Entry{ID: "b", Service: "s", Address: "b", Hall: "h", Version: "v2", Slots: 8}})
+		})
+	}
+	c.Advance(StreamsLast)
+	list(4)
+	_, used := p.StreamVersions("s")
+	assert.Equal(t, []string{"v1", "v2"}, used, "it hasn't been forgotten")
+	p.Update(func(l *List) { l.Remove(c.Service().Now(), 5, "b") })
+	c.Advance(StreamsLast + time.Second)
+	list(6)
+	_, used = p.StreamVersions("s")
+	assert.Equal(t, []string{"v1"}, used)
+	c.Advance(versionGrace)
+	_, used = p.StreamVersions("s")
+	assert.Equal(t, []string{"v1", "v2"}, used)
+}
+
 func TestHearVersions(t *testing.T) {
 	assertVersions := func(t *testing.T, p *Pools, known, used []string) {
 		t.Helper()
--- a/internal/pool/list.go
+++ b/internal/pool/list.go
@@ -59,15 +59,21 @@
 	dropped    map[string]dropped           // by id: dropped entries as last listed
 	ended      map[string]bool              // ids of which an incarnation has ended since the last takeEnded
 	touched    map[string]bool              // ids whose entry may have changed since the last takeTouched
+	seen       map[serviceVersion]bool      // versions that entries had since the last takeSeen and may have no longer
 	revision   int64
 	lastChange int64     // revision of the newest change applied
 	now        time.Time // time of the latest update or expiry
 	graceUntil time.Time // entries that disappear before this time are kept as missing
 }
 
+// serviceVersion is a version of a service's software.
+type serviceVersion struct {
+	service, version string
+}
+
 // NewList returns an empty list.
 func NewList() *List {
-	return &List{items: make(map[string]Item), missing: make(map[string]time.Time), past: make(map[string][]pastIncarnation), unreadable: make(map[string]int64), dropped: make(map[string]dropped), ended: make(map[string]bool), touched: make(map[string]bool)}
+	return &List{items: make(map[string]Item), missing: make(map[string]time.Time), past: make(map[string][]pastIncarnation), unreadable: make(map[string]int64), dropped: make(map[string]dropped), ended: make(map[string]bool), touched: make(map[string]bool), seen: make(map[serviceVersion]bool)}
 }
 
 // Revision returns the store's revision up to which the list is complete.
@@ -168,6 +174,10 @@
 	}
 	delete(l.unreadable, e.ID)
 	l.touched[e.ID] = true
+	l.seen[serviceVersion{e.Service, e.Version}] = true
+	if ok {
+		l.seen[serviceVersion{old.Entry.Service, old.Entry.Version}] = true
+	}
 	switch {
 	case ok && v.startsIncarnation(old):
 		l.recordPast(old)
@@ -232,6 +242,17 @@
 	return m
 }
 
+// takeSeen returns the versions that entries had since the last call: an entry may be written and removed, or written over,
+// within one batch of changes, and upstreams of its version may have had requests from nodes that read these one by one.
+func (l *List) takeSeen() map[serviceVersion]bool {
+	if len(l.seen) == 0 {
+		return nil
+	}
+	m := l.seen
+	l.seen = make(map[serviceVersion]bool)
+	return m
+}
+
 // Remove applies the deletion of an entry at a revision.
 func (l *List) Remove(now time.Time, revision int64, id string) {
 	l.lastChange = max(l.lastChange, revision)
--- a/internal/pool/split.go
+++ b/internal/pool/split.go
@@ -76,7 +76,7 @@
 		v = make(map[string]time.Time)
 		p.versions[e.Service] = v
 	}
-	if _, ok := v[e.Version]; ok {
+	if _, ok := v[e.Version]; ok && !p.isForgotten(now, e) {
 		return
 	}
 	if len(v) == 0 || !p.listRead {
--- a/internal/pool/update.go
+++ b/internal/pool/update.go
@@ -64,6 +64,7 @@
 	for id := range ended {
 		p.forgetIncarnation(id)
 	}
+	p.recordSeen(u.now, p.list.takeSeen())
 	u.updateServices()
 	if drawn := u.resizeParts(); len(drawn) > 0 {
 		ids = append(ids, drawn...)
