A node that may have missed versions asks others which they know

What callers saw: with the commit before, callers who name no stream (no Resumes) were refused for ten minutes at a node that may have missed versions, though one alone serves, since nobody can be asked for such a stream.

Change: a node in step again asks others for all versions that they know, and again each second until it knows: from one that has missed nothing, or from all that may remember streams (24 at most, whatever the size of the fleet). A version that nobody saw has begun no stream. A stream that is named is still looked for first. Lists that leave out upstreams of other halls come with the versions of those services.

Evidence: TestCallersWhoNameNoStreamAreRefusedAfterAGap on real nodes; TestMissed and TestOnlyVersion for the decisions; 8 s of FuzzMessages.

--- a/internal/edge/lineage.go
+++ b/internal/edge/lineage.go
@@ -94,13 +94,51 @@
 	if err != nil {
 		return "", false, err
 	}
-	if n.pools.HearVersions(service, message.VersionsFromWire(a.Msg.Versions)) {
-		n.log.Info("versions_heard", zap.String("service", service), zap.String("peer", node), zap.Any("versions", n.pools.LateVersionsOf(service)))
-		n.noteVersionsOf(service)
-	}
+	n.hearVersions(node, pool.ServiceVersions{Service: service, Versions: message.VersionsFromWire(a.Msg.Versions)})
 	return a.Msg.Version, a.Msg.Known, nil
 }
 
+// newMissed returns what asks other nodes for the versions that this one may have missed.
+func (n *Node) newMissed() *follow.Missed {
+	return &follow.Missed{
+		Clock: n.clock, Log: n.log, Step: &n.step, Ask: n.askVersions,
+		Nodes: func() []string { return lineage.Others(n.settings.Node, n.streamKeepers()) },
+	}
+}
+
+// askVersions hears which versions another node knows.
+func (n *Node) askVersions(ctx context.Context, node string) (whole bool, err error) {
+	p, err := n.peerNamed(node)
+	if err != nil {
+		return false, err
+	}
+	a, err := n.peers.clientOf(p).LateVersions(ctx, connect.NewRequest(&wire.LateVersionsRequest{}))
+	if err != nil {
+		return false, err
+	}
+	for _, v := range message.ServiceVersionsFromWire(a.Msg.Services) {
+		n.hearVersions(node, v)
+	}
+	return a.Msg.Whole, nil
+}
+
+// LateVersions returns the versions that this node knows.
+func (s *edgeService) LateVersions(context.Context, *connect.Request[wire.LateVersionsRequest]) (*connect.Response[wire.LateVersionsResponse], error) {
+	if !s.n.listed.Load() {
+		return nil, connect.NewError(connect.CodeUnavailable, errNoUpdates)
+	}
+	a := &wire.LateVersionsResponse{Whole: s.n.sight().Whole, Services: message.ServiceVersionsToWire(s.n.pools.AllLateVersions())}
+	return connect.NewResponse(a), nil
+}
+
+// hearVersions records the versions of a service that another node knows.
+func (n *Node) hearVersions(node string, v pool.ServiceVersions) {
+	if n.pools.HearVersions(v.Service, v.Versions) {
+		n.log.Info("versions_heard", zap.String("service", v.Service), zap.String("peer", node), zap.Any("versions", n.pools.LateVersionsOf(v.Service)))
+		n.noteVersionsOf(v.Service)
+	}
+}
+
 // peerNamed returns another node that can be called; errNoUpdates: there is none of that name.
 func (n *Node) peerNamed(name string) (*peer, error) {
 	n.mu.Lock()
@@ -143,7 +181,7 @@
 		n.noteMissed("peers", n.step.ConfirmByOthers(now, n.lag.Late()))
 	}
 	inStep := n.step.Holds(now)
-	return lineage.Sight{InStep: inStep, Steady: n.step.Steady(now), Whole: inStep && n.step.MissedAgo(now) == 0 && !n.partial.Load()}
+	return lineage.Sight{InStep: inStep, Steady: n.step.Steady(now), Whole: inStep && n.step.MissedAgo(now) == 0, Heard: n.step.Heard()}
 }
 
 // noteMissed logs that this node is in step again after a time in which it may have missed versions; 0: it can't have.
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -123,6 +123,7 @@
 	follower          *follow.Follower
 	confirmed         follow.Confirmation // of the upstream list
 	step              follow.Step
+	missed            *follow.Missed
 	catchUps          follow.CatchUps
 	lag               *lag.Monitor
 	load              *peerload.Meter // of calls between nodes
@@ -209,7 +210,7 @@
 	n.era = o.Era
 	n.era.OnRise(n.onEraRise)
 	n.kv = n.guard.Wrap(store.WithEra(o.KV, o.Era))
-	n.streams = n.newStreamKeeper()
+	n.streams, n.missed = n.newStreamKeeper(), n.newMissed()
 	n.lease = lease.New(n.kv, o.Clock, dutyKey, s.Node, max(s.LeaseTTL, s.Store.MinLease))
 	n.front = forward.NewServer(forward.Options{
 		Clock: o.Clock, Log: o.Log, Dialect: o.Dialect, Pools: n.pools, Connections: n.lines, Ready: n.initialized, Catalog: n.currentCatalog,
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -105,6 +105,9 @@
 // Apply applies the response of a node.
 func (f *Follower) Apply(name string, m *wire.FollowResponse, p *Position) {
 	f.applyMembers(m, p)
+	for _, v := range message.ServiceVersionsFromWire(m.Versions) {
+		f.Pools.HearVersions(v.Service, v.Versions)
+	}
 	switch {
 	case m.HasPart:
 		f.applyPart(name, m, p)
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -99,7 +99,9 @@
 		return a
 	}
 	a.ListRevision = s.Pools.Revision()
-	a.Partial = r.TakesPart && s.Pools.IsPartial()
+	if a.Partial = r.TakesPart && s.Pools.IsPartial(); a.Partial {
+		a.Versions = message.ServiceVersionsToWire(s.Pools.PartialLateVersions())
+	}
 	switch {
 	case !r.TakesChanges:
 		a.HasList, a.List = true, message.ItemsToWire(s.Pools.Items())
--- a/internal/follow/step.go
+++ b/internal/follow/step.go
@@ -29,6 +29,7 @@
 	mu    sync.Mutex
 	at    time.Time // up to which the list was complete
 	since time.Time // since when it has been without a gap; zero: since it was first complete
+	heard time.Time // when others were last asked for the versions that they know, and all said it, or one that has missed none
 }
 
 // Confirm records that the list was complete at a time. It returns for how long it may have missed versions, 0 if it can't.
@@ -80,6 +81,22 @@
 	return s.Confirm(now.Add(-max(SignLimit, late)))
 }
 
+// Hear records that what was missed before a time is known from others.
+func (s *Step) Hear(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at.After(s.heard) {
+		s.heard = at
+	}
+}
+
+// Heard reports whether what the node has missed is known from others.
+func (s *Step) Heard() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.heard.Before(s.since)
+}
+
 // Age returns for how long the list hasn't been known to be complete.
 func (s *Step) Age(now time.Time) time.Duration {
 	s.mu.Lock()
--- a/internal/forward/lineage.go
+++ b/internal/forward/lineage.go
@@ -113,7 +113,7 @@
 	boundAlone   boundBy = "alone"   // there is no other
 	boundRecord  boundBy = "record"  // a node remembers the stream
 	boundUsed    boundBy = "used"    // no other has had requests
-	boundDenied  boundBy = "denied"  // those who would remember a stream of another one don't
+	boundDenied  boundBy = "denied"  // others know none either, or would remember a stream of it and don't
 	boundUnknown boundBy = "unknown" // it isn't known
 )
 
@@ -158,18 +158,19 @@
 func (s *Server) logBinding(q *request, b binding) {
 	s.o.Log.Info("stream_version", zap.String("request", q.meta.ID), zap.String("resumes", q.meta.Resumes), zap.String("service", q.service),
 		zap.Bool("known", b.by != boundUnknown), zap.String("version", b.version), zap.String("by", string(b.by)), zap.Bool("lost", b.found.Lost), zap.Bool("denied", b.found.Denied), zap.Bool("complete", b.complete),
-		zap.Bool("in_step", b.sight.InStep), zap.Bool("steady", b.sight.Steady), zap.Bool("whole", b.sight.Whole), zap.Strings("versions", b.known), zap.Strings("used", b.used))
+		zap.Bool("in_step", b.sight.InStep), zap.Bool("steady", b.sight.Steady), zap.Bool("whole", b.sight.Whole), zap.Bool("heard", b.sight.Heard), zap.Strings("versions", b.known), zap.Strings("used", b.used))
 }
 
-// onlyVersion returns the only version that can have begun a stream that nobody remembers, if there is one. A node that can't
-// have missed any goes by those that have had requests. Another one needs others that deny to know the stream and have said
-// which versions they know: they are told of each stream while there are several. To a node that hasn't known the versions for
-// as long as they have (steady), used ones may look new.
+// onlyVersion returns the only version that can have begun a stream that nobody remembers, if there is one. A node goes by those
+// that have had requests if it can't have missed any, or knows from others what it has missed. Else it needs others that deny to
+// know the stream, and have said which versions they know: they are told of each stream while there are several. To a node that
+// hasn't known the versions for as long as others have (steady), used ones may look new.
 func onlyVersion(v lineage.Sight, denied bool, known, used []string) (string, boundBy) {
+	seen := v.Whole || v.InStep && v.Heard
 	switch {
-	case len(used) == 1 && v.Steady && (v.Whole || denied):
+	case len(used) == 1 && v.Steady && (seen || denied):
 		return used[0], boundUsed
-	case len(known) == 1 && denied:
+	case len(known) == 1 && (seen || denied):
 		return known[0], boundDenied
 	}
 	return "", boundUnknown
--- a/internal/forward/lineage_test.go
+++ b/internal/forward/lineage_test.go
@@ -26,6 +26,9 @@
 		{"others deny the stream to a node that lacks no version that they know", lineage.Sight{}, true, one, one, "v1"},
 		{"nobody else can be asked", lineage.Sight{}, false, one, one, ""},
 		{"nobody else can be asked by a node that missed a while", steady, false, one, one, ""},
+		{"which has heard from others what it missed", lineage.Sight{InStep: true, Heard: true}, false, one, one, "v1"},
+		{"which has heard of another version", lineage.Sight{InStep: true, Heard: true}, true, two, one, ""},
+		{"which has heard and is out of step again", lineage.Sight{Heard: true}, false, one, one, ""},
 		{"none is known", lineage.Sight{}, true, none, none, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/lineage/keeper.go
+++ b/internal/lineage/keeper.go
@@ -197,6 +197,7 @@
 	InStep bool // it lacks none that others use
 	Steady bool // it is in step, and has been for so long that it has known each for as long as they have
 	Whole  bool // it is in step, and can't have missed one that came and went since the oldest stream began
+	Heard  bool // what it has missed is known from others
 }
 
 // Found is what is known of a stream.
--- a/internal/lineage/lineage.go
+++ b/internal/lineage/lineage.go
@@ -15,8 +15,10 @@
 // is awaited, and its request stays at that version from then on. A process that starts doesn't know which versions served before: the holder of the duties stores them, and
 // until they are read, no stream is taken up there.
 //
-// A node that is out of step with the others (package follow) may lack a version that they use. It asks them though it knows of
-// one alone, and takes nothing up that they can't answer for.
+// A node that is out of step with the others (package follow) may lack a version that they use, and one that was may have missed
+// one that came and went. It asks them though it knows of one alone, for as long as streams of that time can be owed. It also asks
+// them, once, which versions they know: a stream that nobody remembers goes on only where the versions that are known together
+// are one.
 //
 // A stream that nobody knows of is refused once two versions have had requests: all nodes that knew of it ended before they
 // could tell or store it, or its keepers can't be reached.
@@ -230,6 +232,13 @@
 	return list
 }
 
+// Others returns the nodes that are asked which versions served: as many as for a stream, in an order drawn from the name of the
+// one that asks.
+func Others(self string, nodes []Node) []string {
+	list := AskedWidely(KeyOf(self, ""), nodes)
+	return slices.DeleteFunc(list, func(name string) bool { return name == self })
+}
+
 func keepers(k Key, nodes []Node, perHall int) []string {
 	halls := top{most: keeperHalls}
 	for _, n := range nodes {
--- a/internal/message/fuzz_test.go
+++ b/internal/message/fuzz_test.go
@@ -54,6 +54,8 @@
 	seed(&wire.Group{Relay: "r", Version: 1, Speeds: part})
 	seed(&wire.GatherResponse{Version: 7, Speeds: []*wire.Speed{{Upstream: "u", Speed: -1, Weight: -1}, {Upstream: "u", Speed: 1e30}}})
 	seed(&wire.ListItem{Id: "u", Service: "s", Slots: -8, WarmUpMs: -1, Born: -1})
+	late := []*wire.LateVersion{{Version: "v", GoneAgoMs: -1}, {Version: "v", GoneAgoMs: 1 << 62}, {Version: "v1"}}
+	seed(&wire.LateVersionsResponse{Whole: true, Services: []*wire.ServiceVersions{{Service: "s", Versions: late}, nil}})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		clock := timer.NewManual(time.Unix(1000, 0))
 		now := clock.Service().Now()
@@ -95,6 +97,15 @@
 			assert.GreaterOrEqual(t, v.Entry.Slots, 0)
 			p.Update(func(l *pool.List) { l.Put(v) })
 		}
+		var l wire.LateVersionsResponse
+		if proto.Unmarshal(b, &l) == nil {
+			for _, v := range ServiceVersionsFromWire(l.Services) {
+				p.HearVersions(v.Service, v.Versions)
+			}
+			for _, v := range p.AllLateVersions() {
+				assert.NotEmpty(t, v.Versions)
+			}
+		}
 		p.UpdateSpeeds()
 		for _, v := range p.States("") {
 			assert.True(t, v.Speed >= 0 && v.Speed < 4 && v.SpeedEvidence >= 0, "%+v", v)
--- a/internal/message/streams.go
+++ b/internal/message/streams.go
@@ -46,6 +46,24 @@
 	return list
 }
 
+// ServiceVersionsToWire converts the versions of services that may have begun streams.
+func ServiceVersionsToWire(list []pool.ServiceVersions) []*wire.ServiceVersions {
+	m := make([]*wire.ServiceVersions, 0, len(list))
+	for _, v := range list {
+		m = append(m, &wire.ServiceVersions{Service: v.Service, Versions: VersionsToWire(v.Versions)})
+	}
+	return m
+}
+
+// ServiceVersionsFromWire is the inverse of ServiceVersionsToWire.
+func ServiceVersionsFromWire(m []*wire.ServiceVersions) []pool.ServiceVersions {
+	list := make([]pool.ServiceVersions, 0, len(m))
+	for _, v := range m {
+		list = append(list, pool.ServiceVersions{Service: v.GetService(), Versions: VersionsFromWire(v.GetVersions())})
+	}
+	return list
+}
+
 const (
 	maxVersions    = 64  // of one service in a message
 	maxVersionName = 256 // bytes
--- a/internal/pool/keep.go
+++ b/internal/pool/keep.go
@@ -1,6 +1,10 @@
 package pool
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // This file decides which upstreams a node that doesn't watch the store is sent: all of its own hall, and of each
 // other hall a part of a large service. Callers are served by upstreams of the hall where they arrive, as long as
@@ -96,13 +100,18 @@
 }
 
 // IsPartial reports whether nodes that don't watch the store are sent only a part of the list.
-func (p *Pools) IsPartial() bool {
+func (p *Pools) IsPartial() bool { return len(p.partialServices()) > 0 }
+
+// partialServices returns the services of which other halls have more upstreams than are kept, in order.
+func (p *Pools) partialServices() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, v := range p.parts {
+	var list []string
+	for k, v := range p.parts {
 		if v.bits > 0 {
-			return true
+			list = append(list, k.service)
 		}
 	}
-	return false
+	slices.Sort(list)
+	return slices.Compact(list)
 }
--- a/internal/pool/lineage.go
+++ b/internal/pool/lineage.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -97,6 +98,30 @@
 	return list
 }
 
+// ServiceVersions are the versions of a service's software that may have begun streams.
+type ServiceVersions struct {
+	Service  string
+	Versions []LateVersion
+}
+
+// AllLateVersions returns those of all services, in order.
+func (p *Pools) AllLateVersions() []ServiceVersions {
+	return p.lateVersionsOf(slices.Sorted(maps.Keys(p.LateVersions())))
+}
+
+// PartialLateVersions returns those of the services of which nodes of this hall that don't watch the store are sent a part.
+func (p *Pools) PartialLateVersions() []ServiceVersions {
+	return p.lateVersionsOf(p.partialServices())
+}
+
+func (p *Pools) lateVersionsOf(services []string) []ServiceVersions {
+	list := make([]ServiceVersions, 0, len(services))
+	for _, s := range services {
+		list = append(list, ServiceVersions{Service: s, Versions: p.LateVersionsOf(s)})
+	}
+	return list
+}
+
 // listsVersion reports whether upstreams of a version are listed.
 func (p *Pools) listsVersion(service, version string) bool {
 	for g := range p.counts {
--- a/internal/wire/wireconnect/edge.connect.go
+++ b/internal/wire/wireconnect/edge.connect.go
@@ -59,6 +59,8 @@
 	EdgeTellStreamsProcedure = "/spurhall.v1.Edge/TellStreams"
 	// EdgeFindStreamProcedure is the fully-qualified name of the Edge's FindStream RPC.
 	EdgeFindStreamProcedure = "/spurhall.v1.Edge/FindStream"
+	// EdgeLateVersionsProcedure is the fully-qualified name of the Edge's LateVersions RPC.
+	EdgeLateVersionsProcedure = "/spurhall.v1.Edge/LateVersions"
 )
 
 // EdgeClient is a client for the spurhall.v1.Edge service.
@@ -74,6 +76,7 @@
 	Follow(context.Context, *connect.Request[wire.FollowRequest]) (*connect.Response[wire.FollowResponse], error)
 	TellStreams(context.Context, *connect.Request[wire.TellStreamsRequest]) (*connect.Response[wire.TellStreamsResponse], error)
 	FindStream(context.Context, *connect.Request[wire.FindStreamRequest]) (*connect.Response[wire.FindStreamResponse], error)
+	LateVersions(context.Context, *connect.Request[wire.LateVersionsRequest]) (*connect.Response[wire.LateVersionsResponse], error)
 }
 
 // NewEdgeClient constructs a client for the spurhall.v1.Edge service. By default, it uses the
@@ -153,22 +156,29 @@
 			connect.WithSchema(edgeMethods.ByName("FindStream")),
 			connect.WithClientOptions(opts...),
 		),
+		lateVersions: connect.NewClient[wire.LateVersionsRequest, wire.LateVersionsResponse](
+			httpClient,
+			baseURL+EdgeLateVersionsProcedure,
+			connect.WithSchema(edgeMethods.ByName("LateVersions")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // edgeClient implements EdgeClient.
 type edgeClient struct {
-	gather      *connect.Client[wire.GatherRequest, wire.GatherResponse]
-	place       *connect.Client[wire.PlaceRequest, wire.PlaceResponse]
-	swap        *connect.Client[wire.SwapRequest, wire.SwapResponse]
-	report      *connect.Client[wire.ReportRequest, wire.ReportResponse]
-	catchUp     *connect.Client[wire.CatchUpRequest, wire.CatchUpResponse]
-	rollouts    *connect.Client[wire.RolloutsRequest, wire.RolloutsResponse]
-	store       *connect.Client[wire.StoreRequest, wire.StoreResponse]
-	upstreams   *connect.Client[wire.UpstreamsRequest, wire.UpstreamsResponse]
-	follow      *connect.Client[wire.FollowRequest, wire.FollowResponse]
-	tellStreams *connect.Client[wire.TellStreamsRequest, wire.TellStreamsResponse]
-	findStream  *connect.Client[wire.FindStreamRequest, wire.FindStreamResponse]
+	gather       *connect.Client[wire.GatherRequest, wire.GatherResponse]
+	place        *connect.Client[wire.PlaceRequest, wire.PlaceResponse]
+	swap         *connect.Client[wire.SwapRequest, wire.SwapResponse]
+	report       *connect.Client[wire.ReportRequest, wire.ReportResponse]
+	catchUp      *connect.Client[wire.CatchUpRequest, wire.CatchUpResponse]
+	rollouts     *connect.Client[wire.RolloutsRequest, wire.RolloutsResponse]
+	store        *connect.Client[wire.StoreRequest, wire.StoreResponse]
+	upstreams    *connect.Client[wire.UpstreamsRequest, wire.UpstreamsResponse]
+	follow       *connect.Client[wire.FollowRequest, wire.FollowResponse]
+	tellStreams  *connect.Client[wire.TellStreamsRequest, wire.TellStreamsResponse]
+	findStream   *connect.Client[wire.FindStreamRequest, wire.FindStreamResponse]
+	lateVersions *connect.Client[wire.LateVersionsRequest, wire.LateVersionsResponse]
 }
 
 // Gather calls spurhall.v1.Edge.Gather.
@@ -226,6 +236,11 @@
 	return c.findStream.CallUnary(ctx, req)
 }
 
+// LateVersions calls spurhall.v1.Edge.LateVersions.
+func (c *edgeClient) LateVersions(ctx context.Context, req *connect.Request[wire.LateVersionsRequest]) (*connect.Response[wire.LateVersionsResponse], error) {
+	return c.lateVersions.CallUnary(ctx, req)
+}
+
 // EdgeHandler is an implementation of the spurhall.v1.Edge service.
 type EdgeHandler interface {
 	Gather(context.Context, *connect.Request[wire.GatherRequest]) (*connect.Response[wire.GatherResponse], error)
@@ -239,6 +254,7 @@
 	Follow(context.Context, *connect.Request[wire.FollowRequest]) (*connect.Response[wire.FollowResponse], error)
 	TellStreams(context.Context, *connect.Request[wire.TellStreamsRequest]) (*connect.Response[wire.TellStreamsResponse], error)
 	FindStream(context.Context, *connect.Request[wire.FindStreamRequest]) (*connect.Response[wire.FindStreamResponse], error)
+	LateVersions(context.Context, *connect.Request[wire.LateVersionsRequest]) (*connect.Response[wire.LateVersionsResponse], error)
 }
 
 // NewEdgeHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -314,6 +330,12 @@
 		connect.WithSchema(edgeMethods.ByName("FindStream")),
 		connect.WithHandlerOptions(opts...),
 	)
+	edgeLateVersionsHandler := connect.NewUnaryHandler(
+		EdgeLateVersionsProcedure,
+		svc.LateVersions,
+		connect.WithSchema(edgeMethods.ByName("LateVersions")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/spurhall.v1.Edge/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case EdgeGatherProcedure:
@@ -338,6 +360,8 @@
 			edgeTellStreamsHandler.ServeHTTP(w, r)
 		case EdgeFindStreamProcedure:
 			edgeFindStreamHandler.ServeHTTP(w, r)
+		case EdgeLateVersionsProcedure:
+			edgeLateVersionsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -390,3 +414,7 @@
 func (UnimplementedEdgeHandler) FindStream(context.Context, *connect.Request[wire.FindStreamRequest]) (*connect.Response[wire.FindStreamResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("spurhall.v1.Edge.FindStream is not implemented"))
 }
+
+func (UnimplementedEdgeHandler) LateVersions(context.Context, *connect.Request[wire.LateVersionsRequest]) (*connect.Response[wire.LateVersionsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("spurhall.v1.Edge.LateVersions is not implemented"))
+}
