--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -143,7 +143,12 @@
 
 // runRounds reports to the peers until the context ends.
 func (n *Node) runRounds(ctx context.Context) {
-	n.clock.Every(ctx, pair.Round, func(now time.Time) { n.reportRound(ctx, now); n.sight(); n.missed.Check(ctx, now); n.front.TellNewStreams(now) })
+	n.clock.Every(ctx, pair.Round, func(now time.Time) {
+		n.reportRound(ctx, now)
+		n.sight()
+		n.missed.Check(ctx, now)
+		n.front.TellNewStreams(now)
+	})
 }
 
 func (n *Node) reportRound(ctx context.Context, now time.Time) {
