The end of a connection isn't that of a body while the request is on its way

What callers saw: an upstream that answers a long upload at once, without a length, sends a part of the body and resets the connection while the upload is being written: that part as a complete answer, also through another node's tunnel and as a stream that ends between two events.

Cause: a reset is told once, to whichever call comes first. If a write is told, the read that follows sees an end, and the end of the connection is how a body without a length is whole. The transport's own failed write closes the connection, but the reader may be there first. A connection that is closed in order amid the upload looks whole each time.

Change: package reply has the client's side of that for all clients (upstreams, other nodes, the platform, the store's gateway): a connection knows how much of the request was given to it, and asks the kernel how much of it the other side has acknowledged when reading ends. Where there is no socket to ask, no write may have failed or be in progress. A body without a length is whole only if all of its request had arrived; one that has a length or chunks is sound as before. A tunnel passes an end on as a regular one only if all that it had sent there had arrived. No clock and no waiting is in it.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -15,6 +15,7 @@
 	"spurhall.example/spurhall/internal/pair"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/quota"
+	"spurhall.example/spurhall/internal/reply"
 	"spurhall.example/spurhall/internal/rollout"
 	"spurhall.example/spurhall/internal/roster"
 	"spurhall.example/spurhall/internal/usage"
@@ -83,10 +84,10 @@
 	d := &net.Dialer{Timeout: reportTimeout}
 	return &peerTable{
 		n: n, peers: make(map[string]*peer),
-		keepAlive: &http.Client{Transport: n.load.Transport(&http.Transport{
+		keepAlive: &http.Client{Transport: n.load.Transport(reply.NewTransport(&http.Transport{
 			DialContext: d.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: message.MaxHeader,
-		})},
-		oneShot: &http.Client{Transport: n.load.Transport(&http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: message.MaxHeader})},
+		}))},
+		oneShot: &http.Client{Transport: n.load.Transport(reply.NewTransport(&http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: message.MaxHeader}))},
 	}
 }
 
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -15,6 +15,7 @@
 	"spurhall.example/spurhall/internal/claim"
 	"spurhall.example/spurhall/internal/config"
 	"spurhall.example/spurhall/internal/member"
+	"spurhall.example/spurhall/internal/reply"
 	"spurhall.example/spurhall/internal/route"
 	"spurhall.example/spurhall/internal/wire"
 	"spurhall.example/spurhall/internal/wire/wireconnect"
@@ -64,6 +65,9 @@
 	if t == nil {
 		t = &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: 60 * time.Second}
 	}
+	if h, ok := t.(*http.Transport); ok {
+		t = reply.NewTransport(h)
+	}
 	return &peers{n: n, http: &http.Client{Transport: t}, byID: make(map[string]*peer), urgent: make(chan struct{}, 1)}
 }
 
--- a/internal/store/cloud.go
+++ b/internal/store/cloud.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"spurhall.example/spurhall/internal/fault"
+	"spurhall.example/spurhall/internal/reply"
 )
 
 // Role is the purpose of a VM.
@@ -90,7 +91,7 @@
 
 // NewCloud returns a client of the cloud API at base, such as "http://127.0.0.1:2379".
 func NewCloud(base string, timeout time.Duration) Cloud {
-	h := &cloudClient{base: strings.TrimSuffix(base, "/"), client: &http.Client{Timeout: timeout}}
+	h := &cloudClient{base: strings.TrimSuffix(base, "/"), client: &http.Client{Timeout: timeout, Transport: reply.NewTransport(&http.Transport{})}}
 	return Cloud{
 		VMs: func(ctx context.Context) ([]VM, error) {
 			var r []VM
--- a/internal/store/gateway.go
+++ b/internal/store/gateway.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"spurhall.example/spurhall/internal/fault"
+	"spurhall.example/spurhall/internal/reply"
 	"spurhall.example/spurhall/internal/timer"
 )
 
@@ -34,7 +35,7 @@
 		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
 		MaxIdleConnsPerHost: 8,
 	}
-	return &Gateway{base: strings.TrimSuffix(base, "/"), client: &http.Client{Transport: t}, timeout: timeout, clock: clock}
+	return &Gateway{base: strings.TrimSuffix(base, "/"), client: &http.Client{Transport: reply.NewTransport(t)}, timeout: timeout, clock: clock}
 }
 
 // KV returns the gateway's calls.
--- a/internal/tunnel/frame.go
+++ b/internal/tunnel/frame.go
@@ -8,6 +8,7 @@
 	"net"
 	"syscall"
 
+	"spurhall.example/spurhall/internal/reply"
 	"spurhall.example/spurhall/internal/upstream"
 )
 
@@ -85,6 +86,9 @@
 	return CloseWrite(c.Conn)
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *framedConn) SyscallConn() (syscall.RawConn, error) { return reply.Socket(c.Conn) }
+
 // SetLinger sets how a close treats bytes that aren't sent yet.
 func (c *framedConn) SetLinger(sec int) error { return upstream.SetLinger(c.Conn, sec) }
 
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -21,6 +21,7 @@
 	"github.com/joomcode/errorx"
 
 	"spurhall.example/spurhall/internal/fault"
+	"spurhall.example/spurhall/internal/reply"
 	"spurhall.example/spurhall/internal/timer"
 	"spurhall.example/spurhall/internal/upstream"
 )
@@ -135,6 +136,9 @@
 // SetLinger sets how a close treats bytes that aren't sent yet.
 func (c *conn) SetLinger(sec int) error { return upstream.SetLinger(c.Conn, sec) }
 
+// SyscallConn implements syscall.Conn.
+func (c *conn) SyscallConn() (syscall.RawConn, error) { return reply.Socket(c.Conn) }
+
 // CloseWrite ends the direction to the far end.
 func (c *conn) CloseWrite() error { return CloseWrite(c.Conn) }
 
@@ -181,6 +185,7 @@
 		reset(near, far)
 		return err
 	}
+	far = reply.NewConn(far)
 	defer context.AfterFunc(ctx, func() { reset(near, far) })()
 	var g sync.WaitGroup
 	var late error
@@ -235,7 +240,7 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			if CloseWrite(to) != nil { // it can't be told, or is over: the tunnel is over, too
+			if endAfter(from, to) != nil { // it can't be told, or is over: the tunnel is over, too
 				reset(from, to)
 			}
 			return nil
@@ -246,6 +251,17 @@
 	}
 }
 
+// endAfter ends a direction whose other connection has ended. It isn't a regular end if not all that was sent there had arrived:
+// a reset that a write was told of looks like an end to a read.
+func endAfter(from, to net.Conn) error {
+	v, asks := from.(*reply.Conn)
+	f, frames := to.(*framedConn)
+	if asks && frames && !v.Delivered() {
+		return CloseWrite(f.Conn)
+	}
+	return CloseWrite(to)
+}
+
 // CloseWrite ends the direction to the peer, as (*net.TCPConn).CloseWrite does; errors.ErrUnsupported: the connection
 // can't end one direction alone.
 func CloseWrite(c net.Conn) error {
--- a/internal/uplink/conn.go
+++ b/internal/uplink/conn.go
@@ -4,7 +4,9 @@
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 
+	"spurhall.example/spurhall/internal/reply"
 	"spurhall.example/spurhall/internal/tunnel"
 	"spurhall.example/spurhall/internal/upstream"
 )
@@ -24,6 +26,9 @@
 	return k, err
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *directConn) SyscallConn() (syscall.RawConn, error) { return reply.Socket(c.Conn) }
+
 // SetLinger sets how a close treats bytes that aren't sent yet.
 func (c *directConn) SetLinger(sec int) error { return upstream.SetLinger(c.Conn, sec) }
 
@@ -41,6 +46,9 @@
 	return &peerConn{Conn: c, closed: sync.OnceFunc(func() { u.countUsed(peer, -1) })}
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *peerConn) SyscallConn() (syscall.RawConn, error) { return reply.Socket(c.Conn) }
+
 // SetLinger sets how a close treats bytes that aren't sent yet.
 func (c *peerConn) SetLinger(sec int) error { return upstream.SetLinger(c.Conn, sec) }
 
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -35,6 +35,7 @@
 	"github.com/joomcode/errorx"
 
 	"spurhall.example/spurhall/internal/fault"
+	"spurhall.example/spurhall/internal/reply"
 	"spurhall.example/spurhall/internal/timer"
 )
 
@@ -66,7 +67,7 @@
 // conn counts each write before it starts, and can be sealed against further writes. It records whether
 // its peer has closed or reset the connection.
 type conn struct {
-	net.Conn
+	*reply.Conn
 	mu      sync.Mutex
 	writes  int
 	sealed  bool
@@ -80,7 +81,7 @@
 }
 
 func newConn(v net.Conn) *conn {
-	c := &conn{Conn: v}
+	c := &conn{Conn: reply.NewConn(v)}
 	c.changed.L = &c.mu
 	return c
 }
@@ -377,7 +378,7 @@
 		}
 		s.Body, s.GetBody = oneShotBody{b}, nil
 	}
-	a, err := c.transport.RoundTrip(s)
+	a, err := reply.RoundTrip(c.transport, s)
 	if err == nil && u.gotEarly() {
 		_ = a.Body.Close()
 		return nil, fault.Because(ErrNotSent, "a response was there before the request")
--- a/internal/upstream/transport_test.go
+++ b/internal/upstream/transport_test.go
@@ -128,7 +128,7 @@
 	for _, guarded := range []bool{true, false} {
 		a, b := net.Pipe()
 		go func() { _, _ = bufio.NewReader(b).ReadByte() }()
-		c := &conn{Conn: a}
+		c := newConn(a)
 		u := &connUse{conns: []*conn{c}, writesBefore: []int{0}, seal: guarded}
 		assert.False(t, u.wrote())
 		_, err := c.Write([]byte("x"))
