A response whose status is none is refused wherever responses are read

What callers saw: where an upstream answered 000, 001, 099 or +20, the caller's connection ended without any answer (handler_failed); 600 to 999, which are no status of HTTP either, and other protocols' versions were passed on.

Cause: net/http takes any number of three characters for a status, and the node wrote it on.

Change: reply.Check says which status ends an exchange (200 to 599, of three digits, HTTP/1), for the responses of upstreams on all routes and the own interface, of other nodes, of the platform, of the store's gateway, and to CONNECT. An attempt that gets none has failed: it counts against the upstream, its connection is closed, and its caller gets 502, or the response of another upstream where the request may run again. Two blanks before a status are let pass, as RFC 9112 (section 4) allows.

--- /dev/null
+++ b/internal/reply/check_test.go
@@ -0,0 +1,69 @@
+package reply
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// get reads what a server sends in place of a response.
+func get(t *testing.T, answer string) (status int, body string, err error) {
+	t.Helper()
+	address := earlyServer(t, func(c *net.TCPConn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			_, _ = io.WriteString(c, answer)
+		}
+	})
+	r, err := http.NewRequest(http.MethodGet, "http://"+address+"/", nil)
+	require.NoError(t, err)
+	a, err := NewTransport(&http.Transport{DisableKeepAlives: true}).RoundTrip(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = a.Body.Close() }()
+	b, err := io.ReadAll(a.Body)
+	return a.StatusCode, string(b), err
+}
+
+// TestResponsesThatAreNone guards against what net/http takes for a response, for all who read one through this package.
+func TestResponsesThatAreNone(t *testing.T) {
+	const length = "Content-Length: 2\r\n\r\nok"
+	for name, answer := range map[string]string{
+		"status 000":       "HTTP/1.1 000 OK\r\n" + length,
+		"status +20":       "HTTP/1.1 +20 OK\r\n" + length,
+		"status 600":       "HTTP/1.1 600 OK\r\n" + length,
+		"status 101":       "HTTP/1.1 101 OK\r\n\r\n",
+		"another protocol": "HTTP/2.0 200 OK\r\n" + length,
+	} {
+		t.Run(name, func(t *testing.T) {
+			status, body, err := get(t, answer)
+			assert.Error(t, err, "%d %q", status, body)
+		})
+	}
+	t.Run("a sound one", func(t *testing.T) {
+		status, body, err := get(t, "HTTP/1.1 200 OK\r\nX-A: b \xe9\tc\r\n"+length)
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusOK, status)
+		assert.Equal(t, "ok", body)
+	})
+}
+
+// FuzzCheck reads arbitrary bytes as a response. What passes has a status that ends an exchange, and fields with names.
+func FuzzCheck(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nX A: b\r\nContent-Length: 0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 +20 OK\r\nX : b\r\n\r\nok"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX A: b\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		a, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(b)), nil)
+		if err != nil || Check(a) != nil {
+			return
+		}
+		assert.True(t, a.StatusCode >= 200 && a.StatusCode < 600, "%d", a.StatusCode)
+	})
+}
--- a/internal/reply/transport.go
+++ b/internal/reply/transport.go
@@ -34,6 +34,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := Check(a); err != nil {
+		_ = a.Body.Close()
+		return nil, err
+	}
 	if a.Body != http.NoBody {
 		a.Body = &body{ReadCloser: a.Body, a: a, w: &w}
 	}
@@ -95,12 +99,20 @@
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF && !framed(b.a) && !b.w.endedAnswered() { //nolint:errorlint // an end is never wrapped
-		return n, errEnded
+	if err == io.EOF { //nolint:errorlint // an end is never wrapped
+		err = b.checkEnd()
 	}
 	return n, err
 }
 
+// checkEnd returns io.EOF if the body has ended as it should.
+func (b *body) checkEnd() error {
+	if !framed(b.a) && !b.w.endedAnswered() {
+		return errEnded
+	}
+	return io.EOF
+}
+
 // framed reports whether a response has a length or chunks.
 func framed(a *http.Response) bool { return a.ContentLength >= 0 || len(a.TransferEncoding) > 0 }
 
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -105,6 +105,9 @@
 	if err != nil {
 		return nil, nil, fault.Because(ErrUnavailable, "%v", err)
 	}
+	if err := reply.Check(a); err != nil {
+		return nil, nil, fault.Because(ErrUnavailable, "%v", err)
+	}
 	l.N = math.MaxInt64 // what follows is the tunnel's
 	switch a.StatusCode {
 	case http.StatusOK:
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -1,6 +1,7 @@
 package tunnel
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -198,3 +199,21 @@
 		assert.NotErrorIs(t, err, ErrUnavailable, "that would be an answer")
 	})
 }
+
+// TestAnswerToConnectThatIsNone guards against tunnels that are opened by an answer which isn't one.
+func TestAnswerToConnectThatIsNone(t *testing.T) {
+	for _, answer := range []string{
+		"HTTP/1.1 +20 OK\r\n\r\n",
+		"HTTP/2.0 200 OK\r\n\r\n",
+	} {
+		t.Run(answer, func(t *testing.T) {
+			near, other := net.Pipe()
+			go func() {
+				_, _ = http.ReadRequest(bufio.NewReader(other))
+				_, _ = io.WriteString(other, answer)
+			}()
+			_, err := Open(t.Context(), near, "127.0.0.1:1")
+			assert.ErrorIs(t, err, ErrUnavailable)
+		})
+	}
+}
