A head or trailer with a field name that is none is refused

What callers saw: with a blank in a field's name anywhere in the head, in an interim response before it, in a trailer behind it, or in an error, they got the response, that line with it. Where the name was the length's, bytes that are no body came as the whole body.

Cause: net/http passes a blank in a name, and keeps the field under that name. One that says the length isn't seen then, and the body ends with the connection.

Change: reply.CheckFields, in the same place as the check of the status, for heads, interim heads and trailers. Names are tokens (RFC 9110, section 5.1), values have no control bytes but tabs. A line that goes on with a blank is let pass, joined by one, and so are bytes beyond ASCII in values.

--- a/internal/reply/check.go
+++ b/internal/reply/check.go
@@ -28,7 +28,7 @@
 	case a.StatusCode < minStatus || a.StatusCode > maxStatus || !hasThreeDigits(a.Status):
 		return fault.Because(ErrMalformed, "its status is %q", shorten(a.Status))
 	}
-	return nil
+	return CheckFields(a.Header)
 }
 
 // hasThreeDigits reports whether a status line's status begins with a number of three digits.
@@ -37,6 +37,36 @@
 	return len(code) == 3 && strings.Trim(code, "0123456789") == ""
 }
 
+// CheckFields returns ErrMalformed if a field of a head or a trailer has a name or a value that is none.
+func CheckFields(h http.Header) error {
+	for name, values := range h {
+		if !isToken(name) {
+			return fault.Because(ErrMalformed, "it has a field named %q", shorten(name))
+		}
+		for _, v := range values {
+			if strings.ContainsFunc(v, isControl) {
+				return fault.Because(ErrMalformed, "the value of its field %s has a control byte", shorten(name))
+			}
+		}
+	}
+	return nil
+}
+
+// isToken reports whether a field may have a name.
+func isToken(name string) bool {
+	for i := range len(name) {
+		c := name[i]
+		letter := 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9'
+		if !letter && !strings.ContainsRune("!#$%&'*+-.^_`|~", rune(c)) {
+			return false
+		}
+	}
+	return name != ""
+}
+
+// isControl reports whether a rune is a control character that a value may not have.
+func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
+
 // maxQuoted bounds what is quoted of a head in an error, in bytes.
 const maxQuoted = 64
 
--- a/internal/reply/check_test.go
+++ b/internal/reply/check_test.go
@@ -35,11 +35,19 @@
 func TestResponsesThatAreNone(t *testing.T) {
 	const length = "Content-Length: 2\r\n\r\nok"
 	for name, answer := range map[string]string{
-		"status 000":       "HTTP/1.1 000 OK\r\n" + length,
-		"status +20":       "HTTP/1.1 +20 OK\r\n" + length,
-		"status 600":       "HTTP/1.1 600 OK\r\n" + length,
-		"status 101":       "HTTP/1.1 101 OK\r\n\r\n",
-		"another protocol": "HTTP/2.0 200 OK\r\n" + length,
+		"status 000":                   "HTTP/1.1 000 OK\r\n" + length,
+		"status +20":                   "HTTP/1.1 +20 OK\r\n" + length,
+		"status 600":                   "HTTP/1.1 600 OK\r\n" + length,
+		"status 101":                   "HTTP/1.1 101 OK\r\n\r\n",
+		"another protocol":             "HTTP/2.0 200 OK\r\n" + length,
+		"a blank in a name":            "HTTP/1.1 200 OK\r\nX A: b\r\n" + length,
+		"a blank in the length's":      "HTTP/1.1 200 OK\r\nContent Length: 2\r\n\r\nok",
+		"a blank behind the coding's":  "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"a blank in an interim one":    "HTTP/1.1 103 Hints\r\nX A: b\r\n\r\nHTTP/1.1 200 OK\r\n" + length,
+		"a blank in a trailer":         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX A: b\r\n\r\n",
+		"a control byte in a trailer":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX: \x01b\r\n\r\n",
+		"a control byte in a value":    "HTTP/1.1 200 OK\r\nX: a\x00b\r\n" + length,
+		"a delete character in a name": "HTTP/1.1 200 OK\r\nX\x7f: b\r\n" + length,
 	} {
 		t.Run(name, func(t *testing.T) {
 			status, body, err := get(t, answer)
@@ -65,5 +73,11 @@
 			return
 		}
 		assert.True(t, a.StatusCode >= 200 && a.StatusCode < 600, "%d", a.StatusCode)
+		for name, values := range a.Header {
+			assert.NotContains(t, name, " ")
+			for _, v := range values {
+				assert.NotContains(t, v, "\x00")
+			}
+		}
 	})
 }
--- a/internal/reply/transport.go
+++ b/internal/reply/transport.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync"
 
 	"github.com/joomcode/errorx"
@@ -30,7 +31,7 @@
 func RoundTrip(t http.RoundTripper, r *http.Request) (*http.Response, error) {
 	var w watch
 	w.body = max(0, r.ContentLength)
-	a, err := t.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: w.gotConn})))
+	a, err := t.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: w.gotConn, Got1xxResponse: checkInterim})))
 	if err != nil {
 		return nil, err
 	}
@@ -110,9 +111,15 @@
 	if !framed(b.a) && !b.w.endedAnswered() {
 		return errEnded
 	}
+	if err := CheckFields(http.Header(b.a.Trailer)); err != nil {
+		return err
+	}
 	return io.EOF
 }
 
+// checkInterim checks the head of a response before the final one. An error ends the exchange.
+func checkInterim(_ int, h textproto.MIMEHeader) error { return CheckFields(http.Header(h)) }
+
 // framed reports whether a response has a length or chunks.
 func framed(a *http.Response) bool { return a.ContentLength >= 0 || len(a.TransferEncoding) > 0 }
 
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -203,6 +203,8 @@
 // TestAnswerToConnectThatIsNone guards against tunnels that are opened by an answer which isn't one.
 func TestAnswerToConnectThatIsNone(t *testing.T) {
 	for _, answer := range []string{
+		"HTTP/1.1 200 OK\r\nTunnel Frames: 1\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX A: 1\r\n\r\n",
 		"HTTP/1.1 +20 OK\r\n\r\n",
 		"HTTP/2.0 200 OK\r\n\r\n",
 	} {
