A log line with a list of structs ended the process

Cause: the log's encoder takes no slice of structs (zap.Any), and the tests' loggers encode nothing.

Change: versions_heard names the versions as strings.

--- a/internal/edge/instep_test.go
+++ b/internal/edge/instep_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"spurhall.example/spurhall/internal/logging"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/store"
 	"spurhall.example/spurhall/internal/wire"
@@ -106,3 +107,16 @@
 		})
 	})
 }
+
+// TestVersionsHeardEndTheProcess guards against a field of a log line which the log's encoder can't write.
+func TestVersionsHeardEndTheProcess(t *testing.T) {
+	n, _ := newAgingNode(t)
+	log, err := logging.New("info", "n")
+	require.NoError(t, err)
+	n.log = log
+	assert.NotPanics(t, func() {
+		n.hearVersions("w", pool.ServiceVersions{Service: "s", Versions: []pool.LateVersion{{Version: "v9", GoneAgo: time.Second}}})
+	})
+	known, _ := n.pools.StreamVersions("s")
+	assert.Contains(t, known, "v9")
+}
--- a/internal/edge/lineage.go
+++ b/internal/edge/lineage.go
@@ -134,7 +134,8 @@
 // hearVersions records the versions of a service that another node knows.
 func (n *Node) hearVersions(node string, v pool.ServiceVersions) {
 	if n.pools.HearVersions(v.Service, v.Versions) {
-		n.log.Info("versions_heard", zap.String("service", v.Service), zap.String("peer", node), zap.Any("versions", n.pools.LateVersionsOf(v.Service)))
+		known, used := n.pools.StreamVersions(v.Service)
+		n.log.Info("versions_heard", zap.String("service", v.Service), zap.String("peer", node), zap.Strings("versions", known), zap.Strings("used", used))
 		n.noteVersionsOf(v.Service)
 	}
 }
