The soak draws streams that outlive what daemons know, and malformed responses

New faults: the time-outs of routes are lowered and raised again beside a release of one of two versions; another version is tried and withdrawn while a daemon stands still; a part of an upstream's responses are none (status, a field's name, the length's, in a trailer), or answer long uploads early and reset the connection.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -100,9 +100,9 @@
 	defer cancel()
 	var wrote sent
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) { wrote.set(i.Err == nil, c.clock.Wall()) }})
-	h, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.to[v.Daemon]+"/"+string(v.Route)+"/x", io.NopCloser(strings.NewReader("ask "+id)))
+	h, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.to[v.Daemon]+"/"+string(v.Route)+"/x", io.NopCloser(strings.NewReader(v.body(id))))
 	if err == nil {
-		h.ContentLength = int64(len("ask " + id))
+		h.ContentLength = int64(len(v.body(id)))
 		c.world.WriteCall(h, v, id, wait)
 		err = c.exchange(h, v, &r)
 	}
@@ -114,6 +114,9 @@
 	return r
 }
 
+// body is what a call sends.
+func (c Call) body(id string) string { return "ask " + id + strings.Repeat(" ", c.Upload) }
+
 // sent is whether and when a request was sent whole; the transport says so on a goroutine of its own, at times after
 // the answer has come.
 type sent struct {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -100,7 +100,7 @@
 func (v *view) touches(daemon int) func(f Fault) bool {
 	return func(f Fault) bool {
 		switch f.Kind {
-		case FaultHall, FaultKillAll, FaultLapse, FaultForget, FaultCopy:
+		case FaultHall, FaultKillAll, FaultLapse, FaultForget, FaultCopy, FaultTimeout:
 			return true
 		case FaultTerm, FaultPress, FaultTakeover, FaultKill, FaultStarve:
 			return slices.Contains(f.Who, daemon)
@@ -123,7 +123,7 @@
 // unplanned is anything but what upstreams and operators do themselves.
 func unplanned(f Fault) bool {
 	switch f.Kind {
-	case FaultTerm, FaultPress, FaultTakeover, FaultConfig, FaultKeys, FaultQuota, FaultAims, FaultLimit, FaultDrain, FaultRelease, FaultReclaim, FaultSecond, FaultOdd:
+	case FaultTerm, FaultPress, FaultTakeover, FaultConfig, FaultKeys, FaultQuota, FaultAims, FaultTimeout, FaultTry, FaultLimit, FaultDrain, FaultRelease, FaultReclaim, FaultSecond, FaultOdd:
 		return false
 	default:
 		return true
--- a/internal/soak/check_versions.go
+++ b/internal/soak/check_versions.go
@@ -103,7 +103,7 @@
 	touches := v.touches(daemon)
 	return func(f Fault) bool {
 		switch f.Kind {
-		case FaultReclaim, FaultCrash, FaultPart, FaultDrain, FaultRelease, FaultBrittle, FaultEgress, FaultLimit:
+		case FaultReclaim, FaultCrash, FaultPart, FaultDrain, FaultRelease, FaultTry, FaultTimeout, FaultMalformed, FaultBrittle, FaultEgress, FaultLimit:
 			return true
 		default:
 			return touches(f)
--- a/internal/soak/control.go
+++ b/internal/soak/control.go
@@ -26,6 +26,8 @@
 	Spoils bool `json:"spoils,omitempty"`
 	// Endless is what it sends without end in place of a response; empty: nothing.
 	Endless string `json:"endless,omitempty"`
+	// Malformed is what a share of its responses are in place of such; empty: none.
+	Malformed string `json:"malformed,omitempty"`
 	// Unlists says that its entry goes as soon as it is told to end, and that it never says that it leaves.
 	Unlists bool `json:"unlists,omitempty"`
 }
--- a/internal/soak/day.go
+++ b/internal/soak/day.go
@@ -62,6 +62,9 @@
 	FaultRelease   Kind = "release"    // engines are replaced by ones of another version: their entries go, and they serve on for a while
 	FaultOdd       Kind = "odd"        // another writer leaves an odd entry among those of the upstreams, as How says, which is no disturbance
 	FaultEndless   Kind = "endless"    // an upstream sends without end, as How says, to bursts of X callers
+	FaultTimeout   Kind = "timeout"    // the operators lower the time-outs of routes, and raise them again
+	FaultTry       Kind = "try"        // engines are replaced by ones of another version, which are withdrawn again
+	FaultMalformed Kind = "malformed"  // a part of what an upstream sends, X, isn't a response, as How says
 	FaultTakeover  Kind = "takeover"   // SIGTERM of all large daemons of a hall, which has small ones besides
 	FaultPress     Kind = "press"      // SIGTERM of daemons that more callers use; they aren't scheduled when they close connections
 )
@@ -139,6 +142,8 @@
 	After   int    `json:"after,omitempty"`
 	// Parts are those of its prompt that others share.
 	Parts []string `json:"parts,omitempty"`
+	// Upload is by how many bytes its body is longer than usual.
+	Upload int `json:"upload,omitempty"`
 }
 
 // Parts of prompts: one that all streams share, and one that crashes engines.
@@ -183,6 +188,7 @@
 	Traffic   time.Duration `json:"traffic"`
 	Faults    []Fault       `json:"faults"`
 	Mixed     bool          `json:"mixed,omitempty"`    // engines are of two software versions, and slower
+	Outlived  bool          `json:"outlived,omitempty"` // streams outlast the entries of their engines, and what daemons know of them; engines are slower
 	Released  bool          `json:"released,omitempty"` // the engines of the old version are replaced, and all daemons are killed; engines are slower still
 	Large     int           `json:"large,omitempty"`    // large daemons in each hall; 0: all are equal, and nothing bounds them
 	Small     float64       `json:"small,omitempty"`    // cores of the others
@@ -201,10 +207,13 @@
 	usualPace = 25 * time.Millisecond  // between two events of a stream
 	mixedPace = 100 * time.Millisecond // where callers are to take streams up
 	slowPace  = 250 * time.Millisecond // where these are to outlast the entries of their engines
+	longPace  = 300 * time.Millisecond // and what daemons know of these
 )
 
 func (d *Day) pace() time.Duration {
 	switch {
+	case d.Outlived:
+		return longPace
 	case d.Released:
 		return slowPace
 	case d.Mixed || d.Bare:
--- a/internal/soak/day_test.go
+++ b/internal/soak/day_test.go
@@ -28,7 +28,7 @@
 				}
 			}
 		}
-		assert.Len(t, seen, len(kinds)+11)
+		assert.Len(t, seen, len(kinds)+14)
 	})
 	t.Run("odd entries of each kind come, and change nothing else", func(t *testing.T) {
 		seen := make(map[string]bool)
--- a/internal/soak/draw.go
+++ b/internal/soak/draw.go
@@ -19,6 +19,8 @@
 	Takeover bool
 	// Endless draws days with upstreams that send without end alone.
 	Endless bool
+	// Outlived draws days alone on which streams outlast what daemons know of their engines.
+	Outlived bool
 }
 
 const (
@@ -49,6 +51,11 @@
 	if o.Traffic > 0 {
 		d.Traffic = o.Traffic
 	}
+	if v := rand.New(rand.NewPCG(seed, outlivedSequence)); o.Outlived && d.Large == 0 && !alone {
+		d.Mixed = v.IntN(2) == 0
+		d.Faults = append(d.Faults, d.drawOutlived(v, d.Traffic-quietAfter)...)
+		alone = true
+	}
 	if d.Large == 0 && !alone || d.Large > 0 && t.IntN(2) == 0 && !o.Takeover {
 		d.drawOthers(r, seed, o)
 	}
@@ -76,6 +83,10 @@
 	d.Faults = append(d.Faults, d.drawPart(rand.New(rand.NewPCG(seed, 0xbad0)), d.Traffic-quietAfter)...)
 	d.Mixed = rand.New(rand.NewPCG(seed, 0x3e75)).IntN(2) == 0 && !o.OneVersion
 	d.Faults = append(d.Faults, d.drawReleased(rand.New(rand.NewPCG(seed, 0x7e1e)), d.Traffic-quietAfter)...)
+	if v := rand.New(rand.NewPCG(seed, outlivedSequence)); v.IntN(4) == 0 && !d.Released && !o.OneVersion && d.Large == 0 {
+		d.Faults = append(d.Faults, d.drawOutlived(v, d.Traffic-quietAfter)...)
+	}
+	d.Faults = append(d.Faults, d.drawMalformed(rand.New(rand.NewPCG(seed, 0x012d)), d.Traffic-quietAfter)...)
 	d.Faults = append(d.Faults, d.drawBetween(rand.New(rand.NewPCG(seed, 0xba7e)), d.Traffic-quietAfter)...)
 	d.Faults = append(d.Faults, d.drawOdd(rand.New(rand.NewPCG(seed, 0x0ded)), d.Traffic-quietAfter)...)
 }
--- a/internal/soak/draw_outlived.go
+++ b/internal/soak/draw_outlived.go
@@ -10,7 +10,7 @@
 // versions are replaced while the operators lower the time-outs of routes, or another version is tried and withdrawn while a
 // daemon stands still. Callers' connections are reset then, so that they take their streams up at the next daemon.
 
-const outlivedSequence = 0x0a71
+const outlivedSequence = 0x0126
 
 // Of a release and lowered time-outs: when these are lowered, and when connections are reset, more than a second after the
 // lowered time-out would be over.
--- a/internal/soak/draw_still.go
+++ b/internal/soak/draw_still.go
@@ -25,7 +25,7 @@
 
 // drawStill draws such silences, from a sequence of their own. The day is as much longer.
 func (d *Day) drawStill(r *rand.Rand) []Fault {
-	if r.IntN(4) > 0 || d.Released {
+	if r.IntN(4) > 0 || d.Released || d.Outlived && d.Mixed {
 		return nil
 	}
 	first := quietBefore
@@ -74,7 +74,7 @@
 }
 
 // endsProcesses lists the kinds of faults after which processes start again.
-var endsProcesses = []Kind{FaultTerm, FaultPress, FaultTakeover, FaultReclaim, FaultDrain, FaultRelease, FaultCrash, FaultPart, FaultKill, FaultKillAll}
+var endsProcesses = []Kind{FaultTerm, FaultPress, FaultTakeover, FaultReclaim, FaultDrain, FaultRelease, FaultTry, FaultCrash, FaultPart, FaultKill, FaultKillAll}
 
 // passed is when a fault is over and the processes that it ended have started again.
 func (f Fault) passed() time.Duration {
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -43,6 +43,14 @@
 		s.strikeStore(ctx, f)
 	case FaultConfig, FaultKeys, FaultQuota, FaultAims:
 		s.log(s.configure(ctx, func(c *Configuration) { c.change(f.Kind) }))
+	case FaultTimeout:
+		s.log(s.configure(ctx, func(c *Configuration) { c.Hasty = true }))
+		s.lasts(ctx, f)
+		s.log(s.configure(context.WithoutCancel(ctx), func(c *Configuration) { c.Hasty = false }))
+	case FaultTry:
+		s.tryVersion(ctx, f)
+	case FaultMalformed:
+		s.behave(ctx, f, Behaviour{Share: f.X, Malformed: f.How})
 	case FaultLimit:
 		s.behave(ctx, f, Behaviour{Limit: f.X})
 	case FaultErrors:
@@ -253,23 +261,47 @@
 			p.Kill()
 		} else {
 			if f.Kind == FaultRelease {
-				s.log(tell(context.WithoutCancel(ctx), s.address(s.upstreamHost(i), servePort), BehavePath, Behaviour{Unlists: true}))
+				s.unlist(ctx, i)
 				p.SetArg("--version", newVersion)
 			}
-			d := Drain{Upstream: p.name, At: s.clock.Wall()}
-			p.Signal(syscall.SIGTERM)
-			p.Wait(drainServes + dialTimeout)
-			p.Kill()
-			d.Ended = s.clock.Wall()
-			s.mu.Lock()
-			s.record.Drains = append(s.record.Drains, d)
-			s.mu.Unlock()
+			s.drain(p)
 		}
 		_ = s.clock.Sleep(ctx, max(restartWait, f.For/2))
 		s.log(p.Start())
 	})
 }
 
+// unlist has an upstream's entry go as soon as it is told to end.
+func (s *Stage) unlist(ctx context.Context, i int) {
+	s.log(tell(context.WithoutCancel(ctx), s.address(s.upstreamHost(i), servePort), BehavePath, Behaviour{Unlists: true}))
+}
+
+// drain tells an upstream to end, and waits until it has.
+func (s *Stage) drain(p *Process) {
+	d := Drain{Upstream: p.name, At: s.clock.Wall()}
+	p.Signal(syscall.SIGTERM)
+	p.Wait(drainServes + dialTimeout)
+	p.Kill()
+	d.Ended = s.clock.Wall()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.record.Drains = append(s.record.Drains, d)
+}
+
+// tryVersion replaces engines by ones of another version for a time, whose entries then go while they serve on.
+func (s *Stage) tryVersion(ctx context.Context, f Fault) {
+	s.each(s.upstreams, f.Who, func(i int, p *Process) {
+		p.Kill()
+		p.SetArg("--version", newVersion)
+		s.log(p.Start())
+		s.lasts(ctx, f)
+		s.unlist(ctx, i)
+		s.drain(p)
+		p.SetArg("--version", oldVersion)
+		s.log(p.Start())
+	})
+}
+
 // restartCrashed starts engines again that requests with a bad part have crashed, and those that such requests crash for
 // as long as they may be under way.
 func (s *Stage) restartCrashed(ctx context.Context, f Fault) {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -48,6 +48,7 @@
 	Withdrawn bool // a key is taken away
 	Lowered   bool // the narrow workspace's quota is halved
 	Tight     bool // routes aim at shorter times
+	Hasty     bool // routes have a short time-out
 }
 
 // The services.
