Which version a stream goes on at is decided in package lineage

LikelyVersion is onlyVersion as it was; OnlyVersion is the condition for asking nobody. No change of what is decided.

--- a/internal/forward/lineage.go
+++ b/internal/forward/lineage.go
@@ -94,33 +94,23 @@
 	sight := s.o.Lineage.Sight()
 	known, used := s.o.Pools.StreamVersions(q.service)
 	b := binding{complete: complete, sight: sight, known: known, used: used}
-	switch whole := sight.Whole && complete; {
-	case whole && len(known) == 0:
+	b.sight.Whole = sight.Whole && complete
+	if b.sight.Whole && len(known) == 0 {
 		return s.giveUp(q, noUpstream(q), nil)
-	case whole && len(known) == 1:
-		q.version, q.onlyVersion = known[0], true // another one may arrive before its last attempt
-		b.version, b.by = known[0], boundAlone
+	}
+	if v, alone := lineage.OnlyVersion(b.sight, known); alone {
+		q.version, q.onlyVersion = v, true // another one may arrive before its last attempt
+		b.version, b.by = v, lineage.ByItself
 		s.logBinding(q, b)
 		return nil
 	}
 	return s.bindUnseen(ctx, q, b)
 }
 
-// boundBy is how it is known which version began a stream.
-type boundBy string
-
-const (
-	boundAlone   boundBy = "alone"   // there is no other
-	boundRecord  boundBy = "record"  // a node remembers the stream
-	boundUsed    boundBy = "used"    // no other has had requests
-	boundDenied  boundBy = "denied"  // others know none either, or would remember a stream of it and don't
-	boundUnknown boundBy = "unknown" // it isn't known
-)
-
 // binding is a decision which version a stream that is taken up goes on at, and what it rests on.
 type binding struct {
 	version     string
-	by          boundBy
+	by          lineage.By
 	complete    bool // it is known which versions served before this process
 	sight       lineage.Sight
 	found       lineage.Found
@@ -134,15 +124,15 @@
 		b.found = s.o.Lineage.Find(ctx, q.streamKey(), q.service)
 		b.known, b.used = s.o.Pools.StreamVersions(q.service) // others may have known of more
 	}
-	b.version, b.by = b.found.Version, boundRecord
+	b.version, b.by = b.found.Version, lineage.ByRecord
 	if !b.found.Known {
-		b.version, b.by = "", boundUnknown
+		b.version, b.by = "", lineage.ByNothing
 		if b.complete {
-			b.version, b.by = onlyVersion(b.sight, b.found.Denied, b.known, b.used)
+			b.version, b.by = lineage.LikelyVersion(b.sight, b.found.Denied, b.known, b.used)
 		}
 	}
 	s.logBinding(q, b)
-	if b.by == boundUnknown {
+	if b.by == lineage.ByNothing {
 		count("versions_unknown", 1)
 		r := &rejection{status: http.StatusServiceUnavailable, reason: "nobody knows which version of the service began the stream", retry: retryAfterFailure}
 		if b.found.Lost {
@@ -157,25 +147,10 @@
 
 func (s *Server) logBinding(q *request, b binding) {
 	s.o.Log.Info("stream_version", zap.String("request", q.meta.ID), zap.String("resumes", q.meta.Resumes), zap.String("service", q.service),
-		zap.Bool("known", b.by != boundUnknown), zap.String("version", b.version), zap.String("by", string(b.by)), zap.Bool("lost", b.found.Lost), zap.Bool("denied", b.found.Denied), zap.Bool("complete", b.complete),
+		zap.Bool("known", b.by != lineage.ByNothing), zap.String("version", b.version), zap.String("by", string(b.by)), zap.Bool("lost", b.found.Lost), zap.Bool("denied", b.found.Denied), zap.Bool("complete", b.complete),
 		zap.Bool("in_step", b.sight.InStep), zap.Bool("steady", b.sight.Steady), zap.Bool("whole", b.sight.Whole), zap.Bool("heard", b.sight.Heard), zap.Strings("versions", b.known), zap.Strings("used", b.used))
 }
 
-// onlyVersion returns the only version that can have begun a stream that nobody remembers, if there is one. A node goes by those
-// that have had requests if it can't have missed any, or knows from others what it has missed. Else it needs others that deny to
-// know the stream, and have said which versions they know: they are told of each stream while there are several. To a node that
-// hasn't known the versions for as long as others have (steady), used ones may look new.
-func onlyVersion(v lineage.Sight, denied bool, known, used []string) (string, boundBy) {
-	seen := v.Whole || v.InStep && v.Heard
-	switch {
-	case len(used) == 1 && v.Steady && (seen || denied):
-		return used[0], boundUsed
-	case len(known) == 1 && (seen || denied):
-		return known[0], boundDenied
-	}
-	return "", boundUnknown
-}
-
 // startTellDelay is how long after a request was sent its stream's version is told: some round trips, in which an upstream
 // rejects what it won't run.
 const startTellDelay = 20 * time.Millisecond
--- a/internal/lineage/keeper.go
+++ b/internal/lineage/keeper.go
@@ -192,14 +192,6 @@
 	k.o.Log.Info("streams_untold", zap.String("peer", node), zap.Int("streams", len(list)), zap.String("cause", err.Error()))
 }
 
-// Sight is what a node has seen of the versions that may have begun streams.
-type Sight struct {
-	InStep bool // it lacks none that others use
-	Steady bool // it is in step, and has been for so long that it has known each for as long as they have
-	Whole  bool // it is in step, and can't have missed one that came and went since the oldest stream began
-	Heard  bool // what it has missed is known from others
-}
-
 // Found is what is known of a stream.
 type Found struct {
 	Version string // that began it
--- a/internal/lineage/lineage.go
+++ b/internal/lineage/lineage.go
@@ -31,6 +31,7 @@
 //
 //	lineage.go  which nodes keep a stream's record, and what one node remembers
 //	keeper.go   tells other nodes and asks them
+//	decide.go   decides which version a stream goes on at that is taken up
 //	saved.go    keeps what this node remembers for its next process
 package lineage
 
