--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -16,6 +16,10 @@
 
 // strike brings one fault about, and ends it.
 func (s *Stage) strike(ctx context.Context, f Fault) {
+	if b, is := f.behaviour(); is {
+		s.behave(ctx, f, b)
+		return
+	}
 	switch f.Kind {
 	case FaultDelay:
 		s.hold(ctx, f, Mode{Delay: seconds(f.X)})
@@ -49,26 +53,34 @@
 		s.log(s.configure(context.WithoutCancel(ctx), func(c *Configuration) { c.Hasty = false }))
 	case FaultTry:
 		s.tryVersion(ctx, f)
-	case FaultMalformed:
-		s.behave(ctx, f, Behaviour{Share: f.X, Malformed: f.How})
-	case FaultLimit:
-		s.behave(ctx, f, Behaviour{Limit: f.X})
-	case FaultErrors:
-		s.behave(ctx, f, Behaviour{Share: f.X, Fails: true})
-	case FaultLost:
-		s.behave(ctx, f, Behaviour{Share: f.X, Loses: true})
 	case FaultEgress:
 		s.cutEgress(ctx, f)
-	case FaultBrittle:
-		s.behave(ctx, f, Behaviour{Brittle: f.X})
-	case FaultEndless:
-		s.behave(ctx, f, Behaviour{Endless: f.How})
 	case FaultPart:
 		s.restartCrashed(ctx, f)
 	case FaultOdd:
 		s.writeOdd(ctx, f)
+	}
+}
+
+// behaviour returns how upstreams behave while a fault is in force, if it is one of that kind.
+func (f Fault) behaviour() (b Behaviour, is bool) {
+	switch f.Kind {
+	case FaultMalformed:
+		return Behaviour{Share: f.X, Malformed: f.How}, true
+	case FaultLimit:
+		return Behaviour{Limit: f.X}, true
+	case FaultErrors:
+		return Behaviour{Share: f.X, Fails: true}, true
+	case FaultLost:
+		return Behaviour{Share: f.X, Loses: true}, true
+	case FaultBrittle:
+		return Behaviour{Brittle: f.X}, true
+	case FaultEndless:
+		return Behaviour{Endless: f.How}, true
 	case FaultSpoil:
-		s.behave(ctx, f, Behaviour{Share: f.X, Spoils: true})
+		return Behaviour{Share: f.X, Spoils: true}, true
+	default:
+		return Behaviour{}, false
 	}
 }
 
