A process that has just started doesn't say that it knows all versions

Found by reading the change.

Change: such a process says that it can't say yet, as it does for streams.

Evidence: TestProcessThatHasJustStartedSaysThatItKnowsAllVersions failed before and passes.

--- a/internal/edge/instep_test.go
+++ b/internal/edge/instep_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -120,3 +121,23 @@
 	known, _ := n.pools.StreamVersions("s")
 	assert.Contains(t, known, "v9")
 }
+
+// TestProcessThatHasJustStartedSaysThatItKnowsAllVersions guards against an answer that leaves out what served before the process
+// started, and closes the gap of the node that asks.
+func TestProcessThatHasJustStartedSaysThatItKnowsAllVersions(t *testing.T) {
+	n, _ := newAgingNode(t)
+	n.settings.FirstStart = true
+	n.streams = n.newStreamKeeper()
+	ask := func() (*connect.Response[wire.LateVersionsResponse], error) {
+		return (&edgeService{n: n}).LateVersions(t.Context(), connect.NewRequest(&wire.LateVersionsRequest{}))
+	}
+	_, err := ask()
+	assert.Equal(t, connect.CodeUnavailable, connect.CodeOf(err))
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go n.streams.RunSaved(ctx)
+	assert.Eventually(t, func() bool {
+		a, err := ask()
+		return err == nil && a.Msg.Whole
+	}, 10*time.Second, time.Millisecond)
+}
--- a/internal/edge/lineage.go
+++ b/internal/edge/lineage.go
@@ -122,9 +122,10 @@
 	return a.Msg.Whole, nil
 }
 
-// LateVersions returns the versions that this node knows.
-func (s *edgeService) LateVersions(context.Context, *connect.Request[wire.LateVersionsRequest]) (*connect.Response[wire.LateVersionsResponse], error) {
-	if !s.n.listed.Load() {
+// LateVersions returns the versions that this node knows. It says that these are all only once it has read which served before
+// its process started.
+func (s *edgeService) LateVersions(ctx context.Context, _ *connect.Request[wire.LateVersionsRequest]) (*connect.Response[wire.LateVersionsResponse], error) {
+	if !s.n.listed.Load() || !s.n.streams.AwaitRestored(ctx) {
 		return nil, connect.NewError(connect.CodeUnavailable, errNoUpdates)
 	}
 	a := &wire.LateVersionsResponse{Whole: s.n.sight().Whole, Services: message.ServiceVersionsToWire(s.n.pools.AllLateVersions())}
