Interim responses have a bound again

What callers saw: with the check of interim heads, an upstream that sends interim responses without end held a request until its deadline (504 after 6 s in place of 502), while the node read 121 MB.

Cause: net/http bounds all heads of an exchange together, but where somebody looks at interim ones it bounds each alone.

Change: at most 100 of them are read before the final response.

--- a/internal/reply/check_test.go
+++ b/internal/reply/check_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -54,6 +55,15 @@
 			assert.Error(t, err, "%d %q", status, body)
 		})
 	}
+	t.Run("interim ones without end", func(t *testing.T) {
+		_, _, err := get(t, strings.Repeat("HTTP/1.1 103 Hints\r\n\r\n", maxInterim+1)+"HTTP/1.1 200 OK\r\n"+length)
+		assert.ErrorIs(t, err, ErrMalformed)
+	})
+	t.Run("as many interim ones as may come", func(t *testing.T) {
+		status, _, err := get(t, strings.Repeat("HTTP/1.1 103 Hints\r\n\r\n", maxInterim)+"HTTP/1.1 200 OK\r\n"+length)
+		assert.NoError(t, err)
+		assert.Equal(t, http.StatusOK, status)
+	})
 	t.Run("a sound one", func(t *testing.T) {
 		status, body, err := get(t, "HTTP/1.1 200 OK\r\nX-A: b \xe9\tc\r\n"+length)
 		require.NoError(t, err)
--- a/internal/reply/transport.go
+++ b/internal/reply/transport.go
@@ -11,6 +11,8 @@
 	"sync"
 
 	"github.com/joomcode/errorx"
+
+	"spurhall.example/spurhall/internal/fault"
 )
 
 var errs = errorx.NewNamespace("reply")
@@ -31,7 +33,7 @@
 func RoundTrip(t http.RoundTripper, r *http.Request) (*http.Response, error) {
 	var w watch
 	w.body = max(0, r.ContentLength)
-	a, err := t.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: w.gotConn, Got1xxResponse: checkInterim})))
+	a, err := t.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: w.gotConn, Got1xxResponse: w.checkInterim})))
 	if err != nil {
 		return nil, err
 	}
@@ -71,6 +73,8 @@
 	body int64 // length of the request's
 	mu   sync.Mutex
 	conn requestConn // the last one; nil: none of this package
+
+	interim int // responses before the final one, which are read one after the other
 }
 
 func (w *watch) gotConn(i httptrace.GotConnInfo) {
@@ -117,8 +121,17 @@
 	return io.EOF
 }
 
+// maxInterim bounds the responses before the final one. net/http bounds their bytes together, unless somebody looks at them: then
+// it bounds those of each alone.
+const maxInterim = 100
+
 // checkInterim checks the head of a response before the final one. An error ends the exchange.
-func checkInterim(_ int, h textproto.MIMEHeader) error { return CheckFields(http.Header(h)) }
+func (w *watch) checkInterim(_ int, h textproto.MIMEHeader) error {
+	if w.interim++; w.interim > maxInterim {
+		return fault.Because(ErrMalformed, "more than %d responses came before the final one", maxInterim)
+	}
+	return CheckFields(http.Header(h))
+}
 
 // framed reports whether a response has a length or chunks.
 func framed(a *http.Response) bool { return a.ContentLength >= 0 || len(a.TransferEncoding) > 0 }
