Log how many nodes share the quotas, and charges nobody was told of

The log couldn't tell apart whether a workspace got more than its quota because of the level a process starts with, the number of nodes it counts, or charges that a stopping process told nobody. quota_shared and charges_unreported do.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -143,6 +143,8 @@
 
 	mu            sync.Mutex // guards the fields below
 	quotas        *quota.Quotas
+	quotaSharing  quota.Sharing      // as last logged
+	reportedSpent map[string]float64 // what the last report says that this process has charged, by workspace
 	retryWindows  map[string]*retry.Window
 	spanStartedAt time.Time // start of the current quota span
 	role          roster.Role
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -224,6 +224,17 @@
 	}
 	n.spanStartedAt = now
 	n.quotas.StartRound(now, every, lag)
+	n.logQuotaSharing()
+}
+
+// logQuotaSharing logs how many nodes share the quotas in this node's view, when that has changed. The node's lock is held.
+func (n *Node) logQuotaSharing() {
+	s := n.quotas.Sharing()
+	if s == n.quotaSharing {
+		return
+	}
+	n.quotaSharing = s
+	n.log.Info("quota_shared", zap.Int("nodes", s.Nodes), zap.Int("heard", s.Heard), zap.Int("silent", s.Silent), zap.Bool("known", s.Known), zap.Stringer("levels", s.Start))
 }
 
 // swapReports swaps reports with one peer.
@@ -272,7 +283,8 @@
 	defer n.mu.Unlock()
 	n.peers.sequence++
 	r.Sequence = n.peers.sequence
-	r.Spent = message.SpentToWire(n.quotas.Charged())
+	n.reportedSpent = n.quotas.Charged()
+	r.Spent = message.SpentToWire(n.reportedSpent)
 	r.Trials = message.TrialsToWire(n.trialUpdates())
 	r.Started = message.StartedToWire(n.usage.Own().Newest(n.usage.Window(n.clock.Wall()), windows))
 	r.Work, r.Engines = message.WorkToWire(n.pools.Work()), message.EnginesToWire(n.pools.Learned())
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -45,6 +45,7 @@
 			n.log.Info("drain_failed", zap.String("cause", err.Error()))
 		}
 	})()
+	defer n.logUnreported()
 	for {
 		d := n.clock.Since(startedAt)
 		if d >= n.settings.StopTimeout-stopMargin || d >= minStopTime && n.isDrained(callers) {
@@ -59,3 +60,14 @@
 func (n *Node) isDrained(callers *accept.Listener) bool {
 	return callers.Drained() && n.uplink.Served() == 0
 }
+
+// logUnreported logs what this process has charged to quotas since it last told other nodes.
+func (n *Node) logUnreported() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for w, x := range n.quotas.Charged() {
+		if d := x - n.reportedSpent[w]; d != 0 {
+			n.log.Info("charges_unreported", zap.String("workspace", w), zap.Float64("tokens", d), zap.Float64("charged", x))
+		}
+	}
+}
--- /dev/null
+++ b/internal/quota/sharing.go
@@ -0,0 +1,59 @@
+package quota
+
+// This file tells what this node's part of the quotas rests on, for the log.
+
+// Start is where the levels of this process began.
+type Start uint8
+
+// The starts of levels.
+const (
+	StartPart   Start = iota // a part of the burst, since nothing is known of before
+	StartFull                // the burst: the whole system starts
+	StartStored              // what was stored before
+)
+
+// String returns the start as the log names it.
+func (s Start) String() string {
+	switch s {
+	case StartFull:
+		return "full"
+	case StartStored:
+		return "stored"
+	default:
+		return "part"
+	}
+}
+
+// Sharing is how many nodes share the quotas as this node sees it.
+type Sharing struct {
+	Nodes  int // this one included
+	Heard  int // of these, those that have reported to this process, and this one
+	Silent int // of these, those that no longer report
+	Known  bool
+	Start  Start
+}
+
+// Sharing returns how many nodes share the quotas.
+func (q *Quotas) Sharing() Sharing {
+	s := Sharing{Nodes: int(q.nodes()), Heard: 1, Known: q.peersKnown, Start: q.start()}
+	for _, p := range q.peers {
+		if p.incarnation != "" {
+			s.Heard++
+		}
+		if p.unresponsive {
+			s.Silent++
+		}
+	}
+	return s
+}
+
+func (q *Quotas) start() Start {
+	switch {
+	case q.startFull:
+		return StartFull
+	case q.restored != nil:
+		return StartStored
+	default:
+		return StartPart
+	}
+}
