Nodes that start while the store is away ask others which nodes there are

A process that couldn't read the registry knew its seeds and those that called it. Nodes started after it called only their own seed, so that the new processes stayed unknown to each other until the store was back, and none deducted what the others charged: each counted 5 of 8 nodes as all.

It asks those that it has heard from, in turn, until it has read the registry; seeds that haven't answered are called again as long as nobody has named all nodes.

--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -118,27 +119,45 @@
 // store doesn't show them each other.
 const seedSpread = pair.Round
 
-// contactSeeds calls the seeds until another node is known: a node that starts while the store is
-// unavailable can't discover one otherwise.
+// seedRetryInterval is how often a seed that hasn't answered is called while another node is known.
+const seedRetryInterval = time.Second
+
+// contactSeeds calls the seeds until all other nodes are known: a node that starts while the store is unavailable can't
+// discover one otherwise, and some may be behind a partition.
 func (n *Node) contactSeeds(ctx context.Context) {
 	n.awaitRegistry(ctx)
 	if !n.hasReadRegistry() {
 		_ = n.clock.Sleep(ctx, time.Duration(xxhash.Sum64String(n.settings.Node)%uint64(seedSpread))) // the loop condition checks the context
 	}
-	for len(n.settings.Seeds) > 0 && ctx.Err() == nil {
-		n.mu.Lock()
-		known := len(n.peers.peers) > 0
-		n.mu.Unlock()
-		if known {
+	for ctx.Err() == nil {
+		seeds, pause := n.seedsToCall()
+		if len(seeds) == 0 {
 			return
 		}
-		for _, a := range n.settings.Seeds {
-			if a != n.settings.Peers {
-				n.contactSeed(ctx, a)
-			}
+		for _, a := range seeds {
+			n.contactSeed(ctx, a)
 		}
-		_ = n.clock.Sleep(ctx, pair.Round) // the loop condition checks the context
+		_ = n.clock.Sleep(ctx, pause) // the loop condition checks the context
+	}
+}
+
+// seedsToCall returns the addresses of the seeds that no peer has, and the pause until they are called again. There are none
+// once the other nodes are known.
+func (n *Node) seedsToCall() (list []string, pause time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.peers.peers) > 0 && (n.role.RegistryRead || n.lookup.Complete()) {
+		return nil, 0
+	}
+	known := map[string]bool{n.settings.Peers: true}
+	for _, p := range n.peers.peers {
+		known[p.Address] = true
+	}
+	list = slices.DeleteFunc(slices.Clone(n.settings.Seeds), func(a string) bool { return known[a] })
+	if len(n.peers.peers) == 0 {
+		return list, pair.Round
 	}
+	return list, seedRetryInterval
 }
 
 func (n *Node) contactSeed(ctx context.Context, address string) {
--- a/internal/edge/members_test.go
+++ b/internal/edge/members_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"spurhall.example/spurhall/internal/bootstrap"
 	"spurhall.example/spurhall/internal/pair"
 	"spurhall.example/spurhall/internal/roster"
 	"spurhall.example/spurhall/internal/store"
@@ -90,3 +91,37 @@
 	n.logPeer("peer_heard", zap.String("peer", "edge-1"))
 	assert.Equal(t, 1, logs.FilterMessage("peer_heard").Len(), "a watcher logs each event")
 }
+
+// TestSeedsBehindAPartitionAreForgotten: once one node was known, a process that couldn't read the registry called no seed again.
+func TestSeedsBehindAPartitionAreForgotten(t *testing.T) {
+	n, _ := newScaleNode(t, 3, 0)
+	n.role.RegistryRead = false
+	n.settings.Seeds = []string{n.settings.Peers, "10.200.0.1:9000", "10.201.0.1:9000"}
+	seeds, pause := n.seedsToCall()
+	assert.Equal(t, []string{"10.201.0.1:9000"}, seeds, "the one that no peer has")
+	assert.Equal(t, seedRetryInterval, pause)
+	t.Run("until a node that knows all has named them", func(t *testing.T) {
+		n.applyNamed("edge-b-1", nil, true)
+		seeds, _ := n.seedsToCall()
+		assert.Empty(t, seeds)
+	})
+	t.Run("or the registry is read", func(t *testing.T) {
+		n.lookup, n.role.RegistryRead = bootstrap.Lookup{}, true
+		seeds, _ := n.seedsToCall()
+		assert.Empty(t, seeds)
+	})
+}
+
+// TestNamedNodesCountAsNodes: what another node names is known like what the registry lists.
+func TestNamedNodesCountAsNodes(t *testing.T) {
+	n, _ := newScaleNode(t, 3, 0)
+	n.role.RegistryRead = false
+	n.applyNamed("edge-b-1", []roster.Member{{Name: n.settings.Node, Address: "10.0.0.1:1"}, {Name: "other", Address: "10.0.0.2:1", Hall: "b"}, {Name: "unaddressed"}}, false)
+	assert.Equal(t, 4, n.peers.size())
+	assert.Equal(t, "b", n.peers.peers["other"].Hall)
+	a := n.nameMembers()
+	assert.Len(t, a.Members, 4, "itself included")
+	assert.False(t, a.MembersComplete)
+	n.applyNamed("edge-b-1", nil, true)
+	assert.True(t, n.nameMembers().MembersComplete)
+}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -31,6 +31,7 @@
 	"go.uber.org/zap"
 
 	"spurhall.example/spurhall/internal/accept"
+	"spurhall.example/spurhall/internal/bootstrap"
 	"spurhall.example/spurhall/internal/call"
 	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/catalog"
@@ -148,6 +149,7 @@
 	retryWindows  map[string]*retry.Window
 	spanStartedAt time.Time // start of the current quota span
 	role          roster.Role
+	lookup        bootstrap.Lookup // of other nodes, while the registry isn't read
 	registry      *roster.Registry
 	// registrySentAt is when a watcher last sent or confirmed the registry, and registryAppliedAt when that was
 	// last applied.
@@ -236,6 +238,14 @@
 	return nil
 }
 
+// catalogVersion returns the version of the configuration in force; -1: there is none.
+func (n *Node) catalogVersion() int64 {
+	if c := n.currentCatalog(); c != nil {
+		return c.Version()
+	}
+	return -1
+}
+
 // signalInitialized releases the requests that wait for the configuration and the upstream list, once both
 // are present.
 func (n *Node) signalInitialized() {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -146,6 +146,7 @@
 func (n *Node) runRounds(ctx context.Context) {
 	n.clock.Every(ctx, pair.Round, func(now time.Time) {
 		n.reportRound(ctx, now)
+		n.askForMembers(ctx, now)
 		n.sight()
 		n.missed.Check(ctx, now)
 		n.front.TellNewStreams(now)
@@ -207,7 +208,7 @@
 // knowsPeers reports whether the known peers count as all other nodes. A process that has just started
 // without reaching the store isn't the only node, though no peer has reported to it. The node's lock is held.
 func (n *Node) knowsPeers(now time.Time) bool {
-	return n.role.RegistryRead || now.Sub(n.start) > peersWait
+	return n.role.RegistryRead || n.lookup.Complete() || now.Sub(n.start) > peersWait
 }
 
 // startQuotaSpan starts a new span of the quotas once every pair has had its turn.
@@ -335,10 +336,7 @@
 
 // catchUp requests newer state from the sender of a report if this node can't get it from the store.
 func (n *Node) catchUp(ctx context.Context, r *wire.NodeReport) {
-	have := int64(-1)
-	if c := n.currentCatalog(); c != nil {
-		have = c.Version()
-	}
+	have := n.catalogVersion()
 	stale := !n.guard.Up() && r.StoreUp && r.ListRevision > n.pools.Revision()
 	if n.catchUps.Hear(n.clock.Now(), r.CatalogVersion, have, stale) {
 		go n.requestCatchUp(ctx, r.Node, have)
@@ -402,6 +400,9 @@
 
 // CatchUp returns what the caller lacks.
 func (s *edgeService) CatchUp(_ context.Context, r *connect.Request[wire.CatchUpRequest]) (*connect.Response[wire.CatchUpResponse], error) {
+	if r.Msg.WantsMembers {
+		return connect.NewResponse(s.n.nameMembers()), nil
+	}
 	a := &wire.CatchUpResponse{}
 	if h := s.n.catalog.Load(); h != nil && h.catalog.Version() > r.Msg.CatalogVersion {
 		a.Catalog, a.CatalogVersion = h.raw, h.catalog.Version()
