A node behind a cut whose registration has lapsed goes on sharing quotas

Who is neither heard nor listed isn't gone: a registration lapses by the same cut.

Such a node shares the quotas for five minutes more. One that has said that it leaves, as at each planned stop, doesn't. The cost: a node that is lost for good and not started again under its name keeps its part (1 of N) for that time.

The play's rounds are now those of a small fleet where it plays one; plays of 79 nodes are as before.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -329,7 +329,7 @@
 	p.trials, p.reach = message.TrialsFromWire(r.Trials), message.ReachFromWire(r.Reach)
 	n.mergeTrials(now, p.trials, r.Node)
 	p.work, p.workAt = message.WorkFromWire(r.Work), now
-	n.quotas.ApplyUpdate(now, quota.Update{Node: r.Node, Incarnation: r.Lifetime, Sequence: r.Sequence, Uptime: message.FromMillis(r.UptimeMs), Charged: message.SpentFromWire(r.Spent)})
+	n.quotas.ApplyUpdate(now, quota.Update{Node: r.Node, Incarnation: r.Lifetime, Sequence: r.Sequence, Uptime: message.FromMillis(r.UptimeMs), Leaving: r.Leaving, Charged: message.SpentFromWire(r.Spent)})
 	n.usage.Merge(r.Node, r.Lifetime, message.StartedFromWire(r.Started))
 	return true
 }
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -182,7 +182,7 @@
 		p.LastRelayed = now.Add(-w.Age)
 		if p.incarnation != w.Incarnation || p.sequence <= w.Sequence {
 			p.Leaving, p.StoreUp = w.Status.Leaving, !w.Status.StoreDown
-			n.quotas.ApplyUpdate(now, quota.Update{Node: w.Node, Incarnation: w.Incarnation, Sequence: w.Sequence, Uptime: w.Uptime, Age: w.Age, Charged: w.Spent})
+			n.quotas.ApplyUpdate(now, quota.Update{Node: w.Node, Incarnation: w.Incarnation, Sequence: w.Sequence, Uptime: w.Uptime, Age: w.Age, Leaving: w.Status.Leaving, Charged: w.Spent})
 		}
 	}
 	n.digestAt, n.digestNodes, n.rollouts.digestTrials = now, covered, d.Trials
--- a/internal/quota/play_test.go
+++ b/internal/quota/play_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -42,6 +43,7 @@
 	jumpAt   time.Duration
 	weight   func(at time.Duration, node int) float64 // of a node in the demand; nil: even
 	cut      func(at time.Duration, node int) int     // nodes on the same side reach each other; nil: all do
+	unlisted bool                                     // nodes on side 0 take those of other sides out of their lists after a while
 	lost     float64                                  // share of reports that don't arrive
 	killAt   time.Duration                            // when all processes are killed
 	stored   bool                                     // the levels are stored
@@ -55,7 +57,8 @@
 	requests, owedRefused int
 	refused               int
 	tokens, due, asked    float64
-	worst                 float64 // largest part of the bound that was used in a window
+	worst                 float64       // largest part of the bound that was used in a window
+	worstAt               time.Duration // the end of that window
 	longest               time.Duration
 }
 
@@ -71,6 +74,7 @@
 }
 
 const (
+	pairNodes = 13 // up to which all pairs exchange in each round, and no relay is needed
 	playStep  = 10 * time.Millisecond
 	playRound = 250 * time.Millisecond
 )
@@ -148,12 +152,27 @@
 	return r
 }
 
+// unlistedAfter is how long after the beginning of a cut a node's registration has lapsed.
+const unlistedAfter = 4 * time.Second
+
+// listedBy returns the other nodes as the registry has them, or had them when they were last read.
+func (p *player) listedBy(at time.Duration, i int) []string {
+	list := p.peersOf(i)
+	if !p.unlisted {
+		return list
+	}
+	return slices.DeleteFunc(list, func(n string) bool {
+		j := slices.Index(p.names, n)
+		return at >= unlistedAfter && p.cut(at, j) != 0 && p.cut(at-unlistedAfter, j) != 0
+	})
+}
+
 // report lets a node build its report, and apply what its relay has of the others.
 func (p *player) report(now time.Time, at time.Duration, i int) {
 	q := p.q[i]
-	if !p.known[i] {
+	if !p.known[i] || p.unlisted && p.cut(at, i) == 0 {
 		p.known[i] = true
-		q.SetPeers(now, p.peersOf(i))
+		q.SetPeers(now, p.listedBy(at, i))
 	}
 	var sequence uint64 = 1
 	if h := p.history[i]; len(h) > 0 {
@@ -170,7 +189,10 @@
 			}
 		}
 	}
-	if at%(2*playRound) < playRound {
+	switch {
+	case p.nodes <= pairNodes:
+		q.StartRound(now, playRound, 0)
+	case at%(2*playRound) < playRound:
 		q.StartRound(now, 2*playRound, 3*playRound)
 	}
 }
@@ -180,7 +202,7 @@
 func (p *player) apply(now time.Time, i, j int) {
 	h := p.history[j]
 	back := 0
-	if p.nodes > 13 {
+	if p.nodes > pairNodes {
 		back = int(p.r.Float64() * 2.4)
 	}
 	if len(h) <= back {
@@ -320,7 +342,9 @@
 		p.after.add(now, n)
 	}
 	res.tokens += n
-	res.worst = max(res.worst, 1-(room-n)/bound(p.limit))
+	if w := 1 - (room-n)/bound(p.limit); w > res.worst {
+		res.worst, res.worstAt = w, now.Sub(start)
+	}
 }
 
 // unevenly gives a tenth of the nodes most of the demand.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -9,7 +9,8 @@
 // A node that stops reporting may be down, or up behind a partition and still charging. It is assumed to
 // charge its even share all the time. Since the nodes on the other side of a partition assume the same of
 // this node, the sum holds on both sides without communication. When the node reports again, what it
-// really charged replaces the assumption.
+// really charged replaces the assumption. That no list names it any more changes nothing: its registration lapses when it
+// is cut off from the store. Only a node that has said that it ends, or that was unknown for minutes, no longer counts.
 //
 // A process that starts knows neither what was charged a moment ago nor how many nodes share the bucket.
 // It starts with the last stored level or with a part of the burst, assumes many nodes until SetPeers
@@ -69,6 +70,8 @@
 	startedAt    time.Time // of the process, as estimated from its reports
 	sequence     uint64    // of its last report
 	lastSeen     time.Time
+	lastListed   time.Time // by SetPeers
+	leaving      bool      // it said that it ends
 	unresponsive bool
 	charged      map[string]float64 // as last reported by that incarnation
 	assumed      []float64          // deducted while it did not report, by bucket.index; nil: nothing
@@ -325,33 +328,36 @@
 	}
 }
 
-// SetPeers sets the other nodes that share the quotas. A node that is no longer listed is not assumed to
-// charge anything.
+// SetPeers sets the other nodes that are known to share the quotas. One that is no longer listed may be up behind a
+// partition, so it goes on sharing them, unless it has said that it leaves.
 func (q *Quotas) SetPeers(now time.Time, names []string) {
 	q.peersKnown = true
-	keep := make(map[string]bool, len(names))
 	for _, n := range names {
-		keep[n] = true
-		q.peer(now, n)
+		q.peer(now, n).lastListed = now
 	}
 	for n, p := range q.peers {
-		if !keep[n] {
+		if p.lastListed.Before(now) && p.isGone(now) {
 			delete(q.peers, n)
 			q.removed[n] = p
 			q.addRecent(p, -1)
 		}
 	}
 	for n, p := range q.removed {
-		if now.Sub(p.lastSeen) > removedPeerTTL {
+		if now.Sub(p.lastSeen) > 2*peerTTL {
 			delete(q.removed, n)
 		}
 	}
 }
 
-// removedPeerTTL is how long a node that is no longer listed is remembered: longer than a partition
-// lasts, after which it reports again. If it were then taken for a new node, everything that it has
-// charged since its start would be deducted at once.
-const removedPeerTTL = 5 * time.Minute
+// peerTTL is how long a node that is neither listed nor heard counts as sharing the quotas: longer than a partition lasts.
+// If one that reports again were taken for a new node, everything that it has charged since its start would be deducted at
+// once.
+const peerTTL = 5 * time.Minute
+
+// isGone reports whether a node that isn't listed no longer charges anything.
+func (p *peer) isGone(now time.Time) bool {
+	return p.leaving || now.Sub(p.lastSeen) > peerTTL && now.Sub(p.lastListed) > peerTTL
+}
 
 // peer returns the state of a node and creates it if needed.
 func (q *Quotas) peer(now time.Time, name string) *peer {
@@ -374,6 +380,7 @@
 	Sequence    uint64        // of the process's report; 0: not known
 	Uptime      time.Duration // of the process now
 	Age         time.Duration // since the node's report to this node, or to the one that forwards the update
+	Leaving     bool          // the process ends soon
 	Charged     map[string]float64
 }
 
@@ -402,7 +409,7 @@
 	if at := now.Add(-u.Age); at.After(p.lastSeen) {
 		p.lastSeen = at
 	}
-	p.unresponsive = false
+	p.unresponsive, p.leaving = false, u.Leaving
 	if known {
 		return
 	}
