A process that starts behind a cut assumes nodes that it doesn't know

Where a hall was cut off, each side knew itself alone, and spent all of the quota.

Such a process assumes as many nodes in each hall without a known node as the largest hall has, until a registry, or a node that has read one, names all; sixteen nodes in its first second, as before. They are assumed to charge as silent nodes are, which the first second lacked too, and what was assumed of those that don't exist is returned.

TestNodesThatStartBehindACutTakeThemselvesForAll: 3 nodes counted before, 15 now. The estimate counts halls that never have nodes as well, until the registry is read.

--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -102,7 +102,7 @@
 		}
 	}
 	n.role.RegistryRead = true
-	n.quotas.SetPeers(now, n.peers.names())
+	n.setQuotaPeers(now)
 }
 
 func (n *Node) applyMember(now time.Time, m roster.Member) {
--- a/internal/edge/members_test.go
+++ b/internal/edge/members_test.go
@@ -125,3 +125,36 @@
 	n.applyNamed("edge-b-1", nil, true)
 	assert.True(t, n.nameMembers().MembersComplete)
 }
+
+// newIsolatedNode returns a node that has started without the store and has heard from two nodes of its hall alone.
+func newIsolatedNode(t *testing.T) (*Node, *timer.Manual) {
+	t.Helper()
+	n, c := newScaleNode(t, 1, 0)
+	n.role.RegistryRead = false
+	c.Advance(2 * peersWait)
+	for i := 1; i < 3; i++ {
+		p := n.peers.getOrAdd(fmt.Sprint("edge-a-", i), fmt.Sprint("10.200.0.", i, ":9000"))
+		p.Hall, p.incarnation, p.LastSeen = "a", "p", n.clock.Now()
+	}
+	return n, c
+}
+
+// TestNodesThatStartBehindACutTakeThemselvesForAll: after a second, a process without the registry counted those it had heard from
+// as all that share quotas, and each side of a cut spent all of them.
+func TestNodesThatStartBehindACutTakeThemselvesForAll(t *testing.T) {
+	n, _ := newIsolatedNode(t)
+	n.startQuotaSpan(n.clock.Now())
+	s := n.quotas.Sharing()
+	assert.Equal(t, 3*len(scaleHalls), s.Nodes, "as many in each hall of which none is known as in its own")
+	t.Run("once the registry is read, those that it lists", func(t *testing.T) {
+		n.registry.Replace(n.clock.Now(), []roster.Member{{Name: "edge-b-1", Address: "10.200.1.1:9000", Hall: "b"}})
+		n.applyRegistry(n.clock.Now())
+		assert.Equal(t, 4, n.quotas.Sharing().Nodes)
+	})
+	t.Run("or those that a node names which has read it", func(t *testing.T) {
+		n, _ := newIsolatedNode(t)
+		n.applyNamed("edge-a-1", []roster.Member{{Name: "edge-b-1", Address: "10.200.1.1:9000", Hall: "b"}}, true)
+		n.startQuotaSpan(n.clock.Now())
+		assert.Equal(t, 4, n.quotas.Sharing().Nodes)
+	})
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -214,7 +214,7 @@
 // startQuotaSpan starts a new span of the quotas once every pair has had its turn.
 func (n *Node) startQuotaSpan(now time.Time) {
 	if n.knowsPeers(now) {
-		n.quotas.SetPeers(now, n.peers.names())
+		n.setQuotaPeers(now)
 	}
 	every, lag := pair.Interval(n.peers.size()), time.Duration(0)
 	if now.Sub(n.digestAt) <= digestLifetime {
@@ -228,6 +228,16 @@
 	n.logQuotaSharing()
 }
 
+// setQuotaPeers sets the nodes that share quotas: those that are known, and those that must be assumed besides. The node's lock
+// is held.
+func (n *Node) setQuotaPeers(now time.Time) {
+	unnamed := 0
+	if !n.role.RegistryRead && !n.lookup.Complete() && !n.settings.FirstStart {
+		unnamed = n.view(now).Unnamed()
+	}
+	n.quotas.SetKnownPeers(now, n.peers.names(), unnamed)
+}
+
 // logQuotaSharing logs how many nodes share the quotas in this node's view, when that has changed. The node's lock is held.
 func (n *Node) logQuotaSharing() {
 	s := n.quotas.Sharing()
@@ -235,7 +245,7 @@
 		return
 	}
 	n.quotaSharing = s
-	n.log.Info("quota_shared", zap.Int("nodes", s.Nodes), zap.Int("heard", s.Heard), zap.Int("silent", s.Silent), zap.Bool("known", s.Known), zap.Stringer("levels", s.Start))
+	n.log.Info("quota_shared", zap.Int("nodes", s.Nodes), zap.Int("heard", s.Heard), zap.Int("silent", s.Silent), zap.Int("unnamed", s.Unnamed), zap.Bool("known", s.Known), zap.Stringer("levels", s.Start))
 }
 
 // swapReports swaps reports with one peer.
--- a/internal/quota/absent_test.go
+++ b/internal/quota/absent_test.go
@@ -67,3 +67,49 @@
 		assertNodes(t, 2, q, 10*time.Second)
 	})
 }
+
+// fleetHalls are the halls of the played nodes.
+var fleetHalls = []int{0, 0, 0, 1, 1, 1, 2, 2}
+
+// hallCut cuts the first hall off from the others for 14 s, or each from each other.
+func hallCut(all bool) func(at time.Duration, node int) int {
+	return func(at time.Duration, node int) int {
+		if at < 4*time.Second || at >= 18*time.Second || !all && fleetHalls[node] != 0 {
+			return 0
+		}
+		return 1 + fleetHalls[node]
+	}
+}
+
+// startIn starts new processes at some time, or again and again from then on, in the first hall or in all.
+func startIn(all bool, again time.Duration) func(at time.Duration, node int) bool {
+	const first = 6 * time.Second
+	return func(at time.Duration, node int) bool {
+		if !all && fleetHalls[node] != 0 {
+			return false
+		}
+		return at == first || again > 0 && at > first && at < 18*time.Second && (at-first)%again == 0
+	}
+}
+
+// TestProcessesThatStartBehindACutTakeThemselvesForAll: each side of a cut spent all of a quota once its processes had started
+// there without the registry.
+func TestProcessesThatStartBehindACutTakeThemselvesForAll(t *testing.T) {
+	for _, v := range []struct {
+		name     string
+		cutAll   bool
+		startAll bool
+		again    time.Duration
+	}{
+		{"one hall is cut off, and its processes start", false, false, 0},
+		{"one hall is cut off, and all processes start", false, true, 0},
+		{"halls apart, all processes start", true, true, 0},
+		{"halls apart, all processes start again and again", true, true, 1500 * time.Millisecond},
+	} {
+		for _, demand := range []float64{1.5, 3, 7} {
+			t.Run(fmt.Sprintf("%s, %.1f of the limit", v.name, demand), func(t *testing.T) {
+				assertWithinBound(t, play{nodes: 8, limit: hallRate, demand: demand, cut: hallCut(v.cutAll), starts: startIn(v.startAll, v.again), halls: fleetHalls, duration: 26 * time.Second})
+			})
+		}
+	}
+}
--- a/internal/quota/charged.go
+++ b/internal/quota/charged.go
@@ -36,10 +36,7 @@
 // applyDifference applies what a peer has charged to one bucket since its last report.
 func (q *Quotas) applyDifference(now time.Time, p *peer, n string, b *bucket, d float64, late bool) {
 	q.refill(now, b)
-	before, assumed, overflow := b.overflow, 0.0, 0.0
-	if b.index < len(p.assumed) {
-		assumed = p.assumed[b.index]
-	}
+	before, assumed, overflow := b.overflow, p.assumedOf(b), 0.0
 	if b.index < len(p.overflow) {
 		overflow = p.overflow[b.index]
 	}
--- a/internal/quota/play_test.go
+++ b/internal/quota/play_test.go
@@ -48,6 +48,8 @@
 	killAt   time.Duration                            // when all processes are killed
 	stored   bool                                     // the levels are stored
 	churn    bool                                     // nodes restart in turn, one each half second
+	starts   func(at time.Duration, node int) bool    // a new process starts, which can't read the registry; nil: none
+	halls    []int                                    // of the nodes, where starts is set
 	lowerAt  time.Duration                            // when the limit is lowered to 0.4 of it
 	duration time.Duration
 }
@@ -109,6 +111,8 @@
 	startedAt  []time.Time
 	history    [][]state // by node, newest last
 	known      []bool    // the node knows its peers
+	blind      []bool    // its process couldn't read the registry
+	heard      [][]string
 	storedAt   time.Time
 	levels     map[string]Level
 	exact      window
@@ -135,6 +139,7 @@
 		p.startedAt = append(p.startedAt, start)
 	}
 	p.life, p.known = make([]int, p.nodes), make([]bool, p.nodes)
+	p.blind, p.heard = make([]bool, p.nodes), make([][]string, p.nodes)
 	for range p.nodes {
 		q := p.newQuotas(start, true)
 		q.SetLimits(start, map[string]Limit{"w": p.limit})
@@ -167,10 +172,41 @@
 	})
 }
 
+// knows lets a node that couldn't read the registry know those that it can hear.
+func (p *player) knows(now time.Time, at time.Duration, i int) {
+	names, sizes := []string{}, map[int]int{p.halls[i]: 1}
+	for j, n := range p.names {
+		if j != i && len(p.history[j]) > 0 && (p.cut == nil || p.cut(at, i) == p.cut(at, j)) || slices.Contains(p.heard[i], n) {
+			names = append(names, n)
+			sizes[p.halls[j]]++
+		}
+	}
+	p.heard[i] = names
+	if now.Sub(p.startedAt[i]) < time.Second {
+		return // many are assumed until then
+	}
+	p.q[i].SetKnownPeers(now, names, unnamed(p.halls, sizes))
+}
+
+// unnamed estimates how many nodes aren't known, as package roster does.
+func unnamed(halls []int, sizes map[int]int) int {
+	missing, largest := 0, 0
+	for h := range slices.Max(halls) + 1 {
+		largest = max(largest, sizes[h])
+		if sizes[h] == 0 {
+			missing++
+		}
+	}
+	return missing * largest
+}
+
 // report lets a node build its report, and apply what its relay has of the others.
 func (p *player) report(now time.Time, at time.Duration, i int) {
 	q := p.q[i]
-	if !p.known[i] || p.unlisted && p.cut(at, i) == 0 {
+	switch {
+	case p.blind[i]:
+		p.knows(now, at, i)
+	case !p.known[i] || p.unlisted && p.cut(at, i) == 0:
 		p.known[i] = true
 		q.SetPeers(now, p.listedBy(at, i))
 	}
@@ -236,6 +272,12 @@
 			p.restart(now, i)
 		}
 	}
+	for i := range p.q {
+		if p.starts != nil && p.starts(at, i) {
+			p.restart(now, i)
+			p.blind[i], p.heard[i] = true, nil
+		}
+	}
 	if p.churn && at > 0 && at%(500*time.Millisecond) == 0 {
 		p.restart(now, int(at/(500*time.Millisecond))%p.nodes)
 	}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -106,6 +106,7 @@
 	overflow   []float64 // of all buckets, as of overflowAt; nil: has to be read again
 	overflowAt time.Time
 
+	unnamed  []*peer                  // nodes that are assumed to exist, and not known by name
 	restored map[string]restoredLevel // by workspace
 	removed  map[string]*peer         // nodes that are no longer listed, in the state of their last report
 }
@@ -118,7 +119,11 @@
 // New returns quotas without buckets. first says that the node starts together with the whole system,
 // which makes buckets start full.
 func New(now time.Time, first bool) *Quotas {
-	return &Quotas{buckets: make(map[string]*bucket), peers: make(map[string]*peer), removed: make(map[string]*peer), startFull: first, startedAt: now, roundStart: now}
+	q := &Quotas{buckets: make(map[string]*bucket), peers: make(map[string]*peer), removed: make(map[string]*peer), startFull: first, startedAt: now, roundStart: now}
+	if !first {
+		q.setUnnamed(now, assumedNodes-1)
+	}
+	return q
 }
 
 // SetLimits sets the quotas in force.
@@ -181,7 +186,7 @@
 
 // nodes returns the number of nodes that share the quotas, this one included.
 func (q *Quotas) nodes() float64 {
-	n := float64(len(q.peers) + 1)
+	n := float64(len(q.peers) + len(q.unnamed) + 1)
 	if !q.peersKnown {
 		return max(n, assumedNodes)
 	}
@@ -275,6 +280,7 @@
 		q.ageRecent(p, keep)
 		q.deductAssumed(now.Sub(p.lastSeen) > timeout, p, p.lastSeen.Before(before.Add(-lag)), d)
 	}
+	q.deductUnnamed(d)
 }
 
 // minRecent is the recent use in tokens below which a workspace isn't remembered as used by a node.
@@ -302,9 +308,6 @@
 	if !missed && !becomes {
 		return
 	}
-	if len(p.assumed) < q.nextIndex {
-		p.assumed = append(p.assumed, make([]float64, q.nextIndex-len(p.assumed))...)
-	}
 	nodes := q.nodes()
 	for _, b := range q.buckets {
 		x := 0.0
@@ -315,7 +318,7 @@
 			x += b.limit.Rate * d / nodes
 		}
 		b.level -= x
-		p.assumed[b.index] += x
+		p.assume(b, x)
 	}
 }
 
@@ -328,9 +331,12 @@
 	}
 }
 
-// SetPeers sets the other nodes that are known to share the quotas. One that is no longer listed may be up behind a
+// SetPeers sets the other nodes that share the quotas, all of them. One that is no longer listed may be up behind a
 // partition, so it goes on sharing them, unless it has said that it leaves.
-func (q *Quotas) SetPeers(now time.Time, names []string) {
+func (q *Quotas) SetPeers(now time.Time, names []string) { q.SetKnownPeers(now, names, 0) }
+
+// SetKnownPeers is SetPeers where so many others are assumed that aren't known by name.
+func (q *Quotas) SetKnownPeers(now time.Time, names []string, unnamed int) {
 	q.peersKnown = true
 	for _, n := range names {
 		q.peer(now, n).lastListed = now
@@ -347,6 +353,7 @@
 			delete(q.removed, n)
 		}
 	}
+	q.setUnnamed(now, unnamed)
 }
 
 // peerTTL is how long a node that is neither listed nor heard counts as sharing the quotas: longer than a partition lasts.
@@ -364,7 +371,7 @@
 	p := q.peers[name]
 	if p == nil {
 		if p = q.removed[name]; p == nil {
-			p = &peer{lastSeen: now}
+			p = q.takeUnnamed(now)
 		}
 		delete(q.removed, name)
 		q.peers[name] = p
@@ -395,12 +402,12 @@
 		}
 		// What an unknown incarnation charged before was charged while this node could not receive its
 		// reports, and is deducted. Only if it is older than this process, the bucket's initial level
-		// accounts for it already.
+		// accounts for it already, and what was assumed since stands.
 		older := p.incarnation == "" && u.Uptime > now.Sub(q.startedAt)+startTolerance
 		p.incarnation, p.startedAt, p.sequence = u.Incarnation, startedAt, 0
 		p.charged = nil
 		if older {
-			p.charged = u.Charged
+			p.charged, p.assumed = u.Charged, nil
 		}
 	}
 	known := p.incarnation == u.Incarnation && p.sequence == u.Sequence && u.Sequence != 0 && len(p.assumed) == 0
--- a/internal/quota/sharing.go
+++ b/internal/quota/sharing.go
@@ -26,16 +26,17 @@
 
 // Sharing is how many nodes share the quotas as this node sees it.
 type Sharing struct {
-	Nodes  int // this one included
-	Heard  int // of these, those that have reported to this process, and this one
-	Silent int // of these, those that no longer report
-	Known  bool
-	Start  Start
+	Nodes   int // this one included
+	Heard   int // of these, those that have reported to this process, and this one
+	Silent  int // of these, those that no longer report
+	Unnamed int // of these, those that are assumed and not known by name
+	Known   bool
+	Start   Start
 }
 
 // Sharing returns how many nodes share the quotas.
 func (q *Quotas) Sharing() Sharing {
-	s := Sharing{Nodes: int(q.nodes()), Heard: 1, Known: q.peersKnown, Start: q.start()}
+	s := Sharing{Nodes: int(q.nodes()), Heard: 1, Unnamed: len(q.unnamed), Known: q.peersKnown, Start: q.start()}
 	for _, p := range q.peers {
 		if p.incarnation != "" {
 			s.Heard++
--- a/internal/roster/view.go
+++ b/internal/roster/view.go
@@ -57,6 +57,27 @@
 	return 2*heard > all
 }
 
+// Unnamed estimates how many nodes the view lacks at a node that couldn't read the registry: in each hall of which no node is
+// known, as many as in the largest one.
+func (v View) Unnamed() int {
+	sizes := map[string]int{v.Self.Hall: 1}
+	for p := range v.Peers {
+		if p.Hall != "" {
+			sizes[p.Hall]++
+		}
+	}
+	missing, largest := 0, 0
+	for _, n := range sizes {
+		largest = max(largest, n)
+	}
+	for h := range v.Regions {
+		if sizes[h] == 0 {
+			missing++
+		}
+	}
+	return missing * largest
+}
+
 // Watchers returns the nodes of this hall that watch the store.
 func (v View) Watchers() []string { return v.watchers().Names() }
 
--- a/internal/roster/view_test.go
+++ b/internal/roster/view_test.go
@@ -60,3 +60,22 @@
 		assert.Equal(t, []string{"b"}, v.HallNodes("h").Names())
 	})
 }
+
+func TestUnnamed(t *testing.T) {
+	view := func(halls ...string) View {
+		return View{
+			Self: Peer{Hall: "a"}, Regions: map[string]string{"a": "r", "b": "r", "c": "r"},
+			Peers: func(yield func(*Peer) bool) {
+				for _, h := range halls {
+					if !yield(&Peer{Hall: h}) {
+						return
+					}
+				}
+			},
+		}
+	}
+	assert.Equal(t, 2, view().Unnamed(), "alone in one hall of three")
+	assert.Equal(t, 6, view("a", "a").Unnamed())
+	assert.Equal(t, 3, view("b", "b", "b", "").Unnamed(), "one whose hall isn't known stands for none")
+	assert.Zero(t, view("b", "c").Unnamed())
+}
