A process that found no stored levels goes on from another node's

Callers whose workspace had used up its quota were served again by each process that started while the store was away: it took a quarter of each burst, whatever others knew to be charged, and a row of planned stops brought a quarter each.

It asks a node whose process is older, with the question for the nodes, and takes its levels less what it has charged itself. What it had assumed of silent and unnamed nodes no longer counts, since these levels have it deducted. Only where no older process can be asked (all were lost) the quarter remains.

--- a/internal/edge/members_test.go
+++ b/internal/edge/members_test.go
@@ -119,11 +119,11 @@
 	n.applyNamed("edge-b-1", []roster.Member{{Name: n.settings.Node, Address: "10.0.0.1:1"}, {Name: "other", Address: "10.0.0.2:1", Hall: "b"}, {Name: "unaddressed"}}, false)
 	assert.Equal(t, 4, n.peers.size())
 	assert.Equal(t, "b", n.peers.peers["other"].Hall)
-	a := n.nameMembers()
+	a := n.nameMembers(false)
 	assert.Len(t, a.Members, 4, "itself included")
 	assert.False(t, a.MembersComplete)
 	n.applyNamed("edge-b-1", nil, true)
-	assert.True(t, n.nameMembers().MembersComplete)
+	assert.True(t, n.nameMembers(false).MembersComplete)
 }
 
 // newIsolatedNode returns a node that has started without the store and has heard from two nodes of its hall alone.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -146,7 +146,7 @@
 func (n *Node) runRounds(ctx context.Context) {
 	n.clock.Every(ctx, pair.Round, func(now time.Time) {
 		n.reportRound(ctx, now)
-		n.askForMembers(ctx, now)
+		n.askOthers(ctx, now)
 		n.sight()
 		n.missed.Check(ctx, now)
 		n.front.TellNewStreams(now)
@@ -411,7 +411,7 @@
 // CatchUp returns what the caller lacks.
 func (s *edgeService) CatchUp(_ context.Context, r *connect.Request[wire.CatchUpRequest]) (*connect.Response[wire.CatchUpResponse], error) {
 	if r.Msg.WantsMembers {
-		return connect.NewResponse(s.n.nameMembers()), nil
+		return connect.NewResponse(s.n.nameMembers(r.Msg.WantsLevels)), nil
 	}
 	a := &wire.CatchUpResponse{}
 	if h := s.n.catalog.Load(); h != nil && h.catalog.Version() > r.Msg.CatalogVersion {
--- a/internal/message/fuzz_test.go
+++ b/internal/message/fuzz_test.go
@@ -56,6 +56,7 @@
 	seed(&wire.ListItem{Id: "u", Service: "s", Slots: -8, WarmUpMs: -1, Born: -1})
 	late := []*wire.LateVersion{{Version: "v", GoneAgoMs: -1}, {Version: "v", GoneAgoMs: 1 << 62}, {Version: "v1"}}
 	seed(&wire.LateVersionsResponse{Whole: true, Services: []*wire.ServiceVersions{{Service: "s", Versions: late}, nil}})
+	seed(&wire.CatchUpResponse{Members: []*wire.Member{nil, {Node: "n", Cores: math.NaN()}}, Levels: []*wire.QuotaLevel{nil, {Workspace: "w", Tokens: math.NaN()}, {Workspace: "w", Tokens: -1e308}}})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		clock := timer.NewManual(time.Unix(1000, 0))
 		now := clock.Service().Now()
@@ -106,6 +107,13 @@
 				assert.NotEmpty(t, v.Versions)
 			}
 		}
+		var c wire.CatchUpResponse
+		if proto.Unmarshal(b, &c) == nil {
+			MembersFromWire(c.Members)
+			for _, v := range LevelsFromWire(c.Levels) {
+				assert.False(t, math.IsNaN(v.Level) || math.IsInf(v.Level, 0))
+			}
+		}
 		p.UpdateSpeeds()
 		for _, v := range p.States("") {
 			assert.True(t, v.Speed >= 0 && v.Speed < 4 && v.SpeedEvidence >= 0, "%+v", v)
--- a/internal/quota/absent_test.go
+++ b/internal/quota/absent_test.go
@@ -113,3 +113,36 @@
 		}
 	}
 }
+
+// TestLevelsOfAnotherNode: a process that knows nothing of before goes on from the levels of one that does.
+func TestLevelsOfAnotherNode(t *testing.T) {
+	l := Limit{Rate: 100, Burst: 1000}
+	started := func() *Quotas {
+		q := New(start, false)
+		q.SetLimits(start, map[string]Limit{"w": l})
+		return q
+	}
+	level := func(q *Quotas) float64 { return q.Levels(start)["w"].Level }
+	t.Run("less what it has charged itself", func(t *testing.T) {
+		q := started()
+		q.SetPeers(start, []string{"b"})
+		assert.True(t, q.Charge(start, "w", 100).Allowed)
+		assert.True(t, q.Adopt(start, map[string]Level{"w": {Level: 800}}))
+		assert.InDelta(t, 700, level(q), 0.1)
+		assert.Equal(t, StartHeard, q.Sharing().Start)
+	})
+	t.Run("what was assumed here isn't returned", func(t *testing.T) {
+		q := started()
+		q.StartRound(start.Add(time.Second), time.Second, 0)
+		q.Adopt(start.Add(time.Second), map[string]Level{"w": {Level: -50}})
+		q.SetPeers(start.Add(time.Second), []string{"b"})
+		assert.InDelta(t, -50, q.Levels(start.Add(time.Second))["w"].Level, 0.1)
+	})
+	t.Run("once, and not in place of better ones", func(t *testing.T) {
+		q := started()
+		assert.True(t, q.Adopt(start, map[string]Level{"w": {Level: 800}}))
+		assert.False(t, q.Adopt(start, map[string]Level{"w": {Level: 900}}))
+		assert.False(t, q.Restore(start, time.Second, time.Second, map[string]Level{"w": {Level: 900}}))
+		assert.False(t, New(start, true).Adopt(start, map[string]Level{"w": {Level: 1}}), "a first start has full buckets")
+	})
+}
--- a/internal/quota/restore.go
+++ b/internal/quota/restore.go
@@ -41,7 +41,7 @@
 // whether it did. Use is assumed to have continued for one such interval, after which the levels would
 // have been stored again.
 func (q *Quotas) Restore(now time.Time, age, every time.Duration, levels map[string]Level) bool {
-	if q.startFull || age < 0 || age > maxRestoreAge {
+	if q.startFull || q.adopted || age < 0 || age > maxRestoreAge {
 		return false
 	}
 	q.restored = make(map[string]restoredLevel, len(levels))
@@ -57,6 +57,29 @@
 	return true
 }
 
+// Adopt continues from another node's levels as of now, and reports whether it did. They account for what silent and unnamed
+// nodes may have charged, so that what was assumed here before no longer counts. What this process has charged itself that node
+// may not know yet.
+func (q *Quotas) Adopt(now time.Time, levels map[string]Level) bool {
+	if q.start() != StartPart || len(levels) == 0 {
+		return false
+	}
+	q.adopted = true
+	for n, l := range levels {
+		if b := q.buckets[n]; b != nil && b.limit.Rate > 0 {
+			q.refill(now, b)
+			b.level = min(b.limit.Burst, l.Level-b.charged)
+		}
+	}
+	for _, p := range q.peers {
+		p.assumed = nil
+	}
+	for _, p := range q.unnamed {
+		p.assumed = nil
+	}
+	return true
+}
+
 // initialLevel returns the level with which a bucket starts.
 func (q *Quotas) initialLevel(now time.Time, workspace string, l Limit) float64 {
 	if q.startFull {
--- a/internal/quota/sharing.go
+++ b/internal/quota/sharing.go
@@ -10,6 +10,7 @@
 	StartPart   Start = iota // a part of the burst, since nothing is known of before
 	StartFull                // the burst: the whole system starts
 	StartStored              // what was stored before
+	StartHeard               // what another node had
 )
 
 // String returns the start as the log names it.
@@ -19,6 +20,8 @@
 		return "full"
 	case StartStored:
 		return "stored"
+	case StartHeard:
+		return "heard"
 	default:
 		return "part"
 	}
@@ -52,6 +55,8 @@
 	switch {
 	case q.startFull:
 		return StartFull
+	case q.adopted:
+		return StartHeard
 	case q.restored != nil:
 		return StartStored
 	default:
