Nodes behind a cut keep their part of the retry budget

Upstreams could get more repeats than the operators allow where nodes were cut off and their registrations had lapsed: the others divided the budget's allowance by the nodes they still knew. Of the same cause as with quotas: who is neither heard nor listed was taken for gone. Retries are divided by as many nodes as quotas are.

TestNodesBehindACutLoseTheirPartOfTheRetryBudget: 84 retries of a node after its three peers were out of sight, 21 before that; 21 both times now.

--- a/internal/edge/members_test.go
+++ b/internal/edge/members_test.go
@@ -12,6 +12,7 @@
 
 	"spurhall.example/spurhall/internal/bootstrap"
 	"spurhall.example/spurhall/internal/pair"
+	"spurhall.example/spurhall/internal/retry"
 	"spurhall.example/spurhall/internal/roster"
 	"spurhall.example/spurhall/internal/store"
 	"spurhall.example/spurhall/internal/timer"
@@ -158,3 +159,30 @@
 		assert.Equal(t, 4, n.quotas.Sharing().Nodes)
 	})
 }
+
+// TestNodesBehindACutLoseTheirPartOfTheRetryBudget: once their registration had lapsed, the others spent that part as well.
+func TestNodesBehindACutLoseTheirPartOfTheRetryBudget(t *testing.T) {
+	n, c := newScaleNode(t, 4, 0)
+	n.settings.RetryExtra = 120
+	n.settings.FirstStart = true
+	retries := func() int {
+		n.retryWindows = make(map[string]*retry.Window)
+		return countWhile(func() bool { return n.allowRetry("llm") })
+	}
+	n.setQuotaPeers(c.Service().Now())
+	before := retries()
+	assert.Positive(t, before)
+	c.Advance(time.Minute)
+	n.applyRegistry(c.Service().Now())
+	assert.Equal(t, 1, n.peers.size(), "the others are gone")
+	assert.Equal(t, before, retries())
+}
+
+// countWhile returns how often f holds in a row.
+func countWhile(f func() bool) int {
+	for i := 0; ; i++ {
+		if !f() {
+			return i
+		}
+	}
+}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -313,7 +313,7 @@
 const retryBudgetShare = 0.7
 
 func (n *Node) retryWindow(service string) *retry.Window {
-	a := retryBudgetShare * n.settings.RetryExtra / float64(n.peers.size())
+	a := retryBudgetShare * n.settings.RetryExtra / max(float64(n.peers.size()), n.quotas.Nodes())
 	w := n.retryWindows[service]
 	if w == nil {
 		w = retry.NewWindow(retryBudgetShare*n.settings.RetryRatio, a, n.settings.RetryWindow)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -185,8 +185,8 @@
 // within which little refill overflows.
 const lateReport = time.Second
 
-// nodes returns the number of nodes that share the quotas, this one included.
-func (q *Quotas) nodes() float64 {
+// Nodes returns the number of nodes that share the quotas, this one included, whether they are heard or not.
+func (q *Quotas) Nodes() float64 {
 	n := float64(len(q.peers) + len(q.unnamed) + 1)
 	if !q.peersKnown {
 		return max(n, assumedNodes)
@@ -202,7 +202,7 @@
 			n++
 		}
 	}
-	return n / q.nodes()
+	return n / q.Nodes()
 }
 
 // allKnown reports whether the use of all nodes is known, or there was none.
@@ -227,7 +227,7 @@
 		floor = -smallOverdraft * b.limit.Burst
 	}
 	unshared := q.allKnown() && b.level-tokens >= unsharedLevel*b.limit.Burst && (b.spent == 0 || b.spent+tokens <= unsharedSpend*b.limit.Burst)
-	limit := q.allowance(b) - floor/q.nodes() // each node has its part of the overdraft of small requests
+	limit := q.allowance(b) - floor/q.Nodes() // each node has its part of the overdraft of small requests
 	if !unshared && (b.level <= floor || b.spent >= limit) {
 		short := max(floor-b.level, b.spent-limit) + retryRefill*b.limit.Burst
 		return Verdict{Level: b.level, Wait: time.Duration(short / b.limit.Rate * float64(time.Second))}
@@ -254,7 +254,7 @@
 // before this round: if it included the use in this round, which the other nodes do not know yet, each
 // node would be entitled to the whole of a bucket that was idle before.
 func (q *Quotas) allowance(b *bucket) float64 {
-	even := 1 / q.nodes()
+	even := 1 / q.Nodes()
 	share := even
 	own := max(0, b.recent-b.spent)
 	if all := own + b.peersRecent; all > 0 {
@@ -309,7 +309,7 @@
 	if !missed && !becomes {
 		return
 	}
-	nodes := q.nodes()
+	nodes := q.Nodes()
 	for _, b := range q.buckets {
 		x := 0.0
 		if becomes && b.level > 0 {
--- a/internal/quota/sharing.go
+++ b/internal/quota/sharing.go
@@ -39,7 +39,7 @@
 
 // Sharing returns how many nodes share the quotas.
 func (q *Quotas) Sharing() Sharing {
-	s := Sharing{Nodes: int(q.nodes()), Heard: 1, Unnamed: len(q.unnamed), Known: q.peersKnown, Start: q.start()}
+	s := Sharing{Nodes: int(q.Nodes()), Heard: 1, Unnamed: len(q.unnamed), Known: q.peersKnown, Start: q.start()}
 	for _, p := range q.peers {
 		if p.incarnation != "" {
 			s.Heard++
--- a/internal/quota/unnamed.go
+++ b/internal/quota/unnamed.go
@@ -46,7 +46,7 @@
 
 // deductUnnamed deducts what unnamed nodes may have charged in a round, and, in a node's first one, its even share of the level.
 func (q *Quotas) deductUnnamed(d float64) {
-	nodes := q.nodes()
+	nodes := q.Nodes()
 	for _, b := range q.buckets {
 		level, refill := max(0, b.level), b.limit.Rate*d
 		for _, p := range q.unnamed {
