Levels of quotas are asked for at once, and only of nodes that hear most

It asks from its first round on, in each. And a node tells its levels only if it hears most others: those of one that does not rest on what silent nodes are assumed to charge, and the asker would keep that for good. TestLevelsOfANodeThatHearsFewAreTakenOver failed without that (by the levels being told).

--- a/internal/bootstrap/bootstrap.go
+++ b/internal/bootstrap/bootstrap.go
@@ -18,8 +18,8 @@
 	"spurhall.example/spurhall/internal/pair"
 )
 
-// askInterval is the shortest time between two questions: half of the time after which the nodes heard from count as all.
-const askInterval = 500 * time.Millisecond
+// askInterval is the shortest time between two questions.
+const askInterval = pair.Round
 
 // Lookup is what a process has done to learn of the other nodes. Its zero value has asked nobody.
 type Lookup struct {
--- a/internal/edge/bootstrap.go
+++ b/internal/edge/bootstrap.go
@@ -27,7 +27,7 @@
 	if n.settings.FirstStart {
 		return // holders of seats read the registry for the others, and buckets are full
 	}
-	wantsLevels := n.levelsTried && n.quotas.Sharing().Start == quota.StartPart && n.catalog.Load() != nil && now.Sub(n.start) < levelsWanted
+	wantsLevels := n.quotas.Sharing().Start == quota.StartPart && n.catalog.Load() != nil && now.Sub(n.start) < levelsWanted
 	if n.role.RegistryRead && !wantsLevels {
 		return
 	}
@@ -78,7 +78,8 @@
 	n.lookup.Hear(complete)
 }
 
-// nameMembers returns the nodes that this one knows, itself included, and the quotas' levels if they are wanted.
+// nameMembers returns the nodes that this one knows, itself included, and the quotas' levels if they are wanted and rest on what
+// nodes have charged more than on what silent ones are assumed to have.
 func (n *Node) nameMembers(levels bool) *wire.CatchUpResponse {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -91,7 +92,7 @@
 	}
 	now := n.clock.Now()
 	a := &wire.CatchUpResponse{Members: message.MembersToWire(list), MembersComplete: n.role.RegistryRead || n.lookup.Complete(), UptimeMs: now.Sub(n.start).Milliseconds()}
-	if levels {
+	if levels && n.quotas.Sharing().HearsMost() {
 		a.Levels = message.LevelsToWire(n.quotas.Levels(now))
 	}
 	return a
--- a/internal/edge/members_test.go
+++ b/internal/edge/members_test.go
@@ -12,6 +12,7 @@
 
 	"spurhall.example/spurhall/internal/bootstrap"
 	"spurhall.example/spurhall/internal/pair"
+	"spurhall.example/spurhall/internal/quota"
 	"spurhall.example/spurhall/internal/retry"
 	"spurhall.example/spurhall/internal/roster"
 	"spurhall.example/spurhall/internal/store"
@@ -186,3 +187,23 @@
 		}
 	}
 }
+
+// TestLevelsOfANodeThatHearsFewAreTakenOver: they rest on what silent nodes were assumed to charge, so that callers below their
+// quotas were refused once nearly all processes had been killed.
+func TestLevelsOfANodeThatHearsFewAreTakenOver(t *testing.T) {
+	n, c := newScaleNode(t, 6, 0)
+	n.quotas.SetLimits(n.clock.Now(), map[string]quota.Limit{"w": {Rate: 1, Burst: 1}})
+	tells := func(heard int) bool {
+		for i := range heard {
+			name := fmt.Sprintf("edge-%s-%d", scaleHalls[(i+1)%len(scaleHalls)], i+1)
+			n.quotas.ApplyUpdate(n.clock.Now(), quota.Update{Node: name, Incarnation: "p", Sequence: uint64(c.Service().Now().UnixNano())})
+		}
+		n.startQuotaSpan(n.clock.Now())
+		return len(n.nameMembers(true).Levels) > 0
+	}
+	assert.True(t, tells(5))
+	c.Advance(10 * time.Second)
+	assert.False(t, tells(1), "the others were killed")
+	c.Advance(10 * time.Second)
+	assert.True(t, tells(4), "they are back")
+}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -144,7 +144,6 @@
 
 	mu            sync.Mutex // guards the fields below
 	quotas        *quota.Quotas
-	levelsTried   bool               // the stored levels were read, or couldn't be
 	quotaSharing  quota.Sharing      // as last logged
 	reportedSpent map[string]float64 // what the last report says that this process has charged, by workspace
 	retryWindows  map[string]*retry.Window
--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"time"
 
 	"go.uber.org/zap"
 
 	"spurhall.example/spurhall/internal/handover"
-	"spurhall.example/spurhall/internal/quota"
 )
 
 // This file connects the records of the duties' holder (package handover) with this node's quotas and usage.
@@ -72,17 +70,11 @@
 		return
 	}
 	l, age, ok := handover.ReadLevels(ctx, n.records(), n.clock)
-	accepted := n.restoreQuotas(l, age, ok)
 	if !ok {
 		return
 	}
-	n.log.Info("levels_found", zap.Duration("age", age), zap.Int("workspaces", len(l)), zap.Bool("taken", accepted))
-}
-
-// restoreQuotas continues from the levels that were found, if there are any, and reports whether it did.
-func (n *Node) restoreQuotas(levels map[string]quota.Level, age time.Duration, found bool) bool {
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.levelsTried = true
-	return found && n.quotas.Restore(n.clock.Now(), age, handover.LevelsCheckInterval, levels)
+	accepted := n.quotas.Restore(n.clock.Now(), age, handover.LevelsCheckInterval, l)
+	n.mu.Unlock()
+	n.log.Info("levels_found", zap.Duration("age", age), zap.Int("workspaces", len(l)), zap.Bool("taken", accepted))
 }
--- a/internal/quota/sharing.go
+++ b/internal/quota/sharing.go
@@ -37,6 +37,9 @@
 	Start   Start
 }
 
+// HearsMost reports whether this process hears more than half of the nodes.
+func (s Sharing) HearsMost() bool { return 2*min(s.Heard, s.Nodes-s.Silent-s.Unnamed) > s.Nodes }
+
 // Sharing returns how many nodes share the quotas.
 func (q *Quotas) Sharing() Sharing {
 	s := Sharing{Nodes: int(q.Nodes()), Heard: 1, Unnamed: len(q.unnamed), Known: q.peersKnown, Start: q.start()}
