Callers without a whole request give way when places are short

Ordinary callers were closed at once, for as long as a crowd stayed that had taken all places and stopped short of the end of its requests: a body has no time, and a connection that had sent a part of one was kept for ever.

The listener follows how far each connection is with a request. When all places are taken, the one that has had no whole request for the longest, and for a second at least, is closed; idle ones go last, those with a whole request never. A request is passed on only once it is whole, so one that gave way has run nowhere. Nothing changes while places are free.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -48,8 +48,9 @@
 	return int(callersShare * float64(max(0, descriptors-reservedDescriptors)))
 }
 
-// Listener records when accepting a connection failed, and closes connections above the limit at once:
-// their callers try another node before anything that they sent was read.
+// Listener records when accepting a connection failed. Above the limit of connections, one that holds a place without a whole
+// request gives way (yield.go); if there is none, the new one is closed at once: its caller tries another node before
+// anything that it sent was read.
 type Listener struct {
 	net.Listener
 	Identify func(h http.Header) string // the id of a request; nil: nobody knows
@@ -65,6 +66,7 @@
 	tls      *tls.Config // nil: none
 	mu       sync.Mutex
 	callers  map[*callerConn]bool
+	yieldLog yieldLog
 }
 
 // New returns a listener of a process that has so many descriptors; 0: no limit.
@@ -95,7 +97,7 @@
 		case err != nil:
 			l.recordFailure("accept_failed", zap.String("cause", err.Error()))
 			return nil, err
-		case l.maxOpen > 0 && l.Open() >= l.maxOpen:
+		case l.maxOpen > 0 && l.Open() >= l.maxOpen && !l.makePlace():
 			callersRejected.Add(1)
 			l.recordFailure("callers_turned_away", zap.Int("open", l.Open()))
 			_ = c.Close()
@@ -109,7 +111,7 @@
 	if l.tls != nil {
 		c = tls.Server(c, l.tls)
 	}
-	v := &callerConn{Conn: c, listener: l}
+	v := &callerConn{Conn: c, listener: l, standing: standing{since: l.clock.Now()}}
 	l.mu.Lock()
 	l.callers[v] = true
 	l.mu.Unlock()
@@ -211,4 +213,5 @@
 	callersRejected = expvar.NewInt("callers_turned_away")
 	callersCut      = expvar.NewInt("callers_cut")
 	callersCrossed  = expvar.NewInt("callers_crossed")
+	callersYielded  = expvar.NewMap("callers_yielded") // by what ran short
 )
--- a/internal/accept/caller.go
+++ b/internal/accept/caller.go
@@ -29,6 +29,7 @@
 type callerConn struct {
 	net.Conn
 	listener *Listener
+	standing standing // guarded by the listener's lock
 
 	mu         sync.Mutex
 	closed     bool
@@ -95,6 +96,7 @@
 func (c *callerConn) begin() {
 	c.look = look{}
 	c.inProgress, c.answered, c.bytes, c.readAt, c.waited = true, false, 0, c.listener.clock.Now(), 0
+	c.listener.set(c, phaseHead)
 	if c.listener.draining.Load() {
 		_ = c.Conn.SetReadDeadline(c.deadline) // fails only if it is closed
 	}
@@ -147,6 +149,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inProgress = false
+	c.listener.set(c, phaseIdle)
 	c.closeIfIdle()
 }
 
--- /dev/null
+++ b/internal/accept/yield.go
@@ -0,0 +1,168 @@
+package accept
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// This file decides which connection gives way when places run short: one that holds one without a whole request, the longest
+// first. Its request has run nowhere, and never will: it is passed on only once it is whole.
+//
+// Alternatives considered: a bound in time for each body. Callers within the limits may send slowly, and nothing is short
+// while places are free.
+
+const (
+	// yieldGrace is how long a connection may go without a whole request before it gives way to others: a head and a body of some
+	// MB arrive within it.
+	yieldGrace = time.Second
+	// yieldLogInterval is the shortest time between two lines on connections that gave way.
+	yieldLogInterval = time.Second
+)
+
+// errGaveWay ends the reading of a request whose connection gives way.
+var errGaveWay = errors.New("the connection gives way to others")
+
+// shortage is what runs short.
+type shortage string
+
+// The shortages.
+const shortOfPlaces shortage = "places"
+
+// phase is how far a connection is with a request.
+type phase int
+
+// The phases.
+const (
+	phaseUnused phase = iota // nothing has been read
+	phaseHead
+	phaseBody
+	phaseWhole // the request is whole, and its response isn't
+	phaseIdle  // between two requests
+)
+
+func (p phase) String() string { return [...]string{"unused", "head", "body", "whole", "idle"}[p] }
+
+// partial reports whether the connection holds a part of a request, or has never sent one.
+func (p phase) partial() bool { return p == phaseUnused || p == phaseHead || p == phaseBody }
+
+// standing is what a connection holds. It is guarded by the listener's lock.
+type standing struct {
+	phase  phase
+	since  time.Time // it has had no whole request; of a whole one: its beginning
+	yields bool      // it gives way: its request isn't passed on any more
+}
+
+// yieldLog bounds the lines on connections that gave way.
+type yieldLog struct {
+	at     time.Time
+	others int // that gave way since without a line
+}
+
+// set changes a connection's phase and returns whether it still holds its place.
+func (l *Listener) set(c *callerConn, p phase) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := &c.standing
+	if s.yields {
+		return false
+	}
+	if p == phaseHead || p == phaseIdle {
+		s.since = l.clock.Now()
+	}
+	s.phase = p
+	return true
+}
+
+// longest returns the connection in a phase that fits, for at least some time, the longest; nil: none.
+func (l *Listener) longest(least time.Duration, fits func(p phase) bool) *callerConn {
+	var most *callerConn
+	from := l.clock.Now().Add(-least)
+	for c := range l.callers {
+		s := &c.standing
+		if !s.yields && fits(s.phase) && !s.since.After(from) && (most == nil || s.since.Before(most.standing.since)) {
+			most = c
+		}
+	}
+	return most
+}
+
+// markYield marks a connection, which is closed once the lock isn't held.
+func (l *Listener) markYield(c *callerConn, why shortage) *callerConn {
+	c.standing.yields = true
+	callersYielded.Add(string(why), 1)
+	now := l.clock.Now()
+	if now.Sub(l.yieldLog.at) < yieldLogInterval {
+		l.yieldLog.others++
+		return c
+	}
+	s := &c.standing
+	l.log.Info("caller_gave_way", zap.Stringer("caller", c.RemoteAddr()), zap.String("short_of", string(why)), zap.Stringer("phase", s.phase), zap.Duration("for", now.Sub(s.since)),
+		zap.Int("open", len(l.callers)), zap.Int("others", l.yieldLog.others))
+	l.yieldLog = yieldLog{at: now}
+	return c
+}
+
+// makePlace has a connection give way to a new one, and reports whether there was one.
+func (l *Listener) makePlace() bool {
+	l.mu.Lock()
+	c := l.longest(yieldGrace, phase.partial)
+	if c == nil {
+		c = l.longest(yieldGrace, func(p phase) bool { return p == phaseIdle })
+	}
+	if c != nil {
+		l.markYield(c, shortOfPlaces)
+	}
+	l.mu.Unlock()
+	if c != nil {
+		c.giveWay()
+	}
+	return c != nil
+}
+
+// giveWay closes a connection that was marked. Closing one with TLS may wait for its caller.
+func (c *callerConn) giveWay() {
+	if c.listener.tls != nil {
+		go func() { _ = c.close() }()
+		return
+	}
+	_ = c.close() // nobody is left to tell
+}
+
+// Handler returns the handler of the server on this listener: it follows how far each request has come.
+func (l *Listener) Handler(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ok := r.Context().Value(connKey{}).(*callerConn)
+		switch {
+		case !ok:
+		case r.Body == nil || r.Body == http.NoBody || r.Method == http.MethodConnect:
+			if !l.set(c, phaseWhole) {
+				return // the connection is closed
+			}
+		default:
+			if !l.set(c, phaseBody) {
+				return
+			}
+			r.Body = &followedBody{ReadCloser: r.Body, c: c}
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// followedBody is a request's body whose end makes the request whole.
+type followedBody struct {
+	io.ReadCloser
+	c *callerConn
+}
+
+// Read reads the body.
+func (b *followedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) && !b.c.listener.set(b.c, phaseWhole) {
+		return n, errGaveWay
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/accept/yield_test.go
@@ -0,0 +1,145 @@
+package accept
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"spurhall.example/spurhall/internal/timer"
+)
+
+// twoPlaces are the descriptors of a process that has places for two callers.
+const twoPlaces = reservedDescriptors + 5
+
+// yieldRig is a server with two places, whose handler waits for a word if the request's path is /held.
+type yieldRig struct {
+	t     *testing.T
+	clock *timer.Manual
+	l     *Listener
+	held  chan struct{}
+}
+
+func newYieldRig(t *testing.T) *yieldRig {
+	t.Helper()
+	in, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	r := &yieldRig{t: t, clock: timer.NewManual(time.Unix(1000, 0)), held: make(chan struct{})}
+	r.l = New(in, r.clock.Service(), zap.NewNop(), twoPlaces)
+	require.Equal(t, 2, r.l.maxOpen)
+	s := &http.Server{ConnState: r.l.ObserveState, ConnContext: r.l.ConnContext, ReadHeaderTimeout: time.Minute, Handler: r.l.Handler(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if _, err := io.Copy(io.Discard, q.Body); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		if q.URL.Path == "/held" {
+			<-r.held
+		}
+	}))}
+	go func() { _ = s.Serve(r.l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return r
+}
+
+// send opens a connection, sends a text and waits until the listener is as far with it.
+func (r *yieldRig) send(text string, reaches phase) net.Conn {
+	r.t.Helper()
+	c, err := net.Dial("tcp", r.l.Addr().String())
+	require.NoError(r.t, err)
+	r.t.Cleanup(func() { _ = c.Close() })
+	_, err = io.WriteString(c, text)
+	require.NoError(r.t, err)
+	address := c.LocalAddr().String()
+	require.Eventually(r.t, func() bool {
+		r.l.mu.Lock()
+		defer r.l.mu.Unlock()
+		for v := range r.l.callers {
+			if v.RemoteAddr().String() == address {
+				return v.standing.phase == reaches
+			}
+		}
+		return false
+	}, 10*time.Second, time.Millisecond, "%v", reaches)
+	return c
+}
+
+const (
+	partOfAHead = "GET / HTTP/1.1\r\nHost: h\r\n"
+	partOfABody = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n12345678"
+	heldRequest = "GET /held HTTP/1.1\r\nHost: h\r\n\r\n"
+	request     = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n1"
+)
+
+// assertClosed checks that a connection ends without a response.
+func assertClosed(t *testing.T, c net.Conn) {
+	t.Helper()
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	b, err := io.ReadAll(c)
+	assert.False(t, err != nil && err.(interface{ Timeout() bool }).Timeout(), "it is open")
+	assert.Empty(t, b)
+}
+
+// assertAnswered checks that a connection gets a response of 200.
+func assertAnswered(t *testing.T, c net.Conn) {
+	t.Helper()
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	a, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusOK, a.StatusCode)
+}
+
+// TestCallersWithoutAWholeRequestKeepTheirPlaces guards against places that are held for ever without a whole request.
+func TestCallersWithoutAWholeRequestKeepTheirPlaces(t *testing.T) {
+	for _, v := range []struct {
+		name, text string
+		reaches    phase
+	}{
+		{"a part of a head", partOfAHead, phaseHead},
+		{"a part of a body", partOfABody, phaseBody},
+		{"nothing", "", phaseUnused},
+		{"a connection that was used", request, phaseIdle},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			r := newYieldRig(t)
+			whole := r.send(heldRequest, phaseWhole)
+			first := r.send(v.text, v.reaches)
+			if v.reaches == phaseIdle {
+				assertAnswered(t, first)
+			}
+			r.clock.Advance(2 * yieldGrace)
+			assertAnswered(t, r.send(request, phaseIdle))
+			assertClosed(t, first)
+			close(r.held)
+			assertAnswered(t, whole)
+		})
+	}
+	t.Run("the longest gives way", func(t *testing.T) {
+		r := newYieldRig(t)
+		first := r.send(partOfABody, phaseBody)
+		r.clock.Advance(yieldGrace)
+		second := r.send(partOfAHead, phaseHead)
+		r.clock.Advance(yieldGrace)
+		r.send(request, phaseIdle)
+		assertClosed(t, first)
+		_, err := fmt.Fprint(second, "\r\n")
+		require.NoError(t, err)
+		assertAnswered(t, second)
+	})
+	t.Run("not one that has just begun", func(t *testing.T) {
+		r := newYieldRig(t)
+		r.send(partOfABody, phaseBody)
+		r.send(partOfAHead, phaseHead)
+		c, err := net.Dial("tcp", r.l.Addr().String())
+		require.NoError(t, err)
+		defer func() { _ = c.Close() }()
+		assertClosed(t, c)
+		assert.Equal(t, 2, r.l.Open())
+	})
+}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -70,7 +70,7 @@
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	callers := n.monitorFront(l.Front)
-	front := n.server(n.front)
+	front := n.server(callers.Handler(n.front))
 	front.ConnState, front.ConnContext = callers.ObserveState, callers.ConnContext
 	ready := n.server(http.HandlerFunc(n.serveReady))
 	peers := n.server(n.peerHandler())
