The heads of all callers together have a bound

A node ended for want of memory under callers whose heads had no end: net/http parses a head into a map while it comes, and a field of a few bytes takes sixteen times its size there, in as many connections as there are places, before any budget sees it.

Bytes of heads are counted as they are read, until the response is complete, at sixteen times their number; together they may have an eighth of the VM's memory. Beyond, the caller without a whole request for the longest gives way, a second at least, and if there is none the one with the largest part of a head.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -66,6 +66,8 @@
 	tls      *tls.Config // nil: none
 	mu       sync.Mutex
 	callers  map[*callerConn]bool
+	heads    int64 // bytes of the heads that connections hold
+	maxHeads int64 // 0: no bound
 	yieldLog yieldLog
 }
 
@@ -124,6 +126,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.callers, c)
+	l.heads -= c.standing.head
+	c.standing.head = 0
 	callersOpen.Add(-1)
 }
 
--- a/internal/accept/caller.go
+++ b/internal/accept/caller.go
@@ -53,6 +53,9 @@
 		n, err = c.Conn.Read(b)
 	}
 	c.recordRead(n, err)
+	for _, v := range c.listener.countHead(c, n) {
+		v.giveWay()
+	}
 	c.checkHandshake(err)
 	return n, err
 }
--- a/internal/accept/yield.go
+++ b/internal/accept/yield.go
@@ -9,8 +9,10 @@
 	"go.uber.org/zap"
 )
 
-// This file decides which connection gives way when places run short: one that holds one without a whole request, the longest
-// first. Its request has run nowhere, and never will: it is passed on only once it is whole.
+// This file decides which connection gives way when places or memory run short: one that holds them without a whole request, the
+// longest first. Its request has run nowhere, and never will: it is passed on only once it is whole.
+//
+// A head is counted at what net/http makes of it, which nobody sees while it comes: a map with an entry for each field.
 //
 // Alternatives considered: a bound in time for each body. Callers within the limits may send slowly, and nothing is short
 // while places are free.
@@ -19,6 +21,8 @@
 	// yieldGrace is how long a connection may go without a whole request before it gives way to others: a head and a body of some
 	// MB arrive within it.
 	yieldGrace = time.Second
+	// headCost is how many bytes a byte of a head takes in memory at most, in fields of a few bytes.
+	headCost = 16
 	// yieldLogInterval is the shortest time between two lines on connections that gave way.
 	yieldLogInterval = time.Second
 )
@@ -30,7 +34,10 @@
 type shortage string
 
 // The shortages.
-const shortOfPlaces shortage = "places"
+const (
+	shortOfPlaces shortage = "places"
+	shortOfHeads  shortage = "memory_of_heads"
+)
 
 // phase is how far a connection is with a request.
 type phase int
@@ -53,6 +60,7 @@
 type standing struct {
 	phase  phase
 	since  time.Time // it has had no whole request; of a whole one: its beginning
+	head   int64     // bytes read of the head, counted until the response is complete
 	yields bool      // it gives way: its request isn't passed on any more
 }
 
@@ -62,6 +70,13 @@
 	others int // that gave way since without a line
 }
 
+// SetHeadMemory bounds what the heads of all connections may take, in bytes; 0: no bound.
+func (l *Listener) SetHeadMemory(bytes int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.maxHeads = bytes / headCost
+}
+
 // set changes a connection's phase and returns whether it still holds its place.
 func (l *Listener) set(c *callerConn, p phase) bool {
 	l.mu.Lock()
@@ -70,6 +85,10 @@
 	if s.yields {
 		return false
 	}
+	if p == phaseIdle {
+		l.heads -= s.head
+		s.head = 0
+	}
 	if p == phaseHead || p == phaseIdle {
 		s.since = l.clock.Now()
 	}
@@ -77,6 +96,30 @@
 	return true
 }
 
+// countHead counts bytes of a head, and returns the connections that give way for it.
+func (l *Listener) countHead(c *callerConn, n int) []*callerConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.standing.phase != phaseHead {
+		return nil
+	}
+	c.standing.head += int64(n)
+	l.heads += int64(n)
+	var list []*callerConn
+	for taken := int64(0); l.maxHeads > 0 && l.heads-taken > l.maxHeads; {
+		v := l.longest(yieldGrace, phase.partial)
+		if v == nil {
+			v = l.largestHead()
+		}
+		if v == nil {
+			break
+		}
+		taken += v.standing.head
+		list = append(list, l.markYield(v, shortOfHeads))
+	}
+	return list
+}
+
 // longest returns the connection in a phase that fits, for at least some time, the longest; nil: none.
 func (l *Listener) longest(least time.Duration, fits func(p phase) bool) *callerConn {
 	var most *callerConn
@@ -90,6 +133,17 @@
 	return most
 }
 
+// largestHead returns the connection with the largest part of a head; nil: none.
+func (l *Listener) largestHead() *callerConn {
+	var most *callerConn
+	for c := range l.callers {
+		if s := &c.standing; !s.yields && s.phase == phaseHead && (most == nil || s.head > most.standing.head) {
+			most = c
+		}
+	}
+	return most
+}
+
 // markYield marks a connection, which is closed once the lock isn't held.
 func (l *Listener) markYield(c *callerConn, why shortage) *callerConn {
 	c.standing.yields = true
@@ -101,7 +155,7 @@
 	}
 	s := &c.standing
 	l.log.Info("caller_gave_way", zap.Stringer("caller", c.RemoteAddr()), zap.String("short_of", string(why)), zap.Stringer("phase", s.phase), zap.Duration("for", now.Sub(s.since)),
-		zap.Int("open", len(l.callers)), zap.Int("others", l.yieldLog.others))
+		zap.Int64("head_bytes", s.head), zap.Int("open", len(l.callers)), zap.Int("others", l.yieldLog.others))
 	l.yieldLog = yieldLog{at: now}
 	return c
 }
--- a/internal/accept/yield_test.go
+++ b/internal/accept/yield_test.go
@@ -143,3 +143,24 @@
 		assert.Equal(t, 2, r.l.Open())
 	})
 }
+
+// TestHeadsOfManyFieldsAreHeldWithoutABound guards against heads that take many times their size, in as many connections as come.
+func TestHeadsOfManyFieldsAreHeldWithoutABound(t *testing.T) {
+	r := newYieldRig(t)
+	r.l.SetHeadMemory(headCost * 300)
+	first := r.send(partOfAHead+"a: "+fmt.Sprintf("%0200d", 0), phaseHead)
+	r.clock.Advance(2 * yieldGrace)
+	second := r.send(heldRequest, phaseWhole)
+	third, err := net.Dial("tcp", r.l.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = third.Close() }()
+	_, err = io.WriteString(third, partOfAHead+"a: "+fmt.Sprintf("%0200d", 0)+"\r\n\r\n")
+	require.NoError(t, err)
+	assertClosed(t, first)
+	assertAnswered(t, third)
+	close(r.held)
+	assertAnswered(t, second)
+	r.l.mu.Lock()
+	defer r.l.mu.Unlock()
+	assert.LessOrEqual(t, r.l.heads, int64(300))
+}
--- a/internal/edge/budget.go
+++ b/internal/edge/budget.go
@@ -15,16 +15,20 @@
 	// messageShare is the part of the VM's memory that requests and responses may take together. What the process itself takes
 	// and what the garbage collector hasn't freed yet need the rest.
 	messageShare = 1.0 / 3
+	// headShare is the part of the VM's memory that the heads of callers' requests may take together.
+	headShare = 1.0 / 8
 	// unknownMemory is assumed of a VM whose settings don't name its memory, in bytes.
 	unknownMemory = 256 << 20
 )
 
 // newBudget returns the budget of requests and responses.
 func (n *Node) newBudget() *memory.Budget {
-	v := cmp.Or(n.settings.MemoryBytes, unknownMemory)
-	return memory.New(n.clock, int64(messageShare*float64(v)), n.logResponseEnded)
+	return memory.New(n.clock, int64(messageShare*float64(n.memoryBytes())), n.logResponseEnded)
 }
 
+// memoryBytes returns the VM's memory in bytes.
+func (n *Node) memoryBytes() int64 { return cmp.Or(n.settings.MemoryBytes, unknownMemory) }
+
 // logResponseEnded logs that a response was ended so that others got room.
 func (n *Node) logResponseEnded(v memory.Ended) {
 	n.log.Info("response_ended", zap.String("service", v.Service), zap.String("upstream", v.Upstream), zap.Int64("bytes", v.Bytes), zap.Int64("usual", v.Usual),
