Bodies that come for long give way when the memory for bodies is short

Callers with large bodies were refused for as long as others held the memory for bodies and sent a byte at a time, or nothing.

While requests wait for room, the connection whose body has been coming for the longest, a second at least, is closed, one after the other until none waits. Nothing changes while there is room.

--- a/internal/accept/yield.go
+++ b/internal/accept/yield.go
@@ -37,6 +37,7 @@
 const (
 	shortOfPlaces shortage = "places"
 	shortOfHeads  shortage = "memory_of_heads"
+	shortOfBodies shortage = "memory_of_bodies"
 )
 
 // phase is how far a connection is with a request.
@@ -177,6 +178,19 @@
 	return c != nil
 }
 
+// MakeRoom has a connection give way whose body has been coming for the longest, since the memory for bodies is short.
+func (l *Listener) MakeRoom() {
+	l.mu.Lock()
+	c := l.longest(yieldGrace, func(p phase) bool { return p == phaseBody })
+	if c != nil {
+		l.markYield(c, shortOfBodies)
+	}
+	l.mu.Unlock()
+	if c != nil {
+		c.giveWay()
+	}
+}
+
 // giveWay closes a connection that was marked. Closing one with TLS may wait for its caller.
 func (c *callerConn) giveWay() {
 	if c.listener.tls != nil {
--- a/internal/edge/budget.go
+++ b/internal/edge/budget.go
@@ -23,7 +23,16 @@
 
 // newBudget returns the budget of requests and responses.
 func (n *Node) newBudget() *memory.Budget {
-	return memory.New(n.clock, int64(messageShare*float64(n.memoryBytes())), n.logResponseEnded)
+	b := memory.New(n.clock, int64(messageShare*float64(n.memoryBytes())), n.logResponseEnded)
+	b.OnShort(n.makeRoomForBodies)
+	return b
+}
+
+// makeRoomForBodies has a caller give way whose body has been coming for long, since others wait for room.
+func (n *Node) makeRoomForBodies() {
+	if l := n.frontListener.Load(); l != nil {
+		l.MakeRoom()
+	}
 }
 
 // memoryBytes returns the VM's memory in bytes.
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -46,6 +46,7 @@
 	"spurhall.example/spurhall/internal/lineage"
 	"spurhall.example/spurhall/internal/link"
 	"spurhall.example/spurhall/internal/logging"
+	"spurhall.example/spurhall/internal/memory"
 	"spurhall.example/spurhall/internal/peerload"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/quarantine"
@@ -106,6 +107,7 @@
 	uplink   *uplink.Uplink
 	lines    *forward.Connections
 	link     *link.Link
+	budget   *memory.Budget // of requests and responses
 	front    *forward.Server
 	streams  *lineage.Keeper
 	// savedStreams stores them for the next process.
@@ -195,7 +197,7 @@
 	n.lag, n.load = lag.New(o.Clock, o.Log), peerload.New(o.Clock, o.Log)
 	n.pools = pool.New(o.Clock, s.Node, s.Hall)
 	n.pools.SetSenders(nil, nil) // until the other nodes are known
-	n.link = n.newLink()
+	n.link, n.budget = n.newLink(), n.newBudget()
 	n.uplink = n.newUplink(o.DialUpstream)
 	n.lines = forward.NewConnections(o.Clock, n.uplink.Dial)
 	n.quotas = quota.New(n.start, s.FirstStart)
@@ -218,7 +220,7 @@
 	n.lease = lease.New(n.kv, o.Clock, dutyKey, s.Node, max(s.LeaseTTL, s.Store.MinLease))
 	n.front = forward.NewServer(forward.Options{
 		Clock: o.Clock, Log: o.Log, Dialect: o.Dialect, Pools: n.pools, Connections: n.lines, Ready: n.initialized, Catalog: n.currentCatalog,
-		ListAge: n.listAge, Place: n.placeByRelay, Charge: n.charge, Refund: n.refund, CountStarted: n.countStarted, RecordFirstAttempt: n.countFirstAttempt, AllowRetry: n.allowRetry, ReturnRetry: n.returnRetry, Late: n.lag.Late, ObserveResponse: n.observeResponse, Phase: n.stopPhase, Memory: n.newBudget(), Link: n.link, Quarantine: n.quarantine, MayProbe: n.holdsDuties, HallReachable: n.reachesHall,
+		ListAge: n.listAge, Place: n.placeByRelay, Charge: n.charge, Refund: n.refund, CountStarted: n.countStarted, RecordFirstAttempt: n.countFirstAttempt, AllowRetry: n.allowRetry, ReturnRetry: n.returnRetry, Late: n.lag.Late, ObserveResponse: n.observeResponse, Phase: n.stopPhase, Memory: n.budget, Link: n.link, Quarantine: n.quarantine, MayProbe: n.holdsDuties, HallReachable: n.reachesHall,
 		Trials:  forward.Trials{Offer: n.offerTrial, Return: n.returnOffer, Record: n.recordResponse, Overtaken: n.recordOvertaken},
 		Lineage: forward.Lineage{Tell: n.streams.Tell, Find: n.streams.Find, AwaitVersions: n.streams.AwaitRestored, Sight: n.sight},
 	})
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -70,6 +70,7 @@
 	kinds [kinds]part
 	usual map[string]float64 // size of a service's responses, in bytes
 	ended func(Ended)
+	short func() // nil: nobody is told
 }
 
 // part is the budget of one kind.
@@ -97,6 +98,9 @@
 	return b
 }
 
+// OnShort has f called, without a lock, whenever requests wait for room. It is set before the budget is used.
+func (b *Budget) OnShort(f func()) { b.short = f }
+
 // Limit returns how many bytes of a kind may be held together.
 func (b *Budget) Limit(k Kind) int64 { return b.kinds[k].limit }
 
@@ -182,6 +186,17 @@
 	return b.makeRoom(p)
 }
 
+// tellShort returns end, and with it the call that tells that requests wait.
+func (b *Budget) tellShort(p *part, end func()) func() {
+	if b.short == nil || p != &b.kinds[KindRequest] || p.waiting.Len() == 0 {
+		return end
+	}
+	return func() {
+		end()
+		b.short()
+	}
+}
+
 // await waits until the hold has got what it wants, and returns the error if it doesn't.
 func (h *Hold) await(ctx context.Context) error {
 	var late <-chan time.Time
@@ -310,6 +325,11 @@
 
 // makeRoom chooses whom to end while somebody waits, and returns the call that ends it.
 func (b *Budget) makeRoom(p *part) (end func()) {
+	return b.tellShort(p, b.chooseToEnd(p))
+}
+
+// chooseToEnd returns the call that ends whom makeRoom chooses.
+func (b *Budget) chooseToEnd(p *part) (end func()) {
 	none := func() {}
 	if p.waiting.Len() == 0 || p.ending() {
 		return none
--- a/internal/memory/wait_test.go
+++ b/internal/memory/wait_test.go
@@ -122,3 +122,21 @@
 	h.Complete()
 	b.Observe(service, size)
 }
+
+// TestRequestsWaitAndNobodyIsTold guards against bodies that hold the memory and never come to their end while others wait.
+func TestRequestsWaitAndNobodyIsTold(t *testing.T) {
+	b := memory.New(timer.Real(), 16*mb, nil)
+	slow := b.Hold(memory.Options{Kind: memory.KindRequest})
+	require.NoError(t, slow.Take(context.Background(), 7*mb))
+	b.OnShort(slow.Release)
+	other := b.Hold(memory.Options{Kind: memory.KindRequest, MaxWait: 10 * time.Second})
+	assert.NoError(t, other.Take(context.Background(), 2*mb))
+	t.Run("responses make room among themselves", func(t *testing.T) {
+		b := memory.New(timer.Real(), 16*mb, nil)
+		b.OnShort(func() { t.Error("told") })
+		require.NoError(t, hold(b, "api").Take(context.Background(), 7*mb))
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		_ = hold(b, "api").Take(ctx, 2*mb) // one of them is ended, or waits
+	})
+}
