--- /dev/null
+++ b/cmd/spurhalld/crowd_process_test.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// These tests send crowds of callers that don't behave to the own interface of a process. What is checked doesn't depend on speed.
+
+const (
+	crowdMemory = 184 // MB of the VM, by the process's settings
+	crowdSends  = 4 * time.Second
+	chatBody    = 8 << 20 // the largest body of a chat request, in bytes
+)
+
+const crowdHead = "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer courier-demo-key\r\n"
+
+// statusOf returns a field of a process's status, in bytes.
+func (p *process) statusOf(t *testing.T, field string) int64 {
+	t.Helper()
+	b, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(p.cmd.Process.Pid), "status"))
+	require.NoError(t, err)
+	_, rest, found := strings.Cut(string(b), field+":")
+	require.True(t, found)
+	kB, err := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
+	require.NoError(t, err)
+	return kB << 10
+}
+
+// TestHeadsTakeTheMemoryOfTheOwnInterface guards against heads that are held while they come, without a bound over all of them.
+func TestHeadsTakeTheMemoryOfTheOwnInterface(t *testing.T) {
+	var fields strings.Builder
+	for i := 0; fields.Len() < 60_000; i++ {
+		fmt.Fprintf(&fields, "x%x:\r\n", i)
+	}
+	assertBears(t, 320, crowdHead, fields.String())
+}
+
+// TestBodiesTakeTheMemoryOfTheOwnInterface guards against bodies of legal size that never come to their end.
+func TestBodiesTakeTheMemoryOfTheOwnInterface(t *testing.T) {
+	body := `{"model":"m","messages":[{"role":"user","content":"` + strings.Repeat("x", chatBody-200)
+	assertBears(t, 64, crowdHead, fmt.Sprintf("Content-Length: %d\r\n\r\n", chatBody), body)
+}
+
+// assertBears checks a process while so many callers have sent some texts and stay open.
+func assertBears(t *testing.T, callers int, texts ...string) {
+	t.Helper()
+	t.Setenv("SPURHALL_MEMORY_MB", strconv.Itoa(crowdMemory))
+	c := newCluster(t, "1ms", "hall-a")
+	p := c.nodes[0]
+	for range callers {
+		conn, err := net.Dial("tcp", p.address)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		go func() {
+			for _, x := range texts {
+				if _, err := conn.Write([]byte(x)); err != nil {
+					return // it was closed
+				}
+			}
+		}()
+	}
+	time.Sleep(crowdSends)
+	require.NoError(t, p.cmd.Process.Signal(syscall.Signal(0)))
+	c.eventually("an ordinary call is answered", func() bool {
+		return p.checkIn(fmt.Sprint("crowd-", time.Now().UnixNano()), 5*time.Second).outcome == "done"
+	})
+	peak := p.statusOf(t, "VmHWM")
+	t.Logf("peak %d MB", peak>>20)
+	assert.Less(t, peak, int64(crowdMemory)<<20, "the peak of resident memory")
+}
