The own interface bounds heads and connections

A process ended for want of memory under callers of the own interface whose heads had no end, as at entry VMs.

When connections of callers take 0.45 of the process's descriptors less 400, those without a whole request give way.

--- a/cmd/spurhalld/main.go
+++ b/cmd/spurhalld/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/tls"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -63,6 +64,7 @@
 			&cli.StringFlag{Name: "tls-cert", Sources: env("TLS_CERT"), Usage: "certificate file, read again when it changes"},
 			&cli.StringFlag{Name: "tls-key", Sources: env("TLS_KEY"), Usage: "key file"},
 			&cli.StringFlag{Name: "tls-ca", Sources: env("TLS_CA"), Usage: "authority's file; peers are then checked by it both ways"},
+			&cli.IntFlag{Name: "memory-mb", Sources: env("MEMORY_MB"), Usage: "memory of the VM in MB, of which messages and heads may take a part; 0: what the machine has"},
 			&cli.BoolFlag{Name: "insecure", Sources: env("INSECURE"), Usage: "listen beyond loopback without TLS and tokens"},
 		},
 		Action:   func(_ context.Context, c *cli.Command) error { return run(read(c)) },
@@ -78,6 +80,7 @@
 		CrossHallLatency: c.Duration("cross-hall"), ExchangeInterval: c.Duration("exchange"), DrainTimeout: c.Duration("drain"),
 		LogLevel: c.String("log-level"), AdminTokenHashes: c.StringSlice("admin-token-hash"),
 		CertFile: c.String("tls-cert"), KeyFile: c.String("tls-key"), CAFile: c.String("tls-ca"), Autoscale: c.Bool("autoscale"), Insecure: c.Bool("insecure"),
+		MemoryMB: c.Int("memory-mb"),
 	}
 }
 
@@ -146,13 +149,14 @@
 		}
 	}
 	servers := []struct {
-		address string
-		tls     *tls.Config
-		handler http.Handler
+		address     string
+		tls         *tls.Config
+		handler     http.Handler
+		descriptors int // that bound its connections; 0: none do
 	}{
-		{s.PeerListen, sec.peers, n.PeerHandler()},
-		{s.CallerListen, sec.callers, n.CallerHandler()},
-		{s.AdminListen, sec.callers, admin.Handler(admin.Options{Node: n, TokenHashes: s.AdminTokenHashes, Drain: drain})},
+		{s.PeerListen, sec.peers, n.PeerHandler(), 0},
+		{s.CallerListen, sec.callers, n.CallerHandler(), maxDescriptors()},
+		{s.AdminListen, sec.callers, admin.Handler(admin.Options{Node: n, TokenHashes: s.AdminTokenHashes, Drain: drain}), 0},
 	}
 	// All listeners are open before one is served: a node that answers callers answers operators, too.
 	listeners := make([]*accept.Listener, len(servers))
@@ -161,12 +165,13 @@
 		if err != nil {
 			return err
 		}
-		listeners[i] = accept.NewTLS(l, v.tls, clock, log)
+		listeners[i] = accept.NewTLS(l, v.tls, clock, log, v.descriptors)
+		listeners[i].SetHeadMemory(int64(accept.HeadShare*float64(s.Memory())) / int64(len(servers)))
 	}
 	var open []*http.Server
 	for i, v := range servers {
-		h := server(v.handler)
-		h.ConnState = listeners[i].ObserveState
+		h := server(listeners[i].Handler(v.handler))
+		h.ConnState, h.ConnContext = listeners[i].ObserveState, listeners[i].ConnContext
 		open = append(open, h)
 		go func() { _ = h.Serve(listeners[i]) }()
 	}
@@ -191,6 +196,15 @@
 	return nil
 }
 
+// maxDescriptors returns how many descriptors the process may open; 0: unknown.
+func maxDescriptors() int {
+	var v syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &v) != nil {
+		return 0
+	}
+	return int(min(v.Cur, math.MaxInt32))
+}
+
 // Limits of the listeners: a caller that is slow to ask is cut off, one that reads
 // a long stream isn't.
 const (
--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -76,9 +76,9 @@
 	return &Listener{Listener: l, clock: clock, log: log, maxOpen: maxCallers(descriptors), callers: make(map[*callerConn]bool)}
 }
 
-// NewTLS returns a listener whose connections use TLS if t is not nil.
-func NewTLS(l net.Listener, t *tls.Config, clock *timer.Service, log *zap.Logger) *Listener {
-	v := New(l, clock, log, 0)
+// NewTLS is New for a listener whose connections use TLS if t is not nil.
+func NewTLS(l net.Listener, t *tls.Config, clock *timer.Service, log *zap.Logger, descriptors int) *Listener {
+	v := New(l, clock, log, descriptors)
 	v.tls = t
 	return v
 }
--- a/internal/accept/yield.go
+++ b/internal/accept/yield.go
@@ -17,6 +17,9 @@
 // Alternatives considered: a bound in time for each body. Callers within the limits may send slowly, and nothing is short
 // while places are free.
 
+// HeadShare is the part of a VM's memory that the heads of callers' requests may take together.
+const HeadShare = 1.0 / 8
+
 const (
 	// yieldGrace is how long a connection may go without a whole request before it gives way to others: a head and a body of some
 	// MB arrive within it.
--- a/internal/edge/budget.go
+++ b/internal/edge/budget.go
@@ -15,8 +15,6 @@
 	// messageShare is the part of the VM's memory that requests and responses may take together. What the process itself takes
 	// and what the garbage collector hasn't freed yet need the rest.
 	messageShare = 1.0 / 3
-	// headShare is the part of the VM's memory that the heads of callers' requests may take together.
-	headShare = 1.0 / 8
 	// unknownMemory is assumed of a VM whose settings don't name its memory, in bytes.
 	unknownMemory = 256 << 20
 )
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -130,7 +130,7 @@
 func (n *Node) monitorFront(l net.Listener) *accept.Listener {
 	w := accept.New(l, n.clock, n.log, n.settings.MaxDescriptors)
 	w.Identify = n.front.Identify
-	w.SetHeadMemory(int64(headShare * float64(n.memoryBytes())))
+	w.SetHeadMemory(int64(accept.HeadShare * float64(n.memoryBytes())))
 	n.frontListener.Store(w)
 	return w
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,6 +12,7 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"spurhall.example/spurhall/internal/route"
@@ -40,6 +41,22 @@
 	CAFile           string
 	Insecure         bool
 	Autoscale        bool
+	MemoryMB         int // of the VM; 0: what the machine has
+}
+
+// unknownMemory is assumed of a machine that doesn't tell its memory, in bytes.
+const unknownMemory = 256 << 20
+
+// Memory returns the memory of the VM in bytes.
+func (s *Settings) Memory() int64 {
+	if s.MemoryMB > 0 {
+		return int64(s.MemoryMB) << 20
+	}
+	var v syscall.Sysinfo_t
+	if syscall.Sysinfo(&v) != nil {
+		return unknownMemory
+	}
+	return int64(v.Totalram) * int64(v.Unit)
 }
 
 // Check returns all mistakes in the settings joined in one error, one per line.
@@ -58,6 +75,9 @@
 			addError(v.flag, "%v", err)
 		}
 	}
+	if s.MemoryMB < 0 {
+		addError("memory-mb", "%d: use 0 or more", s.MemoryMB)
+	}
 	for _, a := range s.Seeds {
 		if err := checkAddress(a); err != nil {
 			addError("seed", "%v", err)
