The own interface bounds bodies together

A process ended for want of memory under callers of the own interface who sent bodies of legal size, and stopped short of their end: each body was read whole by itself.

A body without room is refused as not run after half a second. It counts until its request has a response; a job's, which lives on, doesn't.

--- a/cmd/spurhalld/main.go
+++ b/cmd/spurhalld/main.go
@@ -19,6 +19,7 @@
 	"spurhall.example/spurhall/internal/accept"
 	"spurhall.example/spurhall/internal/admin"
 	"spurhall.example/spurhall/internal/logging"
+	"spurhall.example/spurhall/internal/memory"
 	"spurhall.example/spurhall/internal/node"
 	"spurhall.example/spurhall/internal/route"
 	"spurhall.example/spurhall/internal/settings"
@@ -129,19 +130,21 @@
 	if err != nil {
 		return err
 	}
+	budget := memory.New(clock, int64(memory.Share*float64(s.Memory())), nil)
 	n := node.New(node.Options{
-		VM: s.VM, Hall: s.Hall, Zone: s.Zone, PeerAddress: s.PeerListen, Seeds: s.Seeds, Clock: clock, Log: log,
+		Memory: budget,
+		VM:     s.VM, Hall: s.Hall, Zone: s.Zone, PeerAddress: s.PeerListen, Seeds: s.Seeds, Clock: clock, Log: log,
 		KV: store.NewGateway(s.PlatformURL, platformTimeout, clock).KV(), Cloud: store.NewCloud(s.PlatformURL, platformTimeout),
 		PlatformRate: s.PlatformRate, Policy: route.Policy(s.RoutePolicy), CrossHallLatency: s.CrossHallLatency, ExchangeInterval: s.ExchangeInterval,
 		PeerTransport: sec.transport, PeerScheme: sec.scheme, Autoscale: s.Autoscale,
 	})
 	stop := make(chan os.Signal, 2)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
-	return serve(s, n, sec, clock, log, stop)
+	return serve(s, n, budget, sec, clock, log, stop)
 }
 
 // serve opens the listeners, runs until a signal, drains and closes.
-func serve(s *settings.Settings, n *node.Node, sec security, clock *timer.Service, log *zap.Logger, stop chan os.Signal) error {
+func serve(s *settings.Settings, n *node.Node, budget *memory.Budget, sec security, clock *timer.Service, log *zap.Logger, stop chan os.Signal) error {
 	drain := func() {
 		select {
 		case stop <- syscall.SIGTERM:
@@ -158,6 +161,7 @@
 		{s.CallerListen, sec.callers, n.CallerHandler(), maxDescriptors()},
 		{s.AdminListen, sec.callers, admin.Handler(admin.Options{Node: n, TokenHashes: s.AdminTokenHashes, Drain: drain}), 0},
 	}
+	const callers = 1 // the index of the callers' listener
 	// All listeners are open before one is served: a node that answers callers answers operators, too.
 	listeners := make([]*accept.Listener, len(servers))
 	for i, v := range servers {
@@ -168,6 +172,7 @@
 		listeners[i] = accept.NewTLS(l, v.tls, clock, log, v.descriptors)
 		listeners[i].SetHeadMemory(int64(accept.HeadShare*float64(s.Memory())) / int64(len(servers)))
 	}
+	budget.OnShort(listeners[callers].MakeRoom)
 	var open []*http.Server
 	for i, v := range servers {
 		h := server(listeners[i].Handler(v.handler))
--- a/internal/edge/budget.go
+++ b/internal/edge/budget.go
@@ -11,17 +11,12 @@
 
 // This file bounds what requests and responses take of the VM's memory (package memory), and of its link (package link).
 
-const (
-	// messageShare is the part of the VM's memory that requests and responses may take together. What the process itself takes
-	// and what the garbage collector hasn't freed yet need the rest.
-	messageShare = 1.0 / 3
-	// unknownMemory is assumed of a VM whose settings don't name its memory, in bytes.
-	unknownMemory = 256 << 20
-)
+// unknownMemory is assumed of a VM whose settings don't name its memory, in bytes.
+const unknownMemory = 256 << 20
 
 // newBudget returns the budget of requests and responses.
 func (n *Node) newBudget() *memory.Budget {
-	b := memory.New(n.clock, int64(messageShare*float64(n.memoryBytes())), n.logResponseEnded)
+	b := memory.New(n.clock, int64(memory.Share*float64(n.memoryBytes())), n.logResponseEnded)
 	b.OnShort(n.makeRoomForBodies)
 	return b
 }
--- a/internal/ingress/chat.go
+++ b/internal/ingress/chat.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -14,6 +13,7 @@
 	"spurhall.example/spurhall/internal/config"
 	"spurhall.example/spurhall/internal/dispatch"
 	"spurhall.example/spurhall/internal/job"
+	"spurhall.example/spurhall/internal/memory"
 	"spurhall.example/spurhall/internal/request"
 	"spurhall.example/spurhall/internal/stream"
 	"spurhall.example/spurhall/internal/upstream"
@@ -106,16 +106,27 @@
 	}
 }
 
+// bodyWait is how long a request's body waits unread for room.
+const bodyWait = 500 * time.Millisecond
+
+// readBody reads the complete body within the memory that there is for all of them. It counts until the request has its response.
 func (s *Server) readBody(r *http.Request, limit int64) ([]byte, error) {
-	b, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
-	var big *http.MaxBytesError
-	if errors.As(err, &big) {
-		return nil, &Failure{Status: http.StatusRequestEntityTooLarge, Outcome: stream.OutcomeNotRun, Message: fmt.Sprintf("the body is larger than this service's limit of %d bytes", limit)}
-	}
+	h := s.o.Memory.Hold(memory.Options{Kind: memory.KindRequest, MaxWait: bodyWait})
+	context.AfterFunc(r.Context(), h.Release)
+	b, err := h.ReadBody(r.Context(), r.Body, r.ContentLength, limit)
 	if err != nil {
+		h.Release()
+	}
+	switch {
+	case errors.Is(err, memory.ErrTooLong):
+		return nil, &Failure{Status: http.StatusRequestEntityTooLarge, Outcome: stream.OutcomeNotRun, Message: fmt.Sprintf("the body is larger than this service's limit of %d bytes", limit)}
+	case errors.Is(err, memory.ErrFull):
+		return nil, &Failure{Status: http.StatusServiceUnavailable, Outcome: stream.OutcomeNotRun, Message: "this node has no room for the body; ask again, the balancer will choose another", RetryAfter: time.Second}
+	case err != nil:
 		return nil, badRequest("the body could not be read: %v", err)
 	}
-	return b, nil
+	h.Complete()
+	return b.Bytes(), nil
 }
 
 // maxChatBody bounds the body of a chat request until its service is known, whose own limit may
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -28,6 +28,7 @@
 	"spurhall.example/spurhall/internal/claim"
 	"spurhall.example/spurhall/internal/config"
 	"spurhall.example/spurhall/internal/dispatch"
+	"spurhall.example/spurhall/internal/memory"
 	"spurhall.example/spurhall/internal/request"
 	"spurhall.example/spurhall/internal/stream"
 	"spurhall.example/spurhall/internal/timer"
@@ -54,6 +55,7 @@
 	Dispatcher *dispatch.Dispatcher
 	Registry   *request.Registry
 	Claims     *claim.Manager
+	Memory     *memory.Budget // of callers' requests
 	Ready      func() bool
 	// Start starts a request, whose output goes to its record.
 	Start func(r *request.Request)
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -54,6 +54,10 @@
 
 func (k Kind) String() string { return [...]string{"requests", "responses"}[k] }
 
+// Share is the part of a VM's memory that requests and responses may take together. What the process itself takes and what the
+// garbage collector hasn't freed yet need the rest.
+const Share = 1.0 / 3
+
 const (
 	// smallSize is the size in bytes up to which a message is small.
 	smallSize = 64 << 10
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,12 +14,14 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
 	"expvar"
 	"fmt"
+	"math"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -34,6 +36,7 @@
 	"spurhall.example/spurhall/internal/ingress"
 	"spurhall.example/spurhall/internal/job"
 	"spurhall.example/spurhall/internal/member"
+	"spurhall.example/spurhall/internal/memory"
 	"spurhall.example/spurhall/internal/request"
 	"spurhall.example/spurhall/internal/route"
 	"spurhall.example/spurhall/internal/store"
@@ -59,7 +62,8 @@
 	ExchangeInterval time.Duration // between two rounds of exchanges
 	PeerTransport    http.RoundTripper
 	PeerScheme       string
-	Autoscale        bool // be a candidate for ordering this hall's VMs
+	Autoscale        bool           // be a candidate for ordering this hall's VMs
+	Memory           *memory.Budget // of callers' requests; nil: no bound
 	// Blocked tells whether calls to a peer address are blocked, for tests of network partitions.
 	Blocked func(address string) bool
 }
@@ -126,7 +130,7 @@
 		Interval: claimInterval, Timeout: promiseTimeout,
 	})
 	n.ingress = ingress.New(ingress.Options{
-		Node: id, Clock: o.Clock, View: n.view, Dispatcher: n.dispatcher, Registry: n.registry, Claims: n.claims,
+		Node: id, Clock: o.Clock, View: n.view, Dispatcher: n.dispatcher, Registry: n.registry, Claims: n.claims, Memory: cmp.Or(o.Memory, memory.New(o.Clock, math.MaxInt64, nil)),
 		Ready: func() bool { return n.lifecycle.Is("ready") }, Start: n.start, AcceptJob: n.acceptJob, Find: n.find,
 	})
 	return n
