Listeners for readiness and metrics have a bound

An entry VM's listeners besides the callers' one took as many connections, with heads as large, as came.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -73,7 +73,12 @@
 
 // New returns a listener of a process that has so many descriptors; 0: no limit.
 func New(l net.Listener, clock *timer.Service, log *zap.Logger, descriptors int) *Listener {
-	return &Listener{Listener: l, clock: clock, log: log, maxOpen: maxCallers(descriptors), callers: make(map[*callerConn]bool)}
+	return NewBounded(l, clock, log, maxCallers(descriptors))
+}
+
+// NewBounded returns a listener that takes so many connections; 0: no limit.
+func NewBounded(l net.Listener, clock *timer.Service, log *zap.Logger, places int) *Listener {
+	return &Listener{Listener: l, clock: clock, log: log, maxOpen: places, callers: make(map[*callerConn]bool)}
 }
 
 // NewTLS is New for a listener whose connections use TLS if t is not nil.
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -72,13 +72,12 @@
 	callers := n.monitorFront(l.Front)
 	front := n.server(callers.Handler(n.front))
 	front.ConnState, front.ConnContext = callers.ObserveState, callers.ConnContext
-	ready := n.server(http.HandlerFunc(n.serveReady))
 	peers := n.server(n.peerHandler())
 	go n.serve(front, callers)
-	go n.serve(ready, l.Readiness)
+	ready := n.serveBounded(l.Readiness, n.serveReady)
 	go n.serve(peers, l.Peers)
 	if l.Metrics != nil {
-		go n.serve(n.server(http.HandlerFunc(n.serveMetrics)), l.Metrics)
+		n.serveBounded(l.Metrics, n.serveMetrics)
 	}
 	var duties sync.WaitGroup
 	for _, f := range []func(context.Context){n.lag.Run, n.load.Run, n.streams.Run, n.streams.RunSaved, n.followStore, n.expireMissing, n.runRounds, n.runRelay, n.register, n.pollRegistry, n.contactSeeds, n.restoreLevels, n.restoreCachedParts, n.restoreRollouts, n.restoreQuarantine, n.uplink.Probe, n.runDuties} {
@@ -107,6 +106,23 @@
 	}
 }
 
+const (
+	// watcherPlaces is how many connections the listeners for readiness and metrics take each: the balancer, and some who watch.
+	watcherPlaces = 64
+	// watcherHeads is what the heads of their requests may take each, in bytes: one of the largest size.
+	watcherHeads = 1 << 20
+)
+
+// serveBounded serves a listener for those who watch this node, of whom there are few.
+func (n *Node) serveBounded(l net.Listener, h http.HandlerFunc) *http.Server {
+	w := accept.NewBounded(l, n.clock, n.log, watcherPlaces)
+	w.SetHeadMemory(watcherHeads)
+	s := n.server(w.Handler(h))
+	s.ConnState, s.ConnContext = w.ObserveState, w.ConnContext
+	go n.serve(s, w)
+	return s
+}
+
 func (n *Node) serve(s *http.Server, l net.Listener) {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		n.log.Error("listener_failed", zap.String("address", l.Addr().String()), zap.String("cause", err.Error()))
