A connection that gives way is never answered

A caller could get an empty 200 that no upstream had sent, or a 400: its request came to its end, or its body broke off, just as its connection was chosen to give way, and net/http answered before the connection was closed.

A handler whose connection gives way is ended without a response, and nothing is written on such a connection.

--- a/internal/accept/caller.go
+++ b/internal/accept/caller.go
@@ -127,6 +127,9 @@
 
 // Write writes a part of a response.
 func (c *callerConn) Write(b []byte) (int, error) {
+	if c.yields() {
+		return 0, errGaveWay
+	}
 	n, err := c.Conn.Write(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/accept/yield.go
+++ b/internal/accept/yield.go
@@ -210,19 +210,29 @@
 		switch {
 		case !ok:
 		case r.Body == nil || r.Body == http.NoBody || r.Method == http.MethodConnect:
-			if !l.set(c, phaseWhole) {
-				return // the connection is closed
-			}
+			c.reach(phaseWhole)
 		default:
-			if !l.set(c, phaseBody) {
-				return
-			}
+			c.reach(phaseBody)
 			r.Body = &followedBody{ReadCloser: r.Body, c: c}
 		}
 		h.ServeHTTP(w, r)
 	})
 }
 
+// reach records how far a request is, and ends its handler, without a response, if the connection gives way.
+func (c *callerConn) reach(p phase) {
+	if !c.listener.set(c, p) {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// yields reports whether the connection gives way: nothing is written on it any more.
+func (c *callerConn) yields() bool {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	return c.standing.yields
+}
+
 // followedBody is a request's body whose end makes the request whole.
 type followedBody struct {
 	io.ReadCloser
--- a/internal/accept/yield_test.go
+++ b/internal/accept/yield_test.go
@@ -164,3 +164,28 @@
 	defer r.l.mu.Unlock()
 	assert.LessOrEqual(t, r.l.heads, int64(300))
 }
+
+// TestConnectionThatGivesWayIsAnswered guards against a response, or an empty 200, on a connection whose request came to its end
+// just as it was chosen to give way.
+func TestConnectionThatGivesWayIsAnswered(t *testing.T) {
+	for name, v := range map[string]struct {
+		part, rest string
+		reaches    phase
+	}{
+		"in its head": {partOfAHead, "\r\n", phaseHead},
+		"in its body": {partOfABody, "9", phaseBody},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newYieldRig(t)
+			c := r.send(v.part, v.reaches)
+			r.l.mu.Lock()
+			for k := range r.l.callers {
+				k.standing.yields = true
+			}
+			r.l.mu.Unlock()
+			_, err := io.WriteString(c, v.rest)
+			require.NoError(t, err)
+			assertClosed(t, c)
+		})
+	}
+}
