Stored levels that are old give way to another node's

A workspace could get what it had charged in up to six seconds a second time: a process that starts finds levels that were stored before the store was lost, adds the refill since, and assumes use for half a second of it.

Levels older than a second are taken, and replaced by another node's as soon as one tells them.

TestStaleLevelsCountForAllThatWasCharged: the first step shows the 200 tokens a workspace at its limit got; Adopt refused before.

--- a/internal/edge/bootstrap.go
+++ b/internal/edge/bootstrap.go
@@ -9,7 +9,6 @@
 	"go.uber.org/zap"
 
 	"spurhall.example/spurhall/internal/message"
-	"spurhall.example/spurhall/internal/quota"
 	"spurhall.example/spurhall/internal/roster"
 	"spurhall.example/spurhall/internal/wire"
 )
@@ -27,7 +26,7 @@
 	if n.settings.FirstStart {
 		return // holders of seats read the registry for the others, and buckets are full
 	}
-	wantsLevels := n.quotas.Sharing().Start == quota.StartPart && n.catalog.Load() != nil && now.Sub(n.start) < levelsWanted
+	wantsLevels := n.quotas.WantsLevels() && n.catalog.Load() != nil && now.Sub(n.start) < levelsWanted
 	if n.role.RegistryRead && !wantsLevels {
 		return
 	}
--- a/internal/quota/absent_test.go
+++ b/internal/quota/absent_test.go
@@ -146,3 +146,18 @@
 		assert.False(t, New(start, true).Adopt(start, map[string]Level{"w": {Level: 1}}), "a first start has full buckets")
 	})
 }
+
+// TestStaleLevelsCountForAllThatWasCharged: levels that were stored before the store was lost took the refill since, and half a second of use.
+func TestStaleLevelsCountForAllThatWasCharged(t *testing.T) {
+	q := New(start, false)
+	q.SetLimits(start, map[string]Limit{"w": {Rate: 100, Burst: 1000}})
+	assert.True(t, q.Restore(start, 2500*time.Millisecond, 500*time.Millisecond, map[string]Level{"w": {Level: 0, Use: 100}}))
+	assert.InDelta(t, 200, q.Levels(start)["w"].Level, 1, "of a workspace at its limit")
+	assert.True(t, q.Adopt(start, map[string]Level{"w": {Level: 3}}))
+	assert.InDelta(t, 3, q.Levels(start)["w"].Level, 1)
+	t.Run("fresh ones stand", func(t *testing.T) {
+		q := New(start, false)
+		q.Restore(start, 500*time.Millisecond, 500*time.Millisecond, map[string]Level{"w": {Level: 5}})
+		assert.False(t, q.Adopt(start, map[string]Level{"w": {Level: 3}}))
+	})
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -109,6 +109,7 @@
 	unnamed  []*peer                  // nodes that are assumed to exist, and not known by name
 	restored map[string]restoredLevel // by workspace
 	adopted  bool                     // the levels are another node's
+	stale    bool                     // the restored levels were old
 	removed  map[string]*peer         // nodes that are no longer listed, in the state of their last report
 }
 
--- a/internal/quota/restore.go
+++ b/internal/quota/restore.go
@@ -18,6 +18,9 @@
 // is only reported by those that still run.
 const maxRestoreAge = 6 * time.Second
 
+// staleLevels is the age from which on stored levels lack writes that failed: they say nothing of what was charged since.
+const staleLevels = time.Second
+
 // Levels returns the levels to store.
 func (q *Quotas) Levels(now time.Time) map[string]Level {
 	r := make(map[string]Level, len(q.buckets))
@@ -44,6 +47,7 @@
 	if q.startFull || q.adopted || age < 0 || age > maxRestoreAge {
 		return false
 	}
+	q.stale = age > staleLevels
 	q.restored = make(map[string]restoredLevel, len(levels))
 	for n, l := range levels {
 		q.restored[n] = restoredLevel{level: l.Level - l.Use*min(age, every).Seconds(), at: now.Add(-age)}
@@ -61,7 +65,7 @@
 // nodes may have charged, so that what was assumed here before no longer counts. What this process has charged itself that node
 // may not know yet.
 func (q *Quotas) Adopt(now time.Time, levels map[string]Level) bool {
-	if q.start() != StartPart || len(levels) == 0 {
+	if !q.WantsLevels() || len(levels) == 0 {
 		return false
 	}
 	q.adopted = true
@@ -80,6 +84,12 @@
 	return true
 }
 
+// WantsLevels reports whether this process's own levels rest on less than another node's: nothing of before, or levels that were
+// stored some time before.
+func (q *Quotas) WantsLevels() bool {
+	return !q.adopted && (q.start() == StartPart || q.start() == StartStored && q.stale)
+}
+
 // initialLevel returns the level with which a bucket starts.
 func (q *Quotas) initialLevel(now time.Time, workspace string, l Limit) float64 {
 	if q.startFull {
