--- a/Makefile
+++ b/Makefile
@@ -60,6 +60,7 @@
 	bin/spurhall-soak --regressions soak/regressions.txt --at-once 4
 	bin/spurhall-soak --seed 1 --seeds 4 --at-once 4
 	bin/spurhall-soak --row --seed 105 --seeds 4 --at-once 4
+	bin/spurhall-soak --crowd --seed 205 --seeds 2 --at-once 2
 
 soak: build ## some minutes of days with fresh seeds
 	bin/spurhall-soak --seed 0 --seeds 24 --at-once 4
--- a/cmd/spurhall-soak/main.go
+++ b/cmd/spurhall-soak/main.go
@@ -48,6 +48,7 @@
 			&cli.BoolFlag{Name: "endless", Usage: "play days alone on which upstreams send without end"},
 			&cli.BoolFlag{Name: "outlived", Usage: "play days alone on which streams outlast what daemons know of their engines"},
 			&cli.BoolFlag{Name: "row", Usage: "play days alone on which daemons start while the store is away and a workspace asks for many times its quota"},
+			&cli.BoolFlag{Name: "crowd", Usage: "play days alone on which crowds of callers that don't behave come to daemons on small VMs"},
 			&cli.DurationFlag{Name: "traffic", Usage: "length of each day; 0: the usual"},
 			&cli.StringFlag{Name: "daemon", Value: "bin/spurhalld", Usage: "path of spurhalld"},
 			&cli.StringFlag{Name: "beside", Usage: "path of another build, which every other daemon runs; engines are then of one version, by which a build may not keep streams"},
@@ -76,7 +77,7 @@
 
 func run(ctx context.Context, c *cli.Command) error {
 	clock := timer.Real()
-	o, first := soak.Options{Daemons: c.Int("daemons"), Traffic: c.Duration("traffic"), OneVersion: c.String("beside") != "", Takeover: c.Bool("takeover"), Endless: c.Bool("endless"), Outlived: c.Bool("outlived"), Row: c.Bool("row")}, c.Uint64("seed")
+	o, first := soak.Options{Daemons: c.Int("daemons"), Traffic: c.Duration("traffic"), OneVersion: c.String("beside") != "", Takeover: c.Bool("takeover"), Endless: c.Bool("endless"), Outlived: c.Bool("outlived"), Row: c.Bool("row"), Crowd: c.Bool("crowd")}, c.Uint64("seed")
 	if first == 0 {
 		first = uint64(clock.Wall().UnixNano())
 	}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -103,7 +103,7 @@
 		switch f.Kind {
 		case FaultHall, FaultKillAll, FaultLapse, FaultForget, FaultCopy, FaultTimeout:
 			return true
-		case FaultTerm, FaultPress, FaultTakeover, FaultKill, FaultStarve:
+		case FaultTerm, FaultPress, FaultTakeover, FaultKill, FaultStarve, FaultCrowd:
 			return slices.Contains(f.Who, daemon)
 		case FaultFreeze:
 			return f.On == OnStore || f.On == OnDaemons && slices.Contains(f.Who, daemon)
--- a/internal/soak/day.go
+++ b/internal/soak/day.go
@@ -66,6 +66,7 @@
 	FaultTry       Kind = "try"        // engines are replaced by ones of another version, which are withdrawn again
 	FaultMalformed Kind = "malformed"  // a part of what an upstream sends, X, isn't a response, as How says
 	FaultTakeover  Kind = "takeover"   // SIGTERM of all large daemons of a hall, which has small ones besides
+	FaultCrowd     Kind = "crowd"      // X callers that don't behave come to each of some daemons and stay, as How says
 	FaultPress     Kind = "press"      // SIGTERM of daemons that more callers use; they aren't scheduled when they close connections
 )
 
--- a/internal/soak/draw.go
+++ b/internal/soak/draw.go
@@ -23,6 +23,8 @@
 	Outlived bool
 	// Row draws days alone on which daemons start while the store is away and a workspace asks for many times its quota.
 	Row bool
+	// Crowd draws days alone on which crowds of callers that don't behave come to daemons on small VMs.
+	Crowd bool
 }
 
 const (
@@ -53,21 +55,14 @@
 	if o.Traffic > 0 {
 		d.Traffic = o.Traffic
 	}
-	if v := rand.New(rand.NewPCG(seed, outlivedSequence)); o.Outlived && d.Large == 0 && !alone {
-		d.Mixed = v.IntN(2) == 0
-		d.Faults = append(d.Faults, d.drawOutlived(v, d.Traffic-quietAfter)...)
-		alone = true
-	}
-	if v := rand.New(rand.NewPCG(seed, rowSequence)); d.Large == 0 && !alone {
-		if drawn := v.IntN(rowShare) == 0; drawn || o.Row {
-			d.Faults = append(d.Faults, d.drawRow(v)...)
-			alone = o.Row
-		}
+	lessened := d.Memory > 0
+	if d.Large == 0 && !alone {
+		alone = d.drawAlone(seed, o)
 	}
 	if d.Large == 0 && !alone || d.Large > 0 && t.IntN(2) == 0 && !o.Takeover {
 		d.drawOthers(r, seed, o)
 	}
-	if d.Memory > 0 {
+	if lessened {
 		d.Faults = append(d.Faults, d.drawEndless(e, d.Traffic-quietAfter)...)
 	}
 	if d.Large > 0 {
@@ -79,6 +74,25 @@
 	return d
 }
 
+// drawAlone draws the faults that the options ask for alone, and tells whether there are any. Rows are drawn beside others, too.
+func (d *Day) drawAlone(seed uint64, o Options) (alone bool) {
+	if o.Outlived {
+		v := rand.New(rand.NewPCG(seed, outlivedSequence))
+		d.Mixed = v.IntN(2) == 0
+		d.Faults = append(d.Faults, d.drawOutlived(v, d.Traffic-quietAfter)...)
+		return true
+	}
+	if o.Crowd {
+		d.Faults = append(d.Faults, d.drawCrowd(rand.New(rand.NewPCG(seed, crowdSequence)), d.Traffic-quietAfter)...)
+		return true
+	}
+	v := rand.New(rand.NewPCG(seed, rowSequence))
+	if drawn := v.IntN(rowShare) == 0; drawn || o.Row {
+		d.Faults = append(d.Faults, d.drawRow(v)...)
+	}
+	return o.Row
+}
+
 // drawOthers draws the faults of days with and without a takeover.
 func (d *Day) drawOthers(r *rand.Rand, seed uint64, o Options) {
 	last := d.Traffic - quietAfter
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -53,6 +53,8 @@
 		s.log(s.configure(context.WithoutCancel(ctx), func(c *Configuration) { c.Hasty = false }))
 	case FaultTry:
 		s.tryVersion(ctx, f)
+	case FaultCrowd:
+		s.crowd(ctx, f)
 	case FaultEgress:
 		s.cutEgress(ctx, f)
 	case FaultPart:
