A body that waits for this node's room doesn't give way

Callers who had sent all of a large body got a reset instead of a refusal: while others' bodies held the memory, theirs was unread for a second, by no fault of theirs, and their connections were chosen to give way.

Only a connection whose body is being waited for counts, and the time for which its body waited for this node doesn't.

--- a/internal/accept/yield.go
+++ b/internal/accept/yield.go
@@ -62,10 +62,12 @@
 
 // standing is what a connection holds. It is guarded by the listener's lock.
 type standing struct {
-	phase  phase
-	since  time.Time // it has had no whole request; of a whole one: its beginning
-	head   int64     // bytes read of the head, counted until the response is complete
-	yields bool      // it gives way: its request isn't passed on any more
+	phase   phase
+	since   time.Time // it has had no whole request; of a whole one: its beginning
+	head    int64     // bytes read of the head, counted until the response is complete
+	yields  bool      // it gives way: its request isn't passed on any more
+	reading bool      // its body is waited for, and not this node's room for it
+	readAt  time.Time // when its body was last read
 }
 
 // yieldLog bounds the lines on connections that gave way.
@@ -96,10 +98,29 @@
 	if p == phaseHead || p == phaseIdle {
 		s.since = l.clock.Now()
 	}
+	if p == phaseBody {
+		s.reading, s.readAt = false, l.clock.Now()
+	}
 	s.phase = p
 	return true
 }
 
+// beginRead records that a body is read. The time for which it waited for this node isn't its caller's.
+func (l *Listener) beginRead(c *callerConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := &c.standing
+	s.since = s.since.Add(l.clock.Now().Sub(s.readAt))
+	s.reading = true
+}
+
+// endRead records that a read of a body has returned.
+func (l *Listener) endRead(c *callerConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.standing.reading, c.standing.readAt = false, l.clock.Now()
+}
+
 // countHead counts bytes of a head, and returns the connections that give way for it.
 func (l *Listener) countHead(c *callerConn, n int) []*callerConn {
 	l.mu.Lock()
@@ -130,7 +151,7 @@
 	from := l.clock.Now().Add(-least)
 	for c := range l.callers {
 		s := &c.standing
-		if !s.yields && fits(s.phase) && !s.since.After(from) && (most == nil || s.since.Before(most.standing.since)) {
+		if !s.yields && fits(s.phase) && (s.phase != phaseBody || s.reading) && !s.since.After(from) && (most == nil || s.since.Before(most.standing.since)) {
 			most = c
 		}
 	}
@@ -241,7 +262,9 @@
 
 // Read reads the body.
 func (b *followedBody) Read(p []byte) (int, error) {
+	b.c.listener.beginRead(b.c)
 	n, err := b.ReadCloser.Read(p)
+	b.c.listener.endRead(b.c)
 	if errors.Is(err, io.EOF) && !b.c.listener.set(b.c, phaseWhole) {
 		return n, errGaveWay
 	}
