Heads of connections that were closed as they were read don't count for ever

After a crowd, a listener closed each connection for want of memory for heads, or could have: readiness wasn't answered again. Bytes that were read just as their connection was closed were counted after it had given its own back.

Bytes of a connection that is closed don't count.

--- a/internal/accept/yield.go
+++ b/internal/accept/yield.go
@@ -125,8 +125,8 @@
 func (l *Listener) countHead(c *callerConn, n int) []*callerConn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if c.standing.phase != phaseHead {
-		return nil
+	if c.standing.phase != phaseHead || !l.callers[c] {
+		return nil // of one that was closed meanwhile, nobody gives the bytes back
 	}
 	c.standing.head += int64(n)
 	l.heads += int64(n)
--- a/internal/accept/yield_test.go
+++ b/internal/accept/yield_test.go
@@ -183,6 +183,19 @@
 	assert.LessOrEqual(t, r.l.heads, int64(300))
 }
 
+// TestHeadsOfClosedConnectionsCountForEver guards against bytes that were read just as their connection was closed.
+func TestHeadsOfClosedConnectionsCountForEver(t *testing.T) {
+	r := newYieldRig(t)
+	r.l.SetHeadMemory(headCost * 100)
+	r.send(partOfAHead, phaseHead)
+	c := r.l.open()[0]
+	require.NoError(t, c.close())
+	assert.Empty(t, r.l.countHead(c, 99))
+	r.l.mu.Lock()
+	defer r.l.mu.Unlock()
+	assert.Zero(t, r.l.heads)
+}
+
 // TestConnectionThatGivesWayIsAnswered guards against a response, or an empty 200, on a connection whose request came to its end
 // just as it was chosen to give way.
 func TestConnectionThatGivesWayIsAnswered(t *testing.T) {
