Tests: two processes are given one address

No caller saw anything: the fault is the tests'.

Cause: a test asked for a free port, let go of it and gave it to a process later. A process whose own two listeners, or another process, had been given the same port ended with "bind: address already in use"; its output was thrown away.

Addresses of processes now have a host of the test program's own on loopback, and ports that are counted.

--- a/cmd/spurhalld/edge_process_test.go
+++ b/cmd/spurhalld/edge_process_test.go
@@ -43,7 +43,7 @@
 func newEdgeRig(t *testing.T) *edgeRig {
 	t.Helper()
 	d := t.TempDir()
-	r := &edgeRig{t: t, p: platformtest.New(timer.Real()), bin: filepath.Join(d, "spurhalld"), settings: filepath.Join(d, "settings.toml"), front: port(t), ready: port(t), level: "error", runs: &platformtest.Runs{}}
+	r := &edgeRig{t: t, p: platformtest.New(timer.Real()), bin: filepath.Join(d, "spurhalld"), settings: filepath.Join(d, "settings.toml"), front: platformtest.OwnAddress(), ready: platformtest.OwnAddress(), level: "error", runs: &platformtest.Runs{}}
 	out, err := exec.Command("go", "build", "-o", r.bin, ".").CombinedOutput()
 	require.NoError(t, err, string(out))
 	s := httptest.NewServer(r.p.Endpoint().Handler())
@@ -52,7 +52,7 @@
 	r.p.Upstream(t, r.runs, "a", soak.ServicePlain, "hall-a")
 	address := s.Listener.Addr().String()
 	require.NoError(t, os.WriteFile(r.settings, []byte(platformtest.World().Settings(soak.DaemonSettings{
-		Name: "n0", Hall: "hall-a", Halls: []string{"hall-a"}, Front: r.front, Ready: r.ready, Peers: port(t), Store: address, Cloud: address, First: true,
+		Name: "n0", Hall: "hall-a", Halls: []string{"hall-a"}, Front: r.front, Ready: r.ready, Peers: platformtest.OwnAddress(), Store: address, Cloud: address, First: true,
 		Stop: 20 * time.Second, Drain: time.Second, Lease: 3 * time.Second, UsageWindow: time.Second, UsageLate: 10 * time.Second,
 		RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second, StoreWrites: 400, StoreReads: 2000,
 	})), 0o600))
--- a/cmd/spurhalld/process_test.go
+++ b/cmd/spurhalld/process_test.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand"
-	mrand "math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -19,6 +17,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"spurhall.example/spurhall/platform/platformtest"
 )
 
 // These tests run the real programs as processes, for the failures that can't be had
@@ -37,46 +37,40 @@
 	admin   string
 }
 
-// port returns an address that is free and stays so until a process is started on it: it
-// lies below the ports that the system gives to connections, of which other tests make
-// many meanwhile.
-func port(t *testing.T) string {
-	for i := 0; i < 100; i++ {
-		a := fmt.Sprintf("127.0.0.1:%d", 20_000+mrand.IntN(10_000))
-		if l, err := net.Listen("tcp", a); err == nil {
-			require.NoError(t, l.Close())
-			return a
-		}
-	}
-	require.FailNow(t, "no port is free")
-	return ""
-}
-
 func (c *cluster) start(name string, args ...string) *exec.Cmd {
 	p := exec.Command(filepath.Join(c.bin, name), args...)
+	output := filepath.Join(c.t.TempDir(), "output")
+	f, err := os.Create(output)
+	require.NoError(c.t, err)
+	p.Stdout, p.Stderr = f, f
 	require.NoError(c.t, p.Start())
+	_ = f.Close()
 	c.t.Cleanup(func() {
 		_ = p.Process.Signal(syscall.SIGCONT)
 		_ = p.Process.Kill()
 		_ = p.Wait()
+		if c.t.Failed() {
+			b, _ := os.ReadFile(output)
+			c.t.Logf("%s %s: %v\n%s", name, strings.Join(args, " "), p.ProcessState, b)
+		}
 	})
 	return p
 }
 
 func newCluster(t *testing.T, work string, halls ...string) *cluster {
 	t.Helper()
-	c := &cluster{t: t, bin: t.TempDir(), plain: port(t)}
+	c := &cluster{t: t, bin: t.TempDir(), plain: platformtest.OwnAddress()}
 	b := exec.Command("go", "build", "-o", c.bin, "../...")
 	out, err := b.CombinedOutput()
 	require.NoError(t, err, string(out))
-	platform := port(t)
+	platform := platformtest.OwnAddress()
 	c.start("spurhall-standin", "platform", "--listen", platform)
 	c.eventually("the platform answers", func() bool { return get("http://"+platform+"/standin/counts", nil) == nil })
 	c.start("spurhall-standin", "plain", "--listen", c.plain, "--platform", "http://"+platform, "--id", "o1", "--pool", "orders", "--work", work)
 	seed := ""
 	for i, h := range halls {
-		p := &process{address: port(t), admin: port(t)}
-		peer := port(t)
+		p := &process{address: platformtest.OwnAddress(), admin: platformtest.OwnAddress()}
+		peer := platformtest.OwnAddress()
 		args := []string{
 			"--vm", fmt.Sprintf("n%d", i), "--hall", h, "--platform", "http://" + platform, "--listen", p.address,
 			"--peer-listen", peer, "--admin-listen", p.admin, "--log-level", "error",
