Roll-outs: responses late for a silent second stopped a good target

Seen: a roll-out to a sound version ends as rolled_back (reason=slow) after its upstreams were silent together for 1.2 s.

Cause: attempts that a backup has overtaken are held back, since a sound upstream may fall silent for a second. But what is sent in the last 0.3 s before it goes on is overtaken by no backup: it is answered, late, and counted as slow. At 17 requests a second these are five or six, and five slow ones in a row reach the bound; the share is the chance of their number, not of the machine's load.

Now the times of responses whose wait overlaps such a silence don't count, of either version. The silence is bounded as before: shorter than 2 s, one in 10 s of an upstream; what comes late otherwise counts.

--- a/internal/forward/trial.go
+++ b/internal/forward/trial.go
@@ -31,7 +31,7 @@
 
 // recordTrialStart records an attempt whose response has started.
 func (s *Server) recordTrialStart(q *request, a *attempt) {
-	v := rollout.Response{Started: true, HeardFrom: a.use.Entry().ID, First: a.use.Lag(), Failed: a.head.StatusCode >= http.StatusInternalServerError}
+	v := rollout.Response{Started: true, HeardFrom: a.use.Entry().ID, First: a.use.Lag(), Since: a.sentAt, Failed: a.head.StatusCode >= http.StatusInternalServerError}
 	s.o.Trials.Record(q.service, q.route.Name(), a.use.Rank(), v)
 }
 
@@ -70,5 +70,5 @@
 		return
 	}
 	d := t.lastEventAt.Sub(t.a.firstEventAt) / (paceEvents - 1)
-	t.recordTrial(rollout.Response{Pace: float64(d) / float64(time.Millisecond)})
+	t.recordTrial(rollout.Response{Pace: float64(d) / float64(time.Millisecond), HeardFrom: t.a.use.Entry().ID, Since: t.a.firstEventAt})
 }
--- a/internal/rollout/silence.go
+++ b/internal/rollout/silence.go
@@ -9,7 +9,8 @@
 //
 // So such attempts are held back, by upstream. They count as failures once their upstream's silence has lasted for longer
 // than a sound one's, which later attempts show that were overtaken without an answer in between. They count for nothing
-// once it is heard. An upstream has one such silence within silenceInterval: one that answers some requests and hangs
+// once it is heard, and nor do the times of responses that waited for the end of such a silence: what was sent shortly before
+// it is late without having been overtaken. An upstream has one such silence within silenceInterval: one that answers some requests and hangs
 // under the others is silent again and again.
 //
 // Both versions are counted alike. What a node holds back it tells nobody.
@@ -52,6 +53,11 @@
 
 func (s *spell) over() bool { return !s.ended.IsZero() }
 
+// excuses returns whether a response was late for the silence of a sound upstream. since is when its wait began.
+func (s *spell) excuses(since time.Time) bool {
+	return s.over() && s.ended.Sub(s.began) < longestSilence && !since.After(s.ended)
+}
+
 // Overtaken counts an attempt that a backup has overtaken, or holds it back. It returns whether this made the node stop.
 func (t *Trial) Overtaken(now time.Time, v Silence) bool {
 	s := t.spells[v.Upstream]
--- a/internal/rollout/silence_test.go
+++ b/internal/rollout/silence_test.go
@@ -115,3 +115,51 @@
 	v.Overtaken(at(longestSilence), Silence{Upstream: "v1-0", Route: "r", Rank: -1, Since: at(time.Second)})
 	assert.Equal(t, int64(2), v.Total()["r"][groupInService].Failed)
 }
+
+// late has as many responses of the target's four upstreams come at a time, all of whose waits began at another.
+func late(t *Trial, number int, since, now time.Duration) {
+	for i := range number {
+		u := fmt.Sprint("v2-", i%4)
+		t.Heard(at(now), u)
+		t.Observe("r", i%4, Response{Started: true, First: 40, Pace: 1000, HeardFrom: u, Since: at(since)})
+	}
+}
+
+// TestResponsesLateForASilentSecondStopATarget guards against good versions that are stopped as slow for what was sent shortly
+// before the end of a silence, so that no backup overtook it.
+func TestResponsesLateForASilentSecondStopATarget(t *testing.T) {
+	const silent = 1200 * time.Millisecond
+	silence := func(v *Trial) {
+		for i := range 4 {
+			overtake(v, i, 0)
+		}
+	}
+	t.Run("sent in the silence", func(t *testing.T) {
+		v := judged()
+		silence(v)
+		late(v, 40, silent-silenceWait/2, silent)
+		assert.False(t, v.Stopped())
+		assert.Zero(t, v.Suspicion())
+	})
+	t.Run("sent after it", func(t *testing.T) {
+		v := judged()
+		silence(v)
+		late(v, 4, silent-silenceWait/2, silent)
+		late(v, 40, silent+time.Millisecond, 2*silent)
+		assert.True(t, v.Stopped())
+		assert.Equal(t, ReasonSlow, v.Verdict().Reason)
+	})
+	t.Run("silent for longer than a sound upstream", func(t *testing.T) {
+		v := judged()
+		silence(v)
+		late(v, 40, longestSilence-silenceWait/2, longestSilence)
+		assert.True(t, v.Stopped())
+	})
+	t.Run("silent again too soon", func(t *testing.T) {
+		v := judged()
+		silence(v)
+		late(v, 4, silent-silenceWait/2, silent)
+		late(v, 40, silenceInterval-silenceWait, silenceInterval-silenceWait/2)
+		assert.True(t, v.Stopped())
+	})
+}
--- a/internal/rollout/trial.go
+++ b/internal/rollout/trial.go
@@ -26,12 +26,13 @@
 
 // Response is what is new of an upstream's response. One that starts and breaks off later is observed twice.
 type Response struct {
-	Started    bool    // its first event or head has arrived
-	Failed     bool    // it failed
-	AfterStart bool    // it failed after it had started
-	First      float64 // time to the first event or the head, as a part of the expected time; 0 if unknown
-	Pace       float64 // pause between the first events, in milliseconds; 0 if unknown
-	HeardFrom  string  // upstream that has sent something; empty: none has
+	Started    bool      // its first event or head has arrived
+	Failed     bool      // it failed
+	AfterStart bool      // it failed after it had started
+	First      float64   // time to the first event or the head, as a part of the expected time; 0 if unknown
+	Pace       float64   // pause between the first events, in milliseconds; 0 if unknown
+	HeardFrom  string    // upstream that has sent something; empty: none has
+	Since      time.Time // when what First or Pace measures began
 }
 
 // Trial is one node's side of one order. It isn't safe for concurrent use.
@@ -206,8 +207,10 @@
 	if a.Failed {
 		c.Failed++
 	}
-	c.First.add(a.First)
-	c.Pace.add(a.Pace / paceUnitMs)
+	if s := t.spells[a.HeardFrom]; s == nil || !s.excuses(a.Since) {
+		c.First.add(a.First)
+		c.Pace.add(a.Pace / paceUnitMs)
+	}
 	return rank >= 0 && t.evaluate()
 }
 
