Callers who read nothing of their responses keep all others out

Seen: 320 callers pipeline requests and read nothing. Responses of 32 kB fill the kernel's buffers, and from then on each holds its place until its requests' deadlines, up to ten minutes here. All 280 places are taken, nobody has a part of a request, so that nobody gives way, and every other caller is closed at once: no ordinary request is answered in 30 s.

Cause: places were taken from those without a whole request alone. A response that isn't read holds a place just as well.

Now, if nobody without a whole request holds a place, the connection gives way whose response has waited to be written for the longest, 10 s at least: the kernel takes more only when a third of its buffer is free, which a caller with 1 Mbit/s reaches in that time. With places free nothing is closed. What is broken off was run, and is a break for its caller, as before at its deadline.

TestCallersWhoReadNothingKeepTheirPlaces failed before in "the longest gives way"; its other half, in which nobody has waited for long enough, passed before and passes.

--- a/internal/accept/caller.go
+++ b/internal/accept/caller.go
@@ -127,10 +127,11 @@
 
 // Write writes a part of a response.
 func (c *callerConn) Write(b []byte) (int, error) {
-	if c.yields() {
+	if !c.listener.beginWrite(c) {
 		return 0, errGaveWay
 	}
 	n, err := c.Conn.Write(b)
+	c.listener.endWrite(c)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.recordEnding(err)
--- a/internal/accept/yield.go
+++ b/internal/accept/yield.go
@@ -10,7 +10,8 @@
 )
 
 // This file decides which connection gives way when places or memory run short: one that holds them without a whole request, the
-// longest first. Its request has run nowhere, and never will: it is passed on only once it is whole.
+// longest first. Its request has run nowhere, and never will: it is passed on only once it is whole. If there is none, one gives way
+// whose caller hasn't read its response for the longest: else callers who read nothing hold all places until their deadlines.
 //
 // A head is counted at what net/http makes of it, which nobody sees while it comes: a map with an entry for each field.
 //
@@ -24,6 +25,9 @@
 	// yieldGrace is how long a connection may go without a whole request before it gives way to others: a head and a body of some
 	// MB arrive within it.
 	yieldGrace = time.Second
+	// unreadGrace is how long a response may wait to be written before its connection gives way to others. The kernel takes more
+	// only once a third of its buffer is free, which is some 1 MB: a caller with 1 Mbit/s reads as much within it.
+	unreadGrace = 10 * time.Second
 	// headCost is how many bytes a byte of a head takes in memory at most, in fields of a few bytes.
 	headCost = 16
 	// yieldLogInterval is the shortest time between two lines on connections that gave way.
@@ -68,6 +72,7 @@
 	yields  bool      // it gives way: its request isn't passed on any more
 	reading bool      // its body is waited for, and not this node's room for it
 	readAt  time.Time // when its body was last read
+	unread  time.Time // since when a part of its response has waited to be written; zero: none waits
 }
 
 // yieldLog bounds the lines on connections that gave way.
@@ -145,6 +150,38 @@
 	return list
 }
 
+// beginWrite records that a part of a response is written, which takes until its caller has read enough. It returns whether the
+// connection still holds its place.
+func (l *Listener) beginWrite(c *callerConn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.standing.yields {
+		return false
+	}
+	c.standing.unread = l.clock.Now()
+	return true
+}
+
+// endWrite records that a part of a response has been written.
+func (l *Listener) endWrite(c *callerConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.standing.unread = time.Time{}
+}
+
+// longestUnread returns the connection whose caller hasn't read its response for the longest, unreadGrace at least; nil: none.
+func (l *Listener) longestUnread() *callerConn {
+	var most *callerConn
+	from := l.clock.Now().Add(-unreadGrace)
+	for c := range l.callers {
+		s := &c.standing
+		if !s.yields && !s.unread.IsZero() && !s.unread.After(from) && (most == nil || s.unread.Before(most.standing.unread)) {
+			most = c
+		}
+	}
+	return most
+}
+
 // longest returns the connection in a phase that fits, for at least some time, the longest; nil: none.
 func (l *Listener) longest(least time.Duration, fits func(p phase) bool) *callerConn {
 	var most *callerConn
@@ -180,7 +217,7 @@
 	}
 	s := &c.standing
 	l.log.Info("caller_gave_way", zap.Stringer("caller", c.RemoteAddr()), zap.String("short_of", string(why)), zap.Stringer("phase", s.phase), zap.Duration("for", now.Sub(s.since)),
-		zap.Int64("head_bytes", s.head), zap.Int("open", len(l.callers)), zap.Int("others", l.yieldLog.others))
+		zap.Int64("head_bytes", s.head), zap.Bool("unread", !s.unread.IsZero()), zap.Int("open", len(l.callers)), zap.Int("others", l.yieldLog.others))
 	l.yieldLog = yieldLog{at: now}
 	return c
 }
@@ -192,6 +229,9 @@
 	if c == nil {
 		c = l.longest(yieldGrace, func(p phase) bool { return p == phaseIdle })
 	}
+	if c == nil {
+		c = l.longestUnread()
+	}
 	if c != nil {
 		l.markYield(c, shortOfPlaces)
 	}
@@ -247,13 +287,6 @@
 	}
 }
 
-// yields reports whether the connection gives way: nothing is written on it any more.
-func (c *callerConn) yields() bool {
-	c.listener.mu.Lock()
-	defer c.listener.mu.Unlock()
-	return c.standing.yields
-}
-
 // followedBody is a request's body whose end makes the request whole.
 type followedBody struct {
 	io.ReadCloser
--- a/internal/accept/yield_test.go
+++ b/internal/accept/yield_test.go
@@ -22,6 +22,9 @@
 // phaseUnread is phaseBody, of a body that isn't read.
 const phaseUnread = phase(-1)
 
+// beyondBuffers is the size of a response that the kernel doesn't take as a whole, in bytes.
+const beyondBuffers = 64 << 20
+
 // yieldRig is a server with two places, whose handler waits for a word if the request's path is /held.
 type yieldRig struct {
 	t     *testing.T
@@ -48,6 +51,9 @@
 		if q.URL.Path == "/held" {
 			<-r.held
 		}
+		if q.URL.Path == "/large" {
+			_, _ = w.Write(make([]byte, beyondBuffers)) // its caller may not read it
+		}
 	}))}
 	go func() { _ = s.Serve(r.l) }()
 	t.Cleanup(func() { _ = s.Close() })
@@ -80,6 +86,7 @@
 const (
 	partOfAHead = "GET / HTTP/1.1\r\nHost: h\r\n"
 	partOfABody = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n12345678"
+	largeAnswer = "GET /large HTTP/1.1\r\nHost: h\r\n\r\n"
 	heldRequest = "GET /held HTTP/1.1\r\nHost: h\r\n\r\n"
 	request     = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n1"
 )
@@ -220,3 +227,53 @@
 		})
 	}
 }
+
+// TestCallersWhoReadNothingKeepTheirPlaces guards against places that are held by responses which nobody reads.
+func TestCallersWhoReadNothingKeepTheirPlaces(t *testing.T) {
+	unread := func(r *yieldRig) net.Conn {
+		c := r.send(largeAnswer, phaseWhole)
+		require.Eventually(t, func() bool {
+			r.l.mu.Lock()
+			defer r.l.mu.Unlock()
+			for v := range r.l.callers {
+				if v.RemoteAddr().String() == c.LocalAddr().String() && !v.standing.unread.IsZero() {
+					return true
+				}
+			}
+			return false
+		}, 10*time.Second, time.Millisecond, "its response waits")
+		return c
+	}
+	t.Run("the longest gives way", func(t *testing.T) {
+		r := newYieldRig(t)
+		first := unread(r)
+		r.clock.Advance(unreadGrace)
+		second := unread(r)
+		assertAnswered(t, r.send(request, phaseIdle))
+		assertBrokenOff(t, first)
+		assertAnswered(t, second)
+	})
+	t.Run("not at once, nor one that waits for its response", func(t *testing.T) {
+		r := newYieldRig(t)
+		held := r.send(heldRequest, phaseWhole)
+		r.clock.Advance(2 * unreadGrace)
+		late := unread(r)
+		r.clock.Advance(unreadGrace / 2)
+		c, err := net.Dial("tcp", r.l.Addr().String())
+		require.NoError(t, err)
+		defer func() { _ = c.Close() }()
+		assertClosed(t, c)
+		assertAnswered(t, late)
+		close(r.held)
+		assertAnswered(t, held)
+	})
+}
+
+// assertBrokenOff checks that a connection ends before the end of its response.
+func assertBrokenOff(t *testing.T, c net.Conn) {
+	t.Helper()
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	n, err := io.Copy(io.Discard, c)
+	assert.False(t, err != nil && err.(interface{ Timeout() bool }).Timeout(), "it is open")
+	assert.Less(t, n, int64(beyondBuffers))
+}
