Heads at the listener for other nodes took all memory

No caller is sent there, but whoever reaches the port can end the process.

Cause: the bound for heads there was the callers' 64 kB, which net/http's map makes 1 MB. Nodes send each other some hundred bytes: the calls' own fields, and for a tunnel its address.

Heads of other nodes may now have 4 kB (net/http reads as many more). The crowd is refused by 431 and closed: 30 MB, 20 descriptors. TestHeadsAtTheListenerForNodesTakeAllMemory failed before; crowd and bounds are those of the readiness listener's test, whose body both share. Connections there have no bound still, and are listed as open.

--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -25,6 +25,7 @@
 
 const (
 	maxHeaderBytes    = 64 << 10
+	peerHeaderBytes   = 4 << 10           // of other nodes, whose heads have some hundred bytes
 	readHeaderTimeout = 15 * time.Second  // callers use shorter time-outs
 	idleTimeout       = 180 * time.Second // callers use shorter time-outs
 )
@@ -73,6 +74,7 @@
 	front := n.server(callers.Handler(n.front))
 	front.ConnState, front.ConnContext = callers.ObserveState, callers.ConnContext
 	peers := n.server(n.peerHandler())
+	peers.MaxHeaderBytes = peerHeaderBytes
 	go n.serve(front, callers)
 	ready := n.serveBounded(l.Readiness, n.serveReady)
 	go n.serve(peers, l.Peers)
