--- a/internal/bootstrap/bootstrap.go
+++ b/internal/bootstrap/bootstrap.go
@@ -8,7 +8,7 @@
 // Alternatives considered: the names of all nodes in each report. Reports go to all pairs in each round, so they would
 // grow with the square of the fleet all the time, for a case of seconds.
 //
-// The package is pure: times are passed in.
+// The package is pure, but for the calls of seeds (Seeds): times are passed in.
 package bootstrap
 
 import (
--- a/internal/edge/bootstrap.go
+++ b/internal/edge/bootstrap.go
@@ -30,11 +30,11 @@
 	if n.role.RegistryRead && !wantsLevels {
 		return
 	}
-	name := n.lookup.Next(now, n.peers.responsive(now))
+	name := n.lookup.Next(now, n.peers.Responsive(now))
 	if name == "" {
 		return
 	}
-	client := n.peers.clientOf(n.peers.peers[name])
+	client := n.peers.Client(n.peers.Get(name))
 	go func() {
 		asked := n.clock.Now()
 		c, cancel := context.WithTimeout(ctx, reportTimeout)
@@ -65,14 +65,14 @@
 func (n *Node) applyNamed(source string, list []roster.Member, complete bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now, known := n.clock.Now(), n.peers.size()
+	now, known := n.clock.Now(), n.peers.Size()
 	for _, m := range list {
-		if m.Name != n.settings.Node && m.Address != "" {
-			n.applyMember(now, m)
+		if m.Address != "" {
+			n.peers.ApplyMember(now, m)
 		}
 	}
-	if before := n.lookup.Complete(); n.peers.size() != known || complete && !before {
-		n.log.Info("members_heard", zap.String("source", source), zap.Int("known", n.peers.size()), zap.Int("before", known), zap.Bool("complete", complete))
+	if before := n.lookup.Complete(); n.peers.Size() != known || complete && !before {
+		n.log.Info("members_heard", zap.String("source", source), zap.Int("known", n.peers.Size()), zap.Int("before", known), zap.Bool("complete", complete))
 	}
 	n.lookup.Hear(complete)
 }
@@ -83,12 +83,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	s := n.settings
-	list := []roster.Member{{Name: s.Node, Address: s.Peers, Hall: s.Hall, Cores: s.Cores}}
-	for _, p := range n.peers.peers {
-		if p.Address != "" {
-			list = append(list, roster.Member{Name: p.Name, Address: p.Address, Hall: p.Hall, Cores: p.Cores})
-		}
-	}
+	list := n.peers.Members(roster.Member{Name: s.Node, Address: s.Peers, Hall: s.Hall, Cores: s.Cores})
 	now := n.clock.Now()
 	a := &wire.CatchUpResponse{Members: message.MembersToWire(list), MembersComplete: n.role.RegistryRead || n.lookup.Complete(), UptimeMs: now.Sub(n.start).Milliseconds()}
 	if levels && n.quotas.Sharing().HearsMost() {
@@ -96,14 +91,3 @@
 	}
 	return a
 }
-
-// responsive returns the names of the peers that aren't silent.
-func (t *peerTable) responsive(now time.Time) []string {
-	var r []string
-	for n, p := range t.peers {
-		if p.Address != "" && p.IsResponsive(now, t.size()) {
-			r = append(r, n)
-		}
-	}
-	return r
-}
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -84,8 +84,8 @@
 	end := n.usage.WindowEnd(window)
 	now, since := n.clock.Now(), n.clock.Wall().Sub(end)
 	complete := true
-	for _, p := range n.peers.peers {
-		if !n.usage.HasLeft(p.Name, p.incarnation, window) && now.Sub(p.LastSeen)+reportTimeout > since {
+	for p := range n.peers.All() {
+		if !n.usage.HasLeft(p.Name, p.Incarnation, window) && now.Sub(p.LastSeen)+reportTimeout > since {
 			complete = false
 		}
 	}
--- a/internal/edge/endless_test.go
+++ b/internal/edge/endless_test.go
@@ -62,7 +62,7 @@
 			defer s.Close()
 			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 			defer cancel()
-			client := n.peers.newClient(strings.TrimPrefix(s.URL, "http://"))
+			client := n.peers.NewClient(strings.TrimPrefix(s.URL, "http://"))
 			took := allocated(func() {
 				_, err := client.Report(ctx, connect.NewRequest(&wire.ReportRequest{}))
 				assert.Error(t, err)
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -10,6 +10,7 @@
 	"spurhall.example/spurhall/internal/follow"
 	"spurhall.example/spurhall/internal/pair"
 	"spurhall.example/spurhall/internal/pool"
+	"spurhall.example/spurhall/internal/registration"
 	"spurhall.example/spurhall/internal/wire"
 )
 
@@ -56,8 +57,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.registrySentAt = now
-	n.registryTried.Store(true)
-	if changed || now.Sub(n.registryAppliedAt) >= registryReadInterval/2 {
+	n.registryPoller.Sent()
+	if changed || now.Sub(n.registryAppliedAt) >= registration.ReadInterval/2 {
 		n.registryAppliedAt = now
 		n.applyRegistry(now)
 	}
@@ -66,7 +67,7 @@
 // pollWatcher requests changes from one watcher and applies them.
 func (n *Node) pollWatcher(ctx context.Context, name string, at *follow.Position) error {
 	n.mu.Lock()
-	p, large := n.peers.peers[name], !pair.Suffice(n.peers.size())
+	p, large := n.peers.Get(name), !pair.Suffice(n.peers.Size())
 	n.mu.Unlock()
 	if p == nil || p.Address == "" {
 		return errNoUpdates
@@ -83,7 +84,7 @@
 	asked := n.clock.Now()
 	c, cancel := context.WithTimeout(ctx, follow.Timeout(r))
 	defer cancel()
-	a, err := n.peers.clientOf(p).Follow(c, connect.NewRequest(r))
+	a, err := n.peers.Client(p).Follow(c, connect.NewRequest(r))
 	if err == nil {
 		err = n.applyFollowed(name, asked, a.Msg, at)
 	}
--- a/internal/edge/instep_test.go
+++ b/internal/edge/instep_test.go
@@ -25,7 +25,7 @@
 func (n *Node) hearFrom(peers int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, p := range n.peers.peers {
+	for p := range n.peers.All() {
 		if peers--; peers >= 0 {
 			p.LastSeen = n.clock.Now()
 		}
@@ -89,7 +89,7 @@
 	t.Run("the store is away", func(t *testing.T) {
 		n, clock := newAgingNode(t)
 		n.listFollower.MarkLost(errors.New("no answer"))
-		size := len(n.peers.peers)
+		size := n.peers.Size() - 1
 		for range 10 {
 			clock.Advance(time.Second)
 			n.hearFrom(size)
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -7,8 +7,6 @@
 
 	"spurhall.example/spurhall/internal/limit"
 	"spurhall.example/spurhall/internal/message"
-	"spurhall.example/spurhall/internal/pair"
-	"spurhall.example/spurhall/internal/relay"
 	"spurhall.example/spurhall/internal/wire"
 )
 
@@ -35,26 +33,16 @@
 	n.log.Info("limit_named", append(f, zap.Float64("rate", w.Rate))...)
 }
 
-// sendersInterval is how often the nodes that share limits are determined while no limit is known. Sorting them
-// in each round took most of an idle node's processor time at a thousand nodes.
-const sendersInterval = 2 * time.Second
-
 // updateLimitSenders sets the nodes that share limits: those that are responsive or registered, and not
 // leaving. Where relays place the requests at engines, only the relays share an engine's limit. A process that
 // doesn't know the other nodes yet has no share: after a loss of all processes, each would use the whole rate.
 // The node's lock is held.
 func (n *Node) updateLimitSenders(now time.Time) {
-	var placers []string
-	if !n.knowsPeers(now) {
+	switch {
+	case !n.knowsPeers(now):
 		n.pools.SetSenders(nil, nil)
-		return
-	}
-	if now.Sub(n.sendersSetAt) < sendersInterval && !n.pools.HasLimits() {
-		return
-	}
-	n.sendersSetAt = now
-	if pair.Interval(n.peers.size()) > pair.Round {
-		placers = n.view(now).RelaysOfAllHalls(relay.Ranking.Active)
+	case n.limitSharing.Take(now, n.pools.HasLimits()):
+		v := n.view(now)
+		n.pools.SetSenders(v.Senders(), v.Placers())
 	}
-	n.pools.SetSenders(n.view(now).Senders(), placers)
 }
--- a/internal/edge/lineage.go
+++ b/internal/edge/lineage.go
@@ -13,6 +13,7 @@
 	"spurhall.example/spurhall/internal/handover"
 	"spurhall.example/spurhall/internal/lineage"
 	"spurhall.example/spurhall/internal/message"
+	"spurhall.example/spurhall/internal/peer"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/wire"
 )
@@ -80,7 +81,7 @@
 func (n *Node) tellStreams(ctx context.Context, node string, list []lineage.Record) error {
 	p, err := n.peerNamed(node)
 	if err == nil {
-		_, err = n.peers.clientOf(p).TellStreams(ctx, connect.NewRequest(&wire.TellStreamsRequest{Streams: message.StreamsToWire(list)}))
+		_, err = n.peers.Client(p).TellStreams(ctx, connect.NewRequest(&wire.TellStreamsRequest{Streams: message.StreamsToWire(list)}))
 	}
 	return err
 }
@@ -90,7 +91,7 @@
 	if err != nil {
 		return "", false, err
 	}
-	a, err := n.peers.clientOf(p).FindStream(ctx, connect.NewRequest(&wire.FindStreamRequest{Key: uint64(k), Service: service}))
+	a, err := n.peers.Client(p).FindStream(ctx, connect.NewRequest(&wire.FindStreamRequest{Key: uint64(k), Service: service}))
 	if err != nil {
 		return "", false, err
 	}
@@ -112,7 +113,7 @@
 	if err != nil {
 		return false, err
 	}
-	a, err := n.peers.clientOf(p).LateVersions(ctx, connect.NewRequest(&wire.LateVersionsRequest{}))
+	a, err := n.peers.Client(p).LateVersions(ctx, connect.NewRequest(&wire.LateVersionsRequest{}))
 	if err != nil {
 		return false, err
 	}
@@ -142,10 +143,10 @@
 }
 
 // peerNamed returns another node that can be called; errNoUpdates: there is none of that name.
-func (n *Node) peerNamed(name string) (*peer, error) {
+func (n *Node) peerNamed(name string) (*peer.Peer, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	p := n.peers.peers[name]
+	p := n.peers.Get(name)
 	if p == nil || p.Address == "" {
 		return nil, errNoUpdates
 	}
--- a/internal/edge/members_test.go
+++ b/internal/edge/members_test.go
@@ -8,10 +8,10 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
-	"go.uber.org/zap/zaptest/observer"
 
 	"spurhall.example/spurhall/internal/bootstrap"
 	"spurhall.example/spurhall/internal/pair"
+	"spurhall.example/spurhall/internal/peer"
 	"spurhall.example/spurhall/internal/quota"
 	"spurhall.example/spurhall/internal/retry"
 	"spurhall.example/spurhall/internal/roster"
@@ -21,30 +21,29 @@
 
 // newHallNode returns a node with the given number of peers, all in its hall, responsive and connected to the
 // store.
-func newHallNode(t *testing.T, others int) (*Node, *timer.Manual, *observer.ObservedLogs) {
+func newHallNode(t *testing.T, others int) (*Node, *timer.Manual) {
 	t.Helper()
 	c := timer.NewManual(time.Unix(1000, 0))
-	core, logs := observer.New(zap.InfoLevel)
-	n := &Node{settings: &Settings{Node: "edge-0", Hall: "a"}, clock: c.Service(), log: zap.New(core), guard: store.NewGuard(c.Service(), store.GuardOptions{Reads: 1, Writes: 1})}
-	n.peers = &peerTable{n: n, peers: make(map[string]*peer)}
+	n := &Node{settings: &Settings{Node: "edge-0", Hall: "a"}, clock: c.Service(), log: zap.NewNop(), guard: store.NewGuard(c.Service(), store.GuardOptions{Reads: 1, Writes: 1})}
+	n.peers = peer.NewTable(peer.Options{Self: "edge-0", Hall: "a", Clock: n.clock, Log: zap.NewNop()})
 	for i := 1; i <= others; i++ {
-		name := fmt.Sprint("edge-", i)
-		n.peers.peers[name] = &peer{Peer: roster.Peer{Name: name, Hall: "a", Signs: roster.Signs{LastSeen: n.clock.Now()}, StoreUp: true}}
+		p := n.peers.GetOrAdd(fmt.Sprint("edge-", i), "")
+		p.Signs, p.Hall, p.StoreUp = roster.Signs{LastSeen: n.clock.Now()}, "a", true
 	}
-	return n, c, logs
+	return n, c
 }
 
 // TestWatchersReachTheStore checks that a node whose calls the store rejects doesn't watch for its hall,
 // unless the store rejects all nodes.
 func TestWatchersReachTheStore(t *testing.T) {
-	n, _, _ := newHallNode(t, 9)
+	n, _ := newHallNode(t, 9)
 	before := n.watchers()
 	require.Len(t, before, roster.WatchersPerHall)
-	n.peers.peers[before[0]].StoreUp = false
+	n.peers.Get(before[0]).StoreUp = false
 	after := n.watchers()
 	assert.NotContains(t, after, before[0])
 	assert.Contains(t, after, before[1], "the other watcher stays")
-	for _, p := range n.peers.peers {
+	for p := range n.peers.All() {
 		p.StoreUp = false
 	}
 	assert.Len(t, n.watchers(), roster.WatchersPerHall, "if the store rejects all nodes, the watchers still retry")
@@ -53,15 +52,15 @@
 // TestFailedRelaysAreNotCalled checks that a failed relay isn't called until it reports again or some time has
 // passed.
 func TestFailedRelaysAreNotCalled(t *testing.T) {
-	n, c, _ := newHallNode(t, 20)
+	n, c := newHallNode(t, 20)
 	first := n.view(n.clock.Now()).HallNodes("a").Relays()[0].Name()
 	if first == n.settings.Node {
 		first = n.view(n.clock.Now()).HallNodes("a").Relays()[1].Name()
 	}
-	p := n.peers.peers[first]
+	p := n.peers.Get(first)
 	assertAsked := func(t *testing.T, want bool) {
 		t.Helper()
-		for _, o := range n.peers.peers {
+		for o := range n.peers.All() {
 			if o != p {
 				o.LastSeen = n.clock.Now()
 			}
@@ -77,39 +76,22 @@
 	assertAsked(t, true)
 }
 
-// TestPeerLogIsAggregatedInLargeFleets checks that in a large fleet, a node that doesn't watch the store for
-// its hall logs one line per round about its peers, whatever the number of events.
-func TestPeerLogIsAggregatedInLargeFleets(t *testing.T) {
-	n, _, logs := newHallNode(t, 94)
-	for _, p := range n.peers.peers {
-		n.logPeer("peer_heard", zap.String("peer", p.Name))
-	}
-	n.flushPeerLog()
-	assert.Equal(t, 1, logs.Len())
-	assert.Equal(t, int64(94), logs.FilterMessage("peers_changed").All()[0].ContextMap()["heard"])
-	n.flushPeerLog()
-	assert.Equal(t, 1, logs.Len(), "no new events")
-	n.events.EndRound(true)
-	n.logPeer("peer_heard", zap.String("peer", "edge-1"))
-	assert.Equal(t, 1, logs.FilterMessage("peer_heard").Len(), "a watcher logs each event")
-}
-
 // TestSeedsBehindAPartitionAreForgotten: once one node was known, a process that couldn't read the registry called no seed again.
 func TestSeedsBehindAPartitionAreForgotten(t *testing.T) {
 	n, _ := newScaleNode(t, 3, 0)
 	n.role.RegistryRead = false
 	n.settings.Seeds = []string{n.settings.Peers, "10.200.0.1:9000", "10.201.0.1:9000"}
-	seeds, pause := n.seedsToCall()
+	seeds, pause := bootstrap.SeedsToCall(n.knownSeeds())
 	assert.Equal(t, []string{"10.201.0.1:9000"}, seeds, "the one that no peer has")
-	assert.Equal(t, seedRetryInterval, pause)
+	assert.Equal(t, time.Second, pause)
 	t.Run("until a node that knows all has named them", func(t *testing.T) {
 		n.applyNamed("edge-b-1", nil, true)
-		seeds, _ := n.seedsToCall()
+		seeds, _ := bootstrap.SeedsToCall(n.knownSeeds())
 		assert.Empty(t, seeds)
 	})
 	t.Run("or the registry is read", func(t *testing.T) {
 		n.lookup, n.role.RegistryRead = bootstrap.Lookup{}, true
-		seeds, _ := n.seedsToCall()
+		seeds, _ := bootstrap.SeedsToCall(n.knownSeeds())
 		assert.Empty(t, seeds)
 	})
 }
@@ -119,8 +101,8 @@
 	n, _ := newScaleNode(t, 3, 0)
 	n.role.RegistryRead = false
 	n.applyNamed("edge-b-1", []roster.Member{{Name: n.settings.Node, Address: "10.0.0.1:1"}, {Name: "other", Address: "10.0.0.2:1", Hall: "b"}, {Name: "unaddressed"}}, false)
-	assert.Equal(t, 4, n.peers.size())
-	assert.Equal(t, "b", n.peers.peers["other"].Hall)
+	assert.Equal(t, 4, n.peers.Size())
+	assert.Equal(t, "b", n.peers.Get("other").Hall)
 	a := n.nameMembers(false)
 	assert.Len(t, a.Members, 4, "itself included")
 	assert.False(t, a.MembersComplete)
@@ -135,8 +117,8 @@
 	n.role.RegistryRead = false
 	c.Advance(2 * peersWait)
 	for i := 1; i < 3; i++ {
-		p := n.peers.getOrAdd(fmt.Sprint("edge-a-", i), fmt.Sprint("10.200.0.", i, ":9000"))
-		p.Hall, p.incarnation, p.LastSeen = "a", "p", n.clock.Now()
+		p := n.peers.GetOrAdd(fmt.Sprint("edge-a-", i), fmt.Sprint("10.200.0.", i, ":9000"))
+		p.Hall, p.Incarnation, p.LastSeen = "a", "p", n.clock.Now()
 	}
 	return n, c
 }
@@ -175,7 +157,7 @@
 	assert.Positive(t, before)
 	c.Advance(time.Minute)
 	n.applyRegistry(c.Service().Now())
-	assert.Equal(t, 1, n.peers.size(), "the others are gone")
+	assert.Equal(t, 1, n.peers.Size(), "the others are gone")
 	assert.Equal(t, before, retries())
 }
 
--- a/internal/edge/memory_test.go
+++ b/internal/edge/memory_test.go
@@ -38,17 +38,17 @@
 	for _, nodes := range []int{70, 300} {
 		b.Run(fmt.Sprint(nodes, " nodes"), func(b *testing.B) {
 			n := &Node{settings: &Settings{Node: "n"}, clock: timer.Real(), log: zap.NewNop()}
-			t := newPeerTable(n)
+			t := n.newPeers()
 			n.peers = t
 			for i := 0; i < nodes; i++ {
 				s := httptest.NewServer(emptyReportHandler())
 				defer s.Close()
-				t.getOrAdd(fmt.Sprint("peer-", i), s.Listener.Addr().String())
+				t.GetOrAdd(fmt.Sprint("peer-", i), s.Listener.Addr().String())
 			}
 			for b.Loop() {
 				before := memoryInUse()
-				for _, p := range t.peers {
-					_, _ = t.pairClient(p).Report(b.Context(), connect.NewRequest(&wire.ReportRequest{}))
+				for p := range t.All() {
+					_, _ = t.PairClient(p).Report(b.Context(), connect.NewRequest(&wire.ReportRequest{}))
 				}
 				b.ReportMetric((memoryInUse()-before)/float64(nodes), "B/peer")
 			}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -4,9 +4,9 @@
 //	watch.go      follows the configuration and the upstream list in the store
 //	listage.go    decides whether the upstream list is recent enough to choose from
 //	watchers.go   decides which nodes watch the store; the others follow them
-//	peers.go      exchanges reports with the other nodes
+//	peers.go      exchanges reports with the other nodes (package peer)
 //	relay.go      exchanges them through relays in a large fleet
-//	members.go    registers this node and discovers the others
+//	members.go    registers this node, and applies how the others are discovered (packages registration, bootstrap)
 //	quarantine.go shares crash evidence about requests
 //	lineage.go    shares which version began a stream
 //	limits.go     shares the rate limits that upstreams set for all nodes together
@@ -47,10 +47,12 @@
 	"spurhall.example/spurhall/internal/link"
 	"spurhall.example/spurhall/internal/logging"
 	"spurhall.example/spurhall/internal/memory"
+	"spurhall.example/spurhall/internal/peer"
 	"spurhall.example/spurhall/internal/peerload"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/quarantine"
 	"spurhall.example/spurhall/internal/quota"
+	"spurhall.example/spurhall/internal/registration"
 	"spurhall.example/spurhall/internal/relay"
 	"spurhall.example/spurhall/internal/retry"
 	"spurhall.example/spurhall/internal/rollout"
@@ -134,7 +136,7 @@
 	catalog         atomic.Pointer[activeCatalog]
 	listed          atomic.Bool               // the upstream list has been read at least once
 	storeRestoredAt atomic.Pointer[time.Time] // when the store was last restored from a copy; nil: not during this process
-	registryTried   atomic.Bool               // the registry has been read, or couldn't be
+	registryPoller  *registration.Poller
 	noNewsAt        atomic.Pointer[time.Time] // when a watcher last answered that it isn't in touch with the store; nil: never
 	staleList       atomic.Bool               // the list was too old to choose from when it was last looked at
 	partial         atomic.Bool               // the upstream list leaves out upstreams of other halls (pool.ScopeKept)
@@ -144,30 +146,27 @@
 	phase           atomic.Int32  // of a planned stop, as a forward.Phase
 	frontListener   atomic.Pointer[accept.Listener]
 
-	mu            sync.Mutex // guards the fields below
-	quotas        *quota.Quotas
-	quotaSharing  quota.Sharing      // as last logged
-	reportedSpent map[string]float64 // what the last report says that this process has charged, by workspace
-	retryWindows  map[string]*retry.Window
-	spanStartedAt time.Time // start of the current quota span
-	role          roster.Role
-	lookup        bootstrap.Lookup // of other nodes, while the registry isn't read
-	registry      *roster.Registry
+	mu             sync.Mutex // guards the fields below
+	quotas         *quota.Quotas
+	spans          quota.Spans
+	reportSequence uint64
+	reportedSpent  map[string]float64 // what the last report says that this process has charged, by workspace
+	retryWindows   map[string]*retry.Window
+	role           roster.Role
+	lookup         bootstrap.Lookup // of other nodes, while the registry isn't read
+	registry       *roster.Registry
 	// registrySentAt is when a watcher last sent or confirmed the registry, and registryAppliedAt when that was
 	// last applied.
 	registrySentAt    time.Time
 	registryAppliedAt time.Time
 	usage             *usage.Tracker
-	peers             *peerTable
-	events            roster.Events     // of other nodes
+	peers             *peer.Table
 	aggregator        *relay.Aggregator // state of this node as a relay
 	relayView         relay.View        // state received from this node's relay
-	homeRelay         string            // name of the relay that this node reports to
-	digestAt          time.Time         // arrival of the last digest
-	digestNodes       map[string]bool   // nodes that the last digest covers
+	home              relay.Home        // of this node
 	placeRetryAt      time.Time         // no relay is asked to place a request before this time
 	requestAt         time.Time         // when a request of this node last started at an upstream
-	sendersSetAt      time.Time         // when the nodes that share limits were last determined
+	limitSharing      roster.Sharing
 
 	streamVersions   map[string][]string // versions that may have begun streams, by service, when the list last changed
 	lacksList        follow.Lack         // of what other nodes' lists have
@@ -202,8 +201,9 @@
 	n.lines = forward.NewConnections(o.Clock, n.uplink.Dial)
 	n.quotas = quota.New(n.start, s.FirstStart)
 	n.usage = usage.New(s.Node, o.Incarnation, s.UsageWindow)
-	n.peers = newPeerTable(n)
+	n.peers = n.newPeers()
 	n.registry = roster.NewRegistry()
+	n.registryPoller = n.newPoller()
 	n.aggregator = relay.NewAggregator(s.Node, o.Incarnation)
 	n.quarantine = quarantine.NewTracker(s.Node)
 	n.rollouts = newRollouts()
@@ -229,7 +229,7 @@
 
 // storeRates returns this node's part of the store's call rates, per second.
 func (n *Node) storeRates() (reads, writes float64) {
-	k := float64(n.peers.size())
+	k := float64(n.peers.Size())
 	return n.settings.Store.Reads / k, n.settings.Store.Writes / k
 }
 
@@ -314,7 +314,7 @@
 const retryBudgetShare = 0.7
 
 func (n *Node) retryWindow(service string) *retry.Window {
-	a := retryBudgetShare * n.settings.RetryExtra / max(float64(n.peers.size()), n.quotas.Nodes())
+	a := retryBudgetShare * n.settings.RetryExtra / max(float64(n.peers.Size()), n.quotas.Nodes())
 	w := n.retryWindows[service]
 	if w == nil {
 		w = retry.NewWindow(retryBudgetShare*n.settings.RetryRatio, a, n.settings.RetryWindow)
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -154,9 +154,9 @@
 	sums := map[string]autoscale.Counter{n.settings.Node: {Value: n.pools.Work()[service], ReceivedAt: now}}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for name, p := range n.peers.peers {
-		if !p.workAt.IsZero() {
-			sums[name] = autoscale.Counter{Value: p.work[service], ReceivedAt: p.workAt}
+	for p := range n.peers.All() {
+		if !p.WorkAt.IsZero() {
+			sums[p.Name] = autoscale.Counter{Value: p.Work[service], ReceivedAt: p.WorkAt}
 		}
 	}
 	return sums
@@ -166,7 +166,7 @@
 func (n *Node) silenceLimit() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return roster.Silence(n.peers.size())
+	return roster.Silence(n.peers.Size())
 }
 
 func (o *orderer) mix(s *catalog.ServiceSpec) *autoscale.MixPlanner {
@@ -246,9 +246,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now, halls := n.clock.Now(), make(map[string]bool)
-	relayed := now.Sub(n.digestAt) <= digestLifetime
-	for name, p := range n.peers.peers {
-		if relayed && n.digestNodes[name] || now.Sub(p.LastSeen) <= digestLifetime {
+	for p := range n.peers.All() {
+		if n.home.Hears(now, p.Name, p.LastSeen) {
 			halls[p.Hall] = true
 		}
 	}
--- a/internal/edge/orders_test.go
+++ b/internal/edge/orders_test.go
@@ -9,6 +9,7 @@
 
 	"spurhall.example/spurhall/internal/autoscale"
 	"spurhall.example/spurhall/internal/catalog"
+	"spurhall.example/spurhall/internal/peer"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/rollout"
 	"spurhall.example/spurhall/internal/timer"
@@ -16,7 +17,7 @@
 
 // newListedOrderer returns an orderer that has listed two reclaimable upstreams in each of two halls.
 func newListedOrderer(clock *timer.Service) *orderer {
-	n := &Node{peers: &peerTable{}, clock: clock, log: zap.NewNop(), settings: &Settings{Hall: "a", Halls: map[string]string{"a": "r", "b": "r"}}, pools: pool.New(clock, "a", "a"), rollouts: newRollouts()}
+	n := &Node{peers: peer.NewTable(peer.Options{Clock: clock, Log: zap.NewNop()}), clock: clock, log: zap.NewNop(), settings: &Settings{Hall: "a", Halls: map[string]string{"a": "r", "b": "r"}}, pools: pool.New(clock, "a", "a"), rollouts: newRollouts()}
 	n.pools.Update(func(l *pool.List) {
 		for _, id := range []string{"a1", "a2", "b1", "b2"} {
 			l.Put(pool.Item{Entry: pool.Entry{ID: id, Hall: id[:1], Service: "s", Address: "10.0.0.1:1", Slots: 8, Version: "v1", Reclaimable: true}})
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -2,25 +2,18 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
-	"sync"
 	"time"
 
 	"connectrpc.com/connect"
 	"go.uber.org/zap"
 
-	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/message"
 	"spurhall.example/spurhall/internal/pair"
-	"spurhall.example/spurhall/internal/pool"
+	"spurhall.example/spurhall/internal/peer"
 	"spurhall.example/spurhall/internal/quota"
-	"spurhall.example/spurhall/internal/reply"
-	"spurhall.example/spurhall/internal/rollout"
 	"spurhall.example/spurhall/internal/roster"
 	"spurhall.example/spurhall/internal/usage"
 	"spurhall.example/spurhall/internal/wire"
-	"spurhall.example/spurhall/internal/wire/wireconnect"
 )
 
 // This file exchanges state between nodes: pairs of nodes swap reports, paced by package pair. A report
@@ -34,112 +27,14 @@
 	peersWait = time.Second
 )
 
-// peer is another node as this node knows it.
-type peer struct {
-	roster.Peer
-	incarnation    string
-	sequence       uint64
-	lastFailure    string // of the last call; empty: it succeeded
-	clientMu       sync.Mutex
-	client         wireconnect.EdgeClient   // nil: not called yet (peerTable.clientOf)
-	catalogVersion int64                    // of its configuration
-	listRevision   int64                    // of its upstream list
-	work           map[string]capacity.Work // sent to engines since its process started; nil: none
-	workAt         time.Time                // when it had sent that
-	trials         []rollout.Update
-	reach          pool.Reachability
-	relay          relayState
-}
-
-// peerTable holds the other nodes. Its fields are guarded by the node's lock.
-type peerTable struct {
-	n         *Node
-	peers     map[string]*peer
-	keepAlive *http.Client
-	// oneShot closes its connections, for pairs that swap seldom. A connection takes 40 kB, half of it at each end
-	// (BenchmarkPeerConnections), so a node of 300 held 6 MB for peers that it calls every six seconds. Reopening
-	// them takes some 25 connections a second.
-	oneShot  *http.Client
-	sequence uint64
-	fallback pair.Fallback // calls of peers that no relay names
-}
-
 // view returns the fleet as this node sees it. The node's lock is held while the view is used.
 func (n *Node) view(now time.Time) roster.View {
 	s := n.settings
-	return roster.View{
-		Now: now, Size: n.peers.size(), Regions: s.Halls,
-		Self: roster.Peer{Name: s.Node, Hall: s.Hall, Cores: s.Cores, Leaving: n.isLeaving(), StoreUp: n.guard.Up()},
-		Peers: func(yield func(*roster.Peer) bool) {
-			for _, p := range n.peers.peers {
-				if !yield(&p.Peer) {
-					return
-				}
-			}
-		},
-	}
-}
-
-func newPeerTable(n *Node) *peerTable {
-	d := &net.Dialer{Timeout: reportTimeout}
-	return &peerTable{
-		n: n, peers: make(map[string]*peer),
-		keepAlive: &http.Client{Transport: n.load.Transport(reply.NewTransport(&http.Transport{
-			DialContext: d.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: message.MaxHeader,
-		}))},
-		oneShot: &http.Client{Transport: n.load.Transport(reply.NewTransport(&http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: message.MaxHeader}))},
-	}
-}
-
-// size returns the number of nodes that share quotas and budgets, this one included.
-func (t *peerTable) size() int { return len(t.peers) + 1 }
-
-func (t *peerTable) getOrAdd(name, address string) *peer {
-	p := t.peers[name]
-	if p == nil {
-		p = &peer{Peer: roster.Peer{Name: name}}
-		p.FoundAt = t.n.clock.Now()
-		t.peers[name] = p
-		t.n.logPeer("peer_found", zap.String("peer", name), zap.String("address", address))
-	}
-	if p.Address != address {
-		p.clientMu.Lock()
-		defer p.clientMu.Unlock()
-		p.Address, p.client = address, nil
-	}
-	return p
-}
-
-// clientOf returns the client for calls of a peer. It is created with the first call: a client takes 13 kB, and
-// a node of a large fleet calls few of its peers.
-func (t *peerTable) clientOf(p *peer) wireconnect.EdgeClient {
-	p.clientMu.Lock()
-	defer p.clientMu.Unlock()
-	if p.client == nil {
-		p.client = t.newClient(p.Address)
-	}
-	return p.client
-}
-
-func (t *peerTable) newClient(address string) wireconnect.EdgeClient {
-	return wireconnect.NewEdgeClient(t.keepAlive, "http://"+address, message.Bounded())
+	return n.peers.View(now, roster.Peer{Name: s.Node, Hall: s.Hall, Cores: s.Cores, Leaving: n.isLeaving(), StoreUp: n.guard.Up()}, s.Halls)
 }
 
-// pairClient returns the client for the reports of a pair.
-func (t *peerTable) pairClient(p *peer) wireconnect.EdgeClient {
-	if !pair.Suffice(t.size()) {
-		return wireconnect.NewEdgeClient(t.oneShot, "http://"+p.Address, message.Bounded())
-	}
-	return t.clientOf(p)
-}
-
-// names returns the names of the other nodes.
-func (t *peerTable) names() []string {
-	r := make([]string, 0, len(t.peers))
-	for n := range t.peers {
-		r = append(r, n)
-	}
-	return r
+func (n *Node) newPeers() *peer.Table {
+	return peer.NewTable(peer.Options{Self: n.settings.Node, Hall: n.settings.Hall, Clock: n.clock, Log: n.log, Timeout: reportTimeout, Meter: n.load.Transport})
 }
 
 // runRounds reports to the peers until the context ends.
@@ -161,25 +56,18 @@
 	n.startQuotaSpan(now)
 	n.guard.SetRates(n.storeRates())
 	n.usage.Forget(n.clock.Wall())
-	round := n.view(now).Round(&n.peers.fallback)
-	for _, p := range round.Silent {
-		n.logPeer("peer_silent", zap.String("peer", p.Name), zap.Duration("for", now.Sub(p.LastSign(n.peers.size()))), zap.String("last_call", n.peers.peers[p.Name].lastFailure))
-	}
-	due := make([]*peer, 0, len(round.Due))
-	for _, name := range round.Due {
-		due = append(due, n.peers.peers[name])
-	}
+	round := n.peers.Round(n.view(now))
 	n.updateLimitSenders(now)
-	n.flushPeerLog()
+	n.peers.EndRound(n.view(now).IsWatcher())
 	n.evaluateTrials(now)
-	reach, relayed := n.hallReach(now), now.Sub(n.digestAt) <= digestLifetime
+	reach, relayed := n.peers.Reach(now), n.home.IsFresh(now)
 	n.mu.Unlock()
 	if !relayed {
 		n.applyReach(reach)
 	}
 	n.leaveTunnels(round.Leaving)
 	responsivePeers.Set(int64(round.Responsive))
-	for _, p := range due {
+	for _, p := range round.Due {
 		go n.swapReports(ctx, p, report)
 	}
 }
@@ -193,18 +81,6 @@
 	}
 }
 
-// hallReach combines the reports of this hall's other nodes on what they couldn't reach. The node's lock is
-// held.
-func (n *Node) hallReach(now time.Time) pool.Reachability {
-	var sum pool.Reachability
-	for _, p := range n.peers.peers {
-		if p.Hall == n.settings.Hall {
-			sum = sum.Merge(p.reach, now.Sub(p.LastSeen))
-		}
-	}
-	return sum
-}
-
 // knowsPeers reports whether the known peers count as all other nodes. A process that has just started
 // without reaching the store isn't the only node, though no peer has reported to it. The node's lock is held.
 func (n *Node) knowsPeers(now time.Time) bool {
@@ -216,16 +92,11 @@
 	if n.knowsPeers(now) {
 		n.setQuotaPeers(now)
 	}
-	every, lag := pair.Interval(n.peers.size()), time.Duration(0)
-	if now.Sub(n.digestAt) <= digestLifetime {
-		every, lag = min(every, relayQuotaSpan), maxRelayLag
+	lag := time.Duration(0)
+	if n.home.IsFresh(now) {
+		lag = maxRelayLag
 	}
-	if now.Sub(n.spanStartedAt) < every-pair.Round/2 {
-		return
-	}
-	n.spanStartedAt = now
-	n.quotas.StartRound(now, every, lag)
-	n.logQuotaSharing()
+	n.spans.Step(now, n.log, n.quotas, n.peers.Size(), lag)
 }
 
 // setQuotaPeers sets the nodes that share quotas: those that are known, and those that must be assumed besides. The node's lock
@@ -235,31 +106,21 @@
 	if !n.role.RegistryRead && !n.lookup.Complete() && !n.settings.FirstStart {
 		unnamed = n.view(now).Unnamed()
 	}
-	n.quotas.SetKnownPeers(now, n.peers.names(), unnamed)
-}
-
-// logQuotaSharing logs how many nodes share the quotas in this node's view, when that has changed. The node's lock is held.
-func (n *Node) logQuotaSharing() {
-	s := n.quotas.Sharing()
-	if s == n.quotaSharing {
-		return
-	}
-	n.quotaSharing = s
-	n.log.Info("quota_shared", zap.Int("nodes", s.Nodes), zap.Int("heard", s.Heard), zap.Int("silent", s.Silent), zap.Int("unnamed", s.Unnamed), zap.Bool("known", s.Known), zap.Stringer("levels", s.Start))
+	n.quotas.SetKnownPeers(now, n.peers.Names(), unnamed)
 }
 
 // swapReports swaps reports with one peer.
-func (n *Node) swapReports(ctx context.Context, p *peer, r *wire.NodeReport) {
+func (n *Node) swapReports(ctx context.Context, p *peer.Peer, r *wire.NodeReport) {
 	c, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	n.mu.Lock()
-	client := n.peers.pairClient(p)
+	client := n.peers.PairClient(p)
 	n.mu.Unlock()
 	a, err := client.Report(c, connect.NewRequest(&wire.ReportRequest{Report: r}))
 	n.mu.Lock()
-	p.Calling, p.lastFailure = false, ""
+	p.Calling, p.LastFailure = false, ""
 	if err != nil {
-		p.lastFailure = err.Error()
+		p.LastFailure = err.Error()
 	}
 	n.mu.Unlock()
 	if err == nil && a.Msg.Report != nil {
@@ -292,8 +153,8 @@
 	r.Loads, r.Placed = message.LoadsToWire(loads), message.PlacementsToWire(placed)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.peers.sequence++
-	r.Sequence = n.peers.sequence
+	n.reportSequence++
+	r.Sequence = n.reportSequence
 	n.reportedSpent = n.quotas.Charged()
 	r.Spent = message.SpentToWire(n.reportedSpent)
 	r.Trials = message.TrialsToWire(n.trialUpdates())
@@ -327,18 +188,14 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.clock.Now()
-	p := n.peers.getOrAdd(r.Node, r.Address)
-	if p.incarnation == r.Lifetime && r.Sequence <= p.sequence {
+	p := n.peers.Apply(now, &peer.Report{
+		Name: r.Node, Address: r.Address, Hall: r.Hall, Incarnation: r.Lifetime, Sequence: r.Sequence, CatalogVersion: r.CatalogVersion, Cores: r.Cores,
+		Leaving: r.Leaving, StoreUp: r.StoreUp, Work: message.WorkFromWire(r.Work), Trials: message.TrialsFromWire(r.Trials), Reach: message.ReachFromWire(r.Reach),
+	})
+	if p == nil {
 		return false
 	}
-	if p.incarnation != r.Lifetime || !p.IsResponsive(now, n.peers.size()) {
-		n.logPeer("peer_heard", zap.String("peer", r.Node), zap.String("lifetime", r.Lifetime), zap.Int64("catalog", r.CatalogVersion))
-	}
-	p.incarnation, p.sequence, p.LastSeen = r.Lifetime, r.Sequence, now
-	p.catalogVersion, p.listRevision, p.Hall, p.Leaving, p.StoreUp, p.Cores = r.CatalogVersion, r.ListRevision, r.Hall, r.Leaving, r.StoreUp, r.Cores
-	p.trials, p.reach = message.TrialsFromWire(r.Trials), message.ReachFromWire(r.Reach)
-	n.mergeTrials(now, p.trials, r.Node)
-	p.work, p.workAt = message.WorkFromWire(r.Work), now
+	n.mergeTrials(now, p.Trials, r.Node)
 	n.quotas.ApplyUpdate(now, quota.Update{Node: r.Node, Incarnation: r.Lifetime, Sequence: r.Sequence, Uptime: message.FromMillis(r.UptimeMs), Leaving: r.Leaving, Charged: message.SpentFromWire(r.Spent)})
 	n.usage.Merge(r.Node, r.Lifetime, message.StartedFromWire(r.Started))
 	return true
@@ -356,12 +213,12 @@
 func (n *Node) requestCatchUp(ctx context.Context, name string, have int64) {
 	defer n.catchUps.End()
 	n.mu.Lock()
-	p := n.peers.peers[name]
+	p := n.peers.Get(name)
 	if p == nil || p.Address == "" {
 		n.mu.Unlock()
 		return
 	}
-	client := n.peers.clientOf(p)
+	client := n.peers.Client(p)
 	n.mu.Unlock()
 	c, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
@@ -393,7 +250,7 @@
 func (n *Node) isOfOwnHall(name string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	p := n.peers.peers[name]
+	p := n.peers.Get(name)
 	return p != nil && p.Hall == n.settings.Hall
 }
 
--- a/internal/edge/place.go
+++ b/internal/edge/place.go
@@ -30,9 +30,9 @@
 // is to choose.
 func (n *Node) placeByRelay(ctx context.Context, v pool.Request) string {
 	n.mu.Lock()
-	p := n.peers.peers[n.homeRelay]
+	p := n.peers.Get(n.home.Name())
 	now := n.clock.Now()
-	ask := now.Sub(n.digestAt) <= digestLifetime && !now.Before(n.placeRetryAt)
+	ask := n.home.IsFresh(now) && !now.Before(n.placeRetryAt)
 	n.mu.Unlock()
 	if p == nil || !ask {
 		return ""
@@ -43,7 +43,7 @@
 	for _, x := range v.Parts {
 		r.Parts = append(r.Parts, &wire.Part{Id: x.ID, Tokens: int64(x.Tokens)})
 	}
-	a, err := n.peers.clientOf(p).Place(c, connect.NewRequest(r))
+	a, err := n.peers.Client(p).Place(c, connect.NewRequest(r))
 	if ctx.Err() != nil {
 		return "" // the caller has left, which says nothing about the relay
 	}
--- a/internal/edge/quarantine_test.go
+++ b/internal/edge/quarantine_test.go
@@ -92,7 +92,7 @@
 	addNode := func(name string, listens bool) {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
-		n.peers.getOrAdd(name, l.Addr().String()).Hall = "b"
+		n.peers.GetOrAdd(name, l.Addr().String()).Hall = "b"
 		if !listens {
 			require.NoError(t, l.Close())
 			return
--- a/internal/edge/records_test.go
+++ b/internal/edge/records_test.go
@@ -12,6 +12,7 @@
 	"spurhall.example/spurhall/internal/capacity"
 	"spurhall.example/spurhall/internal/forward"
 	"spurhall.example/spurhall/internal/handover"
+	"spurhall.example/spurhall/internal/peer"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/quota"
 	"spurhall.example/spurhall/internal/rollout"
@@ -50,7 +51,7 @@
 		}
 		n.initialized = make(chan struct{})
 		close(n.initialized)
-		n.peers = &peerTable{}
+		n.peers = peer.NewTable(peer.Options{Clock: service, Log: n.log})
 		token := acquireLease(t, n.Node)
 		var keys []store.Op
 		for _, k := range []string{handover.OrderedRecord.Key, handover.EnginesRecord.Key, handover.RoomRecord.Key, handover.LevelsRecord.Key, handover.UsageRecord.Key, handover.CountingRecord.Key, handover.CrashesRecord.Key, eraRecord.Key, rolloutStagePrefix + "s"} {
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -10,6 +10,7 @@
 
 	"spurhall.example/spurhall/internal/message"
 	"spurhall.example/spurhall/internal/pair"
+	"spurhall.example/spurhall/internal/peer"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/quota"
 	"spurhall.example/spurhall/internal/relay"
@@ -24,32 +25,16 @@
 	relayTimeout = 400 * time.Millisecond // a round, and the response time of a busy relay
 	// relayPoll is how often a starting process checks whether it has discovered the other nodes.
 	relayPoll = 20 * time.Millisecond
-	// digestLifetime is how long after the last digest a node relies on it. maxRelayLag is the greatest age of
-	// a node's report that arrives through two relays: two rounds in transit, and one until the next digest.
-	digestLifetime = 4 * pair.Round
-	maxRelayLag    = 3 * pair.Round
-	// relayQuotaSpan is the span of the quotas while a digest arrives in each round.
-	relayQuotaSpan = 2 * pair.Round
+	// maxRelayLag is the greatest age of a node's report that arrives through two relays: two rounds in transit, and one until the next digest.
+	maxRelayLag = 3 * pair.Round
 	// relayWindows is how many usage windows a report to a relay contains: the current one and the previous
 	// one, which may have ended since the last report.
 	relayWindows = 2
 	// maxReportDelay bounds the time from building a report to its arrival without faults. A report may lack
 	// placements made for its node within that time.
 	maxReportDelay = 20 * time.Millisecond
-	// idleRounds is the number of rounds in which a node of a large fleet without requests reports once: it has
-	// nothing to tell but that it is there, and needs no digest for a choice.
-	idleRounds = 2
 )
 
-// relayState is what a node knows of a peer as a relay.
-type relayState struct {
-	lastCalled       time.Time // last call for a swap
-	lastSwapped      time.Time // last successful swap
-	busy             bool      // a swap is in progress
-	knownIncarnation string    // incarnation of this process that the relay knows, up to knownVersion
-	knownVersion     uint64
-}
-
 // runRelay reports to a relay, or acts as one, until the context ends. A starting process does so as soon as
 // it has discovered the other nodes.
 func (n *Node) runRelay(ctx context.Context) {
@@ -65,7 +50,7 @@
 func (n *Node) relayStep(ctx context.Context) bool {
 	now := n.clock.Now()
 	n.mu.Lock()
-	large, skip := pair.Interval(n.peers.size()) > pair.Round, n.isIdle(now)
+	large, skip := pair.Interval(n.peers.Size()) > pair.Round, n.isIdle(now)
 	n.mu.Unlock()
 	if large && !skip {
 		n.relayRound(ctx, now)
@@ -76,9 +61,7 @@
 // isIdle reports whether this node of a large fleet has had no requests of late, and has reported in the last rounds. A
 // relay isn't idle. The node's lock is held.
 func (n *Node) isIdle(now time.Time) bool {
-	const span = idleRounds*pair.Round - pair.Round/2
-	return !pair.Suffice(n.peers.size()) && n.homeRelay != n.settings.Node && n.homeRelay != "" &&
-		now.Sub(n.digestAt) < span && now.Sub(n.requestAt) > span && !n.pools.HasRequests()
+	return !pair.Suffice(n.peers.Size()) && n.home.IsIdle(now, n.settings.Node, n.requestAt) && !n.pools.HasRequests()
 }
 
 func (n *Node) relayRound(ctx context.Context, now time.Time) {
@@ -96,7 +79,7 @@
 	n.aggregator.ApplyReport(now, message.ReportFromWire(r))
 	_, version := n.relayView.KnownVersion(now, n.settings.Node)
 	d := n.aggregator.Digest(now, n.settings.Node, version)
-	n.homeRelay = n.settings.Node
+	n.home.Set(n.settings.Node)
 	n.mu.Unlock()
 	n.applyDigest(n.settings.Node, d)
 	n.swapWithRelays(ctx, now)
@@ -113,7 +96,7 @@
 // reportToRelay sends this node's report to a relay, and applies the digest that it responds with.
 func (n *Node) reportToRelay(ctx context.Context, name string, r *wire.NodeReport) {
 	n.mu.Lock()
-	p := n.peers.peers[name]
+	p := n.peers.Get(name)
 	incarnation, version := n.relayView.KnownVersion(n.clock.Now(), name)
 	n.mu.Unlock()
 	if p == nil {
@@ -121,7 +104,7 @@
 	}
 	c, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
-	a, err := n.peers.clientOf(p).Gather(c, connect.NewRequest(&wire.GatherRequest{Report: r, Lifetime: incarnation, Version: version}))
+	a, err := n.peers.Client(p).Gather(c, connect.NewRequest(&wire.GatherRequest{Report: r, Lifetime: incarnation, Version: version}))
 	n.recordRelayCall(p, err)
 	if err == nil {
 		n.mu.Lock()
@@ -146,24 +129,21 @@
 func (n *Node) needsRelays() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return !pair.Suffice(n.peers.size())
+	return !pair.Suffice(n.peers.Size())
 }
 
 // recordRelayCall records whether a relay responded.
-func (n *Node) recordRelayCall(p *peer, err error) {
+func (n *Node) recordRelayCall(p *peer.Peer, err error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if err == nil {
-		if n.homeRelay != p.Name {
-			n.homeRelay = p.Name
+		if n.home.Set(p.Name) {
 			n.log.Info("relay_in_use", zap.String("relay", p.Name))
 		}
 		return
 	}
 	p.RelayFailedAt = n.clock.Now()
-	if n.homeRelay == p.Name {
-		n.homeRelay = ""
-	}
+	n.home.Fail(p.Name)
 	n.log.Info("relay_failed", zap.String("relay", p.Name), zap.String("cause", err.Error()))
 }
 
@@ -175,17 +155,12 @@
 	covered := make(map[string]bool, len(updates))
 	for _, w := range updates {
 		covered[w.Node] = true
-		p := n.peers.peers[w.Node]
-		if p == nil {
-			continue
-		}
-		p.LastRelayed = now.Add(-w.Age)
-		if p.incarnation != w.Incarnation || p.sequence <= w.Sequence {
-			p.Leaving, p.StoreUp = w.Status.Leaving, !w.Status.StoreDown
+		if n.peers.ApplyRelayed(now, peer.Relayed{Name: w.Node, Incarnation: w.Incarnation, Sequence: w.Sequence, Age: w.Age, Leaving: w.Status.Leaving, StoreUp: !w.Status.StoreDown}) {
 			n.quotas.ApplyUpdate(now, quota.Update{Node: w.Node, Incarnation: w.Incarnation, Sequence: w.Sequence, Uptime: w.Uptime, Age: w.Age, Leaving: w.Status.Leaving, Charged: w.Spent})
 		}
 	}
-	n.digestAt, n.digestNodes, n.rollouts.digestTrials = now, covered, d.Trials
+	n.home.Receive(now, covered)
+	n.rollouts.digestTrials = d.Trials
 	n.mergeTrials(now, d.Trials, name)
 	if name == n.settings.Node {
 		n.confirmPlacements(d.Shares)
@@ -213,32 +188,24 @@
 func (n *Node) swapWithRelays(ctx context.Context, now time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	var peers []pair.Peer
-	for _, name := range n.view(now).RelaysOfAllHalls(relay.Ranking.Relays) {
-		if p := n.peers.peers[name]; p != nil {
-			peers = append(peers, pair.Peer{Name: name, LastSeen: p.relay.lastSwapped, LastCalled: p.relay.lastCalled, Busy: p.relay.busy})
-		}
-	}
-	for _, name := range pair.Due(now, n.settings.Node, len(peers)+1, peers) {
-		p := n.peers.peers[name]
-		p.relay.busy, p.relay.lastCalled = true, now
+	for _, p := range n.peers.DueRelays(n.view(now)) {
 		go n.swapWithRelay(ctx, p)
 	}
 }
 
 // swapWithRelay sends the state of this relay's nodes to another relay, and applies what that one returns.
-func (n *Node) swapWithRelay(ctx context.Context, p *peer) {
+func (n *Node) swapWithRelay(ctx context.Context, p *peer.Peer) {
 	c, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	n.mu.Lock()
-	g, client := n.buildGroup(p.Name, p.relay.knownIncarnation, p.relay.knownVersion), n.peers.clientOf(p)
+	g, client := n.buildGroup(p.Name, p.Relay.KnownIncarnation, p.Relay.KnownVersion), n.peers.Client(p)
 	n.mu.Unlock()
 	a, err := client.Swap(c, connect.NewRequest(&wire.SwapRequest{Group: g}))
 	if err == nil && a.Msg.Group == nil {
 		err = errNoGroup
 	}
 	n.mu.Lock()
-	p.relay.busy = false
+	p.Relay.Busy = false
 	if err != nil {
 		if now := n.clock.Now(); !relay.IsAvoided(now, p.RelayFailedAt, p.LastSeen) {
 			n.log.Info("swap_failed", zap.String("relay", p.Name), zap.String("cause", err.Error()))
@@ -280,17 +247,17 @@
 	n.aggregator.MergeGroup(now, g)
 	for _, c := range g.Changes {
 		n.usage.Merge(c.Node, c.Incarnation, c.Started)
-		if p := n.peers.peers[c.Node]; !pair.Suffice(n.peers.size()) && p != nil && !c.Unresponsive && now.Add(-c.Age).After(p.workAt) {
-			p.work, p.workAt = c.Work, now.Add(-c.Age)
+		if !c.Unresponsive {
+			n.peers.ApplyRelayedWork(c.Node, c.Work, now.Add(-c.Age))
 		}
 	}
-	if n.homeRelay == n.settings.Node {
+	if n.home.Name() == n.settings.Node {
 		shares := n.aggregator.Shares(now, n.settings.Node)
 		n.confirmPlacements(shares)
-		n.pools.ApplyPeerLoads(shares, n.digestNodes, nil)
+		n.pools.ApplyPeerLoads(shares, n.home.Covered(), nil)
 	}
-	if p := n.peers.peers[g.Relay]; p != nil {
-		p.relay.lastSwapped, p.relay.knownIncarnation, p.relay.knownVersion = now, w.KnownLifetime, w.KnownVersion
+	if p := n.peers.Get(g.Relay); p != nil {
+		p.Relay.LastSwapped, p.Relay.KnownIncarnation, p.Relay.KnownVersion = now, w.KnownLifetime, w.KnownVersion
 	}
 }
 
--- a/internal/edge/relayscale_test.go
+++ b/internal/edge/relayscale_test.go
@@ -40,7 +40,7 @@
 		reports = append(reports, r)
 		n.aggregator.ApplyReport(now, r)
 	}
-	n.homeRelay = n.settings.Node
+	n.home.Set(n.settings.Node)
 	return n, groups, reports
 }
 
--- a/internal/edge/rollout_runner_test.go
+++ b/internal/edge/rollout_runner_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"spurhall.example/spurhall/internal/era"
+	"spurhall.example/spurhall/internal/peer"
 	"spurhall.example/spurhall/internal/pool"
 	"spurhall.example/spurhall/internal/rollout"
 	"spurhall.example/spurhall/internal/standin"
@@ -46,7 +47,7 @@
 // node returns a node that knows the order, and two upstreams of each version.
 func (r *rolloutTest) node(name string) *Node {
 	n := newHolder(r.t, r.kv, r.clock.Service(), name)
-	n.settings, n.peers, n.rollouts = &Settings{Node: name, Hall: "a"}, &peerTable{}, newRollouts()
+	n.settings, n.peers, n.rollouts = &Settings{Node: name, Hall: "a"}, peer.NewTable(peer.Options{Clock: n.clock, Log: n.log}), newRollouts()
 	n.pools = pool.New(r.clock.Service(), "a", "a")
 	n.pools.Update(func(l *pool.List) {
 		for _, id := range []string{"v1-a", "v1-b", "v2-a", "v2-b"} {
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -150,11 +150,8 @@
 		return
 	}
 	updates := n.rollouts.digestTrials
-	if now.Sub(n.digestAt) > digestLifetime {
-		updates = nil
-		for _, p := range n.peers.peers {
-			updates = rollout.Merge(updates, p.trials)
-		}
+	if !n.home.IsFresh(now) {
+		updates = n.peers.Trials()
 	}
 	for service, t := range n.rollouts.trials {
 		for _, w := range updates {
--- a/internal/edge/scale_test.go
+++ b/internal/edge/scale_test.go
@@ -57,8 +57,8 @@
 	n.listed.Store(true)
 	for i := 1; i < nodes; i++ {
 		hall := scaleHalls[i%len(scaleHalls)]
-		p := n.peers.getOrAdd(fmt.Sprintf("edge-%s-%d", hall, i), fmt.Sprintf("10.200.%d.%d:9000", i>>8, i&255))
-		p.Hall, p.Cores, p.StoreUp, p.incarnation, p.sequence = hall, 0.2, true, "p", 1
+		p := n.peers.GetOrAdd(fmt.Sprintf("edge-%s-%d", hall, i), fmt.Sprintf("10.200.%d.%d:9000", i>>8, i&255))
+		p.Hall, p.Cores, p.StoreUp, p.Incarnation, p.Sequence = hall, 0.2, true, "p", 1
 		p.LastSeen, p.LastListed, p.LastCalled = n.clock.Now(), n.clock.Now(), n.clock.Now()
 	}
 	n.role.RegistryRead = true
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -82,7 +82,7 @@
 		n.serveBounded(l.Metrics, n.serveMetrics)
 	}
 	var duties sync.WaitGroup
-	for _, f := range []func(context.Context){n.lag.Run, n.load.Run, n.streams.Run, n.streams.RunSaved, n.followStore, n.expireMissing, n.runRounds, n.runRelay, n.register, n.pollRegistry, n.contactSeeds, n.restoreLevels, n.restoreCachedParts, n.restoreRollouts, n.restoreQuarantine, n.uplink.Probe, n.runDuties} {
+	for _, f := range []func(context.Context){n.lag.Run, n.load.Run, n.streams.Run, n.streams.RunSaved, n.followStore, n.expireMissing, n.runRounds, n.runRelay, n.register, n.registryPoller.Run, n.contactSeeds, n.restoreLevels, n.restoreCachedParts, n.restoreRollouts, n.restoreQuarantine, n.uplink.Probe, n.runDuties} {
 		duties.Add(1)
 		go func() {
 			defer duties.Done()
--- a/internal/edge/speeds.go
+++ b/internal/edge/speeds.go
@@ -38,7 +38,7 @@
 func (n *Node) swapsAllPairs() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return pair.Interval(n.peers.size()) <= pair.Round
+	return pair.Interval(n.peers.Size()) <= pair.Round
 }
 
 // mergeSeenSpeeds merges what the sender of a report has seen.
--- a/internal/edge/start_test.go
+++ b/internal/edge/start_test.go
@@ -28,7 +28,7 @@
 func newStartingNode(t *testing.T, nodes int) (*Node, *timer.Manual) {
 	n, c := newScaleNode(t, nodes, 0)
 	n.listed.Store(false)
-	for _, p := range n.peers.peers {
+	for p := range n.peers.All() {
 		p.Signs, p.StoreUp = roster.Signs{LastListed: n.clock.Now()}, false
 	}
 	return n, c
@@ -74,7 +74,7 @@
 	read()
 	at := follow.NewPosition(false)
 	pollAll(t, n, at, w)
-	assert.Equal(t, 988, n.peers.size(), "with itself and two that it knew")
+	assert.Equal(t, 988, n.peers.Size(), "with itself and two that it knew")
 	assert.Equal(t, n.clock.Now(), n.registrySentAt)
 	t.Run("then only changes", func(t *testing.T) {
 		list[3].Address = "10.10.0.1:9"
@@ -82,7 +82,7 @@
 		a := poll(n, at, w)
 		assert.True(t, a.HasMemberChanges)
 		assert.Less(t, proto.Size(a), 200)
-		assert.Equal(t, "10.10.0.1:9", n.peers.peers["edge-a-4"].Address)
+		assert.Equal(t, "10.10.0.1:9", n.peers.Get("edge-a-4").Address)
 	})
 	t.Run("a watcher that can't read it says so", func(t *testing.T) {
 		w.registry.Replace(w.clock.Now().Add(-time.Minute), list)
@@ -97,9 +97,10 @@
 	c.Advance(time.Minute)
 	now := n.clock.Now()
 	due := func(now time.Time) []string {
-		names := n.view(now).Round(&n.peers.fallback).Due
-		for _, name := range names {
-			n.peers.peers[name].Calling = false // the call is over
+		var names []string
+		for _, p := range n.peers.Round(n.view(now)).Due {
+			p.Calling = false // the call is over
+			names = append(names, p.Name)
 		}
 		return names
 	}
@@ -112,7 +113,7 @@
 	called := make(map[string]int)
 	for range 8 {
 		c.Advance(pair.FallbackInterval)
-		for _, p := range n.peers.peers {
+		for p := range n.peers.All() {
 			if !silent[p.Name] {
 				p.LastRelayed = n.clock.Now()
 			}
@@ -133,17 +134,17 @@
 func TestDigestsShowWhoIsThere(t *testing.T) {
 	n, c := newScaleNode(t, 985, 0)
 	c.Advance(time.Minute)
-	p := n.peers.peers["edge-a-5"]
-	size := n.peers.size()
+	p := n.peers.Get("edge-a-5")
+	size := n.peers.Size()
 	assert.False(t, p.IsResponsive(n.clock.Now(), size))
 	n.applyDigest("edge-a-10", relay.Digest{
 		Incarnation: "r", Version: 1, Relays: map[string]time.Duration{"edge-a-10": 0}, Shares: []pool.PeerLoad{{}, {}},
-		Changes: []relay.Change{{Node: p.Name, Incarnation: p.incarnation, Sequence: 9, Relay: "edge-a-10", Status: relay.Status{StoreDown: true}}},
+		Changes: []relay.Change{{Node: p.Name, Incarnation: p.Incarnation, Sequence: 9, Relay: "edge-a-10", Status: relay.Status{StoreDown: true}}},
 	})
 	assert.True(t, p.IsResponsive(n.clock.Now(), size))
 	assert.False(t, p.StoreUp)
 	for _, name := range []string{"edge-a-10", "edge-a-15"} {
-		n.peers.peers[name].LastSeen = n.clock.Now()
+		n.peers.Get(name).LastSeen = n.clock.Now()
 	}
 	assert.NotContains(t, n.watchers(), p.Name)
 	c.Advance(4 * time.Second)
@@ -216,7 +217,8 @@
 	idle := func(nodes int, change func(n *Node, c *timer.Manual)) bool {
 		n, c := newScaleNode(t, nodes, 10)
 		c.Advance(time.Minute)
-		n.homeRelay, n.digestAt = "edge-a-5", n.clock.Now()
+		n.home.Set("edge-a-5")
+		n.home.Receive(n.clock.Now(), nil)
 		c.Advance(pair.Round)
 		change(n, c)
 		return n.isIdle(n.clock.Now())
@@ -226,8 +228,8 @@
 		"its turn has come":         func(_ *Node, c *timer.Manual) { c.Advance(pair.Round) },
 		"it has a request":          func(n *Node, _ *timer.Manual) { n.pools.Pick(pool.Request{ID: "r", Service: "llm"}) },
 		"it had one a moment ago":   func(n *Node, _ *timer.Manual) { n.countStarted("w") },
-		"it is a relay":             func(n *Node, _ *timer.Manual) { n.homeRelay = n.settings.Node },
-		"its relay has just failed": func(n *Node, _ *timer.Manual) { n.homeRelay = "" },
+		"it is a relay":             func(n *Node, _ *timer.Manual) { n.home.Set(n.settings.Node) },
+		"its relay has just failed": func(n *Node, _ *timer.Manual) { n.home.Fail("edge-a-5") },
 	} {
 		t.Run(name, func(t *testing.T) { assert.False(t, idle(985, change)) })
 	}
--- a/internal/edge/uplink.go
+++ b/internal/edge/uplink.go
@@ -25,10 +25,10 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.clock.Now()
-	list := make([]egress.Peer, 0, n.peers.size())
+	list := make([]egress.Peer, 0, n.peers.Size())
 	for p := range n.view(now).Present() {
 		v := egress.Peer{Name: p.Name, Address: p.Address, Hall: p.Hall, Heard: -1}
-		if since, ok := n.peers.peers[p.Name].reach.LastResponse[e.Hall]; ok {
+		if since, ok := n.peers.Get(p.Name).Reach.LastResponse[e.Hall]; ok {
 			v.Heard = since + now.Sub(p.LastSeen)
 		}
 		list = append(list, v)
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -47,7 +47,7 @@
 func (n *Node) batchDelay() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	watching := min(n.peers.size(), roster.WatchersPerHall*max(1, len(n.settings.Halls)))
+	watching := min(n.peers.Size(), roster.WatchersPerHall*max(1, len(n.settings.Halls)))
 	return min(batchDelayPerNode*time.Duration(watching), maxBatchDelay)
 }
 
@@ -59,7 +59,7 @@
 	have := n.pools.Revision()
 	n.lacksList.Hear(now, change, have)
 	lacked, lacks := n.lacksList.For(now)
-	if waited := min(lacked, now.Sub(n.listRestartedAt)); lacks && waited > roster.MaxLag(maxListLag, n.settings.Node, n.peers.size()) {
+	if waited := min(lacked, now.Sub(n.listRestartedAt)); lacks && waited > roster.MaxLag(maxListLag, n.settings.Node, n.peers.Size()) {
 		if n.listed.Load() { // else its first read hasn't ended yet
 			n.log.Warn("watch_behind", zap.String("reader", listReader), zap.String("peer", peer),
 				zap.Int64("revision", have), zap.Int64("change", n.lacksList.Newest()), zap.Duration("for", lacked))
--- a/internal/edge/watchers.go
+++ b/internal/edge/watchers.go
@@ -22,14 +22,6 @@
 // One watcher for the whole fleet: a partitioned hall has to learn of changes to its own upstreams.
 
 const (
-	// registryWait is how long a starting node waits for the registry, which takes 2 s if a thousand nodes read it
-	// at once. firstStartDelay is how long after its start a node reads it when the whole system starts: until
-	// then the others have registered.
-	registryWait    = 3 * time.Second
-	firstStartDelay = 800 * time.Millisecond
-	pollGap         = 100 * time.Millisecond // between two polls without news
-	// repeatedFailures is the number of failed polls in a row of which one is logged.
-	repeatedFailures = 20
 	// roleCheckInterval is how often a node checks whether it has to watch.
 	roleCheckInterval = 250 * time.Millisecond
 )
@@ -74,16 +66,7 @@
 func (n *Node) waitsForNews(lastNews time.Time) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return roster.WaitsForNews(n.clock.Since(lastNews), n.settings.Node, n.peers.size())
-}
-
-// awaitRegistry waits until this node has tried to read the registry, or was sent it, for a limited time.
-func (n *Node) awaitRegistry(ctx context.Context) {
-	for !n.registryTried.Load() && n.clock.Since(n.start) < registryWait {
-		if n.clock.Sleep(ctx, relayPoll) != nil {
-			return
-		}
-	}
+	return roster.WaitsForNews(n.clock.Since(lastNews), n.settings.Node, n.peers.Size())
 }
 
 // takeSeat determines, when the whole system starts for the first time, which nodes of the hall read the store
@@ -106,7 +89,7 @@
 		if h.Node == n.settings.Node {
 			return true
 		}
-		n.peers.getOrAdd(h.Node, h.Address).Hall = n.settings.Hall
+		n.peers.GetOrAdd(h.Node, h.Address).Hall = n.settings.Hall
 		n.role.Seats = append(n.role.Seats, h.Node)
 	}
 	return false
@@ -119,7 +102,7 @@
 			n.holdsSeat.Store(true)
 		}
 	} else {
-		n.awaitRegistry(ctx)
+		n.registryPoller.Await(ctx)
 	}
 	for ctx.Err() == nil {
 		if n.mustWatch() {
@@ -131,39 +114,20 @@
 	}
 }
 
-// followWatchers polls the watchers one after the other, and makes this node watch by itself when all of
-// them have failed in a row.
+// followWatchers polls the watchers, and makes this node watch by itself when all of them have failed.
 func (n *Node) followWatchers(ctx context.Context) {
-	failed, lastNews := 0, n.clock.Now()
 	// A node that has watched the store has the whole list, and its watcher sends a part.
 	at := follow.NewPosition(n.pools.IsPartial() && !n.partial.Load())
-	n.log.Info("following", zap.Strings("watchers", n.watchersToPoll()))
-	for ctx.Err() == nil {
-		names := n.watchersToPoll()
-		name := names[failed%len(names)]
-		asked := n.clock.Now()
-		err := n.pollWatcher(ctx, name, at)
-		if err == nil {
-			failed, lastNews = 0, n.clock.Now()
-			continue
-		}
-		if ctx.Err() != nil {
-			return
-		}
-		failed++
-		if failed <= roster.WatchersPerHall || failed%repeatedFailures == 0 {
-			n.log.Info("follow_failed", zap.String("peer", name), zap.Int("in_a_row", failed), zap.String("cause", err.Error()),
-				zap.Duration("took", n.clock.Since(asked)), zap.Duration("late", n.lag.Late()))
-		}
-		if n.waitsForNews(lastNews) || n.isStarting() && n.startsAsFollower() {
-			_ = n.clock.Sleep(ctx, pollGap) // the loop condition checks the context
-			continue
-		}
-		if failed >= roster.WatchersPerHall {
-			n.mu.Lock()
-			n.role.WatchItself(n.clock.Now())
-			n.mu.Unlock()
-			return
-		}
+	p := follow.Polling{
+		Clock: n.clock, Log: n.log, Names: n.watchersToPoll, Late: n.lag.Late,
+		Poll: func(ctx context.Context, name string) error { return n.pollWatcher(ctx, name, at) },
+		WaitsFor: func(lastNews time.Time) bool {
+			return n.waitsForNews(lastNews) || n.isStarting() && n.startsAsFollower()
+		},
+	}
+	if p.Run(ctx) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.role.WatchItself(n.clock.Now())
 	}
 }
