Tests: a clock that was put on before a large part of a response was written

TestCallersWhoReadNothingKeepTheirPlaces failed at times ("phase 4" never reached): it took the first part of the response, some kB that the kernel takes at once, for the one that waits, and put its clock on before the large one was begun, which then had waited for no time. It now waits for a part after the first one.

--- a/internal/accept/yield_test.go
+++ b/internal/accept/yield_test.go
@@ -228,16 +228,25 @@
 	}
 }
 
+// waitsWithLargePart reports whether a part of a response waits to be written which isn't the first one: that has some kB, and goes
+// out at once.
+func (c *callerConn) waitsWithLargePart() bool {
+	c.mu.Lock()
+	answered := c.answered
+	c.mu.Unlock()
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	return answered && !c.standing.unread.IsZero()
+}
+
 // TestCallersWhoReadNothingKeepTheirPlaces guards against places that are held by responses which nobody reads.
 func TestCallersWhoReadNothingKeepTheirPlaces(t *testing.T) {
 	unread := func(r *yieldRig) net.Conn {
 		c := r.send(largeAnswer, phaseWhole)
 		require.Eventually(t, func() bool {
-			r.l.mu.Lock()
-			defer r.l.mu.Unlock()
-			for v := range r.l.callers {
-				if v.RemoteAddr().String() == c.LocalAddr().String() && !v.standing.unread.IsZero() {
-					return true
+			for _, v := range r.l.open() {
+				if v.RemoteAddr().String() == c.LocalAddr().String() {
+					return v.waitsWithLargePart()
 				}
 			}
 			return false
