Bodies were waited for beyond their caller's deadline, without any bound in time

What callers saw: nothing; the body of a caller who sends a byte now and then, or nothing, was waited for for as long as the connection lasted. It kept a place, and its room among the bodies.

Cause: a body had no bound in time. Its head has one (15 s), and its response has; the deadline was first looked at once the body was whole.

Fix: the connection's reads end at the caller's deadline (5 minutes without one). A body that isn't whole by then is refused with 408, which promises that it hasn't run and never will: it was passed on to nobody. Callers have left by their deadline, so that no caller inside the limits meets this.

--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"os"
 	"time"
 
 	"spurhall.example/spurhall/internal/fault"
@@ -33,14 +34,22 @@
 )
 
 // readBody reads the complete body: it may have to be sent twice, and net/http does not notice that the
-// caller has disconnected while the body is unread.
-func (s *Server) readBody(q *request) error {
+// caller has disconnected while the body is unread. One that isn't whole by its caller's deadline is refused: nobody would wait for
+// the response.
+func (s *Server) readBody(w http.ResponseWriter, q *request) error {
 	limit := maxBody
 	if c := s.o.Catalog(); c != nil && c.Limits().MaxBodyBytes > 0 {
 		limit = c.Limits().MaxBodyBytes
 	}
 	h := q.held.Hold(memory.Options{Kind: memory.KindRequest, MaxWait: bodyWait})
+	c := http.NewResponseController(w)
+	if !q.bodyRead {
+		_ = c.SetReadDeadline(s.o.Clock.WallOf(q.arrived.Add(q.callerWait()))) // unsupported only by test recorders
+	}
 	b, err := h.ReadBody(q.http.Context(), q.http.Body, q.http.ContentLength, int64(limit))
+	if !q.bodyRead {
+		_ = c.SetReadDeadline(time.Time{}) // the connection is read on while the response is awaited
+	}
 	if err != nil {
 		h.Release() // what is left of it may be read on (unread.go), and isn't kept
 	}
@@ -50,6 +59,9 @@
 	case errors.Is(err, memory.ErrFull):
 		count("bodies_without_room", 1)
 		return &rejection{status: http.StatusServiceUnavailable, reason: fault.Reason(err), retry: retryOtherNode}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		count("bodies_late", 1)
+		return &rejection{status: http.StatusRequestTimeout, reason: "the body isn't whole at the request's deadline"}
 	case err != nil:
 		q.bodyRead = true
 		return &rejection{status: http.StatusBadRequest, reason: "the body broke off"}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -212,7 +212,7 @@
 	gauge("requests_now", 1)
 	defer gauge("requests_now", -1)
 	defer s.recoverHandler(w, q)
-	a, cancel, err := s.serve(r.Context(), q)
+	a, cancel, err := s.serve(w, q)
 	defer cancel()
 	if err != nil {
 		s.writeRejection(w, q, err)
@@ -224,14 +224,14 @@
 // Identify returns the id of the request with this header.
 func (s *Server) Identify(h http.Header) string { return s.o.Dialect.ReadMeta(h).ID }
 
-func (s *Server) serve(ctx context.Context, q *request) (*response, context.CancelFunc, error) {
+func (s *Server) serve(w http.ResponseWriter, q *request) (*response, context.CancelFunc, error) {
 	if s.o.Phase() == PhaseClosed {
 		return nil, func() {}, &rejection{status: http.StatusServiceUnavailable, reason: "this node is stopping", retry: retryOtherNode}
 	}
-	if err := s.readBody(q); err != nil {
+	if err := s.readBody(w, q); err != nil {
 		return nil, func() {}, err
 	}
-	v, err := s.next(ctx, q)
+	v, err := s.next(q.http.Context(), q)
 	a, _ := v.(*response)
 	cancel := func() {}
 	if a != nil && a.stream != nil {
@@ -293,16 +293,21 @@
 const defaultMaxWait = 5 * time.Minute
 
 func (s *Server) waitLimit(q *request) time.Duration {
-	d := defaultMaxWait
-	if q.meta.WaitLimit > 0 {
-		d = min(d, q.meta.WaitLimit)
-	}
+	d := q.callerWait()
 	if t := q.route.Timeout(); t > 0 {
 		d = min(d, t)
 	}
 	return d
 }
 
+// callerWait returns how long the caller waits by what it says, whatever its route.
+func (q *request) callerWait() time.Duration {
+	if q.meta.WaitLimit > 0 {
+		return min(defaultMaxWait, q.meta.WaitLimit)
+	}
+	return defaultMaxWait
+}
+
 // charge takes the request's tokens from the quota and refunds them if the request did not run.
 func (s *Server) charge(next endpoint.Endpoint) endpoint.Endpoint {
 	return func(ctx context.Context, v any) (any, error) {
--- a/internal/forward/memory_test.go
+++ b/internal/forward/memory_test.go
@@ -93,7 +93,7 @@
 			q := &request{held: r.server.o.Memory.Scope(), http: httptest.NewRequest(http.MethodPost, plainPath, body)}
 			q.http.ContentLength = -1
 			var refused *rejection
-			require.ErrorAs(t, r.server.readBody(q), &refused)
+			require.ErrorAs(t, r.server.readBody(httptest.NewRecorder(), q), &refused)
 			assert.Equal(t, c.status, refused.status)
 			assert.Zero(t, r.server.o.Memory.Used(memory.KindRequest))
 		})
