Responses waited for ever for callers who don't read them

What callers saw: nothing; a caller who asked for a large response and read nothing was waited for without end, and the response kept its memory.

Cause: a plain response was written without any bound in time. A plain write deadline would cut callers who read slowly: the kernel takes up to 4 MB of a connection at once, and then nothing until a third of them is read.

Fix: the write has a deadline, half a second after the request's. When it passes, the listener looks at what the caller's kernel has acknowledged (TCP_INFO): as long as that grows by 16 kB in 2 s, the write goes on, however late; otherwise it ends, and with it the connection, so that what was cut doesn't look whole. Nobody inside the limits waits beyond the deadline. Where the kernel doesn't say (TLS), a write ends at its deadline as before.

--- a/internal/accept/caller.go
+++ b/internal/accept/caller.go
@@ -131,6 +131,11 @@
 		return 0, errGaveWay
 	}
 	n, err := c.Conn.Write(b)
+	for t := (&Taking{c: c}); errors.Is(err, os.ErrDeadlineExceeded) && t.goesOn(); {
+		var k int
+		k, err = c.Conn.Write(b[n:])
+		n += k
+	}
 	c.listener.endWrite(c)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -67,6 +67,14 @@
 	}
 }
 
+// writeBody writes a plain response's body. It is held until its caller has it, so a caller who takes hardly anything of it is given
+// up once its deadline has passed. One who reads on isn't, however late.
+func (s *Server) writeBody(w http.ResponseWriter, q *request, b *memory.Body) error {
+	_ = http.NewResponseController(w).SetWriteDeadline(s.o.Clock.WallOf(q.deadline.Add(writeSlack))) // unsupported only by test recorders
+	_, err := b.WriteTo(w)
+	return err
+}
+
 // writeResponse forwards an upstream's response.
 func (s *Server) writeResponse(w http.ResponseWriter, q *request, a *response) {
 	h := w.Header()
@@ -83,7 +91,7 @@
 	h.Set("Content-Length", strconv.FormatInt(a.body.Len(), 10))
 	q.responding = true
 	w.WriteHeader(a.status)
-	if _, err := a.body.WriteTo(w); err != nil {
+	if err := s.writeBody(w, q, a.body); err != nil {
 		s.logDone(q, a.status, brokenOutcome(q, true), err)
 		return
 	}
