Responses with an announced length began together and ended each other

What callers saw: at a node with little memory, 502 ("the memory for requests and responses is used up", "larger than there is room for") for sound responses of 1 or 4 MB, whose upstream had announced their length, when many came at once.

Cause: a response took a piece of its memory at a time, so that many more began than there was room for. When all of them waited for their rest, the newest ended, one after the other; and where larger ones than usual were in progress, the first ones ended.

Fix: a response whose length is announced takes all of it when there is room for all, before a byte is read; then nothing keeps it from being whole. It isn't ended as excessive in its first 0.5 s. A caller's word isn't taken so: its body may never come.

Evidence: TestAnnouncedResponsesEndEachOther, before: memory.full where no error is expected; passes.

Left (read): an upstream that announces a large response and stands still holds the room for all of it until its deadline, or until 0.5 s have passed and others wait, if that is far beyond the usual. Responses without a length still end each other.

--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -65,6 +65,9 @@
 	smallShare = 1.0 / 8
 	// excessive is how many times the usual size of its service a response may reach before it is ended for others.
 	excessive = 4
+	// sparedFor is how long a response that has room for all of it isn't ended as excessive: one of 1 MB is whole by then on a link of
+	// 20 Mbit/s.
+	sparedFor = 500 * time.Millisecond
 )
 
 // Budget is the bytes that may be held. It is safe for concurrent use.
@@ -128,15 +131,16 @@
 // Hold is the bytes that one request or one response holds. Its methods may be called at the same time as Release, and
 // otherwise one at a time.
 type Hold struct {
-	b        *Budget
-	o        Options
-	bytes    int64
-	wants    int64         // bytes that it waits for
-	granted  chan struct{} // closed when it has got them, or has been ended
-	cause    error         // why it was ended; nil: it wasn't
-	place    *list.Element // among the holds; nil: released
-	queue    *list.Element // among those that wait; nil: it doesn't
-	complete bool          // it takes no more
+	b           *Budget
+	o           Options
+	bytes       int64
+	wants       int64         // bytes that it waits for
+	granted     chan struct{} // closed when it has got them, or has been ended
+	cause       error         // why it was ended; nil: it wasn't
+	place       *list.Element // among the holds; nil: released
+	queue       *list.Element // among those that wait; nil: it doesn't
+	complete    bool          // it takes no more
+	sparedUntil time.Time     // it isn't ended as excessive before
 }
 
 // Hold begins a hold of no bytes.
@@ -364,7 +368,7 @@
 	worst := float64(excessive)
 	for e := p.holds.Front(); e != nil; e = e.Next() {
 		h := e.Value.(*Hold)
-		if h.o.End == nil || h.complete || h.bytes <= smallSize {
+		if h.o.End == nil || h.complete || h.bytes <= smallSize || b.clock.Now().Before(h.sparedUntil) {
 			continue
 		}
 		if x := float64(h.bytes+h.wants) / b.usualSize(h.o.Service); x > worst {
--- a/internal/memory/budget_test.go
+++ b/internal/memory/budget_test.go
@@ -1,9 +1,11 @@
 package memory_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"testing"
 	"time"
 
@@ -174,3 +176,36 @@
 		assert.Zero(t, b.Used(memory.KindResponse))
 	})
 }
+
+// TestAnnouncedResponsesEndEachOther guards against responses that all begin, and of which one after the other is ended so that
+// any gets its rest.
+func TestAnnouncedResponsesEndEachOther(t *testing.T) {
+	const (
+		responses = 24
+		size      = 4 * mb
+	)
+	b := memory.New(timer.Real(), 32*mb, nil)
+	b.Observe("api", size)
+	results := make(chan error, responses)
+	for range responses {
+		h := hold(b, "api")
+		go func() {
+			_, err := h.ReadBody(context.Background(), slowReader{bytes.NewReader(make([]byte, size))}, size, size)
+			h.Release()
+			results <- err
+		}()
+	}
+	for range responses {
+		assert.NoError(t, result(t, results))
+	}
+	assert.Zero(t, b.Used(memory.KindResponse))
+}
+
+// slowReader is a reader that others overtake.
+type slowReader struct{ r io.Reader }
+
+// Read implements io.Reader.
+func (s slowReader) Read(b []byte) (int, error) {
+	time.Sleep(time.Millisecond)
+	return s.r.Read(b)
+}
--- a/internal/memory/read.go
+++ b/internal/memory/read.go
@@ -63,13 +63,20 @@
 	return slices.Concat(b.pieces...)
 }
 
-// ReadBody reads a body to its end, and takes each piece before it reads it. length is the size that was announced, or -1;
+// ReadBody reads a body to its end, and takes each piece before it reads it. A response whose length was announced takes all of it
+// before it begins; a caller's word isn't taken for that. length is the size that was announced, or -1;
 // limit is the largest size that it may have. What was read of a body that fails is returned with the error.
 func (h *Hold) ReadBody(ctx context.Context, r io.Reader, length, limit int64) (*Body, error) {
 	b := &Body{}
 	if length > limit {
 		return b, ErrTooLong
 	}
+	whole := h.o.Kind == KindResponse && length > 0
+	if whole {
+		if err := h.takeWhole(ctx, length); err != nil {
+			return b, err
+		}
+	}
 	for next := int64(firstPiece); ; next = min(2*next, largestPiece) {
 		size := next
 		if length >= 0 {
@@ -78,7 +85,11 @@
 		if size == 0 {
 			return b, endOfBody(r)
 		}
-		if err := h.Take(ctx, size); err != nil {
+		err := h.ended()
+		if !whole {
+			err = h.Take(ctx, size)
+		}
+		if err != nil {
 			return b, err
 		}
 		p := make([]byte, size)
@@ -97,6 +108,28 @@
 	}
 }
 
+// takeWhole takes all of a response of an announced length before it begins: many that have begun would end each other for their
+// rest.
+func (h *Hold) takeWhole(ctx context.Context, length int64) error {
+	if err := h.Take(ctx, length); err != nil {
+		return err
+	}
+	h.b.mu.Lock()
+	defer h.b.mu.Unlock()
+	h.sparedUntil = h.b.clock.Now().Add(sparedFor)
+	return nil
+}
+
+// ended returns why the hold is to end; nil: it isn't.
+func (h *Hold) ended() error {
+	h.b.mu.Lock()
+	defer h.b.mu.Unlock()
+	if h.cause == nil && h.place == nil {
+		return ErrFull
+	}
+	return h.cause
+}
+
 // readFull fills a piece. Unlike io.ReadFull, it returns the reader's own error: io.ErrUnexpectedEOF is that of a body that
 // broke off, and io.EOF that of one that is whole.
 func readFull(r io.Reader, p []byte) (int, error) {
