Callers who read nothing held the memory of responses, and others got none

What callers saw: at a node with 184 MB, beside 24 callers who had asked for 4 MB and read nothing, a caller who did read waited 19.5 s for its response of 4 MB: until they had passed their deadlines.

Cause: a whole response keeps its memory until its caller has it, and whoever waits for room waited behind that. Only what is far beyond the usual size was ended for others.

Fix: when responses wait for room and none is excessive, a whole one ends whose caller has acknowledged less than 16 kB for the longest, 2 s at least. Callers are looked at only while somebody waits, 20 times a second at most, and only those with more than 64 kB; a caller who takes something yields to nobody. It sees a response that breaks off, as its deadline would have done to it.

What the kernel holds isn't counted.

--- a/internal/accept/taking.go
+++ b/internal/accept/taking.go
@@ -1,6 +1,7 @@
 package accept
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -11,8 +12,9 @@
 // less: the kernel takes some MB ahead, and then nothing until a third of them is read, also from a caller who reads all the time.
 
 const (
-	// patience is how long a caller may take hardly anything of a response before it is given up, once its deadline has passed: a
-	// segment that was lost three times is sent again within it (0.2, 0.6 and 1.4 s after the first time).
+	// patience is how long a caller may take hardly anything of a response before it is given up, once its deadline has passed or
+	// when others need the memory: a segment that was lost three times is sent again within it (0.2, 0.6 and 1.4 s after the
+	// first time).
 	patience = 2 * time.Second
 	// hardly is how many bytes are hardly anything within that time: 64 kbit/s.
 	hardly = 16 << 10
@@ -29,6 +31,15 @@
 	since time.Time // and when that was, or of the first look; zero: nobody has looked
 }
 
+// TakingOf begins to look at the caller of the request with this context; nil: nobody can tell.
+func TakingOf(ctx context.Context) *Taking {
+	c, ok := ctx.Value(connKey{}).(*callerConn)
+	if !ok {
+		return nil
+	}
+	return &Taking{c: c}
+}
+
 // Hardly looks at the caller, and returns for how long it has taken hardly anything since the first look; 0: not for patience. A
 // process that stood still meanwhile does no harm to it: its acknowledgements count all the same.
 func (t *Taking) Hardly() time.Duration {
@@ -54,6 +65,15 @@
 	return 0, true
 }
 
+// GiveUp closes the connection, so that others get what its response takes.
+func (t *Taking) GiveUp() {
+	l := t.c.listener
+	l.mu.Lock()
+	l.markYield(t.c, shortOfResponses)
+	l.mu.Unlock()
+	t.c.giveWay()
+}
+
 // goesOn reports whether a write goes on whose deadline has passed, and until when: its caller takes something.
 func (t *Taking) goesOn() bool {
 	if d, known := t.look(); !known || d > 0 {
--- a/internal/accept/taking_test.go
+++ b/internal/accept/taking_test.go
@@ -1,6 +1,8 @@
 package accept
 
 import (
+	"context"
+	"errors"
 	"io"
 	"net"
 	"os"
@@ -62,3 +64,23 @@
 		assert.EqualValues(t, size, <-read)
 	})
 }
+
+func TestTaking(t *testing.T) {
+	c, caller := newTaker(t)
+	v := TakingOf(context.WithValue(t.Context(), connKey{}, c))
+	done := make(chan error, 1)
+	go func() {
+		_, err := c.Write(make([]byte, 8<<20))
+		done <- err
+	}()
+	time.Sleep(100 * time.Millisecond)
+	assert.Zero(t, v.Hardly(), "the first look")
+	time.Sleep(patience + 50*time.Millisecond)
+	assert.GreaterOrEqual(t, v.Hardly(), patience)
+	_, err := io.CopyN(io.Discard, caller, 1<<20)
+	require.NoError(t, err)
+	assert.Zero(t, v.Hardly(), "it takes something")
+	v.GiveUp()
+	assert.True(t, errors.Is(<-done, net.ErrClosed))
+	assert.Nil(t, TakingOf(t.Context()), "of no connection")
+}
--- a/internal/accept/yield.go
+++ b/internal/accept/yield.go
@@ -45,6 +45,8 @@
 	shortOfPlaces shortage = "places"
 	shortOfHeads  shortage = "memory_of_heads"
 	shortOfBodies shortage = "memory_of_bodies"
+	// shortOfResponses: package memory chooses who gives way.
+	shortOfResponses shortage = "memory_of_responses"
 )
 
 // phase is how far a connection is with a request.
--- a/internal/edge/budget.go
+++ b/internal/edge/budget.go
@@ -34,7 +34,7 @@
 // logResponseEnded logs that a response was ended so that others got room.
 func (n *Node) logResponseEnded(v memory.Ended) {
 	n.log.Info("response_ended", zap.String("service", v.Service), zap.String("upstream", v.Upstream), zap.Int64("bytes", v.Bytes), zap.Int64("usual", v.Usual),
-		zap.Int64("used", v.Used), zap.Int64("limit", v.Limit))
+		zap.Int64("used", v.Used), zap.Int64("limit", v.Limit), zap.Duration("untaken", v.Untaken))
 }
 
 // newLink returns the VM's link.
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"spurhall.example/spurhall/internal/accept"
 	"spurhall.example/spurhall/internal/memory"
 )
 
@@ -68,9 +69,12 @@
 }
 
 // writeBody writes a plain response's body. It is held until its caller has it, so a caller who takes hardly anything of it is given
-// up once its deadline has passed. One who reads on isn't, however late.
+// up once its deadline has passed, and before when others have no room (package memory). One who reads on isn't, however late.
 func (s *Server) writeBody(w http.ResponseWriter, q *request, b *memory.Body) error {
 	_ = http.NewResponseController(w).SetWriteDeadline(s.o.Clock.WallOf(q.deadline.Add(writeSlack))) // unsupported only by test recorders
+	if t := accept.TakingOf(q.http.Context()); t != nil {
+		b.Follow(t.Hardly, t.GiveUp)
+	}
 	_, err := b.WriteTo(w)
 	return err
 }
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -6,11 +6,13 @@
 // before what is large, by a part that is set aside for it.
 //
 // Waiting alone would let one upstream's garbage keep everybody else waiting. So when room is short, the response ends that
-// is furthest beyond what its service usually sends, by what whole responses have shown. If all that hold a part of a message
+// is furthest beyond what its service usually sends, by what whole responses have shown. If there is none, a whole one ends whose
+// caller has taken hardly anything of it for long (idle.go). If all that hold a part of a message
 // wait for the rest, none of them can be done first: the newest one ends.
 //
 //	budget.go  who gets room, and who is ended for it
 //	scope.go   the holds of one request
+//	idle.go    whose callers don't take what they asked for
 //	read.go    reads a body within the budget
 //	usual.go   what the responses of a service usually weigh
 //
@@ -35,6 +37,9 @@
 var (
 	// ErrOversized means that a response was ended, when room was short, as the one furthest beyond what is usual.
 	ErrOversized = errs.NewType("oversized").New("the response is far larger than its service's usually are, and the memory is short")
+	// ErrUntaken means that a whole response was ended, when room was short, as its caller has taken hardly anything of it for the
+	// longest.
+	ErrUntaken = errs.NewType("untaken").New("the caller takes hardly anything of the response, and the memory is short")
 	// ErrFull means that there is no room, and no prospect of any.
 	ErrFull = errs.NewType("full").New("the memory for requests and responses is used up")
 )
@@ -85,14 +90,16 @@
 	limit, used int64
 	holds       *list.List // of *Hold, the oldest first
 	waiting     *list.List // of *Hold, in the order in which they wait
+	lookedAt    time.Time  // when the callers were last looked at
 }
 
 // Ended is a response that is ended so that others get room.
 type Ended struct {
 	Service, Upstream string
-	Bytes             int64 // that it holds
-	Usual             int64 // that a response of its service has
-	Used, Limit       int64 // of all responses
+	Bytes             int64         // that it holds
+	Usual             int64         // that a response of its service has
+	Used, Limit       int64         // of all responses
+	Untaken           time.Duration // for which its caller took hardly anything; 0: it was excessive
 }
 
 // New returns a budget of some bytes. Ended is called, without a lock, for each response that is ended for others; it may be
@@ -134,13 +141,16 @@
 	b           *Budget
 	o           Options
 	bytes       int64
-	wants       int64         // bytes that it waits for
-	granted     chan struct{} // closed when it has got them, or has been ended
-	cause       error         // why it was ended; nil: it wasn't
-	place       *list.Element // among the holds; nil: released
-	queue       *list.Element // among those that wait; nil: it doesn't
-	complete    bool          // it takes no more
-	sparedUntil time.Time     // it isn't ended as excessive before
+	wants       int64                // bytes that it waits for
+	granted     chan struct{}        // closed when it has got them, or has been ended
+	cause       error                // why it was ended; nil: it wasn't
+	place       *list.Element        // among the holds; nil: released
+	queue       *list.Element        // among those that wait; nil: it doesn't
+	complete    bool                 // it takes no more
+	idle        func() time.Duration // for how long its caller has taken hardly anything; nil: its caller isn't looked at
+	sparedUntil time.Time            // it isn't ended as excessive before
+	givenUp     bool                 // it was ended because its caller took hardly anything for so long:
+	untaken     time.Duration
 }
 
 // Hold begins a hold of no bytes.
@@ -213,13 +223,21 @@
 		defer stop()
 		late = c
 	}
-	select {
-	case <-h.granted:
-		return nil
-	case <-late:
-		return ErrFull
-	case <-ctx.Done():
-		return context.Cause(ctx)
+	for {
+		look, stop := h.b.nextLook(h.o.Kind)
+		select {
+		case <-h.granted:
+			stop()
+			return nil
+		case <-late:
+			stop()
+			return ErrFull
+		case <-ctx.Done():
+			stop()
+			return context.Cause(ctx)
+		case <-look:
+			h.b.lookAgain(h.o.Kind)
+		}
 	}
 }
 
@@ -345,6 +363,9 @@
 	if h := b.mostExcessive(p); h != nil {
 		return b.end(p, h, ErrOversized)
 	}
+	if h, d := b.idlest(p); h != nil {
+		return b.giveUp(p, h, d)
+	}
 	if p.stalled() && !p.grantParts() {
 		return b.end(p, p.newestWaiting(), ErrFull)
 	}
@@ -355,7 +376,7 @@
 // end: it is released when its caller has it.
 func (p *part) ending() bool {
 	for e := p.holds.Front(); e != nil; e = e.Next() {
-		if h := e.Value.(*Hold); h.cause != nil && h.bytes > 0 && !h.complete {
+		if h := e.Value.(*Hold); h.cause != nil && h.bytes > 0 && (!h.complete || h.givenUp) {
 			return true
 		}
 	}
@@ -400,7 +421,7 @@
 
 // end ends a hold. The budget's lock is held; the call that is returned is made without it.
 func (b *Budget) end(p *part, h *Hold, cause error) func() {
-	v := Ended{Service: h.o.Service, Upstream: h.o.Upstream, Bytes: h.bytes, Usual: int64(b.usualSize(h.o.Service)), Used: p.used, Limit: p.limit}
+	v := Ended{Service: h.o.Service, Upstream: h.o.Upstream, Bytes: h.bytes, Usual: int64(b.usualSize(h.o.Service)), Used: p.used, Limit: p.limit, Untaken: h.untaken}
 	h.cause = cause
 	if h.queue != nil {
 		h.finish(p, cause)
--- a/internal/memory/read.go
+++ b/internal/memory/read.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"slices"
+	"time"
 )
 
 // This file reads bodies within a budget. A body is kept in pieces as they were read: one that grew in one piece would be
@@ -23,6 +24,7 @@
 type Body struct {
 	pieces [][]byte
 	size   int64
+	held   *Hold // nil: it isn't counted
 }
 
 // NewBody returns a body of these bytes.
@@ -36,6 +38,14 @@
 	return b.size
 }
 
+// Follow has the body end for others while its caller takes it: idle returns for how long that one has taken hardly anything, 0 if
+// that isn't long, and giveUp ends it. The body may be nil.
+func (b *Body) Follow(idle func() time.Duration, giveUp func()) {
+	if b != nil && b.held != nil {
+		b.held.follow(idle, giveUp)
+	}
+}
+
 // WriteTo implements io.WriterTo.
 func (b *Body) WriteTo(w io.Writer) (int64, error) {
 	if b == nil {
@@ -67,7 +77,7 @@
 // before it begins; a caller's word isn't taken for that. length is the size that was announced, or -1;
 // limit is the largest size that it may have. What was read of a body that fails is returned with the error.
 func (h *Hold) ReadBody(ctx context.Context, r io.Reader, length, limit int64) (*Body, error) {
-	b := &Body{}
+	b := &Body{held: h}
 	if length > limit {
 		return b, ErrTooLong
 	}
