--- a/cmd/spurhalld/crowd_process_test.go
+++ b/cmd/spurhalld/crowd_process_test.go
@@ -39,27 +39,44 @@
 
 // TestHeadsTakeTheMemoryOfTheOwnInterface guards against heads that are held while they come, without a bound over all of them.
 func TestHeadsTakeTheMemoryOfTheOwnInterface(t *testing.T) {
+	assertBears(t, callersOf, 320, crowdHead, manyFields())
+}
+
+// TestHeadsAtTheOtherListenersTakeTheMemory guards against listeners besides the callers' one whose heads nobody counts.
+func TestHeadsAtTheOtherListenersTakeTheMemory(t *testing.T) {
+	t.Run("other nodes", func(t *testing.T) {
+		assertBears(t, func(p *process) string { return p.peers }, 320, crowdHead, manyFields())
+	})
+	t.Run("operators", func(t *testing.T) {
+		assertBears(t, func(p *process) string { return p.admin }, 320, crowdHead, manyFields())
+	})
+}
+
+// manyFields returns 60 kB of header fields of a few bytes.
+func manyFields() string {
 	var fields strings.Builder
 	for i := 0; fields.Len() < 60_000; i++ {
 		fmt.Fprintf(&fields, "x%x:\r\n", i)
 	}
-	assertBears(t, 320, crowdHead, fields.String())
+	return fields.String()
 }
 
+func callersOf(p *process) string { return p.address }
+
 // TestBodiesTakeTheMemoryOfTheOwnInterface guards against bodies of legal size that never come to their end.
 func TestBodiesTakeTheMemoryOfTheOwnInterface(t *testing.T) {
 	body := `{"model":"m","messages":[{"role":"user","content":"` + strings.Repeat("x", chatBody-200)
-	assertBears(t, 64, crowdHead, fmt.Sprintf("Content-Length: %d\r\n\r\n", chatBody), body)
+	assertBears(t, callersOf, 64, crowdHead, fmt.Sprintf("Content-Length: %d\r\n\r\n", chatBody), body)
 }
 
-// assertBears checks a process while so many callers have sent some texts and stay open.
-func assertBears(t *testing.T, callers int, texts ...string) {
+// assertBears checks a process while so many callers have sent some texts to one of its listeners and stay open.
+func assertBears(t *testing.T, at func(p *process) string, callers int, texts ...string) {
 	t.Helper()
 	t.Setenv("SPURHALL_MEMORY_MB", strconv.Itoa(crowdMemory))
 	c := newCluster(t, "1ms", "hall-a")
 	p := c.nodes[0]
 	for range callers {
-		conn, err := net.Dial("tcp", p.address)
+		conn, err := net.Dial("tcp", at(p))
 		require.NoError(t, err)
 		t.Cleanup(func() { _ = conn.Close() })
 		go func() {
--- a/cmd/spurhalld/process_test.go
+++ b/cmd/spurhalld/process_test.go
@@ -35,6 +35,7 @@
 	cmd     *exec.Cmd
 	address string
 	admin   string
+	peers   string
 }
 
 func (c *cluster) start(name string, args ...string) *exec.Cmd {
@@ -69,17 +70,16 @@
 	c.start("spurhall-standin", "plain", "--listen", c.plain, "--platform", "http://"+platform, "--id", "o1", "--pool", "orders", "--work", work)
 	seed := ""
 	for i, h := range halls {
-		p := &process{address: platformtest.OwnAddress(), admin: platformtest.OwnAddress()}
-		peer := platformtest.OwnAddress()
+		p := &process{address: platformtest.OwnAddress(), admin: platformtest.OwnAddress(), peers: platformtest.OwnAddress()}
 		args := []string{
 			"--vm", fmt.Sprintf("n%d", i), "--hall", h, "--platform", "http://" + platform, "--listen", p.address,
-			"--peer-listen", peer, "--admin-listen", p.admin, "--log-level", "error",
+			"--peer-listen", p.peers, "--admin-listen", p.admin, "--log-level", "error",
 		}
 		if seed != "" {
 			args = append(args, "--seed", seed)
 		}
 		p.cmd = c.start("spurhalld", args...)
-		seed = peer
+		seed = p.peers
 		c.nodes = append(c.nodes, p)
 	}
 	c.eventually("the nodes answer", func() bool {
