A whole response could be given up for having been excessive

What callers saw: nothing that was seen; a whole response could break off.

Cause (read): whom the budget chooses to end is ended without its lock. If the response became whole meanwhile and began to be written, the call ended its caller's connection, in place of an attempt that was over already.

Fix: what is called is that of the moment of the choice.

Evidence: TestWholeResponseIsGivenUpAsExcessive, before: the end that was chosen isn't called, and the caller is given up; passes.

--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -426,13 +426,14 @@
 	if h.queue != nil {
 		h.finish(p, cause)
 	}
+	stop := h.o.End // as of now: what is whole by the time of the call isn't given up for having been excessive
 	return func() {
 		metrics.Add("ended_"+h.o.Kind.String(), 1)
 		if b.ended != nil && h.o.Kind == KindResponse {
 			b.ended(v)
 		}
-		if h.o.End != nil {
-			h.o.End(cause)
+		if stop != nil {
+			stop(cause)
 		}
 	}
 }
--- a/internal/memory/idle_test.go
+++ b/internal/memory/idle_test.go
@@ -76,3 +76,23 @@
 	assert.NoError(t, result(t, hold(b, "api").take(mb)))
 	v.assertGivenUp(t, false)
 }
+
+// TestWholeResponseIsGivenUpAsExcessive guards against a connection that is closed under a response which had become whole as it was
+// chosen to end.
+func TestWholeResponseIsGivenUpAsExcessive(t *testing.T) {
+	var h *holder
+	var body *memory.Body
+	givenUp := make(chan struct{})
+	b := memory.New(timer.Real(), 16*mb, func(memory.Ended) {
+		h.Complete()
+		body.Follow(func() time.Duration { return 0 }, func() { close(givenUp) })
+	})
+	b.Observe("api", 4<<10)
+	h = hold(b, "api")
+	var err error
+	body, err = h.ReadBody(context.Background(), bytes.NewReader(make([]byte, 3*mb)), -1, 4*mb)
+	require.NoError(t, err)
+	assert.NoError(t, result(t, hold(b, "api").take(5*mb)))
+	assert.Empty(t, givenUp)
+	assert.ErrorIs(t, result(t, h.ended), memory.ErrOversized)
+}
