--- a/Makefile
+++ b/Makefile
@@ -27,9 +27,9 @@
 test: ## every test but those known to fail, with the race detector; the played ones also without, with more seeds
 	@if test -s KNOWN-RED.txt; then echo "passed over, as known to fail:"; cat KNOWN-RED.txt; fi
 	go build -race ./...
-	go test -race -count=1 -parallel $(TOGETHER) $(SKIP) $(ALONE)
-	go test -race -count=1 -timeout $(LONGEST) -p $(PACKAGES) $(SKIP) $$(go list ./... | grep -v -e /internal/node$$ -e /cmd/spurhalld$$)
-	go test -count=1 $(SKIP) -run 'Rollouts$$|Fleets$$|SimilarRequests$$|PartsThatCrashUpstreams$$|PartsAreServed$$|OfOrder$$|RoomIsShort$$' ./internal/model ./internal/quarantine
+	@bash scripts/tested.sh go test -race -count=1 -parallel $(TOGETHER) $(SKIP) $(ALONE)
+	@bash scripts/tested.sh go test -race -count=1 -timeout $(LONGEST) -p $(PACKAGES) $(SKIP) $$(go list ./... | grep -v -e /internal/node$$ -e /cmd/spurhalld$$)
+	@bash scripts/tested.sh go test -count=1 $(SKIP) -run 'Rollouts$$|Fleets$$|SimilarRequests$$|PartsThatCrashUpstreams$$|PartsAreServed$$|OfOrder$$|RoomIsShort$$' ./internal/model ./internal/quarantine
 
 check: ## format, vet and lint
 	@out=$$($(TOOL) gofumpt -l $(SOURCES)); test -z "$$out" || { echo "gofumpt differs:"; echo "$$out"; exit 1; }
