Soak: a stream that ended by its route's time-out counted as cut off by a stop

The check passes over exactly this: sent while time-outs were lowered (or 2 s after, until all daemons know), and ended no earlier than the lowered time-out.

--- a/internal/soak/check_answers.go
+++ b/internal/soak/check_answers.go
@@ -124,7 +124,7 @@
 				continue
 			}
 			// What comes in the last seconds of the grace may outlast it.
-			if r.Sent.Sub(s.At) < stopGrace/2 && v.calm(s.At, r.Done, unplanned) && !v.drained(r) {
+			if r.Sent.Sub(s.At) < stopGrace/2 && v.calm(s.At, r.Done, unplanned) && !v.drained(r) && !v.timedOut(r) {
 				list = append(list, Failure{"stop", r.ID, fmt.Sprintf("cut off %v after %s was told to stop: %s", r.Done.Sub(s.At), daemonName(s.Daemon), r.Error)})
 			}
 		}
@@ -132,6 +132,13 @@
 	return list
 }
 
+// timedOut tells whether a request that was sent while the time-outs of routes were lowered took as long as these allow.
+func (v *view) timedOut(r *Reply) bool {
+	return r.Done.Sub(r.Sent) >= HastyTimeout && slices.ContainsFunc(v.Day.Faults, func(f Fault) bool {
+		return f.Kind == FaultTimeout && v.at(r.Sent) >= f.At && v.at(r.Sent) <= f.End()+applyBound
+	})
+}
+
 // planned tells whether the day has a planned stop of a daemon.
 func (v *view) planned(s Stop) bool {
 	return slices.ContainsFunc(v.Day.Faults, func(f Fault) bool { return f.plannedStop() && slices.Contains(f.Who, s.Daemon) })
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -206,6 +206,27 @@
 		r.Stops = []Stop{{Daemon: 0, At: atDay(4 * time.Second), Ended: atDay(8 * time.Second)}}
 		assertChecks(t, r, "stop")
 	})
+	t.Run("a planned stop beside lowered time-outs", func(t *testing.T) {
+		const at = 4 * time.Second
+		r := record(Fault{Kind: FaultTerm, Who: []int{0}, At: at}, Fault{Kind: FaultTimeout, At: at - time.Second, For: time.Second})
+		p := reply("a", RouteResume, at)
+		p.Whole, p.Body, p.Error, p.Done = false, Piece("a", 1), "reset", p.Sent.Add(HastyTimeout)
+		r.Replies = []Reply{p}
+		r.Events = []Event{event(Arrived, "a", "upstream-0", ServiceEngine, at), event(Began, "a", "upstream-0", ServiceEngine, at), event(Token, "a", "upstream-0", ServiceEngine, at)}
+		r.Stops = []Stop{{Daemon: 0, At: atDay(at), Ended: atDay(at + 4*time.Second)}}
+		assertChecks(t, r)
+		t.Run("before they are over", func(t *testing.T) {
+			v := r
+			v.Replies = []Reply{p}
+			v.Replies[0].Done = p.Sent.Add(HastyTimeout - time.Millisecond)
+			assertChecks(t, v, "stop")
+		})
+		t.Run("once they are raised again", func(t *testing.T) {
+			v := r
+			v.Day.Faults = []Fault{{Kind: FaultTerm, Who: []int{0}, At: at}, {Kind: FaultTimeout, At: at - applyBound - 2*time.Second, For: time.Second}}
+			assertChecks(t, v, "stop")
+		})
+	})
 	t.Run("a planned stop that leaves a request lying", func(t *testing.T) {
 		r, p := record(Fault{Kind: FaultPress, Who: []int{0}, At: 2 * time.Second, For: pressEnd}), reply("a", RoutePlain, 4*time.Second)
 		p.Status, p.Signed, p.Whole, p.Body, p.Error = 0, "", false, "", "EOF"
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -48,9 +48,15 @@
 	Withdrawn bool // a key is taken away
 	Lowered   bool // the narrow workspace's quota is halved
 	Tight     bool // routes aim at shorter times
-	Hasty     bool // routes have a short time-out
+	Hasty     bool // routes have HastyTimeout
 }
 
+// The time-outs of routes.
+const (
+	UsualTimeout = 6 * time.Second
+	HastyTimeout = 400 * time.Millisecond
+)
+
 // The services.
 const (
 	ServicePlain  = "api"
