Lines of the standard library went past the log's ring, and an output that is full stopped a node

Callers of a node whose output nobody reads got no answer any more once an upstream had sent one response too many: net/http's transport logs each such response by the standard library's logger, while its own locks are held, and the write waits for a reader. A node of the own interface, which logged without a ring, didn't end after a stop signal.

--- a/cmd/spurhalld/edge.go
+++ b/cmd/spurhalld/edge.go
@@ -82,16 +82,15 @@
 	if err != nil {
 		return err
 	}
-	ring := logging.NewRing(os.Stdout)
-	defer ring.Close()
-	log, err := logging.NewBounded(level, s.Node, ring)
+	clock := timer.Real()
+	log, closeLog, err := logging.Open(os.Stdout, level, s.Node, clock)
 	if err != nil {
 		return fmt.Errorf("--log-level: %w", err)
 	}
+	defer closeLog()
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	}
-	clock := timer.Real()
 	l, err := edge.Listen(s, peersListen, metricsPort)
 	if err != nil {
 		return err
--- a/cmd/spurhalld/main.go
+++ b/cmd/spurhalld/main.go
@@ -121,11 +121,12 @@
 	if err := s.Check(); err != nil {
 		return err
 	}
-	log, err := logging.New(s.LogLevel, s.VM)
+	clock := timer.Real()
+	log, closeLog, err := logging.Open(os.Stderr, s.LogLevel, s.VM, clock)
 	if err != nil {
 		return fmt.Errorf("--log-level: %w", err)
 	}
-	clock := timer.Real()
+	defer closeLog()
 	sec, err := secure(s, clock)
 	if err != nil {
 		return err
--- a/cmd/spurhalld/process_test.go
+++ b/cmd/spurhalld/process_test.go
@@ -25,10 +25,11 @@
 // within one: a process frozen or killed at any moment.
 
 type cluster struct {
-	t     *testing.T
-	bin   string
-	nodes []*process
-	plain string
+	t        *testing.T
+	bin      string
+	nodes    []*process
+	plain    string
+	platform string
 }
 
 type process struct {
@@ -65,6 +66,7 @@
 	out, err := b.CombinedOutput()
 	require.NoError(t, err, string(out))
 	platform := platformtest.OwnAddress()
+	c.platform = platform
 	c.start("spurhall-standin", "platform", "--listen", platform)
 	c.eventually("the platform answers", func() bool { return get("http://"+platform+"/standin/counts", nil) == nil })
 	c.start("spurhall-standin", "plain", "--listen", c.plain, "--platform", "http://"+platform, "--id", "o1", "--pool", "orders", "--work", work)
--- a/internal/edge/instep_test.go
+++ b/internal/edge/instep_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"os"
 	"testing"
 	"time"
 
@@ -112,7 +113,7 @@
 // TestVersionsHeardEndTheProcess guards against a field of a log line which the log's encoder can't write.
 func TestVersionsHeardEndTheProcess(t *testing.T) {
 	n, _ := newAgingNode(t)
-	log, err := logging.New("info", "n")
+	log, err := logging.NewBounded("info", "n", logging.NewRing(os.Stderr))
 	require.NoError(t, err)
 	n.log = log
 	assert.NotPanics(t, func() {
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -3,19 +3,25 @@
 package logging
 
 import (
-	"os"
+	"io"
+	"log"
 
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
+
+	"spurhall.example/spurhall/internal/timer"
 )
 
-// New returns a logger to standard error at the level named ("debug", "info",
-// "warn", "error").
-func New(level, node string) (*zap.Logger, error) {
-	l, err := zapcore.ParseLevel(level)
+// Open returns the process's logger, which writes to w through a ring, at the level named ("debug", "info", "warn", "error"), and
+// what to call at the process's end. Lines of the standard library's own logger become events, too: it would write them while
+// locks are held, and wait for whoever reads them.
+func Open(w io.Writer, level, node string, clock *timer.Service) (*zap.Logger, func(), error) {
+	r := NewRing(w)
+	l, err := NewBounded(level, node, r)
 	if err != nil {
-		return nil, err
+		r.Close(clock)
+		return nil, nil, err
 	}
-	core := zapcore.NewCore(encoder(), zapcore.Lock(os.Stderr), l)
-	return zap.New(core).With(zap.String("node", node)), nil
+	log.SetFlags(0)
+	log.SetOutput(standardWriter{l, "library"})
+	return l, func() { r.Close(clock) }, nil
 }
