The listener for other nodes took any number of connections and messages

Callers were accepted on the same descriptors and memory.

The listener is now one of package accept's, as the callers' is: places for the tunnels that the process serves and 100 more, of which connections without a whole request and then idle ones give way, and an eighth of the VM's memory for what is read of requests, heads and messages. Connections that become tunnels are followed until they close.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -43,8 +43,8 @@
 	waitPoll     = 20 * time.Millisecond
 )
 
-// maxCallers is the maximum number of callers' connections of a process; 0: no limit.
-func maxCallers(descriptors int) int {
+// MaxCallers is the maximum number of callers' connections of a process that has so many descriptors; 0: no limit.
+func MaxCallers(descriptors int) int {
 	return int(callersShare * float64(max(0, descriptors-reservedDescriptors)))
 }
 
@@ -58,6 +58,7 @@
 	clock    *timer.Service
 	log      *zap.Logger
 	maxOpen  int          // connections; 0: no limit
+	counter  *expvar.Int  // of its connections
 	failedAt atomic.Int64 // nanoseconds of the clock; 0: never
 	closed   atomic.Bool
 	draining atomic.Bool
@@ -66,19 +67,33 @@
 	tls      *tls.Config // nil: none
 	mu       sync.Mutex
 	callers  map[*callerConn]bool
-	heads    int64 // bytes of the heads that connections hold
-	maxHeads int64 // 0: no bound
+	held     int64 // bytes of memory that connections hold
+	maxHeld  int64 // 0: no bound
+	messages bool  // bodies are counted, too
 	yieldLog yieldLog
 }
 
 // New returns a listener of a process that has so many descriptors; 0: no limit.
 func New(l net.Listener, clock *timer.Service, log *zap.Logger, descriptors int) *Listener {
-	return NewBounded(l, clock, log, maxCallers(descriptors))
+	v := NewBounded(l, clock, log, MaxCallers(descriptors))
+	v.counter = callersOpen
+	return v
+}
+
+// nodePlaces is how many connections other nodes may have besides those on behalf of callers: a few calls in progress from each
+// that calls this one at the same time. Idle ones give way.
+const nodePlaces = 100
+
+// NewForNodes returns a listener for other nodes, of a process that serves so many callers of theirs and has so much memory, in bytes.
+func NewForNodes(l net.Listener, clock *timer.Service, log *zap.Logger, callers int, memory int64) *Listener {
+	v := NewBounded(l, clock, log, callers+nodePlaces)
+	v.SetMessageMemory(int64(MessageShare * float64(memory)))
+	return v
 }
 
 // NewBounded returns a listener that takes so many connections; 0: no limit.
 func NewBounded(l net.Listener, clock *timer.Service, log *zap.Logger, places int) *Listener {
-	return &Listener{Listener: l, clock: clock, log: log, maxOpen: places, callers: make(map[*callerConn]bool)}
+	return &Listener{Listener: l, clock: clock, log: log, maxOpen: places, counter: othersOpen, callers: make(map[*callerConn]bool)}
 }
 
 // NewTLS is New for a listener whose connections use TLS if t is not nil.
@@ -122,7 +137,7 @@
 	l.mu.Lock()
 	l.callers[v] = true
 	l.mu.Unlock()
-	callersOpen.Add(1)
+	l.counter.Add(1)
 	v.drain()
 	return v
 }
@@ -131,9 +146,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.callers, c)
-	l.heads -= c.standing.head
-	c.standing.head = 0
-	callersOpen.Add(-1)
+	l.release(c)
+	l.counter.Add(-1)
 }
 
 // Drain stops accepting, closes the connections without a request, and each other one once its request has its
@@ -219,6 +233,7 @@
 
 var (
 	callersOpen     = expvar.NewInt("callers_connected")
+	othersOpen      = expvar.NewInt("others_connected") // other nodes, and who watches this one
 	callersRejected = expvar.NewInt("callers_turned_away")
 	callersCut      = expvar.NewInt("callers_cut")
 	callersCrossed  = expvar.NewInt("callers_crossed")
--- a/internal/accept/accept_test.go
+++ b/internal/accept/accept_test.go
@@ -54,7 +54,7 @@
 	require.NoError(t, l.Close())
 	<-taken
 	t.Run("limit by descriptors", func(t *testing.T) {
-		assert.Zero(t, maxCallers(0))
-		assert.Equal(t, 1665, maxCallers(4100))
+		assert.Zero(t, MaxCallers(0))
+		assert.Equal(t, 1665, MaxCallers(4100))
 	})
 }
--- a/internal/accept/caller.go
+++ b/internal/accept/caller.go
@@ -7,10 +7,12 @@
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
 
+	"spurhall.example/spurhall/internal/reply"
 	"spurhall.example/spurhall/internal/upstream"
 )
 
@@ -53,7 +55,7 @@
 		n, err = c.Conn.Read(b)
 	}
 	c.recordRead(n, err)
-	for _, v := range c.listener.countHead(c, n) {
+	for _, v := range c.listener.count(c, n) {
 		v.giveWay()
 	}
 	c.checkHandshake(err)
@@ -155,6 +157,22 @@
 	return nil
 }
 
+// SetLinger sets how a close treats bytes that aren't sent yet.
+func (c *callerConn) SetLinger(sec int) error { return upstream.SetLinger(c.Conn, sec) }
+
+// SetKeepAliveConfig sets how the kernel looks for an other end that is gone.
+func (c *callerConn) SetKeepAliveConfig(k net.KeepAliveConfig) error {
+	if v, ok := c.Conn.(interface {
+		SetKeepAliveConfig(k net.KeepAliveConfig) error
+	}); ok {
+		return v.SetKeepAliveConfig(k)
+	}
+	return nil
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *callerConn) SyscallConn() (syscall.RawConn, error) { return reply.Socket(c.Conn) }
+
 // completeResponse records that the response is written. If the server already has the first byte of another request,
 // the last look finds the rest.
 func (c *callerConn) completeResponse() {
@@ -225,5 +243,7 @@
 		v.beginBuffered()
 	case s == http.StateIdle:
 		v.completeResponse()
+	case s == http.StateHijacked:
+		l.hijack(v)
 	}
 }
--- a/internal/accept/yield.go
+++ b/internal/accept/yield.go
@@ -21,6 +21,9 @@
 // HeadShare is the part of a VM's memory that the heads of callers' requests may take together.
 const HeadShare = 1.0 / 8
 
+// MessageShare is the part of a VM's memory that requests of other nodes may take together, heads and messages.
+const MessageShare = 1.0 / 8
+
 const (
 	// yieldGrace is how long a connection may go without a whole request before it gives way to others: a head and a body of some
 	// MB arrive within it.
@@ -30,6 +33,8 @@
 	unreadGrace = 10 * time.Second
 	// headCost is how many bytes a byte of a head takes in memory at most, in fields of a few bytes.
 	headCost = 16
+	// messageCost is the same for a body that this process reads into a buffer that doubles, and decodes.
+	messageCost = 4
 	// yieldLogInterval is the shortest time between two lines on connections that gave way.
 	yieldLogInterval = time.Second
 )
@@ -44,7 +49,9 @@
 const (
 	shortOfPlaces shortage = "places"
 	shortOfHeads  shortage = "memory_of_heads"
-	shortOfBodies shortage = "memory_of_bodies"
+	// shortOfMessages: of other nodes.
+	shortOfMessages shortage = "memory_of_messages"
+	shortOfBodies   shortage = "memory_of_bodies"
 	// shortOfResponses: package memory chooses who gives way.
 	shortOfResponses shortage = "memory_of_responses"
 )
@@ -70,7 +77,7 @@
 type standing struct {
 	phase   phase
 	since   time.Time // it has had no whole request; of a whole one: its beginning
-	head    int64     // bytes read of the head, counted until the response is complete
+	held    int64     // bytes of memory that what was read takes, counted until the response is complete
 	yields  bool      // it gives way: its request isn't passed on any more
 	reading bool      // its body is waited for, and not this node's room for it
 	readAt  time.Time // when its body was last read
@@ -87,7 +94,15 @@
 func (l *Listener) SetHeadMemory(bytes int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.maxHeads = bytes / headCost
+	l.maxHeld = bytes
+}
+
+// SetMessageMemory is SetHeadMemory for heads and bodies together, of a listener whose bodies no package memory sees. One message is
+// taken whatever its size, while there is no other.
+func (l *Listener) SetMessageMemory(bytes int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.maxHeld, l.messages = bytes, true
 }
 
 // set changes a connection's phase and returns whether it still holds its place.
@@ -99,8 +114,7 @@
 		return false
 	}
 	if p == phaseIdle {
-		l.heads -= s.head
-		s.head = 0
+		l.release(c)
 	}
 	if p == phaseHead || p == phaseIdle {
 		s.since = l.clock.Now()
@@ -128,30 +142,63 @@
 	c.standing.reading, c.standing.readAt = false, l.clock.Now()
 }
 
-// countHead counts bytes of a head, and returns the connections that give way for it.
-func (l *Listener) countHead(c *callerConn, n int) []*callerConn {
+// hijack records that a handler has taken a connection over, for as long as it likes.
+func (l *Listener) hijack(c *callerConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.release(c)
+	c.standing.phase = phaseWhole
+}
+
+// release gives back what a connection holds.
+func (l *Listener) release(c *callerConn) {
+	l.held -= c.standing.held
+	c.standing.held = 0
+}
+
+// cost returns how many bytes of memory a byte takes that is read in a phase; 0: it isn't counted here.
+func (l *Listener) cost(p phase) int64 {
+	switch {
+	case p == phaseHead:
+		return headCost
+	case p == phaseBody && l.messages:
+		return messageCost
+	}
+	return 0
+}
+
+// count counts bytes that were read, and returns the connections that give way for them.
+func (l *Listener) count(c *callerConn, n int) []*callerConn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if c.standing.phase != phaseHead || !l.callers[c] {
+	cost := l.cost(c.standing.phase)
+	if cost == 0 || !l.callers[c] {
 		return nil // of one that was closed meanwhile, nobody gives the bytes back
 	}
-	c.standing.head += int64(n)
-	l.heads += int64(n)
+	c.standing.held += cost * int64(n)
+	l.held += cost * int64(n)
 	var list []*callerConn
-	for taken := int64(0); l.maxHeads > 0 && l.heads-taken > l.maxHeads; {
+	for left := l.held; l.maxHeld > 0 && left > l.maxHeld; {
 		v := l.longest(yieldGrace, phase.partial)
 		if v == nil {
-			v = l.largestHead()
+			v = l.largest()
 		}
-		if v == nil {
+		if v == nil || l.messages && v.standing.held == left {
 			break
 		}
-		taken += v.standing.head
-		list = append(list, l.markYield(v, shortOfHeads))
+		left -= v.standing.held
+		list = append(list, l.markYield(v, l.shortOfMemory()))
 	}
 	return list
 }
 
+func (l *Listener) shortOfMemory() shortage {
+	if l.messages {
+		return shortOfMessages
+	}
+	return shortOfHeads
+}
+
 // beginWrite records that a part of a response is written, which takes until its caller has read enough. It returns whether the
 // connection still holds its place.
 func (l *Listener) beginWrite(c *callerConn) bool {
@@ -197,11 +244,11 @@
 	return most
 }
 
-// largestHead returns the connection with the largest part of a head; nil: none.
-func (l *Listener) largestHead() *callerConn {
+// largest returns the connection that holds most without a whole request, of what is counted here; nil: none.
+func (l *Listener) largest() *callerConn {
 	var most *callerConn
 	for c := range l.callers {
-		if s := &c.standing; !s.yields && s.phase == phaseHead && (most == nil || s.head > most.standing.head) {
+		if s := &c.standing; !s.yields && l.cost(s.phase) > 0 && (most == nil || s.held > most.standing.held) {
 			most = c
 		}
 	}
@@ -219,7 +266,7 @@
 	}
 	s := &c.standing
 	l.log.Info("caller_gave_way", zap.Stringer("caller", c.RemoteAddr()), zap.String("short_of", string(why)), zap.Stringer("phase", s.phase), zap.Duration("for", now.Sub(s.since)),
-		zap.Int64("head_bytes", s.head), zap.Bool("unread", !s.unread.IsZero()), zap.Int("open", len(l.callers)), zap.Int("others", l.yieldLog.others))
+		zap.Int64("held", s.held), zap.Bool("unread", !s.unread.IsZero()), zap.Int("open", len(l.callers)), zap.Int("others", l.yieldLog.others))
 	l.yieldLog = yieldLog{at: now}
 	return c
 }
--- a/internal/accept/yield_test.go
+++ b/internal/accept/yield_test.go
@@ -187,7 +187,7 @@
 	assertAnswered(t, second)
 	r.l.mu.Lock()
 	defer r.l.mu.Unlock()
-	assert.LessOrEqual(t, r.l.heads, int64(300))
+	assert.LessOrEqual(t, r.l.held, int64(headCost*300))
 }
 
 // TestHeadsOfClosedConnectionsCountForEver guards against bytes that were read just as their connection was closed.
@@ -197,10 +197,10 @@
 	r.send(partOfAHead, phaseHead)
 	c := r.l.open()[0]
 	require.NoError(t, c.close())
-	assert.Empty(t, r.l.countHead(c, 99))
+	assert.Empty(t, r.l.count(c, 99))
 	r.l.mu.Lock()
 	defer r.l.mu.Unlock()
-	assert.Zero(t, r.l.heads)
+	assert.Zero(t, r.l.held)
 }
 
 // TestConnectionThatGivesWayIsAnswered guards against a response, or an empty 200, on a connection whose request came to its end
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -18,6 +18,7 @@
 	"spurhall.example/spurhall/internal/logging"
 	"spurhall.example/spurhall/internal/message"
 	"spurhall.example/spurhall/internal/metric"
+	"spurhall.example/spurhall/internal/uplink"
 	"spurhall.example/spurhall/internal/wire/wireconnect"
 )
 
@@ -71,13 +72,13 @@
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	callers := n.monitorFront(l.Front)
-	front := n.server(callers.Handler(n.front))
-	front.ConnState, front.ConnContext = callers.ObserveState, callers.ConnContext
-	peers := n.server(n.peerHandler())
+	front := n.serverOn(callers, n.front)
+	nodes := accept.NewForNodes(l.Peers, n.clock, n.log, uplink.MaxTunnels(n.settings.MaxDescriptors), n.memoryBytes())
+	peers := n.serverOn(nodes, n.peerHandler())
 	peers.MaxHeaderBytes = peerHeaderBytes
 	go n.serve(front, callers)
 	ready := n.serveBounded(l.Readiness, n.serveReady)
-	go n.serve(peers, l.Peers)
+	go n.serve(peers, nodes)
 	if l.Metrics != nil {
 		n.serveBounded(l.Metrics, n.serveMetrics)
 	}
@@ -101,10 +102,11 @@
 	return errors.Join(front.Close(), ready.Close(), peers.Close())
 }
 
-func (n *Node) server(h http.Handler) *http.Server {
+// serverOn returns the server on a listener.
+func (n *Node) serverOn(l *accept.Listener, h http.Handler) *http.Server {
 	return &http.Server{
-		Handler: h, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-		ErrorLog: logging.Standard(n.log, "http"),
+		Handler: l.Handler(h), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		ErrorLog: logging.Standard(n.log, "http"), ConnState: l.ObserveState, ConnContext: l.ConnContext,
 	}
 }
 
@@ -119,8 +121,7 @@
 func (n *Node) serveBounded(l net.Listener, h http.HandlerFunc) *http.Server {
 	w := accept.NewBounded(l, n.clock, n.log, watcherPlaces)
 	w.SetHeadMemory(watcherHeads)
-	s := n.server(w.Handler(h))
-	s.ConnState, s.ConnContext = w.ObserveState, w.ConnContext
+	s := n.serverOn(w, h)
 	go n.serve(s, w)
 	return s
 }
@@ -178,7 +179,7 @@
 const minCompressed = 16 << 10
 
 func (n *Node) peerHandler() http.Handler {
-	_, h := wireconnect.NewEdgeHandler(&edgeService{n}, connect.WithCompressMinBytes(minCompressed), message.Bounded())
+	_, h := wireconnect.NewEdgeHandler(&edgeService{n}, connect.WithCompressMinBytes(minCompressed), message.BoundedHandler())
 	h = n.load.Handler(h)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodConnect {
--- a/internal/message/limits.go
+++ b/internal/message/limits.go
@@ -1,6 +1,12 @@
 package message
 
-import "connectrpc.com/connect"
+import (
+	"compress/gzip"
+	"errors"
+	"io"
+
+	"connectrpc.com/connect"
+)
 
 // This file bounds what a process reads of others' calls and responses: another process may have a peer's address.
 
@@ -11,5 +17,24 @@
 	MaxHeader = 64 << 10
 )
 
-// Bounded returns the option of clients and handlers that bounds their messages.
+// errCompressed ends the reading of a compressed request: no node sends one, and what it takes isn't known before it is read.
+var errCompressed = errors.New("compressed requests aren't taken")
+
+// Bounded returns the option of clients that bounds their messages.
 func Bounded() connect.Option { return connect.WithReadMaxBytes(maxMessage) }
+
+// BoundedHandler returns the option of handlers that bounds their messages. Responses may be compressed, requests not.
+func BoundedHandler() connect.HandlerOption {
+	pack := func() connect.Compressor { return gzip.NewWriter(io.Discard) }
+	unpack := func() connect.Decompressor { return refused{} }
+	return connect.WithHandlerOptions(Bounded(), connect.WithCompression("gzip", unpack, pack))
+}
+
+// refused is what reads a compressed request.
+type refused struct{}
+
+func (refused) Read([]byte) (int, error) { return 0, errCompressed }
+
+func (refused) Reset(io.Reader) error { return errCompressed }
+
+func (refused) Close() error { return nil }
--- a/internal/uplink/serve.go
+++ b/internal/uplink/serve.go
@@ -23,13 +23,16 @@
 	resetPoll    = 5 * time.Millisecond
 )
 
-func (u *Uplink) tunnelLimit() int64 {
-	if d := u.o.MaxDescriptors; d > 0 {
-		return int64(maxTunnelShare * float64(d) / descriptorsPerTunnel)
+// MaxTunnels is how many tunnels a process serves at most that has so many descriptors; 0: unknown.
+func MaxTunnels(descriptors int) int {
+	if descriptors > 0 {
+		return int(maxTunnelShare * float64(descriptors) / descriptorsPerTunnel)
 	}
 	return maxTunnels
 }
 
+func (u *Uplink) tunnelLimit() int64 { return int64(MaxTunnels(u.o.MaxDescriptors)) }
+
 // Served returns the number of tunnels that this node serves for others.
 func (u *Uplink) Served() int64 { return u.served.Load() }
 
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -58,11 +58,17 @@
 
 // DetectSilence makes a connection that was accepted count as broken as those do that NewDialFunc opens.
 func DetectSilence(c net.Conn, ackTimeout time.Duration) error {
-	t, ok := c.(*net.TCPConn)
+	t, ok := c.(interface {
+		syscall.Conn
+		SetKeepAliveConfig(k net.KeepAliveConfig) error
+	})
 	if !ok {
 		return nil
 	}
 	r, err := t.SyscallConn()
+	if errors.Is(err, errors.ErrUnsupported) {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
