The own interface's other listeners took any number of connections and messages

At the own interface connections that send nothing at the listener for nodes or for operators took all descriptors of the process (1,024 of 1,024), so that callers weren't accepted until these timed out, and messages that stop short of their end, which had no bound in size, 939 and 1,044 MB of a VM of 184.

Nodes have as many places as callers there and 100 more, operators 64, and messages the bounds that entry VMs have. The heap is kept within the same share of the VM's memory as in entry VMs: without that the garbage of connections that had given way took 358 and 710 MB.

--- a/cmd/spurhalld/crowd_process_test.go
+++ b/cmd/spurhalld/crowd_process_test.go
@@ -13,12 +13,15 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"spurhall.example/spurhall/internal/wire/wireconnect"
 )
 
 // These tests send crowds of callers that don't behave to the own interface of a process. What is checked doesn't depend on speed.
 
 const (
-	crowdMemory = 184 // MB of the VM, by the process's settings
+	crowdMemory = 184  // MB of the VM, by the process's settings
+	crowdFiles  = 1024 // descriptors of a process, where a test lowers them
 	crowdSends  = 4 * time.Second
 	chatBody    = 8 << 20 // the largest body of a chat request, in bytes
 )
@@ -52,6 +55,27 @@
 	})
 }
 
+// TestConnectionsAtTheOtherListenersTakeAllDescriptors guards against listeners besides the callers' one that take any number of
+// connections, or any number of messages at once.
+func TestConnectionsAtTheOtherListenersTakeAllDescriptors(t *testing.T) {
+	const announced, sent = 8 << 20, 2 << 20 // of a message, in bytes
+	for name, v := range map[string]struct {
+		at    func(p *process) string
+		texts []string
+	}{
+		"other nodes": {func(p *process) string { return p.peers }, nil},
+		"operators":   {func(p *process) string { return p.admin }, nil},
+		"messages of other nodes": {func(p *process) string { return p.peers }, []string{
+			fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nContent-Type: application/proto\r\nContent-Length: %d\r\n\r\n", wireconnect.PeerExchangeProcedure, announced), strings.Repeat("x", sent),
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Setenv("SPURHALL_MEMORY_MB", strconv.Itoa(crowdMemory))
+			assertBearsIn(t, newClusterOf(t, crowdFiles, "1ms", "hall-a"), v.at, crowdFiles+76, v.texts...)
+		})
+	}
+}
+
 // manyFields returns 60 kB of header fields of a few bytes.
 func manyFields() string {
 	var fields strings.Builder
@@ -73,7 +97,12 @@
 func assertBears(t *testing.T, at func(p *process) string, callers int, texts ...string) {
 	t.Helper()
 	t.Setenv("SPURHALL_MEMORY_MB", strconv.Itoa(crowdMemory))
-	c := newCluster(t, "1ms", "hall-a")
+	assertBearsIn(t, newCluster(t, "1ms", "hall-a"), at, callers, texts...)
+}
+
+// assertBearsIn is assertBears for the first node of a cluster.
+func assertBearsIn(t *testing.T, c *cluster, at func(p *process) string, callers int, texts ...string) {
+	t.Helper()
 	p := c.nodes[0]
 	for range callers {
 		conn, err := net.Dial("tcp", at(p))
@@ -89,10 +118,17 @@
 	}
 	time.Sleep(crowdSends)
 	require.NoError(t, p.cmd.Process.Signal(syscall.Signal(0)))
+	if c.files > 0 {
+		list, err := os.ReadDir(filepath.Join("/proc", strconv.Itoa(p.cmd.Process.Pid), "fd"))
+		require.NoError(t, err)
+		assert.Less(t, len(list), c.files, "open descriptors")
+	}
 	c.eventually("an ordinary call is answered", func() bool {
 		return p.checkIn(fmt.Sprint("crowd-", time.Now().UnixNano()), 5*time.Second).outcome == "done"
 	})
 	peak := p.statusOf(t, "VmHWM")
-	t.Logf("peak %d MB", peak>>20)
+	list, err := os.ReadDir(filepath.Join("/proc", strconv.Itoa(p.cmd.Process.Pid), "fd"))
+	require.NoError(t, err)
+	t.Logf("peak %d MB, %d descriptors", peak>>20, len(list))
 	assert.Less(t, peak, int64(crowdMemory)<<20, "the peak of resident memory")
 }
--- a/cmd/spurhalld/main.go
+++ b/cmd/spurhalld/main.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -131,6 +132,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory())))
 	budget := memory.New(clock, int64(memory.Share*float64(s.Memory())), nil)
 	n := node.New(node.Options{
 		Memory: budget,
@@ -152,17 +154,22 @@
 		default: // a stop is under way
 		}
 	}
+	files, memory := maxDescriptors(), s.Memory()
 	servers := []struct {
-		address     string
-		tls         *tls.Config
-		handler     http.Handler
-		descriptors int // that bound its connections; 0: none do
+		address string
+		tls     *tls.Config
+		handler http.Handler
+		accept  func(l net.Listener) *accept.Listener
 	}{
-		{s.PeerListen, sec.peers, n.PeerHandler(), 0},
-		{s.CallerListen, sec.callers, n.CallerHandler(), maxDescriptors()},
-		{s.AdminListen, sec.callers, admin.Handler(admin.Options{Node: n, TokenHashes: s.AdminTokenHashes, Drain: drain}), 0},
-	}
-	const callers = 1 // the index of the callers' listener
+		{s.PeerListen, sec.peers, n.PeerHandler(), func(l net.Listener) *accept.Listener {
+			return accept.NewForNodes(l, clock, log, accept.MaxCallers(files), memory)
+		}},
+		{s.CallerListen, sec.callers, n.CallerHandler(), func(l net.Listener) *accept.Listener { return accept.New(l, clock, log, files) }},
+		{s.AdminListen, sec.callers, admin.Handler(admin.Options{Node: n, TokenHashes: s.AdminTokenHashes, Drain: drain}), func(l net.Listener) *accept.Listener {
+			return accept.NewBounded(l, clock, log, operatorPlaces)
+		}},
+	}
+	const callers, operators = 1, 2 // the indices of their listeners
 	// All listeners are open before one is served: a node that answers callers answers operators, too.
 	listeners := make([]*accept.Listener, len(servers))
 	for i, v := range servers {
@@ -170,8 +177,11 @@
 		if err != nil {
 			return err
 		}
-		listeners[i] = accept.NewTLS(l, v.tls, clock, log, v.descriptors)
-		listeners[i].SetHeadMemory(int64(accept.HeadShare*float64(s.Memory())) / int64(len(servers)))
+		listeners[i] = v.accept(l)
+		listeners[i].UseTLS(v.tls)
+	}
+	for _, i := range []int{callers, operators} {
+		listeners[i].SetHeadMemory(int64(accept.HeadShare*float64(memory)) / int64(len(servers)))
 	}
 	budget.OnShort(listeners[callers].MakeRoom)
 	var open []*http.Server
@@ -211,6 +221,9 @@
 	return int(min(v.Cur, math.MaxInt32))
 }
 
+// operatorPlaces is how many connections operators may have.
+const operatorPlaces = 64
+
 // Limits of the listeners: a caller that is slow to ask is cut off, one that reads
 // a long stream isn't.
 const (
--- a/cmd/spurhalld/process_test.go
+++ b/cmd/spurhalld/process_test.go
@@ -26,6 +26,7 @@
 
 type cluster struct {
 	t        *testing.T
+	files    int // descriptors of each process that is started from now on; 0: as many as this one
 	bin      string
 	nodes    []*process
 	plain    string
@@ -41,6 +42,9 @@
 
 func (c *cluster) start(name string, args ...string) *exec.Cmd {
 	p := exec.Command(filepath.Join(c.bin, name), args...)
+	if c.files > 0 {
+		p = exec.Command("sh", append([]string{"-c", fmt.Sprintf(`ulimit -n %d; exec "$0" "$@"`, c.files), filepath.Join(c.bin, name)}, args...)...)
+	}
 	output := filepath.Join(c.t.TempDir(), "output")
 	f, err := os.Create(output)
 	require.NoError(c.t, err)
@@ -61,7 +65,13 @@
 
 func newCluster(t *testing.T, work string, halls ...string) *cluster {
 	t.Helper()
-	c := &cluster{t: t, bin: t.TempDir(), plain: platformtest.OwnAddress()}
+	return newClusterOf(t, 0, work, halls...)
+}
+
+// newClusterOf is newCluster with so many descriptors for each process; 0: as many as this one has.
+func newClusterOf(t *testing.T, files int, work string, halls ...string) *cluster {
+	t.Helper()
+	c := &cluster{t: t, files: files, bin: t.TempDir(), plain: platformtest.OwnAddress()}
 	b := exec.Command("go", "build", "-o", c.bin, "../...")
 	out, err := b.CombinedOutput()
 	require.NoError(t, err, string(out))
--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -96,12 +96,8 @@
 	return &Listener{Listener: l, clock: clock, log: log, maxOpen: places, counter: othersOpen, callers: make(map[*callerConn]bool)}
 }
 
-// NewTLS is New for a listener whose connections use TLS if t is not nil.
-func NewTLS(l net.Listener, t *tls.Config, clock *timer.Service, log *zap.Logger, descriptors int) *Listener {
-	v := New(l, clock, log, descriptors)
-	v.tls = t
-	return v
-}
+// UseTLS has the listener's connections use TLS if t is not nil. It is called before the listener is served.
+func (l *Listener) UseTLS(t *tls.Config) { l.tls = t }
 
 // Accept returns the next connection within the limit.
 func (l *Listener) Accept() (net.Conn, error) {
--- a/internal/accept/pause_test.go
+++ b/internal/accept/pause_test.go
@@ -199,7 +199,8 @@
 }
 
 func TestCallersWithoutTLSGetAHint(t *testing.T) {
-	l := NewTLS(listenTCP(t), &tls.Config{MinVersion: tls.VersionTLS12}, timer.Real(), zap.NewNop(), 0)
+	l := New(listenTCP(t), timer.Real(), zap.NewNop(), 0)
+	l.UseTLS(&tls.Config{MinVersion: tls.VersionTLS12})
 	serve(t, l)
 	c := dial(t, l)
 	_, err := io.WriteString(c, wholeRequest)
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -15,6 +15,7 @@
 	"spurhall.example/spurhall/internal/claim"
 	"spurhall.example/spurhall/internal/config"
 	"spurhall.example/spurhall/internal/member"
+	"spurhall.example/spurhall/internal/message"
 	"spurhall.example/spurhall/internal/reply"
 	"spurhall.example/spurhall/internal/route"
 	"spurhall.example/spurhall/internal/wire"
@@ -80,7 +81,7 @@
 }
 
 func (p *peers) client(address string) wireconnect.PeerClient {
-	return wireconnect.NewPeerClient(p.http, p.n.o.PeerScheme+"://"+address)
+	return wireconnect.NewPeerClient(p.http, p.n.o.PeerScheme+"://"+address, message.Bounded())
 }
 
 func (p *peers) get(id, address string) *peer {
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -7,6 +7,7 @@
 
 	"connectrpc.com/connect"
 
+	"spurhall.example/spurhall/internal/message"
 	"spurhall.example/spurhall/internal/request"
 	"spurhall.example/spurhall/internal/stream"
 	"spurhall.example/spurhall/internal/wire"
@@ -19,7 +20,7 @@
 // PeerHandler returns the handler of the peers' interface.
 func (n *Node) PeerHandler() http.Handler {
 	m := http.NewServeMux()
-	m.Handle(wireconnect.NewPeerHandler(&peerService{n}))
+	m.Handle(wireconnect.NewPeerHandler(&peerService{n}, message.BoundedHandler()))
 	return m
 }
 
