--- a/cmd/spurhalld/crowd_process_test.go
+++ b/cmd/spurhalld/crowd_process_test.go
@@ -93,21 +93,21 @@
 	assertBears(t, callersOf, 64, crowdHead, fmt.Sprintf("Content-Length: %d\r\n\r\n", chatBody), body)
 }
 
-// assertBears checks a process while so many callers have sent some texts to one of its listeners and stay open.
-func assertBears(t *testing.T, at func(p *process) string, callers int, texts ...string) {
+// descriptors returns how many descriptors the process has open.
+func (p *process) descriptors(t *testing.T) int {
 	t.Helper()
-	t.Setenv("SPURHALL_MEMORY_MB", strconv.Itoa(crowdMemory))
-	assertBearsIn(t, newCluster(t, "1ms", "hall-a"), at, callers, texts...)
+	list, err := os.ReadDir(filepath.Join("/proc", strconv.Itoa(p.cmd.Process.Pid), "fd"))
+	require.NoError(t, err)
+	return len(list)
 }
 
-// assertBearsIn is assertBears for the first node of a cluster.
-func assertBearsIn(t *testing.T, c *cluster, at func(p *process) string, callers int, texts ...string) {
-	t.Helper()
-	p := c.nodes[0]
+// gather opens so many connections and sends some texts on each. They stay open until the test ends.
+func (c *cluster) gather(address string, callers int, texts ...string) {
+	c.t.Helper()
 	for range callers {
-		conn, err := net.Dial("tcp", at(p))
-		require.NoError(t, err)
-		t.Cleanup(func() { _ = conn.Close() })
+		conn, err := net.Dial("tcp", address)
+		require.NoError(c.t, err)
+		c.t.Cleanup(func() { _ = conn.Close() })
 		go func() {
 			for _, x := range texts {
 				if _, err := conn.Write([]byte(x)); err != nil {
@@ -117,18 +117,28 @@
 		}()
 	}
 	time.Sleep(crowdSends)
+}
+
+// assertBears checks a process while so many callers have sent some texts to one of its listeners and stay open.
+func assertBears(t *testing.T, at func(p *process) string, callers int, texts ...string) {
+	t.Helper()
+	t.Setenv("SPURHALL_MEMORY_MB", strconv.Itoa(crowdMemory))
+	assertBearsIn(t, newCluster(t, "1ms", "hall-a"), at, callers, texts...)
+}
+
+// assertBearsIn is assertBears for the first node of a cluster.
+func assertBearsIn(t *testing.T, c *cluster, at func(p *process) string, callers int, texts ...string) {
+	t.Helper()
+	p := c.nodes[0]
+	c.gather(at(p), callers, texts...)
 	require.NoError(t, p.cmd.Process.Signal(syscall.Signal(0)))
 	if c.files > 0 {
-		list, err := os.ReadDir(filepath.Join("/proc", strconv.Itoa(p.cmd.Process.Pid), "fd"))
-		require.NoError(t, err)
-		assert.Less(t, len(list), c.files, "open descriptors")
+		assert.Less(t, p.descriptors(t), c.files, "open descriptors")
 	}
 	c.eventually("an ordinary call is answered", func() bool {
 		return p.checkIn(fmt.Sprint("crowd-", time.Now().UnixNano()), 5*time.Second).outcome == "done"
 	})
 	peak := p.statusOf(t, "VmHWM")
-	list, err := os.ReadDir(filepath.Join("/proc", strconv.Itoa(p.cmd.Process.Pid), "fd"))
-	require.NoError(t, err)
-	t.Logf("peak %d MB, %d descriptors", peak>>20, len(list))
+	t.Logf("peak %d MB, %d descriptors", peak>>20, p.descriptors(t))
 	assert.Less(t, peak, int64(crowdMemory)<<20, "the peak of resident memory")
 }
