--- a/internal/soak/draw_crowd.go
+++ b/internal/soak/draw_crowd.go
@@ -23,15 +23,23 @@
 	CrowdLines  = "lines"  // empty lines
 	CrowdBody   = "body"   // a large body, short of its end
 	CrowdChunks = "chunks" // a body in chunks of one byte, short of its end
+	// At the listener for other nodes:
+	CrowdMessages = "messages" // a large message, short of its end
+	CrowdExpand   = "expand"   // a small message that expands to a large one
 )
 
+// atNodes tells whether a crowd comes to the listener for other nodes.
+func atNodes(how string) bool { return how == CrowdMessages || how == CrowdExpand }
+
 var crowdHows = []string{CrowdFields, CrowdHead, CrowdLines, CrowdBody, CrowdChunks}
 
-// drawCrowd draws one crowd of many small fields and two others, on a small VM.
+var nodeHows = []string{CrowdMessages, CrowdExpand}
+
+// drawCrowd draws one crowd of many small fields, two others, and one at the listener for other nodes, on a small VM.
 func (d *Day) drawCrowd(r *rand.Rand, last time.Duration) []Fault {
 	d.Memory = smallMemory
 	var list []Fault
-	hows := append([]string{CrowdFields}, crowdHows[r.IntN(len(crowdHows))], crowdHows[r.IntN(len(crowdHows))])
+	hows := append([]string{CrowdFields}, crowdHows[r.IntN(len(crowdHows))], crowdHows[r.IntN(len(crowdHows))], nodeHows[r.IntN(len(nodeHows))])
 	for _, how := range hows {
 		f := Fault{Kind: FaultCrowd, On: OnDaemons, How: how, Who: d.some(r, OnDaemons), X: crowdCallers}
 		f.Who = f.Who[:1]
