A pause between two events was counted from when the first had been written

request_done told of a pause a little shorter than its caller had seen: it was counted from when the node had written an event and its goroutine ran again. When a stream stalls, and how fast it goes, is judged from the time of the write, as before: a slow caller's own pauses aren't the upstream's.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -23,6 +23,7 @@
 	a           *attempt
 	lastEventID string    // of the last event forwarded
 	lastEventAt time.Time // when that event was forwarded
+	lastCameAt  time.Time // when it had come, and was about to be forwarded
 }
 
 // close ends the current attempt. It is also called after a stream has completed.
@@ -68,6 +69,11 @@
 }
 
 func (t *stream) passEvent(w http.ResponseWriter, c *http.ResponseController, v event) error {
+	came := t.s.o.Clock.Now()
+	if !t.lastCameAt.IsZero() {
+		t.q.longestPause = max(t.q.longestPause, came.Sub(t.lastCameAt))
+	}
+	t.lastCameAt = came
 	if _, err := w.Write(v.raw); err != nil {
 		return fault.Because(errUnwritten, "%s", fault.Reason(err))
 	}
@@ -77,11 +83,7 @@
 	if v.id != "" {
 		t.lastEventID = v.id
 	}
-	now := t.s.o.Clock.Now()
-	if !t.lastEventAt.IsZero() {
-		t.q.longestPause = max(t.q.longestPause, now.Sub(t.lastEventAt))
-	}
-	t.lastEventAt = now
+	t.lastEventAt = t.s.o.Clock.Now()
 	t.recordPace()
 	t.recordProgress()
 	return nil
