Heads may be as large, and take as long, as the node's constants say, whatever the configuration does

Operators who set max_header_bytes to 16 kB and header_timeout_ms to 3 s had callers whose heads took 64 kB (1 MB of memory) and 15 s. The callers' listener follows both now, as they are in force: a head beyond the limit and 4 kB, as much as may be read behind it, closes its connection at once, and one on its way has the time-out and 5 s for a slow network. idle_timeout_ms isn't followed: idle connections give way when places run short, and to close one earlier could cross a request that comes late.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -27,6 +27,7 @@
 
 	"go.uber.org/zap"
 
+	"spurhall.example/spurhall/internal/catalog"
 	"spurhall.example/spurhall/internal/timer"
 )
 
@@ -70,6 +71,7 @@
 	held     int64 // bytes of memory that connections hold
 	maxHeld  int64 // 0: no bound
 	messages bool  // bodies are counted, too
+	limits   catalog.Limits
 	yieldLog yieldLog
 }
 
@@ -96,6 +98,20 @@
 	return &Listener{Listener: l, clock: clock, log: log, maxOpen: places, counter: othersOpen, callers: make(map[*callerConn]bool)}
 }
 
+const (
+	// watcherPlaces is how many connections those who watch a process may have: the balancer, and some operators.
+	watcherPlaces = 64
+	// watcherHeads is what the heads of their requests may take, in bytes: one of the largest size.
+	watcherHeads = 1 << 20
+)
+
+// NewForWatchers returns a listener for those who watch a process.
+func NewForWatchers(l net.Listener, clock *timer.Service, log *zap.Logger) *Listener {
+	v := NewBounded(l, clock, log, watcherPlaces)
+	v.SetHeadMemory(watcherHeads)
+	return v
+}
+
 // UseTLS has the listener's connections use TLS if t is not nil. It is called before the listener is served.
 func (l *Listener) UseTLS(t *tls.Config) { l.tls = t }
 
--- a/internal/accept/caller.go
+++ b/internal/accept/caller.go
@@ -102,9 +102,8 @@
 	c.look = look{}
 	c.inProgress, c.answered, c.bytes, c.readAt, c.waited = true, false, 0, c.listener.clock.Now(), 0
 	c.listener.set(c, phaseHead)
-	if c.listener.draining.Load() {
-		_ = c.Conn.SetReadDeadline(c.deadline) // fails only if it is closed
-	}
+	c.deadline = c.listener.within(c, c.deadline)
+	_ = c.Conn.SetReadDeadline(c.deadline) // fails only if it is closed
 }
 
 // beginBuffered records that a request has begun, also one of which all bytes were read with the request before it.
@@ -120,11 +119,11 @@
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.deadline, c.look = t, look{}
+	c.deadline, c.look = c.listener.within(c, t), look{}
 	if c.isClosing() {
 		return nil
 	}
-	return c.Conn.SetReadDeadline(t)
+	return c.Conn.SetReadDeadline(c.deadline)
 }
 
 // Write writes a part of a response.
--- a/internal/accept/yield.go
+++ b/internal/accept/yield.go
@@ -52,6 +52,8 @@
 	// shortOfMessages: of other nodes.
 	shortOfMessages shortage = "memory_of_messages"
 	shortOfBodies   shortage = "memory_of_bodies"
+	// beyondHeadLimit isn't a shortage: the head is larger than the operators allow.
+	beyondHeadLimit shortage = "limit_of_heads"
 	// shortOfResponses: package memory chooses who gives way.
 	shortOfResponses shortage = "memory_of_responses"
 )
@@ -177,6 +179,9 @@
 	}
 	c.standing.held += cost * int64(n)
 	l.held += cost * int64(n)
+	if c.standing.phase == phaseHead && l.beyondLimit(c.standing.held/headCost) && !c.standing.yields {
+		return []*callerConn{l.markYield(c, beyondHeadLimit)}
+	}
 	var list []*callerConn
 	for left := l.held; l.maxHeld > 0 && left > l.maxHeld; {
 		v := l.longest(yieldGrace, phase.partial)
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -286,6 +286,7 @@
 			n.pools.SetSize(name, capacity.Size{Slots: e.Slots, Memory: float64(e.CacheTokens), Fetch: e.FetchTokensPerMs})
 		}
 	}
+	n.limitCallers()
 	catalogVersion.Set(c.Version())
 	n.log.Info("catalog_in_force", zap.Int64("version", c.Version()), zap.String("source", source))
 }
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -110,17 +110,9 @@
 	}
 }
 
-const (
-	// watcherPlaces is how many connections the listeners for readiness and metrics take each: the balancer, and some who watch.
-	watcherPlaces = 64
-	// watcherHeads is what the heads of their requests may take each, in bytes: one of the largest size.
-	watcherHeads = 1 << 20
-)
-
 // serveBounded serves a listener for those who watch this node, of whom there are few.
 func (n *Node) serveBounded(l net.Listener, h http.HandlerFunc) *http.Server {
-	w := accept.NewBounded(l, n.clock, n.log, watcherPlaces)
-	w.SetHeadMemory(watcherHeads)
+	w := accept.NewForWatchers(l, n.clock, n.log)
 	s := n.serverOn(w, h)
 	go n.serve(s, w)
 	return s
@@ -151,9 +143,17 @@
 	w.Identify = n.front.Identify
 	w.SetHeadMemory(int64(accept.HeadShare * float64(n.memoryBytes())))
 	n.frontListener.Store(w)
+	n.limitCallers()
 	return w
 }
 
+// limitCallers has the callers' listener hold to the configuration's limits.
+func (n *Node) limitCallers() {
+	if w, c := n.frontListener.Load(), n.currentCatalog(); w != nil && c != nil {
+		w.SetLimits(c.Limits())
+	}
+}
+
 func (n *Node) cannotAccept() bool {
 	w := n.frontListener.Load()
 	return w != nil && w.Failing(n.clock.Now())
