Messages of closed connections were forgotten while their handlers still held them

A request of another node is read whole before the library has it; what it holds counts until its handler has returned, and a connection reads on only while there is room. Nobody waits for one who waits: what is beyond the bound belongs to connections that give way, or to whole requests.

TestMessagesOfClosedConnectionsAreForgotten fails without the wait.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -69,8 +69,10 @@
 	mu       sync.Mutex
 	callers  map[*callerConn]bool
 	held     int64 // bytes of memory that connections hold
+	leaving  int64 // of these, by connections that give way
 	maxHeld  int64 // 0: no bound
 	messages bool  // bodies are counted, too
+	released *sync.Cond
 	limits   catalog.Limits
 	yieldLog yieldLog
 }
@@ -95,7 +97,9 @@
 
 // NewBounded returns a listener that takes so many connections; 0: no limit.
 func NewBounded(l net.Listener, clock *timer.Service, log *zap.Logger, places int) *Listener {
-	return &Listener{Listener: l, clock: clock, log: log, maxOpen: places, counter: othersOpen, callers: make(map[*callerConn]bool)}
+	v := &Listener{Listener: l, clock: clock, log: log, maxOpen: places, counter: othersOpen, callers: make(map[*callerConn]bool)}
+	v.released = sync.NewCond(&v.mu)
+	return v
 }
 
 const (
@@ -158,7 +162,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.callers, c)
-	l.release(c)
+	if !c.standing.serving {
+		l.release(c)
+	}
 	l.counter.Add(-1)
 }
 
--- a/internal/accept/yield.go
+++ b/internal/accept/yield.go
@@ -80,6 +80,7 @@
 	phase   phase
 	since   time.Time // it has had no whole request; of a whole one: its beginning
 	held    int64     // bytes of memory that what was read takes, counted until the response is complete
+	serving bool      // its request has a handler, which may hold what was read after the connection has closed
 	yields  bool      // it gives way: its request isn't passed on any more
 	reading bool      // its body is waited for, and not this node's room for it
 	readAt  time.Time // when its body was last read
@@ -155,7 +156,40 @@
 // release gives back what a connection holds.
 func (l *Listener) release(c *callerConn) {
 	l.held -= c.standing.held
+	if c.standing.yields {
+		l.leaving -= c.standing.held
+	}
 	c.standing.held = 0
+	l.released.Broadcast()
+}
+
+// beginServe records that a request has a handler.
+func (l *Listener) beginServe(c *callerConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.standing.serving = true
+}
+
+// endServe records that a handler has returned. What its request holds is given back with its response, or now if there is none.
+func (l *Listener) endServe(c *callerConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.standing.serving = false
+	if !l.callers[c] {
+		l.release(c)
+	}
+}
+
+// awaitRoom waits until a connection may read on of a message: what those hold that give way is free only once their handlers
+// have returned. It reports whether the connection still holds its place. All that is held belongs to connections that give way, to
+// whole requests, which end, or has room: so nobody waits for one who waits.
+func (l *Listener) awaitRoom(c *callerConn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for l.messages && l.held > l.maxHeld && c.standing.held < l.held && !c.standing.yields {
+		l.released.Wait()
+	}
+	return !c.standing.yields
 }
 
 // cost returns how many bytes of memory a byte takes that is read in a phase; 0: it isn't counted here.
@@ -183,7 +217,7 @@
 		return []*callerConn{l.markYield(c, beyondHeadLimit)}
 	}
 	var list []*callerConn
-	for left := l.held; l.maxHeld > 0 && left > l.maxHeld; {
+	for left := l.held - l.leaving; l.maxHeld > 0 && left > l.maxHeld; {
 		v := l.longest(yieldGrace, phase.partial)
 		if v == nil {
 			v = l.largest()
@@ -263,6 +297,8 @@
 // markYield marks a connection, which is closed once the lock isn't held.
 func (l *Listener) markYield(c *callerConn, why shortage) *callerConn {
 	c.standing.yields = true
+	l.leaving += c.standing.held
+	l.released.Broadcast()
 	callersYielded.Add(string(why), 1)
 	now := l.clock.Now()
 	if now.Sub(l.yieldLog.at) < yieldLogInterval {
@@ -330,6 +366,10 @@
 			c.reach(phaseBody)
 			r.Body = &followedBody{ReadCloser: r.Body, c: c}
 		}
+		if ok {
+			l.beginServe(c)
+			defer l.endServe(c)
+		}
 		h.ServeHTTP(w, r)
 	})
 }
@@ -349,6 +389,9 @@
 
 // Read reads the body.
 func (b *followedBody) Read(p []byte) (int, error) {
+	if !b.c.listener.awaitRoom(b.c) {
+		return 0, errGaveWay
+	}
 	b.c.listener.beginRead(b.c)
 	n, err := b.ReadCloser.Read(p)
 	b.c.listener.endRead(b.c)
--- a/internal/accept/yield_test.go
+++ b/internal/accept/yield_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -45,6 +47,9 @@
 			<-r.held
 		}
 		if _, err := io.Copy(io.Discard, q.Body); err != nil {
+			if q.URL.Path == "/lingers" {
+				<-r.held
+			}
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
@@ -203,6 +208,40 @@
 	assert.Zero(t, r.l.held)
 }
 
+// TestMessagesOfClosedConnectionsAreForgotten guards against messages that are read while those that gave way for them are still held.
+func TestMessagesOfClosedConnectionsAreForgotten(t *testing.T) {
+	const message = 1000
+	post := func(path string, size int) string {
+		return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", path, size)
+	}
+	r := newYieldRig(t)
+	r.l.SetMessageMemory(headCost*200 + messageCost*message)
+	first := r.send(post("/lingers", message), phaseBody)
+	_, err := io.WriteString(first, strings.Repeat("x", message/2))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return r.heldBytes() >= messageCost*message/2 }, 10*time.Second, time.Millisecond)
+	r.clock.Advance(2 * yieldGrace)
+	second := r.send(post("/", message*3/2), phaseBody)
+	for range 3 {
+		_, err = io.WriteString(second, strings.Repeat("x", message/2))
+		require.NoError(t, err)
+		time.Sleep(100 * time.Millisecond)
+	}
+	assertClosed(t, first)
+	_ = second.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+	_, err = second.Read(make([]byte, 1))
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded, "it waits for what the first one's handler holds")
+	close(r.held)
+	assertAnswered(t, second)
+	assert.Eventually(t, func() bool { return r.heldBytes() == 0 }, 10*time.Second, time.Millisecond, "all is given back")
+}
+
+func (r *yieldRig) heldBytes() int64 {
+	r.l.mu.Lock()
+	defer r.l.mu.Unlock()
+	return r.l.held
+}
+
 // TestConnectionThatGivesWayIsAnswered guards against a response, or an empty 200, on a connection whose request came to its end
 // just as it was chosen to give way.
 func TestConnectionThatGivesWayIsAnswered(t *testing.T) {
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -180,7 +180,7 @@
 
 func (n *Node) peerHandler() http.Handler {
 	_, h := wireconnect.NewEdgeHandler(&edgeService{n}, connect.WithCompressMinBytes(minCompressed), message.BoundedHandler())
-	h = n.load.Handler(h)
+	h = n.load.Handler(message.Whole(h))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodConnect {
 			n.uplink.ServeHTTP(w, r)
--- a/internal/message/limits.go
+++ b/internal/message/limits.go
@@ -1,9 +1,11 @@
 package message
 
 import (
+	"bytes"
 	"compress/gzip"
 	"errors"
 	"io"
+	"net/http"
 
 	"connectrpc.com/connect"
 )
@@ -30,6 +32,27 @@
 	return connect.WithHandlerOptions(Bounded(), connect.WithCompression("gzip", unpack, pack))
 }
 
+// maxBody is the size of a request in bytes: a message, and what frames it.
+const maxBody = maxMessage + 4<<10
+
+// Whole returns a handler that reads a request whole before the inner one has it. The inner one reads into buffers that it keeps for
+// other requests, so that small ones that don't come to their end would hold as much as large ones.
+func Whole(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Body == nil || r.Body == http.NoBody {
+			h.ServeHTTP(w, r)
+			return
+		}
+		b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+		if err != nil {
+			http.Error(w, "the request wasn't read: "+err.Error(), http.StatusRequestEntityTooLarge)
+			return
+		}
+		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(b)), int64(len(b))
+		h.ServeHTTP(w, r)
+	})
+}
+
 // refused is what reads a compressed request.
 type refused struct{}
 
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -21,7 +21,7 @@
 func (n *Node) PeerHandler() http.Handler {
 	m := http.NewServeMux()
 	m.Handle(wireconnect.NewPeerHandler(&peerService{n}, message.BoundedHandler()))
-	return m
+	return message.Whole(m)
 }
 
 // Exchange exchanges facts with a peer.
