Bytes of a connection that gives way were given back twice

What a chosen connection had read until it was closed counted as held and not as leaving, so that each such byte left the listener for other nodes with more room than there is, for ever. Found by reading, before it was served. TestBytesOfAConnectionThatGivesWayAreGivenBackTwice failed before.

--- a/internal/accept/yield.go
+++ b/internal/accept/yield.go
@@ -153,6 +153,15 @@
 	c.standing.phase = phaseWhole
 }
 
+// hold counts bytes of memory that a connection takes.
+func (l *Listener) hold(c *callerConn, bytes int64) {
+	c.standing.held += bytes
+	l.held += bytes
+	if c.standing.yields {
+		l.leaving += bytes
+	}
+}
+
 // release gives back what a connection holds.
 func (l *Listener) release(c *callerConn) {
 	l.held -= c.standing.held
@@ -211,8 +220,7 @@
 	if cost == 0 || !l.callers[c] {
 		return nil // of one that was closed meanwhile, nobody gives the bytes back
 	}
-	c.standing.held += cost * int64(n)
-	l.held += cost * int64(n)
+	l.hold(c, cost*int64(n))
 	if c.standing.phase == phaseHead && l.beyondLimit(c.standing.held/headCost) && !c.standing.yields {
 		return []*callerConn{l.markYield(c, beyondHeadLimit)}
 	}
@@ -296,9 +304,11 @@
 
 // markYield marks a connection, which is closed once the lock isn't held.
 func (l *Listener) markYield(c *callerConn, why shortage) *callerConn {
-	c.standing.yields = true
-	l.leaving += c.standing.held
-	l.released.Broadcast()
+	if !c.standing.yields {
+		c.standing.yields = true
+		l.leaving += c.standing.held
+		l.released.Broadcast()
+	}
 	callersYielded.Add(string(why), 1)
 	now := l.clock.Now()
 	if now.Sub(l.yieldLog.at) < yieldLogInterval {
--- a/internal/accept/yield_test.go
+++ b/internal/accept/yield_test.go
@@ -208,6 +208,28 @@
 	assert.Zero(t, r.l.held)
 }
 
+// TestBytesOfAConnectionThatGivesWayAreGivenBackTwice guards against more room than there is, after bytes that were read, or a second
+// choice, between the choice of a connection and its close.
+func TestBytesOfAConnectionThatGivesWayAreGivenBackTwice(t *testing.T) {
+	r := newYieldRig(t)
+	r.l.SetHeadMemory(headCost * 1000)
+	r.send(partOfAHead, phaseHead)
+	c := r.l.open()[0]
+	r.l.mu.Lock()
+	r.l.markYield(c, shortOfHeads)
+	r.l.markYield(c, shortOfPlaces)
+	r.l.mu.Unlock()
+	assert.Empty(t, r.l.count(c, 99))
+	r.l.mu.Lock()
+	assert.Equal(t, r.l.held, r.l.leaving)
+	r.l.mu.Unlock()
+	require.NoError(t, c.close())
+	r.l.mu.Lock()
+	defer r.l.mu.Unlock()
+	assert.Zero(t, r.l.held)
+	assert.Zero(t, r.l.leaving)
+}
+
 // TestMessagesOfClosedConnectionsAreForgotten guards against messages that are read while those that gave way for them are still held.
 func TestMessagesOfClosedConnectionsAreForgotten(t *testing.T) {
 	const message = 1000
@@ -234,6 +256,9 @@
 	close(r.held)
 	assertAnswered(t, second)
 	assert.Eventually(t, func() bool { return r.heldBytes() == 0 }, 10*time.Second, time.Millisecond, "all is given back")
+	r.l.mu.Lock()
+	defer r.l.mu.Unlock()
+	assert.Zero(t, r.l.leaving)
 }
 
 func (r *yieldRig) heldBytes() int64 {
